--- a/lab/child_process.cpp
+++ b/lab/child_process.cpp
@@ -1,6 +1,7 @@
 #include "child_process.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <csignal>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -16,6 +17,27 @@
 namespace ibislock::lab
 {
 
+namespace
+{
+
+constexpr unsigned FirstPort = 10000;
+constexpr unsigned PortCount = 20000;
+constexpr unsigned PortsPerProcess = 397;
+
+bool canBind(unsigned short port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool bound = bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+    close(fd);
+    return bound;
+}
+
+} // namespace
+
 ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::string &logFile)
 {
     std::vector<char *> argv;
@@ -87,18 +109,15 @@
 
 unsigned short freePort()
 {
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
-    const bool bound = bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0
-        && getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length) == 0;
-    close(fd);
-    if (!bound) {
-        throw std::runtime_error("no free port on loopback");
+    // Ports of the ephemeral range would be taken by outgoing connections before the daemon listens.
+    static std::atomic<unsigned> next = static_cast<unsigned>(getpid()) * PortsPerProcess;
+    for (unsigned tries = 0; tries < PortCount; ++tries) {
+        const auto port = static_cast<unsigned short>(FirstPort + next++ % PortCount);
+        if (canBind(port)) {
+            return port;
+        }
     }
-    return ntohs(address.sin_port);
+    throw std::runtime_error("no free port on loopback");
 }
 
 } // namespace ibislock::lab
--- a/lab/experiments/demo.cpp
+++ b/lab/experiments/demo.cpp
@@ -25,8 +25,8 @@
 using nlohmann::json;
 using namespace ibislock::standins;
 
-constexpr const char *CallerCredential = "demo-caller-credential";
-constexpr const char *OperatorCredential = "demo-operator-credential";
+constexpr const char *DemoCallerCredential = "demo-caller-credential";
+constexpr const char *DemoOperatorCredential = "demo-operator-credential";
 constexpr std::uint64_t MiB = 1ULL << 20;
 constexpr Millis PollInterval{20};
 
@@ -83,7 +83,7 @@
         while (steadyMillis() < deadline) {
             for (const std::string &url : m_administration) {
                 httplib::Client client(url);
-                client.set_bearer_token_auth(OperatorCredential);
+                client.set_bearer_token_auth(DemoOperatorCredential);
                 const auto result = client.Post("/v1/tickets", ticket.dump(), "application/json");
                 if (result && result->status == 200) {
                     return true;
@@ -155,8 +155,8 @@
         const auto administration = freePort();
         writeSettings(vm, domain, "entry",
                       "[callers]\nport = " + std::to_string(callers) + "\nthreads = 32\n[administration]\nport = "
-                          + std::to_string(administration) + "\n[workspaces]\ndala = " + CallerCredential
-                          + "\n[operators]\noperator = " + OperatorCredential + "\n");
+                          + std::to_string(administration) + "\n[workspaces]\ndala = " + DemoCallerCredential
+                          + "\n[operators]\noperator = " + DemoOperatorCredential + "\n");
         m_callers.push_back("http://127.0.0.1:" + std::to_string(callers));
         m_administration.push_back("http://127.0.0.1:" + std::to_string(administration));
         m_processes.emplace(vm, spawn(vm, "entry"));
@@ -227,7 +227,7 @@
     const Digest first = demo.store().addVersion("frost", "1", size, MiB, 11);
     const Digest second = demo.store().addVersion("frost", "2", size, MiB, 22);
     demo.startProcesses();
-    Load load({.entries = demo.callerUrls(), .credential = CallerCredential});
+    Load load({.entries = demo.callerUrls(), .credential = DemoCallerCredential});
 
     bool ok = demo.fileTicket(1, "1", first);
     const auto firstTook = demo.waitForAll(first);
--- a/lab/standins/include/ibislock/standins/log_stand_in.h
+++ b/lab/standins/include/ibislock/standins/log_stand_in.h
@@ -25,6 +25,12 @@
     std::string url() const;
     Faults &faults();
 
+    /// Opens one more way to the same log, with faults of its own; a failure domain that is cut off loses its way.
+    /// @return the number of the way, for `frontUrl` and `frontFaults`.
+    std::size_t addFront(unsigned threads);
+    std::string frontUrl(std::size_t front) const;
+    Faults &frontFaults(std::size_t front);
+
     /// Keeps only the newest records from now on; zero keeps all.
     void setRetention(std::size_t records);
 
@@ -45,11 +51,14 @@
     std::uint64_t appends() const;
 
 private:
+    void addRoutes(StandInServer &server);
     void handleAppend(const httplib::Request &request, httplib::Response &response);
-    void handleRead(const httplib::Request &request, httplib::Response &response);
+    void handleRead(StandInServer &server, const httplib::Request &request, httplib::Response &response);
     std::uint64_t appendLocked(const std::string &data);
 
+    std::uint64_t m_seed;
     StandInServer m_server;
+    std::vector<std::unique_ptr<StandInServer>> m_fronts;
     mutable std::mutex m_mutex;
     std::condition_variable m_appended;
     std::deque<std::string> m_records;
--- a/lab/standins/src/log_stand_in.cpp
+++ b/lab/standins/src/log_stand_in.cpp
@@ -18,16 +18,40 @@
 } // namespace
 
 LogStandIn::LogStandIn(std::uint64_t seed, unsigned threads)
-    : m_server(threads, seed)
+    : m_seed(seed)
+    , m_server(threads, seed)
 {
-    m_server.post("/log/records", [this](const httplib::Request &request, httplib::Response &response) {
+    addRoutes(m_server);
+}
+
+void LogStandIn::addRoutes(StandInServer &server)
+{
+    server.post("/log/records", [this](const httplib::Request &request, httplib::Response &response) {
         handleAppend(request, response);
     });
-    m_server.get("/log/records", [this](const httplib::Request &request, httplib::Response &response) {
-        handleRead(request, response);
+    server.get("/log/records", [this, &server](const httplib::Request &request, httplib::Response &response) {
+        handleRead(server, request, response);
     });
 }
 
+std::size_t LogStandIn::addFront(unsigned threads)
+{
+    m_fronts.push_back(std::make_unique<StandInServer>(threads, m_seed + m_fronts.size() + 1));
+    addRoutes(*m_fronts.back());
+    m_fronts.back()->start();
+    return m_fronts.size() - 1;
+}
+
+std::string LogStandIn::frontUrl(std::size_t front) const
+{
+    return m_fronts.at(front)->url();
+}
+
+Faults &LogStandIn::frontFaults(std::size_t front)
+{
+    return m_fronts.at(front)->faults();
+}
+
 LogStandIn::~LogStandIn()
 {
     stop();
@@ -40,6 +64,9 @@
 
 void LogStandIn::stop()
 {
+    for (const auto &front : m_fronts) {
+        front->stop();
+    }
     m_server.stop();
 }
 
@@ -122,7 +149,7 @@
     response.set_content(json{{"offset", offset}}.dump(), "application/json");
 }
 
-void LogStandIn::handleRead(const httplib::Request &request, httplib::Response &response)
+void LogStandIn::handleRead(StandInServer &server, const httplib::Request &request, httplib::Response &response)
 {
     ++m_reads;
     const std::uint64_t from = numberParameter(request, "from", 0);
@@ -130,8 +157,8 @@
     const Millis deadline = steadyMillis() + Millis(numberParameter(request, "wait_ms", 0));
     std::unique_lock lock(m_mutex);
     // Waits in short steps, so that an outage or a stop is noticed.
-    while (m_first + m_records.size() <= from && steadyMillis() < deadline && !m_server.isStopping()
-           && !m_server.faults().outage) {
+    while (m_first + m_records.size() <= from && steadyMillis() < deadline && !server.isStopping()
+           && !server.faults().outage) {
         m_appended.wait_for(lock, Millis(50));
     }
     json records = json::array();
--- a/libs/entry/include/ibislock/entry/daemon.h
+++ b/libs/entry/include/ibislock/entry/daemon.h
@@ -41,6 +41,9 @@
     /// Gives the port at which the daemon accepts RPC.
     std::uint16_t rpcPort() const;
 
+    /// Cuts this daemon off from the addresses for which a predicate is false; for experiments.
+    void setReachable(rpc::Reachable reachable);
+
     /// Gives the daemon's counters.
     const Counters &counters() const;
 
--- a/libs/entry/src/daemon.cpp
+++ b/libs/entry/src/daemon.cpp
@@ -100,6 +100,11 @@
     return m_impl->server ? m_impl->server->port() : 0;
 }
 
+void Daemon::setReachable(rpc::Reachable reachable)
+{
+    m_impl->client.setReachable(std::move(reachable));
+}
+
 const Counters &Daemon::counters() const
 {
     return m_impl->counters;
--- a/libs/rpc/include/ibislock/rpc/client.h
+++ b/libs/rpc/include/ibislock/rpc/client.h
@@ -27,6 +27,9 @@
     Millis chunkTimeout{20000};
 };
 
+/// Tells whether an address may be connected to.
+using Reachable = std::function<bool(const std::string &address)>;
+
 /// The next thing that an answer brings.
 using AnswerEvent = std::variant<requests::AnswerPart, requests::AnswerEnd, Error>;
 
@@ -73,6 +76,10 @@
     /// Submits a request. An Unavailable error as the first event proves that it was not sent.
     std::shared_ptr<AnswerStream> submit(const std::string &address, const requests::Request &request);
 
+    /// Refuses connections to the addresses for which a predicate is false, and breaks those that are open. Experiments
+    /// cut failure domains off with it.
+    void setReachable(Reachable reachable);
+
 private:
     struct Impl;
 
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -53,6 +53,9 @@
     /// Gives the connection to an address, and makes it when there is none.
     kj::Promise<std::shared_ptr<Connection>> connect(const std::string &address)
     {
+        if (reachable && !reachable(address)) {
+            return KJ_EXCEPTION(DISCONNECTED, "the address is cut off");
+        }
         const auto it = connections.find(address);
         if (it != connections.end()) {
             return it->second;
@@ -93,6 +96,17 @@
         connections.erase(it);
     }
 
+    /// Breaks the connections to addresses that are cut off.
+    void breakUnreachable()
+    {
+        for (auto &[address, connection] : connections) {
+            if (!reachable(address)) {
+                connection->stream->shutdownWrite();
+                connection->stream->abortRead();
+            }
+        }
+    }
+
     /// Runs one call with a deadline on the loop and waits for it.
     template <typename Function>
     auto blockingCall(const std::string &address, Millis timeout, Function &&function)
@@ -118,6 +132,7 @@
 
     const EventLoop &loop;
     ClientOptions options;
+    Reachable reachable;
     IgnoreErrors ignoreErrors;
     std::map<std::string, std::shared_ptr<Connection>> connections;
     kj::TaskSet watchers{ignoreErrors};
@@ -331,4 +346,14 @@
     return stream;
 }
 
+void Client::setReachable(Reachable reachable)
+{
+    m_loop.call([&] {
+        m_impl->reachable = std::move(reachable);
+        if (m_impl->reachable) {
+            m_impl->breakUnreachable();
+        }
+    });
+}
+
 } // namespace ibislock::rpc
