--- a/lab/experiments/demo.cpp
+++ b/lab/experiments/demo.cpp
@@ -29,6 +29,7 @@
 constexpr const char *DemoOperatorCredential = "demo-operator-credential";
 constexpr std::uint64_t MiB = 1ULL << 20;
 constexpr Millis PollInterval{20};
+constexpr Millis DownTime{500};
 
 struct DemoOptions
 {
@@ -40,7 +41,7 @@
     std::uint64_t sizeMib = 16;
     Millis loadTime{4000}; ///< How long the load goes on after each rollout.
     Millis rolloutTimeout{20000};
-    bool killProcesses = false;
+    std::vector<std::string> kill; ///< VMs whose process is killed and started again on the way.
 };
 
 /// The stand-ins and the product's processes.
@@ -110,12 +111,22 @@
         return std::nullopt;
     }
 
-    /// Kills one entry and one target process and starts them again.
-    void killAndRestart()
+    /// Gives the names of all VMs.
+    std::vector<std::string> vms() const
     {
-        for (const std::string &vm : {std::string("entry1"), std::string("target1")}) {
+        std::vector<std::string> names;
+        for (const auto &[vm, process] : m_processes) {
+            names.push_back(vm);
+        }
+        return names;
+    }
+
+    /// Kills processes one after the other and starts each again.
+    void killAndRestart(const std::vector<std::string> &vms)
+    {
+        for (const std::string &vm : vms) {
             m_processes.at(vm).kill();
-            std::this_thread::sleep_for(Millis(500));
+            std::this_thread::sleep_for(DownTime);
             m_processes.at(vm) = spawn(vm, vm.starts_with("entry") ? "entry" : "target");
         }
     }
@@ -236,9 +247,7 @@
 
     load.start();
     std::this_thread::sleep_for(options.loadTime / 2);
-    if (options.killProcesses) {
-        demo.killAndRestart();
-    }
+    demo.killAndRestart(options.kill == std::vector<std::string>{"all"} ? demo.vms() : options.kill);
     ok = demo.fileTicket(2, "2", second) && ok;
     const auto secondTook = demo.waitForAll(second);
     printRollout(2, secondTook, demo.targetCount(), demo.store().sentBytes() - firstBytes, size);
@@ -261,7 +270,8 @@
     cxxopts::Options options("ibislock-lab demo", "Runs the whole path as separate processes under live load.");
     options.add_options()("ibislock", "the product's binary", cxxopts::value<std::string>())(
         "directory", "where settings and logs go", cxxopts::value<std::string>())(
-        "kill", "kill an entry and a target process on the way")("help", "print this help");
+        "kill", "VMs whose process is killed on the way, or all of them in turn",
+        cxxopts::value<std::vector<std::string>>()->default_value(""))("help", "print this help");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") != 0 || parsed.count("ibislock") == 0 || parsed.count("directory") == 0) {
         std::cout << options.help() << "\n";
@@ -271,7 +281,8 @@
     std::filesystem::create_directories(parsed["directory"].as<std::string>());
     return run({.binary = parsed["ibislock"].as<std::string>(),
                 .directory = parsed["directory"].as<std::string>(),
-                .killProcesses = parsed.count("kill") != 0});
+                .kill = parsed.count("kill") != 0 ? parsed["kill"].as<std::vector<std::string>>()
+                                                  : std::vector<std::string>{}});
 }
 
 } // namespace ibislock::lab
