Experiments' JSON lines become plots and tables

'ibislock-lab report' now reads their JSON lines and writes an SVG plot (medians, a bar from the lowest to the highest run, linear or logarithmic axes) and a Markdown table.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,6 +1,7 @@
 // The laboratory: stand-ins, load and experiments. It is not shipped.
 
 #include "experiments/demo.h"
+#include "report/report_command.h"
 
 #include <array>
 #include <cxxopts.hpp>
@@ -21,9 +22,10 @@
     int (*run)(int argc, char **argv);
 };
 
-constexpr std::array<Experiment, 1> Experiments{{
-    {"demo", "the whole path as separate processes", runDemo},
-}};
+constexpr std::array Experiments{
+    Experiment{"demo", "the whole path as separate processes", runDemo},
+    Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
+};
 
 int run(int argc, char **argv)
 {
