Experiment on tickets; claims by compare-and-set; leaner state

Cause: nothing measured whether accepted tickets stay accepted, a claim that reached the log late took a slot back, the audit window decided whether filing was idempotent, and each audit entry held a whole ticket.

Change: 'ibislock-lab config' files tickets by racing operators under nine kinds of fault and judges them against the targets. A claim names the claim that it replaces, so the test of newer claims now says which one they replace. The state keeps 2048 content digests apart from the audit trail, which holds summaries and the times at which each domain had a ticket in force.

--- a/app/operator_commands.cpp
+++ b/app/operator_commands.cpp
@@ -127,9 +127,9 @@
 void printTicket(const json &entry)
 {
     printAuditLine(entry);
-    for (const json &scope : entry["ticket"]["scopes"]) {
+    for (const json &scope : entry["scopes"]) {
         std::cout << "  " << scope.value("workspace", "") << "/" << scope.value("role", "") << " -> "
-                  << scope.value("model", "") << " " << scope.value("version", "") << " on " << scope["vms"].size()
+                  << scope.value("model", "") << " " << scope.value("version", "") << " on " << scope.value("vms", 0)
                   << " VMs\n";
     }
 }
--- a/lab/deployment.h
+++ b/lab/deployment.h
@@ -89,6 +89,16 @@
     /// Cuts domains off from the others and from the platform; an empty set heals all.
     void cutOff(const std::set<unsigned> &domains);
 
+    /// Makes the log refuse every call, on all ways to it; a domain that is cut off stays cut off afterwards.
+    void setLogOutage(bool outage);
+
+    /// Sets faults of all ways to the log.
+    void setLogDelay(Millis delay);
+    void setLostLogAnswers(double probability);
+
+    /// Gives the way by which a domain reaches the log.
+    std::string logUrlOf(unsigned domain) const;
+
     /// Gives the URLs of the callers' interfaces of the entry VMs that are up.
     std::vector<std::string> callerUrls() const;
 
@@ -109,6 +119,7 @@
 private:
     node::NodeOptions nodeOptions(const node::NodeOptions &base, const std::string &name, unsigned domain) const;
     void applyCut();
+    void applyOutages();
     bool mayConnect(unsigned fromDomain, const std::string &address) const;
 
     DeploymentOptions m_options;
@@ -120,6 +131,7 @@
     std::vector<TargetVm> m_targets;
     std::map<std::string, unsigned> m_domainOfAddress;
     std::set<unsigned> m_cutOff;
+    bool m_logOutage = false;
 };
 
 /// Gives a failure domain's name.
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,5 +1,6 @@
 // The laboratory: stand-ins, load and experiments. It is not shipped.
 
+#include "experiments/config.h"
 #include "experiments/demo.h"
 #include "report/report_command.h"
 
@@ -23,6 +24,7 @@
 };
 
 constexpr std::array Experiments{
+    Experiment{"config", "tickets under faults: accepted once, in force everywhere, never reverting", runConfig},
     Experiment{"demo", "the whole path as separate processes", runDemo},
     Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
 };
--- a/libs/configuration/include/ibislock/configuration/record.h
+++ b/libs/configuration/include/ibislock/configuration/record.h
@@ -10,6 +10,7 @@
 
 #include "ibislock/configuration/ticket.h"
 
+#include <optional>
 #include <variant>
 
 namespace ibislock::configuration
@@ -31,11 +32,13 @@
     bool operator==(const TicketRecord &) const = default;
 };
 
-/// A target process's claim of its VM's slot. Its offset is the fencing number.
+/// A target process's claim of its VM's slot. Its offset is the fencing number. The claim counts only when it replaces
+/// the one that is in force, so that a claim which reaches the log late takes nothing back.
 struct ClaimRecord
 {
     std::string vm;
     std::uint64_t incarnation = 0;
+    std::optional<Offset> replaces; ///< The offset of the claim that the process saw in force; none when it saw none.
 
     bool operator==(const ClaimRecord &) const = default;
 };
@@ -44,12 +47,23 @@
 struct SnapshotRecord
 {
     std::string state; ///< Encoded by `encodeState`.
+    Offset next = 0; ///< The first offset that is not part of the state.
 
     bool operator==(const SnapshotRecord &) const = default;
 };
 
+/// A failure domain's report that all its VMs that are up have a ticket, and every earlier one, in force.
+struct InForceRecord
+{
+    std::string domain;
+    std::uint64_t number = 0;
+    std::uint64_t atMs = 0; ///< Wall clock, for people only.
+
+    bool operator==(const InForceRecord &) const = default;
+};
+
 /// Any record.
-using Record = std::variant<TicketRecord, ClaimRecord, SnapshotRecord>;
+using Record = std::variant<TicketRecord, ClaimRecord, SnapshotRecord, InForceRecord>;
 
 /// Writes a record.
 std::string encodeRecord(const Record &record);
--- a/libs/configuration/include/ibislock/configuration/state.h
+++ b/libs/configuration/include/ibislock/configuration/state.h
@@ -11,14 +11,23 @@
 
 #include "ibislock/configuration/record.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 
 namespace ibislock::configuration
 {
 
-/// How many audit entries the state keeps.
-inline constexpr std::size_t AuditEntriesMax = 512;
+/// How many audit entries the state keeps. Refused tickets are counted apart, so that racing operators do not push
+/// accepted ones out.
+inline constexpr std::size_t AuditAcceptedMax = 512;
+inline constexpr std::size_t AuditRefusedMax = 128;
+
+/// For how many accepted tickets the state keeps the content digest, so that filing stays idempotent.
+inline constexpr std::size_t ContentsMax = 2048;
+
+/// How many slot claims the state keeps; the oldest are dropped first.
+inline constexpr std::size_t ClaimsMax = 4096;
 
 /// What folding one record did.
 enum class FoldOutcome {
@@ -26,18 +35,22 @@
     Refused, ///< A ticket lost its number to another, or came out of order.
     Repeated, ///< A ticket that was already accepted, with the same content.
     Claimed, ///< A slot claim took effect.
+    Noted, ///< A domain's report of what it has in force was added to the audit trail.
     Adopted, ///< A snapshot replaced an older state.
+    Passed, ///< A snapshot that the reader did not need.
     Skipped, ///< The record is malformed, of a newer schema or not new.
     Gap, ///< Records before this one are missing; the state did not change.
 };
 
 /// External names of the fold outcomes.
-inline constexpr NameTable<FoldOutcome, 7> FoldOutcomeNames{{
+inline constexpr NameTable<FoldOutcome, 9> FoldOutcomeNames{{
     {FoldOutcome::Accepted, "accepted"},
     {FoldOutcome::Refused, "refused"},
     {FoldOutcome::Repeated, "repeated"},
     {FoldOutcome::Claimed, "claimed"},
+    {FoldOutcome::Noted, "noted"},
     {FoldOutcome::Adopted, "adopted"},
+    {FoldOutcome::Passed, "passed"},
     {FoldOutcome::Skipped, "skipped"},
     {FoldOutcome::Gap, "gap"},
 }};
@@ -62,6 +75,26 @@
     bool operator==(const Claim &) const = default;
 };
 
+/// What a ticket did to one scope, in short.
+struct ChangeSummary
+{
+    ScopeKey scope;
+    std::string model;
+    std::string version;
+    std::uint64_t vms = 0; ///< How many VMs the ticket named.
+
+    bool operator==(const ChangeSummary &) const = default;
+};
+
+/// When a failure domain had a ticket in force.
+struct InForce
+{
+    std::string domain;
+    std::uint64_t atMs = 0; ///< Wall clock, for people only.
+
+    bool operator==(const InForce &) const = default;
+};
+
 /// One line of the audit trail.
 struct AuditEntry
 {
@@ -72,7 +105,8 @@
     std::uint64_t filedAtMs = 0;
     bool accepted = false;
     std::string reason; ///< Why the ticket was refused; empty when accepted.
-    Ticket ticket;
+    std::vector<ChangeSummary> changes;
+    std::vector<InForce> inForce; ///< By domain, in the order of the log.
 
     bool operator==(const AuditEntry &) const = default;
 };
@@ -83,6 +117,7 @@
     Offset next = 0; ///< The first offset that has not been folded.
     std::uint64_t lastTicket = 0;
     Digest lastContent;
+    std::deque<Digest> contents; ///< Of the newest accepted tickets; the last one is that of `lastTicket`.
     std::map<ScopeKey, ScopeState> scopes;
     std::map<std::string, Claim> claims;
     std::vector<AuditEntry> audit;
@@ -114,6 +149,25 @@
 /// Finds the audit entry of an accepted ticket.
 const AuditEntry *findAccepted(const State &state, std::uint64_t number);
 
+/// Finds the content digest of an accepted ticket.
+/// @return the digest, or nothing when the number is not accepted or too long ago.
+std::optional<Digest> acceptedContent(const State &state, std::uint64_t number);
+
+/// What a reader can say about one ticket that an operator filed or means to file.
+enum class Standing {
+    Accepted, ///< The number is taken by this very content.
+    Taken, ///< The number is taken by another content.
+    Forgotten, ///< The number is taken, too long ago to know by which content.
+    Next, ///< The number is the next one.
+    TooHigh, ///< A lower number is still free.
+};
+
+/// Tells how a ticket stands in a state.
+Standing standingOf(const State &state, std::uint64_t number, const Digest &content);
+
+/// Says in a sentence why a ticket that is not accepted can't be; empty when it can.
+std::string refusalReason(const State &state, std::uint64_t number, const Digest &content);
+
 /// Finds the assignment that applies to a workspace's role.
 /// @return the scope's state, that of `AnyWorkspace`, or null.
 const ScopeState *findScope(const State &state, std::string_view workspace, std::string_view role);
--- /dev/null
+++ b/libs/configuration/src/lease.cpp
@@ -0,0 +1,52 @@
+#include "ibislock/configuration/lease.h"
+
+#include <algorithm>
+
+namespace ibislock::configuration
+{
+
+namespace
+{
+
+const Claim *claimOf(const State &state, const std::string &vm)
+{
+    const auto it = state.claims.find(vm);
+    return it == state.claims.end() ? nullptr : &it->second;
+}
+
+} // namespace
+
+std::optional<ClaimRecord> claimToAppend(const Lease &lease, const State &state)
+{
+    const Claim *claim = claimOf(state, lease.vm);
+    const bool isOwn = claim != nullptr && claim->incarnation == lease.incarnation;
+    if (lease.status != LeaseStatus::Claiming || isOwn) {
+        return std::nullopt;
+    }
+    return ClaimRecord{.vm = lease.vm,
+                       .incarnation = lease.incarnation,
+                       .replaces = claim == nullptr ? std::nullopt : std::optional(claim->fence)};
+}
+
+void confirm(Lease &lease, const State &state, Millis readBegan)
+{
+    const Claim *claim = claimOf(state, lease.vm);
+    const bool isOwn = claim != nullptr && claim->incarnation == lease.incarnation;
+    if (lease.status == LeaseStatus::Lost || (lease.status == LeaseStatus::Claiming && !isOwn)) {
+        return;
+    }
+    if (!isOwn || (lease.status == LeaseStatus::Held && claim->fence != lease.fence)) {
+        lease.status = LeaseStatus::Lost;
+        return;
+    }
+    lease.status = LeaseStatus::Held;
+    lease.fence = claim->fence;
+    lease.confirmedAt = std::max(lease.confirmedAt, readBegan);
+}
+
+bool mayAct(const Lease &lease, const LeaseOptions &options, Millis now)
+{
+    return lease.status == LeaseStatus::Held && now - lease.confirmedAt < options.duration;
+}
+
+} // namespace ibislock::configuration
--- a/libs/configuration/src/record.cpp
+++ b/libs/configuration/src/record.cpp
@@ -20,12 +20,21 @@
 
 json toJson(const ClaimRecord &record)
 {
-    return {{"kind", "claim"}, {"vm", record.vm}, {"incarnation", record.incarnation}};
+    json value{{"kind", "claim"}, {"vm", record.vm}, {"incarnation", record.incarnation}};
+    if (record.replaces) {
+        value["replaces"] = *record.replaces;
+    }
+    return value;
 }
 
 json toJson(const SnapshotRecord &record)
 {
-    return {{"kind", "snapshot"}, {"state", record.state}};
+    return {{"kind", "snapshot"}, {"state", record.state}, {"next", record.next}};
+}
+
+json toJson(const InForceRecord &record)
+{
+    return {{"kind", "in_force"}, {"domain", record.domain}, {"number", record.number}, {"at_ms", record.atMs}};
 }
 
 Result<Record> ticketRecordFrom(const json &value)
@@ -56,14 +65,41 @@
     if (!incarnation) {
         return tl::unexpected(incarnation.error());
     }
-    return ClaimRecord{.vm = *vm, .incarnation = *incarnation};
+    ClaimRecord record{.vm = *vm, .incarnation = *incarnation};
+    if (value.contains("replaces")) {
+        const auto replaces = unsignedField(value, "replaces");
+        if (!replaces) {
+            return tl::unexpected(replaces.error());
+        }
+        record.replaces = *replaces;
+    }
+    return record;
 }
 
 Result<Record> snapshotRecordFrom(const json &value)
 {
-    return textField(value, "state").map([](std::string state) -> Record {
-        return SnapshotRecord{.state = std::move(state)};
-    });
+    auto state = textField(value, "state");
+    const auto next = unsignedField(value, "next");
+    if (!state) {
+        return tl::unexpected(state.error());
+    }
+    if (!next) {
+        return tl::unexpected(next.error());
+    }
+    return SnapshotRecord{.state = std::move(*state), .next = *next};
+}
+
+Result<Record> inForceRecordFrom(const json &value)
+{
+    const auto domain = textField(value, "domain");
+    const auto number = unsignedField(value, "number");
+    if (!domain) {
+        return tl::unexpected(domain.error());
+    }
+    if (!number) {
+        return tl::unexpected(number.error());
+    }
+    return InForceRecord{.domain = *domain, .number = *number, .atMs = unsignedField(value, "at_ms").value_or(0)};
 }
 
 } // namespace
@@ -104,6 +140,9 @@
     if (*kind == "snapshot") {
         return snapshotRecordFrom(*value);
     }
+    if (*kind == "in_force") {
+        return inForceRecordFrom(*value);
+    }
     return failure(ErrorCode::InvalidArgument, "unknown record kind " + *kind);
 }
 
--- a/libs/entry/src/administration_api.cpp
+++ b/libs/entry/src/administration_api.cpp
@@ -13,10 +13,21 @@
 
 json toJson(const AuditEntry &entry)
 {
-    return {{"offset", entry.offset},          {"number", entry.number},
-            {"content", toHex(entry.content)}, {"filed_by", entry.filedBy},
-            {"filed_at_ms", entry.filedAtMs},  {"accepted", entry.accepted},
-            {"reason", entry.reason},          {"ticket", json::parse(configuration::ticketToJson(entry.ticket))}};
+    json scopes = json::array();
+    for (const configuration::ChangeSummary &change : entry.changes) {
+        scopes.push_back({{"workspace", change.scope.workspace},
+                          {"role", change.scope.role},
+                          {"model", change.model},
+                          {"version", change.version},
+                          {"vms", change.vms}});
+    }
+    json inForce = json::object();
+    for (const configuration::InForce &it : entry.inForce) {
+        inForce[it.domain] = it.atMs;
+    }
+    return {{"offset", entry.offset},    {"number", entry.number},         {"content", toHex(entry.content)},
+            {"filed_by", entry.filedBy}, {"filed_at_ms", entry.filedAtMs}, {"accepted", entry.accepted},
+            {"reason", entry.reason},    {"scopes", std::move(scopes)},    {"in_force_at_ms", std::move(inForce)}};
 }
 
 json toJson(const membership::Member &member, const membership::ViewOptions &options, Millis now)
@@ -100,15 +111,16 @@
 void AdministrationApi::replyFiled(const configuration::Ticket &ticket, httplib::Response &response) const
 {
     const auto state = m_node.state();
-    const AuditEntry *winner = configuration::findAccepted(*state, ticket.number);
-    if (winner != nullptr && winner->content == configuration::contentDigest(ticket)) {
-        replyJson(response, 200, toJson(*winner));
+    const Digest content = configuration::contentDigest(ticket);
+    if (configuration::standingOf(*state, ticket.number, content) == configuration::Standing::Accepted) {
+        const AuditEntry *winner = configuration::findAccepted(*state, ticket.number);
+        replyJson(response, 200,
+                  winner != nullptr ? toJson(*winner)
+                                    : json{{"number", ticket.number}, {"content", toHex(content)}, {"accepted", true}});
         return;
     }
-    const std::string reason = winner == nullptr
-        ? "the next number is " + std::to_string(state->lastTicket + 1)
-        : "the number was taken by " + winner->filedBy + " with content " + toHex(winner->content);
-    replyError(response, 409, nameOf(ErrorCodeNames, ErrorCode::Conflict), reason);
+    replyError(response, 409, nameOf(ErrorCodeNames, ErrorCode::Conflict),
+               configuration::refusalReason(*state, ticket.number, content));
 }
 
 void AdministrationApi::listTickets(const std::string &, const httplib::Request &, httplib::Response &response)
--- a/libs/target/include/ibislock/target/daemon.h
+++ b/libs/target/include/ibislock/target/daemon.h
@@ -37,6 +37,9 @@
     /// Cuts this daemon off from the addresses for which a predicate is false; for experiments.
     void setReachable(rpc::Reachable reachable);
 
+    /// Gives the folded configuration.
+    node::StatePointer state() const;
+
     /// Gives the daemon's counters.
     const Counters &counters() const;
 
--- a/libs/target/src/activation.cpp
+++ b/libs/target/src/activation.cpp
@@ -172,8 +172,10 @@
         m_fence = it->second.fence + 1;
         return;
     }
-    const auto offset =
-        m_node.append(configuration::ClaimRecord{.vm = m_node.options().vm, .incarnation = m_node.incarnation()});
+    const auto offset = m_node.append(configuration::ClaimRecord{
+        .vm = m_node.options().vm,
+        .incarnation = m_node.incarnation(),
+        .replaces = it == state->claims.end() ? std::nullopt : std::optional(it->second.fence)});
     if (offset) {
         m_node.waitForOffset(*offset, m_options.retryInterval);
     }
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -215,6 +215,11 @@
     m_impl->client.setReachable(std::move(reachable));
 }
 
+node::StatePointer Daemon::state() const
+{
+    return m_impl->node.state();
+}
+
 const Counters &Daemon::counters() const
 {
     return m_impl->counters;
