--- a/libs/base/src/embedded_charts.S
+++ b/libs/base/src/embedded_charts.S
@@ -8,4 +8,10 @@
     .incbin "activation.chart"
 ibislock_chart_activation_end:
 
+    .global ibislock_chart_drain
+    .global ibislock_chart_drain_end
+ibislock_chart_drain:
+    .incbin "drain.chart"
+ibislock_chart_drain_end:
+
     .section .note.GNU-stack,"",%progbits
--- a/libs/base/src/embedded_charts.cpp
+++ b/libs/base/src/embedded_charts.cpp
@@ -8,6 +8,8 @@
 extern "C" {
 extern const char ibislock_chart_activation[];
 extern const char ibislock_chart_activation_end[];
+extern const char ibislock_chart_drain[];
+extern const char ibislock_chart_drain_end[];
 }
 // NOLINTEND(readability-identifier-naming)
 
@@ -28,10 +30,11 @@
     return {begin, static_cast<std::size_t>(end - begin)};
 }
 
-const std::array<EmbeddedChart, 1> &charts()
+const std::array<EmbeddedChart, 2> &charts()
 {
-    static const std::array<EmbeddedChart, 1> all{{
+    static const std::array<EmbeddedChart, 2> all{{
         {"activation", between(ibislock_chart_activation, ibislock_chart_activation_end)},
+        {"drain", between(ibislock_chart_drain, ibislock_chart_drain_end)},
     }};
     return all;
 }
--- a/libs/engine/include/ibislock/engine/engine_client.h
+++ b/libs/engine/include/ibislock/engine/engine_client.h
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,6 +67,8 @@
     bool started = false; ///< Whether the engine may have started the request.
     bool whole = false; ///< Whether the final marker or the full length arrived.
     std::string message;
+    std::uint32_t resumedFrom = 0; ///< Events of the stream that the engine left out on request.
+    std::optional<std::uint32_t> cachedBytes; ///< Bytes of the prompt that were cached, where the engine says so.
 };
 
 /// Takes a piece of the answer. A false result stops the request.
@@ -100,6 +103,9 @@
     /// Tells the engine that a request's answer is no longer wanted.
     void cancel(const std::string &requestId);
 
+    /// Breaks the call in progress off; usable from any thread.
+    void abort();
+
 private:
     EngineAnswer send(const requests::Request &request, const PartHandler &onPart, bool expectMarker);
 
--- a/libs/engine/src/engine_client.cpp
+++ b/libs/engine/src/engine_client.cpp
@@ -11,8 +11,11 @@
 
 using nlohmann::json;
 
+constexpr int HttpOk = 200;
 constexpr const char *RequestIdHeader = "X-Request-Id";
 constexpr const char *WeightsHeader = "X-Weights-Digest";
+constexpr const char *ResumeFromHeader = "X-Resume-From";
+constexpr const char *CachedBytesHeader = "X-Cached-Bytes";
 constexpr std::string_view StreamEndMarker = "data: [DONE]\n\n";
 
 /// Keeps the last bytes of a stream, to find the final marker.
@@ -34,6 +37,31 @@
     return digestFromHex(response.get_header_value(WeightsHeader)).value_or(Digest{});
 }
 
+std::optional<std::uint32_t> numberOf(const httplib::Response &response, const char *header)
+{
+    if (!response.has_header(header)) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(std::strtoul(response.get_header_value(header).c_str(), nullptr, 10));
+}
+
+httplib::Headers headersOf(const requests::Request &request, const std::string &id)
+{
+    httplib::Headers headers{{RequestIdHeader, id},
+                             {"X-Workspace", request.workspace},
+                             {"X-Priority", std::string(nameOf(requests::PriorityNames, request.priority))}};
+    if (!request.contentType.empty()) {
+        headers.emplace("Content-Type", request.contentType);
+    }
+    if (!request.key.empty()) {
+        headers.emplace("Idempotency-Key", request.key);
+    }
+    if (request.resumeFrom > 0) {
+        headers.emplace(ResumeFromHeader, std::to_string(request.resumeFrom));
+    }
+    return headers;
+}
+
 Error orderError(const httplib::Result &result)
 {
     if (!result) {
@@ -120,18 +148,22 @@
     call.method = request.method;
     call.path = request.path;
     call.body = request.body;
-    call.headers = {{RequestIdHeader, id}, {"X-Workspace", request.workspace}};
-    if (!request.contentType.empty()) {
-        call.headers.emplace("Content-Type", request.contentType);
-    }
+    call.headers = headersOf(request, id);
     call.response_handler = [&](const httplib::Response &response) {
         answer.status = static_cast<std::uint16_t>(response.status);
         answer.contentType = response.get_header_value("Content-Type");
         answer.root = weightsOf(response);
+        answer.resumedFrom = numberOf(response, ResumeFromHeader).value_or(0);
+        answer.cachedBytes = numberOf(response, CachedBytesHeader);
         belongs = response.get_header_value(RequestIdHeader) == id;
         return belongs;
     };
     call.content_receiver = [&](const char *data, std::size_t n, std::uint64_t, std::uint64_t) {
+        if (expectMarker && answer.status != HttpOk) {
+            // An error in place of a stream is small, and goes out with the end, which has its status.
+            answer.message.append(data, n);
+            return true;
+        }
         tail.add({data, n});
         return onPart({data, n});
     };
@@ -144,7 +176,7 @@
         }
         return answer;
     }
-    answer.whole = !expectMarker || answer.status != 200 || tail.bytes == StreamEndMarker;
+    answer.whole = !expectMarker || answer.status != HttpOk || tail.bytes == StreamEndMarker;
     if (!answer.whole) {
         answer.message = "the engine's stream ended without its final marker";
     }
@@ -156,4 +188,9 @@
     m_client->Post("/v1/cancel", json{{"request_id", hexOf(requestId)}}.dump(), "application/json");
 }
 
+void EngineClient::abort()
+{
+    m_client->stop();
+}
+
 } // namespace ibislock::engine
--- a/libs/entry/src/callers_api.cpp
+++ b/libs/entry/src/callers_api.cpp
@@ -1,5 +1,7 @@
 #include "callers_api.h"
 
+#include "ibislock/requests/call_key.h"
+
 namespace ibislock::entry
 {
 
@@ -11,14 +13,24 @@
 using requests::Outcome;
 using requests::Request;
 
+constexpr std::uint16_t HttpOk = 200;
 constexpr std::uint64_t MillisPerSecond = 1000;
+constexpr std::uint64_t DefaultTokens = 16;
+constexpr std::uint64_t PromptBytesPerToken = 64;
+constexpr std::uint64_t CostMax = 1 << 20;
+constexpr const char *KeysPath = "/v1/keys";
 
 json errorBody(const AnswerEnd &end)
 {
-    return {{"error",
-             {{"code", nameOf(requests::OutcomeNames, end.outcome)},
-              {"message", end.message},
-              {"request_id", hexOf(end.id)}}}};
+    json error{{"code", nameOf(requests::OutcomeNames, end.outcome)},
+               {"message", end.message},
+               {"request_id", hexOf(end.id)},
+               {"not_run", end.outcome == Outcome::RefusedNotRun}};
+    if (end.outcome == Outcome::RefusedNotRun) {
+        error["reason"] = nameOf(requests::RefusalNames, end.refusal);
+        error["retry_after_ms"] = end.retryAfter.count();
+    }
+    return {{"error", std::move(error)}};
 }
 
 void replyOutcome(httplib::Response &response, const AnswerEnd &end)
@@ -31,6 +43,28 @@
     }
 }
 
+std::string promptOf(const json &body)
+{
+    if (body.contains("prompt") && body["prompt"].is_string()) {
+        return body["prompt"];
+    }
+    return body.contains("messages") ? body["messages"].dump() : "";
+}
+
+/// Estimates the work of a completion: the tokens that it may generate, and those of its prompt at a lower rate.
+std::uint32_t costOf(const json &body, const std::string &prompt)
+{
+    const bool hasMax = body.contains("max_tokens") && body["max_tokens"].is_number_unsigned();
+    const std::uint64_t generated = hasMax ? body["max_tokens"].get<std::uint64_t>() : DefaultTokens;
+    return static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(generated + prompt.size() / PromptBytesPerToken, CostMax));
+}
+
+requests::Priority priorityOf(const httplib::Request &call)
+{
+    return valueOf(requests::PriorityNames, call.get_header_value("X-Priority")).value_or(requests::Priority::Normal);
+}
+
 } // namespace
 
 CallersApi::CallersApi(const EntryOptions &options, Dispatcher &dispatcher, Counters &counters)
@@ -46,6 +80,8 @@
         server.Post(path,
                     [this](const httplib::Request &call, httplib::Response &response) { completion(call, response); });
     }
+    server.Post(KeysPath,
+                [this](const httplib::Request &call, httplib::Response &response) { mintKey(call, response); });
     const auto handler = [this](const httplib::Request &call, httplib::Response &response) {
         service(call, response);
     };
@@ -55,6 +91,25 @@
     server.Delete("/.*", handler);
 }
 
+void CallersApi::leave()
+{
+    m_leaving = true;
+}
+
+bool CallersApi::isLeaving(httplib::Response &response) const
+{
+    if (!m_leaving) {
+        return false;
+    }
+    replyOutcome(response,
+                 {.outcome = Outcome::RefusedNotRun,
+                  .message = "this entry VM is leaving",
+                  .retryAfter = m_options.retryAfter,
+                  .refusal = requests::Refusal::Leaving});
+    response.set_header("Connection", "close");
+    return true;
+}
+
 std::optional<std::string> CallersApi::workspaceOf(const httplib::Request &call, httplib::Response &response)
 {
     auto workspace = bearerOf(call, m_options.workspaces);
@@ -68,7 +123,7 @@
 void CallersApi::completion(const httplib::Request &call, httplib::Response &response)
 {
     const auto workspace = workspaceOf(call, response);
-    if (!workspace) {
+    if (!workspace || isLeaving(response)) {
         return;
     }
     const json body = json::parse(call.body, nullptr, false);
@@ -76,6 +131,7 @@
         replyError(response, 400, "invalid_argument", "the body must be a JSON object with a text \"model\"");
         return;
     }
+    const std::string prompt = promptOf(body);
     Request request{.workspace = *workspace,
                     .role = body["model"],
                     .method = "POST",
@@ -84,65 +140,138 @@
                     .body = call.body,
                     .stream = body.contains("stream") && body["stream"] == true,
                     .idempotent = true,
-                    .timeLeft = m_options.requestTimeout};
-    if (request.stream) {
-        answerStream(std::move(request), response);
+                    .timeLeft = m_options.requestTimeout,
+                    .priority = priorityOf(call),
+                    .cost = costOf(body, prompt)};
+    auto prefix = requests::prefixBlocks(*workspace + "/" + request.role, prompt);
+    const bool stream = request.stream;
+    const auto session = std::make_shared<RequestSession>(m_dispatcher, std::move(request), std::move(prefix));
+    if (stream) {
+        answerStream(session, response);
     } else {
-        answerWhole(request, response);
+        answerWhole(*session, response);
+    }
+}
+
+const std::string *CallersApi::roleOf(const std::string &path) const
+{
+    for (const auto &[prefix, role] : m_options.routes) {
+        if (path.starts_with(prefix)) {
+            return &role;
+        }
     }
+    return nullptr;
 }
 
 void CallersApi::service(const httplib::Request &call, httplib::Response &response)
 {
     const auto workspace = workspaceOf(call, response);
-    if (!workspace) {
+    if (!workspace || isLeaving(response)) {
         return;
     }
-    for (const auto &[prefix, role] : m_options.routes) {
-        if (!call.path.starts_with(prefix)) {
-            continue;
-        }
-        answerWhole({.workspace = *workspace,
-                     .role = role,
-                     .method = call.method,
-                     .path = call.target.empty() ? call.path : call.target,
-                     .contentType = call.get_header_value("Content-Type"),
-                     .body = call.body,
-                     .idempotent = call.method == "GET" || call.method == "HEAD",
-                     .timeLeft = m_options.requestTimeout},
-                    response);
+    const std::string *role = roleOf(call.path);
+    if (role == nullptr) {
+        replyError(response, 404, "not_found", "no route leads there");
         return;
     }
-    replyError(response, 404, "not_found", "no route leads there");
+    const std::string key = call.get_header_value("Idempotency-Key");
+    if (!key.empty() && !requests::keyFromText(key)) {
+        replyError(response, 400, "invalid_argument", "the key was not minted here; POST /v1/keys mints one");
+        return;
+    }
+    RequestSession session(m_dispatcher,
+                           {.workspace = *workspace,
+                            .role = *role,
+                            .method = call.method,
+                            .path = call.target.empty() ? call.path : call.target,
+                            .contentType = call.get_header_value("Content-Type"),
+                            .body = call.body,
+                            .idempotent = call.method == "GET" || call.method == "HEAD",
+                            .timeLeft = m_options.requestTimeout,
+                            .priority = priorityOf(call),
+                            .key = key},
+                           {});
+    answerWhole(session, response);
 }
 
-void CallersApi::answerWhole(const Request &request, httplib::Response &response)
+void CallersApi::mintKey(const httplib::Request &call, httplib::Response &response)
+{
+    const auto workspace = workspaceOf(call, response);
+    if (!workspace || isLeaving(response)) {
+        return;
+    }
+    const json body = json::parse(call.body, nullptr, false);
+    if (!body.is_object() || !body.contains("path") || !body["path"].is_string()) {
+        replyError(response, 400, "invalid_argument", "the body must be a JSON object with a text \"path\"");
+        return;
+    }
+    const std::string *role = roleOf(body["path"]);
+    if (role == nullptr) {
+        replyError(response, 404, "not_found", "no route leads there");
+        return;
+    }
+    const auto key = m_dispatcher.mintKey(*workspace, *role);
+    if (!key) {
+        replyOutcome(response,
+                     {.outcome = Outcome::RefusedNotRun,
+                      .message = "no target serves this role now",
+                      .retryAfter = m_options.retryAfter,
+                      .refusal = requests::Refusal::NotServing});
+        return;
+    }
+    replyJson(response, 200, {{"key", *key}});
+}
+
+void CallersApi::answerWhole(RequestSession &session, httplib::Response &response)
 {
     std::string body;
-    const AnswerEnd end = m_dispatcher.dispatch(request, [&](std::string_view data) {
-        body.append(data);
-        return true;
-    });
-    if (end.outcome != Outcome::Answered) {
-        replyOutcome(response, end);
+    for (;;) {
+        SessionEvent event = session.next();
+        if (const auto *part = std::get_if<std::string>(&event)) {
+            body.append(*part);
+            continue;
+        }
+        const auto &end = std::get<AnswerEnd>(event);
+        if (end.outcome != Outcome::Answered) {
+            replyOutcome(response, end);
+            return;
+        }
+        response.status = end.status;
+        response.set_header("X-Request-Id", hexOf(end.id));
+        response.set_header("X-Weights-Digest", toHex(end.manifest));
+        response.set_content(body, end.contentType);
         return;
     }
-    response.status = end.status;
-    response.set_header("X-Request-Id", hexOf(end.id));
-    response.set_header("X-Weights-Digest", toHex(end.manifest));
-    response.set_content(body, end.contentType);
 }
 
-void CallersApi::answerStream(Request request, httplib::Response &response)
+void CallersApi::answerStream(const std::shared_ptr<RequestSession> &session, httplib::Response &response)
 {
-    // The status goes out before the first part, so a refusal after that point is an event of the stream.
+    // The status is sent once the first part is there, so that a refusal has a status of its own.
+    SessionEvent first = session->next();
+    const auto *end = std::get_if<AnswerEnd>(&first);
+    if (end != nullptr && end->outcome != Outcome::Answered) {
+        replyOutcome(response, *end);
+        return;
+    }
+    if (end != nullptr && end->status != HttpOk) {
+        response.status = end->status;
+        response.set_content(end->message, end->contentType);
+        return;
+    }
     response.set_chunked_content_provider(
-        "text/event-stream", [this, request = std::move(request)](std::size_t, httplib::DataSink &sink) {
-            const AnswerEnd end = m_dispatcher.dispatch(
-                request, [&](std::string_view data) { return sink.write(data.data(), data.size()); });
-            if (end.outcome != Outcome::Answered) {
-                const std::string event = "event: error\ndata: " + errorBody(end).dump() + "\n\n";
-                sink.write(event.data(), event.size());
+        "text/event-stream", [session, first = std::move(first)](std::size_t, httplib::DataSink &sink) {
+            SessionEvent event = first;
+            while (const auto *part = std::get_if<std::string>(&event)) {
+                if (!sink.write(part->data(), part->size())) {
+                    session->cancel();
+                    return false;
+                }
+                event = session->next();
+            }
+            const auto &last = std::get<AnswerEnd>(event);
+            if (last.outcome != Outcome::Answered) {
+                const std::string text = "event: error\ndata: " + errorBody(last).dump() + "\n\n";
+                sink.write(text.data(), text.size());
             }
             sink.done();
             return true;
--- a/libs/entry/src/callers_api.h
+++ b/libs/entry/src/callers_api.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
-#include "dispatcher.h"
 #include "http.h"
+#include "request_session.h"
 
 namespace ibislock::entry
 {
@@ -17,16 +17,23 @@
     /// Adds the routes to a server.
     void addRoutes(httplib::Server &server);
 
+    /// Refuses every new call from now on.
+    void leave();
+
 private:
     void completion(const httplib::Request &call, httplib::Response &response);
     void service(const httplib::Request &call, httplib::Response &response);
     std::optional<std::string> workspaceOf(const httplib::Request &call, httplib::Response &response);
-    void answerWhole(const requests::Request &request, httplib::Response &response);
-    void answerStream(requests::Request request, httplib::Response &response);
+    void mintKey(const httplib::Request &call, httplib::Response &response);
+    const std::string *roleOf(const std::string &path) const;
+    bool isLeaving(httplib::Response &response) const;
+    void answerWhole(RequestSession &session, httplib::Response &response);
+    void answerStream(const std::shared_ptr<RequestSession> &session, httplib::Response &response);
 
     const EntryOptions &m_options;
     Dispatcher &m_dispatcher;
     Counters &m_counters;
+    std::atomic<bool> m_leaving = false;
 };
 
 } // namespace ibislock::entry
--- a/libs/entry/src/daemon.cpp
+++ b/libs/entry/src/daemon.cpp
@@ -4,6 +4,7 @@
 #include "callers_api.h"
 
 #include "ibislock/base/log.h"
+#include "ibislock/node/drain.h"
 
 namespace ibislock::entry
 {
@@ -77,7 +78,17 @@
         return;
     }
     impl.started = false;
-    impl.leaving = true;
+    const std::uint32_t left = node::drain({.refuse =
+                                                [&] {
+                                                    impl.leaving = true;
+                                                    impl.callersApi.leave();
+                                                },
+                                            .wait = [&](Millis time) { return impl.dispatcher.waitUntilIdle(time); },
+                                            .grace = impl.options.drainGrace});
+    if (left > 0) {
+        impl.counters.add(Counter::RequestsCutByStop, left);
+        logWarning(Part::Entry, "Stop cuts off requests.", {{"left", std::to_string(left)}});
+    }
     impl.callers.stop();
     impl.administration.stop();
     impl.node.stop();
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "dispatcher.h"
 
-#include "ibislock/base/log.h"
+#include "ibislock/requests/call_key.h"
 
 #include <algorithm>
 
@@ -10,42 +10,18 @@
 namespace
 {
 
-using requests::AnswerEnd;
-using requests::AnswerPart;
-using requests::Outcome;
-using requests::Request;
+constexpr std::size_t KeyNonceBytes = 16;
 
-AnswerEnd endFor(const Request &request, Outcome outcome, std::string message, Millis retryAfter = Millis(0))
+bool contains(const std::vector<std::string> &names, const std::string &name)
 {
-    return {.id = request.id,
-            .entryIncarnation = request.entryIncarnation,
-            .workspace = request.workspace,
-            .manifest = request.manifest,
-            .outcome = outcome,
-            .message = std::move(message),
-            .retryAfter = retryAfter};
+    return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-/// Tells whether a version is intended for a scope: the current one, or the one that the rollout replaces.
-bool isIntended(const configuration::ScopeState &scope, const membership::Report &report)
+std::uint32_t blocksAt(const std::vector<requests::PrefixMatch> &matches, std::uint32_t target)
 {
-    if (report.ticket == scope.ticket && report.serving == scope.current.manifest) {
-        return true;
-    }
-    return scope.previous && report.ticket == scope.previousTicket && report.serving == scope.previous->manifest;
-}
-
-std::vector<std::string> vmsOf(const configuration::ScopeState &scope)
-{
-    std::vector<std::string> vms = scope.current.vms;
-    if (scope.previous) {
-        for (const std::string &vm : scope.previous->vms) {
-            if (std::find(vms.begin(), vms.end(), vm) == vms.end()) {
-                vms.push_back(vm);
-            }
-        }
-    }
-    return vms;
+    const auto it = std::find_if(matches.begin(), matches.end(),
+                                 [target](const requests::PrefixMatch &match) { return match.target == target; });
+    return it == matches.end() ? 0 : it->blocks;
 }
 
 } // namespace
@@ -55,121 +31,118 @@
     , m_node(node)
     , m_client(client)
     , m_counters(counters)
-    , m_random(systemRandom())
+    , m_tables(node, m_loads)
+    , m_route{.random = systemRandom()}
 {
 }
 
-AnswerEnd Dispatcher::dispatch(Request request, const PartHandler &onPart)
+std::optional<Dispatcher::Chosen> Dispatcher::choose(const Choice &choice)
 {
-    m_counters.add(Counter::RequestsReceived);
-    request.entryVm = m_options.node.vm;
-    request.entryIncarnation = m_node.incarnation();
-    const Millis deadline = steadyMillis() + request.timeLeft;
-    std::vector<std::string> tried;
-    AnswerEnd end = endFor(request, Outcome::RefusedNotRun, "no target serves this role now", m_options.retryAfter);
-    while (tried.size() < m_options.attempts) {
-        request.timeLeft = deadline - steadyMillis();
-        const auto target = choose(request, tried);
-        if (!target || request.timeLeft <= Millis(0)) {
-            break;
-        }
-        m_counters.add(Counter::RequestRetries, tried.empty() ? 0 : 1);
-        tried.push_back(target->vm);
-        bool released = false;
-        end = attempt(request, *target, onPart, released);
-        const bool mayRetry = end.outcome == Outcome::RefusedNotRun
-            || (request.idempotent && !released && end.outcome != Outcome::Answered);
-        if (!mayRetry) {
-            break;
+    const Millis now = steadyMillis();
+    const auto table = m_tables.of(choice.request.workspace, choice.request.role, now);
+    if (!table) {
+        return std::nullopt;
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto matches = requests::matchesOf(m_index, choice.prefix, now);
+    std::vector<requests::Candidate> candidates;
+    std::vector<const RoutedTarget *> targets;
+    candidates.reserve(table->targets.size());
+    targets.reserve(table->targets.size());
+    for (const RoutedTarget &target : table->targets) {
+        if (contains(choice.tried, target.vm) || (choice.sameVersion && target.manifest != choice.request.manifest)) {
+            continue;
         }
+        const bool avoid = target.load->avoidUntilMs > now.count();
+        candidates.push_back({.sameDomain = target.sameDomain,
+                              .saturated = target.holdsBack || avoid,
+                              .load = loadOf(*target.load),
+                              .prefixBlocks = blocksAt(matches, target.load->id),
+                              .affinity = choice.prefix.empty()
+                                  ? 0
+                                  : requests::affinityOf(choice.prefix.front(), target.load->affinity)});
+        targets.push_back(&target);
+    }
+    const auto chosen = requests::chooseTarget(m_options.policy, candidates, m_route);
+    if (!chosen) {
+        return std::nullopt;
     }
-    count(end.outcome);
-    return end;
+    const RoutedTarget &target = *targets[*chosen];
+    requests::noteSent(m_index, choice.prefix, target.load->id, now);
+    ++target.load->inProgress;
+    return Chosen{.target = target, .believedBlocks = candidates[*chosen].prefixBlocks};
 }
 
-std::optional<Dispatcher::Target> Dispatcher::choose(const Request &request, const std::vector<std::string> &tried)
+std::optional<RoutedTarget> Dispatcher::find(const requests::Request &request, const std::string &vm)
 {
-    const auto state = m_node.state();
-    const auto *scope = configuration::findScope(*state, request.workspace, request.role);
-    if (scope == nullptr) {
+    const auto table = m_tables.of(request.workspace, request.role, steadyMillis());
+    if (!table) {
         return std::nullopt;
     }
-    const auto &nodeOptions = m_node.options();
-    const Millis now = steadyMillis();
-    std::vector<Target> targets;
-    std::vector<requests::Candidate> candidates;
-    const std::lock_guard lock(m_mutex);
-    m_node.withView([&](const membership::View &view) {
-        for (const std::string &vm : vmsOf(*scope)) {
-            const membership::Member *member = membership::find(view, vm);
-            if (member == nullptr || !membership::isUsable(*member, nodeOptions.view, now)
-                || member->report.phase != "serving" || !isIntended(*scope, member->report)
-                || std::find(tried.begin(), tried.end(), vm) != tried.end()) {
-                continue;
-            }
-            targets.push_back({.vm = vm, .address = member->report.address, .manifest = member->report.serving});
-            candidates.push_back({.vm = vm,
-                                  .sameDomain = member->report.domain == nodeOptions.domain,
-                                  .load = member->report.running + m_sent[vm]});
-        }
-    });
-    const auto chosen = requests::chooseTarget(m_options.policy, candidates, m_random);
+    const auto it = std::find_if(table->targets.begin(), table->targets.end(),
+                                 [&](const RoutedTarget &target) { return target.vm == vm; });
+    if (it == table->targets.end()) {
+        return std::nullopt;
+    }
+    ++it->load->inProgress;
+    return *it;
+}
+
+std::optional<std::string> Dispatcher::mintKey(const std::string &workspace, const std::string &role)
+{
+    const requests::Request request{.workspace = workspace, .role = role};
+    const auto chosen = choose({.request = request, .prefix = {}, .tried = {}});
     if (!chosen) {
         return std::nullopt;
     }
-    return targets[*chosen];
+    --chosen->target.load->inProgress;
+    return requests::keyToText({.vm = chosen->target.vm,
+                                .incarnation = chosen->target.incarnation,
+                                .mintedAt = wallMillis(),
+                                .nonce = hexOf(unguessableBytes(KeyNonceBytes))});
+}
+
+void Dispatcher::noteCached(const Chosen &chosen, std::uint32_t cachedBytes)
+{
+    const std::lock_guard lock(m_mutex);
+    requests::noteCached(m_index, chosen.target.load->id, chosen.believedBlocks,
+                         cachedBytes / static_cast<std::uint32_t>(requests::PrefixBlockBytes));
+}
+
+bool Dispatcher::drawRetry()
+{
+    const std::lock_guard lock(m_mutex);
+    return requests::mayRetry(m_budget);
 }
 
-AnswerEnd Dispatcher::attempt(Request &request, const Target &target, const PartHandler &onPart, bool &released)
+void Dispatcher::open()
 {
-    request.id = unguessableBytes(requests::RequestIdBytes);
-    request.manifest = target.manifest;
-    const Millis deadline = steadyMillis() + request.timeLeft;
-    requests::AnswerCheck check{.request = request};
+    m_counters.add(Counter::RequestsReceived);
     {
         const std::lock_guard lock(m_mutex);
-        ++m_sent[target.vm];
-    }
-    const auto stream = m_client.submit(target.address, request);
-    AnswerEnd end;
-    for (bool done = false; !done;) {
-        rpc::AnswerEvent event = stream->next(std::max(deadline - steadyMillis(), Millis(1)));
-        if (const auto *part = std::get_if<AnswerPart>(&event)) {
-            const auto checked = requests::checkPart(check, *part);
-            if (!checked) {
-                m_counters.add(Counter::AnswersDropped);
-                continue;
-            }
-            released = true;
-            if (!onPart(part->data)) {
-                end = endFor(request, Outcome::FailedAfterStart, "the caller has gone");
-                done = true;
-            }
-        } else if (const auto *received = std::get_if<AnswerEnd>(&event)) {
-            const auto checked = requests::checkEnd(check, *received);
-            if (!checked) {
-                m_counters.add(Counter::AnswersDropped);
-                end = endFor(request, Outcome::FailedAfterStart, checked.error().message);
-            } else {
-                end = *received;
-            }
-            done = true;
-        } else {
-            const Error &error = std::get<Error>(event);
-            const bool neverSent = error.code == ErrorCode::Unavailable;
-            end = endFor(request, neverSent ? Outcome::RefusedNotRun : Outcome::Unknown, error.message,
-                         m_options.retryAfter);
-            done = true;
-        }
+        requests::noteFirstAttempt(m_budget);
     }
-    stream->cancel();
-    const std::lock_guard lock(m_mutex);
-    --m_sent[target.vm];
-    return end;
+    const std::lock_guard lock(m_openMutex);
+    ++m_open;
+}
+
+void Dispatcher::close()
+{
+    const std::lock_guard lock(m_openMutex);
+    --m_open;
+    m_idle.notify_all();
+}
+
+std::uint32_t Dispatcher::waitUntilIdle(Millis timeout)
+{
+    std::unique_lock lock(m_openMutex);
+    m_idle.wait_for(lock, timeout, [this] { return m_open == 0; });
+    return m_open;
 }
 
-void Dispatcher::count(Outcome outcome)
+void Dispatcher::count(requests::Outcome outcome)
 {
+    using requests::Outcome;
     switch (outcome) {
     case Outcome::Answered:
         m_counters.add(Counter::RequestsAnswered);
--- a/libs/entry/src/dispatcher.h
+++ b/libs/entry/src/dispatcher.h
@@ -1,52 +1,77 @@
 // Finds a target for a request, submits it, checks the answer, and tries another target where that is safe.
+//
+//     RequestSession session(dispatcher, request, {.prefix = blocks});
+//     SessionEvent event = session.next();       // a part of the answer, or its end
 
 #pragma once
 
+#include "routing_table.h"
+
 #include "ibislock/base/counters.h"
 #include "ibislock/entry/options.h"
 #include "ibislock/requests/answer_check.h"
+#include "ibislock/requests/prefix_index.h"
+#include "ibislock/requests/retry_budget.h"
 
-#include <functional>
-#include <mutex>
+#include <condition_variable>
 
 namespace ibislock::entry
 {
 
-/// Takes the checked parts of an answer. A false result means that the caller has gone.
-using PartHandler = std::function<bool(std::string_view)>;
-
-/// Dispatches requests. Safe from several threads.
+/// What all requests share. Safe from several threads.
 class Dispatcher
 {
 public:
     Dispatcher(const EntryOptions &options, node::Node &node, rpc::Client &client, Counters &counters);
 
-    /// Runs a request to its outcome.
-    /// @param request the request; identity and version are filled in for each attempt.
-    /// @param onPart takes the parts of the answer, in order.
-    /// @return the end of the answer, with one of the closed set of outcomes.
-    requests::AnswerEnd dispatch(requests::Request request, const PartHandler &onPart);
+    /// Mints an idempotency key for a call of a role.
+    /// @return the key, or nothing when no target serves the role now.
+    std::optional<std::string> mintKey(const std::string &workspace, const std::string &role);
+
+    /// Waits until no session is open.
+    /// @return how many are left when the time has run out.
+    std::uint32_t waitUntilIdle(Millis timeout);
 
 private:
-    struct Target
+    friend class RequestSession;
+
+    /// What narrows the choice of a target.
+    struct Choice
+    {
+        const requests::Request &request;
+        const std::vector<std::uint64_t> &prefix;
+        const std::vector<std::string> &tried;
+        bool sameVersion = false; ///< Only targets that serve the version named in the request.
+    };
+
+    /// A target and how much of the prompt it is believed to hold.
+    struct Chosen
     {
-        std::string vm;
-        std::string address;
-        Digest manifest;
+        RoutedTarget target;
+        std::uint32_t believedBlocks = 0;
     };
 
-    std::optional<Target> choose(const requests::Request &request, const std::vector<std::string> &tried);
-    requests::AnswerEnd attempt(requests::Request &request, const Target &target, const PartHandler &onPart,
-                                bool &released);
+    std::optional<Chosen> choose(const Choice &choice);
+    std::optional<RoutedTarget> find(const requests::Request &request, const std::string &vm);
+    void noteCached(const Chosen &chosen, std::uint32_t cachedBytes);
+    bool drawRetry();
+    void open();
+    void close();
     void count(requests::Outcome outcome);
 
     const EntryOptions &m_options;
     node::Node &m_node;
     rpc::Client &m_client;
     Counters &m_counters;
+    TargetLoads m_loads;
+    RoutingTables m_tables;
     std::mutex m_mutex;
-    Random m_random;
-    std::map<std::string, std::uint32_t> m_sent; ///< Requests in progress from here, by target.
+    requests::RouteState m_route;
+    requests::PrefixIndex m_index;
+    requests::RetryBudget m_budget;
+    std::mutex m_openMutex;
+    std::condition_variable m_idle;
+    std::uint32_t m_open = 0;
 };
 
 } // namespace ibislock::entry
--- /dev/null
+++ b/libs/entry/src/request_session.cpp
@@ -0,0 +1,252 @@
+#include "request_session.h"
+
+#include "ibislock/requests/call_key.h"
+
+#include <algorithm>
+
+namespace ibislock::entry
+{
+
+namespace
+{
+
+using requests::AnswerEnd;
+using requests::AnswerPart;
+using requests::Evidence;
+using requests::Outcome;
+using requests::Refusal;
+using requests::Request;
+
+constexpr std::string_view EventEnd = "\n\n";
+/// The target ends what has run out of time by itself; this is how much longer its word is waited for.
+constexpr Millis DeadlineSlack{200};
+/// How long after a request's time has run out a target's word on a withdrawal is trusted.
+constexpr Millis RevokeTrust{30000};
+/// How long a target that refused or broke is avoided while there are others.
+constexpr Millis AvoidTime{500};
+
+bool isCertainlyIdle(const AnswerEnd &end)
+{
+    return end.outcome == Outcome::RefusedNotRun && end.refusal != Refusal::Busy;
+}
+
+} // namespace
+
+RequestSession::RequestSession(Dispatcher &dispatcher, Request request, std::vector<std::uint64_t> prefix)
+    : m_dispatcher(dispatcher)
+    , m_request(std::move(request))
+    , m_prefix(std::move(prefix))
+    , m_deadline(steadyMillis() + m_request.timeLeft)
+{
+    m_request.entryVm = m_dispatcher.m_options.node.vm;
+    m_request.entryIncarnation = m_dispatcher.m_node.incarnation();
+    m_dispatcher.open();
+}
+
+RequestSession::~RequestSession()
+{
+    endAttempt();
+    m_dispatcher.close();
+}
+
+SessionEvent RequestSession::next()
+{
+    for (;;) {
+        if (!m_attempt && !beginAttempt()) {
+            return finish(
+                endFor(Outcome::RefusedNotRun, Refusal::NotServing, "no target that serves this role can take it now"));
+        }
+        const Millis wait = m_deadline + DeadlineSlack - steadyMillis();
+        std::optional<std::string> part;
+        const auto end = handle(m_attempt->stream->next(std::max(wait, Millis(1))), part);
+        if (part) {
+            noteReleased(*part);
+            return std::move(*part);
+        }
+        if (!end) {
+            continue;
+        }
+        const bool again = mayTryAgain(*end);
+        endAttempt();
+        if (!again) {
+            return finish(*end);
+        }
+        m_earlier = requests::combined(m_earlier, end->outcome);
+    }
+}
+
+void RequestSession::cancel()
+{
+    endAttempt();
+    if (!m_counted) {
+        finish(endFor(Outcome::FailedAfterStart, Refusal::None, "the caller has gone"));
+    }
+}
+
+std::optional<Dispatcher::Chosen> RequestSession::chooseTarget()
+{
+    if (m_request.key.empty()) {
+        return m_dispatcher.choose(
+            {.request = m_request, .prefix = m_prefix, .tried = m_tried, .sameVersion = m_released});
+    }
+    // A key leads to the one target that knows it.
+    const auto key = requests::keyFromText(m_request.key);
+    auto target = key && m_tried.empty() ? m_dispatcher.find(m_request, key->vm) : std::nullopt;
+    if (!target) {
+        // Earlier calls with the key may have run there.
+        m_earlier = Outcome::Unknown;
+        return std::nullopt;
+    }
+    return Dispatcher::Chosen{.target = std::move(*target)};
+}
+
+bool RequestSession::beginAttempt()
+{
+    m_request.timeLeft = m_deadline - steadyMillis();
+    if (m_request.timeLeft <= Millis(0) || m_tried.size() >= m_dispatcher.m_options.attempts) {
+        return false;
+    }
+    auto chosen = chooseTarget();
+    if (!chosen) {
+        return false;
+    }
+    m_request.id = unguessableBytes(requests::RequestIdBytes);
+    m_request.manifest = chosen->target.manifest;
+    m_request.resumeFrom = m_eventsReleased;
+    m_tried.push_back(chosen->target.vm);
+    const std::string address = chosen->target.address;
+    m_attempt = Attempt{.chosen = std::move(*chosen), .check = {.request = m_request}, .sentAt = steadyMillis()};
+    m_attempt->stream = m_dispatcher.m_client.submit(address, m_request);
+    return true;
+}
+
+std::optional<AnswerEnd> RequestSession::handle(rpc::AnswerEvent event, std::optional<std::string> &part)
+{
+    Counters &counters = m_dispatcher.m_counters;
+    if (auto *received = std::get_if<AnswerPart>(&event)) {
+        if (!requests::checkPart(m_attempt->check, *received)) {
+            counters.add(Counter::AnswersDropped);
+            return std::nullopt;
+        }
+        ++m_attempt->parts;
+        part = std::move(received->data);
+        return std::nullopt;
+    }
+    if (auto *received = std::get_if<AnswerEnd>(&event)) {
+        const auto checked = requests::checkEnd(m_attempt->check, *received);
+        if (!checked) {
+            counters.add(Counter::AnswersDropped);
+            return endFor(Outcome::FailedAfterStart, Refusal::None, checked.error().message);
+        }
+        if (received->cachedBytes) {
+            m_dispatcher.noteCached(m_attempt->chosen, *received->cachedBytes);
+        }
+        return std::move(*received);
+    }
+    return endOfBroken(std::get<Error>(event));
+}
+
+AnswerEnd RequestSession::endOfBroken(const Error &error)
+{
+    Evidence evidence = m_attempt->parts > 0 ? Evidence::BrokenAfterPart : Evidence::BrokenWithoutPart;
+    if (error.code == ErrorCode::Unavailable) {
+        evidence = Evidence::NeverSent;
+    } else if (evidence == Evidence::BrokenWithoutPart) {
+        const RoutedTarget &target = m_attempt->chosen.target;
+        const bool confirmed = m_dispatcher.m_client.revoke(target.address, m_request.id, target.incarnation);
+        // After a long pause of this process the target may have forgotten that it started the request.
+        const bool isFresh = steadyMillis() - m_attempt->sentAt < m_request.timeLeft + RevokeTrust;
+        if (confirmed && isFresh) {
+            m_dispatcher.m_counters.add(Counter::RequestsRevoked);
+            evidence = Evidence::Revoked;
+        }
+    }
+    const bool isLate = error.code == ErrorCode::DeadlineExceeded;
+    return endFor(requests::outcomeOf(evidence), isLate ? Refusal::Expired : Refusal::NotServing, error.message);
+}
+
+bool RequestSession::canResume() const
+{
+    return m_request.stream && m_tail == EventEnd && m_dispatcher.m_options.resumeStreams;
+}
+
+bool RequestSession::mayTryAgain(const AnswerEnd &end)
+{
+    if (end.outcome == Outcome::Answered) {
+        return false;
+    }
+    m_attempt->chosen.target.load->avoidUntilMs = (steadyMillis() + AvoidTime).count();
+    const bool isFinal = end.refusal == Refusal::Expired || end.refusal == Refusal::Withdrawn;
+    if (isFinal || steadyMillis() >= m_deadline || !m_request.key.empty()) {
+        return false;
+    }
+    if (m_tried.size() >= m_dispatcher.m_options.attempts || (m_released && !canResume())) {
+        return false;
+    }
+    if (isCertainlyIdle(end)) {
+        m_dispatcher.m_counters.add(Counter::RequestRedirects);
+        return true;
+    }
+    if (end.outcome != Outcome::RefusedNotRun && !m_request.idempotent) {
+        return false;
+    }
+    if (!m_dispatcher.drawRetry()) {
+        return false;
+    }
+    m_dispatcher.m_counters.add(Counter::RequestRetries);
+    m_dispatcher.m_counters.add(Counter::StreamsResumed, m_released ? 1 : 0);
+    return true;
+}
+
+void RequestSession::endAttempt()
+{
+    if (!m_attempt) {
+        return;
+    }
+    m_attempt->stream->cancel();
+    --m_attempt->chosen.target.load->inProgress;
+    m_attempt.reset();
+}
+
+AnswerEnd RequestSession::finish(AnswerEnd end)
+{
+    end.outcome = requests::combined(m_earlier, end.outcome);
+    if (m_released && end.outcome == Outcome::RefusedNotRun) {
+        end.outcome = Outcome::FailedAfterStart;
+    }
+    if (end.retryAfter <= Millis(0)) {
+        end.retryAfter = m_dispatcher.m_options.retryAfter;
+    }
+    if (!m_counted) {
+        m_dispatcher.count(end.outcome);
+        m_counted = true;
+    }
+    return end;
+}
+
+AnswerEnd RequestSession::endFor(Outcome outcome, Refusal refusal, std::string message) const
+{
+    return {.id = m_request.id,
+            .entryIncarnation = m_request.entryIncarnation,
+            .workspace = m_request.workspace,
+            .manifest = m_request.manifest,
+            .outcome = outcome,
+            .message = std::move(message),
+            .refusal = outcome == Outcome::RefusedNotRun ? refusal : Refusal::None};
+}
+
+void RequestSession::noteReleased(std::string_view data)
+{
+    m_released = true;
+    for (const char c : data) {
+        m_tail.push_back(c);
+        if (m_tail.size() > EventEnd.size()) {
+            m_tail.erase(0, 1);
+        }
+        if (m_tail == EventEnd) {
+            ++m_eventsReleased;
+        }
+    }
+}
+
+} // namespace ibislock::entry
--- a/libs/entry/src/settings.cpp
+++ b/libs/entry/src/settings.cpp
@@ -27,10 +27,10 @@
         {.section = "callers",
          .key = "threads",
          .type = SettingType::Integer,
-         .fallback = "64",
+         .fallback = "256",
          .min = 1,
          .max = 4096,
-         .help = "Calls handled at the same time."},
+         .help = "Connections served at the same time."},
         {.section = "callers",
          .key = "body_bytes_max",
          .type = SettingType::Integer,
@@ -65,9 +65,28 @@
         {.section = "routing",
          .key = "policy",
          .type = SettingType::Choice,
-         .fallback = "two-choices",
-         .choices = "random,least-loaded,two-choices",
+         .fallback = "prefix",
+         .choices = "random,round-robin,least-loaded,two-choices,prefix",
          .help = "How a target is chosen."},
+        {.section = "routing",
+         .key = "retry_after_ms",
+         .type = SettingType::Integer,
+         .fallback = "1000",
+         .min = 1,
+         .max = HourMs,
+         .help = "When a refused caller is told to come back."},
+        {.section = "routing",
+         .key = "resume_streams",
+         .type = SettingType::Boolean,
+         .fallback = "true",
+         .help = "Whether broken streams are resumed; the engines must be able to."},
+        {.section = "callers",
+         .key = "drain_grace_ms",
+         .type = SettingType::Integer,
+         .fallback = "30000",
+         .min = 0,
+         .max = HourMs,
+         .help = "How long requests in progress may hold up a stop."},
         {.section = "routing",
          .key = "attempts",
          .type = SettingType::Integer,
@@ -126,6 +145,9 @@
     options.policy = valueOf(requests::RoutingPolicyNames, settings.text("routing", "policy")).value_or(options.policy);
     options.attempts = static_cast<std::uint32_t>(settings.integer("routing", "attempts"));
     options.requestTimeout = settings.millis("callers", "request_timeout_ms");
+    options.retryAfter = settings.millis("routing", "retry_after_ms");
+    options.resumeStreams = settings.boolean("routing", "resume_streams");
+    options.drainGrace = settings.millis("callers", "drain_grace_ms");
     options.fileTimeout = settings.millis("administration", "file_timeout_ms");
     return options;
 }
--- a/libs/requests/include/ibislock/requests/request.h
+++ b/libs/requests/include/ibislock/requests/request.h
@@ -5,8 +5,10 @@
 #include "ibislock/base/clock.h"
 #include "ibislock/base/digest.h"
 #include "ibislock/requests/outcome.h"
+#include "ibislock/requests/priority.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace ibislock::requests
@@ -31,6 +33,10 @@
     bool stream = false;
     bool idempotent = true;
     Millis timeLeft{0};
+    Priority priority = Priority::Normal;
+    std::uint32_t cost = 1; ///< Expected work in tokens, for fair shares.
+    std::string key; ///< The idempotency key, in the form of call_key.h; empty for none.
+    std::uint32_t resumeFrom = 0; ///< Events of the stream that the caller has already received.
 };
 
 /// A piece of an answer, in order.
@@ -49,12 +55,14 @@
     std::string workspace;
     Digest manifest;
     Outcome outcome = Outcome::Unknown;
-    std::string message; ///< Why the request was not answered.
+    std::string message; ///< Why the request was not answered, or the engine's error in place of a stream.
     std::uint16_t status = 0; ///< HTTP status of the engine or service.
     std::string contentType;
     std::uint32_t parts = 0;
     std::uint64_t bytes = 0;
     Millis retryAfter{0};
+    Refusal refusal = Refusal::None; ///< Why the target did not run the request.
+    std::optional<std::uint32_t> cachedBytes; ///< Bytes of the prompt that the engine found in its prefix cache.
 };
 
 } // namespace ibislock::requests
--- /dev/null
+++ b/libs/requests/src/call_key.cpp
@@ -0,0 +1,56 @@
+#include "ibislock/requests/call_key.h"
+
+#include <charconv>
+
+namespace ibislock::requests
+{
+
+namespace
+{
+
+/// Splits off what follows the last dot.
+std::optional<std::string_view> takeLast(std::string_view &text)
+{
+    const auto dot = text.rfind('.');
+    if (dot == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view last = text.substr(dot + 1);
+    text = text.substr(0, dot);
+    return last;
+}
+
+template <typename Number>
+bool readNumber(std::optional<std::string_view> text, Number &number)
+{
+    if (!text || text->empty()) {
+        return false;
+    }
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), number);
+    return ec == std::errc{} && end == text->data() + text->size();
+}
+
+} // namespace
+
+std::string keyToText(const CallKey &key)
+{
+    return key.vm + "." + std::to_string(key.incarnation) + "." + std::to_string(key.mintedAt.count()) + "."
+        + key.nonce;
+}
+
+std::optional<CallKey> keyFromText(std::string_view text)
+{
+    CallKey key;
+    std::int64_t mintedAt = 0;
+    const auto nonce = takeLast(text);
+    if (!nonce || nonce->empty() || !readNumber(takeLast(text), mintedAt) || mintedAt < 0
+        || !readNumber(takeLast(text), key.incarnation) || text.empty()) {
+        return std::nullopt;
+    }
+    key.vm = text;
+    key.mintedAt = Millis(mintedAt);
+    key.nonce = *nonce;
+    return key;
+}
+
+} // namespace ibislock::requests
--- /dev/null
+++ b/libs/requests/src/prefix_index.cpp
@@ -0,0 +1,95 @@
+#include "ibislock/requests/prefix_index.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace ibislock::requests
+{
+
+namespace
+{
+
+/// Notes that a target holds a block; it counts only if the target holds all blocks before.
+void extend(std::vector<PrefixMatch> &matches, std::uint32_t target, std::uint32_t block)
+{
+    const auto it = std::find_if(matches.begin(), matches.end(),
+                                 [target](const PrefixMatch &match) { return match.target == target; });
+    if (it != matches.end() && it->blocks == block) {
+        ++it->blocks;
+    } else if (it == matches.end() && block == 0) {
+        matches.push_back({.target = target, .blocks = 1});
+    }
+}
+
+Millis lifetimeOf(const PrefixIndex &index, std::uint32_t target)
+{
+    const auto it = index.lifetimes.find(target);
+    return it == index.lifetimes.end() ? index.options.lifetime : it->second;
+}
+
+} // namespace
+
+std::vector<std::uint64_t> prefixBlocks(std::string_view scope, std::string_view prompt)
+{
+    std::vector<std::uint64_t> blocks;
+    std::uint64_t hash = XXH3_64bits(scope.data(), scope.size());
+    const std::size_t count = std::min(prompt.size() / PrefixBlockBytes, PrefixBlocksMax);
+    for (std::size_t i = 0; i < count; ++i) {
+        hash = XXH3_64bits_withSeed(prompt.data() + i * PrefixBlockBytes, PrefixBlockBytes, hash);
+        blocks.push_back(hash);
+    }
+    return blocks;
+}
+
+void noteSent(PrefixIndex &index, const std::vector<std::uint64_t> &blocks, std::uint32_t target, Millis now)
+{
+    const Millis until = now + lifetimeOf(index, target);
+    for (const std::uint64_t block : blocks) {
+        const auto [it, isNew] = index.blocks.try_emplace(block);
+        if (isNew) {
+            index.byAge.push_back(block);
+        }
+        auto &holders = it->second;
+        auto slot = std::find_if(holders.begin(), holders.end(),
+                                 [&](const PrefixHolder &holder) { return holder.target == target; });
+        if (slot == holders.end()) {
+            slot = std::min_element(holders.begin(), holders.end(),
+                                    [](const PrefixHolder &a, const PrefixHolder &b) { return a.until < b.until; });
+        }
+        *slot = {.target = target, .until = until};
+    }
+    while (index.blocks.size() > index.options.blocksMax) {
+        index.blocks.erase(index.byAge.front());
+        index.byAge.pop_front();
+    }
+}
+
+void noteCached(PrefixIndex &index, std::uint32_t target, std::uint32_t believedBlocks, std::uint32_t cachedBlocks)
+{
+    if (believedBlocks == 0) {
+        return;
+    }
+    const PrefixIndexOptions &options = index.options;
+    Millis &lifetime = index.lifetimes.try_emplace(target, options.lifetime).first->second;
+    const Millis corrected = cachedBlocks * 2 < believedBlocks ? lifetime / 2 : lifetime + lifetime / 10;
+    lifetime = std::clamp(corrected, options.lifetimeMin, options.lifetimeMax);
+}
+
+std::vector<PrefixMatch> matchesOf(const PrefixIndex &index, const std::vector<std::uint64_t> &blocks, Millis now)
+{
+    std::vector<PrefixMatch> matches;
+    for (std::uint32_t i = 0; i < blocks.size(); ++i) {
+        const auto it = index.blocks.find(blocks[i]);
+        if (it == index.blocks.end()) {
+            break;
+        }
+        for (const PrefixHolder &holder : it->second) {
+            if (holder.until > now) {
+                extend(matches, holder.target, i);
+            }
+        }
+    }
+    return matches;
+}
+
+} // namespace ibislock::requests
--- a/libs/requests/src/routing.cpp
+++ b/libs/requests/src/routing.cpp
@@ -1,7 +1,7 @@
 #include "ibislock/requests/routing.h"
 
 #include <algorithm>
-#include <vector>
+#include <xxhash.h>
 
 namespace ibislock::requests
 {
@@ -9,43 +9,163 @@
 namespace
 {
 
-std::vector<std::size_t> preferredIndexes(std::span<const Candidate> candidates)
+/// How far above the mean a target's load may be for a prefix to lead there.
+constexpr double LoadBoundFactor = 1.25;
+constexpr double LoadBoundSlack = 2;
+
+/// The candidates that are chosen from.
+struct Pool
+{
+    std::span<const Candidate> candidates;
+    bool localOnly = false;
+    bool unsaturatedOnly = false;
+    std::size_t size = 0;
+    std::uint64_t load = 0;
+
+    bool contains(const Candidate &candidate) const
+    {
+        return (!localOnly || candidate.sameDomain) && (!unsaturatedOnly || !candidate.saturated);
+    }
+
+    /// Gives the n-th of the pool.
+    std::size_t at(std::size_t n) const
+    {
+        if (size == candidates.size()) {
+            return n;
+        }
+        for (std::size_t i = 0;; ++i) {
+            if (contains(candidates[i]) && n-- == 0) {
+                return i;
+            }
+        }
+    }
+};
+
+/// Gives the own domain's targets with room, else any with room, else the own domain's, else all.
+Pool poolOf(std::span<const Candidate> candidates)
 {
-    std::vector<std::size_t> local;
-    std::vector<std::size_t> all;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        all.push_back(i);
-        if (candidates[i].sameDomain) {
-            local.push_back(i);
+    Pool pool{.candidates = candidates};
+    for (const auto &[local, unsaturated] : {std::pair(true, true), {false, true}, {true, false}, {false, false}}) {
+        pool.localOnly = local;
+        pool.unsaturatedOnly = unsaturated;
+        pool.size = 0;
+        pool.load = 0;
+        for (const Candidate &candidate : candidates) {
+            if (pool.contains(candidate)) {
+                ++pool.size;
+                pool.load += candidate.load;
+            }
+        }
+        if (pool.size > 0) {
+            break;
         }
     }
-    return local.empty() ? all : local;
+    return pool;
 }
 
-std::size_t pickOne(const std::vector<std::size_t> &indexes, Random &random)
+std::size_t pickRandom(const Pool &pool, RouteState &state)
 {
-    std::uniform_int_distribution<std::size_t> position(0, indexes.size() - 1);
-    return indexes[position(random)];
+    return pool.at(std::uniform_int_distribution<std::size_t>(0, pool.size - 1)(state.random));
+}
+
+std::size_t pickTwoChoices(const Pool &pool, RouteState &state)
+{
+    const std::size_t a = pickRandom(pool, state);
+    const std::size_t b = pickRandom(pool, state);
+    return pool.candidates[b].load < pool.candidates[a].load ? b : a;
+}
+
+std::size_t pickLeastLoaded(const Pool &pool)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < pool.candidates.size(); ++i) {
+        const Candidate &candidate = pool.candidates[i];
+        if (pool.contains(candidate) && (!best || candidate.load < pool.candidates[*best].load)) {
+            best = i;
+        }
+    }
+    return *best;
+}
+
+/// Finds the target that holds most of the prompt, among those that are not far above the mean load.
+std::optional<std::size_t> pickHolder(const Pool &pool, double bound)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < pool.candidates.size(); ++i) {
+        const Candidate &candidate = pool.candidates[i];
+        if (!pool.contains(candidate) || candidate.prefixBlocks == 0 || candidate.load > bound) {
+            continue;
+        }
+        const bool better = !best || candidate.prefixBlocks > pool.candidates[*best].prefixBlocks
+            || (candidate.prefixBlocks == pool.candidates[*best].prefixBlocks
+                && candidate.load < pool.candidates[*best].load);
+        if (better) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/// Finds the less loaded of the prompt's two homes, if it is not far above the mean load.
+std::optional<std::size_t> pickHome(const Pool &pool, double bound)
+{
+    std::optional<std::size_t> first;
+    std::optional<std::size_t> second;
+    for (std::size_t i = 0; i < pool.candidates.size(); ++i) {
+        const Candidate &candidate = pool.candidates[i];
+        if (!pool.contains(candidate) || candidate.affinity == 0) {
+            continue;
+        }
+        if (!first || candidate.affinity > pool.candidates[*first].affinity) {
+            second = first;
+            first = i;
+        } else if (!second || candidate.affinity > pool.candidates[*second].affinity) {
+            second = i;
+        }
+    }
+    if (second && pool.candidates[*second].load < pool.candidates[*first].load) {
+        first = second;
+    }
+    return first && pool.candidates[*first].load <= bound ? first : std::nullopt;
+}
+
+std::size_t pickByPrefix(const Pool &pool, RouteState &state)
+{
+    const double mean = static_cast<double>(pool.load) / static_cast<double>(pool.size);
+    const double bound = LoadBoundFactor * mean + LoadBoundSlack;
+    if (const auto holder = pickHolder(pool, bound)) {
+        return *holder;
+    }
+    if (const auto home = pickHome(pool, bound)) {
+        return *home;
+    }
+    return pickTwoChoices(pool, state);
 }
 
 } // namespace
 
-std::optional<std::size_t> chooseTarget(RoutingPolicy policy, std::span<const Candidate> candidates, Random &random)
+std::uint64_t affinityOf(std::uint64_t firstBlock, std::uint64_t target)
+{
+    return XXH3_64bits_withSeed(&target, sizeof(target), firstBlock) | 1U;
+}
+
+std::optional<std::size_t> chooseTarget(RoutingPolicy policy, std::span<const Candidate> candidates, RouteState &state)
 {
     if (candidates.empty()) {
         return std::nullopt;
     }
-    const auto indexes = preferredIndexes(candidates);
-    const auto lessLoaded = [&](std::size_t a, std::size_t b) {
-        return candidates[a].load < candidates[b].load;
-    };
+    const Pool pool = poolOf(candidates);
     switch (policy) {
     case RoutingPolicy::Random:
-        return pickOne(indexes, random);
+        return pickRandom(pool, state);
+    case RoutingPolicy::RoundRobin:
+        return pool.at(state.turn++ % pool.size);
     case RoutingPolicy::LeastLoaded:
-        return *std::min_element(indexes.begin(), indexes.end(), lessLoaded);
+        return pickLeastLoaded(pool);
     case RoutingPolicy::TwoChoices:
-        return std::min(pickOne(indexes, random), pickOne(indexes, random), lessLoaded);
+        return pickTwoChoices(pool, state);
+    case RoutingPolicy::Prefix:
+        return pickByPrefix(pool, state);
     }
     return std::nullopt;
 }
--- /dev/null
+++ b/libs/requests/test/at_most_once_test.cpp
@@ -0,0 +1,231 @@
+// Random interleavings of send, loss, delay, restart and retry, against the register of keys and the rules of outcomes.
+
+#include "ibislock/requests/key_register.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace ibislock::requests
+{
+
+namespace
+{
+
+constexpr Millis Now{1000000};
+
+/// A target process whose memory is lost when it restarts.
+struct ModelTarget
+{
+    KeyRegister keys{.options = {.vm = "target", .incarnation = 1}};
+
+    void restart()
+    {
+        keys = KeyRegister{.options = {.vm = "target", .incarnation = keys.options.incarnation + 1}};
+    }
+};
+
+/// What became of one key, in the world and in what callers were told.
+struct ModelCall
+{
+    std::string key;
+    int runs = 0;
+    bool toldNotRun = false;
+    bool toldAnswered = false;
+};
+
+/// One order on its way to the target. It may arrive late, once, or never.
+struct Order
+{
+    std::size_t call = 0;
+    bool answerLost = false;
+};
+
+class Model
+{
+public:
+    void mint()
+    {
+        m_calls.push_back({.key = keyToText({.vm = "target",
+                                             .incarnation = m_target.keys.options.incarnation,
+                                             .mintedAt = Now,
+                                             .nonce = std::to_string(m_calls.size())})});
+    }
+
+    /// A caller sends a key, for the first time or again, through any entry process.
+    void send(std::size_t pick, bool answerLost)
+    {
+        if (!m_calls.empty()) {
+            m_orders.push_back({.call = pick % m_calls.size(), .answerLost = answerLost});
+        }
+    }
+
+    void lose(std::size_t pick)
+    {
+        if (!m_orders.empty()) {
+            m_orders.erase(m_orders.begin() + static_cast<std::ptrdiff_t>(pick % m_orders.size()));
+        }
+    }
+
+    void restart()
+    {
+        m_running.clear();
+        m_target.restart();
+    }
+
+    /// An order arrives; a target at its limit refuses it.
+    void deliver(std::size_t pick, bool atLimit)
+    {
+        if (m_orders.empty()) {
+            return;
+        }
+        const auto it = m_orders.begin() + static_cast<std::ptrdiff_t>(pick % m_orders.size());
+        const Order order = *it;
+        m_orders.erase(it);
+        ModelCall &call = m_calls[order.call];
+        switch (begin(m_target.keys, "dala", call.key, Now).decision) {
+        case KeyDecision::Run:
+            if (atLimit) {
+                refuse(m_target.keys, "dala", call.key);
+                call.toldNotRun = call.toldNotRun || !order.answerLost;
+                break;
+            }
+            ++call.runs;
+            m_running.push_back(order);
+            break;
+        case KeyDecision::Refuse:
+            call.toldNotRun = call.toldNotRun || !order.answerLost;
+            break;
+        case KeyDecision::Replay:
+            call.toldAnswered = call.toldAnswered || !order.answerLost;
+            break;
+        case KeyDecision::Unknown:
+            break;
+        }
+    }
+
+    void end()
+    {
+        if (m_running.empty()) {
+            return;
+        }
+        ModelCall &call = m_calls[m_running.front().call];
+        finish(m_target.keys, "dala", call.key, {.outcome = Outcome::Answered, .status = 200}, "answer");
+        call.toldAnswered = call.toldAnswered || !m_running.front().answerLost;
+        m_running.pop_front();
+    }
+
+    void check() const
+    {
+        for (const ModelCall &call : m_calls) {
+            RC_ASSERT(call.runs <= 1);
+            RC_ASSERT(!call.toldNotRun || call.runs == 0);
+            RC_ASSERT(!call.toldAnswered || call.runs == 1);
+        }
+    }
+
+private:
+    ModelTarget m_target;
+    std::vector<ModelCall> m_calls;
+    std::deque<Order> m_orders;
+    std::deque<Order> m_running;
+};
+
+TEST(AtMostOnceTest, HoldsForAnyInterleavingOfSendLossRestartAndRetry)
+{
+    rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>> &steps) {
+        Model model;
+        for (const auto &[kind, pick] : steps) {
+            switch (kind % 8) {
+            case 0:
+                model.mint();
+                break;
+            case 1:
+            case 2:
+                model.send(pick, pick % 3 == 0);
+                break;
+            case 3:
+                model.lose(pick);
+                break;
+            case 4:
+            case 5:
+                model.deliver(pick, pick % 5 == 0);
+                break;
+            case 6:
+                model.end();
+                break;
+            default:
+                model.restart();
+            }
+            model.check();
+        }
+    });
+}
+
+TEST(OutcomeTest, NotRunNeedsTheProofForEveryAttempt)
+{
+    rc::check([](const std::vector<std::uint8_t> &attempts) {
+        Outcome told = Outcome::RefusedNotRun;
+        bool mayHaveRun = false;
+        for (const std::uint8_t attempt : attempts) {
+            const Outcome outcome = static_cast<Outcome>(1 + attempt % 3);
+            mayHaveRun = mayHaveRun || outcome != Outcome::RefusedNotRun;
+            told = combined(told, outcome);
+            RC_ASSERT((told == Outcome::RefusedNotRun) == !mayHaveRun);
+        }
+        RC_ASSERT(combined(told, Outcome::Answered) == Outcome::Answered);
+    });
+}
+
+/// A key that must not run.
+struct KeyCase
+{
+    const char *name;
+    CallKey key;
+};
+
+class KeyRegisterTest : public testing::TestWithParam<KeyCase>
+{
+};
+
+TEST_P(KeyRegisterTest, IsUnknown)
+{
+    KeyRegister keys{.options = {.vm = "target", .incarnation = 2}};
+    EXPECT_EQ(begin(keys, "dala", keyToText(GetParam().key), Now).decision, KeyDecision::Unknown);
+    EXPECT_TRUE(keys.known.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, KeyRegisterTest,
+    testing::Values(
+        KeyCase{"OtherTarget", {.vm = "other", .incarnation = 2, .mintedAt = Now, .nonce = "n"}},
+        KeyCase{"EarlierLife", {.vm = "target", .incarnation = 1, .mintedAt = Now, .nonce = "n"}},
+        KeyCase{"TooOld", {.vm = "target", .incarnation = 2, .mintedAt = Now - Millis(600000), .nonce = "n"}},
+        KeyCase{"FromTheFuture", {.vm = "target", .incarnation = 2, .mintedAt = Now + Millis(60001), .nonce = "n"}}),
+    [](const auto &it) { return it.param.name; });
+
+TEST(KeyRegisterTest, ForgetsAKeyOnlyWhenItIsTooOldToRun)
+{
+    KeyRegister keys{.options = {.vm = "target", .incarnation = 2, .keysMax = 1}};
+    const CallKey key{.vm = "target", .incarnation = 2, .mintedAt = Now, .nonce = "n"};
+    CallKey other = key;
+    other.nonce = "m";
+    ASSERT_EQ(begin(keys, "dala", keyToText(key), Now).decision, KeyDecision::Run);
+    EXPECT_EQ(begin(keys, "dala", keyToText(other), Now).decision, KeyDecision::Unknown) << "the register is full";
+    const Millis later = Now + keys.options.lifetime;
+    other.mintedAt = later;
+    EXPECT_EQ(begin(keys, "dala", keyToText(other), later).decision, KeyDecision::Run);
+    EXPECT_EQ(begin(keys, "dala", keyToText(key), later).decision, KeyDecision::Unknown);
+}
+
+TEST(CallKeyTest, ReadsBackWhatItWrote)
+{
+    const CallKey key{.vm = "a.b-1", .incarnation = 18446744073709551615U, .mintedAt = Now, .nonce = "00ff"};
+    EXPECT_EQ(keyFromText(keyToText(key)), key);
+    for (const char *text : {"", "x", "a.1.2", "a.1.2.", "a.x.2.n", ".1.2.n", "a.1.-2.n", "a.1 .2.n"}) {
+        EXPECT_FALSE(keyFromText(text)) << text;
+    }
+}
+
+} // namespace
+
+} // namespace ibislock::requests
--- /dev/null
+++ b/libs/requests/test/fair_queue_test.cpp
@@ -0,0 +1,96 @@
+#include "ibislock/requests/fair_queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace ibislock::requests
+{
+
+namespace
+{
+
+QueuedRequest requestOf(std::uint64_t ticket, const std::string &workspace, Priority priority = Priority::Normal)
+{
+    return {.ticket = ticket, .workspace = workspace, .priority = priority, .cost = 10, .expiresAt = Millis(1000)};
+}
+
+TEST(FairQueueTest, ServesBusyWorkspacesByWeight)
+{
+    FairQueue queue{.options = {.capacity = 1000, .weights = {{"large", 3}}}};
+    for (std::uint64_t i = 0; i < 400; ++i) {
+        push(queue, requestOf(i, i % 2 == 0 ? "large" : "small"));
+    }
+    std::map<std::string, int> served;
+    for (int i = 0; i < 100; ++i) {
+        ++served[pop(queue)->workspace];
+    }
+    EXPECT_NEAR(served["large"], 75, 2);
+}
+
+TEST(FairQueueTest, AnIdleWorkspaceSavesNothingUp)
+{
+    FairQueue queue{.options = {.capacity = 1000}};
+    for (std::uint64_t i = 0; i < 200; ++i) {
+        push(queue, requestOf(i, "busy"));
+    }
+    for (int i = 0; i < 100; ++i) {
+        pop(queue);
+    }
+    for (std::uint64_t i = 0; i < 50; ++i) {
+        push(queue, requestOf(1000 + i, "late"));
+    }
+    int late = 0;
+    for (int i = 0; i < 20; ++i) {
+        late += pop(queue)->workspace == "late" ? 1 : 0;
+    }
+    EXPECT_NEAR(late, 10, 1);
+}
+
+TEST(FairQueueTest, ShedsTheLowPriorityOfTheHeaviestWorkspaceFirst)
+{
+    FairQueue queue{.options = {.capacity = 4}};
+    push(queue, requestOf(1, "heavy", Priority::High));
+    push(queue, requestOf(2, "heavy", Priority::Low));
+    push(queue, requestOf(3, "heavy"));
+    EXPECT_FALSE(push(queue, requestOf(4, "light", Priority::Low)));
+    EXPECT_EQ(push(queue, requestOf(5, "light"))->ticket, 2U);
+    EXPECT_EQ(pop(queue)->ticket, 1U) << "the high priority goes first";
+}
+
+TEST(FairQueueTest, TakesOutWhatExpiredAndWhatIsWithdrawn)
+{
+    FairQueue queue;
+    QueuedRequest early = requestOf(1, "a");
+    early.expiresAt = Millis(5);
+    push(queue, early);
+    push(queue, requestOf(2, "a"));
+    ASSERT_EQ(takeExpired(queue, Millis(5)).size(), 1U);
+    EXPECT_FALSE(remove(queue, 1));
+    EXPECT_TRUE(remove(queue, 2));
+    EXPECT_FALSE(pop(queue));
+}
+
+TEST(FairQueueTest, NoRequestIsLostOrGivenTwice)
+{
+    rc::check([](const std::vector<std::uint8_t> &operations) {
+        FairQueue queue{.options = {.capacity = 5}};
+        std::set<std::uint64_t> waiting;
+        std::uint64_t next = 0;
+        for (const std::uint8_t operation : operations) {
+            if (operation % 3 == 0) {
+                const auto taken = pop(queue);
+                RC_ASSERT(taken.has_value() == !waiting.empty());
+                RC_ASSERT(!taken || waiting.erase(taken->ticket) == 1);
+                continue;
+            }
+            waiting.insert(next);
+            const auto shed = push(queue, requestOf(next++, std::string(1, static_cast<char>('a' + operation % 4))));
+            RC_ASSERT(!shed || waiting.erase(shed->ticket) == 1);
+            RC_ASSERT(queue.size == waiting.size() && queue.size <= 5);
+        }
+    });
+}
+
+} // namespace
+
+} // namespace ibislock::requests
--- a/libs/requests/test/requests_test.cpp
+++ b/libs/requests/test/requests_test.cpp
@@ -77,12 +77,12 @@
 
 TEST(RoutingTest, PrefersTheOwnDomain)
 {
-    Random random(1);
-    const std::vector<Candidate> candidates{{.vm = "far", .load = 0}, {.vm = "near", .sameDomain = true, .load = 9}};
+    RouteState state{.random = Random(1)};
+    const std::vector<Candidate> candidates{{.load = 0}, {.sameDomain = true, .load = 9}};
     for (const auto &[policy, name] : RoutingPolicyNames) {
-        EXPECT_EQ(chooseTarget(policy, candidates, random), 1U) << name;
+        EXPECT_EQ(chooseTarget(policy, candidates, state), 1U) << name;
     }
-    EXPECT_EQ(chooseTarget(RoutingPolicy::Random, {}, random), std::nullopt);
+    EXPECT_EQ(chooseTarget(RoutingPolicy::Random, {}, state), std::nullopt);
 }
 
 } // namespace
--- a/libs/rpc/include/ibislock/rpc/client.h
+++ b/libs/rpc/include/ibislock/rpc/client.h
@@ -25,6 +25,7 @@
     Millis connectTimeout{500};
     Millis exchangeTimeout{2000};
     Millis chunkTimeout{20000};
+    Millis revokeTimeout{300};
 };
 
 /// Tells whether an address may be connected to.
@@ -76,6 +77,11 @@
     /// Submits a request. An Unavailable error as the first event proves that it was not sent.
     std::shared_ptr<AnswerStream> submit(const std::string &address, const requests::Request &request);
 
+    /// Withdraws a request whose outcome is open.
+    /// @param incarnation the life of the process that the request was sent to.
+    /// @return true only when the target confirms that the request has not started and never will.
+    bool revoke(const std::string &address, const std::string &id, std::uint64_t incarnation);
+
     /// Refuses connections to the addresses for which a predicate is false, and breaks those that are open. Experiments
     /// cut failure domains off with it.
     void setReachable(Reachable reachable);
--- a/libs/rpc/include/ibislock/rpc/server.h
+++ b/libs/rpc/include/ibislock/rpc/server.h
@@ -63,6 +63,8 @@
     std::function<ChunkReply(const Digest &)> chunk;
     std::function<std::optional<std::string>(const Digest &root)> manifest;
     std::function<void(requests::Request, std::shared_ptr<AnswerWriter>)> submit;
+    /// Withdraws a request; true only when it has not started and never will.
+    std::function<bool(const std::string &id, std::uint64_t incarnation)> revoke;
 };
 
 /// Where to listen.
--- a/libs/rpc/schema/requests.capnp
+++ b/libs/rpc/schema/requests.capnp
@@ -18,6 +18,10 @@
     stream @10 :Bool;
     idempotent @11 :Bool;
     timeLeftMs @12 :UInt32;
+    priority @13 :UInt8;
+    cost @14 :UInt32;
+    key @15 :Text;
+    resumeFrom @16 :UInt32;
 }
 
 struct AnswerPart {
@@ -38,6 +42,9 @@
     parts @8 :UInt32;
     bytes @9 :UInt64;
     retryAfterMs @10 :UInt32;
+    refusal @11 :UInt8;
+    cachedBytes @12 :UInt32;
+    hasCachedBytes @13 :Bool;
 }
 
 interface AnswerSink {
@@ -47,4 +54,8 @@
 interface Requests {
     submit @0 (request :Request, sink :AnswerSink) -> (end :AnswerEnd);
     # Runs a request. Parts of the answer go to `sink` before the call returns. Dropping the call cancels the request.
+
+    revoke @1 (id :Data, incarnation :UInt64) -> (notRun :Bool);
+    # Withdraws a request. `notRun` is true only if this life of the process is the one named, the request has not
+    # started, and it never will, also if its order has yet to arrive.
 }
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -346,6 +346,20 @@
     return stream;
 }
 
+bool Client::revoke(const std::string &address, const std::string &id, std::uint64_t incarnation)
+{
+    try {
+        return m_impl->blockingCall(address, m_impl->options.revokeTimeout, [&](Connection &connection) {
+            auto request = connection.node.requestsRequest().send().getRequests().revokeRequest();
+            request.setId(dataOf(id));
+            request.setIncarnation(incarnation);
+            return request.send().then([](auto &&response) { return bool(response.getNotRun()); });
+        });
+    } catch (const kj::Exception &) {
+        return false;
+    }
+}
+
 void Client::setReachable(Reachable reachable)
 {
     m_loop.call([&] {
--- a/libs/rpc/src/convert.cpp
+++ b/libs/rpc/src/convert.cpp
@@ -18,6 +18,14 @@
     return nameOf(requests::OutcomeNames, outcome) == "unnamed" ? requests::Outcome::Unknown : outcome;
 }
 
+/// Reads a value of an enumeration; one that this version does not know becomes the fallback.
+template <typename Enum, std::size_t N>
+Enum valueIn(const NameTable<Enum, N> &table, std::uint8_t value, Enum fallback)
+{
+    const auto known = static_cast<Enum>(value);
+    return nameOf(table, known) == "unnamed" ? fallback : known;
+}
+
 std::uint32_t wireMillis(Millis value)
 {
     return static_cast<std::uint32_t>(std::max(value, Millis(0)).count());
@@ -91,6 +99,10 @@
     wire.setStream(request.stream);
     wire.setIdempotent(request.idempotent);
     wire.setTimeLeftMs(wireMillis(request.timeLeft));
+    wire.setPriority(static_cast<std::uint8_t>(request.priority));
+    wire.setCost(request.cost);
+    wire.setKey(request.key.c_str());
+    wire.setResumeFrom(request.resumeFrom);
 }
 
 requests::Request read(wire::Request::Reader wire)
@@ -107,7 +119,11 @@
             .body = stringOf(wire.getBody()),
             .stream = wire.getStream(),
             .idempotent = wire.getIdempotent(),
-            .timeLeft = Millis(wire.getTimeLeftMs())};
+            .timeLeft = Millis(wire.getTimeLeftMs()),
+            .priority = valueIn(requests::PriorityNames, wire.getPriority(), requests::Priority::Normal),
+            .cost = std::max(wire.getCost(), 1U),
+            .key = textOf(wire.getKey()),
+            .resumeFrom = wire.getResumeFrom()};
 }
 
 void write(wire::AnswerPart::Builder wire, const requests::AnswerPart &part)
@@ -135,6 +151,9 @@
     wire.setParts(end.parts);
     wire.setBytes(end.bytes);
     wire.setRetryAfterMs(wireMillis(end.retryAfter));
+    wire.setRefusal(static_cast<std::uint8_t>(end.refusal));
+    wire.setHasCachedBytes(end.cachedBytes.has_value());
+    wire.setCachedBytes(end.cachedBytes.value_or(0));
 }
 
 requests::AnswerEnd read(wire::AnswerEnd::Reader wire)
@@ -149,7 +168,9 @@
             .contentType = textOf(wire.getContentType()),
             .parts = wire.getParts(),
             .bytes = wire.getBytes(),
-            .retryAfter = Millis(wire.getRetryAfterMs())};
+            .retryAfter = Millis(wire.getRetryAfterMs()),
+            .refusal = valueIn(requests::RefusalNames, wire.getRefusal(), requests::Refusal::None),
+            .cachedBytes = wire.getHasCachedBytes() ? std::optional(wire.getCachedBytes()) : std::nullopt};
 }
 
 } // namespace ibislock::rpc
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -217,6 +217,14 @@
             .attach(CallGuard(call));
     }
 
+    kj::Promise<void> revoke(RevokeContext context) override
+    {
+        KJ_REQUIRE(m_handlers.revoke != nullptr, "requests are not accepted here");
+        const auto params = context.getParams();
+        context.getResults().setNotRun(m_handlers.revoke(stringOf(params.getId()), params.getIncarnation()));
+        return kj::READY_NOW;
+    }
+
 private:
     const Handlers &m_handlers;
     const EventLoop &m_loop;
--- a/libs/rpc/src/wire/requests.capnp.h
+++ b/libs/rpc/src/wire/requests.capnp.h
@@ -27,6 +27,8 @@
 CAPNP_DECLARE_SCHEMA(df29227a12e5b964);
 CAPNP_DECLARE_SCHEMA(946bc0dfae47ae93);
 CAPNP_DECLARE_SCHEMA(993144ede8d679da);
+CAPNP_DECLARE_SCHEMA(87d8686f7fbe6a4f);
+CAPNP_DECLARE_SCHEMA(964ba7570d38265d);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -43,7 +45,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c366b4769b6f8356, 2, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(c366b4769b6f8356, 3, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -73,7 +75,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d350b05a2e2fdb1, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9d350b05a2e2fdb1, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -123,6 +125,8 @@
 
   struct SubmitParams;
   struct SubmitResults;
+  struct RevokeParams;
+  struct RevokeResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -162,6 +166,36 @@
   };
 };
 
+struct Requests::RevokeParams {
+  RevokeParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(87d8686f7fbe6a4f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Requests::RevokeResults {
+  RevokeResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(964ba7570d38265d, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Request::Reader {
@@ -216,6 +250,15 @@
 
   inline  ::uint32_t getTimeLeftMs() const;
 
+  inline  ::uint8_t getPriority() const;
+
+  inline  ::uint32_t getCost() const;
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint32_t getResumeFrom() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -319,6 +362,22 @@
   inline  ::uint32_t getTimeLeftMs();
   inline void setTimeLeftMs( ::uint32_t value);
 
+  inline  ::uint8_t getPriority();
+  inline void setPriority( ::uint8_t value);
+
+  inline  ::uint32_t getCost();
+  inline void setCost( ::uint32_t value);
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint32_t getResumeFrom();
+  inline void setResumeFrom( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -485,6 +544,12 @@
 
   inline  ::uint32_t getRetryAfterMs() const;
 
+  inline  ::uint8_t getRefusal() const;
+
+  inline  ::uint32_t getCachedBytes() const;
+
+  inline bool getHasCachedBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -566,6 +631,15 @@
   inline  ::uint32_t getRetryAfterMs();
   inline void setRetryAfterMs( ::uint32_t value);
 
+  inline  ::uint8_t getRefusal();
+  inline void setRefusal( ::uint8_t value);
+
+  inline  ::uint32_t getCachedBytes();
+  inline void setCachedBytes( ::uint32_t value);
+
+  inline bool getHasCachedBytes();
+  inline void setHasCachedBytes(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -747,6 +821,8 @@
 
   ::capnp::Request< ::ibislock::rpc::wire::Requests::SubmitParams,  ::ibislock::rpc::wire::Requests::SubmitResults> submitRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ibislock::rpc::wire::Requests::RevokeParams,  ::ibislock::rpc::wire::Requests::RevokeResults> revokeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -767,6 +843,10 @@
   typedef  ::ibislock::rpc::wire::Requests::SubmitResults SubmitResults;
   typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
   virtual ::kj::Promise<void> submit(SubmitContext context);
+  typedef  ::ibislock::rpc::wire::Requests::RevokeParams RevokeParams;
+  typedef  ::ibislock::rpc::wire::Requests::RevokeResults RevokeResults;
+  typedef ::capnp::CallContext<RevokeParams, RevokeResults> RevokeContext;
+  virtual ::kj::Promise<void> revoke(RevokeContext context);
 
   inline  ::ibislock::rpc::wire::Requests::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -958,6 +1038,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Requests::RevokeParams::Reader {
+public:
+  typedef RevokeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Data::Reader getId() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Requests::RevokeParams::Builder {
+public:
+  typedef RevokeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Data::Builder getId();
+  inline void setId( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownId();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Requests::RevokeParams::Pipeline {
+public:
+  typedef RevokeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Requests::RevokeResults::Reader {
+public:
+  typedef RevokeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getNotRun() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Requests::RevokeResults::Builder {
+public:
+  typedef RevokeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getNotRun();
+  inline void setNotRun(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Requests::RevokeResults::Pipeline {
+public:
+  typedef RevokeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Request::Reader::hasId() const {
@@ -1322,6 +1564,82 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Request::Reader::getPriority() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Request::Builder::getPriority() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setPriority( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Request::Reader::getCost() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Request::Builder::getCost() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setCost( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Request::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Request::Reader::getResumeFrom() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Request::Builder::getResumeFrom() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setResumeFrom( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AnswerPart::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1658,6 +1976,48 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t AnswerEnd::Reader::getRefusal() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AnswerEnd::Builder::getRefusal() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void AnswerEnd::Builder::setRefusal( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AnswerEnd::Reader::getCachedBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AnswerEnd::Builder::getCachedBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void AnswerEnd::Builder::setCachedBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AnswerEnd::Reader::getHasCachedBytes() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool AnswerEnd::Builder::getHasCachedBytes() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void AnswerEnd::Builder::setHasCachedBytes(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1862,6 +2222,68 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Requests::RevokeParams::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Requests::RevokeParams::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Requests::RevokeParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Requests::RevokeParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Requests::RevokeParams::Builder::setId( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Requests::RevokeParams::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Requests::RevokeParams::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Requests::RevokeParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Requests::RevokeParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Requests::RevokeParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Requests::RevokeParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Requests::RevokeResults::Reader::getNotRun() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Requests::RevokeResults::Builder::getNotRun() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Requests::RevokeResults::Builder::setNotRun(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/target/include/ibislock/target/options.h
+++ b/libs/target/include/ibislock/target/options.h
@@ -35,6 +35,9 @@
     weights::RateOptions origin; ///< What this target may draw from the store.
     weights::RolloutOptions rollout;
     std::uint32_t concurrency = 64; ///< Requests in progress at the same time.
+    std::map<std::string, double, std::less<>> shares; ///< Weights of the workspaces; 1 for those not named.
+    Millis queueTimeout{1000}; ///< How long a request may wait for the engine.
+    Millis retryAfter{1000}; ///< When a refused caller is told to come back.
     Millis drainGrace{10000}; ///< How long requests in progress may hold up a load.
     Millis retryInterval{500}; ///< The pause after a failed activation.
 };
--- a/libs/target/src/activation.cpp
+++ b/libs/target/src/activation.cpp
@@ -13,6 +13,8 @@
 using configuration::Duty;
 
 constexpr Millis PollInterval{50};
+/// Requests that may be admitted for each that may run; the rest wait in the runner's queue.
+constexpr std::uint32_t AdmittedPerSlot = 3;
 
 bool sameDuty(const std::optional<Duty> &a, const std::optional<Duty> &b)
 {
@@ -76,7 +78,7 @@
     if (m_served->assignment.manifest != request.manifest || m_served->scope.role != request.role) {
         return failure(ErrorCode::Conflict, "the target serves another version or role");
     }
-    if (m_running >= m_options.concurrency) {
+    if (m_running >= AdmittedPerSlot * m_options.concurrency) {
         return failure(ErrorCode::Exhausted, "the target is at its limit of requests");
     }
     ++m_running;
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -1,52 +1,13 @@
 #include "ibislock/target/daemon.h"
 
-#include "activation.h"
+#include "request_runner.h"
 
 #include "ibislock/base/log.h"
-
-#include <asio/post.hpp>
-#include <asio/thread_pool.hpp>
+#include "ibislock/node/drain.h"
 
 namespace ibislock::target
 {
 
-namespace
-{
-
-using requests::AnswerEnd;
-using requests::Outcome;
-using requests::Request;
-
-AnswerEnd endFor(const Request &request, Outcome outcome, std::string message)
-{
-    return {.id = request.id,
-            .entryIncarnation = request.entryIncarnation,
-            .workspace = request.workspace,
-            .manifest = request.manifest,
-            .outcome = outcome,
-            .message = std::move(message)};
-}
-
-/// Judges the engine's answer; only a whole answer from the intended weights counts.
-AnswerEnd judge(const Request &request, const engine::EngineAnswer &answer)
-{
-    if (!answer.started) {
-        return endFor(request, Outcome::RefusedNotRun, answer.message);
-    }
-    if (!answer.whole || answer.status == 0) {
-        return endFor(request, Outcome::FailedAfterStart, answer.message);
-    }
-    if (answer.root != request.manifest) {
-        return endFor(request, Outcome::FailedAfterStart, "the engine answered with other weights");
-    }
-    AnswerEnd end = endFor(request, Outcome::Answered, {});
-    end.status = answer.status;
-    end.contentType = answer.contentType;
-    return end;
-}
-
-} // namespace
-
 struct Daemon::Impl
 {
     explicit Impl(TargetOptions targetOptions)
@@ -56,7 +17,7 @@
         , upload(weights::makeBucket(options.upload, steadyMillis()))
         , fetcher(options, node, client, counters, holdings)
         , activation(options, node, fetcher, counters, holdings)
-        , workers(options.concurrency)
+        , runner(options, node, activation, counters)
     {
         holdings.store.maxBytes = options.chunkStoreBytes;
         node.setReportSource([this](membership::Report &report) { fillReport(report); });
@@ -72,8 +33,11 @@
         handlers.manifest = [this](const Digest &root) {
             return sendManifest(root);
         };
-        handlers.submit = [this](Request request, std::shared_ptr<rpc::AnswerWriter> writer) {
-            accept(std::move(request), std::move(writer));
+        handlers.submit = [this](requests::Request request, std::shared_ptr<rpc::AnswerWriter> writer) {
+            runner.accept(std::move(request), std::move(writer));
+        };
+        handlers.revoke = [this](const std::string &id, std::uint64_t incarnation) {
+            return runner.revoke(id, incarnation);
         };
         return handlers;
     }
@@ -85,6 +49,7 @@
         report.ticket = serving.ticket;
         report.serving = serving.manifest;
         report.running = activation.running();
+        report.queued = runner.queued();
         report.leaving = leaving;
     }
 
@@ -113,41 +78,6 @@
         return weights::manifestToJson(it->second);
     }
 
-    void accept(Request request, std::shared_ptr<rpc::AnswerWriter> writer)
-    {
-        counters.add(Counter::RequestsReceived);
-        const auto admitted = activation.admit(request);
-        if (!admitted) {
-            counters.add(Counter::RequestsRefused);
-            writer->finish(endFor(request, Outcome::RefusedNotRun, admitted.error().message));
-            return;
-        }
-        asio::post(workers, [this, request = std::move(request), writer = std::move(writer)] {
-            run(request, *writer);
-            activation.release();
-        });
-    }
-
-    void run(const Request &request, rpc::AnswerWriter &writer)
-    {
-        if (writer.isCancelled()) {
-            writer.finish(endFor(request, Outcome::RefusedNotRun, "the caller has gone"));
-            return;
-        }
-        engine::EngineClient engine(options.engine);
-        const auto onPart = [&](std::string_view data) {
-            return writer.part(data);
-        };
-        const auto answer =
-            options.backend == BackendKind::Service ? engine.forward(request, onPart) : engine.run(request, onPart);
-        if (writer.isCancelled() && options.backend == BackendKind::Engine) {
-            engine.cancel(request.id);
-        }
-        AnswerEnd end = judge(request, answer);
-        counters.add(end.outcome == Outcome::Answered ? Counter::RequestsAnswered : Counter::RequestsFailed);
-        writer.finish(std::move(end));
-    }
-
     TargetOptions options;
     Counters counters;
     rpc::EventLoop loop;
@@ -158,7 +88,7 @@
     weights::TokenBucket upload;
     Fetcher fetcher;
     Activation activation;
-    asio::thread_pool workers;
+    RequestRunner runner;
     std::atomic<bool> leaving = false;
     std::unique_ptr<rpc::Server> server;
     bool started = false;
@@ -183,6 +113,7 @@
         impl.handlers());
     impl.node.start(impl.server->port());
     impl.activation.start();
+    impl.runner.start();
     logInfo(Part::Target, "Target is up.", {{"vm", impl.options.node.vm}, {"port", std::to_string(rpcPort())}});
 }
 
@@ -193,14 +124,20 @@
         return;
     }
     impl.started = false;
-    impl.leaving = true;
-    impl.activation.refuseAll();
-    if (!impl.activation.waitUntilIdle(impl.options.drainGrace)) {
-        logWarning(Part::Target, "Stop cuts off requests.", {{"running", std::to_string(impl.activation.running())}});
+    const std::uint32_t left = node::drain({.refuse =
+                                                [&] {
+                                                    impl.leaving = true;
+                                                    impl.runner.leave();
+                                                },
+                                            .wait = [&](Millis time) { return impl.runner.drain(time); },
+                                            .grace = impl.options.drainGrace});
+    if (left > 0) {
+        impl.counters.add(Counter::RequestsCutByStop, left);
+        logWarning(Part::Target, "Stop cuts off requests.", {{"left", std::to_string(left)}});
     }
     impl.activation.stop();
     impl.node.stop();
-    impl.workers.join();
+    impl.runner.stop();
     impl.server.reset();
     logInfo(Part::Target, "Target has stopped.", {{"vm", impl.options.node.vm}});
 }
--- a/libs/target/src/settings.cpp
+++ b/libs/target/src/settings.cpp
@@ -2,6 +2,8 @@
 
 #include "ibislock/node/settings.h"
 
+#include <algorithm>
+
 namespace ibislock::target
 {
 
@@ -9,6 +11,7 @@
 {
 
 constexpr double HourMs = 3600000;
+constexpr double ShareMin = 0.01;
 constexpr double MiB = 1024.0 * 1024.0;
 
 std::vector<SettingSpec> ownSpecs()
@@ -35,6 +38,24 @@
          .min = 0,
          .max = HourMs,
          .help = "How long requests in progress may hold up a load or a stop."},
+        {.section = "backend",
+         .key = "queue_timeout_ms",
+         .type = SettingType::Integer,
+         .fallback = "1000",
+         .min = 1,
+         .max = HourMs,
+         .help = "How long a request may wait for the engine before it is refused."},
+        {.section = "backend",
+         .key = "retry_after_ms",
+         .type = SettingType::Integer,
+         .fallback = "1000",
+         .min = 1,
+         .max = HourMs,
+         .help = "When a refused caller is told to come back."},
+        {.section = "shares",
+         .fallback = "",
+         .help = "One line for each workspace with a weight other than 1: name = weight.",
+         .anyKey = true},
         {.section = "weights", .key = "store_url", .help = "The platform's weight store."},
         {.section = "weights",
          .key = "memory_mib",
@@ -113,6 +134,11 @@
     options.rollout.floor = settings.real("rollout", "floor");
     options.concurrency = static_cast<std::uint32_t>(settings.integer("backend", "concurrency"));
     options.drainGrace = settings.millis("backend", "drain_grace_ms");
+    options.queueTimeout = settings.millis("backend", "queue_timeout_ms");
+    options.retryAfter = settings.millis("backend", "retry_after_ms");
+    for (const auto &[workspace, weight] : settings.entries("shares")) {
+        options.shares[workspace] = std::max(std::strtod(weight.c_str(), nullptr), ShareMin);
+    }
     options.retryInterval = settings.millis("rollout", "retry_interval_ms");
     return options;
 }
