The experiment on requests, first state

Change: an open-loop load over kept connections, an engine stand-in with slots, a queue and a prefix cache, the faults of the issue, and the report of `ibislock-lab requests`.

--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -28,13 +28,16 @@
     : m_options(std::move(options))
     , m_log(m_options.seed)
     , m_vmList(m_options.seed + 1,
-               m_options.domains * (m_options.entriesPerDomain + m_options.targetsPerDomain) + SpareThreads)
+               m_options.domains
+                       * (m_options.entriesPerDomain + m_options.targetsPerDomain + m_options.servicesPerDomain)
+                   + SpareThreads)
     , m_store(m_options.seed + 2)
 {
     m_log.start();
     m_vmList.start();
     m_store.start();
-    const unsigned vmsPerDomain = m_options.entriesPerDomain + m_options.targetsPerDomain;
+    const unsigned vmsPerDomain =
+        m_options.entriesPerDomain + m_options.targetsPerDomain + m_options.servicesPerDomain;
     for (unsigned d = 0; d < m_options.domains; ++d) {
         // Each daemon keeps a connection for reading and one for appending.
         m_fronts.push_back(m_log.addFront(2 * vmsPerDomain + SpareThreads));
@@ -49,21 +52,34 @@
             m_entries.push_back(std::move(vm));
         }
         for (unsigned i = 0; i < m_options.targetsPerDomain; ++i) {
-            TargetVm vm{
-                .name = "target" + std::to_string(m_targets.size() + 1), .domain = d, .options = m_options.target};
-            vm.options.node = nodeOptions(m_options.target.node, vm.name, d);
-            vm.options.rpcPort = freePort();
+            TargetVm vm = makeTarget("target" + std::to_string(m_targets.size() + 1), d);
             standins::EngineStandInOptions engineOptions = m_options.engine;
             engineOptions.seed = m_options.seed * 1000 + m_targets.size();
             vm.engine = std::make_unique<standins::EngineStandIn>(engineOptions);
             vm.engine->start();
             vm.options.engine.url = vm.engine->url();
-            vm.options.store.url = m_store.url();
             m_targets.push_back(std::move(vm));
         }
+        for (unsigned i = 0; i < m_options.servicesPerDomain; ++i) {
+            TargetVm vm = makeTarget("desk" + std::to_string(m_services.size() + 1), d);
+            vm.options.backend = target::BackendKind::Service;
+            vm.service = std::make_unique<standins::ServiceStandIn>(m_options.seed * 1000 + m_services.size());
+            vm.service->start();
+            vm.options.engine.url = vm.service->url();
+            m_services.push_back(std::move(vm));
+        }
     }
 }
 
+TargetVm Deployment::makeTarget(const std::string &name, unsigned domain) const
+{
+    TargetVm vm{.name = name, .domain = domain, .options = m_options.target};
+    vm.options.node = nodeOptions(m_options.target.node, name, domain);
+    vm.options.rpcPort = freePort();
+    vm.options.store.url = m_store.url();
+    return vm;
+}
+
 Deployment::~Deployment()
 {
     stop();
@@ -84,6 +100,9 @@
     for (TargetVm &vm : m_targets) {
         startTarget(vm);
     }
+    for (TargetVm &vm : m_services) {
+        startTarget(vm);
+    }
     for (EntryVm &vm : m_entries) {
         startEntry(vm);
     }
@@ -102,6 +121,9 @@
     for (TargetVm &vm : m_targets) {
         stopping.emplace_back([this, &vm] { stopTarget(vm); });
     }
+    for (TargetVm &vm : m_services) {
+        stopping.emplace_back([this, &vm] { stopTarget(vm); });
+    }
     for (std::thread &thread : stopping) {
         thread.join();
     }
@@ -117,6 +139,11 @@
     return m_targets;
 }
 
+std::vector<TargetVm> &Deployment::services()
+{
+    return m_services;
+}
+
 standins::LogStandIn &Deployment::log()
 {
     return m_log;
@@ -167,6 +194,18 @@
     vm.daemon.reset();
 }
 
+void Deployment::killEntry(EntryVm &vm)
+{
+    vm.daemon->kill();
+    vm.daemon.reset();
+}
+
+void Deployment::killTarget(TargetVm &vm)
+{
+    vm.daemon->kill();
+    vm.daemon.reset();
+}
+
 void Deployment::cutOff(const std::set<unsigned> &domains)
 {
     m_cutOff = domains;
@@ -207,9 +246,11 @@
             vm.daemon->setReachable(predicateFor(vm.domain));
         }
     }
-    for (TargetVm &vm : m_targets) {
-        if (vm.daemon) {
-            vm.daemon->setReachable(predicateFor(vm.domain));
+    for (auto *vms : {&m_targets, &m_services}) {
+        for (TargetVm &vm : *vms) {
+            if (vm.daemon) {
+                vm.daemon->setReachable(predicateFor(vm.domain));
+            }
         }
     }
 }
@@ -242,15 +283,20 @@
     for (const TargetVm &vm : m_targets) {
         vms.push_back(vm.name);
     }
-    return json{{"number", number},
-                {"scopes",
-                 {{{"workspace", "*"},
-                   {"role", "forecast"},
-                   {"model", "frost"},
-                   {"version", version},
-                   {"manifest", toHex(root)},
-                   {"vms", vms}}}}}
-        .dump();
+    json scopes = json::array({{{"workspace", "*"},
+                                {"role", "forecast"},
+                                {"model", "frost"},
+                                {"version", version},
+                                {"manifest", toHex(root)},
+                                {"vms", vms}}});
+    if (!m_services.empty()) {
+        std::vector<std::string> desks;
+        for (const TargetVm &vm : m_services) {
+            desks.push_back(vm.name);
+        }
+        scopes.push_back({{"workspace", "*"}, {"role", "desk"}, {"model", "desk"}, {"version", "1"}, {"vms", desks}});
+    }
+    return json{{"number", number}, {"scopes", scopes}}.dump();
 }
 
 bool Deployment::fileTicket(const std::string &ticket, Millis timeout) const
--- a/lab/deployment.h
+++ b/lab/deployment.h
@@ -13,6 +13,7 @@
 #include "ibislock/entry/daemon.h"
 #include "ibislock/standins/engine_stand_in.h"
 #include "ibislock/standins/log_stand_in.h"
+#include "ibislock/standins/service_stand_in.h"
 #include "ibislock/standins/vm_list_stand_in.h"
 #include "ibislock/standins/weight_store_stand_in.h"
 #include "ibislock/target/daemon.h"
@@ -36,6 +37,7 @@
     unsigned domains = 1;
     unsigned entriesPerDomain = 1;
     unsigned targetsPerDomain = 1;
+    unsigned servicesPerDomain = 0; ///< Targets beside plain services, for the role `desk`.
     std::uint64_t seed = 1;
     standins::EngineStandInOptions engine;
     entry::EntryOptions entry; ///< Template; names, ports and platform are filled in.
@@ -57,7 +59,8 @@
     std::string name;
     unsigned domain = 0;
     target::TargetOptions options;
-    std::unique_ptr<standins::EngineStandIn> engine;
+    std::unique_ptr<standins::EngineStandIn> engine; ///< Null beside a plain service.
+    std::unique_ptr<standins::ServiceStandIn> service; ///< Null beside an engine.
     std::unique_ptr<target::Daemon> daemon; ///< Null while the VM is down.
 };
 
@@ -76,6 +79,7 @@
 
     std::vector<EntryVm> &entries();
     std::vector<TargetVm> &targets();
+    std::vector<TargetVm> &services();
     standins::LogStandIn &log();
     standins::VmListStandIn &vmList();
     standins::WeightStoreStandIn &store();
@@ -86,6 +90,10 @@
     void startTarget(TargetVm &vm);
     void stopTarget(TargetVm &vm);
 
+    /// Ends one VM's daemon as a crash would.
+    void killEntry(EntryVm &vm);
+    void killTarget(TargetVm &vm);
+
     /// Cuts domains off from the others and from the platform; an empty set heals all.
     void cutOff(const std::set<unsigned> &domains);
 
@@ -107,6 +115,7 @@
     std::optional<Millis> waitUntilServing(const Digest &root, Millis timeout) const;
 
 private:
+    TargetVm makeTarget(const std::string &name, unsigned domain) const;
     node::NodeOptions nodeOptions(const node::NodeOptions &base, const std::string &name, unsigned domain) const;
     void applyCut();
     bool mayConnect(unsigned fromDomain, const std::string &address) const;
@@ -118,6 +127,7 @@
     std::vector<std::size_t> m_fronts;
     std::vector<EntryVm> m_entries;
     std::vector<TargetVm> m_targets;
+    std::vector<TargetVm> m_services;
     std::map<std::string, unsigned> m_domainOfAddress;
     std::set<unsigned> m_cutOff;
 };
--- a/lab/load/load.cpp
+++ b/lab/load/load.cpp
@@ -22,15 +22,6 @@
 
 enum class Verdict { Answered, Refused, Failed, Unknown, Wrong };
 
-std::string expectedText(const std::string &prompt, std::uint64_t tokens)
-{
-    std::string text;
-    for (std::uint64_t i = 0; i < tokens; ++i) {
-        text += standins::expectedToken(prompt, i);
-    }
-    return text;
-}
-
 /// What a stream of events says.
 struct StreamContent
 {
@@ -153,7 +144,7 @@
         const bool stream = caller % 2 == 1;
         const json body{
             {"model", m_options.role}, {"prompt", prompt}, {"max_tokens", m_options.tokens}, {"stream", stream}};
-        const std::string expected = expectedText(prompt, m_options.tokens);
+        const std::string expected = standins::expectedText(prompt, m_options.tokens);
         const Millis begin = steadyMillis();
         const auto result = client.Post("/v1/completions", body.dump(), "application/json");
         Verdict verdict = Verdict::Unknown;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,6 +1,7 @@
 // The laboratory: stand-ins, load and experiments. It is not shipped.
 
 #include "experiments/demo.h"
+#include "experiments/requests.h"
 #include "report/report_command.h"
 
 #include <array>
@@ -24,6 +25,7 @@
 
 constexpr std::array Experiments{
     Experiment{"demo", "the whole path as separate processes", runDemo},
+    Experiment{"requests", "callers under overload and faults", runRequests},
     Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
 };
 
--- a/lab/standins/src/engine_stand_in.cpp
+++ b/lab/standins/src/engine_stand_in.cpp
@@ -39,14 +39,36 @@
 
 } // namespace
 
+namespace
+{
+
+std::string tokenOf(const Digest &prompt, std::uint64_t position)
+{
+    return toHex(sha256(std::string(bytesOf(prompt)) + "#" + std::to_string(position))).substr(0, TokenDigits) + " ";
+}
+
+} // namespace
+
 std::string expectedToken(const std::string &prompt, std::uint64_t position)
 {
-    return toHex(sha256(prompt + "#" + std::to_string(position))).substr(0, TokenDigits) + " ";
+    return tokenOf(sha256(prompt), position);
+}
+
+std::string expectedText(const std::string &prompt, std::uint64_t tokens)
+{
+    const Digest digest = sha256(prompt);
+    std::string text;
+    for (std::uint64_t i = 0; i < tokens; ++i) {
+        text += tokenOf(digest, i);
+    }
+    return text;
 }
 
 EngineStandIn::EngineStandIn(const EngineStandInOptions &options)
     : m_options(options)
     , m_server(options.threads, options.seed)
+    , m_slots(options.slots)
+    , m_cache(options.cacheBlocks)
 {
     m_server.put(R"(/v1/weights/([0-9a-f]{64})/(\d+))",
                  [this](const auto &request, auto &response) { handleStage(request, response); });
@@ -99,6 +121,45 @@
     m_crossed = probability;
 }
 
+void EngineStandIn::setDuplicate(double probability)
+{
+    m_duplicate = probability;
+}
+
+void EngineStandIn::setGappyEvents(double probability)
+{
+    m_gappyEvents = probability;
+}
+
+void EngineStandIn::stall(Millis time)
+{
+    m_stalledUntilMs = (steadyMillis() + time).count();
+}
+
+bool EngineStandIn::hasStarted(const std::string &user) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_durations.contains(user);
+}
+
+std::chrono::microseconds EngineStandIn::durationOf(const std::string &user) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_durations.find(user);
+    return it == m_durations.end() ? std::chrono::microseconds(0) : it->second;
+}
+
+Millis EngineStandIn::lastStartedAt() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lastStartedAt;
+}
+
+CacheUse EngineStandIn::cacheUse() const
+{
+    return m_cache.use();
+}
+
 void EngineStandIn::handleStage(const httplib::Request &request, httplib::Response &)
 {
     const std::uint64_t index = std::strtoull(request.matches[2].str().c_str(), nullptr, 10);
@@ -132,11 +193,12 @@
 
 void EngineStandIn::handleStatus(const httplib::Request &, httplib::Response &response)
 {
+    const SlotLoad load = m_slots.reported(m_options.reportLag);
     const std::lock_guard lock(m_mutex);
     response.set_content(json{{"root", m_root.isNone() ? "" : toHex(m_root)},
                               {"fence", m_fence},
-                              {"running", m_running.load()},
-                              {"queued", 0}}
+                              {"running", load.running},
+                              {"queued", load.queued}}
                              .dump(),
                          "application/json");
 }
@@ -154,6 +216,46 @@
     return m_cancelled.contains(requestId);
 }
 
+void EngineStandIn::begin(EngineCall &call)
+{
+    ++m_started;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_durations.try_emplace(call.user, std::chrono::microseconds(0));
+        m_lastStartedAt = steadyMillis();
+    }
+    call.slot = m_slots.acquire(call.priority);
+    call.cachedBlocks = m_cache.insert(call.prompt);
+}
+
+void EngineStandIn::end(const EngineCall &call)
+{
+    const std::lock_guard lock(m_mutex);
+    m_durations[call.user] =
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - call.begunAt);
+    m_lastId = call.id;
+}
+
+/// Generates the tokens of a call at the engine's pace.
+/// @return false when the call was cancelled or nobody takes its tokens.
+bool EngineStandIn::generate(const EngineCall &call, const std::function<bool(const std::string &token)> &emit)
+{
+    const auto uncached = PrefixCache::blocksOf(call.prompt) - call.cachedBlocks;
+    const Digest digest = sha256(call.prompt);
+    auto due = std::chrono::steady_clock::now() + m_options.firstTokenTime + uncached * m_options.prefillTime;
+    for (std::uint64_t i = call.resumeFrom; i < call.tokens; ++i) {
+        due += m_options.tokenTime;
+        std::this_thread::sleep_until(due);
+        while (steadyMillis().count() < m_stalledUntilMs && !m_server.isStopping()) {
+            std::this_thread::sleep_for(Millis(10));
+        }
+        if (isCancelled(call.id) || !emit(tokenOf(digest, i))) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void EngineStandIn::handleCompletion(const httplib::Request &request, httplib::Response &response)
 {
     const json body = json::parse(request.body, nullptr, false);
@@ -161,45 +263,63 @@
         response.status = 400;
         return;
     }
-    const std::string id = request.get_header_value("X-Request-Id");
-    const std::string weights = toHex(root());
-    const std::string prompt = promptOf(body);
-    const std::uint64_t tokens = body.value("max_tokens", DefaultTokens);
-    ++m_started;
-    response.set_header("X-Request-Id", m_server.happens(m_crossed) ? "another" : id);
-    response.set_header("X-Weights-Digest", weights);
-    if (!body.value("stream", false)) {
-        std::this_thread::sleep_for(m_options.firstTokenTime + tokens * m_options.tokenTime);
-        std::string text;
-        for (std::uint64_t i = 0; i < tokens; ++i) {
-            text += expectedToken(prompt, i);
-        }
-        response.set_content(json{{"choices", {{{"text", text}}}}, {"weights", toHex(root())}}.dump(),
-                             "application/json");
-        return;
+    const auto call = std::make_shared<EngineCall>();
+    call->id = request.get_header_value("X-Request-Id");
+    call->user = body.value("user", "");
+    call->priority = request.get_header_value("X-Priority");
+    call->prompt = promptOf(body);
+    call->tokens = body.value("max_tokens", DefaultTokens);
+    call->resumeFrom = std::strtoull(request.get_header_value("X-Resume-From").c_str(), nullptr, 10);
+    begin(*call);
+    std::string answeredId = m_server.happens(m_crossed) ? "another" : call->id;
+    if (m_server.happens(m_duplicate)) {
+        const std::lock_guard lock(m_mutex);
+        answeredId = m_lastId;
+    }
+    response.set_header("X-Request-Id", answeredId);
+    response.set_header("X-Weights-Digest", toHex(root()));
+    if (call->resumeFrom > 0) {
+        response.set_header("X-Resume-From", std::to_string(call->resumeFrom));
+    }
+    if (!m_server.happens(m_gappyEvents)) {
+        response.set_header("X-Cached-Bytes", std::to_string(call->cachedBlocks * PrefixCache::BlockBytes));
+    }
+    if (body.value("stream", false)) {
+        answerStream(call, response);
+    } else {
+        answerWhole(call, response);
     }
-    ++m_running;
-    response.set_chunked_content_provider(
-        "text/event-stream",
-        [this, id, prompt, tokens](std::size_t, httplib::DataSink &sink) {
-            std::this_thread::sleep_for(m_options.firstTokenTime);
-            for (std::uint64_t i = 0; i < tokens; ++i) {
-                std::this_thread::sleep_for(m_options.tokenTime);
-                if (isCancelled(id)) {
-                    return false;
-                }
-                const json event{{"choices", {{{"text", expectedToken(prompt, i)}}}}, {"weights", toHex(root())}};
-                const std::string line = "data: " + event.dump() + "\n\n";
-                if (!sink.write(line.data(), line.size())) {
-                    return false;
-                }
-            }
-            const std::string marker = "data: [DONE]\n\n";
-            sink.write(marker.data(), marker.size());
-            sink.done();
-            return true;
-        },
-        [this](bool) { --m_running; });
+}
+
+void EngineStandIn::answerWhole(const std::shared_ptr<EngineCall> &call, httplib::Response &response)
+{
+    std::string text;
+    generate(*call, [&](const std::string &token) {
+        text += token;
+        return true;
+    });
+    response.set_content(json{{"choices", {{{"text", text}}}}, {"weights", toHex(root())}}.dump(),
+                         "application/json");
+    end(*call);
+}
+
+void EngineStandIn::answerStream(const std::shared_ptr<EngineCall> &call, httplib::Response &response)
+{
+    response.set_chunked_content_provider("text/event-stream", [this, call](std::size_t, httplib::DataSink &sink) {
+        const bool whole = generate(*call, [&](const std::string &token) {
+            const json event{{"choices", {{{"text", token}}}}, {"weights", toHex(root())}};
+            const std::string line = "data: " + event.dump() + "\n\n";
+            return sink.write(line.data(), line.size());
+        });
+        if (!whole) {
+            return false;
+        }
+        const std::string marker = "data: [DONE]\n\n";
+        sink.write(marker.data(), marker.size());
+        sink.done();
+        end(*call);
+        return true;
+    });
 }
 
 } // namespace ibislock::standins
--- a/libs/engine/include/ibislock/engine/engine_client.h
+++ b/libs/engine/include/ibislock/engine/engine_client.h
@@ -67,6 +67,7 @@
     bool started = false; ///< Whether the engine may have started the request.
     bool whole = false; ///< Whether the final marker or the full length arrived.
     std::string message;
+    bool isForeign = false; ///< Whether the answer named another request.
     std::uint32_t resumedFrom = 0; ///< Events of the stream that the engine left out on request.
     std::optional<std::uint32_t> cachedBytes; ///< Bytes of the prompt that were cached, where the engine says so.
 };
--- a/libs/engine/src/engine_client.cpp
+++ b/libs/engine/src/engine_client.cpp
@@ -171,7 +171,8 @@
     answer.started = result || result.error() != httplib::Error::Connection;
     if (!result) {
         answer.message = "the engine's answer broke off: " + httplib::to_string(result.error());
-        if (answer.status != 0 && !belongs) {
+        answer.isForeign = answer.status != 0 && !belongs;
+        if (answer.isForeign) {
             answer.message = "the engine answered another request";
         }
         return answer;
--- a/libs/entry/include/ibislock/entry/daemon.h
+++ b/libs/entry/include/ibislock/entry/daemon.h
@@ -32,6 +32,9 @@
     /// Refuses new requests, finishes those in progress, and stops.
     void stop();
 
+    /// Ends without finishing anything, as a crash would; for experiments.
+    void kill();
+
     /// Gives the port of the callers' interface.
     std::uint16_t callersPort() const;
 
--- a/libs/entry/src/callers_api.cpp
+++ b/libs/entry/src/callers_api.cpp
@@ -96,6 +96,11 @@
     m_leaving = true;
 }
 
+void CallersApi::breakOff()
+{
+    m_broken = true;
+}
+
 bool CallersApi::isLeaving(httplib::Response &response) const
 {
     if (!m_leaving) {
@@ -151,6 +156,17 @@
     } else {
         answerWhole(*session, response);
     }
+    dropIfBroken(response);
+}
+
+void CallersApi::dropIfBroken(httplib::Response &response) const
+{
+    if (m_broken) {
+        response = httplib::Response();
+        response.status = HttpOk;
+        response.set_content_provider(1, "text/plain",
+                                      [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
+    }
 }
 
 const std::string *CallersApi::roleOf(const std::string &path) const
@@ -192,6 +208,7 @@
                             .key = key},
                            {});
     answerWhole(session, response);
+    dropIfBroken(response);
 }
 
 void CallersApi::mintKey(const httplib::Request &call, httplib::Response &response)
@@ -259,7 +276,7 @@
         return;
     }
     response.set_chunked_content_provider(
-        "text/event-stream", [session, first = std::move(first)](std::size_t, httplib::DataSink &sink) {
+        "text/event-stream", [this, session, first = std::move(first)](std::size_t, httplib::DataSink &sink) {
             SessionEvent event = first;
             while (const auto *part = std::get_if<std::string>(&event)) {
                 if (!sink.write(part->data(), part->size())) {
@@ -268,6 +285,9 @@
                 }
                 event = session->next();
             }
+            if (m_broken) {
+                return false;
+            }
             const auto &last = std::get<AnswerEnd>(event);
             if (last.outcome != Outcome::Answered) {
                 const std::string text = "event: error\ndata: " + errorBody(last).dump() + "\n\n";
--- a/libs/entry/src/callers_api.h
+++ b/libs/entry/src/callers_api.h
@@ -20,12 +20,16 @@
     /// Refuses every new call from now on.
     void leave();
 
+    /// Answers nobody from now on, as if the process had crashed; for experiments.
+    void breakOff();
+
 private:
     void completion(const httplib::Request &call, httplib::Response &response);
     void service(const httplib::Request &call, httplib::Response &response);
     std::optional<std::string> workspaceOf(const httplib::Request &call, httplib::Response &response);
     void mintKey(const httplib::Request &call, httplib::Response &response);
     const std::string *roleOf(const std::string &path) const;
+    void dropIfBroken(httplib::Response &response) const;
     bool isLeaving(httplib::Response &response) const;
     void answerWhole(RequestSession &session, httplib::Response &response);
     void answerStream(const std::shared_ptr<RequestSession> &session, httplib::Response &response);
@@ -34,6 +38,7 @@
     Dispatcher &m_dispatcher;
     Counters &m_counters;
     std::atomic<bool> m_leaving = false;
+    std::atomic<bool> m_broken = false;
 };
 
 } // namespace ibislock::entry
--- a/libs/entry/src/daemon.cpp
+++ b/libs/entry/src/daemon.cpp
@@ -96,6 +96,21 @@
     logInfo(Part::Entry, "Entry has stopped.", {{"vm", impl.options.node.vm}});
 }
 
+void Daemon::kill()
+{
+    Impl &impl = *m_impl;
+    if (!impl.started) {
+        return;
+    }
+    impl.started = false;
+    impl.callersApi.breakOff();
+    impl.client.setReachable([](const std::string &) { return false; });
+    impl.server.reset();
+    impl.callers.stop();
+    impl.administration.stop();
+    impl.node.stop();
+}
+
 std::uint16_t Daemon::callersPort() const
 {
     return m_impl->callers.port();
--- a/libs/target/include/ibislock/target/daemon.h
+++ b/libs/target/include/ibislock/target/daemon.h
@@ -31,6 +31,9 @@
     /// Refuses new requests, finishes those in progress, and stops.
     void stop();
 
+    /// Ends without finishing anything, as a crash would; for experiments.
+    void kill();
+
     /// Gives the port at which the daemon accepts RPC.
     std::uint16_t rpcPort() const;
 
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -142,6 +142,19 @@
     logInfo(Part::Target, "Target has stopped.", {{"vm", impl.options.node.vm}});
 }
 
+void Daemon::kill()
+{
+    Impl &impl = *m_impl;
+    if (!impl.started) {
+        return;
+    }
+    impl.started = false;
+    impl.server.reset();
+    impl.activation.stop();
+    impl.node.stop();
+    impl.runner.stop();
+}
+
 std::uint16_t Daemon::rpcPort() const
 {
     return m_impl->server ? m_impl->server->port() : 0;
--- a/libs/target/src/request_runner.cpp
+++ b/libs/target/src/request_runner.cpp
@@ -195,6 +195,7 @@
         client->cancel(request.id);
     }
     giveBack(std::move(client));
+    m_counters.add(Counter::AnswersDropped, answer.isForeign ? 1 : 0);
     const AnswerEnd end = judge(request, answer);
     std::vector<Ended> ended;
     {
