--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -2,6 +2,7 @@
 
 #include "experiments/config.h"
 #include "experiments/demo.h"
+#include "experiments/requests.h"
 #include "report/report_command.h"
 
 #include <array>
@@ -26,6 +27,7 @@
 constexpr std::array Experiments{
     Experiment{"config", "tickets under faults: accepted once, in force everywhere, never reverting", runConfig},
     Experiment{"demo", "the whole path as separate processes", runDemo},
+    Experiment{"requests", "callers under overload and faults", runRequests},
     Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
 };
 
