Format after merge

Cause: a merge joined lines whose formatting differs. Change: the formatter's output only; no line of code differs in meaning. Measured: the build and all tests pass as before.

--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -36,8 +36,7 @@
     m_log.start();
     m_vmList.start();
     m_store.start();
-    const unsigned vmsPerDomain =
-        m_options.entriesPerDomain + m_options.targetsPerDomain + m_options.servicesPerDomain;
+    const unsigned vmsPerDomain = m_options.entriesPerDomain + m_options.targetsPerDomain + m_options.servicesPerDomain;
     for (unsigned d = 0; d < m_options.domains; ++d) {
         // Each daemon keeps a connection for reading and one for appending.
         m_fronts.push_back(m_log.addFront(2 * vmsPerDomain + SpareThreads));
--- a/lab/experiments/requests.cpp
+++ b/lab/experiments/requests.cpp
@@ -171,8 +171,7 @@
 
     double inTimePerSecond(const std::vector<CallRecord> &records, Millis duration) const
     {
-        const auto answered =
-            answeredInTime(records, m_options.workspaces, static_cast<double>(Deadline.count()));
+        const auto answered = answeredInTime(records, m_options.workspaces, static_cast<double>(Deadline.count()));
         return std::accumulate(answered.begin(), answered.end(), 0.0) * 1000 / static_cast<double>(duration.count());
     }
 
@@ -341,8 +340,8 @@
         "workspaces", "workspaces", cxxopts::value<unsigned>()->default_value("10"))(
         "seed", "seed of the load", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "overload", "load in multiples of the capacity measured first; --rps does not count then",
-        cxxopts::value<double>()->default_value("0"))(
-        "fault", "NAME or NAME=X; may be repeated", cxxopts::value<std::vector<std::string>>()->default_value(""))(
+        cxxopts::value<double>()->default_value("0"))("fault", "NAME or NAME=X; may be repeated",
+                                                      cxxopts::value<std::vector<std::string>>()->default_value(""))(
         "help", "print this help");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") != 0) {
--- a/lab/experiments/requests_faults.cpp
+++ b/lab/experiments/requests_faults.cpp
@@ -23,9 +23,18 @@
 };
 
 constexpr std::array FaultSpecs{
-    FaultSpec{"kill-target"},       FaultSpec{"kill-entry"},     FaultSpec{"stall"},     FaultSpec{"lost-answers"},
-    FaultSpec{"crossed"},           FaultSpec{"duplicate"},      FaultSpec{"partition"}, FaultSpec{"rollout", false},
-    FaultSpec{"leave"},             FaultSpec{"stop"},           FaultSpec{"stale-load"}, FaultSpec{"gappy-events"},
+    FaultSpec{"kill-target"},
+    FaultSpec{"kill-entry"},
+    FaultSpec{"stall"},
+    FaultSpec{"lost-answers"},
+    FaultSpec{"crossed"},
+    FaultSpec{"duplicate"},
+    FaultSpec{"partition"},
+    FaultSpec{"rollout", false},
+    FaultSpec{"leave"},
+    FaultSpec{"stop"},
+    FaultSpec{"stale-load"},
+    FaultSpec{"gappy-events"},
     FaultSpec{"retry-storm", false},
 };
 
--- a/lab/experiments/requests_report.cpp
+++ b/lab/experiments/requests_report.cpp
@@ -34,14 +34,13 @@
 
 std::uint64_t ranTwice(Deployment &deployment, const std::vector<CallRecord> &records)
 {
-    return static_cast<std::uint64_t>(
-        std::count_if(records.begin(), records.end(), [&](const CallRecord &record) {
-            std::uint64_t runs = 0;
-            for (const TargetVm &vm : deployment.services()) {
-                runs += vm.service->runsOf(record.user);
-            }
-            return runs > 1;
-        }));
+    return static_cast<std::uint64_t>(std::count_if(records.begin(), records.end(), [&](const CallRecord &record) {
+        std::uint64_t runs = 0;
+        for (const TargetVm &vm : deployment.services()) {
+            runs += vm.service->runsOf(record.user);
+        }
+        return runs > 1;
+    }));
 }
 
 } // namespace
@@ -72,8 +71,8 @@
 
 std::uint64_t countOf(const std::vector<CallRecord> &records, Verdict verdict)
 {
-    return static_cast<std::uint64_t>(std::count_if(
-        records.begin(), records.end(), [verdict](const CallRecord &it) { return it.verdict == verdict; }));
+    return static_cast<std::uint64_t>(std::count_if(records.begin(), records.end(),
+                                                    [verdict](const CallRecord &it) { return it.verdict == verdict; }));
 }
 
 std::vector<double> answeredInTime(const std::vector<CallRecord> &records, std::size_t workspaces, double deadlineMs)
@@ -139,8 +138,8 @@
             overheads.push_back(record.endedMs - record.sentMs - engineMs);
         }
     }
-    return {{"ttft_p50_ms", quantile(firstTokens, 0.5)},   {"ttft_p95_ms", quantile(firstTokens, 0.95)},
-            {"itl_p95_ms", quantile(gaps, 0.95)},          {"overhead_p50_ms", quantile(overheads, 0.5)},
+    return {{"ttft_p50_ms", quantile(firstTokens, 0.5)},    {"ttft_p95_ms", quantile(firstTokens, 0.95)},
+            {"itl_p95_ms", quantile(gaps, 0.95)},           {"overhead_p50_ms", quantile(overheads, 0.5)},
             {"overhead_p95_ms", quantile(overheads, 0.95)}, {"send_lag_p95_ms", quantile(lags, 0.95)}};
 }
 
--- a/lab/load/caller.h
+++ b/lab/load/caller.h
@@ -18,7 +18,7 @@
 {
 class Client;
 struct Request;
-}
+} // namespace httplib
 
 namespace ibislock::lab
 {
--- a/lab/load/open_load.cpp
+++ b/lab/load/open_load.cpp
@@ -62,7 +62,8 @@
         call.kind = CallKind::Service;
     }
     const std::size_t prefix = drawPrefix(m_options.prefixes, m_random);
-    call.prompt = textOf("prefix " + std::to_string(prefix), m_options.prefixBytes) + textOf(call.user, m_options.ownBytes);
+    call.prompt =
+        textOf("prefix " + std::to_string(prefix), m_options.prefixBytes) + textOf(call.user, m_options.ownBytes);
     return planned;
 }
 
@@ -126,7 +127,8 @@
     CallRecord record = caller.send(planned.call);
     const double sentMs = record.sentMs;
     // A repeated call names itself anew, since what was told about the first one must stay checkable.
-    for (std::uint32_t n = 2; m_options.impatient && n <= ImpatientAttempts && record.verdict == Verdict::Refused; ++n) {
+    for (std::uint32_t n = 2; m_options.impatient && n <= ImpatientAttempts && record.verdict == Verdict::Refused;
+         ++n) {
         std::this_thread::sleep_for(ImpatientPause);
         Call again = planned.call;
         again.user += "-" + std::to_string(n);
--- a/lab/standins/src/engine_model.cpp
+++ b/lab/standins/src/engine_model.cpp
@@ -34,7 +34,9 @@
     --m_free;
     ++m_running;
     m_changed.notify_all();
-    return {this, [](void *slots) { static_cast<EngineSlots *>(slots)->release(); }};
+    return {this, [](void *slots) {
+                static_cast<EngineSlots *>(slots)->release();
+            }};
 }
 
 void EngineSlots::release()
@@ -71,7 +73,8 @@
     const std::lock_guard lock(m_mutex);
     std::size_t cached = 0;
     for (std::size_t i = 0; i < blocksOf(prompt); ++i) {
-        const std::size_t hash = std::hash<std::string_view>()(std::string_view(prompt).substr(0, (i + 1) * BlockBytes));
+        const std::size_t hash =
+            std::hash<std::string_view>()(std::string_view(prompt).substr(0, (i + 1) * BlockBytes));
         const auto it = m_blocks.find(hash);
         if (it != m_blocks.end()) {
             cached += cached == i ? 1 : 0;
--- a/lab/standins/src/engine_stand_in.cpp
+++ b/lab/standins/src/engine_stand_in.cpp
@@ -298,8 +298,7 @@
         text += token;
         return true;
     });
-    response.set_content(json{{"choices", {{{"text", text}}}}, {"weights", toHex(root())}}.dump(),
-                         "application/json");
+    response.set_content(json{{"choices", {{{"text", text}}}}, {"weights", toHex(root())}}.dump(), "application/json");
     end(*call);
 }
 
