--- a/lab/standins/src/engine_stand_in.cpp
+++ b/lab/standins/src/engine_stand_in.cpp
@@ -122,6 +122,10 @@
             return;
         }
         m_fence = std::max(m_fence, fence);
+        const std::string wanted = body.value("root", "");
+        if (!m_root.isNone() && wanted == toHex(m_root) && !m_staged.contains(wanted)) {
+            return; // The version is loaded already.
+        }
         m_root = {};
     }
     std::this_thread::sleep_for(m_options.loadTime);
--- a/libs/platform/include/ibislock/platform/weight_store_client.h
+++ b/libs/platform/include/ibislock/platform/weight_store_client.h
@@ -20,6 +20,9 @@
     /// Reads one chunk. The caller verifies it.
     Result<std::string> chunk(const std::string &model, const std::string &version, std::size_t index);
 
+    /// Breaks a call in progress off. Safe from any thread.
+    void stop();
+
 private:
     HttpEndpoint m_endpoint;
 };
--- a/libs/platform/src/weight_store_client.cpp
+++ b/libs/platform/src/weight_store_client.cpp
@@ -28,4 +28,9 @@
     return m_endpoint.get(versionPath(model, version) + "/chunks/" + std::to_string(index));
 }
 
+void WeightStoreClient::stop()
+{
+    m_endpoint.stop();
+}
+
 } // namespace ibislock::platform
--- a/libs/rpc/include/ibislock/rpc/client.h
+++ b/libs/rpc/include/ibislock/rpc/client.h
@@ -4,7 +4,8 @@
 //     Result<StateSummary> reply = client.exchange("127.0.0.1:7100", summary);
 //     std::shared_ptr<AnswerStream> answer = client.submit("127.0.0.1:7100", request);
 //
-// Every call blocks its thread until it ends or its deadline passes. No call may be made from the event loop.
+// Every call blocks its thread until it ends or its deadline passes, but for those that take a handler. No call may be
+// made from the event loop.
 
 #pragma once
 
@@ -27,6 +28,19 @@
     Millis chunkTimeout{20000};
 };
 
+/// The answer to a call for a chunk.
+struct ChunkAnswer
+{
+    bool found = false;
+    bool busy = false; ///< Held there, and refused for now.
+    Millis wait{0}; ///< How long the sender's queue is.
+    std::string bytes; ///< Not yet verified.
+};
+
+/// Takes the result of a call. It runs on the event loop and must not block.
+template <typename T>
+using ResultHandler = std::function<void(Result<T>)>;
+
 /// Tells whether an address may be connected to.
 using Reachable = std::function<bool(const std::string &address)>;
 
@@ -69,6 +83,20 @@
     /// @return the bytes, not yet verified; NotFound; or Unavailable.
     Result<std::string> chunk(const std::string &address, const Digest &digest);
 
+    /// Asks for a chunk without blocking.
+    /// @param timeout when to give up.
+    /// @param handler takes the result, unless the client is destroyed before.
+    void chunkAsync(const std::string &address, const Digest &digest, Millis timeout,
+                    ResultHandler<ChunkAnswer> handler);
+
+    /// Asks which chunks of a version are held, without blocking.
+    /// @param known the revision that the caller has.
+    /// @param hold how long the other may wait for a change.
+    /// @param handler takes the result, unless the client is destroyed before. NotFound: the version is not known
+    /// there.
+    void haveAsync(const std::string &address, const Digest &root, std::uint64_t known, Millis hold,
+                   ResultHandler<HaveReply> handler);
+
     /// Asks for a manifest.
     /// @return the document, not yet verified; NotFound; or Unavailable.
     Result<std::string> manifest(const std::string &address, const Digest &root);
--- a/libs/rpc/include/ibislock/rpc/server.h
+++ b/libs/rpc/include/ibislock/rpc/server.h
@@ -34,8 +34,17 @@
 /// A chunk to send, after a delay that the sender's rate limit asks for.
 struct ChunkReply
 {
-    weights::ChunkBytes bytes; ///< Null when the chunk is not held.
+    weights::ChunkBytes bytes; ///< Null when the chunk is not held, or not sent.
     Millis delay{0};
+    bool busy = false; ///< The chunk is held and not sent, since too many others wait for the link.
+    Millis wait{0}; ///< How long the queue for the link is.
+};
+
+/// Which chunks of a version a process holds.
+struct HaveReply
+{
+    std::uint64_t revision = 0; ///< Differs whenever the bitmap does.
+    std::string bitmap; ///< Bit i stands for chunk i.
 };
 
 /// Writes the answer to one request. Usable from any thread but the event loop's.
@@ -62,6 +71,7 @@
     std::function<std::optional<std::string>(std::uint64_t after)> state;
     std::function<ChunkReply(const Digest &)> chunk;
     std::function<std::optional<std::string>(const Digest &root)> manifest;
+    std::function<std::optional<HaveReply>(const Digest &root)> have;
     std::function<void(requests::Request, std::shared_ptr<AnswerWriter>)> submit;
 };
 
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -122,6 +122,25 @@
         });
     }
 
+    /// Starts one call with a deadline on the loop; a handler takes its result there.
+    template <typename T, typename Function>
+    void asyncCall(const std::string &address, Millis timeout, Function function, ResultHandler<T> handler)
+    {
+        loop.call([&] {
+            auto promise = connect(address).then(
+                [this, timeout, function = std::move(function)](std::shared_ptr<Connection> connection) mutable {
+                    auto call = function(*connection);
+                    return timer()
+                        .timeoutAfter(timeout.count() * kj::MILLISECONDS, kj::mv(call))
+                        .attach(kj::mv(connection));
+                });
+            calls->add(promise.then([handler](Result<T> &&result) { handler(std::move(result)); },
+                                    [handler](kj::Exception &&exception) {
+                                        handler(failure(ErrorCode::Unavailable, messageOf(exception)));
+                                    }));
+        });
+    }
+
     class IgnoreErrors final : public kj::TaskSet::ErrorHandler
     {
     public:
@@ -136,6 +155,7 @@
     IgnoreErrors ignoreErrors;
     std::map<std::string, std::shared_ptr<Connection>> connections;
     kj::TaskSet watchers{ignoreErrors};
+    kj::Own<kj::TaskSet> calls = kj::heap<kj::TaskSet>(ignoreErrors);
 };
 
 namespace
@@ -239,6 +259,7 @@
 Client::~Client()
 {
     m_loop.call([this] {
+        m_impl->calls = nullptr;
         m_impl->connections.clear();
         m_impl.reset();
     });
@@ -301,6 +322,40 @@
     }
 }
 
+void Client::chunkAsync(const std::string &address, const Digest &digest, Millis timeout,
+                        ResultHandler<ChunkAnswer> handler)
+{
+    const auto ask = [digest](Connection &connection) {
+        auto request = connection.node.chunksRequest().send().getChunks().chunkRequest();
+        request.setDigest(dataOf(bytesOf(digest)));
+        return request.send().then([](auto &&response) {
+            return Result<ChunkAnswer>(ChunkAnswer{.found = response.getFound(),
+                                                   .busy = response.getBusy(),
+                                                   .wait = Millis(response.getWaitMs()),
+                                                   .bytes = stringOf(response.getBytes())});
+        });
+    };
+    m_impl->asyncCall<ChunkAnswer>(address, timeout, ask, std::move(handler));
+}
+
+void Client::haveAsync(const std::string &address, const Digest &root, std::uint64_t known, Millis hold,
+                       ResultHandler<HaveReply> handler)
+{
+    const auto ask = [root, known, hold](Connection &connection) {
+        auto request = connection.node.chunksRequest().send().getChunks().haveRequest();
+        request.setRoot(dataOf(bytesOf(root)));
+        request.setKnown(known);
+        request.setHoldMs(static_cast<std::uint32_t>(hold.count()));
+        return request.send().then([](auto &&response) -> Result<HaveReply> {
+            if (!response.getFound()) {
+                return failure(ErrorCode::NotFound, "the version is not known there");
+            }
+            return HaveReply{.revision = response.getRevision(), .bitmap = stringOf(response.getBitmap())};
+        });
+    };
+    m_impl->asyncCall<HaveReply>(address, hold + m_impl->options.exchangeTimeout, ask, std::move(handler));
+}
+
 Result<std::string> Client::manifest(const std::string &address, const Digest &root)
 {
     try {
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+/// How often a waiting `have` call looks for a change.
+constexpr Millis HavePollInterval{40};
+
 class StateExchangeServer final : public wire::StateExchange::Server
 {
 public:
@@ -70,15 +73,27 @@
         KJ_REQUIRE(m_handlers.chunk != nullptr, "chunks are not held here");
         ChunkReply reply = m_handlers.chunk(digestOf(context.getParams().getDigest()));
         const auto delay = reply.delay.count() * kj::MILLISECONDS;
-        return m_timer.afterDelay(delay).then([context, bytes = std::move(reply.bytes)]() mutable {
+        context.releaseParams();
+        return m_timer.afterDelay(delay).then([context, reply = std::move(reply)]() mutable {
             auto results = context.getResults();
-            results.setFound(bytes != nullptr);
-            if (bytes) {
-                results.setBytes(dataOf(*bytes));
+            results.setFound(reply.bytes != nullptr || reply.busy);
+            results.setBusy(reply.busy);
+            results.setWaitMs(static_cast<std::uint32_t>(reply.wait.count()));
+            if (reply.bytes) {
+                results.setBytes(dataOf(*reply.bytes));
             }
         });
     }
 
+    kj::Promise<void> have(HaveContext context) override
+    {
+        KJ_REQUIRE(m_handlers.have != nullptr, "chunks are not held here");
+        const auto params = context.getParams();
+        const Digest root = digestOf(params.getRoot());
+        context.allowCancellation();
+        return answerHave(context, root, params.getKnown(), Millis(params.getHoldMs()));
+    }
+
     kj::Promise<void> manifest(ManifestContext context) override
     {
         KJ_REQUIRE(m_handlers.manifest != nullptr, "manifests are not held here");
@@ -92,6 +107,26 @@
     }
 
 private:
+    /// Answers once the revision differs from the one that the caller knows, or the time is up.
+    kj::Promise<void> answerHave(HaveContext context, Digest root, std::uint64_t known, Millis hold)
+    {
+        const auto held = m_handlers.have(root);
+        const std::uint64_t revision = held ? held->revision : 0;
+        if (revision == known && hold > Millis(0)) {
+            return m_timer.afterDelay(HavePollInterval.count() * kj::MILLISECONDS)
+                .then([this, context, root, known, hold]() mutable {
+                    return answerHave(context, root, known, hold - HavePollInterval);
+                });
+        }
+        auto results = context.getResults();
+        results.setFound(held.has_value());
+        results.setRevision(revision);
+        if (held) {
+            results.setBitmap(dataOf(held->bitmap));
+        }
+        return kj::READY_NOW;
+    }
+
     const Handlers &m_handlers;
     kj::Timer &m_timer;
 };
--- a/libs/rpc/src/wire/chunks.capnp.c++
+++ b/libs/rpc/src/wire/chunks.capnp.c++
@@ -5,7 +5,7 @@
 
 namespace capnp {
 namespace schemas {
-static const ::capnp::_::AlignedData<39> b_de38908b387b4c8d = {
+static const ::capnp::_::AlignedData<49> b_de38908b387b4c8d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     141,  76, 123,  56, 139, 144,  56, 222,
      13,   0,   0,   0,   3,   0,   0,   0,
@@ -15,35 +15,45 @@
      21,   0,   0,   0, 162,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 135,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 104, 117, 110, 107, 115,  46,  99,
      97, 112, 110, 112,  58,  67, 104, 117,
     110, 107, 115,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     12,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     173, 206, 206,  87, 147,  72, 174, 216,
     164, 173, 201, 114, 117,  38,  82, 131,
-     49,   0,   0,   0,  50,   0,   0,   0,
+     81,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      23,  77, 130,  26, 188, 140,  51, 196,
     217,   1, 107, 231,  41,  68, 149, 136,
-     25,   0,   0,   0,  74,   0,   0,   0,
+     57,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   0,   0,   0,   7,   0,   0,   0,
+     49,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+    192, 131, 195, 129,   4,  37, 143, 163,
+    174,  63,  85,  98, 131,  27, 149, 181,
+     37,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
      99, 104, 117, 110, 107,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     109,  97, 110, 105, 102, 101, 115, 116,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    104,  97, 118, 101,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_de38908b387b4c8d = b_de38908b387b4c8d.words;
@@ -51,13 +61,15 @@
 static const ::capnp::_::RawSchema* const d_de38908b387b4c8d[] = {
   &s_8352267572c9ada4,
   &s_88954429e76b01d9,
+  &s_a38f250481c383c0,
+  &s_b5951b8362553fae,
   &s_c4338cbc1a824d17,
   &s_d8ae489357cecead,
 };
-static const uint16_t m_de38908b387b4c8d[] = {0, 1};
+static const uint16_t m_de38908b387b4c8d[] = {0, 2, 1};
 const ::capnp::_::RawSchema s_de38908b387b4c8d = {
-  0xde38908b387b4c8d, b_de38908b387b4c8d.words, 39, d_de38908b387b4c8d, m_de38908b387b4c8d,
-  4, 2, nullptr, nullptr, nullptr, { &s_de38908b387b4c8d, nullptr, nullptr, 0, 0, nullptr }
+  0xde38908b387b4c8d, b_de38908b387b4c8d.words, 49, d_de38908b387b4c8d, m_de38908b387b4c8d,
+  6, 3, nullptr, nullptr, nullptr, { &s_de38908b387b4c8d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_d8ae489357cecead = {
@@ -104,7 +116,7 @@
   0, 1, i_d8ae489357cecead, nullptr, nullptr, { &s_d8ae489357cecead, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_8352267572c9ada4 = {
+static const ::capnp::_::AlignedData<78> b_8352267572c9ada4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     164, 173, 201, 114, 117,  38,  82, 131,
      20,   0,   0,   0,   1,   0,   1,   0,
@@ -114,7 +126,7 @@
      21,   0,   0,   0,  18,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 104, 117, 110, 107, 115,  46,  99,
@@ -122,21 +134,35 @@
     110, 107, 115,  46,  99, 104, 117, 110,
     107,  36,  82, 101, 115, 117, 108, 116,
     115,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  50,   0,   0,   0,
+     97,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  50,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+    109,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
     102, 111, 117, 110, 100,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -151,16 +177,32 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 117, 115, 121,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119,  97, 105, 116,  77, 115,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_8352267572c9ada4 = b_8352267572c9ada4.words;
 #if !CAPNP_LITE
-static const uint16_t m_8352267572c9ada4[] = {1, 0};
-static const uint16_t i_8352267572c9ada4[] = {0, 1};
+static const uint16_t m_8352267572c9ada4[] = {2, 1, 0, 3};
+static const uint16_t i_8352267572c9ada4[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_8352267572c9ada4 = {
-  0x8352267572c9ada4, b_8352267572c9ada4.words, 48, nullptr, m_8352267572c9ada4,
-  0, 2, i_8352267572c9ada4, nullptr, nullptr, { &s_8352267572c9ada4, nullptr, nullptr, 0, 0, nullptr }
+  0x8352267572c9ada4, b_8352267572c9ada4.words, 78, nullptr, m_8352267572c9ada4,
+  0, 4, i_8352267572c9ada4, nullptr, nullptr, { &s_8352267572c9ada4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_c4338cbc1a824d17 = {
@@ -267,6 +309,154 @@
   0, 2, i_88954429e76b01d9, nullptr, nullptr, { &s_88954429e76b01d9, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<62> b_a38f250481c383c0 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    192, 131, 195, 129,   4,  37, 143, 163,
+     20,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 104, 117, 110, 107, 115,  46,  99,
+     97, 112, 110, 112,  58,  67, 104, 117,
+    110, 107, 115,  46, 104,  97, 118, 101,
+     36,  80,  97, 114,  97, 109, 115,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+    114, 111, 111, 116,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    107, 110, 111, 119, 110,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 111, 108, 100,  77, 115,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a38f250481c383c0 = b_a38f250481c383c0.words;
+#if !CAPNP_LITE
+static const uint16_t m_a38f250481c383c0[] = {2, 1, 0};
+static const uint16_t i_a38f250481c383c0[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_a38f250481c383c0 = {
+  0xa38f250481c383c0, b_a38f250481c383c0.words, 62, nullptr, m_a38f250481c383c0,
+  0, 3, i_a38f250481c383c0, nullptr, nullptr, { &s_a38f250481c383c0, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_b5951b8362553fae = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    174,  63,  85,  98, 131,  27, 149, 181,
+     20,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 104, 117, 110, 107, 115,  46,  99,
+     97, 112, 110, 112,  58,  67, 104, 117,
+    110, 107, 115,  46, 104,  97, 118, 101,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    102, 111, 117, 110, 100,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 118, 105, 115, 105, 111, 110,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 105, 116, 109,  97, 112,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b5951b8362553fae = b_b5951b8362553fae.words;
+#if !CAPNP_LITE
+static const uint16_t m_b5951b8362553fae[] = {2, 0, 1};
+static const uint16_t i_b5951b8362553fae[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_b5951b8362553fae = {
+  0xb5951b8362553fae, b_b5951b8362553fae.words, 64, nullptr, m_b5951b8362553fae,
+  0, 3, i_b5951b8362553fae, nullptr, nullptr, { &s_b5951b8362553fae, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -297,6 +487,16 @@
       "chunks.capnp:Chunks", "manifest",
       0xde38908b387b4c8dull, 1);
 }
+::capnp::Request< ::ibislock::rpc::wire::Chunks::HaveParams,  ::ibislock::rpc::wire::Chunks::HaveResults>
+Chunks::Client::haveRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::ibislock::rpc::wire::Chunks::HaveParams,  ::ibislock::rpc::wire::Chunks::HaveResults>(
+      0xde38908b387b4c8dull, 2, sizeHint);
+}
+::kj::Promise<void> Chunks::Server::have(HaveContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "chunks.capnp:Chunks", "have",
+      0xde38908b387b4c8dull, 2);
+}
 ::capnp::Capability::Server::DispatchCallResult Chunks::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -323,6 +523,12 @@
              ::ibislock::rpc::wire::Chunks::ManifestParams,  ::ibislock::rpc::wire::Chunks::ManifestResults>(context)),
         false
       };
+    case 2:
+      return {
+        have(::capnp::Capability::Server::internalGetTypedContext<
+             ::ibislock::rpc::wire::Chunks::HaveParams,  ::ibislock::rpc::wire::Chunks::HaveResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -370,6 +576,22 @@
 constexpr ::capnp::_::RawSchema const* Chunks::ManifestResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Chunks::HaveParams
+constexpr uint16_t Chunks::HaveParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Chunks::HaveParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Chunks::HaveParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Chunks::HaveParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Chunks::HaveResults
+constexpr uint16_t Chunks::HaveResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Chunks::HaveResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Chunks::HaveResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Chunks::HaveResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/libs/rpc/src/wire/chunks.capnp.h
+++ b/libs/rpc/src/wire/chunks.capnp.h
@@ -24,6 +24,8 @@
 CAPNP_DECLARE_SCHEMA(8352267572c9ada4);
 CAPNP_DECLARE_SCHEMA(c4338cbc1a824d17);
 CAPNP_DECLARE_SCHEMA(88954429e76b01d9);
+CAPNP_DECLARE_SCHEMA(a38f250481c383c0);
+CAPNP_DECLARE_SCHEMA(b5951b8362553fae);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -44,6 +46,8 @@
   struct ChunkResults;
   struct ManifestParams;
   struct ManifestResults;
+  struct HaveParams;
+  struct HaveResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -113,6 +117,36 @@
   };
 };
 
+struct Chunks::HaveParams {
+  HaveParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a38f250481c383c0, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Chunks::HaveResults {
+  HaveResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b5951b8362553fae, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -138,6 +172,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::ibislock::rpc::wire::Chunks::ManifestParams,  ::ibislock::rpc::wire::Chunks::ManifestResults> manifestRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ibislock::rpc::wire::Chunks::HaveParams,  ::ibislock::rpc::wire::Chunks::HaveResults> haveRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -162,6 +198,10 @@
   typedef  ::ibislock::rpc::wire::Chunks::ManifestResults ManifestResults;
   typedef ::capnp::CallContext<ManifestParams, ManifestResults> ManifestContext;
   virtual ::kj::Promise<void> manifest(ManifestContext context);
+  typedef  ::ibislock::rpc::wire::Chunks::HaveParams HaveParams;
+  typedef  ::ibislock::rpc::wire::Chunks::HaveResults HaveResults;
+  typedef ::capnp::CallContext<HaveParams, HaveResults> HaveContext;
+  virtual ::kj::Promise<void> have(HaveContext context);
 
   inline  ::ibislock::rpc::wire::Chunks::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -277,6 +317,10 @@
   inline bool hasBytes() const;
   inline  ::capnp::Data::Reader getBytes() const;
 
+  inline bool getBusy() const;
+
+  inline  ::uint32_t getWaitMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -315,6 +359,12 @@
   inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBytes();
 
+  inline bool getBusy();
+  inline void setBusy(bool value);
+
+  inline  ::uint32_t getWaitMs();
+  inline void setWaitMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -508,6 +558,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class Chunks::HaveParams::Reader {
+public:
+  typedef HaveParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoot() const;
+  inline  ::capnp::Data::Reader getRoot() const;
+
+  inline  ::uint64_t getKnown() const;
+
+  inline  ::uint32_t getHoldMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Chunks::HaveParams::Builder {
+public:
+  typedef HaveParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoot();
+  inline  ::capnp::Data::Builder getRoot();
+  inline void setRoot( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRoot(unsigned int size);
+  inline void adoptRoot(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRoot();
+
+  inline  ::uint64_t getKnown();
+  inline void setKnown( ::uint64_t value);
+
+  inline  ::uint32_t getHoldMs();
+  inline void setHoldMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Chunks::HaveParams::Pipeline {
+public:
+  typedef HaveParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Chunks::HaveResults::Reader {
+public:
+  typedef HaveResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getFound() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasBitmap() const;
+  inline  ::capnp::Data::Reader getBitmap() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Chunks::HaveResults::Builder {
+public:
+  typedef HaveResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getFound();
+  inline void setFound(bool value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasBitmap();
+  inline  ::capnp::Data::Builder getBitmap();
+  inline void setBitmap( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBitmap(unsigned int size);
+  inline void adoptBitmap(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBitmap();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Chunks::HaveResults::Pipeline {
+public:
+  typedef HaveResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -616,6 +848,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Chunks::ChunkResults::Reader::getBusy() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Chunks::ChunkResults::Builder::getBusy() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Chunks::ChunkResults::Builder::setBusy(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Chunks::ChunkResults::Reader::getWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Chunks::ChunkResults::Builder::getWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Chunks::ChunkResults::Builder::setWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Chunks::ManifestParams::Reader::hasRoot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -698,6 +958,130 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Chunks::HaveParams::Reader::hasRoot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Chunks::HaveParams::Builder::hasRoot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Chunks::HaveParams::Reader::getRoot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Chunks::HaveParams::Builder::getRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Chunks::HaveParams::Builder::setRoot( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Chunks::HaveParams::Builder::initRoot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Chunks::HaveParams::Builder::adoptRoot(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Chunks::HaveParams::Builder::disownRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Chunks::HaveParams::Reader::getKnown() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Chunks::HaveParams::Builder::getKnown() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Chunks::HaveParams::Builder::setKnown( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Chunks::HaveParams::Reader::getHoldMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Chunks::HaveParams::Builder::getHoldMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Chunks::HaveParams::Builder::setHoldMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Chunks::HaveResults::Reader::getFound() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Chunks::HaveResults::Builder::getFound() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Chunks::HaveResults::Builder::setFound(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Chunks::HaveResults::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Chunks::HaveResults::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Chunks::HaveResults::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Chunks::HaveResults::Reader::hasBitmap() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Chunks::HaveResults::Builder::hasBitmap() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Chunks::HaveResults::Reader::getBitmap() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Chunks::HaveResults::Builder::getBitmap() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Chunks::HaveResults::Builder::setBitmap( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Chunks::HaveResults::Builder::initBitmap(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Chunks::HaveResults::Builder::adoptBitmap(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Chunks::HaveResults::Builder::disownBitmap() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/target/include/ibislock/target/daemon.h
+++ b/libs/target/include/ibislock/target/daemon.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "ibislock/base/counters.h"
+#include "ibislock/target/link.h"
 #include "ibislock/target/options.h"
 
 #include <memory>
@@ -37,6 +38,12 @@
     /// Cuts this daemon off from the addresses for which a predicate is false; for experiments.
     void setReachable(rpc::Reachable reachable);
 
+    /// Gives the faults of this VM's link, for experiments.
+    LinkFaults &linkFaults();
+
+    /// Gives the bytes of weights that came from other failure domains.
+    const ImportLedger &imports() const;
+
     /// Gives the daemon's counters.
     const Counters &counters() const;
 
--- a/libs/target/include/ibislock/target/options.h
+++ b/libs/target/include/ibislock/target/options.h
@@ -5,6 +5,7 @@
 #include "ibislock/base/settings.h"
 #include "ibislock/engine/engine_client.h"
 #include "ibislock/node/node.h"
+#include "ibislock/weights/planner.h"
 #include "ibislock/weights/rollout.h"
 #include "ibislock/weights/token_bucket.h"
 
@@ -29,13 +30,18 @@
     engine::EngineOptions engine;
     platform::EndpointOptions store;
     std::uint64_t chunkStoreBytes = 1ULL << 30;
-    std::uint32_t fetches = 4; ///< Chunks fetched at the same time.
-    Millis takeover{2000}; ///< How long the first fetcher of a chunk may be silent.
+    weights::PlanOptions plan; ///< VM and domain are filled in from the node's options.
     weights::RateOptions upload; ///< What other targets may draw from this one.
+    weights::RateOptions download; ///< What this target may draw in all.
     weights::RateOptions origin; ///< What this target may draw from the store.
+    weights::RateOptions pair; ///< What may flow from one region to another, all VMs together.
+    double share = 1.0; ///< The part of each rate that weights may use.
+    double busyShare = 0.25; ///< The part of the share that is left to weights while requests are slow.
+    Millis uploadQueue{250}; ///< How long others may wait for the uplink; beyond it they are refused.
     weights::RolloutOptions rollout;
     std::uint32_t concurrency = 64; ///< Requests in progress at the same time.
     Millis drainGrace{10000}; ///< How long requests in progress may hold up a load.
+    Millis readBackInterval{1000}; ///< The time between two checks of what the engine serves.
     Millis retryInterval{500}; ///< The pause after a failed activation.
 };
 
--- a/libs/target/src/activation.cpp
+++ b/libs/target/src/activation.cpp
@@ -13,6 +13,8 @@
 using configuration::Duty;
 
 constexpr Millis PollInterval{50};
+constexpr unsigned RetryDoublingsMax = 5;
+constexpr unsigned SilentChecksMax = 2;
 
 bool sameDuty(const std::optional<Duty> &a, const std::optional<Duty> &b)
 {
@@ -33,6 +35,7 @@
     , m_holdings(holdings)
     , m_chart(embeddedChart("activation"))
     , m_engine(options.engine)
+    , m_stager(options.engine)
     , m_phase(m_chart.initial)
 {
 }
@@ -50,6 +53,8 @@
 void Activation::stop()
 {
     m_stopping = true;
+    m_fetcher.stop();
+    m_stager.stop();
     if (m_thread.joinable()) {
         m_thread.join();
     }
@@ -113,9 +118,12 @@
     while (!m_stopping) {
         claimSlot();
         noteDesired();
-        if (m_phase == "waiting" && steadyMillis() - m_failedAt >= m_options.retryInterval) {
+        if (m_phase == "waiting" && steadyMillis() - m_failedAt >= retryPause()) {
             step("desired");
         }
+        if (m_phase == "serving" && steadyMillis() - m_checkedAt >= m_options.readBackInterval) {
+            checkEngine();
+        }
         const auto known = m_node.state();
         m_node.waitForChange(known, PollInterval);
     }
@@ -199,6 +207,7 @@
         m_duty = duty;
     }
     if (changed) {
+        m_failures = 0;
         step(duty ? "desired" : "withdrawn");
     }
 }
@@ -215,31 +224,41 @@
 
 void Activation::fetch()
 {
+    m_adopted = false;
     if (m_options.backend == BackendKind::Service) {
         m_manifest.reset();
         step("chunksVerified");
         return;
     }
-    auto manifest = m_fetcher.fetch(*m_duty, [this] { return isOvertaken(); });
+    const Digest &root = m_duty->assignment.manifest;
+    if (m_mayAdopt && engineServes(root)) {
+        m_adopted = true;
+        step("chunksVerified");
+        return;
+    }
+    m_stager.begin(root);
+    auto manifest = m_fetcher.fetch(
+        *m_duty, [this] { return isOvertaken(); },
+        [this](std::size_t index, const weights::ChunkBytes &bytes) { m_stager.add(index, bytes); });
     if (!manifest) {
         logWarning(Part::Target, "Version can't be fetched.",
                    {{"vm", m_node.options().vm},
                     {"ticket", std::to_string(m_duty->ticket)},
                     {"reason", manifest.error().message}});
+        m_counters.add(Counter::VersionsRefused, manifest.error().code == ErrorCode::Corrupt ? 1 : 0);
         step("failed");
         return;
     }
-    {
-        const std::lock_guard lock(m_holdings.mutex);
-        weights::pin(m_holdings.store, *manifest);
-        if (m_manifest) {
-            weights::unpin(m_holdings.store, *m_manifest);
-        }
-    }
     m_manifest = std::move(*manifest);
     step("chunksVerified");
 }
 
+bool Activation::engineServes(const Digest &root)
+{
+    const auto status = m_engine.status();
+    return status && status->root == root;
+}
+
 bool Activation::mayDrain() const
 {
     {
@@ -283,29 +302,23 @@
     step("drained");
 }
 
-Result<void> Activation::stageAndLoad(const weights::Manifest &manifest)
+Result<void> Activation::stageAndLoad()
 {
-    const Digest &root = m_duty->assignment.manifest;
-    for (std::size_t i = 0; i < manifest.chunks.size(); ++i) {
-        weights::ChunkBytes bytes;
-        {
-            const std::lock_guard lock(m_holdings.mutex);
-            bytes = weights::get(m_holdings.store, manifest.chunks[i]);
-        }
-        if (!bytes) {
-            return failure(ErrorCode::NotFound, "a verified chunk was dropped");
-        }
-        const auto staged = m_engine.stage(root, i, *bytes);
-        if (!staged) {
-            return staged;
-        }
+    engine::LoadOrder order{.model = m_duty->assignment.model,
+                            .version = m_duty->assignment.version,
+                            .root = m_duty->assignment.manifest,
+                            .adapters = m_duty->assignment.adapters,
+                            .fence = m_fence};
+    if (m_adopted) {
+        // The engine has the version already. The order only makes this process's fencing number known.
+        return m_engine.load(order);
     }
-    return m_engine.load({.model = m_duty->assignment.model,
-                          .version = m_duty->assignment.version,
-                          .root = root,
-                          .chunks = manifest.chunks.size(),
-                          .adapters = m_duty->assignment.adapters,
-                          .fence = m_fence});
+    const auto staged = m_stager.finish(*m_manifest, m_holdings);
+    if (!staged) {
+        return staged;
+    }
+    order.chunks = m_manifest->chunks.size();
+    return m_engine.load(order);
 }
 
 void Activation::load()
@@ -318,7 +331,9 @@
         step("loaded");
         return;
     }
-    const auto loaded = stageAndLoad(*m_manifest);
+    const auto loaded = stageAndLoad();
+    m_mayAdopt = false;
+    m_stager.reset();
     if (!loaded && loaded.error().code != ErrorCode::OutcomeUnknown) {
         logWarning(Part::Target, "Engine refuses to load.", {{"reason", loaded.error().message}});
         step("failed");
@@ -342,11 +357,43 @@
     step("readBackAgrees");
 }
 
+Millis Activation::retryPause() const
+{
+    return m_options.retryInterval * (1U << std::min(m_failures, RetryDoublingsMax));
+}
+
+void Activation::checkEngine()
+{
+    m_checkedAt = steadyMillis();
+    if (m_options.backend == BackendKind::Service) {
+        return;
+    }
+    const auto status = m_engine.status();
+    if (status && status->root == m_duty->assignment.manifest) {
+        m_silentChecks = 0;
+        return;
+    }
+    if (!status && ++m_silentChecks < SilentChecksMax) {
+        return;
+    }
+    logWarning(Part::Target, status ? "Engine serves other weights." : "Engine does not answer.",
+               {{"vm", m_node.options().vm}});
+    m_silentChecks = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_accepting = false;
+    }
+    step("failed");
+}
+
 void Activation::serve()
 {
     m_counters.add(Counter::Activations);
     const std::lock_guard lock(m_mutex);
     m_served = m_duty;
+    m_failures = 0;
+    m_mayAdopt = true;
+    m_checkedAt = steadyMillis();
     logInfo(Part::Target, "Version is serving.",
             {{"vm", m_node.options().vm},
              {"ticket", std::to_string(m_duty->ticket)},
@@ -356,6 +403,7 @@
 void Activation::rest()
 {
     m_counters.add(Counter::ActivationFailures);
+    ++m_failures;
     m_failedAt = steadyMillis();
 }
 
--- a/libs/target/src/activation.h
+++ b/libs/target/src/activation.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "fetcher.h"
+#include "stager.h"
+
 #include "ibislock/base/state_chart.h"
 
 #include <atomic>
@@ -70,7 +72,10 @@
     void rest();
     bool isOvertaken() const;
     bool mayDrain() const;
-    Result<void> stageAndLoad(const weights::Manifest &manifest);
+    Result<void> stageAndLoad();
+    bool engineServes(const Digest &root);
+    void checkEngine();
+    Millis retryPause() const;
 
     const TargetOptions &m_options;
     node::Node &m_node;
@@ -79,6 +84,7 @@
     Holdings &m_holdings;
     const StateChart &m_chart;
     engine::EngineClient m_engine;
+    Stager m_stager;
 
     mutable std::mutex m_mutex;
     std::condition_variable m_idle;
@@ -92,6 +98,11 @@
     std::optional<weights::Manifest> m_manifest;
     std::uint64_t m_fence = 0;
     Millis m_failedAt{0};
+    unsigned m_failures = 0; ///< Since the ticket was seen or the version was served.
+    bool m_adopted = false; ///< Whether the engine had the version before the transfer.
+    bool m_mayAdopt = true;
+    Millis m_checkedAt{0};
+    unsigned m_silentChecks = 0;
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
 };
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -17,6 +17,9 @@
 using requests::Outcome;
 using requests::Request;
 
+/// What a chunk takes over a link that is made to stall.
+constexpr Millis StalledDelay{60000};
+
 AnswerEnd endFor(const Request &request, Outcome outcome, std::string message)
 {
     return {.id = request.id,
@@ -54,7 +57,14 @@
         , client(loop, {})
         , node(options.node, counters, client)
         , upload(weights::makeBucket(options.upload, steadyMillis()))
-        , fetcher(options, node, client, counters, holdings)
+        , random(systemRandom())
+        , fetcher({.options = options,
+                   .node = node,
+                   .client = client,
+                   .counters = counters,
+                   .holdings = holdings,
+                   .faults = faults,
+                   .imports = imports})
         , activation(options, node, fetcher, counters, holdings)
         , workers(options.concurrency)
     {
@@ -72,6 +82,9 @@
         handlers.manifest = [this](const Digest &root) {
             return sendManifest(root);
         };
+        handlers.have = [this](const Digest &root) {
+            return tellHoldings(root);
+        };
         handlers.submit = [this](Request request, std::shared_ptr<rpc::AnswerWriter> writer) {
             accept(std::move(request), std::move(writer));
         };
@@ -96,13 +109,39 @@
             reply.bytes = weights::get(holdings.store, digest);
         }
         if (reply.bytes) {
-            const std::lock_guard lock(uploadMutex);
-            reply.delay = weights::reserve(upload, reply.bytes->size(), steadyMillis());
-            counters.add(Counter::ServedBytes, reply.bytes->size());
+            admitChunk(reply);
         }
         return reply;
     }
 
+    /// Reserves the uplink for a chunk, or refuses it when the queue is too long.
+    void admitChunk(rpc::ChunkReply &reply)
+    {
+        const std::lock_guard lock(uploadMutex);
+        const Millis now = steadyMillis();
+        weights::setRate(upload, options.upload.bytesPerSecond * options.share, now);
+        reply.wait = weights::waitFor(upload, reply.bytes->size(), now);
+        if (reply.wait > options.uploadQueue) {
+            reply.bytes = nullptr;
+            reply.busy = true;
+            return;
+        }
+        reply.delay = faults.isStalled ? StalledDelay : weights::reserve(upload, reply.bytes->size(), now);
+        counters.add(Counter::ServedBytes, reply.bytes->size());
+        if (std::bernoulli_distribution(faults.corruption)(random)) {
+            std::string bytes = *reply.bytes;
+            bytes[random() % bytes.size()] ^= 1;
+            reply.bytes = std::make_shared<const std::string>(std::move(bytes));
+        }
+    }
+
+    std::optional<rpc::HaveReply> tellHoldings(const Digest &root)
+    {
+        const std::lock_guard lock(holdings.mutex);
+        const auto it = holdings.held.find(root);
+        return it == holdings.held.end() ? std::nullopt : std::optional(it->second);
+    }
+
     std::optional<std::string> sendManifest(const Digest &root)
     {
         const std::lock_guard lock(holdings.mutex);
@@ -154,8 +193,11 @@
     rpc::Client client;
     node::Node node;
     Holdings holdings;
+    LinkFaults faults;
+    ImportLedger imports;
     std::mutex uploadMutex;
     weights::TokenBucket upload;
+    Random random;
     Fetcher fetcher;
     Activation activation;
     asio::thread_pool workers;
@@ -212,9 +254,20 @@
 
 void Daemon::setReachable(rpc::Reachable reachable)
 {
+    m_impl->faults.setReachable(reachable);
     m_impl->client.setReachable(std::move(reachable));
 }
 
+LinkFaults &Daemon::linkFaults()
+{
+    return m_impl->faults;
+}
+
+const ImportLedger &Daemon::imports() const
+{
+    return m_impl->imports;
+}
+
 const Counters &Daemon::counters() const
 {
     return m_impl->counters;
--- a/libs/target/src/fetcher.cpp
+++ b/libs/target/src/fetcher.cpp
@@ -1,10 +1,11 @@
 #include "fetcher.h"
 
+#include "swarm.h"
+
 #include "ibislock/base/log.h"
 #include "ibislock/weights/rendezvous.h"
 
 #include <algorithm>
-#include <atomic>
 #include <thread>
 
 namespace ibislock::target
@@ -15,191 +16,147 @@
 
 using configuration::Duty;
 using weights::Manifest;
+using weights::Participant;
 
-constexpr Millis ChunkRetryInterval{20};
-
-} // namespace
-
-Fetcher::Fetcher(const TargetOptions &options, node::Node &node, rpc::Client &client, Counters &counters,
-                 Holdings &holdings)
-    : m_options(options)
-    , m_node(node)
-    , m_client(client)
-    , m_counters(counters)
-    , m_holdings(holdings)
-    , m_origin(weights::makeBucket(options.origin, steadyMillis()))
-{
-}
+constexpr Millis ManifestRetryInterval{40};
+constexpr std::size_t ManifestFanout = 4;
 
-Result<Manifest> Fetcher::fetch(const Duty &duty, const Withdrawn &withdrawn)
+weights::RateOptions shared(weights::RateOptions rate, double share)
 {
-    auto manifest = fetchManifest(duty);
-    if (!manifest) {
-        return manifest;
-    }
-    std::vector<std::size_t> missing;
-    {
-        const std::lock_guard lock(m_holdings.mutex);
-        missing = weights::missingChunks(m_holdings.store, *manifest);
-    }
-    const auto fetched = fetchChunks(duty, *manifest, missing, withdrawn);
-    if (!fetched) {
-        return tl::unexpected(fetched.error());
-    }
-    return manifest;
+    rate.bytesPerSecond *= share;
+    return rate;
 }
 
-Result<Manifest> Fetcher::fetchManifest(const Duty &duty)
+/// The live VMs in the order in which the manifest passes through them, those near the store first.
+std::vector<std::string> manifestOrder(const std::vector<Participant> &participants, const Digest &root,
+                                       const std::string &storeDomain, const std::string &self)
 {
-    const Digest &root = duty.assignment.manifest;
-    {
-        const std::lock_guard lock(m_holdings.mutex);
-        const auto it = m_holdings.manifests.find(root);
-        if (it != m_holdings.manifests.end()) {
-            return it->second;
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const Participant &it : participants) {
+        if (it.isLive || it.vm == self) {
+            (it.domain == storeDomain ? near : far).push_back(it.vm);
         }
     }
-    const auto accept = [&](const Manifest &manifest) {
-        if (weights::rootDigest(manifest) != root) {
-            return false;
-        }
-        const std::lock_guard lock(m_holdings.mutex);
-        m_holdings.manifests.insert_or_assign(root, manifest);
-        return true;
-    };
-    for (const Peer &peer : livePeers(duty)) {
-        const auto manifest = m_client.manifest(peer.address, root).and_then(weights::manifestFromJson);
-        if (manifest && accept(*manifest)) {
-            return *manifest;
-        }
-    }
-    platform::WeightStoreClient store(m_options.store);
-    auto manifest = store.manifest(duty.assignment.model, duty.assignment.version);
-    if (!manifest) {
-        return manifest;
-    }
-    if (!accept(*manifest)) {
-        return failure(ErrorCode::Corrupt, "the origin holds another version under this name than the ticket names");
-    }
-    return manifest;
+    auto order = weights::rendezvousOrder(bytesOf(root), near);
+    const auto rest = weights::rendezvousOrder(bytesOf(root), far);
+    order.insert(order.end(), rest.begin(), rest.end());
+    return order;
 }
 
-Result<void> Fetcher::fetchChunks(const Duty &duty, const Manifest &manifest, const std::vector<std::size_t> &missing,
-                                  const Withdrawn &withdrawn)
-{
-    std::atomic<std::size_t> next = 0;
-    std::mutex mutex;
-    Result<void> outcome;
-    const auto work = [&] {
-        platform::WeightStoreClient store(m_options.store);
-        for (std::size_t i = next++; i < missing.size(); i = next++) {
-            const auto fetched = fetchChunk(store, duty, manifest, missing[i], withdrawn);
-            if (!fetched) {
-                const std::lock_guard lock(mutex);
-                outcome = fetched;
-                next = missing.size();
-            }
-        }
-    };
-    std::vector<std::thread> threads;
-    for (std::uint32_t i = 0; i < m_options.fetches; ++i) {
-        threads.emplace_back(work);
-    }
-    for (std::thread &thread : threads) {
-        thread.join();
-    }
-    return outcome;
-}
+} // namespace
 
-std::vector<Fetcher::Peer> Fetcher::livePeers(const Duty &duty) const
+std::vector<Participant> participantsOf(const node::Node &node, const Duty &duty)
 {
-    const auto &options = m_node.options();
+    const auto &options = node.options();
     const Millis now = steadyMillis();
-    return m_node.withView([&](const membership::View &view) {
-        std::vector<Peer> peers;
+    return node.withView([&](const membership::View &view) {
+        std::vector<Participant> participants;
         for (const std::string &vm : duty.assignment.vms) {
+            if (vm == options.vm) {
+                participants.push_back({.vm = vm, .domain = options.domain, .isLive = true});
+                continue;
+            }
             const membership::Member *member = membership::find(view, vm);
-            if (vm != options.vm && member != nullptr && membership::isUsable(*member, options.view, now)) {
-                peers.push_back({.vm = vm, .address = membership::addressOf(*member)});
+            if (member == nullptr) {
+                participants.push_back({.vm = vm, .domain = {}, .isLive = false});
+                continue;
             }
+            participants.push_back({.vm = vm,
+                                    .domain = member->hasReport ? member->report.domain : member->listed.domain,
+                                    .isLive = membership::isUsable(*member, options.view, now)});
         }
-        return peers;
+        return participants;
     });
 }
 
-Result<void> Fetcher::fetchChunk(platform::WeightStoreClient &store, const Duty &duty, const Manifest &manifest,
-                                 std::size_t index, const Withdrawn &withdrawn)
+Fetcher::Fetcher(const FetchContext &context)
+    : m_context(context)
+    , m_links{.download = weights::makeBucket(shared(context.options.download, context.options.share), steadyMillis()),
+              .origin = weights::makeBucket(shared(context.options.origin, context.options.share), steadyMillis()),
+              .imports = {}}
+    , m_origin(context.options.store, context.options.plan.originParallel)
+    , m_random(systemRandom())
+{
+}
+
+void Fetcher::stop()
+{
+    m_origin.stop();
+}
+
+Result<Manifest> Fetcher::fetch(const Duty &duty, const Withdrawn &withdrawn, const ChunkSink &sink)
 {
-    const std::string &self = m_node.options().vm;
+    auto manifest = fetchManifest(duty, withdrawn);
+    if (!manifest) {
+        return manifest;
+    }
+    Swarm swarm(m_context, m_links, m_origin, m_random, duty, *manifest, sink);
+    const auto fetched = swarm.run(withdrawn);
+    if (!fetched) {
+        return tl::unexpected(fetched.error());
+    }
+    return manifest;
+}
+
+Result<Manifest> Fetcher::fetchManifest(const Duty &duty, const Withdrawn &withdrawn)
+{
+    const Digest &root = duty.assignment.manifest;
+    const std::string &self = m_context.options.node.vm;
     const Millis begin = steadyMillis();
     while (!withdrawn()) {
-        const auto peers = livePeers(duty);
-        const auto order = weights::rendezvousOrder(bytesOf(manifest.chunks[index]), duty.assignment.vms);
-        const auto rank = std::find(order.begin(), order.end(), self) - order.begin();
-        if (steadyMillis() - begin >= rank * m_options.takeover) {
-            auto bytes = fromOrigin(store, duty, manifest, index);
-            if (bytes) {
-                return keep(manifest, index, std::move(*bytes));
+        if (auto known = findManifest(m_context.holdings, root)) {
+            return std::move(*known);
+        }
+        const auto participants = participantsOf(m_context.node, duty);
+        const auto order = manifestOrder(participants, root, m_context.options.plan.storeDomain, self);
+        const auto rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
+        const bool alone = m_context.options.plan.policy == weights::Policy::Origin;
+        if (alone || rank == 0 || steadyMillis() - begin >= m_context.options.plan.takeover * static_cast<int>(rank)) {
+            auto manifest = manifestFromOrigin(duty);
+            if (manifest || manifest.error().code == ErrorCode::Corrupt) {
+                return manifest;
             }
         }
-        for (const Peer &peer : peers) {
-            auto bytes = fromPeer(peer, manifest, index);
-            if (bytes) {
-                return keep(manifest, index, std::move(*bytes));
+        const auto parent = rank == 0 ? self : order[(rank - 1) / ManifestFanout];
+        for (const std::string &vm : {parent, order[m_random() % order.size()]}) {
+            if (auto manifest = vm == self ? std::nullopt : manifestFromPeer(duty, vm)) {
+                return std::move(*manifest);
             }
         }
-        std::this_thread::sleep_for(ChunkRetryInterval);
+        std::this_thread::sleep_for(ManifestRetryInterval);
     }
     return failure(ErrorCode::Cancelled, "the transfer was withdrawn");
 }
 
-Result<std::string> Fetcher::fromPeer(const Peer &peer, const Manifest &manifest, std::size_t index)
+std::optional<Manifest> Fetcher::manifestFromPeer(const Duty &duty, const std::string &vm)
 {
-    auto bytes = m_client.chunk(peer.address, manifest.chunks[index]);
-    if (!bytes) {
-        return bytes;
+    const std::string address = m_context.node.withView([&](const membership::View &view) {
+        const membership::Member *member = membership::find(view, vm);
+        return member == nullptr ? std::string() : membership::addressOf(*member);
+    });
+    if (address.empty()) {
+        return std::nullopt;
     }
-    m_counters.add(Counter::PeerBytes, bytes->size());
-    const auto verified = weights::verifyChunk(manifest, index, *bytes);
-    if (!verified) {
-        m_counters.add(Counter::CorruptChunks);
-        return tl::unexpected(verified.error());
+    const auto manifest =
+        m_context.client.manifest(address, duty.assignment.manifest).and_then(weights::manifestFromJson);
+    if (!manifest || weights::rootDigest(*manifest) != duty.assignment.manifest) {
+        return std::nullopt;
     }
-    return bytes;
+    return *manifest;
 }
 
-Result<std::string> Fetcher::fromOrigin(platform::WeightStoreClient &store, const Duty &duty, const Manifest &manifest,
-                                        std::size_t index)
+Result<Manifest> Fetcher::manifestFromOrigin(const Duty &duty)
 {
-    waitForOrigin(weights::chunkSize(manifest, index));
-    auto bytes = store.chunk(duty.assignment.model, duty.assignment.version, index);
-    if (!bytes) {
-        return bytes;
-    }
-    m_counters.add(Counter::OriginBytes, bytes->size());
-    const auto verified = weights::verifyChunk(manifest, index, *bytes);
-    if (!verified) {
-        m_counters.add(Counter::CorruptChunks);
-        return tl::unexpected(verified.error());
+    if (!m_context.faults.mayReach(m_context.options.store.url)) {
+        return failure(ErrorCode::Unavailable, "the store is cut off");
     }
-    return bytes;
-}
-
-void Fetcher::waitForOrigin(std::uint64_t bytes)
-{
-    Millis delay{0};
-    {
-        const std::lock_guard lock(m_originMutex);
-        delay = weights::reserve(m_origin, bytes, steadyMillis());
+    platform::WeightStoreClient store(m_context.options.store);
+    auto manifest = store.manifest(duty.assignment.model, duty.assignment.version);
+    if (manifest && weights::rootDigest(*manifest) != duty.assignment.manifest) {
+        return failure(ErrorCode::Corrupt, "the origin holds another version under this name than the ticket names");
     }
-    std::this_thread::sleep_for(delay);
-}
-
-Result<void> Fetcher::keep(const Manifest &manifest, std::size_t index, std::string bytes)
-{
-    const std::lock_guard lock(m_holdings.mutex);
-    return weights::put(m_holdings.store, manifest.chunks[index],
-                        std::make_shared<const std::string>(std::move(bytes)));
+    return manifest;
 }
 
 } // namespace ibislock::target
--- a/libs/target/src/fetcher.h
+++ b/libs/target/src/fetcher.h
@@ -2,69 +2,74 @@
 
 #pragma once
 
+#include "holdings.h"
+#include "origin_reader.h"
+
 #include "ibislock/base/counters.h"
 #include "ibislock/configuration/state.h"
 #include "ibislock/node/node.h"
-#include "ibislock/platform/weight_store_client.h"
+#include "ibislock/target/link.h"
 #include "ibislock/target/options.h"
-#include "ibislock/weights/chunk_store.h"
 
 #include <functional>
-#include <mutex>
 
 namespace ibislock::target
 {
 
-/// The chunks and manifests that the daemon holds, shared by the fetcher and the RPC server.
-struct Holdings
+/// Tells whether a transfer is to be given up.
+using Withdrawn = std::function<bool()>;
+
+/// Takes each verified chunk of the version, in any order, on the thread of the transfer.
+using ChunkSink = std::function<void(std::size_t index, const weights::ChunkBytes &bytes)>;
+
+/// What the parts of the fetcher share. All of it outlives the transfers.
+struct FetchContext
 {
-    std::mutex mutex;
-    weights::ChunkStore store;
-    std::map<Digest, weights::Manifest> manifests;
+    const TargetOptions &options;
+    node::Node &node;
+    rpc::Client &client;
+    Counters &counters;
+    Holdings &holdings;
+    LinkFaults &faults;
+    ImportLedger &imports;
 };
 
-/// Tells whether a transfer is to be given up.
-using Withdrawn = std::function<bool()>;
+/// The rate limits that transfers of this VM share. Only the transfer's thread uses them.
+struct Links
+{
+    weights::TokenBucket download;
+    weights::TokenBucket origin;
+    std::map<std::string, weights::TokenBucket> imports; ///< By the domain at the other end.
+};
 
 /// Fetches versions, one at a time.
 class Fetcher
 {
 public:
-    Fetcher(const TargetOptions &options, node::Node &node, rpc::Client &client, Counters &counters,
-            Holdings &holdings);
+    explicit Fetcher(const FetchContext &context);
 
     /// Fetches what is missing of a version.
     /// @param duty the version, and the VMs that fetch it too.
-    /// @param withdrawn asked between chunks.
+    /// @param withdrawn asked again and again.
+    /// @param sink takes each chunk, those that are there already included.
     /// @return the verified manifest, or the reason why the version is not complete.
-    Result<weights::Manifest> fetch(const configuration::Duty &duty, const Withdrawn &withdrawn);
+    Result<weights::Manifest> fetch(const configuration::Duty &duty, const Withdrawn &withdrawn, const ChunkSink &sink);
+
+    /// Breaks reads from the store off.
+    void stop();
 
 private:
-    struct Peer
-    {
-        std::string vm;
-        std::string address;
-    };
-
-    Result<weights::Manifest> fetchManifest(const configuration::Duty &duty);
-    Result<void> fetchChunks(const configuration::Duty &duty, const weights::Manifest &manifest,
-                             const std::vector<std::size_t> &missing, const Withdrawn &withdrawn);
-    Result<void> fetchChunk(platform::WeightStoreClient &store, const configuration::Duty &duty,
-                            const weights::Manifest &manifest, std::size_t index, const Withdrawn &withdrawn);
-    Result<std::string> fromPeer(const Peer &peer, const weights::Manifest &manifest, std::size_t index);
-    Result<std::string> fromOrigin(platform::WeightStoreClient &store, const configuration::Duty &duty,
-                                   const weights::Manifest &manifest, std::size_t index);
-    std::vector<Peer> livePeers(const configuration::Duty &duty) const;
-    Result<void> keep(const weights::Manifest &manifest, std::size_t index, std::string bytes);
-    void waitForOrigin(std::uint64_t bytes);
-
-    const TargetOptions &m_options;
-    node::Node &m_node;
-    rpc::Client &m_client;
-    Counters &m_counters;
-    Holdings &m_holdings;
-    std::mutex m_originMutex;
-    weights::TokenBucket m_origin;
+    Result<weights::Manifest> fetchManifest(const configuration::Duty &duty, const Withdrawn &withdrawn);
+    std::optional<weights::Manifest> manifestFromPeer(const configuration::Duty &duty, const std::string &vm);
+    Result<weights::Manifest> manifestFromOrigin(const configuration::Duty &duty);
+
+    FetchContext m_context;
+    Links m_links;
+    OriginReader m_origin;
+    Random m_random;
 };
 
+/// Lists who is to have a version, and who of them is live.
+std::vector<weights::Participant> participantsOf(const node::Node &node, const configuration::Duty &duty);
+
 } // namespace ibislock::target
--- a/libs/weights/include/ibislock/weights/rendezvous.h
+++ b/libs/weights/include/ibislock/weights/rendezvous.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -12,6 +13,9 @@
 namespace ibislock::weights
 {
 
+/// Gives the weight of a VM for a key; the highest comes first.
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view vm);
+
 /// Orders VMs by their weight for a key. Removing a VM leaves the order of the others unchanged.
 std::vector<std::string> rendezvousOrder(std::string_view key, std::span<const std::string> vms);
 
--- a/libs/weights/include/ibislock/weights/token_bucket.h
+++ b/libs/weights/include/ibislock/weights/token_bucket.h
@@ -34,4 +34,13 @@
 /// @return how long to wait before the bytes may be sent.
 Millis reserve(TokenBucket &bucket, std::uint64_t bytes, Millis now);
 
+/// Tells how long to wait before some bytes may be sent, without taking tokens.
+Millis waitFor(const TokenBucket &bucket, std::uint64_t bytes, Millis now);
+
+/// Gives tokens back that were taken for bytes that did not flow.
+void refund(TokenBucket &bucket, std::uint64_t bytes);
+
+/// Changes the rate from now on.
+void setRate(TokenBucket &bucket, double bytesPerSecond, Millis now);
+
 } // namespace ibislock::weights
--- /dev/null
+++ b/libs/weights/src/assignment.cpp
@@ -0,0 +1,58 @@
+#include "ibislock/weights/assignment.h"
+
+#include "ibislock/weights/rendezvous.h"
+
+#include <algorithm>
+
+namespace ibislock::weights
+{
+
+DrawOrder drawOrder(std::span<const Digest> chunks, std::vector<std::string> vms)
+{
+    std::sort(vms.begin(), vms.end());
+    DrawOrder order{.vms = std::move(vms), .first = {}};
+    if (order.vms.empty()) {
+        return order;
+    }
+    const std::size_t bound = (chunks.size() + order.vms.size() - 1) / order.vms.size();
+    std::vector<std::size_t> loads(order.vms.size());
+    order.first.reserve(chunks.size());
+    for (const Digest &chunk : chunks) {
+        std::size_t best = order.vms.size();
+        std::uint64_t bestWeight = 0;
+        for (std::size_t i = 0; i < order.vms.size(); ++i) {
+            const std::uint64_t weight = loads[i] < bound ? rendezvousWeight(bytesOf(chunk), order.vms[i]) : 0;
+            if (loads[i] < bound && (best == order.vms.size() || weight > bestWeight)) {
+                best = i;
+                bestWeight = weight;
+            }
+        }
+        ++loads[best];
+        order.first.push_back(static_cast<std::uint32_t>(best));
+    }
+    return order;
+}
+
+std::optional<std::string> drawerOf(const DrawOrder &order, std::size_t chunk, const Digest &digest,
+                                    const std::set<std::string> &live, std::size_t level)
+{
+    if (chunk >= order.first.size()) {
+        return std::nullopt;
+    }
+    const std::string &first = order.vms[order.first[chunk]];
+    if (live.contains(first)) {
+        if (level == 0) {
+            return first;
+        }
+        --level;
+    }
+    std::vector<std::string> rest;
+    std::copy_if(order.vms.begin(), order.vms.end(), std::back_inserter(rest),
+                 [&](const std::string &vm) { return vm != first && live.contains(vm); });
+    if (level >= rest.size()) {
+        return std::nullopt;
+    }
+    return rendezvousOrder(bytesOf(digest), rest)[level];
+}
+
+} // namespace ibislock::weights
--- /dev/null
+++ b/libs/weights/src/planner.cpp
@@ -0,0 +1,254 @@
+#include "ibislock/weights/planner.h"
+
+#include <algorithm>
+
+namespace ibislock::weights
+{
+
+namespace
+{
+
+constexpr std::size_t SampleMax = 512;
+constexpr std::size_t LevelMax = 3;
+constexpr Millis TakeoverScanInterval{250};
+constexpr int LatencyAllowance = 2;
+constexpr int ImportAllowance = 4;
+
+bool isWanted(const Transfer &transfer, std::size_t chunk)
+{
+    return !transfer.held[chunk] && !transfer.requests.contains(chunk);
+}
+
+Millis progressOf(const Transfer &transfer, const std::string &vm)
+{
+    const auto it = transfer.progressOf.find(vm);
+    return it == transfer.progressOf.end() ? transfer.startedAt : it->second;
+}
+
+/// Tells whether it is this VM's turn to draw a chunk, given since when the VMs before it are silent.
+bool isOwnTurn(const Transfer &transfer, const DrawOrder &order, std::size_t chunk, Millis quietSince, Millis allowance,
+               Millis now)
+{
+    for (std::size_t level = 0; level <= LevelMax; ++level) {
+        const auto drawer = drawerOf(order, chunk, transfer.chunks[chunk], transfer.live, level);
+        if (!drawer) {
+            return false;
+        }
+        if (*drawer == transfer.options.vm) {
+            return true;
+        }
+        const Millis since = std::max(quietSince, progressOf(transfer, *drawer));
+        if (now - since < allowance * static_cast<int>(level + 1)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+/// How long the first fetcher may be silent: the origin's queue is as long for it as for this VM.
+Millis originAllowance(const Transfer &transfer, Millis now)
+{
+    Millis latency = transfer.originLatency;
+    for (const auto &[chunk, request] : transfer.requests) {
+        if (request.source.empty()) {
+            latency = std::max(latency, now - request.sentAt);
+        }
+    }
+    return transfer.options.takeover + LatencyAllowance * latency;
+}
+
+/// Tells whether it is known where all participants are, and what those to be asked hold.
+bool othersAreKnown(const Transfer &transfer)
+{
+    const bool placed = std::none_of(transfer.participants.begin(), transfer.participants.end(),
+                                     [](const Participant &it) { return it.domain.empty(); });
+    return placed && std::all_of(transfer.sources.begin(), transfer.sources.end(), [](const auto &it) {
+               return it.second.isKnown;
+           });
+}
+
+/// Finds a chunk of which another VM is the first fetcher and does not do its part.
+std::optional<std::size_t> takeOver(Transfer &transfer, Millis now)
+{
+    if (now < transfer.takeoverScanAt) {
+        return std::nullopt;
+    }
+    const Millis allowance = originAllowance(transfer, now);
+    const Millis quietSince = std::max(transfer.startedAt, transfer.originTrouble);
+    for (const std::size_t chunk : transfer.missing) {
+        if (!isWanted(transfer, chunk) || transfer.holders[chunk] > 0 || chunk >= transfer.originOrder.first.size()) {
+            continue;
+        }
+        const std::string &first = transfer.originOrder.vms[transfer.originOrder.first[chunk]];
+        const bool isSilent =
+            !transfer.live.contains(first) || now - std::max(quietSince, progressOf(transfer, first)) >= allowance;
+        if (isSilent && isOwnTurn(transfer, transfer.originOrder, chunk, quietSince, allowance, now)) {
+            return chunk;
+        }
+    }
+    transfer.takeoverScanAt = now + TakeoverScanInterval;
+    return std::nullopt;
+}
+
+std::optional<std::size_t> firstFetch(Transfer &transfer, Millis now, Random &random)
+{
+    std::erase_if(transfer.ownDraws, [&](std::size_t chunk) { return transfer.held[chunk]; });
+    const std::size_t count = transfer.ownDraws.size();
+    const std::size_t begin = count == 0 ? 0 : random() % count;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t chunk = transfer.ownDraws[(begin + i) % count];
+        if (isWanted(transfer, chunk) && transfer.holders[chunk] == 0) {
+            return chunk;
+        }
+    }
+    return takeOver(transfer, now);
+}
+
+/// Picks a missing chunk for the policies that draw from the origin without coordination.
+std::optional<std::size_t> anyUnseen(const Transfer &transfer, bool inOrder, Random &random)
+{
+    const std::size_t count = transfer.missing.size();
+    const std::size_t begin = inOrder || count == 0 ? 0 : random() % count;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t chunk = transfer.missing[(begin + i) % count];
+        if (isWanted(transfer, chunk) && transfer.holders[chunk] == 0) {
+            return chunk;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> fromOrigin(Transfer &transfer, Millis now, Random &random)
+{
+    const PlanOptions &options = transfer.options;
+    if (transfer.originRequests >= options.originParallel || now < transfer.originAvailableAt) {
+        return std::nullopt;
+    }
+    if (!othersAreKnown(transfer) && now - transfer.startedAt < options.settle) {
+        return std::nullopt;
+    }
+    switch (options.policy) {
+    case Policy::Rendezvous:
+        return firstFetch(transfer, now, random);
+    case Policy::Random:
+    case Policy::Origin:
+        return anyUnseen(transfer, false, random);
+    case Policy::Chain:
+        return transfer.sources.empty() ? anyUnseen(transfer, true, random) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+/// Gives the region from which a chunk comes to this one.
+std::string regionFor(const Transfer &transfer, std::size_t chunk)
+{
+    std::set<std::string> far;
+    for (const Participant &it : transfer.participants) {
+        if (it.domain != transfer.options.storeDomain) {
+            far.insert(it.domain);
+        }
+    }
+    if (far.empty() || transfer.options.domain == transfer.options.storeDomain) {
+        return transfer.options.storeDomain;
+    }
+    auto entry = far.begin();
+    std::advance(entry, static_cast<std::ptrdiff_t>(chunk % far.size()));
+    return *entry == transfer.options.domain ? transfer.options.storeDomain : *entry;
+}
+
+/// Tells whether a chunk may come over the link from another region.
+bool mayImport(const Transfer &transfer, std::size_t chunk, const Source &source, Millis now)
+{
+    const PlanOptions &options = transfer.options;
+    if (transfer.nearHolders[chunk] > 0) {
+        return false;
+    }
+    const auto free = transfer.regionAvailableAt.find(source.domain);
+    if (free != transfer.regionAvailableAt.end() && now < free->second) {
+        return false;
+    }
+    const Millis allowance = options.takeover + ImportAllowance * options.importInterval;
+    const std::string region = regionFor(transfer, chunk);
+    if (source.domain != region) {
+        const auto progress = transfer.regionProgress.find(region);
+        const Millis since = progress == transfer.regionProgress.end() ? transfer.startedAt : progress->second;
+        if (now - since < allowance) {
+            return false;
+        }
+    }
+    return isOwnTurn(transfer, transfer.importOrder, chunk, transfer.farSeenAt[chunk], allowance, now);
+}
+
+bool mayAsk(const Transfer &transfer, std::size_t chunk, const Source &source, Millis now)
+{
+    const bool isNear = !transfer.options.domainsAreRegions || source.domain == transfer.options.domain;
+    return source.holds[chunk] && (isNear || mayImport(transfer, chunk, source, now));
+}
+
+using SourceEntry = std::pair<const std::string, Source>;
+
+std::vector<SourceEntry *> availableSources(Transfer &transfer, Millis now, Random &random)
+{
+    std::vector<SourceEntry *> available;
+    for (auto &it : transfer.sources) {
+        if (it.second.requests < transfer.options.perSource && now >= it.second.availableAt) {
+            available.push_back(&it);
+        }
+    }
+    std::shuffle(available.begin(), available.end(), random);
+    std::stable_sort(available.begin(), available.end(), [](const SourceEntry *a, const SourceEntry *b) {
+        return std::tie(a->second.requests, a->second.queue) < std::tie(b->second.requests, b->second.queue);
+    });
+    return available;
+}
+
+std::optional<Draw> fromSources(Transfer &transfer, Millis now, Random &random)
+{
+    const std::size_t asked = transfer.requests.size() - transfer.originRequests;
+    const std::size_t count = transfer.missing.size();
+    if (asked >= transfer.options.parallel || count == 0) {
+        return std::nullopt;
+    }
+    const auto available = availableSources(transfer, now, random);
+    if (available.empty()) {
+        return std::nullopt;
+    }
+    const bool inOrder = transfer.options.policy == Policy::Chain;
+    const std::size_t begin = inOrder ? 0 : random() % count;
+    std::optional<Draw> best;
+    std::size_t usable = 0;
+    for (std::size_t i = 0; i < count && usable < SampleMax; ++i) {
+        const std::size_t chunk = transfer.missing[(begin + i) % count];
+        const bool isRarer = !best || (!inOrder && transfer.holders[chunk] < transfer.holders[best->chunk]);
+        if (transfer.holders[chunk] == 0 || !isRarer || !isWanted(transfer, chunk)) {
+            continue;
+        }
+        ++usable;
+        const auto source = std::find_if(available.begin(), available.end(), [&](const SourceEntry *it) {
+            return mayAsk(transfer, chunk, it->second, now);
+        });
+        if (source != available.end()) {
+            best = Draw{.chunk = chunk, .source = (*source)->first};
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::optional<Draw> nextDraw(Transfer &transfer, Millis now, Random &random)
+{
+    if (const auto chunk = fromOrigin(transfer, now, random)) {
+        ++transfer.originRequests;
+        transfer.requests[*chunk] = {.source = {}, .sentAt = now};
+        return Draw{.chunk = *chunk, .source = {}};
+    }
+    auto draw = fromSources(transfer, now, random);
+    if (draw) {
+        ++transfer.sources.at(draw->source).requests;
+        transfer.requests[draw->chunk] = {.source = draw->source, .sentAt = now};
+    }
+    return draw;
+}
+
+} // namespace ibislock::weights
--- a/libs/weights/src/rendezvous.cpp
+++ b/libs/weights/src/rendezvous.cpp
@@ -7,6 +7,11 @@
 namespace ibislock::weights
 {
 
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view vm)
+{
+    return XXH3_64bits_withSeed(vm.data(), vm.size(), XXH3_64bits(key.data(), key.size()));
+}
+
 std::vector<std::string> rendezvousOrder(std::string_view key, std::span<const std::string> vms)
 {
     const XXH64_hash_t seed = XXH3_64bits(key.data(), key.size());
--- /dev/null
+++ b/libs/weights/src/transfer.cpp
@@ -0,0 +1,297 @@
+#include "ibislock/weights/planner.h"
+#include "ibislock/weights/rendezvous.h"
+
+#include <algorithm>
+
+namespace ibislock::weights
+{
+
+namespace
+{
+
+constexpr Millis OriginPause{250};
+constexpr Millis BusyPauseMin{5};
+constexpr unsigned CorruptPenalty = 4;
+constexpr unsigned BitsPerByte = 8;
+
+bool bitOf(std::string_view bitmap, std::size_t index)
+{
+    const std::size_t at = index / BitsPerByte;
+    return at < bitmap.size() && ((static_cast<unsigned char>(bitmap[at]) >> (index % BitsPerByte)) & 1U) != 0;
+}
+
+bool isNear(const Transfer &transfer, const Source &source)
+{
+    return !transfer.options.domainsAreRegions || source.domain == transfer.options.domain;
+}
+
+void forgetHolding(Transfer &transfer, Source &source, std::size_t chunk)
+{
+    if (!source.holds[chunk]) {
+        return;
+    }
+    source.holds[chunk] = false;
+    --transfer.holders[chunk];
+    if (isNear(transfer, source)) {
+        --transfer.nearHolders[chunk];
+    }
+}
+
+/// A chunk that is seen shows that the VM which draws it is at work.
+void noteProgress(Transfer &transfer, const DrawOrder &order, std::size_t chunk, Millis now)
+{
+    if (chunk < order.first.size()) {
+        transfer.progressOf[order.vms[order.first[chunk]]] = now;
+    }
+}
+
+void noteHolding(Transfer &transfer, Source &source, std::size_t chunk, Millis now)
+{
+    source.holds[chunk] = true;
+    if (transfer.holders[chunk]++ == 0 && !transfer.held[chunk]) {
+        noteProgress(transfer, transfer.originOrder, chunk, now);
+    }
+    if (isNear(transfer, source)) {
+        if (transfer.nearHolders[chunk]++ == 0 && !transfer.held[chunk]) {
+            noteProgress(transfer, transfer.importOrder, chunk, now);
+        }
+    } else {
+        transfer.regionProgress[source.domain] = now;
+        if (transfer.farSeenAt[chunk] == Millis(0)) {
+            transfer.farSeenAt[chunk] = now;
+        }
+    }
+}
+
+void chooseOrders(Transfer &transfer)
+{
+    std::vector<std::string> nearStore;
+    std::vector<std::string> inDomain;
+    std::vector<std::string> all;
+    bool storeIsLive = false;
+    for (const Participant &it : transfer.participants) {
+        all.push_back(it.vm);
+        if (it.domain == transfer.options.storeDomain) {
+            nearStore.push_back(it.vm);
+            storeIsLive = storeIsLive || transfer.live.contains(it.vm);
+        }
+        if (it.domain == transfer.options.domain) {
+            inDomain.push_back(it.vm);
+        }
+    }
+    auto &group = storeIsLive ? nearStore : all;
+    std::sort(group.begin(), group.end());
+    if (group != transfer.originOrder.vms) {
+        transfer.originOrder = drawOrder(transfer.chunks, group);
+    }
+    std::sort(inDomain.begin(), inDomain.end());
+    if (transfer.options.domainsAreRegions && inDomain != transfer.importOrder.vms) {
+        transfer.importOrder = drawOrder(transfer.chunks, inDomain);
+    }
+    transfer.ownDraws.clear();
+    for (std::size_t i = 0; i < transfer.originOrder.first.size(); ++i) {
+        if (!transfer.held[i] && transfer.originOrder.vms[transfer.originOrder.first[i]] == transfer.options.vm) {
+            transfer.ownDraws.push_back(i);
+        }
+    }
+}
+
+/// The nearest live VM before this one in the order of domains and names.
+std::vector<std::string> predecessorOf(const Transfer &transfer)
+{
+    auto ordered = transfer.participants;
+    std::sort(ordered.begin(), ordered.end(), [](const Participant &a, const Participant &b) {
+        return std::tie(a.domain, a.vm) < std::tie(b.domain, b.vm);
+    });
+    std::vector<std::string> before;
+    for (const Participant &it : ordered) {
+        if (it.vm == transfer.options.vm) {
+            break;
+        }
+        if (it.isLive) {
+            before = {it.vm};
+        }
+    }
+    return before;
+}
+
+} // namespace
+
+Transfer makeTransfer(const PlanOptions &options, std::vector<Digest> chunks, std::vector<bool> held, Millis now)
+{
+    Transfer transfer{.options = options, .chunks = std::move(chunks), .held = std::move(held), .startedAt = now};
+    const std::size_t count = transfer.chunks.size();
+    transfer.held.resize(count);
+    transfer.holders.resize(count);
+    transfer.nearHolders.resize(count);
+    transfer.farSeenAt.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (!transfer.held[i]) {
+            transfer.missing.push_back(i);
+        }
+    }
+    return transfer;
+}
+
+void setParticipants(Transfer &transfer, std::vector<Participant> participants, Millis now)
+{
+    transfer.live.clear();
+    for (const Participant &it : participants) {
+        // A VM that has just started or fallen silent keeps its part until the takeover.
+        const auto [seen, isNew] = transfer.liveAt.try_emplace(it.vm, transfer.startedAt);
+        if (it.isLive) {
+            seen->second = now;
+        }
+        if (it.isLive || now - seen->second < transfer.options.takeover) {
+            transfer.live.insert(it.vm);
+            transfer.progressOf.try_emplace(it.vm, now);
+        } else {
+            transfer.progressOf.erase(it.vm);
+        }
+    }
+    transfer.live.insert(transfer.options.vm);
+    if (participants != transfer.participants) {
+        transfer.participants = std::move(participants);
+        chooseOrders(transfer);
+    }
+}
+
+std::vector<std::string> neighboursOf(const Transfer &transfer)
+{
+    const PlanOptions &options = transfer.options;
+    if (options.policy == Policy::Origin) {
+        return {};
+    }
+    if (options.policy == Policy::Chain) {
+        return predecessorOf(transfer);
+    }
+    std::map<std::string, std::vector<std::string>> byDomain;
+    for (const Participant &it : transfer.participants) {
+        if (it.isLive && it.vm != options.vm) {
+            byDomain[options.domainsAreRegions ? it.domain : options.domain].push_back(it.vm);
+        }
+    }
+    std::vector<std::string> chosen;
+    for (const auto &[domain, vms] : byDomain) {
+        const std::size_t limit = domain == options.domain ? options.neighbours : options.farNeighbours;
+        auto order = rendezvousOrder(options.vm, vms);
+        order.resize(std::min(order.size(), limit));
+        chosen.insert(chosen.end(), order.begin(), order.end());
+    }
+    return chosen;
+}
+
+void setSources(Transfer &transfer, const std::vector<std::string> &vms)
+{
+    const std::set<std::string> wanted(vms.begin(), vms.end());
+    for (auto it = transfer.sources.begin(); it != transfer.sources.end();) {
+        if (wanted.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        for (std::size_t i = 0; i < transfer.chunks.size(); ++i) {
+            forgetHolding(transfer, it->second, i);
+        }
+        it = transfer.sources.erase(it);
+    }
+    for (const Participant &it : transfer.participants) {
+        if (wanted.contains(it.vm) && !transfer.sources.contains(it.vm)) {
+            transfer.sources.emplace(it.vm,
+                                     Source{.domain = it.domain, .holds = std::vector<bool>(transfer.chunks.size())});
+        }
+    }
+}
+
+void noteHoldings(Transfer &transfer, const std::string &source, std::string_view bitmap, Millis now)
+{
+    const auto it = transfer.sources.find(source);
+    if (it == transfer.sources.end()) {
+        return;
+    }
+    it->second.isKnown = true;
+    for (std::size_t i = 0; i < transfer.chunks.size(); ++i) {
+        const bool holds = bitOf(bitmap, i);
+        if (holds && !it->second.holds[i]) {
+            noteHolding(transfer, it->second, i, now);
+        } else if (!holds) {
+            forgetHolding(transfer, it->second, i);
+        }
+    }
+}
+
+bool noteArrived(Transfer &transfer, std::size_t chunk, const std::string &source, Millis queue, Millis now)
+{
+    const auto request = transfer.requests.find(chunk);
+    if (request != transfer.requests.end() && request->second.source == source) {
+        if (source.empty()) {
+            --transfer.originRequests;
+            transfer.originLatency = now - request->second.sentAt;
+        }
+        transfer.requests.erase(request);
+    }
+    const auto it = transfer.sources.find(source);
+    if (it != transfer.sources.end()) {
+        it->second.requests -= it->second.requests > 0 ? 1 : 0;
+        it->second.queue = queue;
+        it->second.avoid /= 2;
+    }
+    if (transfer.held[chunk]) {
+        return false;
+    }
+    transfer.held[chunk] = true;
+    std::erase(transfer.missing, chunk);
+    return true;
+}
+
+void noteFailed(Transfer &transfer, std::size_t chunk, const std::string &source, DrawFailure reason, Millis wait,
+                Millis now)
+{
+    const auto request = transfer.requests.find(chunk);
+    if (request != transfer.requests.end() && request->second.source == source) {
+        transfer.originRequests -= source.empty() ? 1 : 0;
+        transfer.requests.erase(request);
+    }
+    if (source.empty()) {
+        transfer.originTrouble = now;
+        transfer.originAvailableAt = now + OriginPause;
+        return;
+    }
+    const auto it = transfer.sources.find(source);
+    if (it == transfer.sources.end()) {
+        return;
+    }
+    Source &peer = it->second;
+    peer.requests -= peer.requests > 0 ? 1 : 0;
+    if (reason == DrawFailure::Busy) {
+        peer.queue = wait;
+        peer.availableAt = std::max(peer.availableAt, now + std::max(wait / 4, BusyPauseMin));
+    } else if (reason == DrawFailure::NotHeld) {
+        forgetHolding(transfer, peer, chunk);
+    } else {
+        const Millis first = transfer.options.avoidMin * (reason == DrawFailure::Corrupt ? CorruptPenalty : 1);
+        peer.avoid = std::min(transfer.options.avoidMax, std::max(first, peer.avoid * 2));
+        peer.availableAt = now + peer.avoid;
+    }
+}
+
+std::vector<Draw> expire(Transfer &transfer, Millis now)
+{
+    std::vector<Draw> expired;
+    for (const auto &[chunk, request] : transfer.requests) {
+        // The origin has a deadline of its own, since its queue may be long.
+        if (!request.source.empty() && now - request.sentAt >= transfer.options.chunkTimeout) {
+            expired.push_back({.chunk = chunk, .source = request.source});
+        }
+    }
+    for (const Draw &draw : expired) {
+        noteFailed(transfer, draw.chunk, draw.source, DrawFailure::Lost, Millis(0), now);
+    }
+    return expired;
+}
+
+bool isComplete(const Transfer &transfer)
+{
+    return transfer.missing.empty();
+}
+
+} // namespace ibislock::weights
