--- a/libs/target/include/ibislock/target/daemon.h
+++ b/libs/target/include/ibislock/target/daemon.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "ibislock/base/counters.h"
+#include "ibislock/target/link.h"
 #include "ibislock/target/options.h"
 
 #include <memory>
@@ -43,6 +44,12 @@
     /// Gives the folded configuration.
     node::StatePointer state() const;
 
+    /// Gives the faults of this VM's link, for experiments.
+    LinkFaults &linkFaults();
+
+    /// Gives the bytes of weights that came from other failure domains.
+    const ImportLedger &imports() const;
+
     /// Gives the daemon's counters.
     const Counters &counters() const;
 
