Credentials with roles and rotation, TLS on every port, guarded HTTP

Cause: keys were compared in plain text through a map, had no roles and could not be replaced without a restart; all connections were in plain text; any process that reached a target's port could submit requests; sixty-four slow senders took every HTTP thread. Change: libs/security keeps digests of keys, compares them in constant time, allows two keys a principal and reads the credentials file and the certificates again when they change. Processes prove themselves to each other by mutual TLS (kj-tls); a request must name the VM of its sender's certificate. The HTTP server runs over connections with a deadline for handshake, header and body, limits on their size, a limit for each IP number, and threads that grow with the connections. Pages and ages in the administration API; refused changes are kept in a bounded list of each VM. check-settings names an expired, unreadable, mismatched or foreign certificate.

--- a/app/daemon_commands.cpp
+++ b/app/daemon_commands.cpp
@@ -7,6 +7,7 @@
 #include "ibislock/entry/daemon.h"
 #include "ibislock/entry/settings.h"
 #include "ibislock/node/settings.h"
+#include "ibislock/security/settings.h"
 #include "ibislock/target/daemon.h"
 #include "ibislock/target/settings.h"
 
@@ -22,14 +23,52 @@
 namespace
 {
 
-/// Reads the file that `--settings` names, or prints why it can't be used.
-std::optional<Settings> settingsFrom(const std::string &file, std::span<const SettingSpec> specs)
+/// Which daemon a settings file is for.
+struct DaemonKind
 {
-    auto settings = loadSettings(file, specs);
+    std::vector<SettingSpec> specs;
+    bool isEntry = true;
+};
+
+DaemonKind entryKind()
+{
+    return {.specs = entry::settingSpecs(), .isEntry = true};
+}
+
+DaemonKind targetKind()
+{
+    return {.specs = target::settingSpecs(), .isEntry = false};
+}
+
+/// Finds the mistakes that show only in the files that the settings name.
+std::vector<SettingError> mistakesInFiles(const std::string &file, const Settings &settings, bool isEntry)
+{
+    auto errors = security::checkTls(file, security::tlsOptionsFrom(settings), isEntry, wallMillis());
+    if (isEntry) {
+        const auto more = security::checkCredentials(file, settings);
+        errors.insert(errors.end(), more.begin(), more.end());
+    }
+    return errors;
+}
+
+void printMistakes(const std::vector<SettingError> &errors)
+{
+    for (const SettingError &error : errors) {
+        std::cerr << describe(error) << "\n";
+    }
+}
+
+/// Reads a settings file and checks it with the files that it names, or prints why it can't be used.
+std::optional<Settings> settingsFrom(const std::string &file, const DaemonKind &kind)
+{
+    auto settings = loadSettings(file, kind.specs);
     if (!settings) {
-        for (const SettingError &error : settings.error()) {
-            std::cerr << describe(error) << "\n";
-        }
+        printMistakes(settings.error());
+        return std::nullopt;
+    }
+    const auto errors = mistakesInFiles(file, *settings, kind.isEntry);
+    if (!errors.empty()) {
+        printMistakes(errors);
         return std::nullopt;
     }
     return std::move(*settings);
@@ -74,17 +113,17 @@
 }
 
 /// Finds which daemon a file is for; a file that does not say is checked as an entry's.
-std::vector<SettingSpec> specsFor(const std::string &file)
+DaemonKind kindFor(const std::string &file)
 {
     const auto entries = readFile(file).and_then([](const std::string &text) { return parseIni(text); });
     if (entries) {
         for (const IniEntry &entry : *entries) {
             if (entry.section == "process" && entry.key == "kind" && entry.value == "target") {
-                return target::settingSpecs();
+                return targetKind();
             }
         }
     }
-    return entry::settingSpecs();
+    return entryKind();
 }
 
 } // namespace
@@ -96,7 +135,7 @@
     if (!file) {
         return exitCode;
     }
-    const auto settings = settingsFrom(*file, entry::settingSpecs());
+    const auto settings = settingsFrom(*file, entryKind());
     if (!settings) {
         return Refused;
     }
@@ -120,14 +159,18 @@
     if (!file) {
         return exitCode;
     }
-    const auto settings = settingsFrom(*file, target::settingSpecs());
+    const auto settings = settingsFrom(*file, targetKind());
     if (!settings) {
         return Refused;
     }
     beginLogging(*settings);
     StopSignals signals;
     target::Daemon daemon(target::optionsFrom(*settings));
-    daemon.start();
+    const auto started = daemon.start();
+    if (!started) {
+        std::cerr << started.error().message << "\n";
+        return Refused;
+    }
     signals.wait();
     daemon.stop();
     return Success;
@@ -149,7 +192,7 @@
         return Usage;
     }
     const auto file = parsed["file"].as<std::string>();
-    if (!settingsFrom(file, specsFor(file))) {
+    if (!settingsFrom(file, kindFor(file))) {
         return Refused;
     }
     std::cout << file << ": no mistakes\n";
--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -8,6 +8,7 @@
 
 find_library(INIH_LIBRARY inih REQUIRED)
 find_library(HTTPLIB_LIBRARY cpp-httplib REQUIRED)
+find_library(KJ_TLS_LIBRARY kj-tls REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 
 add_library(ibislock_httplib INTERFACE)
--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -44,8 +44,9 @@
             vm.options.rpcPort = freePort();
             vm.options.callers.port = freePort();
             vm.options.administration.port = freePort();
-            vm.options.workspaces.emplace(CallerCredential, "lab");
-            vm.options.operators.emplace(OperatorCredential, "lab-operator");
+            security::addCaller(vm.options.credentials.keys, CallerCredential, "lab");
+            security::addOperator(vm.options.credentials.keys, OperatorCredential,
+                                  {.name = "lab-operator", .role = security::OperatorRole::File});
             m_entries.push_back(std::move(vm));
         }
         for (unsigned i = 0; i < m_options.targetsPerDomain; ++i) {
@@ -76,6 +77,7 @@
     options.domain = domainName(domain);
     options.log.url = m_log.frontUrl(m_fronts.at(domain));
     options.vmList.url = m_vmList.url();
+    options.tls.mode = security::TlsMode::Plaintext;
     return options;
 }
 
@@ -158,7 +160,10 @@
     m_vmList.set(vm.name, {.domain = domainName(vm.domain), .address = address, .kind = "target"});
     vm.options.node.kind = membership::VmKind::Target;
     vm.daemon = std::make_unique<target::Daemon>(vm.options);
-    vm.daemon->start();
+    const auto started = vm.daemon->start();
+    if (!started) {
+        throw std::runtime_error(started.error().message);
+    }
     applyCut();
 }
 
--- a/lab/experiments/demo.cpp
+++ b/lab/experiments/demo.cpp
@@ -167,7 +167,8 @@
         writeSettings(vm, domain, "entry",
                       "[callers]\nport = " + std::to_string(callers) + "\nthreads = 32\n[administration]\nport = "
                           + std::to_string(administration) + "\n[workspaces]\ndala = " + DemoCallerCredential
-                          + "\n[operators]\noperator = " + DemoOperatorCredential + "\n");
+                          + "\n[operators]\noperator = " + DemoOperatorCredential
+                          + "\n[operator_roles]\noperator = file\n");
         m_callers.push_back("http://127.0.0.1:" + std::to_string(callers));
         m_administration.push_back("http://127.0.0.1:" + std::to_string(administration));
         m_processes.emplace(vm, spawn(vm, "entry"));
@@ -190,6 +191,7 @@
         const auto port = freePort();
         std::ofstream out(settingsPath(vm));
         out << "[process]\nkind = " << kind << "\n[vm]\nname = " << vm << "\nfailure_domain = " << domain
+            << "\n[tls]\nmode = plaintext"
             << "\n[rpc]\nport = " << port << "\n[platform]\nlog_url = " << m_log.url()
             << "\nvm_list_url = " << m_list.url() << "\n"
             << rest;
--- a/libs/entry/include/ibislock/entry/options.h
+++ b/libs/entry/include/ibislock/entry/options.h
@@ -4,6 +4,7 @@
 
 #include "ibislock/node/node.h"
 #include "ibislock/requests/routing.h"
+#include "ibislock/security/credential_store.h"
 
 #include <map>
 #include <string>
@@ -16,8 +17,14 @@
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; ///< Zero lets the system choose.
-    std::uint32_t threads = 64;
+    std::uint32_t threads = 512; ///< Connections served at the same time.
     std::uint64_t bodyBytesMax = 1 << 20;
+    std::uint64_t headerBytesMax = 32 << 10;
+    std::uint32_t connectionsPerPeer = 256; ///< Of one IP number; zero is without limit.
+    Millis headerTimeout{5000}; ///< For the handshake, and for the whole header of a request.
+    Millis bodyTimeout{15000}; ///< For the whole body of a request.
+    Millis writeTimeout{10000}; ///< For the peer to take a piece of an answer.
+    Millis keepAlive{5000}; ///< How long an idle connection is kept.
 };
 
 /// Everything that an entry daemon needs to know.
@@ -26,9 +33,8 @@
     node::NodeOptions node;
     std::uint16_t rpcPort = 0;
     HttpOptions callers;
-    HttpOptions administration{.threads = 8};
-    std::map<std::string, std::string> workspaces; ///< Credential to workspace.
-    std::map<std::string, std::string> operators; ///< Credential to operator.
+    HttpOptions administration{.threads = 64, .connectionsPerPeer = 32};
+    security::CredentialOptions credentials;
     std::map<std::string, std::string> routes; ///< Path prefix to role, for plain services.
     requests::RoutingPolicy policy = requests::RoutingPolicy::TwoChoices;
     Millis requestTimeout{30000};
--- a/libs/entry/src/administration_api.cpp
+++ b/libs/entry/src/administration_api.cpp
@@ -1,6 +1,10 @@
 #include "administration_api.h"
 
-#include "ibislock/base/log.h"
+#include "paging.h"
+#include "status_document.h"
+
+#include <algorithm>
+#include <iterator>
 
 namespace ibislock::entry
 {
@@ -19,71 +23,137 @@
             {"reason", entry.reason},          {"ticket", json::parse(configuration::ticketToJson(entry.ticket))}};
 }
 
-json toJson(const membership::Member &member, const membership::ViewOptions &options, Millis now)
-{
-    const membership::Report &report = member.report;
-    json value{{"domain", member.hasReport ? report.domain : member.listed.domain},
-               {"kind", nameOf(membership::VmKindNames, member.hasReport ? report.kind : member.listed.kind)},
-               {"usable", membership::isUsable(member, options, now)},
-               {"listed", member.isListed}};
-    if (member.hasReport) {
-        value["address"] = report.address;
-        value["phase"] = report.phase;
-        value["ticket"] = report.ticket;
-        value["serving"] = report.serving.isNone() ? "" : toHex(report.serving);
-        value["running"] = report.running;
-        value["log_offset"] = report.logOffset;
-        value["age_ms"] = (now - member.reportedAt).count();
+/// Writes a page with what to ask for next.
+template <typename KeyOf>
+json pageDocument(const char *name, const Page<AuditEntry> &page, const PageQuery &query, KeyOf &&keyOf)
+{
+    json items = json::array();
+    for (const AuditEntry &entry : page.items) {
+        items.push_back(toJson(entry));
+    }
+    json document{{name, std::move(items)}, {"next_after", nullptr}, {"next_before", nullptr}};
+    if (page.more && query.before) {
+        document["next_before"] = keyOf(page.items.front());
+    } else if (page.more) {
+        document["next_after"] = keyOf(page.items.back());
     }
-    return value;
+    return document;
+}
+
+void replyFailure(httplib::Response &response, int status, const Error &error)
+{
+    replyError(response, status, nameOf(ErrorCodeNames, error.code), error.message);
+}
+
+/// Turns a path of the table into the library's pattern.
+std::string patternOf(std::string path)
+{
+    constexpr std::string_view Number = "{number}";
+    const auto at = path.find(Number);
+    return at == std::string::npos ? path : path.replace(at, Number.size(), R"((\d{1,18}))");
 }
 
 } // namespace
 
-AdministrationApi::AdministrationApi(const EntryOptions &options, node::Node &node, Counters &counters)
+AdministrationApi::AdministrationApi(const EntryOptions &options, const security::CredentialStore &credentials,
+                                     node::Node &node, Counters &counters)
     : m_options(options)
+    , m_credentials(credentials)
     , m_node(node)
     , m_counters(counters)
 {
 }
 
+std::vector<Route> AdministrationApi::routes()
+{
+    using httplib::Request;
+    using httplib::Response;
+    using security::Operator;
+    using security::OperatorRole;
+    return {
+        {"POST", "/v1/tickets", OperatorRole::File,
+         [this](const Operator &by, const Request &call, Response &response) {
+             fileTicket(by, call, response);
+         }},
+        {"GET", "/v1/tickets", OperatorRole::View,
+         [this](const Operator &, const Request &call, Response &response) {
+             listTickets(call, response);
+         }},
+        {"GET", "/v1/tickets/{number}", OperatorRole::View,
+         [this](const Operator &, const Request &call, Response &response) {
+             showTicket(call, response);
+         }},
+        {"GET", "/v1/status", OperatorRole::View,
+         [this](const Operator &, const Request &, Response &response) {
+             status(response);
+         }},
+        {"GET", "/v1/audit", OperatorRole::View,
+         [this](const Operator &, const Request &call, Response &response) {
+             audit(call, response);
+         }},
+        {"GET", "/metrics", OperatorRole::View,
+         [this](const Operator &, const Request &, Response &response) {
+             response.set_content(m_counters.exposition(), "text/plain; version=0.0.4");
+         }},
+    };
+}
+
 void AdministrationApi::addRoutes(httplib::Server &server)
 {
-    const auto route = [this](Handler handler) {
-        return [this, handler](const httplib::Request &call, httplib::Response &response) {
-            guarded(call, response, handler);
+    for (const Route &route : routes()) {
+        const auto handler = [this, route](const httplib::Request &call, httplib::Response &response) {
+            guarded(route, call, response);
         };
-    };
-    server.Post("/v1/tickets", route(&AdministrationApi::fileTicket));
-    server.Get("/v1/tickets", route(&AdministrationApi::listTickets));
-    server.Get(R"(/v1/tickets/(\d{1,18}))", route(&AdministrationApi::showTicket));
-    server.Get("/v1/status", route(&AdministrationApi::status));
-    server.Get("/v1/audit", route(&AdministrationApi::audit));
-    server.Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
-        response.set_content(m_counters.exposition(), "text/plain; version=0.0.4");
-    });
+        if (route.method == "POST") {
+            server.Post(patternOf(route.path), handler);
+        } else {
+            server.Get(patternOf(route.path), handler);
+        }
+    }
 }
 
-void AdministrationApi::guarded(const httplib::Request &call, httplib::Response &response, Handler handler)
+void AdministrationApi::guarded(const Route &route, const httplib::Request &call, httplib::Response &response)
 {
-    const auto by = bearerOf(call, m_options.operators);
+    const auto key = bearerOf(call);
+    const auto by = key ? security::findOperator(*m_credentials.current(), *key) : std::nullopt;
     if (!by) {
         m_counters.add(Counter::CredentialsRefused);
+        noteRefusal(route, call, {}, key ? "the credential is not valid" : "the credential is missing");
         replyError(response, 401, "denied", "the credential is missing or not valid");
         return;
     }
-    (this->*handler)(*by, call, response);
+    if (by->role < route.role) {
+        m_counters.add(Counter::RolesRefused);
+        noteRefusal(route, call, by->name, "the role does not allow it");
+        replyError(response, 403, "denied",
+                   "the role " + std::string(nameOf(security::OperatorRoleNames, by->role)) + " does not allow this");
+        return;
+    }
+    route.handler(*by, call, response);
+}
+
+void AdministrationApi::noteRefusal(const Route &route, const httplib::Request &call, const std::string &by,
+                                    const std::string &reason)
+{
+    if (route.role == security::OperatorRole::View) {
+        return;
+    }
+    m_refused.note(
+        {.reason = reason, .operatorName = by, .peer = call.remote_addr, .route = route.method + " " + route.path},
+        wallMillis());
 }
 
-void AdministrationApi::fileTicket(const std::string &by, const httplib::Request &call, httplib::Response &response)
+void AdministrationApi::fileTicket(const security::Operator &by, const httplib::Request &call,
+                                   httplib::Response &response)
 {
     const auto ticket = configuration::ticketFromJson(call.body);
     if (!ticket) {
-        replyError(response, 400, nameOf(ErrorCodeNames, ticket.error().code), ticket.error().message);
+        m_counters.add(Counter::InputsRefused);
+        replyFailure(response, 400, ticket.error());
         return;
     }
     const auto offset = m_node.append(configuration::TicketRecord{
-        .ticket = *ticket, .filedBy = by, .filedAtMs = static_cast<std::uint64_t>(wallMillis().count())});
+        .ticket = *ticket, .filedBy = by.name, .filedAtMs = static_cast<std::uint64_t>(wallMillis().count())});
     if (!offset && offset.error().code != ErrorCode::OutcomeUnknown) {
         replyError(response, 503, nameOf(ErrorCodeNames, offset.error().code),
                    "the ticket was not filed: " + offset.error().message);
@@ -111,18 +181,25 @@
     replyError(response, 409, nameOf(ErrorCodeNames, ErrorCode::Conflict), reason);
 }
 
-void AdministrationApi::listTickets(const std::string &, const httplib::Request &, httplib::Response &response)
+void AdministrationApi::listTickets(const httplib::Request &call, httplib::Response &response) const
 {
-    json tickets = json::array();
-    for (const AuditEntry &entry : m_node.state()->audit) {
-        if (entry.accepted) {
-            tickets.push_back(toJson(entry));
-        }
+    const auto query = pageQueryFrom(call);
+    if (!query) {
+        replyFailure(response, 400, query.error());
+        return;
     }
-    replyJson(response, 200, {{"tickets", std::move(tickets)}});
+    std::vector<AuditEntry> accepted;
+    const auto state = m_node.state();
+    std::copy_if(state->audit.begin(), state->audit.end(), std::back_inserter(accepted),
+                 [](const AuditEntry &entry) { return entry.accepted; });
+    const auto numberOf = [](const AuditEntry &entry) {
+        return entry.number;
+    };
+    const auto page = pageOf<AuditEntry>(accepted, *query, numberOf);
+    replyJson(response, 200, pageDocument("tickets", page, *query, numberOf));
 }
 
-void AdministrationApi::showTicket(const std::string &, const httplib::Request &call, httplib::Response &response)
+void AdministrationApi::showTicket(const httplib::Request &call, httplib::Response &response) const
 {
     const auto state = m_node.state();
     const AuditEntry *entry = configuration::findAccepted(*state, std::stoull(call.matches[1].str()));
@@ -133,45 +210,38 @@
     replyJson(response, 200, toJson(*entry));
 }
 
-void AdministrationApi::status(const std::string &, const httplib::Request &, httplib::Response &response)
+void AdministrationApi::status(httplib::Response &response) const
 {
     const auto state = m_node.state();
-    const Millis now = steadyMillis();
-    json scopes = json::array();
-    for (const auto &[key, scope] : state->scopes) {
-        scopes.push_back({{"workspace", key.workspace},
-                          {"role", key.role},
-                          {"ticket", scope.ticket},
-                          {"model", scope.current.model},
-                          {"version", scope.current.version},
-                          {"manifest", scope.current.manifest.isNone() ? "" : toHex(scope.current.manifest)},
-                          {"vms", scope.current.vms}});
-    }
-    const json vms = m_node.withView([&](const membership::View &view) {
-        json members = json::object();
-        for (const auto &[vm, member] : view.members) {
-            members[vm] = toJson(member, m_node.options().view, now);
-        }
-        return members;
+    const json document = m_node.withView([&](const membership::View &view) {
+        return statusDocument({.vm = m_node.options().vm,
+                               .domain = m_node.options().domain,
+                               .state = *state,
+                               .view = view,
+                               .viewOptions = m_node.options().view,
+                               .logReachable = m_node.isLogReachable(),
+                               .logReadAt = m_node.logReadAt(),
+                               .now = steadyMillis(),
+                               .wallNow = wallMillis()});
     });
-    replyJson(response, 200,
-              {{"vm", m_node.options().vm},
-               {"domain", m_node.options().domain},
-               {"log_offset", state->next},
-               {"log_reachable", m_node.isLogReachable()},
-               {"last_ticket", state->lastTicket},
-               {"state_digest", toHex(configuration::stateDigest(*state))},
-               {"scopes", std::move(scopes)},
-               {"vms", vms}});
+    replyJson(response, 200, document);
 }
 
-void AdministrationApi::audit(const std::string &, const httplib::Request &, httplib::Response &response)
+void AdministrationApi::audit(const httplib::Request &call, httplib::Response &response) const
 {
-    json entries = json::array();
-    for (const AuditEntry &entry : m_node.state()->audit) {
-        entries.push_back(toJson(entry));
+    const auto query = pageQueryFrom(call);
+    if (!query) {
+        replyFailure(response, 400, query.error());
+        return;
     }
-    replyJson(response, 200, {{"entries", std::move(entries)}});
+    const auto offsetOf = [](const AuditEntry &entry) {
+        return entry.offset;
+    };
+    const auto state = m_node.state();
+    const auto page = pageOf<AuditEntry>(state->audit, *query, offsetOf);
+    json document = pageDocument("entries", page, *query, offsetOf);
+    document["refused_attempts"] = {{"vm", m_node.options().vm}, {"entries", m_refused.toJson()}};
+    replyJson(response, 200, document);
 }
 
 } // namespace ibislock::entry
--- a/libs/entry/src/callers_api.cpp
+++ b/libs/entry/src/callers_api.cpp
@@ -33,8 +33,10 @@
 
 } // namespace
 
-CallersApi::CallersApi(const EntryOptions &options, Dispatcher &dispatcher, Counters &counters)
+CallersApi::CallersApi(const EntryOptions &options, const security::CredentialStore &credentials,
+                       Dispatcher &dispatcher, Counters &counters)
     : m_options(options)
+    , m_credentials(credentials)
     , m_dispatcher(dispatcher)
     , m_counters(counters)
 {
@@ -57,7 +59,8 @@
 
 std::optional<std::string> CallersApi::workspaceOf(const httplib::Request &call, httplib::Response &response)
 {
-    auto workspace = bearerOf(call, m_options.workspaces);
+    const auto key = bearerOf(call);
+    auto workspace = key ? security::findCaller(*m_credentials.current(), *key) : std::nullopt;
     if (!workspace) {
         m_counters.add(Counter::CredentialsRefused);
         replyError(response, 401, "denied", "the credential is missing or not valid");
@@ -71,8 +74,9 @@
     if (!workspace) {
         return;
     }
-    const json body = json::parse(call.body, nullptr, false);
+    const json body = jsonBodyOf(call);
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
+        m_counters.add(Counter::InputsRefused);
         replyError(response, 400, "invalid_argument", "the body must be a JSON object with a text \"model\"");
         return;
     }
--- a/libs/entry/src/callers_api.h
+++ b/libs/entry/src/callers_api.h
@@ -12,7 +12,8 @@
 class CallersApi
 {
 public:
-    CallersApi(const EntryOptions &options, Dispatcher &dispatcher, Counters &counters);
+    CallersApi(const EntryOptions &options, const security::CredentialStore &credentials, Dispatcher &dispatcher,
+               Counters &counters);
 
     /// Adds the routes to a server.
     void addRoutes(httplib::Server &server);
@@ -25,6 +26,7 @@
     void answerStream(requests::Request request, httplib::Response &response);
 
     const EntryOptions &m_options;
+    const security::CredentialStore &m_credentials;
     Dispatcher &m_dispatcher;
     Counters &m_counters;
 };
--- a/libs/entry/src/daemon.cpp
+++ b/libs/entry/src/daemon.cpp
@@ -4,29 +4,60 @@
 #include "callers_api.h"
 
 #include "ibislock/base/log.h"
+#include "ibislock/node/peer_security.h"
 
 namespace ibislock::entry
 {
 
+namespace
+{
+
+Result<std::shared_ptr<security::TlsStore>> openHttpTls(const security::TlsOptions &options)
+{
+    if (options.mode == security::TlsMode::Plaintext) {
+        return std::shared_ptr<security::TlsStore>();
+    }
+    return security::TlsStore::open(options.http, {});
+}
+
+} // namespace
+
 struct Daemon::Impl
 {
     explicit Impl(EntryOptions entryOptions)
         : options(std::move(entryOptions))
-        , client(loop, {})
+        , credentials(options.credentials, counters)
+        , peerTls(node::openPeerTls(options.node.tls))
+        , httpTls(openHttpTls(options.node.tls))
+        , client(loop, node::clientOptions(peerTls))
         , node(options.node, counters, client)
         , dispatcher(options, node, client, counters)
-        , callersApi(options, dispatcher, counters)
-        , administrationApi(options, node, counters)
-        , callers(options.callers)
-        , administration(options.administration)
+        , callersApi(options, credentials, dispatcher, counters)
+        , administrationApi(options, credentials, node, counters)
+        , callers(options.callers, httpTls.value_or(nullptr), counters)
+        , administration(options.administration, httpTls.value_or(nullptr), counters)
     {
         node.setReportSource([this](membership::Report &report) { report.leaving = leaving; });
         callersApi.addRoutes(callers.routes());
         administrationApi.addRoutes(administration.routes());
+        keepUpToDate();
+    }
+
+    void keepUpToDate()
+    {
+        node.every(options.credentials.reloadInterval, [this] { credentials.refresh(); });
+        for (const auto *tls : {&peerTls, &httpTls}) {
+            if (*tls) {
+                node::keepUpToDate(node, **tls, options.node.tls, counters);
+            }
+        }
     }
 
     EntryOptions options;
     Counters counters;
+    security::CredentialStore credentials;
+    Result<std::shared_ptr<security::TlsStore>> peerTls;
+    Result<std::shared_ptr<security::TlsStore>> httpTls;
     rpc::EventLoop loop;
     rpc::Client client;
     node::Node node;
@@ -53,11 +84,18 @@
 Result<void> Daemon::start()
 {
     Impl &impl = *m_impl;
+    for (const auto *tls : {&impl.peerTls, &impl.httpTls}) {
+        if (!*tls) {
+            return tl::unexpected((*tls).error());
+        }
+    }
     impl.started = true;
     rpc::Handlers handlers;
     impl.node.addHandlers(handlers);
+    handlers.peerRefused = node::peerRefusals(impl.counters);
     impl.server = std::make_unique<rpc::Server>(
-        impl.loop, rpc::ServerOptions{.address = impl.options.node.address, .port = impl.options.rpcPort},
+        impl.loop,
+        rpc::ServerOptions{.address = impl.options.node.address, .port = impl.options.rpcPort, .tls = *impl.peerTls},
         std::move(handlers));
     impl.node.start(impl.server->port());
     auto listening = impl.callers.start().and_then([&] { return impl.administration.start(); });
--- a/libs/entry/src/http.cpp
+++ b/libs/entry/src/http.cpp
@@ -1,29 +1,14 @@
 #include "http.h"
 
-namespace ibislock::entry
-{
-
-namespace
-{
+#include "guarded_server.h"
 
-/// Without this the library also lets other processes share the port.
-void reuseAddressOnly(int socket)
+namespace ibislock::entry
 {
-    const int yes = 1;
-    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-}
-
-} // namespace
 
-HttpServer::HttpServer(const HttpOptions &options)
+HttpServer::HttpServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, Counters &counters)
     : m_options(options)
+    , m_server(std::make_unique<GuardedServer>(m_options, std::move(tls), counters))
 {
-    m_server.new_task_queue = [threads = options.threads] {
-        return new httplib::ThreadPool(threads);
-    };
-    m_server.set_payload_max_length(options.bodyBytesMax);
-    m_server.set_tcp_nodelay(true);
-    m_server.set_socket_options(reuseAddressOnly);
 }
 
 HttpServer::~HttpServer()
@@ -33,23 +18,23 @@
 
 httplib::Server &HttpServer::routes()
 {
-    return m_server;
+    return *m_server;
 }
 
 Result<void> HttpServer::start()
 {
     if (m_options.port == 0) {
-        const int port = m_server.bind_to_any_port(m_options.address.c_str());
+        const int port = m_server->bind_to_any_port(m_options.address);
         m_port = static_cast<std::uint16_t>(std::max(port, 0));
-    } else if (m_server.bind_to_port(m_options.address.c_str(), m_options.port)) {
+    } else if (m_server->bind_to_port(m_options.address, m_options.port)) {
         m_port = m_options.port;
     }
     if (m_port == 0) {
         return failure(ErrorCode::Unavailable,
                        "can't listen on " + m_options.address + ":" + std::to_string(m_options.port));
     }
-    m_thread = std::thread([this] { m_server.listen_after_bind(); });
-    while (!m_server.is_running()) {
+    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    while (!m_server->is_running()) {
         std::this_thread::sleep_for(Millis(1));
     }
     return {};
@@ -57,7 +42,7 @@
 
 void HttpServer::stop()
 {
-    m_server.stop();
+    m_server->stop();
     if (m_thread.joinable()) {
         m_thread.join();
     }
@@ -68,16 +53,23 @@
     return m_port;
 }
 
-std::optional<std::string> bearerOf(const httplib::Request &request,
-                                    const std::map<std::string, std::string> &credentials)
+std::optional<std::string> bearerOf(const httplib::Request &request)
 {
     constexpr std::string_view Scheme = "Bearer ";
     const std::string header = request.get_header_value("Authorization");
-    if (!header.starts_with(Scheme)) {
-        return std::nullopt;
-    }
-    const auto it = credentials.find(header.substr(Scheme.size()));
-    return it == credentials.end() ? std::nullopt : std::optional(it->second);
+    return header.starts_with(Scheme) ? std::optional(header.substr(Scheme.size())) : std::nullopt;
+}
+
+nlohmann::json jsonBodyOf(const httplib::Request &request)
+{
+    using nlohmann::json;
+    bool tooDeep = false;
+    const json::parser_callback_t limitDepth = [&](int depth, json::parse_event_t, json &) {
+        tooDeep = tooDeep || depth > BodyDepthMax;
+        return !tooDeep;
+    };
+    json body = json::parse(request.body, limitDepth, false);
+    return tooDeep ? json(json::value_t::discarded) : body;
 }
 
 void replyJson(httplib::Response &response, int status, const nlohmann::json &body)
--- a/libs/entry/src/http.h
+++ b/libs/entry/src/http.h
@@ -1,23 +1,33 @@
-// Helpers that both HTTP interfaces of an entry daemon share.
+// What both HTTP interfaces of an entry daemon share: the server with its limits, and typed answers.
+//
+//     HttpServer server({.port = 8080}, nullptr, counters);
+//     server.routes().Get("/v1/status", handler);
+//     server.start();
 
 #pragma once
 
+#include "ibislock/base/counters.h"
 #include "ibislock/base/error.h"
 #include "ibislock/entry/options.h"
 
 #include <httplib.h>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string>
 #include <thread>
 
 namespace ibislock::entry
 {
 
-/// An HTTP server with its listening thread.
+class GuardedServer;
+
+/// An HTTP server with its listening thread. Slow, oversized and malformed input is refused before any handler runs.
 class HttpServer
 {
 public:
-    explicit HttpServer(const HttpOptions &options);
+    /// @param tls the certificate to show; null for plain text.
+    HttpServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, Counters &counters);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
@@ -37,15 +47,19 @@
 
 private:
     HttpOptions m_options;
-    httplib::Server m_server;
+    std::unique_ptr<GuardedServer> m_server;
     std::uint16_t m_port = 0;
     std::thread m_thread;
 };
 
-/// Finds whose credential a request carries.
-/// @param credentials credential to name.
-std::optional<std::string> bearerOf(const httplib::Request &request,
-                                    const std::map<std::string, std::string> &credentials);
+/// The deepest nesting of a JSON body that is read.
+inline constexpr int BodyDepthMax = 32;
+
+/// Gives the key that a request presents.
+std::optional<std::string> bearerOf(const httplib::Request &request);
+
+/// Reads a JSON body; one that is malformed or nested too deeply is discarded.
+nlohmann::json jsonBodyOf(const httplib::Request &request);
 
 /// Answers with a JSON document.
 void replyJson(httplib::Response &response, int status, const nlohmann::json &body);
--- a/libs/entry/src/settings.cpp
+++ b/libs/entry/src/settings.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/entry/settings.h"
 
 #include "ibislock/node/settings.h"
+#include "ibislock/security/settings.h"
 
 namespace ibislock::entry
 {
@@ -27,10 +28,43 @@
         {.section = "callers",
          .key = "threads",
          .type = SettingType::Integer,
-         .fallback = "64",
+         .fallback = "512",
          .min = 1,
          .max = 4096,
-         .help = "Calls handled at the same time."},
+         .help = "Connections served at the same time."},
+        {.section = "callers",
+         .key = "connections_per_peer",
+         .type = SettingType::Integer,
+         .fallback = "256",
+         .max = 4096,
+         .help = "Connections of one IP number; 0 is without limit, for a balancer that hides its callers' numbers."},
+        {.section = "callers",
+         .key = "header_bytes_max",
+         .type = SettingType::Integer,
+         .fallback = "32768",
+         .min = 512,
+         .max = 1048576,
+         .help = "Largest header accepted."},
+        {.section = "callers",
+         .key = "header_timeout_ms",
+         .type = SettingType::Integer,
+         .fallback = "5000",
+         .min = 1,
+         .max = HourMs,
+         .help = "Time allowed for a TLS handshake, and for the whole header of a request."},
+        {.section = "callers",
+         .key = "body_timeout_ms",
+         .type = SettingType::Integer,
+         .fallback = "15000",
+         .min = 1,
+         .max = HourMs,
+         .help = "Time allowed for the whole body of a request."},
+        {.section = "callers",
+         .key = "keep_alive_ms",
+         .type = SettingType::Integer,
+         .fallback = "5000",
+         .max = HourMs,
+         .help = "How long an idle connection is kept."},
         {.section = "callers",
          .key = "body_bytes_max",
          .type = SettingType::Integer,
@@ -55,6 +89,19 @@
          .fallback = "0",
          .max = PortMax,
          .help = "Port of the administration interface; 0 lets the system choose."},
+        {.section = "administration",
+         .key = "threads",
+         .type = SettingType::Integer,
+         .fallback = "64",
+         .min = 1,
+         .max = 4096,
+         .help = "Connections served at the same time."},
+        {.section = "administration",
+         .key = "connections_per_peer",
+         .type = SettingType::Integer,
+         .fallback = "32",
+         .max = 4096,
+         .help = "Connections of one IP number; 0 is without limit."},
         {.section = "administration",
          .key = "file_timeout_ms",
          .type = SettingType::Integer,
@@ -75,14 +122,6 @@
          .min = 1,
          .max = 16,
          .help = "Targets tried for one request."},
-        {.section = "workspaces",
-         .fallback = "",
-         .help = "One line for each workspace: name = credential.",
-         .anyKey = true},
-        {.section = "operators",
-         .fallback = "",
-         .help = "One line for each operator: name = credential.",
-         .anyKey = true},
         {.section = "routes",
          .fallback = "",
          .help = "One line for each plain service: role = path prefix.",
@@ -90,7 +129,7 @@
     };
 }
 
-/// Turns `name = credential` lines into a map from credential to name.
+/// Turns `role = path prefix` lines into a map from path prefix to role.
 std::map<std::string, std::string> inverted(const std::map<std::string, std::string> &entries)
 {
     std::map<std::string, std::string> result;
@@ -100,13 +139,29 @@
     return result;
 }
 
+HttpOptions callersFrom(const Settings &settings)
+{
+    HttpOptions options;
+    options.address = settings.text("callers", "address");
+    options.port = static_cast<std::uint16_t>(settings.integer("callers", "port"));
+    options.threads = static_cast<std::uint32_t>(settings.integer("callers", "threads"));
+    options.bodyBytesMax = static_cast<std::uint64_t>(settings.integer("callers", "body_bytes_max"));
+    options.headerBytesMax = static_cast<std::uint64_t>(settings.integer("callers", "header_bytes_max"));
+    options.connectionsPerPeer = static_cast<std::uint32_t>(settings.integer("callers", "connections_per_peer"));
+    options.headerTimeout = settings.millis("callers", "header_timeout_ms");
+    options.bodyTimeout = settings.millis("callers", "body_timeout_ms");
+    options.keepAlive = settings.millis("callers", "keep_alive_ms");
+    return options;
+}
+
 } // namespace
 
 std::vector<SettingSpec> settingSpecs()
 {
     auto specs = node::settingSpecs();
-    const auto own = ownSpecs();
-    specs.insert(specs.end(), own.begin(), own.end());
+    for (const auto &more : {ownSpecs(), security::credentialSettingSpecs()}) {
+        specs.insert(specs.end(), more.begin(), more.end());
+    }
     return specs;
 }
 
@@ -114,14 +169,13 @@
 {
     EntryOptions options{.node = node::optionsFrom(settings, membership::VmKind::Entry)};
     options.rpcPort = static_cast<std::uint16_t>(settings.integer("rpc", "port"));
-    options.callers = {.address = settings.text("callers", "address"),
-                       .port = static_cast<std::uint16_t>(settings.integer("callers", "port")),
-                       .threads = static_cast<std::uint32_t>(settings.integer("callers", "threads")),
-                       .bodyBytesMax = static_cast<std::uint64_t>(settings.integer("callers", "body_bytes_max"))};
+    options.callers = callersFrom(settings);
     options.administration.address = settings.text("administration", "address");
     options.administration.port = static_cast<std::uint16_t>(settings.integer("administration", "port"));
-    options.workspaces = inverted(settings.entries("workspaces"));
-    options.operators = inverted(settings.entries("operators"));
+    options.administration.threads = static_cast<std::uint32_t>(settings.integer("administration", "threads"));
+    options.administration.connectionsPerPeer =
+        static_cast<std::uint32_t>(settings.integer("administration", "connections_per_peer"));
+    options.credentials = security::credentialOptionsFrom(settings);
     options.routes = inverted(settings.entries("routes"));
     options.policy = valueOf(requests::RoutingPolicyNames, settings.text("routing", "policy")).value_or(options.policy);
     options.attempts = static_cast<std::uint32_t>(settings.integer("routing", "attempts"));
--- a/libs/node/include/ibislock/node/node.h
+++ b/libs/node/include/ibislock/node/node.h
@@ -17,6 +17,7 @@
 #include "ibislock/platform/log_client.h"
 #include "ibislock/platform/vm_list_client.h"
 #include "ibislock/rpc/client.h"
+#include "ibislock/security/tls.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -33,6 +34,7 @@
     std::string domain;
     membership::VmKind kind = membership::VmKind::Entry;
     std::string address = "127.0.0.1"; ///< The IP number under which other VMs reach this one.
+    security::TlsOptions tls; ///< How connections between processes are protected.
     platform::EndpointOptions log;
     platform::EndpointOptions vmList;
     Millis logWait{1000}; ///< How long one read of the log waits for news.
@@ -61,6 +63,10 @@
     /// Sets what the daemon adds to the VM's own report. Call before `start`.
     void setReportSource(std::function<void(membership::Report &)> source);
 
+    /// Adds a job that runs again and again until `stop`.
+    /// @param interval the longest pause between two runs.
+    void every(Millis interval, std::function<void()> job);
+
     /// Starts to follow the log and to exchange reports.
     /// @param rpcPort the port at which this VM accepts RPC.
     void start(std::uint16_t rpcPort);
@@ -89,6 +95,9 @@
         return function(m_view);
     }
 
+    /// Tells when the log last answered, on the monotonic clock; zero when it never did.
+    Millis logReadAt() const;
+
     /// Tells whether the last read of the log succeeded.
     bool isLogReachable() const;
 
@@ -133,6 +142,7 @@
     platform::VmListClient m_vmList;
     Random m_random;
     std::atomic<bool> m_stopping = false;
+    std::atomic<Millis> m_logReadAt = Millis(0);
     std::atomic<bool> m_logReachable = false;
     Scheduler m_scheduler;
     std::thread m_follower;
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -82,6 +82,11 @@
     m_reportSource = std::move(source);
 }
 
+void Node::every(Millis interval, std::function<void()> job)
+{
+    m_scheduler.every(interval, std::move(job));
+}
+
 void Node::start(std::uint16_t rpcPort)
 {
     m_rpcAddress = m_options.address + ":" + std::to_string(rpcPort);
@@ -127,6 +132,11 @@
     return m_writer.append(configuration::encodeRecord(record));
 }
 
+Millis Node::logReadAt() const
+{
+    return m_logReadAt;
+}
+
 bool Node::isLogReachable() const
 {
     return m_logReachable;
@@ -149,6 +159,7 @@
         const Offset from = std::max(state()->next, m_scanned);
         const auto page = m_reader.read({.from = from, .wait = m_options.logWait});
         m_logReachable = page.has_value();
+        m_logReadAt = page ? steadyMillis() : m_logReadAt.load();
         if (!page) {
             m_counters.add(Counter::LogReadFailures);
             std::this_thread::sleep_for(jittered(random, LogRetryInterval));
--- a/libs/node/src/settings.cpp
+++ b/libs/node/src/settings.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/node/settings.h"
 
+#include "ibislock/security/settings.h"
+
 namespace ibislock::node
 {
 
@@ -9,9 +11,7 @@
 constexpr double PortMax = 65535;
 constexpr double HourMs = 3600000;
 
-} // namespace
-
-std::vector<SettingSpec> settingSpecs()
+std::vector<SettingSpec> ownSpecs()
 {
     return {
         {.section = "process",
@@ -77,12 +77,23 @@
     };
 }
 
+} // namespace
+
+std::vector<SettingSpec> settingSpecs()
+{
+    auto specs = ownSpecs();
+    const auto tls = security::tlsSettingSpecs();
+    specs.insert(specs.end(), tls.begin(), tls.end());
+    return specs;
+}
+
 NodeOptions optionsFrom(const Settings &settings, membership::VmKind kind)
 {
     return {.vm = settings.text("vm", "name"),
             .domain = settings.text("vm", "failure_domain"),
             .kind = kind,
             .address = settings.text("vm", "address"),
+            .tls = security::tlsOptionsFrom(settings),
             .log = {.url = settings.text("platform", "log_url")},
             .vmList = {.url = settings.text("platform", "vm_list_url")},
             .logWait = settings.millis("platform", "log_wait_ms"),
--- a/libs/rpc/include/ibislock/rpc/client.h
+++ b/libs/rpc/include/ibislock/rpc/client.h
@@ -19,12 +19,13 @@
 namespace ibislock::rpc
 {
 
-/// Deadlines of the calls.
+/// Deadlines of the calls, and how this process proves who it is.
 struct ClientOptions
 {
     Millis connectTimeout{500};
     Millis exchangeTimeout{2000};
     Millis chunkTimeout{20000};
+    std::shared_ptr<const security::TlsStore> tls; ///< Null for plain text.
 };
 
 /// Tells whether an address may be connected to.
--- a/libs/rpc/include/ibislock/rpc/server.h
+++ b/libs/rpc/include/ibislock/rpc/server.h
@@ -13,6 +13,7 @@
 #include "ibislock/membership/report.h"
 #include "ibislock/requests/request.h"
 #include "ibislock/rpc/event_loop.h"
+#include "ibislock/security/tls.h"
 #include "ibislock/weights/chunk_store.h"
 
 #include <functional>
@@ -63,13 +64,17 @@
     std::function<ChunkReply(const Digest &)> chunk;
     std::function<std::optional<std::string>(const Digest &root)> manifest;
     std::function<void(requests::Request, std::shared_ptr<AnswerWriter>)> submit;
+    /// Is told why a connection or a call of another process was refused.
+    std::function<void(const std::string &reason)> peerRefused;
 };
 
-/// Where to listen.
+/// Where to listen, and how peers prove who they are.
 struct ServerOptions
 {
     std::string address = "127.0.0.1"; ///< The IP number to listen on.
     std::uint16_t port = 0; ///< Zero lets the system choose.
+    std::shared_ptr<const security::TlsStore> tls; ///< Null for plain text.
+    Millis handshakeTimeout{5000};
 };
 
 /// Listens until destroyed.
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/rpc/client.h"
 
 #include "convert.h"
+#include "tls_contexts.h"
 
 #include "chunks.capnp.h"
 #include "node.capnp.h"
@@ -43,6 +44,9 @@
         : loop(eventLoop)
         , options(clientOptions)
     {
+        if (options.tls) {
+            contexts.emplace(options.tls, timer(), options.connectTimeout);
+        }
     }
 
     kj::Timer &timer() const
@@ -64,7 +68,10 @@
             loop.io()
                 .provider->getNetwork()
                 .parseAddress(address.c_str())
-                .then([](kj::Own<kj::NetworkAddress> &&parsed) { return parsed->connect().attach(kj::mv(parsed)); });
+                .then([](kj::Own<kj::NetworkAddress> &&parsed) { return parsed->connect().attach(kj::mv(parsed)); })
+                .then([self = shared_from_this()](kj::Own<kj::AsyncIoStream> &&stream) {
+                    return self->protect(kj::mv(stream));
+                });
         return timer()
             .timeoutAfter(options.connectTimeout.count() * kj::MILLISECONDS, kj::mv(connecting))
             .then([self = shared_from_this(), address](kj::Own<kj::AsyncIoStream> &&stream) {
@@ -72,6 +79,15 @@
             });
     }
 
+    /// Proves to each side who the other is, where the settings ask for it.
+    kj::Promise<kj::Own<kj::AsyncIoStream>> protect(kj::Own<kj::AsyncIoStream> &&stream)
+    {
+        if (!contexts) {
+            return kj::mv(stream);
+        }
+        return contexts->current().wrapClient(kj::mv(stream), contexts->peerName().c_str());
+    }
+
     std::shared_ptr<Connection> remember(const std::string &address, kj::Own<kj::AsyncIoStream> &&stream)
     {
         const auto known = connections.find(address);
@@ -101,8 +117,11 @@
     {
         for (auto &[address, connection] : connections) {
             if (!reachable(address)) {
-                connection->stream->shutdownWrite();
-                connection->stream->abortRead();
+                // A TLS stream whose end was sent before refuses to send it again.
+                kj::runCatchingExceptions([&stream = connection->stream] {
+                    stream->shutdownWrite();
+                    stream->abortRead();
+                });
             }
         }
     }
@@ -132,6 +151,7 @@
 
     const EventLoop &loop;
     ClientOptions options;
+    std::optional<TlsContexts> contexts;
     Reachable reachable;
     IgnoreErrors ignoreErrors;
     std::map<std::string, std::shared_ptr<Connection>> connections;
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/rpc/server.h"
 
 #include "convert.h"
+#include "tls_contexts.h"
 
 #include "chunks.capnp.h"
 #include "node.capnp.h"
@@ -15,6 +16,15 @@
 namespace
 {
 
+constexpr kj::Duration AcceptRetryInterval = 100 * kj::MILLISECONDS;
+
+void refusePeer(const Handlers &handlers, const std::string &reason)
+{
+    if (handlers.peerRefused) {
+        handlers.peerRefused(reason);
+    }
+}
+
 class StateExchangeServer final : public wire::StateExchange::Server
 {
 public:
@@ -195,9 +205,10 @@
 class RequestsServer final : public wire::Requests::Server
 {
 public:
-    RequestsServer(const Handlers &handlers, const EventLoop &loop)
+    RequestsServer(const Handlers &handlers, const EventLoop &loop, std::string peer)
         : m_handlers(handlers)
         , m_loop(loop)
+        , m_peer(std::move(peer))
     {
     }
 
@@ -205,6 +216,10 @@
     {
         KJ_REQUIRE(m_handlers.submit != nullptr, "requests are not accepted here");
         requests::Request request = read(context.getParams().getRequest());
+        if (!m_peer.empty() && request.entryVm != m_peer) {
+            refusePeer(m_handlers, "a request names a VM that is not its sender");
+            KJ_FAIL_REQUIRE("the request names a VM that is not its sender");
+        }
         auto call = std::make_shared<Call>();
         call->sink = context.getParams().getSink();
         call->requestId = request.id;
@@ -220,15 +235,16 @@
 private:
     const Handlers &m_handlers;
     const EventLoop &m_loop;
+    std::string m_peer; ///< The VM that the peer's certificate names; empty without TLS.
 };
 
 class NodeServer final : public wire::Node::Server
 {
 public:
-    NodeServer(const Handlers &handlers, const EventLoop &loop)
+    NodeServer(const Handlers &handlers, const EventLoop &loop, std::string peer)
         : m_stateExchange(kj::heap<StateExchangeServer>(handlers))
         , m_chunks(kj::heap<ChunksServer>(handlers, loop.io().provider->getTimer()))
-        , m_requests(kj::heap<RequestsServer>(handlers, loop))
+        , m_requests(kj::heap<RequestsServer>(handlers, loop, std::move(peer)))
     {
     }
 
@@ -258,26 +274,86 @@
 
 } // namespace
 
-struct Server::Impl
+/// What lives on the loop: the listener and the connections.
+struct Server::Impl final : kj::TaskSet::ErrorHandler
 {
+    Impl(const EventLoop &eventLoop, const ServerOptions &options, Handlers serverHandlers)
+        : loop(eventLoop)
+        , handlers(std::move(serverHandlers))
+        , connections(*this)
+    {
+        if (options.tls) {
+            contexts.emplace(options.tls, timer(), options.handshakeTimeout);
+        }
+    }
+
+    kj::Timer &timer() const
+    {
+        return loop.io().provider->getTimer();
+    }
+
+    /// Accepts connections for ever. A failure to accept, as for want of descriptors, is tried again after a pause.
+    kj::Promise<void> acceptAll()
+    {
+        return receiver->acceptAuthenticated().then(
+            [this](kj::AuthenticatedStream &&stream) {
+                connections.add(admit(kj::mv(stream)));
+                return acceptAll();
+            },
+            [this](kj::Exception &&) {
+                return timer().afterDelay(AcceptRetryInterval).then([this] { return acceptAll(); });
+            });
+    }
+
+    kj::Promise<void> admit(kj::AuthenticatedStream &&stream)
+    {
+        if (!contexts) {
+            return serve(kj::mv(stream.stream), {});
+        }
+        return contexts->current()
+            .wrapServer(kj::mv(stream))
+            .then(
+                [this](kj::AuthenticatedStream &&wrapped) -> kj::Promise<void> {
+                    auto &identity = kj::downcast<kj::TlsPeerIdentity>(*wrapped.peerIdentity);
+                    if (!identity.hasCertificate()) {
+                        refusePeer(handlers, "a peer shows no certificate");
+                        return kj::READY_NOW;
+                    }
+                    return serve(kj::mv(wrapped.stream), identity.getCommonName().cStr());
+                },
+                [this](kj::Exception &&) { refusePeer(handlers, "a peer did not complete the TLS handshake"); });
+    }
+
+    kj::Promise<void> serve(kj::Own<kj::AsyncIoStream> &&stream, std::string peer)
+    {
+        auto server = kj::heap<capnp::TwoPartyServer>(kj::heap<NodeServer>(handlers, loop, std::move(peer)));
+        auto done = server->accept(*stream);
+        return done.attach(kj::mv(server), kj::mv(stream));
+    }
+
+    void taskFailed(kj::Exception &&) override
+    {
+        // The connection has ended; its peer makes a new one when it needs one.
+    }
+
+    const EventLoop &loop;
     Handlers handlers;
-    kj::Own<capnp::TwoPartyServer> server;
+    std::optional<TlsContexts> contexts;
     kj::Own<kj::ConnectionReceiver> receiver;
+    kj::TaskSet connections;
     kj::Maybe<kj::Promise<void>> listening;
 };
 
 Server::Server(const EventLoop &loop, const ServerOptions &options, Handlers handlers)
     : m_loop(loop)
-    , m_impl(std::make_unique<Impl>())
 {
-    m_impl->handlers = std::move(handlers);
     m_port = m_loop.call([&]() -> kj::Promise<std::uint16_t> {
+        m_impl = std::make_unique<Impl>(m_loop, options, std::move(handlers));
         auto &network = m_loop.io().provider->getNetwork();
-        m_impl->server = kj::heap<capnp::TwoPartyServer>(kj::heap<NodeServer>(m_impl->handlers, m_loop));
         return network.parseAddress(options.address.c_str(), options.port)
             .then([this](kj::Own<kj::NetworkAddress> &&address) {
                 m_impl->receiver = address->listen();
-                m_impl->listening = m_impl->server->listen(*m_impl->receiver).eagerlyEvaluate(nullptr);
+                m_impl->listening = m_impl->acceptAll().eagerlyEvaluate(nullptr);
                 return static_cast<std::uint16_t>(m_impl->receiver->getPort());
             });
     });
@@ -285,11 +361,7 @@
 
 Server::~Server()
 {
-    m_loop.call([this] {
-        m_impl->listening = nullptr;
-        m_impl->server = nullptr;
-        m_impl->receiver = nullptr;
-    });
+    m_loop.call([this] { m_impl.reset(); });
 }
 
 std::uint16_t Server::port() const
--- a/libs/target/include/ibislock/target/daemon.h
+++ b/libs/target/include/ibislock/target/daemon.h
@@ -26,7 +26,8 @@
     Daemon &operator=(const Daemon &) = delete;
 
     /// Starts to listen, to follow the log and to bring its engine to the version that it is to serve.
-    void start();
+    /// @return nothing, or what is wrong with the certificate.
+    Result<void> start();
 
     /// Refuses new requests, finishes those in progress, and stops.
     void stop();
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -3,6 +3,7 @@
 #include "activation.h"
 
 #include "ibislock/base/log.h"
+#include "ibislock/node/peer_security.h"
 
 #include <asio/post.hpp>
 #include <asio/thread_pool.hpp>
@@ -51,7 +52,8 @@
 {
     explicit Impl(TargetOptions targetOptions)
         : options(std::move(targetOptions))
-        , client(loop, {})
+        , peerTls(node::openPeerTls(options.node.tls))
+        , client(loop, node::clientOptions(peerTls))
         , node(options.node, counters, client)
         , upload(weights::makeBucket(options.upload, steadyMillis()))
         , fetcher(options, node, client, counters, holdings)
@@ -59,6 +61,9 @@
         , workers(options.concurrency)
     {
         holdings.store.maxBytes = options.chunkStoreBytes;
+        if (peerTls) {
+            node::keepUpToDate(node, *peerTls, options.node.tls, counters);
+        }
         node.setReportSource([this](membership::Report &report) { fillReport(report); });
     }
 
@@ -75,6 +80,7 @@
         handlers.submit = [this](Request request, std::shared_ptr<rpc::AnswerWriter> writer) {
             accept(std::move(request), std::move(writer));
         };
+        handlers.peerRefused = node::peerRefusals(counters);
         return handlers;
     }
 
@@ -150,6 +156,7 @@
 
     TargetOptions options;
     Counters counters;
+    Result<std::shared_ptr<security::TlsStore>> peerTls;
     rpc::EventLoop loop;
     rpc::Client client;
     node::Node node;
@@ -174,16 +181,21 @@
     stop();
 }
 
-void Daemon::start()
+Result<void> Daemon::start()
 {
     Impl &impl = *m_impl;
+    if (!impl.peerTls) {
+        return tl::unexpected(impl.peerTls.error());
+    }
     impl.started = true;
     impl.server = std::make_unique<rpc::Server>(
-        impl.loop, rpc::ServerOptions{.address = impl.options.node.address, .port = impl.options.rpcPort},
+        impl.loop,
+        rpc::ServerOptions{.address = impl.options.node.address, .port = impl.options.rpcPort, .tls = *impl.peerTls},
         impl.handlers());
     impl.node.start(impl.server->port());
     impl.activation.start();
     logInfo(Part::Target, "Target is up.", {{"vm", impl.options.node.vm}, {"port", std::to_string(rpcPort())}});
+    return {};
 }
 
 void Daemon::stop()
