--- a/lab/experiments/requests.cpp
+++ b/lab/experiments/requests.cpp
@@ -98,7 +98,7 @@
     const auto weights = weightsOf(options.workspaces);
     for (unsigned i = 0; i < options.workspaces; ++i) {
         const std::string name = "workspace" + std::to_string(i);
-        deployment.entry.workspaces["credential-" + std::to_string(i)] = name;
+        security::addCaller(deployment.entry.credentials.keys, "credential-" + std::to_string(i), name);
         deployment.target.shares[name] = weights[i];
     }
     applyToOptions(options.faults, deployment);
--- a/libs/entry/src/callers_api.h
+++ b/libs/entry/src/callers_api.h
@@ -12,7 +12,8 @@
 class CallersApi
 {
 public:
-    CallersApi(const EntryOptions &options, Dispatcher &dispatcher, Counters &counters);
+    CallersApi(const EntryOptions &options, const security::CredentialStore &credentials, Dispatcher &dispatcher,
+               Counters &counters);
 
     /// Adds the routes to a server.
     void addRoutes(httplib::Server &server);
@@ -35,6 +36,7 @@
     void answerStream(const std::shared_ptr<RequestSession> &session, httplib::Response &response);
 
     const EntryOptions &m_options;
+    const security::CredentialStore &m_credentials;
     Dispatcher &m_dispatcher;
     Counters &m_counters;
     std::atomic<bool> m_leaving = false;
--- a/libs/rpc/include/ibislock/rpc/client.h
+++ b/libs/rpc/include/ibislock/rpc/client.h
@@ -20,13 +20,14 @@
 namespace ibislock::rpc
 {
 
-/// Deadlines of the calls.
+/// Deadlines of the calls, and how this process proves who it is.
 struct ClientOptions
 {
     Millis connectTimeout{500};
     Millis exchangeTimeout{2000};
     Millis chunkTimeout{20000};
     Millis revokeTimeout{300};
+    std::shared_ptr<const security::TlsStore> tls; ///< Null for plain text.
 };
 
 /// The answer to a call for a chunk.
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "ibislock/base/log.h"
 #include "ibislock/node/drain.h"
+#include "ibislock/node/peer_security.h"
 
 namespace ibislock::target
 {
@@ -20,7 +21,8 @@
 {
     explicit Impl(TargetOptions targetOptions)
         : options(std::move(targetOptions))
-        , client(loop, {})
+        , peerTls(node::openPeerTls(options.node.tls))
+        , client(loop, node::clientOptions(peerTls))
         , node(options.node, counters, client)
         , upload(weights::makeBucket(options.upload, steadyMillis()))
         , random(systemRandom())
@@ -35,6 +37,9 @@
         , runner(options, node, activation, counters)
     {
         holdings.store.maxBytes = options.chunkStoreBytes;
+        if (peerTls) {
+            node::keepUpToDate(node, *peerTls, options.node.tls, counters);
+        }
         node.setReportSource([this](membership::Report &report) { fillReport(report); });
     }
 
@@ -57,6 +62,7 @@
         handlers.revoke = [this](const std::string &id, std::uint64_t incarnation) {
             return runner.revoke(id, incarnation);
         };
+        handlers.peerRefused = node::peerRefusals(counters);
         return handlers;
     }
 
@@ -124,6 +130,7 @@
 
     TargetOptions options;
     Counters counters;
+    Result<std::shared_ptr<security::TlsStore>> peerTls;
     rpc::EventLoop loop;
     rpc::Client client;
     node::Node node;
@@ -151,17 +158,22 @@
     stop();
 }
 
-void Daemon::start()
+Result<void> Daemon::start()
 {
     Impl &impl = *m_impl;
+    if (!impl.peerTls) {
+        return tl::unexpected(impl.peerTls.error());
+    }
     impl.started = true;
     impl.server = std::make_unique<rpc::Server>(
-        impl.loop, rpc::ServerOptions{.address = impl.options.node.address, .port = impl.options.rpcPort},
+        impl.loop,
+        rpc::ServerOptions{.address = impl.options.node.address, .port = impl.options.rpcPort, .tls = *impl.peerTls},
         impl.handlers());
     impl.node.start(impl.server->port());
     impl.activation.start();
     impl.runner.start();
     logInfo(Part::Target, "Target is up.", {{"vm", impl.options.node.vm}, {"port", std::to_string(rpcPort())}});
+    return {};
 }
 
 void Daemon::stop()
