A status page on the administration port

Operators had only the command line. GET / now gives one static page, carried in the binary: replicas that serve for each scope, health of each failure domain and of each VM, every figure with its age, stale ones dimmed. It reads /v1/status with the credential that the reader types in, which stays in the page's memory; the page itself holds no data and no outside asset. Its Content-Security-Policy names the script and the style by their digests. Tests hold the page against the policy, and the fields that it reads against the status of a running deployment. The page's script was run against a live entry with a stub of the document; it has not yet been looked at in a browser, as none is installed.

--- a/libs/entry/src/daemon.cpp
+++ b/libs/entry/src/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "administration_api.h"
 #include "callers_api.h"
+#include "status_page.h"
 
 #include "ibislock/base/log.h"
 #include "ibislock/node/drain.h"
@@ -24,6 +25,7 @@
         node.setReportSource([this](membership::Report &report) { report.leaving = leaving; });
         callersApi.addRoutes(callers.routes());
         administrationApi.addRoutes(administration.routes());
+        addStatusPage(administration.routes());
     }
 
     EntryOptions options;
