Restarts at scale and a process's footprint are measured

Nothing showed what a restart of many VMs at once costs callers and the platform. 'ibislock-lab recover' runs real processes, kills a tenth, a domain or all of them under load (or stops them as planned), starts them together and prints one JSON line: time until every restarted VM takes part again, calls lost, wrong and untruthful (told as not run, while an engine ran them), calls to the platform against stated limits. 'ibislock-lab footprint' reads processor time, memory and threads of each process.

--- a/lab/child_process.cpp
+++ b/lab/child_process.cpp
@@ -107,6 +107,11 @@
     return m_pid > 0 && ::kill(m_pid, 0) == 0;
 }
 
+pid_t ChildProcess::pid() const
+{
+    return m_pid;
+}
+
 unsigned short freePort()
 {
     // Ports of the ephemeral range would be taken by outgoing connections before the daemon listens.
--- a/lab/child_process.h
+++ b/lab/child_process.h
@@ -35,6 +35,9 @@
 
     bool isRunning() const;
 
+    /// Gives the process's id; -1 after its end.
+    pid_t pid() const;
+
 private:
     pid_t m_pid = -1;
 };
--- a/lab/load/load.cpp
+++ b/lab/load/load.cpp
@@ -20,7 +20,7 @@
 constexpr std::string_view DataPrefix = "data: ";
 constexpr int ReadTimeoutSeconds = 40;
 
-enum class Verdict { Answered, Refused, Failed, Unknown, Wrong };
+enum class Verdict { Answered, Refused, Failed, Unknown, Unreachable, Wrong };
 
 /// What a stream of events says.
 struct StreamContent
@@ -151,6 +151,8 @@
         if (result) {
             const bool isStream = result->status == 200 && stream;
             verdict = isStream ? judgeStream(result->body, expected) : judgeWhole(*result, expected);
+        } else if (result.error() == httplib::Error::Connection) {
+            verdict = Verdict::Unreachable;
         }
         {
             const std::lock_guard lock(m_mutex);
@@ -159,7 +161,11 @@
             m_result.refused += verdict == Verdict::Refused ? 1 : 0;
             m_result.failed += verdict == Verdict::Failed ? 1 : 0;
             m_result.unknown += verdict == Verdict::Unknown ? 1 : 0;
+            m_result.unreachable += verdict == Verdict::Unreachable ? 1 : 0;
             m_result.wrong += verdict == Verdict::Wrong ? 1 : 0;
+            if (verdict == Verdict::Refused) {
+                m_result.refusedPrompts.push_back(prompt);
+            }
             if (verdict == Verdict::Answered) {
                 m_result.latenciesMs.push_back(static_cast<double>((steadyMillis() - begin).count()));
             }
--- a/lab/load/load.h
+++ b/lab/load/load.h
@@ -39,8 +39,10 @@
     std::uint64_t refused = 0;
     std::uint64_t failed = 0; ///< Told as failed after start.
     std::uint64_t unknown = 0; ///< Told as unknown, or the entry VM went away.
+    std::uint64_t unreachable = 0; ///< No entry VM took the call, so that it was never sent.
     std::uint64_t wrong = 0; ///< Another caller's answer, mixed weights, or a part told as the whole.
     std::vector<double> latenciesMs; ///< Of the answered calls.
+    std::vector<std::string> refusedPrompts; ///< Told as refused and not run; no engine may have run them.
 };
 
 /// Gives a quantile of some values; zero when there are none.
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -2,8 +2,10 @@
 
 #include "experiments/config.h"
 #include "experiments/demo.h"
-#include "experiments/requests.h"
+#include "experiments/footprint.h"
 #include "experiments/platform.h"
+#include "experiments/recover.h"
+#include "experiments/requests.h"
 #include "report/report_command.h"
 
 #include <array>
@@ -28,9 +30,11 @@
 constexpr std::array Experiments{
     Experiment{"config", "tickets under faults: accepted once, in force everywhere, never reverting", runConfig},
     Experiment{"demo", "the whole path as separate processes", runDemo},
-    Experiment{"requests", "callers under overload and faults", runRequests},
+    Experiment{"footprint", "what a process costs, idle and under load", runFootprint},
     Experiment{"platform", "stand-ins, settings and tickets for trying the product by hand", runPlatform},
+    Experiment{"recover", "restarts of many VMs at once, under load", runRecover},
     Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
+    Experiment{"requests", "callers under overload and faults", runRequests},
 };
 
 int run(int argc, char **argv)
--- a/lab/standins/include/ibislock/standins/engine_stand_in.h
+++ b/lab/standins/include/ibislock/standins/engine_stand_in.h
@@ -62,6 +62,9 @@
     /// Gives how many requests the engine started.
     std::uint64_t started() const;
 
+    /// Tells whether the engine started a request with some prompt.
+    bool hasRun(const std::string &prompt) const;
+
     /// Answers with the identity of another request, with some probability.
     void setCrossed(double probability);
 
@@ -111,6 +114,7 @@
     Millis m_lastStartedAt{0};
     EngineSlots m_slots;
     PrefixCache m_cache;
+    std::set<std::string> m_prompts;
     std::atomic<double> m_crossed = 0;
     std::atomic<double> m_duplicate = 0;
     std::atomic<double> m_gappyEvents = 0;
--- a/lab/standins/include/ibislock/standins/vm_list_stand_in.h
+++ b/lab/standins/include/ibislock/standins/vm_list_stand_in.h
@@ -40,6 +40,9 @@
     /// Removes a VM.
     void remove(const std::string &vm);
 
+    /// Gives how often the list was read.
+    std::uint64_t reads() const;
+
 private:
     using Vms = std::map<std::string, ListedVm>;
 
@@ -52,6 +55,7 @@
     std::deque<std::pair<Millis, Vms>> m_pending;
     Vms m_shown;
     Millis m_lag{0};
+    std::atomic<std::uint64_t> m_reads = 0;
 };
 
 } // namespace ibislock::standins
--- a/lab/standins/src/engine_stand_in.cpp
+++ b/lab/standins/src/engine_stand_in.cpp
@@ -116,6 +116,12 @@
     return m_started;
 }
 
+bool EngineStandIn::hasRun(const std::string &prompt) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_prompts.contains(prompt);
+}
+
 void EngineStandIn::setCrossed(double probability)
 {
     m_crossed = probability;
@@ -225,6 +231,7 @@
     ++m_started;
     {
         const std::lock_guard lock(m_mutex);
+        m_prompts.insert(call.prompt);
         m_durations.try_emplace(call.user, std::chrono::microseconds(0));
         m_lastStartedAt = steadyMillis();
     }
--- a/lab/standins/src/vm_list_stand_in.cpp
+++ b/lab/standins/src/vm_list_stand_in.cpp
@@ -58,6 +58,11 @@
     changed();
 }
 
+std::uint64_t VmListStandIn::reads() const
+{
+    return m_reads;
+}
+
 void VmListStandIn::changed()
 {
     m_pending.emplace_back(steadyMillis() + m_lag, m_vms);
@@ -65,6 +70,7 @@
 
 void VmListStandIn::handleRead(const httplib::Request &, httplib::Response &response)
 {
+    ++m_reads;
     nlohmann::json vms = nlohmann::json::array();
     const std::lock_guard lock(m_mutex);
     while (!m_pending.empty() && m_pending.front().first <= steadyMillis()) {
