--- a/libs/rpc/test/rpc_test.cpp
+++ b/libs/rpc/test/rpc_test.cpp
@@ -129,6 +129,37 @@
     EXPECT_TRUE(reached);
 }
 
+TEST_F(RpcTest, BreaksConnectionsOffAlsoWhenTheOtherSideHasClosedThem)
+{
+    Handlers handlers;
+    handlers.state = [](std::uint64_t) {
+        return std::optional<std::string>("s");
+    };
+    // Whether the client has noticed the end of the connection yet is up to the event loop, hence the repetition.
+    for (int i = 0; i < 50; ++i) {
+        std::optional<Server> server(std::in_place, m_serverLoop, ServerOptions{}, handlers);
+        const std::string address = addressOf(*server);
+        ASSERT_TRUE(m_client.state(address, 0));
+        server.reset();
+        m_client.setReachable([](const std::string &) { return false; });
+        EXPECT_FALSE(m_client.state(address, 0));
+        m_client.setReachable(nullptr);
+    }
+}
+
+TEST_F(RpcTest, ARequestIsRevokedOnlyWithTheTargetsWord)
+{
+    Handlers handlers;
+    handlers.revoke = [](const std::string &id, std::uint64_t incarnation) {
+        return id == "waiting" && incarnation == 7;
+    };
+    const Server server(m_serverLoop, {}, handlers);
+    EXPECT_TRUE(m_client.revoke(addressOf(server), "waiting", 7));
+    EXPECT_FALSE(m_client.revoke(addressOf(server), "started", 7));
+    EXPECT_FALSE(m_client.revoke(addressOf(server), "waiting", 8));
+    EXPECT_FALSE(m_client.revoke("127.0.0.1:1", "waiting", 7)) << "nobody confirms";
+}
+
 } // namespace
 
 } // namespace ibislock::rpc
