--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -46,6 +46,7 @@
             vm.options.rpcPort = freePort();
             vm.options.callers.port = freePort();
             vm.options.administration.port = freePort();
+            vm.options.callers.connectionsPerPeer = 0; // All callers of the lab have one IP number.
             security::addCaller(vm.options.credentials.keys, CallerCredential, "lab");
             security::addOperator(vm.options.credentials.keys, OperatorCredential,
                                   {.name = "lab-operator", .role = security::OperatorRole::File});
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -3,6 +3,7 @@
 #include "experiments/config.h"
 #include "experiments/demo.h"
 #include "experiments/footprint.h"
+#include "experiments/hostile.h"
 #include "experiments/platform.h"
 #include "experiments/recover.h"
 #include "experiments/requests.h"
@@ -33,6 +34,8 @@
     Experiment{"footprint", "what a process costs, idle and under load", runFootprint},
     Experiment{"platform", "stand-ins, settings and tickets for trying the product by hand", runPlatform},
     Experiment{"recover", "restarts of many VMs at once, under load", runRecover},
+    Experiment{"requests", "callers under overload and faults", runRequests},
+    Experiment{"hostile", "callers beside slow connections", runHostile},
     Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
     Experiment{"requests", "callers under overload and faults", runRequests},
 };
--- a/libs/entry/include/ibislock/entry/options.h
+++ b/libs/entry/include/ibislock/entry/options.h
@@ -17,10 +17,10 @@
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; ///< Zero lets the system choose.
-    std::uint32_t threads = 512; ///< Connections served at the same time.
+    std::uint32_t threads = 1024; ///< Connections served at the same time.
     std::uint64_t bodyBytesMax = 1 << 20;
     std::uint64_t headerBytesMax = 32 << 10;
-    std::uint32_t connectionsPerPeer = 256; ///< Of one IP number; zero is without limit.
+    std::uint32_t connectionsPerPeer = 512; ///< Of one IP number; zero is without limit.
     Millis headerTimeout{5000}; ///< For the handshake, and for the whole header of a request.
     Millis bodyTimeout{15000}; ///< For the whole body of a request.
     Millis writeTimeout{10000}; ///< For the peer to take a piece of an answer.
--- a/libs/entry/src/guarded_server.cpp
+++ b/libs/entry/src/guarded_server.cpp
@@ -3,6 +3,9 @@
 #include "elastic_threads.h"
 #include "http.h"
 
+#include <algorithm>
+#include <cctype>
+
 namespace ibislock::entry
 {
 
@@ -55,15 +58,20 @@
     }
 }
 
-/// Refuses what the library would read and what we don't want it to: packed bodies, whose unpacked size has no limit,
-/// and bodies whose length is given in two ways.
+/// Refuses what the library would read and should not: packed bodies, whose unpacked size has no limit, and bodies
+/// whose length is malformed or given in two ways.
 httplib::Server::HandlerResponse checkHeader(const httplib::Request &request, httplib::Response &response)
 {
     if (request.has_header("Content-Encoding")) {
         replyError(response, 415, "invalid_argument", "packed bodies are not accepted");
         return httplib::Server::HandlerResponse::Handled;
     }
-    if (request.has_header("Content-Length") && request.has_header("Transfer-Encoding")) {
+    const std::string length = request.get_header_value("Content-Length");
+    if (!std::all_of(length.begin(), length.end(), [](unsigned char c) { return std::isdigit(c) != 0; })) {
+        replyError(response, 400, "invalid_argument", "the length of the body is not a whole number");
+        return httplib::Server::HandlerResponse::Handled;
+    }
+    if (!length.empty() && request.has_header("Transfer-Encoding")) {
         replyError(response, 400, "invalid_argument", "the length of the body is given in two ways");
         return httplib::Server::HandlerResponse::Handled;
     }
@@ -109,6 +117,11 @@
     });
 }
 
+void GuardedServer::widenBacklog() const
+{
+    ::listen(svr_sock_, SOMAXCONN);
+}
+
 bool GuardedServer::process_and_close_socket(socket_t socket)
 {
     serve(socket);
--- a/libs/entry/src/guarded_server.h
+++ b/libs/entry/src/guarded_server.h
@@ -21,6 +21,9 @@
 public:
     GuardedServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, Counters &counters);
 
+    /// Lets more connections wait to be accepted than the library asks for; call once the port is bound.
+    void widenBacklog() const;
+
 private:
     bool process_and_close_socket(socket_t socket) override;
     void serve(socket_t socket);
--- a/libs/entry/src/http.cpp
+++ b/libs/entry/src/http.cpp
@@ -33,6 +33,7 @@
         return failure(ErrorCode::Unavailable,
                        "can't listen on " + m_options.address + ":" + std::to_string(m_options.port));
     }
+    m_server->widenBacklog();
     m_thread = std::thread([this] { m_server->listen_after_bind(); });
     while (!m_server->is_running()) {
         std::this_thread::sleep_for(Millis(1));
--- a/libs/entry/src/refused_attempts.cpp
+++ b/libs/entry/src/refused_attempts.cpp
@@ -3,6 +3,7 @@
 #include "ibislock/base/log.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace ibislock::entry
 {
@@ -18,14 +19,17 @@
         std::rotate(it, it + 1, m_entries.end());
         return;
     }
+    ++m_different;
+    if (m_different <= EntriesMax || std::has_single_bit(m_different)) {
+        logWarning(Part::Security, "A change is refused.",
+                   {{"reason", attempt.reason},
+                    {"operator", attempt.operatorName},
+                    {"peer", attempt.peer},
+                    {"route", attempt.route}});
+    }
     if (m_entries.size() == EntriesMax) {
         m_entries.erase(m_entries.begin());
     }
-    logWarning(Part::Security, "A change is refused.",
-               {{"reason", attempt.reason},
-                {"operator", attempt.operatorName},
-                {"peer", attempt.peer},
-                {"route", attempt.route}});
     m_entries.push_back({.attempt = std::move(attempt), .count = 1, .first = now, .last = now});
 }
 
--- a/libs/entry/src/refused_attempts.h
+++ b/libs/entry/src/refused_attempts.h
@@ -34,7 +34,7 @@
     /// How many different attempts are kept; the one that was seen longest ago makes room.
     static constexpr std::size_t EntriesMax = 64;
 
-    /// Notes an attempt, and logs it when it is a new one.
+    /// Notes an attempt, and logs it when it is a new one; of very many new ones only some are logged.
     /// @param now the wall clock.
     void note(RefusedAttempt attempt, Millis now);
 
@@ -52,6 +52,7 @@
 
     mutable std::mutex m_mutex;
     std::vector<Entry> m_entries; ///< In the order of the last time.
+    std::uint64_t m_different = 0; ///< Attempts that began an entry.
 };
 
 } // namespace ibislock::entry
