Measure how a version spreads, and tell holdings along with chunks

Cause: nothing measured the swarm; its first run with 64 targets spent its time on calls that ask for holdings. Change: ibislock-lab spread runs real targets with shaped links and faults; a chunk's answer carries what its sender holds, sources are asked for holdings only after 250 ms of quiet, and the chunk interface is opened once a connection.

--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -31,7 +31,7 @@
                m_options.domains
                        * (m_options.entriesPerDomain + m_options.targetsPerDomain + m_options.servicesPerDomain)
                    + SpareThreads)
-    , m_store(m_options.seed + 2)
+    , m_store(m_options.seed + 2, 3 * m_options.domains * m_options.targetsPerDomain + SpareThreads)
 {
     m_log.start();
     m_vmList.start();
@@ -51,7 +51,7 @@
                                   {.name = "lab-operator", .role = security::OperatorRole::File});
             m_entries.push_back(std::move(vm));
         }
-        for (unsigned i = 0; i < m_options.targetsPerDomain; ++i) {
+        for (unsigned i = 0; i < m_options.targetsPerDomain && mayAddTarget(); ++i) {
             TargetVm vm = makeTarget("target" + std::to_string(m_targets.size() + 1), d);
             standins::EngineStandInOptions engineOptions = m_options.engine;
             engineOptions.seed = m_options.seed * 1000 + m_targets.size();
@@ -80,6 +80,11 @@
     return vm;
 }
 
+bool Deployment::mayAddTarget() const
+{
+    return m_options.targets == 0 || m_targets.size() < m_options.targets;
+}
+
 Deployment::~Deployment()
 {
     stop();
@@ -271,6 +276,9 @@
                 blocked.insert(address);
             }
         }
+        if (m_cutOff.contains(domain)) {
+            blocked.insert(m_store.url());
+        }
         return [blocked = std::move(blocked)](const std::string &address) {
             return !blocked.contains(address);
         };
--- a/lab/deployment.h
+++ b/lab/deployment.h
@@ -38,6 +38,7 @@
     unsigned entriesPerDomain = 1;
     unsigned targetsPerDomain = 1;
     unsigned servicesPerDomain = 0; ///< Targets beside plain services, for the role `desk`.
+    unsigned targets = 0; ///< In all, when the last domain has fewer; zero means no such limit.
     std::uint64_t seed = 1;
     standins::EngineStandInOptions engine;
     entry::EntryOptions entry; ///< Template; names, ports and platform are filled in.
@@ -127,6 +128,7 @@
 private:
     TargetVm makeTarget(const std::string &name, unsigned domain) const;
     node::NodeOptions nodeOptions(const node::NodeOptions &base, const std::string &name, unsigned domain) const;
+    bool mayAddTarget() const;
     void applyCut();
     void applyOutages();
     bool mayConnect(unsigned fromDomain, const std::string &address) const;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -3,6 +3,7 @@
 #include "experiments/config.h"
 #include "experiments/demo.h"
 #include "experiments/requests.h"
+#include "experiments/spread.h"
 #include "report/report_command.h"
 
 #include <array>
@@ -28,6 +29,7 @@
     Experiment{"config", "tickets under faults: accepted once, in force everywhere, never reverting", runConfig},
     Experiment{"demo", "the whole path as separate processes", runDemo},
     Experiment{"requests", "callers under overload and faults", runRequests},
+    Experiment{"spread", "a new version on many targets, with shaped links and faults", runSpread},
     Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
 };
 
--- a/libs/rpc/include/ibislock/rpc/client.h
+++ b/libs/rpc/include/ibislock/rpc/client.h
@@ -25,7 +25,6 @@
 {
     Millis connectTimeout{500};
     Millis exchangeTimeout{2000};
-    Millis chunkTimeout{20000};
     Millis revokeTimeout{300};
     std::shared_ptr<const security::TlsStore> tls; ///< Null for plain text.
 };
@@ -37,6 +36,7 @@
     bool busy = false; ///< Held there, and refused for now.
     Millis wait{0}; ///< How long the sender's queue is.
     std::string bytes; ///< Not yet verified.
+    HaveReply held; ///< What else the sender holds of the version.
 };
 
 /// Takes the result of a call. It runs on the event loop and must not block.
@@ -81,14 +81,10 @@
     /// @return the encoded state, nothing when the other is not further on, or an error.
     Result<std::optional<std::string>> state(const std::string &address, std::uint64_t after);
 
-    /// Asks for a chunk.
-    /// @return the bytes, not yet verified; NotFound; or Unavailable.
-    Result<std::string> chunk(const std::string &address, const Digest &digest);
-
-    /// Asks for a chunk without blocking.
+    /// Asks for a chunk of a version without blocking.
     /// @param timeout when to give up.
     /// @param handler takes the result, unless the client is destroyed before.
-    void chunkAsync(const std::string &address, const Digest &digest, Millis timeout,
+    void chunkAsync(const std::string &address, const Digest &digest, const Digest &root, Millis timeout,
                     ResultHandler<ChunkAnswer> handler);
 
     /// Asks which chunks of a version are held, without blocking.
--- a/libs/rpc/include/ibislock/rpc/server.h
+++ b/libs/rpc/include/ibislock/rpc/server.h
@@ -32,6 +32,13 @@
     std::uint64_t next = 0;
 };
 
+/// Which chunks of a version a process holds.
+struct HaveReply
+{
+    std::uint64_t revision = 0; ///< Differs whenever the bitmap does; zero when nothing is told.
+    std::string bitmap; ///< Bit i stands for chunk i.
+};
+
 /// A chunk to send, after a delay that the sender's rate limit asks for.
 struct ChunkReply
 {
@@ -39,13 +46,7 @@
     Millis delay{0};
     bool busy = false; ///< The chunk is held and not sent, since too many others wait for the link.
     Millis wait{0}; ///< How long the queue for the link is.
-};
-
-/// Which chunks of a version a process holds.
-struct HaveReply
-{
-    std::uint64_t revision = 0; ///< Differs whenever the bitmap does.
-    std::string bitmap; ///< Bit i stands for chunk i.
+    HaveReply held; ///< What else is held of the version.
 };
 
 /// Writes the answer to one request. Usable from any thread but the event loop's.
@@ -70,7 +71,7 @@
 {
     std::function<StateSummary(const StateSummary &)> exchange;
     std::function<std::optional<std::string>(std::uint64_t after)> state;
-    std::function<ChunkReply(const Digest &)> chunk;
+    std::function<ChunkReply(const Digest &chunk, const Digest &root)> chunk;
     std::function<std::optional<std::string>(const Digest &root)> manifest;
     std::function<std::optional<HaveReply>(const Digest &root)> have;
     std::function<void(requests::Request, std::shared_ptr<AnswerWriter>)> submit;
--- a/libs/rpc/schema/chunks.capnp
+++ b/libs/rpc/schema/chunks.capnp
@@ -5,9 +5,11 @@
 $Cxx.namespace("ibislock::rpc::wire");
 
 interface Chunks {
-    chunk @0 (digest :Data) -> (found :Bool, bytes :Data, busy :Bool, waitMs :UInt32);
+    chunk @0 (digest :Data, root :Data)
+        -> (found :Bool, bytes :Data, busy :Bool, waitMs :UInt32, revision :UInt64, bitmap :Data);
     # Hands over a chunk by its digest, after the sender's rate limit allows it. A sender whose queue is full answers
     # `busy` at once. `waitMs` is how long the sender's queue is now.
+    # `revision` and `bitmap` tell what the sender holds of the version `root`, as in `have`.
 
     manifest @1 (root :Data) -> (found :Bool, manifest :Text);
     # Hands over a manifest by its root digest.
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -22,12 +22,14 @@
         : stream(kj::mv(connected))
         , client(*stream)
         , node(client.bootstrap().castAs<wire::Node>())
+        , chunks(node.chunksRequest().send().getChunks())
     {
     }
 
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyClient client;
     wire::Node::Client node;
+    wire::Chunks::Client chunks;
 };
 
 std::string messageOf(const kj::Exception &exception)
@@ -323,36 +325,20 @@
     }
 }
 
-Result<std::string> Client::chunk(const std::string &address, const Digest &digest)
-{
-    try {
-        auto found = m_impl->blockingCall(address, m_impl->options.chunkTimeout, [&](Connection &connection) {
-            auto request = connection.node.chunksRequest().send().getChunks().chunkRequest();
-            request.setDigest(dataOf(bytesOf(digest)));
-            return request.send().then([](auto &&response) {
-                return response.getFound() ? std::optional(stringOf(response.getBytes())) : std::nullopt;
-            });
-        });
-        if (!found) {
-            return failure(ErrorCode::NotFound, "the chunk is not held there");
-        }
-        return std::move(*found);
-    } catch (const kj::Exception &exception) {
-        return failure(ErrorCode::Unavailable, messageOf(exception));
-    }
-}
-
-void Client::chunkAsync(const std::string &address, const Digest &digest, Millis timeout,
+void Client::chunkAsync(const std::string &address, const Digest &digest, const Digest &root, Millis timeout,
                         ResultHandler<ChunkAnswer> handler)
 {
-    const auto ask = [digest](Connection &connection) {
-        auto request = connection.node.chunksRequest().send().getChunks().chunkRequest();
+    const auto ask = [digest, root](Connection &connection) {
+        auto request = connection.chunks.chunkRequest();
         request.setDigest(dataOf(bytesOf(digest)));
+        request.setRoot(dataOf(bytesOf(root)));
         return request.send().then([](auto &&response) {
-            return Result<ChunkAnswer>(ChunkAnswer{.found = response.getFound(),
-                                                   .busy = response.getBusy(),
-                                                   .wait = Millis(response.getWaitMs()),
-                                                   .bytes = stringOf(response.getBytes())});
+            return Result<ChunkAnswer>(
+                ChunkAnswer{.found = response.getFound(),
+                            .busy = response.getBusy(),
+                            .wait = Millis(response.getWaitMs()),
+                            .bytes = stringOf(response.getBytes()),
+                            .held = {.revision = response.getRevision(), .bitmap = stringOf(response.getBitmap())}});
         });
     };
     m_impl->asyncCall<ChunkAnswer>(address, timeout, ask, std::move(handler));
@@ -362,7 +348,7 @@
                        ResultHandler<HaveReply> handler)
 {
     const auto ask = [root, known, hold](Connection &connection) {
-        auto request = connection.node.chunksRequest().send().getChunks().haveRequest();
+        auto request = connection.chunks.haveRequest();
         request.setRoot(dataOf(bytesOf(root)));
         request.setKnown(known);
         request.setHoldMs(static_cast<std::uint32_t>(hold.count()));
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -17,7 +17,7 @@
 {
 
 /// How often a waiting `have` call looks for a change.
-constexpr Millis HavePollInterval{40};
+constexpr Millis HavePollInterval{100};
 
 constexpr kj::Duration AcceptRetryInterval = 100 * kj::MILLISECONDS;
 
@@ -81,7 +81,8 @@
     kj::Promise<void> chunk(ChunkContext context) override
     {
         KJ_REQUIRE(m_handlers.chunk != nullptr, "chunks are not held here");
-        ChunkReply reply = m_handlers.chunk(digestOf(context.getParams().getDigest()));
+        ChunkReply reply =
+            m_handlers.chunk(digestOf(context.getParams().getDigest()), digestOf(context.getParams().getRoot()));
         const auto delay = reply.delay.count() * kj::MILLISECONDS;
         context.releaseParams();
         return m_timer.afterDelay(delay).then([context, reply = std::move(reply)]() mutable {
@@ -89,6 +90,8 @@
             results.setFound(reply.bytes != nullptr || reply.busy);
             results.setBusy(reply.busy);
             results.setWaitMs(static_cast<std::uint32_t>(reply.wait.count()));
+            results.setRevision(reply.held.revision);
+            results.setBitmap(dataOf(reply.held.bitmap));
             if (reply.bytes) {
                 results.setBytes(dataOf(*reply.bytes));
             }
--- a/libs/rpc/src/wire/chunks.capnp.h
+++ b/libs/rpc/src/wire/chunks.capnp.h
@@ -65,7 +65,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8ae489357cecead, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d8ae489357cecead, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -80,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8352267572c9ada4, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8352267572c9ada4, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -234,6 +234,9 @@
   inline bool hasDigest() const;
   inline  ::capnp::Data::Reader getDigest() const;
 
+  inline bool hasRoot() const;
+  inline  ::capnp::Data::Reader getRoot() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -269,6 +272,13 @@
   inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownDigest();
 
+  inline bool hasRoot();
+  inline  ::capnp::Data::Builder getRoot();
+  inline void setRoot( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRoot(unsigned int size);
+  inline void adoptRoot(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRoot();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -321,6 +331,11 @@
 
   inline  ::uint32_t getWaitMs() const;
 
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasBitmap() const;
+  inline  ::capnp::Data::Reader getBitmap() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -365,6 +380,16 @@
   inline  ::uint32_t getWaitMs();
   inline void setWaitMs( ::uint32_t value);
 
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasBitmap();
+  inline  ::capnp::Data::Builder getBitmap();
+  inline void setBitmap( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBitmap(unsigned int size);
+  inline void adoptBitmap(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBitmap();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -800,6 +825,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Chunks::ChunkParams::Reader::hasRoot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Chunks::ChunkParams::Builder::hasRoot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Chunks::ChunkParams::Reader::getRoot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Chunks::ChunkParams::Builder::getRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Chunks::ChunkParams::Builder::setRoot( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Chunks::ChunkParams::Builder::initRoot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Chunks::ChunkParams::Builder::adoptRoot(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Chunks::ChunkParams::Builder::disownRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Chunks::ChunkResults::Reader::getFound() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -876,6 +935,54 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Chunks::ChunkResults::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Chunks::ChunkResults::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Chunks::ChunkResults::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Chunks::ChunkResults::Reader::hasBitmap() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Chunks::ChunkResults::Builder::hasBitmap() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Chunks::ChunkResults::Reader::getBitmap() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Chunks::ChunkResults::Builder::getBitmap() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Chunks::ChunkResults::Builder::setBitmap( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Chunks::ChunkResults::Builder::initBitmap(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Chunks::ChunkResults::Builder::adoptBitmap(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Chunks::ChunkResults::Builder::disownBitmap() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Chunks::ManifestParams::Reader::hasRoot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/rpc/test/rpc_test.cpp
+++ b/libs/rpc/test/rpc_test.cpp
@@ -42,13 +42,46 @@
 TEST_F(RpcTest, FetchesAChunkOrSaysThatItIsNotHeld)
 {
     Handlers handlers;
-    handlers.chunk = [](const Digest &digest) {
-        const bool held = digest == sha256("abc");
-        return ChunkReply{.bytes = held ? std::make_shared<const std::string>("abc") : nullptr};
+    handlers.chunk = [](const Digest &digest, const Digest &root) {
+        const bool held = digest == sha256("abc") && root == sha256("root");
+        return ChunkReply{.bytes = held ? std::make_shared<const std::string>("abc") : nullptr,
+                          .held = {.revision = 4, .bitmap = "b"}};
     };
     const Server server(m_serverLoop, {}, handlers);
-    EXPECT_EQ(m_client.chunk(addressOf(server), sha256("abc")), "abc");
-    EXPECT_EQ(m_client.chunk(addressOf(server), sha256("abd")).error().code, ErrorCode::NotFound);
+    const auto ask = [&](const Digest &digest) {
+        std::promise<Result<ChunkAnswer>> answer;
+        m_client.chunkAsync(addressOf(server), digest, sha256("root"), Patience,
+                            [&](Result<ChunkAnswer> it) { answer.set_value(std::move(it)); });
+        return answer.get_future().get();
+    };
+    const auto held = ask(sha256("abc"));
+    ASSERT_TRUE(held) << held.error().message;
+    EXPECT_EQ(held->bytes, "abc");
+    EXPECT_EQ(held->held.bitmap, "b");
+    const auto other = ask(sha256("abd"));
+    ASSERT_TRUE(other) << other.error().message;
+    EXPECT_FALSE(other->found);
+}
+
+TEST_F(RpcTest, TellsHoldingsWhenTheyChange)
+{
+    std::atomic<std::uint64_t> revision = 1;
+    Handlers handlers;
+    handlers.have = [&](const Digest &root) -> std::optional<HaveReply> {
+        return root == sha256("root") ? std::optional(HaveReply{.revision = revision, .bitmap = "b"}) : std::nullopt;
+    };
+    const Server server(m_serverLoop, {}, handlers);
+    std::promise<Result<HaveReply>> answer;
+    m_client.haveAsync(addressOf(server), sha256("root"), 1, Patience,
+                       [&](Result<HaveReply> it) { answer.set_value(std::move(it)); });
+    revision = 2;
+    const auto reply = answer.get_future().get();
+    ASSERT_TRUE(reply) << reply.error().message;
+    EXPECT_EQ(reply->revision, 2U);
+    std::promise<Result<HaveReply>> unknown;
+    m_client.haveAsync(addressOf(server), sha256("other"), 0, Millis(0),
+                       [&](Result<HaveReply> it) { unknown.set_value(std::move(it)); });
+    EXPECT_EQ(unknown.get_future().get().error().code, ErrorCode::NotFound);
 }
 
 TEST_F(RpcTest, StreamsAnAnswerInOrder)
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -15,6 +15,9 @@
 /// What a chunk takes over a link that is made to stall.
 constexpr Millis StalledDelay{60000};
 
+/// Holdings go along with a chunk that is this many times larger.
+constexpr std::size_t HoldingsPart = 64;
+
 } // namespace
 
 struct Daemon::Impl
@@ -47,8 +50,8 @@
     {
         rpc::Handlers handlers;
         node.addHandlers(handlers);
-        handlers.chunk = [this](const Digest &digest) {
-            return sendChunk(digest);
+        handlers.chunk = [this](const Digest &digest, const Digest &root) {
+            return sendChunk(digest, root);
         };
         handlers.manifest = [this](const Digest &root) {
             return sendManifest(root);
@@ -77,12 +80,17 @@
         report.leaving = leaving;
     }
 
-    rpc::ChunkReply sendChunk(const Digest &digest)
+    rpc::ChunkReply sendChunk(const Digest &digest, const Digest &root)
     {
         rpc::ChunkReply reply;
         {
             const std::lock_guard lock(holdings.mutex);
             reply.bytes = weights::get(holdings.store, digest);
+            const auto held = holdings.held.find(root);
+            if (reply.bytes && held != holdings.held.end()
+                && held->second.bitmap.size() * HoldingsPart <= reply.bytes->size()) {
+                reply.held = held->second;
+            }
         }
         if (reply.bytes) {
             admitChunk(reply);
--- a/libs/target/src/swarm.cpp
+++ b/libs/target/src/swarm.cpp
@@ -15,6 +15,8 @@
 constexpr Millis RefreshInterval{500};
 constexpr Millis TickInterval{20};
 constexpr Millis HoldingsHold{1000};
+constexpr Millis HoldingsPause{250}; ///< How long what a source holds is not asked for after it was told.
+constexpr Millis WithdrawnInterval{50};
 
 weights::PlanOptions planOptions(const TargetOptions &options)
 {
@@ -77,9 +79,13 @@
             m_refreshedAt = now;
             refresh();
         }
-        if (withdrawn()) {
-            return failure(ErrorCode::Cancelled, "the transfer was withdrawn");
+        if (now - m_checkedAt >= WithdrawnInterval) {
+            m_checkedAt = now;
+            if (withdrawn()) {
+                return failure(ErrorCode::Cancelled, "the transfer was withdrawn");
+            }
         }
+        askQuietSources();
         if (!m_context.faults.isStalled) {
             issueDraws();
         }
@@ -196,8 +202,8 @@
     }
     m_context.counters.add(Counter::ChunkCalls);
     m_context.client.chunkAsync(
-        m_addresses.at(draw.source), m_manifest.chunks[draw.chunk], m_transfer.options.chunkTimeout,
-        [inbox = m_inbox, draw](Result<rpc::ChunkAnswer> answer) {
+        m_addresses.at(draw.source), m_manifest.chunks[draw.chunk], m_duty.assignment.manifest,
+        m_transfer.options.chunkTimeout, [inbox = m_inbox, draw](Result<rpc::ChunkAnswer> answer) {
             inbox->push(ChunkEvent{.chunk = draw.chunk, .source = draw.source, .answer = std::move(answer)});
         });
 }
@@ -209,8 +215,10 @@
         return;
     }
     if (event.reply) {
-        revision->second = event.reply->revision;
-        weights::noteHoldings(m_transfer, event.source, event.reply->bitmap, steadyMillis());
+        if (event.reply->revision < revision->second) {
+            revision->second = 0; // The source has started anew.
+        }
+        noteHoldings(event.source, *event.reply);
     } else if (event.reply.error().code == ErrorCode::NotFound) {
         revision->second = 0;
         weights::noteHoldings(m_transfer, event.source, {}, steadyMillis());
@@ -219,7 +227,36 @@
         m_revisions.erase(revision);
         return;
     }
-    askHoldings(event.source, HoldingsHold);
+    m_askAt[event.source] = steadyMillis() + HoldingsPause;
+}
+
+void Swarm::noteHoldings(const std::string &source, const rpc::HaveReply &held)
+{
+    const auto revision = m_revisions.find(source);
+    if (held.revision == 0 || revision == m_revisions.end() || held.revision <= revision->second) {
+        return;
+    }
+    revision->second = held.revision;
+    weights::noteHoldings(m_transfer, source, held.bitmap, steadyMillis());
+    const auto ask = m_askAt.find(source);
+    if (ask != m_askAt.end()) {
+        ask->second = steadyMillis() + HoldingsPause;
+    }
+}
+
+void Swarm::askQuietSources()
+{
+    const Millis now = steadyMillis();
+    for (auto it = m_askAt.begin(); it != m_askAt.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        if (m_revisions.contains(it->first)) {
+            askHoldings(it->first, HoldingsHold);
+        }
+        it = m_askAt.erase(it);
+    }
 }
 
 void Swarm::handle(ChunkEvent &event)
@@ -229,6 +266,7 @@
         return;
     }
     rpc::ChunkAnswer &answer = *event.answer;
+    noteHoldings(event.source, answer.held);
     if (answer.busy) {
         m_context.counters.add(Counter::ChunkRefusals);
         fail(event, DrawFailure::Busy, answer.wait);
--- a/libs/target/src/swarm.h
+++ b/libs/target/src/swarm.h
@@ -58,6 +58,8 @@
     void refresh();
     void applyPairShare();
     void askHoldings(const std::string &source, Millis hold);
+    void noteHoldings(const std::string &source, const rpc::HaveReply &held);
+    void askQuietSources();
     void issueDraws();
     void issue(const weights::Draw &draw);
     void handle(HoldingsEvent &event);
@@ -79,7 +81,9 @@
     weights::Transfer m_transfer;
     std::map<std::string, std::string> m_addresses;
     std::map<std::string, std::uint64_t> m_revisions; ///< By source: the revision of its holdings that is known.
+    std::map<std::string, Millis> m_askAt; ///< By source without a call in progress: when to ask what it holds.
     Millis m_refreshedAt{0};
+    Millis m_checkedAt{0};
     Result<void> m_outcome;
 };
 
