--- a/libs/target/src/swarm.cpp
+++ b/libs/target/src/swarm.cpp
@@ -17,6 +17,7 @@
 constexpr Millis HoldingsHold{1000};
 constexpr Millis HoldingsPause{250}; ///< How long what a source holds is not asked for after it was told.
 constexpr Millis WithdrawnInterval{50};
+constexpr double ImportBurstChunks = 4;
 
 weights::PlanOptions planOptions(const TargetOptions &options)
 {
@@ -133,9 +134,11 @@
     const auto chunkBytes = static_cast<double>(m_manifest.chunkBytes);
     m_transfer.options.importInterval = Millis(static_cast<Millis::rep>(chunkBytes / rate * 1000));
     for (const weights::Participant &it : m_transfer.participants) {
-        const weights::RateOptions options{.bytesPerSecond = rate, .burstBytes = chunkBytes};
+        // A chunk that comes late may be made up for later; nothing is lent at the start.
+        const weights::RateOptions options{.bytesPerSecond = rate, .burstBytes = ImportBurstChunks * chunkBytes};
         const auto [bucket, added] =
             m_links.imports.try_emplace(it.domain, weights::makeBucket(options, steadyMillis()));
+        bucket->second.level = added ? chunkBytes : bucket->second.level;
         weights::setRate(bucket->second, rate, steadyMillis());
     }
 }
--- a/libs/weights/include/ibislock/weights/planner.h
+++ b/libs/weights/include/ibislock/weights/planner.h
@@ -106,6 +106,7 @@
     std::map<std::string, Millis> liveAt; ///< By VM: when it was seen live last.
     DrawOrder originOrder; ///< Who draws from the origin.
     DrawOrder importOrder; ///< Who draws over the links between regions, in the own region.
+    std::vector<std::string> farRegions; ///< Without the store's. Chunk i comes first to region i modulo their number.
     std::vector<std::size_t> ownDraws; ///< Chunks of which this VM is the first fetcher.
     std::map<std::string, Millis> progressOf; ///< By VM: when a chunk that it draws first was last seen.
     std::map<std::string, Millis> regionProgress; ///< By domain: when it last gained a chunk.
--- a/libs/weights/src/planner.cpp
+++ b/libs/weights/src/planner.cpp
@@ -142,18 +142,12 @@
 /// Gives the region from which a chunk comes to this one.
 std::string regionFor(const Transfer &transfer, std::size_t chunk)
 {
-    std::set<std::string> far;
-    for (const Participant &it : transfer.participants) {
-        if (it.domain != transfer.options.storeDomain) {
-            far.insert(it.domain);
-        }
-    }
+    const auto &far = transfer.farRegions;
     if (far.empty() || transfer.options.domain == transfer.options.storeDomain) {
         return transfer.options.storeDomain;
     }
-    auto entry = far.begin();
-    std::advance(entry, static_cast<std::ptrdiff_t>(chunk % far.size()));
-    return *entry == transfer.options.domain ? transfer.options.storeDomain : *entry;
+    const std::string &entry = far[chunk % far.size()];
+    return entry == transfer.options.domain ? transfer.options.storeDomain : entry;
 }
 
 /// Tells whether a chunk may come over the link from another region.
--- a/libs/weights/src/transfer.cpp
+++ b/libs/weights/src/transfer.cpp
@@ -63,6 +63,35 @@
     }
 }
 
+/// Who draws over the links. Each link's chunks are shared out evenly, so that all VMs end with a link together.
+DrawOrder importOrder(const std::vector<Digest> &chunks, const std::vector<std::string> &vms, std::size_t parts)
+{
+    DrawOrder order{.vms = vms, .first = std::vector<std::uint32_t>(vms.empty() ? 0 : chunks.size())};
+    for (std::size_t part = 0; part < parts && !vms.empty(); ++part) {
+        std::vector<Digest> ofPart;
+        for (std::size_t i = part; i < chunks.size(); i += parts) {
+            ofPart.push_back(chunks[i]);
+        }
+        const DrawOrder shared = drawOrder(ofPart, vms);
+        for (std::size_t i = 0; i < ofPart.size(); ++i) {
+            order.first[part + i * parts] = shared.first[i];
+        }
+    }
+    return order;
+}
+
+/// The regions that the store does not stand in.
+std::vector<std::string> farRegionsOf(const Transfer &transfer)
+{
+    std::set<std::string> far;
+    for (const Participant &it : transfer.participants) {
+        if (it.domain != transfer.options.storeDomain && !it.domain.empty()) {
+            far.insert(it.domain);
+        }
+    }
+    return {far.begin(), far.end()};
+}
+
 void chooseOrders(Transfer &transfer)
 {
     std::vector<std::string> nearStore;
@@ -85,9 +114,12 @@
         transfer.originOrder = drawOrder(transfer.chunks, group);
     }
     std::sort(inDomain.begin(), inDomain.end());
-    if (transfer.options.domainsAreRegions && inDomain != transfer.importOrder.vms) {
-        transfer.importOrder = drawOrder(transfer.chunks, inDomain);
+    auto farRegions = farRegionsOf(transfer);
+    if (transfer.options.domainsAreRegions
+        && (inDomain != transfer.importOrder.vms || farRegions.size() != transfer.farRegions.size())) {
+        transfer.importOrder = importOrder(transfer.chunks, inDomain, std::max<std::size_t>(1, farRegions.size()));
     }
+    transfer.farRegions = std::move(farRegions);
     transfer.ownDraws.clear();
     for (std::size_t i = 0; i < transfer.originOrder.first.size(); ++i) {
         if (!transfer.held[i] && transfer.originOrder.vms[transfer.originOrder.first[i]] == transfer.options.vm) {
