A chunk that a source claims and does not deliver is drawn elsewhere

Cause: property tests on a virtual clock found that a chunk whose only known holder lies or stalls was asked of it for ever, since the chunk counted as held and no VM took over from the first fetcher; and that a liar with many chunks held each of them up for one of its growing pauses. Change: a chunk that failed at a source does not count as held there until the source delivers another one; a source that failed again and again counts as holding nothing while it is not asked.

--- a/libs/target/src/swarm.cpp
+++ b/libs/target/src/swarm.cpp
@@ -113,6 +113,11 @@
         }
     });
     std::erase_if(m_revisions, [&](const auto &it) { return !m_transfer.sources.contains(it.first); });
+    for (const auto &[vm, source] : m_transfer.sources) {
+        if (!source.isKnown && now >= source.availableAt && m_revisions.contains(vm)) {
+            m_revisions[vm] = 0; // What it told while it was not trusted did not count.
+        }
+    }
     for (const std::string &vm : neighbours) {
         if (m_revisions.try_emplace(vm, 0).second) {
             askHoldings(vm, Millis(0));
--- a/libs/weights/include/ibislock/weights/planner.h
+++ b/libs/weights/include/ibislock/weights/planner.h
@@ -75,6 +75,7 @@
 {
     std::string domain;
     std::vector<bool> holds;
+    std::set<std::size_t> withheld; ///< Chunks that it claims to hold and did not deliver, until it delivers another.
     bool isKnown = false; ///< Whether it has told what it holds.
     std::uint32_t requests = 0;
     Millis availableAt{0};
--- a/libs/weights/src/transfer.cpp
+++ b/libs/weights/src/transfer.cpp
@@ -37,6 +37,20 @@
     }
 }
 
+void forgetAll(Transfer &transfer, Source &source)
+{
+    source.isKnown = false;
+    for (std::size_t i = 0; i < transfer.chunks.size(); ++i) {
+        forgetHolding(transfer, source, i);
+    }
+}
+
+/// Tells whether a source has failed so often that what it claims to hold does not count while it is not asked.
+bool isDistrusted(const Transfer &transfer, const Source &source)
+{
+    return source.avoid > transfer.options.takeover;
+}
+
 /// A chunk that is seen shows that the VM which draws it is at work.
 void noteProgress(Transfer &transfer, const DrawOrder &order, std::size_t chunk, Millis now)
 {
@@ -221,9 +235,7 @@
             ++it;
             continue;
         }
-        for (std::size_t i = 0; i < transfer.chunks.size(); ++i) {
-            forgetHolding(transfer, it->second, i);
-        }
+        forgetAll(transfer, it->second);
         it = transfer.sources.erase(it);
     }
     for (const Participant &it : transfer.participants) {
@@ -240,9 +252,12 @@
     if (it == transfer.sources.end()) {
         return;
     }
+    if (isDistrusted(transfer, it->second) && now < it->second.availableAt) {
+        return;
+    }
     it->second.isKnown = true;
     for (std::size_t i = 0; i < transfer.chunks.size(); ++i) {
-        const bool holds = bitOf(bitmap, i);
+        const bool holds = bitOf(bitmap, i) && !it->second.withheld.contains(i);
         if (holds && !it->second.holds[i]) {
             noteHolding(transfer, it->second, i, now);
         } else if (!holds) {
@@ -266,6 +281,7 @@
         it->second.requests -= it->second.requests > 0 ? 1 : 0;
         it->second.queue = queue;
         it->second.avoid /= 2;
+        it->second.withheld.clear();
     }
     if (transfer.held[chunk]) {
         return false;
@@ -303,6 +319,12 @@
         const Millis first = transfer.options.avoidMin * (reason == DrawFailure::Corrupt ? CorruptPenalty : 1);
         peer.avoid = std::min(transfer.options.avoidMax, std::max(first, peer.avoid * 2));
         peer.availableAt = now + peer.avoid;
+        // Otherwise a chunk that only this source claims to hold would never be drawn again.
+        peer.withheld.insert(chunk);
+        forgetHolding(transfer, peer, chunk);
+        if (isDistrusted(transfer, peer)) {
+            forgetAll(transfer, peer);
+        }
     }
 }
 
