--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -7,6 +7,7 @@
 #include "experiments/platform.h"
 #include "experiments/recover.h"
 #include "experiments/requests.h"
+#include "experiments/spread.h"
 #include "report/report_command.h"
 
 #include <array>
@@ -36,8 +37,8 @@
     Experiment{"recover", "restarts of many VMs at once, under load", runRecover},
     Experiment{"requests", "callers under overload and faults", runRequests},
     Experiment{"hostile", "callers beside slow connections", runHostile},
+    Experiment{"spread", "a new version on many targets, with shaped links and faults", runSpread},
     Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
-    Experiment{"requests", "callers under overload and faults", runRequests},
 };
 
 int run(int argc, char **argv)
--- a/libs/target/src/swarm.cpp
+++ b/libs/target/src/swarm.cpp
@@ -15,6 +15,9 @@
 constexpr Millis RefreshInterval{500};
 constexpr Millis TickInterval{20};
 constexpr Millis HoldingsHold{1000};
+constexpr Millis HoldingsPause{250}; ///< How long what a source holds is not asked for after it was told.
+constexpr Millis WithdrawnInterval{50};
+constexpr double ImportBurstChunks = 4;
 
 weights::PlanOptions planOptions(const TargetOptions &options)
 {
@@ -77,9 +80,13 @@
             m_refreshedAt = now;
             refresh();
         }
-        if (withdrawn()) {
-            return failure(ErrorCode::Cancelled, "the transfer was withdrawn");
+        if (now - m_checkedAt >= WithdrawnInterval) {
+            m_checkedAt = now;
+            if (withdrawn()) {
+                return failure(ErrorCode::Cancelled, "the transfer was withdrawn");
+            }
         }
+        askQuietSources();
         if (!m_context.faults.isStalled) {
             issueDraws();
         }
@@ -106,6 +113,11 @@
         }
     });
     std::erase_if(m_revisions, [&](const auto &it) { return !m_transfer.sources.contains(it.first); });
+    for (const auto &[vm, source] : m_transfer.sources) {
+        if (!source.isKnown && now >= source.availableAt && m_revisions.contains(vm)) {
+            m_revisions[vm] = 0; // What it told while it was not trusted did not count.
+        }
+    }
     for (const std::string &vm : neighbours) {
         if (m_revisions.try_emplace(vm, 0).second) {
             askHoldings(vm, Millis(0));
@@ -127,9 +139,11 @@
     const auto chunkBytes = static_cast<double>(m_manifest.chunkBytes);
     m_transfer.options.importInterval = Millis(static_cast<Millis::rep>(chunkBytes / rate * 1000));
     for (const weights::Participant &it : m_transfer.participants) {
-        const weights::RateOptions options{.bytesPerSecond = rate, .burstBytes = chunkBytes};
+        // A chunk that comes late may be made up for later; nothing is lent at the start.
+        const weights::RateOptions options{.bytesPerSecond = rate, .burstBytes = ImportBurstChunks * chunkBytes};
         const auto [bucket, added] =
             m_links.imports.try_emplace(it.domain, weights::makeBucket(options, steadyMillis()));
+        bucket->second.level = added ? chunkBytes : bucket->second.level;
         weights::setRate(bucket->second, rate, steadyMillis());
     }
 }
@@ -196,8 +210,8 @@
     }
     m_context.counters.add(Counter::ChunkCalls);
     m_context.client.chunkAsync(
-        m_addresses.at(draw.source), m_manifest.chunks[draw.chunk], m_transfer.options.chunkTimeout,
-        [inbox = m_inbox, draw](Result<rpc::ChunkAnswer> answer) {
+        m_addresses.at(draw.source), m_manifest.chunks[draw.chunk], m_duty.assignment.manifest,
+        m_transfer.options.chunkTimeout, [inbox = m_inbox, draw](Result<rpc::ChunkAnswer> answer) {
             inbox->push(ChunkEvent{.chunk = draw.chunk, .source = draw.source, .answer = std::move(answer)});
         });
 }
@@ -209,8 +223,10 @@
         return;
     }
     if (event.reply) {
-        revision->second = event.reply->revision;
-        weights::noteHoldings(m_transfer, event.source, event.reply->bitmap, steadyMillis());
+        if (event.reply->revision < revision->second) {
+            revision->second = 0; // The source has started anew.
+        }
+        noteHoldings(event.source, *event.reply);
     } else if (event.reply.error().code == ErrorCode::NotFound) {
         revision->second = 0;
         weights::noteHoldings(m_transfer, event.source, {}, steadyMillis());
@@ -219,7 +235,36 @@
         m_revisions.erase(revision);
         return;
     }
-    askHoldings(event.source, HoldingsHold);
+    m_askAt[event.source] = steadyMillis() + HoldingsPause;
+}
+
+void Swarm::noteHoldings(const std::string &source, const rpc::HaveReply &held)
+{
+    const auto revision = m_revisions.find(source);
+    if (held.revision == 0 || revision == m_revisions.end() || held.revision <= revision->second) {
+        return;
+    }
+    revision->second = held.revision;
+    weights::noteHoldings(m_transfer, source, held.bitmap, steadyMillis());
+    const auto ask = m_askAt.find(source);
+    if (ask != m_askAt.end()) {
+        ask->second = steadyMillis() + HoldingsPause;
+    }
+}
+
+void Swarm::askQuietSources()
+{
+    const Millis now = steadyMillis();
+    for (auto it = m_askAt.begin(); it != m_askAt.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        if (m_revisions.contains(it->first)) {
+            askHoldings(it->first, HoldingsHold);
+        }
+        it = m_askAt.erase(it);
+    }
 }
 
 void Swarm::handle(ChunkEvent &event)
@@ -229,6 +274,7 @@
         return;
     }
     rpc::ChunkAnswer &answer = *event.answer;
+    noteHoldings(event.source, answer.held);
     if (answer.busy) {
         m_context.counters.add(Counter::ChunkRefusals);
         fail(event, DrawFailure::Busy, answer.wait);
--- a/libs/weights/include/ibislock/weights/planner.h
+++ b/libs/weights/include/ibislock/weights/planner.h
@@ -75,6 +75,7 @@
 {
     std::string domain;
     std::vector<bool> holds;
+    std::set<std::size_t> withheld; ///< Chunks that it claims to hold and did not deliver, until it delivers another.
     bool isKnown = false; ///< Whether it has told what it holds.
     std::uint32_t requests = 0;
     Millis availableAt{0};
@@ -106,6 +107,7 @@
     std::map<std::string, Millis> liveAt; ///< By VM: when it was seen live last.
     DrawOrder originOrder; ///< Who draws from the origin.
     DrawOrder importOrder; ///< Who draws over the links between regions, in the own region.
+    std::vector<std::string> farRegions; ///< Without the store's. Chunk i comes first to region i modulo their number.
     std::vector<std::size_t> ownDraws; ///< Chunks of which this VM is the first fetcher.
     std::map<std::string, Millis> progressOf; ///< By VM: when a chunk that it draws first was last seen.
     std::map<std::string, Millis> regionProgress; ///< By domain: when it last gained a chunk.
--- a/libs/weights/src/transfer.cpp
+++ b/libs/weights/src/transfer.cpp
@@ -37,6 +37,20 @@
     }
 }
 
+void forgetAll(Transfer &transfer, Source &source)
+{
+    source.isKnown = false;
+    for (std::size_t i = 0; i < transfer.chunks.size(); ++i) {
+        forgetHolding(transfer, source, i);
+    }
+}
+
+/// Tells whether a source has failed so often that what it claims to hold does not count while it is not asked.
+bool isDistrusted(const Transfer &transfer, const Source &source)
+{
+    return source.avoid > transfer.options.takeover;
+}
+
 /// A chunk that is seen shows that the VM which draws it is at work.
 void noteProgress(Transfer &transfer, const DrawOrder &order, std::size_t chunk, Millis now)
 {
@@ -63,6 +77,35 @@
     }
 }
 
+/// Who draws over the links. Each link's chunks are shared out evenly, so that all VMs end with a link together.
+DrawOrder importOrder(const std::vector<Digest> &chunks, const std::vector<std::string> &vms, std::size_t parts)
+{
+    DrawOrder order{.vms = vms, .first = std::vector<std::uint32_t>(vms.empty() ? 0 : chunks.size())};
+    for (std::size_t part = 0; part < parts && !vms.empty(); ++part) {
+        std::vector<Digest> ofPart;
+        for (std::size_t i = part; i < chunks.size(); i += parts) {
+            ofPart.push_back(chunks[i]);
+        }
+        const DrawOrder shared = drawOrder(ofPart, vms);
+        for (std::size_t i = 0; i < ofPart.size(); ++i) {
+            order.first[part + i * parts] = shared.first[i];
+        }
+    }
+    return order;
+}
+
+/// The regions that the store does not stand in.
+std::vector<std::string> farRegionsOf(const Transfer &transfer)
+{
+    std::set<std::string> far;
+    for (const Participant &it : transfer.participants) {
+        if (it.domain != transfer.options.storeDomain && !it.domain.empty()) {
+            far.insert(it.domain);
+        }
+    }
+    return {far.begin(), far.end()};
+}
+
 void chooseOrders(Transfer &transfer)
 {
     std::vector<std::string> nearStore;
@@ -85,9 +128,12 @@
         transfer.originOrder = drawOrder(transfer.chunks, group);
     }
     std::sort(inDomain.begin(), inDomain.end());
-    if (transfer.options.domainsAreRegions && inDomain != transfer.importOrder.vms) {
-        transfer.importOrder = drawOrder(transfer.chunks, inDomain);
+    auto farRegions = farRegionsOf(transfer);
+    if (transfer.options.domainsAreRegions
+        && (inDomain != transfer.importOrder.vms || farRegions.size() != transfer.farRegions.size())) {
+        transfer.importOrder = importOrder(transfer.chunks, inDomain, std::max<std::size_t>(1, farRegions.size()));
     }
+    transfer.farRegions = std::move(farRegions);
     transfer.ownDraws.clear();
     for (std::size_t i = 0; i < transfer.originOrder.first.size(); ++i) {
         if (!transfer.held[i] && transfer.originOrder.vms[transfer.originOrder.first[i]] == transfer.options.vm) {
@@ -189,9 +235,7 @@
             ++it;
             continue;
         }
-        for (std::size_t i = 0; i < transfer.chunks.size(); ++i) {
-            forgetHolding(transfer, it->second, i);
-        }
+        forgetAll(transfer, it->second);
         it = transfer.sources.erase(it);
     }
     for (const Participant &it : transfer.participants) {
@@ -208,9 +252,12 @@
     if (it == transfer.sources.end()) {
         return;
     }
+    if (isDistrusted(transfer, it->second) && now < it->second.availableAt) {
+        return;
+    }
     it->second.isKnown = true;
     for (std::size_t i = 0; i < transfer.chunks.size(); ++i) {
-        const bool holds = bitOf(bitmap, i);
+        const bool holds = bitOf(bitmap, i) && !it->second.withheld.contains(i);
         if (holds && !it->second.holds[i]) {
             noteHolding(transfer, it->second, i, now);
         } else if (!holds) {
@@ -234,6 +281,7 @@
         it->second.requests -= it->second.requests > 0 ? 1 : 0;
         it->second.queue = queue;
         it->second.avoid /= 2;
+        it->second.withheld.clear();
     }
     if (transfer.held[chunk]) {
         return false;
@@ -271,6 +319,12 @@
         const Millis first = transfer.options.avoidMin * (reason == DrawFailure::Corrupt ? CorruptPenalty : 1);
         peer.avoid = std::min(transfer.options.avoidMax, std::max(first, peer.avoid * 2));
         peer.availableAt = now + peer.avoid;
+        // Otherwise a chunk that only this source claims to hold would never be drawn again.
+        peer.withheld.insert(chunk);
+        forgetHolding(transfer, peer, chunk);
+        if (isDistrusted(transfer, peer)) {
+            forgetAll(transfer, peer);
+        }
     }
 }
 
