--- a/libs/configuration/src/snapshot_policy.cpp
+++ b/libs/configuration/src/snapshot_policy.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::uint64_t SpacingMin = 4;
 
+/// The spacing while the log has dropped nothing yet, so that its retention is not known.
+constexpr std::uint64_t FirstSpacing = 16;
+
 Digest scoreOf(std::string_view vm, Offset covered)
 {
     return sha256(std::string(vm) + "/" + std::to_string(covered));
@@ -36,7 +39,7 @@
 std::uint64_t snapshotSpacing(const SnapshotWatch &watch, const SnapshotOptions &options)
 {
     if (watch.first == 0) {
-        return options.recordsMax;
+        return std::clamp(watch.covered, std::min(FirstSpacing, options.recordsMax), options.recordsMax);
     }
     const std::uint64_t retained = watch.next - watch.first;
     return std::clamp(retained / options.retentionShare, SpacingMin, std::max(SpacingMin, options.recordsMax));
--- a/libs/membership/include/ibislock/membership/report.h
+++ b/libs/membership/include/ibislock/membership/report.h
@@ -6,6 +6,7 @@
 #include "ibislock/base/names.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace ibislock::membership
@@ -17,7 +18,8 @@
 /// External names of the kinds.
 inline constexpr NameTable<VmKind, 2> VmKindNames{{{VmKind::Entry, "entry"}, {VmKind::Target, "target"}}};
 
-/// A VM's report of itself. Of two reports of one incarnation the one with the higher sequence is newer.
+/// A VM's report of itself. Of two reports of one incarnation the one with the higher revision is newer, then the one
+/// with the higher sequence.
 struct Report
 {
     std::string vm;
@@ -26,7 +28,8 @@
     VmKind kind = VmKind::Target;
     std::uint64_t incarnation = 0;
     std::uint64_t started = 0; ///< Wall clock of the process's start in ms, which orders incarnations.
-    std::uint64_t sequence = 0;
+    std::uint64_t revision = 0; ///< Counts the changes that every VM has to learn of.
+    std::uint64_t sequence = 0; ///< Counts the signs of life.
     bool leaving = false;
     std::uint64_t logOffset = 0; ///< How far the VM has folded the log.
     std::string phase; ///< State of the activation chart; empty for entry VMs.
@@ -34,8 +37,37 @@
     Digest serving; ///< The manifest that the VM serves; none while it serves nothing.
     std::uint32_t running = 0; ///< Requests in progress.
     std::uint32_t queued = 0;
+    std::uint64_t coveredTicket = 0; ///< For an entry VM: the newest ticket that all VMs which it watches have.
 
     bool operator==(const Report &) const = default;
 };
 
+/// What changed about one VM: its newest report, and the delegates that have not heard of the VM since.
+struct News
+{
+    Report report;
+    std::set<std::string> silentFor;
+
+    bool operator==(const News &) const = default;
+};
+
+/// A sign of life, small enough to be sent often.
+struct Beat
+{
+    std::string vm;
+    std::string domain;
+    VmKind kind = VmKind::Target;
+    std::uint64_t incarnation = 0;
+    std::uint64_t revision = 0; ///< The report that the sign of life goes with.
+    std::uint64_t sequence = 0;
+    std::uint64_t logOffset = 0;
+    std::uint64_t lastTicket = 0;
+    std::uint64_t coveredTicket = 0;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    bool logReachable = false;
+
+    bool operator==(const Beat &) const = default;
+};
+
 } // namespace ibislock::membership
--- a/libs/membership/include/ibislock/membership/view.h
+++ b/libs/membership/include/ibislock/membership/view.h
@@ -1,12 +1,15 @@
 // Who is there: the platform's lagging list of VMs combined with the VMs' own reports.
 //
-//     View view;
-//     applyList(view, listed, now);         // from the platform, seconds late
-//     applyReport(view, report, now);       // from the VM itself or a neighbour
+//     View view{.domain = "north"};
+//     applyList(view, listed, options, now);    // from the platform, seconds late
+//     applyReport(view, report, now);           // from the VM itself
+//     applyNews(view, news, now);               // from a neighbour
 //     isUsable(*find(view, "t1"), options, now);
 //
-// A VM is usable while its own report is fresh and neither source says that it is leaving. One silent path is not
-// enough to drop a VM; the freshest report counts, whatever path it took.
+// A VM is judged by its delegates, a few entry VMs of its own failure domain; see delegates.h. It counts as dead once
+// two of them have heard nothing from it; one silent path is not enough. All other VMs take the delegates' word for as
+// long as they hear from the domain, so that only changes need to travel. Merging news is commutative, associative and
+// idempotent, whatever path they took.
 
 #pragma once
 
@@ -19,6 +22,9 @@
 namespace ibislock::membership
 {
 
+/// How many delegates must have heard nothing before a VM counts as dead.
+inline constexpr std::size_t SilentDelegatesMin = 2;
+
 /// A VM as the platform lists it.
 struct ListedVm
 {
@@ -34,7 +40,9 @@
 /// Limits of the view.
 struct ViewOptions
 {
-    Millis reportLifetime{3000}; ///< How long a report counts after it was received.
+    Millis reportLifetime{3000}; ///< How long the word on a VM of the own domain counts.
+    Millis remoteLifetime{10000}; ///< How long the word on a VM of another domain counts.
+    Millis loadInterval{2000}; ///< The shortest time between two pieces of news on a VM's load only.
 };
 
 /// What is known of one VM.
@@ -44,22 +52,62 @@
     bool isListed = false;
     Report report;
     bool hasReport = false;
-    Millis reportedAt{0};
+    bool isRemote = false; ///< In another failure domain.
+    Millis reportedAt{0}; ///< As of when the word on the VM holds.
+    Millis heardAt{0}; ///< When this process heard from the VM itself.
+    bool hasHeard = false;
+    std::uint64_t heardOffset = 0; ///< How far the VM had folded the log by then, and its last ticket.
+    std::uint64_t heardTicket = 0;
+    std::set<std::string> silentFor;
+    Millis markedAt{0}; ///< When this process last said that it hears nothing.
+    std::uint64_t changed = 0; ///< The local change sequence of the newest news on the VM, for the own domain.
+    std::uint64_t changedWidely = 0; ///< The same, for other domains.
+    std::uint32_t loadClass = 0; ///< Of the load that the last news told.
+    Millis loadToldAt{0};
 };
 
 /// What is known of all VMs.
 struct View
 {
+    std::string domain; ///< The own failure domain.
     std::map<std::string, Member, std::less<>> members;
+    std::map<std::string, Millis, std::less<>> domainsAsOf; ///< As of when the word on each other domain holds.
     Millis listedAt{0};
+    std::uint64_t changes = 0; ///< The newest change sequence.
+    std::uint64_t urgentChanges = 0; ///< The newest one that others have to learn of at once.
 };
 
 /// Takes over the platform's list. VMs that it no longer names and that are silent are forgotten.
 void applyList(View &view, const std::vector<ListedVm> &listed, const ViewOptions &options, Millis now);
 
-/// Takes over a VM's report when it is newer than the one known.
-/// @return whether the report was newer.
-bool applyReport(View &view, const Report &report, Millis now);
+/// Takes over a report that came from the VM itself, when it is not older than the one known.
+/// @return whether it was taken over.
+bool applyReport(View &view, const Report &report, const ViewOptions &options, Millis now);
+
+/// Takes over a sign of life that came from the VM itself.
+/// @return false when the report that it goes with is not known here.
+bool applyBeat(View &view, const Beat &beat, const ViewOptions &options, Millis now);
+
+/// Merges news that came from another VM.
+void applyNews(View &view, const News &news, const ViewOptions &options, Millis now);
+
+/// Notes that the word on a domain holds as of some time, for all of its VMs that are not silent.
+void applyDomain(View &view, std::string_view domain, Millis asOf);
+
+/// Notes that a delegate has heard nothing from a VM.
+void markSilent(View &view, std::string_view vm, const std::set<std::string> &delegates, Millis now);
+
+/// Merges two pieces of news on the same VM.
+News merged(const News &a, const News &b);
+
+/// Collects news with a higher change sequence, oldest first.
+/// @param isRemote whether the receiver is in another domain.
+/// @param upTo receives the sequence up to which the news reaches.
+std::vector<News> newsAfter(const View &view, std::uint64_t after, bool isRemote, std::size_t most,
+                            std::uint64_t &upTo);
+
+/// Gives a number that is equal for views that know the same of all VMs, load and signs of life apart.
+std::uint64_t fingerprintOf(const View &view);
 
 /// Finds a VM.
 /// @return the VM, or null.
@@ -68,6 +116,9 @@
 /// Gives the address at which a VM accepts RPC: its own report's, else the platform's.
 const std::string &addressOf(const Member &member);
 
+/// Tells whether a VM counts as dead.
+bool isSilent(const Member &member);
+
 /// Tells whether new work may be sent to a VM.
 bool isUsable(const Member &member, const ViewOptions &options, Millis now);
 
--- a/libs/membership/test/view_test.cpp
+++ b/libs/membership/test/view_test.cpp
@@ -22,32 +22,32 @@
 
 TEST(ViewTest, UsesAVmOnlyWhileItsReportIsFresh)
 {
-    View view;
-    applyReport(view, reportOf(1, 1, 1), Millis(0));
+    View view{.domain = "north"};
+    applyReport(view, reportOf(1, 1, 1), Options, Millis(0));
     EXPECT_TRUE(isUsable(*find(view, "t1"), Options, Millis(1000)));
     EXPECT_FALSE(isUsable(*find(view, "t1"), Options, Millis(1001)));
 }
 
 TEST(ViewTest, StopsUsingAVmThatEitherSourceCallsLeaving)
 {
-    View view;
-    applyReport(view, reportOf(1, 1, 1), Millis(0));
+    View view{.domain = "north"};
+    applyReport(view, reportOf(1, 1, 1), Options, Millis(0));
     applyList(view, {{.vm = "t1", .domain = "north", .address = "127.0.0.1:1", .leaving = true}}, Options, Millis(1));
     EXPECT_FALSE(isUsable(*find(view, "t1"), Options, Millis(1)));
 }
 
 TEST(ViewTest, IgnoresReportsOfAnOlderIncarnation)
 {
-    View view;
-    EXPECT_TRUE(applyReport(view, reportOf(2, 20, 1), Millis(0)));
-    EXPECT_FALSE(applyReport(view, reportOf(1, 10, 99), Millis(1)));
+    View view{.domain = "north"};
+    EXPECT_TRUE(applyReport(view, reportOf(2, 20, 1), Options, Millis(0)));
+    EXPECT_FALSE(applyReport(view, reportOf(1, 10, 99), Options, Millis(1)));
     EXPECT_EQ(find(view, "t1")->report.incarnation, 2U);
 }
 
 TEST(ViewTest, KeepsAVmThatReportsThoughTheListForgotIt)
 {
-    View view;
-    applyReport(view, reportOf(1, 1, 1), Millis(0));
+    View view{.domain = "north"};
+    applyReport(view, reportOf(1, 1, 1), Options, Millis(0));
     applyList(view, {}, Options, Millis(10));
     EXPECT_NE(find(view, "t1"), nullptr);
     applyList(view, {}, Options, Millis(2000));
--- a/libs/node/include/ibislock/node/node.h
+++ b/libs/node/include/ibislock/node/node.h
@@ -10,19 +10,16 @@
 #pragma once
 
 #include "ibislock/base/counters.h"
-#include "ibislock/base/random.h"
+#include "ibislock/configuration/snapshot_policy.h"
 #include "ibislock/configuration/state.h"
 #include "ibislock/membership/view.h"
 #include "ibislock/node/scheduler.h"
-#include "ibislock/platform/log_client.h"
-#include "ibislock/platform/vm_list_client.h"
+#include "ibislock/platform/http_endpoint.h"
 #include "ibislock/rpc/client.h"
 #include "ibislock/security/tls.h"
 
-#include <atomic>
-#include <condition_variable>
-#include <mutex>
-#include <thread>
+#include <functional>
+#include <memory>
 
 namespace ibislock::node
 {
@@ -39,9 +36,11 @@
     platform::EndpointOptions vmList;
     Millis logWait{1000}; ///< How long one read of the log waits for news.
     Millis listInterval{1000};
-    Millis gossipInterval{250};
-    std::uint32_t gossipFanout = 2; ///< Peers per round.
+    Millis gossipInterval{500}; ///< The longest pause between two signs of life to one delegate.
+    std::uint32_t delegates = 2; ///< Entry VMs that judge each VM.
+    Millis suspectAfter{1500}; ///< How long a delegate waits for a sign of life before it asks the VM.
     membership::ViewOptions view;
+    configuration::SnapshotOptions snapshots;
 };
 
 /// The folded configuration, shared by its readers.
@@ -87,20 +86,33 @@
     /// Appends a record to the platform's log.
     Result<configuration::Offset> append(const configuration::Record &record);
 
+    /// Reads the platform's log to its end now.
+    /// @return when the read began, on the process's clock; or why the end was not reached.
+    Result<Millis> confirm();
+
     /// Runs a function on the view of the VMs. Safe from the event loop.
     template <typename Function>
     auto withView(Function &&function) const
     {
-        const std::lock_guard lock(m_viewMutex);
-        return function(m_view);
+        using Value = std::invoke_result_t<Function, const membership::View &>;
+        if constexpr (std::is_void_v<Value>) {
+            readView(function);
+        } else {
+            std::optional<Value> value;
+            readView([&](const membership::View &view) { value.emplace(function(view)); });
+            return std::move(*value);
+        }
     }
 
     /// Tells when the log last answered, on the monotonic clock; zero when it never did.
     Millis logReadAt() const;
 
-    /// Tells whether the last read of the log succeeded.
+    /// Tells whether the last read of the log succeeded. A target that its delegates serve does not read the log.
     bool isLogReachable() const;
 
+    /// Tells whether records are missing that neither the log nor a snapshot in it holds.
+    bool hasGap() const;
+
     /// Gives the options.
     const NodeOptions &options() const;
 
@@ -108,44 +120,11 @@
     std::uint64_t incarnation() const;
 
 private:
-    void followLog();
-    void foldPage(const platform::LogPage &page);
-    void replaceState(configuration::State state);
-    void refreshList();
-    void gossip();
-    void gossipWith(const std::string &address);
-    std::vector<std::string> choosePeers();
-    rpc::StateSummary summary();
-    void applySummary(const rpc::StateSummary &received);
-    membership::Report ownReport();
-
-    NodeOptions m_options;
-    Counters &m_counters;
-    rpc::Client &m_client;
-    const std::uint64_t m_incarnation;
-    const std::uint64_t m_started;
-    std::function<void(membership::Report &)> m_reportSource;
-    std::string m_rpcAddress;
-    std::atomic<std::uint64_t> m_sequence = 0;
-
-    mutable std::mutex m_stateMutex;
-    mutable std::condition_variable m_stateChanged;
-    StatePointer m_state;
-    configuration::Offset m_scanned = 0;
-
-    mutable std::mutex m_viewMutex;
-    membership::View m_view;
-
-    platform::LogClient m_reader;
-    std::mutex m_writerMutex;
-    platform::LogClient m_writer;
-    platform::VmListClient m_vmList;
-    Random m_random;
-    std::atomic<bool> m_stopping = false;
-    std::atomic<Millis> m_logReadAt = Millis(0);
-    std::atomic<bool> m_logReachable = false;
-    Scheduler m_scheduler;
-    std::thread m_follower;
+    struct Impl;
+
+    void readView(const std::function<void(const membership::View &)> &function) const;
+
+    std::unique_ptr<Impl> m_impl;
 };
 
 } // namespace ibislock::node
--- a/libs/node/include/ibislock/node/scheduler.h
+++ b/libs/node/include/ibislock/node/scheduler.h
@@ -31,6 +31,9 @@
     /// @param job what to run; it may block its thread.
     void every(Millis interval, std::function<void()> job);
 
+    /// Runs a job once, soon.
+    void once(std::function<void()> job);
+
     /// Ends all jobs and waits for those that run.
     void stop();
 
--- a/libs/node/src/scheduler.cpp
+++ b/libs/node/src/scheduler.cpp
@@ -70,6 +70,11 @@
     asio::post(m_impl->io, [added] { arm(added); });
 }
 
+void Scheduler::once(std::function<void()> job)
+{
+    asio::post(m_impl->io, std::move(job));
+}
+
 void Scheduler::stop()
 {
     m_impl->io.stop();
--- a/libs/rpc/include/ibislock/rpc/client.h
+++ b/libs/rpc/include/ibislock/rpc/client.h
@@ -1,7 +1,7 @@
 // Calls to other processes. Connections are made on first use, shared, and dropped when they fail.
 //
 //     Client client(loop, {});
-//     Result<StateSummary> reply = client.exchange("127.0.0.1:7100", summary);
+//     Result<Exchange> reply = client.exchange("127.0.0.1:7100", exchange);
 //     std::shared_ptr<AnswerStream> answer = client.submit("127.0.0.1:7100", request);
 //
 // Every call blocks its thread until it ends or its deadline passes, but for those that take a handler. No call may be
@@ -74,12 +74,14 @@
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
 
-    /// Swaps reports with another process.
-    Result<StateSummary> exchange(const std::string &address, const StateSummary &summary);
+    /// Swaps signs of life and news with another process.
+    Result<Exchange> exchange(const std::string &address, const Exchange &exchange);
 
-    /// Asks for the folded state when it is further on than an offset.
-    /// @return the encoded state, nothing when the other is not further on, or an error.
-    Result<std::optional<std::string>> state(const std::string &address, std::uint64_t after);
+    /// Asks for what lies beyond an offset.
+    Result<StateDelta> state(const std::string &address, std::uint64_t after);
+
+    /// Sets who is told of the bytes of each call of the two above. Call before the first of them.
+    void setTraffic(std::function<void(std::uint64_t bytes)> traffic);
 
     /// Asks for a chunk.
     /// @return the bytes, not yet verified; NotFound; or Unavailable.
--- a/libs/rpc/include/ibislock/rpc/server.h
+++ b/libs/rpc/include/ibislock/rpc/server.h
@@ -25,11 +25,32 @@
 namespace ibislock::rpc
 {
 
-/// Reports and the offset up to which the sender has folded the log.
-struct StateSummary
+/// How old the word on a failure domain is.
+struct DomainAge
 {
-    std::vector<membership::Report> reports;
-    std::uint64_t next = 0;
+    std::string domain;
+    Millis age{0};
+};
+
+/// What two VMs swap: signs of life, and what changed since the last exchange.
+struct Exchange
+{
+    membership::Beat from;
+    std::uint64_t peerIncarnation = 0; ///< The life of the receiver that `taken` belongs to.
+    std::uint64_t taken = 0; ///< The receiver's changes up to here are known to the sender.
+    std::uint64_t fingerprint = 0; ///< Of all that the sender knows of the VMs.
+    std::uint64_t upTo = 0; ///< The sender's changes up to here are in `news`, or known to the receiver.
+    std::vector<membership::News> news;
+    std::vector<DomainAge> domains;
+    bool wantsReport = false; ///< The sender lacks the receiver's report.
+};
+
+/// What a VM that is behind lacks: records from some offset on, or the whole state, or nothing.
+struct StateDelta
+{
+    std::uint64_t first = 0; ///< The offset of the first record.
+    std::vector<std::string> records;
+    std::string state; ///< The encoded state; empty when the records suffice.
 };
 
 /// A chunk to send, after a delay that the sender's rate limit asks for.
@@ -68,8 +89,9 @@
 /// What a daemon does with the calls that it receives. A handler that is not set refuses its call.
 struct Handlers
 {
-    std::function<StateSummary(const StateSummary &)> exchange;
-    std::function<std::optional<std::string>(std::uint64_t after)> state;
+    std::function<Exchange(const Exchange &)> exchange;
+    std::function<StateDelta(std::uint64_t after)> state;
+    std::function<void(std::uint64_t bytes)> traffic; ///< Told of the bytes of each call of the two above.
     std::function<ChunkReply(const Digest &)> chunk;
     std::function<std::optional<std::string>(const Digest &root)> manifest;
     std::function<std::optional<HaveReply>(const Digest &root)> have;
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -22,12 +22,14 @@
         : stream(kj::mv(connected))
         , client(*stream)
         , node(client.bootstrap().castAs<wire::Node>())
+        , stateExchange(node.stateExchangeRequest().send().getStateExchange())
     {
     }
 
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyClient client;
     wire::Node::Client node;
+    wire::StateExchange::Client stateExchange; ///< Asked for once, since it is called often.
 };
 
 std::string messageOf(const kj::Exception &exception)
@@ -160,6 +162,13 @@
         });
     }
 
+    void noteTraffic(std::uint64_t bytes) const
+    {
+        if (traffic) {
+            traffic(bytes);
+        }
+    }
+
     class IgnoreErrors final : public kj::TaskSet::ErrorHandler
     {
     public:
@@ -172,6 +181,7 @@
     ClientOptions options;
     std::optional<TlsContexts> contexts;
     Reachable reachable;
+    std::function<void(std::uint64_t)> traffic;
     IgnoreErrors ignoreErrors;
     std::map<std::string, std::shared_ptr<Connection>> connections;
     kj::TaskSet watchers{ignoreErrors};
@@ -285,22 +295,16 @@
     });
 }
 
-Result<StateSummary> Client::exchange(const std::string &address, const StateSummary &summary)
+Result<Exchange> Client::exchange(const std::string &address, const Exchange &exchange)
 {
     try {
         return m_impl->blockingCall(address, m_impl->options.exchangeTimeout, [&](Connection &connection) {
-            auto request = connection.node.stateExchangeRequest().send().getStateExchange().exchangeRequest();
-            request.setNext(summary.next);
-            auto reports = request.initReports(static_cast<unsigned>(summary.reports.size()));
-            for (unsigned i = 0; i < reports.size(); ++i) {
-                write(reports[i], summary.reports[i]);
-            }
-            return request.send().then([](auto &&response) {
-                StateSummary reply{.reports = {}, .next = response.getNext()};
-                for (const auto report : response.getReports()) {
-                    reply.reports.push_back(read(report));
-                }
-                return reply;
+            auto request = connection.stateExchange.exchangeRequest();
+            write(request, exchange);
+            const std::uint64_t sent = bytesOnWire(request.asReader());
+            return request.send().then([impl = m_impl, sent](auto &&response) {
+                impl->noteTraffic(sent + bytesOnWire(response));
+                return read(response);
             });
         });
     } catch (const kj::Exception &exception) {
@@ -308,14 +312,15 @@
     }
 }
 
-Result<std::optional<std::string>> Client::state(const std::string &address, std::uint64_t after)
+Result<StateDelta> Client::state(const std::string &address, std::uint64_t after)
 {
     try {
         return m_impl->blockingCall(address, m_impl->options.exchangeTimeout, [&](Connection &connection) {
-            auto request = connection.node.stateExchangeRequest().send().getStateExchange().stateRequest();
+            auto request = connection.stateExchange.stateRequest();
             request.setAfter(after);
-            return request.send().then([](auto &&response) {
-                return response.getFound() ? std::optional(stringOf(response.getState())) : std::nullopt;
+            return request.send().then([impl = m_impl](auto &&response) {
+                impl->noteTraffic(bytesOnWire(response));
+                return read(response);
             });
         });
     } catch (const kj::Exception &exception) {
@@ -323,6 +328,11 @@
     }
 }
 
+void Client::setTraffic(std::function<void(std::uint64_t)> traffic)
+{
+    m_impl->traffic = std::move(traffic);
+}
+
 Result<std::string> Client::chunk(const std::string &address, const Digest &digest)
 {
     try {
--- a/libs/rpc/src/convert.cpp
+++ b/libs/rpc/src/convert.cpp
@@ -64,6 +64,8 @@
     wire.setServing(dataOf(bytesOf(report.serving)));
     wire.setRunning(report.running);
     wire.setQueued(report.queued);
+    wire.setCoveredTicket(report.coveredTicket);
+    wire.setRevision(report.revision);
 }
 
 membership::Report read(wire::Report::Reader wire)
@@ -74,6 +76,7 @@
             .kind = wire.getEntry() ? membership::VmKind::Entry : membership::VmKind::Target,
             .incarnation = wire.getIncarnation(),
             .started = wire.getStarted(),
+            .revision = wire.getRevision(),
             .sequence = wire.getSequence(),
             .leaving = wire.getLeaving(),
             .logOffset = wire.getLogOffset(),
@@ -81,7 +84,8 @@
             .ticket = wire.getTicket(),
             .serving = digestOf(wire.getServing()),
             .running = wire.getRunning(),
-            .queued = wire.getQueued()};
+            .queued = wire.getQueued(),
+            .coveredTicket = wire.getCoveredTicket()};
 }
 
 void write(wire::Request::Builder wire, const requests::Request &request)
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -39,33 +39,28 @@
     kj::Promise<void> exchange(ExchangeContext context) override
     {
         KJ_REQUIRE(m_handlers.exchange != nullptr, "reports are not accepted here");
-        StateSummary received{.reports = {}, .next = context.getParams().getNext()};
-        for (const auto report : context.getParams().getReports()) {
-            received.reports.push_back(read(report));
-        }
-        const StateSummary reply = m_handlers.exchange(received);
-        auto results = context.getResults();
-        results.setNext(reply.next);
-        auto reports = results.initReports(static_cast<unsigned>(reply.reports.size()));
-        for (unsigned i = 0; i < reports.size(); ++i) {
-            write(reports[i], reply.reports[i]);
-        }
+        write(context.getResults(), m_handlers.exchange(read(context.getParams())));
+        noteTraffic(context);
         return kj::READY_NOW;
     }
 
     kj::Promise<void> state(StateContext context) override
     {
         KJ_REQUIRE(m_handlers.state != nullptr, "the state is not handed out here");
-        const auto state = m_handlers.state(context.getParams().getAfter());
-        auto results = context.getResults();
-        results.setFound(state.has_value());
-        if (state) {
-            results.setState(dataOf(*state));
-        }
+        write(context.getResults(), m_handlers.state(context.getParams().getAfter()));
+        noteTraffic(context);
         return kj::READY_NOW;
     }
 
 private:
+    template <typename Context>
+    void noteTraffic(Context &context) const
+    {
+        if (m_handlers.traffic) {
+            m_handlers.traffic(bytesOnWire(context.getParams()) + bytesOnWire(context.getResults().asReader()));
+        }
+    }
+
     const Handlers &m_handlers;
 };
 
--- a/libs/rpc/src/wire/membership.capnp.h
+++ b/libs/rpc/src/wire/membership.capnp.h
@@ -20,9 +20,11 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(8156edb9551ba51e);
+CAPNP_DECLARE_SCHEMA(f98d69c5df801fc9);
+CAPNP_DECLARE_SCHEMA(f08892250e9fc194);
+CAPNP_DECLARE_SCHEMA(b50d164f391a7c5e);
+CAPNP_DECLARE_SCHEMA(dfb78ce6ab1f2c8d);
 CAPNP_DECLARE_SCHEMA(b25e42bc18ef1fa6);
-CAPNP_DECLARE_SCHEMA(b79b9948b943b5b1);
-CAPNP_DECLARE_SCHEMA(82aa7538501ceaf4);
 CAPNP_DECLARE_SCHEMA(d0ae9a36970a3cba);
 CAPNP_DECLARE_SCHEMA(9bc21c82b62b6bab);
 
@@ -41,64 +43,92 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8156edb9551ba51e, 7, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(8156edb9551ba51e, 9, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct StateExchange {
-  StateExchange() = delete;
+struct News {
+  News() = delete;
 
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  struct ExchangeParams;
-  struct ExchangeResults;
-  struct StateParams;
-  struct StateResults;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f98d69c5df801fc9, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Beat {
+  Beat() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  #if !CAPNP_LITE
   struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(b25e42bc18ef1fa6)
+    CAPNP_DECLARE_STRUCT_HEADER(f08892250e9fc194, 8, 2)
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
-  #endif  // !CAPNP_LITE
 };
 
-struct StateExchange::ExchangeParams {
-  ExchangeParams() = delete;
+struct DomainAge {
+  DomainAge() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b79b9948b943b5b1, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b50d164f391a7c5e, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct StateExchange::ExchangeResults {
-  ExchangeResults() = delete;
+struct Exchange {
+  Exchange() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82aa7538501ceaf4, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dfb78ce6ab1f2c8d, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
+struct StateExchange {
+  StateExchange() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct StateParams;
+  struct StateResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(b25e42bc18ef1fa6)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
 struct StateExchange::StateParams {
   StateParams() = delete;
 
@@ -122,7 +152,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9bc21c82b62b6bab, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9bc21c82b62b6bab, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -181,6 +211,10 @@
 
   inline  ::uint32_t getQueued() const;
 
+  inline  ::uint64_t getCoveredTicket() const;
+
+  inline  ::uint64_t getRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -271,6 +305,12 @@
   inline  ::uint32_t getQueued();
   inline void setQueued( ::uint32_t value);
 
+  inline  ::uint64_t getCoveredTicket();
+  inline void setCoveredTicket( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -297,68 +337,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class StateExchange::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef StateExchange Calls;
-  typedef StateExchange Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::ibislock::rpc::wire::StateExchange::ExchangeParams,  ::ibislock::rpc::wire::StateExchange::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ibislock::rpc::wire::StateExchange::StateParams,  ::ibislock::rpc::wire::StateExchange::StateResults> stateRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class StateExchange::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef StateExchange Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::ibislock::rpc::wire::StateExchange::ExchangeParams ExchangeParams;
-  typedef  ::ibislock::rpc::wire::StateExchange::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::ibislock::rpc::wire::StateExchange::StateParams StateParams;
-  typedef  ::ibislock::rpc::wire::StateExchange::StateResults StateResults;
-  typedef ::capnp::CallContext<StateParams, StateResults> StateContext;
-  virtual ::kj::Promise<void> state(StateContext context);
-
-  inline  ::ibislock::rpc::wire::StateExchange::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::ibislock::rpc::wire::StateExchange>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class StateExchange::ExchangeParams::Reader {
+class News::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef News Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -373,10 +354,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReports() const;
-  inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+  inline bool hasReport() const;
+  inline  ::ibislock::rpc::wire::Report::Reader getReport() const;
 
-  inline  ::uint64_t getNext() const;
+  inline bool hasSilentFor() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSilentFor() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -390,9 +372,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StateExchange::ExchangeParams::Builder {
+class News::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef News Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -406,15 +388,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReports();
-  inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Builder getReports();
-  inline void setReports( ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
-  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>> disownReports();
-
-  inline  ::uint64_t getNext();
-  inline void setNext( ::uint64_t value);
+  inline bool hasReport();
+  inline  ::ibislock::rpc::wire::Report::Builder getReport();
+  inline void setReport( ::ibislock::rpc::wire::Report::Reader value);
+  inline  ::ibislock::rpc::wire::Report::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::ibislock::rpc::wire::Report>&& value);
+  inline ::capnp::Orphan< ::ibislock::rpc::wire::Report> disownReport();
+
+  inline bool hasSilentFor();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getSilentFor();
+  inline void setSilentFor( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setSilentFor(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initSilentFor(unsigned int size);
+  inline void adoptSilentFor(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSilentFor();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -426,14 +413,15 @@
 };
 
 #if !CAPNP_LITE
-class StateExchange::ExchangeParams::Pipeline {
+class News::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef News Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ibislock::rpc::wire::Report::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -442,9 +430,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StateExchange::ExchangeResults::Reader {
+class Beat::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef Beat Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -459,10 +447,31 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReports() const;
-  inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getLogOffset() const;
+
+  inline  ::uint64_t getLastTicket() const;
+
+  inline  ::uint32_t getRunning() const;
 
-  inline  ::uint64_t getNext() const;
+  inline  ::uint32_t getQueued() const;
+
+  inline bool getLogReachable() const;
+
+  inline bool getEntry() const;
+
+  inline  ::uint64_t getCoveredTicket() const;
+
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -476,9 +485,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StateExchange::ExchangeResults::Builder {
+class Beat::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef Beat Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -492,15 +501,49 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReports();
-  inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Builder getReports();
-  inline void setReports( ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
-  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>> disownReports();
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getLogOffset();
+  inline void setLogOffset( ::uint64_t value);
+
+  inline  ::uint64_t getLastTicket();
+  inline void setLastTicket( ::uint64_t value);
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+  inline  ::uint32_t getQueued();
+  inline void setQueued( ::uint32_t value);
+
+  inline bool getLogReachable();
+  inline void setLogReachable(bool value);
+
+  inline bool getEntry();
+  inline void setEntry(bool value);
+
+  inline  ::uint64_t getCoveredTicket();
+  inline void setCoveredTicket( ::uint64_t value);
 
-  inline  ::uint64_t getNext();
-  inline void setNext( ::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -512,9 +555,9 @@
 };
 
 #if !CAPNP_LITE
-class StateExchange::ExchangeResults::Pipeline {
+class Beat::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef Beat Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -528,9 +571,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StateExchange::StateParams::Reader {
+class DomainAge::Reader {
 public:
-  typedef StateParams Reads;
+  typedef DomainAge Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -545,7 +588,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getAfter() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline  ::uint32_t getAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -559,9 +605,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StateExchange::StateParams::Builder {
+class DomainAge::Builder {
 public:
-  typedef StateParams Builds;
+  typedef DomainAge Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -575,8 +621,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getAfter();
-  inline void setAfter( ::uint64_t value);
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -588,9 +641,9 @@
 };
 
 #if !CAPNP_LITE
-class StateExchange::StateParams::Pipeline {
+class DomainAge::Pipeline {
 public:
-  typedef StateParams Pipelines;
+  typedef DomainAge Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -604,9 +657,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StateExchange::StateResults::Reader {
+class Exchange::Reader {
 public:
-  typedef StateResults Reads;
+  typedef Exchange Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -621,10 +674,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound() const;
+  inline bool hasFrom() const;
+  inline  ::ibislock::rpc::wire::Beat::Reader getFrom() const;
 
-  inline bool hasState() const;
-  inline  ::capnp::Data::Reader getState() const;
+  inline  ::uint64_t getPeerIncarnation() const;
+
+  inline  ::uint64_t getTaken() const;
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint64_t getUpTo() const;
+
+  inline bool hasNews() const;
+  inline  ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>::Reader getNews() const;
+
+  inline bool hasDomains() const;
+  inline  ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>::Reader getDomains() const;
+
+  inline bool getWantsReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -638,9 +705,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StateExchange::StateResults::Builder {
+class Exchange::Builder {
 public:
-  typedef StateResults Builds;
+  typedef Exchange Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -654,15 +721,41 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound();
-  inline void setFound(bool value);
+  inline bool hasFrom();
+  inline  ::ibislock::rpc::wire::Beat::Builder getFrom();
+  inline void setFrom( ::ibislock::rpc::wire::Beat::Reader value);
+  inline  ::ibislock::rpc::wire::Beat::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::ibislock::rpc::wire::Beat>&& value);
+  inline ::capnp::Orphan< ::ibislock::rpc::wire::Beat> disownFrom();
 
-  inline bool hasState();
-  inline  ::capnp::Data::Builder getState();
-  inline void setState( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initState(unsigned int size);
-  inline void adoptState(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownState();
+  inline  ::uint64_t getPeerIncarnation();
+  inline void setPeerIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getTaken();
+  inline void setTaken( ::uint64_t value);
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint64_t getUpTo();
+  inline void setUpTo( ::uint64_t value);
+
+  inline bool hasNews();
+  inline  ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>::Builder getNews();
+  inline void setNews( ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>::Builder initNews(unsigned int size);
+  inline void adoptNews(::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>> disownNews();
+
+  inline bool hasDomains();
+  inline  ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>::Builder getDomains();
+  inline void setDomains( ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>::Builder initDomains(unsigned int size);
+  inline void adoptDomains(::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>> disownDomains();
+
+  inline bool getWantsReport();
+  inline void setWantsReport(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -674,14 +767,15 @@
 };
 
 #if !CAPNP_LITE
-class StateExchange::StateResults::Pipeline {
+class Exchange::Pipeline {
 public:
-  typedef StateResults Pipelines;
+  typedef Exchange Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ibislock::rpc::wire::Beat::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -690,41 +784,271 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+#if !CAPNP_LITE
+class StateExchange::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef StateExchange Calls;
+  typedef StateExchange Reads;
 
-inline bool Report::Reader::hasVm() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasVm() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Report::Reader::getVm() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Report::Builder::getVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setVm( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Report::Builder::initVm(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptVm(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Report::Builder::disownVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::ibislock::rpc::wire::Exchange,  ::ibislock::rpc::wire::Exchange> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ibislock::rpc::wire::StateExchange::StateParams,  ::ibislock::rpc::wire::StateExchange::StateResults> stateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class StateExchange::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef StateExchange Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef ::capnp::CallContext< ::ibislock::rpc::wire::Exchange,  ::ibislock::rpc::wire::Exchange> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::ibislock::rpc::wire::StateExchange::StateParams StateParams;
+  typedef  ::ibislock::rpc::wire::StateExchange::StateResults StateResults;
+  typedef ::capnp::CallContext<StateParams, StateResults> StateContext;
+  virtual ::kj::Promise<void> state(StateContext context);
+
+  inline  ::ibislock::rpc::wire::StateExchange::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::ibislock::rpc::wire::StateExchange>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class StateExchange::StateParams::Reader {
+public:
+  typedef StateParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAfter() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StateExchange::StateParams::Builder {
+public:
+  typedef StateParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAfter();
+  inline void setAfter( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StateExchange::StateParams::Pipeline {
+public:
+  typedef StateParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StateExchange::StateResults::Reader {
+public:
+  typedef StateResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasState() const;
+  inline  ::capnp::Data::Reader getState() const;
+
+  inline  ::uint64_t getFirst() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StateExchange::StateResults::Builder {
+public:
+  typedef StateResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasState();
+  inline  ::capnp::Data::Builder getState();
+  inline void setState( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initState(unsigned int size);
+  inline void adoptState(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownState();
+
+  inline  ::uint64_t getFirst();
+  inline void setFirst( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRecords(::kj::ArrayPtr<const  ::capnp::Data::Reader> value);
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StateExchange::StateResults::Pipeline {
+public:
+  typedef StateResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Report::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Report::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Report::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Report::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Report::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
 inline bool Report::Reader::hasDomain() const {
   return !_reader.getPointerField(
@@ -988,151 +1312,579 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
-#if !CAPNP_LITE
-inline StateExchange::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline StateExchange::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline StateExchange::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline StateExchange::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline StateExchange::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::ibislock::rpc::wire::StateExchange::Client& StateExchange::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::ibislock::rpc::wire::StateExchange::Client& StateExchange::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline  ::uint64_t Report::Reader::getCoveredTicket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-#endif  // !CAPNP_LITE
-inline bool StateExchange::ExchangeParams::Reader::hasReports() const {
+inline  ::uint64_t Report::Builder::getCoveredTicket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setCoveredTicket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Report::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool News::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::rpc::wire::Report::Reader News::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Report>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::rpc::wire::Report::Builder News::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Report>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ibislock::rpc::wire::Report::Pipeline News::Pipeline::getReport() {
+  return  ::ibislock::rpc::wire::Report::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void News::Builder::setReport( ::ibislock::rpc::wire::Report::Reader value) {
+  ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Report>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::rpc::wire::Report::Builder News::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Report>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void News::Builder::adoptReport(
+    ::capnp::Orphan< ::ibislock::rpc::wire::Report>&& value) {
+  ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Report>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::rpc::wire::Report> News::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Report>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool News::Reader::hasSilentFor() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasSilentFor() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader News::Reader::getSilentFor() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder News::Builder::getSilentFor() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setSilentFor( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void News::Builder::setSilentFor(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder News::Builder::initSilentFor(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptSilentFor(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> News::Builder::disownSilentFor() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StateExchange::ExchangeParams::Builder::hasReports() {
+inline bool Beat::Builder::hasVm() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Reader StateExchange::ExchangeParams::Reader::getReports() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Beat::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Builder StateExchange::ExchangeParams::Builder::getReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Beat::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StateExchange::ExchangeParams::Builder::setReports( ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Beat::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Builder StateExchange::ExchangeParams::Builder::initReports(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Beat::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StateExchange::ExchangeParams::Builder::adoptReports(
-    ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Beat::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>> StateExchange::ExchangeParams::Builder::disownReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StateExchange::ExchangeParams::Reader::getNext() const {
+inline bool Beat::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Beat::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Beat::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Beat::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Beat::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Beat::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StateExchange::ExchangeParams::Builder::getNext() {
+inline  ::uint64_t Beat::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StateExchange::ExchangeParams::Builder::setNext( ::uint64_t value) {
+inline void Beat::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StateExchange::ExchangeResults::Reader::hasReports() const {
+inline  ::uint64_t Beat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getLogOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getLogOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setLogOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getLastTicket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getLastTicket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setLastTicket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Beat::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Beat::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Beat::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Beat::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::getLogReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getLogReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setLogReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::getEntry() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<321>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getEntry() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<321>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setEntry(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<321>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getCoveredTicket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getCoveredTicket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setCoveredTicket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Beat::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Beat::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DomainAge::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StateExchange::ExchangeResults::Builder::hasReports() {
+inline bool DomainAge::Builder::hasDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Reader StateExchange::ExchangeResults::Reader::getReports() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader DomainAge::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Builder StateExchange::ExchangeResults::Builder::getReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder DomainAge::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StateExchange::ExchangeResults::Builder::setReports( ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void DomainAge::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>::Builder StateExchange::ExchangeResults::Builder::initReports(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder DomainAge::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StateExchange::ExchangeResults::Builder::adoptReports(
-    ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void DomainAge::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DomainAge::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t DomainAge::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t DomainAge::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DomainAge::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Exchange::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Exchange::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::rpc::wire::Beat::Reader Exchange::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Beat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::rpc::wire::Beat::Builder Exchange::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Beat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ibislock::rpc::wire::Beat::Pipeline Exchange::Pipeline::getFrom() {
+  return  ::ibislock::rpc::wire::Beat::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Exchange::Builder::setFrom( ::ibislock::rpc::wire::Beat::Reader value) {
+  ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Beat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::rpc::wire::Beat::Builder Exchange::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Beat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Exchange::Builder::adoptFrom(
+    ::capnp::Orphan< ::ibislock::rpc::wire::Beat>&& value) {
+  ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Beat>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>> StateExchange::ExchangeResults::Builder::disownReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::Report,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ibislock::rpc::wire::Beat> Exchange::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::ibislock::rpc::wire::Beat>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StateExchange::ExchangeResults::Reader::getNext() const {
+inline  ::uint64_t Exchange::Reader::getPeerIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StateExchange::ExchangeResults::Builder::getNext() {
+inline  ::uint64_t Exchange::Builder::getPeerIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StateExchange::ExchangeResults::Builder::setNext( ::uint64_t value) {
+inline void Exchange::Builder::setPeerIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t StateExchange::StateParams::Reader::getAfter() const {
+inline  ::uint64_t Exchange::Reader::getTaken() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StateExchange::StateParams::Builder::getAfter() {
+inline  ::uint64_t Exchange::Builder::getTaken() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StateExchange::StateParams::Builder::setAfter( ::uint64_t value) {
+inline void Exchange::Builder::setTaken( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StateExchange::StateResults::Reader::getFound() const {
+inline  ::uint64_t Exchange::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Exchange::Reader::getUpTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getUpTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setUpTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Exchange::Reader::hasNews() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Exchange::Builder::hasNews() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>::Reader Exchange::Reader::getNews() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>::Builder Exchange::Builder::getNews() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Exchange::Builder::setNews( ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>::Builder Exchange::Builder::initNews(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Exchange::Builder::adoptNews(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>> Exchange::Builder::disownNews() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::News,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Exchange::Reader::hasDomains() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Exchange::Builder::hasDomains() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>::Reader Exchange::Reader::getDomains() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>::Builder Exchange::Builder::getDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Exchange::Builder::setDomains( ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>::Builder Exchange::Builder::initDomains(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Exchange::Builder::adoptDomains(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>> Exchange::Builder::disownDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::rpc::wire::DomainAge,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Exchange::Reader::getWantsReport() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
 
-inline bool StateExchange::StateResults::Builder::getFound() {
+inline bool Exchange::Builder::getWantsReport() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
-inline void StateExchange::StateResults::Builder::setFound(bool value) {
+inline void Exchange::Builder::setWantsReport(bool value) {
   _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
+#if !CAPNP_LITE
+inline StateExchange::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline StateExchange::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline StateExchange::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline StateExchange::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline StateExchange::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::ibislock::rpc::wire::StateExchange::Client& StateExchange::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::ibislock::rpc::wire::StateExchange::Client& StateExchange::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline  ::uint64_t StateExchange::StateParams::Reader::getAfter() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateExchange::StateParams::Builder::getAfter() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StateExchange::StateParams::Builder::setAfter( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
@@ -1170,6 +1922,58 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StateExchange::StateResults::Reader::getFirst() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateExchange::StateResults::Builder::getFirst() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StateExchange::StateResults::Builder::setFirst( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StateExchange::StateResults::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StateExchange::StateResults::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader StateExchange::StateResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder StateExchange::StateResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StateExchange::StateResults::Builder::setRecords( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void StateExchange::StateResults::Builder::setRecords(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder StateExchange::StateResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StateExchange::StateResults::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> StateExchange::StateResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/rpc/test/rpc_test.cpp
+++ b/libs/rpc/test/rpc_test.cpp
@@ -28,15 +28,29 @@
 TEST_F(RpcTest, SwapsReports)
 {
     Handlers handlers;
-    handlers.exchange = [](const StateSummary &received) {
-        return StateSummary{.reports = {{.vm = "b", .serving = sha256("x"), .running = 3}}, .next = received.next + 1};
+    handlers.exchange = [](const Exchange &received) {
+        Exchange reply = received;
+        reply.upTo = received.upTo + 1;
+        return reply;
     };
     const Server server(m_serverLoop, {}, handlers);
-    const auto reply = m_client.exchange(addressOf(server), {.reports = {{.vm = "a"}}, .next = 4});
+    Exchange sent{.from = {.vm = "a", .domain = "north", .incarnation = 2, .revision = 3, .lastTicket = 4},
+                  .peerIncarnation = 5,
+                  .taken = 6,
+                  .fingerprint = 7,
+                  .upTo = 8,
+                  .wantsReport = true};
+    sent.news.push_back({.report = {.vm = "b", .revision = 9, .serving = sha256("x"), .running = 3, .coveredTicket = 1},
+                         .silentFor = {"e1", "e2"}});
+    sent.domains.push_back({.domain = "south", .age = Millis(10)});
+    const auto reply = m_client.exchange(addressOf(server), sent);
     ASSERT_TRUE(reply) << reply.error().message;
-    EXPECT_EQ(reply->next, 5U);
-    ASSERT_EQ(reply->reports.size(), 1U);
-    EXPECT_EQ(reply->reports[0].serving, sha256("x"));
+    EXPECT_EQ(reply->from, sent.from);
+    EXPECT_EQ(reply->news, sent.news);
+    EXPECT_EQ(std::tuple(reply->peerIncarnation, reply->taken, reply->fingerprint, reply->upTo, reply->wantsReport),
+              std::tuple(5U, 6U, 7U, 9U, true));
+    ASSERT_EQ(reply->domains.size(), 1U);
+    EXPECT_EQ(reply->domains[0].age, Millis(10));
 }
 
 TEST_F(RpcTest, FetchesAChunkOrSaysThatItIsNotHeld)
@@ -113,7 +127,7 @@
 {
     Handlers handlers;
     handlers.state = [](std::uint64_t) {
-        return std::optional<std::string>("s");
+        return StateDelta{.state = "s"};
     };
     std::uint16_t port = 0;
     {
