News from one delegate, phases that matter, cost at rest

Cause: every target got each change from two delegates, and steps between two versions travelled like changes of use.

Change: a target takes news from its first responding delegate and only beats to the second; a phase other than serving is told only when it lasts; the experiment measures the cost at rest apart from that of the tickets.

--- a/lab/experiments/config_run.cpp
+++ b/lab/experiments/config_run.cpp
@@ -26,6 +26,7 @@
 constexpr double InForceMaxLimitMs = 11000;
 constexpr double AfterFaultLimitMs = 3000;
 constexpr unsigned EngineThreads = 1;
+constexpr Millis RestPause{2500}; ///< Until activations have ended.
 
 DeploymentOptions deploymentOptions(const ConfigOptions &options)
 {
@@ -76,17 +77,46 @@
         m_undecided = !filers.isDone();
         const FilerResult filed = filers.finish();
         settle(filed);
-        std::this_thread::sleep_for(std::chrono::duration<double>(m_options.idleSeconds));
         const Usage end = usageNow(m_deployment);
+        const DaemonUsage rest = usageAtRest();
         m_stopping = true;
         sampler.join();
-        json result = report(filed, usageBetween(begin, end, m_options.entries + m_options.targets));
+        json result = report(filed, usageBetween(begin, end, daemons()));
+        addRest(result, rest);
         m_pausable.reset();
         m_deployment.stop();
         return result;
     }
 
 private:
+    unsigned daemons() const
+    {
+        return m_options.entries + m_options.targets;
+    }
+
+    /// Measures what the daemons cost while no ticket is filed.
+    DaemonUsage usageAtRest()
+    {
+        if (m_options.idleSeconds <= 0) {
+            return {};
+        }
+        std::this_thread::sleep_for(RestPause);
+        const Usage begin = usageNow(m_deployment);
+        std::this_thread::sleep_for(std::chrono::duration<double>(m_options.idleSeconds));
+        return usageBetween(begin, usageNow(m_deployment), daemons());
+    }
+
+    void addRest(json &result, const DaemonUsage &rest) const
+    {
+        if (m_options.idleSeconds <= 0) {
+            return;
+        }
+        result["rest_cpu_percent"] = rest.cpuPercent;
+        result["rest_bytes_per_s"] = rest.bytesPerSecond;
+        result["rest_entry_bytes_per_s"] = rest.entryBytesPerSecond;
+        result["rest_log_reads_per_s"] = rest.logReadsPerSecond;
+    }
+
     std::vector<std::string> administrationUrls() const
     {
         auto urls = m_deployment.administrationUrls();
@@ -372,7 +402,7 @@
                 {"after_fault_max_ms", m_watch.catchUpMaxMs},
                 {"log_records", m_deployment.log().next()},
                 {"log_reads_per_s", usage.logReadsPerSecond},
-                {"daemons", m_options.entries + m_options.targets},
+                {"daemons", daemons()},
                 {"daemon_cpu_percent", usage.cpuPercent},
                 {"daemon_rss_mb", usage.residentMib},
                 {"daemon_bytes_per_s", usage.bytesPerSecond},
--- a/lab/experiments/config_usage.cpp
+++ b/lab/experiments/config_usage.cpp
@@ -43,6 +43,8 @@
     for (const EntryVm &vm : deployment.entries()) {
         add(vm);
     }
+    usage.entryGossipBytes = usage.gossipBytes;
+    usage.entries = deployment.entries().size();
     for (const TargetVm &vm : deployment.targets()) {
         add(vm);
     }
@@ -57,9 +59,14 @@
     };
     // A restarted daemon counts from zero again; the difference is then too small, never negative.
     const std::uint64_t bytes = end.gossipBytes > begin.gossipBytes ? end.gossipBytes - begin.gossipBytes : 0;
+    const std::uint64_t entryBytes =
+        end.entryGossipBytes > begin.entryGossipBytes ? end.entryGossipBytes - begin.entryGossipBytes : 0;
     return {.cpuPercent = 100 * perDaemon(end.cpuSeconds - begin.cpuSeconds),
             .residentMib = daemons > 0 ? end.residentMib / daemons : 0,
             .bytesPerSecond = perDaemon(static_cast<double>(bytes)),
+            .entryBytesPerSecond = seconds > 0 && end.entries > 0
+                ? static_cast<double>(entryBytes) / seconds / static_cast<double>(end.entries)
+                : 0,
             .logReadsPerSecond = seconds > 0 ? static_cast<double>(end.logReads - begin.logReads) / seconds : 0};
 }
 
--- a/lab/experiments/config_usage.h
+++ b/lab/experiments/config_usage.h
@@ -15,6 +15,8 @@
     double cpuSeconds = 0;
     double residentMib = 0;
     std::uint64_t gossipBytes = 0;
+    std::uint64_t entryGossipBytes = 0; ///< Of the entry VMs alone.
+    std::size_t entries = 0;
     std::uint64_t logReads = 0;
 };
 
@@ -23,7 +25,8 @@
 {
     double cpuPercent = 0; ///< Of one core.
     double residentMib = 0;
-    double bytesPerSecond = 0; ///< Sent for membership and configuration.
+    double bytesPerSecond = 0; ///< Sent and received for membership and configuration.
+    double entryBytesPerSecond = 0; ///< The same of an entry VM.
     double logReadsPerSecond = 0; ///< Of all daemons.
 };
 
--- a/libs/node/src/gossip.cpp
+++ b/libs/node/src/gossip.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t DelegatesTried = 6; ///< Of a VM's order of delegates, before it gives up.
 constexpr std::size_t NewsMax = 64; ///< In one message.
+constexpr std::string_view ServingPhase = "serving";
+constexpr Millis PhaseInterval{2000};
 constexpr Millis BackOff{2000};
 constexpr Millis ServedLifetime{2500};
 
@@ -90,10 +92,14 @@
 /// Brings the own report up to date. The caller holds the lock.
 void Gossip::refreshOwn(const membership::Report &drawn, Millis now)
 {
-    const bool changed = drawn.phase != m_own.phase || drawn.ticket != m_own.ticket || drawn.serving != m_own.serving
-        || drawn.leaving != m_own.leaving || m_own.revision == 0;
+    const bool changesUse = (drawn.phase == ServingPhase) != (m_own.phase == ServingPhase)
+        || drawn.ticket != m_own.ticket || drawn.serving != m_own.serving || drawn.leaving != m_own.leaving;
+    // The steps between two versions change nothing for others, so that only those which last are told.
+    const bool lasts = drawn.phase != m_own.phase && now - m_revisedAt > PhaseInterval;
+    const bool changed = changesUse || lasts || m_own.revision == 0;
     const auto state = m_holder.state();
-    m_own.phase = drawn.phase;
+    m_own.phase = changed ? drawn.phase : m_own.phase;
+    m_revisedAt = changed ? now : m_revisedAt;
     m_own.ticket = drawn.ticket;
     m_own.serving = drawn.serving;
     m_own.leaving = drawn.leaving;
@@ -233,7 +239,9 @@
                         .wantsReport = !known};
     const Member *member = membership::find(m_view, received.from.vm);
     if (isEntry()) {
-        if (!isFirst || !agrees) {
+        if (!received.wantsNews) {
+            reply.upTo = peer.acknowledged;
+        } else if (!agrees || peer.acknowledged != 0) {
             addNews(reply, peer, member);
         }
         addDomains(reply, now);
@@ -247,7 +255,7 @@
     return reply;
 }
 
-Gossip::Answer Gossip::callOnce(const std::string &vm)
+Gossip::Answer Gossip::callOnce(const std::string &vm, bool wantsNews)
 {
     rpc::Exchange message;
     std::string address;
@@ -261,6 +269,7 @@
         address = membership::addressOf(*member);
         refreshOwn(drawn, steadyMillis());
         message = messageTo(m_peers[vm], member, steadyMillis());
+        message.wantsNews = wantsNews;
     }
     m_counters.add(Counter::Exchanges);
     auto reply = m_client.exchange(address, message);
@@ -293,11 +302,11 @@
     return *reply;
 }
 
-bool Gossip::exchangeWith(const std::string &vm)
+bool Gossip::exchangeWith(const std::string &vm, bool wantsNews)
 {
-    auto reply = callOnce(vm);
+    auto reply = callOnce(vm, wantsNews);
     if (reply && reply->wantsReport) {
-        reply = callOnce(vm);
+        reply = callOnce(vm, wantsNews);
     }
     return reply.has_value();
 }
@@ -338,7 +347,8 @@
 {
     const auto delegates = respondingDelegates(steadyMillis());
     if (slot < delegates.size()) {
-        exchangeWith(delegates[slot]);
+        // A target takes the news from one delegate; the others only have to know that it lives.
+        exchangeWith(delegates[slot], isEntry() || slot == 0);
     }
 }
 
@@ -385,7 +395,7 @@
     const auto delegates = respondingDelegates(now);
     peers.insert(peers.begin(), delegates.begin(), delegates.end());
     for (const std::string &vm : peers) {
-        exchangeWith(vm);
+        exchangeWith(vm, isEntry() || vm == peers.front());
     }
 }
 
--- a/libs/node/src/gossip.h
+++ b/libs/node/src/gossip.h
@@ -85,8 +85,8 @@
     void takeIn(const rpc::Exchange &received, Millis now);
     void defendOwn(const membership::News &news);
     std::vector<std::string> respondingDelegates(Millis now);
-    bool exchangeWith(const std::string &vm);
-    Answer callOnce(const std::string &vm);
+    bool exchangeWith(const std::string &vm, bool wantsNews = true);
+    Answer callOnce(const std::string &vm, bool wantsNews);
     void fetchConfiguration(const std::string &address);
     std::vector<std::string> overdueVms(Millis now);
     bool isDelegateOf(const std::string &vm, const membership::Member &member, const std::vector<std::string> &entries,
@@ -109,6 +109,7 @@
     std::map<std::string, Peer> m_peers;
     std::map<std::string, Millis> m_watchedSince; ///< VMs that this VM is a delegate of.
     std::uint64_t m_urgentSent = 0;
+    Millis m_revisedAt{0};
     std::uint64_t m_fingerprint = 0;
     std::uint64_t m_fingerprintOf = 0; ///< The change sequence that the fingerprint belongs to.
     std::uint64_t m_ownRevisionSent = 0;
--- a/libs/rpc/include/ibislock/rpc/server.h
+++ b/libs/rpc/include/ibislock/rpc/server.h
@@ -43,6 +43,7 @@
     std::vector<membership::News> news;
     std::vector<DomainAge> domains;
     bool wantsReport = false; ///< The sender lacks the receiver's report.
+    bool wantsNews = true; ///< Whether the sender takes news from the receiver.
 };
 
 /// What a VM that is behind lacks: records from some offset on, or the whole state, or nothing.
--- a/libs/rpc/schema/membership.capnp
+++ b/libs/rpc/schema/membership.capnp
@@ -59,6 +59,7 @@
     news @5 :List(News);
     domains @6 :List(DomainAge);
     wantsReport @7 :Bool;       # The sender lacks the receiver's report.
+    wantsNews @8 :Bool = true;  # Whether the sender takes news from the receiver.
 }
 
 interface StateExchange {
--- a/libs/rpc/src/convert_exchange.cpp
+++ b/libs/rpc/src/convert_exchange.cpp
@@ -75,6 +75,7 @@
     wire.setFingerprint(exchange.fingerprint);
     wire.setUpTo(exchange.upTo);
     wire.setWantsReport(exchange.wantsReport);
+    wire.setWantsNews(exchange.wantsNews);
     auto news = wire.initNews(static_cast<unsigned>(exchange.news.size()));
     for (unsigned i = 0; i < news.size(); ++i) {
         write(news[i], exchange.news[i]);
@@ -93,7 +94,8 @@
                       .taken = wire.getTaken(),
                       .fingerprint = wire.getFingerprint(),
                       .upTo = wire.getUpTo(),
-                      .wantsReport = wire.getWantsReport()};
+                      .wantsReport = wire.getWantsReport(),
+                      .wantsNews = wire.getWantsNews()};
     for (const auto news : wire.getNews()) {
         exchange.news.push_back(read(news));
     }
--- a/libs/rpc/src/wire/membership.capnp.h
+++ b/libs/rpc/src/wire/membership.capnp.h
@@ -693,6 +693,8 @@
 
   inline bool getWantsReport() const;
 
+  inline bool getWantsNews() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -757,6 +759,9 @@
   inline bool getWantsReport();
   inline void setWantsReport(bool value);
 
+  inline bool getWantsNews();
+  inline void setWantsNews(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1850,6 +1855,20 @@
       ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Exchange::Reader::getWantsNews() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS, true);
+}
+
+inline bool Exchange::Builder::getWantsNews() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS, true);
+}
+inline void Exchange::Builder::setWantsNews(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS, value, true);
+}
+
 #if !CAPNP_LITE
 inline StateExchange::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
