Tickets are checked, lost answers are looked up, leases are proved before orders

Cause: a mistaken ticket reached the log; an append whose answer was lost left the operator with an unknown outcome; a target process that was paused could order its engine on an old claim.

Change: a ticket desk refuses a ticket with typed reasons before it is filed ('ibislock ticket check FILE' and POST /v1/tickets/check only check), and after a lost answer reads the log and appends the same record again until the outcome is known. A target reads the log to its end before each order to load; charts/lease.chart and pure functions decide. Slots are claimed through the same functions.

--- a/app/operator_commands.cpp
+++ b/app/operator_commands.cpp
@@ -122,6 +122,10 @@
         std::cout << ": " << reason;
     }
     std::cout << "\n";
+    const json inForce = entry.value("in_force_at_ms", json::object());
+    for (const auto &[domain, atMs] : inForce.items()) {
+        std::cout << "  in force in " << domain << " at " << atMs << " ms\n";
+    }
 }
 
 void printTicket(const json &entry)
@@ -162,6 +166,33 @@
     return finish(client.Post("/v1/tickets", *text, "application/json"), true, invocation.asJson, printTicket);
 }
 
+int checkTicket(const Invocation &invocation)
+{
+    if (invocation.arguments.size() != 2) {
+        std::cerr << "usage: ibislock ticket check FILE\n";
+        return Usage;
+    }
+    const auto text = readFile(invocation.arguments[1]);
+    if (!text) {
+        std::cerr << text.error().message << "\n";
+        return Usage;
+    }
+    auto client = clientFor(invocation);
+    bool fileable = false;
+    const auto result = client.Post("/v1/tickets/check", *text, "application/json");
+    if (result && result->status == 200) {
+        const json body = json::parse(result->body, nullptr, false);
+        fileable = body.is_object() && body.value("fileable", false);
+    }
+    const int code = finish(result, false, invocation.asJson, [](const json &body) {
+        for (const json &refusal : body["refusals"]) {
+            std::cout << refusal.value("kind", "") << ": " << refusal.value("message", "") << "\n";
+        }
+        std::cout << (body.value("fileable", false) ? "the ticket can be filed\n" : "the ticket would be refused\n");
+    });
+    return code == Success && !fileable ? Refused : code;
+}
+
 int showTicket(const Invocation &invocation)
 {
     if (invocation.arguments.size() != 2) {
@@ -187,8 +218,9 @@
 int runTicket(int argc, char **argv)
 {
     int exitCode = Usage;
-    const auto invocation = parse(argc, argv, "ibislock ticket",
-                                  "Files and shows change tickets: file FILE | show NUMBER | list", exitCode);
+    const auto invocation =
+        parse(argc, argv, "ibislock ticket",
+              "Files and shows change tickets: file FILE | check FILE | show NUMBER | list", exitCode);
     if (!invocation) {
         return exitCode;
     }
@@ -196,13 +228,16 @@
     if (verb == "file") {
         return fileTicket(*invocation);
     }
+    if (verb == "check") {
+        return checkTicket(*invocation);
+    }
     if (verb == "show") {
         return showTicket(*invocation);
     }
     if (verb == "list") {
         return listTickets(*invocation);
     }
-    std::cerr << "usage: ibislock ticket file FILE | show NUMBER | list\n";
+    std::cerr << "usage: ibislock ticket file FILE | check FILE | show NUMBER | list\n";
     return Usage;
 }
 
--- a/libs/base/src/embedded_charts.S
+++ b/libs/base/src/embedded_charts.S
@@ -14,4 +14,10 @@
     .incbin "drain.chart"
 ibislock_chart_drain_end:
 
+    .global ibislock_chart_lease
+    .global ibislock_chart_lease_end
+ibislock_chart_lease:
+    .incbin "lease.chart"
+ibislock_chart_lease_end:
+
     .section .note.GNU-stack,"",%progbits
--- a/libs/base/src/embedded_charts.cpp
+++ b/libs/base/src/embedded_charts.cpp
@@ -10,6 +10,8 @@
 extern const char ibislock_chart_activation_end[];
 extern const char ibislock_chart_drain[];
 extern const char ibislock_chart_drain_end[];
+extern const char ibislock_chart_lease[];
+extern const char ibislock_chart_lease_end[];
 }
 // NOLINTEND(readability-identifier-naming)
 
@@ -30,11 +32,12 @@
     return {begin, static_cast<std::size_t>(end - begin)};
 }
 
-const std::array<EmbeddedChart, 2> &charts()
+const std::array<EmbeddedChart, 3> &charts()
 {
-    static const std::array<EmbeddedChart, 2> all{{
+    static const std::array<EmbeddedChart, 3> all{{
         {"activation", between(ibislock_chart_activation, ibislock_chart_activation_end)},
         {"drain", between(ibislock_chart_drain, ibislock_chart_drain_end)},
+        {"lease", between(ibislock_chart_lease, ibislock_chart_lease_end)},
     }};
     return all;
 }
--- a/libs/configuration/src/lease.cpp
+++ b/libs/configuration/src/lease.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/configuration/lease.h"
 
+#include "ibislock/base/state_chart.h"
+
 #include <algorithm>
 
 namespace ibislock::configuration
@@ -31,17 +33,15 @@
 void confirm(Lease &lease, const State &state, Millis readBegan)
 {
     const Claim *claim = claimOf(state, lease.vm);
-    const bool isOwn = claim != nullptr && claim->incarnation == lease.incarnation;
-    if (lease.status == LeaseStatus::Lost || (lease.status == LeaseStatus::Claiming && !isOwn)) {
-        return;
-    }
-    if (!isOwn || (lease.status == LeaseStatus::Held && claim->fence != lease.fence)) {
-        lease.status = LeaseStatus::Lost;
-        return;
+    const bool isOwn = claim != nullptr && claim->incarnation == lease.incarnation
+        && (lease.status != LeaseStatus::Held || claim->fence == lease.fence);
+    const Transition &transition =
+        stepOf(embeddedChart("lease"), nameOf(LeaseStatusNames, lease.status), isOwn ? "own" : "other");
+    lease.status = valueOf(LeaseStatusNames, transition.next).value_or(LeaseStatus::Lost);
+    if (transition.action == "confirm") {
+        lease.fence = claim->fence;
+        lease.confirmedAt = std::max(lease.confirmedAt, readBegan);
     }
-    lease.status = LeaseStatus::Held;
-    lease.fence = claim->fence;
-    lease.confirmedAt = std::max(lease.confirmedAt, readBegan);
 }
 
 bool mayAct(const Lease &lease, const LeaseOptions &options, Millis now)
--- /dev/null
+++ b/libs/configuration/test/lease_test.cpp
@@ -0,0 +1,280 @@
+#include "ibislock/configuration/lease.h"
+
+#include <array>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace ibislock::configuration
+{
+
+namespace
+{
+
+constexpr LeaseOptions Options{.duration = Millis(2)};
+
+State stateOf(const std::vector<ClaimRecord> &log, std::size_t next)
+{
+    State state;
+    for (std::size_t i = 0; i < next; ++i) {
+        fold(state, i, encodeRecord(log[i]));
+    }
+    return state;
+}
+
+TEST(LeaseTest, RefusesOrderFromLapsedHolder)
+{
+    Lease lease{.vm = "t1", .incarnation = 1};
+    confirm(lease, stateOf({{.vm = "t1", .incarnation = 1}}, 1), Millis(10));
+    EXPECT_TRUE(mayAct(lease, Options, Millis(11)));
+    EXPECT_FALSE(mayAct(lease, Options, Millis(12)));
+}
+
+TEST(LeaseTest, NeverActsAgainAfterALoss)
+{
+    Lease lease{.vm = "t1", .incarnation = 1};
+    const std::vector<ClaimRecord> log{{.vm = "t1", .incarnation = 1},
+                                       {.vm = "t1", .incarnation = 2, .replaces = 0},
+                                       {.vm = "t1", .incarnation = 1, .replaces = 1}};
+    confirm(lease, stateOf(log, 1), Millis(10));
+    confirm(lease, stateOf(log, 2), Millis(11));
+    confirm(lease, stateOf(log, 3), Millis(12));
+    EXPECT_EQ(lease.status, LeaseStatus::Lost);
+    EXPECT_FALSE(claimToAppend(lease, stateOf(log, 2)));
+    EXPECT_FALSE(mayAct(lease, Options, Millis(12)));
+}
+
+/// Explores every interleaving of two processes of one slot: the old one wants version 1, the new one version 2. Time
+/// passes between steps, appends reach the log late or twice, and either process may stand still at any point.
+class LeaseExplorer
+{
+public:
+    explicit LeaseExplorer(bool engineHonoursFence)
+        : m_engineHonoursFence(engineHonoursFence)
+    {
+    }
+
+    void run()
+    {
+        World world;
+        for (std::size_t i = 0; i < world.processes.size(); ++i) {
+            world.processes[i].lease = {.vm = "t1", .incarnation = i + 1};
+        }
+        explore(world);
+    }
+
+    std::size_t states() const
+    {
+        return m_seen.size();
+    }
+
+    std::size_t answers() const
+    {
+        return m_answers;
+    }
+
+private:
+    static constexpr int TimeMax = 3;
+    static constexpr std::size_t LogMax = 3;
+
+    struct Process
+    {
+        Lease lease;
+        std::optional<ClaimRecord> inFlight; ///< An append whose answer is lost; it may reach the log later.
+        bool checked = false; ///< Between the check and the order.
+        int orders = 0;
+        bool confirmedLoss = false;
+        bool readBack = false;
+
+        auto key() const
+        {
+            return std::tuple(lease.status, lease.fence, lease.confirmedAt.count(), inFlight.has_value(),
+                              inFlight ? inFlight->replaces : std::nullopt, checked, orders, confirmedLoss, readBack);
+        }
+    };
+
+    struct World
+    {
+        int now = 10;
+        std::vector<ClaimRecord> log;
+        std::array<Process, 2> processes;
+        std::uint64_t engineVersion = 0;
+        std::uint64_t engineFence = 0;
+    };
+
+    static std::string keyOf(const std::vector<ClaimRecord> &log)
+    {
+        std::string key;
+        for (const ClaimRecord &record : log) {
+            key += "|" + std::to_string(record.incarnation) + ":" + textOf(record.replaces);
+        }
+        return key;
+    }
+
+    /// Folds a log, once for each content.
+    const State &stateAfter(const std::vector<ClaimRecord> &log)
+    {
+        const auto [it, isNew] = m_states.try_emplace(keyOf(log));
+        if (isNew) {
+            it->second = stateOf(log, log.size());
+        }
+        return it->second;
+    }
+
+    std::string keyOf(const World &world) const
+    {
+        std::string key = std::to_string(world.now) + "/" + std::to_string(world.engineVersion) + "/"
+            + std::to_string(world.engineFence) + keyOf(world.log);
+        for (const Process &it : world.processes) {
+            std::apply([&key](const auto &...part) { ((key += "," + textOf(part)), ...); }, it.key());
+        }
+        return key;
+    }
+
+    static std::string textOf(LeaseStatus status)
+    {
+        return std::string(nameOf(LeaseStatusNames, status));
+    }
+
+    static std::string textOf(const std::optional<Offset> &offset)
+    {
+        return offset ? std::to_string(*offset) : "-";
+    }
+
+    template <typename Number>
+    static std::string textOf(Number number)
+    {
+        return std::to_string(number);
+    }
+
+    void explore(const World &world)
+    {
+        if (testing::Test::HasFailure() || !m_seen.insert(keyOf(world)).second) {
+            return;
+        }
+        if (world.now < 10 + TimeMax) {
+            World next = world;
+            ++next.now;
+            explore(next);
+        }
+        for (std::size_t i = 0; i < world.processes.size(); ++i) {
+            read(world, i);
+            append(world, i);
+            deliver(world, i);
+            check(world, i);
+            order(world, i);
+            readBackAndAnswer(world, i);
+        }
+    }
+
+    void read(World world, std::size_t i)
+    {
+        Process &process = world.processes[i];
+        confirm(process.lease, stateAfter(world.log), Millis(world.now));
+        process.confirmedLoss = process.lease.status == LeaseStatus::Lost;
+        explore(world);
+    }
+
+    /// Appends a claim that the log takes at once, or whose answer is lost.
+    void append(World world, std::size_t i)
+    {
+        const auto claim = claimToAppend(world.processes[i].lease, stateAfter(world.log));
+        if (!claim || world.log.size() >= LogMax) {
+            return;
+        }
+        World late = world;
+        late.processes[i].inFlight = *claim;
+        explore(late);
+        world.log.push_back(*claim);
+        explore(world);
+    }
+
+    void deliver(World world, std::size_t i)
+    {
+        if (!world.processes[i].inFlight || world.log.size() >= LogMax) {
+            return;
+        }
+        world.log.push_back(*world.processes[i].inFlight);
+        explore(world); // and once more, as a duplicate
+        world.processes[i].inFlight.reset();
+        explore(world);
+    }
+
+    void check(World world, std::size_t i)
+    {
+        Process &process = world.processes[i];
+        if (process.checked || process.orders > 0 || !mayAct(process.lease, Options, Millis(world.now))) {
+            return;
+        }
+        EXPECT_FALSE(process.confirmedLoss) << "a process acts after a read that showed its loss";
+        EXPECT_LT(world.now - process.lease.confirmedAt.count(), Options.duration.count());
+        process.checked = true;
+        explore(world);
+    }
+
+    /// Gives the order that was checked, however long ago; the process may have been paused in between.
+    void order(World world, std::size_t i)
+    {
+        Process &process = world.processes[i];
+        if (!process.checked) {
+            return;
+        }
+        process.checked = false;
+        ++process.orders;
+        const std::uint64_t fence = process.lease.fence + 1;
+        if (!m_engineHonoursFence || fence >= world.engineFence) {
+            EXPECT_TRUE(!m_engineHonoursFence || fence >= world.engineFence);
+            world.engineFence = std::max(world.engineFence, fence);
+            world.engineVersion = i + 1;
+        }
+        explore(world);
+    }
+
+    /// Reads back what the engine serves and answers a request, which names the version that produced it.
+    void readBackAndAnswer(World world, std::size_t i)
+    {
+        Process &process = world.processes[i];
+        if (process.orders == 0) {
+            return;
+        }
+        if (!process.readBack) {
+            process.readBack = world.engineVersion == i + 1;
+            if (process.readBack) {
+                explore(world);
+            }
+            return;
+        }
+        // The engine may have changed since the read-back; the answer's own version decides whether it is released.
+        const std::uint64_t answeredBy = world.engineVersion;
+        const bool released = answeredBy == i + 1;
+        m_answers += released ? 1 : 0;
+        if (m_engineHonoursFence && process.lease.status == LeaseStatus::Held
+            && stateAfter(world.log).claims.at("t1").fence == process.lease.fence) {
+            EXPECT_TRUE(released || world.engineFence > process.lease.fence + 1)
+                << "an engine that honours fences went back under its holder";
+        }
+    }
+
+    bool m_engineHonoursFence;
+    std::set<std::string> m_seen;
+    std::map<std::string, State> m_states;
+    std::size_t m_answers = 0;
+};
+
+class LeaseExplorerTest : public testing::TestWithParam<bool>
+{
+};
+
+TEST_P(LeaseExplorerTest, NoInterleavingLetsAProcessActAfterItsLossOrAnswerWithAnotherVersion)
+{
+    LeaseExplorer explorer(GetParam());
+    explorer.run();
+    EXPECT_GT(explorer.states(), 1000U);
+    EXPECT_GT(explorer.answers(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Engines, LeaseExplorerTest, testing::Bool(),
+                         [](const auto &it) { return it.param ? "HonourFences" : "IgnoreFences"; });
+
+} // namespace
+
+} // namespace ibislock::configuration
--- a/libs/entry/src/administration_api.cpp
+++ b/libs/entry/src/administration_api.cpp
@@ -34,6 +34,16 @@
             {"reason", entry.reason},    {"scopes", std::move(scopes)},    {"in_force_at_ms", std::move(inForce)}};
 }
 
+json toJson(const std::vector<configuration::Refusal> &refusals)
+{
+    json items = json::array();
+    for (const configuration::Refusal &refusal : refusals) {
+        items.push_back(
+            {{"kind", nameOf(configuration::RefusalKindNames, refusal.kind)}, {"message", refusal.message}});
+    }
+    return items;
+}
+
 /// Writes a page with what to ask for next.
 template <typename KeyOf>
 json pageDocument(const char *name, const Page<AuditEntry> &page, const PageQuery &query, KeyOf &&keyOf)
@@ -72,6 +82,7 @@
     , m_credentials(credentials)
     , m_node(node)
     , m_counters(counters)
+    , m_desk(options, node)
 {
 }
 
@@ -86,6 +97,10 @@
          [this](const Operator &by, const Request &call, Response &response) {
              fileTicket(by, call, response);
          }},
+        {"POST", "/v1/tickets/check", OperatorRole::File,
+         [this](const Operator &, const Request &call, Response &response) {
+             checkTicket(call, response);
+         }},
         {"GET", "/v1/tickets", OperatorRole::View,
          [this](const Operator &, const Request &call, Response &response) {
              listTickets(call, response);
@@ -163,34 +178,55 @@
         replyFailure(response, 400, ticket.error());
         return;
     }
-    const auto offset = m_node.append(configuration::TicketRecord{
-        .ticket = *ticket, .filedBy = by.name, .filedAtMs = static_cast<std::uint64_t>(wallMillis().count())});
-    if (!offset && offset.error().code != ErrorCode::OutcomeUnknown) {
-        replyError(response, 503, nameOf(ErrorCodeNames, offset.error().code),
-                   "the ticket was not filed: " + offset.error().message);
+    const Filing filing = m_desk.file(*ticket, by.name);
+    switch (filing.outcome) {
+    case FilingOutcome::Accepted:
+        replyFiled(*ticket, response);
+        return;
+    case FilingOutcome::Refused:
+        replyError(response, 409, nameOf(ErrorCodeNames, ErrorCode::Conflict), filing.message);
+        return;
+    case FilingOutcome::CheckFailed:
+        replyJson(response, 422,
+                  {{"error",
+                    {{"code", nameOf(ErrorCodeNames, ErrorCode::InvalidArgument)},
+                     {"message", filing.message},
+                     {"refusals", toJson(filing.refusals)}}}});
+        return;
+    case FilingOutcome::Unavailable:
+        replyError(response, 503, nameOf(ErrorCodeNames, ErrorCode::Unavailable), filing.message);
+        return;
+    case FilingOutcome::Unknown:
+        replyError(response, 504, nameOf(ErrorCodeNames, ErrorCode::OutcomeUnknown), filing.message);
         return;
     }
-    if (!offset || !m_node.waitForOffset(*offset, m_options.fileTimeout)) {
-        replyError(response, 504, nameOf(ErrorCodeNames, ErrorCode::OutcomeUnknown),
-                   "it is not known whether the ticket was filed; file it again with the same content, or show it");
+}
+
+void AdministrationApi::checkTicket(const httplib::Request &call, httplib::Response &response)
+{
+    const auto ticket = configuration::ticketFromJson(call.body);
+    if (!ticket) {
+        m_counters.add(Counter::InputsRefused);
+        replyFailure(response, 400, ticket.error());
         return;
     }
-    replyFiled(*ticket, response);
+    const auto refusals = m_desk.check(*ticket);
+    replyJson(response, 200,
+              {{"number", ticket->number},
+               {"content", toHex(configuration::contentDigest(*ticket))},
+               {"fileable", refusals.empty()},
+               {"refusals", toJson(refusals)}});
 }
 
+/// Answers with the audit entry of an accepted ticket.
 void AdministrationApi::replyFiled(const configuration::Ticket &ticket, httplib::Response &response) const
 {
     const auto state = m_node.state();
-    const Digest content = configuration::contentDigest(ticket);
-    if (configuration::standingOf(*state, ticket.number, content) == configuration::Standing::Accepted) {
-        const AuditEntry *winner = configuration::findAccepted(*state, ticket.number);
-        replyJson(response, 200,
-                  winner != nullptr ? toJson(*winner)
-                                    : json{{"number", ticket.number}, {"content", toHex(content)}, {"accepted", true}});
-        return;
-    }
-    replyError(response, 409, nameOf(ErrorCodeNames, ErrorCode::Conflict),
-               configuration::refusalReason(*state, ticket.number, content));
+    const AuditEntry *entry = configuration::findAccepted(*state, ticket.number);
+    const std::string content = toHex(configuration::contentDigest(ticket));
+    // The trail of accepted tickets is shorter than the list of their contents.
+    const json brief{{"number", ticket.number}, {"content", content}, {"accepted", true}};
+    replyJson(response, 200, entry != nullptr ? toJson(*entry) : brief);
 }
 
 void AdministrationApi::listTickets(const httplib::Request &call, httplib::Response &response) const
--- a/libs/entry/src/administration_api.h
+++ b/libs/entry/src/administration_api.h
@@ -4,6 +4,8 @@
 
 #pragma once
 
+#include "ticket_desk.h"
+
 #include "http.h"
 #include "ibislock/base/counters.h"
 #include "ibislock/node/node.h"
@@ -50,12 +52,14 @@
     void showTicket(const httplib::Request &call, httplib::Response &response) const;
     void status(httplib::Response &response) const;
     void audit(const httplib::Request &call, httplib::Response &response) const;
+    void checkTicket(const httplib::Request &call, httplib::Response &response);
     void replyFiled(const configuration::Ticket &ticket, httplib::Response &response) const;
 
     const EntryOptions &m_options;
     const security::CredentialStore &m_credentials;
     node::Node &m_node;
     Counters &m_counters;
+    TicketDesk m_desk;
     RefusedAttempts m_refused;
 };
 
--- a/libs/entry/src/settings.cpp
+++ b/libs/entry/src/settings.cpp
@@ -79,6 +79,10 @@
          .min = 1,
          .max = HourMs,
          .help = "Time allowed for one request."},
+        {.section = "weights",
+         .key = "store_url",
+         .fallback = "",
+         .help = "The weight store that tickets are checked against; empty for no check of versions."},
         {.section = "administration",
          .key = "address",
          .fallback = "127.0.0.1",
@@ -202,6 +206,7 @@
     options.retryAfter = settings.millis("routing", "retry_after_ms");
     options.resumeStreams = settings.boolean("routing", "resume_streams");
     options.drainGrace = settings.millis("callers", "drain_grace_ms");
+    options.store.url = settings.text("weights", "store_url");
     options.fileTimeout = settings.millis("administration", "file_timeout_ms");
     return options;
 }
--- a/libs/membership/src/view.cpp
+++ b/libs/membership/src/view.cpp
@@ -207,6 +207,10 @@
 
 std::vector<News> newsAfter(const View &view, std::uint64_t after, bool isRemote, std::size_t most, std::uint64_t &upTo)
 {
+    upTo = view.changes;
+    if (after >= view.changes) {
+        return {};
+    }
     std::vector<std::pair<std::uint64_t, const Member *>> found;
     for (const auto &[name, member] : view.members) {
         const std::uint64_t changed = isRemote ? member.changedWidely : member.changed;
@@ -215,7 +219,6 @@
         }
     }
     std::sort(found.begin(), found.end());
-    upTo = view.changes;
     if (found.size() > most) {
         found.resize(most);
         upTo = found.back().first;
--- a/libs/node/src/gossip.cpp
+++ b/libs/node/src/gossip.cpp
@@ -378,7 +378,6 @@
     {
         const std::lock_guard lock(m_mutex);
         refreshOwn(drawn, now);
-        countMembers(now);
         ahead.swap(m_aheadAddress);
         isUrgent = m_ownRevisionSent != m_own.revision || (isEntry() && m_urgentSent != m_view.urgentChanges);
         m_ownRevisionSent = m_own.revision;
@@ -401,8 +400,10 @@
     }
 }
 
-void Gossip::countMembers(Millis now)
+void Gossip::countMembers()
 {
+    const Millis now = steadyMillis();
+    const std::lock_guard lock(m_mutex);
     std::uint64_t live = 0;
     std::uint64_t silent = 0;
     for (const auto &[name, member] : m_view.members) {
--- a/libs/node/src/gossip.h
+++ b/libs/node/src/gossip.h
@@ -42,6 +42,9 @@
     /// Judges the VMs that this VM is a delegate of.
     void watch();
 
+    /// Brings the gauges of live and silent VMs up to date.
+    void countMembers();
+
     /// Takes over the platform's list.
     void applyList(const std::vector<membership::ListedVm> &listed);
 
@@ -80,7 +83,6 @@
     void addNews(rpc::Exchange &reply, const Peer &peer, const membership::Member *member) const;
     void addDomains(rpc::Exchange &message, Millis now) const;
     bool followsLog() const;
-    void countMembers(Millis now);
     void addOwnReport(rpc::Exchange &message, const Peer &peer) const;
     void takeIn(const rpc::Exchange &received, Millis now);
     void defendOwn(const membership::News &news);
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -43,6 +43,7 @@
 
     void readList()
     {
+        gossip.countMembers();
         const auto listed = vmList.read();
         if (listed) {
             gossip.applyList(*listed);
--- a/libs/target/include/ibislock/target/options.h
+++ b/libs/target/include/ibislock/target/options.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ibislock/base/settings.h"
+#include "ibislock/configuration/lease.h"
 #include "ibislock/engine/engine_client.h"
 #include "ibislock/node/node.h"
 #include "ibislock/weights/planner.h"
@@ -45,6 +46,7 @@
     Millis retryAfter{1000}; ///< When a refused caller is told to come back.
     Millis drainGrace{10000}; ///< How long requests in progress may hold up a load.
     Millis readBackInterval{1000}; ///< The time between two checks of what the engine serves.
+    configuration::LeaseOptions lease;
     Millis retryInterval{500}; ///< The pause after a failed activation.
 };
 
--- a/libs/target/src/activation.cpp
+++ b/libs/target/src/activation.cpp
@@ -39,6 +39,7 @@
     , m_engine(options.engine)
     , m_stager(options.engine)
     , m_phase(m_chart.initial)
+    , m_lease{.vm = node.options().vm, .incarnation = node.incarnation()}
 {
 }
 
@@ -169,26 +170,32 @@
 
 void Activation::claimSlot()
 {
-    if (m_fence != 0 && holdsSlot()) {
+    const auto state = m_node.state();
+    if (m_lease.status != configuration::LeaseStatus::Claiming) {
+        // What is known shows a loss early; only `confirmLease` proves that there is none.
+        configuration::confirm(m_lease, *state, m_lease.confirmedAt);
+        if (m_lease.status == configuration::LeaseStatus::Lost) {
+            refuseAll();
+        }
         return;
     }
-    if (m_fence != 0) {
-        refuseAll();
+    if (!m_node.confirm()) {
         return;
     }
-    const auto state = m_node.state();
-    const auto it = state->claims.find(m_node.options().vm);
-    if (it != state->claims.end() && it->second.incarnation == m_node.incarnation()) {
-        m_fence = it->second.fence + 1;
-        return;
+    if (const auto claim = configuration::claimToAppend(m_lease, *m_node.state())) {
+        m_node.append(*claim);
     }
-    const auto offset = m_node.append(configuration::ClaimRecord{
-        .vm = m_node.options().vm,
-        .incarnation = m_node.incarnation(),
-        .replaces = it == state->claims.end() ? std::nullopt : std::optional(it->second.fence)});
-    if (offset) {
-        m_node.waitForOffset(*offset, m_options.retryInterval);
+    confirmLease();
+}
+
+/// Reads the log to its end, and tells whether this process may give orders to the engine now.
+bool Activation::confirmLease()
+{
+    const auto began = m_node.confirm();
+    if (began) {
+        configuration::confirm(m_lease, *m_node.state(), *began);
     }
+    return configuration::mayAct(m_lease, m_options.lease, steadyMillis());
 }
 
 bool Activation::holdsSlot() const
@@ -200,7 +207,7 @@
 
 void Activation::noteDesired()
 {
-    if (m_fence == 0 || !holdsSlot()) {
+    if (m_lease.status != configuration::LeaseStatus::Held || !holdsSlot()) {
         return;
     }
     const auto duty = configuration::dutyOf(*m_node.state(), m_node.options().vm);
@@ -312,7 +319,7 @@
                             .version = m_duty->assignment.version,
                             .root = m_duty->assignment.manifest,
                             .adapters = m_duty->assignment.adapters,
-                            .fence = m_fence};
+                            .fence = m_lease.fence + 1};
     if (m_adopted) {
         // The engine has the version already. The order only makes this process's fencing number known.
         return m_engine.load(order);
@@ -335,6 +342,12 @@
         step("loaded");
         return;
     }
+    // A process that was paused finds out here that another one holds the slot.
+    if (!confirmLease()) {
+        logWarning(Part::Target, "Slot is not confirmed by the log.", {{"vm", m_node.options().vm}});
+        step("failed");
+        return;
+    }
     const auto loaded = stageAndLoad();
     m_mayAdopt = false;
     m_stager.reset();
--- a/libs/target/src/activation.h
+++ b/libs/target/src/activation.h
@@ -6,6 +6,7 @@
 #include "stager.h"
 
 #include "ibislock/base/state_chart.h"
+#include "ibislock/configuration/lease.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -63,6 +64,7 @@
     void carryOut(const std::string &action);
     void noteDesired();
     void claimSlot();
+    bool confirmLease();
     bool holdsSlot() const;
     void fetch();
     void drain();
@@ -96,7 +98,7 @@
     std::uint32_t m_running = 0;
 
     std::optional<weights::Manifest> m_manifest;
-    std::uint64_t m_fence = 0;
+    configuration::Lease m_lease;
     Millis m_failedAt{0};
     unsigned m_failures = 0; ///< Since the ticket was seen or the version was served.
     bool m_adopted = false; ///< Whether the engine had the version before the transfer.
