--- a/lab/experiments/config_pause.cpp
+++ b/lab/experiments/config_pause.cpp
@@ -35,12 +35,14 @@
     m_administrationUrl = "http://127.0.0.1:" + std::to_string(administrationPort);
     const std::string settings = m_directory + "/entry.ini";
     std::ofstream(settings) << "[process]\nkind = entry\n[vm]\nname = " << m_vm
-                            << "\nfailure_domain = " << domainName(0) << "\n[rpc]\nport = " << rpcPort
+                            << "\nfailure_domain = " << domainName(0)
+                            << "\n[tls]\nmode = plaintext\n[rpc]\nport = " << rpcPort
                             << "\n[platform]\nlog_url = " << deployment.logUrlOf(0)
                             << "\nvm_list_url = " << deployment.vmList().url() << "\n[callers]\nport = " << freePort()
                             << "\n[administration]\nport = " << administrationPort
                             << "\n[workspaces]\nlab = " << CallerCredential
-                            << "\n[operators]\nlab-operator = " << OperatorCredential << "\n";
+                            << "\n[operators]\nlab-operator = " << OperatorCredential
+                            << "\n[operator_roles]\nlab-operator = file\n";
     deployment.vmList().set(
         m_vm, {.domain = domainName(0), .address = "127.0.0.1:" + std::to_string(rpcPort), .kind = "entry"});
     m_process.emplace(std::vector<std::string>{binary, "entry", "--settings", settings}, m_directory + "/entry.log");
--- a/libs/entry/test/entry_fixture.cpp
+++ b/libs/entry/test/entry_fixture.cpp
@@ -61,6 +61,8 @@
 {
     m_log.start();
     m_list.start();
+    // Tickets may only name target VMs that exist.
+    m_list.set("target1", {.domain = "north", .address = "127.0.0.1:1", .kind = "target"});
     m_options.node = {.vm = "entry1", .domain = "north", .log = {.url = m_log.url()}, .vmList = {.url = m_list.url()}};
     m_options.node.tls.mode = security::TlsMode::Plaintext;
     security::addCaller(m_options.credentials.keys, CallerKey, "dala");
--- a/libs/rpc/test/rpc_test.cpp
+++ b/libs/rpc/test/rpc_test.cpp
@@ -147,7 +147,7 @@
 {
     Handlers handlers;
     handlers.state = [](std::uint64_t) {
-        return std::optional<std::string>("s");
+        return StateDelta{.state = "s"};
     };
     // Whether the client has noticed the end of the connection yet is up to the event loop, hence the repetition.
     for (int i = 0; i < 50; ++i) {
