A listed VM that has not reported yet counts as a fetcher

Cause: targets that do not know of each other each take themselves for the first fetcher of every chunk. Reports now reach targets through delegates, some hundred milliseconds after the start, and a ticket may come before them.

Change: membership::isExpected names a VM that the platform lists and that has not reported; the fetcher counts it in.

--- a/libs/membership/include/ibislock/membership/view.h
+++ b/libs/membership/include/ibislock/membership/view.h
@@ -122,4 +122,8 @@
 /// Tells whether new work may be sent to a VM.
 bool isUsable(const Member &member, const ViewOptions &options, Millis now);
 
+/// Tells whether the platform lists a VM that has not reported yet. Work that must be divided among all VMs counts it
+/// in; requests are not sent to it.
+bool isExpected(const Member &member);
+
 } // namespace ibislock::membership
--- a/libs/membership/src/view.cpp
+++ b/libs/membership/src/view.cpp
@@ -274,4 +274,9 @@
     return isFresh(member, options, now) && !isSilent(member) && !member.report.leaving && !listedAsLeaving;
 }
 
+bool isExpected(const Member &member)
+{
+    return member.isListed && !member.listed.leaving && !member.hasReport;
+}
+
 } // namespace ibislock::membership
--- a/libs/membership/test/view_test.cpp
+++ b/libs/membership/test/view_test.cpp
@@ -54,6 +54,16 @@
     EXPECT_EQ(find(view, "t1"), nullptr);
 }
 
+TEST(ViewTest, ExpectsAListedVmUntilItsFirstReport)
+{
+    View view;
+    applyList(view, {{.vm = "t1", .domain = "north", .address = "127.0.0.1:1"}}, Options, Millis(0));
+    EXPECT_TRUE(isExpected(*find(view, "t1")));
+    EXPECT_FALSE(isUsable(*find(view, "t1"), Options, Millis(0)));
+    applyReport(view, reportOf(1, 1, 1), Options, Millis(1));
+    EXPECT_FALSE(isExpected(*find(view, "t1")));
+}
+
 } // namespace
 
 } // namespace ibislock::membership
--- a/libs/target/src/fetcher.cpp
+++ b/libs/target/src/fetcher.cpp
@@ -62,9 +62,10 @@
                 participants.push_back({.vm = vm, .domain = {}, .isLive = false});
                 continue;
             }
-            participants.push_back({.vm = vm,
-                                    .domain = member->hasReport ? member->report.domain : member->listed.domain,
-                                    .isLive = membership::isUsable(*member, options.view, now)});
+            participants.push_back(
+                {.vm = vm,
+                 .domain = member->hasReport ? member->report.domain : member->listed.domain,
+                 .isLive = membership::isUsable(*member, options.view, now) || membership::isExpected(*member)});
         }
         return participants;
     });
