The spread experiment can log warnings

Cause: a run with 128 targets on a machine with a load of 30 ended with a target that did not serve, and showed no reason.

--- a/lab/experiments/spread.cpp
+++ b/lab/experiments/spread.cpp
@@ -82,7 +82,8 @@
         "live", "requests a second meanwhile", cxxopts::value<double>()->default_value("0"))(
         "seed", "seed of content and faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "chunk-kib", "size of a chunk in KiB; 0 chooses", cxxopts::value<std::uint64_t>()->default_value("0"))(
-        "timeout", "seconds after which the run ends; 0 chooses", cxxopts::value<double>()->default_value("0"))(
+        "timeout", "seconds after which the run ends; 0 chooses",
+        cxxopts::value<double>()->default_value("0"))("verbose", "log warnings")(
         "fault",
         "corrupt=P, kill=COUNT, stall=COUNT, origin-outage=SECONDS, version-change, partition=SECONDS, lost-answers=P "
         "or overtake; may be given several times",
@@ -134,7 +135,7 @@
         std::cout << description.help() << "\n";
         return parsed.count("help") != 0 ? 0 : 2;
     }
-    startLogging(LogLevel::Error);
+    startLogging(parsed.count("verbose") != 0 ? LogLevel::Warning : LogLevel::Error);
     const SpreadResult result = runSpreadOnce(*options);
     std::cout << report(*options, result).dump() << "\n";
     return isOk(*options, result) ? 0 : 1;
