--- a/libs/target/src/activation.cpp
+++ b/libs/target/src/activation.cpp
@@ -270,7 +270,17 @@
     return status && status->root == root;
 }
 
-bool Activation::mayDrain() const
+bool Activation::isStuck(const membership::Report &report, Millis now)
+{
+    const std::string state = report.phase + "/" + std::to_string(report.ticket);
+    auto &seen = m_seenStates[report.vm];
+    if (seen.state != state) {
+        seen = {.state = state, .since = now};
+    }
+    return now - seen.since >= m_options.rollout.patience;
+}
+
+bool Activation::mayDrain()
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -286,7 +296,11 @@
             const membership::Member *member = membership::find(view, vm);
             const bool live = member != nullptr && membership::isUsable(*member, nodeOptions.view, now);
             const bool done = live && member->report.phase == "serving" && member->report.ticket == m_duty->ticket;
-            members.push_back({.vm = vm, .isLive = live, .isDone = done});
+            members.push_back({.vm = vm,
+                               .isLive = live,
+                               .isDone = done,
+                               .isServing = live && member->report.phase == "serving",
+                               .isStuck = live && isStuck(member->report, now)});
         }
     });
     return weights::mayDrain(members, nodeOptions.vm, m_options.rollout);
@@ -294,6 +308,7 @@
 
 void Activation::drain()
 {
+    m_seenStates.clear();
     while (!mayDrain()) {
         if (isOvertaken()) {
             step("failed");
--- a/libs/target/src/activation.h
+++ b/libs/target/src/activation.h
@@ -25,6 +25,13 @@
     Digest manifest;
 };
 
+/// How far another VM of the rollout was, and since when.
+struct SeenState
+{
+    std::string state;
+    Millis since{0};
+};
+
 /// Drives the activation on a thread of its own.
 class Activation
 {
@@ -73,7 +80,8 @@
     void serve();
     void rest();
     bool isOvertaken() const;
-    bool mayDrain() const;
+    bool mayDrain();
+    bool isStuck(const membership::Report &report, Millis now);
     Result<void> stageAndLoad();
     bool engineServes(const Digest &root);
     void checkEngine();
@@ -99,6 +107,7 @@
 
     std::optional<weights::Manifest> m_manifest;
     configuration::Lease m_lease;
+    std::map<std::string, SeenState> m_seenStates; ///< By VM, since this one waits for its turn.
     Millis m_failedAt{0};
     unsigned m_failures = 0; ///< Since the ticket was seen or the version was served.
     bool m_adopted = false; ///< Whether the engine had the version before the transfer.
--- a/libs/target/src/settings.cpp
+++ b/libs/target/src/settings.cpp
@@ -154,6 +154,13 @@
          .fallback = "0.7",
          .max = 1,
          .help = "Share of a role's VMs that keeps serving."},
+        {.section = "rollout",
+         .key = "patience_ms",
+         .type = SettingType::Integer,
+         .fallback = "30000",
+         .min = 1,
+         .max = HourMs,
+         .help = "How long a VM may stay in one state before the rollout passes it."},
         {.section = "rollout",
          .key = "read_back_interval_ms",
          .type = SettingType::Integer,
@@ -217,6 +224,7 @@
     for (const auto &[workspace, weight] : settings.entries("shares")) {
         options.shares[workspace] = std::max(std::strtod(weight.c_str(), nullptr), ShareMin);
     }
+    options.rollout.patience = settings.millis("rollout", "patience_ms");
     options.readBackInterval = settings.millis("rollout", "read_back_interval_ms");
     options.retryInterval = settings.millis("rollout", "retry_interval_ms");
     return options;
--- a/libs/weights/include/ibislock/weights/rollout.h
+++ b/libs/weights/include/ibislock/weights/rollout.h
@@ -1,10 +1,12 @@
 // When a VM may leave the old version in a rollout, so that the role keeps a floor of serving VMs.
 //
 // The VMs of a role move in a fixed order. A VM may drain when fewer VMs before it are still on the way than the role
-// can spare. A VM that is not there does not hold up the others.
+// can spare. A VM that is not there does not hold up the others, nor does one that has made no progress for a while.
 
 #pragma once
 
+#include "ibislock/base/clock.h"
+
 #include <cstdint>
 #include <span>
 #include <string>
@@ -18,11 +20,14 @@
     std::string vm;
     bool isLive = false;
     bool isDone = false; ///< Serves the new version.
+    bool isServing = false; ///< Answers requests, with any version.
+    bool isStuck = false; ///< Has not moved for the rollout's patience.
 };
 
 /// Limits of a rollout.
 struct RolloutOptions
 {
+    Millis patience{30000}; ///< How long a VM may stay in one state before others pass it.
     double floor = 0.7; ///< The share of the role's VMs that keeps serving.
 };
 
--- a/libs/weights/src/rollout.cpp
+++ b/libs/weights/src/rollout.cpp
@@ -14,13 +14,18 @@
 
 bool mayDrain(std::span<const RolloutMember> members, const std::string &self, const RolloutOptions &options)
 {
-    const std::size_t budget = rolloutBudget(members.size(), options);
+    std::size_t budget = rolloutBudget(members.size(), options);
     std::size_t moving = 0;
+    for (const RolloutMember &member : members) {
+        // Capacity that a stuck VM takes away is missing, but the rollout goes on with one VM at a time.
+        const bool isLost = member.vm != self && member.isLive && member.isStuck && !member.isServing;
+        budget -= isLost && budget > 1 ? 1 : 0;
+    }
     for (const RolloutMember &member : members) {
         if (member.vm == self) {
             return moving < budget;
         }
-        if (member.isLive && !member.isDone) {
+        if (member.isLive && !member.isDone && !member.isStuck) {
             ++moving;
         }
     }
--- a/libs/weights/test/weights_test.cpp
+++ b/libs/weights/test/weights_test.cpp
@@ -85,6 +85,25 @@
     EXPECT_EQ(draining, 3U);
 }
 
+TEST(RolloutTest, AStuckVmDoesNotHoldUpTheOthers)
+{
+    std::vector<RolloutMember> members;
+    for (int i = 0; i < 10; ++i) {
+        members.push_back({.vm = std::to_string(i), .isLive = true, .isServing = true});
+    }
+    members[0].isStuck = true;
+    const RolloutOptions options{.floor = 0.7};
+    EXPECT_TRUE(mayDrain(members, "3", options)) << "a stuck VM that still serves counts as moving";
+    members[0].isServing = false;
+    EXPECT_FALSE(mayDrain(members, "3", options)) << "the capacity that a stuck VM takes away is not missed";
+    EXPECT_TRUE(mayDrain(members, "2", options));
+    for (int i = 0; i < 9; ++i) {
+        members[i].isStuck = true;
+        members[i].isServing = false;
+    }
+    EXPECT_TRUE(mayDrain(members, "9", options)) << "the last one waits for ever";
+}
+
 TEST(RolloutTest, ADeadVmDoesNotHoldUpTheOthers)
 {
     const std::vector<RolloutMember> members{{.vm = "a"}, {.vm = "b", .isLive = true}};
