An engine that was not reached keeps its staged chunks

Cause: runs with 128 and 200 targets in one process did not complete; targets logged that the engine does not answer, and each failed order made them stage every chunk again, which added to the load. Change: what was staged is forgotten only when the order may have reached the engine. Conclusion: not yet shown beyond 64 targets.

--- a/libs/target/src/activation.cpp
+++ b/libs/target/src/activation.cpp
@@ -365,7 +365,10 @@
     }
     const auto loaded = stageAndLoad();
     m_mayAdopt = false;
-    m_stager.reset();
+    // An engine that was not reached keeps what was staged; to stage it all again would only add to its load.
+    if (loaded || loaded.error().code != ErrorCode::Unavailable) {
+        m_stager.reset();
+    }
     if (!loaded && loaded.error().code != ErrorCode::OutcomeUnknown) {
         logWarning(Part::Target, "Engine refuses to load.", {{"reason", loaded.error().message}});
         step("failed");
