--- a/lab/experiments/requests.cpp
+++ b/lab/experiments/requests.cpp
@@ -30,6 +30,7 @@
 constexpr double FairnessMin = 0.95;
 constexpr double LeaveMsMax = 3000;
 constexpr double ServiceShare = 0.1;
+constexpr double DirectRps = 60;
 constexpr unsigned ClosedLoopPerSlot = 2;
 
 /// The options of a run.
@@ -53,6 +54,7 @@
     std::vector<CallRecord> capacity; ///< At exactly the targets' capacity; only with an overload.
     std::vector<CallRecord> main;
     std::vector<CallRecord> recovery; ///< After the overload.
+    std::vector<CallRecord> direct; ///< Straight to the engines, for comparison; without overload only.
 };
 
 standins::EngineStandInOptions engineOptions()
@@ -141,6 +143,7 @@
             m_load.run({.rps = 0, .duration = CalibrationTime / 2, .callers = closedLoopCallers()});
             m_records.capacity = m_load.run({.rps = 0, .duration = CalibrationTime, .callers = closedLoopCallers()});
         } else {
+            m_records.direct = callEngines();
             m_load.run({.rps = m_options.rps, .duration = Millis(2000)});
         }
         m_cacheBefore = cacheUse();
@@ -169,6 +172,19 @@
         return std::size_t(std::max(m_options.targets / m_options.domains, 1U)) * m_options.domains;
     }
 
+    /// Calls the engines without ibislock between, to see what a call costs in any case.
+    std::vector<CallRecord> callEngines()
+    {
+        std::vector<std::string> urls;
+        for (const TargetVm &vm : m_deployment.targets()) {
+            urls.push_back(vm.engine->url());
+        }
+        Balancer engines;
+        engines.set(std::move(urls));
+        OpenLoad load(engines, {.workspaces = workspacesOf(1), .callers = 64, .seed = m_options.seed + 1000});
+        return load.run({.rps = DirectRps, .duration = Millis(2000)});
+    }
+
     double inTimePerSecond(const std::vector<CallRecord> &records, Millis duration) const
     {
         const auto answered = answeredInTime(records, m_options.workspaces, static_cast<double>(Deadline.count()));
@@ -257,6 +273,9 @@
         all.insert(all.end(), m_records.recovery.begin(), m_records.recovery.end());
         json result = describeCalls(all, m_deployment);
         result.update(describeTimes(m_records.main, m_deployment));
+        const json direct = describeTimes(m_records.direct, m_deployment);
+        result["direct_p50_ms"] = direct["overhead_p50_ms"];
+        result["direct_p95_ms"] = direct["overhead_p95_ms"];
         const double deadlineMs = static_cast<double>(Deadline.count());
         const bool overload = m_options.overload > 0;
         const double goodput = inTimePerSecond(m_records.main, m_options.duration);
--- /dev/null
+++ b/libs/requests/benchmark/heat_benchmark.cpp
@@ -0,0 +1,223 @@
+// Ways to keep the heat of prefixes in bounded memory, on one stream: an exact table, the frequent-items summary that
+// decrements by a sampled quantile, and a min-heap of the same bytes. `recall` is the share of the true 64 hottest
+// among the 64 hottest found; `bytes` is what the counters take.
+
+#include "ibislock/base/random.h"
+
+#include <algorithm>
+#include <benchmark/benchmark.h>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace ibislock::requests
+{
+
+namespace
+{
+
+using Heat = std::unordered_map<std::uint64_t, std::uint64_t>;
+
+constexpr std::size_t StreamLength = 200000;
+constexpr std::size_t Distinct = 100000;
+constexpr std::size_t Hottest = 64;
+constexpr std::size_t SummaryCounters = 768;
+constexpr std::size_t SampleSize = 64;
+/// A counter of 16 bytes, an index node and a place in the heap; a third more than a bare counter in a table.
+constexpr std::size_t HeapCounters = SummaryCounters / 2;
+constexpr std::size_t BytesOfNode = 32;
+
+struct Update
+{
+    std::uint64_t item = 0;
+    std::uint64_t weight = 0;
+};
+
+const std::vector<Update> &stream()
+{
+    static const std::vector<Update> updates = [] {
+        Random random(7);
+        std::vector<double> weights;
+        for (std::size_t i = 1; i <= Distinct; ++i) {
+            weights.push_back(1.0 / static_cast<double>(i));
+        }
+        std::discrete_distribution<std::uint64_t> item(weights.begin(), weights.end());
+        std::uniform_int_distribution<std::uint64_t> weight(1, 1000);
+        std::vector<Update> made;
+        for (std::size_t i = 0; i < StreamLength; ++i) {
+            made.push_back({.item = item(random), .weight = weight(random)});
+        }
+        return made;
+    }();
+    return updates;
+}
+
+/// Adds to counters; when they are full, takes the median of a sample off all of them and drops those at zero.
+struct Summary
+{
+    Heat heat;
+    Random random{1};
+
+    void add(const Update &update)
+    {
+        heat[update.item] += update.weight;
+        if (heat.size() > SummaryCounters) {
+            decrement();
+        }
+    }
+
+    void decrement()
+    {
+        std::vector<std::uint64_t> sample;
+        auto it = heat.begin();
+        const std::size_t stride = heat.size() / SampleSize;
+        for (std::size_t i = 0; i < SampleSize; ++i) {
+            sample.push_back(it->second);
+            std::advance(it, stride);
+        }
+        std::nth_element(sample.begin(), sample.begin() + SampleSize / 2, sample.end());
+        const std::uint64_t median = sample[SampleSize / 2];
+        for (auto counter = heat.begin(); counter != heat.end();) {
+            counter->second -= std::min(counter->second, median);
+            counter = counter->second == 0 ? heat.erase(counter) : std::next(counter);
+        }
+    }
+};
+
+/// Gives a new item the smallest counter, which a heap finds.
+struct MinHeap
+{
+    std::vector<Update> heap;
+    std::unordered_map<std::uint64_t, std::size_t> places;
+
+    void add(const Update &update)
+    {
+        const auto it = places.find(update.item);
+        if (it != places.end()) {
+            heap[it->second].weight += update.weight;
+            sink(it->second);
+        } else if (heap.size() < HeapCounters) {
+            heap.push_back(update);
+            places[update.item] = heap.size() - 1;
+            rise(heap.size() - 1);
+        } else {
+            places.erase(heap[0].item);
+            heap[0] = {.item = update.item, .weight = heap[0].weight + update.weight};
+            places[update.item] = 0;
+            sink(0);
+        }
+    }
+
+    void swapPlaces(std::size_t a, std::size_t b)
+    {
+        std::swap(heap[a], heap[b]);
+        places[heap[a].item] = a;
+        places[heap[b].item] = b;
+    }
+
+    void rise(std::size_t i)
+    {
+        for (; i > 0 && heap[i].weight < heap[(i - 1) / 2].weight; i = (i - 1) / 2) {
+            swapPlaces(i, (i - 1) / 2);
+        }
+    }
+
+    void sink(std::size_t i)
+    {
+        for (;;) {
+            std::size_t least = i;
+            for (const std::size_t child : {2 * i + 1, 2 * i + 2}) {
+                least = child < heap.size() && heap[child].weight < heap[least].weight ? child : least;
+            }
+            if (least == i) {
+                return;
+            }
+            swapPlaces(i, least);
+            i = least;
+        }
+    }
+};
+
+std::unordered_set<std::uint64_t> hottestOf(std::vector<Update> counters)
+{
+    std::sort(counters.begin(), counters.end(), [](const Update &a, const Update &b) { return a.weight > b.weight; });
+    std::unordered_set<std::uint64_t> items;
+    for (std::size_t i = 0; i < std::min(Hottest, counters.size()); ++i) {
+        items.insert(counters[i].item);
+    }
+    return items;
+}
+
+std::vector<Update> countersOf(const Heat &heat)
+{
+    std::vector<Update> counters;
+    for (const auto &[item, weight] : heat) {
+        counters.push_back({.item = item, .weight = weight});
+    }
+    return counters;
+}
+
+Heat exactHeat()
+{
+    Heat heat;
+    for (const Update &update : stream()) {
+        heat[update.item] += update.weight;
+    }
+    return heat;
+}
+
+void report(benchmark::State &state, const std::vector<Update> &counters, std::size_t bytesOfCounter)
+{
+    static const auto truth = hottestOf(countersOf(exactHeat()));
+    std::size_t found = 0;
+    for (const std::uint64_t item : hottestOf(counters)) {
+        found += truth.contains(item) ? 1 : 0;
+    }
+    state.counters["recall"] = static_cast<double>(found) / static_cast<double>(Hottest);
+    state.counters["bytes"] = static_cast<double>(counters.size() * bytesOfCounter);
+    state.SetItemsProcessed(state.iterations() * static_cast<std::int64_t>(StreamLength));
+}
+
+void exactTable(benchmark::State &state)
+{
+    stream();
+    Heat heat;
+    for (auto _ : state) {
+        heat = exactHeat();
+    }
+    report(state, countersOf(heat), BytesOfNode);
+}
+
+void frequentItems(benchmark::State &state)
+{
+    stream();
+    Summary summary;
+    for (auto _ : state) {
+        summary = Summary();
+        for (const Update &update : stream()) {
+            summary.add(update);
+        }
+    }
+    report(state, countersOf(summary.heat), BytesOfNode);
+}
+
+void minHeap(benchmark::State &state)
+{
+    stream();
+    MinHeap heap;
+    for (auto _ : state) {
+        heap = MinHeap();
+        for (const Update &update : stream()) {
+            heap.add(update);
+        }
+    }
+    report(state, heap.heap, BytesOfNode + sizeof(Update) + sizeof(std::size_t) * 2);
+}
+
+BENCHMARK(exactTable)->Unit(benchmark::kMillisecond);
+BENCHMARK(frequentItems)->Unit(benchmark::kMillisecond);
+BENCHMARK(minHeap)->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+} // namespace ibislock::requests
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -6,6 +6,7 @@
 #include "chunks.capnp.h"
 #include "node.capnp.h"
 
+#include <atomic>
 #include <capnp/rpc-twoparty.h>
 #include <map>
 
@@ -239,12 +240,20 @@
     std::shared_ptr<AnswerQueue> m_queue;
 };
 
+/// A submitted call. The loop cleans up after a call that has ended, so that its caller need not wait for the loop.
+struct SubmittedCall
+{
+    std::shared_ptr<AnswerQueue> queue = std::make_shared<AnswerQueue>();
+    kj::Canceler canceler;
+    std::atomic<bool> ended = false;
+};
+
 class RemoteAnswerStream final : public AnswerStream
 {
 public:
-    explicit RemoteAnswerStream(const EventLoop &loop)
+    RemoteAnswerStream(const EventLoop &loop, std::shared_ptr<SubmittedCall> call)
         : m_loop(loop)
-        , m_queue(std::make_shared<AnswerQueue>())
+        , m_call(std::move(call))
     {
     }
 
@@ -255,29 +264,19 @@
 
     AnswerEvent next(Millis timeout) override
     {
-        return m_queue->pop(timeout);
+        return m_call->queue->pop(timeout);
     }
 
     void cancel() override
     {
-        m_loop.call([this] { m_running = nullptr; });
-    }
-
-    /// Keeps the call alive; for use on the loop.
-    void hold(kj::Promise<void> &&running)
-    {
-        m_running = kj::mv(running);
-    }
-
-    const std::shared_ptr<AnswerQueue> &queue() const
-    {
-        return m_queue;
+        if (!m_call->ended) {
+            m_loop.call([this] { m_call->canceler.cancel("the request was withdrawn"); });
+        }
     }
 
 private:
     const EventLoop &m_loop;
-    std::shared_ptr<AnswerQueue> m_queue;
-    kj::Maybe<kj::Promise<void>> m_running;
+    std::shared_ptr<SubmittedCall> m_call;
 };
 
 } // namespace
@@ -396,25 +395,30 @@
 
 std::shared_ptr<AnswerStream> Client::submit(const std::string &address, const requests::Request &request)
 {
-    auto stream = std::make_shared<RemoteAnswerStream>(m_loop);
+    auto call = std::make_shared<SubmittedCall>();
     m_loop.call([&] {
-        auto queue = stream->queue();
         auto sent = std::make_shared<bool>(false);
-        auto running = m_impl->connect(address).then([queue, request, sent](std::shared_ptr<Connection> connection) {
-            auto call = connection->node.requestsRequest().send().getRequests().submitRequest();
-            write(call.initRequest(), request);
-            call.setSink(kj::heap<QueueSink>(queue));
+        auto running = m_impl->connect(address).then([call, request, sent](std::shared_ptr<Connection> connection) {
+            auto submission = connection->node.requestsRequest().send().getRequests().submitRequest();
+            write(submission.initRequest(), request);
+            submission.setSink(kj::heap<QueueSink>(call->queue));
             *sent = true;
-            return call.send()
-                .then([queue](auto &&response) { queue->push(read(response.getEnd())); })
+            return submission.send()
+                .then([call](auto &&response) {
+                    call->ended = true;
+                    call->queue->push(read(response.getEnd()));
+                })
                 .attach(kj::mv(connection));
         });
-        stream->hold(running.eagerlyEvaluate([queue, sent](kj::Exception &&exception) {
+        auto guarded = call->canceler.wrap(kj::mv(running)).catch_([call, sent](kj::Exception &&exception) {
             const auto code = *sent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
-            queue->push(Error{code, messageOf(exception)});
-        }));
+            call->ended = true;
+            call->queue->push(Error{code, messageOf(exception)});
+        });
+        auto kept = call;
+        m_impl->calls->add(guarded.attach(kj::mv(kept)));
     });
-    return stream;
+    return std::make_shared<RemoteAnswerStream>(m_loop, std::move(call));
 }
 
 bool Client::revoke(const std::string &address, const std::string &id, std::uint64_t incarnation)
