--- a/lab/experiments/requests.cpp
+++ b/lab/experiments/requests.cpp
@@ -154,6 +154,7 @@
         });
         const double rps = overload ? m_options.overload * capacityRps() : m_options.rps;
         m_records.main = m_load.run({.rps = rps, .duration = m_options.duration});
+        m_faults.end();
         if (overload) {
             m_records.recovery = m_load.run({.rps = NormalLoad * capacityRps(), .duration = RecoveryTime});
         }
--- a/lab/experiments/requests_faults.cpp
+++ b/lab/experiments/requests_faults.cpp
@@ -97,14 +97,27 @@
 
 void FaultDriver::begin()
 {
+    setLasting(true);
+}
+
+void FaultDriver::end()
+{
+    setLasting(false);
+}
+
+void FaultDriver::setLasting(bool on)
+{
+    const auto probability = [&](std::string_view name) {
+        return on ? number(name) : 0;
+    };
     for (TargetVm &vm : m_deployment.targets()) {
-        vm.engine->faults().lostAnswers = number("lost-answers");
-        vm.engine->setCrossed(number("crossed"));
-        vm.engine->setDuplicate(number("duplicate"));
-        vm.engine->setGappyEvents(number("gappy-events"));
+        vm.engine->faults().lostAnswers = probability("lost-answers");
+        vm.engine->setCrossed(probability("crossed"));
+        vm.engine->setDuplicate(probability("duplicate"));
+        vm.engine->setGappyEvents(probability("gappy-events"));
     }
     for (TargetVm &vm : m_deployment.services()) {
-        vm.service->faults().lostAnswers = number("lost-answers");
+        vm.service->faults().lostAnswers = probability("lost-answers");
     }
 }
 
--- a/lab/experiments/requests_faults.h
+++ b/lab/experiments/requests_faults.h
@@ -38,12 +38,16 @@
     /// Starts the faults that hold on: lost, crossed and duplicate answers, gaps.
     void begin();
 
+    /// Ends the faults that hold on.
+    void end();
+
     /// Brings the events about: kills, stops, leaves, stalls, a partition, a rollout. Blocks until they are over.
     void runEvents();
 
     const FaultTrace &trace() const;
 
 private:
+    void setLasting(bool on);
     double number(std::string_view name) const;
     std::size_t count(std::string_view name) const;
     void stopTargets();
--- a/libs/entry/src/callers_api.cpp
+++ b/libs/entry/src/callers_api.cpp
@@ -152,7 +152,7 @@
                     .timeLeft = m_options.requestTimeout,
                     .priority = priorityOf(call),
                     .cost = costOf(body, prompt)};
-    auto prefix = requests::prefixBlocks(*workspace + "/" + request.role, prompt);
+    auto prefix = requests::prefixBlocks(request.role, prompt);
     const bool stream = request.stream;
     const auto session = std::make_shared<RequestSession>(m_dispatcher, std::move(request), std::move(prefix));
     if (stream) {
--- a/libs/requests/include/ibislock/requests/fair_queue.h
+++ b/libs/requests/include/ibislock/requests/fair_queue.h
@@ -7,8 +7,8 @@
 //     std::vector<QueuedRequest> late = takeExpired(queue, now);
 //
 // Shares follow start-time fair queueing: each workspace has a virtual time that grows by cost over weight, and the
-// workspace that is furthest behind goes next. A full queue makes room at the workspace with the largest backlog for
-// its weight, at its lowest priority, newest first.
+// workspace that is furthest behind goes next. A full queue makes room at the workspace whose backlog would end last,
+// which is the one that has had or asks for most for its weight; there at the lowest priority, newest first.
 
 #pragma once
 
--- a/libs/requests/include/ibislock/requests/key_register.h
+++ b/libs/requests/include/ibislock/requests/key_register.h
@@ -25,6 +25,7 @@
     std::uint64_t incarnation = 0;
     std::size_t keysMax = 100000;
     std::size_t answerBytesMax = 64 << 10; ///< Longer answers are not kept.
+    std::size_t allAnswersBytesMax = 32 << 20; ///< Answers beyond this are not kept.
     Millis lifetime{600000}; ///< How long after its minting a key may run.
     Millis clockSkew{60000}; ///< How far into the future a key's time may lie.
 };
@@ -46,6 +47,7 @@
     KeyRegisterOptions options;
     std::map<std::string, KnownKey, std::less<>> known;
     std::multimap<Millis, std::string> byAge; ///< When to forget which key.
+    std::size_t answerBytes = 0; ///< Of the answers that are kept.
 };
 
 /// What to do with a call that carries a key.
--- a/libs/requests/include/ibislock/requests/prefix_index.h
+++ b/libs/requests/include/ibislock/requests/prefix_index.h
@@ -59,7 +59,7 @@
 };
 
 /// Hashes the whole blocks of a prompt.
-/// @param scope what else must agree for a cached prefix to be of use, such as the workspace.
+/// @param scope what else must agree for a cached prefix to be of use, such as the role.
 std::vector<std::uint64_t> prefixBlocks(std::string_view scope, std::string_view prompt);
 
 /// Notes that a target was sent a prompt.
--- a/libs/requests/include/ibislock/requests/routing.h
+++ b/libs/requests/include/ibislock/requests/routing.h
@@ -4,9 +4,9 @@
 //     std::optional<std::size_t> chosen = chooseTarget(RoutingPolicy::Prefix, candidates, state);
 //
 // Targets of the entry's own domain go first, unless all of them are saturated. The prefix policy follows the prompt's
-// prefix: to the target that is believed to hold most of it, else to one of two homes that every entry process works
-// out alike, and in either case only while that target's load is not far above the mean; else it takes the better of
-// two random targets. So hot prefixes spread, and entry processes with the same stale view do not act alike.
+// prefix: to the target that is believed to hold most of it, else to the first in an order of homes that every entry
+// process works out alike, and in either case only among targets whose load is not far above the mean. Without a prefix
+// it takes the better of two random targets. So hot prefixes spread, and cold ones stay in few caches.
 
 #pragma once
 
--- a/libs/requests/src/fair_queue.cpp
+++ b/libs/requests/src/fair_queue.cpp
@@ -29,11 +29,19 @@
     return std::all_of(lane.waiting.begin(), lane.waiting.end(), [](const auto &waiting) { return waiting.empty(); });
 }
 
-/// Takes the newest request of the lowest priority from the workspace with the largest backlog for its weight.
+/// Gives the virtual time at which a lane's last request would end.
+double endOf(const FairQueue &queue, const Lane &lane)
+{
+    return std::max(queue.virtualTime, lane.finish) + lane.backlog / lane.weight;
+}
+
+/// Takes the newest request of the lowest priority from the workspace whose backlog would end last.
 QueuedRequest shedOne(FairQueue &queue)
 {
-    const auto heaviest = std::max_element(queue.lanes.begin(), queue.lanes.end(), [](const auto &a, const auto &b) {
-        return a.second.backlog / a.second.weight < b.second.backlog / b.second.weight;
+    const auto heaviest = std::max_element(queue.lanes.begin(), queue.lanes.end(), [&](const auto &a, const auto &b) {
+        const bool aWaits = !isEmpty(a.second);
+        const bool bWaits = !isEmpty(b.second);
+        return aWaits != bWaits ? bWaits : endOf(queue, a.second) < endOf(queue, b.second);
     });
     Lane &lane = heaviest->second;
     const auto waiting =
--- a/libs/requests/src/key_register.cpp
+++ b/libs/requests/src/key_register.cpp
@@ -14,7 +14,9 @@
 void forgetOld(KeyRegister &keys, Millis now)
 {
     while (!keys.byAge.empty() && keys.byAge.begin()->first <= now) {
-        keys.known.erase(keys.byAge.begin()->second);
+        const auto it = keys.known.find(keys.byAge.begin()->second);
+        keys.answerBytes -= it->second.answer.value_or("").size();
+        keys.known.erase(it);
         keys.byAge.erase(keys.byAge.begin());
     }
 }
@@ -89,7 +91,10 @@
     }
     it->second.state = KnownKey::State::Ended;
     it->second.end = end;
-    if (end.outcome == Outcome::Answered && body.size() <= keys.options.answerBytesMax) {
+    const bool fits =
+        body.size() <= keys.options.answerBytesMax && keys.answerBytes + body.size() <= keys.options.allAnswersBytesMax;
+    if (end.outcome == Outcome::Answered && fits) {
+        keys.answerBytes += body.size();
         it->second.answer = std::move(body);
     }
 }
--- a/libs/requests/src/routing.cpp
+++ b/libs/requests/src/routing.cpp
@@ -11,7 +11,7 @@
 
 /// How far above the mean a target's load may be for a prefix to lead there.
 constexpr double LoadBoundFactor = 1.25;
-constexpr double LoadBoundSlack = 2;
+constexpr double LoadBoundSlack = 1;
 
 /// The candidates that are chosen from.
 struct Pool
@@ -98,7 +98,7 @@
         }
         const bool better = !best || candidate.prefixBlocks > pool.candidates[*best].prefixBlocks
             || (candidate.prefixBlocks == pool.candidates[*best].prefixBlocks
-                && candidate.load < pool.candidates[*best].load);
+                && candidate.affinity > pool.candidates[*best].affinity);
         if (better) {
             best = i;
         }
@@ -106,27 +106,20 @@
     return best;
 }
 
-/// Finds the less loaded of the prompt's two homes, if it is not far above the mean load.
+/// Finds the first of the prompt's homes that is not far above the mean load.
 std::optional<std::size_t> pickHome(const Pool &pool, double bound)
 {
-    std::optional<std::size_t> first;
-    std::optional<std::size_t> second;
+    std::optional<std::size_t> best;
     for (std::size_t i = 0; i < pool.candidates.size(); ++i) {
         const Candidate &candidate = pool.candidates[i];
-        if (!pool.contains(candidate) || candidate.affinity == 0) {
+        if (!pool.contains(candidate) || candidate.affinity == 0 || candidate.load > bound) {
             continue;
         }
-        if (!first || candidate.affinity > pool.candidates[*first].affinity) {
-            second = first;
-            first = i;
-        } else if (!second || candidate.affinity > pool.candidates[*second].affinity) {
-            second = i;
+        if (!best || candidate.affinity > pool.candidates[*best].affinity) {
+            best = i;
         }
     }
-    if (second && pool.candidates[*second].load < pool.candidates[*first].load) {
-        first = second;
-    }
-    return first && pool.candidates[*first].load <= bound ? first : std::nullopt;
+    return best;
 }
 
 std::size_t pickByPrefix(const Pool &pool, RouteState &state)
--- a/libs/requests/test/at_most_once_test.cpp
+++ b/libs/requests/test/at_most_once_test.cpp
@@ -217,6 +217,23 @@
     EXPECT_EQ(begin(keys, "dala", keyToText(key), later).decision, KeyDecision::Unknown);
 }
 
+TEST(KeyRegisterTest, KeepsAnswersWithinItsBounds)
+{
+    KeyRegister keys{.options = {.vm = "target", .incarnation = 2, .answerBytesMax = 4, .allAnswersBytesMax = 6}};
+    const std::vector<std::pair<std::string, KeyDecision>> answers{
+        {"four", KeyDecision::Replay}, {"longer", KeyDecision::Unknown}, {"full", KeyDecision::Unknown}};
+    for (const auto &[answer, decision] : answers) {
+        const std::string key = keyToText({.vm = "target", .incarnation = 2, .mintedAt = Now, .nonce = answer});
+        ASSERT_EQ(begin(keys, "dala", key, Now).decision, KeyDecision::Run);
+        finish(keys, "dala", key, {.outcome = Outcome::Answered}, answer);
+        EXPECT_EQ(begin(keys, "dala", key, Now).decision, decision) << answer;
+    }
+    const std::string later =
+        keyToText({.vm = "target", .incarnation = 2, .mintedAt = Now + keys.options.lifetime, .nonce = "n"});
+    begin(keys, "dala", later, Now + keys.options.lifetime);
+    EXPECT_EQ(keys.answerBytes, 0U) << "what is forgotten frees its room";
+}
+
 TEST(CallKeyTest, ReadsBackWhatItWrote)
 {
     const CallKey key{.vm = "a.b-1", .incarnation = 18446744073709551615U, .mintedAt = Now, .nonce = "00ff"};
--- a/libs/requests/test/fair_queue_test.cpp
+++ b/libs/requests/test/fair_queue_test.cpp
@@ -57,6 +57,18 @@
     EXPECT_EQ(pop(queue)->ticket, 1U) << "the high priority goes first";
 }
 
+TEST(FairQueueTest, AtEqualBacklogsTheWorkspaceThatWasServedLastGivesWay)
+{
+    for (const std::string &served : {std::string("a"), std::string("b")}) {
+        FairQueue queue{.options = {.capacity = 2}};
+        push(queue, requestOf(1, served));
+        pop(queue);
+        push(queue, requestOf(2, "a"));
+        push(queue, requestOf(3, "b"));
+        EXPECT_EQ(push(queue, requestOf(4, "c"))->workspace, served);
+    }
+}
+
 TEST(FairQueueTest, TakesOutWhatExpiredAndWhatIsWithdrawn)
 {
     FairQueue queue;
