--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr unsigned SchedulerThreads = 5; ///< Enough for the exchanges that may block at the same time.
+constexpr int SlowFactor = 2;
 constexpr Millis UrgentInterval{50};
 constexpr Millis WatchInterval{400};
 constexpr Millis UpkeepInterval{100};
@@ -57,16 +58,15 @@
             scheduler.every(options.listInterval, [this] { readList(); });
         });
         for (std::size_t slot = 0; slot < options.delegates; ++slot) {
-            // Only the first delegate of a target brings news; the others need no more than a sign of life.
-            const bool isSlow = slot > 0 && options.kind == membership::VmKind::Target;
-            const Millis interval = isSlow ? options.gossipInterval * 2 : options.gossipInterval;
+            // The first delegate brings most news; the others mainly have to know that the VM lives.
+            const Millis interval = slot > 0 ? options.gossipInterval * SlowFactor : options.gossipInterval;
             scheduler.every(interval, [this, slot] { gossip.exchangeWithDelegate(slot); });
         }
         scheduler.every(UrgentInterval, [this] { gossip.sendUrgent(); });
         if (options.kind != membership::VmKind::Entry) {
             return;
         }
-        scheduler.every(options.gossipInterval, [this] { gossip.exchangeWithBridge(); });
+        scheduler.every(options.gossipInterval * SlowFactor, [this] { gossip.exchangeWithBridge(); });
         scheduler.every(WatchInterval, [this] { gossip.watch(); });
         scheduler.every(UpkeepInterval, [this] {
             upkeep.appendSnapshot();
--- a/libs/platform/test/platform_test.cpp
+++ b/libs/platform/test/platform_test.cpp
@@ -83,6 +83,56 @@
                                          FaultCase{"LostAnswer", false, 1, ErrorCode::OutcomeUnknown, 1}),
                          [](const auto &it) { return it.param.name; });
 
+/// An answer that no log gives, and what a read must report.
+struct AnswerCase
+{
+    const char *name;
+    int status;
+    const char *body;
+    ErrorCode expected;
+};
+
+class ReadAnswerTest : public testing::TestWithParam<AnswerCase>
+{
+protected:
+    void SetUp() override
+    {
+        const auto answer = [](const httplib::Request &, httplib::Response &response) {
+            response.status = GetParam().status;
+            response.set_content(GetParam().body, "application/json");
+        };
+        m_server.get("/log/records", answer);
+        m_server.get("/vms", answer);
+        m_server.start();
+    }
+
+    standins::StandInServer m_server{4, 1};
+};
+
+TEST_P(ReadAnswerTest, IsReportedByTheLogClient)
+{
+    const auto page = LogClient({.url = m_server.url()}).read({.from = 0});
+    ASSERT_FALSE(page);
+    EXPECT_EQ(page.error().code, GetParam().expected) << page.error().message;
+}
+
+TEST_P(ReadAnswerTest, IsReportedByTheVmListClient)
+{
+    const auto vms = VmListClient({.url = m_server.url()}).read();
+    ASSERT_FALSE(vms);
+    EXPECT_EQ(vms.error().code, GetParam().expected) << vms.error().message;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, ReadAnswerTest,
+    testing::Values(
+        AnswerCase{"Empty", 200, "", ErrorCode::Corrupt}, AnswerCase{"NotJson", 200, "{", ErrorCode::Corrupt},
+        AnswerCase{"WrongType", 200, R"({"first": 0, "next": "1", "records": 4, "vms": 4})", ErrorCode::Corrupt},
+        AnswerCase{"WrongItems", 200, R"({"first": 0, "next": 1, "records": [7], "vms": [7]})", ErrorCode::Corrupt},
+        AnswerCase{"Overloaded", 429, "", ErrorCode::Unavailable},
+        AnswerCase{"Broken", 500, "", ErrorCode::Unavailable}, AnswerCase{"Absent", 404, "", ErrorCode::NotFound}),
+    [](const auto &it) { return it.param.name; });
+
 TEST(LogClientUnreachableTest, SaysThatNothingWasDone)
 {
     LogClient log({.url = "http://127.0.0.1:1"});
