Delegates tell their targets of records and news at once

Change: the first delegate tells its targets of new records at once and of news at most ten times a second, and asks VMs that are only listed without waiting to hear from them.

Conclusion: signs of life can stay slow, since changes do not wait for them.

--- a/libs/membership/src/view.cpp
+++ b/libs/membership/src/view.cpp
@@ -193,13 +193,16 @@
 void markSilent(View &view, std::string_view vm, const std::set<std::string> &delegates, Millis now)
 {
     const auto it = view.members.find(vm);
-    if (it == view.members.end() || !it->second.hasReport) {
+    if (it == view.members.end()) {
         return;
     }
     Member &member = it->second;
+    member.markedAt = now;
+    if (!member.hasReport) {
+        return;
+    }
     const auto before = member.silentFor.size();
     member.silentFor.insert(delegates.begin(), delegates.end());
-    member.markedAt = now;
     if (member.silentFor.size() != before) {
         noteChange(view, member, ChangeKind::Urgent);
     }
--- a/libs/node/src/gossip.cpp
+++ b/libs/node/src/gossip.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view ServingPhase = "serving";
 constexpr Millis PhaseInterval{2000};
 constexpr Millis BackOff{2000};
+constexpr Millis TellInterval{100}; ///< Between two rounds of news to the watched VMs.
 constexpr Millis ServedLifetime{2500};
 
 membership::View viewOf(const NodeOptions &options)
@@ -380,8 +381,11 @@
         refreshOwn(drawn, now);
         ahead.swap(m_aheadAddress);
         isUrgent = m_ownRevisionSent != m_own.revision || (isEntry() && m_urgentSent != m_view.urgentChanges);
-        m_ownRevisionSent = m_own.revision;
-        m_urgentSent = m_view.urgentChanges;
+        // Before the first list of VMs there is nobody to tell.
+        if (m_view.listedAt != Millis(0)) {
+            m_ownRevisionSent = m_own.revision;
+            m_urgentSent = m_view.urgentChanges;
+        }
         if (isUrgent && isEntry()) {
             peers = membership::bridgesOf(m_view, m_options.vm, m_options.view, now);
             std::erase_if(peers, [&](const std::string &vm) { return m_peers[vm].backOffUntil > now; });
@@ -390,6 +394,9 @@
     if (!ahead.empty() && !followsLog()) {
         fetchConfiguration(ahead);
     }
+    for (const std::string &vm : vmsBehind(now)) {
+        exchangeWith(vm);
+    }
     if (!isUrgent) {
         return;
     }
@@ -400,6 +407,31 @@
     }
 }
 
+/// Lists the VMs that this VM is the first delegate of and that lack configuration or news; each is told once.
+std::vector<std::string> Gossip::vmsBehind(Millis now)
+{
+    std::vector<std::string> behind;
+    const std::lock_guard lock(m_mutex);
+    const bool lacksRecords = m_toldOffset != m_own.logOffset;
+    const bool lacksNews = m_toldChanges != m_view.urgentChanges && now - m_toldAt >= TellInterval;
+    if (!isEntry() || (!lacksRecords && !lacksNews)) {
+        return behind;
+    }
+    m_toldOffset = m_own.logOffset;
+    m_toldChanges = lacksNews ? m_view.urgentChanges : m_toldChanges;
+    m_toldAt = lacksNews ? now : m_toldAt;
+    const auto entries = membership::entryVmsOf(m_view, m_options.domain, m_options.view, now);
+    for (const auto &[name, member] : m_view.members) {
+        const bool isOwnTarget = !member.isRemote && member.report.kind == VmKind::Target;
+        if (isOwnTarget && (lacksNews || member.heardOffset < m_own.logOffset)
+            && membership::isUsable(member, m_options.view, now)
+            && membership::rankFor(name, entries, m_options.vm) == 0) {
+            behind.push_back(name);
+        }
+    }
+    return behind;
+}
+
 void Gossip::countMembers()
 {
     const Millis now = steadyMillis();
--- a/libs/node/src/gossip.h
+++ b/libs/node/src/gossip.h
@@ -83,6 +83,7 @@
     void addNews(rpc::Exchange &reply, const Peer &peer, const membership::Member *member) const;
     void addDomains(rpc::Exchange &message, Millis now) const;
     bool followsLog() const;
+    std::vector<std::string> vmsBehind(Millis now);
     void addOwnReport(rpc::Exchange &message, const Peer &peer) const;
     void takeIn(const rpc::Exchange &received, Millis now);
     void defendOwn(const membership::News &news);
@@ -115,6 +116,9 @@
     std::uint64_t m_fingerprint = 0;
     std::uint64_t m_fingerprintOf = 0; ///< The change sequence that the fingerprint belongs to.
     std::uint64_t m_ownRevisionSent = 0;
+    std::uint64_t m_toldChanges = 0; ///< The urgent changes that the watched VMs were last told of.
+    Millis m_toldAt{0};
+    configuration::Offset m_toldOffset = 0; ///< The offset that the watched VMs were last told of.
     std::size_t m_bridgeTurn = 0;
     std::string m_aheadAddress; ///< A VM that is known to have more of the configuration.
     Millis m_servedAt{Millis::min() / 2};
--- a/libs/node/src/gossip_watch.cpp
+++ b/libs/node/src/gossip_watch.cpp
@@ -44,7 +44,9 @@
     const auto entries = membership::entryVmsOf(m_view, m_options.domain, m_options.view, now);
     std::vector<std::string> overdue;
     for (const auto &[name, member] : m_view.members) {
-        if (name == m_options.vm || !member.hasReport) {
+        // A VM that is only listed may not know this one yet, and is asked at once.
+        const bool isUnknown = !member.hasReport;
+        if (name == m_options.vm || (isUnknown && member.isRemote)) {
             continue;
         }
         if (!isDelegateOf(name, member, entries, now)) {
@@ -53,8 +55,8 @@
         }
         const Millis since = m_watchedSince.emplace(name, now).first->second;
         const Millis last = member.hasHeard ? std::max(since, member.heardAt) : since;
-        const bool isMarked = now - member.markedAt < m_options.suspectAfter && member.silentFor.contains(m_options.vm);
-        if (now - last > m_options.suspectAfter && !isMarked && overdue.size() < JudgedAtOnce) {
+        const bool isMarked = member.markedAt != Millis(0) && now - member.markedAt < m_options.suspectAfter;
+        if ((isUnknown || now - last > m_options.suspectAfter) && !isMarked && overdue.size() < JudgedAtOnce) {
             overdue.push_back(name);
         }
     }
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -55,6 +55,7 @@
     {
         scheduler.once([this] {
             readList();
+            gossip.watch();
             scheduler.every(options.listInterval, [this] { readList(); });
         });
         for (std::size_t slot = 0; slot < options.delegates; ++slot) {
