--- /dev/null
+++ b/fuzz/fuzz_chart.cpp
@@ -0,0 +1,12 @@
+// Fuzz target: state charts.
+
+#include "ibislock/base/state_chart.h"
+
+#include <cstdint>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string_view text(reinterpret_cast<const char *>(data), size);
+    ibislock::parseChart(text);
+    return 0;
+}
