--- a/app/main.cpp
+++ b/app/main.cpp
@@ -3,6 +3,7 @@
 #include "daemon_commands.h"
 #include "exit_codes.h"
 #include "operator_commands.h"
+#include "reference.h"
 
 #include <array>
 #include <cxxopts.hpp>
@@ -52,6 +53,9 @@
         printHelp(std::cout);
         return Success;
     }
+    if (name == "reference") {
+        return runReference(argc - 1, argv + 1);
+    }
     for (const Command &command : Commands) {
         if (command.name == name) {
             return command.run(argc - 1, argv + 1);
