A repeated SIGTERM at the end of a planned stop no longer kills the process

It signals a process twice; when the second SIGTERM came after the daemon had stopped, while the process returned from main, the handlers were gone and the signal ended it with status 15. Change: the signals are held back once the daemon has stopped; the demo names a process that does not end cleanly. Conclusion: a planned stop ends with success however often it is asked for. The demo is the check; there is no test that brings the moment about.

--- a/app/daemon_commands.cpp
+++ b/app/daemon_commands.cpp
@@ -92,10 +92,25 @@
     return parsed["settings"].as<std::string>();
 }
 
-/// Catches the signals that ask for a planned stop. While it lives, a repeated signal does not cut the stop short.
+/// Catches the signals that ask for a planned stop. From then on a repeated signal does not cut the stop short.
 class StopSignals
 {
 public:
+    StopSignals() = default;
+
+    /// Only the main thread is left here. The handlers go with the object, so the signals are held back until the end.
+    ~StopSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGINT);
+        sigaddset(&signals, SIGTERM);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    }
+
+    StopSignals(const StopSignals &) = delete;
+    StopSignals &operator=(const StopSignals &) = delete;
+
     void wait()
     {
         m_signals.async_wait([](const asio::error_code &, int) {});
--- a/lab/experiments/demo.cpp
+++ b/lab/experiments/demo.cpp
@@ -139,7 +139,11 @@
             process.signal(SIGTERM);
         }
         for (auto &[vm, process] : m_processes) {
-            clean = process.stop() == 0 && clean;
+            const int status = process.stop();
+            if (status != 0) {
+                std::cerr << vm << " did not end cleanly: wait status " << status << "\n";
+                clean = false;
+            }
         }
         return clean;
     }
