--- a/lab/child_process.cpp
+++ b/lab/child_process.cpp
@@ -83,10 +83,15 @@
 }
 
 int ChildProcess::stop()
+{
+    signal(SIGTERM);
+    return wait();
+}
+
+int ChildProcess::wait()
 {
     int status = 0;
     if (m_pid > 0) {
-        signal(SIGTERM);
         waitpid(m_pid, &status, 0);
         m_pid = -1;
     }
--- a/lab/child_process.h
+++ b/lab/child_process.h
@@ -30,6 +30,10 @@
     /// @return the exit status as waitpid gives it.
     int stop();
 
+    /// Waits for the end of a process that ends by itself.
+    /// @return the exit status as waitpid gives it.
+    int wait();
+
     /// Sends SIGKILL and waits for the end.
     void kill();
 
