--- a/lab/experiments/platform.cpp
+++ b/lab/experiments/platform.cpp
@@ -8,6 +8,7 @@
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <cxxopts.hpp>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 
@@ -30,9 +31,11 @@
     std::ofstream(deployment.path("credential")) << ProcessOperatorCredential << "\n";
     for (const ProcessVm &vm : deployment.vms()) {
         if (vm.isEntry) {
-            std::ofstream(deployment.path("addresses"))
+            std::ofstream(deployment.path("addresses.new"))
                 << "export CALLERS=" << vm.callersUrl << "\nexport CALLER_CREDENTIAL=" << ProcessCallerCredential
                 << "\nexport ENTRY=" << vm.administrationUrl << "\n";
+            // The file appears whole: whoever waits for it must not read a part.
+            std::filesystem::rename(deployment.path("addresses.new"), deployment.path("addresses"));
             return;
         }
     }
