--- a/fuzz/fuzz_rpc.cpp
+++ b/fuzz/fuzz_rpc.cpp
@@ -23,6 +23,8 @@
 
 } // namespace
 
+// The library asks for this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::vector<capnp::word> buf(size / sizeof(capnp::word));
--- a/libs/entry/src/administration_api.cpp
+++ b/libs/entry/src/administration_api.cpp
@@ -78,8 +78,7 @@
 
 AdministrationApi::AdministrationApi(const EntryOptions &options, const security::CredentialStore &credentials,
                                      node::Node &node, Counters &counters)
-    : m_options(options)
-    , m_credentials(credentials)
+    : m_credentials(credentials)
     , m_node(node)
     , m_counters(counters)
     , m_desk(options, node)
--- a/libs/entry/src/administration_api.h
+++ b/libs/entry/src/administration_api.h
@@ -55,7 +55,6 @@
     void checkTicket(const httplib::Request &call, httplib::Response &response);
     void replyFiled(const configuration::Ticket &ticket, httplib::Response &response) const;
 
-    const EntryOptions &m_options;
     const security::CredentialStore &m_credentials;
     node::Node &m_node;
     Counters &m_counters;
