A ticket for what a VM serves already interrupts nothing

Change: a serving VM whose new duty has the same scope, model, version, manifest and adapters takes over the ticket's number without a step of the chart.

Conclusion: draining one VM by a ticket leaves the others serving.

--- a/lab/test/deployment_test.cpp
+++ b/lab/test/deployment_test.cpp
@@ -1,7 +1,9 @@
 #include "deployment.h"
 #include "load/load.h"
 
+#include <functional>
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace ibislock::lab
 {
@@ -24,6 +26,14 @@
             << "version " << version << " does not serve everywhere";
     }
 
+    void waitFor(const std::function<bool()> &condition)
+    {
+        const Millis deadline = steadyMillis() + Patience;
+        while (!condition() && steadyMillis() < deadline) {
+            std::this_thread::sleep_for(Millis(10));
+        }
+    }
+
     /// Waits until a load has some answered calls.
     bool waitForAnswers(const Load &load, std::uint64_t answers)
     {
@@ -61,6 +71,25 @@
     EXPECT_EQ(m_deployment.store().sentBytes(), 2 * VersionBytes);
 }
 
+TEST_F(DeploymentTest, ATicketThatOnlyTakesAVmAwayInterruptsNoOther)
+{
+    m_deployment.start();
+    serve(1, "1");
+    auto &targets = m_deployment.targets();
+    const auto isUpToDate = [&](std::uint64_t ticket) {
+        return std::all_of(targets.begin() + 1, targets.end(),
+                           [&](const TargetVm &vm) { return vm.daemon->servedTicket() == ticket; });
+    };
+    waitFor([&] { return isUpToDate(1); });
+    const auto activations = targets[1].daemon->counters().value(Counter::Activations);
+    auto ticket = nlohmann::json::parse(m_deployment.ticketFor(2, "1", targets[0].engine->root()));
+    ticket["scopes"][0]["vms"].erase(0);
+    ASSERT_TRUE(m_deployment.fileTicket(ticket.dump(), Patience));
+    waitFor([&] { return isUpToDate(2); });
+    EXPECT_TRUE(isUpToDate(2)) << "a target does not serve under the new ticket";
+    EXPECT_EQ(targets[1].daemon->counters().value(Counter::Activations), activations);
+}
+
 TEST_F(DeploymentTest, RefusesATicketWhoseNumberIsTaken)
 {
     m_deployment.start();
--- a/libs/target/include/ibislock/target/daemon.h
+++ b/libs/target/include/ibislock/target/daemon.h
@@ -51,6 +51,9 @@
     /// Gives the bytes of weights that came from other failure domains.
     const ImportLedger &imports() const;
 
+    /// Gives the number of the ticket that the VM serves under; zero while it serves nothing.
+    std::uint64_t servedTicket() const;
+
     /// Gives the daemon's counters.
     const Counters &counters() const;
 
--- a/libs/target/src/activation.cpp
+++ b/libs/target/src/activation.cpp
@@ -26,6 +26,14 @@
     return a->ticket == b->ticket && a->scope == b->scope && a->assignment == b->assignment;
 }
 
+/// Tells whether two duties ask the engine for the same, whatever their tickets and the other VMs are.
+bool sameContent(const Duty &a, const Duty &b)
+{
+    return a.scope == b.scope && a.assignment.model == b.assignment.model
+        && a.assignment.version == b.assignment.version && a.assignment.manifest == b.assignment.manifest
+        && a.assignment.adapters == b.assignment.adapters;
+}
+
 } // namespace
 
 Activation::Activation(const TargetOptions &options, node::Node &node, Fetcher &fetcher, Counters &counters,
@@ -216,6 +224,10 @@
         const std::lock_guard lock(m_mutex);
         changed = !sameDuty(duty, m_duty);
         m_duty = duty;
+        if (changed && m_phase == "serving" && duty && m_served && sameContent(*duty, *m_served)) {
+            m_served = duty; // A new ticket for what is served already interrupts nothing.
+            return;
+        }
     }
     if (changed) {
         m_failures = 0;
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -248,6 +248,11 @@
     return m_impl->imports;
 }
 
+std::uint64_t Daemon::servedTicket() const
+{
+    return m_impl->activation.serving().ticket;
+}
+
 const Counters &Daemon::counters() const
 {
     return m_impl->counters;
