Spread counts from the filing; the lab's log has a thread for each connection

Cause: `ibislock-lab spread` began to count when the answer to the filing arrived. Ruled out: the fold and its spreading (targets began within 50 ms), the check against the store (3, 4 and 6 targets were not late). Found: each daemon keeps three connections to the log; the stand-in had two threads for each, so that the entry waited for an idle connection.

Change: the time begins with the filing; the stand-in has four threads for each VM. The requests' outcomes are logged with their identity, at debug, and at info where the call failed after its start or is unknown.

--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -16,6 +16,7 @@
 
 constexpr Millis PollInterval{10};
 constexpr unsigned SpareThreads = 8;
+constexpr unsigned ConnectionsPerVm = 4;
 
 } // namespace
 
@@ -38,8 +39,8 @@
     m_store.start();
     const unsigned vmsPerDomain = m_options.entriesPerDomain + m_options.targetsPerDomain + m_options.servicesPerDomain;
     for (unsigned d = 0; d < m_options.domains; ++d) {
-        // Each daemon keeps a connection for reading and one for appending.
-        m_fronts.push_back(m_log.addFront(2 * vmsPerDomain + SpareThreads));
+        // Each daemon keeps up to three connections: for reading, for appending and for confirming its lease.
+        m_fronts.push_back(m_log.addFront(ConnectionsPerVm * vmsPerDomain + SpareThreads));
         for (unsigned i = 0; i < m_options.entriesPerDomain; ++i) {
             EntryVm vm{.name = "entry" + std::to_string(m_entries.size() + 1), .domain = d, .options = m_options.entry};
             vm.options.node = nodeOptions(m_options.entry.node, vm.name, d);
--- a/lab/experiments/spread_run.cpp
+++ b/lab/experiments/spread_run.cpp
@@ -107,7 +107,6 @@
         planFaults();
         const double cpuBefore = cpuSeconds();
         file("2", m_options.seed * 10 + 2);
-        m_begin = steadyMillis();
         watch();
         m_result.cpuSeconds = cpuSeconds() - cpuBefore;
         finishLoad();
@@ -166,6 +165,9 @@
         m_root = m_deployment.store().addVersion(Model, version, size, chunkBytes(m_options), contentSeed);
         m_known.insert(m_root);
         m_originBefore = m_deployment.store().sentBytes();
+        if (m_begin == Millis(0)) {
+            m_begin = steadyMillis(); // Targets may start before the answer to the filing arrives.
+        }
         if (!m_deployment.fileTicket(m_deployment.ticketFor(++m_ticket, version, m_root), Millis(30000))) {
             throw std::runtime_error("a ticket is not accepted");
         }
--- a/libs/entry/src/request_session.cpp
+++ b/libs/entry/src/request_session.cpp
@@ -1,5 +1,6 @@
 #include "request_session.h"
 
+#include "ibislock/base/log.h"
 #include "ibislock/requests/call_key.h"
 
 #include <algorithm>
@@ -219,11 +220,25 @@
     }
     if (!m_counted) {
         m_dispatcher.count(end.outcome);
+        logEnd(end);
         m_counted = true;
     }
     return end;
 }
 
+void RequestSession::logEnd(const AnswerEnd &end) const
+{
+    const bool needsLook = end.outcome == Outcome::FailedAfterStart || end.outcome == Outcome::Unknown;
+    const auto write = needsLook ? logInfo : logDebug;
+    write(Part::Requests, "Request has ended.",
+          {{"request", hexOf(end.id)},
+           {"workspace", m_request.workspace},
+           {"role", m_request.role},
+           {"target", m_tried.empty() ? std::string() : m_tried.back()},
+           {"outcome", std::string(nameOf(requests::OutcomeNames, end.outcome))},
+           {"message", end.message}});
+}
+
 AnswerEnd RequestSession::endFor(Outcome outcome, Refusal refusal, std::string message) const
 {
     return {.id = m_request.id,
--- a/libs/entry/src/request_session.h
+++ b/libs/entry/src/request_session.h
@@ -58,6 +58,7 @@
     bool canResume() const;
     void endAttempt();
     requests::AnswerEnd finish(requests::AnswerEnd end);
+    void logEnd(const requests::AnswerEnd &end) const;
     requests::AnswerEnd endFor(requests::Outcome outcome, requests::Refusal refusal, std::string message) const;
     void noteReleased(std::string_view data);
 
--- a/libs/target/src/request_runner.cpp
+++ b/libs/target/src/request_runner.cpp
@@ -197,6 +197,11 @@
     giveBack(std::move(client));
     m_counters.add(Counter::AnswersDropped, answer.isForeign ? 1 : 0);
     const AnswerEnd end = judge(request, answer);
+    logDebug(Part::Requests, "Engine has ended a request.",
+             {{"request", hexOf(request.id)},
+              {"workspace", request.workspace},
+              {"outcome", std::string(nameOf(requests::OutcomeNames, end.outcome))},
+              {"message", end.message}});
     std::vector<Ended> ended;
     {
         const std::lock_guard lock(m_mutex);
