The RPC client turns broken connections into errors in one place

Cause: four calls of rpc::Client each caught the library's exception and built the same error.

Change: `unlessBroken` does it; the calls keep only what they ask and read.

Measured: no behaviour changes; rpc_test passes, 9 tests.

--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -281,6 +281,22 @@
 
 } // namespace
 
+namespace
+{
+
+/// Runs a call and turns a failure of the connection into an error.
+template <typename Function>
+auto unlessBroken(Function &&call) -> Result<decltype(call())>
+{
+    try {
+        return call();
+    } catch (const kj::Exception &exception) {
+        return failure(ErrorCode::Unavailable, messageOf(exception));
+    }
+}
+
+} // namespace
+
 Client::Client(const EventLoop &loop, const ClientOptions &options)
     : m_loop(loop)
     , m_impl(m_loop.call([&] { return std::make_shared<Impl>(loop, options); }))
@@ -298,7 +314,7 @@
 
 Result<Exchange> Client::exchange(const std::string &address, const Exchange &exchange)
 {
-    try {
+    return unlessBroken([&] {
         return m_impl->blockingCall(address, m_impl->options.exchangeTimeout, [&](Connection &connection) {
             auto request = connection.stateExchange.exchangeRequest();
             write(request, exchange);
@@ -308,14 +324,12 @@
                 return read(response);
             });
         });
-    } catch (const kj::Exception &exception) {
-        return failure(ErrorCode::Unavailable, messageOf(exception));
-    }
+    });
 }
 
 Result<StateDelta> Client::state(const std::string &address, std::uint64_t after)
 {
-    try {
+    return unlessBroken([&] {
         return m_impl->blockingCall(address, m_impl->options.exchangeTimeout, [&](Connection &connection) {
             auto request = connection.stateExchange.stateRequest();
             request.setAfter(after);
@@ -324,9 +338,7 @@
                 return read(response);
             });
         });
-    } catch (const kj::Exception &exception) {
-        return failure(ErrorCode::Unavailable, messageOf(exception));
-    }
+    });
 }
 
 void Client::setTraffic(std::function<void(std::uint64_t)> traffic)
@@ -373,8 +385,8 @@
 
 Result<std::string> Client::manifest(const std::string &address, const Digest &root)
 {
-    try {
-        auto found = m_impl->blockingCall(address, m_impl->options.exchangeTimeout, [&](Connection &connection) {
+    const auto found = unlessBroken([&] {
+        return m_impl->blockingCall(address, m_impl->options.exchangeTimeout, [&](Connection &connection) {
             auto request = connection.node.chunksRequest().send().getChunks().manifestRequest();
             request.setRoot(dataOf(bytesOf(root)));
             return request.send().then([](auto &&response) -> std::optional<std::string> {
@@ -384,13 +396,11 @@
                 return std::string(response.getManifest().cStr());
             });
         });
-        if (!found) {
-            return failure(ErrorCode::NotFound, "the manifest is not held there");
-        }
-        return std::move(*found);
-    } catch (const kj::Exception &exception) {
-        return failure(ErrorCode::Unavailable, messageOf(exception));
+    });
+    if (found && !*found) {
+        return failure(ErrorCode::NotFound, "the manifest is not held there");
     }
+    return found.map([](const std::optional<std::string> &manifest) { return *manifest; });
 }
 
 std::shared_ptr<AnswerStream> Client::submit(const std::string &address, const requests::Request &request)
@@ -423,16 +433,15 @@
 
 bool Client::revoke(const std::string &address, const std::string &id, std::uint64_t incarnation)
 {
-    try {
+    const auto confirmed = unlessBroken([&] {
         return m_impl->blockingCall(address, m_impl->options.revokeTimeout, [&](Connection &connection) {
             auto request = connection.node.requestsRequest().send().getRequests().revokeRequest();
             request.setId(dataOf(id));
             request.setIncarnation(incarnation);
             return request.send().then([](auto &&response) { return bool(response.getNotRun()); });
         });
-    } catch (const kj::Exception &) {
-        return false;
-    }
+    });
+    return confirmed.value_or(false);
 }
 
 void Client::setReachable(Reachable reachable)
