--- a/libs/entry/include/ibislock/entry/options.h
+++ b/libs/entry/include/ibislock/entry/options.h
@@ -38,7 +38,7 @@
     std::map<std::string, std::string> routes; ///< Path prefix to role, for plain services.
     requests::RoutingPolicy policy = requests::RoutingPolicy::Prefix;
     Millis requestTimeout{30000};
-    platform::EndpointOptions store; ///< The weight store that tickets are checked against; without a URL none.
+    stores::EndpointOptions store; ///< The weight store that tickets are checked against; without a URL none.
     Millis fileTimeout{5000}; ///< How long filing a ticket waits for the log.
     std::uint32_t attempts = 4; ///< Targets tried for one request.
     Millis retryAfter{1000}; ///< When a refused caller is told to come back.
--- a/libs/entry/src/ticket_desk.cpp
+++ b/libs/entry/src/ticket_desk.cpp
@@ -1,6 +1,6 @@
 #include "ticket_desk.h"
 
-#include "ibislock/platform/weight_store_client.h"
+#include "ibislock/stores/weight_store_client.h"
 
 #include <algorithm>
 #include <thread>
@@ -131,7 +131,7 @@
 
 configuration::VersionFacts TicketDesk::versionFacts(const std::string &model, const std::string &version) const
 {
-    platform::WeightStoreClient store(m_options.store);
+    stores::WeightStoreClient store(m_options.store);
     const auto manifest = store.manifest(model, version);
     if (manifest) {
         return {.isKnown = true, .manifest = weights::rootDigest(*manifest)};
--- /dev/null
+++ b/libs/http/src/reader.cpp
@@ -0,0 +1,227 @@
+#include "ibislock/http/reader.h"
+
+#include <http_parser.h>
+
+namespace ibislock::http
+{
+
+struct MessageReader::State
+{
+    http_parser parser{};
+    MessageKind kind = MessageKind::Request;
+    ReaderLimits limits;
+    RequestHead request;
+    ResponseHead response;
+    std::string body;
+    std::size_t headBytes = 0;
+    bool started = false;
+    bool headComplete = false;
+    bool complete = false;
+    bool headTooLarge = false;
+    bool bodyTooLarge = false;
+    bool inValue = false;
+
+    Headers &headers()
+    {
+        return kind == MessageKind::Request ? request.headers : response.headers;
+    }
+};
+
+// The callbacks of the parser; `parser->data` is the reader's state.
+struct ParserCallbacks
+{
+    template <typename S>
+    static S &stateOf(http_parser *parser)
+    {
+        return *static_cast<S *>(parser->data);
+    }
+
+    template <typename S>
+    static http_parser_settings make()
+    {
+        http_parser_settings settings;
+        http_parser_settings_init(&settings);
+        settings.on_url = [](http_parser *parser, const char *at, std::size_t n) {
+            stateOf<S>(parser).request.target.append(at, n);
+            return 0;
+        };
+        settings.on_status = [](http_parser *parser, const char *at, std::size_t n) {
+            stateOf<S>(parser).response.reason.append(at, n);
+            return 0;
+        };
+        settings.on_header_field = [](http_parser *parser, const char *at, std::size_t n) {
+            S &state = stateOf<S>(parser);
+            if (state.headComplete) {
+                return 0; // Trailers are not passed on.
+            }
+            auto &lines = state.headers().lines;
+            if (state.inValue || lines.empty()) {
+                lines.emplace_back();
+                state.inValue = false;
+            }
+            lines.back().name.append(at, n);
+            return 0;
+        };
+        settings.on_header_value = [](http_parser *parser, const char *at, std::size_t n) {
+            S &state = stateOf<S>(parser);
+            if (!state.headComplete && !state.headers().lines.empty()) {
+                state.inValue = true;
+                state.headers().lines.back().value.append(at, n);
+            }
+            return 0;
+        };
+        settings.on_headers_complete = [](http_parser *parser) {
+            S &state = stateOf<S>(parser);
+            if (!namesAreTokens(state.headers())) {
+                return -1;
+            }
+            state.headComplete = true;
+            parser->upgrade = 0; // Upgrades are not offered; the message is read like any other.
+            const bool keepAlive = http_should_keep_alive(parser) != 0;
+            if (state.kind == MessageKind::Request) {
+                state.request.method = http_method_str(static_cast<http_method>(parser->method));
+                state.request.keepAlive = keepAlive;
+            } else {
+                state.response.status = parser->status_code;
+                state.response.keepAlive = keepAlive;
+                state.response.chunked = (parser->flags & F_CHUNKED) != 0;
+                state.response.endsWithConnection = http_message_needs_eof(parser) != 0;
+            }
+            return 0;
+        };
+        settings.on_body = [](http_parser *parser, const char *at, std::size_t n) {
+            S &state = stateOf<S>(parser);
+            if (state.body.size() + n > state.limits.bodyBytes) {
+                state.bodyTooLarge = true;
+                return 1;
+            }
+            state.body.append(at, n);
+            return 0;
+        };
+        settings.on_message_complete = [](http_parser *parser) {
+            stateOf<S>(parser).complete = true;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return settings;
+    }
+
+private:
+    // The library accepts spaces in names, which receivers read in different ways.
+    static bool namesAreTokens(const Headers &headers)
+    {
+        for (const Header &line : headers.lines) {
+            if (line.name.empty() || line.name.find_first_of(" \t") != std::string::npos) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // http_parser keeps this function to itself; the condition is that of RFC 9112 for a response without framing.
+    static int http_message_needs_eof(const http_parser *parser)
+    {
+        const bool noBody = parser->status_code / 100 == 1 || parser->status_code == 204 || parser->status_code == 304;
+        const bool framed = (parser->flags & F_CHUNKED) != 0 || parser->content_length != UINT64_MAX;
+        return (noBody || framed) ? 0 : 1;
+    }
+};
+
+MessageReader::MessageReader(MessageKind kind, ReaderLimits limits)
+    : m_state(std::make_unique<State>())
+{
+    m_state->kind = kind;
+    m_state->limits = limits;
+    http_parser_init(&m_state->parser, kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_state->parser.data = m_state.get();
+}
+
+MessageReader::~MessageReader() = default;
+
+Result<std::size_t> MessageReader::feed(std::string_view bytes)
+{
+    static const http_parser_settings settings = ParserCallbacks::make<State>();
+    State &state = *m_state;
+    if (bytes.empty() || state.complete) {
+        return 0;
+    }
+    state.started = true;
+    const bool hadHead = state.headComplete;
+    const std::size_t used = http_parser_execute(&state.parser, &settings, bytes.data(), bytes.size());
+    const http_errno problem = HTTP_PARSER_ERRNO(&state.parser);
+    if (!hadHead) {
+        state.headBytes += state.headComplete ? 0 : used;
+        state.headTooLarge = state.headBytes > state.limits.headBytes || problem == HPE_HEADER_OVERFLOW;
+    }
+    if (state.headTooLarge || state.bodyTooLarge) {
+        return failure(ErrorCode::Exhausted, state.headTooLarge ? "the head is too large" : "the body is too large");
+    }
+    if (problem != HPE_OK && problem != HPE_PAUSED) {
+        return failure(ErrorCode::InvalidArgument, http_errno_description(problem));
+    }
+    return used;
+}
+
+Result<void> MessageReader::finish()
+{
+    static const http_parser_settings settings = ParserCallbacks::make<State>();
+    State &state = *m_state;
+    if (!state.started || state.complete) {
+        return {};
+    }
+    http_parser_execute(&state.parser, &settings, nullptr, 0);
+    if (!state.complete) {
+        return failure(ErrorCode::InvalidArgument, "the connection ended within a message");
+    }
+    return {};
+}
+
+bool MessageReader::started() const
+{
+    return m_state->started;
+}
+
+bool MessageReader::headComplete() const
+{
+    return m_state->headComplete;
+}
+
+bool MessageReader::complete() const
+{
+    return m_state->complete;
+}
+
+bool MessageReader::headTooLarge() const
+{
+    return m_state->headTooLarge;
+}
+
+const RequestHead &MessageReader::request() const
+{
+    return m_state->request;
+}
+
+const ResponseHead &MessageReader::response() const
+{
+    return m_state->response;
+}
+
+std::string MessageReader::takeBody()
+{
+    return std::exchange(m_state->body, {});
+}
+
+void MessageReader::next()
+{
+    State &state = *m_state;
+    http_parser_init(&state.parser, state.kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    state.parser.data = &state;
+    state.request = {};
+    state.response = {};
+    state.body.clear();
+    state.headBytes = 0;
+    state.started = state.headComplete = state.complete = state.inValue = false;
+    state.headTooLarge = state.bodyTooLarge = false;
+}
+
+} // namespace ibislock::http
--- /dev/null
+++ b/libs/http/test/reader_test.cpp
@@ -0,0 +1,136 @@
+#include "ibislock/http/reader.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace ibislock::http
+{
+
+namespace
+{
+
+/// How the reader must judge some bytes of a caller.
+struct FramingCase
+{
+    std::string name;
+    std::string bytes;
+    bool accepted = false; ///< Whether it is one complete message.
+    std::string body;
+};
+
+class RequestFramingTest : public testing::TestWithParam<FramingCase>
+{
+};
+
+TEST_P(RequestFramingTest, JudgesFraming)
+{
+    MessageReader reader(MessageKind::Request, {.headBytes = 200, .bodyBytes = 64});
+    const auto used = reader.feed(GetParam().bytes);
+    EXPECT_EQ(used.has_value() && reader.complete(), GetParam().accepted);
+    if (GetParam().accepted) {
+        EXPECT_EQ(reader.takeBody(), GetParam().body);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, RequestFramingTest,
+    testing::Values(
+        FramingCase{"Plain", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", true, ""},
+        FramingCase{"Length", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", true, "abc"},
+        FramingCase{"Chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+                    true, "abc"},
+        FramingCase{"DuplicateLength", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", false,
+                    ""},
+        FramingCase{"ChunkedWithLength",
+                    "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false, ""},
+        FramingCase{"NegativeLength", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", false, ""},
+        FramingCase{"BadChunkSize", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, ""},
+        FramingCase{"CutBody", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", false, ""},
+        FramingCase{"CutHead", "GET / HTTP/1.1\r\nHost: a\r\n", false, ""},
+        FramingCase{"SpaceInName", "GET / HTTP/1.1\r\nHo st: a\r\n\r\n", false, ""},
+        FramingCase{"NoMethod", "\x01\x02\x03\r\n\r\n", false, ""},
+        FramingCase{"LargeBody", "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'x'), false, ""},
+        FramingCase{"LargeHead", "GET / HTTP/1.1\r\nX: " + std::string(300, 'x'), false, ""}),
+    [](const auto &item) { return item.param.name; });
+
+TEST(ReaderTest, StopsBehindOneMessageAndReadsTheNext)
+{
+    const std::string one = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
+    const std::string two = "GET /b HTTP/1.1\r\nConnection: close\r\n\r\n";
+    MessageReader reader(MessageKind::Request, {});
+    EXPECT_EQ(reader.feed(one + two).value(), one.size());
+    EXPECT_EQ(reader.request().target, "/a");
+    reader.next();
+    EXPECT_EQ(reader.feed(two).value(), two.size());
+    ASSERT_TRUE(reader.complete());
+    EXPECT_EQ(reader.request().target, "/b");
+    EXPECT_FALSE(reader.request().keepAlive);
+}
+
+TEST(ReaderTest, AResponseWithoutFramingEndsWithTheConnection)
+{
+    MessageReader reader(MessageKind::Response, {});
+    ASSERT_TRUE(reader.feed("HTTP/1.1 200 OK\r\n\r\nabc"));
+    EXPECT_TRUE(reader.response().endsWithConnection);
+    EXPECT_FALSE(reader.complete());
+    EXPECT_TRUE(reader.finish());
+    EXPECT_TRUE(reader.complete());
+    EXPECT_EQ(reader.takeBody(), "abc");
+}
+
+TEST(ReaderTest, AResponseThatIsCutOffIsNotComplete)
+{
+    MessageReader reader(MessageKind::Response, {});
+    ASSERT_TRUE(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"));
+    EXPECT_FALSE(reader.finish());
+    EXPECT_FALSE(reader.complete());
+}
+
+TEST(ReaderTest, AChunkedResponseWithoutItsLastChunkIsNotComplete)
+{
+    MessageReader reader(MessageKind::Response, {});
+    ASSERT_TRUE(reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"));
+    EXPECT_FALSE(reader.finish());
+    EXPECT_FALSE(reader.complete());
+}
+
+TEST(ReaderTest, BytesBehindAResponseAreLeft)
+{
+    MessageReader reader(MessageKind::Response, {});
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    EXPECT_EQ(reader.feed(answer + "junk").value(), answer.size());
+    EXPECT_TRUE(reader.complete());
+}
+
+RC_GTEST_PROP(ReaderTest, TheSplitOfTheBytesDoesNotMatter, (std::string body, std::vector<std::uint8_t> cuts))
+{
+    const std::string wire = writeRequest({.method = "POST", .target = "/x"}, body);
+    MessageReader reader(MessageKind::Request, {});
+    std::size_t at = 0;
+    std::string read;
+    for (std::size_t n = 0; at < wire.size(); ++n) {
+        const std::size_t step = cuts.empty() ? wire.size() : 1 + cuts[n % cuts.size()] % 16;
+        const auto used = reader.feed(std::string_view(wire).substr(at, step));
+        RC_ASSERT(used.has_value());
+        at += *used;
+        read += reader.takeBody();
+    }
+    RC_ASSERT(reader.complete());
+    RC_ASSERT(read == body);
+}
+
+TEST(MessageTest, RemovesWhatConcernsOneConnection)
+{
+    Headers headers;
+    headers.add("Connection", "close, X-Hop");
+    headers.add("x-hop", "1");
+    headers.add("Transfer-Encoding", "chunked");
+    headers.add("X-End", "2");
+    removeConnectionHeaders(headers);
+    ASSERT_EQ(headers.lines.size(), 1U);
+    EXPECT_EQ(headers.find("x-end"), "2");
+}
+
+} // namespace
+
+} // namespace ibislock::http
--- /dev/null
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -0,0 +1,148 @@
+// Sends HTTP/1.1 requests over kept connections and hands answers over as they arrive.
+//
+//     HttpClient client(loop);
+//     auto exchange = client.send(endpoint, bytes, {.timeout = Millis{500}}, {.end = [](const ExchangeResult &r)
+//     {...}}); exchange->cancel();   // the connection is closed, nothing more is told
+
+#pragma once
+
+#include "ibislock/base/clock.h"
+#include "ibislock/http/reader.h"
+#include "ibislock/net/connection.h"
+
+#include <asio/steady_timer.hpp>
+#include <map>
+
+namespace ibislock::net
+{
+
+/// How an exchange ended.
+enum class ExchangeEnd {
+    Complete, ///< The whole answer has been read.
+    NotConnected, ///< No connection came about; nothing was sent.
+    Broken, ///< The connection ended, or bytes came that are no answer; the request may have been read.
+    TimedOut, ///< The time allowed ran out; the request may have been read.
+};
+
+/// External names of the ends.
+inline constexpr NameTable<ExchangeEnd, 4> ExchangeEndNames{{
+    {ExchangeEnd::Complete, "complete"},
+    {ExchangeEnd::NotConnected, "not_connected"},
+    {ExchangeEnd::Broken, "broken"},
+    {ExchangeEnd::TimedOut, "timed_out"},
+}};
+
+/// The end of an exchange.
+struct ExchangeResult
+{
+    ExchangeEnd end = ExchangeEnd::Complete;
+    bool reused = false; ///< It went over a connection that had been used before.
+    bool answered = false; ///< At least one byte of an answer came.
+};
+
+/// What to do with an answer whose head has come.
+enum class HeadVerdict { Take, Skip };
+
+/// What the sender is told.
+struct ExchangeEvents
+{
+    std::function<HeadVerdict(const http::ResponseHead &)>
+        head; ///< Skip: it answers something else; the next is awaited.
+    std::function<void(std::string)> body;
+    std::function<void(const ExchangeResult &)> end;
+};
+
+/// How to send.
+struct ExchangeOptions
+{
+    Millis connectTime{1000};
+    Millis timeout{0}; ///< For the whole exchange; 0 for none.
+    bool fresh = false; ///< Always on a new connection, so that it can't meet one that the peer is closing.
+    Millis maxIdle{1000}; ///< A kept connection that was idle for longer is not used.
+};
+
+class HttpClient;
+
+/// One request and its answer.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    /// Gives the exchange up; nothing more is told.
+    void cancel();
+
+    /// Stops or goes on with reading the answer.
+    void pauseReading(bool pause);
+
+private:
+    friend class HttpClient;
+    Exchange(HttpClient &client, std::string key, std::string bytes, const ExchangeOptions &options,
+             ExchangeEvents events);
+    void connect(const asio::ip::tcp::endpoint &endpoint);
+    void begin(std::shared_ptr<Connection> connection, bool reused);
+    void armTimer(Millis time, ExchangeEnd end);
+    void onData(std::string_view bytes);
+    void onClosed(ClosedBy by);
+    void finish(ExchangeEnd end);
+    bool takeHead();
+
+    HttpClient &m_client;
+    std::string m_key;
+    std::string m_bytes;
+    ExchangeOptions m_options;
+    ExchangeEvents m_events;
+    std::shared_ptr<Connection> m_connection;
+    std::shared_ptr<asio::ip::tcp::socket> m_socket;
+    asio::steady_timer m_timer;
+    http::MessageReader m_reader;
+    bool m_reused = false;
+    bool m_answered = false;
+    bool m_headTaken = false;
+    bool m_skipping = false;
+    bool m_done = false;
+};
+
+/// Keeps connections for exchanges.
+class HttpClient
+{
+public:
+    /// @param loop outlives the client.
+    explicit HttpClient(asio::io_context &loop);
+
+    /// Sends a request.
+    /// @param ip, port where to.
+    /// @param bytes the whole request.
+    std::shared_ptr<Exchange> send(const std::string &ip, std::uint16_t port, std::string bytes,
+                                   const ExchangeOptions &options, ExchangeEvents events);
+
+    /// Sends a request and hands over the whole answer.
+    /// @param done is given the end, the head and the body; head and body are empty unless the end is Complete.
+    std::shared_ptr<Exchange> call(const std::string &ip, std::uint16_t port, std::string bytes,
+                                   const ExchangeOptions &options,
+                                   std::function<void(ExchangeEnd, const http::ResponseHead &, std::string)> done);
+
+    /// How many connections have been opened.
+    std::uint64_t opened() const;
+
+    /// Closes kept connections that have been idle for long.
+    void closeIdle(Millis now);
+
+private:
+    friend class Exchange;
+
+    /// A connection that waits for its next request.
+    struct Kept
+    {
+        std::shared_ptr<Connection> connection;
+        Millis since{0};
+        Millis usableFor{0};
+    };
+
+    void keep(const std::string &key, std::shared_ptr<Connection> connection, const http::ResponseHead &head);
+    std::shared_ptr<Connection> takeKept(const std::string &key, Millis maxIdle);
+
+    asio::io_context &m_loop;
+    std::map<std::string, std::vector<Kept>> m_kept;
+    std::uint64_t m_opened = 0;
+};
+
+} // namespace ibislock::net
--- /dev/null
+++ b/libs/net/src/connection.cpp
@@ -0,0 +1,273 @@
+#include "ibislock/net/connection.h"
+
+#include <array>
+#include <netinet/tcp.h>
+
+namespace ibislock::net
+{
+
+namespace
+{
+
+/// Bytes read at a time. The buffer is shared by all connections of the loop.
+constexpr std::size_t ReadBytes = 65536;
+
+/// Seconds without a byte before the first probe, and between probes; the shortest that the system takes.
+constexpr int ProbeSeconds = 1;
+
+/// Probes without an answer until the peer counts as lost; one may be lost on the way.
+constexpr int Probes = 2;
+
+/// How long written bytes may stay without acknowledgement; as long as the probes take.
+constexpr unsigned UnacknowledgedMs = 3000;
+
+/// Connections that may wait to be accepted; a burst of callers opens hundreds at once.
+constexpr int Backlog = 1024;
+
+void setOption(int socket, int level, int name, int value)
+{
+    // A system that lacks an option still works, it only detects a silent peer later.
+    static_cast<void>(setsockopt(socket, level, name, &value, sizeof value));
+}
+
+void detectSilentPeer(asio::ip::tcp::socket &socket)
+{
+    const int fd = socket.native_handle();
+    setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, ProbeSeconds);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, ProbeSeconds);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, Probes);
+    setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(UnacknowledgedMs));
+}
+
+std::array<char, ReadBytes> &readBuffer()
+{
+    static std::array<char, ReadBytes> buffer;
+    return buffer;
+}
+
+} // namespace
+
+Connection::Connection(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket))
+{
+}
+
+Connection::~Connection() = default;
+
+std::shared_ptr<Connection> Connection::adopt(asio::ip::tcp::socket socket)
+{
+    asio::error_code ec;
+    socket.non_blocking(true, ec);
+    detectSilentPeer(socket);
+    return std::shared_ptr<Connection>(new Connection(std::move(socket)));
+}
+
+void Connection::start(ConnectionEvents events)
+{
+    m_events = std::move(events);
+    m_started = true;
+    waitReadable();
+}
+
+void Connection::setEvents(ConnectionEvents events)
+{
+    m_events = std::move(events);
+}
+
+void Connection::waitReadable()
+{
+    if (m_reading || m_paused || !m_started || !m_socket.is_open()) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code &ec) {
+        self->m_reading = false;
+        if (!self->m_socket.is_open() || self->m_paused) {
+            return;
+        }
+        if (ec) {
+            self->fail(ClosedBy::Failure);
+            return;
+        }
+        self->readSome();
+    });
+}
+
+void Connection::readSome()
+{
+    asio::error_code ec;
+    auto &buffer = readBuffer();
+    const std::size_t n = m_socket.read_some(asio::buffer(buffer), ec);
+    if (ec == asio::error::would_block || ec == asio::error::try_again) {
+        waitReadable();
+        return;
+    }
+    if (ec) {
+        fail(ec == asio::error::eof ? ClosedBy::PeerEnd : ClosedBy::Failure);
+        return;
+    }
+    const auto self = shared_from_this();
+    const auto handler = m_events.data; // The handler may replace the events.
+    if (handler) {
+        handler(std::string_view(buffer.data(), n));
+    }
+    waitReadable();
+}
+
+void Connection::write(std::string_view bytes)
+{
+    if (!m_socket.is_open() || m_closing) {
+        return;
+    }
+    if (m_out.empty() && !m_writing) {
+        asio::error_code ec;
+        const std::size_t n = m_socket.write_some(asio::buffer(bytes.data(), bytes.size()), ec);
+        if (!ec && n == bytes.size()) {
+            return;
+        }
+        m_out.assign(bytes.substr(ec ? 0 : n));
+        m_outAt = 0;
+        writeSome(); // A failure is noticed when the wait ends.
+        return;
+    }
+    m_out.append(bytes);
+    writeSome();
+}
+
+void Connection::writeSome()
+{
+    if (m_writing || m_out.empty() || !m_socket.is_open()) {
+        return;
+    }
+    m_writing = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](asio::error_code ec) {
+        self->m_writing = false;
+        if (!self->m_socket.is_open()) {
+            return;
+        }
+        if (!ec) {
+            const std::size_t n = self->m_socket.write_some(
+                asio::buffer(self->m_out.data() + self->m_outAt, self->m_out.size() - self->m_outAt), ec);
+            self->m_outAt += ec ? 0 : n;
+        }
+        if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
+            self->fail(ClosedBy::Failure);
+            return;
+        }
+        if (self->m_outAt < self->m_out.size()) {
+            self->writeSome();
+            return;
+        }
+        std::string().swap(self->m_out);
+        self->m_outAt = 0;
+        if (self->m_closing) {
+            self->close();
+        } else if (self->m_events.drained) {
+            const auto handler = self->m_events.drained;
+            handler();
+        }
+    });
+}
+
+std::size_t Connection::queued() const
+{
+    return m_out.size() - m_outAt;
+}
+
+void Connection::pauseReading(bool pause)
+{
+    m_paused = pause;
+    waitReadable();
+}
+
+void Connection::closeAfterWrites()
+{
+    if (queued() == 0) {
+        close();
+        return;
+    }
+    m_closing = true;
+}
+
+void Connection::close()
+{
+    m_events = {};
+    asio::error_code ec; // Closing can only fail on a socket that is closed already.
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    m_socket.close(ec);
+}
+
+bool Connection::isOpen() const
+{
+    return m_socket.is_open();
+}
+
+void Connection::fail(ClosedBy by)
+{
+    const auto self = shared_from_this();
+    const auto handler = std::move(m_events.closed);
+    close();
+    if (handler) {
+        handler(by);
+    }
+}
+
+Listener::Listener(asio::io_context &loop, std::function<void(std::shared_ptr<Connection>)> accepted)
+    : m_acceptor(loop)
+    , m_accepted(std::move(accepted))
+{
+}
+
+asio::error_code Listener::open(const std::string &ip, std::uint16_t port)
+{
+    asio::error_code ec;
+    const auto address = asio::ip::make_address_v4(ip, ec);
+    if (ec) {
+        return ec;
+    }
+    const asio::ip::tcp::endpoint endpoint(address, port);
+    m_acceptor.open(endpoint.protocol(), ec);
+    if (!ec) {
+        m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
+    }
+    if (!ec) {
+        m_acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        m_acceptor.listen(Backlog, ec);
+    }
+    if (!ec) {
+        acceptNext();
+    }
+    return ec;
+}
+
+std::uint16_t Listener::port() const
+{
+    asio::error_code ec;
+    const auto endpoint = m_acceptor.local_endpoint(ec);
+    return ec ? 0 : endpoint.port();
+}
+
+void Listener::close()
+{
+    asio::error_code ec; // An acceptor that is closed already stays closed.
+    m_acceptor.close(ec);
+}
+
+void Listener::acceptNext()
+{
+    m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
+        if (ec == asio::error::operation_aborted) {
+            return;
+        }
+        if (!ec) {
+            m_accepted(Connection::adopt(std::move(socket)));
+        }
+        acceptNext();
+    });
+}
+
+} // namespace ibislock::net
--- /dev/null
+++ b/libs/net/src/http_client.cpp
@@ -0,0 +1,306 @@
+#include "ibislock/net/http_client.h"
+
+namespace ibislock::net
+{
+
+namespace
+{
+
+/// How long a connection is kept when the peer doesn't say.
+constexpr Millis DefaultKeepTime{4000};
+
+/// By how much sooner than the peer says a connection is given up; the peer may close it a little early.
+constexpr Millis KeepMargin{500};
+
+/// Reads the time of a Keep-Alive header.
+Millis keepTimeOf(const http::ResponseHead &head)
+{
+    const auto text = head.headers.find("Keep-Alive");
+    const std::size_t at = text ? text->find("timeout=") : std::string_view::npos;
+    if (at == std::string_view::npos) {
+        return DefaultKeepTime;
+    }
+    const std::string_view rest = text->substr(at + 8);
+    const auto seconds = http::wholeNumber(rest.substr(0, rest.find(',')));
+    return seconds ? Millis{static_cast<std::int64_t>(*seconds) * 1000} : DefaultKeepTime;
+}
+
+} // namespace
+
+Exchange::Exchange(HttpClient &client, std::string key, std::string bytes, const ExchangeOptions &options,
+                   ExchangeEvents events)
+    : m_client(client)
+    , m_key(std::move(key))
+    , m_bytes(std::move(bytes))
+    , m_options(options)
+    , m_events(std::move(events))
+    , m_timer(client.m_loop)
+    , m_reader(http::MessageKind::Response, {})
+{
+}
+
+void Exchange::cancel()
+{
+    m_done = true;
+    m_events = {};
+    m_timer.cancel();
+    if (m_socket) {
+        asio::error_code ec; // The connection is given up; nothing depends on how closing ends.
+        m_socket->close(ec);
+        m_socket.reset();
+    }
+    if (m_connection) {
+        m_connection->close();
+        m_connection.reset();
+    }
+}
+
+void Exchange::pauseReading(bool pause)
+{
+    if (m_connection) {
+        m_connection->pauseReading(pause);
+    }
+}
+
+void Exchange::armTimer(Millis time, ExchangeEnd end)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([self = shared_from_this(), end](const asio::error_code &ec) {
+        if (!ec && !self->m_done) {
+            self->finish(end);
+        }
+    });
+}
+
+void Exchange::connect(const asio::ip::tcp::endpoint &endpoint)
+{
+    ++m_client.m_opened;
+    m_socket = std::make_shared<asio::ip::tcp::socket>(m_client.m_loop);
+    armTimer(m_options.connectTime, ExchangeEnd::NotConnected);
+    m_socket->async_connect(endpoint, [self = shared_from_this(), socket = m_socket](const asio::error_code &ec) {
+        if (self->m_done) {
+            return;
+        }
+        if (ec) {
+            self->finish(ExchangeEnd::NotConnected);
+            return;
+        }
+        self->m_timer.cancel();
+        self->m_socket.reset();
+        self->begin(Connection::adopt(std::move(*socket)), false);
+    });
+}
+
+void Exchange::begin(std::shared_ptr<Connection> connection, bool reused)
+{
+    m_connection = std::move(connection);
+    m_reused = reused;
+    if (m_options.timeout > Millis{0}) {
+        armTimer(m_options.timeout, ExchangeEnd::TimedOut);
+    }
+    ConnectionEvents events{
+        .data = [self = shared_from_this()](std::string_view bytes) { self->onData(bytes); },
+        .closed = [self = shared_from_this()](ClosedBy by) { self->onClosed(by); },
+    };
+    if (reused) {
+        m_connection->setEvents(std::move(events));
+    } else {
+        m_connection->start(std::move(events));
+    }
+    m_connection->write(m_bytes);
+    std::string().swap(m_bytes);
+}
+
+bool Exchange::takeHead()
+{
+    if (m_headTaken || !m_reader.headComplete()) {
+        return true;
+    }
+    m_headTaken = true;
+    const bool interim = m_reader.response().status / 100 == 1;
+    m_skipping = interim || (m_events.head && m_events.head(m_reader.response()) == HeadVerdict::Skip);
+    return !m_done;
+}
+
+void Exchange::onData(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    m_answered = true;
+    while (!m_done && !bytes.empty()) {
+        const auto used = m_reader.feed(bytes);
+        if (!used) {
+            finish(ExchangeEnd::Broken);
+            return;
+        }
+        bytes.remove_prefix(*used);
+        if (!takeHead()) {
+            return;
+        }
+        std::string body = m_reader.takeBody();
+        if (!body.empty() && !m_skipping && m_events.body) {
+            m_events.body(std::move(body));
+        }
+        if (m_done || !m_reader.complete()) {
+            return;
+        }
+        if (!m_skipping) {
+            // Bytes behind the answer belong to no request: the connection is not used again.
+            const bool clean = bytes.empty() && m_reader.response().keepAlive;
+            if (clean && m_connection->queued() == 0) {
+                m_client.keep(m_key, std::move(m_connection), m_reader.response());
+                m_connection.reset();
+            }
+            finish(ExchangeEnd::Complete);
+            return;
+        }
+        m_reader.next();
+        m_headTaken = m_skipping = false;
+    }
+}
+
+void Exchange::onClosed(ClosedBy by)
+{
+    if (m_done) {
+        return;
+    }
+    m_connection.reset();
+    const bool ended = by == ClosedBy::PeerEnd && m_reader.started() && m_reader.finish() && m_headTaken && !m_skipping;
+    if (ended) {
+        std::string rest = m_reader.takeBody();
+        if (!rest.empty() && m_events.body) {
+            m_events.body(std::move(rest));
+        }
+    }
+    if (!m_done) {
+        finish(ended ? ExchangeEnd::Complete : ExchangeEnd::Broken);
+    }
+}
+
+void Exchange::finish(ExchangeEnd end)
+{
+    const auto self = shared_from_this();
+    const auto handler = std::move(m_events.end);
+    const ExchangeResult result{.end = end, .reused = m_reused, .answered = m_answered};
+    cancel();
+    if (handler) {
+        handler(result);
+    }
+}
+
+HttpClient::HttpClient(asio::io_context &loop)
+    : m_loop(loop)
+{
+}
+
+std::shared_ptr<Exchange> HttpClient::send(const std::string &ip, std::uint16_t port, std::string bytes,
+                                           const ExchangeOptions &options, ExchangeEvents events)
+{
+    std::string key = ip + ":" + std::to_string(port);
+    auto kept = options.fresh ? nullptr : takeKept(key, options.maxIdle);
+    std::shared_ptr<Exchange> exchange(
+        new Exchange(*this, std::move(key), std::move(bytes), options, std::move(events)));
+    if (kept) {
+        exchange->begin(std::move(kept), true);
+        return exchange;
+    }
+    asio::error_code ec;
+    const auto address = asio::ip::make_address_v4(ip, ec);
+    if (ec) {
+        asio::post(m_loop, [exchange] {
+            if (!exchange->m_done) {
+                exchange->finish(ExchangeEnd::NotConnected);
+            }
+        });
+        return exchange;
+    }
+    exchange->connect({address, port});
+    return exchange;
+}
+
+std::shared_ptr<Exchange>
+HttpClient::call(const std::string &ip, std::uint16_t port, std::string bytes, const ExchangeOptions &options,
+                 std::function<void(ExchangeEnd, const http::ResponseHead &, std::string)> done)
+{
+    struct Answer
+    {
+        http::ResponseHead head;
+        std::string body;
+    };
+    auto answer = std::make_shared<Answer>();
+    return send(ip, port, std::move(bytes), options,
+                {
+                    .head =
+                        [answer](const http::ResponseHead &head) {
+                            answer->head = head;
+                            return HeadVerdict::Take;
+                        },
+                    .body = [answer](const std::string &part) { answer->body.append(part); },
+                    .end =
+                        [answer, done = std::move(done)](const ExchangeResult &result) {
+                            if (result.end != ExchangeEnd::Complete) {
+                                *answer = {};
+                            }
+                            done(result.end, answer->head, std::move(answer->body));
+                        },
+                });
+}
+
+std::uint64_t HttpClient::opened() const
+{
+    return m_opened;
+}
+
+void HttpClient::keep(const std::string &key, std::shared_ptr<Connection> connection, const http::ResponseHead &head)
+{
+    const std::weak_ptr<Connection> weak = connection;
+    const auto drop = [this, key, weak] {
+        auto &list = m_kept[key];
+        std::erase_if(list, [&](const Kept &kept) { return kept.connection == weak.lock(); });
+    };
+    connection->setEvents({
+        .data =
+            [drop, weak](std::string_view) {
+                if (const auto self = weak.lock()) {
+                    self->close();
+                }
+                drop();
+            },
+        .closed = [drop](ClosedBy) { drop(); },
+    });
+    m_kept[key].push_back(
+        {.connection = std::move(connection), .since = steadyMillis(), .usableFor = keepTimeOf(head) - KeepMargin});
+}
+
+std::shared_ptr<Connection> HttpClient::takeKept(const std::string &key, Millis maxIdle)
+{
+    const auto it = m_kept.find(key);
+    if (it == m_kept.end()) {
+        return nullptr;
+    }
+    const Millis now = steadyMillis();
+    while (!it->second.empty()) {
+        const Kept kept = std::move(it->second.back());
+        it->second.pop_back();
+        if (kept.connection->isOpen() && now - kept.since < std::min(maxIdle, kept.usableFor)) {
+            return kept.connection;
+        }
+        kept.connection->close();
+    }
+    return nullptr;
+}
+
+void HttpClient::closeIdle(Millis now)
+{
+    for (auto it = m_kept.begin(); it != m_kept.end();) {
+        std::erase_if(it->second, [&](const Kept &kept) {
+            const bool old = now - kept.since >= kept.usableFor;
+            if (old) {
+                kept.connection->close();
+            }
+            return old;
+        });
+        it = it->second.empty() ? m_kept.erase(it) : std::next(it);
+    }
+}
+
+} // namespace ibislock::net
--- a/libs/node/include/ibislock/node/node.h
+++ b/libs/node/include/ibislock/node/node.h
@@ -14,9 +14,9 @@
 #include "ibislock/configuration/state.h"
 #include "ibislock/membership/view.h"
 #include "ibislock/node/scheduler.h"
-#include "ibislock/platform/http_endpoint.h"
 #include "ibislock/rpc/client.h"
 #include "ibislock/security/tls.h"
+#include "ibislock/stores/http_endpoint.h"
 
 #include <functional>
 #include <memory>
@@ -32,8 +32,8 @@
     membership::VmKind kind = membership::VmKind::Entry;
     std::string address = "127.0.0.1"; ///< The IP number under which other VMs reach this one.
     security::TlsOptions tls; ///< How connections between processes are protected.
-    platform::EndpointOptions log;
-    platform::EndpointOptions vmList;
+    stores::EndpointOptions log;
+    stores::EndpointOptions vmList;
     Millis logWait{1000}; ///< How long one read of the log waits for news.
     Millis listInterval{1000};
     Millis gossipInterval{1000}; ///< The longest pause between two signs of life to one delegate.
--- a/libs/node/src/gossip.cpp
+++ b/libs/node/src/gossip.cpp
@@ -327,7 +327,7 @@
         }
         return;
     }
-    std::vector<platform::LogRecord> records;
+    std::vector<stores::LogRecord> records;
     for (std::size_t i = 0; i < delta->records.size(); ++i) {
         records.push_back({.offset = delta->first + i, .data = delta->records[i]});
     }
--- a/libs/node/src/log_follower.cpp
+++ b/libs/node/src/log_follower.cpp
@@ -15,7 +15,7 @@
 constexpr Millis IdleInterval{100};
 constexpr unsigned ConfirmPagesMax = 16;
 
-platform::EndpointOptions withWait(platform::EndpointOptions options, Millis wait)
+stores::EndpointOptions withWait(stores::EndpointOptions options, Millis wait)
 {
     options.callTimeout += wait;
     return options;
@@ -90,7 +90,7 @@
     }
 }
 
-void LogFollower::take(const platform::LogPage &page)
+void LogFollower::take(const stores::LogPage &page)
 {
     m_first = page.first;
     m_readAt = steadyMillis();
--- a/libs/node/src/log_follower.h
+++ b/libs/node/src/log_follower.h
@@ -40,14 +40,14 @@
 
 private:
     void follow();
-    void take(const platform::LogPage &page);
+    void take(const stores::LogPage &page);
 
     const NodeOptions &m_options;
     Counters &m_counters;
     StateHolder &m_holder;
-    platform::LogClient m_reader;
+    stores::LogClient m_reader;
     std::mutex m_confirmMutex;
-    platform::LogClient m_confirmer;
+    stores::LogClient m_confirmer;
     configuration::Offset m_scanned = 0; ///< How far the log was searched for a snapshot.
     configuration::Offset m_first = 0; ///< The oldest record that the log held at the last read.
     std::function<bool()> m_isServedByOthers;
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -2,7 +2,7 @@
 
 #include "upkeep.h"
 
-#include "ibislock/platform/vm_list_client.h"
+#include "ibislock/stores/vm_list_client.h"
 
 namespace ibislock::node
 {
@@ -82,8 +82,8 @@
     Gossip gossip;
     Upkeep upkeep;
     std::mutex writerMutex;
-    platform::LogClient writer;
-    platform::VmListClient vmList;
+    stores::LogClient writer;
+    stores::VmListClient vmList;
     std::atomic<bool> stopping = false;
     Scheduler scheduler;
 };
--- a/libs/node/src/state_holder.cpp
+++ b/libs/node/src/state_holder.cpp
@@ -68,13 +68,13 @@
     m_changed.notify_all();
 }
 
-FoldSummary StateHolder::foldRecords(std::span<const platform::LogRecord> records)
+FoldSummary StateHolder::foldRecords(std::span<const stores::LogRecord> records)
 {
     FoldSummary summary;
     const std::lock_guard folding(m_foldMutex);
     configuration::State state = *this->state();
-    std::vector<platform::LogRecord> folded;
-    for (const platform::LogRecord &record : records) {
+    std::vector<stores::LogRecord> folded;
+    for (const stores::LogRecord &record : records) {
         if (record.offset < state.next) {
             continue;
         }
@@ -94,10 +94,10 @@
 }
 
 /// Puts a state in place together with the records that led to it, so that no reader sees one without the other.
-void StateHolder::commit(configuration::State state, std::span<const platform::LogRecord> folded, bool afterGap)
+void StateHolder::commit(configuration::State state, std::span<const stores::LogRecord> folded, bool afterGap)
 {
     const std::lock_guard lock(m_mutex);
-    for (const platform::LogRecord &record : folded) {
+    for (const stores::LogRecord &record : folded) {
         keep(record);
     }
     if (afterGap) {
@@ -109,7 +109,7 @@
 }
 
 /// Adds a record to the tail. The caller holds the lock.
-void StateHolder::keep(const platform::LogRecord &record)
+void StateHolder::keep(const stores::LogRecord &record)
 {
     const auto decoded = configuration::decodeRecord(record.data);
     if (const auto *snapshot = decoded ? std::get_if<configuration::SnapshotRecord>(&*decoded) : nullptr) {
@@ -157,7 +157,7 @@
     }
     if (!m_tail.empty() && m_tail.front().offset <= after) {
         delta.first = after;
-        for (const platform::LogRecord &record : m_tail) {
+        for (const stores::LogRecord &record : m_tail) {
             if (record.offset >= after) {
                 delta.records.push_back(record.data);
             }
--- a/libs/node/src/state_holder.h
+++ b/libs/node/src/state_holder.h
@@ -7,7 +7,7 @@
 #include "ibislock/configuration/snapshot_policy.h"
 #include "ibislock/configuration/state.h"
 #include "ibislock/node/node.h"
-#include "ibislock/platform/log_client.h"
+#include "ibislock/stores/log_client.h"
 
 #include <condition_variable>
 #include <deque>
@@ -43,7 +43,7 @@
     void wake();
 
     /// Folds records, from the log or from a neighbour.
-    FoldSummary foldRecords(std::span<const platform::LogRecord> records);
+    FoldSummary foldRecords(std::span<const stores::LogRecord> records);
 
     /// Takes over a neighbour's state when it is further on.
     bool adoptState(configuration::State state);
@@ -63,16 +63,16 @@
     }
 
 private:
-    void keep(const platform::LogRecord &record);
+    void keep(const stores::LogRecord &record);
     void replace(configuration::State state);
-    void commit(configuration::State state, std::span<const platform::LogRecord> folded, bool afterGap);
+    void commit(configuration::State state, std::span<const stores::LogRecord> folded, bool afterGap);
 
     Counters &m_counters;
     std::mutex m_foldMutex; ///< Held by whoever folds; the state itself stays readable.
     mutable std::mutex m_mutex;
     mutable std::condition_variable m_changed;
     StatePointer m_state;
-    std::deque<platform::LogRecord> m_tail; ///< The records just before the state's offset.
+    std::deque<stores::LogRecord> m_tail; ///< The records just before the state's offset.
     std::size_t m_tailBytes = 0;
     configuration::SnapshotWatch m_snapshots;
     bool m_woken = false;
--- a/libs/node/test/state_holder_test.cpp
+++ b/libs/node/test/state_holder_test.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::uint64_t Records = 400;
 
-platform::LogRecord ticketAt(std::uint64_t offset)
+stores::LogRecord ticketAt(std::uint64_t offset)
 {
     const configuration::ScopeChange change{
         .scope = {.workspace = "*", .role = "forecast"},
@@ -26,7 +26,7 @@
 /// Takes over a delta as a neighbour does.
 void apply(StateHolder &holder, const rpc::StateDelta &delta)
 {
-    std::vector<platform::LogRecord> records;
+    std::vector<stores::LogRecord> records;
     for (std::size_t i = 0; i < delta.records.size(); ++i) {
         records.push_back({.offset = delta.first + i, .data = delta.records[i]});
     }
@@ -40,7 +40,7 @@
     StateHolder neighbour(counters);
     std::thread folding([&] {
         for (std::uint64_t offset = 0; offset < Records; offset += 2) {
-            const std::vector<platform::LogRecord> page{ticketAt(offset), ticketAt(offset + 1)};
+            const std::vector<stores::LogRecord> page{ticketAt(offset), ticketAt(offset + 1)};
             source.foldRecords(page);
         }
     });
@@ -58,7 +58,7 @@
     Counters counters;
     StateHolder source(counters);
     for (std::uint64_t offset = 0; offset < Records; ++offset) {
-        const std::vector<platform::LogRecord> page{ticketAt(offset)};
+        const std::vector<stores::LogRecord> page{ticketAt(offset)};
         source.foldRecords(page);
     }
     const auto delta = source.deltaAfter(0);
@@ -71,7 +71,7 @@
 {
     Counters counters;
     StateHolder holder(counters);
-    const std::vector<platform::LogRecord> page{ticketAt(0), ticketAt(1)};
+    const std::vector<stores::LogRecord> page{ticketAt(0), ticketAt(1)};
     holder.foldRecords(page);
     const configuration::State known = *holder.state();
     EXPECT_FALSE(holder.adoptState(configuration::State{.next = 1}));
--- /dev/null
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -0,0 +1,61 @@
+// Chooses a target for a request. Answers a load at which most engines are full and reports are some 100 ms old:
+// the least occupied target is taken, own requests that no report shows yet are added, and equal ones are drawn from.
+//
+//     Placement placement = place(table, {.service = "a", .domain = "d", .now = now}, random);
+
+#pragma once
+
+#include "ibislock/base/random.h"
+#include "ibislock/serving/target_table.h"
+
+#include <set>
+
+namespace ibislock::serving
+{
+
+/// What is to be placed.
+struct PlacementRequest
+{
+    std::string_view service;
+    std::string_view domain; ///< Of the entry VM; its targets are taken first among equals.
+    std::int64_t minVersion = 0; ///< The oldest weights that may serve; 0 for any, and for services without weights.
+    bool engine = false; ///< Whether the service has engines, which serve nothing without weights.
+    bool urgent = true; ///< May take the last free slots.
+    const std::set<std::string> *tried = nullptr; ///< Targets that the request was sent to before.
+    Millis now{0};
+};
+
+/// Why a request has no target.
+enum class NoTarget {
+    None, ///< It has one.
+    Unknown, ///< The service has no usable target.
+    Full, ///< All usable targets are full.
+};
+
+/// Where a request goes.
+struct Placement
+{
+    Target *target = nullptr;
+    NoTarget reason = NoTarget::Unknown;
+    double occupancy = 0; ///< Of the target that was chosen, or of the least occupied, in requests per slot.
+};
+
+/// How old a report may be; targets report each 500 ms at least, and datagrams are lost at times.
+inline constexpr Millis LoadLifetime{1500};
+
+/// Requests per slot up to which an engine gets more; beyond, requests wait inside the engine.
+inline constexpr double EngineFull = 1.0;
+
+/// Requests per slot up to which an engine gets requests that are late already.
+inline constexpr double EngineFullForLate = 0.8;
+
+/// Requests per slot up to which a plain target gets more; it queues a few times its slots.
+inline constexpr double PlainFull = 2.5;
+
+/// Chooses the target of a request.
+Placement place(TargetTable &table, const PlacementRequest &request, Random &random);
+
+/// Estimates the requests that a target holds.
+double requestsAt(const Target &target, bool engine, Millis now);
+
+} // namespace ibislock::serving
--- /dev/null
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -0,0 +1,105 @@
+// The targets that an entry VM may use: what the platform lists, and what their load was last.
+//
+//     TargetTable table;
+//     applyEntry(table, "i-1", entry, now);
+//     applyLoad(table, "i-1", {.running = 3, .at = now});
+
+#pragma once
+
+#include "ibislock/base/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ibislock::serving
+{
+
+/// A model that a target serves.
+struct ServedModel
+{
+    std::string name;
+    std::int64_t version = 0;
+};
+
+/// What the platform lists of a target.
+struct TargetEntry
+{
+    std::string id;
+    std::string service;
+    std::string address; ///< IP:PORT
+    std::string domain; ///< The failure domain.
+    int slots = 0; ///< Requests that it works on at once.
+    bool leaving = false;
+    std::int64_t startedAt = 0; ///< Unix milliseconds; 0 if unknown. Differs between two lives under one id.
+    std::vector<ServedModel> models;
+};
+
+/// The load of a target as its own VM reports it.
+struct TargetLoad
+{
+    int running = 0;
+    int queued = 0;
+    std::int64_t version = 0; ///< Of the weights; 0 while it holds none.
+    bool loading = false; ///< Takes no request until its weights are loaded.
+    Millis at{0}; ///< When it arrived here.
+};
+
+/// How requests to a target have ended lately.
+struct TargetHealth
+{
+    int failuresInRow = 0;
+    Millis avoidUntil{0}; ///< Gets no request before.
+};
+
+/// A target with everything that placement looks at.
+struct Target
+{
+    TargetEntry entry;
+    std::optional<TargetLoad> load;
+    TargetHealth health;
+    int inFlight = 0; ///< Requests of this entry VM.
+    int sentSinceLoad = 0; ///< Requests of this entry VM that the load doesn't show yet.
+    std::optional<Millis> lapsedSince; ///< The listing was lost in an outage of the store.
+};
+
+/// All targets by id.
+struct TargetTable
+{
+    std::map<std::string, Target, std::less<>> targets;
+    Millis storeBackAt{0}; ///< When the store last came back.
+    bool storeAway = false;
+};
+
+/// How long a listing that was lost in an outage may take to come back; from the platform's description.
+inline constexpr Millis LapseGrace{2000};
+
+/// Takes over what the platform lists under an id now.
+/// @param entry nothing if the listing was removed or can't be read.
+void applyEntry(TargetTable &table, const std::string &id, std::optional<TargetEntry> entry, Millis now);
+
+/// Replaces all listings; targets that are not among them are handled as removed.
+void replaceEntries(TargetTable &table, std::vector<TargetEntry> entries, Millis now);
+
+/// Notes whether the store answers.
+void noteStore(TargetTable &table, bool away, Millis now);
+
+/// Drops targets whose lost listing has not come back in time.
+void expireLapsed(TargetTable &table, Millis now);
+
+/// Takes over a reported load.
+/// @param stillUnseen requests sent too short ago for the report to show them.
+void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, int stillUnseen);
+
+/// Failures in a row after which a target is avoided; one or two are also seen under load.
+inline constexpr int FailuresToAvoid = 3;
+
+/// How long a failing target is avoided for the first time; a restart takes seconds.
+inline constexpr Millis AvoidTime{1000};
+
+/// Notes how a request to a target ended.
+void noteOutcome(Target &target, bool good, Millis now);
+
+} // namespace ibislock::serving
--- /dev/null
+++ b/libs/serving/src/desired_state.cpp
@@ -0,0 +1,86 @@
+#include "ibislock/serving/desired_state.h"
+
+#include <algorithm>
+
+namespace ibislock::serving
+{
+
+namespace
+{
+
+std::string lowerCase(std::string_view text)
+{
+    std::string out(text);
+    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return std::tolower(c); });
+    return out;
+}
+
+} // namespace
+
+void indexState(DesiredState &state)
+{
+    state.routesByHost.clear();
+    state.workspaceByKey.clear();
+    for (std::size_t n = 0; n < state.routes.size(); ++n) {
+        state.routesByHost[lowerCase(state.routes[n].host)].push_back(n);
+    }
+    for (auto &[host, indexes] : state.routesByHost) {
+        std::stable_sort(indexes.begin(), indexes.end(), [&](std::size_t a, std::size_t b) {
+            return state.routes[a].pathPrefix.size() > state.routes[b].pathPrefix.size();
+        });
+    }
+    for (std::size_t n = 0; n < state.workspaces.size(); ++n) {
+        for (const std::string &key : state.workspaces[n].keys) {
+            state.workspaceByKey.emplace(key, n);
+        }
+    }
+}
+
+const Route *findRoute(const DesiredState &state, std::string_view host, std::string_view path)
+{
+    const auto it = state.routesByHost.find(lowerCase(host.substr(0, host.find(':'))));
+    if (it == state.routesByHost.end()) {
+        return nullptr;
+    }
+    path = path.substr(0, path.find('?'));
+    for (const std::size_t index : it->second) {
+        if (path.starts_with(state.routes[index].pathPrefix)) {
+            return &state.routes[index];
+        }
+    }
+    return nullptr;
+}
+
+const Workspace *findWorkspace(const DesiredState &state, std::string_view key)
+{
+    const auto it = state.workspaceByKey.find(std::string(key));
+    return it == state.workspaceByKey.end() ? nullptr : &state.workspaces[it->second];
+}
+
+std::string_view drawService(const Route &route, double draw)
+{
+    double total = 0;
+    for (const ServiceShare &share : route.services) {
+        total += share.weight;
+    }
+    double left = draw * total;
+    for (const ServiceShare &share : route.services) {
+        left -= share.weight;
+        if (left < 0) {
+            return share.service;
+        }
+    }
+    return route.services.empty() ? std::string_view() : std::string_view(route.services.back().service);
+}
+
+const Service *findOrigin(const DesiredState &state)
+{
+    for (const auto &[name, service] : state.services) {
+        if (!service.originAddress.empty()) {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace ibislock::serving
--- /dev/null
+++ b/libs/serving/src/retry_share.cpp
@@ -0,0 +1,44 @@
+#include "ibislock/serving/retry_share.h"
+
+#include <algorithm>
+
+namespace ibislock::serving
+{
+
+namespace
+{
+
+RetryUse &useOf(RetryShare &share, std::string_view service, Millis now)
+{
+    auto it = share.services.find(service);
+    if (it == share.services.end()) {
+        it = share.services.emplace(std::string(service), RetryUse{}).first;
+    }
+    for (std::deque<Millis> *times : {&it->second.requests, &it->second.retries}) {
+        while (!times->empty() && times->front() <= now - share.window) {
+            times->pop_front();
+        }
+    }
+    return it->second;
+}
+
+} // namespace
+
+void noteRequest(RetryShare &share, std::string_view service, Millis now)
+{
+    useOf(share, service, now).requests.push_back(now);
+}
+
+bool drawRetry(RetryShare &share, std::string_view service, Millis now)
+{
+    RetryUse &use = useOf(share, service, now);
+    const double fixed = share.allowance / std::max(share.entryVms, 1);
+    const double limit = UsedPart * (fixed + share.ratio * static_cast<double>(use.requests.size()));
+    if (static_cast<double>(use.retries.size()) + 1 > limit) {
+        return false;
+    }
+    use.retries.push_back(now);
+    return true;
+}
+
+} // namespace ibislock::serving
--- /dev/null
+++ b/libs/serving/test/serving_test.cpp
@@ -0,0 +1,182 @@
+#include "ibislock/serving/desired_state.h"
+#include "ibislock/serving/placement.h"
+#include "ibislock/serving/retry_share.h"
+
+#include <gtest/gtest.h>
+
+namespace ibislock::serving
+{
+
+namespace
+{
+
+DesiredState twoRoutes()
+{
+    DesiredState state;
+    state.routes.push_back({.name = "long", .host = "A.example", .pathPrefix = "/a/b/"});
+    state.routes.push_back({.name = "short", .host = "a.example", .pathPrefix = "/a/"});
+    state.workspaces.push_back({.name = "w", .keys = {"k1", "k2"}});
+    indexState(state);
+    return state;
+}
+
+TEST(DesiredStateTest, TheLongestPrefixWins)
+{
+    const DesiredState state = twoRoutes();
+    EXPECT_EQ(findRoute(state, "a.example", "/a/b/c")->name, "long");
+    EXPECT_EQ(findRoute(state, "a.example:80", "/a/bc?x=/a/b/")->name, "short");
+    EXPECT_EQ(findRoute(state, "a.example", "/b/"), nullptr);
+    EXPECT_EQ(findRoute(state, "b.example", "/a/"), nullptr);
+}
+
+TEST(DesiredStateTest, FindsTheWorkspaceOfAKey)
+{
+    const DesiredState state = twoRoutes();
+    EXPECT_EQ(findWorkspace(state, "k2")->name, "w");
+    EXPECT_EQ(findWorkspace(state, "k"), nullptr);
+}
+
+TEST(DesiredStateTest, DrawsServicesByWeight)
+{
+    const Route route{.services = {{"a", 90}, {"b", 10}}};
+    EXPECT_EQ(drawService(route, 0.0), "a");
+    EXPECT_EQ(drawService(route, 0.899), "a");
+    EXPECT_EQ(drawService(route, 0.901), "b");
+}
+
+TargetEntry engineTarget(const std::string &id, const std::string &domain = "d")
+{
+    return {.id = id, .service = "s", .address = "10.0.0.1:1", .domain = domain, .slots = 16, .models = {{"m", 1}}};
+}
+
+TEST(TargetTableTest, ARemovedListingIsGoneAtOnceWhileTheStoreIsSound)
+{
+    TargetTable table;
+    applyEntry(table, "a", engineTarget("a"), Millis{0});
+    applyEntry(table, "a", std::nullopt, Millis{10});
+    EXPECT_TRUE(table.targets.empty());
+}
+
+TEST(TargetTableTest, AListingLostInAnOutageStaysUntilItsGraceEnds)
+{
+    TargetTable table;
+    applyEntry(table, "a", engineTarget("a"), Millis{0});
+    noteStore(table, true, Millis{1000});
+    noteStore(table, false, Millis{5000});
+    applyEntry(table, "a", std::nullopt, Millis{5100});
+    expireLapsed(table, Millis{6900});
+    EXPECT_EQ(table.targets.size(), 1U);
+    expireLapsed(table, Millis{7001});
+    EXPECT_TRUE(table.targets.empty());
+}
+
+TEST(TargetTableTest, AListingThatComesBackInTimeStays)
+{
+    TargetTable table;
+    applyEntry(table, "a", engineTarget("a"), Millis{0});
+    noteStore(table, true, Millis{1000});
+    noteStore(table, false, Millis{5000});
+    applyEntry(table, "a", std::nullopt, Millis{5100});
+    applyEntry(table, "a", engineTarget("a"), Millis{6000});
+    expireLapsed(table, Millis{8000});
+    EXPECT_EQ(table.targets.size(), 1U);
+}
+
+TEST(TargetTableTest, ALeavingTargetThatIsRemovedInAnOutageIsGone)
+{
+    TargetTable table;
+    TargetEntry entry = engineTarget("a");
+    entry.leaving = true;
+    applyEntry(table, "a", entry, Millis{0});
+    noteStore(table, true, Millis{1000});
+    noteStore(table, false, Millis{5000});
+    applyEntry(table, "a", std::nullopt, Millis{5100});
+    EXPECT_TRUE(table.targets.empty());
+}
+
+TEST(PlacementTest, TakesTheLeastOccupiedWithOwnSendsAdded)
+{
+    TargetTable table;
+    applyEntry(table, "a", engineTarget("a"), Millis{0});
+    applyEntry(table, "b", engineTarget("b"), Millis{0});
+    applyLoad(table, "a", {.running = 5, .version = 1, .at = Millis{100}}, 0);
+    applyLoad(table, "b", {.running = 3, .version = 1, .at = Millis{100}}, 3);
+    Random random(1);
+    const auto placement = place(table, {.service = "s", .domain = "d", .engine = true, .now = Millis{150}}, random);
+    ASSERT_NE(placement.target, nullptr);
+    EXPECT_EQ(placement.target->entry.id, "a");
+}
+
+TEST(PlacementTest, FullEnginesGetNothing)
+{
+    TargetTable table;
+    applyEntry(table, "a", engineTarget("a"), Millis{0});
+    applyLoad(table, "a", {.running = 16, .version = 1, .at = Millis{100}}, 0);
+    Random random(1);
+    const auto placement = place(table, {.service = "s", .domain = "d", .engine = true, .now = Millis{150}}, random);
+    EXPECT_EQ(placement.target, nullptr);
+    EXPECT_EQ(placement.reason, NoTarget::Full);
+}
+
+/// One target that must not be chosen.
+struct UnusableCase
+{
+    std::string name;
+    TargetEntry entry;
+    std::optional<TargetLoad> load;
+    std::int64_t minVersion = 0;
+};
+
+class UnusableTargetTest : public testing::TestWithParam<UnusableCase>
+{
+};
+
+TEST_P(UnusableTargetTest, IsNotChosen)
+{
+    TargetTable table;
+    applyEntry(table, "a", GetParam().entry, Millis{0});
+    if (GetParam().load) {
+        applyLoad(table, "a", *GetParam().load, 0);
+    }
+    Random random(1);
+    const auto placement = place(
+        table, {.service = "s", .domain = "d", .minVersion = GetParam().minVersion, .engine = true, .now = Millis{150}},
+        random);
+    EXPECT_EQ(placement.target, nullptr);
+    EXPECT_EQ(placement.reason, NoTarget::Unknown);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, UnusableTargetTest,
+    testing::Values(
+        UnusableCase{"Leaving", {.id = "a", .service = "s", .slots = 1, .leaving = true, .models = {{"m", 1}}}, {}, 0},
+        UnusableCase{"OtherService", {.id = "a", .service = "t", .slots = 1, .models = {{"m", 1}}}, {}, 0},
+        UnusableCase{"NoWeights", {.id = "a", .service = "s", .slots = 1}, {}, 0},
+        UnusableCase{"OldWeights", engineTarget("a"), {}, 2},
+        UnusableCase{"Loading", engineTarget("a"), TargetLoad{.version = 1, .loading = true, .at = Millis{100}}, 0},
+        UnusableCase{"LostItsWeights", engineTarget("a"), TargetLoad{.version = 0, .at = Millis{100}}, 0}),
+    [](const auto &item) { return item.param.name; });
+
+TEST(RetryShareTest, ABurstOfFailuresStaysInsideTheShare)
+{
+    RetryShare share{.ratio = 0.2, .allowance = 100, .entryVms = 8};
+    int retries = 0;
+    for (int n = 0; n < 300; ++n) {
+        noteRequest(share, "s", Millis{n * 10});
+        retries += drawRetry(share, "s", Millis{n * 10}) ? 1 : 0;
+    }
+    EXPECT_LE(retries, 0.2 * 300 + 100.0 / 8);
+    EXPECT_GT(retries, 20);
+}
+
+TEST(RetryShareTest, TheBudgetComesBackAfterItsWindow)
+{
+    RetryShare share{.ratio = 0, .allowance = 8, .entryVms = 4};
+    EXPECT_TRUE(drawRetry(share, "s", Millis{0}));
+    EXPECT_FALSE(drawRetry(share, "s", Millis{1}));
+    EXPECT_TRUE(drawRetry(share, "s", Millis{10001}));
+}
+
+} // namespace
+
+} // namespace ibislock::serving
--- a/libs/platform/include/ibislock/platform/http_endpoint.h
+++ b/libs/stores/include/ibislock/stores/http_endpoint.h
@@ -13,7 +13,7 @@
 class Client;
 }
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 /// Where a service is and how long its calls may take.
@@ -49,4 +49,4 @@
     std::unique_ptr<httplib::Client> m_client;
 };
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/platform/include/ibislock/platform/log_client.h
+++ b/libs/stores/include/ibislock/stores/log_client.h
@@ -7,11 +7,11 @@
 #pragma once
 
 #include "ibislock/configuration/record.h"
-#include "ibislock/platform/http_endpoint.h"
+#include "ibislock/stores/http_endpoint.h"
 
 #include <vector>
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 using configuration::Offset;
@@ -59,4 +59,4 @@
     HttpEndpoint m_endpoint;
 };
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/platform/include/ibislock/platform/vm_list_client.h
+++ b/libs/stores/include/ibislock/stores/vm_list_client.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "ibislock/membership/view.h"
-#include "ibislock/platform/http_endpoint.h"
+#include "ibislock/stores/http_endpoint.h"
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 /// A connection to the list. Not safe for use from several threads at once.
@@ -21,4 +21,4 @@
     HttpEndpoint m_endpoint;
 };
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/platform/include/ibislock/platform/weight_store_client.h
+++ b/libs/stores/include/ibislock/stores/weight_store_client.h
@@ -2,10 +2,10 @@
 
 #pragma once
 
-#include "ibislock/platform/http_endpoint.h"
+#include "ibislock/stores/http_endpoint.h"
 #include "ibislock/weights/manifest.h"
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 /// A connection to the store. Not safe for use from several threads at once.
@@ -27,4 +27,4 @@
     HttpEndpoint m_endpoint;
 };
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/platform/src/http_endpoint.cpp
+++ b/libs/stores/src/http_endpoint.cpp
@@ -1,8 +1,8 @@
-#include "ibislock/platform/http_endpoint.h"
+#include "ibislock/stores/http_endpoint.h"
 
 #include <httplib.h>
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 namespace
@@ -67,4 +67,4 @@
     m_client->stop();
 }
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/platform/src/log_client.cpp
+++ b/libs/stores/src/log_client.cpp
@@ -1,8 +1,8 @@
-#include "ibislock/platform/log_client.h"
+#include "ibislock/stores/log_client.h"
 
 #include <nlohmann/json.hpp>
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 namespace
@@ -63,4 +63,4 @@
     m_endpoint.stop();
 }
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/platform/src/vm_list_client.cpp
+++ b/libs/stores/src/vm_list_client.cpp
@@ -1,8 +1,8 @@
-#include "ibislock/platform/vm_list_client.h"
+#include "ibislock/stores/vm_list_client.h"
 
 #include <nlohmann/json.hpp>
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 namespace
@@ -48,4 +48,4 @@
     return m_endpoint.get("/vms").and_then(vmsFrom);
 }
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/platform/src/weight_store_client.cpp
+++ b/libs/stores/src/weight_store_client.cpp
@@ -1,6 +1,6 @@
-#include "ibislock/platform/weight_store_client.h"
+#include "ibislock/stores/weight_store_client.h"
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 namespace
@@ -33,4 +33,4 @@
     m_endpoint.stop();
 }
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/platform/test/platform_test.cpp
+++ b/libs/stores/test/stores_test.cpp
@@ -1,13 +1,13 @@
-#include "ibislock/platform/log_client.h"
-#include "ibislock/platform/vm_list_client.h"
-#include "ibislock/platform/weight_store_client.h"
 #include "ibislock/standins/log_stand_in.h"
 #include "ibislock/standins/vm_list_stand_in.h"
 #include "ibislock/standins/weight_store_stand_in.h"
+#include "ibislock/stores/log_client.h"
+#include "ibislock/stores/vm_list_client.h"
+#include "ibislock/stores/weight_store_client.h"
 
 #include <gtest/gtest.h>
 
-namespace ibislock::platform
+namespace ibislock::stores
 {
 
 namespace
@@ -173,4 +173,4 @@
 
 } // namespace
 
-} // namespace ibislock::platform
+} // namespace ibislock::stores
--- a/libs/target/include/ibislock/target/options.h
+++ b/libs/target/include/ibislock/target/options.h
@@ -29,7 +29,7 @@
     std::uint16_t rpcPort = 0;
     BackendKind backend = BackendKind::Engine;
     engine::EngineOptions engine;
-    platform::EndpointOptions store;
+    stores::EndpointOptions store;
     std::uint64_t chunkStoreBytes = 1ULL << 30;
     weights::PlanOptions plan; ///< VM and domain are filled in from the node's options.
     weights::RateOptions upload; ///< What other targets may draw from this one.
--- a/libs/target/src/fetcher.cpp
+++ b/libs/target/src/fetcher.cpp
@@ -152,7 +152,7 @@
     if (!m_context.faults.mayReach(m_context.options.store.url)) {
         return failure(ErrorCode::Unavailable, "the store is cut off");
     }
-    platform::WeightStoreClient store(m_context.options.store);
+    stores::WeightStoreClient store(m_context.options.store);
     auto manifest = store.manifest(duty.assignment.model, duty.assignment.version);
     if (manifest && weights::rootDigest(*manifest) != duty.assignment.manifest) {
         return failure(ErrorCode::Corrupt, "the origin holds another version under this name than the ticket names");
--- a/libs/target/src/origin_reader.cpp
+++ b/libs/target/src/origin_reader.cpp
@@ -3,7 +3,7 @@
 namespace ibislock::target
 {
 
-OriginReader::OriginReader(platform::EndpointOptions store, unsigned threads)
+OriginReader::OriginReader(stores::EndpointOptions store, unsigned threads)
     : m_store(std::move(store))
     , m_threadCount(threads)
 {
@@ -22,7 +22,7 @@
     }
     m_jobs.push_back({.read = std::move(read), .handler = std::move(handler)});
     if (m_threads.size() < m_threadCount) {
-        m_clients.push_back(std::make_unique<platform::WeightStoreClient>(m_store));
+        m_clients.push_back(std::make_unique<stores::WeightStoreClient>(m_store));
         m_threads.emplace_back([this, client = m_clients.back().get()] { work(*client); });
     }
     m_changed.notify_one();
@@ -45,7 +45,7 @@
     m_threads.clear();
 }
 
-void OriginReader::work(platform::WeightStoreClient &store)
+void OriginReader::work(stores::WeightStoreClient &store)
 {
     while (true) {
         Job job;
--- a/libs/target/src/origin_reader.h
+++ b/libs/target/src/origin_reader.h
@@ -5,7 +5,7 @@
 
 #pragma once
 
-#include "ibislock/platform/weight_store_client.h"
+#include "ibislock/stores/weight_store_client.h"
 
 #include <condition_variable>
 #include <deque>
@@ -32,7 +32,7 @@
 class OriginReader
 {
 public:
-    OriginReader(platform::EndpointOptions store, unsigned threads);
+    OriginReader(stores::EndpointOptions store, unsigned threads);
     ~OriginReader();
 
     OriginReader(const OriginReader &) = delete;
@@ -51,15 +51,15 @@
         OriginHandler handler;
     };
 
-    void work(platform::WeightStoreClient &store);
+    void work(stores::WeightStoreClient &store);
 
-    const platform::EndpointOptions m_store;
+    const stores::EndpointOptions m_store;
     const unsigned m_threadCount;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::deque<Job> m_jobs;
     bool m_stopping = false;
-    std::vector<std::unique_ptr<platform::WeightStoreClient>> m_clients;
+    std::vector<std::unique_ptr<stores::WeightStoreClient>> m_clients;
     std::vector<std::thread> m_threads;
 };
 
--- a/libs/target/src/swarm.cpp
+++ b/libs/target/src/swarm.cpp
@@ -335,7 +335,7 @@
 
 void Swarm::checkOrigin()
 {
-    platform::WeightStoreClient store(m_context.options.store);
+    stores::WeightStoreClient store(m_context.options.store);
     const auto manifest = store.manifest(m_duty.assignment.model, m_duty.assignment.version);
     if (manifest && weights::rootDigest(*manifest) != m_duty.assignment.manifest) {
         m_outcome = failure(ErrorCode::Corrupt, "the version was changed at the origin");
