--- a/app/daemon_commands.h
+++ b/app/daemon_commands.h
@@ -11,6 +11,12 @@
 /// `ibislock target --settings FILE`
 int runTarget(int argc, char **argv);
 
+/// `ibislock front [--settings FILE]`
+int runFront(int argc, char **argv);
+
+/// `ibislock side [--settings FILE]`
+int runSide(int argc, char **argv);
+
 /// `ibislock check-settings FILE`
 int checkSettings(int argc, char **argv);
 
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -24,9 +24,11 @@
     int (*run)(int argc, char **argv);
 };
 
-constexpr std::array<Command, 6> Commands{{
+constexpr std::array<Command, 8> Commands{{
     {"entry", "run the daemon of an entry VM", runEntry},
     {"target", "run the daemon of a target VM", runTarget},
+    {"front", "run the daemon of an entry VM on the users' platform", runFront},
+    {"side", "run the daemon of a target VM on the users' platform", runSide},
     {"ticket", "file, show and list change tickets", runTicket},
     {"status", "show the VMs and what they serve", runStatus},
     {"audit", "show the audit trail of changes", runAudit},
--- a/cmake/IbislockLibrary.cmake
+++ b/cmake/IbislockLibrary.cmake
@@ -1,8 +1,8 @@
-# Compiler warnings, for our own code only. g++ 12 reports kj::Maybe as uninitialized where it is not.
+# Compiler warnings, for our own code only. g++ 12 reports kj::Maybe as uninitialized, and overlapping copies in std::string, where there are none.
 add_library(ibislock_warnings INTERFACE)
 target_compile_options(ibislock_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Woverloaded-virtual
                                                    -Wno-missing-field-initializers
-                                                   $<$<CXX_COMPILER_ID:GNU>:-Werror -Wno-maybe-uninitialized>)
+                                                   $<$<CXX_COMPILER_ID:GNU>:-Werror -Wno-maybe-uninitialized -Wno-restrict>)
 
 # ibislock_library(NAME DEPENDS ...) builds libs/NAME from src/ and its test program from test/.
 function(ibislock_library name)
--- a/libs/base/include/ibislock/base/log.h
+++ b/libs/base/include/ibislock/base/log.h
@@ -8,6 +8,7 @@
 
 #include "ibislock/base/names.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -31,10 +32,13 @@
     Target,
     Security,
     Lab,
+    Front,
+    Side,
+    Store,
 };
 
 /// The fixed prefixes of the parts.
-inline constexpr NameTable<Part, 13> PartNames{{
+inline constexpr NameTable<Part, 16> PartNames{{
     {Part::Base, "base"},
     {Part::Configuration, "configuration"},
     {Part::Membership, "membership"},
@@ -48,6 +52,9 @@
     {Part::Target, "target"},
     {Part::Security, "security"},
     {Part::Lab, "lab"},
+    {Part::Front, "front"},
+    {Part::Side, "side"},
+    {Part::Store, "store"},
 }};
 
 /// The lowest severity that is written.
@@ -69,6 +76,17 @@
 /// @param level the lowest severity that is written.
 void startLogging(LogLevel level);
 
+/// Sets up logging for a process whose event loop must never wait for its output: lines go through a bounded queue to
+/// standard output, each with the wall clock in Unix milliseconds.
+/// @param level the lowest severity that is written.
+void startQueuedLogging(LogLevel level);
+
+/// Hands queued lines over to standard output as far as it takes them. Without queued logging, does nothing.
+void flushLog();
+
+/// How many queued lines have been left out.
+std::uint64_t droppedLogLines();
+
 /// Formats the message of a log line, without time and severity.
 std::string formatLogLine(Part part, std::string_view sentence, std::initializer_list<LogField> fields);
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -1,7 +1,12 @@
 #include "ibislock/base/log.h"
 
+#include "ibislock/base/clock.h"
+#include "ibislock/base/log_queue.h"
+
 #include <atomic>
 #include <easylogging++.h>
+#include <memory>
+#include <unistd.h>
 
 namespace ibislock
 {
@@ -11,6 +16,21 @@
 
 std::atomic<LogLevel> activeLevel{LogLevel::Warning};
 
+/// The queue of a process that uses one; set once at start, before any other thread.
+std::unique_ptr<LogQueue> queue;
+
+/// Writes a line to the queue if there is one.
+bool pushToQueue(LogLevel level, Part part, std::string_view sentence, std::initializer_list<LogField> fields)
+{
+    if (!queue) {
+        return false;
+    }
+    std::string line = std::to_string(wallMillis().count());
+    line.append(" ").append(nameOf(LogLevelNames, level)).append(" ").append(formatLogLine(part, sentence, fields));
+    queue->push(sentence, line, steadyMillis());
+    return true;
+}
+
 bool isEnabled(LogLevel level)
 {
     return level >= activeLevel.load(std::memory_order_relaxed);
@@ -50,6 +70,24 @@
     activeLevel = level;
 }
 
+void startQueuedLogging(LogLevel level)
+{
+    queue = std::make_unique<LogQueue>(STDOUT_FILENO);
+    activeLevel = level;
+}
+
+void flushLog()
+{
+    if (queue) {
+        queue->flush();
+    }
+}
+
+std::uint64_t droppedLogLines()
+{
+    return queue ? queue->dropped() : 0;
+}
+
 std::string formatLogLine(Part part, std::string_view sentence, std::initializer_list<LogField> fields)
 {
     std::string line(nameOf(PartNames, part));
@@ -66,28 +104,28 @@
 
 void logDebug(Part part, std::string_view sentence, std::initializer_list<LogField> fields)
 {
-    if (isEnabled(LogLevel::Debug)) {
+    if (isEnabled(LogLevel::Debug) && !pushToQueue(LogLevel::Debug, part, sentence, fields)) {
         LOG(DEBUG) << formatLogLine(part, sentence, fields);
     }
 }
 
 void logInfo(Part part, std::string_view sentence, std::initializer_list<LogField> fields)
 {
-    if (isEnabled(LogLevel::Info)) {
+    if (isEnabled(LogLevel::Info) && !pushToQueue(LogLevel::Info, part, sentence, fields)) {
         LOG(INFO) << formatLogLine(part, sentence, fields);
     }
 }
 
 void logWarning(Part part, std::string_view sentence, std::initializer_list<LogField> fields)
 {
-    if (isEnabled(LogLevel::Warning)) {
+    if (isEnabled(LogLevel::Warning) && !pushToQueue(LogLevel::Warning, part, sentence, fields)) {
         LOG(WARNING) << formatLogLine(part, sentence, fields);
     }
 }
 
 void logError(Part part, std::string_view sentence, std::initializer_list<LogField> fields)
 {
-    if (isEnabled(LogLevel::Error)) {
+    if (isEnabled(LogLevel::Error) && !pushToQueue(LogLevel::Error, part, sentence, fields)) {
         LOG(ERROR) << formatLogLine(part, sentence, fields);
     }
 }
--- /dev/null
+++ b/libs/base/src/log_queue.cpp
@@ -0,0 +1,65 @@
+#include "ibislock/base/log_queue.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace ibislock
+{
+
+LogQueue::LogQueue(int descriptor)
+    : m_descriptor(descriptor)
+{
+    const int flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0) {
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+void LogQueue::append(std::string_view line)
+{
+    if (m_waiting.size() + line.size() + 1 > LogQueueBytes) {
+        ++m_dropped;
+        return;
+    }
+    m_waiting.append(line).append("\n");
+}
+
+void LogQueue::push(std::string_view kind, std::string_view line, Millis now)
+{
+    auto it = m_rates.find(kind);
+    if (it == m_rates.end()) {
+        it = m_rates.emplace(std::string(kind), Rate{}).first;
+    }
+    Rate &rate = it->second;
+    const Millis second = now - now % Millis{1000};
+    if (rate.second != second) {
+        if (rate.left > 0) {
+            append("log: Lines were left out. kind=\"" + it->first + "\" count=" + std::to_string(rate.left));
+        }
+        rate = {.second = second};
+    }
+    if (++rate.lines > LogLinesPerKind) {
+        ++rate.left;
+        ++m_dropped;
+        return;
+    }
+    append(line);
+}
+
+void LogQueue::flush()
+{
+    while (!m_waiting.empty()) {
+        const ssize_t n = write(m_descriptor, m_waiting.data(), m_waiting.size());
+        if (n <= 0) {
+            return; // The descriptor takes nothing now; lines wait, and are counted when the queue is full.
+        }
+        m_waiting.erase(0, static_cast<std::size_t>(n));
+    }
+}
+
+std::uint64_t LogQueue::dropped() const
+{
+    return m_dropped;
+}
+
+} // namespace ibislock
--- /dev/null
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -0,0 +1,82 @@
+// Follows a keyed topic of the platform's store: first the newest record of each key, then each new record. Starts over
+// when the store no longer has the records that were missed, and goes on after outages.
+//
+//     TopicFeed feed(loop, client, store, {.topic = platform::TargetsTopic, .pause = Millis{500}}, events);
+//     feed.start();
+
+#pragma once
+
+#include "ibislock/base/random.h"
+#include "ibislock/net/http_client.h"
+#include "ibislock/platform/settings.h"
+#include "ibislock/platform/store_api.h"
+
+namespace ibislock::feed
+{
+
+/// How a topic is followed.
+struct FeedOptions
+{
+    std::string topic;
+    Millis wait{10000}; ///< How long the store holds a read back until there is a record.
+    Millis pause{0}; ///< Between two reads; bounds the calls on a busy topic.
+};
+
+/// What the follower is told.
+struct FeedEvents
+{
+    std::function<void(std::vector<platform::KeyedRecord>)> snapshot; ///< All keys; others are gone.
+    std::function<void(const platform::KeyedRecord &)> record;
+    std::function<void(bool away)> store; ///< The store was lost, or is back.
+};
+
+/// How long a call may take beyond its wait before it counts as lost; the store answers in some 4 ms.
+inline constexpr Millis CallTime{1000};
+
+/// The first pause after a failed call, doubled up to `LongestBackOff`; calls are priced, and outages last seconds.
+inline constexpr Millis FirstBackOff{100};
+inline constexpr Millis LongestBackOff{500};
+
+/// Follows one topic.
+class TopicFeed
+{
+public:
+    TopicFeed(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store, FeedOptions options,
+              FeedEvents events);
+
+    /// Begins.
+    void start();
+
+    /// How many calls have been made.
+    std::uint64_t calls() const;
+
+    /// Tells whether a whole snapshot has been read since the start.
+    bool synchronized() const;
+
+private:
+    void readSnapshot();
+    void readOn();
+    void takeSnapshotPage(const std::string &body);
+    void takeRecords(const std::string &body);
+    void later(Millis time, void (TopicFeed::*step)());
+    void failed(std::string_view what, void (TopicFeed::*again)());
+    void succeeded();
+    void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*again)(),
+              std::function<void(int status, const std::string &body)> done);
+
+    net::HttpClient &m_client;
+    platform::Endpoint m_store;
+    FeedOptions m_options;
+    FeedEvents m_events;
+    asio::steady_timer m_timer;
+    Random m_random;
+    std::vector<platform::KeyedRecord> m_pages;
+    std::int64_t m_next = -1;
+    std::int64_t m_snapshotEnd = -1;
+    Millis m_backOff = FirstBackOff;
+    bool m_away = false;
+    bool m_synchronized = false;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace ibislock::feed
--- /dev/null
+++ b/libs/front/src/call.cpp
@@ -0,0 +1,411 @@
+#include "call.h"
+
+#include "caller_connection.h"
+#include "ibislock/base/log.h"
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+using serving::RequestKind;
+
+/// Longest time of a caller that names none, and of a route without a timeout; above all objectives seen.
+constexpr Millis DefaultDeadline{10000};
+
+/// How long a connection to a target may take; a round trip takes a few ms, a lost packet a second.
+constexpr Millis ConnectTime{400};
+
+/// Connections that may fail before a call is refused; each has cost `ConnectTime` at most.
+constexpr int MaxConnectFailures = 3;
+
+/// Less time than this is not handed to a target: it could not begin.
+constexpr Millis LeastTime{30};
+
+/// By how much a call outlives its time, so that a target's own answer to the limit can arrive.
+constexpr Millis LimitSlack{100};
+
+/// A caller that is this many bytes behind is not sent more until it has taken them.
+constexpr std::size_t CallerBacklogBytes = 256 * 1024;
+
+/// The part of its objective for which a call may wait for a free slot; waiting longer makes most answers late.
+constexpr int WaitPartOfGoal = 8;
+
+std::string_view statusText(int status)
+{
+    return status == 0 ? "none" : http::reasonOf(status);
+}
+
+int statusOf(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::BadRequest:
+        return 400;
+    case CallOutcome::NoKey:
+        return 401;
+    case CallOutcome::NoRoute:
+        return 404;
+    case CallOutcome::Unknown:
+        return 502;
+    case CallOutcome::TimedOut:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+} // namespace
+
+Call::Call(Front &owner, std::weak_ptr<CallerConnection> connection, http::RequestHead requestHead,
+           std::string requestBody)
+    : front(owner)
+    , head(std::move(requestHead))
+    , body(std::move(requestBody))
+    , receivedAt(steadyMillis())
+    , m_connection(std::move(connection))
+{
+}
+
+std::optional<CallOutcome> Call::resolve()
+{
+    const auto decoded = platform::decodeCallerRequest(head);
+    if (!decoded) {
+        return CallOutcome::BadRequest;
+    }
+    request = *decoded;
+    if (!front.state) {
+        return CallOutcome::NoState;
+    }
+    const serving::DesiredState &state = *front.state;
+    const serving::Route *found = findRoute(state, request.host, head.target);
+    if (found == nullptr) {
+        return front.operatorsAway ? CallOutcome::NoState : CallOutcome::NoRoute;
+    }
+    route = *found;
+    priority = route.priority;
+    if (!route.anonymous && !state.workspaces.empty()) {
+        const serving::Workspace *holder = findWorkspace(state, request.key);
+        if (holder == nullptr) {
+            return front.operatorsAway && !request.key.empty() ? CallOutcome::NoState : CallOutcome::NoKey;
+        }
+        workspace = holder->name;
+        priority = holder->priority * 10 + route.priority;
+    }
+    service = serving::drawService(route, std::uniform_real_distribution<double>(0, 1)(front.random));
+    const auto it = state.services.find(service);
+    engine = it != state.services.end() && it->second.engine.has_value();
+    const Millis limit = route.timeout > Millis{0} ? route.timeout : DefaultDeadline;
+    deadlineAt = receivedAt + std::min(limit, request.deadline.value_or(DefaultDeadline));
+    waitUntil = receivedAt + route.goal / WaitPartOfGoal;
+    return std::nullopt;
+}
+
+bool Call::isLate(Millis now) const
+{
+    const Millis full = route.timeout > Millis{0} ? route.timeout : DefaultDeadline;
+    const Millis spent = full - std::min(full, request.deadline.value_or(full)) + (now - receivedAt);
+    return spent >= route.goal;
+}
+
+platform::TargetRequestOptions Call::targetOptions(const serving::Target &target, Millis now) const
+{
+    platform::TargetRequestOptions out{
+        .deadline = deadlineAt - now,
+        .targetId = target.entry.id,
+        .workspace = workspace,
+        .minVersion = engine ? front.minVersionOf(request.model, now) : 0,
+    };
+    if (m_headWritten) {
+        out.lastEventId = m_events.lastId;
+    }
+    return out;
+}
+
+void Call::send(serving::Target &target)
+{
+    const Millis now = steadyMillis();
+    if (deadlineAt - now < LeastTime) {
+        refuse(m_sentOnce ? CallOutcome::TimedOut : CallOutcome::OutOfTime);
+        return;
+    }
+    const auto endpoint = platform::endpointFrom(target.entry.address);
+    if (!endpoint) {
+        refuse(CallOutcome::NoTarget); // Listings without an address are not taken over, so this is not reached.
+        return;
+    }
+    if (m_sends == 0) {
+        observe(front.counters.waited, now - receivedAt);
+    }
+    ++m_sends;
+    ++front.counters.sends;
+    front.counters.repeatedSends += m_sends > 1 ? 1 : 0;
+    tried.insert(target.entry.id);
+    m_targetId = target.entry.id;
+    m_sentAt = now;
+    noteSend(target, now);
+    m_answer = Answer::None;
+    m_answerBody.clear();
+    m_events.partial.clear();
+    const http::RequestHead forwarded = platform::targetRequest(head, targetOptions(target, now));
+    // What must not run twice goes over a new connection: a kept one may be closed by the target as it is sent.
+    const bool fresh = route.kind == RequestKind::NonIdempotent || m_sends > 1;
+    m_exchange = front.client.send(
+        endpoint->ip, endpoint->port, writeRequest(forwarded, body),
+        {.connectTime = std::min(ConnectTime, deadlineAt - now), .fresh = fresh},
+        {
+            .head = [self = shared_from_this()](const http::ResponseHead &answer) { return self->takeHead(answer); },
+            .body = [self = shared_from_this()](std::string bytes) { self->takeBody(std::move(bytes)); },
+            .end = [self = shared_from_this()](const net::ExchangeResult &result) { self->takeEnd(result); },
+        });
+}
+
+net::HeadVerdict Call::takeHead(const http::ResponseHead &answer)
+{
+    const platform::TargetAnswer said = platform::decodeTargetAnswer(answer);
+    if (!said.attemptId.empty() && said.attemptId != request.attemptId) {
+        logInfo(Part::Front, "An answer to another request was skipped.",
+                {{"id", request.attemptId}, {"target", m_targetId}, {"answers", said.attemptId}});
+        return net::HeadVerdict::Skip;
+    }
+    m_answerHead = answer;
+    const bool success = answer.status / 100 == 2;
+    if (said.notExecuted && !success) {
+        m_answer = Answer::NotRun;
+    } else if (!said.signedByTarget || said.encoded || (success && said.attemptId.empty())) {
+        m_answer = Answer::None; // Handled as a failure at its end: these are not the target's own bytes.
+    } else {
+        m_answer = success && route.kind == RequestKind::Stream ? Answer::Relayed : Answer::Buffered;
+    }
+    return net::HeadVerdict::Take;
+}
+
+void Call::takeBody(std::string bytes)
+{
+    if (m_answer == Answer::Relayed) {
+        relay(addBytes(m_events, bytes));
+    } else if (m_answer == Answer::Buffered) {
+        m_answerBody += bytes;
+    }
+}
+
+void Call::relay(std::string events)
+{
+    const auto connection = m_connection.lock();
+    if (events.empty() || !connection || m_done) {
+        return;
+    }
+    std::string out;
+    if (!m_headWritten) {
+        m_headWritten = true;
+        observe(front.counters.firstEvent, steadyMillis() - receivedAt);
+        http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
+        forwarded.keepAlive = connection->keepsAlive();
+        out = writeChunkedHead(forwarded);
+    }
+    out += http::writeChunk(events);
+    connection->write(out);
+    if (connection->queued() > CallerBacklogBytes && m_exchange) {
+        m_exchange->pauseReading(true);
+    }
+}
+
+void Call::callerDrained()
+{
+    if (m_exchange) {
+        m_exchange->pauseReading(false);
+    }
+}
+
+void Call::releaseTarget(bool good)
+{
+    m_exchange.reset();
+    const auto it = front.table.targets.find(m_targetId);
+    if (it != front.table.targets.end()) {
+        it->second.inFlight = std::max(0, it->second.inFlight - 1);
+        noteOutcome(it->second, good, steadyMillis());
+    }
+    m_targetId.clear();
+}
+
+void Call::takeEnd(const net::ExchangeResult &result)
+{
+    if (m_done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const bool complete = result.end == net::ExchangeEnd::Complete;
+    const bool served = complete && m_answer != Answer::None && m_answerHead.status / 100 != 5;
+    const std::string target = m_targetId;
+    releaseTarget(served || (complete && m_answer == Answer::NotRun));
+    if (!served) {
+        logInfo(Part::Front, "A send did not end in an answer.",
+                {{"id", request.attemptId},
+                 {"target", target},
+                 {"end", std::string(nameOf(net::ExchangeEndNames, result.end))},
+                 {"status", std::to_string(m_answer == Answer::None ? 0 : m_answerHead.status)},
+                 {"reused", result.reused ? "1" : "0"},
+                 {"after_ms", std::to_string((steadyMillis() - m_sentAt).count())}});
+    }
+    if (complete && m_answer == Answer::Buffered) {
+        endBuffered();
+    } else if (complete && m_answer == Answer::Relayed) {
+        endRelayed();
+    } else {
+        endFailed(result);
+    }
+    front.pumpWaiting();
+}
+
+/// Tells whether the kind of request allows to run it once more.
+bool Call::mayRunAgain() const
+{
+    return route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
+}
+
+/// Draws on the budget for one more send, if the route and the time allow one.
+bool Call::mayRepeat() const
+{
+    if (m_sends - m_connectFailures >= route.maxTargets || deadlineAt - steadyMillis() < LeastTime) {
+        return false;
+    }
+    if (!drawRetry(front.retries, service, steadyMillis())) {
+        ++front.counters.retriesWithoutBudget;
+        return false;
+    }
+    return true;
+}
+
+void Call::endBuffered()
+{
+    if (m_answerHead.status / 100 == 5 && mayRunAgain() && mayRepeat()) {
+        m_sentOnce = true;
+        front.dispatch(shared_from_this());
+        return;
+    }
+    http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
+    const auto connection = m_connection.lock();
+    forwarded.keepAlive = connection && connection->keepsAlive();
+    answer(writeResponse(forwarded, m_answerBody), !forwarded.keepAlive);
+    observe(front.counters.firstEvent, steadyMillis() - receivedAt);
+    finish(CallOutcome::Answered, m_answerHead.status);
+}
+
+void Call::endRelayed()
+{
+    relay(std::exchange(m_events.partial, {}));
+    const auto connection = m_connection.lock();
+    std::string out;
+    if (!m_headWritten) {
+        http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
+        forwarded.keepAlive = connection && connection->keepsAlive();
+        out = writeChunkedHead(forwarded);
+    }
+    answer(out.append(http::LastChunk), !(connection && connection->keepsAlive()));
+    finish(CallOutcome::Answered, m_answerHead.status);
+}
+
+void Call::endFailed(const net::ExchangeResult &result)
+{
+    const auto self = shared_from_this();
+    if (result.end == net::ExchangeEnd::NotConnected) {
+        ++m_connectFailures;
+        if (m_connectFailures < MaxConnectFailures && deadlineAt - steadyMillis() >= LeastTime) {
+            front.dispatch(self);
+            return;
+        }
+        refuse(m_sentOnce ? CallOutcome::Unknown : CallOutcome::NoTarget);
+        return;
+    }
+    const bool complete = result.end == net::ExchangeEnd::Complete;
+    if (complete && m_answer == Answer::NotRun) {
+        if (mayRepeat()) {
+            front.dispatch(self);
+        } else {
+            refuse(m_sentOnce ? CallOutcome::Unknown : CallOutcome::NotExecuted);
+        }
+        return;
+    }
+    m_sentOnce = true;
+    if (mayRunAgain() && mayRepeat()) {
+        front.dispatch(self);
+        return;
+    }
+    refuse(CallOutcome::Unknown);
+}
+
+void Call::answer(const std::string &bytes, bool close)
+{
+    if (const auto connection = m_connection.lock()) {
+        connection->write(bytes);
+        connection->answered(close);
+    }
+}
+
+void Call::refuse(CallOutcome outcome)
+{
+    if (m_done) {
+        return;
+    }
+    const auto connection = m_connection.lock();
+    if (m_headWritten) {
+        if (connection) {
+            connection->abort(); // Without its last chunk, the answer can't look complete.
+        }
+        finish(CallOutcome::CutOff, m_answerHead.status);
+        return;
+    }
+    const int status = statusOf(outcome);
+    http::ResponseHead own =
+        platform::ownAnswer(status, request.attemptId, status == 503 ? front.retryAfter() : Millis{0});
+    own.keepAlive = connection && connection->keepsAlive();
+    answer(writeResponse(own, ""), !own.keepAlive);
+    finish(outcome, status);
+}
+
+void Call::abandon()
+{
+    if (m_done) {
+        return;
+    }
+    if (m_exchange) {
+        m_exchange->cancel();
+        releaseTarget(true);
+    }
+    finish(CallOutcome::CallerLeft, 0);
+}
+
+void Call::checkTime(Millis now)
+{
+    if (m_done || deadlineAt == Millis{0} || now < deadlineAt + (m_exchange ? LimitSlack : Millis{0})) {
+        return;
+    }
+    const bool sent = m_exchange != nullptr || m_sentOnce;
+    if (m_exchange) {
+        m_exchange->cancel();
+        releaseTarget(true);
+    }
+    refuse(sent ? CallOutcome::TimedOut : CallOutcome::OutOfTime);
+}
+
+void Call::finish(CallOutcome outcome, int status)
+{
+    if (m_done) {
+        return;
+    }
+    m_done = true;
+    ++front.counters.outcomes[static_cast<std::size_t>(outcome)];
+    const Millis whole = steadyMillis() - receivedAt;
+    observe(front.counters.whole, whole);
+    logInfo(Part::Front, outcome == CallOutcome::Answered ? "A request was answered." : "A request was not served.",
+            {{"id", request.attemptId},
+             {"outcome", std::string(nameOf(CallOutcomeNames, outcome))},
+             {"status", std::string(statusText(status))},
+             {"route", route.name},
+             {"service", service},
+             {"state", front.state ? std::to_string(front.state->version) : "none"},
+             {"sends", std::to_string(m_sends)},
+             {"took_ms", std::to_string(whole.count())}});
+}
+
+} // namespace ibislock::front
--- /dev/null
+++ b/libs/front/src/call.h
@@ -0,0 +1,94 @@
+// One request of a caller, from its last byte to the end of its answer.
+
+#pragma once
+
+#include "counters.h"
+#include "event_splitter.h"
+#include "front.h"
+#include "ibislock/platform/messages.h"
+
+namespace ibislock::front
+{
+
+/// The request and where it stands.
+class Call : public std::enable_shared_from_this<Call>
+{
+public:
+    Call(Front &front, std::weak_ptr<CallerConnection> connection, http::RequestHead head, std::string body);
+
+    /// Finds out where the request belongs.
+    /// @return nothing, or the outcome with which it was refused.
+    std::optional<CallOutcome> resolve();
+
+    /// Sends the request to a target.
+    void send(serving::Target &target);
+
+    /// Ends the call with a refusal or failure of our own.
+    void refuse(CallOutcome outcome);
+
+    /// Gives the call up because its caller has left.
+    void abandon();
+
+    /// Ends the call if its time has run out.
+    void checkTime(Millis now);
+
+    /// Goes on after the caller has taken what was written.
+    void callerDrained();
+
+    /// Tells whether the caller has waited for so long that its answer can't be on time any more.
+    bool isLate(Millis now) const;
+
+    bool isDone() const
+    {
+        return m_done;
+    }
+
+    Front &front;
+    http::RequestHead head;
+    std::string body;
+    platform::CallerRequest request;
+    serving::Route route; ///< A copy: the desired state may change meanwhile.
+    std::string service;
+    std::string workspace;
+    bool engine = false;
+    bool counted = false; ///< As a request to its service.
+    int priority = 0;
+    Millis receivedAt{0};
+    Millis deadlineAt{0};
+    Millis waitUntil{0};
+    std::set<std::string> tried;
+
+private:
+    /// How the present answer of a target is handled.
+    enum class Answer { None, Buffered, Relayed, NotRun };
+
+    net::HeadVerdict takeHead(const http::ResponseHead &answer);
+    void takeBody(std::string bytes);
+    void takeEnd(const net::ExchangeResult &result);
+    void endBuffered();
+    void endRelayed();
+    void endFailed(const net::ExchangeResult &result);
+    bool mayRepeat() const;
+    bool mayRunAgain() const;
+    void relay(std::string events);
+    void answer(const std::string &bytes, bool close);
+    void releaseTarget(bool good);
+    void finish(CallOutcome outcome, int status);
+    platform::TargetRequestOptions targetOptions(const serving::Target &target, Millis now) const;
+
+    std::weak_ptr<CallerConnection> m_connection;
+    std::shared_ptr<net::Exchange> m_exchange;
+    std::string m_targetId;
+    Answer m_answer = Answer::None;
+    http::ResponseHead m_answerHead;
+    std::string m_answerBody;
+    EventSplitter m_events;
+    Millis m_sentAt{0};
+    int m_sends = 0;
+    int m_connectFailures = 0;
+    bool m_sentOnce = false; ///< A target may have read the request and was not known to refuse it.
+    bool m_headWritten = false;
+    bool m_done = false;
+};
+
+} // namespace ibislock::front
--- /dev/null
+++ b/libs/front/src/caller_connection.cpp
@@ -0,0 +1,177 @@
+#include "caller_connection.h"
+
+#include "call.h"
+#include "ibislock/base/log.h"
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+/// Bytes of further requests that are read while one is being answered.
+constexpr std::size_t PendingBytes = 64 * 1024;
+
+/// A body may take this many times as long as a head; slow callers send large bodies over seconds.
+constexpr int BodyTimeFactor = 4;
+
+http::ReaderLimits limitsOf(const Front &front)
+{
+    const serving::CallerLimits limits = front.state ? front.state->limits : serving::CallerLimits{};
+    return {.headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes};
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(Front &front, std::shared_ptr<net::Connection> connection)
+    : m_front(front)
+    , m_connection(std::move(connection))
+    , m_reader(http::MessageKind::Request, limitsOf(front))
+    , m_idleSince(steadyMillis())
+{
+}
+
+void CallerConnection::start()
+{
+    m_connection->start({
+        .data = [this, self = shared_from_this()](std::string_view bytes) { onData(bytes); },
+        .closed = [this, self = shared_from_this()](net::ClosedBy) { onClosed(); },
+        .drained =
+            [this, self = shared_from_this()] {
+                if (m_call) {
+                    m_call->callerDrained();
+                }
+            },
+    });
+}
+
+void CallerConnection::onData(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    if (m_call) {
+        if (m_pending.size() > PendingBytes) {
+            m_connection->pauseReading(true);
+        }
+        return;
+    }
+    readRequests();
+}
+
+void CallerConnection::readRequests()
+{
+    if (m_readingRequests) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_readingRequests = true;
+    while (!m_call && !m_pending.empty() && m_connection->isOpen()) {
+        if (!m_reader.started()) {
+            m_requestSince = steadyMillis();
+        }
+        const auto used = m_reader.feed(m_pending);
+        if (!used) {
+            const bool tooLarge = used.error().code == ErrorCode::Exhausted;
+            refuseReading(tooLarge ? (m_reader.headTooLarge() ? 431 : 413) : 400);
+            break;
+        }
+        m_pending.erase(0, *used);
+        if (!m_reader.complete()) {
+            break;
+        }
+        beginCall();
+    }
+    m_readingRequests = false;
+}
+
+void CallerConnection::beginCall()
+{
+    http::RequestHead head = m_reader.request();
+    std::string body = m_reader.takeBody();
+    m_reader = http::MessageReader(http::MessageKind::Request, limitsOf(m_front));
+    m_requestKeepsAlive = head.keepAlive;
+    m_call = std::make_shared<Call>(m_front, weak_from_this(), std::move(head), std::move(body));
+    const auto call = m_call;
+    m_front.accept(call);
+}
+
+void CallerConnection::refuseReading(int status)
+{
+    logInfo(Part::Front, "A request could not be read.", {{"status", std::to_string(status)}});
+    http::ResponseHead own = platform::ownAnswer(status, "", Millis{0});
+    own.keepAlive = false;
+    m_connection->write(writeResponse(own, ""));
+    m_connection->closeAfterWrites();
+    m_front.forget(this);
+}
+
+void CallerConnection::onClosed()
+{
+    const auto self = shared_from_this();
+    if (m_call) {
+        std::exchange(m_call, nullptr)->abandon();
+    }
+    m_front.forget(this);
+}
+
+void CallerConnection::write(std::string_view bytes)
+{
+    m_connection->write(bytes);
+}
+
+std::size_t CallerConnection::queued() const
+{
+    return m_connection->queued();
+}
+
+bool CallerConnection::keepsAlive() const
+{
+    return m_requestKeepsAlive && !m_front.draining;
+}
+
+void CallerConnection::answered(bool close)
+{
+    m_call.reset();
+    m_idleSince = steadyMillis();
+    if (close) {
+        m_connection->closeAfterWrites();
+        m_front.forget(this);
+        return;
+    }
+    m_connection->pauseReading(false);
+    if (!m_pending.empty()) {
+        asio::post(m_front.loop, [self = shared_from_this()] { self->readRequests(); });
+    }
+}
+
+void CallerConnection::abort()
+{
+    m_call.reset();
+    m_connection->close();
+    m_front.forget(this);
+}
+
+bool CallerConnection::isBusy() const
+{
+    return m_call != nullptr || m_reader.started() || !m_pending.empty();
+}
+
+void CallerConnection::checkTime(Millis now)
+{
+    if (m_call) {
+        const auto call = m_call;
+        call->checkTime(now);
+        return;
+    }
+    const serving::CallerLimits limits = m_front.state ? m_front.state->limits : serving::CallerLimits{};
+    if (m_reader.started()) {
+        const Millis allowed = m_reader.headComplete() ? limits.headTime * BodyTimeFactor : limits.headTime;
+        if (now - m_requestSince > allowed) {
+            refuseReading(408);
+        }
+    } else if (now - m_idleSince > limits.idleTime) {
+        m_connection->close();
+        m_front.forget(this);
+    }
+}
+
+} // namespace ibislock::front
--- /dev/null
+++ b/libs/front/src/counters.cpp
@@ -0,0 +1,66 @@
+#include "counters.h"
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+void writeHistogram(std::string &out, std::string_view name, std::string_view help, const LatencyHistogram &histogram)
+{
+    const std::string metric(name);
+    out.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ").append(name).append(" histogram\n");
+    std::uint64_t total = 0;
+    for (std::size_t n = 0; n < LatencyBuckets.size(); ++n) {
+        total += histogram.counts[n];
+        out += metric + "_bucket{le=\"" + std::to_string(LatencyBuckets[n]) + "\"} " + std::to_string(total) + "\n";
+    }
+    total += histogram.counts.back();
+    out += metric + "_bucket{le=\"+Inf\"} " + std::to_string(total) + "\n";
+    out += metric + "_sum " + std::to_string(histogram.sumMs) + "\n";
+    out += metric + "_count " + std::to_string(total) + "\n";
+}
+
+} // namespace
+
+void observe(LatencyHistogram &histogram, Millis latency)
+{
+    std::size_t n = 0;
+    while (n < LatencyBuckets.size() && latency.count() > LatencyBuckets[n]) {
+        ++n;
+    }
+    ++histogram.counts[n];
+    histogram.sumMs += latency.count();
+}
+
+void writeCounter(std::string &out, std::string_view name, std::string_view help, std::uint64_t value)
+{
+    out.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ").append(name).append(" counter\n");
+    out.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+void writeGauge(std::string &out, std::string_view name, std::string_view help, std::int64_t value)
+{
+    out.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ").append(name).append(" gauge\n");
+    out.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+void writeCounters(std::string &out, const FrontCounters &counters)
+{
+    out += "# HELP ibislock_requests_total Requests by how they ended.\n# TYPE ibislock_requests_total counter\n";
+    for (std::size_t n = 0; n < CallOutcomeCount; ++n) {
+        out.append("ibislock_requests_total{outcome=\"").append(CallOutcomeNames[n].second).append("\"} ");
+        out += std::to_string(counters.outcomes[n]) + "\n";
+    }
+    writeCounter(out, "ibislock_sends_total", "Requests sent to targets.", counters.sends);
+    writeCounter(out, "ibislock_repeated_sends_total", "Sends of a request beyond its first.", counters.repeatedSends);
+    writeCounter(out, "ibislock_retries_without_budget_total", "Sends that the retry budget did not allow.",
+                 counters.retriesWithoutBudget);
+    writeCounter(out, "ibislock_unusable_listings_total", "Listings of targets that could not be read.",
+                 counters.unusableListings);
+    writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waited);
+    writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.", counters.firstEvent);
+    writeHistogram(out, "ibislock_answer_ms", "Time until the end of an answer.", counters.whole);
+}
+
+} // namespace ibislock::front
--- /dev/null
+++ b/libs/front/src/event_splitter.cpp
@@ -0,0 +1,54 @@
+#include "event_splitter.h"
+
+#include "ibislock/http/message.h"
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+constexpr std::string_view IdField = "id:";
+
+/// Finds the id of the last event that has one.
+std::int64_t lastIdIn(std::string_view events, std::int64_t before)
+{
+    std::int64_t last = before;
+    while (!events.empty()) {
+        const std::size_t end = std::min(events.find('\n'), events.size());
+        std::string_view line = events.substr(0, end);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (line.starts_with(IdField)) {
+            const auto id = http::wholeNumber(line.substr(IdField.size()));
+            last = id ? static_cast<std::int64_t>(*id) : last;
+        }
+        events.remove_prefix(std::min(end + 1, events.size()));
+    }
+    return last;
+}
+
+/// Finds where the last whole event ends: behind an empty line.
+std::size_t endOfEvents(std::string_view bytes)
+{
+    const std::size_t plain = bytes.rfind("\n\n");
+    const std::size_t withReturn = bytes.rfind("\n\r\n");
+    const std::size_t a = plain == std::string_view::npos ? 0 : plain + 2;
+    const std::size_t b = withReturn == std::string_view::npos ? 0 : withReturn + 3;
+    return std::max(a, b);
+}
+
+} // namespace
+
+std::string addBytes(EventSplitter &splitter, std::string_view bytes)
+{
+    splitter.partial.append(bytes);
+    const std::size_t end = endOfEvents(splitter.partial);
+    std::string out = splitter.partial.substr(0, end);
+    splitter.partial.erase(0, end);
+    splitter.lastId = lastIdIn(out, splitter.lastId);
+    return out;
+}
+
+} // namespace ibislock::front
--- /dev/null
+++ b/libs/front/src/front.cpp
@@ -0,0 +1,480 @@
+#include "front.h"
+
+#include "call.h"
+#include "caller_connection.h"
+#include "ibislock/base/log.h"
+#include "ibislock/peer/messages.h"
+
+#include <algorithm>
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+/// Between two looks at times and queues; a fraction of the shortest objective of 100 ms.
+constexpr Millis TickTime{20};
+
+/// Between two subscriptions to the loads of targets; target VMs forget a subscriber after three.
+constexpr Millis SubscriptionTime{1000};
+
+/// Between two reads of the listings of targets; a quarter of the time in which a leaving one must be left alone.
+constexpr Millis ListingsPause{500};
+
+/// How long the store holds a read of the listings back; each target writes about once a second.
+constexpr Millis ListingsWait{2000};
+
+/// How long the store holds a read of the operators' topic back.
+constexpr Millis OperatorsWait{10000};
+
+/// A load doesn't show requests that were sent less than this before it arrived: one way, and the engine's report.
+constexpr Millis UnseenTime{60};
+
+/// How long a stopping VM still takes requests: until the platform has seen it not ready twice, a second apart.
+constexpr Millis DrainTime{3500};
+
+/// By how much sooner than the platform kills it a stopping process ends.
+constexpr Millis KillMargin{400};
+
+/// Shortest and longest advice to a refused caller: a slot comes free in some 100 ms, an overload lasts seconds.
+constexpr Millis ShortestRetryAfter{300};
+constexpr Millis LongestRetryAfter{900};
+
+/// By how much sooner than the contract asks requests stop to begin on old weights: a queue at the engine and the way.
+constexpr Millis VersionMargin{1200};
+
+std::string_view requestPath(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+Front::Front(asio::io_context &ioLoop, platform::DaemonSettings daemonSettings, FrontOptions frontOptions)
+    : loop(ioLoop)
+    , settings(std::move(daemonSettings))
+    , options(frontOptions)
+    , client(ioLoop)
+    , random(systemRandom())
+    , m_callers(ioLoop,
+                [this](const std::shared_ptr<net::Connection> &connection) {
+                    auto caller = std::make_shared<CallerConnection>(*this, connection);
+                    m_connections.emplace(caller.get(), caller);
+                    caller->start();
+                })
+    , m_readiness(ioLoop, [this](const std::shared_ptr<net::Connection> &connection) { serveReadiness(connection); })
+    , m_metrics(ioLoop, [this](const std::shared_ptr<net::Connection> &connection) { serveMetrics(connection); })
+    , m_tick(ioLoop)
+    , m_loads(ioLoop)
+{
+    retries.ratio = settings.bounds.retryRatio;
+    retries.allowance = settings.bounds.retryAllowance;
+    retries.window = settings.bounds.retryWindow;
+    // Until target VMs tell how many entry VMs there are, a share that is safe for many is used.
+    constexpr int AssumedEntryVms = 16;
+    retries.entryVms = AssumedEntryVms;
+}
+
+Result<void> Front::start()
+{
+    const auto opened = [](std::string_view what, const asio::error_code &ec) -> Result<void> {
+        if (ec) {
+            return failure(ErrorCode::Unavailable, std::string(what) + " can't be opened: " + ec.message());
+        }
+        return {};
+    };
+    Result<void> ok = opened("the callers' address", m_callers.open(settings.callers.ip, settings.callers.port));
+    ok = ok ? opened("the readiness address", m_readiness.open(settings.readiness.ip, settings.readiness.port)) : ok;
+    if (options.metricsPort != 0) {
+        ok = ok ? opened("the metrics address", m_metrics.open(settings.ip, options.metricsPort)) : ok;
+    }
+    if (!ok) {
+        return ok;
+    }
+    asio::error_code ec;
+    m_loads.open(asio::ip::udp::v4(), ec);
+    if (!ec) {
+        m_loads.bind({asio::ip::make_address_v4(settings.ip), settings.firstPeerPort}, ec);
+    }
+    if (ec) {
+        return failure(ErrorCode::Unavailable, "the address for loads can't be opened: " + ec.message());
+    }
+    m_loads.non_blocking(true, ec);
+    receiveLoads();
+    m_operatorsFeed = std::make_unique<feed::TopicFeed>(
+        loop, client, settings.store,
+        feed::FeedOptions{.topic = std::string(platform::OperatorsTopic), .wait = OperatorsWait},
+        feed::FeedEvents{
+            .snapshot =
+                [this](const std::vector<platform::KeyedRecord> &records) {
+                    for (const platform::KeyedRecord &record : records) {
+                        applyOperatorRecord(record);
+                    }
+                },
+            .record = [this](const platform::KeyedRecord &record) { applyOperatorRecord(record); },
+            .store = [this](bool away) { operatorsAway = away; },
+        });
+    m_targetsFeed = std::make_unique<feed::TopicFeed>(
+        loop, client, settings.store,
+        feed::FeedOptions{.topic = std::string(platform::TargetsTopic), .wait = ListingsWait, .pause = ListingsPause},
+        feed::FeedEvents{
+            .snapshot =
+                [this](const std::vector<platform::KeyedRecord> &records) {
+                    std::vector<serving::TargetEntry> entries;
+                    for (const platform::KeyedRecord &record : records) {
+                        if (auto entry = platform::decodeTarget(record.key, record.value.value_or(""))) {
+                            entries.push_back(std::move(*entry));
+                        } else {
+                            ++counters.unusableListings;
+                        }
+                    }
+                    replaceEntries(table, std::move(entries), steadyMillis());
+                },
+            .record = [this](const platform::KeyedRecord &record) { applyTargetRecord(record); },
+            .store = [this](bool away) { noteStore(table, away, steadyMillis()); },
+        });
+    m_operatorsFeed->start();
+    m_targetsFeed->start();
+    tick();
+    logInfo(Part::Front, "The entry daemon has started.", {{"vm", settings.vmName}, {"domain", settings.domain}});
+    return {};
+}
+
+std::uint16_t Front::callerPort() const
+{
+    return m_callers.port();
+}
+
+void Front::applyOperatorRecord(const platform::KeyedRecord &record)
+{
+    if (!record.value) {
+        return; // The newest desired state stays in force when its record is dropped.
+    }
+    if (platform::isNamedWeightsKey(record.key)) {
+        const auto weights = platform::decodeNamedWeights(*record.value);
+        if (!weights) {
+            logWarning(Part::Front, "A naming of weights can't be read.",
+                       {{"key", record.key}, {"cause", weights.error().message}});
+            return;
+        }
+        NamedVersion &known = named[weights->model];
+        if (weights->version > known.version) {
+            known = {.version = weights->version, .learntAt = steadyMillis()};
+            logInfo(Part::Front, "New weights were named.",
+                    {{"model", weights->model}, {"version", std::to_string(weights->version)}});
+        }
+        return;
+    }
+    if (record.key != platform::DesiredStateKey) {
+        return;
+    }
+    auto decoded = platform::decodeDesiredState(*record.value);
+    if (!decoded) {
+        logError(Part::Front, "A desired state can't be read.", {{"cause", decoded.error().message}});
+        return;
+    }
+    if (state && decoded->version <= state->version) {
+        return; // Read again, or older.
+    }
+    state = std::make_shared<const serving::DesiredState>(std::move(*decoded));
+    logInfo(Part::Front, "A desired state is in force.",
+            {{"version", std::to_string(state->version)},
+             {"routes", std::to_string(state->routes.size())},
+             {"offset", std::to_string(record.offset)}});
+}
+
+void Front::applyTargetRecord(const platform::KeyedRecord &record)
+{
+    const Millis now = steadyMillis();
+    if (!record.value) {
+        applyEntry(table, record.key, std::nullopt, now);
+        logInfo(Part::Front, "A target's listing was removed.", {{"target", record.key}});
+        return;
+    }
+    auto entry = platform::decodeTarget(record.key, *record.value);
+    if (!entry) {
+        ++counters.unusableListings;
+        logInfo(Part::Front, "A listing names no target to use.",
+                {{"target", record.key}, {"cause", entry.error().message}});
+        applyEntry(table, record.key, std::nullopt, now);
+        return;
+    }
+    const auto it = table.targets.find(record.key);
+    const bool news = it == table.targets.end() || it->second.entry.leaving != entry->leaving
+        || it->second.entry.startedAt != entry->startedAt;
+    if (news) {
+        logInfo(Part::Front, "A target's listing changed.",
+                {{"target", record.key},
+                 {"service", entry->service},
+                 {"leaving", entry->leaving ? "1" : "0"},
+                 {"offset", std::to_string(record.offset)}});
+    }
+    applyEntry(table, record.key, std::move(*entry), now);
+}
+
+std::int64_t Front::minVersionOf(const std::string &model, Millis now) const
+{
+    const auto it = named.find(model);
+    if (it == named.end() || now < it->second.learntAt + settings.bounds.versionTime - VersionMargin) {
+        return 0;
+    }
+    return it->second.version;
+}
+
+Millis Front::retryAfter()
+{
+    return Millis{
+        std::uniform_int_distribution<std::int64_t>(ShortestRetryAfter.count(), LongestRetryAfter.count())(random)};
+}
+
+void Front::accept(const std::shared_ptr<Call> &call)
+{
+    if (const auto refused = call->resolve()) {
+        call->refuse(*refused);
+        return;
+    }
+    noteRequest(retries, call->service, call->receivedAt);
+    dispatch(call);
+}
+
+void Front::dispatch(const std::shared_ptr<Call> &call)
+{
+    if (call->isDone()) {
+        return;
+    }
+    const Millis now = steadyMillis();
+    const serving::Placement placement = place(table,
+                                               {.service = call->service,
+                                                .domain = settings.domain,
+                                                .minVersion = minVersionOf(call->request.model, now),
+                                                .engine = call->engine,
+                                                .urgent = !call->isLate(now),
+                                                .tried = &call->tried,
+                                                .now = now},
+                                               random);
+    if (placement.target != nullptr) {
+        call->send(*placement.target);
+        return;
+    }
+    const bool mayWait = placement.reason == serving::NoTarget::Full && now < call->waitUntil && !call->isLate(now);
+    if (!mayWait) {
+        call->refuse(placement.reason == serving::NoTarget::Full ? CallOutcome::Full : CallOutcome::NoTarget);
+        return;
+    }
+    const auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                 [&](const auto &other) { return other->priority > call->priority; });
+    m_waiting.insert(it, call);
+}
+
+void Front::pumpWaiting()
+{
+    if (m_waiting.empty()) {
+        return;
+    }
+    std::list<std::shared_ptr<Call>> calls;
+    calls.swap(m_waiting);
+    for (const std::shared_ptr<Call> &call : calls) {
+        dispatch(call);
+    }
+}
+
+void Front::forget(const CallerConnection *connection)
+{
+    // The connection may be on the stack: it is released once the loop is back.
+    const auto it = m_connections.find(connection);
+    if (it != m_connections.end()) {
+        asio::post(loop, [kept = std::move(it->second)] {});
+        m_connections.erase(it);
+    }
+}
+
+bool Front::isReady() const
+{
+    return state != nullptr && !draining;
+}
+
+void Front::serveReadiness(const std::shared_ptr<net::Connection> &connection)
+{
+    auto reader = std::make_shared<http::MessageReader>(http::MessageKind::Request, http::ReaderLimits{});
+    m_administration.emplace(connection.get(), connection);
+    auto *raw = connection.get();
+    connection->start({
+        .data =
+            [this, raw, reader](std::string_view bytes) {
+                const auto used = reader->feed(bytes);
+                if (used && !reader->complete()) {
+                    return;
+                }
+                const bool known = used && requestPath(reader->request().target) == platform::ReadinessPath;
+                const int status = !known ? 404 : (isReady() ? 200 : 503);
+                http::ResponseHead head{.status = status};
+                head.keepAlive = used && reader->request().keepAlive;
+                const bool keep = head.keepAlive;
+                raw->write(writeResponse(head, ""));
+                reader->next();
+                if (!keep) {
+                    raw->closeAfterWrites();
+                    m_administration.erase(raw);
+                }
+            },
+        .closed = [this, raw](net::ClosedBy) { m_administration.erase(raw); },
+    });
+}
+
+void Front::serveMetrics(const std::shared_ptr<net::Connection> &connection)
+{
+    m_administration.emplace(connection.get(), connection);
+    auto *raw = connection.get();
+    connection->start({
+        .data =
+            [this, raw](std::string_view) {
+                http::ResponseHead head{.status = 200, .keepAlive = false};
+                head.headers.add("Content-Type", "text/plain; version=0.0.4");
+                raw->write(writeResponse(head, metricsText()));
+                raw->closeAfterWrites();
+                m_administration.erase(raw);
+            },
+        .closed = [this, raw](net::ClosedBy) { m_administration.erase(raw); },
+    });
+}
+
+std::string Front::metricsText() const
+{
+    std::string out;
+    writeCounters(out, counters);
+    writeCounter(out, "ibislock_connections_opened_total", "Connections opened to targets and the store.",
+                 client.opened());
+    writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
+                 m_operatorsFeed->calls() + m_targetsFeed->calls());
+    writeCounter(out, "ibislock_log_lines_dropped_total", "Log lines that were left out.", droppedLogLines());
+    writeGauge(out, "ibislock_state_version", "Version of the desired state in force.", state ? state->version : 0);
+    writeGauge(out, "ibislock_store_away", "1 while the operators' topic can't be read.", operatorsAway ? 1 : 0);
+    writeGauge(out, "ibislock_targets", "Targets that are known.", static_cast<std::int64_t>(table.targets.size()));
+    writeGauge(out, "ibislock_waiting", "Requests that wait for a slot.", static_cast<std::int64_t>(m_waiting.size()));
+    writeGauge(out, "ibislock_caller_connections", "Connections of callers.",
+               static_cast<std::int64_t>(m_connections.size()));
+    writeGauge(out, "ibislock_entry_vms", "Entry VMs that share the retry budget.", retries.entryVms);
+    return out;
+}
+
+void Front::tick()
+{
+    const Millis now = steadyMillis();
+    expireLapsed(table, now);
+    std::vector<std::shared_ptr<CallerConnection>> connections;
+    connections.reserve(m_connections.size());
+    for (const auto &[raw, connection] : m_connections) {
+        connections.push_back(connection);
+    }
+    for (const auto &connection : connections) {
+        connection->checkTime(now);
+    }
+    pumpWaiting();
+    if (now >= m_nextSubscription) {
+        m_nextSubscription = now + SubscriptionTime;
+        subscribe();
+        client.closeIdle(now);
+    }
+    flushLog();
+    if (draining) {
+        finishDrainIfIdle(now);
+    }
+    m_tick.expires_after(TickTime);
+    m_tick.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
+void Front::subscribe()
+{
+    const std::string message = peer::encode(peer::SubscribeMessage{});
+    for (const auto &[id, target] : table.targets) {
+        const auto endpoint = platform::endpointFrom(target.entry.address);
+        const bool engine = !target.entry.models.empty() || target.load.has_value()
+            || (state && state->services.contains(target.entry.service)
+                && state->services.at(target.entry.service).engine.has_value());
+        asio::error_code ec;
+        const auto address = asio::ip::make_address_v4(endpoint ? endpoint->ip : "", ec);
+        if (!engine || ec) {
+            continue;
+        }
+        m_loads.send_to(asio::buffer(message), {address, settings.firstPeerPort}, 0, ec);
+        // A datagram that can't be sent is made up for by the next one.
+    }
+}
+
+void Front::receiveLoads()
+{
+    m_loads.async_receive_from(
+        asio::buffer(m_loadBuffer), m_loadSender, [this](const asio::error_code &ec, std::size_t n) {
+            if (ec == asio::error::operation_aborted) {
+                return;
+            }
+            if (!ec) {
+                applyLoad(m_loadSender.address().to_string(), std::string_view(m_loadBuffer.data(), n));
+            }
+            receiveLoads();
+        });
+}
+
+void Front::applyLoad(const std::string &ip, std::string_view bytes)
+{
+    const auto message = peer::decodeDatagram(bytes);
+    if (!message || !std::holds_alternative<peer::LoadMessage>(*message)) {
+        logDebug(Part::Front, "A datagram can't be read.", {{"from", ip}});
+        return;
+    }
+    const auto &load = std::get<peer::LoadMessage>(*message);
+    auto &[incarnation, sequence] = m_loadSequence[ip];
+    if (incarnation == load.incarnation && load.sequence <= sequence) {
+        return;
+    }
+    incarnation = load.incarnation;
+    sequence = load.sequence;
+    retries.entryVms = std::max(load.entryVms, 1);
+    const Millis now = steadyMillis();
+    for (auto &[id, target] : table.targets) {
+        if (!target.entry.address.starts_with(ip + ":")) {
+            continue;
+        }
+        int unseen = 0;
+        for (const Millis sentAt : target.recentSends) {
+            unseen += sentAt > now - UnseenTime ? 1 : 0;
+        }
+        serving::applyLoad(table, id,
+                           {.running = load.running,
+                            .queued = load.queued,
+                            .version = load.version,
+                            .loading = load.loading,
+                            .at = now},
+                           unseen);
+    }
+    pumpWaiting();
+}
+
+void Front::stop()
+{
+    if (draining) {
+        return;
+    }
+    draining = true;
+    drainingSince = steadyMillis();
+    logInfo(Part::Front, "The entry daemon is stopping.", {{"connections", std::to_string(m_connections.size())}});
+}
+
+void Front::finishDrainIfIdle(Millis now)
+{
+    const bool busy =
+        std::any_of(m_connections.begin(), m_connections.end(), [](const auto &item) { return item.second->isBusy(); });
+    const bool idleLongEnough = !busy && now - drainingSince >= DrainTime;
+    if (idleLongEnough || now - drainingSince >= settings.bounds.stopTime - KillMargin) {
+        logInfo(Part::Front, "The entry daemon has stopped.", {{"busy", busy ? "1" : "0"}});
+        flushLog();
+        loop.stop();
+    }
+}
+
+} // namespace ibislock::front
--- /dev/null
+++ b/libs/front/src/front.h
@@ -0,0 +1,102 @@
+// The state that the parts of an entry VM's daemon share, and what they do together.
+
+#pragma once
+
+#include "counters.h"
+#include "ibislock/feed/topic_feed.h"
+#include "ibislock/front/daemon.h"
+#include "ibislock/net/http_client.h"
+#include "ibislock/platform/listings.h"
+#include "ibislock/serving/desired_state.h"
+#include "ibislock/serving/placement.h"
+#include "ibislock/serving/retry_share.h"
+
+#include <asio/ip/udp.hpp>
+#include <list>
+#include <set>
+
+namespace ibislock::front
+{
+
+class Call;
+class CallerConnection;
+
+/// Weights that the operators have named, and when this process learnt of it.
+struct NamedVersion
+{
+    std::int64_t version = 0;
+    Millis learntAt{0};
+};
+
+/// The daemon's state and parts.
+class Front
+{
+public:
+    Front(asio::io_context &loop, platform::DaemonSettings settings, FrontOptions options);
+
+    Result<void> start();
+    void stop();
+    std::uint16_t callerPort() const;
+
+    /// Takes a call that has been read whole.
+    void accept(const std::shared_ptr<Call> &call);
+
+    /// Sends a call to a target, lets it wait, or refuses it.
+    void dispatch(const std::shared_ptr<Call> &call);
+
+    /// Tells that a target may have room.
+    void pumpWaiting();
+
+    /// The oldest weights with which a call may begin now.
+    std::int64_t minVersionOf(const std::string &model, Millis now) const;
+
+    /// When a refused caller may come back.
+    Millis retryAfter();
+
+    /// Removes a caller's connection.
+    void forget(const CallerConnection *connection);
+
+    asio::io_context &loop;
+    platform::DaemonSettings settings;
+    FrontOptions options;
+    net::HttpClient client;
+    serving::TargetTable table;
+    std::shared_ptr<const serving::DesiredState> state;
+    std::map<std::string, NamedVersion, std::less<>> named;
+    serving::RetryShare retries;
+    Random random;
+    FrontCounters counters;
+    bool draining = false;
+    bool operatorsAway = false; ///< The operators' topic can't be read, so the state may be old.
+    Millis drainingSince{0};
+
+private:
+    void applyOperatorRecord(const platform::KeyedRecord &record);
+    void applyTargetRecord(const platform::KeyedRecord &record);
+    void serveReadiness(const std::shared_ptr<net::Connection> &connection);
+    void serveMetrics(const std::shared_ptr<net::Connection> &connection);
+    void tick();
+    void subscribe();
+    void receiveLoads();
+    void applyLoad(const std::string &ip, std::string_view bytes);
+    void finishDrainIfIdle(Millis now);
+    bool isReady() const;
+    std::string metricsText() const;
+
+    net::Listener m_callers;
+    net::Listener m_readiness;
+    net::Listener m_metrics;
+    std::unique_ptr<feed::TopicFeed> m_operatorsFeed;
+    std::unique_ptr<feed::TopicFeed> m_targetsFeed;
+    asio::steady_timer m_tick;
+    asio::ip::udp::socket m_loads;
+    asio::ip::udp::endpoint m_loadSender;
+    std::array<char, 512> m_loadBuffer{};
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_loadSequence; ///< By address: process, number.
+    std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
+    std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_administration;
+    std::list<std::shared_ptr<Call>> m_waiting; ///< Calls to engines that are full, most urgent first.
+    Millis m_nextSubscription{0};
+};
+
+} // namespace ibislock::front
--- a/libs/http/include/ibislock/http/reader.h
+++ b/libs/http/include/ibislock/http/reader.h
@@ -32,6 +32,8 @@
     /// @param limits what a message may be at most.
     MessageReader(MessageKind kind, ReaderLimits limits);
     ~MessageReader();
+    MessageReader(MessageReader &&) noexcept;
+    MessageReader &operator=(MessageReader &&) noexcept;
 
     /// Reads bytes up to the end of the present message.
     /// @return how many bytes belong to the message; Exhausted if a limit is passed, InvalidArgument for bytes that are
--- a/libs/http/src/reader.cpp
+++ b/libs/http/src/reader.cpp
@@ -137,6 +137,8 @@
 }
 
 MessageReader::~MessageReader() = default;
+MessageReader::MessageReader(MessageReader &&) noexcept = default;
+MessageReader &MessageReader::operator=(MessageReader &&) noexcept = default;
 
 Result<std::size_t> MessageReader::feed(std::string_view bytes)
 {
--- /dev/null
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -0,0 +1,90 @@
+// What the daemons of entry and target VMs say to each other, as values and as bytes. No I/O.
+//
+//     std::string datagram = encode(LoadMessage{.running = 3});
+//     if (auto message = decodeDatagram(bytes)) { ... }
+
+#pragma once
+
+#include "ibislock/base/digest.h"
+#include "ibislock/base/error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace ibislock::peer
+{
+
+/// An entry VM asks a target VM for its loads.
+struct SubscribeMessage
+{
+};
+
+/// The load of the engine beside a target daemon.
+struct LoadMessage
+{
+    std::uint64_t incarnation = 0; ///< Of the sending process.
+    std::uint64_t sequence = 0; ///< Grows with each message of one process.
+    int running = 0;
+    int queued = 0;
+    std::int64_t version = 0; ///< Of the loaded weights; 0 while there are none.
+    bool loading = false; ///< Takes no requests until its weights are loaded.
+    int entryVms = 0; ///< How many entry VMs subscribe.
+};
+
+/// A message over UDP.
+using Datagram = std::variant<SubscribeMessage, LoadMessage>;
+
+/// Writes a subscription.
+std::string encode(const SubscribeMessage &message);
+
+/// Writes a load.
+std::string encode(const LoadMessage &message);
+
+/// Reads a datagram.
+/// @return the message, or Corrupt.
+Result<Datagram> decodeDatagram(std::string_view bytes);
+
+/// The index that stands for the manifest of a version.
+inline constexpr int ManifestIndex = -1;
+
+/// What a piece message carries.
+enum class PieceContent { Ask, Bytes, Missing, Manifest };
+
+/// A message about one piece of a version of weights.
+struct PieceMessage
+{
+    std::string model;
+    std::int64_t version = 0;
+    int index = ManifestIndex;
+    PieceContent content = PieceContent::Ask;
+    std::uint32_t waitMs = 0; ///< Of an ask: how long the asked VM may wait until it holds the piece.
+    std::string bytes; ///< Of a piece.
+    std::uint64_t chunkBytes = 0; ///< Of a manifest.
+    std::vector<Digest> digests; ///< Of a manifest.
+};
+
+/// Writes a piece message with its length in front.
+std::string encode(const PieceMessage &message);
+
+/// The largest piece message that is read; a piece has 32 KiB on the present installations.
+inline constexpr std::size_t MaxPieceMessageBytes = 4 * 1024 * 1024;
+
+/// Takes piece messages out of bytes as they arrive.
+class PieceReader
+{
+public:
+    /// Adds bytes.
+    void add(std::string_view bytes);
+
+    /// Takes the next message.
+    /// @return a message; NotFound if more bytes are needed; Corrupt for bytes that are none.
+    Result<PieceMessage> next();
+
+private:
+    std::string m_bytes;
+};
+
+} // namespace ibislock::peer
--- /dev/null
+++ b/libs/peer/schema/peer.capnp
@@ -0,0 +1,42 @@
+@0xb7d2a41f90c3e85d;
+# Messages between the entry and target VMs' daemons on the users' platform.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("ibislock::peer::wire");
+
+struct Datagram {
+  # Sent over UDP; lost ones are made up for by the next.
+  union {
+    subscribe @0 :Void;  # An entry VM asks a target VM for loads; valid for some seconds.
+    load @1 :Load;
+  }
+}
+
+struct Load {
+  # The load of the engine beside a target daemon.
+  sequence @0 :UInt64;  # Grows with each message of one process; older ones are ignored.
+  incarnation @1 :UInt64;  # Of the sending process.
+  running @2 :UInt16;
+  queued @3 :UInt16;
+  version @4 :Int64;  # Of the loaded weights; 0 while there are none.
+  loading @5 :Bool;  # Takes no requests until its weights are loaded.
+  entryVms @6 :UInt16;  # How many entry VMs subscribe.
+}
+
+struct PieceMessage {
+  # Sent over TCP between target VMs, each behind its length in four bytes, little endian.
+  model @0 :Text;
+  version @1 :Int64;
+  index @2 :Int32;  # Of the piece; -1 for the manifest.
+  union {
+    ask @3 :UInt32;  # Milliseconds that the asked VM may wait until it holds the piece.
+    bytes @4 :Data;
+    missing @5 :Void;
+    manifest @6 :Manifest;
+  }
+}
+
+struct Manifest {
+  chunkBytes @0 :UInt64;
+  digests @1 :Data;  # SHA-256 digests, one after another.
+}
--- /dev/null
+++ b/libs/peer/src/messages.cpp
@@ -0,0 +1,206 @@
+#include "ibislock/peer/messages.h"
+
+#include "peer.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <cstring>
+#include <kj/exception.h>
+
+namespace ibislock::peer
+{
+
+namespace
+{
+
+constexpr std::size_t LengthBytes = 4;
+
+std::string flatten(capnp::MessageBuilder &message)
+{
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+/// Copies bytes to words, as the codec needs its input aligned.
+kj::Array<capnp::word> aligned(std::string_view bytes)
+{
+    auto words = kj::heapArray<capnp::word>((bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
+    if (words.size() > 0) {
+        words.back() = {};
+        std::memcpy(words.begin(), bytes.data(), bytes.size());
+    }
+    return words;
+}
+
+capnp::Data::Reader dataOf(std::string_view bytes)
+{
+    return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
+}
+
+std::string_view viewOf(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const char *>(data.begin()), data.size()};
+}
+
+Result<std::vector<Digest>> digestsFrom(std::string_view bytes)
+{
+    std::vector<Digest> out;
+    if (bytes.size() % DigestBytes != 0) {
+        return failure(ErrorCode::Corrupt, "digests of a manifest are cut off");
+    }
+    for (std::size_t at = 0; at < bytes.size(); at += DigestBytes) {
+        out.push_back(*digestFromBytes(bytes.substr(at, DigestBytes)));
+    }
+    return out;
+}
+
+Result<PieceMessage> decodePiece(std::string_view bytes)
+{
+    PieceMessage out;
+    const auto words = aligned(bytes);
+    capnp::FlatArrayMessageReader reader(words);
+    const auto message = reader.getRoot<wire::PieceMessage>();
+    out.model = message.getModel().cStr();
+    out.version = message.getVersion();
+    out.index = message.getIndex();
+    switch (message.which()) {
+    case wire::PieceMessage::ASK:
+        out.content = PieceContent::Ask;
+        out.waitMs = message.getAsk();
+        return out;
+    case wire::PieceMessage::BYTES:
+        out.content = PieceContent::Bytes;
+        out.bytes = viewOf(message.getBytes());
+        return out;
+    case wire::PieceMessage::MISSING:
+        out.content = PieceContent::Missing;
+        return out;
+    case wire::PieceMessage::MANIFEST: {
+        out.content = PieceContent::Manifest;
+        out.chunkBytes = message.getManifest().getChunkBytes();
+        auto digests = digestsFrom(viewOf(message.getManifest().getDigests()));
+        if (!digests) {
+            return tl::unexpected(digests.error());
+        }
+        out.digests = std::move(*digests);
+        return out;
+    }
+    }
+    return failure(ErrorCode::Corrupt, "a piece message of an unknown kind");
+}
+
+} // namespace
+
+std::string encode(const SubscribeMessage & /*message*/)
+{
+    capnp::MallocMessageBuilder builder;
+    builder.initRoot<wire::Datagram>().setSubscribe();
+    return flatten(builder);
+}
+
+std::string encode(const LoadMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto load = builder.initRoot<wire::Datagram>().initLoad();
+    load.setIncarnation(message.incarnation);
+    load.setSequence(message.sequence);
+    load.setRunning(static_cast<std::uint16_t>(message.running));
+    load.setQueued(static_cast<std::uint16_t>(message.queued));
+    load.setVersion(message.version);
+    load.setLoading(message.loading);
+    load.setEntryVms(static_cast<std::uint16_t>(message.entryVms));
+    return flatten(builder);
+}
+
+Result<Datagram> decodeDatagram(std::string_view bytes)
+{
+    try {
+        const auto words = aligned(bytes);
+        capnp::FlatArrayMessageReader reader(words);
+        const auto message = reader.getRoot<wire::Datagram>();
+        if (message.isSubscribe()) {
+            return SubscribeMessage{};
+        }
+        if (!message.isLoad()) {
+            return failure(ErrorCode::Corrupt, "a datagram of an unknown kind");
+        }
+        const auto load = message.getLoad();
+        return LoadMessage{.incarnation = load.getIncarnation(),
+                           .sequence = load.getSequence(),
+                           .running = load.getRunning(),
+                           .queued = load.getQueued(),
+                           .version = load.getVersion(),
+                           .loading = load.getLoading(),
+                           .entryVms = load.getEntryVms()};
+    } catch (const kj::Exception &exception) {
+        return failure(ErrorCode::Corrupt, exception.getDescription().cStr());
+    }
+}
+
+std::string encode(const PieceMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto piece = builder.initRoot<wire::PieceMessage>();
+    piece.setModel(message.model);
+    piece.setVersion(message.version);
+    piece.setIndex(message.index);
+    switch (message.content) {
+    case PieceContent::Ask:
+        piece.setAsk(message.waitMs);
+        break;
+    case PieceContent::Bytes:
+        piece.setBytes(dataOf(message.bytes));
+        break;
+    case PieceContent::Missing:
+        piece.setMissing();
+        break;
+    case PieceContent::Manifest: {
+        auto manifest = piece.initManifest();
+        manifest.setChunkBytes(message.chunkBytes);
+        std::string digests;
+        for (const Digest &digest : message.digests) {
+            digests += bytesOf(digest);
+        }
+        manifest.setDigests(dataOf(digests));
+        break;
+    }
+    }
+    const std::string body = flatten(builder);
+    std::string out(LengthBytes, '\0');
+    for (std::size_t n = 0; n < LengthBytes; ++n) {
+        out[n] = static_cast<char>(body.size() >> (8 * n) & 0xffU);
+    }
+    return out + body;
+}
+
+void PieceReader::add(std::string_view bytes)
+{
+    m_bytes.append(bytes);
+}
+
+Result<PieceMessage> PieceReader::next()
+{
+    if (m_bytes.size() < LengthBytes) {
+        return failure(ErrorCode::NotFound, "more bytes are needed");
+    }
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < LengthBytes; ++i) {
+        n |= static_cast<std::size_t>(static_cast<unsigned char>(m_bytes[i])) << (8 * i);
+    }
+    if (n > MaxPieceMessageBytes) {
+        return failure(ErrorCode::Corrupt, "a piece message is too large");
+    }
+    if (m_bytes.size() < LengthBytes + n) {
+        return failure(ErrorCode::NotFound, "more bytes are needed");
+    }
+    const std::string body = m_bytes.substr(LengthBytes, n);
+    m_bytes.erase(0, LengthBytes + n);
+    try {
+        return decodePiece(body);
+    } catch (const kj::Exception &exception) {
+        return failure(ErrorCode::Corrupt, exception.getDescription().cStr());
+    }
+}
+
+} // namespace ibislock::peer
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -9,6 +9,7 @@
 #include "ibislock/base/clock.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -62,6 +63,7 @@
     TargetHealth health;
     int inFlight = 0; ///< Requests of this entry VM.
     int sentSinceLoad = 0; ///< Requests of this entry VM that the load doesn't show yet.
+    std::deque<Millis> recentSends; ///< When the last requests of this entry VM were sent.
     std::optional<Millis> lapsedSince; ///< The listing was lost in an outage of the store.
 };
 
@@ -93,6 +95,12 @@
 /// @param stillUnseen requests sent too short ago for the report to show them.
 void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, int stillUnseen);
 
+/// How many times of sends are kept; more than one entry VM sends to one target between two reports.
+inline constexpr std::size_t RecentSends = 32;
+
+/// Notes that a request was sent to a target.
+void noteSend(Target &target, Millis now);
+
 /// Failures in a row after which a target is avoided; one or two are also seen under load.
 inline constexpr int FailuresToAvoid = 3;
 
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -96,6 +96,16 @@
     it->second.sentSinceLoad = stillUnseen;
 }
 
+void noteSend(Target &target, Millis now)
+{
+    ++target.inFlight;
+    ++target.sentSinceLoad;
+    target.recentSends.push_back(now);
+    if (target.recentSends.size() > RecentSends) {
+        target.recentSends.pop_front();
+    }
+}
+
 void noteOutcome(Target &target, bool good, Millis now)
 {
     if (good) {
--- /dev/null
+++ b/libs/side/src/engine_watch.cpp
@@ -0,0 +1,92 @@
+#include "engine_watch.h"
+
+#include "ibislock/base/log.h"
+
+namespace ibislock::side
+{
+
+namespace
+{
+
+/// Between two reports; half the age at which a load becomes misleading to entry VMs.
+constexpr Millis PollTime{100};
+
+/// How long a report may take on the VM itself.
+constexpr Millis ReportTime{1000};
+
+/// Reports in a row that may fail before the engine counts as gone.
+constexpr int FailuresToLose = 3;
+
+constexpr int OkStatus = 200;
+
+} // namespace
+
+EngineWatch::EngineWatch(asio::io_context &loop, net::HttpClient &client, platform::Endpoint engine,
+                         std::function<void()> changed)
+    : m_client(client)
+    , m_engine(std::move(engine))
+    , m_changed(std::move(changed))
+    , m_timer(loop)
+{
+}
+
+void EngineWatch::start()
+{
+    poll();
+}
+
+void EngineWatch::call(const platform::ApiRequest &request, Millis timeout,
+                       std::function<void(int status, std::string body)> done)
+{
+    http::RequestHead head = request.head;
+    head.headers.add("Host", m_engine.ip);
+    m_client.call(m_engine.ip, m_engine.port, writeRequest(head, request.body),
+                  {.connectTime = timeout, .timeout = timeout},
+                  [done = std::move(done)](net::ExchangeEnd end, const http::ResponseHead &answer, std::string body) {
+                      done(end == net::ExchangeEnd::Complete ? answer.status : 0, std::move(body));
+                  });
+}
+
+const std::optional<platform::EngineReport> &EngineWatch::report() const
+{
+    return m_report;
+}
+
+Millis EngineWatch::reportedAt() const
+{
+    return m_reportedAt;
+}
+
+std::int64_t EngineWatch::loadedVersion() const
+{
+    return m_report && !m_report->models.empty() ? m_report->models.front().version : 0;
+}
+
+void EngineWatch::poll()
+{
+    call(platform::reportRequest(), ReportTime, [this](int status, const std::string &body) {
+        auto report = status == OkStatus ? platform::decodeReport(body)
+                                         : failure(ErrorCode::Unavailable, "status " + std::to_string(status));
+        if (report) {
+            if (!m_report) {
+                logInfo(Part::Side, "The engine answers.",
+                        {{"version", std::to_string(report->models.empty() ? 0 : report->models.front().version)}});
+            }
+            m_report = std::move(*report);
+            m_reportedAt = steadyMillis();
+            m_failures = 0;
+        } else if (++m_failures == FailuresToLose) {
+            logWarning(Part::Side, "The engine does not answer.", {{"cause", report.error().message}});
+            m_report.reset();
+        }
+        m_changed();
+        m_timer.expires_after(PollTime);
+        m_timer.async_wait([this](const asio::error_code &ec) {
+            if (!ec) {
+                poll();
+            }
+        });
+    });
+}
+
+} // namespace ibislock::side
--- /dev/null
+++ b/libs/side/src/piece_exchange.cpp
@@ -0,0 +1,225 @@
+#include "piece_exchange.h"
+
+#include "ibislock/base/log.h"
+
+namespace ibislock::side
+{
+
+namespace
+{
+
+/// Between two looks at the times of asks.
+constexpr Millis TickTime{50};
+
+/// Pieces that are read and queued for others at once; bounds memory, and is enough to keep a link busy.
+constexpr int ServedAtOnce = 4;
+
+/// Queued bytes beyond which a VM gets no further piece before it has taken those.
+constexpr std::size_t QueuedBytes = 96 * 1024;
+
+bool answers(const peer::PieceMessage &answer, const peer::PieceMessage &ask)
+{
+    return answer.model == ask.model && answer.version == ask.version && answer.index == ask.index;
+}
+
+} // namespace
+
+PieceExchange::PieceExchange(asio::io_context &loop, std::uint16_t port, PieceStore store)
+    : m_loop(loop)
+    , m_port(port)
+    , m_store(std::move(store))
+    , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); })
+    , m_tick(loop)
+{
+}
+
+asio::error_code PieceExchange::open(const std::string &ip)
+{
+    const asio::error_code ec = m_listener.open(ip, m_port);
+    if (!ec) {
+        tick();
+    }
+    return ec;
+}
+
+void PieceExchange::ask(const std::string &vm, peer::PieceMessage ask, Millis time, PieceAnswer done)
+{
+    Asked &asked = m_asked[vm];
+    const std::string bytes = peer::encode(ask);
+    asked.pending.push_back({.ask = std::move(ask), .until = steadyMillis() + time, .done = std::move(done)});
+    if (asked.connection) {
+        asked.connection->write(bytes);
+        return;
+    }
+    asked.unsent += bytes;
+    if (!asked.connecting) {
+        connect(vm);
+    }
+}
+
+void PieceExchange::connect(const std::string &vm)
+{
+    Asked &asked = m_asked[vm];
+    asio::error_code ec;
+    const auto address = asio::ip::make_address_v4(vm, ec);
+    if (ec) {
+        asio::post(m_loop, [this, vm] { failAll(vm); });
+        return;
+    }
+    asked.connecting = std::make_shared<asio::ip::tcp::socket>(m_loop);
+    asked.connecting->async_connect({address, m_port},
+                                    [this, vm, socket = asked.connecting](const asio::error_code &failed) {
+                                        Asked &to = m_asked[vm];
+                                        if (to.connecting != socket) {
+                                            return; // Given up meanwhile.
+                                        }
+                                        to.connecting.reset();
+                                        if (failed) {
+                                            failAll(vm);
+                                            return;
+                                        }
+                                        to.connection = net::Connection::adopt(std::move(*socket));
+                                        to.reader = std::make_shared<peer::PieceReader>();
+                                        to.connection->start({
+                                            .data = [this, vm](std::string_view bytes) { onAnswer(vm, bytes); },
+                                            .closed = [this, vm](net::ClosedBy) { failAll(vm); },
+                                        });
+                                        to.connection->write(std::exchange(to.unsent, {}));
+                                    });
+}
+
+void PieceExchange::onAnswer(const std::string &vm, std::string_view bytes)
+{
+    const auto reader = m_asked[vm].reader;
+    reader->add(bytes);
+    while (true) {
+        auto message = reader->next();
+        if (!message) {
+            if (message.error().code == ErrorCode::Corrupt) {
+                logWarning(Part::Side, "A VM sent something that is no piece.", {{"vm", vm}});
+                failAll(vm);
+            }
+            return;
+        }
+        auto &pending = m_asked[vm].pending;
+        const auto it = std::find_if(pending.begin(), pending.end(),
+                                     [&](const Pending &item) { return answers(*message, item.ask); });
+        if (it != pending.end()) {
+            const PieceAnswer done = std::move(it->done);
+            pending.erase(it);
+            done(std::move(*message));
+        }
+    }
+}
+
+void PieceExchange::failAll(const std::string &vm)
+{
+    Asked lost = std::move(m_asked[vm]);
+    m_asked[vm] = {};
+    if (lost.connection) {
+        lost.connection->close();
+    }
+    for (const Pending &pending : lost.pending) {
+        pending.done(std::nullopt);
+    }
+}
+
+void PieceExchange::serve(const std::shared_ptr<net::Connection> &connection)
+{
+    m_served.emplace(connection.get(), connection);
+    auto *raw = connection.get();
+    connection->start({
+        .data =
+            [this, raw, reader = std::make_shared<peer::PieceReader>()](std::string_view bytes) {
+                reader->add(bytes);
+                while (raw->isOpen()) {
+                    auto message = reader->next();
+                    if (message) {
+                        takeAsk(raw->shared_from_this(), std::move(*message));
+                        continue;
+                    }
+                    if (message.error().code == ErrorCode::Corrupt) {
+                        raw->close();
+                        m_served.erase(raw);
+                    }
+                    return;
+                }
+            },
+        .closed = [this, raw](net::ClosedBy) { m_served.erase(raw); },
+        .drained = [this] { answerWaiting(); },
+    });
+}
+
+void PieceExchange::takeAsk(const std::shared_ptr<net::Connection> &connection, peer::PieceMessage ask)
+{
+    if (ask.content != peer::PieceContent::Ask) {
+        return;
+    }
+    const Millis until = steadyMillis() + Millis{ask.waitMs};
+    m_waiting.push_back({.connection = connection, .ask = std::move(ask), .until = until});
+    answerWaiting();
+}
+
+void PieceExchange::answerWaiting()
+{
+    const Millis now = steadyMillis();
+    std::vector<Waiting> waiting;
+    waiting.swap(m_waiting);
+    for (Waiting &item : waiting) {
+        const auto connection = item.connection.lock();
+        if (!connection || !connection->isOpen()) {
+            continue;
+        }
+        const std::optional<bool> holds = m_store.holds(item.ask);
+        if (!holds || (!*holds && now >= item.until)) {
+            item.ask.content = peer::PieceContent::Missing;
+            connection->write(peer::encode(item.ask));
+        } else if (!*holds || m_reading >= ServedAtOnce || connection->queued() > QueuedBytes) {
+            m_waiting.push_back(std::move(item));
+        } else {
+            ++m_reading;
+            m_store.read(item.ask, [this, to = item.connection](const peer::PieceMessage &answer) {
+                --m_reading;
+                if (const auto open = to.lock()) {
+                    m_bytesServed += answer.bytes.size();
+                    open->write(peer::encode(answer));
+                }
+                asio::post(m_loop, [this] { answerWaiting(); });
+            });
+        }
+    }
+}
+
+std::uint64_t PieceExchange::bytesServed() const
+{
+    return m_bytesServed;
+}
+
+void PieceExchange::tick()
+{
+    const Millis now = steadyMillis();
+    std::vector<PieceAnswer> late;
+    for (auto &[vm, asked] : m_asked) {
+        std::erase_if(asked.pending, [&](Pending &pending) {
+            const bool over = now >= pending.until;
+            if (over) {
+                late.push_back(std::move(pending.done));
+            }
+            return over;
+        });
+    }
+    for (const PieceAnswer &done : late) {
+        done(std::nullopt);
+    }
+    if (!m_waiting.empty()) {
+        answerWaiting();
+    }
+    m_tick.expires_after(TickTime);
+    m_tick.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
+} // namespace ibislock::side
--- /dev/null
+++ b/libs/side/src/side.cpp
@@ -0,0 +1,321 @@
+#include "side.h"
+
+#include "ibislock/base/log.h"
+#include "ibislock/weights/rendezvous.h"
+
+#include <algorithm>
+
+namespace ibislock::side
+{
+
+namespace
+{
+
+/// How long an entry VM gets loads after it asked for them; it asks each second.
+constexpr Millis SubscriptionTime{3000};
+
+/// Longest time between two loads; entry VMs rely on a load for three times as long.
+constexpr Millis PublishTime{500};
+
+/// How long the listings of other target VMs are used while weights are spread.
+constexpr Millis MembersLifetime{1000};
+
+/// How long the store holds a read of the operators' topic back.
+constexpr Millis OperatorsWait{10000};
+
+/// The first version of any weights; runners hold it before one is named.
+constexpr std::int64_t FirstVersion = 1;
+
+/// From the naming of a version until the first VM loads it: about one copy over a VM's link.
+constexpr Millis FirstTurn{2500};
+
+/// By how much sooner than the contract asks the last VM loads: running requests end first, then it warms up.
+constexpr Millis LastTurnMargin{2600};
+
+} // namespace
+
+Side::Side(asio::io_context &loop, platform::DaemonSettings settings, SideOptions options)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_options(options)
+    , m_client(loop)
+    , m_engine(loop, m_client, m_settings.engine, [this] { onReport(); })
+    , m_agent(loop, m_client, m_engine, m_settings.ip, m_settings.domain, m_settings.firstPeerPort,
+              [this] { return members(); })
+    , m_datagrams(loop)
+    , m_incarnation(newIncarnation())
+{
+}
+
+Result<void> Side::start()
+{
+    asio::error_code ec = m_agent.open();
+    if (!ec) {
+        m_datagrams.open(asio::ip::udp::v4(), ec);
+    }
+    if (!ec) {
+        m_datagrams.bind({asio::ip::make_address_v4(m_settings.ip), m_settings.firstPeerPort}, ec);
+    }
+    if (!ec && m_options.metricsPort != 0) {
+        m_metrics = std::make_unique<net::Listener>(
+            m_loop, [this](const std::shared_ptr<net::Connection> &connection) { serveMetrics(connection); });
+        ec = m_metrics->open(m_settings.ip, m_options.metricsPort);
+    }
+    if (ec) {
+        return failure(ErrorCode::Unavailable, "an address of the daemon can't be opened: " + ec.message());
+    }
+    m_datagrams.non_blocking(true, ec);
+    receive();
+    m_operatorsFeed = std::make_unique<feed::TopicFeed>(
+        m_loop, m_client, m_settings.store,
+        feed::FeedOptions{.topic = std::string(platform::OperatorsTopic), .wait = OperatorsWait},
+        feed::FeedEvents{
+            .snapshot =
+                [this](const std::vector<platform::KeyedRecord> &records) {
+                    for (const platform::KeyedRecord &record : records) {
+                        applyOperatorRecord(record);
+                    }
+                    updateGoal();
+                },
+            .record =
+                [this](const platform::KeyedRecord &record) {
+                    applyOperatorRecord(record);
+                    updateGoal();
+                },
+            .store = [](bool) {},
+        });
+    m_operatorsFeed->start();
+    m_engine.start();
+    logInfo(Part::Side, "The target daemon has started.", {{"vm", m_settings.vmName}, {"domain", m_settings.domain}});
+    return {};
+}
+
+void Side::stop()
+{
+    logInfo(Part::Side, "The target daemon has stopped.");
+    flushLog();
+    m_loop.stop();
+}
+
+void Side::applyOperatorRecord(const platform::KeyedRecord &record)
+{
+    if (!record.value) {
+        return; // What was read last stays in force.
+    }
+    if (platform::isNamedWeightsKey(record.key)) {
+        const auto weights = platform::decodeNamedWeights(*record.value);
+        if (!weights) {
+            logWarning(Part::Side, "A naming of weights can't be read.",
+                       {{"key", record.key}, {"cause", weights.error().message}});
+            return;
+        }
+        auto &[version, learntAt] = m_named[weights->model];
+        if (weights->version > version) {
+            version = weights->version;
+            learntAt = steadyMillis();
+        }
+        return;
+    }
+    if (record.key != platform::DesiredStateKey) {
+        return;
+    }
+    auto decoded = platform::decodeDesiredState(*record.value);
+    if (!decoded) {
+        logError(Part::Side, "A desired state can't be read.", {{"cause", decoded.error().message}});
+        return;
+    }
+    if (!m_state || decoded->version > m_state->version) {
+        decoded->routes.clear(); // A target VM uses the services only.
+        decoded->workspaces.clear();
+        decoded->routesByHost.clear();
+        decoded->workspaceByKey.clear();
+        m_state = std::make_shared<const serving::DesiredState>(std::move(*decoded));
+    }
+}
+
+void Side::updateGoal()
+{
+    if (!m_state) {
+        return;
+    }
+    const auto service = m_state->services.find(m_settings.service);
+    if (service == m_state->services.end() || !service->second.engine || service->second.engine->models.empty()) {
+        return;
+    }
+    const serving::Service *origin = findOrigin(*m_state);
+    WeightsGoal goal{.model = service->second.engine->models.front(),
+                     .version = FirstVersion,
+                     .origin = origin != nullptr ? origin->originAddress : ""};
+    const auto it = m_named.find(goal.model);
+    if (it != m_named.end()) {
+        goal.version = it->second.first;
+        goal.namedAt = it->second.second;
+    }
+    // Turns follow from the address alone, so that VMs need not agree; an engine without weights loads at once.
+    constexpr std::uint64_t Parts = 1024;
+    const std::uint64_t part = weights::rendezvousWeight(std::to_string(goal.version), m_settings.ip) % Parts;
+    const Millis window = std::max(Millis{0}, m_settings.bounds.versionTime - FirstTurn - LastTurnMargin);
+    const bool empty = m_engine.loadedVersion() == 0;
+    goal.turnDelay =
+        empty ? Millis{0} : FirstTurn + window * static_cast<std::int64_t>(part) / static_cast<std::int64_t>(Parts);
+    m_agent.setGoal(goal);
+}
+
+std::vector<weights::SpreadMember> Side::members() const
+{
+    std::vector<weights::SpreadMember> out;
+    for (const serving::TargetEntry &entry : m_members) {
+        const auto endpoint = platform::endpointFrom(entry.address);
+        if (!endpoint || entry.service != m_settings.service || endpoint->ip == m_settings.ip) {
+            continue;
+        }
+        const auto it = m_named.empty() ? m_named.end() : m_named.begin();
+        const std::int64_t wanted = it == m_named.end() ? FirstVersion : it->second.first;
+        const bool holds = !entry.models.empty() && entry.models.front().version == wanted;
+        out.push_back({.vm = endpoint->ip, .domain = entry.domain, .holds = holds});
+    }
+    return out;
+}
+
+void Side::refreshMembers()
+{
+    const Millis now = steadyMillis();
+    if (m_membersAsked || (m_membersAt > Millis{0} && now < m_membersAt + MembersLifetime)) {
+        return;
+    }
+    m_membersAsked = true;
+    const platform::ApiRequest request = platform::snapshotRequest(platform::TargetsTopic, "");
+    http::RequestHead head = request.head;
+    head.headers.add("Host", m_settings.store.ip);
+    m_client.call(
+        m_settings.store.ip, m_settings.store.port, writeRequest(head, ""),
+        {.connectTime = feed::CallTime, .timeout = feed::CallTime},
+        [this](net::ExchangeEnd end, const http::ResponseHead &, const std::string &body) {
+            m_membersAsked = false;
+            m_membersAt = steadyMillis();
+            const auto page = end == net::ExchangeEnd::Complete
+                ? platform::decodeSnapshot(body)
+                : Result<platform::SnapshotPage>(failure(ErrorCode::Unavailable, "no answer"));
+            if (!page) {
+                logInfo(Part::Side, "The listings of target VMs can't be read.", {{"cause", page.error().message}});
+                return; // Those that were read last are used.
+            }
+            std::vector<serving::TargetEntry> entries;
+            for (const platform::KeyedRecord &record : page->records) {
+                if (auto entry = platform::decodeTarget(record.key, record.value.value_or(""))) {
+                    entries.push_back(std::move(*entry));
+                }
+            }
+            m_members = std::move(entries);
+            m_agent.step();
+        });
+}
+
+void Side::onReport()
+{
+    const Millis now = steadyMillis();
+    if (m_agent.needsMembers()) {
+        refreshMembers();
+    }
+    if (m_membersAt > Millis{0} || !m_agent.needsMembers()) {
+        m_agent.step();
+    }
+    publish(now >= m_publishedAt + PublishTime);
+    m_client.closeIdle(now);
+    flushLog();
+}
+
+void Side::publish(bool force)
+{
+    const Millis now = steadyMillis();
+    std::erase_if(m_subscribers, [&](const auto &item) { return now > item.second.until; });
+    if (!m_engine.report()) {
+        return; // Entry VMs fall back on what they see themselves.
+    }
+    peer::LoadMessage load{
+        .running = m_engine.report()->running,
+        .queued = m_engine.report()->queued,
+        .version = m_engine.loadedVersion(),
+        .loading = m_agent.isLoading() || m_engine.report()->ordered,
+        .entryVms = static_cast<int>(m_subscribers.size()),
+    };
+    const std::string content = peer::encode(load);
+    if (content == m_lastPublished && !force) {
+        return;
+    }
+    m_lastPublished = content;
+    m_publishedAt = now;
+    load.incarnation = m_incarnation;
+    load.sequence = ++m_sequence;
+    const std::string message = peer::encode(load);
+    for (const auto &[endpoint, subscriber] : m_subscribers) {
+        asio::error_code ec;
+        m_datagrams.send_to(asio::buffer(message), endpoint, 0, ec);
+        // A datagram that can't be sent is made up for by the next one.
+    }
+}
+
+void Side::receive()
+{
+    m_datagrams.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const asio::error_code &ec, std::size_t n) {
+        if (ec == asio::error::operation_aborted) {
+            return;
+        }
+        const auto message = ec ? Result<peer::Datagram>(failure(ErrorCode::Unavailable, ec.message()))
+                                : peer::decodeDatagram(std::string_view(m_buffer.data(), n));
+        if (message && std::holds_alternative<peer::SubscribeMessage>(*message)) {
+            m_subscribers[m_sender].until = steadyMillis() + SubscriptionTime;
+        } else if (!message) {
+            logDebug(Part::Side, "A datagram can't be read.", {{"cause", message.error().message}});
+        }
+        receive();
+    });
+}
+
+void Side::serveMetrics(const std::shared_ptr<net::Connection> &connection)
+{
+    m_administration.emplace(connection.get(), connection);
+    auto *raw = connection.get();
+    connection->start({
+        .data =
+            [this, raw](std::string_view) {
+                const WeightsCounts &counts = m_agent.counts();
+                std::string text;
+                const auto line = [&](std::string_view name, std::uint64_t value) {
+                    text.append(name).append(" ").append(std::to_string(value)).append("\n");
+                };
+                line("ibislock_pieces_from_origin_total", counts.fromOrigin);
+                line("ibislock_pieces_from_vms_total", counts.fromPeers);
+                line("ibislock_pieces_corrupt_total", counts.corrupt);
+                line("ibislock_load_orders_total", counts.orders);
+                line("ibislock_piece_bytes_served_total", m_agent.bytesServed());
+                line("ibislock_store_calls_total", m_operatorsFeed->calls());
+                line("ibislock_log_lines_dropped_total", droppedLogLines());
+                line("ibislock_weights_version", static_cast<std::uint64_t>(m_engine.loadedVersion()));
+                line("ibislock_subscribers", m_subscribers.size());
+                raw->write(http::writeResponse({.status = 200, .keepAlive = false}, text));
+                raw->closeAfterWrites();
+                m_administration.erase(raw);
+            },
+        .closed = [this, raw](net::ClosedBy) { m_administration.erase(raw); },
+    });
+}
+
+SideDaemon::SideDaemon(asio::io_context &loop, platform::DaemonSettings settings, SideOptions options)
+    : m_side(std::make_unique<Side>(loop, std::move(settings), options))
+{
+}
+
+SideDaemon::~SideDaemon() = default;
+
+Result<void> SideDaemon::start()
+{
+    return m_side->start();
+}
+
+void SideDaemon::stop()
+{
+    m_side->stop();
+}
+
+} // namespace ibislock::side
--- /dev/null
+++ b/libs/side/src/side.h
@@ -0,0 +1,64 @@
+// The parts of a target VM's daemon and what they share.
+
+#pragma once
+
+#include "ibislock/feed/topic_feed.h"
+#include "ibislock/platform/listings.h"
+#include "ibislock/side/daemon.h"
+#include "weights_agent.h"
+
+#include <asio/ip/udp.hpp>
+
+namespace ibislock::side
+{
+
+/// The daemon's state and parts.
+class Side
+{
+public:
+    Side(asio::io_context &loop, platform::DaemonSettings settings, SideOptions options);
+    Result<void> start();
+    void stop();
+
+private:
+    /// An entry VM that wants loads.
+    struct Subscriber
+    {
+        Millis until{0};
+    };
+
+    void applyOperatorRecord(const platform::KeyedRecord &record);
+    void updateGoal();
+    void refreshMembers();
+    void receive();
+    void publish(bool force);
+    void onReport();
+    void serveMetrics(const std::shared_ptr<net::Connection> &connection);
+    std::vector<weights::SpreadMember> members() const;
+
+    asio::io_context &m_loop;
+    platform::DaemonSettings m_settings;
+    SideOptions m_options;
+    net::HttpClient m_client;
+    EngineWatch m_engine;
+    WeightsAgent m_agent;
+    std::unique_ptr<feed::TopicFeed> m_operatorsFeed;
+    std::unique_ptr<net::Listener> m_metrics;
+    asio::ip::udp::socket m_datagrams;
+    asio::ip::udp::endpoint m_sender;
+    std::array<char, 512> m_buffer{};
+    std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
+    std::shared_ptr<const serving::DesiredState> m_state;
+    std::map<std::string, std::pair<std::int64_t, Millis>, std::less<>>
+        m_named; ///< Version, and when it was learnt of.
+    std::vector<serving::TargetEntry> m_members;
+    bool m_membersAsked = false;
+    Millis m_membersAt{0};
+    std::uint64_t m_incarnation;
+    std::uint64_t m_sequence = 0;
+    std::string m_lastPublished;
+    Millis m_publishedAt{0};
+    std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_administration;
+};
+
+} // namespace ibislock::side
--- /dev/null
+++ b/libs/side/src/weights_agent.cpp
@@ -0,0 +1,474 @@
+#include "weights_agent.h"
+
+#include "ibislock/base/log.h"
+
+namespace ibislock::side
+{
+
+namespace
+{
+
+/// Pieces asked for at once; together they keep the VM's link busy for some 300 ms.
+constexpr std::size_t FetchedAtOnce = 8;
+
+/// How long a VM that is on its way to get a piece is given: most of a copy from the origin.
+constexpr Millis OwnerWait{2500};
+
+/// How long a VM that holds a piece is given; a squeezed link carries a piece in 300 ms.
+constexpr Millis HolderTime{1500};
+
+/// How much longer an ask lasts than the asked VM may wait.
+constexpr Millis AnswerMargin{700};
+
+/// How long the origin may take for a piece; its link is shared by all at once.
+constexpr Millis OriginTime{4000};
+
+/// Until a piece or manifest that no source gave is tried again.
+constexpr Millis RetryTime{250};
+
+/// How long a call to the engine on the VM itself may take.
+constexpr Millis StageTime{2000};
+
+/// After an order without effect, when it is looked at anew.
+constexpr Millis OrderTime{1500};
+
+/// Before an order, entry VMs are told that the engine takes no more requests; a datagram takes some ms.
+constexpr Millis AnnounceTime{150};
+
+constexpr int OkStatus = 200;
+constexpr int CreatedStatus = 201;
+constexpr int AcceptedStatus = 202;
+constexpr int NoContentStatus = 204;
+
+bool succeeded(int status)
+{
+    return status == OkStatus || status == CreatedStatus || status == AcceptedStatus || status == NoContentStatus;
+}
+
+} // namespace
+
+WeightsAgent::WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineWatch &engine, std::string self,
+                           std::string domain, std::uint16_t peerPort,
+                           std::function<std::vector<weights::SpreadMember>()> members)
+    : m_loop(loop)
+    , m_client(client)
+    , m_engine(engine)
+    , m_self(std::move(self))
+    , m_domain(std::move(domain))
+    , m_members(std::move(members))
+    , m_exchange(loop, peerPort,
+                 {
+                     .holds = [this](const peer::PieceMessage &ask) { return holdsForPeer(ask); },
+                     .read = [this](const peer::PieceMessage &ask,
+                                    const std::function<void(peer::PieceMessage)> &done) { readForPeer(ask, done); },
+                 })
+    , m_retry(loop)
+    , m_random(systemRandom())
+{
+}
+
+asio::error_code WeightsAgent::open()
+{
+    return m_exchange.open(m_self);
+}
+
+void WeightsAgent::setGoal(const WeightsGoal &goal)
+{
+    const bool changed = goal.model != m_goal.model || goal.version != m_goal.version;
+    m_goal = goal;
+    if (changed) {
+        restart();
+    }
+    step();
+}
+
+WeightsPhase WeightsAgent::phase() const
+{
+    return m_phase;
+}
+
+const WeightsCounts &WeightsAgent::counts() const
+{
+    return m_counts;
+}
+
+std::uint64_t WeightsAgent::bytesServed() const
+{
+    return m_exchange.bytesServed();
+}
+
+bool WeightsAgent::isLoading() const
+{
+    return m_phase == WeightsPhase::Verifying || m_phase == WeightsPhase::Ordered;
+}
+
+bool WeightsAgent::needsMembers() const
+{
+    return m_phase == WeightsPhase::Manifest || m_phase == WeightsPhase::Fetching;
+}
+
+bool WeightsAgent::goalReached() const
+{
+    return m_engine.loadedVersion() >= m_goal.version;
+}
+
+void WeightsAgent::enter(WeightsPhase phase)
+{
+    if (m_phase != phase) {
+        logInfo(Part::Side, "The weights moved on.",
+                {{"version", std::to_string(m_goal.version)},
+                 {"phase", std::string(nameOf(WeightsPhaseNames, phase))},
+                 {"staged", std::to_string(m_staged.size())}});
+    }
+    m_phase = phase;
+    m_enteredAt = steadyMillis();
+}
+
+void WeightsAgent::restart()
+{
+    ++m_round;
+    m_digests.clear();
+    m_staged.clear();
+    m_fetching.clear();
+    m_notBefore.clear();
+    m_manifestAsked = false;
+    m_orderSent = false;
+    enter(m_goal.version > 0 ? WeightsPhase::Manifest : WeightsPhase::Idle);
+}
+
+void WeightsAgent::step()
+{
+    const Millis now = steadyMillis();
+    if (m_goal.version == 0 || !m_engine.report()) {
+        return;
+    }
+    if (m_engine.report()->startedAt != m_engineStart) {
+        m_engineStart = m_engine.report()->startedAt;
+        restart();
+    }
+    switch (m_phase) {
+    case WeightsPhase::Idle:
+        if (!goalReached()) {
+            restart(); // The engine has lost its weights.
+        }
+        break;
+    case WeightsPhase::Manifest:
+        if (!m_manifestAsked && now >= m_nextManifestAsk) {
+            askManifest();
+        }
+        break;
+    case WeightsPhase::Reading:
+        break;
+    case WeightsPhase::Fetching:
+        fetchMore();
+        break;
+    case WeightsPhase::Waiting:
+        if (goalReached()) {
+            enter(WeightsPhase::Idle);
+        } else if (now >= m_goal.namedAt + m_goal.turnDelay && !m_engine.report()->ordered) {
+            enter(WeightsPhase::Verifying);
+            readStage();
+        }
+        break;
+    case WeightsPhase::Verifying:
+        break;
+    case WeightsPhase::Ordered:
+        if (goalReached()) {
+            enter(WeightsPhase::Idle);
+        } else if (!m_orderSent && !m_engine.report()->ordered && now > m_enteredAt + OrderTime) {
+            enter(WeightsPhase::Waiting); // The order had no effect; all is verified again before the next.
+        }
+        break;
+    }
+}
+
+void WeightsAgent::askManifest()
+{
+    m_manifestAsked = true;
+    m_nextManifestAsk = steadyMillis() + RetryTime;
+    const auto sources = weights::pieceSources(peer::ManifestIndex, m_self, m_domain, m_members());
+    const weights::PieceSource &first = sources.front();
+    if (first.vm.empty()) {
+        askOriginForManifest();
+        return;
+    }
+    const Millis wait = first.waits ? OwnerWait / 2 : Millis{0};
+    m_exchange.ask(first.vm,
+                   {.model = m_goal.model,
+                    .version = m_goal.version,
+                    .index = peer::ManifestIndex,
+                    .waitMs = static_cast<std::uint32_t>(wait.count())},
+                   wait + AnswerMargin, [this, round = m_round](const std::optional<peer::PieceMessage> &answer) {
+                       if (round != m_round) {
+                           return;
+                       }
+                       if (answer && answer->content == peer::PieceContent::Manifest && !answer->digests.empty()) {
+                           takeManifest(answer->digests);
+                       } else {
+                           askOriginForManifest();
+                       }
+                   });
+}
+
+void WeightsAgent::askOriginForManifest()
+{
+    callOrigin(platform::manifestRequest(m_goal.model, m_goal.version),
+               [this, round = m_round](int status, const std::string &body) {
+                   if (round != m_round) {
+                       return;
+                   }
+                   const auto manifest = status == OkStatus
+                       ? platform::decodeManifest(body)
+                       : Result<platform::WeightsManifest>(
+                           failure(ErrorCode::Unavailable, "status " + std::to_string(status)));
+                   if (manifest && manifest->version == m_goal.version && manifest->model == m_goal.model) {
+                       takeManifest(manifest->digests);
+                       return;
+                   }
+                   logWarning(Part::Side, "The origin gave no manifest.",
+                              {{"version", std::to_string(m_goal.version)},
+                               {"cause", manifest ? "another version" : manifest.error().message}});
+                   m_manifestAsked = false;
+                   m_nextManifestAsk = steadyMillis() + RetryTime;
+               });
+}
+
+void WeightsAgent::takeManifest(const std::vector<Digest> &digests)
+{
+    m_digests = digests;
+    enter(WeightsPhase::Reading);
+    m_exchange.answerWaiting();
+    readStage();
+}
+
+void WeightsAgent::readStage()
+{
+    m_readIndex = 0;
+    readNext(m_round);
+}
+
+void WeightsAgent::readNext(std::uint64_t round)
+{
+    if (round != m_round || (m_phase != WeightsPhase::Reading && m_phase != WeightsPhase::Verifying)) {
+        return;
+    }
+    if (m_readIndex >= static_cast<int>(m_digests.size())) {
+        const bool all = m_staged.size() == m_digests.size();
+        if (goalReached()) {
+            enter(WeightsPhase::Idle);
+        } else if (!all) {
+            enter(WeightsPhase::Fetching);
+            fetchMore();
+        } else if (m_phase == WeightsPhase::Verifying) {
+            order();
+        } else {
+            enter(WeightsPhase::Waiting);
+        }
+        m_exchange.answerWaiting();
+        return;
+    }
+    const int piece = m_readIndex++;
+    m_engine.call(platform::stageGetRequest(m_goal.model, piece), StageTime,
+                  [this, round, piece](int status, const std::string &body) {
+                      if (round != m_round) {
+                          return;
+                      }
+                      if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
+                          m_staged.insert(piece);
+                      } else if (m_staged.erase(piece) > 0) {
+                          ++m_counts.corrupt;
+                          logWarning(Part::Side, "A staged piece does not match its digest.",
+                                     {{"version", std::to_string(m_goal.version)}, {"piece", std::to_string(piece)}});
+                      }
+                      readNext(round);
+                  });
+}
+
+void WeightsAgent::fetchMore()
+{
+    if (m_staged.size() == m_digests.size()) {
+        enter(WeightsPhase::Waiting);
+        step();
+        return;
+    }
+    const Millis now = steadyMillis();
+    const int n = static_cast<int>(m_digests.size());
+    // Each VM begins at another piece, so that owners are not all asked for the same one first.
+    const int begin = n == 0 ? 0 : static_cast<int>(std::hash<std::string>{}(m_self) % static_cast<std::size_t>(n));
+    for (int i = 0; i < n && m_fetching.size() < FetchedAtOnce; ++i) {
+        const int piece = (begin + i) % n;
+        const auto it = m_notBefore.find(piece);
+        const bool tooSoon = it != m_notBefore.end() && now < it->second;
+        if (!m_staged.contains(piece) && !m_fetching.contains(piece) && !tooSoon) {
+            fetch(piece);
+        }
+    }
+}
+
+void WeightsAgent::fetch(int piece)
+{
+    m_fetching.insert(piece);
+    fetchFrom(piece, weights::pieceSources(piece, m_self, m_domain, m_members()), 0);
+}
+
+void WeightsAgent::fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
+{
+    if (at >= sources.size() || sources[at].vm.empty()) {
+        fetchFromOrigin(piece);
+        return;
+    }
+    const weights::PieceSource source = sources[at];
+    const Millis wait = source.waits ? OwnerWait : Millis{0};
+    m_exchange.ask(source.vm,
+                   {.model = m_goal.model,
+                    .version = m_goal.version,
+                    .index = piece,
+                    .waitMs = static_cast<std::uint32_t>(wait.count())},
+                   source.waits ? wait + AnswerMargin : HolderTime,
+                   [this, round = m_round, piece, sources = std::move(sources),
+                    at](const std::optional<peer::PieceMessage> &answer) mutable {
+                       if (round != m_round) {
+                           return;
+                       }
+                       const bool good = answer && answer->content == peer::PieceContent::Bytes
+                           && sha256(answer->bytes) == m_digests[static_cast<std::size_t>(piece)];
+                       if (good) {
+                           takePiece(piece, answer->bytes, false);
+                       } else {
+                           fetchFrom(piece, std::move(sources), at + 1);
+                       }
+                   });
+}
+
+void WeightsAgent::fetchFromOrigin(int piece)
+{
+    callOrigin(platform::pieceRequest(m_goal.model, m_goal.version, piece),
+               [this, round = m_round, piece](int status, std::string body) {
+                   if (round != m_round) {
+                       return;
+                   }
+                   if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
+                       takePiece(piece, std::move(body), true);
+                       return;
+                   }
+                   m_counts.corrupt += status == OkStatus ? 1 : 0;
+                   logInfo(Part::Side, "The origin gave no good piece.",
+                           {{"version", std::to_string(m_goal.version)},
+                            {"piece", std::to_string(piece)},
+                            {"status", std::to_string(status)}});
+                   retryLater(piece);
+               });
+}
+
+void WeightsAgent::retryLater(int piece)
+{
+    m_fetching.erase(piece);
+    m_notBefore[piece] = steadyMillis() + jittered(m_random, RetryTime);
+}
+
+void WeightsAgent::takePiece(int piece, std::string bytes, bool fromOrigin)
+{
+    ++(fromOrigin ? m_counts.fromOrigin : m_counts.fromPeers);
+    stage(piece, std::move(bytes));
+}
+
+void WeightsAgent::stage(int piece, std::string bytes)
+{
+    m_engine.call(platform::stagePutRequest(m_goal.model, piece, std::move(bytes)), StageTime,
+                  [this, round = m_round, piece](int status, const std::string &) {
+                      if (round != m_round) {
+                          return;
+                      }
+                      if (!succeeded(status)) {
+                          logWarning(Part::Side, "A piece could not be staged.",
+                                     {{"piece", std::to_string(piece)}, {"status", std::to_string(status)}});
+                          retryLater(piece);
+                          return;
+                      }
+                      m_fetching.erase(piece);
+                      m_staged.insert(piece);
+                      m_exchange.answerWaiting();
+                      if (m_phase == WeightsPhase::Fetching) {
+                          fetchMore();
+                      }
+                  });
+}
+
+void WeightsAgent::order()
+{
+    enter(WeightsPhase::Ordered);
+    m_orderSent = true;
+    m_retry.expires_after(AnnounceTime);
+    m_retry.async_wait([this, round = m_round](const asio::error_code &ec) {
+        if (ec || round != m_round || !m_engine.report()) {
+            m_orderSent = false;
+            return;
+        }
+        ++m_counts.orders;
+        m_engine.call(platform::loadRequest(m_goal.model, m_goal.version, m_engine.report()->orders), StageTime,
+                      [this, round](int status, const std::string &body) {
+                          if (round != m_round) {
+                              return;
+                          }
+                          m_orderSent = false;
+                          m_enteredAt = steadyMillis();
+                          logInfo(Part::Side, "The engine was ordered to load.",
+                                  {{"version", std::to_string(m_goal.version)},
+                                   {"status", std::to_string(status)},
+                                   {"answer", succeeded(status) ? "" : body.substr(0, 100)}});
+                      });
+    });
+}
+
+std::optional<bool> WeightsAgent::holdsForPeer(const peer::PieceMessage &ask) const
+{
+    if (ask.model != m_goal.model || ask.version != m_goal.version) {
+        // An older version is not fetched any more; a newer one may be named to this process in a moment.
+        return ask.model == m_goal.model && ask.version < m_goal.version ? std::nullopt : std::optional<bool>(false);
+    }
+    if (ask.index == peer::ManifestIndex) {
+        return !m_digests.empty();
+    }
+    return m_staged.contains(ask.index);
+}
+
+void WeightsAgent::readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done)
+{
+    peer::PieceMessage answer = ask;
+    if (ask.index == peer::ManifestIndex) {
+        answer.content = peer::PieceContent::Manifest;
+        answer.digests = m_digests;
+        done(std::move(answer));
+        return;
+    }
+    m_engine.call(platform::stageGetRequest(ask.model, ask.index), StageTime,
+                  [this, round = m_round, answer, done](int status, std::string body) mutable {
+                      const bool good = status == OkStatus && round == m_round
+                          && sha256(body) == m_digests[static_cast<std::size_t>(answer.index)];
+                      if (!good && round == m_round) {
+                          m_staged.erase(answer.index);
+                      }
+                      answer.content = good ? peer::PieceContent::Bytes : peer::PieceContent::Missing;
+                      answer.bytes = good ? std::move(body) : std::string();
+                      done(std::move(answer));
+                  });
+}
+
+void WeightsAgent::callOrigin(const platform::ApiRequest &request,
+                              std::function<void(int status, std::string body)> done)
+{
+    const auto endpoint = platform::endpointFrom(m_goal.origin);
+    if (!endpoint) {
+        asio::post(m_loop, [done = std::move(done)] { done(0, ""); });
+        return;
+    }
+    http::RequestHead head = request.head;
+    head.headers.add("Host", endpoint->ip);
+    m_client.call(endpoint->ip, endpoint->port, writeRequest(head, request.body),
+                  {.connectTime = Millis{1000}, .timeout = OriginTime},
+                  [done = std::move(done)](net::ExchangeEnd end, const http::ResponseHead &answer, std::string body) {
+                      done(end == net::ExchangeEnd::Complete ? answer.status : 0, std::move(body));
+                  });
+}
+
+} // namespace ibislock::side
--- /dev/null
+++ b/libs/weights/test/piece_sources_test.cpp
@@ -0,0 +1,77 @@
+#include "ibislock/weights/piece_sources.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace ibislock::weights
+{
+
+namespace
+{
+
+std::vector<SpreadMember> members(int domains, int each)
+{
+    std::vector<SpreadMember> out;
+    for (int d = 0; d < domains; ++d) {
+        for (int n = 0; n < each; ++n) {
+            out.push_back(
+                {.vm = "10." + std::to_string(d) + ".0." + std::to_string(n), .domain = "d" + std::to_string(d)});
+        }
+    }
+    return out;
+}
+
+TEST(PieceSourcesTest, OneVmAsksTheOriginAndOneInEachDomainAsksOutside)
+{
+    const auto all = members(3, 5);
+    for (int piece = 0; piece < 64; ++piece) {
+        int fromOrigin = 0;
+        std::map<std::string, int> fromOutside;
+        for (const SpreadMember &member : all) {
+            const PieceSource first = pieceSources(piece, member.vm, member.domain, all).front();
+            if (first.vm.empty()) {
+                ++fromOrigin;
+                continue;
+            }
+            const bool inside = first.vm.substr(0, 5) == member.vm.substr(0, 5);
+            fromOutside[member.domain] += inside ? 0 : 1;
+        }
+        EXPECT_EQ(fromOrigin, 1);
+        for (const auto &[domain, n] : fromOutside) {
+            EXPECT_LE(n, 1);
+        }
+    }
+}
+
+TEST(PieceSourcesTest, HoldersInTheOwnDomainComeFirstAndAreSpread)
+{
+    auto all = members(2, 4);
+    for (SpreadMember &member : all) {
+        member.holds = member.vm != "10.0.0.0";
+    }
+    std::set<std::string> first;
+    for (int piece = 0; piece < 64; ++piece) {
+        first.insert(pieceSources(piece, "10.0.0.0", "d0", all).front().vm);
+    }
+    EXPECT_EQ(first, (std::set<std::string>{"10.0.0.1", "10.0.0.2", "10.0.0.3"}));
+}
+
+TEST(PieceSourcesTest, AloneTheOriginIsAsked)
+{
+    const auto sources = pieceSources(0, "10.0.0.1", "d", {});
+    ASSERT_EQ(sources.size(), 1U);
+    EXPECT_TRUE(sources.front().vm.empty());
+}
+
+TEST(PieceSourcesTest, TheOriginIsAlwaysTheLast)
+{
+    const auto all = members(3, 5);
+    for (int piece = 0; piece < 64; ++piece) {
+        EXPECT_TRUE(pieceSources(piece, all[4].vm, all[4].domain, all).back().vm.empty());
+    }
+}
+
+} // namespace
+
+} // namespace ibislock::weights
