Pieces are announced, then transferred at a pace that leaves room on the VM's link

Change: what others wait for is planned first; a VM tells when it holds a piece; transfers use 85 % of the link.

--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -51,7 +51,7 @@
 inline constexpr int ManifestIndex = -1;
 
 /// What a piece message carries.
-enum class PieceContent { Ask, Bytes, Missing, Manifest };
+enum class PieceContent { Ask, Bytes, Missing, Manifest, Ready };
 
 /// A message about one piece of a version of weights.
 struct PieceMessage
@@ -60,7 +60,7 @@
     std::int64_t version = 0;
     int index = ManifestIndex;
     PieceContent content = PieceContent::Ask;
-    std::uint32_t waitMs = 0; ///< Of an ask: how long the asked VM may wait until it holds the piece.
+    std::uint32_t waitMs = 0; ///< Of an ask: 0 for the bytes now; else to be told within this time when it is held.
     std::string bytes; ///< Of a piece.
     std::uint64_t chunkBytes = 0; ///< Of a manifest.
     std::vector<Digest> digests; ///< Of a manifest.
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -29,10 +29,12 @@
   version @1 :Int64;
   index @2 :Int32;  # Of the piece; -1 for the manifest.
   union {
-    ask @3 :UInt32;  # Milliseconds that the asked VM may wait until it holds the piece.
+    ask @3 :UInt32;
+    # With 0, asks for the bytes now. Else asks to be told when the piece is held, within this many milliseconds.
     bytes @4 :Data;
     missing @5 :Void;
     manifest @6 :Manifest;
+    ready @7 :Void;  # The piece is held now.
   }
 }
 
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -76,6 +76,9 @@
     case wire::PieceMessage::MISSING:
         out.content = PieceContent::Missing;
         return out;
+    case wire::PieceMessage::READY:
+        out.content = PieceContent::Ready;
+        return out;
     case wire::PieceMessage::MANIFEST: {
         out.content = PieceContent::Manifest;
         out.chunkBytes = message.getManifest().getChunkBytes();
@@ -155,6 +158,9 @@
     case PieceContent::Missing:
         piece.setMissing();
         break;
+    case PieceContent::Ready:
+        piece.setReady();
+        break;
     case PieceContent::Manifest: {
         auto manifest = piece.initManifest();
         manifest.setChunkBytes(message.chunkBytes);
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -73,6 +73,7 @@
     BYTES,
     MISSING,
     MANIFEST,
+    READY,
   };
 
   struct _capnpPrivate {
@@ -337,6 +338,9 @@
   inline bool hasManifest() const;
   inline  ::ibislock::peer::wire::Manifest::Reader getManifest() const;
 
+  inline bool isReady() const;
+  inline  ::capnp::Void getReady() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -403,6 +407,10 @@
   inline void adoptManifest(::capnp::Orphan< ::ibislock::peer::wire::Manifest>&& value);
   inline ::capnp::Orphan< ::ibislock::peer::wire::Manifest> disownManifest();
 
+  inline bool isReady();
+  inline  ::capnp::Void getReady();
+  inline void setReady( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -935,6 +943,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool PieceMessage::Reader::isReady() const {
+  return which() == PieceMessage::READY;
+}
+inline bool PieceMessage::Builder::isReady() {
+  return which() == PieceMessage::READY;
+}
+inline  ::capnp::Void PieceMessage::Reader::getReady() const {
+  KJ_IREQUIRE((which() == PieceMessage::READY),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void PieceMessage::Builder::getReady() {
+  KJ_IREQUIRE((which() == PieceMessage::READY),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PieceMessage::Builder::setReady( ::capnp::Void value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::READY);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Manifest::Reader::getChunkBytes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -11,11 +11,17 @@
 /// Between two looks at the times of asks.
 constexpr Millis TickTime{50};
 
-/// Pieces that are read and queued for others at once; bounds memory, and is enough to keep a link busy.
-constexpr int ServedAtOnce = 4;
+/// Pieces that are read for others at once; bounds memory.
+constexpr int ServedAtOnce = 2;
 
 /// Queued bytes beyond which a VM gets no further piece before it has taken those.
-constexpr std::size_t QueuedBytes = 96 * 1024;
+constexpr std::size_t QueuedBytes = 32 * 1024;
+
+/// A VM from which bytes came this recently is still at work on what it was asked.
+constexpr Millis ProgressTime{600};
+
+/// How much longer an ask may last because of that; a VM with a squeezed link would hold all others up.
+constexpr Millis LongestExtension{1500};
 
 bool answers(const peer::PieceMessage &answer, const peer::PieceMessage &ask)
 {
@@ -24,12 +30,14 @@
 
 } // namespace
 
-PieceExchange::PieceExchange(asio::io_context &loop, std::uint16_t port, PieceStore store)
+PieceExchange::PieceExchange(asio::io_context &loop, std::uint16_t port, Millis pieceTime, PieceStore store)
     : m_loop(loop)
     , m_port(port)
+    , m_pieceTime(pieceTime)
     , m_store(std::move(store))
     , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); })
     , m_tick(loop)
+    , m_nextPiece(loop)
 {
 }
 
@@ -91,6 +99,7 @@
 void PieceExchange::onAnswer(const std::string &vm, std::string_view bytes)
 {
     const auto reader = m_asked[vm].reader;
+    m_asked[vm].lastBytesAt = steadyMillis();
     reader->add(bytes);
     while (true) {
         auto message = reader->next();
@@ -174,17 +183,28 @@
         if (!holds || (!*holds && now >= item.until)) {
             item.ask.content = peer::PieceContent::Missing;
             connection->write(peer::encode(item.ask));
-        } else if (!*holds || m_reading >= ServedAtOnce || connection->queued() > QueuedBytes) {
+        } else if (!*holds) {
+            m_waiting.push_back(std::move(item));
+        } else if (item.ask.waitMs > 0 && item.ask.index != peer::ManifestIndex) {
+            item.ask.content = peer::PieceContent::Ready;
+            connection->write(peer::encode(item.ask));
+        } else if (now < m_nextPieceAt || m_reading >= ServedAtOnce || connection->queued() > QueuedBytes) {
             m_waiting.push_back(std::move(item));
         } else {
             ++m_reading;
+            m_nextPieceAt = item.ask.index == peer::ManifestIndex ? now : now + m_pieceTime;
+            m_nextPiece.expires_after(m_pieceTime);
+            m_nextPiece.async_wait([this](const asio::error_code &ec) {
+                if (!ec) {
+                    answerWaiting();
+                }
+            });
             m_store.read(item.ask, [this, to = item.connection](const peer::PieceMessage &answer) {
                 --m_reading;
                 if (const auto open = to.lock()) {
                     m_bytesServed += answer.bytes.size();
                     open->write(peer::encode(answer));
                 }
-                asio::post(m_loop, [this] { answerWaiting(); });
             });
         }
     }
@@ -201,7 +221,8 @@
     std::vector<PieceAnswer> late;
     for (auto &[vm, asked] : m_asked) {
         std::erase_if(asked.pending, [&](Pending &pending) {
-            const bool over = now >= pending.until;
+            const bool progress = now - asked.lastBytesAt < ProgressTime && now < pending.until + LongestExtension;
+            const bool over = now >= pending.until && !progress;
             if (over) {
                 late.push_back(std::move(pending.done));
             }
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -29,7 +29,8 @@
 class PieceExchange
 {
 public:
-    PieceExchange(asio::io_context &loop, std::uint16_t port, PieceStore store);
+    /// @param pieceTime least time between two pieces that are sent, so that requests find room on the VM's link.
+    PieceExchange(asio::io_context &loop, std::uint16_t port, Millis pieceTime, PieceStore store);
 
     /// Begins to answer others.
     asio::error_code open(const std::string &ip);
@@ -61,6 +62,7 @@
         std::shared_ptr<peer::PieceReader> reader;
         std::vector<Pending> pending;
         std::string unsent;
+        Millis lastBytesAt{0};
     };
 
     /// An ask of another VM.
@@ -80,6 +82,8 @@
 
     asio::io_context &m_loop;
     std::uint16_t m_port;
+    Millis m_pieceTime;
+    Millis m_nextPieceAt{0};
     PieceStore m_store;
     net::Listener m_listener;
     asio::steady_timer m_tick;
@@ -87,6 +91,7 @@
     std::vector<Waiting> m_waiting;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_served;
     int m_reading = 0; ///< Asks of others that are being read.
+    asio::steady_timer m_nextPiece;
     std::uint64_t m_bytesServed = 0;
 };
 
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -32,6 +32,20 @@
 /// By how much sooner than the contract asks the last VM loads: running requests end first, then it warms up.
 constexpr Millis LastTurnMargin{2600};
 
+/// The part of the VM's link that pieces may use; requests to the engine and its answers share the link.
+constexpr double LinkPart = 0.85;
+
+/// The size of a piece on the present installations; sets the pace only.
+constexpr double PieceBits = 32768 * 8;
+
+/// How far apart pieces are, so that they use their part of a link.
+Millis pieceTimeOf(double linkMbps)
+{
+    constexpr double BitsInMillisecondAtOneMbps = 1000;
+    const double rate = std::max(linkMbps, 0.1) * LinkPart * BitsInMillisecondAtOneMbps;
+    return Millis{static_cast<std::int64_t>(PieceBits / rate) + 1};
+}
+
 } // namespace
 
 Side::Side(asio::io_context &loop, platform::DaemonSettings settings, SideOptions options)
@@ -41,6 +55,7 @@
     , m_client(loop)
     , m_engine(loop, m_client, m_settings.engine, [this] { onReport(); })
     , m_agent(loop, m_client, m_engine, m_settings.ip, m_settings.domain, m_settings.firstPeerPort,
+              pieceTimeOf(m_settings.linkMbps),
               [this] { return members(); })
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
@@ -113,6 +128,7 @@
         if (weights->version > version) {
             version = weights->version;
             learntAt = steadyMillis();
+            m_membersAt = Millis{0}; // VMs may have come and gone since the last version was spread.
         }
         return;
     }
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -8,8 +8,11 @@
 namespace
 {
 
-/// Pieces asked for at once; together they keep the VM's link busy for some 300 ms.
-constexpr std::size_t FetchedAtOnce = 8;
+/// Pieces asked for at once: all of a version. Asks are small, and a VM answers each as soon as it holds the piece.
+constexpr std::size_t FetchedAtOnce = 64;
+
+/// Pieces that are on their way to this VM at once: enough to bridge the pauses of one sender.
+constexpr int TransfersAtOnce = 3;
 
 /// How long a VM that is on its way to get a piece is given: most of a copy from the origin.
 constexpr Millis OwnerWait{2500};
@@ -48,7 +51,7 @@
 } // namespace
 
 WeightsAgent::WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineWatch &engine, std::string self,
-                           std::string domain, std::uint16_t peerPort,
+                           std::string domain, std::uint16_t peerPort, Millis pieceTime,
                            std::function<std::vector<weights::SpreadMember>()> members)
     : m_loop(loop)
     , m_client(client)
@@ -56,7 +59,7 @@
     , m_self(std::move(self))
     , m_domain(std::move(domain))
     , m_members(std::move(members))
-    , m_exchange(loop, peerPort,
+    , m_exchange(loop, peerPort, pieceTime,
                  {
                      .holds = [this](const peer::PieceMessage &ask) { return holdsForPeer(ask); },
                      .read = [this](const peer::PieceMessage &ask,
@@ -64,6 +67,8 @@
                  })
     , m_retry(loop)
     , m_random(systemRandom())
+    , m_pieceTime(pieceTime)
+    , m_nextTransfer(loop)
 {
 }
 
@@ -131,6 +136,9 @@
     m_staged.clear();
     m_fetching.clear();
     m_notBefore.clear();
+    m_originQueue.clear();
+    m_transfers.clear();
+    m_transferring = 0;
     m_manifestAsked = false;
     m_orderSent = false;
     enter(m_goal.version > 0 ? WeightsPhase::Manifest : WeightsPhase::Idle);
@@ -258,6 +266,7 @@
             enter(WeightsPhase::Idle);
         } else if (!all) {
             enter(WeightsPhase::Fetching);
+            m_plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain, m_members());
             fetchMore();
         } else if (m_phase == WeightsPhase::Verifying) {
             order();
@@ -292,63 +301,113 @@
         return;
     }
     const Millis now = steadyMillis();
-    const int n = static_cast<int>(m_digests.size());
-    // Each VM begins at another piece, so that owners are not all asked for the same one first.
-    const int begin = n == 0 ? 0 : static_cast<int>(std::hash<std::string>{}(m_self) % static_cast<std::size_t>(n));
-    for (int i = 0; i < n && m_fetching.size() < FetchedAtOnce; ++i) {
-        const int piece = (begin + i) % n;
-        const auto it = m_notBefore.find(piece);
+    for (const weights::PiecePlan &plan : m_plan) {
+        if (m_fetching.size() >= FetchedAtOnce) {
+            return;
+        }
+        const auto it = m_notBefore.find(plan.piece);
         const bool tooSoon = it != m_notBefore.end() && now < it->second;
-        if (!m_staged.contains(piece) && !m_fetching.contains(piece) && !tooSoon) {
-            fetch(piece);
+        if (!m_staged.contains(plan.piece) && !m_fetching.contains(plan.piece) && !tooSoon) {
+            m_fetching.insert(plan.piece);
+            fetchFrom(plan.piece, plan.sources, 0);
         }
     }
 }
 
-void WeightsAgent::fetch(int piece)
-{
-    m_fetching.insert(piece);
-    fetchFrom(piece, weights::pieceSources(piece, m_self, m_domain, m_members()), 0);
-}
-
 void WeightsAgent::fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
 {
     if (at >= sources.size() || sources[at].vm.empty()) {
-        fetchFromOrigin(piece);
+        m_originQueue.push_back(piece);
+        fetchNextFromOrigin();
+        return;
+    }
+    if (!sources[at].waits) {
+        transfer(piece, std::move(sources), at);
         return;
     }
-    const weights::PieceSource source = sources[at];
-    const Millis wait = source.waits ? OwnerWait : Millis{0};
-    m_exchange.ask(source.vm,
+    const std::string vm = sources[at].vm;
+    m_exchange.ask(vm,
                    {.model = m_goal.model,
                     .version = m_goal.version,
                     .index = piece,
-                    .waitMs = static_cast<std::uint32_t>(wait.count())},
-                   source.waits ? wait + AnswerMargin : HolderTime,
+                    .waitMs = static_cast<std::uint32_t>(OwnerWait.count())},
+                   OwnerWait + AnswerMargin,
                    [this, round = m_round, piece, sources = std::move(sources),
                     at](const std::optional<peer::PieceMessage> &answer) mutable {
                        if (round != m_round) {
                            return;
                        }
+                       if (answer && answer->content == peer::PieceContent::Ready) {
+                           transfer(piece, std::move(sources), at);
+                       } else {
+                           fetchFrom(piece, std::move(sources), at + 1);
+                       }
+                   });
+}
+
+void WeightsAgent::transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
+{
+    m_transfers.push_back({.piece = piece, .sources = std::move(sources), .at = at});
+    transferNext();
+}
+
+void WeightsAgent::transferNext()
+{
+    const Millis now = steadyMillis();
+    if (m_transfers.empty() || m_transferring >= TransfersAtOnce || now < m_nextTransferAt) {
+        return;
+    }
+    m_nextTransferAt = now + m_pieceTime;
+    m_nextTransfer.expires_after(m_pieceTime);
+    m_nextTransfer.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            transferNext();
+        }
+    });
+    ++m_transferring;
+    Transfer next = std::move(m_transfers.front());
+    m_transfers.pop_front();
+    const std::string vm = next.sources[next.at].vm;
+    m_exchange.ask(vm, {.model = m_goal.model, .version = m_goal.version, .index = next.piece}, HolderTime,
+                   [this, round = m_round, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) mutable {
+                       if (round != m_round) {
+                           return;
+                       }
+                       --m_transferring;
                        const bool good = answer && answer->content == peer::PieceContent::Bytes
-                           && sha256(answer->bytes) == m_digests[static_cast<std::size_t>(piece)];
+                           && sha256(answer->bytes) == m_digests[static_cast<std::size_t>(next.piece)];
                        if (good) {
-                           takePiece(piece, answer->bytes, false);
+                           takePiece(next.piece, answer->bytes, false);
                        } else {
-                           fetchFrom(piece, std::move(sources), at + 1);
+                           fetchFrom(next.piece, std::move(next.sources), next.at + 1);
                        }
+                       transferNext();
                    });
 }
 
+void WeightsAgent::fetchNextFromOrigin()
+{
+    if (m_originBusy || m_originQueue.empty()) {
+        return;
+    }
+    const int piece = m_originQueue.front();
+    m_originQueue.pop_front();
+    m_originBusy = true;
+    fetchFromOrigin(piece);
+}
+
 void WeightsAgent::fetchFromOrigin(int piece)
 {
     callOrigin(platform::pieceRequest(m_goal.model, m_goal.version, piece),
                [this, round = m_round, piece](int status, std::string body) {
+                   m_originBusy = false;
                    if (round != m_round) {
+                       fetchNextFromOrigin();
                        return;
                    }
                    if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
                        takePiece(piece, std::move(body), true);
+                       fetchNextFromOrigin();
                        return;
                    }
                    m_counts.corrupt += status == OkStatus ? 1 : 0;
@@ -357,6 +416,7 @@
                             {"piece", std::to_string(piece)},
                             {"status", std::to_string(status)}});
                    retryLater(piece);
+                   fetchNextFromOrigin();
                });
 }
 
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -8,6 +8,7 @@
 #include "ibislock/weights/piece_sources.h"
 #include "piece_exchange.h"
 
+#include <deque>
 #include <set>
 
 namespace ibislock::side
@@ -60,7 +61,7 @@
 public:
     /// @param members gives the VMs that take part in spreading a version, as known now.
     WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineWatch &engine, std::string self,
-                 std::string domain, std::uint16_t peerPort,
+                 std::string domain, std::uint16_t peerPort, Millis pieceTime,
                  std::function<std::vector<weights::SpreadMember>()> members);
 
     /// Begins to answer others.
@@ -91,8 +92,10 @@
     void readStage();
     void readNext(std::uint64_t round);
     void fetchMore();
-    void fetch(int piece);
     void fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
+    void fetchNextFromOrigin();
+    void transferNext();
+    void transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
     void fetchFromOrigin(int piece);
     void takePiece(int piece, std::string bytes, bool fromOrigin);
     void stage(int piece, std::string bytes);
@@ -117,7 +120,24 @@
     std::uint64_t m_round = 0; ///< Counts beginnings; answers to an earlier one are ignored.
     std::vector<Digest> m_digests; ///< Of the wanted version.
     std::set<int> m_staged; ///< Pieces that are staged and matched their digest.
+    std::vector<weights::PiecePlan> m_plan;
     std::set<int> m_fetching;
+    std::deque<int> m_originQueue; ///< Pieces to take from the origin, one after another.
+    bool m_originBusy = false;
+
+    /// A piece that a VM holds and that waits for room on our link.
+    struct Transfer
+    {
+        int piece = 0;
+        std::vector<weights::PieceSource> sources;
+        std::size_t at = 0;
+    };
+
+    Millis m_pieceTime; ///< Least time between the beginnings of two transfers.
+    std::deque<Transfer> m_transfers;
+    int m_transferring = 0;
+    Millis m_nextTransferAt{0};
+    asio::steady_timer m_nextTransfer;
     std::map<int, Millis> m_notBefore; ///< When a piece that could not be had is tried again.
     int m_readIndex = 0;
     Millis m_enteredAt{0};
--- a/libs/weights/include/ibislock/weights/piece_sources.h
+++ b/libs/weights/include/ibislock/weights/piece_sources.h
@@ -36,4 +36,16 @@
 std::vector<PieceSource> pieceSources(int piece, std::string_view self, std::string_view domain,
                                       const std::vector<SpreadMember> &members);
 
+/// A piece and where it is asked from.
+struct PiecePlan
+{
+    int piece = 0;
+    std::vector<PieceSource> sources;
+};
+
+/// Plans all pieces of a version: those that others wait for come first, or VMs would wait for each other in a circle.
+/// First what this VM takes from the origin, then what it takes for its domain, then the rest.
+std::vector<PiecePlan> planPieces(int pieces, std::string_view self, std::string_view domain,
+                                  const std::vector<SpreadMember> &members);
+
 } // namespace ibislock::weights
--- a/libs/weights/src/piece_sources.cpp
+++ b/libs/weights/src/piece_sources.cpp
@@ -3,6 +3,7 @@
 #include "ibislock/weights/rendezvous.h"
 
 #include <algorithm>
+#include <set>
 
 namespace ibislock::weights
 {
@@ -59,8 +60,14 @@
     const auto inAll = owners(key, "", self, domain, members);
     if (!heldNearby && inDomain.front() != self) {
         out.push_back({.vm = inDomain.front(), .waits = true});
-        if (inDomain.size() > 1 && inDomain[1] != self) {
-            out.push_back({.vm = inDomain[1], .waits = false});
+        // When the owner is lost or slow, others of the domain may have got the piece before.
+        for (std::size_t n = 1; n < inDomain.size(); ++n) {
+            if (inDomain[n] != self) {
+                out.push_back({.vm = inDomain[n], .waits = false});
+            }
+        }
+        if (inAll.front() != self && inAll.front() != inDomain.front()) {
+            out.push_back({.vm = inAll.front(), .waits = false});
         }
     } else if (!heldNearby && inAll.front() != self) {
         out.push_back({.vm = inAll.front(), .waits = true});
@@ -70,4 +77,28 @@
     return out;
 }
 
+std::vector<PiecePlan> planPieces(int pieces, std::string_view self, std::string_view domain,
+                                  const std::vector<SpreadMember> &members)
+{
+    std::set<std::string> nearby;
+    for (const SpreadMember &member : members) {
+        if (member.domain == domain) {
+            nearby.insert(member.vm);
+        }
+    }
+    const auto rank = [&](const PiecePlan &plan) {
+        const PieceSource &first = plan.sources.front();
+        return first.vm.empty() ? 0 : (nearby.contains(first.vm) ? 2 : 1);
+    };
+    std::vector<PiecePlan> out;
+    for (int piece = 0; piece < pieces; ++piece) {
+        out.push_back({.piece = piece, .sources = pieceSources(piece, self, domain, members)});
+    }
+    // Each VM begins at another piece, so that owners are not all asked for the same one first.
+    const auto turn = pieces == 0 ? 0 : static_cast<std::ptrdiff_t>(rendezvousWeight("begin", self) % static_cast<std::uint64_t>(pieces));
+    std::rotate(out.begin(), out.begin() + turn, out.end());
+    std::stable_sort(out.begin(), out.end(), [&](const PiecePlan &a, const PiecePlan &b) { return rank(a) < rank(b); });
+    return out;
+}
+
 } // namespace ibislock::weights
--- a/libs/weights/test/piece_sources_test.cpp
+++ b/libs/weights/test/piece_sources_test.cpp
@@ -57,6 +57,20 @@
     EXPECT_EQ(first, (std::set<std::string>{"10.0.0.1", "10.0.0.2", "10.0.0.3"}));
 }
 
+TEST(PieceSourcesTest, WhatOthersWaitForIsPlannedFirst)
+{
+    const auto all = members(3, 5);
+    for (const SpreadMember &member : all) {
+        int last = 0;
+        for (const PiecePlan &plan : planPieces(64, member.vm, member.domain, all)) {
+            const std::string &vm = plan.sources.front().vm;
+            const int rank = vm.empty() ? 0 : (vm.substr(0, 5) == member.vm.substr(0, 5) ? 2 : 1);
+            EXPECT_GE(rank, last);
+            last = rank;
+        }
+    }
+}
+
 TEST(PieceSourcesTest, AloneTheOriginIsAsked)
 {
     const auto sources = pieceSources(0, "10.0.0.1", "d", {});
