Fallbacks for pieces are asked before they are transferred; transfers are spread over senders

Cause: after an owner's time each fallback took a paced transfer slot to learn that it held nothing, and all VMs turned to the same holder at once. Change: short asks first, a random order, one transfer from each sender.

--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -17,6 +17,9 @@
 /// Queued bytes beyond which a VM gets no further piece before it has taken those.
 constexpr std::size_t QueuedBytes = 32 * 1024;
 
+/// How long a connection to a VM may take; a round trip takes a few ms, a lost packet a second.
+constexpr Millis ConnectTime{1200};
+
 /// A VM from which bytes came this recently is still at work on what it was asked.
 constexpr Millis ProgressTime{600};
 
@@ -74,6 +77,7 @@
         asio::post(m_loop, [this, vm] { failAll(vm); });
         return;
     }
+    asked.connectUntil = steadyMillis() + ConnectTime;
     asked.connecting = std::make_shared<asio::ip::tcp::socket>(m_loop);
     asked.connecting->async_connect({address, m_port},
                                     [this, vm, socket = asked.connecting](const asio::error_code &failed) {
@@ -219,7 +223,11 @@
 {
     const Millis now = steadyMillis();
     std::vector<PieceAnswer> late;
+    std::vector<std::string> unreachable;
     for (auto &[vm, asked] : m_asked) {
+        if (asked.connecting && now >= asked.connectUntil) {
+            unreachable.push_back(vm);
+        }
         std::erase_if(asked.pending, [&](Pending &pending) {
             const bool progress = now - asked.lastBytesAt < ProgressTime && now < pending.until + LongestExtension;
             const bool over = now >= pending.until && !progress;
@@ -229,6 +237,9 @@
             return over;
         });
     }
+    for (const std::string &vm : unreachable) {
+        failAll(vm);
+    }
     for (const PieceAnswer &done : late) {
         done(std::nullopt);
     }
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -63,6 +63,7 @@
         std::vector<Pending> pending;
         std::string unsent;
         Millis lastBytesAt{0};
+        Millis connectUntil{0};
     };
 
     /// An ask of another VM.
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -12,10 +12,16 @@
 constexpr std::size_t FetchedAtOnce = 64;
 
 /// Pieces that are on their way to this VM at once: enough to bridge the pauses of one sender.
-constexpr int TransfersAtOnce = 3;
+constexpr int TransfersAtOnce = 4;
 
 /// How long a VM that is on its way to get a piece is given: most of a copy from the origin.
-constexpr Millis OwnerWait{2500};
+constexpr Millis OwnerWait{3500};
+
+/// How long a VM that is not on its way to get a piece is given to say whether it holds it.
+constexpr Millis AskAtOnce{1};
+
+/// How long a VM that is on its way to get the manifest is given.
+constexpr Millis ManifestWait{1000};
 
 /// How long a VM that holds a piece is given; a squeezed link carries a piece in 300 ms.
 constexpr Millis HolderTime{1500};
@@ -139,6 +145,7 @@
     m_originQueue.clear();
     m_transfers.clear();
     m_transferring = 0;
+    m_transferringFrom.clear();
     m_manifestAsked = false;
     m_orderSent = false;
     enter(m_goal.version > 0 ? WeightsPhase::Manifest : WeightsPhase::Idle);
@@ -200,7 +207,7 @@
         askOriginForManifest();
         return;
     }
-    const Millis wait = first.waits ? OwnerWait / 2 : Millis{0};
+    const Millis wait = first.waits ? ManifestWait : Millis{0};
     m_exchange.ask(first.vm,
                    {.model = m_goal.model,
                     .version = m_goal.version,
@@ -321,17 +328,14 @@
         fetchNextFromOrigin();
         return;
     }
-    if (!sources[at].waits) {
-        transfer(piece, std::move(sources), at);
-        return;
-    }
+    const Millis wait = sources[at].waits ? OwnerWait : AskAtOnce;
     const std::string vm = sources[at].vm;
     m_exchange.ask(vm,
                    {.model = m_goal.model,
                     .version = m_goal.version,
                     .index = piece,
-                    .waitMs = static_cast<std::uint32_t>(OwnerWait.count())},
-                   OwnerWait + AnswerMargin,
+                    .waitMs = static_cast<std::uint32_t>(wait.count())},
+                   wait + AnswerMargin,
                    [this, round = m_round, piece, sources = std::move(sources),
                     at](const std::optional<peer::PieceMessage> &answer) mutable {
                        if (round != m_round) {
@@ -351,6 +355,24 @@
     transferNext();
 }
 
+WeightsAgent::Transfer WeightsAgent::takeTransfer()
+{
+    // All VMs learn of a piece at the same time: drawn at random, they don't all turn to its holder at once. A VM that
+    // sends to us already is taken last.
+    std::size_t best = m_random() % m_transfers.size();
+    for (std::size_t n = 0; n < m_transfers.size(); ++n) {
+        const std::size_t index = (best + n) % m_transfers.size();
+        const Transfer &candidate = m_transfers[index];
+        if (!m_transferringFrom.contains(candidate.sources[candidate.at].vm)) {
+            best = index;
+            break;
+        }
+    }
+    Transfer out = std::move(m_transfers[best]);
+    m_transfers.erase(m_transfers.begin() + static_cast<std::ptrdiff_t>(best));
+    return out;
+}
+
 void WeightsAgent::transferNext()
 {
     const Millis now = steadyMillis();
@@ -365,15 +387,16 @@
         }
     });
     ++m_transferring;
-    Transfer next = std::move(m_transfers.front());
-    m_transfers.pop_front();
+    Transfer next = takeTransfer();
     const std::string vm = next.sources[next.at].vm;
+    m_transferringFrom.insert(vm);
     m_exchange.ask(vm, {.model = m_goal.model, .version = m_goal.version, .index = next.piece}, HolderTime,
                    [this, round = m_round, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) mutable {
                        if (round != m_round) {
                            return;
                        }
                        --m_transferring;
+                       m_transferringFrom.erase(next.sources[next.at].vm);
                        const bool good = answer && answer->content == peer::PieceContent::Bytes
                            && sha256(answer->bytes) == m_digests[static_cast<std::size_t>(next.piece)];
                        if (good) {
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -133,9 +133,12 @@
         std::size_t at = 0;
     };
 
+    Transfer takeTransfer();
+
     Millis m_pieceTime; ///< Least time between the beginnings of two transfers.
     std::deque<Transfer> m_transfers;
     int m_transferring = 0;
+    std::set<std::string> m_transferringFrom;
     Millis m_nextTransferAt{0};
     asio::steady_timer m_nextTransfer;
     std::map<int, Millis> m_notBefore; ///< When a piece that could not be had is tried again.
