--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -31,7 +31,7 @@
 };
 
 /// How long a call may take beyond its wait before it counts as lost; the store answers in some 4 ms.
-inline constexpr Millis CallTime{1000};
+inline constexpr Millis CallTime{800};
 
 /// The first pause after a failed call, doubled up to `LongestBackOff`; calls are priced, and outages last seconds.
 inline constexpr Millis FirstBackOff{100};
@@ -47,6 +47,13 @@
     /// Begins.
     void start();
 
+    /// Reads at once if another process has seen records from an offset on that this one has not read.
+    /// @param end the offset behind the last record that the other has read.
+    void hint(std::int64_t end);
+
+    /// The offset behind the last record that was read; below 0 before the first snapshot.
+    std::int64_t next() const;
+
     /// How many calls have been made.
     std::uint64_t calls() const;
 
@@ -77,6 +84,8 @@
     bool m_away = false;
     bool m_synchronized = false;
     std::uint64_t m_calls = 0;
+    std::shared_ptr<net::Exchange> m_exchange; ///< Of the call that is under way.
+    std::int64_t m_hinted = -1;
 };
 
 } // namespace ibislock::feed
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -75,7 +75,7 @@
     ++m_calls;
     http::RequestHead head = request.head;
     head.headers.add("Host", m_store.ip);
-    m_client.call(m_store.ip, m_store.port, writeRequest(head, request.body),
+    m_exchange = m_client.call(m_store.ip, m_store.port, writeRequest(head, request.body),
                   {.connectTime = CallTime, .timeout = timeout, .maxIdle = Millis{30000}},
                   [this, again, done = std::move(done)](net::ExchangeEnd end, const http::ResponseHead &answer,
                                                         const std::string &body) {
@@ -87,6 +87,27 @@
                   });
 }
 
+std::int64_t TopicFeed::next() const
+{
+    return m_next;
+}
+
+void TopicFeed::hint(std::int64_t end)
+{
+    // One early read for each hint: if the store itself does not show the records, the usual pace goes on.
+    if (!m_synchronized || m_away || end <= m_next || end <= m_hinted) {
+        return;
+    }
+    m_hinted = end;
+    logInfo(Part::Store, "Another VM has read on; reading at once.",
+            {{"topic", m_options.topic}, {"offset", std::to_string(m_next)}, {"end", std::to_string(end)}});
+    m_timer.cancel();
+    if (m_exchange) {
+        m_exchange->cancel();
+    }
+    readOn();
+}
+
 void TopicFeed::readSnapshot()
 {
     const std::string after = m_pages.empty() ? "" : m_pages.back().key;
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -32,6 +32,9 @@
 /// The part of its objective for which a call may wait for a free slot; waiting longer makes most answers late.
 constexpr int WaitPartOfGoal = 8;
 
+/// By how much a token takes longer than a step: prompts of other requests are read in between.
+constexpr double SharedStepFactor = 1.5;
+
 std::string_view statusText(int status)
 {
     return status == 0 ? "none" : http::reasonOf(status);
@@ -95,6 +98,9 @@
     service = serving::drawService(route, std::uniform_real_distribution<double>(0, 1)(front.random));
     const auto it = state.services.find(service);
     engine = it != state.services.end() && it->second.engine.has_value();
+    if (engine) {
+        engineSpec = *it->second.engine;
+    }
     const Millis limit = route.timeout > Millis{0} ? route.timeout : DefaultDeadline;
     deadlineAt = receivedAt + std::min(limit, request.deadline.value_or(DefaultDeadline));
     waitUntil = receivedAt + route.goal / WaitPartOfGoal;
@@ -108,6 +114,13 @@
     return spent >= route.goal;
 }
 
+Millis Call::expectedTime() const
+{
+    const double prompt = engineSpec.promptTokensPerMs > 0 ? request.promptTokens / engineSpec.promptTokensPerMs : 0;
+    const int tokens = request.expectedOutputTokens > 0 ? request.expectedOutputTokens : request.maxOutputTokens;
+    return Millis{static_cast<std::int64_t>(prompt + tokens * engineSpec.stepMs * SharedStepFactor)};
+}
+
 platform::TargetRequestOptions Call::targetOptions(const serving::Target &target, Millis now) const
 {
     platform::TargetRequestOptions out{
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -38,6 +38,9 @@
     /// Tells whether the caller has waited for so long that its answer can't be on time any more.
     bool isLate(Millis now) const;
 
+    /// How long the request is expected to run on a free engine.
+    Millis expectedTime() const;
+
     bool isDone() const
     {
         return m_done;
@@ -51,6 +54,7 @@
     std::string service;
     std::string workspace;
     bool engine = false;
+    serving::EngineSpec engineSpec;
     bool counted = false; ///< As a request to its service.
     int priority = 0;
     Millis receivedAt{0};
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -15,6 +15,7 @@
 /// How a call ended, as counted and logged.
 enum class CallOutcome {
     Answered, ///< The target's whole answer was handed over.
+    Stopping, ///< Refused: this VM is being stopped.
     NoState, ///< Refused: no desired state is known.
     BadRequest,
     NoRoute,
@@ -30,11 +31,12 @@
 };
 
 /// How many outcomes there are.
-inline constexpr std::size_t CallOutcomeCount = 13;
+inline constexpr std::size_t CallOutcomeCount = 14;
 
 /// External names of the outcomes.
 inline constexpr NameTable<CallOutcome, CallOutcomeCount> CallOutcomeNames{{
     {CallOutcome::Answered, "answered"},
+    {CallOutcome::Stopping, "refused_stopping"},
     {CallOutcome::NoState, "refused_no_state"},
     {CallOutcome::BadRequest, "bad_request"},
     {CallOutcome::NoRoute, "no_route"},
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -25,8 +25,9 @@
 /// How long the store holds a read of the listings back; each target writes about once a second.
 constexpr Millis ListingsWait{2000};
 
-/// How long the store holds a read of the operators' topic back.
-constexpr Millis OperatorsWait{10000};
+/// How long the store holds a read of the operators' topic back. A read whose answer was lost is noticed after this time
+/// and that of a call; a desired state must be in force 2 s after its confirmation.
+constexpr Millis OperatorsWait{1000};
 
 /// A load doesn't show requests that were sent less than this before it arrived: one way, and the engine's report.
 constexpr Millis UnseenTime{60};
@@ -34,6 +35,10 @@
 /// How long a stopping VM still takes requests: until the platform has seen it not ready twice, a second apart.
 constexpr Millis DrainTime{3500};
 
+/// By how much sooner than the platform kills it a stopping process takes no more requests: the longest streams of the
+/// present installations last some 3 s.
+constexpr Millis LastRequestMargin{3500};
+
 /// By how much sooner than the platform kills it a stopping process ends.
 constexpr Millis KillMargin{400};
 
@@ -42,7 +47,7 @@
 constexpr Millis LongestRetryAfter{900};
 
 /// By how much sooner than the contract asks requests stop to begin on old weights: a queue at the engine and the way.
-constexpr Millis VersionMargin{1200};
+constexpr Millis VersionMargin{1000};
 
 std::string_view requestPath(std::string_view target)
 {
@@ -112,7 +117,11 @@
                         applyOperatorRecord(record);
                     }
                 },
-            .record = [this](const platform::KeyedRecord &record) { applyOperatorRecord(record); },
+            .record =
+                [this](const platform::KeyedRecord &record) {
+                    applyOperatorRecord(record);
+                    m_nextSubscription = Millis{0}; // Other VMs are told at the next tick that there is something new.
+                },
             .store = [this](bool away) { operatorsAway = away; },
         });
     m_targetsFeed = std::make_unique<feed::TopicFeed>(
@@ -158,9 +167,7 @@
                        {{"key", record.key}, {"cause", weights.error().message}});
             return;
         }
-        NamedVersion &known = named[weights->model];
-        if (weights->version > known.version) {
-            known = {.version = weights->version, .learntAt = steadyMillis()};
+        if (noteNamed(named[weights->model], weights->version, steadyMillis())) {
             logInfo(Part::Front, "New weights were named.",
                     {{"model", weights->model}, {"version", std::to_string(weights->version)}});
         }
@@ -216,10 +223,7 @@
 std::int64_t Front::minVersionOf(const std::string &model, Millis now) const
 {
     const auto it = named.find(model);
-    if (it == named.end() || now < it->second.learntAt + settings.bounds.versionTime - VersionMargin) {
-        return 0;
-    }
-    return it->second.version;
+    return it == named.end() ? 0 : requiredVersion(it->second, now, settings.bounds.versionTime - VersionMargin);
 }
 
 Millis Front::retryAfter()
@@ -230,6 +234,10 @@
 
 void Front::accept(const std::shared_ptr<Call> &call)
 {
+    if (refusing) {
+        call->refuse(CallOutcome::Stopping);
+        return;
+    }
     if (const auto refused = call->resolve()) {
         call->refuse(*refused);
         return;
@@ -249,6 +257,7 @@
                                                 .domain = settings.domain,
                                                 .minVersion = minVersionOf(call->request.model, now),
                                                 .engine = call->engine,
+                                                .duration = call->expectedTime(),
                                                 .urgent = !call->isLate(now),
                                                 .tried = &call->tried,
                                                 .now = now},
@@ -390,7 +399,7 @@
 
 void Front::subscribe()
 {
-    const std::string message = peer::encode(peer::SubscribeMessage{});
+    const std::string message = peer::encode(peer::SubscribeMessage{.operatorsEnd = m_operatorsFeed->next()});
     for (const auto &[id, target] : table.targets) {
         const auto endpoint = platform::endpointFrom(target.entry.address);
         const bool engine = !target.entry.models.empty() || target.load.has_value()
@@ -435,6 +444,7 @@
     incarnation = load.incarnation;
     sequence = load.sequence;
     retries.entryVms = std::max(load.entryVms, 1);
+    m_operatorsFeed->hint(load.operatorsEnd);
     const Millis now = steadyMillis();
     for (auto &[id, target] : table.targets) {
         if (!target.entry.address.starts_with(ip + ":")) {
@@ -449,6 +459,7 @@
                             .queued = load.queued,
                             .version = load.version,
                             .loading = load.loading,
+                            .loadsAt = load.loadsIn ? std::optional(now + *load.loadsIn) : std::nullopt,
                             .at = now},
                            unseen);
     }
@@ -467,6 +478,7 @@
 
 void Front::finishDrainIfIdle(Millis now)
 {
+    refusing = now - drainingSince >= settings.bounds.stopTime - LastRequestMargin;
     const bool busy =
         std::any_of(m_connections.begin(), m_connections.end(), [](const auto &item) { return item.second->isBusy(); });
     const bool idleLongEnough = !busy && now - drainingSince >= DrainTime;
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -8,6 +8,7 @@
 #include "ibislock/net/http_client.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/desired_state.h"
+#include "ibislock/serving/named_versions.h"
 #include "ibislock/serving/placement.h"
 #include "ibislock/serving/retry_share.h"
 
@@ -21,13 +22,6 @@
 class Call;
 class CallerConnection;
 
-/// Weights that the operators have named, and when this process learnt of it.
-struct NamedVersion
-{
-    std::int64_t version = 0;
-    Millis learntAt{0};
-};
-
 /// The daemon's state and parts.
 class Front
 {
@@ -62,11 +56,12 @@
     net::HttpClient client;
     serving::TargetTable table;
     std::shared_ptr<const serving::DesiredState> state;
-    std::map<std::string, NamedVersion, std::less<>> named;
+    std::map<std::string, serving::NamedVersions, std::less<>> named;
     serving::RetryShare retries;
     Random random;
     FrontCounters counters;
     bool draining = false;
+    bool refusing = false; ///< Too late in a stop for new requests to end in time.
     bool operatorsAway = false; ///< The operators' topic can't be read, so the state may be old.
     Millis drainingSince{0};
 
--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -64,6 +64,9 @@
 
     bool isOpen() const;
 
+    /// The address of the peer; empty if the connection is closed.
+    std::string peerIp() const;
+
 private:
     explicit Connection(asio::ip::tcp::socket socket);
     void waitReadable();
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -204,6 +204,13 @@
     return m_socket.is_open();
 }
 
+std::string Connection::peerIp() const
+{
+    asio::error_code ec;
+    const auto endpoint = m_socket.remote_endpoint(ec);
+    return ec ? std::string() : endpoint.address().to_string();
+}
+
 void Connection::fail(ClosedBy by)
 {
     const auto self = shared_from_this();
--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -5,10 +5,12 @@
 
 #pragma once
 
+#include "ibislock/base/clock.h"
 #include "ibislock/base/digest.h"
 #include "ibislock/base/error.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -20,6 +22,7 @@
 /// An entry VM asks a target VM for its loads.
 struct SubscribeMessage
 {
+    std::int64_t operatorsEnd = -1; ///< The offset up to which the sender has read the operators' topic.
 };
 
 /// The load of the engine beside a target daemon.
@@ -32,6 +35,8 @@
     std::int64_t version = 0; ///< Of the loaded weights; 0 while there are none.
     bool loading = false; ///< Takes no requests until its weights are loaded.
     int entryVms = 0; ///< How many entry VMs subscribe.
+    std::optional<Millis> loadsIn; ///< Until the engine takes no more requests in order to load.
+    std::int64_t operatorsEnd = -1; ///< The highest offset up to which the sender or a subscriber has read.
 };
 
 /// A message over UDP.
@@ -51,7 +56,7 @@
 inline constexpr int ManifestIndex = -1;
 
 /// What a piece message carries.
-enum class PieceContent { Ask, Bytes, Missing, Manifest, Ready };
+enum class PieceContent { Ask, Bytes, Missing, Manifest, Ready, Elsewhere };
 
 /// A message about one piece of a version of weights.
 struct PieceMessage
@@ -62,6 +67,7 @@
     PieceContent content = PieceContent::Ask;
     std::uint32_t waitMs = 0; ///< Of an ask: 0 for the bytes now; else to be told within this time when it is held.
     std::string bytes; ///< Of a piece.
+    std::string vm; ///< Of an answer that points elsewhere: who is to be asked.
     std::uint64_t chunkBytes = 0; ///< Of a manifest.
     std::vector<Digest> digests; ///< Of a manifest.
 };
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -7,7 +7,9 @@
 struct Datagram {
   # Sent over UDP; lost ones are made up for by the next.
   union {
-    subscribe @0 :Void;  # An entry VM asks a target VM for loads; valid for some seconds.
+    subscribe @0 :Int64;
+    # An entry VM asks a target VM for loads; valid for some seconds. Holds the offset up to which the sender has read
+    # the operators' topic.
     load @1 :Load;
   }
 }
@@ -21,6 +23,8 @@
   version @4 :Int64;  # Of the loaded weights; 0 while there are none.
   loading @5 :Bool;  # Takes no requests until its weights are loaded.
   entryVms @6 :UInt16;  # How many entry VMs subscribe.
+  loadsInMs @8 :UInt16 = 65535;  # Until the engine takes no more requests in order to load; 65535 if that is not planned.
+  operatorsEnd @7 :Int64;  # The offset up to which the operators' topic is known to have been read by some VM.
 }
 
 struct PieceMessage {
@@ -35,6 +39,7 @@
     missing @5 :Void;
     manifest @6 :Manifest;
     ready @7 :Void;  # The piece is held now.
+    elsewhere @8 :Text;  # The asked VM is busy; the VM that is named got the piece from it before.
   }
 }
 
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::size_t LengthBytes = 4;
 
+/// The value on the wire that stands for no planned load.
+constexpr std::uint16_t NoLoadPlanned = 65535;
+
 std::string flatten(capnp::MessageBuilder &message)
 {
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
@@ -76,6 +79,10 @@
     case wire::PieceMessage::MISSING:
         out.content = PieceContent::Missing;
         return out;
+    case wire::PieceMessage::ELSEWHERE:
+        out.content = PieceContent::Elsewhere;
+        out.vm = message.getElsewhere().cStr();
+        return out;
     case wire::PieceMessage::READY:
         out.content = PieceContent::Ready;
         return out;
@@ -95,10 +102,10 @@
 
 } // namespace
 
-std::string encode(const SubscribeMessage & /*message*/)
+std::string encode(const SubscribeMessage &message)
 {
     capnp::MallocMessageBuilder builder;
-    builder.initRoot<wire::Datagram>().setSubscribe();
+    builder.initRoot<wire::Datagram>().setSubscribe(message.operatorsEnd);
     return flatten(builder);
 }
 
@@ -113,6 +120,10 @@
     load.setVersion(message.version);
     load.setLoading(message.loading);
     load.setEntryVms(static_cast<std::uint16_t>(message.entryVms));
+    if (message.loadsIn) {
+        load.setLoadsInMs(static_cast<std::uint16_t>(std::min<std::int64_t>(message.loadsIn->count(), NoLoadPlanned - 1)));
+    }
+    load.setOperatorsEnd(message.operatorsEnd);
     return flatten(builder);
 }
 
@@ -123,19 +134,22 @@
         capnp::FlatArrayMessageReader reader(words);
         const auto message = reader.getRoot<wire::Datagram>();
         if (message.isSubscribe()) {
-            return SubscribeMessage{};
+            return SubscribeMessage{.operatorsEnd = message.getSubscribe()};
         }
         if (!message.isLoad()) {
             return failure(ErrorCode::Corrupt, "a datagram of an unknown kind");
         }
         const auto load = message.getLoad();
+        const std::uint16_t loadsIn = load.getLoadsInMs();
         return LoadMessage{.incarnation = load.getIncarnation(),
                            .sequence = load.getSequence(),
                            .running = load.getRunning(),
                            .queued = load.getQueued(),
                            .version = load.getVersion(),
                            .loading = load.getLoading(),
-                           .entryVms = load.getEntryVms()};
+                           .entryVms = load.getEntryVms(),
+                           .loadsIn = loadsIn == NoLoadPlanned ? std::nullopt : std::optional(Millis{loadsIn}),
+                           .operatorsEnd = load.getOperatorsEnd()};
     } catch (const kj::Exception &exception) {
         return failure(ErrorCode::Corrupt, exception.getDescription().cStr());
     }
@@ -158,6 +172,9 @@
     case PieceContent::Missing:
         piece.setMissing();
         break;
+    case PieceContent::Elsewhere:
+        piece.setElsewhere(message.vm);
+        break;
     case PieceContent::Ready:
         piece.setReady();
         break;
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -40,7 +40,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ee14fff53d8dc018, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ee14fff53d8dc018, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -55,7 +55,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -74,6 +74,7 @@
     MISSING,
     MANIFEST,
     READY,
+    ELSEWHERE,
   };
 
   struct _capnpPrivate {
@@ -120,7 +121,7 @@
 
   inline Which which() const;
   inline bool isSubscribe() const;
-  inline  ::capnp::Void getSubscribe() const;
+  inline  ::int64_t getSubscribe() const;
 
   inline bool isLoad() const;
   inline bool hasLoad() const;
@@ -156,8 +157,8 @@
 
   inline Which which();
   inline bool isSubscribe();
-  inline  ::capnp::Void getSubscribe();
-  inline void setSubscribe( ::capnp::Void value = ::capnp::VOID);
+  inline  ::int64_t getSubscribe();
+  inline void setSubscribe( ::int64_t value);
 
   inline bool isLoad();
   inline bool hasLoad();
@@ -224,6 +225,10 @@
 
   inline  ::uint16_t getEntryVms() const;
 
+  inline  ::int64_t getOperatorsEnd() const;
+
+  inline  ::uint16_t getLoadsInMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -273,6 +278,12 @@
   inline  ::uint16_t getEntryVms();
   inline void setEntryVms( ::uint16_t value);
 
+  inline  ::int64_t getOperatorsEnd();
+  inline void setOperatorsEnd( ::int64_t value);
+
+  inline  ::uint16_t getLoadsInMs();
+  inline void setLoadsInMs( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -341,6 +352,10 @@
   inline bool isReady() const;
   inline  ::capnp::Void getReady() const;
 
+  inline bool isElsewhere() const;
+  inline bool hasElsewhere() const;
+  inline  ::capnp::Text::Reader getElsewhere() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -411,6 +426,14 @@
   inline  ::capnp::Void getReady();
   inline void setReady( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isElsewhere();
+  inline bool hasElsewhere();
+  inline  ::capnp::Text::Builder getElsewhere();
+  inline void setElsewhere( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initElsewhere(unsigned int size);
+  inline void adoptElsewhere(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownElsewhere();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -527,11 +550,11 @@
 
 inline  ::ibislock::peer::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 inline  ::ibislock::peer::wire::Datagram::Which Datagram::Builder::which() {
   return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
 inline bool Datagram::Reader::isSubscribe() const {
@@ -540,23 +563,23 @@
 inline bool Datagram::Builder::isSubscribe() {
   return which() == Datagram::SUBSCRIBE;
 }
-inline  ::capnp::Void Datagram::Reader::getSubscribe() const {
+inline  ::int64_t Datagram::Reader::getSubscribe() const {
   KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void Datagram::Builder::getSubscribe() {
+inline  ::int64_t Datagram::Builder::getSubscribe() {
   KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setSubscribe( ::capnp::Void value) {
+inline void Datagram::Builder::setSubscribe( ::int64_t value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
-  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
@@ -590,20 +613,20 @@
 }
 inline void Datagram::Builder::setLoad( ::ibislock::peer::wire::Load::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Datagram::LOAD);
   ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::initLoad() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Datagram::LOAD);
   return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Datagram::Builder::adoptLoad(
     ::capnp::Orphan< ::ibislock::peer::wire::Load>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Datagram::LOAD);
   ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
@@ -712,6 +735,34 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Load::Reader::getOperatorsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Load::Builder::getOperatorsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setOperatorsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getLoadsInMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 65535u);
+}
+
+inline  ::uint16_t Load::Builder::getLoadsInMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 65535u);
+}
+inline void Load::Builder::setLoadsInMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value, 65535u);
+}
+
 inline  ::ibislock::peer::wire::PieceMessage::Which PieceMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS);
@@ -969,6 +1020,60 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PieceMessage::Reader::isElsewhere() const {
+  return which() == PieceMessage::ELSEWHERE;
+}
+inline bool PieceMessage::Builder::isElsewhere() {
+  return which() == PieceMessage::ELSEWHERE;
+}
+inline bool PieceMessage::Reader::hasElsewhere() const {
+  if (which() != PieceMessage::ELSEWHERE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PieceMessage::Builder::hasElsewhere() {
+  if (which() != PieceMessage::ELSEWHERE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PieceMessage::Reader::getElsewhere() const {
+  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PieceMessage::Builder::getElsewhere() {
+  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::setElsewhere( ::capnp::Text::Reader value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PieceMessage::Builder::initElsewhere(unsigned int size) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PieceMessage::Builder::adoptElsewhere(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PieceMessage::Builder::disownElsewhere() {
+  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Manifest::Reader::getChunkBytes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -12,7 +12,7 @@
 TEST(MessagesTest, ALoadComesBackAsItWas)
 {
     const auto read = decodeDatagram(encode(LoadMessage{
-        .incarnation = 7, .sequence = 2, .running = 3, .queued = 4, .version = 5, .loading = true, .entryVms = 6}));
+        .incarnation = 7, .sequence = 2, .running = 3, .queued = 4, .version = 5, .loading = true, .entryVms = 6, .loadsIn = Millis{70}}));
     ASSERT_TRUE(read);
     const auto &load = std::get<LoadMessage>(*read);
     EXPECT_EQ(load.incarnation, 7U);
@@ -20,6 +20,7 @@
     EXPECT_EQ(load.version, 5);
     EXPECT_TRUE(load.loading);
     EXPECT_EQ(load.entryVms, 6);
+    EXPECT_EQ(load.loadsIn, Millis{70});
     EXPECT_TRUE(std::holds_alternative<SubscribeMessage>(*decodeDatagram(encode(SubscribeMessage{}))));
 }
 
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -20,6 +20,7 @@
     std::string_view domain; ///< Of the entry VM; its targets are taken first among equals.
     std::int64_t minVersion = 0; ///< The oldest weights that may serve; 0 for any, and for services without weights.
     bool engine = false; ///< Whether the service has engines, which serve nothing without weights.
+    Millis duration{0}; ///< How long it is expected to run; 0 if unknown.
     bool urgent = true; ///< May take the last free slots.
     const std::set<std::string> *tried = nullptr; ///< Targets that the request was sent to before.
     Millis now{0};
@@ -40,6 +41,9 @@
     double occupancy = 0; ///< Of the target that was chosen, or of the least occupied, in requests per slot.
 };
 
+/// By how much a request may outlast the time at which its target begins to load: the load waits for what runs.
+inline constexpr Millis LoadOverlap{300};
+
 /// How old a report may be; targets report each 500 ms at least, and datagrams are lost at times.
 inline constexpr Millis LoadLifetime{1500};
 
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -45,6 +45,7 @@
     int queued = 0;
     std::int64_t version = 0; ///< Of the weights; 0 while it holds none.
     bool loading = false; ///< Takes no request until its weights are loaded.
+    std::optional<Millis> loadsAt; ///< When it will take no more requests in order to load.
     Millis at{0}; ///< When it arrived here.
 };
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -30,6 +30,9 @@
     if (fresh && target.load->loading) {
         return false;
     }
+    if (fresh && target.load->loadsAt && request.now + request.duration > *target.load->loadsAt + LoadOverlap) {
+        return false; // It would hold up the load, and slots would stand empty beside it.
+    }
     std::int64_t version = 0;
     if (fresh) {
         version = target.load->version;
--- a/libs/serving/test/serving_test.cpp
+++ b/libs/serving/test/serving_test.cpp
@@ -157,6 +157,18 @@
         UnusableCase{"LostItsWeights", engineTarget("a"), TargetLoad{.version = 0, .at = Millis{100}}, 0}),
     [](const auto &item) { return item.param.name; });
 
+TEST(PlacementTest, ATargetThatLoadsSoonGetsOnlyWhatEndsBefore)
+{
+    TargetTable table;
+    applyEntry(table, "a", engineTarget("a"), Millis{0});
+    applyLoad(table, "a", {.version = 1, .loadsAt = Millis{1000}, .at = Millis{100}}, 0);
+    Random random(1);
+    PlacementRequest request{.service = "s", .domain = "d", .engine = true, .duration = Millis{800}, .now = Millis{150}};
+    EXPECT_NE(place(table, request, random).target, nullptr);
+    request.duration = Millis{1500};
+    EXPECT_EQ(place(table, request, random).target, nullptr);
+}
+
 TEST(RetryShareTest, ABurstOfFailuresStaysInsideTheShare)
 {
     RetryShare share{.ratio = 0.2, .allowance = 100, .entryVms = 8};
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -17,6 +17,12 @@
 /// Queued bytes beyond which a VM gets no further piece before it has taken those.
 constexpr std::size_t QueuedBytes = 32 * 1024;
 
+/// Asks for bytes that wait here, from which on askers are sent to VMs that got the piece before.
+constexpr std::size_t CrowdedAsks = 3;
+
+/// How long a piece that was sent takes to be staged at its receiver, at most VMs.
+constexpr Millis SettleTime{300};
+
 /// How long a connection to a VM may take; a round trip takes a few ms, a lost packet a second.
 constexpr Millis ConnectTime{1200};
 
@@ -192,10 +198,15 @@
         } else if (item.ask.waitMs > 0 && item.ask.index != peer::ManifestIndex) {
             item.ask.content = peer::PieceContent::Ready;
             connection->write(peer::encode(item.ask));
+        } else if (const std::string vm = elsewhere(item, now); !vm.empty()) {
+            item.ask.content = peer::PieceContent::Elsewhere;
+            item.ask.vm = vm;
+            connection->write(peer::encode(item.ask));
         } else if (now < m_nextPieceAt || m_reading >= ServedAtOnce || connection->queued() > QueuedBytes) {
             m_waiting.push_back(std::move(item));
         } else {
             ++m_reading;
+            noteSent(item, *connection, now);
             m_nextPieceAt = item.ask.index == peer::ManifestIndex ? now : now + m_pieceTime;
             m_nextPiece.expires_after(m_pieceTime);
             m_nextPiece.async_wait([this](const asio::error_code &ec) {
@@ -214,6 +225,33 @@
     }
 }
 
+void PieceExchange::noteSent(const Waiting &item, const net::Connection &connection, Millis now)
+{
+    if (item.ask.version != m_sentVersion) {
+        m_sentVersion = item.ask.version;
+        m_sent.clear();
+    }
+    m_sent[item.ask.index].push_back({.vm = connection.peerIp(), .at = now});
+}
+
+std::string PieceExchange::elsewhere(const Waiting &item, Millis now) const
+{
+    const auto it = m_sent.find(item.ask.index);
+    const bool crowded = m_waiting.size() >= CrowdedAsks;
+    if (!crowded || item.ask.version != m_sentVersion || it == m_sent.end()) {
+        return {};
+    }
+    const auto connection = item.connection.lock();
+    const std::string asker = connection ? connection->peerIp() : std::string();
+    std::vector<std::string> settled;
+    for (const Sent &sent : it->second) {
+        if (sent.vm != asker && now >= sent.at + SettleTime) {
+            settled.push_back(sent.vm);
+        }
+    }
+    return settled.empty() ? std::string() : settled[static_cast<std::size_t>(now.count()) % settled.size()];
+}
+
 std::uint64_t PieceExchange::bytesServed() const
 {
     return m_bytesServed;
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -79,6 +79,8 @@
     void failAll(const std::string &vm);
     void serve(const std::shared_ptr<net::Connection> &connection);
     void takeAsk(const std::shared_ptr<net::Connection> &connection, peer::PieceMessage ask);
+    void noteSent(const Waiting &item, const net::Connection &connection, Millis now);
+    std::string elsewhere(const Waiting &item, Millis now) const;
     void tick();
 
     asio::io_context &m_loop;
@@ -91,6 +93,16 @@
     std::map<std::string, Asked> m_asked;
     std::vector<Waiting> m_waiting;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_served;
+
+    /// A piece that was sent.
+    struct Sent
+    {
+        std::string vm;
+        Millis at{0};
+    };
+
+    std::map<int, std::vector<Sent>> m_sent; ///< By piece, of the version that is spread now.
+    std::int64_t m_sentVersion = 0;
     int m_reading = 0; ///< Asks of others that are being read.
     asio::steady_timer m_nextPiece;
     std::uint64_t m_bytesServed = 0;
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -1,7 +1,6 @@
 #include "side.h"
 
 #include "ibislock/base/log.h"
-#include "ibislock/weights/rendezvous.h"
 
 #include <algorithm>
 
@@ -26,11 +25,9 @@
 /// The first version of any weights; runners hold it before one is named.
 constexpr std::int64_t FirstVersion = 1;
 
-/// From the naming of a version until the first VM loads it: about one copy over a VM's link.
-constexpr Millis FirstTurn{2500};
-
-/// By how much sooner than the contract asks the last VM loads: running requests end first, then it warms up.
-constexpr Millis LastTurnMargin{2600};
+/// By how much sooner than the contract asks entry VMs stop to begin requests on old weights, with the time that a load
+/// takes.
+constexpr Millis VersionMargin{1300};
 
 /// The part of the VM's link that pieces may use; requests to the engine and its answers share the link.
 constexpr double LinkPart = 0.85;
@@ -124,10 +121,7 @@
                        {{"key", record.key}, {"cause", weights.error().message}});
             return;
         }
-        auto &[version, learntAt] = m_named[weights->model];
-        if (weights->version > version) {
-            version = weights->version;
-            learntAt = steadyMillis();
+        if (noteNamed(m_named[weights->model], weights->version, steadyMillis())) {
             m_membersAt = Millis{0}; // VMs may have come and gone since the last version was spread.
         }
         return;
@@ -164,17 +158,12 @@
                      .origin = origin != nullptr ? origin->originAddress : ""};
     const auto it = m_named.find(goal.model);
     if (it != m_named.end()) {
-        goal.version = it->second.first;
-        goal.namedAt = it->second.second;
+        goal.version = it->second.back().version;
+        const Millis since = oldestUnreached(it->second, m_engine.loadedVersion());
+        goal.deadline = since + m_settings.bounds.versionTime - VersionMargin;
     }
-    // Turns follow from the address alone, so that VMs need not agree; an engine without weights loads at once.
-    constexpr std::uint64_t Parts = 1024;
-    const std::uint64_t part = weights::rendezvousWeight(std::to_string(goal.version), m_settings.ip) % Parts;
-    const Millis window = std::max(Millis{0}, m_settings.bounds.versionTime - FirstTurn - LastTurnMargin);
-    const bool empty = m_engine.loadedVersion() == 0;
-    goal.turnDelay =
-        empty ? Millis{0} : FirstTurn + window * static_cast<std::int64_t>(part) / static_cast<std::int64_t>(Parts);
     m_agent.setGoal(goal);
+    proceed();
 }
 
 std::vector<weights::SpreadMember> Side::members() const
@@ -186,7 +175,7 @@
             continue;
         }
         const auto it = m_named.empty() ? m_named.end() : m_named.begin();
-        const std::int64_t wanted = it == m_named.end() ? FirstVersion : it->second.first;
+        const std::int64_t wanted = it == m_named.end() ? FirstVersion : it->second.back().version;
         const bool holds = !entry.models.empty() && entry.models.front().version == wanted;
         out.push_back({.vm = endpoint->ip, .domain = entry.domain, .holds = holds});
     }
@@ -227,15 +216,21 @@
         });
 }
 
-void Side::onReport()
+void Side::proceed()
 {
-    const Millis now = steadyMillis();
     if (m_agent.needsMembers()) {
         refreshMembers();
     }
+    // Who owns a piece follows from the list of members: an old list would send VMs to each other in vain.
     if (m_membersAt > Millis{0} || !m_agent.needsMembers()) {
         m_agent.step();
     }
+}
+
+void Side::onReport()
+{
+    const Millis now = steadyMillis();
+    proceed();
     publish(now >= m_publishedAt + PublishTime);
     m_client.closeIdle(now);
     flushLog();
@@ -254,6 +249,8 @@
         .version = m_engine.loadedVersion(),
         .loading = m_agent.isLoading() || m_engine.report()->ordered,
         .entryVms = static_cast<int>(m_subscribers.size()),
+        .loadsIn = m_agent.loadsIn(),
+        .operatorsEnd = std::max(m_operatorsEnd, m_operatorsFeed->next()),
     };
     const std::string content = peer::encode(load);
     if (content == m_lastPublished && !force) {
@@ -281,6 +278,9 @@
                                 : peer::decodeDatagram(std::string_view(m_buffer.data(), n));
         if (message && std::holds_alternative<peer::SubscribeMessage>(*message)) {
             m_subscribers[m_sender].until = steadyMillis() + SubscriptionTime;
+            const std::int64_t end = std::get<peer::SubscribeMessage>(*message).operatorsEnd;
+            m_operatorsEnd = std::max(m_operatorsEnd, end);
+            m_operatorsFeed->hint(end);
         } else if (!message) {
             logDebug(Part::Side, "A datagram can't be read.", {{"cause", message.error().message}});
         }
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -5,6 +5,7 @@
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/side/daemon.h"
+#include "ibislock/serving/named_versions.h"
 #include "weights_agent.h"
 
 #include <asio/ip/udp.hpp>
@@ -30,6 +31,7 @@
     void applyOperatorRecord(const platform::KeyedRecord &record);
     void updateGoal();
     void refreshMembers();
+    void proceed();
     void receive();
     void publish(bool force);
     void onReport();
@@ -49,8 +51,8 @@
     std::array<char, 512> m_buffer{};
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
     std::shared_ptr<const serving::DesiredState> m_state;
-    std::map<std::string, std::pair<std::int64_t, Millis>, std::less<>>
-        m_named; ///< Version, and when it was learnt of.
+    std::map<std::string, serving::NamedVersions, std::less<>> m_named;
+    std::int64_t m_operatorsEnd = -1; ///< The highest offset up to which a subscriber has read the operators' topic.
     std::vector<serving::TargetEntry> m_members;
     bool m_membersAsked = false;
     Millis m_membersAt{0};
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -11,8 +11,11 @@
 /// Pieces asked for at once: all of a version. Asks are small, and a VM answers each as soon as it holds the piece.
 constexpr std::size_t FetchedAtOnce = 64;
 
-/// Pieces that are on their way to this VM at once: enough to bridge the pauses of one sender.
-constexpr int TransfersAtOnce = 4;
+/// Pieces that this VM has asked for at once. Most wait at their senders, of which all must have something to send.
+constexpr int TransfersAtOnce = 6;
+
+/// A transfer that takes longer went over a narrow link: a piece takes some 40 ms, and few wait in front of it.
+constexpr Millis SlowTransfer{500};
 
 /// How long a VM that is on its way to get a piece is given: most of a copy from the origin.
 constexpr Millis OwnerWait{3500};
@@ -38,6 +41,9 @@
 /// How long a call to the engine on the VM itself may take.
 constexpr Millis StageTime{2000};
 
+/// By how much the time until a VM loads a whole version is cut when a newer one has been named.
+constexpr int OvertakenDivisor = 2;
+
 /// After an order without effect, when it is looked at anew.
 constexpr Millis OrderTime{1500};
 
@@ -86,11 +92,40 @@
 void WeightsAgent::setGoal(const WeightsGoal &goal)
 {
     const bool changed = goal.model != m_goal.model || goal.version != m_goal.version;
+    const bool whole = m_phase == WeightsPhase::Waiting || m_phase == WeightsPhase::Verifying
+        || (m_phase == WeightsPhase::Ordered && !m_orderAccepted);
+    if (changed && whole && goal.model == m_goal.model) {
+        // What is whole is loaded first: requests may have to begin on it before the next version is here.
+        const Millis now = steadyMillis();
+        m_nextGoal = goal;
+        m_turnAt = std::min(m_turnAt, now + (m_turnAt - now) / OvertakenDivisor);
+        return;
+    }
     m_goal = goal;
     if (changed) {
         restart();
     }
-    step();
+}
+
+void WeightsAgent::adoptNextGoal()
+{
+    if (m_nextGoal) {
+        m_goal = *std::exchange(m_nextGoal, std::nullopt);
+        restart();
+    }
+}
+
+double WeightsAgent::turnPart() const
+{
+    return weights::turnOf(m_self, m_domain, m_members());
+}
+
+void WeightsAgent::waitForTurn()
+{
+    enter(WeightsPhase::Waiting);
+    const Millis now = steadyMillis();
+    const Millis left = m_engine.loadedVersion() == 0 ? Millis{0} : std::max(Millis{0}, m_goal.deadline - now);
+    m_turnAt = now + left * static_cast<std::int64_t>(turnPart() * 1000) / 1000;
 }
 
 WeightsPhase WeightsAgent::phase() const
@@ -113,6 +148,14 @@
     return m_phase == WeightsPhase::Verifying || m_phase == WeightsPhase::Ordered;
 }
 
+std::optional<Millis> WeightsAgent::loadsIn() const
+{
+    if (m_phase != WeightsPhase::Waiting || goalReached()) {
+        return std::nullopt;
+    }
+    return std::max(Millis{0}, m_turnAt - steadyMillis());
+}
+
 bool WeightsAgent::needsMembers() const
 {
     return m_phase == WeightsPhase::Manifest || m_phase == WeightsPhase::Fetching;
@@ -148,6 +191,7 @@
     m_transferringFrom.clear();
     m_manifestAsked = false;
     m_orderSent = false;
+    m_orderAccepted = false;
     enter(m_goal.version > 0 ? WeightsPhase::Manifest : WeightsPhase::Idle);
 }
 
@@ -180,7 +224,8 @@
     case WeightsPhase::Waiting:
         if (goalReached()) {
             enter(WeightsPhase::Idle);
-        } else if (now >= m_goal.namedAt + m_goal.turnDelay && !m_engine.report()->ordered) {
+            adoptNextGoal();
+        } else if (now >= m_turnAt && !m_engine.report()->ordered) {
             enter(WeightsPhase::Verifying);
             readStage();
         }
@@ -190,8 +235,10 @@
     case WeightsPhase::Ordered:
         if (goalReached()) {
             enter(WeightsPhase::Idle);
+            adoptNextGoal();
         } else if (!m_orderSent && !m_engine.report()->ordered && now > m_enteredAt + OrderTime) {
             enter(WeightsPhase::Waiting); // The order had no effect; all is verified again before the next.
+            adoptNextGoal();
         }
         break;
     }
@@ -271,6 +318,7 @@
         const bool all = m_staged.size() == m_digests.size();
         if (goalReached()) {
             enter(WeightsPhase::Idle);
+            adoptNextGoal();
         } else if (!all) {
             enter(WeightsPhase::Fetching);
             m_plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain, m_members());
@@ -278,7 +326,7 @@
         } else if (m_phase == WeightsPhase::Verifying) {
             order();
         } else {
-            enter(WeightsPhase::Waiting);
+            waitForTurn();
         }
         m_exchange.answerWaiting();
         return;
@@ -303,7 +351,7 @@
 void WeightsAgent::fetchMore()
 {
     if (m_staged.size() == m_digests.size()) {
-        enter(WeightsPhase::Waiting);
+        waitForTurn();
         step();
         return;
     }
@@ -363,7 +411,7 @@
     for (std::size_t n = 0; n < m_transfers.size(); ++n) {
         const std::size_t index = (best + n) % m_transfers.size();
         const Transfer &candidate = m_transfers[index];
-        if (!m_transferringFrom.contains(candidate.sources[candidate.at].vm)) {
+        if (!m_transferringFrom.contains(vmOf(candidate))) {
             best = index;
             break;
         }
@@ -376,38 +424,62 @@
 void WeightsAgent::transferNext()
 {
     const Millis now = steadyMillis();
-    if (m_transfers.empty() || m_transferring >= TransfersAtOnce || now < m_nextTransferAt) {
-        return;
+    while (!m_transfers.empty() && m_transferring < m_window && now >= m_nextTransferAt) {
+        m_nextTransferAt = std::max(m_nextTransferAt + m_pieceTime, now);
+        beginTransfer(takeTransfer());
     }
-    m_nextTransferAt = now + m_pieceTime;
-    m_nextTransfer.expires_after(m_pieceTime);
-    m_nextTransfer.async_wait([this](const asio::error_code &ec) {
-        if (!ec) {
-            transferNext();
-        }
-    });
+    if (!m_transfers.empty() && now < m_nextTransferAt) {
+        m_nextTransfer.expires_after(m_nextTransferAt - now);
+        m_nextTransfer.async_wait([this](const asio::error_code &ec) {
+            if (!ec) {
+                transferNext();
+            }
+        });
+    }
+}
+
+void WeightsAgent::beginTransfer(Transfer next)
+{
+    const Millis now = steadyMillis();
     ++m_transferring;
-    Transfer next = takeTransfer();
-    const std::string vm = next.sources[next.at].vm;
+    const std::string vm = vmOf(next);
     m_transferringFrom.insert(vm);
     m_exchange.ask(vm, {.model = m_goal.model, .version = m_goal.version, .index = next.piece}, HolderTime,
-                   [this, round = m_round, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) mutable {
-                       if (round != m_round) {
-                           return;
+                   [this, round = m_round, now, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
+                       if (round == m_round) {
+                           takeTransferred(next, answer, steadyMillis() - now);
                        }
-                       --m_transferring;
-                       m_transferringFrom.erase(next.sources[next.at].vm);
-                       const bool good = answer && answer->content == peer::PieceContent::Bytes
-                           && sha256(answer->bytes) == m_digests[static_cast<std::size_t>(next.piece)];
-                       if (good) {
-                           takePiece(next.piece, answer->bytes, false);
-                       } else {
-                           fetchFrom(next.piece, std::move(next.sources), next.at + 1);
-                       }
-                       transferNext();
                    });
 }
 
+void WeightsAgent::takeTransferred(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took)
+{
+    --m_transferring;
+    m_transferringFrom.erase(vmOf(done));
+    // On a link that is narrower than it should be, pieces must not queue up in front of requests.
+    m_window = took > SlowTransfer ? 1 : std::min(m_window + 1, TransfersAtOnce);
+    const bool good = answer && answer->content == peer::PieceContent::Bytes
+        && sha256(answer->bytes) == m_digests[static_cast<std::size_t>(done.piece)];
+    if (good) {
+        takePiece(done.piece, answer->bytes, false);
+    } else if (answer && answer->content == peer::PieceContent::Elsewhere && answer->vm != m_self) {
+        done.via = answer->vm;
+        m_nextTransferAt -= m_pieceTime; // Nothing came over the link.
+        m_transfers.push_back(std::move(done));
+    } else if (!done.via.empty()) {
+        done.via.clear(); // The source itself still has the piece.
+        m_transfers.push_back(std::move(done));
+    } else {
+        fetchFrom(done.piece, std::move(done.sources), done.at + 1);
+    }
+    transferNext();
+}
+
+std::string WeightsAgent::vmOf(const Transfer &transfer)
+{
+    return transfer.via.empty() ? transfer.sources[transfer.at].vm : transfer.via;
+}
+
 void WeightsAgent::fetchNextFromOrigin()
 {
     if (m_originBusy || m_originQueue.empty()) {
@@ -481,6 +553,7 @@
 {
     enter(WeightsPhase::Ordered);
     m_orderSent = true;
+    m_orderAccepted = false;
     m_retry.expires_after(AnnounceTime);
     m_retry.async_wait([this, round = m_round](const asio::error_code &ec) {
         if (ec || round != m_round || !m_engine.report()) {
@@ -495,10 +568,12 @@
                           }
                           m_orderSent = false;
                           m_enteredAt = steadyMillis();
+                          m_orderAccepted = succeeded(status);
                           logInfo(Part::Side, "The engine was ordered to load.",
                                   {{"version", std::to_string(m_goal.version)},
                                    {"status", std::to_string(status)},
                                    {"answer", succeeded(status) ? "" : body.substr(0, 100)}});
+                          adoptNextGoal(); // An accepted order loads what was staged then, whatever is staged later.
                       });
     });
 }
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -19,8 +19,7 @@
 {
     std::string model;
     std::int64_t version = 0;
-    Millis namedAt{0}; ///< When the process learnt of the version.
-    Millis turnDelay{0}; ///< From then until this VM loads, so that not all load at once.
+    Millis deadline{0}; ///< When requests stop to begin on what is loaded now; zero if that is not so.
     std::string origin; ///< IP:PORT; empty while unknown.
 };
 
@@ -76,6 +75,9 @@
     /// Tells whether the engine takes no new requests because of a load of ours.
     bool isLoading() const;
 
+    /// Until the engine is ordered to load; nothing while no load is planned.
+    std::optional<Millis> loadsIn() const;
+
     /// Tells whether the agent needs to know the other VMs.
     bool needsMembers() const;
 
@@ -101,6 +103,9 @@
     void stage(int piece, std::string bytes);
     void retryLater(int piece);
     void order();
+    void waitForTurn();
+    double turnPart() const;
+    void adoptNextGoal();
     bool goalReached() const;
     std::optional<bool> holdsForPeer(const peer::PieceMessage &ask) const;
     void readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done);
@@ -116,6 +121,8 @@
     asio::steady_timer m_retry;
     Random m_random;
     WeightsGoal m_goal;
+    std::optional<WeightsGoal> m_nextGoal; ///< Named while the present one was whole and waited for its turn.
+    Millis m_turnAt{0}; ///< When this VM loads.
     WeightsPhase m_phase = WeightsPhase::Idle;
     std::uint64_t m_round = 0; ///< Counts beginnings; answers to an earlier one are ignored.
     std::vector<Digest> m_digests; ///< Of the wanted version.
@@ -131,22 +138,28 @@
         int piece = 0;
         std::vector<weights::PieceSource> sources;
         std::size_t at = 0;
+        std::string via; ///< A VM to which the source has pointed; empty for the source itself.
     };
 
     Transfer takeTransfer();
+    void beginTransfer(Transfer next);
+    static std::string vmOf(const Transfer &transfer);
+    void takeTransferred(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took);
 
-    Millis m_pieceTime; ///< Least time between the beginnings of two transfers.
+    Millis m_pieceTime; ///< Least time between the beginnings of two transfers, on average.
+    Millis m_nextTransferAt{0};
+    asio::steady_timer m_nextTransfer;
     std::deque<Transfer> m_transfers;
     int m_transferring = 0;
+    int m_window = 1; ///< Transfers that may be under way at once.
     std::set<std::string> m_transferringFrom;
-    Millis m_nextTransferAt{0};
-    asio::steady_timer m_nextTransfer;
     std::map<int, Millis> m_notBefore; ///< When a piece that could not be had is tried again.
     int m_readIndex = 0;
     Millis m_enteredAt{0};
     Millis m_nextManifestAsk{0};
     bool m_manifestAsked = false;
     bool m_orderSent = false;
+    bool m_orderAccepted = false;
     std::int64_t m_engineStart = 0;
     WeightsCounts m_counts;
 };
--- a/libs/weights/include/ibislock/weights/piece_sources.h
+++ b/libs/weights/include/ibislock/weights/piece_sources.h
@@ -48,4 +48,8 @@
 std::vector<PiecePlan> planPieces(int pieces, std::string_view self, std::string_view domain,
                                   const std::vector<SpreadMember> &members);
 
+/// The place of a VM in the order in which VMs load a version. Domains take turns, so that each keeps VMs that serve.
+/// @return from 0 for the first up to below 1.
+double turnOf(std::string_view self, std::string_view domain, const std::vector<SpreadMember> &members);
+
 } // namespace ibislock::weights
--- a/libs/weights/src/piece_sources.cpp
+++ b/libs/weights/src/piece_sources.cpp
@@ -3,6 +3,7 @@
 #include "ibislock/weights/rendezvous.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace ibislock::weights
@@ -14,20 +15,38 @@
 /// Holders asked in a row before the next kind of source; more only delays the origin when all are cut off.
 constexpr std::size_t HoldersAsked = 3;
 
-/// The VMs of one domain, or of all, in the order in which they own a piece.
-std::vector<std::string> owners(const std::string &key, std::string_view domain, std::string_view self,
-                                std::string_view selfDomain, const std::vector<SpreadMember> &members)
+/// The VMs of each domain in the order of their addresses, the asker among them.
+using Domains = std::map<std::string, std::vector<std::string>>;
+
+Domains domainsOf(std::string_view self, std::string_view domain, const std::vector<SpreadMember> &members)
 {
-    std::vector<std::string> vms;
+    Domains out;
+    out[std::string(domain)].emplace_back(self);
     for (const SpreadMember &member : members) {
-        if (member.vm != self && (domain.empty() || member.domain == domain)) {
-            vms.push_back(member.vm);
+        if (member.vm != self) {
+            out[member.domain].push_back(member.vm);
         }
     }
-    if (domain.empty() || domain == selfDomain) {
-        vms.emplace_back(self);
+    for (auto &[name, vms] : out) {
+        std::sort(vms.begin(), vms.end());
     }
-    return rendezvousOrder(key, vms);
+    return out;
+}
+
+/// The VMs of a domain in the order in which they own a piece. Pieces are dealt in turn, so that all own as many.
+std::vector<std::string> ownersIn(const Domains &domains, const std::string &domain, int piece)
+{
+    std::vector<std::string> out = domains.at(domain);
+    const std::size_t turn = static_cast<std::size_t>(piece + 1) / domains.size() % out.size();
+    std::rotate(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(turn), out.end());
+    return out;
+}
+
+/// The VM that takes a piece from the origin: the owner in the domain whose turn it is.
+std::string ownerOf(const Domains &domains, int piece)
+{
+    const std::size_t turn = static_cast<std::size_t>(piece + 1) % domains.size();
+    return ownersIn(domains, std::next(domains.begin(), static_cast<std::ptrdiff_t>(turn))->first, piece).front();
 }
 
 /// Adds holders in an order of the asker's own, so that askers spread over them.
@@ -56,8 +75,9 @@
     std::vector<PieceSource> out;
     addHolders(out, key, self, domain, true, members);
     const bool heldNearby = !out.empty();
-    const auto inDomain = owners(key, domain, self, domain, members);
-    const auto inAll = owners(key, "", self, domain, members);
+    const Domains domains = domainsOf(self, domain, members);
+    const auto inDomain = ownersIn(domains, std::string(domain), piece);
+    const std::string owner = ownerOf(domains, piece);
     if (!heldNearby && inDomain.front() != self) {
         out.push_back({.vm = inDomain.front(), .waits = true});
         // When the owner is lost or slow, others of the domain may have got the piece before.
@@ -66,17 +86,32 @@
                 out.push_back({.vm = inDomain[n], .waits = false});
             }
         }
-        if (inAll.front() != self && inAll.front() != inDomain.front()) {
-            out.push_back({.vm = inAll.front(), .waits = false});
+        if (owner != self && owner != inDomain.front()) {
+            out.push_back({.vm = owner, .waits = false});
         }
-    } else if (!heldNearby && inAll.front() != self) {
-        out.push_back({.vm = inAll.front(), .waits = true});
+    } else if (!heldNearby && owner != self) {
+        out.push_back({.vm = owner, .waits = true});
     }
     addHolders(out, key, self, domain, false, members);
     out.push_back({});
     return out;
 }
 
+double turnOf(std::string_view self, std::string_view domain, const std::vector<SpreadMember> &members)
+{
+    double before = 0;
+    double all = 0;
+    const Domains domains = domainsOf(self, domain, members);
+    const auto &own = domains.at(std::string(domain));
+    const auto place = static_cast<std::size_t>(std::find(own.begin(), own.end(), self) - own.begin());
+    for (const auto &[name, vms] : domains) {
+        all += static_cast<double>(vms.size());
+        const bool beforeOwn = name < domain;
+        before += static_cast<double>(std::min(vms.size(), place + (beforeOwn ? 1 : 0)));
+    }
+    return before / all;
+}
+
 std::vector<PiecePlan> planPieces(int pieces, std::string_view self, std::string_view domain,
                                   const std::vector<SpreadMember> &members)
 {
--- a/libs/weights/test/piece_sources_test.cpp
+++ b/libs/weights/test/piece_sources_test.cpp
@@ -57,6 +57,38 @@
     EXPECT_EQ(first, (std::set<std::string>{"10.0.0.1", "10.0.0.2", "10.0.0.3"}));
 }
 
+TEST(PieceSourcesTest, AllVmsOfADomainOwnAboutAsManyPieces)
+{
+    // An owner with twice as many pieces as others makes the whole domain wait twice as long.
+    const auto all = members(3, 9);
+    std::map<std::string, int> asked;
+    for (const SpreadMember &member : all) {
+        for (int piece = 0; piece < 64; ++piece) {
+            ++asked[pieceSources(piece, member.vm, member.domain, all).front().vm];
+        }
+    }
+    for (const SpreadMember &member : all) {
+        EXPECT_LE(asked[member.vm], (64 / 9 + 2) * 8 + 3 * 3) << member.vm;
+    }
+}
+
+TEST(PieceSourcesTest, TurnsAreSpreadOverAllVmsAndDomainsAlternate)
+{
+    const auto all = members(3, 4);
+    std::map<double, std::string> turns;
+    for (const SpreadMember &member : all) {
+        turns[turnOf(member.vm, member.domain, all)] = member.domain;
+    }
+    ASSERT_EQ(turns.size(), all.size());
+    EXPECT_EQ(turns.begin()->first, 0);
+    std::string last;
+    for (const auto &[turn, domain] : turns) {
+        EXPECT_LT(turn, 1);
+        EXPECT_NE(domain, last);
+        last = domain;
+    }
+}
+
 TEST(PieceSourcesTest, WhatOthersWaitForIsPlannedFirst)
 {
     const auto all = members(3, 5);
