The version that a target holds is expected of it; turns count from the loaded version

Cause: Expect-Version named the required version, so runners that were already on the next one refused (178 of 292 refusals at 28 s); turns of an overtaking version used the first version's time, so all loaded at once.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -127,7 +127,7 @@
         .deadline = deadlineAt - now,
         .targetId = target.entry.id,
         .workspace = workspace,
-        .minVersion = engine ? front.minVersionOf(request.model, now) : 0,
+        .weightsVersion = engine && front.minVersionOf(request.model, now) > 0 ? knownVersion(target, now) : 0,
     };
     if (m_headWritten) {
         out.lastEventId = m_events.lastId;
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -59,6 +59,9 @@
 /// Chooses the target of a request.
 Placement place(TargetTable &table, const PlacementRequest &request, Random &random);
 
+/// The version of the weights that a target holds as far as is known; 0 for none.
+std::int64_t knownVersion(const Target &target, Millis now);
+
 /// Estimates the requests that a target holds.
 double requestsAt(const Target &target, bool engine, Millis now);
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -33,12 +33,7 @@
     if (fresh && target.load->loadsAt && request.now + request.duration > *target.load->loadsAt + LoadOverlap) {
         return false; // It would hold up the load, and slots would stand empty beside it.
     }
-    std::int64_t version = 0;
-    if (fresh) {
-        version = target.load->version;
-    } else if (!target.entry.models.empty()) {
-        version = target.entry.models.front().version;
-    }
+    const std::int64_t version = knownVersion(target, request.now);
     return version > 0 && version >= request.minVersion;
 }
 
@@ -52,6 +47,14 @@
 
 } // namespace
 
+std::int64_t knownVersion(const Target &target, Millis now)
+{
+    if (target.load && now - target.load->at < LoadLifetime) {
+        return target.load->version;
+    }
+    return target.entry.models.empty() ? 0 : target.entry.models.front().version;
+}
+
 double requestsAt(const Target &target, bool engine, Millis now)
 {
     if (target.load && now - target.load->at < LoadLifetime) {
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -159,8 +159,8 @@
     const auto it = m_named.find(goal.model);
     if (it != m_named.end()) {
         goal.version = it->second.back().version;
-        const Millis since = oldestUnreached(it->second, m_engine.loadedVersion());
-        goal.deadline = since + m_settings.bounds.versionTime - VersionMargin;
+        goal.named = it->second;
+        goal.versionTime = m_settings.bounds.versionTime - VersionMargin;
     }
     m_agent.setGoal(goal);
     proceed();
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -124,7 +124,9 @@
 {
     enter(WeightsPhase::Waiting);
     const Millis now = steadyMillis();
-    const Millis left = m_engine.loadedVersion() == 0 ? Millis{0} : std::max(Millis{0}, m_goal.deadline - now);
+    const std::int64_t loaded = m_engine.loadedVersion();
+    const Millis deadline = oldestUnreached(m_goal.named, loaded) + m_goal.versionTime;
+    const Millis left = loaded == 0 ? Millis{0} : std::max(Millis{0}, deadline - now);
     m_turnAt = now + left * static_cast<std::int64_t>(turnPart() * 1000) / 1000;
 }
 
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -5,6 +5,7 @@
 
 #include "engine_watch.h"
 #include "ibislock/base/random.h"
+#include "ibislock/serving/named_versions.h"
 #include "ibislock/weights/piece_sources.h"
 #include "piece_exchange.h"
 
@@ -19,7 +20,8 @@
 {
     std::string model;
     std::int64_t version = 0;
-    Millis deadline{0}; ///< When requests stop to begin on what is loaded now; zero if that is not so.
+    serving::NamedVersions named; ///< All that have been named, with their times.
+    Millis versionTime{0}; ///< From a naming until requests stop to begin on older versions.
     std::string origin; ///< IP:PORT; empty while unknown.
 };
 
