Placement by waiting prompts, among three drawn targets

Cause: at 12 to 20 s 309 of 1288 streams were late, most on the targets that seemed least occupied: eight entry VMs with the same reports sent to the same one, whose prompts then waited for each other. Ruled out: old loads (1 of 309) and waiting in the entry VM (1). Change: three targets are drawn, and the one with the smallest backlog of prompts is taken.

--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -76,15 +76,15 @@
     http::RequestHead head = request.head;
     head.headers.add("Host", m_store.ip);
     m_exchange = m_client.call(m_store.ip, m_store.port, writeRequest(head, request.body),
-                  {.connectTime = CallTime, .timeout = timeout, .maxIdle = Millis{30000}},
-                  [this, again, done = std::move(done)](net::ExchangeEnd end, const http::ResponseHead &answer,
-                                                        const std::string &body) {
-                      if (end != net::ExchangeEnd::Complete) {
-                          failed(nameOf(net::ExchangeEndNames, end), again);
-                          return;
-                      }
-                      done(answer.status, body);
-                  });
+                               {.connectTime = CallTime, .timeout = timeout, .maxIdle = Millis{30000}},
+                               [this, again, done = std::move(done)](
+                                   net::ExchangeEnd end, const http::ResponseHead &answer, const std::string &body) {
+                                   if (end != net::ExchangeEnd::Complete) {
+                                       failed(nameOf(net::ExchangeEndNames, end), again);
+                                       return;
+                                   }
+                                   done(answer.status, body);
+                               });
 }
 
 std::int64_t TopicFeed::next() const
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -114,9 +114,14 @@
     return spent >= route.goal;
 }
 
+double Call::promptMs(int tokens) const
+{
+    return engineSpec.promptTokensPerMs > 0 ? tokens / engineSpec.promptTokensPerMs : 0;
+}
+
 Millis Call::expectedTime() const
 {
-    const double prompt = engineSpec.promptTokensPerMs > 0 ? request.promptTokens / engineSpec.promptTokensPerMs : 0;
+    const double prompt = promptMs(request.promptTokens);
     const int tokens = request.expectedOutputTokens > 0 ? request.expectedOutputTokens : request.maxOutputTokens;
     return Millis{static_cast<std::int64_t>(prompt + tokens * engineSpec.stepMs * SharedStepFactor)};
 }
@@ -147,7 +152,11 @@
         refuse(CallOutcome::NoTarget); // Listings without an address are not taken over, so this is not reached.
         return;
     }
+    m_lastTargetId = target.entry.id;
+    m_loadAge = target.load ? now - target.load->at : Millis{-1};
+    m_occupancyPercent = static_cast<int>(100 * requestsAt(target, engine, now) / std::max(target.entry.slots, 1));
     if (m_sends == 0) {
+        m_firstSentAt = now;
         observe(front.counters.waited, now - receivedAt);
     }
     ++m_sends;
@@ -156,7 +165,7 @@
     tried.insert(target.entry.id);
     m_targetId = target.entry.id;
     m_sentAt = now;
-    noteSend(target, now);
+    noteSend(target, now, promptMs(request.promptTokens));
     m_answer = Answer::None;
     m_answerBody.clear();
     m_events.partial.clear();
@@ -209,9 +218,13 @@
         return;
     }
     std::string out;
+    const Millis now = steadyMillis();
+    m_longestPause = m_lastEventAt > Millis{0} ? std::max(m_longestPause, now - m_lastEventAt) : Millis{0};
+    m_lastEventAt = now;
     if (!m_headWritten) {
         m_headWritten = true;
-        observe(front.counters.firstEvent, steadyMillis() - receivedAt);
+        m_firstEventAt = now;
+        observe(front.counters.firstEvent, now - receivedAt);
         http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
         forwarded.keepAlive = connection->keepsAlive();
         out = writeChunkedHead(forwarded);
@@ -418,6 +431,13 @@
              {"service", service},
              {"state", front.state ? std::to_string(front.state->version) : "none"},
              {"sends", std::to_string(m_sends)},
+             {"target", m_lastTargetId},
+             {"occupancy", std::to_string(m_occupancyPercent)},
+             {"load_age_ms", std::to_string(m_loadAge.count())},
+             {"waited_ms", std::to_string(m_sends > 0 ? (m_firstSentAt - receivedAt).count() : -1)},
+             {"first_ms", std::to_string(m_firstEventAt > Millis{0} ? (m_firstEventAt - receivedAt).count() : -1)},
+             {"pause_ms", std::to_string(m_longestPause.count())},
+             {"goal_ms", std::to_string(route.goal.count())},
              {"took_ms", std::to_string(whole.count())}});
 }
 
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -38,6 +38,9 @@
     /// Tells whether the caller has waited for so long that its answer can't be on time any more.
     bool isLate(Millis now) const;
 
+    /// How long an engine reads a prompt of some tokens, in milliseconds; 0 for plain services.
+    double promptMs(int tokens) const;
+
     /// How long the request is expected to run on a free engine.
     Millis expectedTime() const;
 
@@ -88,6 +91,13 @@
     std::string m_answerBody;
     EventSplitter m_events;
     Millis m_sentAt{0};
+    Millis m_firstSentAt{0};
+    Millis m_firstEventAt{0};
+    Millis m_lastEventAt{0};
+    Millis m_longestPause{0}; ///< Between two events that were handed over.
+    std::string m_lastTargetId;
+    int m_occupancyPercent = 0; ///< Of the last target, as believed when the request was sent.
+    Millis m_loadAge{0}; ///< Of that belief.
     int m_sends = 0;
     int m_connectFailures = 0;
     bool m_sentOnce = false; ///< A target may have read the request and was not known to refuse it.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -25,8 +25,8 @@
 /// How long the store holds a read of the listings back; each target writes about once a second.
 constexpr Millis ListingsWait{2000};
 
-/// How long the store holds a read of the operators' topic back. A read whose answer was lost is noticed after this time
-/// and that of a call; a desired state must be in force 2 s after its confirmation.
+/// How long the store holds a read of the operators' topic back. A read whose answer was lost is noticed after this
+/// time and that of a call; a desired state must be in force 2 s after its confirmation.
 constexpr Millis OperatorsWait{1000};
 
 /// A load doesn't show requests that were sent less than this before it arrived: one way, and the engine's report.
@@ -257,6 +257,7 @@
                                                 .domain = settings.domain,
                                                 .minVersion = minVersionOf(call->request.model, now),
                                                 .engine = call->engine,
+                                                .usualPromptMs = call->promptMs(call->engineSpec.usualPromptTokens),
                                                 .duration = call->expectedTime(),
                                                 .urgent = !call->isLate(now),
                                                 .tried = &call->tried,
@@ -450,10 +451,6 @@
         if (!target.entry.address.starts_with(ip + ":")) {
             continue;
         }
-        int unseen = 0;
-        for (const Millis sentAt : target.recentSends) {
-            unseen += sentAt > now - UnseenTime ? 1 : 0;
-        }
         serving::applyLoad(table, id,
                            {.running = load.running,
                             .queued = load.queued,
@@ -461,7 +458,7 @@
                             .loading = load.loading,
                             .loadsAt = load.loadsIn ? std::optional(now + *load.loadsIn) : std::nullopt,
                             .at = now},
-                           unseen);
+                           now - UnseenTime);
     }
     pumpWaiting();
 }
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -121,7 +121,8 @@
     load.setLoading(message.loading);
     load.setEntryVms(static_cast<std::uint16_t>(message.entryVms));
     if (message.loadsIn) {
-        load.setLoadsInMs(static_cast<std::uint16_t>(std::min<std::int64_t>(message.loadsIn->count(), NoLoadPlanned - 1)));
+        load.setLoadsInMs(
+            static_cast<std::uint16_t>(std::min<std::int64_t>(message.loadsIn->count(), NoLoadPlanned - 1)));
     }
     load.setOperatorsEnd(message.operatorsEnd);
     return flatten(builder);
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -11,8 +11,14 @@
 
 TEST(MessagesTest, ALoadComesBackAsItWas)
 {
-    const auto read = decodeDatagram(encode(LoadMessage{
-        .incarnation = 7, .sequence = 2, .running = 3, .queued = 4, .version = 5, .loading = true, .entryVms = 6, .loadsIn = Millis{70}}));
+    const auto read = decodeDatagram(encode(LoadMessage{.incarnation = 7,
+                                                        .sequence = 2,
+                                                        .running = 3,
+                                                        .queued = 4,
+                                                        .version = 5,
+                                                        .loading = true,
+                                                        .entryVms = 6,
+                                                        .loadsIn = Millis{70}}));
     ASSERT_TRUE(read);
     const auto &load = std::get<LoadMessage>(*read);
     EXPECT_EQ(load.incarnation, 7U);
--- a/libs/serving/include/ibislock/serving/desired_state.h
+++ b/libs/serving/include/ibislock/serving/desired_state.h
@@ -62,6 +62,7 @@
     int slots = 0; ///< Requests that are generated at once.
     double stepMs = 0; ///< Time of one token for all requests.
     double promptTokensPerMs = 0;
+    int usualPromptTokens = 0;
     int stepsPerPass = 1;
     int chunks = 0; ///< Pieces of a version of the weights.
     std::uint64_t chunkBytes = 0;
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -1,5 +1,7 @@
-// Chooses a target for a request. Answers a load at which most engines are full and reports are some 100 ms old:
-// the least occupied target is taken, own requests that no report shows yet are added, and equal ones are drawn from.
+// Chooses a target for a request. Answers two loads: engines that are full, which get nothing; and many entry VMs that
+// see the same reports, some 100 ms old, and would all send to the one that seems best. So a few targets are drawn, and
+// of these the one is taken at which the fewest prompts wait to be read: that, more than what runs, makes first events
+// late. Own requests that no report shows yet are added.
 //
 //     Placement placement = place(table, {.service = "a", .domain = "d", .now = now}, random);
 
@@ -20,6 +22,7 @@
     std::string_view domain; ///< Of the entry VM; its targets are taken first among equals.
     std::int64_t minVersion = 0; ///< The oldest weights that may serve; 0 for any, and for services without weights.
     bool engine = false; ///< Whether the service has engines, which serve nothing without weights.
+    double usualPromptMs = 0; ///< How long an engine reads a usual prompt.
     Millis duration{0}; ///< How long it is expected to run; 0 if unknown.
     bool urgent = true; ///< May take the last free slots.
     const std::set<std::string> *tried = nullptr; ///< Targets that the request was sent to before.
@@ -47,6 +50,9 @@
 /// How old a report may be; targets report each 500 ms at least, and datagrams are lost at times.
 inline constexpr Millis LoadLifetime{1500};
 
+/// Targets that are drawn for a choice; with two, the best are missed too often, with all, entry VMs choose alike.
+inline constexpr int DrawnTargets = 3;
+
 /// Requests per slot up to which an engine gets more; beyond, requests wait inside the engine.
 inline constexpr double EngineFull = 1.0;
 
@@ -65,4 +71,7 @@
 /// Estimates the requests that a target holds.
 double requestsAt(const Target &target, bool engine, Millis now);
 
+/// Estimates how long an engine reads prompts before it comes to a new one, in milliseconds.
+double promptBacklogMs(const Target &target, double usualPromptMs, Millis now);
+
 } // namespace ibislock::serving
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -56,6 +56,13 @@
     Millis avoidUntil{0}; ///< Gets no request before.
 };
 
+/// A request that this entry VM has sent.
+struct RecentSend
+{
+    Millis at{0};
+    double promptMs = 0; ///< How long its prompt takes to read.
+};
+
 /// A target with everything that placement looks at.
 struct Target
 {
@@ -63,8 +70,8 @@
     std::optional<TargetLoad> load;
     TargetHealth health;
     int inFlight = 0; ///< Requests of this entry VM.
-    int sentSinceLoad = 0; ///< Requests of this entry VM that the load doesn't show yet.
-    std::deque<Millis> recentSends; ///< When the last requests of this entry VM were sent.
+    std::deque<RecentSend> recentSends; ///< The last requests of this entry VM.
+    Millis loadShowsUntil{0}; ///< Requests that were sent later are not in the load.
     std::optional<Millis> lapsedSince; ///< The listing was lost in an outage of the store.
 };
 
@@ -93,14 +100,15 @@
 void expireLapsed(TargetTable &table, Millis now);
 
 /// Takes over a reported load.
-/// @param stillUnseen requests sent too short ago for the report to show them.
-void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, int stillUnseen);
+/// @param showsUntil requests that were sent later are not in the load.
+void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, Millis showsUntil);
 
 /// How many times of sends are kept; more than one entry VM sends to one target between two reports.
 inline constexpr std::size_t RecentSends = 32;
 
 /// Notes that a request was sent to a target.
-void noteSend(Target &target, Millis now);
+/// @param promptMs how long its prompt takes to read; 0 for plain services.
+void noteSend(Target &target, Millis now, double promptMs);
 
 /// Failures in a row after which a target is avoided; one or two are also seen under load.
 inline constexpr int FailuresToAvoid = 3;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/serving/placement.h"
 
+#include <algorithm>
+
 namespace ibislock::serving
 {
 
@@ -12,6 +14,9 @@
 /// Requests per slot by which a target in another domain must be less occupied; a tenth of an engine's batch.
 constexpr double OtherDomainPenalty = 0.1;
 
+/// The backlog of prompts that weighs as much as a full batch: half of the shortest objective for a first event.
+constexpr double BacklogOfFullSlots = 200;
+
 bool usable(const Target &target, const PlacementRequest &request)
 {
     if (target.entry.service != request.service || target.entry.leaving) {
@@ -55,38 +60,67 @@
     return target.entry.models.empty() ? 0 : target.entry.models.front().version;
 }
 
+namespace
+{
+
+bool hasFreshLoad(const Target &target, Millis now)
+{
+    return target.load && now - target.load->at < LoadLifetime;
+}
+
+} // namespace
+
 double requestsAt(const Target &target, bool engine, Millis now)
 {
-    if (target.load && now - target.load->at < LoadLifetime) {
-        return target.load->running + target.load->queued + target.sentSinceLoad;
+    if (!hasFreshLoad(target, now)) {
+        return target.inFlight * (engine ? SilentTargetFactor : 1.0);
     }
-    return target.inFlight * (engine ? SilentTargetFactor : 1.0);
+    const auto unseen = std::count_if(target.recentSends.begin(), target.recentSends.end(),
+                                      [&](const RecentSend &send) { return send.at > target.loadShowsUntil; });
+    return target.load->running + target.load->queued + static_cast<double>(unseen);
+}
+
+double promptBacklogMs(const Target &target, double usualPromptMs, Millis now)
+{
+    double backlog = hasFreshLoad(target, now) ? target.load->queued * usualPromptMs : 0;
+    const Millis since = hasFreshLoad(target, now) ? target.loadShowsUntil : now - LoadLifetime / 10;
+    for (const RecentSend &send : target.recentSends) {
+        backlog += send.at > since ? send.promptMs : 0;
+    }
+    return backlog;
 }
 
 Placement place(TargetTable &table, const PlacementRequest &request, Random &random)
 {
-    Placement best;
-    double bestCost = 0;
-    int equals = 0;
+    // The least occupied of all tells how full the service is.
+    std::vector<Placement> open;
+    Placement least;
     for (auto &[id, target] : table.targets) {
         if (!usable(target, request)) {
             continue;
         }
         const double slots = target.entry.slots > 0 ? target.entry.slots : 1;
         const double occupancy = requestsAt(target, request.engine, request.now) / slots;
-        const double cost = occupancy + (target.entry.domain == request.domain ? 0 : OtherDomainPenalty);
-        if (best.target != nullptr && cost > bestCost) {
-            continue;
+        if (least.reason == NoTarget::Unknown || occupancy < least.occupancy) {
+            least = {.target = nullptr, .reason = NoTarget::Full, .occupancy = occupancy};
         }
-        equals = best.target != nullptr && cost == bestCost ? equals + 1 : 1;
-        if (equals == 1 || random() % static_cast<unsigned>(equals) == 0) {
-            best = {.target = &target, .reason = NoTarget::None, .occupancy = occupancy};
-            bestCost = cost;
+        if (occupancy < fullAt(request)) {
+            open.push_back({.target = &target, .reason = NoTarget::None, .occupancy = occupancy});
         }
     }
-    if (best.target != nullptr && best.occupancy >= fullAt(request)) {
-        best.target = nullptr;
-        best.reason = NoTarget::Full;
+    Placement best = least;
+    double bestCost = 0;
+    for (int n = 0; n < DrawnTargets && !open.empty(); ++n) {
+        const std::size_t drawn = random() % open.size();
+        const Placement candidate = open[drawn];
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(drawn));
+        const double backlog = promptBacklogMs(*candidate.target, request.usualPromptMs, request.now);
+        const double cost = candidate.occupancy + backlog / BacklogOfFullSlots
+            + (candidate.target->entry.domain == request.domain ? 0 : OtherDomainPenalty);
+        if (best.target == nullptr || cost < bestCost) {
+            best = candidate;
+            bestCost = cost;
+        }
     }
     return best;
 }
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -45,7 +45,7 @@
     if (newLife) {
         target.load.reset();
         target.health = {};
-        target.sentSinceLoad = 0;
+        target.recentSends.clear();
     }
     target.lapsedSince.reset();
     target.entry = std::move(*entry);
@@ -86,21 +86,20 @@
     std::erase_if(table.targets, [](const auto &item) { return item.second.lapsedSince.has_value(); });
 }
 
-void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, int stillUnseen)
+void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, Millis showsUntil)
 {
     const auto it = table.targets.find(id);
     if (it == table.targets.end()) {
         return;
     }
     it->second.load = load;
-    it->second.sentSinceLoad = stillUnseen;
+    it->second.loadShowsUntil = showsUntil;
 }
 
-void noteSend(Target &target, Millis now)
+void noteSend(Target &target, Millis now, double promptMs)
 {
     ++target.inFlight;
-    ++target.sentSinceLoad;
-    target.recentSends.push_back(now);
+    target.recentSends.push_back({.at = now, .promptMs = promptMs});
     if (target.recentSends.size() > RecentSends) {
         target.recentSends.pop_front();
     }
--- a/libs/serving/test/serving_test.cpp
+++ b/libs/serving/test/serving_test.cpp
@@ -99,8 +99,11 @@
     TargetTable table;
     applyEntry(table, "a", engineTarget("a"), Millis{0});
     applyEntry(table, "b", engineTarget("b"), Millis{0});
-    applyLoad(table, "a", {.running = 5, .version = 1, .at = Millis{100}}, 0);
-    applyLoad(table, "b", {.running = 3, .version = 1, .at = Millis{100}}, 3);
+    applyLoad(table, "a", {.running = 5, .version = 1, .at = Millis{100}}, Millis{0});
+    applyLoad(table, "b", {.running = 3, .version = 1, .at = Millis{100}}, Millis{90});
+    for (int n = 0; n < 3; ++n) {
+        noteSend(table.targets.at("b"), Millis{95}, 0);
+    }
     Random random(1);
     const auto placement = place(table, {.service = "s", .domain = "d", .engine = true, .now = Millis{150}}, random);
     ASSERT_NE(placement.target, nullptr);
@@ -111,7 +114,7 @@
 {
     TargetTable table;
     applyEntry(table, "a", engineTarget("a"), Millis{0});
-    applyLoad(table, "a", {.running = 16, .version = 1, .at = Millis{100}}, 0);
+    applyLoad(table, "a", {.running = 16, .version = 1, .at = Millis{100}}, Millis{0});
     Random random(1);
     const auto placement = place(table, {.service = "s", .domain = "d", .engine = true, .now = Millis{150}}, random);
     EXPECT_EQ(placement.target, nullptr);
@@ -136,7 +139,7 @@
     TargetTable table;
     applyEntry(table, "a", GetParam().entry, Millis{0});
     if (GetParam().load) {
-        applyLoad(table, "a", *GetParam().load, 0);
+        applyLoad(table, "a", *GetParam().load, Millis{0});
     }
     Random random(1);
     const auto placement = place(
@@ -161,14 +164,46 @@
 {
     TargetTable table;
     applyEntry(table, "a", engineTarget("a"), Millis{0});
-    applyLoad(table, "a", {.version = 1, .loadsAt = Millis{1000}, .at = Millis{100}}, 0);
+    applyLoad(table, "a", {.version = 1, .loadsAt = Millis{1000}, .at = Millis{100}}, Millis{0});
     Random random(1);
-    PlacementRequest request{.service = "s", .domain = "d", .engine = true, .duration = Millis{800}, .now = Millis{150}};
+    PlacementRequest request{
+        .service = "s", .domain = "d", .engine = true, .duration = Millis{800}, .now = Millis{150}};
     EXPECT_NE(place(table, request, random).target, nullptr);
     request.duration = Millis{1500};
     EXPECT_EQ(place(table, request, random).target, nullptr);
 }
 
+TEST(PlacementTest, EntryVmsWithTheSameViewSpreadTheirRequests)
+{
+    // Eight entry VMs see the same reports, in which one of 20 engines is the least occupied.
+    std::map<std::string, int> chosen;
+    for (unsigned vm = 0; vm < 8; ++vm) {
+        TargetTable table;
+        for (int n = 0; n < 20; ++n) {
+            const std::string id = "t" + std::to_string(n);
+            applyEntry(table, id, engineTarget(id), Millis{0});
+            applyLoad(table, id, {.running = n == 0 ? 1 : 4, .version = 1, .at = Millis{100}}, Millis{100});
+        }
+        Random random(vm);
+        ++chosen[place(table, {.service = "s", .domain = "d", .engine = true, .now = Millis{150}}, random)
+                     .target->entry.id];
+    }
+    EXPECT_LE(chosen["t0"], 4);
+}
+
+TEST(PlacementTest, WaitingPromptsCountMoreThanRunningRequests)
+{
+    TargetTable table;
+    applyEntry(table, "a", engineTarget("a"), Millis{0});
+    applyEntry(table, "b", engineTarget("b"), Millis{0});
+    applyLoad(table, "a", {.running = 3, .queued = 4, .version = 1, .at = Millis{100}}, Millis{100});
+    applyLoad(table, "b", {.running = 10, .version = 1, .at = Millis{100}}, Millis{100});
+    Random random(1);
+    const PlacementRequest request{
+        .service = "s", .domain = "d", .engine = true, .usualPromptMs = 47, .now = Millis{150}};
+    EXPECT_EQ(place(table, request, random).target->entry.id, "b");
+}
+
 TEST(RetryShareTest, ABurstOfFailuresStaysInsideTheShare)
 {
     RetryShare share{.ratio = 0.2, .allowance = 100, .entryVms = 8};
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -52,8 +52,7 @@
     , m_client(loop)
     , m_engine(loop, m_client, m_settings.engine, [this] { onReport(); })
     , m_agent(loop, m_client, m_engine, m_settings.ip, m_settings.domain, m_settings.firstPeerPort,
-              pieceTimeOf(m_settings.linkMbps),
-              [this] { return members(); })
+              pieceTimeOf(m_settings.linkMbps), [this] { return members(); })
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
 {
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -4,8 +4,8 @@
 
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/platform/listings.h"
-#include "ibislock/side/daemon.h"
 #include "ibislock/serving/named_versions.h"
+#include "ibislock/side/daemon.h"
 #include "weights_agent.h"
 
 #include <asio/ip/udp.hpp>
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -446,12 +446,13 @@
     ++m_transferring;
     const std::string vm = vmOf(next);
     m_transferringFrom.insert(vm);
-    m_exchange.ask(vm, {.model = m_goal.model, .version = m_goal.version, .index = next.piece}, HolderTime,
-                   [this, round = m_round, now, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
-                       if (round == m_round) {
-                           takeTransferred(next, answer, steadyMillis() - now);
-                       }
-                   });
+    m_exchange.ask(
+        vm, {.model = m_goal.model, .version = m_goal.version, .index = next.piece}, HolderTime,
+        [this, round = m_round, now, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
+            if (round == m_round) {
+                takeTransferred(next, answer, steadyMillis() - now);
+            }
+        });
 }
 
 void WeightsAgent::takeTransferred(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took)
--- a/libs/weights/src/piece_sources.cpp
+++ b/libs/weights/src/piece_sources.cpp
@@ -130,7 +130,9 @@
         out.push_back({.piece = piece, .sources = pieceSources(piece, self, domain, members)});
     }
     // Each VM begins at another piece, so that owners are not all asked for the same one first.
-    const auto turn = pieces == 0 ? 0 : static_cast<std::ptrdiff_t>(rendezvousWeight("begin", self) % static_cast<std::uint64_t>(pieces));
+    const auto turn = pieces == 0
+        ? 0
+        : static_cast<std::ptrdiff_t>(rendezvousWeight("begin", self) % static_cast<std::uint64_t>(pieces));
     std::rotate(out.begin(), out.begin() + turn, out.end());
     std::stable_sort(out.begin(), out.end(), [&](const PiecePlan &a, const PiecePlan &b) { return rank(a) < rank(b); });
     return out;
