Many hints no longer keep a read from ending; a stopping VM takes requests for 3 s

Change: a call that began in the last 500 ms is not given up; requests are refused from 3 s after SIGTERM.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -33,6 +33,9 @@
 /// How long a call may take beyond its wait before it counts as lost; the store answers in some 4 ms.
 inline constexpr Millis CallTime{800};
 
+/// A call that began this recently is not given up for a hint; a large answer over a shared link takes some 100 ms.
+inline constexpr Millis PatientTime{500};
+
 /// The first pause after a failed call, doubled up to `LongestBackOff`; calls are priced, and outages last seconds.
 inline constexpr Millis FirstBackOff{100};
 inline constexpr Millis LongestBackOff{500};
@@ -86,6 +89,7 @@
     std::uint64_t m_calls = 0;
     std::shared_ptr<net::Exchange> m_exchange; ///< Of the call that is under way.
     std::int64_t m_hinted = -1;
+    Millis m_calledAt{0};
     std::uint64_t m_round = 0; ///< Of the present call or wait; those before are over.
 };
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -74,6 +74,7 @@
                      std::function<void(int status, const std::string &body)> done)
 {
     ++m_calls;
+    m_calledAt = steadyMillis();
     const std::uint64_t round = ++m_round;
     http::RequestHead head = request.head;
     head.headers.add("Host", m_store.ip);
@@ -99,8 +100,10 @@
 
 void TopicFeed::hint(std::int64_t end)
 {
-    // One early read for each hint: if the store itself does not show the records, the usual pace goes on.
-    if (!m_synchronized || m_away || end <= m_next || end <= m_hinted) {
+    // One early read for each hint: if the store itself does not show the records, the usual pace goes on. A read that
+    // has just begun will bring them; giving it up for each of many hints would never end.
+    const bool justBegun = steadyMillis() - m_calledAt < PatientTime;
+    if (!m_synchronized || m_away || end <= m_next || end <= m_hinted || justBegun) {
         return;
     }
     m_hinted = end;
--- a/libs/feed/test/store_stand_in.cpp
+++ b/libs/feed/test/store_stand_in.cpp
@@ -58,7 +58,7 @@
             continue;
         }
         if (item.from < m_records.size()) {
-            answerRead(*connection, item.from);
+            answerReadLater(connection, item.from);
         } else {
             m_waiting.push_back(item);
         }
@@ -107,12 +107,22 @@
     if (from < m_first) {
         connection.write(http::writeResponse({.status = 410}, "{\"First\":" + std::to_string(m_first) + "}"));
     } else if (from < m_records.size()) {
-        answerRead(connection, from);
+        answerReadLater(connection.shared_from_this(), from);
     } else {
         m_waiting.push_back({.connection = connection.weak_from_this(), .from = from});
     }
 }
 
+void StoreStandIn::answerReadLater(const std::shared_ptr<net::Connection> &connection, std::size_t from)
+{
+    if (delay == Millis{0}) {
+        answerRead(*connection, from);
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, delay);
+    timer->async_wait([this, timer, connection, from](const asio::error_code &) { answerRead(*connection, from); });
+}
+
 void StoreStandIn::answerRead(net::Connection &connection, std::size_t from)
 {
     std::string body = bigEndian(m_records.size(), 8) + bigEndian(m_first, 8);
--- a/libs/feed/test/store_stand_in.h
+++ b/libs/feed/test/store_stand_in.h
@@ -31,6 +31,7 @@
     int reads = 0;
     int refusals = 0; ///< Calls that are still to be refused with 503.
     bool silent = false; ///< Calls get no answer.
+    Millis delay{0}; ///< Until a read is answered.
 
 private:
     struct Waiting
@@ -41,6 +42,7 @@
 
     void serve(const std::shared_ptr<net::Connection> &connection);
     void answer(net::Connection &connection, const http::RequestHead &request);
+    void answerReadLater(const std::shared_ptr<net::Connection> &connection, std::size_t from);
     void answerRead(net::Connection &connection, std::size_t from);
     std::string snapshot() const;
 
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -107,6 +107,30 @@
     EXPECT_EQ(m_recordsTold, 24);
 }
 
+TEST_F(TopicFeedTest, ManyHintsDoNotKeepAReadFromEnding)
+{
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    // The store answers each read 30 ms late, and other VMs tell of something new every 10 ms.
+    m_store.delay = Millis{30};
+    m_store.append("k", "0");
+    asio::steady_timer timer(m_loop);
+    std::int64_t end = 1;
+    std::function<void(const asio::error_code &)> tell = [&](const asio::error_code &ec) {
+        if (!ec) {
+            m_store.append("k", std::to_string(end));
+            m_feed.hint(++end);
+            timer.expires_after(Millis{10});
+            timer.async_wait(tell);
+        }
+    };
+    tell({});
+    const Millis last = steadyMillis() + Millis{1000};
+    EXPECT_TRUE(runUntil([&] { return m_recordsTold > 20 || steadyMillis() > last; }));
+    EXPECT_GT(m_recordsTold, 20);
+    timer.cancel();
+}
+
 TEST_F(TopicFeedTest, StartsOverWhenTheStoreHasDroppedWhatItMissed)
 {
     m_feed.start();
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -35,12 +35,12 @@
 /// How long a stopping VM still takes requests: until the platform has seen it not ready twice, a second apart.
 constexpr Millis DrainTime{3500};
 
-/// By how much sooner than the platform kills it a stopping process takes no more requests: the longest streams of the
-/// present installations last some 3 s.
-constexpr Millis LastRequestMargin{3500};
+/// How long a stopping process takes requests: until the platform has seen it not ready twice, a second apart. What is
+/// left of the time to stop is for the longest streams.
+constexpr Millis LastRequestTime{3000};
 
 /// By how much sooner than the platform kills it a stopping process ends.
-constexpr Millis KillMargin{400};
+constexpr Millis KillMargin{200};
 
 /// Shortest and longest advice to a refused caller: a slot comes free in some 100 ms, an overload lasts seconds.
 constexpr Millis ShortestRetryAfter{300};
@@ -482,7 +482,7 @@
 
 void Front::finishDrainIfIdle(Millis now)
 {
-    refusing = now - drainingSince >= settings.bounds.stopTime - LastRequestMargin;
+    refusing = now - drainingSince >= LastRequestTime;
     const bool busy =
         std::any_of(m_connections.begin(), m_connections.end(), [](const auto &item) { return item.second->isBusy(); });
     const bool idleLongEnough = !busy && now - drainingSince >= DrainTime;
