--- a/libs/feed/test/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
-namespace ibislock::feed
+namespace ibislock::lab
 {
 
 namespace
@@ -147,4 +147,4 @@
     return nlohmann::json{{"Items", items}, {"HasMore", false}, {"EndOffset", m_records.size()}}.dump();
 }
 
-} // namespace ibislock::feed
+} // namespace ibislock::lab
--- a/libs/feed/test/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace ibislock::feed
+namespace ibislock::lab
 {
 
 /// The store.
@@ -54,4 +54,4 @@
     net::Listener m_listener;
 };
 
-} // namespace ibislock::feed
+} // namespace ibislock::lab
--- /dev/null
+++ b/lab/platform/target_stand_in.cpp
@@ -0,0 +1,152 @@
+#include "platform/target_stand_in.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ibislock::lab
+{
+
+namespace
+{
+
+std::string headerOf(const http::RequestHead &request, std::string_view name)
+{
+    return std::string(request.headers.find(name).value_or(""));
+}
+
+std::string eventText(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: event " + std::to_string(number) + "\n\n";
+}
+
+} // namespace
+
+TargetStandIn::TargetStandIn(asio::io_context &loop, std::string targetId)
+    : id(std::move(targetId))
+    , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); })
+{
+    m_listener.open("127.0.0.1", 0);
+}
+
+std::uint16_t TargetStandIn::port() const
+{
+    return m_listener.port();
+}
+
+std::string TargetStandIn::listing(const std::string &service, bool leaving) const
+{
+    return nlohmann::json{
+        {"Service", service}, {"Address", "127.0.0.1:" + std::to_string(port())}, {"Zone", "a"},     {"Version", "v1"},
+        {"Slots", 6},         {"State", leaving ? "draining" : "ready"},          {"ColdLeftMs", 0}, {"Sequence", 1}}
+        .dump();
+}
+
+void TargetStandIn::serve(const std::shared_ptr<net::Connection> &connection)
+{
+    m_connections.push_back(connection);
+    ++open;
+    auto reader = std::make_shared<http::MessageReader>(http::MessageKind::Request, http::ReaderLimits{});
+    connection->start({
+        .data =
+            [this, raw = connection.get(), reader](std::string_view bytes) {
+                while (!bytes.empty()) {
+                    const auto used = reader->feed(bytes);
+                    if (!used || !reader->complete()) {
+                        return;
+                    }
+                    bytes.remove_prefix(*used);
+                    if (behaviour != TargetBehaviour::Refuse) {
+                        requests.push_back(reader->request());
+                        bodies.push_back(reader->takeBody());
+                    }
+                    answer(*raw, reader->request());
+                    reader->next();
+                }
+            },
+        .closed = [this](net::ClosedBy) { --open; },
+    });
+}
+
+http::ResponseHead TargetStandIn::head(int status, const std::string &attempt) const
+{
+    http::ResponseHead out{.status = status};
+    out.headers.add("X-Ibislock-Attempt-Id", attempt);
+    out.headers.add("X-Ibislock-Response-Signature", "s-" + id + "-" + attempt);
+    return out;
+}
+
+void TargetStandIn::answer(net::Connection &connection, const http::RequestHead &request)
+{
+    const std::string attempt = headerOf(request, "X-Ibislock-Attempt-Id");
+    const std::string body = "from " + id;
+    http::ResponseHead own = head(200, attempt);
+    switch (behaviour) {
+    case TargetBehaviour::Answer:
+        connection.write(http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::AnswerTwice:
+        connection.write(http::writeResponse(head(200, "another"), "of another"));
+        connection.write(http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::Extra:
+        connection.write(http::writeResponse(own, body) + http::writeResponse(head(200, attempt), "once more"));
+        break;
+    case TargetBehaviour::Fail:
+        connection.write(http::writeResponse(head(500, attempt), "failed"));
+        break;
+    case TargetBehaviour::Refuse: {
+        http::ResponseHead refusal{.status = 503};
+        refusal.headers.add("X-Ibislock-Not-Executed", "1");
+        connection.write(http::writeResponse(refusal, ""));
+        break;
+    }
+    case TargetBehaviour::CloseUnanswered:
+        connection.close();
+        break;
+    case TargetBehaviour::CutOff: {
+        const std::string whole = http::writeResponse(own, body);
+        connection.write(whole.substr(0, whole.size() - 3));
+        connection.closeAfterWrites();
+        break;
+    }
+    case TargetBehaviour::Unsigned:
+        own.headers.remove("X-Ibislock-Response-Signature");
+        connection.write(http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::Encoded:
+        own.headers.add("Content-Encoding", "gzip");
+        connection.write(http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::Unframed:
+        connection.write("HTTP/1.1 200 OK\r\nX-Ibislock-Attempt-Id: " + attempt
+                         + "\r\nX-Ibislock-Response-Signature: s\r\n\r\n" + body);
+        connection.closeAfterWrites();
+        break;
+    case TargetBehaviour::Silent:
+        break;
+    case TargetBehaviour::Stream:
+        answerStream(connection, request, false);
+        break;
+    case TargetBehaviour::StreamCutOff:
+        answerStream(connection, request, true);
+        break;
+    }
+}
+
+void TargetStandIn::answerStream(net::Connection &connection, const http::RequestHead &request, bool cutOff)
+{
+    const std::string last = headerOf(request, "Last-Event-Id");
+    http::ResponseHead own = head(200, headerOf(request, "X-Ibislock-Attempt-Id"));
+    own.headers.add("Content-Type", "text/event-stream");
+    connection.write(http::writeChunkedHead(own));
+    for (int number = last.empty() ? 0 : std::stoi(last) + 1; number < events; ++number) {
+        if (cutOff && number == 2) {
+            connection.write(http::writeChunk(eventText(number).substr(0, 7)));
+            connection.closeAfterWrites();
+            return;
+        }
+        connection.write(http::writeChunk(eventText(number)));
+    }
+    connection.write(http::LastChunk);
+}
+
+} // namespace ibislock::lab
--- /dev/null
+++ b/lab/platform/target_stand_in.h
@@ -0,0 +1,60 @@
+// A stand-in for a target of the users' platform: it reads requests on loopback, remembers them, and answers as told.
+
+#pragma once
+
+#include "ibislock/http/reader.h"
+#include "ibislock/net/connection.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace ibislock::lab
+{
+
+/// What a target does with a request.
+enum class TargetBehaviour {
+    Answer, ///< Runs it and answers with 200.
+    AnswerTwice, ///< Sends the answer to an earlier request in front of its own.
+    Extra, ///< Sends bytes behind a whole answer.
+    Fail, ///< Runs it and answers with a signed 500.
+    Refuse, ///< Does not run it and says so.
+    CloseUnanswered, ///< Runs it and closes the connection.
+    CutOff, ///< Runs it and closes within the answer.
+    Unsigned, ///< Answers without its signature.
+    Encoded, ///< Answers with an encoded body.
+    Unframed, ///< Answers without a length, and closes.
+    Silent, ///< Runs it and never answers.
+    Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
+    StreamCutOff, ///< The same, but closes in the middle of the third event.
+};
+
+/// The target.
+class TargetStandIn
+{
+public:
+    TargetStandIn(asio::io_context &loop, std::string id);
+
+    std::uint16_t port() const;
+
+    /// The listing that the target would write.
+    std::string listing(const std::string &service, bool leaving = false) const;
+
+    std::string id;
+    TargetBehaviour behaviour = TargetBehaviour::Answer;
+    int events = 5;
+    std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
+    std::vector<std::string> bodies;
+    int open = 0; ///< Connections that are open.
+
+private:
+    void serve(const std::shared_ptr<net::Connection> &connection);
+    void answer(net::Connection &connection, const http::RequestHead &request);
+    void answerStream(net::Connection &connection, const http::RequestHead &request, bool cutOff);
+    http::ResponseHead head(int status, const std::string &attempt) const;
+
+    std::vector<std::shared_ptr<net::Connection>> m_connections;
+    net::Listener m_listener;
+};
+
+} // namespace ibislock::lab
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -1,6 +1,6 @@
 #include "ibislock/feed/topic_feed.h"
 
-#include "store_stand_in.h"
+#include "platform/store_stand_in.h"
 
 #include <gtest/gtest.h>
 
@@ -57,7 +57,7 @@
     }
 
     asio::io_context m_loop;
-    StoreStandIn m_store{m_loop};
+    lab::StoreStandIn m_store{m_loop};
     net::HttpClient m_client{m_loop};
     std::map<std::string, std::string> m_values;
     int m_recordsTold = 0;
--- /dev/null
+++ b/libs/front/test/front_test.cpp
@@ -0,0 +1,312 @@
+#include "ibislock/front/daemon.h"
+
+#include "ibislock/net/http_client.h"
+#include "platform/store_stand_in.h"
+#include "platform/target_stand_in.h"
+
+#include <gtest/gtest.h>
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+using lab::TargetBehaviour;
+
+const std::string DesiredState =
+    R"({"Version":1,"Routes":[)"
+    R"({"Name":"once","Host":"h","PathPrefix":"/once/","Kind":"non_idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1},)"
+    R"({"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":2},)"
+    R"({"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","TimeoutMs":2000,"Service":"s",)"
+    R"("MaxAttempts":2,"ResumeStreams":true},)"
+    R"({"Name":"open","Host":"h","PathPrefix":"/open/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1,)"
+    R"("Anonymous":true},)"
+    R"({"Name":"nobody","Host":"h","PathPrefix":"/nobody/","Kind":"idempotent","TimeoutMs":700,"Service":"none"}],)"
+    R"("Services":[{"Name":"s","HealthPath":"/health","MaxConns":100}],"Tenants":[{"Name":"w","ApiKeys":["key"]}]})";
+
+platform::DaemonSettings settingsFor(std::uint16_t storePort)
+{
+    platform::DaemonSettings out;
+    out.vmName = "entry-1";
+    out.ip = "127.0.0.1";
+    out.domain = "a";
+    out.callers = {.ip = "127.0.0.1", .port = 0};
+    out.readiness = {.ip = "127.0.0.1", .port = 0};
+    out.store = {.ip = "127.0.0.1", .port = storePort};
+    out.bounds.retryAllowance = 1000;
+    return out;
+}
+
+/// What a caller got.
+struct CallerAnswer
+{
+    int status = 0; ///< 0 for none.
+    bool whole = false;
+    http::Headers headers;
+    std::string body;
+};
+
+/// A daemon with a store and two targets.
+class FrontTest : public testing::Test
+{
+protected:
+    FrontTest()
+        : m_daemon(m_loop, settingsFor(m_store.port()), {})
+    {
+    }
+
+    void start(const std::string &state = DesiredState)
+    {
+        if (!state.empty()) {
+            m_store.append("config", state);
+        }
+        ASSERT_TRUE(m_daemon.start());
+        runFor(Millis{60});
+    }
+
+    /// Lists targets; the store stand-in holds one topic, so that listings and the state come by the same reads.
+    void list(const lab::TargetStandIn &target, bool leaving = false)
+    {
+        m_store.append(target.id, target.listing("s", leaving));
+    }
+
+    void runFor(Millis time)
+    {
+        m_loop.run_for(time);
+    }
+
+    http::RequestHead request(const std::string &path, const std::string &key = "key")
+    {
+        http::RequestHead head{.method = "POST", .target = path};
+        head.headers.add("Host", "h");
+        head.headers.add("X-Ibislock-Attempt-Id", "attempt-" + std::to_string(++m_attempts));
+        head.headers.add("X-Ibislock-Deadline-Ms", "1000");
+        if (!key.empty()) {
+            head.headers.add("X-Api-Key", key);
+        }
+        return head;
+    }
+
+    CallerAnswer call(const http::RequestHead &head, const std::string &body = "body")
+    {
+        CallerAnswer out;
+        bool done = false;
+        const auto exchange = m_client.send("127.0.0.1", m_daemon.callerPort(), writeRequest(head, body), {},
+                                            {.head =
+                                                 [&](const http::ResponseHead &answer) {
+                                                     out.status = answer.status;
+                                                     out.headers = answer.headers;
+                                                     return net::HeadVerdict::Take;
+                                                 },
+                                             .body = [&](const std::string &part) { out.body += part; },
+                                             .end =
+                                                 [&](const net::ExchangeResult &result) {
+                                                     out.whole = result.end == net::ExchangeEnd::Complete;
+                                                     done = true;
+                                                 }});
+        const Millis end = steadyMillis() + Millis{5000};
+        while (!done && steadyMillis() < end) {
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+        }
+        EXPECT_TRUE(done);
+        return out;
+    }
+
+    std::size_t runs() const
+    {
+        return m_first.requests.size() + m_second.requests.size();
+    }
+
+    asio::io_context m_loop;
+    lab::StoreStandIn m_store{m_loop};
+    lab::TargetStandIn m_first{m_loop, "i-1"};
+    lab::TargetStandIn m_second{m_loop, "i-2"};
+    net::HttpClient m_client{m_loop};
+    FrontDaemon m_daemon;
+    int m_attempts = 0;
+};
+
+/// What the only target does, and what the caller must get.
+struct OutcomeCase
+{
+    std::string name;
+    std::string path;
+    TargetBehaviour behaviour = TargetBehaviour::Answer;
+    int status = 0;
+    std::size_t runs = 1; ///< Of the request on all targets.
+    std::string body;
+};
+
+class FrontOutcomeTest : public FrontTest, public testing::WithParamInterface<OutcomeCase>
+{
+};
+
+TEST_P(FrontOutcomeTest, TheCallerGetsATruthfulAnswer)
+{
+    m_first.behaviour = m_second.behaviour = GetParam().behaviour;
+    list(m_first);
+    list(m_second);
+    start();
+    const CallerAnswer answer = call(request(GetParam().path));
+    EXPECT_EQ(answer.status, GetParam().status);
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(runs(), GetParam().runs);
+    const bool success = answer.status == 200;
+    EXPECT_EQ(success, answer.headers.find("X-Ibislock-Response-Signature").has_value() && answer.status != 500);
+    if (success) {
+        EXPECT_EQ(answer.body.substr(0, 7), "from i-");
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, FrontOutcomeTest,
+    testing::Values(OutcomeCase{"OnceAnswered", "/once/x", TargetBehaviour::Answer, 200, 1},
+                    OutcomeCase{"OnceLateAnswerOfAnother", "/once/x", TargetBehaviour::AnswerTwice, 200, 1},
+                    OutcomeCase{"OnceBytesBehindTheAnswer", "/once/x", TargetBehaviour::Extra, 200, 1},
+                    OutcomeCase{"OnceFailed", "/once/x", TargetBehaviour::Fail, 500, 1},
+                    OutcomeCase{"OnceRefused", "/once/x", TargetBehaviour::Refuse, 503, 0},
+                    OutcomeCase{"OnceAnswerLost", "/once/x", TargetBehaviour::CloseUnanswered, 502, 1},
+                    OutcomeCase{"OnceAnswerCutOff", "/once/x", TargetBehaviour::CutOff, 502, 1},
+                    OutcomeCase{"OnceUnsigned", "/once/x", TargetBehaviour::Unsigned, 502, 1},
+                    OutcomeCase{"OnceEncoded", "/once/x", TargetBehaviour::Encoded, 502, 1},
+                    OutcomeCase{"OnceUnframed", "/once/x", TargetBehaviour::Unframed, 200, 1},
+                    OutcomeCase{"OnceSilent", "/once/x", TargetBehaviour::Silent, 504, 1},
+                    OutcomeCase{"OftenAnswerLost", "/often/x", TargetBehaviour::CloseUnanswered, 502, 2},
+                    OutcomeCase{"OftenFailed", "/often/x", TargetBehaviour::Fail, 500, 2},
+                    OutcomeCase{"OftenRefused", "/often/x", TargetBehaviour::Refuse, 503, 0}),
+    [](const auto &item) { return item.param.name; });
+
+TEST_F(FrontTest, WithoutADesiredStateEverythingIsRefusedAsNotRun)
+{
+    start("");
+    EXPECT_EQ(call(request("/once/x")).status, 503);
+}
+
+TEST_F(FrontTest, UnknownRoutesAndKeysAreRefused)
+{
+    list(m_first);
+    start();
+    EXPECT_EQ(call(request("/other/x")).status, 404);
+    EXPECT_EQ(call(request("/once/x", "wrong")).status, 401);
+    EXPECT_EQ(call(request("/once/x", "")).status, 401);
+    EXPECT_EQ(runs(), 0U);
+}
+
+TEST_F(FrontTest, AServiceWithoutTargetsIsRefusedAtOnceWithAdvice)
+{
+    start();
+    const CallerAnswer answer = call(request("/nobody/x"));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.find("Retry-After"));
+}
+
+TEST_F(FrontTest, TheTargetGetsTheRequestAsItWasWithTheWorkspaceInPlaceOfTheKey)
+{
+    list(m_first);
+    start();
+    http::RequestHead head = request("/once/x?a=b");
+    head.headers.add("X-Own", "1");
+    call(head, "the body");
+    ASSERT_EQ(m_first.requests.size(), 1U);
+    const http::RequestHead &got = m_first.requests.front();
+    EXPECT_EQ(got.target, "/once/x?a=b");
+    EXPECT_EQ(m_first.bodies.front(), "the body");
+    EXPECT_EQ(got.headers.find("X-Own"), "1");
+    EXPECT_EQ(got.headers.find("X-Ibislock-Tenant"), "w");
+    EXPECT_EQ(got.headers.find("X-Ibislock-Expect-Instance"), "i-1");
+    EXPECT_FALSE(got.headers.find("X-Api-Key"));
+    const auto left = http::wholeNumber(got.headers.find("X-Ibislock-Deadline-Ms").value_or(""));
+    ASSERT_TRUE(left);
+    EXPECT_LE(*left, 700U);
+}
+
+TEST_F(FrontTest, AnAnonymousRouteNeedsNoKey)
+{
+    list(m_first);
+    start();
+    EXPECT_EQ(call(request("/open/x", "")).status, 200);
+    EXPECT_FALSE(m_first.requests.front().headers.find("X-Ibislock-Tenant"));
+}
+
+TEST_F(FrontTest, AnIdempotentRequestGoesToAnotherTargetWhenItsAnswerIsLost)
+{
+    m_first.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    list(m_second);
+    start();
+    for (int n = 0; n < 4; ++n) {
+        EXPECT_EQ(call(request("/often/x")).body, "from i-2");
+    }
+}
+
+TEST_F(FrontTest, AStreamThatBreaksOffGoesOnAtAnotherTargetWithoutGapOrRepetition)
+{
+    m_first.behaviour = TargetBehaviour::StreamCutOff;
+    m_second.behaviour = TargetBehaviour::Stream;
+    list(m_first);
+    list(m_second);
+    start();
+    std::string expected;
+    for (int n = 0; n < 5; ++n) {
+        expected += "id: " + std::to_string(n) + "\ndata: event " + std::to_string(n) + "\n\n";
+    }
+    // Streams begin at either target; all that begin at the first must go on at the second.
+    for (int n = 0; n < 8; ++n) {
+        const CallerAnswer answer = call(request("/events/x"));
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_TRUE(answer.whole);
+        EXPECT_EQ(answer.body, expected);
+    }
+    EXPECT_GT(m_first.requests.size(), 0U);
+}
+
+TEST_F(FrontTest, AStreamThatCannotGoOnDoesNotLookComplete)
+{
+    m_first.behaviour = TargetBehaviour::StreamCutOff;
+    list(m_first);
+    start();
+    const CallerAnswer answer = call(request("/events/x"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_FALSE(answer.whole);
+}
+
+TEST_F(FrontTest, ACallerThatLeavesTakesItsRequestFromTheTarget)
+{
+    m_first.behaviour = TargetBehaviour::Silent;
+    list(m_first);
+    start();
+    const auto exchange =
+        m_client.send("127.0.0.1", m_daemon.callerPort(), writeRequest(request("/once/x"), "b"), {}, {});
+    runFor(Millis{50});
+    ASSERT_EQ(m_first.open, 1);
+    exchange->cancel();
+    runFor(Millis{50});
+    EXPECT_EQ(m_first.open, 0);
+}
+
+TEST_F(FrontTest, ALeavingTargetGetsNoMoreRequests)
+{
+    list(m_first);
+    list(m_second);
+    start();
+    list(m_first, true);
+    runFor(Millis{1200}); // Listings are read again after a pause of half a second.
+    for (int n = 0; n < 10; ++n) {
+        EXPECT_EQ(call(request("/once/x")).body, "from i-2");
+    }
+}
+
+TEST_F(FrontTest, AStoppingVmAnswersWhatItHasAndClosesConnections)
+{
+    list(m_first);
+    start();
+    m_daemon.stop();
+    const CallerAnswer answer = call(request("/once/x"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.headers.find("Connection"), "close");
+}
+
+} // namespace
+
+} // namespace ibislock::front
