Tests of the target daemon over stand-ins of engines and the origin

Change: an engine with a stage and an origin on loopback addresses; tests of one copy from the origin, an origin that is away, spoilt and rotten pieces, overtaking versions, an engine that restarts with nothing, an unreachable VM.

--- /dev/null
+++ b/lab/platform/engine_stand_in.cpp
@@ -0,0 +1,170 @@
+#include "platform/engine_stand_in.h"
+
+#include "ibislock/base/digest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ibislock::lab
+{
+
+namespace
+{
+
+/// How long a load takes.
+constexpr Millis LoadTime{20};
+
+using Handler = std::function<void(net::Connection &, const http::RequestHead &, const std::string &body)>;
+
+/// Reads requests of a connection and hands each over.
+void serveRequests(const std::shared_ptr<net::Connection> &connection, Handler handler)
+{
+    auto reader = std::make_shared<http::MessageReader>(http::MessageKind::Request, http::ReaderLimits{});
+    connection->start({.data = [raw = connection.get(), reader, handler = std::move(handler)](std::string_view bytes) {
+        while (!bytes.empty()) {
+            const auto used = reader->feed(bytes);
+            if (!used || !reader->complete()) {
+                return;
+            }
+            bytes.remove_prefix(*used);
+            handler(*raw, reader->request(), reader->takeBody());
+            reader->next();
+        }
+    }});
+}
+
+int queryNumber(const std::string &target, const std::string &name)
+{
+    const std::size_t at = target.find(name + "=");
+    return at == std::string::npos ? 0 : std::stoi(target.substr(at + name.size() + 1));
+}
+
+void reply(net::Connection &connection, int status, const std::string &body)
+{
+    connection.write(http::writeResponse({.status = status}, body));
+}
+
+std::string manifestOf(const WeightsStandIn &weights)
+{
+    nlohmann::json digests = nlohmann::json::array();
+    for (int piece = 0; piece < weights.pieces; ++piece) {
+        digests.push_back(toHex(sha256(pieceBytes(weights, piece))));
+    }
+    return nlohmann::json{
+        {"Model", weights.model}, {"Version", weights.version}, {"ChunkBytes", 64}, {"Digests", digests}}
+        .dump();
+}
+
+} // namespace
+
+std::string pieceBytes(const WeightsStandIn &weights, int piece)
+{
+    return weights.model + " version " + std::to_string(weights.version) + " piece " + std::to_string(piece);
+}
+
+OriginStandIn::OriginStandIn(asio::io_context &loop, const std::string &ip)
+    : m_ip(ip)
+    , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) {
+        m_connections.push_back(connection);
+        serveRequests(connection, [this](net::Connection &to, const http::RequestHead &request, const std::string &) {
+            const bool known = queryNumber(request.target, "Version") == weights.version;
+            if (away || !known) {
+                reply(to, away ? 503 : 404, "");
+            } else if (request.target.find("/manifest/") != std::string::npos) {
+                ++manifestsServed;
+                reply(to, 200, manifestOf(weights));
+            } else {
+                ++piecesServed;
+                const bool bad = spoilt > 0 && spoilt-- > 0;
+                reply(to, 200, bad ? "spoilt" : pieceBytes(weights, queryNumber(request.target, "Num")));
+            }
+        });
+    })
+{
+    m_listener.open(ip, 0);
+}
+
+std::string OriginStandIn::address() const
+{
+    return m_ip + ":" + std::to_string(m_listener.port());
+}
+
+EngineStandIn::EngineStandIn(asio::io_context &loop, const std::string &ip, std::uint16_t port)
+    : m_loop(loop)
+    , m_listener(loop,
+                 [this](const std::shared_ptr<net::Connection> &connection) {
+                     m_connections.push_back(connection);
+                     serveRequests(connection,
+                                   [this](net::Connection &to, const http::RequestHead &request,
+                                          const std::string &body) { answer(to, request, body); });
+                 })
+    , m_load(loop)
+{
+    m_listener.open(ip, port);
+}
+
+std::uint16_t EngineStandIn::port() const
+{
+    return m_listener.port();
+}
+
+bool EngineStandIn::holdsWhole(const WeightsStandIn &weights) const
+{
+    for (int piece = 0; piece < weights.pieces; ++piece) {
+        const auto it = staged.find(piece);
+        if (it == staged.end() || it->second != pieceBytes(weights, piece)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void EngineStandIn::answer(net::Connection &connection, const http::RequestHead &request, const std::string &body)
+{
+    if (request.target == "/ibislock/report") {
+        nlohmann::json models = nlohmann::json::array();
+        if (version > 0) {
+            models.push_back({{"Name", "m"}, {"Version", version}});
+        }
+        reply(connection, 200,
+              nlohmann::json{{"Models", models},
+                             {"Busy", m_loading},
+                             {"Sequence", orders},
+                             {"born", startedAt},
+                             {"Queued", 0},
+                             {"Running", 0}}
+                  .dump());
+    } else if (request.target.find("/stage-put/") != std::string::npos) {
+        staged[queryNumber(request.target, "Num")] = body;
+        reply(connection, 200, "");
+    } else if (request.target.find("/stage-get/") != std::string::npos) {
+        const auto it = staged.find(queryNumber(request.target, "Num"));
+        reply(connection, it == staged.end() ? 404 : 200, it == staged.end() ? "" : it->second);
+    } else {
+        order(connection, body);
+    }
+}
+
+void EngineStandIn::order(net::Connection &connection, const std::string &body)
+{
+    const nlohmann::json wanted = nlohmann::json::parse(body);
+    if (m_loading || wanted.value("Expected", orders) != orders) {
+        ++refusedOrders;
+        reply(connection, 409, "");
+        return;
+    }
+    ++orders;
+    m_loading = true;
+    WeightsStandIn weights = expected;
+    weights.version = wanted.value("Version", std::int64_t{0});
+    loadedSpoilt = loadedSpoilt || !holdsWhole(weights);
+    reply(connection, 202, "");
+    m_load.expires_after(LoadTime);
+    m_load.async_wait([this, loaded = weights.version](const asio::error_code &ec) {
+        if (!ec) {
+            version = loaded;
+            m_loading = false;
+        }
+    });
+}
+
+} // namespace ibislock::lab
--- /dev/null
+++ b/lab/platform/engine_stand_in.h
@@ -0,0 +1,78 @@
+// A stand-in for an engine with its stage, and for the origin of weights, on loopback addresses.
+
+#pragma once
+
+#include "ibislock/base/clock.h"
+#include "ibislock/http/reader.h"
+#include "ibislock/net/connection.h"
+
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ibislock::lab
+{
+
+/// A version of weights: its pieces are made from their numbers.
+struct WeightsStandIn
+{
+    std::string model = "m";
+    std::int64_t version = 1;
+    int pieces = 8;
+};
+
+/// The bytes of a piece.
+std::string pieceBytes(const WeightsStandIn &weights, int piece);
+
+/// Serves manifests and pieces of weights.
+class OriginStandIn
+{
+public:
+    OriginStandIn(asio::io_context &loop, const std::string &ip);
+
+    std::string address() const;
+
+    WeightsStandIn weights;
+    int piecesServed = 0;
+    int manifestsServed = 0;
+    int spoilt = 0; ///< Pieces that are still to be sent with wrong bytes.
+    bool away = false; ///< Answers 503.
+
+private:
+    std::string m_ip;
+    std::vector<std::shared_ptr<net::Connection>> m_connections;
+    net::Listener m_listener;
+};
+
+/// An engine with its stage.
+class EngineStandIn
+{
+public:
+    EngineStandIn(asio::io_context &loop, const std::string &ip, std::uint16_t port);
+
+    std::uint16_t port() const;
+
+    /// Tells whether each staged piece is that of some weights.
+    bool holdsWhole(const WeightsStandIn &weights) const;
+
+    std::int64_t version = 0; ///< That is loaded; 0 for none.
+    std::int64_t startedAt = 1;
+    int orders = 0;
+    int refusedOrders = 0;
+    bool loadedSpoilt = false; ///< A load began while a staged piece was not what it should be.
+    WeightsStandIn expected; ///< What the engine checks a load against, except for its version.
+    std::map<int, std::string> staged;
+
+private:
+    void answer(net::Connection &connection, const http::RequestHead &request, const std::string &body);
+    void order(net::Connection &connection, const std::string &body);
+
+    asio::io_context &m_loop;
+    std::vector<std::shared_ptr<net::Connection>> m_connections;
+    net::Listener m_listener;
+    asio::steady_timer m_load;
+    bool m_loading = false;
+};
+
+} // namespace ibislock::lab
--- /dev/null
+++ b/libs/side/test/side_test.cpp
@@ -0,0 +1,227 @@
+#include "ibislock/side/daemon.h"
+
+#include "platform/engine_stand_in.h"
+#include "platform/store_stand_in.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace ibislock::side
+{
+
+namespace
+{
+
+/// One target VM: its engine and its daemon, at a loopback address of its own.
+struct Vm
+{
+    Vm(asio::io_context &loop, int number, std::uint16_t peerPort, std::uint16_t storePort)
+        : ip("127.0.1." + std::to_string(number))
+        , domain(number % 2 == 0 ? "a" : "b")
+        , engine(loop, ip, 0)
+    {
+        settings.vmName = "target-" + std::to_string(number);
+        settings.ip = ip;
+        settings.domain = domain;
+        settings.firstPeerPort = peerPort;
+        settings.store = {.ip = "127.0.0.1", .port = storePort};
+        settings.engine = {.ip = ip, .port = engine.port()};
+        settings.service = "s";
+        settings.linkMbps = 1000;
+        settings.bounds.versionTime = Millis{2500}; // Short, so that turns are soon over.
+        daemon = std::make_unique<SideDaemon>(loop, settings, SideOptions{});
+    }
+
+    std::string listing() const
+    {
+        nlohmann::json models = nlohmann::json::array();
+        if (engine.version > 0) {
+            models.push_back({{"Name", "m"}, {"Version", engine.version}});
+        }
+        return nlohmann::json{{"Service", "s"},  {"Address", ip + ":" + std::to_string(engine.port())},
+                              {"Zone", domain},  {"Version", "v1"},
+                              {"Slots", 16},     {"State", "ready"},
+                              {"ColdLeftMs", 0}, {"Sequence", 1},
+                              {"Models", models}}
+            .dump();
+    }
+
+    std::string ip;
+    std::string domain;
+    lab::EngineStandIn engine;
+    platform::DaemonSettings settings;
+    std::unique_ptr<SideDaemon> daemon;
+};
+
+/// Several target VMs with a store and an origin.
+class SideTest : public testing::Test
+{
+protected:
+    SideTest()
+        : m_origin(m_loop, "127.0.1.200")
+    {
+        // A port that was free a moment ago serves all addresses.
+        net::Listener probe(m_loop, [](const std::shared_ptr<net::Connection> &) {});
+        EXPECT_FALSE(probe.open("127.0.1.1", 0));
+        m_peerPort = probe.port();
+    }
+
+    Vm &add(std::int64_t loaded)
+    {
+        m_vms.push_back(std::make_unique<Vm>(m_loop, static_cast<int>(m_vms.size()) + 1, m_peerPort, m_store.port()));
+        Vm &vm = *m_vms.back();
+        vm.engine.version = loaded;
+        if (loaded > 0) {
+            const lab::WeightsStandIn weights{.version = loaded};
+            for (int piece = 0; piece < weights.pieces; ++piece) {
+                vm.engine.staged[piece] = pieceBytes(weights, piece);
+            }
+        }
+        m_store.append("i-" + vm.ip, vm.listing());
+        return vm;
+    }
+
+    void start()
+    {
+        m_store.append("config",
+                       R"({"Version":1,"Services":[{"Name":"s","Engine":{"Slots":16,"step_ms":9.0,)"
+                       R"("read_per_s":20700.0,"Chunks":8,"ChunkBytes":64,"Models":[{"Name":"m"}]}},)"
+                       R"({"Name":"o","Zone":"a","Origin":")"
+                           + m_origin.address() + "\"}]}");
+        for (const auto &vm : m_vms) {
+            ASSERT_TRUE(vm->daemon->start());
+        }
+    }
+
+    void name(std::int64_t version)
+    {
+        m_origin.weights.version = version;
+        m_store.append("version/m", R"({"Model":"m","Version":)" + std::to_string(version) + "}");
+    }
+
+    bool runUntilLoaded(std::int64_t version)
+    {
+        const Millis end = steadyMillis() + Millis{15000};
+        const auto done = [&] {
+            return std::all_of(m_vms.begin(), m_vms.end(),
+                               [&](const auto &vm) { return vm->engine.version == version; });
+        };
+        while (!done() && steadyMillis() < end) {
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+        }
+        return done();
+    }
+
+    void expectNothingSpoilt() const
+    {
+        for (const auto &vm : m_vms) {
+            EXPECT_FALSE(vm->engine.loadedSpoilt) << vm->ip;
+        }
+    }
+
+    asio::io_context m_loop;
+    lab::StoreStandIn m_store{m_loop};
+    lab::OriginStandIn m_origin;
+    std::uint16_t m_peerPort = 0;
+    std::vector<std::unique_ptr<Vm>> m_vms;
+};
+
+TEST_F(SideTest, ANamedVersionReachesAllEnginesWithOneCopyFromTheOrigin)
+{
+    for (int n = 0; n < 6; ++n) {
+        add(1);
+    }
+    start();
+    m_loop.run_for(std::chrono::milliseconds(400));
+    name(2);
+    ASSERT_TRUE(runUntilLoaded(2));
+    EXPECT_EQ(m_origin.piecesServed, 8);
+    expectNothingSpoilt();
+    for (const auto &vm : m_vms) {
+        EXPECT_EQ(vm->engine.orders, 1) << vm->ip;
+    }
+}
+
+TEST_F(SideTest, AnEmptyEngineIsFilledByItsNeighboursWhileTheOriginIsAway)
+{
+    for (int n = 0; n < 3; ++n) {
+        add(1);
+    }
+    start();
+    m_loop.run_for(std::chrono::milliseconds(600)); // Those that hold the version read its manifest.
+    m_origin.away = true;
+    Vm &empty = add(0);
+    ASSERT_TRUE(empty.daemon->start());
+    EXPECT_TRUE(runUntilLoaded(1));
+    EXPECT_EQ(m_origin.piecesServed, 0);
+    expectNothingSpoilt();
+}
+
+TEST_F(SideTest, SpoiltPiecesAreNeverLoaded)
+{
+    for (int n = 0; n < 4; ++n) {
+        add(1);
+    }
+    start();
+    m_origin.spoilt = 5;
+    name(2);
+    // A staged piece turns bad after it was verified once.
+    const Millis end = steadyMillis() + Millis{5000};
+    while (!m_vms[0]->engine.holdsWhole({.version = 2}) && steadyMillis() < end) {
+        m_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    if (m_vms[0]->engine.orders == 0) {
+        m_vms[0]->engine.staged[3] = "rotten";
+    }
+    ASSERT_TRUE(runUntilLoaded(2));
+    expectNothingSpoilt();
+}
+
+TEST_F(SideTest, AVersionThatIsNamedOnTheWayOvertakes)
+{
+    for (int n = 0; n < 4; ++n) {
+        add(1);
+    }
+    start();
+    m_loop.run_for(std::chrono::milliseconds(300));
+    name(2);
+    m_loop.run_for(std::chrono::milliseconds(150));
+    name(3);
+    ASSERT_TRUE(runUntilLoaded(3));
+    expectNothingSpoilt();
+}
+
+TEST_F(SideTest, AnEngineThatRestartsWithNothingIsFilledAgain)
+{
+    add(1);
+    add(1);
+    start();
+    m_loop.run_for(std::chrono::milliseconds(500));
+    lab::EngineStandIn &engine = m_vms[1]->engine;
+    engine.startedAt = 2;
+    engine.version = 0;
+    engine.orders = 0;
+    engine.staged.erase(4);
+    EXPECT_TRUE(runUntilLoaded(1));
+    expectNothingSpoilt();
+}
+
+TEST_F(SideTest, AVmThatCannotBeReachedDoesNotHoldUpTheOthers)
+{
+    for (int n = 0; n < 4; ++n) {
+        add(1);
+    }
+    // Listed, but nobody listens there.
+    nlohmann::json gone = nlohmann::json::parse(m_vms[0]->listing());
+    gone["Address"] = "127.0.1.99:9";
+    m_store.append("i-gone", gone.dump());
+    start();
+    m_loop.run_for(std::chrono::milliseconds(300));
+    name(2);
+    ASSERT_TRUE(runUntilLoaded(2));
+    expectNothingSpoilt();
+}
+
+} // namespace
+
+} // namespace ibislock::side
