Requests leave silent targets; engines whose VM stopped to report are the last choice

Change: a request that may run again goes on elsewhere after 800 ms of silence of an engine whose VM has stopped to report (plain targets: three objectives); such engines are placed last; old weights are given up 1.5 s before the bound. Tests: AnEngineWhoseVmStoppedToReportIsTheLastChoice, AnIdempotentRequestLeavesASilentTarget.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -35,6 +35,14 @@
 /// By how much a token takes longer than a step: prompts of other requests are read in between.
 constexpr double SharedStepFactor = 1.5;
 
+/// How long a plain target may be silent about a request that may run again, in objectives of its route. Answers that
+/// take longer are late anyway.
+constexpr int PlainStallFactor = 3;
+constexpr Millis LeastStall{250};
+
+/// How long an engine may be silent about a request when its VM has stopped to report.
+constexpr Millis EngineStall{800};
+
 std::string_view statusText(int status)
 {
     return status == 0 ? "none" : http::reasonOf(status);
@@ -401,8 +409,34 @@
     finish(CallOutcome::CallerLeft, 0);
 }
 
+/// Tells whether the target seems to be frozen or cut off, and the request may go on elsewhere.
+bool Call::isStalled(Millis now) const
+{
+    if (!m_exchange || !mayRunAgain() || m_sends - m_connectFailures >= route.maxTargets) {
+        return false;
+    }
+    const Millis silence = now - std::max(m_sentAt, m_lastEventAt);
+    if (!engine) {
+        return silence > std::max(route.goal * PlainStallFactor, LeastStall);
+    }
+    const auto it = front.table.targets.find(m_targetId);
+    const bool reports = it != front.table.targets.end() && hasFreshLoad(it->second, now);
+    return !reports && silence > EngineStall;
+}
+
 void Call::checkTime(Millis now)
 {
+    if (!m_done && isStalled(now) && mayRepeat()) {
+        logInfo(Part::Front, "A target is silent; the request goes on at another.",
+                {{"id", request.attemptId},
+                 {"target", m_targetId},
+                 {"silent_ms", std::to_string((now - std::max(m_sentAt, m_lastEventAt)).count())}});
+        m_exchange->cancel();
+        releaseTarget(false);
+        m_sentOnce = true;
+        front.dispatch(shared_from_this());
+        return;
+    }
     if (m_done || deadlineAt == Millis{0} || now < deadlineAt + (m_exchange ? LimitSlack : Millis{0})) {
         return;
     }
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -77,6 +77,7 @@
     void endFailed(const net::ExchangeResult &result);
     bool mayRepeat() const;
     bool mayRunAgain() const;
+    bool isStalled(Millis now) const;
     void relay(std::string events);
     void answer(const std::string &bytes, bool close);
     void releaseTarget(bool good);
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -47,7 +47,7 @@
 constexpr Millis LongestRetryAfter{900};
 
 /// By how much sooner than the contract asks requests stop to begin on old weights: a queue at the engine and the way.
-constexpr Millis VersionMargin{1000};
+constexpr Millis VersionMargin{1500};
 
 std::string_view requestPath(std::string_view target)
 {
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -17,7 +17,7 @@
 const std::string DesiredState =
     R"({"Version":1,"Routes":[)"
     R"({"Name":"once","Host":"h","PathPrefix":"/once/","Kind":"non_idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1},)"
-    R"({"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":2},)"
+    R"({"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","TimeoutMs":700,"TargetLatencyMs":50,"Service":"s","MaxAttempts":2},)"
     R"({"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","TimeoutMs":2000,"Service":"s",)"
     R"("MaxAttempts":2,"ResumeStreams":true},)"
     R"({"Name":"open","Host":"h","PathPrefix":"/open/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1,)"
@@ -240,6 +240,17 @@
     }
 }
 
+TEST_F(FrontTest, AnIdempotentRequestLeavesASilentTarget)
+{
+    m_first.behaviour = TargetBehaviour::Silent;
+    list(m_first);
+    list(m_second);
+    start();
+    for (int n = 0; n < 4; ++n) {
+        EXPECT_EQ(call(request("/often/x")).body, "from i-2");
+    }
+}
+
 TEST_F(FrontTest, AStreamThatBreaksOffGoesOnAtAnotherTargetWithoutGapOrRepetition)
 {
     m_first.behaviour = TargetBehaviour::StreamCutOff;
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -47,8 +47,9 @@
 /// By how much a request may outlast the time at which its target begins to load: the load waits for what runs.
 inline constexpr Millis LoadOverlap{300};
 
-/// How old a report may be; targets report each 500 ms at least, and datagrams are lost at times.
-inline constexpr Millis LoadLifetime{1500};
+/// How old a report may be; targets report each 500 ms at least, and datagrams are lost at times. An engine whose VM
+/// has stopped to report may be frozen or cut off, and gets requests only if no other reports.
+inline constexpr Millis LoadLifetime{1200};
 
 /// Targets that are drawn for a choice; with two, the best are missed too often, with all, entry VMs choose alike.
 inline constexpr int DrawnTargets = 3;
@@ -65,6 +66,9 @@
 /// Chooses the target of a request.
 Placement place(TargetTable &table, const PlacementRequest &request, Random &random);
 
+/// Tells whether a target's own VM has reported a load lately.
+bool hasFreshLoad(const Target &target, Millis now);
+
 /// The version of the weights that a target holds as far as is known; 0 for none.
 std::int64_t knownVersion(const Target &target, Millis now);
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -31,7 +31,7 @@
     if (!request.engine) {
         return true;
     }
-    const bool fresh = target.load && request.now - target.load->at < LoadLifetime;
+    const bool fresh = hasFreshLoad(target, request.now);
     if (fresh && target.load->loading) {
         return false;
     }
@@ -54,22 +54,17 @@
 
 std::int64_t knownVersion(const Target &target, Millis now)
 {
-    if (target.load && now - target.load->at < LoadLifetime) {
+    if (hasFreshLoad(target, now)) {
         return target.load->version;
     }
     return target.entry.models.empty() ? 0 : target.entry.models.front().version;
 }
 
-namespace
-{
-
 bool hasFreshLoad(const Target &target, Millis now)
 {
     return target.load && now - target.load->at < LoadLifetime;
 }
 
-} // namespace
-
 double requestsAt(const Target &target, bool engine, Millis now)
 {
     if (!hasFreshLoad(target, now)) {
@@ -92,11 +87,15 @@
 
 Placement place(TargetTable &table, const PlacementRequest &request, Random &random)
 {
+    const bool reporting =
+        request.engine && std::any_of(table.targets.begin(), table.targets.end(), [&](const auto &item) {
+            return usable(item.second, request) && hasFreshLoad(item.second, request.now);
+        });
     // The least occupied of all tells how full the service is.
     std::vector<Placement> open;
     Placement least;
     for (auto &[id, target] : table.targets) {
-        if (!usable(target, request)) {
+        if (!usable(target, request) || (reporting && !hasFreshLoad(target, request.now))) {
             continue;
         }
         const double slots = target.entry.slots > 0 ? target.entry.slots : 1;
--- a/libs/serving/test/serving_test.cpp
+++ b/libs/serving/test/serving_test.cpp
@@ -160,6 +160,23 @@
         UnusableCase{"LostItsWeights", engineTarget("a"), TargetLoad{.version = 0, .at = Millis{100}}, 0}),
     [](const auto &item) { return item.param.name; });
 
+TEST(PlacementTest, AnEngineWhoseVmStoppedToReportIsTheLastChoice)
+{
+    // A frozen VM: its engine seems idle, and all that is sent there waits until it wakes.
+    TargetTable table;
+    applyEntry(table, "frozen", engineTarget("frozen"), Millis{0});
+    applyEntry(table, "busy", engineTarget("busy"), Millis{0});
+    applyLoad(table, "frozen", {.version = 1, .at = Millis{100}}, Millis{0});
+    applyLoad(table, "busy", {.running = 12, .version = 1, .at = Millis{1900}}, Millis{0});
+    Random random(1);
+    const PlacementRequest request{.service = "s", .domain = "d", .engine = true, .now = Millis{2000}};
+    for (int n = 0; n < 20; ++n) {
+        EXPECT_EQ(place(table, request, random).target->entry.id, "busy");
+    }
+    table.targets.erase("busy");
+    EXPECT_EQ(place(table, request, random).target->entry.id, "frozen");
+}
+
 TEST(PlacementTest, ATargetThatLoadsSoonGetsOnlyWhatEndsBefore)
 {
     TargetTable table;
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -27,7 +27,7 @@
 
 /// By how much sooner than the contract asks entry VMs stop to begin requests on old weights, with the time that a load
 /// takes.
-constexpr Millis VersionMargin{1300};
+constexpr Millis VersionMargin{1800};
 
 /// The part of the VM's link that pieces may use; requests to the engine and its answers share the link.
 constexpr double LinkPart = 0.85;
