--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -185,7 +185,7 @@
         {.connectTime = std::min(ConnectTime, deadlineAt - now), .fresh = fresh},
         {
             .head = [self = shared_from_this()](const http::ResponseHead &answer) { return self->takeHead(answer); },
-            .body = [self = shared_from_this()](std::string bytes) { self->takeBody(std::move(bytes)); },
+            .body = [self = shared_from_this()](const std::string &bytes) { self->takeBody(bytes); },
             .end = [self = shared_from_this()](const net::ExchangeResult &result) { self->takeEnd(result); },
         });
 }
@@ -210,7 +210,7 @@
     return net::HeadVerdict::Take;
 }
 
-void Call::takeBody(std::string bytes)
+void Call::takeBody(const std::string &bytes)
 {
     if (m_answer == Answer::Relayed) {
         relay(addBytes(m_events, bytes));
@@ -219,7 +219,7 @@
     }
 }
 
-void Call::relay(std::string events)
+void Call::relay(const std::string &events)
 {
     const auto connection = m_connection.lock();
     if (events.empty() || !connection || m_done) {
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -70,7 +70,7 @@
     enum class Answer { None, Buffered, Relayed, NotRun };
 
     net::HeadVerdict takeHead(const http::ResponseHead &answer);
-    void takeBody(std::string bytes);
+    void takeBody(const std::string &bytes);
     void takeEnd(const net::ExchangeResult &result);
     void endBuffered();
     void endRelayed();
@@ -78,7 +78,7 @@
     bool mayRepeat() const;
     bool mayRunAgain() const;
     bool isStalled(Millis now) const;
-    void relay(std::string events);
+    void relay(const std::string &events);
     void answer(const std::string &bytes, bool close);
     void releaseTarget(bool good);
     void finish(CallOutcome outcome, int status);
--- a/libs/http/src/reader.cpp
+++ b/libs/http/src/reader.cpp
@@ -85,7 +85,7 @@
                 state.response.status = parser->status_code;
                 state.response.keepAlive = keepAlive;
                 state.response.chunked = (parser->flags & F_CHUNKED) != 0;
-                state.response.endsWithConnection = http_message_needs_eof(parser) != 0;
+                state.response.endsWithConnection = endsWithConnection(parser);
             }
             return 0;
         };
@@ -119,11 +119,11 @@
     }
 
     // http_parser keeps this function to itself; the condition is that of RFC 9112 for a response without framing.
-    static int http_message_needs_eof(const http_parser *parser)
+    static bool endsWithConnection(const http_parser *parser)
     {
         const bool noBody = parser->status_code / 100 == 1 || parser->status_code == 204 || parser->status_code == 304;
         const bool framed = (parser->flags & F_CHUNKED) != 0 || parser->content_length != UINT64_MAX;
-        return (noBody || framed) ? 0 : 1;
+        return !noBody && !framed;
     }
 };
 
--- a/libs/http/test/reader_test.cpp
+++ b/libs/http/test/reader_test.cpp
@@ -102,7 +102,8 @@
     EXPECT_TRUE(reader.complete());
 }
 
-RC_GTEST_PROP(ReaderTest, TheSplitOfTheBytesDoesNotMatter, (std::string body, std::vector<std::uint8_t> cuts))
+RC_GTEST_PROP(ReaderTest, TheSplitOfTheBytesDoesNotMatter,
+              (const std::string &body, const std::vector<std::uint8_t> &cuts))
 {
     const std::string wire = writeRequest({.method = "POST", .target = "/x"}, body);
     MessageReader reader(MessageKind::Request, {});
--- a/libs/net/test/http_client_test.cpp
+++ b/libs/net/test/http_client_test.cpp
@@ -15,7 +15,7 @@
     ScriptedServer(asio::io_context &loop, std::vector<std::string> script, bool closeAfter)
         : m_script(std::move(script))
         , m_closeAfter(closeAfter)
-        , m_listener(loop, [this](std::shared_ptr<Connection> connection) { serve(std::move(connection)); })
+        , m_listener(loop, [this](const std::shared_ptr<Connection> &connection) { serve(connection); })
     {
         EXPECT_FALSE(m_listener.open("127.0.0.1", 0));
     }
@@ -28,7 +28,7 @@
     int connections = 0;
 
 private:
-    void serve(std::shared_ptr<Connection> connection)
+    void serve(const std::shared_ptr<Connection> &connection)
     {
         ++connections;
         m_connections.push_back(connection);
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -33,13 +33,13 @@
     EXPECT_TRUE(std::holds_alternative<SubscribeMessage>(*decodeDatagram(encode(SubscribeMessage{}))));
 }
 
-RC_GTEST_PROP(MessagesTest, AnyDatagramIsAMessageOrCorrupt, (std::string bytes))
+RC_GTEST_PROP(MessagesTest, AnyDatagramIsAMessageOrCorrupt, (const std::string &bytes))
 {
     const auto read = decodeDatagram(bytes);
     RC_ASSERT(read.has_value() || read.error().code == ErrorCode::Corrupt);
 }
 
-RC_GTEST_PROP(MessagesTest, PiecesComeBackHoweverTheBytesAreSplit, (std::string bytes, std::uint8_t cut))
+RC_GTEST_PROP(MessagesTest, PiecesComeBackHoweverTheBytesAreSplit, (const std::string &bytes, std::uint8_t cut))
 {
     const std::string wire =
         encode(PieceMessage{.model = "m", .version = 2, .index = 5, .content = PieceContent::Bytes, .bytes = bytes});
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -179,6 +179,26 @@
     answerWaiting();
 }
 
+PieceExchange::Verdict PieceExchange::verdictOn(const Waiting &item, const net::Connection &connection,
+                                                Millis now) const
+{
+    const std::optional<bool> holds = m_store.holds(item.ask);
+    if (!holds || (!*holds && now >= item.until)) {
+        return Verdict::Missing;
+    }
+    if (!*holds) {
+        return Verdict::Wait;
+    }
+    if (item.ask.waitMs > 0 && item.ask.index != peer::ManifestIndex) {
+        return Verdict::Ready;
+    }
+    if (!elsewhere(item, now).empty()) {
+        return Verdict::Elsewhere;
+    }
+    const bool busy = now < m_nextPieceAt || m_reading >= ServedAtOnce || connection.queued() > QueuedBytes;
+    return busy ? Verdict::Wait : Verdict::Send;
+}
+
 void PieceExchange::answerWaiting()
 {
     const Millis now = steadyMillis();
@@ -189,42 +209,48 @@
         if (!connection || !connection->isOpen()) {
             continue;
         }
-        const std::optional<bool> holds = m_store.holds(item.ask);
-        if (!holds || (!*holds && now >= item.until)) {
-            item.ask.content = peer::PieceContent::Missing;
-            connection->write(peer::encode(item.ask));
-        } else if (!*holds) {
+        switch (verdictOn(item, *connection, now)) {
+        case Verdict::Wait:
             m_waiting.push_back(std::move(item));
-        } else if (item.ask.waitMs > 0 && item.ask.index != peer::ManifestIndex) {
+            continue;
+        case Verdict::Send:
+            sendPiece(item, *connection, now);
+            continue;
+        case Verdict::Missing:
+            item.ask.content = peer::PieceContent::Missing;
+            break;
+        case Verdict::Ready:
             item.ask.content = peer::PieceContent::Ready;
-            connection->write(peer::encode(item.ask));
-        } else if (const std::string vm = elsewhere(item, now); !vm.empty()) {
+            break;
+        case Verdict::Elsewhere:
             item.ask.content = peer::PieceContent::Elsewhere;
-            item.ask.vm = vm;
-            connection->write(peer::encode(item.ask));
-        } else if (now < m_nextPieceAt || m_reading >= ServedAtOnce || connection->queued() > QueuedBytes) {
-            m_waiting.push_back(std::move(item));
-        } else {
-            ++m_reading;
-            noteSent(item, *connection, now);
-            m_nextPieceAt = item.ask.index == peer::ManifestIndex ? now : now + m_pieceTime;
-            m_nextPiece.expires_after(m_pieceTime);
-            m_nextPiece.async_wait([this](const asio::error_code &ec) {
-                if (!ec) {
-                    answerWaiting();
-                }
-            });
-            m_store.read(item.ask, [this, to = item.connection](const peer::PieceMessage &answer) {
-                --m_reading;
-                if (const auto open = to.lock()) {
-                    m_bytesServed += answer.bytes.size();
-                    open->write(peer::encode(answer));
-                }
-            });
+            item.ask.vm = elsewhere(item, now);
+            break;
         }
+        connection->write(peer::encode(item.ask));
     }
 }
 
+void PieceExchange::sendPiece(const Waiting &item, const net::Connection &connection, Millis now)
+{
+    ++m_reading;
+    noteSent(item, connection, now);
+    m_nextPieceAt = item.ask.index == peer::ManifestIndex ? now : now + m_pieceTime;
+    m_nextPiece.expires_after(m_pieceTime);
+    m_nextPiece.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            answerWaiting();
+        }
+    });
+    m_store.read(item.ask, [this, to = item.connection](const peer::PieceMessage &answer) {
+        --m_reading;
+        if (const auto open = to.lock()) {
+            m_bytesServed += answer.bytes.size();
+            open->write(peer::encode(answer));
+        }
+    });
+}
+
 void PieceExchange::noteSent(const Waiting &item, const net::Connection &connection, Millis now)
 {
     if (item.ask.version != m_sentVersion) {
@@ -262,9 +288,10 @@
     const Millis now = steadyMillis();
     std::vector<PieceAnswer> late;
     std::vector<std::string> unreachable;
-    for (auto &[vm, asked] : m_asked) {
+    for (auto &item : m_asked) {
+        Asked &asked = item.second;
         if (asked.connecting && now >= asked.connectUntil) {
-            unreachable.push_back(vm);
+            unreachable.push_back(item.first);
         }
         std::erase_if(asked.pending, [&](Pending &pending) {
             const bool progress = now - asked.lastBytesAt < ProgressTime && now < pending.until + LongestExtension;
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -79,6 +79,17 @@
     void failAll(const std::string &vm);
     void serve(const std::shared_ptr<net::Connection> &connection);
     void takeAsk(const std::shared_ptr<net::Connection> &connection, peer::PieceMessage ask);
+    /// What is done about an ask of another VM.
+    enum class Verdict {
+        Wait, ///< It is looked at again.
+        Missing, ///< The piece will not be held in time.
+        Ready, ///< The asker is told that the piece is held.
+        Elsewhere, ///< The asker is sent to a VM that got the piece before.
+        Send,
+    };
+
+    Verdict verdictOn(const Waiting &item, const net::Connection &connection, Millis now) const;
+    void sendPiece(const Waiting &item, const net::Connection &connection, Millis now);
     void noteSent(const Waiting &item, const net::Connection &connection, Millis now);
     std::string elsewhere(const Waiting &item, Millis now) const;
     void tick();
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -446,8 +446,9 @@
     ++m_transferring;
     const std::string vm = vmOf(next);
     m_transferringFrom.insert(vm);
+    const peer::PieceMessage ask{.model = m_goal.model, .version = m_goal.version, .index = next.piece};
     m_exchange.ask(
-        vm, {.model = m_goal.model, .version = m_goal.version, .index = next.piece}, HolderTime,
+        vm, ask, HolderTime,
         [this, round = m_round, now, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
             if (round == m_round) {
                 takeTransferred(next, answer, steadyMillis() - now);
