--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -19,15 +19,16 @@
 /// Between two subscriptions to the loads of targets; target VMs forget a subscriber after three.
 constexpr Millis SubscriptionTime{1000};
 
-/// Between two reads of the listings of targets; a quarter of the time in which a leaving one must be left alone.
-constexpr Millis ListingsPause{500};
+/// Between two reads of the listings of targets, as a part of the time in which a leaving one must be left alone; a
+/// call that fails once is made again in that time.
+constexpr double ListingsPausePart = 0.35;
 
 /// How long the store holds a read of the listings back; each target writes about once a second.
 constexpr Millis ListingsWait{2000};
 
-/// How long the store holds a read of the operators' topic back. A read whose answer was lost is noticed after this
-/// time and that of a call; a desired state must be in force 2 s after its confirmation.
-constexpr Millis OperatorsWait{1000};
+/// How long the store holds a read of the operators' topic back, as a part of the time in which a desired state must be
+/// in force. A read whose answer was lost is noticed after this time and that of a call, or by the hint of another VM.
+constexpr double OperatorsWaitPart = 0.6;
 
 /// A load doesn't show requests that were sent less than this before it arrived: one way, and the engine's report.
 constexpr Millis UnseenTime{60};
@@ -49,6 +50,11 @@
 /// By how much sooner than the contract asks requests stop to begin on old weights: a queue at the engine and the way.
 constexpr Millis VersionMargin{1500};
 
+Millis partOf(Millis time, double part)
+{
+    return Millis{static_cast<std::int64_t>(static_cast<double>(time.count()) * part)};
+}
+
 std::string_view requestPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -109,7 +115,8 @@
     receiveLoads();
     m_operatorsFeed = std::make_unique<feed::TopicFeed>(
         loop, client, settings.store,
-        feed::FeedOptions{.topic = std::string(platform::OperatorsTopic), .wait = OperatorsWait},
+        feed::FeedOptions{.topic = std::string(platform::OperatorsTopic),
+                          .wait = partOf(settings.bounds.stateTime, OperatorsWaitPart)},
         feed::FeedEvents{
             .snapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
@@ -126,7 +133,9 @@
         });
     m_targetsFeed = std::make_unique<feed::TopicFeed>(
         loop, client, settings.store,
-        feed::FeedOptions{.topic = std::string(platform::TargetsTopic), .wait = ListingsWait, .pause = ListingsPause},
+        feed::FeedOptions{.topic = std::string(platform::TargetsTopic),
+                          .wait = ListingsWait,
+                          .pause = partOf(settings.bounds.drainTime, ListingsPausePart)},
         feed::FeedEvents{
             .snapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
