A store that was lost is asked without waiting; hints count while it is away

Change: no wait while the store is away; hints end such a call; of several told times of a naming the earliest counts. Test: AStoreThatWasLostIsAskedWithoutWaiting fails on the version before.

--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -89,6 +89,7 @@
 
 void StoreStandIn::answer(net::Connection &connection, const http::RequestHead &request)
 {
+    lastWait = queryNumber(request.target, "WaitMs");
     if (silent) {
         return;
     }
@@ -108,6 +109,8 @@
         connection.write(http::writeResponse({.status = 410}, "{\"First\":" + std::to_string(m_first) + "}"));
     } else if (from < m_records.size()) {
         answerReadLater(connection.shared_from_this(), from);
+    } else if (lastWait == 0) {
+        answerRead(connection, from);
     } else {
         m_waiting.push_back({.connection = connection.weak_from_this(), .from = from});
     }
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -31,6 +31,7 @@
     int reads = 0;
     int refusals = 0; ///< Calls that are still to be refused with 503.
     bool silent = false; ///< Calls get no answer.
+    std::size_t lastWait = 0; ///< How long the last read allowed to be held back, in milliseconds.
     Millis delay{0}; ///< Until a read is answered.
 
 private:
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -103,7 +103,7 @@
     // One early read for each hint: if the store itself does not show the records, the usual pace goes on. A read that
     // has just begun will bring them; giving it up for each of many hints would never end.
     const bool justBegun = steadyMillis() - m_calledAt < PatientTime;
-    if (!m_synchronized || m_away || end <= m_next || end <= m_hinted || justBegun) {
+    if (!m_synchronized || end <= m_next || end <= m_hinted || justBegun) {
         return;
     }
     m_hinted = end;
@@ -153,7 +153,9 @@
 
 void TopicFeed::readOn()
 {
-    call(platform::readRequest(m_options.topic, m_next, m_options.wait), m_options.wait + CallTime, &TopicFeed::readOn,
+    // A store that was lost may be silent still: a read that it holds back could not be told from one that it ignores.
+    const Millis wait = m_away ? Millis{0} : m_options.wait;
+    call(platform::readRequest(m_options.topic, m_next, wait), wait + CallTime, &TopicFeed::readOn,
          [this](int status, const std::string &body) {
              if (status == platform::TrimmedStatus) {
                  logInfo(Part::Store, "The store dropped records that were not read; starting over.",
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -152,6 +152,19 @@
     EXPECT_TRUE(runUntil([&] { return !m_away && m_values["a"] == "1"; }));
 }
 
+TEST_F(TopicFeedTest, AStoreThatWasLostIsAskedWithoutWaiting)
+{
+    // A read that waits 10 s would notice the store's return 10 s late.
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    EXPECT_EQ(m_store.lastWait, 200U);
+    m_store.silent = true;
+    ASSERT_TRUE(runUntil([&] { return m_away; }));
+    ASSERT_TRUE(runUntil([&] { return m_store.lastWait == 0; }));
+    m_store.silent = false;
+    EXPECT_TRUE(runUntil([&] { return !m_away && m_store.lastWait == 200; }));
+}
+
 TEST_F(TopicFeedTest, AnAnswerThatIsLostIsNoticedAndReadAgain)
 {
     m_feed.start();
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -177,7 +177,8 @@
             return;
         }
         const Millis learntAt = steadyMillis() - (live ? Millis{0} : settings.bounds.versionTime);
-        if (noteNamed(named[weights->model], weights->version, learntAt, live)) {
+        if (noteNamed(named[weights->model], weights->version, learntAt,
+                      live ? serving::NamingTime::Seen : serving::NamingTime::Unknown)) {
             logInfo(Part::Front, "New weights were named.",
                     {{"model", weights->model}, {"version", std::to_string(weights->version)}});
         }
--- a/libs/serving/include/ibislock/serving/named_versions.h
+++ b/libs/serving/include/ibislock/serving/named_versions.h
@@ -14,24 +14,31 @@
 namespace ibislock::serving
 {
 
-/// A version and when this process learnt of it.
+/// How the time of a naming is known.
+enum class NamingTime {
+    Unknown, ///< It was named before this process looked; the time that is kept is early.
+    Told, ///< Another process told it.
+    Seen, ///< This process saw it happen.
+};
+
+/// A version and when it was learnt of.
 struct NamedVersion
 {
     std::int64_t version = 0;
     Millis learntAt{0};
-    bool exact = true; ///< False if it was named before this process looked; `learntAt` is then early.
+    NamingTime time = NamingTime::Seen;
 };
 
 /// The versions of one model in their order.
 using NamedVersions = std::vector<NamedVersion>;
 
 /// Takes over a naming; one that is not newer than the last is ignored.
-/// @param learntAt when it was learnt of.
-/// @param exact false if it may have been named long before; `learntAt` must then be early.
+/// @param learntAt when it was learnt of; must be early if the time is unknown.
 /// @return whether it is new.
-bool noteNamed(NamedVersions &versions, std::int64_t version, Millis learntAt, bool exact = true);
+bool noteNamed(NamedVersions &versions, std::int64_t version, Millis learntAt, NamingTime time = NamingTime::Seen);
 
-/// Takes over the time of a naming from a process that saw it happen.
+/// Takes over the time of a naming from another process. Of several, the earliest counts: a process may have been cut
+/// off when the version was named.
 void correctTime(NamedVersions &versions, std::int64_t version, Millis learntAt);
 
 /// The oldest version on which something may begin.
--- a/libs/serving/src/named_versions.cpp
+++ b/libs/serving/src/named_versions.cpp
@@ -1,24 +1,28 @@
 #include "ibislock/serving/named_versions.h"
 
+#include <algorithm>
+
 namespace ibislock::serving
 {
 
-bool noteNamed(NamedVersions &versions, std::int64_t version, Millis learntAt, bool exact)
+bool noteNamed(NamedVersions &versions, std::int64_t version, Millis learntAt, NamingTime time)
 {
     if (!versions.empty() && version <= versions.back().version) {
         return false;
     }
-    versions.push_back({.version = version, .learntAt = learntAt, .exact = exact});
+    versions.push_back({.version = version, .learntAt = learntAt, .time = time});
     return true;
 }
 
 void correctTime(NamedVersions &versions, std::int64_t version, Millis learntAt)
 {
     for (NamedVersion &named : versions) {
-        if (named.version == version && !named.exact) {
-            named.learntAt = learntAt;
-            named.exact = true;
+        if (named.version != version || named.time == NamingTime::Seen) {
+            continue;
         }
+        const bool first = named.time == NamingTime::Unknown;
+        named.learntAt = first ? learntAt : std::min(named.learntAt, learntAt);
+        named.time = NamingTime::Told;
     }
 }
 
--- a/libs/serving/test/named_versions_test.cpp
+++ b/libs/serving/test/named_versions_test.cpp
@@ -30,11 +30,11 @@
 TEST(NamedVersionsTest, AfterARestartANamingCountsAsOldUntilItsTimeIsKnown)
 {
     NamedVersions versions;
-    noteNamed(versions, 2, Millis{10000} - Millis{7000}, false);
+    noteNamed(versions, 2, Millis{10000} - Millis{7000}, NamingTime::Unknown);
     EXPECT_EQ(requiredVersion(versions, Millis{10000}, Millis{7000}), 2);
     correctTime(versions, 2, Millis{6000});
     EXPECT_EQ(requiredVersion(versions, Millis{10000}, Millis{7000}), 0);
-    correctTime(versions, 2, Millis{9000});
+    correctTime(versions, 2, Millis{9000}); // From a process that was cut off meanwhile.
     EXPECT_EQ(requiredVersion(versions, Millis{13000}, Millis{7000}), 2);
 }
 
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -121,7 +121,8 @@
             return;
         }
         const Millis learntAt = steadyMillis() - (live ? Millis{0} : m_settings.bounds.versionTime);
-        if (noteNamed(m_named[weights->model], weights->version, learntAt, live)) {
+        if (noteNamed(m_named[weights->model], weights->version, learntAt,
+                      live ? serving::NamingTime::Seen : serving::NamingTime::Unknown)) {
             m_membersAt = Millis{0}; // VMs may have come and gone since the last version was spread.
         }
         return;
@@ -276,7 +277,7 @@
     const Millis now = steadyMillis();
     for (const auto &[model, versions] : m_named) {
         for (const serving::NamedVersion &named : versions) {
-            if (named.exact && now - named.learntAt < m_settings.bounds.versionTime) {
+            if (named.time == serving::NamingTime::Seen && now - named.learntAt < m_settings.bounds.versionTime) {
                 out.push_back({.model = model, .version = named.version, .age = now - named.learntAt});
             }
         }
