What may have run is never refused as not run; silent targets are waited for

Change: a request leaves a silent target only for one that can take it; after a send that may have run, every refusal is 502; a broken stream may wait 300 ms for a slot elsewhere. Tests: WhatMayHaveRunIsNeverRefusedAsNotRun (got 503 before), ASilentTargetIsWaitedForWhenThereIsNoOther.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -22,6 +22,7 @@
 
 TargetStandIn::TargetStandIn(asio::io_context &loop, std::string targetId)
     : id(std::move(targetId))
+    , m_loop(loop)
     , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); })
 {
     m_listener.open("127.0.0.1", 0);
@@ -121,6 +122,12 @@
                          + "\r\nX-Ibislock-Response-Signature: s\r\n\r\n" + body);
         connection.closeAfterWrites();
         break;
+    case TargetBehaviour::Late: {
+        auto timer = std::make_shared<asio::steady_timer>(m_loop, std::chrono::milliseconds(400));
+        timer->async_wait([timer, to = connection.shared_from_this(),
+                           bytes = http::writeResponse(own, body)](const asio::error_code &) { to->write(bytes); });
+        break;
+    }
     case TargetBehaviour::Silent:
         break;
     case TargetBehaviour::Stream:
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -5,6 +5,7 @@
 #include "ibislock/http/reader.h"
 #include "ibislock/net/connection.h"
 
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <string>
 #include <vector>
@@ -24,6 +25,7 @@
     Unsigned, ///< Answers without its signature.
     Encoded, ///< Answers with an encoded body.
     Unframed, ///< Answers without a length, and closes.
+    Late, ///< Runs it and answers after 400 ms.
     Silent, ///< Runs it and never answers.
     Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
     StreamCutOff, ///< The same, but closes in the middle of the third event.
@@ -53,6 +55,7 @@
     void answerStream(net::Connection &connection, const http::RequestHead &request, bool cutOff);
     http::ResponseHead head(int status, const std::string &attempt) const;
 
+    asio::io_context &m_loop;
     std::vector<std::shared_ptr<net::Connection>> m_connections;
     net::Listener m_listener;
 };
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -43,6 +43,12 @@
 /// How long an engine may be silent about a request when its VM has stopped to report.
 constexpr Millis EngineStall{800};
 
+/// How long a request that was broken off may wait for a slot elsewhere; a longer pause makes its stream late.
+constexpr Millis ResumeWait{300};
+
+/// The status with which we promise that a request did not run and will not.
+constexpr int NotRunStatus = 503;
+
 std::string_view statusText(int status)
 {
     return status == 0 ? "none" : http::reasonOf(status);
@@ -62,7 +68,7 @@
     case CallOutcome::TimedOut:
         return 504;
     default:
-        return 503;
+        return NotRunStatus;
     }
 }
 
@@ -362,6 +368,7 @@
     }
     m_sentOnce = true;
     if (mayRunAgain() && mayRepeat()) {
+        waitUntil = std::max(waitUntil, steadyMillis() + ResumeWait);
         front.dispatch(self);
         return;
     }
@@ -389,9 +396,12 @@
         finish(CallOutcome::CutOff, m_answerHead.status);
         return;
     }
+    if (m_sentOnce && statusOf(outcome) == NotRunStatus) {
+        outcome = CallOutcome::Unknown; // An earlier send may have run.
+    }
     const int status = statusOf(outcome);
     http::ResponseHead own =
-        platform::ownAnswer(status, request.attemptId, status == 503 ? front.retryAfter() : Millis{0});
+        platform::ownAnswer(status, request.attemptId, status == NotRunStatus ? front.retryAfter() : Millis{0});
     own.keepAlive = connection && connection->keepsAlive();
     answer(writeResponse(own, ""), !own.keepAlive);
     finish(outcome, status);
@@ -426,7 +436,8 @@
 
 void Call::checkTime(Millis now)
 {
-    if (!m_done && isStalled(now) && mayRepeat()) {
+    // Without another target to go on at, the silent one is still the best that the request has.
+    if (!m_done && isStalled(now) && front.placementOf(*this, now).target != nullptr && mayRepeat()) {
         logInfo(Part::Front, "A target is silent; the request goes on at another.",
                 {{"id", request.attemptId},
                  {"target", m_targetId},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -44,6 +44,12 @@
     /// How long the request is expected to run on a free engine.
     Millis expectedTime() const;
 
+    /// Tells whether the caller has part of the answer already.
+    bool hasBegun() const
+    {
+        return m_headWritten;
+    }
+
     bool isDone() const
     {
         return m_done;
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -257,30 +257,36 @@
     dispatch(call);
 }
 
+serving::Placement Front::placementOf(const Call &call, Millis now)
+{
+    return place(table,
+                 {.service = call.service,
+                  .domain = settings.domain,
+                  .minVersion = minVersionOf(call.request.model, now),
+                  .engine = call.engine,
+                  .usualPromptMs = call.promptMs(call.engineSpec.usualPromptTokens),
+                  .duration = call.expectedTime(),
+                  .urgent = !call.isLate(now) || call.hasBegun(),
+                  .tried = &call.tried,
+                  .now = now},
+                 random);
+}
+
 void Front::dispatch(const std::shared_ptr<Call> &call)
 {
     if (call->isDone()) {
         return;
     }
     const Millis now = steadyMillis();
-    const serving::Placement placement = place(table,
-                                               {.service = call->service,
-                                                .domain = settings.domain,
-                                                .minVersion = minVersionOf(call->request.model, now),
-                                                .engine = call->engine,
-                                                .usualPromptMs = call->promptMs(call->engineSpec.usualPromptTokens),
-                                                .duration = call->expectedTime(),
-                                                .urgent = !call->isLate(now),
-                                                .tried = &call->tried,
-                                                .now = now},
-                                               random);
+    const serving::Placement placement = placementOf(*call, now);
     if (placement.target != nullptr) {
         call->send(*placement.target);
         return;
     }
-    const bool mayWait = placement.reason == serving::NoTarget::Full && now < call->waitUntil && !call->isLate(now);
+    const bool full = placement.reason == serving::NoTarget::Full;
+    const bool mayWait = full && now < call->waitUntil && (!call->isLate(now) || call->hasBegun());
     if (!mayWait) {
-        call->refuse(placement.reason == serving::NoTarget::Full ? CallOutcome::Full : CallOutcome::NoTarget);
+        call->refuse(full ? CallOutcome::Full : CallOutcome::NoTarget);
         return;
     }
     const auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -38,6 +38,9 @@
     /// Sends a call to a target, lets it wait, or refuses it.
     void dispatch(const std::shared_ptr<Call> &call);
 
+    /// Finds a target for a call as things stand.
+    serving::Placement placementOf(const Call &call, Millis now);
+
     /// Tells that a target may have room.
     void pumpWaiting();
 
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -251,6 +251,25 @@
     }
 }
 
+TEST_F(FrontTest, WhatMayHaveRunIsNeverRefusedAsNotRun)
+{
+    // The first send is lost and there is no second target: 503 would say that it did not run.
+    m_first.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    start();
+    EXPECT_EQ(call(request("/often/x")).status, 502);
+    EXPECT_EQ(call(request("/events/x")).status, 502);
+    EXPECT_EQ(runs(), 2U);
+}
+
+TEST_F(FrontTest, ASilentTargetIsWaitedForWhenThereIsNoOther)
+{
+    m_first.behaviour = TargetBehaviour::Late;
+    list(m_first);
+    start();
+    EXPECT_EQ(call(request("/often/x")).status, 200);
+}
+
 TEST_F(FrontTest, AStreamThatBreaksOffGoesOnAtAnotherTargetWithoutGapOrRepetition)
 {
     m_first.behaviour = TargetBehaviour::StreamCutOff;
