What may be sent and said of a request follows from a chart, explored exhaustively

Change: charts/request.chart, interpreted by serving/request_life; the call asks it before each send and each final word. Test: all lives of up to 18 events of each kind of request, checked against what really may have run: no refusal says not run for what may have run, and nothing runs twice against its kind.

--- a/libs/base/src/embedded_charts.S
+++ b/libs/base/src/embedded_charts.S
@@ -20,4 +20,10 @@
     .incbin "lease.chart"
 ibislock_chart_lease_end:
 
+    .global ibislock_chart_request
+    .global ibislock_chart_request_end
+ibislock_chart_request:
+    .incbin "request.chart"
+ibislock_chart_request_end:
+
     .section .note.GNU-stack,"",%progbits
--- a/libs/base/src/embedded_charts.cpp
+++ b/libs/base/src/embedded_charts.cpp
@@ -12,6 +12,8 @@
 extern const char ibislock_chart_drain_end[];
 extern const char ibislock_chart_lease[];
 extern const char ibislock_chart_lease_end[];
+extern const char ibislock_chart_request[];
+extern const char ibislock_chart_request_end[];
 }
 // NOLINTEND(readability-identifier-naming)
 
@@ -32,12 +34,13 @@
     return {begin, static_cast<std::size_t>(end - begin)};
 }
 
-const std::array<EmbeddedChart, 3> &charts()
+const std::array<EmbeddedChart, 4> &charts()
 {
-    static const std::array<EmbeddedChart, 3> all{{
+    static const std::array<EmbeddedChart, 4> all{{
         {"activation", between(ibislock_chart_activation, ibislock_chart_activation_end)},
         {"drain", between(ibislock_chart_drain, ibislock_chart_drain_end)},
         {"lease", between(ibislock_chart_lease, ibislock_chart_lease_end)},
+        {"request", between(ibislock_chart_request, ibislock_chart_request_end)},
     }};
     return all;
 }
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+using serving::RequestAction;
+using serving::RequestEvent;
 using serving::RequestKind;
 
 /// Longest time of a caller that names none, and of a route without a timeout; above all objectives seen.
@@ -148,7 +150,7 @@
         .workspace = workspace,
         .weightsVersion = engine && front.minVersionOf(request.model, now) > 0 ? knownVersion(target, now) : 0,
     };
-    if (m_headWritten) {
+    if (hasBegun()) {
         out.lastEventId = m_events.lastId;
     }
     return out;
@@ -158,7 +160,7 @@
 {
     const Millis now = steadyMillis();
     if (deadlineAt - now < LeastTime) {
-        refuse(m_sentOnce ? CallOutcome::TimedOut : CallOutcome::OutOfTime);
+        refuse(CallOutcome::OutOfTime);
         return;
     }
     const auto endpoint = platform::endpointFrom(target.entry.address);
@@ -173,6 +175,7 @@
         m_firstSentAt = now;
         observe(front.counters.waited, now - receivedAt);
     }
+    advance(m_life, RequestEvent::Send);
     ++m_sends;
     ++front.counters.sends;
     front.counters.repeatedSends += m_sends > 1 ? 1 : 0;
@@ -235,8 +238,8 @@
     const Millis now = steadyMillis();
     m_longestPause = m_lastEventAt > Millis{0} ? std::max(m_longestPause, now - m_lastEventAt) : Millis{0};
     m_lastEventAt = now;
-    if (!m_headWritten) {
-        m_headWritten = true;
+    if (!hasBegun()) {
+        advance(m_life, RequestEvent::FirstEvent);
         m_firstEventAt = now;
         observe(front.counters.firstEvent, now - receivedAt);
         http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
@@ -297,16 +300,11 @@
     front.pumpWaiting();
 }
 
-/// Tells whether the kind of request allows to run it once more.
-bool Call::mayRunAgain() const
+/// Draws on the budget for one more send, if the route, the kind and the time allow one.
+bool Call::mayRepeat()
 {
-    return route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
-}
-
-/// Draws on the budget for one more send, if the route and the time allow one.
-bool Call::mayRepeat() const
-{
-    if (m_sends - m_connectFailures >= route.maxTargets || deadlineAt - steadyMillis() < LeastTime) {
+    const bool allowed = maySend(m_life, route.kind, route.resumable) && m_sends - m_connectFailures < route.maxTargets;
+    if (!allowed || deadlineAt - steadyMillis() < LeastTime) {
         return false;
     }
     if (!drawRetry(front.retries, service, steadyMillis())) {
@@ -318,11 +316,16 @@
 
 void Call::endBuffered()
 {
-    if (m_answerHead.status / 100 == 5 && mayRunAgain() && mayRepeat()) {
-        m_sentOnce = true;
-        front.dispatch(shared_from_this());
-        return;
+    if (m_answerHead.status / 100 == 5 && route.kind == RequestKind::Idempotent) {
+        const serving::RequestLife before = m_life;
+        advance(m_life, RequestEvent::Lost); // It failed; another target may do better.
+        if (mayRepeat()) {
+            front.dispatch(shared_from_this());
+            return;
+        }
+        m_life = before;
     }
+    advance(m_life, RequestEvent::Whole);
     http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
     const auto connection = m_connection.lock();
     forwarded.keepAlive = connection && connection->keepsAlive();
@@ -336,43 +339,32 @@
     relay(std::exchange(m_events.partial, {}));
     const auto connection = m_connection.lock();
     std::string out;
-    if (!m_headWritten) {
+    if (!hasBegun()) {
         http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
         forwarded.keepAlive = connection && connection->keepsAlive();
         out = writeChunkedHead(forwarded);
     }
+    advance(m_life, RequestEvent::Whole);
     answer(out.append(http::LastChunk), !(connection && connection->keepsAlive()));
     finish(CallOutcome::Answered, m_answerHead.status);
 }
 
 void Call::endFailed(const net::ExchangeResult &result)
 {
-    const auto self = shared_from_this();
-    if (result.end == net::ExchangeEnd::NotConnected) {
-        ++m_connectFailures;
-        if (m_connectFailures < MaxConnectFailures && deadlineAt - steadyMillis() >= LeastTime) {
-            front.dispatch(self);
-            return;
-        }
-        refuse(m_sentOnce ? CallOutcome::Unknown : CallOutcome::NoTarget);
+    const bool notConnected = result.end == net::ExchangeEnd::NotConnected;
+    const bool notRun = result.end == net::ExchangeEnd::Complete && m_answer == Answer::NotRun;
+    advance(m_life, notConnected || notRun ? RequestEvent::Refused : RequestEvent::Lost);
+    m_connectFailures += notConnected ? 1 : 0;
+    const bool again =
+        notConnected ? m_connectFailures < MaxConnectFailures && deadlineAt - steadyMillis() >= LeastTime : mayRepeat();
+    if (!again) {
+        refuse(notConnected ? CallOutcome::NoTarget : (notRun ? CallOutcome::NotExecuted : CallOutcome::Unknown));
         return;
     }
-    const bool complete = result.end == net::ExchangeEnd::Complete;
-    if (complete && m_answer == Answer::NotRun) {
-        if (mayRepeat()) {
-            front.dispatch(self);
-        } else {
-            refuse(m_sentOnce ? CallOutcome::Unknown : CallOutcome::NotExecuted);
-        }
-        return;
-    }
-    m_sentOnce = true;
-    if (mayRunAgain() && mayRepeat()) {
+    if (!notConnected && !notRun) {
         waitUntil = std::max(waitUntil, steadyMillis() + ResumeWait);
-        front.dispatch(self);
-        return;
     }
-    refuse(CallOutcome::Unknown);
+    front.dispatch(shared_from_this());
 }
 
 void Call::answer(const std::string &bytes, bool close)
@@ -389,19 +381,20 @@
         return;
     }
     const auto connection = m_connection.lock();
-    if (m_headWritten) {
+    const RequestAction action = advance(m_life, RequestEvent::GiveUp);
+    if (action == RequestAction::CutOff) {
         if (connection) {
             connection->abort(); // Without its last chunk, the answer can't look complete.
         }
         finish(CallOutcome::CutOff, m_answerHead.status);
         return;
     }
-    if (m_sentOnce && statusOf(outcome) == NotRunStatus) {
-        outcome = CallOutcome::Unknown; // An earlier send may have run.
+    if (action == RequestAction::AnswerUnknown && statusOf(outcome) == NotRunStatus) {
+        outcome = outcome == CallOutcome::OutOfTime ? CallOutcome::TimedOut : CallOutcome::Unknown;
     }
     const int status = statusOf(outcome);
-    http::ResponseHead own =
-        platform::ownAnswer(status, request.attemptId, status == NotRunStatus ? front.retryAfter() : Millis{0});
+    const Millis retryAfter = status == NotRunStatus ? front.retryAfter() : Millis{0};
+    http::ResponseHead own = platform::ownAnswer(status, request.attemptId, retryAfter);
     own.keepAlive = connection && connection->keepsAlive();
     answer(writeResponse(own, ""), !own.keepAlive);
     finish(outcome, status);
@@ -422,7 +415,9 @@
 /// Tells whether the target seems to be frozen or cut off, and the request may go on elsewhere.
 bool Call::isStalled(Millis now) const
 {
-    if (!m_exchange || !mayRunAgain() || m_sends - m_connectFailures >= route.maxTargets) {
+    const bool mayRunTwice =
+        route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
+    if (!m_exchange || !mayRunTwice || m_sends - m_connectFailures >= route.maxTargets) {
         return false;
     }
     const Millis silence = now - std::max(m_sentAt, m_lastEventAt);
@@ -434,29 +429,42 @@
     return !reports && silence > EngineStall;
 }
 
+/// Goes on at another target. Without one, the silent target is still the best that the request has.
+/// @return whether it does.
+bool Call::leaveTarget(Millis now)
+{
+    if (front.placementOf(*this, now).target == nullptr) {
+        return false;
+    }
+    const serving::RequestLife before = m_life;
+    advance(m_life, RequestEvent::Lost);
+    if (!mayRepeat()) {
+        m_life = before;
+        return false;
+    }
+    logInfo(Part::Front, "A target is silent; the request goes on at another.",
+            {{"id", request.attemptId},
+             {"target", m_targetId},
+             {"silent_ms", std::to_string((now - std::max(m_sentAt, m_lastEventAt)).count())}});
+    m_exchange->cancel();
+    releaseTarget(false);
+    front.dispatch(shared_from_this());
+    return true;
+}
+
 void Call::checkTime(Millis now)
 {
-    // Without another target to go on at, the silent one is still the best that the request has.
-    if (!m_done && isStalled(now) && front.placementOf(*this, now).target != nullptr && mayRepeat()) {
-        logInfo(Part::Front, "A target is silent; the request goes on at another.",
-                {{"id", request.attemptId},
-                 {"target", m_targetId},
-                 {"silent_ms", std::to_string((now - std::max(m_sentAt, m_lastEventAt)).count())}});
-        m_exchange->cancel();
-        releaseTarget(false);
-        m_sentOnce = true;
-        front.dispatch(shared_from_this());
+    if (!m_done && isStalled(now) && leaveTarget(now)) {
         return;
     }
     if (m_done || deadlineAt == Millis{0} || now < deadlineAt + (m_exchange ? LimitSlack : Millis{0})) {
         return;
     }
-    const bool sent = m_exchange != nullptr || m_sentOnce;
     if (m_exchange) {
         m_exchange->cancel();
         releaseTarget(true);
     }
-    refuse(sent ? CallOutcome::TimedOut : CallOutcome::OutOfTime);
+    refuse(CallOutcome::OutOfTime);
 }
 
 void Call::finish(CallOutcome outcome, int status)
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -6,6 +6,7 @@
 #include "event_splitter.h"
 #include "front.h"
 #include "ibislock/platform/messages.h"
+#include "ibislock/serving/request_life.h"
 
 namespace ibislock::front
 {
@@ -47,7 +48,7 @@
     /// Tells whether the caller has part of the answer already.
     bool hasBegun() const
     {
-        return m_headWritten;
+        return serving::hasBegun(m_life);
     }
 
     bool isDone() const
@@ -81,8 +82,8 @@
     void endBuffered();
     void endRelayed();
     void endFailed(const net::ExchangeResult &result);
-    bool mayRepeat() const;
-    bool mayRunAgain() const;
+    bool mayRepeat();
+    bool leaveTarget(Millis now);
     bool isStalled(Millis now) const;
     void relay(const std::string &events);
     void answer(const std::string &bytes, bool close);
@@ -107,8 +108,7 @@
     Millis m_loadAge{0}; ///< Of that belief.
     int m_sends = 0;
     int m_connectFailures = 0;
-    bool m_sentOnce = false; ///< A target may have read the request and was not known to refuse it.
-    bool m_headWritten = false;
+    serving::RequestLife m_life; ///< Decides what may be sent and said.
     bool m_done = false;
 };
 
--- /dev/null
+++ b/libs/serving/src/request_life.cpp
@@ -0,0 +1,27 @@
+#include "ibislock/serving/request_life.h"
+
+#include "ibislock/base/state_chart.h"
+
+namespace ibislock::serving
+{
+
+RequestAction advance(RequestLife &life, RequestEvent event)
+{
+    const Transition &transition = stepOf(embeddedChart("request"), life.state, nameOf(RequestEventNames, event));
+    life.state = transition.next;
+    return valueOf(RequestActionNames, transition.action).value_or(RequestAction::None);
+}
+
+bool maySend(const RequestLife &life, RequestKind kind, bool resumable)
+{
+    const bool mayRunTwice = kind == RequestKind::Idempotent || (kind == RequestKind::Stream && resumable);
+    const bool mayHaveRun = life.state == "unknown" || life.state == "broken";
+    return life.state == "unsent" || (mayHaveRun && mayRunTwice);
+}
+
+bool hasBegun(const RequestLife &life)
+{
+    return life.state == "begun" || life.state == "broken";
+}
+
+} // namespace ibislock::serving
