--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -43,7 +43,7 @@
 constexpr Millis LeastStall{250};
 
 /// How long an engine may be silent about a request when its VM has stopped to report.
-constexpr Millis EngineStall{800};
+constexpr Millis EngineStall{500};
 
 /// How long a request that was broken off may wait for a slot elsewhere; a longer pause makes its stream late.
 constexpr Millis ResumeWait{300};
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -47,9 +47,9 @@
 /// By how much a request may outlast the time at which its target begins to load: the load waits for what runs.
 inline constexpr Millis LoadOverlap{300};
 
-/// How old a report may be; targets report each 500 ms at least, and datagrams are lost at times. An engine whose VM
+/// How old a report may be; targets report each 300 ms at least, and datagrams are lost at times. An engine whose VM
 /// has stopped to report may be frozen or cut off, and gets requests only if no other reports.
-inline constexpr Millis LoadLifetime{1200};
+inline constexpr Millis LoadLifetime{750};
 
 /// Targets that are drawn for a choice; with two, the best are missed too often, with all, entry VMs choose alike.
 inline constexpr int DrawnTargets = 3;
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -13,8 +13,8 @@
 /// How long an entry VM gets loads after it asked for them; it asks each second.
 constexpr Millis SubscriptionTime{3000};
 
-/// Longest time between two loads; entry VMs rely on a load for three times as long.
-constexpr Millis PublishTime{500};
+/// Longest time between two loads; entry VMs rely on a load for two and a half times as long.
+constexpr Millis PublishTime{300};
 
 /// How long the listings of other target VMs are used while weights are spread.
 constexpr Millis MembersLifetime{1000};
