Retry-After by the cause of a refusal

Cause: one span for all refusals; callers that came back 0.3 to 0.9 s into an outage used up their only repetition, and those refused by a stopping VM waited although others could serve at once. Change: serving/retry_advice: full 150 to 400 ms, none usable 1.4 to 2.2 s, elsewhere 20 to 100 ms.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
+#include "ibislock/serving/retry_advice.h"
 
 namespace ibislock::front
 {
@@ -74,6 +75,19 @@
     }
 }
 
+serving::RefusalCause causeOf(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Full:
+    case CallOutcome::NotExecuted:
+        return serving::RefusalCause::Full;
+    case CallOutcome::Stopping:
+        return serving::RefusalCause::Elsewhere;
+    default:
+        return serving::RefusalCause::NoneUsable;
+    }
+}
+
 } // namespace
 
 Call::Call(Front &owner, std::weak_ptr<CallerConnection> connection, http::RequestHead requestHead,
@@ -393,7 +407,7 @@
         outcome = outcome == CallOutcome::OutOfTime ? CallOutcome::TimedOut : CallOutcome::Unknown;
     }
     const int status = statusOf(outcome);
-    const Millis retryAfter = status == NotRunStatus ? front.retryAfter() : Millis{0};
+    const Millis retryAfter = status == NotRunStatus ? retryAdvice(causeOf(outcome), front.random) : Millis{0};
     http::ResponseHead own = platform::ownAnswer(status, request.attemptId, retryAfter);
     own.keepAlive = connection && connection->keepsAlive();
     answer(writeResponse(own, ""), !own.keepAlive);
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -43,10 +43,6 @@
 /// By how much sooner than the platform kills it a stopping process ends.
 constexpr Millis KillMargin{200};
 
-/// Shortest and longest advice to a refused caller: a slot comes free in some 100 ms, an overload lasts seconds.
-constexpr Millis ShortestRetryAfter{300};
-constexpr Millis LongestRetryAfter{900};
-
 /// By how much sooner than the contract asks requests stop to begin on old weights: a queue at the engine and the way.
 constexpr Millis VersionMargin{1500};
 
@@ -237,12 +233,6 @@
     return it == named.end() ? 0 : requiredVersion(it->second, now, settings.bounds.versionTime - VersionMargin);
 }
 
-Millis Front::retryAfter()
-{
-    return Millis{
-        std::uniform_int_distribution<std::int64_t>(ShortestRetryAfter.count(), LongestRetryAfter.count())(random)};
-}
-
 void Front::accept(const std::shared_ptr<Call> &call)
 {
     if (refusing) {
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -47,9 +47,6 @@
     /// The oldest weights with which a call may begin now.
     std::int64_t minVersionOf(const std::string &model, Millis now) const;
 
-    /// When a refused caller may come back.
-    Millis retryAfter();
-
     /// Removes a caller's connection.
     void forget(const CallerConnection *connection);
 
--- a/libs/serving/test/serving_test.cpp
+++ b/libs/serving/test/serving_test.cpp
@@ -1,5 +1,6 @@
 #include "ibislock/serving/desired_state.h"
 #include "ibislock/serving/placement.h"
+#include "ibislock/serving/retry_advice.h"
 #include "ibislock/serving/retry_share.h"
 
 #include <gtest/gtest.h>
@@ -241,6 +242,20 @@
     EXPECT_TRUE(drawRetry(share, "s", Millis{10001}));
 }
 
+TEST(RetryAdviceTest, CallersComeBackLaterFromAnOutageThanFromASpikeAndNotTogether)
+{
+    Random random(1);
+    std::set<Millis> times;
+    for (int n = 0; n < 100; ++n) {
+        const Millis full = retryAdvice(RefusalCause::Full, random);
+        EXPECT_LT(full, Millis{500});
+        EXPECT_GT(retryAdvice(RefusalCause::NoneUsable, random), Millis{1000});
+        EXPECT_LT(retryAdvice(RefusalCause::Elsewhere, random), full);
+        times.insert(full);
+    }
+    EXPECT_GT(times.size(), 30U);
+}
+
 } // namespace
 
 } // namespace ibislock::serving
