--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -8,6 +8,7 @@
 #include "experiments/recover.h"
 #include "experiments/requests.h"
 #include "experiments/spread.h"
+#include "experiments/vms.h"
 #include "report/report_command.h"
 
 #include <array>
@@ -38,6 +39,7 @@
     Experiment{"requests", "callers under overload and faults", runRequests},
     Experiment{"hostile", "callers beside slow connections", runHostile},
     Experiment{"spread", "a new version on many targets, with shaped links and faults", runSpread},
+    Experiment{"vms", "the daemons on the users' platform as processes, over stand-ins", runVms},
     Experiment{"report", "turn experiments' JSON lines into a plot and a table", runReport},
 };
 
--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -139,9 +139,27 @@
     } else if (request.target.find("/stage-get/") != std::string::npos) {
         const auto it = staged.find(queryNumber(request.target, "Num"));
         reply(connection, it == staged.end() ? 404 : 200, it == staged.end() ? "" : it->second);
-    } else {
+    } else if (request.target == "/ibislock/order") {
         order(connection, body);
+    } else {
+        serve(connection, request);
+    }
+}
+
+void EngineStandIn::serve(net::Connection &connection, const http::RequestHead &request)
+{
+    const std::string attempt(request.headers.find("X-Ibislock-Attempt-Id").value_or(""));
+    http::ResponseHead head{.status = 200};
+    if (version == 0 || m_loading) {
+        head.status = 503;
+        head.headers.add("X-Ibislock-Not-Executed", "1");
+        connection.write(http::writeResponse(head, ""));
+        return;
     }
+    ++served;
+    head.headers.add("X-Ibislock-Attempt-Id", attempt);
+    head.headers.add("X-Ibislock-Response-Signature", "s-" + attempt);
+    connection.write(http::writeResponse(head, "answer to " + attempt));
 }
 
 void EngineStandIn::order(net::Connection &connection, const std::string &body)
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -60,12 +60,14 @@
     std::int64_t startedAt = 1;
     int orders = 0;
     int refusedOrders = 0;
+    int served = 0; ///< Requests that were run.
     bool loadedSpoilt = false; ///< A load began while a staged piece was not what it should be.
     WeightsStandIn expected; ///< What the engine checks a load against, except for its version.
     std::map<int, std::string> staged;
 
 private:
     void answer(net::Connection &connection, const http::RequestHead &request, const std::string &body);
+    void serve(net::Connection &connection, const http::RequestHead &request);
     void order(net::Connection &connection, const std::string &body);
 
     asio::io_context &m_loop;
