--- a/lab/experiments/vms.cpp
+++ b/lab/experiments/vms.cpp
@@ -239,7 +239,8 @@
     void request()
     {
         const std::string attempt = "a" + std::to_string(++m_tally.sent);
-        const VmProcess &vm = m_vms[static_cast<std::size_t>(m_options.targets + m_tally.sent % m_options.entries)];
+        const int entry = m_options.targets + m_tally.sent % m_options.entries;
+        const VmProcess &vm = m_vms[static_cast<std::size_t>(entry)];
         http::RequestHead head{.method = "POST", .target = "/x"};
         head.headers.add("Host", "h");
         head.headers.add("X-Ibislock-Attempt-Id", attempt);
--- /dev/null
+++ b/libs/feed/src/operators_view.cpp
@@ -0,0 +1,63 @@
+#include "ibislock/feed/operators_view.h"
+
+#include "ibislock/base/log.h"
+#include "ibislock/platform/listings.h"
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+bool applyNaming(OperatorsView &view, const platform::KeyedRecord &record, const RecordContext &context)
+{
+    const auto weights = platform::decodeNamedWeights(*record.value);
+    if (!weights) {
+        logWarning(Part::Store, "A naming of weights can't be read.",
+                   {{"key", record.key}, {"cause", weights.error().message}});
+        return false;
+    }
+    const Millis learntAt = context.now - (context.live ? Millis{0} : context.versionTime);
+    const auto time = context.live ? serving::NamingTime::Seen : serving::NamingTime::Unknown;
+    if (!noteNamed(view.named[weights->model], weights->version, learntAt, time)) {
+        return false;
+    }
+    logInfo(Part::Store, "New weights were named.",
+            {{"model", weights->model},
+             {"version", std::to_string(weights->version)},
+             {"time", context.live ? "seen" : "unknown"}});
+    return true;
+}
+
+bool applyState(OperatorsView &view, const platform::KeyedRecord &record)
+{
+    auto decoded = platform::decodeDesiredState(*record.value);
+    if (!decoded) {
+        logError(Part::Store, "A desired state can't be read.", {{"cause", decoded.error().message}});
+        return false;
+    }
+    if (view.state && decoded->version <= view.state->version) {
+        return false;
+    }
+    view.state = std::make_shared<const serving::DesiredState>(std::move(*decoded));
+    logInfo(Part::Store, "A desired state is in force.",
+            {{"version", std::to_string(view.state->version)},
+             {"routes", std::to_string(view.state->routes.size())},
+             {"offset", std::to_string(record.offset)}});
+    return true;
+}
+
+} // namespace
+
+bool applyRecord(OperatorsView &view, const platform::KeyedRecord &record, const RecordContext &context)
+{
+    if (!record.value) {
+        return false;
+    }
+    if (platform::isNamedWeightsKey(record.key)) {
+        return applyNaming(view, record, context);
+    }
+    return record.key == platform::DesiredStateKey && applyState(view, record);
+}
+
+} // namespace ibislock::feed
--- /dev/null
+++ b/libs/feed/test/operators_view_test.cpp
@@ -0,0 +1,47 @@
+#include "ibislock/feed/operators_view.h"
+
+#include <gtest/gtest.h>
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+platform::KeyedRecord state(int version)
+{
+    return {.key = "config", .value = R"({"Version":)" + std::to_string(version) + "}", .offset = version};
+}
+
+TEST(OperatorsViewTest, AnOlderStateNeverReplacesANewerOne)
+{
+    OperatorsView view;
+    EXPECT_TRUE(applyRecord(view, state(7), {}));
+    EXPECT_FALSE(applyRecord(view, state(6), {}));
+    EXPECT_FALSE(applyRecord(view, state(7), {}));
+    EXPECT_EQ(view.state->version, 7);
+}
+
+TEST(OperatorsViewTest, WhatCannotBeReadOrWasDroppedChangesNothing)
+{
+    OperatorsView view;
+    applyRecord(view, state(7), {});
+    EXPECT_FALSE(applyRecord(view, {.key = "config", .value = "no json", .offset = 8}, {}));
+    EXPECT_FALSE(applyRecord(view, {.key = "config", .value = std::nullopt, .offset = 9}, {}));
+    EXPECT_FALSE(applyRecord(view, {.key = "version/m", .value = R"({"Model":3})", .offset = 10}, {}));
+    EXPECT_EQ(view.state->version, 7);
+    EXPECT_TRUE(view.named.empty());
+}
+
+TEST(OperatorsViewTest, ANamingOutOfASnapshotCountsAsOld)
+{
+    OperatorsView view;
+    const platform::KeyedRecord naming{.key = "version/m", .value = R"({"Model":"m","Version":2})", .offset = 1};
+    EXPECT_TRUE(applyRecord(view, naming, {.live = false, .now = Millis{9000}, .versionTime = Millis{8000}}));
+    EXPECT_EQ(view.named.at("m").front().learntAt, Millis{1000});
+    EXPECT_EQ(view.named.at("m").front().time, serving::NamingTime::Unknown);
+}
+
+} // namespace
+
+} // namespace ibislock::feed
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -107,10 +107,10 @@
         return CallOutcome::BadRequest;
     }
     request = *decoded;
-    if (!front.state) {
+    if (!front.operators.state) {
         return CallOutcome::NoState;
     }
-    const serving::DesiredState &state = *front.state;
+    const serving::DesiredState &state = *front.operators.state;
     const serving::Route *found = findRoute(state, request.host, head.target);
     if (found == nullptr) {
         return front.operatorsAway ? CallOutcome::NoState : CallOutcome::NoRoute;
@@ -496,7 +496,7 @@
              {"status", std::string(statusText(status))},
              {"route", route.name},
              {"service", service},
-             {"state", front.state ? std::to_string(front.state->version) : "none"},
+             {"state", front.operators.state ? std::to_string(front.operators.state->version) : "none"},
              {"sends", std::to_string(m_sends)},
              {"target", m_lastTargetId},
              {"occupancy", std::to_string(m_occupancyPercent)},
--- a/libs/front/src/caller_connection.cpp
+++ b/libs/front/src/caller_connection.cpp
@@ -17,7 +17,8 @@
 
 http::ReaderLimits limitsOf(const Front &front)
 {
-    const serving::CallerLimits limits = front.state ? front.state->limits : serving::CallerLimits{};
+    const serving::CallerLimits limits =
+        front.operators.state ? front.operators.state->limits : serving::CallerLimits{};
     return {.headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes};
 }
 
@@ -162,7 +163,8 @@
         call->checkTime(now);
         return;
     }
-    const serving::CallerLimits limits = m_front.state ? m_front.state->limits : serving::CallerLimits{};
+    const serving::CallerLimits limits =
+        m_front.operators.state ? m_front.operators.state->limits : serving::CallerLimits{};
     if (m_reader.started()) {
         const Millis allowed = m_reader.headComplete() ? limits.headTime * BodyTimeFactor : limits.headTime;
         if (now - m_requestSince > allowed) {
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -162,40 +162,7 @@
 
 void Front::applyOperatorRecord(const platform::KeyedRecord &record, bool live)
 {
-    if (!record.value) {
-        return; // The newest desired state stays in force when its record is dropped.
-    }
-    if (platform::isNamedWeightsKey(record.key)) {
-        const auto weights = platform::decodeNamedWeights(*record.value);
-        if (!weights) {
-            logWarning(Part::Front, "A naming of weights can't be read.",
-                       {{"key", record.key}, {"cause", weights.error().message}});
-            return;
-        }
-        const Millis learntAt = steadyMillis() - (live ? Millis{0} : settings.bounds.versionTime);
-        if (noteNamed(named[weights->model], weights->version, learntAt,
-                      live ? serving::NamingTime::Seen : serving::NamingTime::Unknown)) {
-            logInfo(Part::Front, "New weights were named.",
-                    {{"model", weights->model}, {"version", std::to_string(weights->version)}});
-        }
-        return;
-    }
-    if (record.key != platform::DesiredStateKey) {
-        return;
-    }
-    auto decoded = platform::decodeDesiredState(*record.value);
-    if (!decoded) {
-        logError(Part::Front, "A desired state can't be read.", {{"cause", decoded.error().message}});
-        return;
-    }
-    if (state && decoded->version <= state->version) {
-        return; // Read again, or older.
-    }
-    state = std::make_shared<const serving::DesiredState>(std::move(*decoded));
-    logInfo(Part::Front, "A desired state is in force.",
-            {{"version", std::to_string(state->version)},
-             {"routes", std::to_string(state->routes.size())},
-             {"offset", std::to_string(record.offset)}});
+    applyRecord(operators, record, {.live = live, .now = steadyMillis(), .versionTime = settings.bounds.versionTime});
 }
 
 void Front::applyTargetRecord(const platform::KeyedRecord &record)
@@ -229,18 +196,16 @@
 
 std::int64_t Front::minVersionOf(const std::string &model, Millis now) const
 {
-    const auto it = named.find(model);
-    return it == named.end() ? 0 : requiredVersion(it->second, now, settings.bounds.versionTime - VersionMargin);
+    const auto it = operators.named.find(model);
+    return it == operators.named.end() ? 0
+                                       : requiredVersion(it->second, now, settings.bounds.versionTime - VersionMargin);
 }
 
 void Front::accept(const std::shared_ptr<Call> &call)
 {
-    if (refusing) {
-        call->refuse(CallOutcome::Stopping);
-        return;
-    }
-    if (const auto refused = call->resolve()) {
-        call->refuse(*refused);
+    const auto refused = call->resolve();
+    if (refused || refusing) {
+        call->refuse(refused.value_or(CallOutcome::Stopping));
         return;
     }
     noteRequest(retries, call->service, call->receivedAt);
@@ -308,7 +273,7 @@
 
 bool Front::isReady() const
 {
-    return state != nullptr && !draining;
+    return operators.state != nullptr && !draining;
 }
 
 void Front::serveReadiness(const std::shared_ptr<net::Connection> &connection)
@@ -365,7 +330,8 @@
     writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
                  m_operatorsFeed->calls() + m_targetsFeed->calls());
     writeCounter(out, "ibislock_log_lines_dropped_total", "Log lines that were left out.", droppedLogLines());
-    writeGauge(out, "ibislock_state_version", "Version of the desired state in force.", state ? state->version : 0);
+    writeGauge(out, "ibislock_state_version", "Version of the desired state in force.",
+               operators.state ? operators.state->version : 0);
     writeGauge(out, "ibislock_store_away", "1 while the operators' topic can't be read.", operatorsAway ? 1 : 0);
     writeGauge(out, "ibislock_targets", "Targets that are known.", static_cast<std::int64_t>(table.targets.size()));
     writeGauge(out, "ibislock_waiting", "Requests that wait for a slot.", static_cast<std::int64_t>(m_waiting.size()));
@@ -411,8 +377,8 @@
     for (const auto &[id, target] : table.targets) {
         const auto endpoint = platform::endpointFrom(target.entry.address);
         const bool engine = !target.entry.models.empty() || target.load.has_value()
-            || (state && state->services.contains(target.entry.service)
-                && state->services.at(target.entry.service).engine.has_value());
+            || (operators.state && operators.state->services.contains(target.entry.service)
+                && operators.state->services.at(target.entry.service).engine.has_value());
         asio::error_code ec;
         const auto address = asio::ip::make_address_v4(endpoint ? endpoint->ip : "", ec);
         if (!engine || ec) {
@@ -455,8 +421,8 @@
     m_operatorsFeed->hint(load.operatorsEnd);
     const Millis now = steadyMillis();
     for (const peer::Naming &naming : load.namings) {
-        const auto it = named.find(naming.model);
-        if (it != named.end()) {
+        const auto it = operators.named.find(naming.model);
+        if (it != operators.named.end()) {
             correctTime(it->second, naming.version, now - naming.age);
         }
     }
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -3,12 +3,11 @@
 #pragma once
 
 #include "counters.h"
+#include "ibislock/feed/operators_view.h"
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/platform/listings.h"
-#include "ibislock/serving/desired_state.h"
-#include "ibislock/serving/named_versions.h"
 #include "ibislock/serving/placement.h"
 #include "ibislock/serving/retry_share.h"
 
@@ -55,8 +54,7 @@
     FrontOptions options;
     net::HttpClient client;
     serving::TargetTable table;
-    std::shared_ptr<const serving::DesiredState> state;
-    std::map<std::string, serving::NamedVersions, std::less<>> named;
+    feed::OperatorsView operators;
     serving::RetryShare retries;
     Random random;
     FrontCounters counters;
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -110,55 +110,29 @@
 
 void Side::applyOperatorRecord(const platform::KeyedRecord &record, bool live)
 {
-    if (!record.value) {
-        return; // What was read last stays in force.
-    }
-    if (platform::isNamedWeightsKey(record.key)) {
-        const auto weights = platform::decodeNamedWeights(*record.value);
-        if (!weights) {
-            logWarning(Part::Side, "A naming of weights can't be read.",
-                       {{"key", record.key}, {"cause", weights.error().message}});
-            return;
-        }
-        const Millis learntAt = steadyMillis() - (live ? Millis{0} : m_settings.bounds.versionTime);
-        if (noteNamed(m_named[weights->model], weights->version, learntAt,
-                      live ? serving::NamingTime::Seen : serving::NamingTime::Unknown)) {
-            m_membersAt = Millis{0}; // VMs may have come and gone since the last version was spread.
-        }
-        return;
-    }
-    if (record.key != platform::DesiredStateKey) {
-        return;
-    }
-    auto decoded = platform::decodeDesiredState(*record.value);
-    if (!decoded) {
-        logError(Part::Side, "A desired state can't be read.", {{"cause", decoded.error().message}});
-        return;
-    }
-    if (!m_state || decoded->version > m_state->version) {
-        decoded->routes.clear(); // A target VM uses the services only.
-        decoded->workspaces.clear();
-        decoded->routesByHost.clear();
-        decoded->workspaceByKey.clear();
-        m_state = std::make_shared<const serving::DesiredState>(std::move(*decoded));
+    const bool news = applyRecord(m_operators, record,
+                                  {.live = live, .now = steadyMillis(), .versionTime = m_settings.bounds.versionTime});
+    if (news && platform::isNamedWeightsKey(record.key)) {
+        m_membersAt = Millis{0}; // VMs may have come and gone since the last version was spread.
     }
 }
 
 void Side::updateGoal()
 {
-    if (!m_state) {
+    if (!m_operators.state) {
         return;
     }
-    const auto service = m_state->services.find(m_settings.service);
-    if (service == m_state->services.end() || !service->second.engine || service->second.engine->models.empty()) {
+    const auto service = m_operators.state->services.find(m_settings.service);
+    if (service == m_operators.state->services.end() || !service->second.engine
+        || service->second.engine->models.empty()) {
         return;
     }
-    const serving::Service *origin = findOrigin(*m_state);
+    const serving::Service *origin = findOrigin(*m_operators.state);
     WeightsGoal goal{.model = service->second.engine->models.front(),
                      .version = FirstVersion,
                      .origin = origin != nullptr ? origin->originAddress : ""};
-    const auto it = m_named.find(goal.model);
-    if (it != m_named.end()) {
+    const auto it = m_operators.named.find(goal.model);
+    if (it != m_operators.named.end()) {
         goal.version = it->second.back().version;
         goal.named = it->second;
         goal.versionTime = m_settings.bounds.versionTime - VersionMargin;
@@ -175,8 +149,8 @@
         if (!endpoint || entry.service != m_settings.service || endpoint->ip == m_settings.ip) {
             continue;
         }
-        const auto it = m_named.empty() ? m_named.end() : m_named.begin();
-        const std::int64_t wanted = it == m_named.end() ? FirstVersion : it->second.back().version;
+        const auto it = m_operators.named.empty() ? m_operators.named.end() : m_operators.named.begin();
+        const std::int64_t wanted = it == m_operators.named.end() ? FirstVersion : it->second.back().version;
         const bool holds = !entry.models.empty() && entry.models.front().version == wanted;
         out.push_back({.vm = endpoint->ip, .domain = entry.domain, .holds = holds});
     }
@@ -275,7 +249,7 @@
 {
     std::vector<peer::Naming> out;
     const Millis now = steadyMillis();
-    for (const auto &[model, versions] : m_named) {
+    for (const auto &[model, versions] : m_operators.named) {
         for (const serving::NamedVersion &named : versions) {
             if (named.time == serving::NamingTime::Seen && now - named.learntAt < m_settings.bounds.versionTime) {
                 out.push_back({.model = model, .version = named.version, .age = now - named.learntAt});
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "ibislock/feed/operators_view.h"
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/named_versions.h"
@@ -51,8 +52,7 @@
     asio::ip::udp::endpoint m_sender;
     std::array<char, 1500> m_buffer{};
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
-    std::shared_ptr<const serving::DesiredState> m_state;
-    std::map<std::string, serving::NamedVersions, std::less<>> m_named;
+    feed::OperatorsView m_operators;
     std::int64_t m_operatorsEnd = -1; ///< The highest offset up to which a subscriber has read the operators' topic.
     std::vector<serving::TargetEntry> m_members;
     bool m_membersAsked = false;
