Nothing leaks at the end of a process

Cause: the address sanitiser's leak check failed in feed_test, front_test and side_test (24, 560 and 288 allocations): connections and those who listen to them hold each other until they are closed. Change: owners close their connections when they are destroyed; the HTTP client gives up its exchanges.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -32,6 +32,14 @@
     }});
 }
 
+/// Connections and their handlers hold each other until they are closed.
+void closeAll(const std::vector<std::shared_ptr<net::Connection>> &connections)
+{
+    for (const auto &connection : connections) {
+        connection->close();
+    }
+}
+
 int queryNumber(const std::string &target, const std::string &name)
 {
     const std::size_t at = target.find(name + "=");
@@ -83,6 +91,11 @@
     m_listener.open(ip, 0);
 }
 
+OriginStandIn::~OriginStandIn()
+{
+    closeAll(m_connections);
+}
+
 std::string OriginStandIn::address() const
 {
     return m_ip + ":" + std::to_string(m_listener.port());
@@ -102,6 +115,11 @@
     m_listener.open(ip, port);
 }
 
+EngineStandIn::~EngineStandIn()
+{
+    closeAll(m_connections);
+}
+
 std::uint16_t EngineStandIn::port() const
 {
     return m_listener.port();
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -31,6 +31,10 @@
 public:
     OriginStandIn(asio::io_context &loop, const std::string &ip);
 
+    ~OriginStandIn();
+    OriginStandIn(const OriginStandIn &) = delete;
+    OriginStandIn &operator=(const OriginStandIn &) = delete;
+
     std::string address() const;
 
     WeightsStandIn weights;
@@ -51,6 +55,10 @@
 public:
     EngineStandIn(asio::io_context &loop, const std::string &ip, std::uint16_t port);
 
+    ~EngineStandIn();
+    EngineStandIn(const EngineStandIn &) = delete;
+    EngineStandIn &operator=(const EngineStandIn &) = delete;
+
     std::uint16_t port() const;
 
     /// Tells whether each staged piece is that of some weights.
--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -42,6 +42,13 @@
     m_listener.open("127.0.0.1", 0);
 }
 
+StoreStandIn::~StoreStandIn()
+{
+    for (const auto &connection : m_connections) {
+        connection->close();
+    }
+}
+
 std::uint16_t StoreStandIn::port() const
 {
     return m_listener.port();
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -19,6 +19,10 @@
 public:
     explicit StoreStandIn(asio::io_context &loop);
 
+    ~StoreStandIn();
+    StoreStandIn(const StoreStandIn &) = delete;
+    StoreStandIn &operator=(const StoreStandIn &) = delete;
+
     std::uint16_t port() const;
 
     /// Appends a record; a read that waits gets it at once.
--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -28,6 +28,13 @@
     m_listener.open("127.0.0.1", 0);
 }
 
+TargetStandIn::~TargetStandIn()
+{
+    for (const auto &connection : m_connections) {
+        connection->close();
+    }
+}
+
 std::uint16_t TargetStandIn::port() const
 {
     return m_listener.port();
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -37,6 +37,10 @@
 public:
     TargetStandIn(asio::io_context &loop, std::string id);
 
+    ~TargetStandIn();
+    TargetStandIn(const TargetStandIn &) = delete;
+    TargetStandIn &operator=(const TargetStandIn &) = delete;
+
     std::uint16_t port() const;
 
     /// The listing that the target would write.
--- a/libs/front/src/caller_connection.cpp
+++ b/libs/front/src/caller_connection.cpp
@@ -151,6 +151,12 @@
     m_front.forget(this);
 }
 
+void CallerConnection::close()
+{
+    m_call.reset();
+    m_connection->close();
+}
+
 bool CallerConnection::isBusy() const
 {
     return m_call != nullptr || m_reader.started() || !m_pending.empty();
--- a/libs/front/src/caller_connection.h
+++ b/libs/front/src/caller_connection.h
@@ -30,6 +30,9 @@
     /// Ends the connection within an answer.
     void abort();
 
+    /// Ends the connection at the end of the process.
+    void close();
+
     /// Tells whether the connection stays open behind the present answer.
     bool keepsAlive() const;
 
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -83,6 +83,17 @@
     retries.entryVms = AssumedEntryVms;
 }
 
+Front::~Front()
+{
+    // Connections and those who listen to them hold each other until they are closed.
+    for (const auto &[raw, connection] : m_connections) {
+        connection->close();
+    }
+    for (const auto &[raw, connection] : m_administration) {
+        connection->close();
+    }
+}
+
 Result<void> Front::start()
 {
     const auto opened = [](std::string_view what, const asio::error_code &ec) -> Result<void> {
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -26,6 +26,9 @@
 {
 public:
     Front(asio::io_context &loop, platform::DaemonSettings settings, FrontOptions options);
+    ~Front();
+    Front(const Front &) = delete;
+    Front &operator=(const Front &) = delete;
 
     Result<void> start();
     void stop();
--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -12,6 +12,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <map>
+#include <set>
 
 namespace ibislock::net
 {
@@ -67,6 +68,8 @@
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
+    ~Exchange();
+
     /// Gives the exchange up; nothing more is told.
     void cancel();
 
@@ -85,7 +88,7 @@
     void finish(ExchangeEnd end);
     bool takeHead();
 
-    HttpClient &m_client;
+    HttpClient *m_client; ///< Null once the client is gone.
     std::string m_key;
     std::string m_bytes;
     ExchangeOptions m_options;
@@ -108,6 +111,11 @@
     /// @param loop outlives the client.
     explicit HttpClient(asio::io_context &loop);
 
+    /// Gives all exchanges up.
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
     /// Sends a request.
     /// @param ip, port where to.
     /// @param bytes the whole request.
@@ -142,6 +150,7 @@
 
     asio::io_context &m_loop;
     std::map<std::string, std::vector<Kept>> m_kept;
+    std::set<Exchange *> m_exchanges; ///< All that are alive.
     std::uint64_t m_opened = 0;
 };
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -29,7 +29,7 @@
 
 Exchange::Exchange(HttpClient &client, std::string key, std::string bytes, const ExchangeOptions &options,
                    ExchangeEvents events)
-    : m_client(client)
+    : m_client(&client)
     , m_key(std::move(key))
     , m_bytes(std::move(bytes))
     , m_options(options)
@@ -37,6 +37,14 @@
     , m_timer(client.m_loop)
     , m_reader(http::MessageKind::Response, {})
 {
+    client.m_exchanges.insert(this);
+}
+
+Exchange::~Exchange()
+{
+    if (m_client != nullptr) {
+        m_client->m_exchanges.erase(this);
+    }
 }
 
 void Exchange::cancel()
@@ -74,8 +82,8 @@
 
 void Exchange::connect(const asio::ip::tcp::endpoint &endpoint)
 {
-    ++m_client.m_opened;
-    m_socket = std::make_shared<asio::ip::tcp::socket>(m_client.m_loop);
+    ++m_client->m_opened;
+    m_socket = std::make_shared<asio::ip::tcp::socket>(m_client->m_loop);
     armTimer(m_options.connectTime, ExchangeEnd::NotConnected);
     m_socket->async_connect(endpoint, [self = shared_from_this(), socket = m_socket](const asio::error_code &ec) {
         if (self->m_done) {
@@ -147,7 +155,7 @@
             // Bytes behind the answer belong to no request: the connection is not used again.
             const bool clean = bytes.empty() && m_reader.response().keepAlive;
             if (clean && m_connection->queued() == 0) {
-                m_client.keep(m_key, std::move(m_connection), m_reader.response());
+                m_client->keep(m_key, std::move(m_connection), m_reader.response());
                 m_connection.reset();
             }
             finish(ExchangeEnd::Complete);
@@ -192,6 +200,24 @@
 {
 }
 
+HttpClient::~HttpClient()
+{
+    // An exchange and its connection hold each other until one of them ends.
+    const std::set<Exchange *> exchanges = std::move(m_exchanges);
+    for (Exchange *exchange : exchanges) {
+        exchange->m_client = nullptr;
+    }
+    for (Exchange *exchange : exchanges) {
+        const auto kept = exchange->weak_from_this().lock();
+        exchange->cancel();
+    }
+    for (const auto &[key, list] : m_kept) {
+        for (const Kept &kept : list) {
+            kept.connection->close();
+        }
+    }
+}
+
 std::shared_ptr<Exchange> HttpClient::send(const std::string &ip, std::uint16_t port, std::string bytes,
                                            const ExchangeOptions &options, ExchangeEvents events)
 {
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -50,6 +50,18 @@
 {
 }
 
+PieceExchange::~PieceExchange()
+{
+    for (const auto &[raw, connection] : m_served) {
+        connection->close();
+    }
+    for (const auto &[vm, asked] : m_asked) {
+        if (asked.connection) {
+            asked.connection->close();
+        }
+    }
+}
+
 asio::error_code PieceExchange::open(const std::string &ip)
 {
     const asio::error_code ec = m_listener.open(ip, m_port);
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -32,6 +32,10 @@
     /// @param pieceTime least time between two pieces that are sent, so that requests find room on the VM's link.
     PieceExchange(asio::io_context &loop, std::uint16_t port, Millis pieceTime, PieceStore store);
 
+    ~PieceExchange();
+    PieceExchange(const PieceExchange &) = delete;
+    PieceExchange &operator=(const PieceExchange &) = delete;
+
     /// Begins to answer others.
     asio::error_code open(const std::string &ip);
 
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -58,6 +58,13 @@
 {
 }
 
+Side::~Side()
+{
+    for (const auto &[raw, connection] : m_administration) {
+        connection->close();
+    }
+}
+
 Result<void> Side::start()
 {
     asio::error_code ec = m_agent.open();
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -19,6 +19,9 @@
 {
 public:
     Side(asio::io_context &loop, platform::DaemonSettings settings, SideOptions options);
+    ~Side();
+    Side(const Side &) = delete;
+    Side &operator=(const Side &) = delete;
     Result<void> start();
     void stop();
 
