--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -41,9 +41,6 @@
 /// How long a call to the engine on the VM itself may take.
 constexpr Millis StageTime{2000};
 
-/// By how much the time until a VM loads a whole version is cut when a newer one has been named.
-constexpr int OvertakenDivisor = 2;
-
 /// After an order without effect, when it is looked at anew.
 constexpr Millis OrderTime{1500};
 
@@ -96,9 +93,7 @@
         || (m_phase == WeightsPhase::Ordered && !m_orderAccepted);
     if (changed && whole && goal.model == m_goal.model) {
         // What is whole is loaded first: requests may have to begin on it before the next version is here.
-        const Millis now = steadyMillis();
         m_nextGoal = goal;
-        m_turnAt = std::min(m_turnAt, now + (m_turnAt - now) / OvertakenDivisor);
         return;
     }
     m_goal = goal;
