The fetcher of pieces stands apart; an order without an answer leaves the stage alone

Change: PieceFetcher and callOrigin have files of their own; after an order without an answer nothing is staged until the report shows what became of it.

--- /dev/null
+++ b/libs/side/src/origin_call.cpp
@@ -0,0 +1,36 @@
+#include "origin_call.h"
+
+#include "ibislock/platform/settings.h"
+
+namespace ibislock::side
+{
+
+namespace
+{
+
+/// How long the origin may take for a piece; its link is shared by all at once.
+constexpr Millis OriginTime{4000};
+
+/// How long a connection to the origin may take.
+constexpr Millis ConnectTime{1000};
+
+} // namespace
+
+void callOrigin(asio::io_context &loop, net::HttpClient &client, const std::string &address,
+                const platform::ApiRequest &request, std::function<void(int status, std::string body)> done)
+{
+    const auto endpoint = platform::endpointFrom(address);
+    if (!endpoint) {
+        asio::post(loop, [done = std::move(done)] { done(0, ""); });
+        return;
+    }
+    http::RequestHead head = request.head;
+    head.headers.add("Host", endpoint->ip);
+    client.call(endpoint->ip, endpoint->port, writeRequest(head, request.body),
+                {.connectTime = ConnectTime, .timeout = OriginTime},
+                [done = std::move(done)](net::ExchangeEnd end, const http::ResponseHead &answer, std::string body) {
+                    done(end == net::ExchangeEnd::Complete ? answer.status : 0, std::move(body));
+                });
+}
+
+} // namespace ibislock::side
--- /dev/null
+++ b/libs/side/src/piece_fetcher.cpp
@@ -0,0 +1,261 @@
+#include "piece_fetcher.h"
+
+#include "ibislock/base/log.h"
+#include "origin_call.h"
+
+namespace ibislock::side
+{
+
+namespace
+{
+
+/// Pieces asked for at once: all of a version. Asks are small, and a VM answers each as soon as it holds the piece.
+constexpr std::size_t FetchedAtOnce = 64;
+
+/// Pieces that this VM has asked for at once. Most wait at their senders, of which all must have something to send.
+constexpr int TransfersAtOnce = 6;
+
+/// A transfer that takes longer went over a narrow link: a piece takes some 40 ms, and few wait in front of it.
+constexpr Millis SlowTransfer{500};
+
+/// How long a VM that is on its way to get a piece is given: most of a copy from the origin.
+constexpr Millis OwnerWait{3500};
+
+/// How long a VM that is not on its way to get a piece is given to say whether it holds it.
+constexpr Millis AskAtOnce{1};
+
+/// How long a VM that holds a piece is given; a squeezed link carries a piece in 300 ms.
+constexpr Millis HolderTime{1500};
+
+/// How much longer an ask lasts than the asked VM may wait.
+constexpr Millis AnswerMargin{700};
+
+/// Until a piece that no source gave is tried again.
+constexpr Millis RetryTime{250};
+
+constexpr int OkStatus = 200;
+
+} // namespace
+
+PieceFetcher::PieceFetcher(asio::io_context &loop, net::HttpClient &client, PieceExchange &exchange, std::string self,
+                           Millis pieceTime, std::function<void(int piece, std::string bytes)> taken)
+    : m_loop(loop)
+    , m_client(client)
+    , m_exchange(exchange)
+    , m_self(std::move(self))
+    , m_pieceTime(pieceTime)
+    , m_taken(std::move(taken))
+    , m_random(systemRandom())
+    , m_nextTransfer(loop)
+{
+}
+
+void PieceFetcher::begin(FetchTask task)
+{
+    stop();
+    m_task = std::move(task);
+}
+
+void PieceFetcher::stop()
+{
+    ++m_round;
+    m_task = {};
+    m_fetching.clear();
+    m_notBefore.clear();
+    m_originQueue.clear();
+    m_transfers.clear();
+    m_transferring = 0;
+    m_transferringFrom.clear();
+}
+
+const FetchCounts &PieceFetcher::counts() const
+{
+    return m_counts;
+}
+
+void PieceFetcher::fetchMore(const std::set<int> &staged)
+{
+    const Millis now = steadyMillis();
+    for (const weights::PiecePlan &plan : m_task.plan) {
+        if (m_fetching.size() >= FetchedAtOnce) {
+            return;
+        }
+        const auto it = m_notBefore.find(plan.piece);
+        const bool tooSoon = it != m_notBefore.end() && now < it->second;
+        if (!staged.contains(plan.piece) && !m_fetching.contains(plan.piece) && !tooSoon) {
+            m_fetching.insert(plan.piece);
+            fetchFrom(plan.piece, plan.sources, 0);
+        }
+    }
+}
+
+void PieceFetcher::fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
+{
+    if (at >= sources.size() || sources[at].vm.empty()) {
+        m_originQueue.push_back(piece);
+        fetchNextFromOrigin();
+        return;
+    }
+    const Millis wait = sources[at].waits ? OwnerWait : AskAtOnce;
+    const std::string vm = sources[at].vm;
+    m_exchange.ask(vm,
+                   {.model = m_task.model,
+                    .version = m_task.version,
+                    .index = piece,
+                    .waitMs = static_cast<std::uint32_t>(wait.count())},
+                   wait + AnswerMargin,
+                   [this, round = m_round, piece, sources = std::move(sources),
+                    at](const std::optional<peer::PieceMessage> &answer) mutable {
+                       if (round != m_round) {
+                           return;
+                       }
+                       if (answer && answer->content == peer::PieceContent::Ready) {
+                           transfer(piece, std::move(sources), at);
+                       } else {
+                           fetchFrom(piece, std::move(sources), at + 1);
+                       }
+                   });
+}
+
+void PieceFetcher::transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
+{
+    m_transfers.push_back({.piece = piece, .sources = std::move(sources), .at = at});
+    transferNext();
+}
+
+PieceFetcher::Transfer PieceFetcher::takeTransfer()
+{
+    // All VMs learn of a piece at the same time: drawn at random, they don't all turn to its holder at once. A VM that
+    // sends to us already is taken last.
+    std::size_t best = m_random() % m_transfers.size();
+    for (std::size_t n = 0; n < m_transfers.size(); ++n) {
+        const std::size_t index = (best + n) % m_transfers.size();
+        const Transfer &candidate = m_transfers[index];
+        if (!m_transferringFrom.contains(vmOf(candidate))) {
+            best = index;
+            break;
+        }
+    }
+    Transfer out = std::move(m_transfers[best]);
+    m_transfers.erase(m_transfers.begin() + static_cast<std::ptrdiff_t>(best));
+    return out;
+}
+
+void PieceFetcher::transferNext()
+{
+    const Millis now = steadyMillis();
+    while (!m_transfers.empty() && m_transferring < m_window && now >= m_nextTransferAt) {
+        m_nextTransferAt = std::max(m_nextTransferAt + m_pieceTime, now);
+        beginTransfer(takeTransfer());
+    }
+    if (!m_transfers.empty() && now < m_nextTransferAt) {
+        m_nextTransfer.expires_after(m_nextTransferAt - now);
+        m_nextTransfer.async_wait([this](const asio::error_code &ec) {
+            if (!ec) {
+                transferNext();
+            }
+        });
+    }
+}
+
+void PieceFetcher::beginTransfer(Transfer next)
+{
+    const Millis now = steadyMillis();
+    ++m_transferring;
+    const std::string vm = vmOf(next);
+    m_transferringFrom.insert(vm);
+    const peer::PieceMessage ask{.model = m_task.model, .version = m_task.version, .index = next.piece};
+    m_exchange.ask(
+        vm, ask, HolderTime,
+        [this, round = m_round, now, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
+            if (round == m_round) {
+                takeTransferred(next, answer, steadyMillis() - now);
+            }
+        });
+}
+
+void PieceFetcher::takeTransferred(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took)
+{
+    --m_transferring;
+    m_transferringFrom.erase(vmOf(done));
+    // On a link that is narrower than it should be, pieces must not queue up in front of requests.
+    m_window = took > SlowTransfer ? 1 : std::min(m_window + 1, TransfersAtOnce);
+    const bool good = answer && answer->content == peer::PieceContent::Bytes
+        && sha256(answer->bytes) == m_task.digests[static_cast<std::size_t>(done.piece)];
+    if (good) {
+        takePiece(done.piece, answer->bytes, false);
+    } else if (answer && answer->content == peer::PieceContent::Elsewhere && answer->vm != m_self) {
+        done.via = answer->vm;
+        m_nextTransferAt -= m_pieceTime; // Nothing came over the link.
+        m_transfers.push_back(std::move(done));
+    } else if (!done.via.empty()) {
+        done.via.clear(); // The source itself still has the piece.
+        m_transfers.push_back(std::move(done));
+    } else {
+        fetchFrom(done.piece, std::move(done.sources), done.at + 1);
+    }
+    transferNext();
+}
+
+std::string PieceFetcher::vmOf(const Transfer &transfer)
+{
+    return transfer.via.empty() ? transfer.sources[transfer.at].vm : transfer.via;
+}
+
+void PieceFetcher::fetchNextFromOrigin()
+{
+    if (m_originBusy || m_originQueue.empty()) {
+        return;
+    }
+    const int piece = m_originQueue.front();
+    m_originQueue.pop_front();
+    m_originBusy = true;
+    fetchFromOrigin(piece);
+}
+
+void PieceFetcher::fetchFromOrigin(int piece)
+{
+    callOrigin(m_loop, m_client, m_task.origin, platform::pieceRequest(m_task.model, m_task.version, piece),
+               [this, round = m_round, piece](int status, std::string body) {
+                   m_originBusy = false;
+                   if (round != m_round) {
+                       fetchNextFromOrigin();
+                       return;
+                   }
+                   if (status == OkStatus && sha256(body) == m_task.digests[static_cast<std::size_t>(piece)]) {
+                       takePiece(piece, std::move(body), true);
+                       fetchNextFromOrigin();
+                       return;
+                   }
+                   m_counts.corrupt += status == OkStatus ? 1 : 0;
+                   logInfo(Part::Side, "The origin gave no good piece.",
+                           {{"version", std::to_string(m_task.version)},
+                            {"piece", std::to_string(piece)},
+                            {"status", std::to_string(status)}});
+                   retryLater(piece);
+                   fetchNextFromOrigin();
+               });
+}
+
+void PieceFetcher::settle(int piece, bool staged)
+{
+    if (staged) {
+        m_fetching.erase(piece);
+    } else {
+        retryLater(piece);
+    }
+}
+
+void PieceFetcher::retryLater(int piece)
+{
+    m_fetching.erase(piece);
+    m_notBefore[piece] = steadyMillis() + jittered(m_random, RetryTime);
+}
+
+void PieceFetcher::takePiece(int piece, std::string bytes, bool fromOrigin)
+{
+    ++(fromOrigin ? m_counts.fromOrigin : m_counts.fromPeers);
+    m_taken(piece, std::move(bytes));
+}
+
+} // namespace ibislock::side
--- /dev/null
+++ b/libs/side/src/piece_fetcher.h
@@ -0,0 +1,105 @@
+// Fetches the pieces of a version that a VM lacks: asks the sources of each in their order, transfers what is held at a
+// pace that leaves room on the VM's link, and takes the rest from the origin, one piece after another.
+//
+//     fetcher.begin({.model = "m", .version = 2, .origin = "10.0.0.1:80", .digests = digests, .plan = plan});
+//     fetcher.fetchMore(staged);    // again and again; `taken` is given each piece, settle() says what became of it
+
+#pragma once
+
+#include "ibislock/base/random.h"
+#include "ibislock/net/http_client.h"
+#include "ibislock/weights/piece_sources.h"
+#include "piece_exchange.h"
+
+#include <deque>
+#include <set>
+
+namespace ibislock::side
+{
+
+/// What is to be fetched.
+struct FetchTask
+{
+    std::string model;
+    std::int64_t version = 0;
+    std::string origin; ///< IP:PORT; empty while unknown.
+    std::vector<Digest> digests;
+    std::vector<weights::PiecePlan> plan;
+};
+
+/// What has been fetched.
+struct FetchCounts
+{
+    std::uint64_t fromOrigin = 0; ///< Pieces.
+    std::uint64_t fromPeers = 0;
+    std::uint64_t corrupt = 0;
+};
+
+/// The fetcher.
+class PieceFetcher
+{
+public:
+    /// @param pieceTime least time between the beginnings of two transfers, on average.
+    /// @param taken is given each piece that matches its digest.
+    PieceFetcher(asio::io_context &loop, net::HttpClient &client, PieceExchange &exchange, std::string self,
+                 Millis pieceTime, std::function<void(int piece, std::string bytes)> taken);
+
+    /// Begins with a version; what was under way for another is given up.
+    void begin(FetchTask task);
+
+    /// Gives up what is under way.
+    void stop();
+
+    /// Asks for all pieces that are not staged and not asked for.
+    void fetchMore(const std::set<int> &staged);
+
+    /// Tells whether a piece that was taken has been staged; if not, it is fetched again.
+    void settle(int piece, bool staged);
+
+    const FetchCounts &counts() const;
+
+private:
+    /// A piece that a VM holds and that waits for room on our link.
+    struct Transfer
+    {
+        int piece = 0;
+        std::vector<weights::PieceSource> sources;
+        std::size_t at = 0;
+        std::string via; ///< A VM to which the source has pointed; empty for the source itself.
+    };
+
+    void fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
+    void transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
+    void transferNext();
+    Transfer takeTransfer();
+    void beginTransfer(Transfer next);
+    void takeTransferred(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took);
+    static std::string vmOf(const Transfer &transfer);
+    void fetchNextFromOrigin();
+    void fetchFromOrigin(int piece);
+    void takePiece(int piece, std::string bytes, bool fromOrigin);
+    void retryLater(int piece);
+
+    asio::io_context &m_loop;
+    net::HttpClient &m_client;
+    PieceExchange &m_exchange;
+    std::string m_self;
+    Millis m_pieceTime;
+    std::function<void(int piece, std::string bytes)> m_taken;
+    Random m_random;
+    FetchTask m_task;
+    FetchCounts m_counts;
+    std::uint64_t m_round = 0; ///< Counts beginnings; answers to an earlier one are ignored.
+    std::set<int> m_fetching;
+    std::map<int, Millis> m_notBefore; ///< When a piece that could not be had is tried again.
+    std::deque<int> m_originQueue; ///< Pieces to take from the origin, one after another.
+    bool m_originBusy = false;
+    std::deque<Transfer> m_transfers;
+    int m_transferring = 0;
+    int m_window = 1; ///< Transfers that may be under way at once.
+    std::set<std::string> m_transferringFrom;
+    Millis m_nextTransferAt{0};
+    asio::steady_timer m_nextTransfer;
+};
+
+} // namespace ibislock::side
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -293,14 +293,14 @@
     connection->start({
         .data =
             [this, raw](std::string_view) {
-                const WeightsCounts &counts = m_agent.counts();
+                const WeightsCounts counts = m_agent.counts();
                 std::string text;
                 const auto line = [&](std::string_view name, std::uint64_t value) {
                     text.append(name).append(" ").append(std::to_string(value)).append("\n");
                 };
-                line("ibislock_pieces_from_origin_total", counts.fromOrigin);
-                line("ibislock_pieces_from_vms_total", counts.fromPeers);
-                line("ibislock_pieces_corrupt_total", counts.corrupt);
+                line("ibislock_pieces_from_origin_total", counts.fetched.fromOrigin);
+                line("ibislock_pieces_from_vms_total", counts.fetched.fromPeers);
+                line("ibislock_pieces_corrupt_total", counts.fetched.corrupt + counts.rotten);
                 line("ibislock_load_orders_total", counts.orders);
                 line("ibislock_piece_bytes_served_total", m_agent.bytesServed());
                 line("ibislock_store_calls_total", m_operatorsFeed->calls());
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -1,6 +1,7 @@
 #include "weights_agent.h"
 
 #include "ibislock/base/log.h"
+#include "origin_call.h"
 
 namespace ibislock::side
 {
@@ -8,33 +9,12 @@
 namespace
 {
 
-/// Pieces asked for at once: all of a version. Asks are small, and a VM answers each as soon as it holds the piece.
-constexpr std::size_t FetchedAtOnce = 64;
-
-/// Pieces that this VM has asked for at once. Most wait at their senders, of which all must have something to send.
-constexpr int TransfersAtOnce = 6;
-
-/// A transfer that takes longer went over a narrow link: a piece takes some 40 ms, and few wait in front of it.
-constexpr Millis SlowTransfer{500};
-
-/// How long a VM that is on its way to get a piece is given: most of a copy from the origin.
-constexpr Millis OwnerWait{3500};
-
-/// How long a VM that is not on its way to get a piece is given to say whether it holds it.
-constexpr Millis AskAtOnce{1};
-
 /// How long a VM that is on its way to get the manifest is given.
 constexpr Millis ManifestWait{1000};
 
-/// How long a VM that holds a piece is given; a squeezed link carries a piece in 300 ms.
-constexpr Millis HolderTime{1500};
-
 /// How much longer an ask lasts than the asked VM may wait.
 constexpr Millis AnswerMargin{700};
 
-/// How long the origin may take for a piece; its link is shared by all at once.
-constexpr Millis OriginTime{4000};
-
 /// Until a piece or manifest that no source gave is tried again.
 constexpr Millis RetryTime{250};
 
@@ -75,9 +55,8 @@
                                     const std::function<void(peer::PieceMessage)> &done) { readForPeer(ask, done); },
                  })
     , m_retry(loop)
-    , m_random(systemRandom())
-    , m_pieceTime(pieceTime)
-    , m_nextTransfer(loop)
+    , m_fetcher(loop, client, m_exchange, m_self, pieceTime,
+                [this](int piece, std::string bytes) { stage(piece, std::move(bytes)); })
 {
 }
 
@@ -130,9 +109,9 @@
     return m_phase;
 }
 
-const WeightsCounts &WeightsAgent::counts() const
+WeightsCounts WeightsAgent::counts() const
 {
-    return m_counts;
+    return {.fetched = m_fetcher.counts(), .rotten = m_rotten, .orders = m_orders};
 }
 
 std::uint64_t WeightsAgent::bytesServed() const
@@ -180,12 +159,7 @@
     ++m_round;
     m_digests.clear();
     m_staged.clear();
-    m_fetching.clear();
-    m_notBefore.clear();
-    m_originQueue.clear();
-    m_transfers.clear();
-    m_transferring = 0;
-    m_transferringFrom.clear();
+    m_fetcher.stop();
     m_manifestAsked = false;
     m_orderSent = false;
     m_orderAccepted = false;
@@ -271,7 +245,7 @@
 
 void WeightsAgent::askOriginForManifest()
 {
-    callOrigin(platform::manifestRequest(m_goal.model, m_goal.version),
+    callOrigin(m_loop, m_client, m_goal.origin, platform::manifestRequest(m_goal.model, m_goal.version),
                [this, round = m_round](int status, const std::string &body) {
                    if (round != m_round) {
                        return;
@@ -318,7 +292,12 @@
             adoptNextGoal();
         } else if (!all) {
             enter(WeightsPhase::Fetching);
-            m_plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain, m_members());
+            m_fetcher.begin(
+                {.model = m_goal.model,
+                 .version = m_goal.version,
+                 .origin = m_goal.origin,
+                 .digests = m_digests,
+                 .plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain, m_members())});
             fetchMore();
         } else if (m_phase == WeightsPhase::Verifying) {
             order();
@@ -337,7 +316,7 @@
                       if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
                           m_staged.insert(piece);
                       } else if (m_staged.erase(piece) > 0) {
-                          ++m_counts.corrupt;
+                          ++m_rotten;
                           logWarning(Part::Side, "A staged piece does not match its digest.",
                                      {{"version", std::to_string(m_goal.version)}, {"piece", std::to_string(piece)}});
                       }
@@ -347,183 +326,12 @@
 
 void WeightsAgent::fetchMore()
 {
-    if (m_staged.size() == m_digests.size()) {
-        waitForTurn();
-        step();
-        return;
-    }
-    const Millis now = steadyMillis();
-    for (const weights::PiecePlan &plan : m_plan) {
-        if (m_fetching.size() >= FetchedAtOnce) {
-            return;
-        }
-        const auto it = m_notBefore.find(plan.piece);
-        const bool tooSoon = it != m_notBefore.end() && now < it->second;
-        if (!m_staged.contains(plan.piece) && !m_fetching.contains(plan.piece) && !tooSoon) {
-            m_fetching.insert(plan.piece);
-            fetchFrom(plan.piece, plan.sources, 0);
-        }
-    }
-}
-
-void WeightsAgent::fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
-{
-    if (at >= sources.size() || sources[at].vm.empty()) {
-        m_originQueue.push_back(piece);
-        fetchNextFromOrigin();
-        return;
-    }
-    const Millis wait = sources[at].waits ? OwnerWait : AskAtOnce;
-    const std::string vm = sources[at].vm;
-    m_exchange.ask(vm,
-                   {.model = m_goal.model,
-                    .version = m_goal.version,
-                    .index = piece,
-                    .waitMs = static_cast<std::uint32_t>(wait.count())},
-                   wait + AnswerMargin,
-                   [this, round = m_round, piece, sources = std::move(sources),
-                    at](const std::optional<peer::PieceMessage> &answer) mutable {
-                       if (round != m_round) {
-                           return;
-                       }
-                       if (answer && answer->content == peer::PieceContent::Ready) {
-                           transfer(piece, std::move(sources), at);
-                       } else {
-                           fetchFrom(piece, std::move(sources), at + 1);
-                       }
-                   });
-}
-
-void WeightsAgent::transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
-{
-    m_transfers.push_back({.piece = piece, .sources = std::move(sources), .at = at});
-    transferNext();
-}
-
-WeightsAgent::Transfer WeightsAgent::takeTransfer()
-{
-    // All VMs learn of a piece at the same time: drawn at random, they don't all turn to its holder at once. A VM that
-    // sends to us already is taken last.
-    std::size_t best = m_random() % m_transfers.size();
-    for (std::size_t n = 0; n < m_transfers.size(); ++n) {
-        const std::size_t index = (best + n) % m_transfers.size();
-        const Transfer &candidate = m_transfers[index];
-        if (!m_transferringFrom.contains(vmOf(candidate))) {
-            best = index;
-            break;
-        }
-    }
-    Transfer out = std::move(m_transfers[best]);
-    m_transfers.erase(m_transfers.begin() + static_cast<std::ptrdiff_t>(best));
-    return out;
-}
-
-void WeightsAgent::transferNext()
-{
-    const Millis now = steadyMillis();
-    while (!m_transfers.empty() && m_transferring < m_window && now >= m_nextTransferAt) {
-        m_nextTransferAt = std::max(m_nextTransferAt + m_pieceTime, now);
-        beginTransfer(takeTransfer());
-    }
-    if (!m_transfers.empty() && now < m_nextTransferAt) {
-        m_nextTransfer.expires_after(m_nextTransferAt - now);
-        m_nextTransfer.async_wait([this](const asio::error_code &ec) {
-            if (!ec) {
-                transferNext();
-            }
-        });
-    }
-}
-
-void WeightsAgent::beginTransfer(Transfer next)
-{
-    const Millis now = steadyMillis();
-    ++m_transferring;
-    const std::string vm = vmOf(next);
-    m_transferringFrom.insert(vm);
-    const peer::PieceMessage ask{.model = m_goal.model, .version = m_goal.version, .index = next.piece};
-    m_exchange.ask(
-        vm, ask, HolderTime,
-        [this, round = m_round, now, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
-            if (round == m_round) {
-                takeTransferred(next, answer, steadyMillis() - now);
-            }
-        });
-}
-
-void WeightsAgent::takeTransferred(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took)
-{
-    --m_transferring;
-    m_transferringFrom.erase(vmOf(done));
-    // On a link that is narrower than it should be, pieces must not queue up in front of requests.
-    m_window = took > SlowTransfer ? 1 : std::min(m_window + 1, TransfersAtOnce);
-    const bool good = answer && answer->content == peer::PieceContent::Bytes
-        && sha256(answer->bytes) == m_digests[static_cast<std::size_t>(done.piece)];
-    if (good) {
-        takePiece(done.piece, answer->bytes, false);
-    } else if (answer && answer->content == peer::PieceContent::Elsewhere && answer->vm != m_self) {
-        done.via = answer->vm;
-        m_nextTransferAt -= m_pieceTime; // Nothing came over the link.
-        m_transfers.push_back(std::move(done));
-    } else if (!done.via.empty()) {
-        done.via.clear(); // The source itself still has the piece.
-        m_transfers.push_back(std::move(done));
-    } else {
-        fetchFrom(done.piece, std::move(done.sources), done.at + 1);
-    }
-    transferNext();
-}
-
-std::string WeightsAgent::vmOf(const Transfer &transfer)
-{
-    return transfer.via.empty() ? transfer.sources[transfer.at].vm : transfer.via;
-}
-
-void WeightsAgent::fetchNextFromOrigin()
-{
-    if (m_originBusy || m_originQueue.empty()) {
+    if (m_staged.size() < m_digests.size()) {
+        m_fetcher.fetchMore(m_staged);
         return;
     }
-    const int piece = m_originQueue.front();
-    m_originQueue.pop_front();
-    m_originBusy = true;
-    fetchFromOrigin(piece);
-}
-
-void WeightsAgent::fetchFromOrigin(int piece)
-{
-    callOrigin(platform::pieceRequest(m_goal.model, m_goal.version, piece),
-               [this, round = m_round, piece](int status, std::string body) {
-                   m_originBusy = false;
-                   if (round != m_round) {
-                       fetchNextFromOrigin();
-                       return;
-                   }
-                   if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
-                       takePiece(piece, std::move(body), true);
-                       fetchNextFromOrigin();
-                       return;
-                   }
-                   m_counts.corrupt += status == OkStatus ? 1 : 0;
-                   logInfo(Part::Side, "The origin gave no good piece.",
-                           {{"version", std::to_string(m_goal.version)},
-                            {"piece", std::to_string(piece)},
-                            {"status", std::to_string(status)}});
-                   retryLater(piece);
-                   fetchNextFromOrigin();
-               });
-}
-
-void WeightsAgent::retryLater(int piece)
-{
-    m_fetching.erase(piece);
-    m_notBefore[piece] = steadyMillis() + jittered(m_random, RetryTime);
-}
-
-void WeightsAgent::takePiece(int piece, std::string bytes, bool fromOrigin)
-{
-    ++(fromOrigin ? m_counts.fromOrigin : m_counts.fromPeers);
-    stage(piece, std::move(bytes));
+    waitForTurn();
+    step();
 }
 
 void WeightsAgent::stage(int piece, std::string bytes)
@@ -536,10 +344,10 @@
                       if (!succeeded(status)) {
                           logWarning(Part::Side, "A piece could not be staged.",
                                      {{"piece", std::to_string(piece)}, {"status", std::to_string(status)}});
-                          retryLater(piece);
+                          m_fetcher.settle(piece, false);
                           return;
                       }
-                      m_fetching.erase(piece);
+                      m_fetcher.settle(piece, true);
                       m_staged.insert(piece);
                       m_exchange.answerWaiting();
                       if (m_phase == WeightsPhase::Fetching) {
@@ -559,7 +367,7 @@
             m_orderSent = false;
             return;
         }
-        ++m_counts.orders;
+        ++m_orders;
         m_engine.call(platform::loadRequest(m_goal.model, m_goal.version, m_engine.report()->orders), StageTime,
                       [this, round](int status, const std::string &body) {
                           if (round != m_round) {
@@ -572,7 +380,11 @@
                                   {{"version", std::to_string(m_goal.version)},
                                    {"status", std::to_string(status)},
                                    {"answer", succeeded(status) ? "" : body.substr(0, 100)}});
-                          adoptNextGoal(); // An accepted order loads what was staged then, whatever is staged later.
+                          if (status != 0) {
+                              // An accepted order loads what was staged then, whatever is staged later. One without an
+                              // answer may be accepted yet: nothing is staged before the report shows what it did.
+                              adoptNextGoal();
+                          }
                       });
     });
 }
@@ -611,21 +423,4 @@
                   });
 }
 
-void WeightsAgent::callOrigin(const platform::ApiRequest &request,
-                              std::function<void(int status, std::string body)> done)
-{
-    const auto endpoint = platform::endpointFrom(m_goal.origin);
-    if (!endpoint) {
-        asio::post(m_loop, [done = std::move(done)] { done(0, ""); });
-        return;
-    }
-    http::RequestHead head = request.head;
-    head.headers.add("Host", endpoint->ip);
-    m_client.call(endpoint->ip, endpoint->port, writeRequest(head, request.body),
-                  {.connectTime = Millis{1000}, .timeout = OriginTime},
-                  [done = std::move(done)](net::ExchangeEnd end, const http::ResponseHead &answer, std::string body) {
-                      done(end == net::ExchangeEnd::Complete ? answer.status : 0, std::move(body));
-                  });
-}
-
 } // namespace ibislock::side
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -4,12 +4,10 @@
 #pragma once
 
 #include "engine_watch.h"
-#include "ibislock/base/random.h"
 #include "ibislock/serving/named_versions.h"
 #include "ibislock/weights/piece_sources.h"
-#include "piece_exchange.h"
+#include "piece_fetcher.h"
 
-#include <deque>
 #include <set>
 
 namespace ibislock::side
@@ -50,9 +48,8 @@
 /// What the agent has done.
 struct WeightsCounts
 {
-    std::uint64_t fromOrigin = 0; ///< Pieces.
-    std::uint64_t fromPeers = 0;
-    std::uint64_t corrupt = 0;
+    FetchCounts fetched;
+    std::uint64_t rotten = 0; ///< Staged pieces that no longer matched their digest.
     std::uint64_t orders = 0;
 };
 
@@ -84,7 +81,7 @@
     bool needsMembers() const;
 
     WeightsPhase phase() const;
-    const WeightsCounts &counts() const;
+    WeightsCounts counts() const;
     std::uint64_t bytesServed() const;
 
 private:
@@ -96,14 +93,7 @@
     void readStage();
     void readNext(std::uint64_t round);
     void fetchMore();
-    void fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
-    void fetchNextFromOrigin();
-    void transferNext();
-    void transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
-    void fetchFromOrigin(int piece);
-    void takePiece(int piece, std::string bytes, bool fromOrigin);
     void stage(int piece, std::string bytes);
-    void retryLater(int piece);
     void order();
     void waitForTurn();
     double turnPart() const;
@@ -111,7 +101,6 @@
     bool goalReached() const;
     std::optional<bool> holdsForPeer(const peer::PieceMessage &ask) const;
     void readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done);
-    void callOrigin(const platform::ApiRequest &request, std::function<void(int status, std::string body)> done);
 
     asio::io_context &m_loop;
     net::HttpClient &m_client;
@@ -121,7 +110,7 @@
     std::function<std::vector<weights::SpreadMember>()> m_members;
     PieceExchange m_exchange;
     asio::steady_timer m_retry;
-    Random m_random;
+    PieceFetcher m_fetcher;
     WeightsGoal m_goal;
     std::optional<WeightsGoal> m_nextGoal; ///< Named while the present one was whole and waited for its turn.
     Millis m_turnAt{0}; ///< When this VM loads.
@@ -129,33 +118,6 @@
     std::uint64_t m_round = 0; ///< Counts beginnings; answers to an earlier one are ignored.
     std::vector<Digest> m_digests; ///< Of the wanted version.
     std::set<int> m_staged; ///< Pieces that are staged and matched their digest.
-    std::vector<weights::PiecePlan> m_plan;
-    std::set<int> m_fetching;
-    std::deque<int> m_originQueue; ///< Pieces to take from the origin, one after another.
-    bool m_originBusy = false;
-
-    /// A piece that a VM holds and that waits for room on our link.
-    struct Transfer
-    {
-        int piece = 0;
-        std::vector<weights::PieceSource> sources;
-        std::size_t at = 0;
-        std::string via; ///< A VM to which the source has pointed; empty for the source itself.
-    };
-
-    Transfer takeTransfer();
-    void beginTransfer(Transfer next);
-    static std::string vmOf(const Transfer &transfer);
-    void takeTransferred(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took);
-
-    Millis m_pieceTime; ///< Least time between the beginnings of two transfers, on average.
-    Millis m_nextTransferAt{0};
-    asio::steady_timer m_nextTransfer;
-    std::deque<Transfer> m_transfers;
-    int m_transferring = 0;
-    int m_window = 1; ///< Transfers that may be under way at once.
-    std::set<std::string> m_transferringFrom;
-    std::map<int, Millis> m_notBefore; ///< When a piece that could not be had is tried again.
     int m_readIndex = 0;
     Millis m_enteredAt{0};
     Millis m_nextManifestAsk{0};
@@ -163,7 +125,8 @@
     bool m_orderSent = false;
     bool m_orderAccepted = false;
     std::int64_t m_engineStart = 0;
-    WeightsCounts m_counts;
+    std::uint64_t m_rotten = 0;
+    std::uint64_t m_orders = 0;
 };
 
 } // namespace ibislock::side
