--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -181,19 +181,27 @@
 }
 
 void EngineStandIn::order(net::Connection &connection, const std::string &body)
+{
+    if (orderDelay > Millis{0}) {
+        auto timer = std::make_shared<asio::steady_timer>(m_loop, orderDelay);
+        timer->async_wait([this, timer, body](const asio::error_code &) { acceptOrder(body); });
+        return;
+    }
+    reply(connection, acceptOrder(body) ? 202 : 409, "");
+}
+
+bool EngineStandIn::acceptOrder(const std::string &body)
 {
     const nlohmann::json wanted = nlohmann::json::parse(body);
     if (m_loading || wanted.value("Expected", orders) != orders) {
         ++refusedOrders;
-        reply(connection, 409, "");
-        return;
+        return false;
     }
     ++orders;
     m_loading = true;
     WeightsStandIn weights = expected;
     weights.version = wanted.value("Version", std::int64_t{0});
     loadedSpoilt = loadedSpoilt || !holdsWhole(weights);
-    reply(connection, 202, "");
     m_load.expires_after(LoadTime);
     m_load.async_wait([this, loaded = weights.version](const asio::error_code &ec) {
         if (!ec) {
@@ -201,6 +209,7 @@
             m_loading = false;
         }
     });
+    return true;
 }
 
 } // namespace ibislock::lab
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -69,6 +69,7 @@
     int orders = 0;
     int refusedOrders = 0;
     int served = 0; ///< Requests that were run.
+    Millis orderDelay{0}; ///< Orders get no answer and are accepted this late.
     bool loadedSpoilt = false; ///< A load began while a staged piece was not what it should be.
     WeightsStandIn expected; ///< What the engine checks a load against, except for its version.
     std::map<int, std::string> staged;
@@ -77,6 +78,7 @@
     void answer(net::Connection &connection, const http::RequestHead &request, const std::string &body);
     void serve(net::Connection &connection, const http::RequestHead &request);
     void order(net::Connection &connection, const std::string &body);
+    bool acceptOrder(const std::string &body);
 
     asio::io_context &m_loop;
     std::vector<std::shared_ptr<net::Connection>> m_connections;
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -177,6 +177,27 @@
     expectNothingSpoilt();
 }
 
+TEST_F(SideTest, AnOrderThatIsAcceptedLateLoadsWhatWasStagedForIt)
+{
+    add(1);
+    add(1);
+    start();
+    m_loop.run_for(std::chrono::milliseconds(300));
+    lab::EngineStandIn &engine = m_vms[0]->engine;
+    engine.orderDelay = Millis{2300}; // Longer than the daemon waits for an answer.
+    name(2);
+    const Millis end = steadyMillis() + Millis{5000};
+    while (!engine.holdsWhole({.version = 2}) && steadyMillis() < end) {
+        m_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    m_loop.run_for(std::chrono::milliseconds(300));
+    name(3); // While the order for 2 is on its way.
+    m_loop.run_for(std::chrono::milliseconds(3000));
+    engine.orderDelay = Millis{0};
+    ASSERT_TRUE(runUntilLoaded(3));
+    expectNothingSpoilt();
+}
+
 TEST_F(SideTest, AVersionThatIsNamedOnTheWayOvertakes)
 {
     for (int n = 0; n < 4; ++n) {
