A begun stream goes on only with events, and only behind a known one

Cause: found in the review of the diff: a stream that had begun and was sent on to a target that failed got that failure's head and body in the middle of its chunks; a stream without event ids was begun anew behind its first events. Change: in a begun stream anything but a signed 2xx counts as a lost send; without an id nothing is sent on. Tests: AFailureOfTheSecondTargetIsNotMixedIntoABegunStream and AStreamWithoutEventIdsIsNotBegunAnew fail on the version before.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -138,16 +138,17 @@
     case TargetBehaviour::Silent:
         break;
     case TargetBehaviour::Stream:
-        answerStream(connection, request, false);
-        break;
+    case TargetBehaviour::StreamWithoutIds:
     case TargetBehaviour::StreamCutOff:
-        answerStream(connection, request, true);
+        answerStream(connection, request);
         break;
     }
 }
 
-void TargetStandIn::answerStream(net::Connection &connection, const http::RequestHead &request, bool cutOff)
+void TargetStandIn::answerStream(net::Connection &connection, const http::RequestHead &request)
 {
+    const bool cutOff = behaviour != TargetBehaviour::Stream;
+    const bool ids = behaviour != TargetBehaviour::StreamWithoutIds;
     const std::string last = headerOf(request, "Last-Event-Id");
     http::ResponseHead own = head(200, headerOf(request, "X-Ibislock-Attempt-Id"));
     own.headers.add("Content-Type", "text/event-stream");
@@ -158,7 +159,8 @@
             connection.closeAfterWrites();
             return;
         }
-        connection.write(http::writeChunk(eventText(number)));
+        const std::string event = eventText(number);
+        connection.write(http::writeChunk(ids ? event : event.substr(event.find('\n') + 1)));
     }
     connection.write(http::LastChunk);
 }
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -28,6 +28,7 @@
     Late, ///< Runs it and answers after 400 ms.
     Silent, ///< Runs it and never answers.
     Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
+    StreamWithoutIds, ///< A stream whose events have no ids, cut off in the middle of the third.
     StreamCutOff, ///< The same, but closes in the middle of the third event.
 };
 
@@ -56,7 +57,7 @@
 private:
     void serve(const std::shared_ptr<net::Connection> &connection);
     void answer(net::Connection &connection, const http::RequestHead &request);
-    void answerStream(net::Connection &connection, const http::RequestHead &request, bool cutOff);
+    void answerStream(net::Connection &connection, const http::RequestHead &request);
     http::ResponseHead head(int status, const std::string &attempt) const;
 
     asio::io_context &m_loop;
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -223,10 +223,12 @@
     }
     m_answerHead = answer;
     const bool success = answer.status / 100 == 2;
+    const bool own = said.signedByTarget && !said.encoded && !(success && said.attemptId.empty());
     if (said.notExecuted && !success) {
         m_answer = Answer::NotRun;
-    } else if (!said.signedByTarget || said.encoded || (success && said.attemptId.empty())) {
-        m_answer = Answer::None; // Handled as a failure at its end: these are not the target's own bytes.
+    } else if (!own || (hasBegun() && !success)) {
+        // Handled as a failure at its end: not the target's own bytes, or nothing that a begun stream can go on with.
+        m_answer = Answer::None;
     } else {
         m_answer = success && route.kind == RequestKind::Stream ? Answer::Relayed : Answer::Buffered;
     }
@@ -318,7 +320,8 @@
 bool Call::mayRepeat()
 {
     const bool allowed = maySend(m_life, route.kind, route.resumable) && m_sends - m_connectFailures < route.maxTargets;
-    if (!allowed || deadlineAt - steadyMillis() < LeastTime) {
+    const bool knowsWhereToGoOn = !hasBegun() || m_events.lastId >= 0;
+    if (!allowed || !knowsWhereToGoOn || deadlineAt - steadyMillis() < LeastTime) {
         return false;
     }
     if (!drawRetry(front.retries, service, steadyMillis())) {
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -291,6 +291,38 @@
     EXPECT_GT(m_first.requests.size(), 0U);
 }
 
+TEST_F(FrontTest, AFailureOfTheSecondTargetIsNotMixedIntoABegunStream)
+{
+    m_first.behaviour = TargetBehaviour::StreamCutOff;
+    m_second.behaviour = TargetBehaviour::Fail;
+    list(m_first);
+    list(m_second);
+    start();
+    for (int n = 0; n < 8; ++n) {
+        const CallerAnswer answer = call(request("/events/x"));
+        if (answer.status == 200) {
+            EXPECT_FALSE(answer.whole);
+            EXPECT_EQ(answer.body, "id: 0\ndata: event 0\n\nid: 1\ndata: event 1\n\n");
+        } else {
+            // It began at the second target, or both are avoided after their failures.
+            EXPECT_TRUE(answer.status == 500 || answer.status == 503) << answer.status;
+        }
+    }
+    EXPECT_GT(m_first.requests.size(), 0U);
+}
+
+TEST_F(FrontTest, AStreamWithoutEventIdsIsNotBegunAnew)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::StreamWithoutIds;
+    list(m_first);
+    list(m_second);
+    start();
+    const CallerAnswer answer = call(request("/events/x"));
+    EXPECT_FALSE(answer.whole);
+    EXPECT_EQ(answer.body, "data: event 0\n\ndata: event 1\n\n");
+    EXPECT_EQ(runs(), 1U);
+}
+
 TEST_F(FrontTest, AStreamThatCannotGoOnDoesNotLookComplete)
 {
     m_first.behaviour = TargetBehaviour::StreamCutOff;
