A process without free descriptors no longer keeps its loop busy

Cause: found in the review: an accept that failed was tried again at once, without end. Change: a pause of 50 ms.

--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -106,6 +107,7 @@
     void acceptNext();
 
     asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_pause;
     std::function<void(std::shared_ptr<Connection>)> m_accepted;
 };
 
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -24,6 +24,9 @@
 /// Connections that may wait to be accepted; a burst of callers opens hundreds at once.
 constexpr int Backlog = 1024;
 
+/// After a connection could not be accepted, until the next is; some end in that time.
+constexpr Millis AcceptPause{50};
+
 void setOption(int socket, int level, int name, int value)
 {
     // A system that lacks an option still works, it only detects a silent peer later.
@@ -223,6 +226,7 @@
 
 Listener::Listener(asio::io_context &loop, std::function<void(std::shared_ptr<Connection>)> accepted)
     : m_acceptor(loop)
+    , m_pause(loop)
     , m_accepted(std::move(accepted))
 {
 }
@@ -262,6 +266,7 @@
 {
     asio::error_code ec; // An acceptor that is closed already stays closed.
     m_acceptor.close(ec);
+    m_pause.cancel();
 }
 
 void Listener::acceptNext()
@@ -272,8 +277,16 @@
         }
         if (!ec) {
             m_accepted(Connection::adopt(std::move(socket)));
+            acceptNext();
+            return;
         }
-        acceptNext();
+        // Most often no descriptor is free: at once, the next try would fail the same way and keep the loop busy.
+        m_pause.expires_after(AcceptPause);
+        m_pause.async_wait([this](const asio::error_code &stopped) {
+            if (!stopped && m_acceptor.is_open()) {
+                acceptNext();
+            }
+        });
     });
 }
 
