--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -21,14 +21,14 @@
 
 /// Between two reads of the listings of targets, as a part of the time in which a leaving one must be left alone; a
 /// call that fails once is made again in that time.
-constexpr double ListingsPausePart = 0.35;
+constexpr double ListingsPausePart = 0.4;
 
 /// How long the store holds a read of the listings back; each target writes about once a second.
 constexpr Millis ListingsWait{2000};
 
 /// How long the store holds a read of the operators' topic back, as a part of the time in which a desired state must be
 /// in force. A read whose answer was lost is noticed after this time and that of a call, or by the hint of another VM.
-constexpr double OperatorsWaitPart = 0.6;
+constexpr double OperatorsWaitPart = 0.9;
 
 /// A load doesn't show requests that were sent less than this before it arrived: one way, and the engine's report.
 constexpr Millis UnseenTime{60};
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -353,7 +353,7 @@
     list(m_second);
     start();
     list(m_first, true);
-    runFor(Millis{1500}); // Listings are read again after a pause of 0.7 s.
+    runFor(Millis{1500}); // Listings are read again after a pause of 0.8 s.
     for (int n = 0; n < 10; ++n) {
         EXPECT_EQ(call(request("/once/x")).body, "from i-2");
     }
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -16,8 +16,8 @@
 /// Longest time between two loads; entry VMs rely on a load for two and a half times as long.
 constexpr Millis PublishTime{300};
 
-/// How long the listings of other target VMs are used while weights are spread.
-constexpr Millis MembersLifetime{1000};
+/// How long the listings of other target VMs are used while weights are spread: about as long as that takes.
+constexpr Millis MembersLifetime{4000};
 
 /// How long the store holds a read of the operators' topic back.
 constexpr Millis OperatorsWait{10000};
