Four framing faults that a comparison with Beast shows are mended

Cause: a head over the limit was taken when it came in one piece with its end, because its bytes were only counted while it was incomplete; any HTTP major version was taken; 1xx, 204 and 304 answers with a length were read with a body, and so were answers to HEAD, which waited for bytes that never come. Ruled out: the library's own limit (80 KiB) and its check of versions; it has none. Before: LargeWholeHead, OtherMajorVersion and four statuses of BodylessResponseTest fail.

--- a/libs/http/include/ibislock/http/reader.h
+++ b/libs/http/include/ibislock/http/reader.h
@@ -68,6 +68,9 @@
     /// Begins with the next message.
     void next();
 
+    /// Tells the reader that the present response answers HEAD: its head ends it, whatever length it names.
+    void expectNoBody();
+
 private:
     struct State;
     std::unique_ptr<State> m_state;
--- a/libs/http/src/reader.cpp
+++ b/libs/http/src/reader.cpp
@@ -1,5 +1,6 @@
 #include "ibislock/http/reader.h"
 
+#include <algorithm>
 #include <http_parser.h>
 
 namespace ibislock::http
@@ -20,6 +21,7 @@
     bool headTooLarge = false;
     bool bodyTooLarge = false;
     bool inValue = false;
+    bool bodyless = false; ///< The next response answers a request whose answers have no body.
 
     Headers &headers()
     {
@@ -72,7 +74,7 @@
         };
         settings.on_headers_complete = [](http_parser *parser) {
             S &state = stateOf<S>(parser);
-            if (!namesAreTokens(state.headers())) {
+            if (!namesAreTokens(state.headers()) || parser->http_major != 1) {
                 return -1;
             }
             state.headComplete = true;
@@ -85,7 +87,8 @@
                 state.response.status = parser->status_code;
                 state.response.keepAlive = keepAlive;
                 state.response.chunked = (parser->flags & F_CHUNKED) != 0;
-                state.response.endsWithConnection = endsWithConnection(parser);
+                state.response.endsWithConnection = !state.bodyless && endsWithConnection(parser);
+                return state.bodyless || hasNoBody(parser) ? SkipBody : 0;
             }
             return 0;
         };
@@ -118,12 +121,20 @@
         return true;
     }
 
+    // What the library takes from the callback at the end of a head for a message that has no body.
+    static constexpr int SkipBody = 1;
+
+    // Responses that never have a body, whatever length their head names: RFC 9110, 6.4.1.
+    static bool hasNoBody(const http_parser *parser)
+    {
+        return parser->status_code / 100 == 1 || parser->status_code == 204 || parser->status_code == 304;
+    }
+
     // http_parser keeps this function to itself; the condition is that of RFC 9112 for a response without framing.
     static bool endsWithConnection(const http_parser *parser)
     {
-        const bool noBody = parser->status_code / 100 == 1 || parser->status_code == 204 || parser->status_code == 304;
         const bool framed = (parser->flags & F_CHUNKED) != 0 || parser->content_length != UINT64_MAX;
-        return !noBody && !framed;
+        return !hasNoBody(parser) && !framed;
     }
 };
 
@@ -148,13 +159,20 @@
         return 0;
     }
     state.started = true;
-    const bool hadHead = state.headComplete;
-    const std::size_t used = http_parser_execute(&state.parser, &settings, bytes.data(), bytes.size());
-    const http_errno problem = HTTP_PARSER_ERRNO(&state.parser);
-    if (!hadHead) {
-        state.headBytes += state.headComplete ? 0 : used;
-        state.headTooLarge = state.headBytes > state.limits.headBytes || problem == HPE_HEADER_OVERFLOW;
+    std::size_t used = 0;
+    if (!state.headComplete) {
+        // A head has to end within its limit, also when it arrives in one piece with what follows.
+        const std::size_t allowed = std::min(bytes.size(), state.limits.headBytes - state.headBytes);
+        used = http_parser_execute(&state.parser, &settings, bytes.data(), allowed);
+        state.headBytes += used;
+        const bool overflow = HTTP_PARSER_ERRNO(&state.parser) == HPE_HEADER_OVERFLOW;
+        const bool unfinished = HTTP_PARSER_ERRNO(&state.parser) == HPE_OK && !state.headComplete;
+        state.headTooLarge = overflow || (unfinished && allowed < bytes.size());
     }
+    if (HTTP_PARSER_ERRNO(&state.parser) == HPE_OK && state.headComplete && used < bytes.size()) {
+        used += http_parser_execute(&state.parser, &settings, bytes.data() + used, bytes.size() - used);
+    }
+    const http_errno problem = HTTP_PARSER_ERRNO(&state.parser);
     if (state.headTooLarge || state.bodyTooLarge) {
         return failure(ErrorCode::Exhausted, state.headTooLarge ? "the head is too large" : "the body is too large");
     }
@@ -224,6 +242,12 @@
     state.headBytes = 0;
     state.started = state.headComplete = state.complete = state.inValue = false;
     state.headTooLarge = state.bodyTooLarge = false;
+    state.bodyless = false;
+}
+
+void MessageReader::expectNoBody()
+{
+    m_state->bodyless = true;
 }
 
 } // namespace ibislock::http
--- a/libs/http/test/reader_test.cpp
+++ b/libs/http/test/reader_test.cpp
@@ -50,9 +50,50 @@
         FramingCase{"SpaceInName", "GET / HTTP/1.1\r\nHo st: a\r\n\r\n", false, ""},
         FramingCase{"NoMethod", "\x01\x02\x03\r\n\r\n", false, ""},
         FramingCase{"LargeBody", "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'x'), false, ""},
+        FramingCase{"LargeWholeHead", "GET / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n", false, ""},
+        FramingCase{"LargeBodyWithSmallHead", "POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n" + std::string(60, 'x'),
+                    true, std::string(60, 'x')},
+        FramingCase{"OtherMajorVersion", "GET / HTTP/2.0\r\nHost: a\r\n\r\n", false, ""},
         FramingCase{"LargeHead", "GET / HTTP/1.1\r\nX: " + std::string(300, 'x'), false, ""}),
     [](const auto &item) { return item.param.name; });
 
+class BodylessResponseTest : public testing::TestWithParam<int>
+{
+};
+
+TEST_P(BodylessResponseTest, EndsWithItsHead)
+{
+    MessageReader reader(MessageKind::Response, {});
+    const std::string head = "HTTP/1.1 " + std::to_string(GetParam()) + " X\r\nContent-Length: 3\r\n\r\n";
+    EXPECT_EQ(reader.feed(head + "abc").value(), head.size());
+    EXPECT_TRUE(reader.complete());
+    EXPECT_EQ(reader.takeBody(), "");
+    EXPECT_FALSE(reader.response().endsWithConnection);
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, BodylessResponseTest, testing::Values(100, 103, 204, 304),
+                         [](const auto &item) { return std::to_string(item.param); });
+
+TEST(ReaderTest, AnAnswerToHeadEndsWithItsHead)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+    MessageReader reader(MessageKind::Response, {});
+    reader.expectNoBody();
+    EXPECT_EQ(reader.feed(head).value(), head.size());
+    EXPECT_TRUE(reader.complete());
+    reader.next();
+    EXPECT_EQ(reader.feed(head + "abc").value(), head.size() + 3) << "the next answer has its body again";
+}
+
+TEST(ReaderTest, AHeadOfTheLimitInPiecesIsRead)
+{
+    const std::string head = "GET / HTTP/1.1\r\nX: " + std::string(20, 'x') + "\r\n\r\n";
+    MessageReader reader(MessageKind::Request, {.headBytes = head.size()});
+    ASSERT_TRUE(reader.feed(head.substr(0, head.size() - 1)));
+    ASSERT_TRUE(reader.feed(head.substr(head.size() - 1)));
+    EXPECT_TRUE(reader.complete());
+}
+
 TEST(ReaderTest, StopsBehindOneMessageAndReadsTheNext)
 {
     const std::string one = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -57,7 +57,9 @@
 struct ExchangeOptions
 {
     Millis connectTime{1000};
-    Millis timeout{0}; ///< For the whole exchange; 0 for none.
+    Millis timeout{0}; ///< For the whole exchange, or until the answer begins if `stall` is set; 0 for none.
+    Millis stall{0}; ///< An answer that has begun may bring nothing for this long; 0 to go by `timeout` alone.
+    Millis longest{0}; ///< For the whole exchange if `stall` is set.
     bool fresh = false; ///< Always on a new connection, so that it can't meet one that the peer is closing.
     Millis maxIdle{1000}; ///< A kept connection that was idle for longer is not used.
 };
@@ -73,6 +75,9 @@
     /// Gives the exchange up; nothing more is told.
     void cancel();
 
+    /// Tells whether part of the answer has come, and more is awaited.
+    bool isAnswering() const;
+
     /// Stops or goes on with reading the answer.
     void pauseReading(bool pause);
 
@@ -97,6 +102,8 @@
     std::shared_ptr<asio::ip::tcp::socket> m_socket;
     asio::steady_timer m_timer;
     http::MessageReader m_reader;
+    bool m_isHead = false; ///< The request is HEAD: its answers have no body.
+    Millis m_beganAt{0};
     bool m_reused = false;
     bool m_answered = false;
     bool m_headTaken = false;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/net/http_client.h"
 
+#include <algorithm>
+
 namespace ibislock::net
 {
 
@@ -12,6 +14,12 @@
 /// By how much sooner than the peer says a connection is given up; the peer may close it a little early.
 constexpr Millis KeepMargin{500};
 
+/// Tells whether a request asks for the head of an answer alone.
+bool isHead(std::string_view request)
+{
+    return request.starts_with("HEAD ");
+}
+
 /// Reads the time of a Keep-Alive header.
 Millis keepTimeOf(const http::ResponseHead &head)
 {
@@ -36,8 +44,12 @@
     , m_events(std::move(events))
     , m_timer(client.m_loop)
     , m_reader(http::MessageKind::Response, {})
+    , m_isHead(isHead(m_bytes))
 {
     client.m_exchanges.insert(this);
+    if (m_isHead) {
+        m_reader.expectNoBody();
+    }
 }
 
 Exchange::~Exchange()
@@ -63,6 +75,11 @@
     }
 }
 
+bool Exchange::isAnswering() const
+{
+    return m_answered && !m_done;
+}
+
 void Exchange::pauseReading(bool pause)
 {
     if (m_connection) {
@@ -103,6 +120,7 @@
 {
     m_connection = std::move(connection);
     m_reused = reused;
+    m_beganAt = steadyMillis();
     if (m_options.timeout > Millis{0}) {
         armTimer(m_options.timeout, ExchangeEnd::TimedOut);
     }
@@ -134,6 +152,10 @@
 {
     const auto self = shared_from_this();
     m_answered = true;
+    if (m_options.stall > Millis{0}) {
+        const Millis left = m_beganAt + m_options.longest - steadyMillis();
+        armTimer(std::clamp(left, Millis{0}, m_options.stall), ExchangeEnd::TimedOut);
+    }
     while (!m_done && !bytes.empty()) {
         const auto used = m_reader.feed(bytes);
         if (!used) {
@@ -162,6 +184,9 @@
             return;
         }
         m_reader.next();
+        if (m_isHead) {
+            m_reader.expectNoBody();
+        }
         m_headTaken = m_skipping = false;
     }
 }
--- a/libs/net/test/http_client_test.cpp
+++ b/libs/net/test/http_client_test.cpp
@@ -148,6 +148,114 @@
     EXPECT_EQ(callOnce(loop, client, server.port(), {.timeout = Millis{20}}).end, ExchangeEnd::TimedOut);
 }
 
+/// Answers a request in parts with a pause before each.
+class SlowServer
+{
+public:
+    SlowServer(asio::io_context &loop, std::vector<std::string> parts, Millis pause)
+        : m_timer(loop)
+        , m_parts(std::move(parts))
+        , m_pause(pause)
+        , m_listener(loop, [this](const std::shared_ptr<Connection> &connection) {
+            m_connection = connection;
+            connection->start({.data = [this](std::string_view) {
+                writeNext();
+            }});
+        })
+    {
+        EXPECT_FALSE(m_listener.open("127.0.0.1", 0));
+    }
+
+    std::uint16_t port() const
+    {
+        return m_listener.port();
+    }
+
+private:
+    void writeNext()
+    {
+        if (m_next == m_parts.size()) {
+            return;
+        }
+        m_timer.expires_after(m_pause);
+        m_timer.async_wait([this](const asio::error_code &ec) {
+            if (!ec) {
+                m_connection->write(m_parts[m_next++]);
+                writeNext();
+            }
+        });
+    }
+
+    asio::steady_timer m_timer;
+    std::vector<std::string> m_parts;
+    Millis m_pause;
+    std::size_t m_next = 0;
+    std::shared_ptr<Connection> m_connection;
+    Listener m_listener;
+};
+
+/// How an answer that comes in slowly must end.
+struct SlowCase
+{
+    std::string name;
+    ExchangeOptions options;
+    std::size_t parts = 0; ///< That come, of ten.
+    ExchangeEnd end = ExchangeEnd::Complete;
+};
+
+class SlowAnswerTest : public testing::TestWithParam<SlowCase>
+{
+};
+
+TEST_P(SlowAnswerTest, EndsByItsPausesNotByItsLength)
+{
+    asio::io_context loop;
+    std::vector<std::string> parts{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"};
+    parts.insert(parts.end(), GetParam().parts - 1, "x");
+    SlowServer server(loop, parts, Millis{30});
+    HttpClient client(loop);
+    EXPECT_EQ(callOnce(loop, client, server.port(), GetParam().options).end, GetParam().end);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, SlowAnswerTest,
+    testing::Values(SlowCase{"TimeForTheWhole", {.timeout = Millis{150}}, 10, ExchangeEnd::TimedOut},
+                    SlowCase{"ComesIn",
+                             {.timeout = Millis{150}, .stall = Millis{5000}, .longest = Millis{20000}},
+                             10,
+                             ExchangeEnd::Complete},
+                    SlowCase{"Stalls",
+                             {.timeout = Millis{5000}, .stall = Millis{100}, .longest = Millis{20000}},
+                             5,
+                             ExchangeEnd::TimedOut},
+                    SlowCase{"TooLong",
+                             {.timeout = Millis{5000}, .stall = Millis{5000}, .longest = Millis{150}},
+                             10,
+                             ExchangeEnd::TimedOut}),
+    [](const auto &item) { return item.param.name; });
+
+TEST(HttpClientTest, AnAnswerToHeadHasNoBody)
+{
+    asio::io_context loop;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    ScriptedServer server(loop, {answer, answer}, false);
+    HttpClient client(loop);
+    for (int n = 0; n < 2; ++n) {
+        bool done = false;
+        const auto exchange =
+            client.call("127.0.0.1", server.port(), "HEAD / HTTP/1.1\r\n\r\n", {.timeout = Millis{2000}},
+                        [&](ExchangeEnd end, const http::ResponseHead &, const std::string &body) {
+                            EXPECT_EQ(end, ExchangeEnd::Complete);
+                            EXPECT_EQ(body, "");
+                            done = true;
+                        });
+        while (!done) {
+            loop.run_one();
+        }
+    }
+    EXPECT_EQ(server.connections, 1);
+}
+
 TEST(HttpClientTest, AnAnswerToSomethingElseIsSkipped)
 {
     asio::io_context loop;
