An answer of the store that is coming in is neither given up for a hint nor for its length

Cause: a read of the operators' topic was cancelled and begun anew when another VM told of newer records, also while its answer was on its way over a narrow link, and it had 0.8 s for the whole of it. Ruled out: the pace of hints alone; PatientTime already bounds it to one in 500 ms. Change: once an answer has begun, only a pause of 0.8 s or 10 s in all end it (ExchangeOptions::stall, longest), and hints leave it alone. Before: TopicFeedTest.AnAnswerThatComesInSlowlyIsNotGivenUp fails (nothing read in 5 s). After: it passes with one read.

--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -141,7 +141,24 @@
         body += bigEndian(1 + key.size() + value.size(), 4) + static_cast<char>(key.size());
         body += key + value;
     }
-    connection.write(http::writeResponse({.status = 200}, body));
+    const std::string answer = http::writeResponse({.status = 200}, body);
+    const auto parts = static_cast<std::size_t>(spread / PartPause);
+    writeInParts(connection.shared_from_this(), answer, parts == 0 ? answer.size() : answer.size() / parts + 1);
+}
+
+void StoreStandIn::writeInParts(const std::shared_ptr<net::Connection> &connection, std::string bytes, std::size_t part)
+{
+    connection->write(bytes.substr(0, part));
+    bytes.erase(0, part);
+    if (bytes.empty() || !connection->isOpen()) {
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, PartPause);
+    timer->async_wait([this, timer, connection, rest = std::move(bytes), part](const asio::error_code &ec) {
+        if (!ec) {
+            writeInParts(connection, rest, part);
+        }
+    });
 }
 
 std::string StoreStandIn::snapshot() const
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -37,6 +37,10 @@
     bool silent = false; ///< Calls get no answer.
     std::size_t lastWait = 0; ///< How long the last read allowed to be held back, in milliseconds.
     Millis delay{0}; ///< Until a read is answered.
+    Millis spread{0}; ///< The answer to a read comes in over this time, a part each `PartPause`.
+
+    /// Between two parts of an answer that is spread.
+    static constexpr Millis PartPause{50};
 
 private:
     struct Waiting
@@ -49,6 +53,7 @@
     void answer(net::Connection &connection, const http::RequestHead &request);
     void answerReadLater(const std::shared_ptr<net::Connection> &connection, std::size_t from);
     void answerRead(net::Connection &connection, std::size_t from);
+    void writeInParts(const std::shared_ptr<net::Connection> &connection, std::string bytes, std::size_t part);
     std::string snapshot() const;
 
     asio::io_context &m_loop;
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -30,9 +30,14 @@
     std::function<void(bool away)> store; ///< The store was lost, or is back.
 };
 
-/// How long a call may take beyond its wait before it counts as lost; the store answers in some 4 ms.
+/// How long a call may take beyond its wait until its answer begins; the store answers in some 4 ms. An answer that has
+/// begun may pause for as long: lost packets are sent again within some 200 ms, and twice.
 inline constexpr Millis CallTime{800};
 
+/// How long an answer may take in all; the store keeps 20 s of history, and a page that takes longer is better asked
+/// for anew.
+inline constexpr Millis LongestAnswer{10000};
+
 /// A call that began this recently is not given up for a hint; a large answer over a shared link takes some 100 ms.
 inline constexpr Millis PatientTime{500};
 
@@ -50,7 +55,8 @@
     /// Begins.
     void start();
 
-    /// Reads at once if another process has seen records from an offset on that this one has not read.
+    /// Reads at once if another process has seen records from an offset on that this one has not read. A read whose
+    /// answer is coming in goes on: it is large or its link is narrow, and would only begin anew.
     /// @param end the offset behind the last record that the other has read.
     void hint(std::int64_t end);
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -79,7 +79,11 @@
     http::RequestHead head = request.head;
     head.headers.add("Host", m_store.ip);
     m_exchange = m_client.call(m_store.ip, m_store.port, writeRequest(head, request.body),
-                               {.connectTime = CallTime, .timeout = timeout, .maxIdle = Millis{30000}},
+                               {.connectTime = CallTime,
+                                .timeout = timeout,
+                                .stall = CallTime,
+                                .longest = timeout + LongestAnswer,
+                                .maxIdle = Millis{30000}},
                                [this, round, again, done = std::move(done)](
                                    net::ExchangeEnd end, const http::ResponseHead &answer, const std::string &body) {
                                    if (round != m_round) {
@@ -103,7 +107,8 @@
     // One early read for each hint: if the store itself does not show the records, the usual pace goes on. A read that
     // has just begun will bring them; giving it up for each of many hints would never end.
     const bool justBegun = steadyMillis() - m_calledAt < PatientTime;
-    if (!m_synchronized || end <= m_next || end <= m_hinted || justBegun) {
+    const bool answering = m_exchange && m_exchange->isAnswering();
+    if (!m_synchronized || end <= m_next || end <= m_hinted || justBegun || answering) {
         return;
     }
     m_hinted = end;
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -131,6 +131,29 @@
     timer.cancel();
 }
 
+TEST_F(TopicFeedTest, AnAnswerThatComesInSlowlyIsNotGivenUp)
+{
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads == 1; }));
+    // The answer takes longer than a call may wait for its beginning, and other VMs tell of records meanwhile.
+    m_store.spread = 2 * CallTime;
+    m_store.append("k", std::string(20000, 'x'));
+    asio::steady_timer timer(m_loop);
+    std::int64_t end = 1;
+    std::function<void(const asio::error_code &)> tell = [&](const asio::error_code &ec) {
+        if (!ec) {
+            m_feed.hint(++end);
+            timer.expires_after(Millis{100});
+            timer.async_wait(tell);
+        }
+    };
+    tell({});
+    ASSERT_TRUE(runUntil([&] { return m_recordsTold > 0; }));
+    EXPECT_EQ(m_store.reads, 1);
+    EXPECT_FALSE(m_away);
+    timer.cancel();
+}
+
 TEST_F(TopicFeedTest, StartsOverWhenTheStoreHasDroppedWhatItMissed)
 {
     m_feed.start();
