A request that waits inside an engine is taken back before it begins on old weights

Cause: requests stop to be sent to old weights 1.5 s before the contract's time, but one that waits longer inside an engine begins after it (VERSION). Nothing took it back. Ruled out: a longer margin for sends; it would cost capacity on every rollout for a rare wait. Change: a call that has had no event 250 ms before the time is withdrawn from an engine whose weights go out of use, and sent elsewhere if its kind and the budget allow it. Whether a request is sent, waits or is refused is now serving/admission.h, with the waiting order, and PlacementPolicy holds what was constants; decisions unchanged. Before: FrontTest.ARequestThatWaitsAtAnEngineIsTakenBackBeforeItBeginsOnOldWeights fails (the engine still has it).

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -42,10 +42,13 @@
 
 std::string TargetStandIn::listing(const std::string &service, bool leaving) const
 {
-    return nlohmann::json{
+    nlohmann::json out{
         {"Service", service}, {"Address", "127.0.0.1:" + std::to_string(port())}, {"Zone", "a"},     {"Version", "v1"},
-        {"Slots", 6},         {"State", leaving ? "draining" : "ready"},          {"ColdLeftMs", 0}, {"Sequence", 1}}
-        .dump();
+        {"Slots", 6},         {"State", leaving ? "draining" : "ready"},          {"ColdLeftMs", 0}, {"Sequence", 1}};
+    if (weightsVersion > 0) {
+        out["Models"] = {{{"Name", "m"}, {"Version", weightsVersion}, {"Adapters", nlohmann::json::array()}}};
+    }
+    return out.dump();
 }
 
 void TargetStandIn::serve(const std::shared_ptr<net::Connection> &connection)
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -50,6 +50,7 @@
     std::string id;
     TargetBehaviour behaviour = TargetBehaviour::Answer;
     int events = 5;
+    std::int64_t weightsVersion = 0; ///< Of model "m", as listed; 0 for a target without weights.
     std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
     std::vector<std::string> bodies;
     int open = 0; ///< Connections that are open.
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -26,26 +26,9 @@
 /// Less time than this is not handed to a target: it could not begin.
 constexpr Millis LeastTime{30};
 
-/// By how much a call outlives its time, so that a target's own answer to the limit can arrive.
-constexpr Millis LimitSlack{100};
-
-/// A caller that is this many bytes behind is not sent more until it has taken them.
-constexpr std::size_t CallerBacklogBytes = 256 * 1024;
-
-/// The part of its objective for which a call may wait for a free slot; waiting longer makes most answers late.
-constexpr int WaitPartOfGoal = 8;
-
 /// By how much a token takes longer than a step: prompts of other requests are read in between.
 constexpr double SharedStepFactor = 1.5;
 
-/// How long a plain target may be silent about a request that may run again, in objectives of its route. Answers that
-/// take longer are late anyway.
-constexpr int PlainStallFactor = 3;
-constexpr Millis LeastStall{250};
-
-/// How long an engine may be silent about a request when its VM has stopped to report.
-constexpr Millis EngineStall{500};
-
 /// How long a request that was broken off may wait for a slot elsewhere; a longer pause makes its stream late.
 constexpr Millis ResumeWait{300};
 
@@ -133,7 +116,6 @@
     }
     const Millis limit = route.timeout > Millis{0} ? route.timeout : DefaultDeadline;
     deadlineAt = receivedAt + std::min(limit, request.deadline.value_or(DefaultDeadline));
-    waitUntil = receivedAt + route.goal / WaitPartOfGoal;
     return std::nullopt;
 }
 
@@ -144,6 +126,16 @@
     return spent >= route.goal;
 }
 
+serving::AdmissionRequest Call::admissionRequest(Millis now) const
+{
+    return {.receivedAt = receivedAt,
+            .goal = route.goal,
+            .waitUntil = m_waitUntil,
+            .late = isLate(now),
+            .begun = hasBegun(),
+            .now = now};
+}
+
 double Call::promptMs(int tokens) const
 {
     return engineSpec.promptTokensPerMs > 0 ? tokens / engineSpec.promptTokensPerMs : 0;
@@ -162,7 +154,8 @@
         .deadline = deadlineAt - now,
         .targetId = target.entry.id,
         .workspace = workspace,
-        .weightsVersion = engine && front.minVersionOf(request.model, now) > 0 ? knownVersion(target, now) : 0,
+        .weightsVersion =
+            engine && front.minVersionOf(request.model, now, QueueTime) > 0 ? knownVersion(target, now) : 0,
     };
     if (hasBegun()) {
         out.lastEventId = m_events.lastId;
@@ -213,69 +206,6 @@
         });
 }
 
-net::HeadVerdict Call::takeHead(const http::ResponseHead &answer)
-{
-    const platform::TargetAnswer said = platform::decodeTargetAnswer(answer);
-    if (!said.attemptId.empty() && said.attemptId != request.attemptId) {
-        logInfo(Part::Front, "An answer to another request was skipped.",
-                {{"id", request.attemptId}, {"target", m_targetId}, {"answers", said.attemptId}});
-        return net::HeadVerdict::Skip;
-    }
-    m_answerHead = answer;
-    const bool success = answer.status / 100 == 2;
-    const bool own = said.signedByTarget && !said.encoded && !(success && said.attemptId.empty());
-    if (said.notExecuted && !success) {
-        m_answer = Answer::NotRun;
-    } else if (!own || (hasBegun() && !success)) {
-        // Handled as a failure at its end: not the target's own bytes, or nothing that a begun stream can go on with.
-        m_answer = Answer::None;
-    } else {
-        m_answer = success && route.kind == RequestKind::Stream ? Answer::Relayed : Answer::Buffered;
-    }
-    return net::HeadVerdict::Take;
-}
-
-void Call::takeBody(const std::string &bytes)
-{
-    if (m_answer == Answer::Relayed) {
-        relay(addBytes(m_events, bytes));
-    } else if (m_answer == Answer::Buffered) {
-        m_answerBody += bytes;
-    }
-}
-
-void Call::relay(const std::string &events)
-{
-    const auto connection = m_connection.lock();
-    if (events.empty() || !connection || m_done) {
-        return;
-    }
-    std::string out;
-    const Millis now = steadyMillis();
-    m_longestPause = m_lastEventAt > Millis{0} ? std::max(m_longestPause, now - m_lastEventAt) : Millis{0};
-    m_lastEventAt = now;
-    if (!hasBegun()) {
-        advance(m_life, RequestEvent::FirstEvent);
-        m_firstEventAt = now;
-        observe(front.counters.firstEvent, now - receivedAt);
-        http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
-        forwarded.keepAlive = connection->keepsAlive();
-        out = writeChunkedHead(forwarded);
-    }
-    out += http::writeChunk(events);
-    connection->write(out);
-    if (connection->queued() > CallerBacklogBytes && m_exchange) {
-        m_exchange->pauseReading(true);
-    }
-}
-
-void Call::callerDrained()
-{
-    if (m_exchange) {
-        m_exchange->pauseReading(false);
-    }
-}
-
 void Call::releaseTarget(bool good)
 {
     m_exchange.reset();
@@ -331,41 +261,6 @@
     return true;
 }
 
-void Call::endBuffered()
-{
-    if (m_answerHead.status / 100 == 5 && route.kind == RequestKind::Idempotent) {
-        const serving::RequestLife before = m_life;
-        advance(m_life, RequestEvent::Lost); // It failed; another target may do better.
-        if (mayRepeat()) {
-            front.dispatch(shared_from_this());
-            return;
-        }
-        m_life = before;
-    }
-    advance(m_life, RequestEvent::Whole);
-    http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
-    const auto connection = m_connection.lock();
-    forwarded.keepAlive = connection && connection->keepsAlive();
-    answer(writeResponse(forwarded, m_answerBody), !forwarded.keepAlive);
-    observe(front.counters.firstEvent, steadyMillis() - receivedAt);
-    finish(CallOutcome::Answered, m_answerHead.status);
-}
-
-void Call::endRelayed()
-{
-    relay(std::exchange(m_events.partial, {}));
-    const auto connection = m_connection.lock();
-    std::string out;
-    if (!hasBegun()) {
-        http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
-        forwarded.keepAlive = connection && connection->keepsAlive();
-        out = writeChunkedHead(forwarded);
-    }
-    advance(m_life, RequestEvent::Whole);
-    answer(out.append(http::LastChunk), !(connection && connection->keepsAlive()));
-    finish(CallOutcome::Answered, m_answerHead.status);
-}
-
 void Call::endFailed(const net::ExchangeResult &result)
 {
     const bool notConnected = result.end == net::ExchangeEnd::NotConnected;
@@ -379,7 +274,7 @@
         return;
     }
     if (!notConnected && !notRun) {
-        waitUntil = std::max(waitUntil, steadyMillis() + ResumeWait);
+        m_waitUntil = steadyMillis() + ResumeWait;
     }
     front.dispatch(shared_from_this());
 }
@@ -429,61 +324,6 @@
     finish(CallOutcome::CallerLeft, 0);
 }
 
-/// Tells whether the target seems to be frozen or cut off, and the request may go on elsewhere.
-bool Call::isStalled(Millis now) const
-{
-    const bool mayRunTwice =
-        route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
-    if (!m_exchange || !mayRunTwice || m_sends - m_connectFailures >= route.maxTargets) {
-        return false;
-    }
-    const Millis silence = now - std::max(m_sentAt, m_lastEventAt);
-    if (!engine) {
-        return silence > std::max(route.goal * PlainStallFactor, LeastStall);
-    }
-    const auto it = front.table.targets.find(m_targetId);
-    const bool reports = it != front.table.targets.end() && hasFreshLoad(it->second, now);
-    return !reports && silence > EngineStall;
-}
-
-/// Goes on at another target. Without one, the silent target is still the best that the request has.
-/// @return whether it does.
-bool Call::leaveTarget(Millis now)
-{
-    if (front.placementOf(*this, now).target == nullptr) {
-        return false;
-    }
-    const serving::RequestLife before = m_life;
-    advance(m_life, RequestEvent::Lost);
-    if (!mayRepeat()) {
-        m_life = before;
-        return false;
-    }
-    logInfo(Part::Front, "A target is silent; the request goes on at another.",
-            {{"id", request.attemptId},
-             {"target", m_targetId},
-             {"silent_ms", std::to_string((now - std::max(m_sentAt, m_lastEventAt)).count())}});
-    m_exchange->cancel();
-    releaseTarget(false);
-    front.dispatch(shared_from_this());
-    return true;
-}
-
-void Call::checkTime(Millis now)
-{
-    if (!m_done && isStalled(now) && leaveTarget(now)) {
-        return;
-    }
-    if (m_done || deadlineAt == Millis{0} || now < deadlineAt + (m_exchange ? LimitSlack : Millis{0})) {
-        return;
-    }
-    if (m_exchange) {
-        m_exchange->cancel();
-        releaseTarget(true);
-    }
-    refuse(CallOutcome::OutOfTime);
-}
-
 void Call::finish(CallOutcome outcome, int status)
 {
     if (m_done) {
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -39,6 +39,9 @@
     /// Tells whether the caller has waited for so long that its answer can't be on time any more.
     bool isLate(Millis now) const;
 
+    /// What decides whether the call is sent, waits or is refused now.
+    serving::AdmissionRequest admissionRequest(Millis now) const;
+
     /// How long an engine reads a prompt of some tokens, in milliseconds; 0 for plain services.
     double promptMs(int tokens) const;
 
@@ -69,7 +72,7 @@
     int priority = 0;
     Millis receivedAt{0};
     Millis deadlineAt{0};
-    Millis waitUntil{0};
+    std::uint64_t arrival = 0; ///< Counts the requests of this VM.
     std::set<std::string> tried;
 
 private:
@@ -83,8 +86,20 @@
     void endRelayed();
     void endFailed(const net::ExchangeResult &result);
     bool mayRepeat();
-    bool leaveTarget(Millis now);
+
+    /// Tells whether the target seems to be frozen or cut off, and the request may go on elsewhere.
     bool isStalled(Millis now) const;
+
+    /// Goes on at another target. Without one, the silent target is still the best that the request has.
+    /// @return whether it does.
+    bool leaveTarget(Millis now);
+
+    /// Tells whether the request waits at an engine for so long that it would begin on weights that are out of use.
+    bool isOutdated(Millis now) const;
+
+    /// Takes such a request back; it goes to another target if it may.
+    void withdraw(Millis now);
+
     void relay(const std::string &events);
     void answer(const std::string &bytes, bool close);
     void releaseTarget(bool good);
@@ -108,6 +123,7 @@
     Millis m_loadAge{0}; ///< Of that belief.
     int m_sends = 0;
     int m_connectFailures = 0;
+    Millis m_waitUntil{0}; ///< May wait for a slot at least until then, as it was broken off.
     serving::RequestLife m_life; ///< Decides what may be sent and said.
     bool m_done = false;
 };
--- /dev/null
+++ b/libs/front/src/call_answer.cpp
@@ -0,0 +1,119 @@
+// How a call takes what its target answers, and hands it to the caller.
+
+#include "call.h"
+#include "caller_connection.h"
+#include "ibislock/base/log.h"
+
+namespace ibislock::front
+{
+
+using serving::RequestEvent;
+using serving::RequestKind;
+
+namespace
+{
+
+/// A caller that is this many bytes behind is not sent more until it has taken them.
+constexpr std::size_t CallerBacklogBytes = 256 * 1024;
+
+} // namespace
+
+net::HeadVerdict Call::takeHead(const http::ResponseHead &answer)
+{
+    const platform::TargetAnswer said = platform::decodeTargetAnswer(answer);
+    if (!said.attemptId.empty() && said.attemptId != request.attemptId) {
+        logInfo(Part::Front, "An answer to another request was skipped.",
+                {{"id", request.attemptId}, {"target", m_targetId}, {"answers", said.attemptId}});
+        return net::HeadVerdict::Skip;
+    }
+    m_answerHead = answer;
+    const bool success = answer.status / 100 == 2;
+    const bool own = said.signedByTarget && !said.encoded && !(success && said.attemptId.empty());
+    if (said.notExecuted && !success) {
+        m_answer = Answer::NotRun;
+    } else if (!own || (hasBegun() && !success)) {
+        // Handled as a failure at its end: not the target's own bytes, or nothing that a begun stream can go on with.
+        m_answer = Answer::None;
+    } else {
+        m_answer = success && route.kind == RequestKind::Stream ? Answer::Relayed : Answer::Buffered;
+    }
+    return net::HeadVerdict::Take;
+}
+
+void Call::takeBody(const std::string &bytes)
+{
+    if (m_answer == Answer::Relayed) {
+        relay(addBytes(m_events, bytes));
+    } else if (m_answer == Answer::Buffered) {
+        m_answerBody += bytes;
+    }
+}
+
+void Call::relay(const std::string &events)
+{
+    const auto connection = m_connection.lock();
+    if (events.empty() || !connection || m_done) {
+        return;
+    }
+    std::string out;
+    const Millis now = steadyMillis();
+    m_longestPause = m_lastEventAt > Millis{0} ? std::max(m_longestPause, now - m_lastEventAt) : Millis{0};
+    m_lastEventAt = now;
+    if (!hasBegun()) {
+        advance(m_life, RequestEvent::FirstEvent);
+        m_firstEventAt = now;
+        observe(front.counters.firstEvent, now - receivedAt);
+        http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
+        forwarded.keepAlive = connection->keepsAlive();
+        out = writeChunkedHead(forwarded);
+    }
+    out += http::writeChunk(events);
+    connection->write(out);
+    if (connection->queued() > CallerBacklogBytes && m_exchange) {
+        m_exchange->pauseReading(true);
+    }
+}
+
+void Call::callerDrained()
+{
+    if (m_exchange) {
+        m_exchange->pauseReading(false);
+    }
+}
+
+void Call::endBuffered()
+{
+    if (m_answerHead.status / 100 == 5 && route.kind == RequestKind::Idempotent) {
+        const serving::RequestLife before = m_life;
+        advance(m_life, RequestEvent::Lost); // It failed; another target may do better.
+        if (mayRepeat()) {
+            front.dispatch(shared_from_this());
+            return;
+        }
+        m_life = before;
+    }
+    advance(m_life, RequestEvent::Whole);
+    http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
+    const auto connection = m_connection.lock();
+    forwarded.keepAlive = connection && connection->keepsAlive();
+    answer(writeResponse(forwarded, m_answerBody), !forwarded.keepAlive);
+    observe(front.counters.firstEvent, steadyMillis() - receivedAt);
+    finish(CallOutcome::Answered, m_answerHead.status);
+}
+
+void Call::endRelayed()
+{
+    relay(std::exchange(m_events.partial, {}));
+    const auto connection = m_connection.lock();
+    std::string out;
+    if (!hasBegun()) {
+        http::ResponseHead forwarded = platform::callerAnswer(m_answerHead);
+        forwarded.keepAlive = connection && connection->keepsAlive();
+        out = writeChunkedHead(forwarded);
+    }
+    advance(m_life, RequestEvent::Whole);
+    answer(out.append(http::LastChunk), !(connection && connection->keepsAlive()));
+    finish(CallOutcome::Answered, m_answerHead.status);
+}
+
+} // namespace ibislock::front
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -43,9 +43,6 @@
 /// By how much sooner than the platform kills it a stopping process ends.
 constexpr Millis KillMargin{200};
 
-/// By how much sooner than the contract asks requests stop to begin on old weights: a queue at the engine and the way.
-constexpr Millis VersionMargin{1500};
-
 Millis partOf(Millis time, double part)
 {
     return Millis{static_cast<std::int64_t>(static_cast<double>(time.count()) * part)};
@@ -205,11 +202,10 @@
     applyEntry(table, record.key, std::move(*entry), now);
 }
 
-std::int64_t Front::minVersionOf(const std::string &model, Millis now) const
+std::int64_t Front::minVersionOf(const std::string &model, Millis now, Millis ahead) const
 {
     const auto it = operators.named.find(model);
-    return it == operators.named.end() ? 0
-                                       : requiredVersion(it->second, now, settings.bounds.versionTime - VersionMargin);
+    return it == operators.named.end() ? 0 : requiredVersion(it->second, now + ahead, settings.bounds.versionTime);
 }
 
 void Front::accept(const std::shared_ptr<Call> &call)
@@ -219,6 +215,7 @@
         call->refuse(refused.value_or(CallOutcome::Stopping));
         return;
     }
+    call->arrival = ++m_arrivals;
     noteRequest(retries, call->service, call->receivedAt);
     dispatch(call);
 }
@@ -228,7 +225,7 @@
     return place(table,
                  {.service = call.service,
                   .domain = settings.domain,
-                  .minVersion = minVersionOf(call.request.model, now),
+                  .minVersion = minVersionOf(call.request.model, now, QueueTime),
                   .engine = call.engine,
                   .usualPromptMs = call.promptMs(call.engineSpec.usualPromptTokens),
                   .duration = call.expectedTime(),
@@ -245,19 +242,20 @@
     }
     const Millis now = steadyMillis();
     const serving::Placement placement = placementOf(*call, now);
-    if (placement.target != nullptr) {
+    switch (serving::admit(call->admissionRequest(now), placement)) {
+    case serving::Admission::Send:
         call->send(*placement.target);
-        return;
-    }
-    const bool full = placement.reason == serving::NoTarget::Full;
-    const bool mayWait = full && now < call->waitUntil && (!call->isLate(now) || call->hasBegun());
-    if (!mayWait) {
-        call->refuse(full ? CallOutcome::Full : CallOutcome::NoTarget);
-        return;
+        break;
+    case serving::Admission::Wait:
+        m_waiting.emplace(serving::WaitingRank{.priority = call->priority, .arrival = call->arrival}, call);
+        break;
+    case serving::Admission::RefuseFull:
+        call->refuse(CallOutcome::Full);
+        break;
+    case serving::Admission::RefuseNoTarget:
+        call->refuse(CallOutcome::NoTarget);
+        break;
     }
-    const auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
-                                 [&](const auto &other) { return other->priority > call->priority; });
-    m_waiting.insert(it, call);
 }
 
 void Front::pumpWaiting()
@@ -265,9 +263,9 @@
     if (m_waiting.empty()) {
         return;
     }
-    std::list<std::shared_ptr<Call>> calls;
+    WaitingCalls calls;
     calls.swap(m_waiting);
-    for (const std::shared_ptr<Call> &call : calls) {
+    for (const auto &[rank, call] : calls) {
         dispatch(call);
     }
 }
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -8,19 +8,26 @@
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/platform/listings.h"
-#include "ibislock/serving/placement.h"
+#include "ibislock/serving/admission.h"
 #include "ibislock/serving/retry_share.h"
 
 #include <asio/ip/udp.hpp>
-#include <list>
+#include <map>
 #include <set>
 
 namespace ibislock::front
 {
 
+/// How long a request may take to begin at the target that it was sent to: the way and the queue at its engine. It is
+/// sent only where the weights may still begin something then.
+inline constexpr Millis QueueTime{1500};
+
 class Call;
 class CallerConnection;
 
+/// Calls that wait, those that go first in front.
+using WaitingCalls = std::map<serving::WaitingRank, std::shared_ptr<Call>>;
+
 /// The daemon's state and parts.
 class Front
 {
@@ -46,8 +53,9 @@
     /// Tells that a target may have room.
     void pumpWaiting();
 
-    /// The oldest weights with which a call may begin now.
-    std::int64_t minVersionOf(const std::string &model, Millis now) const;
+    /// The oldest weights with which a call may begin some time from now.
+    /// @param ahead that time.
+    std::int64_t minVersionOf(const std::string &model, Millis now, Millis ahead) const;
 
     /// Removes a caller's connection.
     void forget(const CallerConnection *connection);
@@ -91,7 +99,8 @@
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_loadSequence; ///< By address: process, number.
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_administration;
-    std::list<std::shared_ptr<Call>> m_waiting; ///< Calls to engines that are full, most urgent first.
+    WaitingCalls m_waiting; ///< Calls to targets that are full.
+    std::uint64_t m_arrivals = 0;
     Millis m_nextSubscription{0};
 };
 
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -25,6 +25,15 @@
     R"({"Name":"nobody","Host":"h","PathPrefix":"/nobody/","Kind":"idempotent","TimeoutMs":700,"Service":"none"}],)"
     R"("Services":[{"Name":"s","HealthPath":"/health","MaxConns":100}],"Tenants":[{"Name":"w","ApiKeys":["key"]}]})";
 
+/// The same with an engine behind the service.
+const std::string EngineState =
+    R"({"Version":1,"Routes":[{"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","TimeoutMs":6000,)"
+    R"("Service":"s","MaxAttempts":2,"ResumeStreams":true}],"Services":[{"Name":"s","HealthPath":"/health",)"
+    R"("MaxConns":100,"Engine":{"Slots":16,"Models":[{"Name":"m","WarmupS":0.3}],"step_ms":9.27,"read_per_s":20700}}]})";
+
+/// From the naming of weights until nothing begins on older ones.
+constexpr Millis VersionTime{3000};
+
 platform::DaemonSettings settingsFor(std::uint16_t storePort)
 {
     platform::DaemonSettings out;
@@ -35,6 +44,7 @@
     out.readiness = {.ip = "127.0.0.1", .port = 0};
     out.store = {.ip = "127.0.0.1", .port = storePort};
     out.bounds.retryAllowance = 1000;
+    out.bounds.versionTime = VersionTime;
     return out;
 }
 
@@ -347,6 +357,24 @@
     EXPECT_EQ(m_first.open, 0);
 }
 
+TEST_F(FrontTest, ARequestThatWaitsAtAnEngineIsTakenBackBeforeItBeginsOnOldWeights)
+{
+    m_first.behaviour = TargetBehaviour::Silent;
+    m_first.weightsVersion = 1;
+    list(m_first);
+    start(EngineState);
+    m_store.append("version/m", R"({"Model":"m","Version":2})");
+    runFor(Millis{50});
+    http::RequestHead head = request("/events/x");
+    head.headers.set("X-Ibislock-Deadline-Ms", "6000");
+    head.headers.add("X-Ibislock-Model", "m");
+    const auto exchange = m_client.send("127.0.0.1", m_daemon.callerPort(), writeRequest(head, "b"), {}, {});
+    runFor(VersionTime - Millis{600});
+    ASSERT_EQ(m_first.open, 1);
+    runFor(Millis{500}); // Some 50 ms before the version has to be in use.
+    EXPECT_EQ(m_first.open, 0);
+}
+
 TEST_F(FrontTest, ALeavingTargetGetsNoMoreRequests)
 {
     list(m_first);
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -51,20 +51,22 @@
 /// has stopped to report may be frozen or cut off, and gets requests only if no other reports.
 inline constexpr Millis LoadLifetime{750};
 
-/// Targets that are drawn for a choice; with two, the best are missed too often, with all, entry VMs choose alike.
-inline constexpr int DrawnTargets = 3;
-
-/// Requests per slot up to which an engine gets more; beyond, requests wait inside the engine.
-inline constexpr double EngineFull = 1.0;
-
-/// Requests per slot up to which an engine gets requests that are late already.
-inline constexpr double EngineFullForLate = 0.8;
-
-/// Requests per slot up to which a plain target gets more; it queues a few times its slots.
-inline constexpr double PlainFull = 2.5;
+/// How targets are chosen.
+struct PlacementPolicy
+{
+    int drawnTargets = 3; ///< With two, the best are missed too often; with all, entry VMs choose alike.
+    double engineFull = 1.0; ///< Requests per slot up to which an engine gets more; beyond, they wait inside it.
+    double engineFullForLate = 0.8; ///< The same for requests that are late already.
+    double plainFull =
+        2.5; ///< Requests per slot up to which a plain target gets more; it queues a few times its slots.
+    double otherDomainPenalty = 0.1; ///< Requests per slot that a target in another domain must have less.
+    double backlogOfFullSlots = 200; ///< Backlog of prompts, in ms, that weighs as much as a full batch: half of the
+                                     ///< shortest objective for a first event.
+};
 
 /// Chooses the target of a request.
-Placement place(TargetTable &table, const PlacementRequest &request, Random &random);
+Placement place(TargetTable &table, const PlacementRequest &request, Random &random,
+                const PlacementPolicy &policy = {});
 
 /// Tells whether a target's own VM has reported a load lately.
 bool hasFreshLoad(const Target &target, Millis now);
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -11,12 +11,6 @@
 /// How many times its own requests an entry VM assumes at a target that doesn't report.
 constexpr double SilentTargetFactor = 2.0;
 
-/// Requests per slot by which a target in another domain must be less occupied; a tenth of an engine's batch.
-constexpr double OtherDomainPenalty = 0.1;
-
-/// The backlog of prompts that weighs as much as a full batch: half of the shortest objective for a first event.
-constexpr double BacklogOfFullSlots = 200;
-
 bool usable(const Target &target, const PlacementRequest &request)
 {
     if (target.entry.service != request.service || target.entry.leaving) {
@@ -42,12 +36,12 @@
     return version > 0 && version >= request.minVersion;
 }
 
-double fullAt(const PlacementRequest &request)
+double fullAt(const PlacementRequest &request, const PlacementPolicy &policy)
 {
     if (!request.engine) {
-        return PlainFull;
+        return policy.plainFull;
     }
-    return request.urgent ? EngineFull : EngineFullForLate;
+    return request.urgent ? policy.engineFull : policy.engineFullForLate;
 }
 
 } // namespace
@@ -85,7 +79,7 @@
     return backlog;
 }
 
-Placement place(TargetTable &table, const PlacementRequest &request, Random &random)
+Placement place(TargetTable &table, const PlacementRequest &request, Random &random, const PlacementPolicy &policy)
 {
     const bool reporting =
         request.engine && std::any_of(table.targets.begin(), table.targets.end(), [&](const auto &item) {
@@ -103,19 +97,19 @@
         if (least.reason == NoTarget::Unknown || occupancy < least.occupancy) {
             least = {.target = nullptr, .reason = NoTarget::Full, .occupancy = occupancy};
         }
-        if (occupancy < fullAt(request)) {
+        if (occupancy < fullAt(request, policy)) {
             open.push_back({.target = &target, .reason = NoTarget::None, .occupancy = occupancy});
         }
     }
     Placement best = least;
     double bestCost = 0;
-    for (int n = 0; n < DrawnTargets && !open.empty(); ++n) {
+    for (int n = 0; n < policy.drawnTargets && !open.empty(); ++n) {
         const std::size_t drawn = random() % open.size();
         const Placement candidate = open[drawn];
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(drawn));
         const double backlog = promptBacklogMs(*candidate.target, request.usualPromptMs, request.now);
-        const double cost = candidate.occupancy + backlog / BacklogOfFullSlots
-            + (candidate.target->entry.domain == request.domain ? 0 : OtherDomainPenalty);
+        const double cost = candidate.occupancy + backlog / policy.backlogOfFullSlots
+            + (candidate.target->entry.domain == request.domain ? 0 : policy.otherDomainPenalty);
         if (best.target == nullptr || cost < bestCost) {
             best = candidate;
             bestCost = cost;
