An overtaken version of which much is here is finished, and the newer one is fetched into memory

Cause: a target VM dropped a version on its way as soon as a newer one was named. If the origin is away then, the pieces that all VMs had are lost, and engines whose older version goes out of use serve nothing until the origin is back. VMs that were whole fetched the newer one only after their turn to load. Ruled out: staging both; the stage holds one copy. Change: a version of which a quarter is staged is finished; AheadCopy fetches the newer one into memory meanwhile, behind the urgent transfers on the link (LinkPace), and gives its pieces to others. A version that was overtaken twice, that could not be used any more, or that comes in later than the newer one is dropped. ManifestSeeker is taken out of the agent and used by both. Before: SideTest.AVersionThatIsOvertakenWhenMuchOfItIsHereIsFinished and ANewerVersionIsFetchedWhileTheOneBeforeWaitsForItsTurn fail. After: both pass with the 7 others.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -74,16 +74,18 @@
     , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) {
         m_connections.push_back(connection);
         serveRequests(connection, [this](net::Connection &to, const http::RequestHead &request, const std::string &) {
-            const bool known = queryNumber(request.target, "Version") == weights.version;
+            WeightsStandIn asked = weights;
+            asked.version = queryNumber(request.target, "Version");
+            const bool known = asked.version == weights.version || asked.version == weights.version - 1;
             if (away || !known) {
-                reply(to, away ? 503 : 404, "");
+                reply(to, away ? 503 : 410, "");
             } else if (request.target.find("/manifest/") != std::string::npos) {
                 ++manifestsServed;
-                reply(to, 200, manifestOf(weights));
+                reply(to, 200, manifestOf(asked));
             } else {
                 ++piecesServed;
                 const bool bad = spoilt > 0 && spoilt-- > 0;
-                reply(to, 200, bad ? "spoilt" : pieceBytes(weights, queryNumber(request.target, "Num")));
+                reply(to, 200, bad ? "spoilt" : pieceBytes(asked, queryNumber(request.target, "Num")));
             }
         });
     })
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -25,7 +25,7 @@
 /// The bytes of a piece.
 std::string pieceBytes(const WeightsStandIn &weights, int piece);
 
-/// Serves manifests and pieces of weights.
+/// Serves manifests and pieces of the newest weights and of the version before.
 class OriginStandIn
 {
 public:
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -38,12 +38,13 @@
 } // namespace
 
 PieceFetcher::PieceFetcher(asio::io_context &loop, net::HttpClient &client, PieceExchange &exchange, std::string self,
-                           Millis pieceTime, std::function<void(int piece, std::string bytes)> taken)
+                           LinkPace &pace, FetchOrder order, std::function<void(int piece, std::string bytes)> taken)
     : m_loop(loop)
     , m_client(client)
     , m_exchange(exchange)
     , m_self(std::move(self))
-    , m_pieceTime(pieceTime)
+    , m_pace(pace)
+    , m_order(order)
     , m_taken(std::move(taken))
     , m_random(systemRandom())
     , m_nextTransfer(loop)
@@ -66,6 +67,7 @@
     m_transfers.clear();
     m_transferring = 0;
     m_transferringFrom.clear();
+    noteUrgent();
 }
 
 const FetchCounts &PieceFetcher::counts() const
@@ -141,15 +143,24 @@
     return out;
 }
 
+void PieceFetcher::noteUrgent()
+{
+    if (m_order == FetchOrder::Urgent) {
+        m_pace.urgent = m_transfers.size() + static_cast<std::size_t>(m_transferring);
+    }
+}
+
 void PieceFetcher::transferNext()
 {
     const Millis now = steadyMillis();
-    while (!m_transfers.empty() && m_transferring < m_window && now >= m_nextTransferAt) {
-        m_nextTransferAt = std::max(m_nextTransferAt + m_pieceTime, now);
+    const bool yields = m_order == FetchOrder::Yielding && m_pace.urgent > 0;
+    while (!yields && !m_transfers.empty() && m_transferring < m_window && now >= m_pace.nextAt) {
+        m_pace.nextAt = std::max(m_pace.nextAt + m_pace.pieceTime, now);
         beginTransfer(takeTransfer());
     }
-    if (!m_transfers.empty() && now < m_nextTransferAt) {
-        m_nextTransfer.expires_after(m_nextTransferAt - now);
+    noteUrgent();
+    if (!m_transfers.empty() && (yields || now < m_pace.nextAt)) {
+        m_nextTransfer.expires_after(std::max(m_pace.nextAt - now, yields ? m_pace.pieceTime : Millis{0}));
         m_nextTransfer.async_wait([this](const asio::error_code &ec) {
             if (!ec) {
                 transferNext();
@@ -186,7 +197,7 @@
         takePiece(done.piece, answer->bytes, false);
     } else if (answer && answer->content == peer::PieceContent::Elsewhere && answer->vm != m_self) {
         done.via = answer->vm;
-        m_nextTransferAt -= m_pieceTime; // Nothing came over the link.
+        m_pace.nextAt -= m_pace.pieceTime; // Nothing came over the link.
         m_transfers.push_back(std::move(done));
     } else if (!done.via.empty()) {
         done.via.clear(); // The source itself still has the piece.
@@ -237,6 +248,11 @@
                });
 }
 
+void PieceFetcher::claim(int piece)
+{
+    m_fetching.insert(piece);
+}
+
 void PieceFetcher::settle(int piece, bool staged)
 {
     if (staged) {
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -9,6 +9,7 @@
 #include "ibislock/base/random.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/weights/piece_sources.h"
+#include "link_pace.h"
 #include "piece_exchange.h"
 
 #include <deque>
@@ -35,14 +36,20 @@
     std::uint64_t corrupt = 0;
 };
 
+/// Whose transfers go first on a VM's link.
+enum class FetchOrder {
+    Urgent, ///< Those of the version that is needed first.
+    Yielding, ///< Those that wait while the others have transfers.
+};
+
 /// The fetcher.
 class PieceFetcher
 {
 public:
-    /// @param pieceTime least time between the beginnings of two transfers, on average.
+    /// @param pace of the VM's link; outlives the fetcher.
     /// @param taken is given each piece that matches its digest.
     PieceFetcher(asio::io_context &loop, net::HttpClient &client, PieceExchange &exchange, std::string self,
-                 Millis pieceTime, std::function<void(int piece, std::string bytes)> taken);
+                 LinkPace &pace, FetchOrder order, std::function<void(int piece, std::string bytes)> taken);
 
     /// Begins with a version; what was under way for another is given up.
     void begin(FetchTask task);
@@ -53,6 +60,9 @@
     /// Asks for all pieces that are not staged and not asked for.
     void fetchMore(const std::set<int> &staged);
 
+    /// Notes that a piece which was got elsewhere is on its way to the stage.
+    void claim(int piece);
+
     /// Tells whether a piece that was taken has been staged; if not, it is fetched again.
     void settle(int piece, bool staged);
 
@@ -71,6 +81,7 @@
     void fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
     void transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
     void transferNext();
+    void noteUrgent();
     Transfer takeTransfer();
     void beginTransfer(Transfer next);
     void takeTransferred(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took);
@@ -84,7 +95,8 @@
     net::HttpClient &m_client;
     PieceExchange &m_exchange;
     std::string m_self;
-    Millis m_pieceTime;
+    LinkPace &m_pace;
+    FetchOrder m_order;
     std::function<void(int piece, std::string bytes)> m_taken;
     Random m_random;
     FetchTask m_task;
@@ -98,7 +110,6 @@
     int m_transferring = 0;
     int m_window = 1; ///< Transfers that may be under way at once.
     std::set<std::string> m_transferringFrom;
-    Millis m_nextTransferAt{0};
     asio::steady_timer m_nextTransfer;
 };
 
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -52,7 +52,7 @@
     , m_client(loop)
     , m_engine(loop, m_client, m_settings.engine, [this] { onReport(); })
     , m_agent(loop, m_client, m_engine, m_settings.ip, m_settings.domain, m_settings.firstPeerPort,
-              pieceTimeOf(m_settings.linkMbps), [this] { return members(); })
+              pieceTimeOf(m_settings.linkMbps), [this](std::int64_t version) { return members(version); })
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
 {
@@ -148,7 +148,7 @@
     proceed();
 }
 
-std::vector<weights::SpreadMember> Side::members() const
+std::vector<weights::SpreadMember> Side::members(std::int64_t version) const
 {
     std::vector<weights::SpreadMember> out;
     for (const serving::TargetEntry &entry : m_members) {
@@ -156,9 +156,7 @@
         if (!endpoint || entry.service != m_settings.service || endpoint->ip == m_settings.ip) {
             continue;
         }
-        const auto it = m_operators.named.empty() ? m_operators.named.end() : m_operators.named.begin();
-        const std::int64_t wanted = it == m_operators.named.end() ? FirstVersion : it->second.back().version;
-        const bool holds = !entry.models.empty() && entry.models.front().version == wanted;
+        const bool holds = !entry.models.empty() && entry.models.front().version == version;
         out.push_back({.vm = endpoint->ip, .domain = entry.domain, .holds = holds});
     }
     return out;
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -41,7 +41,7 @@
     void publish(bool force);
     void onReport();
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
-    std::vector<weights::SpreadMember> members() const;
+    std::vector<weights::SpreadMember> members(std::int64_t version) const;
 
     asio::io_context &m_loop;
     platform::DaemonSettings m_settings;
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -9,15 +9,6 @@
 namespace
 {
 
-/// How long a VM that is on its way to get the manifest is given.
-constexpr Millis ManifestWait{1000};
-
-/// How much longer an ask lasts than the asked VM may wait.
-constexpr Millis AnswerMargin{700};
-
-/// Until a piece or manifest that no source gave is tried again.
-constexpr Millis RetryTime{250};
-
 /// How long a call to the engine on the VM itself may take.
 constexpr Millis StageTime{2000};
 
@@ -27,6 +18,10 @@
 /// Before an order, entry VMs are told that the engine takes no more requests; a datagram takes some ms.
 constexpr Millis AnnounceTime{150};
 
+/// The part of the pieces that must be here for an overtaken version to be finished. With less, the rest takes as long
+/// as the newer version.
+constexpr double WorthFinishing = 0.25;
+
 constexpr int OkStatus = 200;
 constexpr int CreatedStatus = 201;
 constexpr int AcceptedStatus = 202;
@@ -40,14 +35,14 @@
 } // namespace
 
 WeightsAgent::WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineWatch &engine, std::string self,
-                           std::string domain, std::uint16_t peerPort, Millis pieceTime,
-                           std::function<std::vector<weights::SpreadMember>()> members)
+                           std::string domain, std::uint16_t peerPort, Millis pieceTime, SpreadMembers members)
     : m_loop(loop)
     , m_client(client)
     , m_engine(engine)
     , m_self(std::move(self))
     , m_domain(std::move(domain))
     , m_members(std::move(members))
+    , m_pace{.pieceTime = pieceTime}
     , m_exchange(loop, peerPort, pieceTime,
                  {
                      .holds = [this](const peer::PieceMessage &ask) { return holdsForPeer(ask); },
@@ -55,8 +50,10 @@
                                     const std::function<void(peer::PieceMessage)> &done) { readForPeer(ask, done); },
                  })
     , m_retry(loop)
-    , m_fetcher(loop, client, m_exchange, m_self, pieceTime,
+    , m_seeker(loop, client, m_exchange, m_self, m_domain, m_members)
+    , m_fetcher(loop, client, m_exchange, m_self, m_pace, FetchOrder::Urgent,
                 [this](int piece, std::string bytes) { stage(piece, std::move(bytes)); })
+    , m_ahead(loop, client, m_exchange, m_self, m_domain, m_pace, m_members, [this] { m_exchange.answerWaiting(); })
 {
 }
 
@@ -67,31 +64,74 @@
 
 void WeightsAgent::setGoal(const WeightsGoal &goal)
 {
+    if (m_nextGoal && goal.model == m_nextGoal->model && goal.version == m_nextGoal->version) {
+        m_nextGoal = goal; // Times of namings are corrected now and then.
+        return;
+    }
     const bool changed = goal.model != m_goal.model || goal.version != m_goal.version;
-    const bool whole = m_phase == WeightsPhase::Waiting || m_phase == WeightsPhase::Verifying
-        || (m_phase == WeightsPhase::Ordered && !m_orderAccepted);
-    if (changed && whole && goal.model == m_goal.model) {
-        // What is whole is loaded first: requests may have to begin on it before the next version is here.
-        m_nextGoal = goal;
+    const bool overtaken = changed && goal.model == m_goal.model;
+    if (overtaken && (isWhole() || isWorthFinishing())) {
+        setNextGoal(goal);
         return;
     }
     m_goal = goal;
+    m_nextGoal.reset();
+    m_ahead.stop();
+    m_carried = {};
     if (changed) {
         restart();
     }
 }
 
+void WeightsAgent::setNextGoal(const WeightsGoal &goal)
+{
+    m_nextGoal = goal;
+    if (m_ahead.version() != goal.version) {
+        logInfo(Part::Side, "A version is finished before a newer one is loaded.",
+                {{"version", std::to_string(m_goal.version)},
+                 {"newer", std::to_string(goal.version)},
+                 {"staged", std::to_string(m_staged.size())}});
+        m_ahead.begin(goal);
+    }
+}
+
 void WeightsAgent::adoptNextGoal()
 {
     if (m_nextGoal) {
         m_goal = *std::exchange(m_nextGoal, std::nullopt);
+        m_carried = m_ahead.take();
         restart();
     }
 }
 
+bool WeightsAgent::isWhole() const
+{
+    return m_phase == WeightsPhase::Waiting || m_phase == WeightsPhase::Verifying
+        || (m_phase == WeightsPhase::Ordered && !m_orderAccepted);
+}
+
+bool WeightsAgent::isWorthFinishing() const
+{
+    // A version that was overtaken twice is no longer at the origin.
+    const bool overtakenBefore = m_nextGoal.has_value();
+    return m_phase == WeightsPhase::Fetching && !overtakenBefore
+        && static_cast<double>(m_staged.size()) >= WorthFinishing * static_cast<double>(m_digests.size());
+}
+
+bool WeightsAgent::isOutdated() const
+{
+    const bool loads = m_phase == WeightsPhase::Verifying || m_phase == WeightsPhase::Ordered;
+    if (!m_nextGoal || loads) {
+        return false;
+    }
+    // Either nothing may begin on the present goal once it were loaded, or the newer version is here before it.
+    const Millis useless = oldestUnreached(m_nextGoal->named, m_goal.version) + m_nextGoal->versionTime;
+    return steadyMillis() >= useless || (m_phase == WeightsPhase::Fetching && m_ahead.isWhole());
+}
+
 double WeightsAgent::turnPart() const
 {
-    return weights::turnOf(m_self, m_domain, m_members());
+    return weights::turnOf(m_self, m_domain, m_members(m_goal.version));
 }
 
 void WeightsAgent::waitForTurn()
@@ -111,7 +151,12 @@
 
 WeightsCounts WeightsAgent::counts() const
 {
-    return {.fetched = m_fetcher.counts(), .rotten = m_rotten, .orders = m_orders};
+    const FetchCounts &ahead = m_ahead.counts();
+    FetchCounts fetched = m_fetcher.counts();
+    fetched.fromOrigin += ahead.fromOrigin;
+    fetched.fromPeers += ahead.fromPeers;
+    fetched.corrupt += ahead.corrupt;
+    return {.fetched = fetched, .rotten = m_rotten, .orders = m_orders};
 }
 
 std::uint64_t WeightsAgent::bytesServed() const
@@ -134,7 +179,8 @@
 
 bool WeightsAgent::needsMembers() const
 {
-    return m_phase == WeightsPhase::Manifest || m_phase == WeightsPhase::Fetching;
+    const bool ahead = m_ahead.isActive() && !m_ahead.isWhole();
+    return m_phase == WeightsPhase::Manifest || m_phase == WeightsPhase::Fetching || ahead;
 }
 
 bool WeightsAgent::goalReached() const
@@ -160,10 +206,17 @@
     m_digests.clear();
     m_staged.clear();
     m_fetcher.stop();
-    m_manifestAsked = false;
+    m_seeker.stop();
     m_orderSent = false;
     m_orderAccepted = false;
-    enter(m_goal.version > 0 ? WeightsPhase::Manifest : WeightsPhase::Idle);
+    if (m_goal.version == 0) {
+        enter(WeightsPhase::Idle);
+    } else if (!m_carried.digests.empty()) {
+        takeManifest(m_carried.digests);
+    } else {
+        enter(WeightsPhase::Manifest);
+        m_seeker.begin(m_goal, [this](std::vector<Digest> digests) { takeManifest(std::move(digests)); });
+    }
 }
 
 void WeightsAgent::step()
@@ -174,7 +227,15 @@
     }
     if (m_engine.report()->startedAt != m_engineStart) {
         m_engineStart = m_engine.report()->startedAt;
-        restart();
+        if (m_nextGoal) {
+            adoptNextGoal(); // There is nothing left to finish.
+        } else {
+            restart();
+        }
+    }
+    m_ahead.step();
+    if (isOutdated()) {
+        adoptNextGoal();
     }
     switch (m_phase) {
     case WeightsPhase::Idle:
@@ -183,9 +244,7 @@
         }
         break;
     case WeightsPhase::Manifest:
-        if (!m_manifestAsked && now >= m_nextManifestAsk) {
-            askManifest();
-        }
+        m_seeker.step();
         break;
     case WeightsPhase::Reading:
         break;
@@ -215,60 +274,9 @@
     }
 }
 
-void WeightsAgent::askManifest()
+void WeightsAgent::takeManifest(std::vector<Digest> digests)
 {
-    m_manifestAsked = true;
-    m_nextManifestAsk = steadyMillis() + RetryTime;
-    const auto sources = weights::pieceSources(peer::ManifestIndex, m_self, m_domain, m_members());
-    const weights::PieceSource &first = sources.front();
-    if (first.vm.empty()) {
-        askOriginForManifest();
-        return;
-    }
-    const Millis wait = first.waits ? ManifestWait : Millis{0};
-    m_exchange.ask(first.vm,
-                   {.model = m_goal.model,
-                    .version = m_goal.version,
-                    .index = peer::ManifestIndex,
-                    .waitMs = static_cast<std::uint32_t>(wait.count())},
-                   wait + AnswerMargin, [this, round = m_round](const std::optional<peer::PieceMessage> &answer) {
-                       if (round != m_round) {
-                           return;
-                       }
-                       if (answer && answer->content == peer::PieceContent::Manifest && !answer->digests.empty()) {
-                           takeManifest(answer->digests);
-                       } else {
-                           askOriginForManifest();
-                       }
-                   });
-}
-
-void WeightsAgent::askOriginForManifest()
-{
-    callOrigin(m_loop, m_client, m_goal.origin, platform::manifestRequest(m_goal.model, m_goal.version),
-               [this, round = m_round](int status, const std::string &body) {
-                   if (round != m_round) {
-                       return;
-                   }
-                   const auto manifest = status == OkStatus
-                       ? platform::decodeManifest(body)
-                       : Result<platform::WeightsManifest>(
-                           failure(ErrorCode::Unavailable, "status " + std::to_string(status)));
-                   if (manifest && manifest->version == m_goal.version && manifest->model == m_goal.model) {
-                       takeManifest(manifest->digests);
-                       return;
-                   }
-                   logWarning(Part::Side, "The origin gave no manifest.",
-                              {{"version", std::to_string(m_goal.version)},
-                               {"cause", manifest ? "another version" : manifest.error().message}});
-                   m_manifestAsked = false;
-                   m_nextManifestAsk = steadyMillis() + RetryTime;
-               });
-}
-
-void WeightsAgent::takeManifest(const std::vector<Digest> &digests)
-{
-    m_digests = digests;
+    m_digests = std::move(digests);
     enter(WeightsPhase::Reading);
     m_exchange.answerWaiting();
     readStage();
@@ -285,26 +293,11 @@
     if (round != m_round || (m_phase != WeightsPhase::Reading && m_phase != WeightsPhase::Verifying)) {
         return;
     }
+    while (m_carried.pieces.contains(m_readIndex)) {
+        ++m_readIndex; // It is staged from memory, whatever the stage holds.
+    }
     if (m_readIndex >= static_cast<int>(m_digests.size())) {
-        const bool all = m_staged.size() == m_digests.size();
-        if (goalReached()) {
-            enter(WeightsPhase::Idle);
-            adoptNextGoal();
-        } else if (!all) {
-            enter(WeightsPhase::Fetching);
-            m_fetcher.begin(
-                {.model = m_goal.model,
-                 .version = m_goal.version,
-                 .origin = m_goal.origin,
-                 .digests = m_digests,
-                 .plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain, m_members())});
-            fetchMore();
-        } else if (m_phase == WeightsPhase::Verifying) {
-            order();
-        } else {
-            waitForTurn();
-        }
-        m_exchange.answerWaiting();
+        endReading();
         return;
     }
     const int piece = m_readIndex++;
@@ -324,6 +317,39 @@
                   });
 }
 
+void WeightsAgent::endReading()
+{
+    const bool all = m_staged.size() == m_digests.size();
+    if (goalReached()) {
+        m_carried = {};
+        enter(WeightsPhase::Idle);
+        adoptNextGoal();
+    } else if (!all) {
+        enter(WeightsPhase::Fetching);
+        m_fetcher.begin({.model = m_goal.model,
+                         .version = m_goal.version,
+                         .origin = m_goal.origin,
+                         .digests = m_digests,
+                         .plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain,
+                                                     m_members(m_goal.version))});
+        stageCarried();
+        fetchMore();
+    } else if (m_phase == WeightsPhase::Verifying) {
+        order();
+    } else {
+        waitForTurn();
+    }
+    m_exchange.answerWaiting();
+}
+
+void WeightsAgent::stageCarried()
+{
+    for (auto &[piece, bytes] : std::exchange(m_carried, {}).pieces) {
+        m_fetcher.claim(piece);
+        stage(piece, std::move(bytes));
+    }
+}
+
 void WeightsAgent::fetchMore()
 {
     if (m_staged.size() < m_digests.size()) {
@@ -391,22 +417,30 @@
 
 std::optional<bool> WeightsAgent::holdsForPeer(const peer::PieceMessage &ask) const
 {
+    const bool manifest = ask.index == peer::ManifestIndex;
+    if (ask.model == m_goal.model && m_ahead.isActive() && ask.version == m_ahead.version()) {
+        return manifest ? !m_ahead.held().digests.empty() : m_ahead.held().pieces.contains(ask.index);
+    }
     if (ask.model != m_goal.model || ask.version != m_goal.version) {
         // An older version is not fetched any more; a newer one may be named to this process in a moment.
         return ask.model == m_goal.model && ask.version < m_goal.version ? std::nullopt : std::optional<bool>(false);
     }
-    if (ask.index == peer::ManifestIndex) {
-        return !m_digests.empty();
-    }
-    return m_staged.contains(ask.index);
+    return manifest ? !m_digests.empty() : m_staged.contains(ask.index);
 }
 
 void WeightsAgent::readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done)
 {
+    const bool ahead = m_ahead.isActive() && ask.version == m_ahead.version();
     peer::PieceMessage answer = ask;
     if (ask.index == peer::ManifestIndex) {
         answer.content = peer::PieceContent::Manifest;
-        answer.digests = m_digests;
+        answer.digests = ahead ? m_ahead.held().digests : m_digests;
+        done(std::move(answer));
+        return;
+    }
+    if (ahead) {
+        answer.content = peer::PieceContent::Bytes;
+        answer.bytes = m_ahead.held().pieces.at(ask.index);
         done(std::move(answer));
         return;
     }
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -1,28 +1,18 @@
 // Brings the wanted version of the weights to the engine: reads what is staged, fetches what is missing, reads all of
-// it back just before the order, and orders the load when it is this VM's turn.
+// it back just before the order, and orders the load when it is this VM's turn. A version that is overtaken on its way
+// is finished if much of it is here, while the newer one is fetched into memory.
 
 #pragma once
 
+#include "ahead_copy.h"
 #include "engine_watch.h"
-#include "ibislock/serving/named_versions.h"
-#include "ibislock/weights/piece_sources.h"
-#include "piece_fetcher.h"
+#include "weights_goal.h"
 
 #include <set>
 
 namespace ibislock::side
 {
 
-/// What the agent is to reach, and where it can look.
-struct WeightsGoal
-{
-    std::string model;
-    std::int64_t version = 0;
-    serving::NamedVersions named; ///< All that have been named, with their times.
-    Millis versionTime{0}; ///< From a naming until requests stop to begin on older versions.
-    std::string origin; ///< IP:PORT; empty while unknown.
-};
-
 /// Where the agent stands.
 enum class WeightsPhase {
     Idle, ///< Nothing to do, or nothing known to do.
@@ -57,10 +47,9 @@
 class WeightsAgent
 {
 public:
-    /// @param members gives the VMs that take part in spreading a version, as known now.
+    /// @param pieceTime least time between two pieces that are taken or sent, so that requests find room on the link.
     WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineWatch &engine, std::string self,
-                 std::string domain, std::uint16_t peerPort, Millis pieceTime,
-                 std::function<std::vector<weights::SpreadMember>()> members);
+                 std::string domain, std::uint16_t peerPort, Millis pieceTime, SpreadMembers members);
 
     /// Begins to answer others.
     asio::error_code open();
@@ -87,17 +76,21 @@
 private:
     void enter(WeightsPhase phase);
     void restart();
-    void askManifest();
-    void takeManifest(const std::vector<Digest> &digests);
-    void askOriginForManifest();
+    void takeManifest(std::vector<Digest> digests);
     void readStage();
     void readNext(std::uint64_t round);
+    void endReading();
+    void stageCarried();
     void fetchMore();
     void stage(int piece, std::string bytes);
     void order();
     void waitForTurn();
     double turnPart() const;
+    void setNextGoal(const WeightsGoal &goal);
     void adoptNextGoal();
+    bool isWhole() const;
+    bool isWorthFinishing() const;
+    bool isOutdated() const;
     bool goalReached() const;
     std::optional<bool> holdsForPeer(const peer::PieceMessage &ask) const;
     void readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done);
@@ -107,12 +100,16 @@
     EngineWatch &m_engine;
     std::string m_self;
     std::string m_domain;
-    std::function<std::vector<weights::SpreadMember>()> m_members;
+    SpreadMembers m_members;
+    LinkPace m_pace;
     PieceExchange m_exchange;
     asio::steady_timer m_retry;
+    ManifestSeeker m_seeker;
     PieceFetcher m_fetcher;
+    AheadCopy m_ahead; ///< Of the next goal.
+    AheadPieces m_carried; ///< What was fetched ahead of the present goal and is not staged yet.
     WeightsGoal m_goal;
-    std::optional<WeightsGoal> m_nextGoal; ///< Named while the present one was whole and waited for its turn.
+    std::optional<WeightsGoal> m_nextGoal; ///< Named while the present one was whole, or much of it was here.
     Millis m_turnAt{0}; ///< When this VM loads.
     WeightsPhase m_phase = WeightsPhase::Idle;
     std::uint64_t m_round = 0; ///< Counts beginnings; answers to an earlier one are ignored.
@@ -120,8 +117,6 @@
     std::set<int> m_staged; ///< Pieces that are staged and matched their digest.
     int m_readIndex = 0;
     Millis m_enteredAt{0};
-    Millis m_nextManifestAsk{0};
-    bool m_manifestAsked = false;
     bool m_orderSent = false;
     bool m_orderAccepted = false;
     std::int64_t m_engineStart = 0;
--- /dev/null
+++ b/libs/side/src/weights_goal.h
@@ -0,0 +1,22 @@
+// What a target VM's engine is to hold, and where its weights come from.
+
+#pragma once
+
+#include "ibislock/serving/named_versions.h"
+
+#include <string>
+
+namespace ibislock::side
+{
+
+/// What is to be reached, and where it can be found.
+struct WeightsGoal
+{
+    std::string model;
+    std::int64_t version = 0;
+    serving::NamedVersions named; ///< All that have been named, with their times.
+    Millis versionTime{0}; ///< From a naming until requests stop to begin on older versions.
+    std::string origin; ///< IP:PORT; empty while unknown.
+};
+
+} // namespace ibislock::side
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -12,10 +12,17 @@
 namespace
 {
 
+/// What all VMs of a test have in common.
+struct VmLimits
+{
+    double linkMbps = 1000;
+    Millis versionTime{2500}; ///< Short, so that turns are soon over.
+};
+
 /// One target VM: its engine and its daemon, at a loopback address of its own.
 struct Vm
 {
-    Vm(asio::io_context &loop, int number, std::uint16_t peerPort, std::uint16_t storePort)
+    Vm(asio::io_context &loop, int number, std::uint16_t peerPort, std::uint16_t storePort, const VmLimits &limits)
         : ip("127.0.1." + std::to_string(number))
         , domain(number % 2 == 0 ? "a" : "b")
         , engine(loop, ip, 0)
@@ -27,8 +34,8 @@
         settings.store = {.ip = "127.0.0.1", .port = storePort};
         settings.engine = {.ip = ip, .port = engine.port()};
         settings.service = "s";
-        settings.linkMbps = 1000;
-        settings.bounds.versionTime = Millis{2500}; // Short, so that turns are soon over.
+        settings.linkMbps = limits.linkMbps;
+        settings.bounds.versionTime = limits.versionTime;
         daemon = std::make_unique<SideDaemon>(loop, settings, SideOptions{});
     }
 
@@ -68,7 +75,8 @@
 
     Vm &add(std::int64_t loaded)
     {
-        m_vms.push_back(std::make_unique<Vm>(m_loop, static_cast<int>(m_vms.size()) + 1, m_peerPort, m_store.port()));
+        m_vms.push_back(
+            std::make_unique<Vm>(m_loop, static_cast<int>(m_vms.size()) + 1, m_peerPort, m_store.port(), m_limits));
         Vm &vm = *m_vms.back();
         vm.engine.version = loaded;
         if (loaded > 0) {
@@ -123,6 +131,7 @@
     lab::StoreStandIn m_store{m_loop};
     lab::OriginStandIn m_origin;
     std::uint16_t m_peerPort = 0;
+    VmLimits m_limits;
     std::vector<std::unique_ptr<Vm>> m_vms;
 };
 
@@ -212,6 +221,61 @@
     expectNothingSpoilt();
 }
 
+TEST_F(SideTest, AVersionThatIsOvertakenWhenMuchOfItIsHereIsFinished)
+{
+    // Links are so narrow that a copy takes a second, and the origin goes away with the naming of version 3.
+    m_limits = {.linkMbps = 2, .versionTime = Millis{6000}};
+    for (int n = 0; n < 4; ++n) {
+        add(1);
+    }
+    start();
+    m_loop.run_for(std::chrono::milliseconds(300));
+    name(2);
+    const Millis end = steadyMillis() + Millis{5000};
+    const auto muchIsHere = [&] {
+        return m_origin.piecesServed == 8 && std::all_of(m_vms.begin(), m_vms.end(), [](const auto &vm) {
+                   int pieces = 0;
+                   for (const auto &[piece, bytes] : vm->engine.staged) {
+                       pieces += bytes == lab::pieceBytes({.version = 2}, piece) ? 1 : 0;
+                   }
+                   return pieces >= 3;
+               });
+    };
+    while (!muchIsHere() && steadyMillis() < end) {
+        m_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    ASSERT_TRUE(muchIsHere());
+    m_origin.away = true;
+    name(3);
+    EXPECT_TRUE(runUntilLoaded(2));
+    m_origin.away = false;
+    EXPECT_TRUE(runUntilLoaded(3));
+    EXPECT_EQ(m_origin.piecesServed, 16);
+    expectNothingSpoilt();
+}
+
+TEST_F(SideTest, ANewerVersionIsFetchedWhileTheOneBeforeWaitsForItsTurn)
+{
+    m_limits = {.versionTime = Millis{4800}};
+    for (int n = 0; n < 4; ++n) {
+        add(1);
+    }
+    start();
+    m_loop.run_for(std::chrono::milliseconds(300));
+    name(2);
+    Vm &last = *m_vms[2]; // Turns go by domain and address: it is among the last.
+    const Millis end = steadyMillis() + Millis{5000};
+    while (!last.engine.holdsWhole({.version = 2}) && steadyMillis() < end) {
+        m_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    name(3);
+    m_loop.run_for(std::chrono::milliseconds(500));
+    EXPECT_EQ(m_origin.piecesServed, 16) << "version 3 is on its way to all VMs";
+    EXPECT_TRUE(last.engine.holdsWhole({.version = 2})) << "the stage belongs to version 2 until it is loaded";
+    ASSERT_TRUE(runUntilLoaded(3));
+    expectNothingSpoilt();
+}
+
 TEST_F(SideTest, AnEngineThatRestartsWithNothingIsFilledAgain)
 {
     add(1);
