--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -4,6 +4,8 @@
 #include "experiments/demo.h"
 #include "experiments/footprint.h"
 #include "experiments/hostile.h"
+#include "experiments/loads.h"
+#include "experiments/peers.h"
 #include "experiments/platform.h"
 #include "experiments/recover.h"
 #include "experiments/requests.h"
@@ -34,6 +36,8 @@
     Experiment{"config", "tickets under faults: accepted once, in force everywhere, never reverting", runConfig},
     Experiment{"demo", "the whole path as separate processes", runDemo},
     Experiment{"footprint", "what a process costs, idle and under load", runFootprint},
+    Experiment{"loads", "loads replayed against the decisions of entry VMs, in virtual time", runLoads},
+    Experiment{"peers", "RPC and messages between daemons, by processor time and memory", runPeers},
     Experiment{"platform", "stand-ins, settings and tickets for trying the product by hand", runPlatform},
     Experiment{"recover", "restarts of many VMs at once, under load", runRecover},
     Experiment{"requests", "callers under overload and faults", runRequests},
--- /dev/null
+++ b/lab/simulation/load_policy.cpp
@@ -0,0 +1,45 @@
+#include "simulation/load_policy.h"
+
+#include <algorithm>
+#include <array>
+
+namespace ibislock::lab
+{
+
+std::span<const LoadPolicy> loadPolicies()
+{
+    static const std::array Policies{
+        LoadPolicy{.name = "product", .what = "as the product does"},
+        LoadPolicy{.name = "send-all", .what = "everything is sent and waits inside the engines", .turnsAway = false},
+        LoadPolicy{.name = "wait-0", .what = "no waiting", .admission = {.waitPartOfGoal = 0}},
+        LoadPolicy{
+            .name = "wait-half", .what = "waiting up to half of the objective", .admission = {.waitPartOfGoal = 0.5}},
+        LoadPolicy{.name = "wait-whole", .what = "waiting up to the objective", .admission = {.waitPartOfGoal = 1}},
+        LoadPolicy{.name = "draw-1", .what = "a target at random", .placement = {.drawnTargets = 1}},
+        LoadPolicy{.name = "draw-2", .what = "the better of two", .placement = {.drawnTargets = 2}},
+        LoadPolicy{.name = "draw-5", .what = "the best of five", .placement = {.drawnTargets = 5}},
+        LoadPolicy{.name = "draw-all", .what = "the best of all", .placement = {.drawnTargets = 1000}},
+        LoadPolicy{.name = "full-0.8", .what = "engines full at 0.8 of their slots", .placement = {.engineFull = 0.8}},
+        LoadPolicy{.name = "full-1.2", .what = "engines full at 1.2 of their slots", .placement = {.engineFull = 1.2}},
+        LoadPolicy{.name = "full-1.5", .what = "engines full at 1.5 of their slots", .placement = {.engineFull = 1.5}},
+        LoadPolicy{.name = "late-equal", .what = "late requests are treated like others", .refusesLate = false},
+        LoadPolicy{.name = "no-prompts", .what = "by requests alone, not by prompts to read", .countsPrompts = false},
+        LoadPolicy{
+            .name = "domain-0", .what = "no preference for the own domain", .placement = {.otherDomainPenalty = 0}},
+        LoadPolicy{.name = "domain-0.3",
+                   .what = "a strong preference for the own domain",
+                   .placement = {.otherDomainPenalty = 0.3}},
+        LoadPolicy{.name = "unseen-0", .what = "reports are taken as fresh", .unseen = Millis{0}},
+        LoadPolicy{.name = "unseen-200", .what = "reports are taken as 200 ms old", .unseen = Millis{200}},
+    };
+    return Policies;
+}
+
+const LoadPolicy *findPolicy(std::string_view name)
+{
+    const auto policies = loadPolicies();
+    const auto it = std::find_if(policies.begin(), policies.end(), [&](const auto &item) { return item.name == name; });
+    return it == policies.end() ? nullptr : &*it;
+}
+
+} // namespace ibislock::lab
--- /dev/null
+++ b/lab/simulation/load_policy.h
@@ -0,0 +1,32 @@
+// The ways of admitting and placing requests that are compared by replays. The first is the one that the product uses.
+
+#pragma once
+
+#include "ibislock/serving/admission.h"
+
+#include <span>
+#include <string_view>
+
+namespace ibislock::lab
+{
+
+/// A way.
+struct LoadPolicy
+{
+    std::string_view name;
+    std::string_view what;
+    serving::AdmissionPolicy admission;
+    serving::PlacementPolicy placement;
+    Millis unseen{60}; ///< A report doesn't show requests that were sent less than this before it arrived.
+    bool countsPrompts = true; ///< Backlogs of prompts are estimated.
+    bool refusesLate = true; ///< Requests that can't be on time may not take the last slots.
+    bool turnsAway = true; ///< Full engines get nothing; else all is sent, and waits inside them.
+};
+
+/// All of them.
+std::span<const LoadPolicy> loadPolicies();
+
+/// @return the policy, or null.
+const LoadPolicy *findPolicy(std::string_view name);
+
+} // namespace ibislock::lab
--- /dev/null
+++ b/lab/simulation/replay.cpp
@@ -0,0 +1,33 @@
+#include "simulation/replay.h"
+
+#include "simulation/replay_state.h"
+
+namespace ibislock::lab
+{
+
+ReplayOutcome replay(const LoadPattern &pattern, const LoadPolicy &policy, std::uint64_t seed)
+{
+    ReplayState state(pattern, policy, seed);
+    startEngines(state);
+    startCallers(state);
+    while (!state.events.empty()) {
+        const auto first = state.events.begin();
+        state.now = first->first.at;
+        const auto action = std::move(first->second);
+        state.events.erase(first);
+        action();
+    }
+    return std::move(state.outcome);
+}
+
+double worthShare(const ReplayOutcome &outcome)
+{
+    return outcome.worthOwed > 0 ? outcome.worthEarned / outcome.worthOwed : 0;
+}
+
+double boundShare(const ReplayOutcome &outcome)
+{
+    return outcome.worthBound > 0 ? outcome.worthEarned / outcome.worthBound : 0;
+}
+
+} // namespace ibislock::lab
--- /dev/null
+++ b/lab/simulation/replay_callers.cpp
@@ -0,0 +1,340 @@
+#include "simulation/replay_state.h"
+#include "simulation/work_bound.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ibislock::lab
+{
+
+namespace
+{
+
+/// The gap after which a caller gives a stream up: eight times the longest pause.
+constexpr double GapMs = 3200;
+
+/// Longest pause between events for which an answer is on time.
+constexpr double PauseMs = 400;
+
+/// The part of the time left that a caller waits at most before it comes back.
+constexpr double LongestReturnPart = 1.0 / 3;
+
+/// How soon an eager caller comes back, and how soon a leaving one leaves.
+constexpr double EagerMs = 20;
+constexpr double LeavingMs = 500;
+
+/// Between two looks of an entry VM at what waits.
+constexpr double TickMs = 20;
+
+/// By how much a token takes longer than a step, as entry VMs reckon.
+constexpr double SharedStepFactor = 1.5;
+
+/// Prompt tokens of a usual request.
+constexpr int UsualPrompt = 979;
+
+constexpr double MillisInSecond = 1000;
+
+double promptMs(int tokens)
+{
+    return tokens / EngineShape{}.promptTokensPerMs;
+}
+
+ReplayEntry &entryOf(ReplayState &state, const ReplayRequest &request)
+{
+    return state.entries[static_cast<std::size_t>(request.entry)];
+}
+
+void end(ReplayState &state, std::uint64_t id, ReplayEnd how)
+{
+    ReplayRequest &request = state.requests[id];
+    if (request.ended) {
+        return;
+    }
+    request.ended = true;
+    takeFromEngine(state, id);
+    const auto index = static_cast<std::size_t>(how);
+    ++state.outcome.ends[index];
+    ++state.outcome.byShape[std::string(request.shape->name)][index];
+    if (request.second < state.outcome.seconds.size()) {
+        ++state.outcome.seconds[request.second].ends[index];
+    }
+    if (how == ReplayEnd::Left) {
+        return;
+    }
+    state.outcome.worthOwed += request.shape->worth;
+    if (how == ReplayEnd::OnTime) {
+        state.outcome.worthEarned += request.shape->worth;
+    } else if (how == ReplayEnd::Late) {
+        state.outcome.worthEarned += request.shape->lateWorth;
+    }
+}
+
+void beginTry(ReplayState &state, std::uint64_t id)
+{
+    ReplayRequest &request = state.requests[id];
+    if (request.ended) {
+        return;
+    }
+    ++request.tries;
+    request.tryAt = state.now;
+    request.entry = static_cast<int>(state.random() % state.entries.size());
+    dispatch(state, id);
+}
+
+bool isLate(const ReplayState &state, const ReplayRequest &request)
+{
+    return state.now - request.firstTryAt >= static_cast<double>(request.shape->goal.count());
+}
+
+void refuse(ReplayState &state, std::uint64_t id, serving::RefusalCause cause)
+{
+    ReplayRequest &request = state.requests[id];
+    ++state.heldTries;
+    state.outcome.heldMs += (state.now - request.tryAt - state.outcome.heldMs) / state.heldTries;
+    const double left = request.firstTryAt + DeadlineMs - state.now;
+    const auto advice = static_cast<double>(serving::retryAdvice(cause, state.random).count());
+    const double pause = request.eager ? EagerMs : std::min(advice, left * LongestReturnPart);
+    if (request.tries >= request.mostTries || left <= 0) {
+        end(state, id, ReplayEnd::Refused);
+        return;
+    }
+    state.at(state.now + pause, [&state, id] { beginTry(state, id); });
+}
+
+serving::Placement placementOf(ReplayState &state, const ReplayRequest &request)
+{
+    const EngineShape shape;
+    const double duration =
+        promptMs(request.promptTokens) + request.shape->answerTokens * shape.stepMs * SharedStepFactor;
+    return serving::place(entryOf(state, request).table,
+                          {.service = "s",
+                           .domain = entryOf(state, request).domain,
+                           .engine = true,
+                           .usualPromptMs = state.policy.countsPrompts ? promptMs(UsualPrompt) : 0,
+                           .duration = Millis{static_cast<std::int64_t>(duration)},
+                           .urgent = !state.policy.refusesLate || !isLate(state, request),
+                           .now = state.clock()},
+                          state.random, state.policy.placement);
+}
+
+void send(ReplayState &state, std::uint64_t id, serving::Target &target)
+{
+    ReplayRequest &request = state.requests[id];
+    ++state.outcome.sends;
+    serving::noteSend(target, state.clock(), state.policy.countsPrompts ? promptMs(request.promptTokens) : 0);
+    request.engine = std::stoi(target.entry.id.substr(1));
+    const std::uint64_t send = ++request.send;
+    state.at(state.now + WayMs, [&state, id, send] {
+        if (state.requests[id].send == send && !state.requests[id].ended) {
+            handToEngine(state, id);
+        }
+    });
+}
+
+/// Plans when a caller gives up: at its time limit, or after a gap without events.
+void planGivingUp(ReplayState &state, std::uint64_t id, double at)
+{
+    state.at(at, [&state, id] {
+        const ReplayRequest &request = state.requests[id];
+        if (request.ended) {
+            return;
+        }
+        const double quietSince = request.lastEventAt >= 0 ? request.lastEventAt : request.tryAt;
+        const double until = std::min(request.firstTryAt + DeadlineMs, quietSince + GapMs);
+        if (state.now >= until) {
+            end(state, id, ReplayEnd::Lost);
+        } else {
+            planGivingUp(state, id, until);
+        }
+    });
+}
+
+void arrive(ReplayState &state, double at)
+{
+    const std::uint64_t id = state.requests.size();
+    ReplayRequest request{.firstTryAt = at, .second = static_cast<std::size_t>(at / MillisInSecond)};
+    double drawn = state.draw();
+    request.shape = &requestShapes().back();
+    for (const RequestShape &shape : requestShapes()) {
+        if (drawn < shape.share) {
+            request.shape = &shape;
+            break;
+        }
+        drawn -= shape.share;
+    }
+    const bool hot = state.draw() < state.pattern.hotShare;
+    request.promptTokens = static_cast<int>(request.shape->promptTokens * (hot ? state.pattern.promptFactor : 1));
+    request.eager = state.draw() < state.pattern.eagerShare;
+    request.mostTries = request.eager ? EagerTries : request.mostTries;
+    request.leavesAt = state.draw() < state.pattern.leavingShare ? at + LeavingMs * state.draw() : 0;
+    state.requests.push_back(request);
+    state.at(at, [&state, id] { beginTry(state, id); });
+    planGivingUp(state, id, at + GapMs);
+    if (request.leavesAt > 0) {
+        state.at(request.leavesAt, [&state, id] { end(state, id, ReplayEnd::Left); });
+    }
+}
+
+void tick(ReplayState &state)
+{
+    for (ReplayEntry &entry : state.entries) {
+        serving::expireLapsed(entry.table, state.clock());
+        dispatchWaiting(state, entry);
+    }
+    const double next = state.now + TickMs;
+    const auto second = static_cast<std::size_t>(state.now / MillisInSecond);
+    if (static_cast<std::size_t>(next / MillisInSecond) > second && second < state.outcome.seconds.size()) {
+        ReplaySecond &row = state.outcome.seconds[second];
+        double held = 0;
+        double slots = 0;
+        for (const ReplayEngine &engine : state.engines) {
+            held += engine.serves ? engine.model.running() + engine.model.queued() : 0;
+            slots += engine.serves ? EngineShape{}.slots : 0;
+        }
+        row.occupancy = slots > 0 ? held / slots : 0;
+        for (const ReplayEntry &entry : state.entries) {
+            row.waiting += static_cast<int>(entry.waiting.size());
+        }
+    }
+    if (next < state.endsAt()) {
+        state.at(next, [&state] { tick(state); });
+    }
+}
+
+void workOutBound(ReplayState &state)
+{
+    std::vector<BoundRequest> all;
+    for (const ReplayRequest &request : state.requests) {
+        if (request.leavesAt == 0) {
+            all.push_back({.at = request.firstTryAt,
+                           .worth = request.shape->worth,
+                           .engineMs = engineTimeOf({}, request.promptTokens, request.shape->answerTokens)});
+        }
+    }
+    state.outcome.worthBound = workBound(all, state.engineSeconds);
+}
+
+} // namespace
+
+ReplayState::ReplayState(const LoadPattern &loadPattern, const LoadPolicy &loadPolicy, std::uint64_t seed)
+    : pattern(loadPattern)
+    , policy(loadPolicy)
+    , random(seed)
+{
+    for (int n = 0; n < pattern.entryVms; ++n) {
+        entries.push_back({.domain = std::to_string(n % Domains)});
+    }
+    outcome.seconds.resize(static_cast<std::size_t>(pattern.length / Millis{1000}));
+}
+
+void ReplayState::at(double time, std::function<void()> action)
+{
+    events.emplace(EventKey{.at = time, .number = planned++}, std::move(action));
+}
+
+Millis ReplayState::clock() const
+{
+    // Decisions take zero for "never", so that the replay begins later.
+    constexpr std::int64_t Start = 100000;
+    return Millis{Start + static_cast<std::int64_t>(now)};
+}
+
+double ReplayState::endsAt() const
+{
+    return static_cast<double>(pattern.length.count()) + DeadlineMs;
+}
+
+double ReplayState::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+void startCallers(ReplayState &state)
+{
+    const auto length = static_cast<double>(state.pattern.length.count());
+    double at = 0;
+    while (true) {
+        const double rate = state.pattern.rate(at / MillisInSecond) / MillisInSecond;
+        at += std::exponential_distribution<double>(rate)(state.random);
+        if (at >= length) {
+            break;
+        }
+        arrive(state, at);
+    }
+    workOutBound(state);
+    state.at(0, [&state] { tick(state); });
+}
+
+void dispatch(ReplayState &state, std::uint64_t id)
+{
+    ReplayRequest &request = state.requests[id];
+    if (request.ended) {
+        return;
+    }
+    const serving::Placement placement = placementOf(state, request);
+    const serving::AdmissionRequest asked{.receivedAt = state.clock()
+                                              - Millis{static_cast<std::int64_t>(state.now - request.tryAt)},
+                                          .goal = request.shape->goal,
+                                          .late = state.policy.refusesLate && isLate(state, request),
+                                          .now = state.clock()};
+    switch (serving::admit(asked, placement, state.policy.admission)) {
+    case serving::Admission::Send:
+        send(state, id, *placement.target);
+        return;
+    case serving::Admission::Wait:
+        entryOf(state, request).waiting.emplace(serving::WaitingRank{.arrival = id}, id);
+        return;
+    case serving::Admission::RefuseFull:
+        refuse(state, id, serving::RefusalCause::Full);
+        return;
+    case serving::Admission::RefuseNoTarget:
+        refuse(state, id, serving::RefusalCause::NoneUsable);
+        return;
+    }
+}
+
+void dispatchWaiting(ReplayState &state, ReplayEntry &entry)
+{
+    auto waiting = std::exchange(entry.waiting, {});
+    for (const auto &[rank, id] : waiting) {
+        dispatch(state, id);
+    }
+}
+
+void takeEvent(ReplayState &state, const EngineEvent &event)
+{
+    ReplayRequest &request = state.requests[event.id];
+    if (request.ended || request.engine < 0) {
+        return;
+    }
+    if (request.firstEventAt < 0) {
+        request.firstEventAt = state.now;
+    } else {
+        request.longestPause = std::max(request.longestPause, state.now - request.lastEventAt);
+    }
+    request.lastEventAt = state.now;
+    if (!event.last) {
+        return;
+    }
+    const bool onTime = request.firstEventAt - request.firstTryAt <= static_cast<double>(request.shape->goal.count())
+        && request.longestPause <= PauseMs;
+    ReplayEntry &entry = entryOf(state, request);
+    end(state, event.id, onTime ? ReplayEnd::OnTime : ReplayEnd::Late);
+    dispatchWaiting(state, entry);
+}
+
+void takeFailure(ReplayState &state, std::uint64_t id, bool notRun)
+{
+    ReplayRequest &request = state.requests[id];
+    if (request.ended) {
+        return;
+    }
+    takeFromEngine(state, id);
+    if (notRun) {
+        refuse(state, id, serving::RefusalCause::Full);
+    } else {
+        dispatch(state, id); // Streams go on elsewhere.
+    }
+}
+
+} // namespace ibislock::lab
