Each entry VM watches the loads of a bounded number of engines

Cause: each target VM sent its load to each entry VM. Change: serving/load_watch.h draws at most 36 engines for each entry VM, 24 of them of its own domain. Others are told each 3 s that the entry VM is there, so that shares of the retry budget stay right. On sites of up to 36 engines nothing changes. Before and after: SideTest.LoadsGoToThoseThatWantThemAndAllEntryVmsAreCounted and LoadWatchTest need the change; with it all pass.

--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -4,6 +4,7 @@
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
 #include "ibislock/peer/messages.h"
+#include "ibislock/serving/load_watch.h"
 
 #include <algorithm>
 
@@ -19,6 +20,9 @@
 /// Between two subscriptions to the loads of targets; target VMs forget a subscriber after three.
 constexpr Millis SubscriptionTime{1000};
 
+/// Between two messages to target VMs whose loads are not watched; they forget an entry VM after three.
+constexpr Millis PresencePause{3000};
+
 /// Between two reads of the listings of targets, as a part of the time in which a leaving one must be left alone; a
 /// call that fails once is made again in that time.
 constexpr double ListingsPausePart = 0.4;
@@ -365,7 +369,7 @@
     pumpWaiting();
     if (now >= m_nextSubscription) {
         m_nextSubscription = now + SubscriptionTime;
-        subscribe();
+        subscribe(now);
         client.closeIdle(now);
     }
     flushLog();
@@ -380,19 +384,39 @@
     });
 }
 
-void Front::subscribe()
+bool Front::isEngine(const serving::Target &target) const
+{
+    if (!target.entry.models.empty() || target.load.has_value()) {
+        return true;
+    }
+    if (!operators.state) {
+        return false;
+    }
+    const auto service = operators.state->services.find(target.entry.service);
+    return service != operators.state->services.end() && service->second.engine.has_value();
+}
+
+void Front::subscribe(Millis now)
 {
-    const std::string message = peer::encode(peer::SubscribeMessage{.operatorsEnd = m_operatorsFeed->next()});
+    std::vector<serving::WatchCandidate> engines;
     for (const auto &[id, target] : table.targets) {
-        const auto endpoint = platform::endpointFrom(target.entry.address);
-        const bool engine = !target.entry.models.empty() || target.load.has_value()
-            || (operators.state && operators.state->services.contains(target.entry.service)
-                && operators.state->services.at(target.entry.service).engine.has_value());
+        if (isEngine(target)) {
+            engines.push_back({.id = id, .domain = target.entry.domain});
+        }
+    }
+    const std::set<std::string> watched = serving::watchedTargets(settings.vmName, settings.domain, engines);
+    const bool tellOthers = now >= m_nextPresence;
+    m_nextPresence = tellOthers ? now + PresencePause : m_nextPresence;
+    for (const serving::WatchCandidate &engine : engines) {
+        const bool wantsLoads = watched.contains(engine.id);
+        const auto endpoint = platform::endpointFrom(table.targets.at(engine.id).entry.address);
         asio::error_code ec;
         const auto address = asio::ip::make_address_v4(endpoint ? endpoint->ip : "", ec);
-        if (!engine || ec) {
+        if (ec || !(wantsLoads || tellOthers)) {
             continue;
         }
+        const std::string message =
+            peer::encode(peer::SubscribeMessage{.operatorsEnd = m_operatorsFeed->next(), .wantsLoads = wantsLoads});
         m_loads.send_to(asio::buffer(message), {address, settings.firstPeerPort}, 0, ec);
         // A datagram that can't be sent is made up for by the next one.
     }
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -80,7 +80,8 @@
     void serveReadiness(const std::shared_ptr<net::Connection> &connection);
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
     void tick();
-    void subscribe();
+    void subscribe(Millis now);
+    bool isEngine(const serving::Target &target) const;
     void receiveLoads();
     void applyLoad(const std::string &ip, std::string_view bytes);
     void finishDrainIfIdle(Millis now);
@@ -102,6 +103,7 @@
     WaitingCalls m_waiting; ///< Calls to targets that are full.
     std::uint64_t m_arrivals = 0;
     Millis m_nextSubscription{0};
+    Millis m_nextPresence{0}; ///< When target VMs that are not watched are told that this VM is there.
 };
 
 } // namespace ibislock::front
--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -19,10 +19,11 @@
 namespace ibislock::peer
 {
 
-/// An entry VM asks a target VM for its loads.
+/// An entry VM tells a target VM that it is there.
 struct SubscribeMessage
 {
     std::int64_t operatorsEnd = -1; ///< The offset up to which the sender has read the operators' topic.
+    bool wantsLoads = false;
 };
 
 /// How long ago a version of weights was named.
@@ -42,7 +43,7 @@
     int queued = 0;
     std::int64_t version = 0; ///< Of the loaded weights; 0 while there are none.
     bool loading = false; ///< Takes no requests until its weights are loaded.
-    int entryVms = 0; ///< How many entry VMs subscribe.
+    int entryVms = 0; ///< How many entry VMs are there.
     std::vector<Naming> namings; ///< The newest of which the sender knows the time.
     std::optional<Millis> loadsIn; ///< Until the engine takes no more requests in order to load.
     std::int64_t operatorsEnd = -1; ///< The highest offset up to which the sender or a subscriber has read.
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -7,13 +7,17 @@
 struct Datagram {
   # Sent over UDP; lost ones are made up for by the next.
   union {
-    subscribe @0 :Int64;
-    # An entry VM asks a target VM for loads; valid for some seconds. Holds the offset up to which the sender has read
-    # the operators' topic.
+    subscribe @0 :Subscribe;
+    # An entry VM tells a target VM that it is there, and may ask for loads; valid for some seconds.
     load @1 :Load;
   }
 }
 
+struct Subscribe {
+  operatorsEnd @0 :Int64;  # The offset up to which the sender has read the operators' topic.
+  wantsLoads @1 :Bool;
+}
+
 struct Load {
   # The load of the engine beside a target daemon.
   sequence @0 :UInt64;  # Grows with each message of one process; older ones are ignored.
@@ -22,7 +26,7 @@
   queued @3 :UInt16;
   version @4 :Int64;  # Of the loaded weights; 0 while there are none.
   loading @5 :Bool;  # Takes no requests until its weights are loaded.
-  entryVms @6 :UInt16;  # How many entry VMs subscribe.
+  entryVms @6 :UInt16;  # How many entry VMs are there.
   loadsInMs @8 :UInt16 = 65535;  # Until the engine takes no more requests in order to load; 65535 if that is not planned.
   namings @9 :List(Naming);  # The newest namings of weights of which the sender knows the time.
   operatorsEnd @7 :Int64;  # The offset up to which the operators' topic is known to have been read by some VM.
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -105,7 +105,9 @@
 std::string encode(const SubscribeMessage &message)
 {
     capnp::MallocMessageBuilder builder;
-    builder.initRoot<wire::Datagram>().setSubscribe(message.operatorsEnd);
+    auto subscribe = builder.initRoot<wire::Datagram>().initSubscribe();
+    subscribe.setOperatorsEnd(message.operatorsEnd);
+    subscribe.setWantsLoads(message.wantsLoads);
     return flatten(builder);
 }
 
@@ -141,7 +143,8 @@
         capnp::FlatArrayMessageReader reader(words);
         const auto message = reader.getRoot<wire::Datagram>();
         if (message.isSubscribe()) {
-            return SubscribeMessage{.operatorsEnd = message.getSubscribe()};
+            return SubscribeMessage{.operatorsEnd = message.getSubscribe().getOperatorsEnd(),
+                                    .wantsLoads = message.getSubscribe().getWantsLoads()};
         }
         if (!message.isLoad()) {
             return failure(ErrorCode::Corrupt, "a datagram of an unknown kind");
--- a/libs/peer/src/wire/peer.capnp.c++
+++ b/libs/peer/src/wire/peer.capnp.c++
@@ -8,10 +8,10 @@
 static const ::capnp::_::AlignedData<48> b_ee14fff53d8dc018 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      24, 192, 141,  61, 245, 255,  20, 238,
-     11,   0,   0,   0,   1,   0,   2,   0,
+     11,   0,   0,   0,   1,   0,   1,   0,
      93, 232, 195, 144,  31, 164, 210, 183,
       1,   0,   7,   0,   0,   0,   2,   0,
-      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 162,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -39,11 +39,11 @@
      56,   0,   0,   0,   2,   0,   1,   0,
     115, 117,  98, 115,  99, 114, 105,  98,
     101,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    188,  86,  29,  91, 134,  14, 236, 143,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     108, 111,  97, 100,   0,   0,   0,   0,
@@ -58,13 +58,74 @@
 ::capnp::word const* const bp_ee14fff53d8dc018 = b_ee14fff53d8dc018.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_ee14fff53d8dc018[] = {
+  &s_8fec0e865b1d56bc,
   &s_b43004f1d4d58869,
 };
 static const uint16_t m_ee14fff53d8dc018[] = {1, 0};
 static const uint16_t i_ee14fff53d8dc018[] = {0, 1};
 const ::capnp::_::RawSchema s_ee14fff53d8dc018 = {
   0xee14fff53d8dc018, b_ee14fff53d8dc018.words, 48, d_ee14fff53d8dc018, m_ee14fff53d8dc018,
-  1, 2, i_ee14fff53d8dc018, nullptr, nullptr, { &s_ee14fff53d8dc018, nullptr, nullptr, 0, 0, nullptr }
+  2, 2, i_ee14fff53d8dc018, nullptr, nullptr, { &s_ee14fff53d8dc018, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_8fec0e865b1d56bc = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    188,  86,  29,  91, 134,  14, 236, 143,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     93, 232, 195, 144,  31, 164, 210, 183,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 117,  98, 115,  99,
+    114, 105,  98, 101,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   0,   0,   0,   3,   0,   1,   0,
+     60,   0,   0,   0,   2,   0,   1,   0,
+    111, 112, 101, 114,  97, 116, 111, 114,
+    115,  69, 110, 100,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119,  97, 110, 116, 115,  76, 111,  97,
+    100, 115,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8fec0e865b1d56bc = b_8fec0e865b1d56bc.words;
+#if !CAPNP_LITE
+static const uint16_t m_8fec0e865b1d56bc[] = {0, 1};
+static const uint16_t i_8fec0e865b1d56bc[] = {0, 1};
+const ::capnp::_::RawSchema s_8fec0e865b1d56bc = {
+  0x8fec0e865b1d56bc, b_8fec0e865b1d56bc.words, 49, nullptr, m_8fec0e865b1d56bc,
+  0, 2, i_8fec0e865b1d56bc, nullptr, nullptr, { &s_8fec0e865b1d56bc, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<175> b_b43004f1d4d58869 = {
@@ -573,6 +634,14 @@
 constexpr ::capnp::_::RawSchema const* Datagram::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Subscribe
+constexpr uint16_t Subscribe::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscribe::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscribe::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscribe::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Load
 constexpr uint16_t Load::_capnpPrivate::dataWordSize;
 constexpr uint16_t Load::_capnpPrivate::pointerCount;
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(ee14fff53d8dc018);
+CAPNP_DECLARE_SCHEMA(8fec0e865b1d56bc);
 CAPNP_DECLARE_SCHEMA(b43004f1d4d58869);
 CAPNP_DECLARE_SCHEMA(ef4ed9c9da05cf22);
 CAPNP_DECLARE_SCHEMA(a9bf90d47d98f084);
@@ -41,7 +42,22 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ee14fff53d8dc018, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ee14fff53d8dc018, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Subscribe {
+  Subscribe() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -137,7 +153,8 @@
 
   inline Which which() const;
   inline bool isSubscribe() const;
-  inline  ::int64_t getSubscribe() const;
+  inline bool hasSubscribe() const;
+  inline  ::ibislock::peer::wire::Subscribe::Reader getSubscribe() const;
 
   inline bool isLoad() const;
   inline bool hasLoad() const;
@@ -173,8 +190,12 @@
 
   inline Which which();
   inline bool isSubscribe();
-  inline  ::int64_t getSubscribe();
-  inline void setSubscribe( ::int64_t value);
+  inline bool hasSubscribe();
+  inline  ::ibislock::peer::wire::Subscribe::Builder getSubscribe();
+  inline void setSubscribe( ::ibislock::peer::wire::Subscribe::Reader value);
+  inline  ::ibislock::peer::wire::Subscribe::Builder initSubscribe();
+  inline void adoptSubscribe(::capnp::Orphan< ::ibislock::peer::wire::Subscribe>&& value);
+  inline ::capnp::Orphan< ::ibislock::peer::wire::Subscribe> disownSubscribe();
 
   inline bool isLoad();
   inline bool hasLoad();
@@ -210,6 +231,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Subscribe::Reader {
+public:
+  typedef Subscribe Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getOperatorsEnd() const;
+
+  inline bool getWantsLoads() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Subscribe::Builder {
+public:
+  typedef Subscribe Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getOperatorsEnd();
+  inline void setOperatorsEnd( ::int64_t value);
+
+  inline bool getWantsLoads();
+  inline void setWantsLoads(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Subscribe::Pipeline {
+public:
+  typedef Subscribe Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Load::Reader {
 public:
   typedef Load Reads;
@@ -667,11 +769,11 @@
 
 inline  ::ibislock::peer::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline  ::ibislock::peer::wire::Datagram::Which Datagram::Builder::which() {
   return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Datagram::Reader::isSubscribe() const {
@@ -680,24 +782,52 @@
 inline bool Datagram::Builder::isSubscribe() {
   return which() == Datagram::SUBSCRIBE;
 }
-inline  ::int64_t Datagram::Reader::getSubscribe() const {
+inline bool Datagram::Reader::hasSubscribe() const {
+  if (which() != Datagram::SUBSCRIBE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasSubscribe() {
+  if (which() != Datagram::SUBSCRIBE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::peer::wire::Subscribe::Reader Datagram::Reader::getSubscribe() const {
   KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Datagram::Builder::getSubscribe() {
+inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::getSubscribe() {
   KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setSubscribe( ::int64_t value) {
+inline void Datagram::Builder::setSubscribe( ::ibislock::peer::wire::Subscribe::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::initSubscribe() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptSubscribe(
+    ::capnp::Orphan< ::ibislock::peer::wire::Subscribe>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::peer::wire::Subscribe> Datagram::Builder::disownSubscribe() {
+  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Datagram::Reader::isLoad() const {
@@ -730,20 +860,20 @@
 }
 inline void Datagram::Builder::setLoad( ::ibislock::peer::wire::Load::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Datagram::LOAD);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
   ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::initLoad() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Datagram::LOAD);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
   return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Datagram::Builder::adoptLoad(
     ::capnp::Orphan< ::ibislock::peer::wire::Load>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Datagram::LOAD);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
   ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
@@ -754,6 +884,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Subscribe::Reader::getOperatorsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Subscribe::Builder::getOperatorsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setOperatorsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Subscribe::Reader::getWantsLoads() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Subscribe::Builder::getWantsLoads() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setWantsLoads(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Load::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/libs/serving/test/load_watch_test.cpp
@@ -0,0 +1,85 @@
+#include "ibislock/serving/load_watch.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace ibislock::serving
+{
+
+namespace
+{
+
+std::vector<WatchCandidate> enginesOf(int count, int domains)
+{
+    std::vector<WatchCandidate> out;
+    for (int n = 0; n < count; ++n) {
+        out.push_back({.id = "i-" + std::to_string(n), .domain = std::string(1, static_cast<char>('a' + n % domains))});
+    }
+    return out;
+}
+
+/// How many engines of its own and of other domains an entry VM of domain "a" watches.
+struct WatchCase
+{
+    std::string name;
+    int engines = 0;
+    int domains = 0;
+    std::size_t own = 0;
+    std::size_t other = 0;
+};
+
+class LoadWatchTest : public testing::TestWithParam<WatchCase>
+{
+};
+
+TEST_P(LoadWatchTest, WatchesSoManyOfEachKind)
+{
+    const auto engines = enginesOf(GetParam().engines, GetParam().domains);
+    const auto watched = watchedTargets("entry-1", "a", engines);
+    std::size_t own = 0;
+    for (const WatchCandidate &engine : engines) {
+        own += engine.domain == "a" && watched.contains(engine.id) ? 1 : 0;
+    }
+    EXPECT_EQ(own, GetParam().own);
+    EXPECT_EQ(watched.size() - own, GetParam().other);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, LoadWatchTest,
+                         testing::Values(WatchCase{"None", 0, 1, 0, 0}, WatchCase{"AllOfASmallSite", 27, 3, 9, 18},
+                                         WatchCase{"OneDomain", 60, 1, 36, 0}, WatchCase{"FewOfTheOwn", 100, 20, 5, 31},
+                                         WatchCase{"ALargeSite", 300, 3, 24, 12}),
+                         [](const auto &item) { return item.param.name; });
+
+TEST(LoadWatchSpreadTest, EachEngineOfALargeSiteIsWatchedBySeveralEntryVms)
+{
+    const auto engines = enginesOf(150, 3);
+    std::map<std::string, int> watchers;
+    for (int entry = 0; entry < 99; ++entry) {
+        const std::string domain(1, static_cast<char>('a' + entry % 3));
+        for (const std::string &id : watchedTargets("entry-" + std::to_string(entry), domain, engines)) {
+            ++watchers[id];
+        }
+    }
+    ASSERT_EQ(watchers.size(), engines.size());
+    for (const auto &[id, count] : watchers) {
+        EXPECT_GE(count, 8) << id; // 24 on average.
+        EXPECT_LE(count, 48) << id;
+    }
+}
+
+TEST(LoadWatchSpreadTest, AChangeOfOneEngineChangesLittle)
+{
+    auto engines = enginesOf(150, 3);
+    const auto before = watchedTargets("entry-1", "a", engines);
+    engines.erase(engines.begin() + 3);
+    const auto after = watchedTargets("entry-1", "a", engines);
+    std::size_t kept = 0;
+    for (const std::string &id : before) {
+        kept += after.contains(id) ? 1 : 0;
+    }
+    EXPECT_GE(kept + 1, before.size());
+}
+
+} // namespace
+
+} // namespace ibislock::serving
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -13,6 +13,9 @@
 /// How long an entry VM gets loads after it asked for them; it asks each second.
 constexpr Millis SubscriptionTime{3000};
 
+/// How long an entry VM counts as there after its last message; one that wants no loads sends each 3 s.
+constexpr Millis PresenceTime{9000};
+
 /// Longest time between two loads; entry VMs rely on a load for two and a half times as long.
 constexpr Millis PublishTime{300};
 
@@ -244,6 +247,9 @@
     load.sequence = ++m_sequence;
     const std::string message = peer::encode(load);
     for (const auto &[endpoint, subscriber] : m_subscribers) {
+        if (now > subscriber.loadsUntil) {
+            continue;
+        }
         asio::error_code ec;
         m_datagrams.send_to(asio::buffer(message), endpoint, 0, ec);
         // A datagram that can't be sent is made up for by the next one.
@@ -273,10 +279,13 @@
         const auto message = ec ? Result<peer::Datagram>(failure(ErrorCode::Unavailable, ec.message()))
                                 : peer::decodeDatagram(std::string_view(m_buffer.data(), n));
         if (message && std::holds_alternative<peer::SubscribeMessage>(*message)) {
-            m_subscribers[m_sender].until = steadyMillis() + SubscriptionTime;
-            const std::int64_t end = std::get<peer::SubscribeMessage>(*message).operatorsEnd;
-            m_operatorsEnd = std::max(m_operatorsEnd, end);
-            m_operatorsFeed->hint(end);
+            const auto &subscribe = std::get<peer::SubscribeMessage>(*message);
+            Subscriber &subscriber = m_subscribers[m_sender];
+            const Millis now = steadyMillis();
+            subscriber.until = now + (subscribe.wantsLoads ? SubscriptionTime : PresenceTime);
+            subscriber.loadsUntil = subscribe.wantsLoads ? subscriber.until : now;
+            m_operatorsEnd = std::max(m_operatorsEnd, subscribe.operatorsEnd);
+            m_operatorsFeed->hint(subscribe.operatorsEnd);
         } else if (!message) {
             logDebug(Part::Side, "A datagram can't be read.", {{"cause", message.error().message}});
         }
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -26,10 +26,11 @@
     void stop();
 
 private:
-    /// An entry VM that wants loads.
+    /// An entry VM that is there.
     struct Subscriber
     {
         Millis until{0};
+        Millis loadsUntil{0}; ///< Is sent loads until then.
     };
 
     void applyOperatorRecord(const platform::KeyedRecord &record, bool live);
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -1,8 +1,10 @@
 #include "ibislock/side/daemon.h"
 
+#include "ibislock/peer/messages.h"
 #include "platform/engine_stand_in.h"
 #include "platform/store_stand_in.h"
 
+#include <asio/ip/udp.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -307,6 +309,57 @@
     expectNothingSpoilt();
 }
 
+/// An entry VM as target VMs see it.
+class EntryStandIn
+{
+public:
+    EntryStandIn(asio::io_context &loop, const std::string &ip, std::uint16_t port)
+        : m_socket(loop, {asio::ip::make_address_v4(ip), port})
+    {
+        m_socket.non_blocking(true);
+    }
+
+    void tell(const std::string &vm, bool wantsLoads)
+    {
+        const asio::ip::udp::endpoint to(asio::ip::make_address_v4(vm), m_socket.local_endpoint().port());
+        m_socket.send_to(asio::buffer(peer::encode(peer::SubscribeMessage{.wantsLoads = wantsLoads})), to);
+    }
+
+    /// Reads what has come.
+    std::vector<peer::LoadMessage> loads()
+    {
+        std::vector<peer::LoadMessage> out;
+        std::array<char, 1500> buf{};
+        asio::error_code ec;
+        for (std::size_t n = m_socket.receive(asio::buffer(buf), 0, ec); !ec;
+             n = m_socket.receive(asio::buffer(buf), 0, ec)) {
+            const auto message = peer::decodeDatagram({buf.data(), n});
+            if (message && std::holds_alternative<peer::LoadMessage>(*message)) {
+                out.push_back(std::get<peer::LoadMessage>(*message));
+            }
+        }
+        return out;
+    }
+
+private:
+    asio::ip::udp::socket m_socket;
+};
+
+TEST_F(SideTest, LoadsGoToThoseThatWantThemAndAllEntryVmsAreCounted)
+{
+    Vm &vm = add(1);
+    start();
+    EntryStandIn watches(m_loop, "127.0.1.101", m_peerPort);
+    EntryStandIn isThere(m_loop, "127.0.1.102", m_peerPort);
+    watches.tell(vm.ip, true);
+    isThere.tell(vm.ip, false);
+    m_loop.run_for(std::chrono::milliseconds(700));
+    const auto loads = watches.loads();
+    ASSERT_FALSE(loads.empty());
+    EXPECT_EQ(loads.back().entryVms, 2);
+    EXPECT_TRUE(isThere.loads().empty());
+}
+
 } // namespace
 
 } // namespace ibislock::side
