--- a/lab/simulation/load_policy.cpp
+++ b/lab/simulation/load_policy.cpp
@@ -6,11 +6,21 @@
 namespace ibislock::lab
 {
 
+namespace
+{
+
+/// Requests per slot that no load reaches.
+constexpr double Everything = 1000;
+
+} // namespace
+
 std::span<const LoadPolicy> loadPolicies()
 {
     static const std::array Policies{
         LoadPolicy{.name = "product", .what = "as the product does"},
-        LoadPolicy{.name = "send-all", .what = "everything is sent and waits inside the engines", .turnsAway = false},
+        LoadPolicy{.name = "send-all",
+                   .what = "everything is sent and waits inside the engines",
+                   .placement = {.engineFull = Everything, .engineFullForLate = Everything}},
         LoadPolicy{.name = "wait-0", .what = "no waiting", .admission = {.waitPartOfGoal = 0}},
         LoadPolicy{
             .name = "wait-half", .what = "waiting up to half of the objective", .admission = {.waitPartOfGoal = 0.5}},
--- a/lab/simulation/load_policy.h
+++ b/lab/simulation/load_policy.h
@@ -20,7 +20,6 @@
     Millis unseen{60}; ///< A report doesn't show requests that were sent less than this before it arrived.
     bool countsPrompts = true; ///< Backlogs of prompts are estimated.
     bool refusesLate = true; ///< Requests that can't be on time may not take the last slots.
-    bool turnsAway = true; ///< Full engines get nothing; else all is sent, and waits inside them.
 };
 
 /// All of them.
--- /dev/null
+++ b/lab/test/loads_test.cpp
@@ -0,0 +1,95 @@
+#include "simulation/replay.h"
+
+#include <gtest/gtest.h>
+#include <numeric>
+
+namespace ibislock::lab
+{
+
+namespace
+{
+
+/// Replays of each load; their mean varies by less than the least gain that counts.
+constexpr int Seeds = 4;
+
+/// A difference in the share of worth that counts.
+constexpr double LeastGain = 0.01;
+
+double meanWorth(const std::string &pattern, const std::string &policy)
+{
+    double sum = 0;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        sum += worthShare(replay(*findPattern(pattern), *findPolicy(policy), static_cast<std::uint64_t>(seed)));
+    }
+    return sum / Seeds;
+}
+
+class LoadPatternTest : public testing::TestWithParam<LoadPattern>
+{
+};
+
+TEST_P(LoadPatternTest, EveryCallerGetsOneEndAndNoKindStarves)
+{
+    const ReplayOutcome outcome = replay(GetParam(), *findPolicy("product"), 1);
+    const int ended = std::accumulate(outcome.ends.begin(), outcome.ends.end(), 0);
+    int bySecond = 0;
+    for (const ReplaySecond &second : outcome.seconds) {
+        bySecond = std::accumulate(second.ends.begin(), second.ends.end(), bySecond);
+    }
+    EXPECT_EQ(ended, bySecond);
+    EXPECT_GT(ended, 0);
+    EXPECT_LE(outcome.worthEarned, outcome.worthOwed);
+    EXPECT_LE(outcome.worthEarned, outcome.worthBound * (1 + LeastGain));
+    // A kind that is served less than a quarter as often as all counts as starved.
+    const auto servedShare = [](const std::array<int, 5> &ends) {
+        const double served =
+            ends[static_cast<std::size_t>(ReplayEnd::OnTime)] + ends[static_cast<std::size_t>(ReplayEnd::Late)];
+        return served / std::max(1, std::accumulate(ends.begin(), ends.end(), 0));
+    };
+    for (const auto &[name, ends] : outcome.byShape) {
+        EXPECT_GE(servedShare(ends), servedShare(outcome.ends) / 4) << name;
+    }
+}
+
+TEST_P(LoadPatternTest, TheSameSeedGivesTheSameOutcome)
+{
+    const ReplayOutcome first = replay(GetParam(), *findPolicy("product"), 2);
+    const ReplayOutcome second = replay(GetParam(), *findPolicy("product"), 2);
+    EXPECT_EQ(first.ends, second.ends);
+    EXPECT_EQ(first.worthEarned, second.worthEarned);
+}
+
+INSTANTIATE_TEST_SUITE_P(Loads, LoadPatternTest, testing::ValuesIn(loadPatterns().begin(), loadPatterns().end()),
+                         [](const auto &item) { return std::string(item.param.name); });
+
+/// A decision of the product, the way that it replaced, and the load that it answers.
+struct GainCase
+{
+    std::string name;
+    std::string before;
+    std::string pattern;
+};
+
+class GainTest : public testing::TestWithParam<GainCase>
+{
+};
+
+TEST_P(GainTest, TheProductServesMoreThanTheWayBefore)
+{
+    EXPECT_GE(meanWorth(GetParam().pattern, "product"), meanWorth(GetParam().pattern, GetParam().before) + LeastGain);
+}
+
+INSTANTIATE_TEST_SUITE_P(Decisions, GainTest,
+                         testing::Values(GainCase{"FullEnginesGetNothing", "send-all", "over"},
+                                         GainCase{"FullEnginesGetNothingAfterALoss", "send-all", "lost"},
+                                         GainCase{"SomeAreDrawn", "draw-all", "near"},
+                                         GainCase{"MoreThanOneIsDrawn", "draw-1", "near"},
+                                         GainCase{"LongPromptsCount", "no-prompts", "hot"},
+                                         GainCase{"PromptsCount", "no-prompts", "near"},
+                                         GainCase{"WaitsAreShort", "wait-whole", "over"},
+                                         GainCase{"WaitsAreShortBesideEagerCallers", "wait-whole", "eager"}),
+                         [](const auto &item) { return item.param.name; });
+
+} // namespace
+
+} // namespace ibislock::lab
