Metrics that the operators asked for, and `ibislock status` of daemons

Cause: occupancy as believed and its age, the budget left, the age of the state, failures of the store, progress of weights and memory were not served; the two daemons wrote metrics with code of their own; `ibislock status` knew entry VMs of the product's own interface only. Ruled out: a histogram library; the exact buckets stay.

--- a/app/operator_call.cpp
+++ b/app/operator_call.cpp
@@ -44,8 +44,9 @@
         cxxopts::value<std::string>())(
         "authority", "PEM file that signs the entry VM's certificate; else the system's own authorities",
         cxxopts::value<std::string>()->default_value(""))("json", "print JSON")(
-        "watch", "redraw until interrupted (status only)")("interval-ms", "pause between two redraws",
-                                                           cxxopts::value<int>()->default_value("1000"))(
+        "daemons", "ask daemons on the users' platform: their metrics addresses, separated by commas (status only)",
+        cxxopts::value<std::string>()->default_value(""))("watch", "redraw until interrupted (status only)")(
+        "interval-ms", "pause between two redraws", cxxopts::value<int>()->default_value("1000"))(
         "arguments", "", cxxopts::value<std::vector<std::string>>())("help", "print this help");
     options.parse_positional({"arguments"});
     return options;
@@ -87,6 +88,7 @@
                           .authority = parsed["authority"].as<std::string>(),
                           .asJson = parsed.count("json") != 0,
                           .watch = parsed.count("watch") != 0,
+                          .daemons = parsed["daemons"].as<std::string>(),
                           .intervalMs = parsed["interval-ms"].as<int>()};
     if (parsed.count("arguments") != 0) {
         invocation.arguments = parsed["arguments"].as<std::vector<std::string>>();
--- a/app/operator_call.h
+++ b/app/operator_call.h
@@ -20,6 +20,7 @@
     std::string authority; ///< PEM file that signs the entry VM's certificate; empty for the system's own.
     bool asJson = false;
     bool watch = false;
+    std::string daemons; ///< Metrics addresses of daemons on the users' platform, separated by commas.
     int intervalMs = 1000;
     std::vector<std::string> arguments;
 };
--- a/app/status_command.cpp
+++ b/app/status_command.cpp
@@ -1,3 +1,4 @@
+#include "daemon_status.h"
 #include "exit_codes.h"
 #include "operator_call.h"
 #include "operator_commands.h"
@@ -41,6 +42,9 @@
     if (!invocation) {
         return exitCode;
     }
+    if (!invocation->daemons.empty()) {
+        return showDaemons(invocation->daemons);
+    }
     if (invocation->watch) {
         return watch(*invocation);
     }
--- a/lab/simulation/load_pattern.cpp
+++ b/lab/simulation/load_pattern.cpp
@@ -105,7 +105,7 @@
 
 std::span<const LoadPattern> loadPatterns()
 {
-    static const std::array Patterns{
+    static const std::array patterns{
         LoadPattern{.name = "half", .what = "half of what the engines can do", .rate = steady(0.5)},
         LoadPattern{.name = "near", .what = "nine tenths of what they can do", .rate = steady(0.9)},
         LoadPattern{.name = "over", .what = "1.4 times what they can do", .rate = steady(1.4)},
@@ -149,7 +149,7 @@
                     .reportDelay = Millis{300},
                     .reportLoss = 0.33},
     };
-    return Patterns;
+    return patterns;
 }
 
 const LoadPattern *findPattern(std::string_view name)
--- a/lab/simulation/load_policy.cpp
+++ b/lab/simulation/load_policy.cpp
@@ -16,7 +16,7 @@
 
 std::span<const LoadPolicy> loadPolicies()
 {
-    static const std::array Policies{
+    static const std::array policies{
         LoadPolicy{.name = "product", .what = "as the product does"},
         LoadPolicy{.name = "send-all",
                    .what = "everything is sent and waits inside the engines",
@@ -42,7 +42,7 @@
         LoadPolicy{.name = "unseen-0", .what = "reports are taken as fresh", .unseen = Millis{0}},
         LoadPolicy{.name = "unseen-200", .what = "reports are taken as 200 ms old", .unseen = Millis{200}},
     };
-    return Policies;
+    return policies;
 }
 
 const LoadPolicy *findPolicy(std::string_view name)
--- a/libs/feed/include/ibislock/feed/operators_view.h
+++ b/libs/feed/include/ibislock/feed/operators_view.h
@@ -21,6 +21,7 @@
 struct OperatorsView
 {
     std::shared_ptr<const serving::DesiredState> state; ///< Null before the first.
+    Millis stateAt{0}; ///< When it was read.
     std::map<std::string, serving::NamedVersions, std::less<>> named; ///< By model.
 };
 
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -66,6 +66,9 @@
     /// How many calls have been made.
     std::uint64_t calls() const;
 
+    /// How many of them failed.
+    std::uint64_t failures() const;
+
     /// Tells whether a whole snapshot has been read since the start.
     bool synchronized() const;
 
@@ -93,6 +96,7 @@
     bool m_away = false;
     bool m_synchronized = false;
     std::uint64_t m_calls = 0;
+    std::uint64_t m_failures = 0;
     std::shared_ptr<net::Exchange> m_exchange; ///< Of the call that is under way.
     std::int64_t m_hinted = -1;
     Millis m_calledAt{0};
--- a/libs/feed/src/operators_view.cpp
+++ b/libs/feed/src/operators_view.cpp
@@ -29,7 +29,7 @@
     return true;
 }
 
-bool applyState(OperatorsView &view, const platform::KeyedRecord &record)
+bool applyState(OperatorsView &view, const platform::KeyedRecord &record, Millis now)
 {
     auto decoded = platform::decodeDesiredState(*record.value);
     if (!decoded) {
@@ -40,6 +40,7 @@
         return false;
     }
     view.state = std::make_shared<const serving::DesiredState>(std::move(*decoded));
+    view.stateAt = now;
     logInfo(Part::Store, "A desired state is in force.",
             {{"version", std::to_string(view.state->version)},
              {"routes", std::to_string(view.state->routes.size())},
@@ -57,7 +58,7 @@
     if (platform::isNamedWeightsKey(record.key)) {
         return applyNaming(view, record, context);
     }
-    return record.key == platform::DesiredStateKey && applyState(view, record);
+    return record.key == platform::DesiredStateKey && applyState(view, record, context.now);
 }
 
 } // namespace ibislock::feed
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -33,6 +33,11 @@
     return m_calls;
 }
 
+std::uint64_t TopicFeed::failures() const
+{
+    return m_failures;
+}
+
 bool TopicFeed::synchronized() const
 {
     return m_synchronized;
@@ -51,6 +56,7 @@
 
 void TopicFeed::failed(std::string_view what, void (TopicFeed::*again)())
 {
+    ++m_failures;
     if (!m_away) {
         m_away = true;
         logWarning(Part::Store, "The store was lost.", {{"topic", m_options.topic}, {"cause", std::string(what)}});
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -1,5 +1,7 @@
 #include "counters.h"
 
+#include "ibislock/base/metrics_text.h"
+
 namespace ibislock::front
 {
 
@@ -9,7 +11,7 @@
 void writeHistogram(std::string &out, std::string_view name, std::string_view help, const LatencyHistogram &histogram)
 {
     const std::string metric(name);
-    out.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ").append(name).append(" histogram\n");
+    writeMetricHead(out, name, "histogram", help);
     std::uint64_t total = 0;
     for (std::size_t n = 0; n < LatencyBuckets.size(); ++n) {
         total += histogram.counts[n];
@@ -33,24 +35,12 @@
     histogram.sumMs += latency.count();
 }
 
-void writeCounter(std::string &out, std::string_view name, std::string_view help, std::uint64_t value)
-{
-    out.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ").append(name).append(" counter\n");
-    out.append(name).append(" ").append(std::to_string(value)).append("\n");
-}
-
-void writeGauge(std::string &out, std::string_view name, std::string_view help, std::int64_t value)
-{
-    out.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ").append(name).append(" gauge\n");
-    out.append(name).append(" ").append(std::to_string(value)).append("\n");
-}
-
 void writeCounters(std::string &out, const FrontCounters &counters)
 {
-    out += "# HELP ibislock_requests_total Requests by how they ended.\n# TYPE ibislock_requests_total counter\n";
+    writeMetricHead(out, "ibislock_requests_total", "counter", "Requests by how they ended.");
     for (std::size_t n = 0; n < CallOutcomeCount; ++n) {
-        out.append("ibislock_requests_total{outcome=\"").append(CallOutcomeNames[n].second).append("\"} ");
-        out += std::to_string(counters.outcomes[n]) + "\n";
+        writeLabelled(out, "ibislock_requests_total", "outcome", CallOutcomeNames[n].second,
+                      static_cast<std::int64_t>(counters.outcomes[n]));
     }
     writeCounter(out, "ibislock_sends_total", "Requests sent to targets.", counters.sends);
     writeCounter(out, "ibislock_repeated_sends_total", "Sends of a request beyond its first.", counters.repeatedSends);
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -38,12 +38,6 @@
     LatencyHistogram whole; ///< Until the end of an answer.
 };
 
-/// Writes a counter in the text exposition format.
-void writeCounter(std::string &out, std::string_view name, std::string_view help, std::uint64_t value);
-
-/// Writes a gauge in the text exposition format.
-void writeGauge(std::string &out, std::string_view name, std::string_view help, std::int64_t value);
-
 /// Writes all counters in the text exposition format.
 void writeCounters(std::string &out, const FrontCounters &counters);
 
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -334,26 +334,6 @@
     });
 }
 
-std::string Front::metricsText() const
-{
-    std::string out;
-    writeCounters(out, counters);
-    writeCounter(out, "ibislock_connections_opened_total", "Connections opened to targets and the store.",
-                 client.opened());
-    writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
-                 m_operatorsFeed->calls() + m_targetsFeed->calls());
-    writeCounter(out, "ibislock_log_lines_dropped_total", "Log lines that were left out.", droppedLogLines());
-    writeGauge(out, "ibislock_state_version", "Version of the desired state in force.",
-               operators.state ? operators.state->version : 0);
-    writeGauge(out, "ibislock_store_away", "1 while the operators' topic can't be read.", operatorsAway ? 1 : 0);
-    writeGauge(out, "ibislock_targets", "Targets that are known.", static_cast<std::int64_t>(table.targets.size()));
-    writeGauge(out, "ibislock_waiting", "Requests that wait for a slot.", static_cast<std::int64_t>(m_waiting.size()));
-    writeGauge(out, "ibislock_caller_connections", "Connections of callers.",
-               static_cast<std::int64_t>(m_connections.size()));
-    writeGauge(out, "ibislock_entry_vms", "Entry VMs that share the retry budget.", retries.entryVms);
-    return out;
-}
-
 void Front::tick()
 {
     const Millis now = steadyMillis();
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -86,7 +86,7 @@
     void applyLoad(const std::string &ip, std::string_view bytes);
     void finishDrainIfIdle(Millis now);
     bool isReady() const;
-    std::string metricsText() const;
+    std::string metricsText();
 
     net::Listener m_callers;
     net::Listener m_readiness;
--- /dev/null
+++ b/libs/front/src/metrics.cpp
@@ -0,0 +1,82 @@
+// What an entry VM tells on its metrics address.
+
+#include "front.h"
+
+#include "ibislock/base/log.h"
+#include "ibislock/base/metrics_text.h"
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+void writeStore(std::string &out, const feed::TopicFeed &operators, const feed::TopicFeed &targets)
+{
+    writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
+                 operators.calls() + targets.calls());
+    writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
+                 operators.failures() + targets.failures());
+}
+
+void writeState(std::string &out, const feed::OperatorsView &operators, bool away, Millis now)
+{
+    writeGauge(out, "ibislock_state_version", "Version of the desired state in force.",
+               operators.state ? operators.state->version : 0);
+    if (operators.state) {
+        writeGauge(out, "ibislock_state_age_ms", "Time since this VM read that state.",
+                   (now - operators.stateAt).count());
+    }
+    writeGauge(out, "ibislock_store_away", "1 while the operators' topic can't be read.", away ? 1 : 0);
+}
+
+void writeTargets(std::string &out, const serving::TargetTable &table, Millis now)
+{
+    constexpr double Percent = 100;
+    writeGauge(out, "ibislock_targets", "Targets that are known.", static_cast<std::int64_t>(table.targets.size()));
+    writeMetricHead(out, "ibislock_target_occupancy_percent", "gauge", "Requests for each slot, as believed.");
+    for (const auto &[id, target] : table.targets) {
+        const bool engine = target.load.has_value();
+        const double slots = std::max(target.entry.slots, 1);
+        writeLabelled(out, "ibislock_target_occupancy_percent", "target", id,
+                      static_cast<std::int64_t>(Percent * requestsAt(target, engine, now) / slots));
+    }
+    writeMetricHead(out, "ibislock_target_load_age_ms", "gauge", "Age of the last reported load.");
+    for (const auto &[id, target] : table.targets) {
+        if (target.load) {
+            writeLabelled(out, "ibislock_target_load_age_ms", "target", id, (now - target.load->at).count());
+        }
+    }
+}
+
+void writeRetries(std::string &out, serving::RetryShare &retries, Millis now)
+{
+    writeGauge(out, "ibislock_entry_vms", "Entry VMs that share the retry budget.", retries.entryVms);
+    writeMetricHead(out, "ibislock_retries_left", "gauge", "Repeated sends that the budget allows now.");
+    for (const auto &[service, use] : retries.services) {
+        writeLabelled(out, "ibislock_retries_left", "service", service, retriesLeft(retries, service, now));
+    }
+}
+
+} // namespace
+
+std::string Front::metricsText()
+{
+    std::string out;
+    const Millis now = steadyMillis();
+    writeCounters(out, counters);
+    writeStore(out, *m_operatorsFeed, *m_targetsFeed);
+    writeState(out, operators, operatorsAway, now);
+    writeTargets(out, table, now);
+    writeRetries(out, retries, now);
+    writeCounter(out, "ibislock_connections_opened_total", "Connections opened to targets and the store.",
+                 client.opened());
+    writeCounter(out, "ibislock_log_lines_dropped_total", "Log lines that were left out.", droppedLogLines());
+    writeGauge(out, "ibislock_waiting", "Requests that wait for a slot.", static_cast<std::int64_t>(m_waiting.size()));
+    writeGauge(out, "ibislock_caller_connections", "Connections of callers.",
+               static_cast<std::int64_t>(m_connections.size()));
+    writeMemory(out);
+    return out;
+}
+
+} // namespace ibislock::front
--- a/libs/serving/include/ibislock/serving/retry_share.h
+++ b/libs/serving/include/ibislock/serving/retry_share.h
@@ -10,6 +10,7 @@
 
 #include "ibislock/base/clock.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -40,6 +41,9 @@
 /// Counts a request to a service.
 void noteRequest(RetryShare &share, std::string_view service, Millis now);
 
+/// How many repeated sends the budget allows now.
+std::int64_t retriesLeft(RetryShare &share, std::string_view service, Millis now);
+
 /// Draws one repeated send.
 /// @return whether the budget has one.
 bool drawRetry(RetryShare &share, std::string_view service, Millis now);
--- a/libs/serving/src/retry_share.cpp
+++ b/libs/serving/src/retry_share.cpp
@@ -29,15 +29,20 @@
     useOf(share, service, now).requests.push_back(now);
 }
 
-bool drawRetry(RetryShare &share, std::string_view service, Millis now)
+std::int64_t retriesLeft(RetryShare &share, std::string_view service, Millis now)
 {
-    RetryUse &use = useOf(share, service, now);
+    const RetryUse &use = useOf(share, service, now);
     const double fixed = share.allowance / std::max(share.entryVms, 1);
     const double limit = UsedPart * (fixed + share.ratio * static_cast<double>(use.requests.size()));
-    if (static_cast<double>(use.retries.size()) + 1 > limit) {
+    return std::max<std::int64_t>(0, static_cast<std::int64_t>(limit) - static_cast<std::int64_t>(use.retries.size()));
+}
+
+bool drawRetry(RetryShare &share, std::string_view service, Millis now)
+{
+    if (retriesLeft(share, service, now) == 0) {
         return false;
     }
-    use.retries.push_back(now);
+    useOf(share, service, now).retries.push_back(now);
     return true;
 }
 
--- /dev/null
+++ b/libs/side/src/metrics.cpp
@@ -0,0 +1,61 @@
+// What a target VM tells on its metrics address.
+
+#include "ibislock/base/log.h"
+#include "ibislock/base/metrics_text.h"
+#include "side.h"
+
+namespace ibislock::side
+{
+
+namespace
+{
+
+void writeProgress(std::string &out, const WeightsProgress &progress)
+{
+    writeGauge(out, "ibislock_weights_wanted_version", "Version of the weights to be reached.", progress.version);
+    writeMetricHead(out, "ibislock_weights_phase", "gauge", "1 for the phase in which the weights are.");
+    for (const auto &[phase, name] : WeightsPhaseNames) {
+        writeLabelled(out, "ibislock_weights_phase", "phase", name, phase == progress.phase ? 1 : 0);
+    }
+    writeGauge(out, "ibislock_weights_staged_pieces", "Pieces of that version that are staged.",
+               static_cast<std::int64_t>(progress.staged));
+    writeGauge(out, "ibislock_weights_pieces", "Pieces of that version; 0 while unknown.",
+               static_cast<std::int64_t>(progress.pieces));
+    writeGauge(out, "ibislock_weights_ahead_pieces", "Pieces of the next version in memory.",
+               static_cast<std::int64_t>(progress.ahead));
+}
+
+void writeCounts(std::string &out, const WeightsCounts &counts, std::uint64_t bytesServed)
+{
+    writeCounter(out, "ibislock_pieces_from_origin_total", "Pieces taken from the origin.", counts.fetched.fromOrigin);
+    writeCounter(out, "ibislock_pieces_from_vms_total", "Pieces taken from other VMs.", counts.fetched.fromPeers);
+    writeCounter(out, "ibislock_pieces_corrupt_total", "Pieces that did not match their digest.",
+                 counts.fetched.corrupt + counts.rotten);
+    writeCounter(out, "ibislock_load_orders_total", "Orders to the engine.", counts.orders);
+    writeCounter(out, "ibislock_piece_bytes_served_total", "Bytes of pieces sent to other VMs.", bytesServed);
+}
+
+} // namespace
+
+std::string Side::metricsText() const
+{
+    std::string out;
+    writeGauge(out, "ibislock_weights_version", "Version of the weights that are loaded; 0 for none.",
+               m_engine.loadedVersion());
+    writeProgress(out, m_agent.progress());
+    writeCounts(out, m_agent.counts(), m_agent.bytesServed());
+    if (m_engine.report()) {
+        writeGauge(out, "ibislock_engine_running", "Requests at work.", m_engine.report()->running);
+        writeGauge(out, "ibislock_engine_queued", "Requests that wait in the engine.", m_engine.report()->queued);
+    }
+    writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.", m_operatorsFeed->calls());
+    writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
+                 m_operatorsFeed->failures());
+    writeCounter(out, "ibislock_log_lines_dropped_total", "Log lines that were left out.", droppedLogLines());
+    writeGauge(out, "ibislock_subscribers", "Entry VMs that are there.",
+               static_cast<std::int64_t>(m_subscribers.size()));
+    writeMemory(out);
+    return out;
+}
+
+} // namespace ibislock::side
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -300,21 +300,9 @@
     connection->start({
         .data =
             [this, raw](std::string_view) {
-                const WeightsCounts counts = m_agent.counts();
-                std::string text;
-                const auto line = [&](std::string_view name, std::uint64_t value) {
-                    text.append(name).append(" ").append(std::to_string(value)).append("\n");
-                };
-                line("ibislock_pieces_from_origin_total", counts.fetched.fromOrigin);
-                line("ibislock_pieces_from_vms_total", counts.fetched.fromPeers);
-                line("ibislock_pieces_corrupt_total", counts.fetched.corrupt + counts.rotten);
-                line("ibislock_load_orders_total", counts.orders);
-                line("ibislock_piece_bytes_served_total", m_agent.bytesServed());
-                line("ibislock_store_calls_total", m_operatorsFeed->calls());
-                line("ibislock_log_lines_dropped_total", droppedLogLines());
-                line("ibislock_weights_version", static_cast<std::uint64_t>(m_engine.loadedVersion()));
-                line("ibislock_subscribers", m_subscribers.size());
-                raw->write(http::writeResponse({.status = 200, .keepAlive = false}, text));
+                http::ResponseHead head{.status = 200, .keepAlive = false};
+                head.headers.add("Content-Type", "text/plain; version=0.0.4");
+                raw->write(http::writeResponse(head, metricsText()));
                 raw->closeAfterWrites();
                 m_administration.erase(raw);
             },
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -41,6 +41,7 @@
     void receive();
     void publish(bool force);
     void onReport();
+    std::string metricsText() const;
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
     std::vector<weights::SpreadMember> members(std::int64_t version) const;
 
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -36,9 +36,7 @@
 
 WeightsAgent::WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineWatch &engine, std::string self,
                            std::string domain, std::uint16_t peerPort, Millis pieceTime, SpreadMembers members)
-    : m_loop(loop)
-    , m_client(client)
-    , m_engine(engine)
+    : m_engine(engine)
     , m_self(std::move(self))
     , m_domain(std::move(domain))
     , m_members(std::move(members))
@@ -144,9 +142,13 @@
     m_turnAt = now + left * static_cast<std::int64_t>(turnPart() * 1000) / 1000;
 }
 
-WeightsPhase WeightsAgent::phase() const
+WeightsProgress WeightsAgent::progress() const
 {
-    return m_phase;
+    return {.version = m_goal.version,
+            .phase = m_phase,
+            .staged = m_staged.size(),
+            .pieces = m_digests.size(),
+            .ahead = m_ahead.held().pieces.size()};
 }
 
 WeightsCounts WeightsAgent::counts() const
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -35,6 +35,16 @@
     {WeightsPhase::Ordered, "ordered"},
 }};
 
+/// How far the agent is.
+struct WeightsProgress
+{
+    std::int64_t version = 0; ///< To be reached; 0 while none is known.
+    WeightsPhase phase = WeightsPhase::Idle;
+    std::size_t staged = 0; ///< Pieces.
+    std::size_t pieces = 0; ///< Of the version; 0 while the manifest is not known.
+    std::size_t ahead = 0; ///< Pieces of the next version in memory.
+};
+
 /// What the agent has done.
 struct WeightsCounts
 {
@@ -69,7 +79,7 @@
     /// Tells whether the agent needs to know the other VMs.
     bool needsMembers() const;
 
-    WeightsPhase phase() const;
+    WeightsProgress progress() const;
     WeightsCounts counts() const;
     std::uint64_t bytesServed() const;
 
@@ -95,8 +105,6 @@
     std::optional<bool> holdsForPeer(const peer::PieceMessage &ask) const;
     void readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done);
 
-    asio::io_context &m_loop;
-    net::HttpClient &m_client;
     EngineWatch &m_engine;
     std::string m_self;
     std::string m_domain;
