Pieces that an engine does not take are kept and given to others

A target daemon whose engine does not answer dropped each piece that it could not stage and fetched it again after 250 ms, for as long as the engine was away. Four VMs whose engines left did so for 1.3 to 2.1 s of a rollout and filled the links of the owners of the pieces, so that copies took 5 to 6 s elsewhere instead of 2.2 to 3.4 s; and a VM that owned pieces did not give those that it had. Ruled out: the origin (no piece was refused or spoilt), the naming (known 0.1 s after the store was back). Change: such pieces stay in memory, are given to other VMs, and are staged once the engine answers, also a restarted one. Before: SideTest.PiecesThatAnEngineDoesNotTakeAreKeptAndGivenToOthers fails (9 and 13 pieces from the origin instead of 8). After: all 11 tests of side pass.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -140,6 +140,10 @@
 
 void EngineStandIn::answer(net::Connection &connection, const http::RequestHead &request, const std::string &body)
 {
+    if (away) {
+        connection.close();
+        return;
+    }
     if (request.target == "/ibislock/report") {
         nlohmann::json models = nlohmann::json::array();
         if (version > 0) {
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -12,6 +12,9 @@
 /// How long a call to the engine on the VM itself may take.
 constexpr Millis StageTime{2000};
 
+/// Until pieces that the engine did not take are staged again; an engine that restarts takes seconds.
+constexpr Millis StagePause{250};
+
 /// After an order without effect, when it is looked at anew.
 constexpr Millis OrderTime{1500};
 
@@ -207,6 +210,7 @@
     ++m_round;
     m_digests.clear();
     m_staged.clear();
+    m_unstaged.clear();
     m_fetcher.stop();
     m_seeker.stop();
     m_orderSent = false;
@@ -221,6 +225,13 @@
     }
 }
 
+void WeightsAgent::carryUnstaged()
+{
+    if (!m_unstaged.empty()) {
+        m_carried = {.digests = m_digests, .pieces = std::exchange(m_unstaged, {})};
+    }
+}
+
 void WeightsAgent::step()
 {
     const Millis now = steadyMillis();
@@ -232,6 +243,7 @@
         if (m_nextGoal) {
             adoptNextGoal(); // There is nothing left to finish.
         } else {
+            carryUnstaged();
             restart();
         }
     }
@@ -354,6 +366,7 @@
 
 void WeightsAgent::fetchMore()
 {
+    stageAgain();
     if (m_staged.size() < m_digests.size()) {
         m_fetcher.fetchMore(m_staged);
         return;
@@ -364,15 +377,18 @@
 
 void WeightsAgent::stage(int piece, std::string bytes)
 {
-    m_engine.call(platform::stagePutRequest(m_goal.model, piece, std::move(bytes)), StageTime,
-                  [this, round = m_round, piece](int status, const std::string &) {
+    const auto kept = std::make_shared<std::string>(std::move(bytes));
+    m_engine.call(platform::stagePutRequest(m_goal.model, piece, *kept), StageTime,
+                  [this, round = m_round, piece, kept](int status, const std::string &) {
                       if (round != m_round) {
                           return;
                       }
                       if (!succeeded(status)) {
-                          logWarning(Part::Side, "A piece could not be staged.",
+                          logWarning(Part::Side, "A piece could not be staged; it is kept in memory.",
                                      {{"piece", std::to_string(piece)}, {"status", std::to_string(status)}});
-                          m_fetcher.settle(piece, false);
+                          m_unstaged[piece] = std::move(*kept);
+                          m_nextStaging = steadyMillis() + StagePause;
+                          m_exchange.answerWaiting();
                           return;
                       }
                       m_fetcher.settle(piece, true);
@@ -384,6 +400,16 @@
                   });
 }
 
+void WeightsAgent::stageAgain()
+{
+    if (m_unstaged.empty() || steadyMillis() < m_nextStaging) {
+        return;
+    }
+    for (auto &[piece, bytes] : std::exchange(m_unstaged, {})) {
+        stage(piece, std::move(bytes));
+    }
+}
+
 void WeightsAgent::order()
 {
     enter(WeightsPhase::Ordered);
@@ -427,7 +453,7 @@
         // An older version is not fetched any more; a newer one may be named to this process in a moment.
         return ask.model == m_goal.model && ask.version < m_goal.version ? std::nullopt : std::optional<bool>(false);
     }
-    return manifest ? !m_digests.empty() : m_staged.contains(ask.index);
+    return manifest ? !m_digests.empty() : m_staged.contains(ask.index) || m_unstaged.contains(ask.index);
 }
 
 void WeightsAgent::readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done)
@@ -440,9 +466,10 @@
         done(std::move(answer));
         return;
     }
-    if (ahead) {
+    const auto &inMemory = ahead ? m_ahead.held().pieces : m_unstaged;
+    if (const auto it = inMemory.find(ask.index); it != inMemory.end()) {
         answer.content = peer::PieceContent::Bytes;
-        answer.bytes = m_ahead.held().pieces.at(ask.index);
+        answer.bytes = it->second;
         done(std::move(answer));
         return;
     }
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -91,6 +91,8 @@
     void readNext(std::uint64_t round);
     void endReading();
     void stageCarried();
+    void stageAgain();
+    void carryUnstaged();
     void fetchMore();
     void stage(int piece, std::string bytes);
     void order();
@@ -123,6 +125,8 @@
     std::uint64_t m_round = 0; ///< Counts beginnings; answers to an earlier one are ignored.
     std::vector<Digest> m_digests; ///< Of the wanted version.
     std::set<int> m_staged; ///< Pieces that are staged and matched their digest.
+    std::map<int, std::string> m_unstaged; ///< Pieces that the engine did not take; checked against their digests.
+    Millis m_nextStaging{0}; ///< When it is asked again.
     int m_readIndex = 0;
     Millis m_enteredAt{0};
     bool m_orderSent = false;
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -278,6 +278,30 @@
     expectNothingSpoilt();
 }
 
+TEST_F(SideTest, PiecesThatAnEngineDoesNotTakeAreKeptAndGivenToOthers)
+{
+    Vm &lost = add(1);
+    Vm &other = add(1);
+    start();
+    m_loop.run_for(std::chrono::milliseconds(300));
+    name(2);
+    const Millis end = steadyMillis() + Millis{5000};
+    while (m_origin.piecesServed == 0 && steadyMillis() < end) {
+        m_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    lost.engine.away = true;
+    m_loop.run_for(std::chrono::milliseconds(2000));
+    EXPECT_EQ(m_origin.piecesServed, 8) << "no piece is fetched again because it can't be staged";
+    EXPECT_TRUE(other.engine.holdsWhole({.version = 2}));
+    lost.engine.away = false;
+    lost.engine.startedAt = 2;
+    lost.engine.version = 0;
+    lost.engine.orders = 0;
+    EXPECT_TRUE(runUntilLoaded(2));
+    EXPECT_EQ(m_origin.piecesServed, 8);
+    expectNothingSpoilt();
+}
+
 TEST_F(SideTest, AnEngineThatRestartsWithNothingIsFilledAgain)
 {
     add(1);
