An entry VM that wants no loads is sent none

Cause: its time for loads was set to the present millisecond, and a load that was published in the same one still went to it. Change: the time is zero.

--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -283,7 +283,7 @@
             Subscriber &subscriber = m_subscribers[m_sender];
             const Millis now = steadyMillis();
             subscriber.until = now + (subscribe.wantsLoads ? SubscriptionTime : PresenceTime);
-            subscriber.loadsUntil = subscribe.wantsLoads ? subscriber.until : now;
+            subscriber.loadsUntil = subscribe.wantsLoads ? subscriber.until : Millis{0};
             m_operatorsEnd = std::max(m_operatorsEnd, subscribe.operatorsEnd);
             m_operatorsFeed->hint(subscribe.operatorsEnd);
         } else if (!message) {
