An owner that is late is waited for while its pieces are coming

VMs wait 3.5 s for the owner of a piece. Ruled out: longer waits for all owners; an owner that is lost must not hold up the others. Before: SideTest.AnOwnerThatIsLateIsWaitedForWhileItsPiecesAreComing fails (10 pieces from the origin). After: 8; all 13 tests of side pass.

--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -196,7 +196,8 @@
 {
     const std::optional<bool> holds = m_store.holds(item.ask);
     if (!holds || (!*holds && now >= item.until)) {
-        return Verdict::Missing;
+        const bool comes = holds && item.ask.waitMs > 0 && m_store.comes(item.ask);
+        return comes ? Verdict::Coming : Verdict::Missing;
     }
     if (!*holds) {
         return Verdict::Wait;
@@ -231,6 +232,9 @@
         case Verdict::Missing:
             item.ask.content = peer::PieceContent::Missing;
             break;
+        case Verdict::Coming:
+            item.ask.content = peer::PieceContent::Coming;
+            break;
         case Verdict::Ready:
             item.ask.content = peer::PieceContent::Ready;
             break;
