--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -66,7 +66,7 @@
 inline constexpr int ManifestIndex = -1;
 
 /// What a piece message carries.
-enum class PieceContent { Ask, Bytes, Missing, Manifest, Ready, Elsewhere, Coming };
+enum class PieceContent { Ask, Bytes, Missing, Manifest, Ready, Elsewhere };
 
 /// A message about one piece of a version of weights.
 struct PieceMessage
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -51,7 +51,6 @@
     missing @5 :Void;
     manifest @6 :Manifest;
     ready @7 :Void;  # The piece is held now.
-    coming @9 :Void;  # The piece is not held yet, and is on its way to the asked VM.
     elsewhere @8 :Text;  # The asked VM is busy; the VM that is named got the piece from it before.
   }
 }
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -83,9 +83,6 @@
         out.content = PieceContent::Elsewhere;
         out.vm = message.getElsewhere().cStr();
         return out;
-    case wire::PieceMessage::COMING:
-        out.content = PieceContent::Coming;
-        return out;
     case wire::PieceMessage::READY:
         out.content = PieceContent::Ready;
         return out;
@@ -194,9 +191,6 @@
     case PieceContent::Elsewhere:
         piece.setElsewhere(message.vm);
         break;
-    case PieceContent::Coming:
-        piece.setComing();
-        break;
     case PieceContent::Ready:
         piece.setReady();
         break;
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -107,7 +107,6 @@
     MANIFEST,
     READY,
     ELSEWHERE,
-    COMING,
   };
 
   struct _capnpPrivate {
@@ -576,9 +575,6 @@
   inline bool hasElsewhere() const;
   inline  ::capnp::Text::Reader getElsewhere() const;
 
-  inline bool isComing() const;
-  inline  ::capnp::Void getComing() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -657,10 +653,6 @@
   inline void adoptElsewhere(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownElsewhere();
 
-  inline bool isComing();
-  inline  ::capnp::Void getComing();
-  inline void setComing( ::capnp::Void value = ::capnp::VOID);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1453,32 +1445,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PieceMessage::Reader::isComing() const {
-  return which() == PieceMessage::COMING;
-}
-inline bool PieceMessage::Builder::isComing() {
-  return which() == PieceMessage::COMING;
-}
-inline  ::capnp::Void PieceMessage::Reader::getComing() const {
-  KJ_IREQUIRE((which() == PieceMessage::COMING),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::capnp::Void PieceMessage::Builder::getComing() {
-  KJ_IREQUIRE((which() == PieceMessage::COMING),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void PieceMessage::Builder::setComing( ::capnp::Void value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::COMING);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t Manifest::Reader::getChunkBytes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/side/src/ahead_copy.cpp
+++ b/libs/side/src/ahead_copy.cpp
@@ -71,11 +71,6 @@
     return m_held;
 }
 
-bool AheadCopy::isFetching(int piece) const
-{
-    return m_fetcher.isFetching(piece);
-}
-
 AheadPieces AheadCopy::take()
 {
     AheadPieces out = std::move(m_held);
--- a/libs/side/src/ahead_copy.h
+++ b/libs/side/src/ahead_copy.h
@@ -49,9 +49,6 @@
 
     const AheadPieces &held() const;
 
-    /// Tells whether a piece has been asked for and has not come yet.
-    bool isFetching(int piece) const;
-
     /// Hands over what is in memory, and stops.
     AheadPieces take();
 
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -196,8 +196,7 @@
 {
     const std::optional<bool> holds = m_store.holds(item.ask);
     if (!holds || (!*holds && now >= item.until)) {
-        const bool comes = holds && item.ask.waitMs > 0 && m_store.comes(item.ask);
-        return comes ? Verdict::Coming : Verdict::Missing;
+        return Verdict::Missing;
     }
     if (!*holds) {
         return Verdict::Wait;
@@ -232,9 +231,6 @@
         case Verdict::Missing:
             item.ask.content = peer::PieceContent::Missing;
             break;
-        case Verdict::Coming:
-            item.ask.content = peer::PieceContent::Coming;
-            break;
         case Verdict::Ready:
             item.ask.content = peer::PieceContent::Ready;
             break;
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -18,9 +18,6 @@
     /// Tells whether a piece is held, or will be soon; nothing if it will not.
     std::function<std::optional<bool>(const peer::PieceMessage &ask)> holds;
 
-    /// Tells whether a piece that is not held is being fetched.
-    std::function<bool(const peer::PieceMessage &ask)> comes;
-
     /// Reads a piece; `done` is given the message to send.
     std::function<void(const peer::PieceMessage &ask, std::function<void(peer::PieceMessage)> done)> read;
 };
@@ -90,7 +87,6 @@
     enum class Verdict {
         Wait, ///< It is looked at again.
         Missing, ///< The piece will not be held in time.
-        Coming, ///< It is not held in time, and is on its way.
         Ready, ///< The asker is told that the piece is held.
         Elsewhere, ///< The asker is sent to a VM that got the piece before.
         Send,
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -21,11 +21,6 @@
 /// How long a VM that is on its way to get a piece is given: most of a copy from the origin.
 constexpr Millis OwnerWait{3500};
 
-/// How often, and how long each time, a VM is asked again that says that the piece is on its way to it. If all turned
-/// to the origin because one VM was late, its link would carry a copy for each.
-constexpr int AsksAgain = 2;
-constexpr Millis AgainWait{1500};
-
 /// How long a VM that is not on its way to get a piece is given to say whether it holds it.
 constexpr Millis AskAtOnce{1};
 
@@ -96,15 +91,14 @@
     }
 }
 
-void PieceFetcher::fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at, int asksAgain)
+void PieceFetcher::fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
 {
     if (at >= sources.size() || sources[at].vm.empty()) {
         m_originQueue.push_back(piece);
         fetchNextFromOrigin();
         return;
     }
-    const Millis patience = asksAgain > 0 ? AgainWait : OwnerWait;
-    const Millis wait = sources[at].waits ? patience : AskAtOnce;
+    const Millis wait = sources[at].waits ? OwnerWait : AskAtOnce;
     const std::string vm = sources[at].vm;
     m_exchange.ask(vm,
                    {.model = m_task.model,
@@ -112,16 +106,13 @@
                     .index = piece,
                     .waitMs = static_cast<std::uint32_t>(wait.count())},
                    wait + AnswerMargin,
-                   [this, round = m_round, piece, sources = std::move(sources), at,
-                    asksAgain](const std::optional<peer::PieceMessage> &answer) mutable {
+                   [this, round = m_round, piece, sources = std::move(sources),
+                    at](const std::optional<peer::PieceMessage> &answer) mutable {
                        if (round != m_round) {
                            return;
                        }
-                       const bool coming = answer && answer->content == peer::PieceContent::Coming && sources[at].waits;
                        if (answer && answer->content == peer::PieceContent::Ready) {
                            transfer(piece, std::move(sources), at);
-                       } else if (coming && asksAgain < AsksAgain) {
-                           fetchFrom(piece, std::move(sources), at, asksAgain + 1);
                        } else {
                            fetchFrom(piece, std::move(sources), at + 1);
                        }
@@ -257,11 +248,6 @@
                });
 }
 
-bool PieceFetcher::isFetching(int piece) const
-{
-    return m_fetching.contains(piece);
-}
-
 void PieceFetcher::claim(int piece)
 {
     m_fetching.insert(piece);
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -60,9 +60,6 @@
     /// Asks for all pieces that are not staged and not asked for.
     void fetchMore(const std::set<int> &staged);
 
-    /// Tells whether a piece has been asked for and is not staged yet.
-    bool isFetching(int piece) const;
-
     /// Notes that a piece which was got elsewhere is on its way to the stage.
     void claim(int piece);
 
@@ -81,7 +78,7 @@
         std::string via; ///< A VM to which the source has pointed; empty for the source itself.
     };
 
-    void fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at, int asksAgain = 0);
+    void fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
     void transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
     void transferNext();
     void noteUrgent();
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -47,7 +47,6 @@
     , m_exchange(loop, peerPort, pieceTime,
                  {
                      .holds = [this](const peer::PieceMessage &ask) { return holdsForPeer(ask); },
-                     .comes = [this](const peer::PieceMessage &ask) { return comesForPeer(ask); },
                      .read = [this](const peer::PieceMessage &ask,
                                     const std::function<void(peer::PieceMessage)> &done) { readForPeer(ask, done); },
                  })
@@ -457,14 +456,6 @@
     return manifest ? !m_digests.empty() : m_staged.contains(ask.index) || m_unstaged.contains(ask.index);
 }
 
-bool WeightsAgent::comesForPeer(const peer::PieceMessage &ask) const
-{
-    if (m_ahead.isActive() && ask.version == m_ahead.version()) {
-        return m_ahead.isFetching(ask.index);
-    }
-    return ask.version == m_goal.version && m_fetcher.isFetching(ask.index);
-}
-
 void WeightsAgent::readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done)
 {
     const bool ahead = m_ahead.isActive() && ask.version == m_ahead.version();
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -105,7 +105,6 @@
     bool isOutdated() const;
     bool goalReached() const;
     std::optional<bool> holdsForPeer(const peer::PieceMessage &ask) const;
-    bool comesForPeer(const peer::PieceMessage &ask) const;
     void readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done);
 
     EngineWatch &m_engine;
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -302,21 +302,6 @@
     expectNothingSpoilt();
 }
 
-TEST_F(SideTest, AnOwnerThatIsLateIsWaitedForWhileItsPiecesAreComing)
-{
-    // Each VM takes four pieces from the origin, one after another: the last come after others would give up.
-    for (int n = 0; n < 2; ++n) {
-        add(1);
-    }
-    start();
-    m_loop.run_for(std::chrono::milliseconds(300));
-    m_origin.delay = Millis{1100};
-    name(2);
-    ASSERT_TRUE(runUntilLoaded(2));
-    EXPECT_EQ(m_origin.piecesServed, 8);
-    expectNothingSpoilt();
-}
-
 TEST_F(SideTest, AnEngineThatRestartsWithNothingIsFilledAgain)
 {
     add(1);
