--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -94,6 +94,10 @@
 void PieceFetcher::fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
 {
     if (at >= sources.size() || sources[at].vm.empty()) {
+        logInfo(Part::Side, "A piece is asked of the origin.",
+                {{"version", std::to_string(m_task.version)},
+                 {"piece", std::to_string(piece)},
+                 {"asked_before", std::to_string(at)}});
         m_originQueue.push_back(piece);
         fetchNextFromOrigin();
         return;
