--- a/libs/http/src/reader.cpp
+++ b/libs/http/src/reader.cpp
@@ -163,7 +163,8 @@
     if (!state.headComplete) {
         // A head has to end within its limit, also when it arrives in one piece with what follows.
         const std::size_t allowed = std::min(bytes.size(), state.limits.headBytes - state.headBytes);
-        used = http_parser_execute(&state.parser, &settings, bytes.data(), allowed);
+        // The library takes no bytes at all for the end of the connection.
+        used = allowed > 0 ? http_parser_execute(&state.parser, &settings, bytes.data(), allowed) : 0;
         state.headBytes += used;
         const bool overflow = HTTP_PARSER_ERRNO(&state.parser) == HPE_HEADER_OVERFLOW;
         const bool unfinished = HTTP_PARSER_ERRNO(&state.parser) == HPE_OK && !state.headComplete;
--- a/libs/http/test/reader_test.cpp
+++ b/libs/http/test/reader_test.cpp
@@ -94,6 +94,17 @@
     EXPECT_TRUE(reader.complete());
 }
 
+TEST(ReaderTest, AHeadThatGoesOnBehindItsLimitIsTooLarge)
+{
+    const std::string part = "GET / HTTP/1.1\r\nX: " + std::string(20, 'x');
+    MessageReader reader(MessageKind::Request, {.headBytes = part.size()});
+    ASSERT_TRUE(reader.feed(part));
+    const auto used = reader.feed("x");
+    ASSERT_FALSE(used);
+    EXPECT_EQ(used.error().code, ErrorCode::Exhausted);
+    EXPECT_TRUE(reader.headTooLarge());
+}
+
 TEST(ReaderTest, StopsBehindOneMessageAndReadsTheNext)
 {
     const std::string one = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
