What a target says of itself is obeyed, and bytes without end are cut off

Cause: answers of a leaving target now say so, and a target that turns a request away may ask for a pause; both were not decoded, so a target got requests until its listing was read. Bodies were held without a bound: a target that sends without end filled memory until the caller's time was over. Ruled out: holding the facts in the listing's entry (a listing read earlier would take them back) and by address (another target may answer there, with 421). Exchanges end beyond 16 MiB (held answers of callers 4 MiB, an event of a stream 256 KiB), 1 MiB of skipped bytes or 16 skipped answers. Conclusion: both rules are kept by decisions without I/O; bytes without end cost bounded memory and end in a 502.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Bytes that behaviours without end write at once.
+constexpr std::size_t EndlessPart = 64 * 1024;
+
 std::string headerOf(const http::RequestHead &request, std::string_view name)
 {
     return std::string(request.headers.find(name).value_or(""));
@@ -82,6 +85,9 @@
     http::ResponseHead out{.status = status};
     out.headers.add("X-Ibislock-Attempt-Id", attempt);
     out.headers.add("X-Ibislock-Response-Signature", "s-" + id + "-" + attempt);
+    for (const http::Header &line : said.lines) {
+        out.headers.add(line.name, line.value);
+    }
     return out;
 }
 
@@ -107,6 +113,9 @@
     case TargetBehaviour::Refuse: {
         http::ResponseHead refusal{.status = 503};
         refusal.headers.add("X-Ibislock-Not-Executed", "1");
+        for (const http::Header &line : said.lines) {
+            refusal.headers.add(line.name, line.value);
+        }
         connection.write(http::writeResponse(refusal, ""));
         break;
     }
@@ -143,20 +152,61 @@
     case TargetBehaviour::Stream:
     case TargetBehaviour::StreamWithoutIds:
     case TargetBehaviour::StreamCutOff:
+    case TargetBehaviour::EndlessEvent:
         answerStream(connection, request);
         break;
+    case TargetBehaviour::EndlessHead:
+        writeForever(connection, "HTTP/1.1 200 OK\r\n", "X-Filler: " + std::string(500, 'x') + "\r\n");
+        break;
+    case TargetBehaviour::EndlessBody:
+        writeForever(connection, http::writeChunkedHead(own), http::writeChunk(std::string(EndlessPart, 'x')));
+        break;
+    case TargetBehaviour::EndlessNoise:
+        writeForever(connection, "", std::string(EndlessPart, '?'));
+        break;
+    case TargetBehaviour::EndlessInterim:
+        writeForever(connection, "", "HTTP/1.1 103 Early Hints\r\n\r\n");
+        break;
+    case TargetBehaviour::EndlessBehind:
+        writeForever(connection, http::writeResponse(own, body), std::string(EndlessPart, '?'));
+        break;
     }
 }
 
+void TargetStandIn::writeForever(net::Connection &connection, const std::string &begin, const std::string &part)
+{
+    connection.write(begin);
+    auto timer = std::make_shared<asio::steady_timer>(m_loop);
+    const auto more = std::make_shared<std::function<void()>>();
+    *more = [this, timer, part, weak = connection.weak_from_this(), more] {
+        const auto to = weak.lock();
+        if (!to || !to->isOpen()) {
+            asio::post(m_loop, [more] { *more = nullptr; });
+            return;
+        }
+        if (to->queued() < EndlessPart) {
+            endlessBytes += part.size();
+            to->write(part);
+        }
+        timer->expires_after(std::chrono::milliseconds(1));
+        timer->async_wait([more](const asio::error_code &) { (*more)(); });
+    };
+    (*more)();
+}
+
 void TargetStandIn::answerStream(net::Connection &connection, const http::RequestHead &request)
 {
-    const bool cutOff = behaviour != TargetBehaviour::Stream;
+    const bool cutOff = behaviour == TargetBehaviour::StreamWithoutIds || behaviour == TargetBehaviour::StreamCutOff;
     const bool ids = behaviour != TargetBehaviour::StreamWithoutIds;
     const std::string last = headerOf(request, "Last-Event-Id");
     http::ResponseHead own = head(200, headerOf(request, "X-Ibislock-Attempt-Id"));
     own.headers.add("Content-Type", "text/event-stream");
     connection.write(http::writeChunkedHead(own));
     for (int number = last.empty() ? 0 : std::stoi(last) + 1; number < events; ++number) {
+        if (behaviour == TargetBehaviour::EndlessEvent && number == 2) {
+            writeForever(connection, "", http::writeChunk(std::string(EndlessPart, 'x')));
+            return;
+        }
         if (cutOff && number == 2) {
             connection.write(http::writeChunk(eventText(number).substr(0, 7)));
             connection.closeAfterWrites();
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -30,6 +30,12 @@
     Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
     StreamWithoutIds, ///< A stream whose events have no ids, cut off in the middle of the third.
     StreamCutOff, ///< The same, but closes in the middle of the third event.
+    EndlessHead, ///< Runs it and sends a head without end.
+    EndlessBody, ///< Runs it and sends a body without end.
+    EndlessNoise, ///< Runs it and sends bytes that are no answer, without end.
+    EndlessInterim, ///< Runs it and sends interim answers without end.
+    EndlessBehind, ///< Runs it, answers, and sends bytes without end behind the answer.
+    EndlessEvent, ///< A stream whose third event has no end.
 };
 
 /// The target.
@@ -54,11 +60,16 @@
     std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
     std::vector<std::string> bodies;
     int open = 0; ///< Connections that are open.
+    http::Headers said; ///< Added to each answer and refusal.
+    std::size_t endlessBytes = 0; ///< Sent so far by behaviours without end.
 
 private:
     void serve(const std::shared_ptr<net::Connection> &connection);
     void answer(net::Connection &connection, const http::RequestHead &request);
     void answerStream(net::Connection &connection, const http::RequestHead &request);
+
+    /// Writes a begin once and a part again and again, until the connection is closed.
+    void writeForever(net::Connection &connection, const std::string &begin, const std::string &part);
     http::ResponseHead head(int status, const std::string &attempt) const;
 
     asio::io_context &m_loop;
--- a/lab/simulation/replay_callers.cpp
+++ b/lab/simulation/replay_callers.cpp
@@ -285,6 +285,7 @@
         entryOf(state, request).waiting.emplace(serving::WaitingRank{.arrival = id}, id);
         return;
     case serving::Admission::RefuseFull:
+    case serving::Admission::RefusePaused: // The replayed engines ask for no pauses.
         refuse(state, id, serving::RefusalCause::Full);
         return;
     case serving::Admission::RefuseNoTarget:
--- a/libs/front/include/ibislock/front/call_outcome.h
+++ b/libs/front/include/ibislock/front/call_outcome.h
@@ -20,6 +20,7 @@
     NoKey,
     NoTarget, ///< Refused: the service has no usable target.
     Full, ///< Refused: all usable targets are full.
+    Paused, ///< Refused: all usable targets have asked for a pause.
     NotExecuted, ///< Refused: the targets that were asked did not run it.
     OutOfTime, ///< Its time ran out before it was sent.
     Unknown, ///< It was sent, and whether it ran is unknown.
@@ -29,7 +30,7 @@
 };
 
 /// How many outcomes there are.
-inline constexpr std::size_t CallOutcomeCount = 14;
+inline constexpr std::size_t CallOutcomeCount = 15;
 
 /// External names of the outcomes.
 inline constexpr NameTable<CallOutcome, CallOutcomeCount> CallOutcomeNames{{
@@ -41,6 +42,7 @@
     {CallOutcome::NoKey, "no_key"},
     {CallOutcome::NoTarget, "refused_no_target"},
     {CallOutcome::Full, "refused_full"},
+    {CallOutcome::Paused, "refused_paused"},
     {CallOutcome::NotExecuted, "refused_not_executed"},
     {CallOutcome::OutOfTime, "refused_out_of_time"},
     {CallOutcome::Unknown, "outcome_unknown"},
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -32,6 +32,9 @@
 /// How long a request that was broken off may wait for a slot elsewhere; a longer pause makes its stream late.
 constexpr Millis ResumeWait{300};
 
+/// The largest answer that is held until it is whole, in bytes; answers of plain services have some hundred.
+constexpr std::size_t LargestHeldAnswer = 4U << 20U;
+
 /// The status with which we promise that a request did not run and will not.
 constexpr int NotRunStatus = 503;
 
@@ -62,6 +65,7 @@
 {
     switch (outcome) {
     case CallOutcome::Full:
+    case CallOutcome::Paused:
     case CallOutcome::NotExecuted:
         return serving::RefusalCause::Full;
     case CallOutcome::Stopping:
@@ -188,6 +192,7 @@
     front.counters.repeatedSends += m_sends > 1 ? 1 : 0;
     tried.insert(target.entry.id);
     m_targetId = target.entry.id;
+    m_targetStartedAt = target.entry.startedAt;
     m_sentAt = now;
     noteSend(target, now, promptMs(request.promptTokens));
     m_answer = Answer::None;
@@ -198,7 +203,9 @@
     const bool fresh = route.kind == RequestKind::NonIdempotent || m_sends > 1;
     m_exchange = front.client.send(
         endpoint->ip, endpoint->port, writeRequest(forwarded, body),
-        {.connectTime = std::min(ConnectTime, deadlineAt - now), .fresh = fresh},
+        {.connectTime = std::min(ConnectTime, deadlineAt - now),
+         .fresh = fresh,
+         .largestBody = route.kind == RequestKind::Stream ? 0 : LargestHeldAnswer},
         {
             .head = [self = shared_from_this()](const http::ResponseHead &answer) { return self->takeHead(answer); },
             .body = [self = shared_from_this()](const std::string &bytes) { self->takeBody(bytes); },
@@ -287,7 +294,7 @@
     }
 }
 
-void Call::refuse(CallOutcome outcome)
+void Call::refuse(CallOutcome outcome, Millis closedFor)
 {
     if (m_done) {
         return;
@@ -305,7 +312,8 @@
         outcome = outcome == CallOutcome::OutOfTime ? CallOutcome::TimedOut : CallOutcome::Unknown;
     }
     const int status = statusOf(outcome);
-    const Millis retryAfter = status == NotRunStatus ? retryAdvice(causeOf(outcome), front.random) : Millis{0};
+    const Millis retryAfter =
+        status == NotRunStatus ? retryAdvice(causeOf(outcome), front.random, closedFor) : Millis{0};
     http::ResponseHead own = platform::ownAnswer(status, request.attemptId, retryAfter);
     own.keepAlive = connection && connection->keepsAlive();
     answer(writeResponse(own, ""), !own.keepAlive);
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -25,7 +25,8 @@
     void send(serving::Target &target);
 
     /// Ends the call with a refusal or failure of our own.
-    void refuse(CallOutcome outcome);
+    /// @param closedFor how long it is known that no target takes a request.
+    void refuse(CallOutcome outcome, Millis closedFor = Millis{0});
 
     /// Gives the call up because its caller has left.
     void abandon();
@@ -80,6 +81,9 @@
     enum class Answer { None, Buffered, Relayed, NotRun };
 
     net::HeadVerdict takeHead(const http::ResponseHead &answer);
+
+    /// Takes over what the target says of itself.
+    void takeNotice(const platform::TargetAnswer &said);
     void takeBody(const std::string &bytes);
     void takeEnd(const net::ExchangeResult &result);
     void endBuffered();
@@ -109,6 +113,7 @@
     std::weak_ptr<CallerConnection> m_connection;
     std::shared_ptr<net::Exchange> m_exchange;
     std::string m_targetId;
+    std::int64_t m_targetStartedAt = 0; ///< The life of the target that the request was sent to.
     Answer m_answer = Answer::None;
     http::ResponseHead m_answerHead;
     std::string m_answerBody;
--- a/libs/front/src/call_answer.cpp
+++ b/libs/front/src/call_answer.cpp
@@ -16,11 +16,43 @@
 /// A caller that is this many bytes behind is not sent more until it has taken them.
 constexpr std::size_t CallerBacklogBytes = 256 * 1024;
 
+/// The largest event of a stream that is held until it is whole, in bytes; an event holds a few tokens.
+constexpr std::size_t LargestEvent = 256 * 1024;
+
 } // namespace
 
+void Call::takeNotice(const platform::TargetAnswer &said)
+{
+    // A misdirected request was answered by another target than the one that is known under the id.
+    const bool says = said.leaving || said.pause || said.pauseUnreadable;
+    const Millis now = steadyMillis();
+    serving::TargetNotice *notice =
+        says && !said.misdirected ? noticeOf(front.table, m_targetId, m_targetStartedAt, now) : nullptr;
+    if (notice == nullptr) {
+        return;
+    }
+    if (said.leaving && !notice->leaving) {
+        noteLeaving(*notice);
+        logInfo(Part::Front, "A target says that it is leaving.", {{"id", request.attemptId}, {"target", m_targetId}});
+    }
+    if (said.pause) {
+        notePause(*notice, *said.pause, now);
+        logInfo(Part::Front, "A target asked for a pause.",
+                {{"id", request.attemptId},
+                 {"target", m_targetId},
+                 {"asked_ms", std::to_string(said.pause->count())},
+                 {"granted_ms", std::to_string((notice->pauseUntil - now).count())}});
+    }
+    if (said.pauseUnreadable) {
+        logInfo(Part::Front, "A target asked for a pause that can't be read; it is ignored.",
+                {{"id", request.attemptId}, {"target", m_targetId}});
+    }
+}
+
 net::HeadVerdict Call::takeHead(const http::ResponseHead &answer)
 {
     const platform::TargetAnswer said = platform::decodeTargetAnswer(answer);
+    takeNotice(said);
     if (!said.attemptId.empty() && said.attemptId != request.attemptId) {
         logInfo(Part::Front, "An answer to another request was skipped.",
                 {{"id", request.attemptId}, {"target", m_targetId}, {"answers", said.attemptId}});
@@ -44,6 +76,12 @@
 {
     if (m_answer == Answer::Relayed) {
         relay(addBytes(m_events, bytes));
+        if (m_events.partial.size() > LargestEvent && m_exchange) {
+            logInfo(Part::Front, "An event of a stream has no end; the target is left.",
+                    {{"id", request.attemptId}, {"target", m_targetId}});
+            m_exchange->cancel();
+            takeEnd({.end = net::ExchangeEnd::Broken, .answered = true});
+        }
     } else if (m_answer == Answer::Buffered) {
         m_answerBody += bytes;
     }
--- a/libs/front/src/call_outcome.cpp
+++ b/libs/front/src/call_outcome.cpp
@@ -23,6 +23,8 @@
                "at loads of weights in progress.";
     case CallOutcome::Full:
         return "It did not run: all usable targets of its service were full.";
+    case CallOutcome::Paused:
+        return "It did not run: all usable targets of its service had asked for a pause with Retry-After.";
     case CallOutcome::NotExecuted:
         return "It did not run: the targets that were asked refused it and said so.";
     case CallOutcome::OutOfTime:
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -256,6 +256,9 @@
     case serving::Admission::RefuseFull:
         call->refuse(CallOutcome::Full);
         break;
+    case serving::Admission::RefusePaused:
+        call->refuse(CallOutcome::Paused, placement.pausedUntil - now);
+        break;
     case serving::Admission::RefuseNoTarget:
         call->refuse(CallOutcome::NoTarget);
         break;
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -387,6 +387,91 @@
     }
 }
 
+TEST_F(FrontTest, ATargetThatSaysItLeavesGetsNoMoreRequestsThoughItsListingDoesNotSaySo)
+{
+    m_first.said.add("Server-Leaving", "1");
+    list(m_first);
+    list(m_second);
+    start();
+    while (m_first.requests.empty()) {
+        call(request("/often/x"));
+    }
+    list(m_first);
+    runFor(Millis{1000}); // A listing that does not know of it yet is read.
+    for (int n = 0; n < 20; ++n) {
+        EXPECT_EQ(call(request("/often/x")).body, "from i-2");
+    }
+    EXPECT_EQ(m_first.requests.size(), 1U);
+}
+
+TEST_F(FrontTest, ATargetThatAsksForAPauseGetsNothingUntilItsEnd)
+{
+    m_first.behaviour = TargetBehaviour::Refuse;
+    m_first.said.add("Retry-After", "1.2");
+    list(m_first);
+    start();
+    EXPECT_EQ(call(request("/once/x")).status, 503);
+    m_first.behaviour = TargetBehaviour::Answer;
+    const CallerAnswer answer = call(request("/once/x"));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_GT(std::stod(std::string(answer.headers.find("Retry-After").value_or("0"))), 1.0);
+    EXPECT_EQ(runs(), 0U);
+    runFor(Millis{1300});
+    EXPECT_EQ(call(request("/once/x")).status, 200);
+}
+
+TEST_F(FrontTest, APauseThatCanNotBeReadIsIgnored)
+{
+    m_first.behaviour = TargetBehaviour::Refuse;
+    list(m_first);
+    start();
+    for (const char *pause : {"-5", "Fri, 04 Dec 2026 10:00:00 GMT", "soon", "1e9", "99999999999999999999", ""}) {
+        m_first.behaviour = TargetBehaviour::Refuse;
+        m_first.said = {};
+        m_first.said.add("Retry-After", pause);
+        EXPECT_EQ(call(request("/once/x")).status, 503);
+        m_first.behaviour = TargetBehaviour::Answer;
+        EXPECT_EQ(call(request("/once/x")).status, 200) << pause;
+    }
+}
+
+/// A target that sends without end, and what the caller gets within its time.
+struct EndlessCase
+{
+    std::string name;
+    std::string path;
+    TargetBehaviour behaviour = TargetBehaviour::EndlessBody;
+    int status = 0;
+    bool whole = true;
+};
+
+class FrontEndlessTest : public FrontTest, public testing::WithParamInterface<EndlessCase>
+{
+};
+
+TEST_P(FrontEndlessTest, BytesWithoutEndAreCutOffAndTheCallerGetsAnEnd)
+{
+    constexpr std::size_t MostBytes = 6U << 20U; // The largest answer that is held, and what is on its way.
+    m_first.behaviour = GetParam().behaviour;
+    list(m_first);
+    start();
+    const CallerAnswer answer = call(request(GetParam().path));
+    EXPECT_EQ(answer.status, GetParam().status);
+    EXPECT_EQ(answer.whole, GetParam().whole);
+    runFor(Millis{100});
+    EXPECT_EQ(m_first.open, 0);
+    EXPECT_LT(m_first.endlessBytes, MostBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, FrontEndlessTest,
+                         testing::Values(EndlessCase{"Head", "/once/x", TargetBehaviour::EndlessHead, 502},
+                                         EndlessCase{"Body", "/once/x", TargetBehaviour::EndlessBody, 502},
+                                         EndlessCase{"Noise", "/once/x", TargetBehaviour::EndlessNoise, 502},
+                                         EndlessCase{"Interim", "/once/x", TargetBehaviour::EndlessInterim, 502},
+                                         EndlessCase{"BehindAnAnswer", "/once/x", TargetBehaviour::EndlessBehind, 200},
+                                         EndlessCase{"Event", "/events/x", TargetBehaviour::EndlessEvent, 200, false}),
+                         [](const auto &item) { return item.param.name; });
+
 TEST_F(FrontTest, AStoppingVmAnswersWhatItHasAndClosesConnections)
 {
     list(m_first);
--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -53,6 +53,16 @@
     std::function<void(const ExchangeResult &)> end;
 };
 
+/// Bytes of one answer's body beyond which it counts as broken; the largest that is wanted is a page of the store of
+/// some MB. A peer may send without end.
+inline constexpr std::size_t LargestBody = 16U << 20U;
+
+/// Bytes of answers that are skipped beyond which the peer counts as broken; one that crossed is some KB.
+inline constexpr std::size_t MostSkipped = 1U << 20U;
+
+/// How many answers are skipped at most; interim answers and late ones of earlier requests come one or two at a time.
+inline constexpr std::size_t MostSkippedAnswers = 16;
+
 /// How to send.
 struct ExchangeOptions
 {
@@ -61,6 +71,7 @@
     Millis stall{0}; ///< An answer that has begun may bring nothing for this long; 0 to go by `timeout` alone.
     Millis longest{0}; ///< For the whole exchange if `stall` is set.
     bool fresh = false; ///< Always on a new connection, so that it can't meet one that the peer is closing.
+    std::size_t largestBody = LargestBody; ///< Bytes; 0 for no limit, if whoever takes them does not keep them.
     Millis maxIdle{1000}; ///< A kept connection that was idle for longer is not used.
 };
 
@@ -92,6 +103,7 @@
     void onClosed(ClosedBy by);
     void finish(ExchangeEnd end);
     bool takeHead();
+    bool isTooLong(std::size_t bytes);
 
     HttpClient *m_client; ///< Null once the client is gone.
     std::string m_key;
@@ -104,6 +116,9 @@
     http::MessageReader m_reader;
     bool m_isHead = false; ///< The request is HEAD: its answers have no body.
     Millis m_beganAt{0};
+    std::size_t m_bodyBytes = 0; ///< Of the answer that is taken.
+    std::size_t m_skippedBytes = 0; ///< Of all that were skipped, heads not counted.
+    std::size_t m_skippedAnswers = 0;
     bool m_reused = false;
     bool m_answered = false;
     bool m_headTaken = false;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -148,6 +148,16 @@
     return !m_done;
 }
 
+bool Exchange::isTooLong(std::size_t bytes)
+{
+    if (m_skipping) {
+        m_skippedBytes += bytes;
+        return m_skippedBytes > MostSkipped;
+    }
+    m_bodyBytes += bytes;
+    return m_options.largestBody > 0 && m_bodyBytes > m_options.largestBody;
+}
+
 void Exchange::onData(std::string_view bytes)
 {
     const auto self = shared_from_this();
@@ -167,8 +177,13 @@
             return;
         }
         std::string body = m_reader.takeBody();
+        if (isTooLong(body.size())) {
+            finish(ExchangeEnd::Broken);
+            return;
+        }
         if (!body.empty() && !m_skipping && m_events.body) {
-            m_events.body(std::move(body));
+            const auto handler = m_events.body; // It may cancel the exchange.
+            handler(std::move(body));
         }
         if (m_done || !m_reader.complete()) {
             return;
@@ -183,6 +198,10 @@
             finish(ExchangeEnd::Complete);
             return;
         }
+        if (++m_skippedAnswers > MostSkippedAnswers) {
+            finish(ExchangeEnd::Broken);
+            return;
+        }
         m_reader.next();
         if (m_isHead) {
             m_reader.expectNoBody();
--- a/libs/serving/include/ibislock/serving/admission.h
+++ b/libs/serving/include/ibislock/serving/admission.h
@@ -16,6 +16,7 @@
     Send, ///< To the target of its placement.
     Wait,
     RefuseFull, ///< All targets are full, and waiting is of no use.
+    RefusePaused, ///< All targets have asked for a pause that is longer than waiting is of use.
     RefuseNoTarget, ///< No target can serve it.
 };
 
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -34,6 +34,7 @@
     None, ///< It has one.
     Unknown, ///< The service has no usable target.
     Full, ///< All usable targets are full.
+    Paused, ///< All usable targets have asked for a pause.
 };
 
 /// Where a request goes.
@@ -42,6 +43,7 @@
     Target *target = nullptr;
     NoTarget reason = NoTarget::Unknown;
     double occupancy = 0; ///< Of the target that was chosen, or of the least occupied, in requests per slot.
+    Millis pausedUntil{0}; ///< When the first of the targets that asked for a pause takes requests again.
 };
 
 /// By how much a request may outlast the time at which its target begins to load: the load waits for what runs.
--- a/libs/serving/include/ibislock/serving/retry_advice.h
+++ b/libs/serving/include/ibislock/serving/retry_advice.h
@@ -18,6 +18,7 @@
 };
 
 /// A time for the caller, drawn so that callers do not come back together.
-Millis retryAdvice(RefusalCause cause, Random &random);
+/// @param closedFor how long it is known that no target takes a request; zero if nothing is known.
+Millis retryAdvice(RefusalCause cause, Random &random, Millis closedFor = Millis{0});
 
 } // namespace ibislock::serving
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "ibislock/base/clock.h"
+#include "ibislock/serving/target_notice.h"
 
 #include <cstdint>
 #include <deque>
@@ -73,12 +74,24 @@
     std::deque<RecentSend> recentSends; ///< The last requests of this entry VM.
     Millis loadShowsUntil{0}; ///< Requests that were sent later are not in the load.
     std::optional<Millis> lapsedSince; ///< The listing was lost in an outage of the store.
+    TargetNotice notice; ///< What the target itself has said in this life.
 };
 
+/// What a target that is no longer listed has said, kept in case its listing comes back.
+struct PastNotice
+{
+    TargetNotice notice;
+    Millis since{0}; ///< When its listing was lost.
+};
+
+/// How long such a notice is kept; a target that was lost for longer has been replaced.
+inline constexpr Millis PastNoticeLifetime{std::chrono::minutes{10}};
+
 /// All targets by id.
 struct TargetTable
 {
     std::map<std::string, Target, std::less<>> targets;
+    std::map<std::string, PastNotice, std::less<>> pastNotices; ///< By id.
     Millis storeBackAt{0}; ///< When the store last came back.
     bool storeAway = false;
 };
@@ -103,6 +116,11 @@
 /// @param showsUntil requests that were sent later are not in the load.
 void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, Millis showsUntil);
 
+/// Gives access to what a target has said in one life.
+/// @param startedAt the life that the request was sent to.
+/// @return the notice; null if another life is listed by now.
+TargetNotice *noticeOf(TargetTable &table, std::string_view id, std::int64_t startedAt, Millis now);
+
 /// How many times of sends are kept; more than one entry VM sends to one target between two reports.
 inline constexpr std::size_t RecentSends = 32;
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -13,7 +13,7 @@
 
 bool usable(const Target &target, const PlacementRequest &request)
 {
-    if (target.entry.service != request.service || target.entry.leaving) {
+    if (target.entry.service != request.service || target.entry.leaving || target.notice.leaving) {
         return false;
     }
     if (request.now < target.health.avoidUntil) {
@@ -83,15 +83,21 @@
 {
     const bool reporting =
         request.engine && std::any_of(table.targets.begin(), table.targets.end(), [&](const auto &item) {
-            return usable(item.second, request) && hasFreshLoad(item.second, request.now);
+            return usable(item.second, request) && admits(item.second.notice, request.now)
+                && hasFreshLoad(item.second, request.now);
         });
     // The least occupied of all tells how full the service is.
     std::vector<Placement> open;
     Placement least;
+    std::optional<Millis> pausedUntil;
     for (auto &[id, target] : table.targets) {
         if (!usable(target, request) || (reporting && !hasFreshLoad(target, request.now))) {
             continue;
         }
+        if (!admits(target.notice, request.now)) {
+            pausedUntil = std::min(pausedUntil.value_or(target.notice.pauseUntil), target.notice.pauseUntil);
+            continue;
+        }
         const double slots = target.entry.slots > 0 ? target.entry.slots : 1;
         const double occupancy = requestsAt(target, request.engine, request.now) / slots;
         if (least.reason == NoTarget::Unknown || occupancy < least.occupancy) {
@@ -101,6 +107,9 @@
             open.push_back({.target = &target, .reason = NoTarget::None, .occupancy = occupancy});
         }
     }
+    if (least.reason == NoTarget::Unknown && pausedUntil) {
+        return {.reason = NoTarget::Paused, .pausedUntil = *pausedUntil};
+    }
     Placement best = least;
     double bestCost = 0;
     for (int n = 0; n < policy.drawnTargets && !open.empty(); ++n) {
--- a/libs/serving/src/retry_advice.cpp
+++ b/libs/serving/src/retry_advice.cpp
@@ -37,10 +37,11 @@
 
 } // namespace
 
-Millis retryAdvice(RefusalCause cause, Random &random)
+Millis retryAdvice(RefusalCause cause, Random &random, Millis closedFor)
 {
     const Span span = spanOf(cause);
-    return Millis{std::uniform_int_distribution<std::int64_t>(span.shortest.count(), span.longest.count())(random)};
+    return closedFor
+        + Millis{std::uniform_int_distribution<std::int64_t>(span.shortest.count(), span.longest.count())(random)};
 }
 
 } // namespace ibislock::serving
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -16,6 +16,24 @@
     return disturbed && !target.entry.leaving;
 }
 
+void eraseTarget(TargetTable &table, std::map<std::string, Target, std::less<>>::iterator it, Millis now)
+{
+    if (!admits(it->second.notice, now)) {
+        table.pastNotices[it->first] = {.notice = it->second.notice, .since = now};
+    }
+    table.targets.erase(it);
+}
+
+/// Finds what a target that is listed anew has said earlier in the same life.
+TargetNotice takePastNotice(TargetTable &table, const std::string &id, std::int64_t startedAt)
+{
+    const auto it = table.pastNotices.find(id);
+    const bool sameLife = it != table.pastNotices.end() && it->second.notice.startedAt == startedAt;
+    const TargetNotice out = sameLife ? it->second.notice : TargetNotice{.startedAt = startedAt};
+    table.pastNotices.erase(id);
+    return out;
+}
+
 void removeEntry(TargetTable &table, const std::string &id, Millis now)
 {
     const auto it = table.targets.find(id);
@@ -28,7 +46,7 @@
         }
         return;
     }
-    table.targets.erase(it);
+    eraseTarget(table, it, now);
 }
 
 } // namespace
@@ -46,6 +64,9 @@
         target.load.reset();
         target.health = {};
         target.recentSends.clear();
+        if (target.entry.id.empty() || target.entry.startedAt != entry->startedAt) {
+            target.notice = takePastNotice(table, id, entry->startedAt);
+        }
     }
     target.lapsedSince.reset();
     target.entry = std::move(*entry);
@@ -83,7 +104,14 @@
     if (table.storeAway || now < table.storeBackAt + LapseGrace) {
         return;
     }
-    std::erase_if(table.targets, [](const auto &item) { return item.second.lapsedSince.has_value(); });
+    for (auto it = table.targets.begin(); it != table.targets.end();) {
+        const auto next = std::next(it);
+        if (it->second.lapsedSince) {
+            eraseTarget(table, it, now);
+        }
+        it = next;
+    }
+    std::erase_if(table.pastNotices, [&](const auto &item) { return now > item.second.since + PastNoticeLifetime; });
 }
 
 void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, Millis showsUntil)
@@ -96,6 +124,20 @@
     it->second.loadShowsUntil = showsUntil;
 }
 
+TargetNotice *noticeOf(TargetTable &table, std::string_view id, std::int64_t startedAt, Millis now)
+{
+    const auto it = table.targets.find(id);
+    if (it != table.targets.end()) {
+        return it->second.entry.startedAt == startedAt ? &it->second.notice : nullptr;
+    }
+    PastNotice &past = table.pastNotices[std::string(id)];
+    if (past.notice.startedAt != startedAt) {
+        past.notice = {.startedAt = startedAt};
+    }
+    past.since = now;
+    return &past.notice;
+}
+
 void noteSend(Target &target, Millis now, double promptMs)
 {
     ++target.inFlight;
