--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -1,5 +1,6 @@
 #include "store_stand_in.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -119,10 +120,30 @@
     } else if (lastWait == 0) {
         answerRead(connection, from);
     } else {
-        m_waiting.push_back({.connection = connection.weak_from_this(), .from = from});
+        hold(connection, from, Millis{static_cast<std::int64_t>(lastWait)});
     }
 }
 
+void StoreStandIn::hold(net::Connection &connection, std::size_t from, Millis time)
+{
+    const std::uint64_t number = ++m_holds;
+    m_waiting.push_back({.connection = connection.weak_from_this(), .from = from, .number = number});
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, time);
+    timer->async_wait([this, timer, number](const asio::error_code &ec) {
+        const auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                     [&](const Waiting &item) { return item.number == number; });
+        if (ec || it == m_waiting.end()) {
+            return;
+        }
+        const auto to = it->connection.lock();
+        const std::size_t at = it->from;
+        m_waiting.erase(it);
+        if (to && to->isOpen() && !silent) {
+            answerRead(*to, at);
+        }
+    });
+}
+
 void StoreStandIn::answerReadLater(const std::shared_ptr<net::Connection> &connection, std::size_t from)
 {
     if (delay == Millis{0}) {
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -47,12 +47,14 @@
     {
         std::weak_ptr<net::Connection> connection;
         std::size_t from = 0;
+        std::uint64_t number = 0; ///< Counts the reads that were held back.
     };
 
     void serve(const std::shared_ptr<net::Connection> &connection);
     void answer(net::Connection &connection, const http::RequestHead &request);
     void answerReadLater(const std::shared_ptr<net::Connection> &connection, std::size_t from);
     void answerRead(net::Connection &connection, std::size_t from);
+    void hold(net::Connection &connection, std::size_t from, Millis time);
     void writeInParts(const std::shared_ptr<net::Connection> &connection, std::string bytes, std::size_t part);
     std::string snapshot() const;
 
@@ -60,6 +62,7 @@
     std::vector<std::pair<std::string, std::string>> m_records;
     std::size_t m_first = 0;
     std::vector<Waiting> m_waiting;
+    std::uint64_t m_holds = 0;
     std::vector<std::shared_ptr<net::Connection>> m_connections;
     net::Listener m_listener;
 };
--- a/libs/base/include/ibislock/base/clock.h
+++ b/libs/base/include/ibislock/base/clock.h
@@ -21,6 +21,11 @@
 /// @return the time since an arbitrary start.
 Millis steadyMillis();
 
+/// Reads the clock that also counts the time for which the machine was suspended. Ages that one VM tells another are
+/// measured with it, or a VM that wakes up would pass on old facts as new.
+/// @return the time since the machine's start.
+Millis bootMillis();
+
 /// Reads the wall clock, for records that people read; no decision depends on it.
 /// @return the time since the Unix epoch.
 Millis wallMillis();
--- /dev/null
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -0,0 +1,119 @@
+// Keeps the listings of targets: asks a relay of the own failure domain for changes, or reads the store if this VM is a
+// relay itself or finds none that is fresh. What a relay says carries its age; one that is cut off from the store,
+// frozen or gone is left after a fraction of the time in which a leaving target must be left alone.
+//
+//     ListingsFollower follower(loop, client, store, {.ip = "10.0.0.1", .domain = "a", .time = Millis{2000}}, events);
+//     follower.start();
+
+#pragma once
+
+#include "ibislock/feed/listings_relay.h"
+#include "ibislock/feed/operators_level.h"
+#include "ibislock/feed/topic_feed.h"
+
+namespace ibislock::feed
+{
+
+/// How listings are followed.
+struct FollowerOptions
+{
+    std::string ip; ///< Of this VM.
+    std::string domain; ///< The failure domain.
+    std::uint16_t port = 0; ///< At which relays are asked.
+    bool answers = false; ///< Listens there itself; so target VMs do.
+    Millis time{2000}; ///< In which a leaving target must be left alone.
+};
+
+/// What the owner is told.
+struct FollowerEvents
+{
+    /// A listing changed; nothing if it was removed or names no target to use.
+    std::function<void(const std::string &id, const std::optional<serving::TargetEntry> &entry)> listing;
+    std::function<void(bool away)> store; ///< The store was lost, or is back, as this VM sees it.
+    std::function<void(Millis at)> storeBack; ///< A relay says that the store came back then; monotonic time.
+    std::function<bool(const serving::TargetEntry &)>
+        hasDaemon; ///< Tells whether a daemon of ours runs beside a target.
+    std::function<void(const OperatorsLevel &)> level; ///< A relay tells where the operators' topic ended.
+    std::function<peer::TopicLevel()> ownLevel; ///< What this VM knows of it, told to those that ask.
+};
+
+/// The follower.
+class ListingsFollower
+{
+public:
+    ListingsFollower(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store, FollowerOptions options,
+                     FollowerEvents events);
+    ~ListingsFollower();
+    ListingsFollower(const ListingsFollower &) = delete;
+    ListingsFollower &operator=(const ListingsFollower &) = delete;
+
+    /// Begins.
+    /// @return nothing, or what failed.
+    asio::error_code start();
+
+    /// All listings that are known.
+    const ListingsCache &cache() const;
+
+    /// Tells whether listings have been read since the start.
+    bool synchronized() const;
+
+    /// Tells whether this VM reads the store, for others or for want of a relay.
+    bool readsStore() const;
+
+    /// The relay that is asked; empty while the store is read.
+    std::string relay() const;
+
+    /// Calls to the store, and how many failed.
+    std::uint64_t storeCalls() const;
+    std::uint64_t storeFailures() const;
+
+    /// Answers of relays that were taken over, relays that were left, and asks of others that were answered.
+    std::uint64_t relayAnswers() const;
+    std::uint64_t relaysLeft() const;
+    std::uint64_t answersGiven() const;
+
+    /// Listings that name no target to use.
+    std::uint64_t unusable() const;
+
+private:
+    peer::ListingChange decode(const platform::KeyedRecord &record);
+    void takeSnapshot(const std::vector<platform::KeyedRecord> &records);
+    void takeRecord(const platform::KeyedRecord &record);
+    void takeLevel(Millis asOf);
+    void tell(const std::vector<peer::ListingChange> &changes);
+    std::vector<std::string> relays() const;
+    void askNext();
+    void askLater(Millis time);
+    void connect(const std::string &vm);
+    void send();
+    void onData(std::string_view bytes);
+    void takeUpdate(const peer::ListingsUpdate &update);
+    void leaveRelay(std::string_view cause);
+    void dropConnection();
+    void readStore();
+    Millis part(double share) const;
+
+    asio::io_context &m_loop;
+    FollowerOptions m_options;
+    FollowerEvents m_events;
+    ListingsCache m_cache;
+    ListingsRelay m_relay;
+    TopicFeed m_feed;
+    bool m_readsStore = true;
+    bool m_asking = false; ///< An ask is under way, or planned.
+    std::size_t m_attempt = 0; ///< The place of the relay that is asked, in their order.
+    std::string m_relayVm; ///< The relay that is asked.
+    Millis m_relaysAgainAt{0}; ///< When relays that failed are asked anew.
+    std::uint32_t m_sequence = 0;
+    int m_behind = 0; ///< Answers in a row that end before what is known here.
+    Millis m_askedAt{0}; ///< By the boot clock.
+    asio::steady_timer m_timer;
+    std::shared_ptr<asio::ip::tcp::socket> m_connecting;
+    std::shared_ptr<net::Connection> m_connection;
+    peer::FrameReader m_reader;
+    std::uint64_t m_unusable = 0;
+    std::uint64_t m_relayAnswers = 0;
+    std::uint64_t m_relaysLeft = 0;
+};
+
+} // namespace ibislock::feed
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -20,6 +20,8 @@
     std::string topic;
     Millis wait{10000}; ///< How long the store holds a read back until there is a record.
     Millis pause{0}; ///< Between two reads; bounds the calls on a busy topic.
+    Millis lazyTime{0}; ///< How long a feed that is lazy relies on the last confirmation.
+    bool newestOnly = false; ///< Of several records that were missed, the newest of each key is enough.
 };
 
 /// What the follower is told.
@@ -28,6 +30,10 @@
     std::function<void(std::vector<platform::KeyedRecord>)> snapshot; ///< All keys; others are gone.
     std::function<void(const platform::KeyedRecord &)> record;
     std::function<void(bool away)> store; ///< The store was lost, or is back.
+
+    /// Told after each call that succeeded: all up to `next()` has been told, as it was at a time of the boot clock.
+    /// May be empty.
+    std::function<void(Millis asOf)> level = {};
 };
 
 /// How long a call may take beyond its wait until its answer begins; the store answers in some 4 ms. An answer that has
@@ -55,6 +61,21 @@
     /// Begins.
     void start();
 
+    /// Leaves it to other VMs to ask the store for news, or not any more. A lazy feed reads when a hint tells that
+    /// there is something, or when nothing has confirmed for some time that there is not.
+    void setLazy(bool lazy);
+
+    /// Notes that another VM has found that there is nothing behind `next()` that matters here.
+    /// @param asOf when the store said so, by the boot clock.
+    void confirm(Millis asOf);
+
+    /// Stops to read, as the topic is followed elsewhere; what is under way is given up.
+    void suspend();
+
+    /// Reads on.
+    /// @param next the offset up to which the topic is known from elsewhere.
+    void resume(std::int64_t next);
+
     /// Reads at once if another process has seen records from an offset on that this one has not read. A read whose
     /// answer is coming in goes on: it is large or its link is narrow, and would only begin anew.
     /// @param end the offset behind the last record that the other has read.
@@ -74,10 +95,15 @@
 
 private:
     void readSnapshot();
+    void readNewest();
+    void readLater(Millis pause);
+    void readIfUnconfirmed();
+    void takeNewest(std::vector<platform::KeyedRecord> records);
     void readOn();
     void takeSnapshotPage(const std::string &body);
     void takeRecords(const std::string &body);
     void later(Millis time, void (TopicFeed::*step)());
+    void tellLevel();
     void failed(std::string_view what, void (TopicFeed::*again)());
     void succeeded();
     void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*again)(),
@@ -94,12 +120,17 @@
     std::int64_t m_snapshotEnd = -1;
     Millis m_backOff = FirstBackOff;
     bool m_away = false;
+    bool m_lazy = false;
+    bool m_newest = false; ///< The snapshot that is read makes up for records that were missed.
+    Millis m_confirmedAt{0}; ///< By the boot clock.
     bool m_synchronized = false;
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
     std::shared_ptr<net::Exchange> m_exchange; ///< Of the call that is under way.
     std::int64_t m_hinted = -1;
     Millis m_calledAt{0};
+    Millis m_calledAtBoot{0}; ///< The same by the boot clock.
+    Millis m_heldFor{0}; ///< How long the store may hold the present call back.
     std::uint64_t m_round = 0; ///< Of the present call or wait; those before are over.
 };
 
--- /dev/null
+++ b/libs/feed/src/listings_cache.cpp
@@ -0,0 +1,104 @@
+#include "ibislock/feed/listings_cache.h"
+
+#include <set>
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+/// @param passEqual whether an entry that is equal to what is known is passed on.
+bool note(ListingsCache &cache, const peer::ListingChange &change, Millis now, bool passEqual)
+{
+    const auto it = cache.listings.find(change.id);
+    const bool known = it != cache.listings.end();
+    if (known && change.offset < it->second.offset) {
+        return false;
+    }
+    const bool equal = known ? change.entry == it->second.entry : !change.entry;
+    if (!equal || passEqual) {
+        cache.listings[change.id] = {.entry = change.entry, .offset = change.offset, .changedAt = now};
+    }
+    return !equal;
+}
+
+} // namespace
+
+bool noteRecord(ListingsCache &cache, const peer::ListingChange &record, Millis now)
+{
+    return note(cache, record, now, false);
+}
+
+bool noteListing(ListingsCache &cache, const peer::ListingChange &change, Millis now)
+{
+    return note(cache, change, now, true);
+}
+
+std::vector<peer::ListingChange> replaceListings(ListingsCache &cache, const std::vector<peer::ListingChange> &listings,
+                                                 std::int64_t end, Millis now)
+{
+    if (end < cache.end) {
+        // The topic has begun anew: offsets that were known mean nothing any more.
+        for (auto &[id, known] : cache.listings) {
+            known.offset = -1;
+        }
+    }
+    std::set<std::string, std::less<>> listed;
+    std::vector<peer::ListingChange> changed;
+    for (const peer::ListingChange &listing : listings) {
+        listed.insert(listing.id);
+        if (noteListing(cache, listing, now)) {
+            changed.push_back(listing);
+        }
+    }
+    for (const auto &[id, known] : cache.listings) {
+        if (known.entry && !listed.contains(id)) {
+            changed.push_back({.id = id, .entry = {}, .offset = end - 1});
+        }
+    }
+    for (const peer::ListingChange &change : changed) {
+        noteListing(cache, change, now);
+    }
+    cache.since = end;
+    cache.end = end;
+    return changed;
+}
+
+bool covers(const ListingsCache &cache, std::int64_t from)
+{
+    return cache.since >= 0 && from >= cache.since;
+}
+
+std::vector<peer::ListingChange> changesFrom(const ListingsCache &cache, std::int64_t from)
+{
+    std::vector<peer::ListingChange> out;
+    for (const auto &[id, known] : cache.listings) {
+        if (known.offset >= from) {
+            out.push_back({.id = id, .entry = known.entry, .offset = known.offset});
+        }
+    }
+    return out;
+}
+
+std::vector<peer::ListingChange> allListings(const ListingsCache &cache)
+{
+    std::vector<peer::ListingChange> out;
+    for (const auto &[id, known] : cache.listings) {
+        if (known.entry) {
+            out.push_back({.id = id, .entry = known.entry, .offset = known.offset});
+        }
+    }
+    return out;
+}
+
+void forgetRemoved(ListingsCache &cache, Millis now)
+{
+    for (auto it = cache.listings.begin(); it != cache.listings.end();) {
+        const bool old = !it->second.entry && now >= it->second.changedAt + RemovedLifetime;
+        cache.since = old ? std::max(cache.since, it->second.offset + 1) : cache.since;
+        it = old ? cache.listings.erase(it) : std::next(it);
+    }
+}
+
+} // namespace ibislock::feed
--- /dev/null
+++ b/libs/feed/src/listings_follower.cpp
@@ -0,0 +1,389 @@
+#include "ibislock/feed/listings_follower.h"
+
+#include "ibislock/base/log.h"
+#include "ibislock/feed/relay_order.h"
+#include "ibislock/platform/listings.h"
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+// Parts of the time in which a leaving target must be left alone. In the worst case a relay is lost just before it
+// reads on: what it had read before is then `StorePausePart` + `AskPausePart` + `WaitPart` + `MarginPart` old, and a
+// read of the store or a substitute follows.
+
+/// Between two reads of the store that brought something.
+constexpr double StorePausePart = 0.3;
+
+/// How long the store holds a read back; the next read follows at once.
+constexpr double StoreWaitPart = 0.4;
+
+/// Between an answer of a relay and the next ask.
+constexpr double AskPausePart = 0.1;
+
+/// How long a relay holds its answer back until something changes.
+constexpr double WaitPart = 0.2;
+
+/// How much longer an answer may be on its way.
+constexpr double MarginPart = 0.1;
+
+/// How old the knowledge of a relay may be; one that reads the store is `StoreWaitPart` and a call behind at most.
+constexpr double OldestPart = 0.6;
+
+/// Answers in a row that may end before what is known here; a relay reads on between two asks, so more mean that one of
+/// both knows a topic that has begun anew. The store tells which.
+constexpr int MostBehind = 3;
+
+/// Until relays that failed are asked anew, and until a VM that reads the store looks whether it is still to do so.
+constexpr Millis RelayRetry{4000};
+
+} // namespace
+
+ListingsFollower::ListingsFollower(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store,
+                                   FollowerOptions options, FollowerEvents events)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_events(std::move(events))
+    , m_relay(loop, m_cache, m_events.ownLevel)
+    , m_feed(loop, client, std::move(store),
+             {.topic = std::string(platform::TargetsTopic), .wait = part(StoreWaitPart), .pause = part(StorePausePart)},
+             {.snapshot = [this](const std::vector<platform::KeyedRecord> &records) { takeSnapshot(records); },
+              .record = [this](const platform::KeyedRecord &record) { takeRecord(record); },
+              .store =
+                  [this](bool away) {
+                      if (!away) {
+                          m_relay.noteStoreBack(bootMillis());
+                      }
+                      m_events.store(away);
+                  },
+              .level =
+                  [this](Millis asOf) {
+                      takeLevel(asOf);
+                  }})
+    , m_timer(loop)
+{
+}
+
+ListingsFollower::~ListingsFollower()
+{
+    dropConnection();
+}
+
+Millis ListingsFollower::part(double share) const
+{
+    return Millis{static_cast<std::int64_t>(static_cast<double>(m_options.time.count()) * share)};
+}
+
+asio::error_code ListingsFollower::start()
+{
+    const asio::error_code ec = m_options.answers ? m_relay.open(m_options.ip, m_options.port) : asio::error_code();
+    m_feed.start();
+    return ec;
+}
+
+const ListingsCache &ListingsFollower::cache() const
+{
+    return m_cache;
+}
+
+bool ListingsFollower::synchronized() const
+{
+    return m_cache.since >= 0;
+}
+
+bool ListingsFollower::readsStore() const
+{
+    return m_readsStore;
+}
+
+std::string ListingsFollower::relay() const
+{
+    return m_readsStore ? std::string() : m_relayVm;
+}
+
+std::uint64_t ListingsFollower::storeCalls() const
+{
+    return m_feed.calls();
+}
+
+std::uint64_t ListingsFollower::storeFailures() const
+{
+    return m_feed.failures();
+}
+
+std::uint64_t ListingsFollower::relayAnswers() const
+{
+    return m_relayAnswers;
+}
+
+std::uint64_t ListingsFollower::relaysLeft() const
+{
+    return m_relaysLeft;
+}
+
+std::uint64_t ListingsFollower::answersGiven() const
+{
+    return m_relay.answers();
+}
+
+std::uint64_t ListingsFollower::unusable() const
+{
+    return m_unusable;
+}
+
+peer::ListingChange ListingsFollower::decode(const platform::KeyedRecord &record)
+{
+    peer::ListingChange out{.id = record.key, .entry = {}, .offset = record.offset};
+    if (!record.value) {
+        return out;
+    }
+    auto entry = platform::decodeTarget(record.key, *record.value);
+    if (entry) {
+        out.entry = std::move(*entry);
+    } else {
+        ++m_unusable;
+        logInfo(Part::Store, "A listing names no target to use.",
+                {{"target", record.key}, {"cause", entry.error().message}});
+    }
+    return out;
+}
+
+void ListingsFollower::takeSnapshot(const std::vector<platform::KeyedRecord> &records)
+{
+    std::vector<peer::ListingChange> listings;
+    for (const platform::KeyedRecord &record : records) {
+        peer::ListingChange change = decode(record);
+        if (change.entry) {
+            listings.push_back(std::move(change));
+        }
+    }
+    tell(replaceListings(m_cache, listings, m_feed.next(), steadyMillis()));
+}
+
+void ListingsFollower::takeRecord(const platform::KeyedRecord &record)
+{
+    const peer::ListingChange change = decode(record);
+    if (noteRecord(m_cache, change, steadyMillis())) {
+        tell({change});
+    }
+}
+
+void ListingsFollower::tell(const std::vector<peer::ListingChange> &changes)
+{
+    for (const peer::ListingChange &change : changes) {
+        m_events.listing(change.id, change.entry);
+    }
+}
+
+void ListingsFollower::takeLevel(Millis asOf)
+{
+    m_cache.end = m_feed.next();
+    m_cache.asOf = asOf;
+    forgetRemoved(m_cache, steadyMillis());
+    m_relay.answerWaiting();
+    const Millis now = steadyMillis();
+    if (!m_asking && now >= m_relaysAgainAt) {
+        m_relaysAgainAt = now + RelayRetry;
+        m_attempt = 0;
+        askNext(); // The store is read on until a relay has answered.
+    }
+}
+
+std::vector<std::string> ListingsFollower::relays() const
+{
+    std::vector<std::string> vms;
+    for (const auto &[id, known] : m_cache.listings) {
+        if (!known.entry || known.entry->leaving || known.entry->domain != m_options.domain
+            || !m_events.hasDaemon(*known.entry)) {
+            continue;
+        }
+        if (auto endpoint = platform::endpointFrom(known.entry->address)) {
+            vms.push_back(std::move(endpoint->ip));
+        }
+    }
+    return relaysFor(m_options.ip, vms);
+}
+
+void ListingsFollower::askNext()
+{
+    const std::vector<std::string> vms = relays();
+    if (m_attempt >= vms.size()) {
+        readStore();
+        return;
+    }
+    m_asking = true;
+    m_askedAt = bootMillis();
+    const bool connected = m_connection && m_connection->isOpen() && m_relayVm == vms[m_attempt];
+    if (connected) {
+        send();
+    } else {
+        connect(vms[m_attempt]);
+    }
+    m_timer.expires_after(part(WaitPart + MarginPart));
+    m_timer.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            leaveRelay("no answer");
+        }
+    });
+}
+
+void ListingsFollower::askLater(Millis time)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            askNext();
+        }
+    });
+}
+
+void ListingsFollower::connect(const std::string &vm)
+{
+    dropConnection();
+    m_relayVm = vm;
+    asio::error_code ec;
+    const auto address = asio::ip::make_address_v4(vm, ec);
+    if (ec) {
+        return; // The ask runs out of time, and the next relay follows.
+    }
+    m_connecting = std::make_shared<asio::ip::tcp::socket>(m_loop);
+    m_connecting->async_connect({address, m_options.port},
+                                [this, socket = m_connecting](const asio::error_code &failed) {
+                                    if (m_connecting != socket) {
+                                        return; // Given up meanwhile.
+                                    }
+                                    m_connecting.reset();
+                                    if (failed) {
+                                        leaveRelay("not connected");
+                                        return;
+                                    }
+                                    m_reader = {};
+                                    m_connection = net::Connection::adopt(std::move(*socket));
+                                    m_connection->start({
+                                        .data = [this](std::string_view bytes) { onData(bytes); },
+                                        .closed = [this](net::ClosedBy) { leaveRelay("connection lost"); },
+                                    });
+                                    send();
+                                });
+}
+
+void ListingsFollower::send()
+{
+    m_askedAt = bootMillis();
+    m_connection->write(
+        encode(peer::ListingsAsk{.sequence = ++m_sequence, .from = m_cache.end, .wait = part(WaitPart)}));
+}
+
+void ListingsFollower::onData(std::string_view bytes)
+{
+    m_reader.add(bytes);
+    const auto connection = m_connection; // Kept while its bytes are read; the relay may be left meanwhile.
+    while (m_connection == connection) {
+        const auto body = m_reader.next();
+        if (!body && body.error().code == ErrorCode::NotFound) {
+            return;
+        }
+        const auto message =
+            body ? peer::decodeListings(*body) : Result<peer::ListingsMessage>(tl::unexpected(body.error()));
+        if (!message || !std::holds_alternative<peer::ListingsUpdate>(*message)) {
+            leaveRelay("unreadable answer");
+            return;
+        }
+        const auto &update = std::get<peer::ListingsUpdate>(*message);
+        if (update.sequence == m_sequence) {
+            takeUpdate(update);
+        }
+    }
+}
+
+void ListingsFollower::takeUpdate(const peer::ListingsUpdate &update)
+{
+    // The answer left the relay no sooner than it was held back, so this can only make the knowledge look older.
+    const Millis asOf = m_askedAt + update.held - update.age;
+    if (update.end < 0 || bootMillis() - asOf > part(OldestPart)) {
+        leaveRelay("stale answer");
+        return;
+    }
+    ++m_relayAnswers;
+    const Millis now = steadyMillis();
+    if (m_readsStore) {
+        m_readsStore = false;
+        m_feed.suspend();
+        logInfo(Part::Store, "Listings come from a relay.", {{"relay", m_relayVm}});
+    }
+    if (update.storeBack) {
+        m_relay.noteStoreBack(bootMillis() - *update.storeBack);
+        m_events.storeBack(now - *update.storeBack);
+    }
+    m_events.level({.end = update.operators.end,
+                    .namingsEnd = update.operators.namingsEnd,
+                    .asOf = m_askedAt + update.held - update.operators.age});
+    m_behind = update.end < m_cache.end ? m_behind + 1 : 0;
+    if (m_behind > MostBehind) {
+        m_behind = 0;
+        leaveRelay("behind");
+        return;
+    }
+    if (update.end >= m_cache.end) {
+        std::vector<peer::ListingChange> changes;
+        if (update.whole) {
+            changes = replaceListings(m_cache, update.listings, update.end, now);
+        } else {
+            for (const peer::ListingChange &change : update.listings) {
+                if (noteListing(m_cache, change, now)) {
+                    changes.push_back(change);
+                }
+            }
+        }
+        m_cache.end = update.end;
+        tell(changes);
+    }
+    m_cache.asOf = std::max(m_cache.asOf, asOf);
+    forgetRemoved(m_cache, now);
+    m_relay.answerWaiting();
+    if (m_attempt > 0 && now >= m_relaysAgainAt) {
+        m_relaysAgainAt = now + RelayRetry;
+        m_attempt = 0;
+    }
+    askLater(part(AskPausePart));
+}
+
+void ListingsFollower::leaveRelay(std::string_view cause)
+{
+    ++m_relaysLeft;
+    logInfo(Part::Store, "A relay of listings is left.",
+            {{"relay", m_relayVm},
+             {"cause", std::string(cause)},
+             {"age_ms", std::to_string((bootMillis() - m_cache.asOf).count())}});
+    dropConnection();
+    if (m_attempt == 0) {
+        m_relaysAgainAt = steadyMillis() + RelayRetry;
+    }
+    ++m_attempt;
+    askNext();
+}
+
+void ListingsFollower::dropConnection()
+{
+    m_timer.cancel();
+    m_connecting.reset();
+    if (m_connection) {
+        m_connection->close();
+        m_connection.reset();
+    }
+}
+
+void ListingsFollower::readStore()
+{
+    m_asking = false;
+    dropConnection();
+    if (!m_readsStore) {
+        m_readsStore = true;
+        logInfo(Part::Store, "Listings are read from the store.", {{"offset", std::to_string(m_cache.end)}});
+        m_feed.resume(m_cache.end);
+    }
+}
+
+} // namespace ibislock::feed
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -2,6 +2,8 @@
 
 #include "ibislock/base/log.h"
 
+#include <algorithm>
+
 namespace ibislock::feed
 {
 
@@ -10,6 +12,9 @@
 
 constexpr int OkStatus = 200;
 
+/// How often a lazy feed looks whether it was confirmed, in the time for which it relies on a confirmation.
+constexpr int LooksInLazyTime = 8;
+
 } // namespace
 
 TopicFeed::TopicFeed(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store, FeedOptions options,
@@ -81,6 +86,7 @@
 {
     ++m_calls;
     m_calledAt = steadyMillis();
+    m_calledAtBoot = bootMillis();
     const std::uint64_t round = ++m_round;
     http::RequestHead head = request.head;
     head.headers.add("Host", m_store.ip);
@@ -103,6 +109,64 @@
                                });
 }
 
+void TopicFeed::setLazy(bool lazy)
+{
+    m_lazy = lazy;
+}
+
+void TopicFeed::confirm(Millis asOf)
+{
+    m_confirmedAt = std::max(m_confirmedAt, asOf);
+}
+
+void TopicFeed::readLater(Millis pause)
+{
+    const bool confirmed = m_lazy && bootMillis() - m_confirmedAt < m_options.lazyTime;
+    if (confirmed) {
+        readIfUnconfirmed();
+    } else {
+        later(pause, &TopicFeed::readOn);
+    }
+}
+
+void TopicFeed::readIfUnconfirmed()
+{
+    if (!m_lazy || bootMillis() - m_confirmedAt >= m_options.lazyTime) {
+        readOn();
+        return;
+    }
+    // Drawn, so that VMs that lost the same informant do not turn to the store together.
+    later(jittered(m_random, m_options.lazyTime / LooksInLazyTime), &TopicFeed::readIfUnconfirmed);
+}
+
+void TopicFeed::tellLevel()
+{
+    // A read that was held back for all of its time has shown that nothing came meanwhile.
+    const Millis now = bootMillis();
+    const Millis asOf = now - m_calledAtBoot >= m_heldFor ? m_calledAtBoot + m_heldFor : m_calledAtBoot;
+    if (m_events.level) {
+        m_events.level(asOf);
+    }
+}
+
+void TopicFeed::suspend()
+{
+    ++m_round;
+    m_timer.cancel();
+    if (m_exchange) {
+        m_exchange->cancel();
+    }
+    m_pages.clear();
+    m_snapshotEnd = -1;
+    succeeded(); // The topic is followed elsewhere, so the store is not lost to this VM.
+}
+
+void TopicFeed::resume(std::int64_t next)
+{
+    m_next = next;
+    readOn();
+}
+
 std::int64_t TopicFeed::next() const
 {
     return m_next;
@@ -124,12 +188,17 @@
     if (m_exchange) {
         m_exchange->cancel();
     }
-    readOn();
+    if (m_options.newestOnly && end - m_next > 1) {
+        readNewest();
+    } else {
+        readOn();
+    }
 }
 
 void TopicFeed::readSnapshot()
 {
     const std::string after = m_pages.empty() ? "" : m_pages.back().key;
+    m_heldFor = Millis{0};
     call(platform::snapshotRequest(m_options.topic, after), CallTime, &TopicFeed::readSnapshot,
          [this](int status, const std::string &body) {
              if (status != OkStatus) {
@@ -156,16 +225,39 @@
         return;
     }
     succeeded();
-    m_next = std::exchange(m_snapshotEnd, -1);
-    m_synchronized = true;
-    m_events.snapshot(std::exchange(m_pages, {}));
-    later(m_options.pause, &TopicFeed::readOn);
+    if (std::exchange(m_newest, false) && m_snapshotEnd >= m_next) {
+        takeNewest(std::exchange(m_pages, {}));
+    } else {
+        m_next = std::exchange(m_snapshotEnd, -1);
+        m_synchronized = true;
+        m_events.snapshot(std::exchange(m_pages, {}));
+    }
+    tellLevel();
+    readLater(m_options.pause);
+}
+
+void TopicFeed::readNewest()
+{
+    m_newest = true;
+    readSnapshot();
+}
+
+void TopicFeed::takeNewest(std::vector<platform::KeyedRecord> records)
+{
+    std::erase_if(records, [&](const platform::KeyedRecord &record) { return record.offset < m_next; });
+    std::sort(records.begin(), records.end(),
+              [](const platform::KeyedRecord &a, const platform::KeyedRecord &b) { return a.offset < b.offset; });
+    m_next = std::max(m_next, std::exchange(m_snapshotEnd, -1));
+    for (const platform::KeyedRecord &record : records) {
+        m_events.record(record);
+    }
 }
 
 void TopicFeed::readOn()
 {
     // A store that was lost may be silent still: a read that it holds back could not be told from one that it ignores.
     const Millis wait = m_away ? Millis{0} : m_options.wait;
+    m_heldFor = wait;
     call(platform::readRequest(m_options.topic, m_next, wait), wait + CallTime, &TopicFeed::readOn,
          [this](int status, const std::string &body) {
              if (status == platform::TrimmedStatus) {
@@ -199,7 +291,14 @@
     for (const platform::KeyedRecord &record : page->records) {
         m_events.record(record);
     }
-    later(m_options.pause, &TopicFeed::readOn);
+    if (page->next < page->end) {
+        later(m_options.pause, &TopicFeed::readOn);
+        return;
+    }
+    tellLevel();
+    // A read that was held back and brought nothing needs no pause behind it.
+    const bool held = page->records.empty() && m_heldFor > Millis{0};
+    readLater(held ? Millis{0} : m_options.pause);
 }
 
 } // namespace ibislock::feed
--- /dev/null
+++ b/libs/feed/test/listings_cache_test.cpp
@@ -0,0 +1,234 @@
+#include "ibislock/feed/listings_cache.h"
+#include "ibislock/feed/relay_order.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+peer::ListingChange listed(const std::string &id, std::int64_t offset, std::int64_t version = 1)
+{
+    return {.id = id, .entry = serving::TargetEntry{.id = id, .models = {{"m", version}}}, .offset = offset};
+}
+
+peer::ListingChange removed(const std::string &id, std::int64_t offset)
+{
+    return {.id = id, .entry = {}, .offset = offset};
+}
+
+TEST(ListingsCacheTest, AHeartbeatChangesNothing)
+{
+    ListingsCache cache;
+    replaceListings(cache, {listed("a", 3)}, 4, Millis{0});
+    EXPECT_FALSE(noteRecord(cache, listed("a", 9), Millis{10}));
+    EXPECT_TRUE(changesFrom(cache, 4).empty());
+    EXPECT_TRUE(noteRecord(cache, listed("a", 10, 2), Millis{20}));
+    EXPECT_EQ(changesFrom(cache, 4).size(), 1U);
+}
+
+TEST(ListingsCacheTest, AnOlderListingIsIgnored)
+{
+    ListingsCache cache;
+    replaceListings(cache, {listed("a", 8, 2)}, 9, Millis{0});
+    EXPECT_FALSE(noteListing(cache, listed("a", 5, 1), Millis{0}));
+    EXPECT_EQ(cache.listings.at("a").entry->models.front().version, 2);
+}
+
+TEST(ListingsCacheTest, WhatASnapshotLacksIsRemoved)
+{
+    ListingsCache cache;
+    replaceListings(cache, {listed("a", 1), listed("b", 2)}, 3, Millis{0});
+    const auto changes = replaceListings(cache, {listed("b", 2)}, 9, Millis{0});
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().id, "a");
+    EXPECT_FALSE(changes.front().entry);
+    EXPECT_FALSE(covers(cache, 3));
+}
+
+TEST(ListingsCacheTest, ATopicThatBeganAnewIsTakenOver)
+{
+    ListingsCache cache;
+    replaceListings(cache, {listed("a", 100, 5), listed("b", 101)}, 102, Millis{0});
+    const auto changes = replaceListings(cache, {listed("a", 0, 6)}, 1, Millis{0});
+    EXPECT_EQ(changes.size(), 2U);
+    EXPECT_EQ(cache.end, 1);
+    EXPECT_EQ(cache.listings.at("a").entry->models.front().version, 6);
+    EXPECT_FALSE(covers(cache, 0));
+}
+
+TEST(ListingsCacheTest, RemovedListingsAreForgottenAndEarlierAskersGetAll)
+{
+    ListingsCache cache;
+    replaceListings(cache, {listed("a", 1), listed("b", 2)}, 3, Millis{0});
+    noteRecord(cache, removed("a", 5), Millis{0});
+    EXPECT_TRUE(covers(cache, 3));
+    forgetRemoved(cache, RemovedLifetime);
+    EXPECT_EQ(cache.listings.size(), 1U);
+    EXPECT_FALSE(covers(cache, 5));
+    EXPECT_TRUE(covers(cache, 6));
+}
+
+TEST(ListingsCacheTest, AListingThatWasRemovedAndCameBackUnseenIsPassedOn)
+{
+    ListingsCache relay;
+    ListingsCache follower;
+    replaceListings(relay, {listed("a", 1)}, 2, Millis{0});
+    replaceListings(follower, {listed("a", 1)}, 2, Millis{0});
+    noteRecord(relay, removed("a", 2), Millis{0});
+    noteRecord(relay, listed("a", 3), Millis{0});
+    for (const peer::ListingChange &change : changesFrom(relay, 2)) {
+        noteListing(follower, change, Millis{0});
+    }
+    EXPECT_EQ(changesFrom(follower, 3).size(), 1U);
+}
+
+/// What a VM knows, without offsets.
+std::map<std::string, std::int64_t> versionsOf(const ListingsCache &cache)
+{
+    std::map<std::string, std::int64_t> out;
+    for (const peer::ListingChange &listing : allListings(cache)) {
+        out[listing.id] = listing.entry->models.front().version;
+    }
+    return out;
+}
+
+/// A VM that follows: takes over what another one answers to its ask.
+void follow(ListingsCache &self, const ListingsCache &relay)
+{
+    if (relay.end < self.end) {
+        return;
+    }
+    if (!covers(relay, self.end)) {
+        replaceListings(self, allListings(relay), relay.end, Millis{0});
+    } else {
+        for (const peer::ListingChange &change : changesFrom(relay, self.end)) {
+            noteListing(self, change, Millis{0});
+        }
+        self.end = relay.end;
+    }
+}
+
+// Writers change listings at random; VMs read the topic, ask each other, forget and start anew in any order. A VM that
+// has read up to an offset, over any path, knows exactly what the topic held there.
+RC_GTEST_PROP(ListingsCacheProperty, OverAnyPathAVmKnowsWhatTheTopicHeldAtItsEnd, ())
+{
+    std::vector<peer::ListingChange> topic;
+    std::vector<std::map<std::string, std::int64_t>> heldAt{{}};
+    std::vector<ListingsCache> vms(4);
+    const auto read = [&](ListingsCache &vm) {
+        const auto end = static_cast<std::int64_t>(topic.size());
+        if (vm.since < 0) {
+            std::map<std::string, peer::ListingChange> newest;
+            for (const peer::ListingChange &change : topic) {
+                newest[change.id] = change;
+            }
+            std::vector<peer::ListingChange> listings;
+            for (const auto &[id, change] : newest) {
+                if (change.entry) {
+                    listings.push_back(change);
+                }
+            }
+            replaceListings(vm, listings, end, Millis{0});
+            return;
+        }
+        for (auto at = vm.end; at < end; ++at) {
+            noteRecord(vm, topic[static_cast<std::size_t>(at)], Millis{0});
+        }
+        vm.end = end;
+    };
+    const auto steps = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 1 << 20));
+    for (const int step : steps) {
+        ListingsCache &vm = vms[static_cast<std::size_t>(step / 16) % vms.size()];
+        ListingsCache &other = vms[static_cast<std::size_t>(step / 64) % vms.size()];
+        const auto offset = static_cast<std::int64_t>(topic.size());
+        const std::string id(1, static_cast<char>('a' + step / 256 % 3));
+        switch (step % 8) {
+        case 0:
+        case 1:
+        case 2:
+            topic.push_back(listed(id, offset, step / 1024 % 4));
+            heldAt.push_back(heldAt.back());
+            heldAt.back()[id] = step / 1024 % 4;
+            break;
+        case 3:
+            topic.push_back(removed(id, offset));
+            heldAt.push_back(heldAt.back());
+            heldAt.back().erase(id);
+            break;
+        case 4:
+            read(vm);
+            break;
+        case 5:
+        case 6:
+            if (vm.since >= 0 && other.since >= 0) {
+                follow(vm, other);
+            }
+            break;
+        default:
+            step % 16 == 7 ? forgetRemoved(vm, RemovedLifetime) : void(vm = {});
+        }
+        for (const ListingsCache &each : vms) {
+            if (each.end >= 0) {
+                RC_ASSERT(versionsOf(each) == heldAt[static_cast<std::size_t>(each.end)]);
+            }
+        }
+    }
+}
+
+std::vector<std::string> domainOf(int vms)
+{
+    std::vector<std::string> out;
+    for (int n = 0; n < vms; ++n) {
+        out.push_back("10.0.0." + std::to_string(n));
+    }
+    return out;
+}
+
+TEST(RelayOrderTest, FewVmsReadTheStoreAndAllOthersAskThem)
+{
+    for (const int count : {1, 5, 31, 32, 33, 55}) {
+        const auto vms = domainOf(count);
+        std::set<std::string> readers;
+        for (const std::string &vm : vms) {
+            if (relaysFor(vm, vms).empty()) {
+                readers.insert(vm);
+            }
+        }
+        EXPECT_EQ(readers.size(), 1 + (static_cast<std::size_t>(count) - 1) / VmsOfRelay);
+        for (const std::string &vm : vms) {
+            const auto relays = relaysFor(vm, vms);
+            for (std::size_t n = 0; n < relays.size(); ++n) {
+                EXPECT_EQ(readers.contains(relays[n]), n < readers.size());
+                EXPECT_NE(relays[n], vm);
+            }
+        }
+        EXPECT_TRUE(readers.contains(relaysFor("10.9.9.9", vms).front()));
+    }
+}
+
+TEST(RelayOrderTest, AskersSpreadOverTheRelays)
+{
+    const auto vms = domainOf(55);
+    std::map<std::string, int> askers;
+    for (int n = 0; n < 60; ++n) {
+        ++askers[relaysFor("10.9.0." + std::to_string(n), vms).front()];
+    }
+    ASSERT_EQ(askers.size(), 2U);
+    for (const auto &[relay, count] : askers) {
+        EXPECT_GT(count, 18) << relay;
+    }
+}
+
+TEST(RelayOrderTest, ADomainWithoutDaemonsReadsTheStore)
+{
+    EXPECT_TRUE(relaysFor("10.9.9.9", {}).empty());
+}
+
+} // namespace
+
+} // namespace ibislock::feed
--- /dev/null
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -0,0 +1,209 @@
+#include "ibislock/feed/listings_follower.h"
+#include "ibislock/feed/relay_order.h"
+
+#include "platform/store_stand_in.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+constexpr Millis LeaveTime{1000};
+
+/// A VM that follows the listings, at a loopback address of its own.
+struct Vm
+{
+    Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool answers)
+        : client(loop)
+        , follower(loop, client, {.ip = "127.0.0.1", .port = storePort},
+                   {.ip = ip, .domain = "a", .port = port, .answers = answers, .time = LeaveTime},
+                   {.listing =
+                        [this](const std::string &id, const std::optional<serving::TargetEntry> &entry) {
+                            entry ? void(leaving[id] = entry->leaving) : void(leaving.erase(id));
+                        },
+                    .store = [this](bool lost) { away = lost; },
+                    .storeBack = [this](Millis) { ++storeBacks; },
+                    .hasDaemon = [](const serving::TargetEntry &entry) { return entry.service == "engines"; },
+                    .level = [this](const OperatorsLevel &told) { mergeLevel(level, told); },
+                    .ownLevel =
+                        [this] {
+                            return toMessage(level, bootMillis());
+                        }})
+    {
+    }
+
+    net::HttpClient client;
+    std::map<std::string, bool> leaving; ///< All that are listed.
+    bool away = false;
+    int storeBacks = 0;
+    OperatorsLevel level;
+    ListingsFollower follower;
+};
+
+/// A domain with two target VMs with daemons, of which the first in order is the relay, and an entry VM.
+class ListingsFollowerTest : public testing::Test
+{
+protected:
+    ListingsFollowerTest()
+    {
+        net::Listener probe(m_loop, [](const std::shared_ptr<net::Connection> &) {});
+        EXPECT_FALSE(probe.open("127.0.2.1", 0));
+        m_port = probe.port();
+        probe.close();
+        for (const char *ip : {"127.0.2.1", "127.0.2.2"}) {
+            append(m_store, ip, "engines");
+            append(m_relayStore, ip, "engines");
+        }
+        const std::vector<std::string> vms{"127.0.2.1", "127.0.2.2"};
+        m_relayIp = relaysFor(Entry, vms).front();
+        m_substituteIp = m_relayIp == vms[0] ? vms[1] : vms[0];
+    }
+
+    void append(lab::StoreStandIn &store, const std::string &ip, const std::string &service, bool leaving = false)
+    {
+        store.append("i-" + ip,
+                     nlohmann::json{{"Service", service},
+                                    {"Address", ip + ":80"},
+                                    {"Zone", "a"},
+                                    {"Version", "v1"},
+                                    {"Slots", 16},
+                                    {"State", leaving ? "draining" : "ready"},
+                                    {"Sequence", ++m_writes}}
+                         .dump());
+    }
+
+    /// Adds a VM.
+    /// @param store of the VM; the relay may have one of its own, so that it can be cut off from it alone.
+    Vm &add(const std::string &ip, lab::StoreStandIn &store)
+    {
+        m_vms.push_back(std::make_unique<Vm>(m_loop, ip, m_port, store.port(), ip != Entry));
+        EXPECT_FALSE(m_vms.back()->follower.start());
+        return *m_vms.back();
+    }
+
+    bool runUntil(const std::function<bool()> &holds, Millis most = Millis{5000})
+    {
+        const Millis end = steadyMillis() + most;
+        while (!holds() && steadyMillis() < end) {
+            m_loop.run_one_for(std::chrono::milliseconds(10));
+        }
+        return holds();
+    }
+
+    bool follows(const Vm &vm, const std::string &relay)
+    {
+        return runUntil([&] { return vm.follower.relay() == relay; });
+    }
+
+    static constexpr const char *Entry = "127.0.2.9";
+
+    asio::io_context m_loop;
+    lab::StoreStandIn m_store{m_loop};
+    lab::StoreStandIn m_relayStore{m_loop};
+    std::uint16_t m_port = 0;
+    int m_writes = 0;
+    std::string m_relayIp;
+    std::string m_substituteIp;
+    std::vector<std::unique_ptr<Vm>> m_vms;
+    std::vector<std::shared_ptr<net::Connection>> m_frozen;
+};
+
+TEST_F(ListingsFollowerTest, ChangesComeFromTheRelayAndTheStoreIsNotAsked)
+{
+    add(m_relayIp, m_store);
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    const std::uint64_t calls = entry.follower.storeCalls();
+    append(m_store, "127.0.2.7", "plain");
+    EXPECT_TRUE(runUntil([&] { return entry.leaving.contains("i-127.0.2.7"); }));
+    append(m_store, "127.0.2.7", "plain", true);
+    EXPECT_TRUE(runUntil([&] { return entry.leaving["i-127.0.2.7"]; }));
+    EXPECT_EQ(entry.follower.storeCalls(), calls);
+    EXPECT_TRUE(m_vms.front()->follower.relay().empty());
+}
+
+TEST_F(ListingsFollowerTest, WithoutAnyRelayTheStoreIsRead)
+{
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(runUntil([&] { return entry.follower.relaysLeft() >= 2; }));
+    append(m_store, "127.0.2.7", "plain");
+    EXPECT_TRUE(runUntil([&] { return entry.leaving.contains("i-127.0.2.7"); }));
+    EXPECT_TRUE(entry.follower.relay().empty());
+}
+
+TEST_F(ListingsFollowerTest, WhenTheRelayIsLostItsSubstituteReadsTheStoreForTheDomain)
+{
+    add(m_relayIp, m_store);
+    Vm &substitute = add(m_substituteIp, m_store);
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    ASSERT_TRUE(follows(substitute, m_relayIp));
+    m_vms.erase(m_vms.begin());
+    ASSERT_TRUE(follows(entry, m_substituteIp));
+    append(m_store, "127.0.2.7", "plain");
+    EXPECT_TRUE(runUntil([&] { return entry.leaving.contains("i-127.0.2.7"); }));
+    EXPECT_TRUE(substitute.follower.relay().empty());
+}
+
+TEST_F(ListingsFollowerTest, ARelayThatIsCutOffFromTheStoreIsLeft)
+{
+    add(m_relayIp, m_relayStore);
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    m_relayStore.silent = true;
+    append(m_store, "127.0.2.7", "plain", true);
+    EXPECT_TRUE(runUntil([&] { return entry.leaving.contains("i-127.0.2.7"); }));
+    EXPECT_TRUE(entry.follower.relay().empty());
+}
+
+TEST_F(ListingsFollowerTest, ARelayThatAnswersNothingIsLeft)
+{
+    // It takes connections and asks, as a frozen VM does.
+    net::Listener frozen(m_loop, [this](const std::shared_ptr<net::Connection> &connection) {
+        m_frozen.push_back(connection);
+        connection->start({});
+    });
+    ASSERT_FALSE(frozen.open(m_relayIp, m_port));
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(runUntil([&] { return entry.follower.relaysLeft() >= 1; }));
+    append(m_store, "127.0.2.7", "plain");
+    EXPECT_TRUE(runUntil([&] { return entry.leaving.contains("i-127.0.2.7"); }));
+    EXPECT_EQ(entry.follower.relayAnswers(), 0U);
+    for (const auto &connection : m_frozen) {
+        connection->close();
+    }
+}
+
+TEST_F(ListingsFollowerTest, ARelayThatKnowsATopicThatBeganAnewIsNotFollowedForever)
+{
+    // The relay's topic is shorter for good: the store decides which of both is right.
+    for (int n = 0; n < 5; ++n) {
+        append(m_store, "127.0.2.7", "plain");
+    }
+    add(m_relayIp, m_relayStore);
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(runUntil([&] { return entry.follower.relaysLeft() >= 1; }));
+    append(m_store, "127.0.2.7", "plain", true);
+    EXPECT_TRUE(runUntil([&] { return entry.leaving["i-127.0.2.7"]; }));
+}
+
+TEST_F(ListingsFollowerTest, AnOutageOfTheStoreIsNoticedAndItsEndIsPassedOn)
+{
+    add(m_relayIp, m_store);
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    m_store.silent = true;
+    EXPECT_TRUE(runUntil([&] { return entry.away; }));
+    m_store.silent = false;
+    EXPECT_TRUE(runUntil([&] { return !entry.away; }));
+    ASSERT_TRUE(runUntil([&] { return entry.storeBacks > 0; }, Millis{8000}));
+    EXPECT_EQ(entry.leaving.size(), 2U);
+}
+
+} // namespace
+
+} // namespace ibislock::feed
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -46,8 +46,6 @@
     writeCounter(out, "ibislock_repeated_sends_total", "Sends of a request beyond its first.", counters.repeatedSends);
     writeCounter(out, "ibislock_retries_without_budget_total", "Sends that the retry budget did not allow.",
                  counters.retriesWithoutBudget);
-    writeCounter(out, "ibislock_unusable_listings_total", "Listings of targets that could not be read.",
-                 counters.unusableListings);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waited);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.", counters.firstEvent);
     writeHistogram(out, "ibislock_answer_ms", "Time until the end of an answer.", counters.whole);
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -32,7 +32,6 @@
     std::uint64_t sends = 0;
     std::uint64_t repeatedSends = 0;
     std::uint64_t retriesWithoutBudget = 0;
-    std::uint64_t unusableListings = 0;
     LatencyHistogram waited; ///< Until the first send.
     LatencyHistogram firstEvent; ///< Until the first bytes of an answer.
     LatencyHistogram whole; ///< Until the end of an answer.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -23,17 +23,6 @@
 /// Between two messages to target VMs whose loads are not watched; they forget an entry VM after three.
 constexpr Millis PresencePause{3000};
 
-/// Between two reads of the listings of targets, as a part of the time in which a leaving one must be left alone; a
-/// call that fails once is made again in that time.
-constexpr double ListingsPausePart = 0.4;
-
-/// How long the store holds a read of the listings back; each target writes about once a second.
-constexpr Millis ListingsWait{2000};
-
-/// How long the store holds a read of the operators' topic back, as a part of the time in which a desired state must be
-/// in force. A read whose answer was lost is noticed after this time and that of a call, or by the hint of another VM.
-constexpr double OperatorsWaitPart = 0.9;
-
 /// A load doesn't show requests that were sent less than this before it arrived: one way, and the engine's report.
 constexpr Millis UnseenTime{60};
 
@@ -47,11 +36,6 @@
 /// By how much sooner than the platform kills it a stopping process ends.
 constexpr Millis KillMargin{200};
 
-Millis partOf(Millis time, double part)
-{
-    return Millis{static_cast<std::int64_t>(static_cast<double>(time.count()) * part)};
-}
-
 std::string_view requestPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -122,9 +106,7 @@
     m_loads.non_blocking(true, ec);
     receiveLoads();
     m_operatorsFeed = std::make_unique<feed::TopicFeed>(
-        loop, client, settings.store,
-        feed::FeedOptions{.topic = std::string(platform::OperatorsTopic),
-                          .wait = partOf(settings.bounds.stateTime, OperatorsWaitPart)},
+        loop, client, settings.store, feed::operatorsFeedOptions(settings.bounds.stateTime),
         feed::FeedEvents{
             .snapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
@@ -138,30 +120,30 @@
                     m_nextSubscription = Millis{0}; // Other VMs are told at the next tick that there is something new.
                 },
             .store = [this](bool away) { operatorsAway = away; },
+            .level =
+                [this](Millis asOf) {
+                    m_level.end = m_operatorsFeed->next();
+                    m_level.asOf = asOf;
+                },
         });
-    m_targetsFeed = std::make_unique<feed::TopicFeed>(
+    m_operatorsFeed->setLazy(true); // Target VMs that read the store tell what they find with their loads.
+    m_listings = std::make_unique<feed::ListingsFollower>(
         loop, client, settings.store,
-        feed::FeedOptions{.topic = std::string(platform::TargetsTopic),
-                          .wait = ListingsWait,
-                          .pause = partOf(settings.bounds.drainTime, ListingsPausePart)},
-        feed::FeedEvents{
-            .snapshot =
-                [this](const std::vector<platform::KeyedRecord> &records) {
-                    std::vector<serving::TargetEntry> entries;
-                    for (const platform::KeyedRecord &record : records) {
-                        if (auto entry = platform::decodeTarget(record.key, record.value.value_or(""))) {
-                            entries.push_back(std::move(*entry));
-                        } else {
-                            ++counters.unusableListings;
-                        }
-                    }
-                    replaceEntries(table, std::move(entries), steadyMillis());
-                },
-            .record = [this](const platform::KeyedRecord &record) { applyTargetRecord(record); },
+        feed::FollowerOptions{.ip = settings.ip,
+                              .domain = settings.domain,
+                              .port = settings.lastPeerPort,
+                              .time = settings.bounds.drainTime},
+        feed::FollowerEvents{
+            .listing = [this](const std::string &id,
+                              const std::optional<serving::TargetEntry> &entry) { applyListing(id, entry); },
             .store = [this](bool away) { noteStore(table, away, steadyMillis()); },
+            .storeBack = [this](Millis at) { noteStoreBack(table, at); },
+            .hasDaemon = [this](const serving::TargetEntry &entry) { return isEngine(entry); },
+            .level = [this](const feed::OperatorsLevel &level) { takeLevel(level); },
+            .ownLevel = [this] { return toMessage(m_level, bootMillis()); },
         });
     m_operatorsFeed->start();
-    m_targetsFeed->start();
+    m_listings->start();
     tick();
     logInfo(Part::Front, "The entry daemon has started.", {{"vm", settings.vmName}, {"domain", settings.domain}});
     return {};
@@ -174,36 +156,27 @@
 
 void Front::applyOperatorRecord(const platform::KeyedRecord &record, bool live)
 {
+    if (platform::isNamedWeightsKey(record.key)) {
+        noteNaming(m_level, record.offset);
+    }
     applyRecord(operators, record, {.live = live, .now = steadyMillis(), .versionTime = settings.bounds.versionTime});
 }
 
-void Front::applyTargetRecord(const platform::KeyedRecord &record)
+void Front::applyListing(const std::string &id, const std::optional<serving::TargetEntry> &entry)
 {
     const Millis now = steadyMillis();
-    if (!record.value) {
-        applyEntry(table, record.key, std::nullopt, now);
-        logInfo(Part::Front, "A target's listing was removed.", {{"target", record.key}});
-        return;
-    }
-    auto entry = platform::decodeTarget(record.key, *record.value);
-    if (!entry) {
-        ++counters.unusableListings;
-        logInfo(Part::Front, "A listing names no target to use.",
-                {{"target", record.key}, {"cause", entry.error().message}});
-        applyEntry(table, record.key, std::nullopt, now);
-        return;
-    }
-    const auto it = table.targets.find(record.key);
-    const bool news = it == table.targets.end() || it->second.entry.leaving != entry->leaving
+    const auto it = table.targets.find(id);
+    const bool news = !entry || it == table.targets.end() || it->second.entry.leaving != entry->leaving
         || it->second.entry.startedAt != entry->startedAt;
     if (news) {
-        logInfo(Part::Front, "A target's listing changed.",
-                {{"target", record.key},
-                 {"service", entry->service},
-                 {"leaving", entry->leaving ? "1" : "0"},
-                 {"offset", std::to_string(record.offset)}});
+        logInfo(Part::Front, entry ? "A target's listing changed." : "A target's listing was removed.",
+                {{"target", id},
+                 {"service", entry ? entry->service : ""},
+                 {"leaving", entry && entry->leaving ? "1" : "0"},
+                 {"end", std::to_string(m_listings->cache().end)},
+                 {"from", m_listings->relay().empty() ? "store" : m_listings->relay()}});
     }
-    applyEntry(table, record.key, std::move(*entry), now);
+    applyEntry(table, id, entry, now);
 }
 
 std::int64_t Front::minVersionOf(const std::string &model, Millis now, Millis ahead) const
@@ -367,27 +340,21 @@
     });
 }
 
-bool Front::isEngine(const serving::Target &target) const
+bool Front::isEngine(const serving::TargetEntry &entry) const
 {
-    if (!target.entry.models.empty() || target.load.has_value()) {
-        return true;
-    }
-    if (!operators.state) {
-        return false;
-    }
-    const auto service = operators.state->services.find(target.entry.service);
-    return service != operators.state->services.end() && service->second.engine.has_value();
+    return !entry.models.empty() || (operators.state && serving::hasEngine(*operators.state, entry.service));
 }
 
 void Front::subscribe(Millis now)
 {
     std::vector<serving::WatchCandidate> engines;
     for (const auto &[id, target] : table.targets) {
-        if (isEngine(target)) {
+        if (target.load || isEngine(target.entry)) {
             engines.push_back({.id = id, .domain = target.entry.domain});
         }
     }
     const std::set<std::string> watched = serving::watchedTargets(settings.vmName, settings.domain, engines);
+    const peer::TopicLevel level = toMessage(m_level, bootMillis());
     const bool tellOthers = now >= m_nextPresence;
     m_nextPresence = tellOthers ? now + PresencePause : m_nextPresence;
     for (const serving::WatchCandidate &engine : engines) {
@@ -398,13 +365,22 @@
         if (ec || !(wantsLoads || tellOthers)) {
             continue;
         }
-        const std::string message =
-            peer::encode(peer::SubscribeMessage{.operatorsEnd = m_operatorsFeed->next(), .wantsLoads = wantsLoads});
+        const std::string message = peer::encode(peer::SubscribeMessage{.operators = level, .wantsLoads = wantsLoads});
         m_loads.send_to(asio::buffer(message), {address, settings.firstPeerPort}, 0, ec);
         // A datagram that can't be sent is made up for by the next one.
     }
 }
 
+void Front::takeLevel(const feed::OperatorsLevel &level)
+{
+    mergeLevel(m_level, level);
+    if (m_level.end > m_operatorsFeed->next()) {
+        m_operatorsFeed->hint(m_level.end);
+    } else {
+        m_operatorsFeed->confirm(m_level.asOf);
+    }
+}
+
 void Front::receiveLoads()
 {
     m_loads.async_receive_from(
@@ -434,7 +410,7 @@
     incarnation = load.incarnation;
     sequence = load.sequence;
     retries.entryVms = std::max(load.entryVms, 1);
-    m_operatorsFeed->hint(load.operatorsEnd);
+    takeLevel(feed::fromMessage(load.operators, bootMillis()));
     const Millis now = steadyMillis();
     for (const peer::Naming &naming : load.namings) {
         const auto it = operators.named.find(naming.model);
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "counters.h"
+#include "ibislock/feed/operators_level.h"
 #include "ibislock/feed/operators_view.h"
+#include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
@@ -76,13 +78,14 @@
 
 private:
     void applyOperatorRecord(const platform::KeyedRecord &record, bool live);
-    void applyTargetRecord(const platform::KeyedRecord &record);
+    void applyListing(const std::string &id, const std::optional<serving::TargetEntry> &entry);
     void serveReadiness(const std::shared_ptr<net::Connection> &connection);
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
     void tick();
     void subscribe(Millis now);
-    bool isEngine(const serving::Target &target) const;
+    bool isEngine(const serving::TargetEntry &entry) const;
     void receiveLoads();
+    void takeLevel(const feed::OperatorsLevel &level);
     void applyLoad(const std::string &ip, std::string_view bytes);
     void finishDrainIfIdle(Millis now);
     bool isReady() const;
@@ -92,7 +95,8 @@
     net::Listener m_readiness;
     net::Listener m_metrics;
     std::unique_ptr<feed::TopicFeed> m_operatorsFeed;
-    std::unique_ptr<feed::TopicFeed> m_targetsFeed;
+    feed::OperatorsLevel m_level; ///< The end of the operators' topic, as far as any VM has told.
+    std::unique_ptr<feed::ListingsFollower> m_listings;
     asio::steady_timer m_tick;
     asio::ip::udp::socket m_loads;
     asio::ip::udp::endpoint m_loadSender;
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -11,12 +11,20 @@
 namespace
 {
 
-void writeStore(std::string &out, const feed::TopicFeed &operators, const feed::TopicFeed &targets)
+void writeStore(std::string &out, const feed::TopicFeed &operators, const feed::ListingsFollower &listings)
 {
     writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
-                 operators.calls() + targets.calls());
+                 operators.calls() + listings.storeCalls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
-                 operators.failures() + targets.failures());
+                 operators.failures() + listings.storeFailures());
+    writeCounter(out, "ibislock_unusable_listings_total", "Listings of targets that could not be read.",
+                 listings.unusable());
+    writeCounter(out, "ibislock_relay_answers_total", "Answers of relays of listings that were taken over.",
+                 listings.relayAnswers());
+    writeCounter(out, "ibislock_relays_left_total", "Relays of listings that were lost or behind.",
+                 listings.relaysLeft());
+    writeGauge(out, "ibislock_listings_age_ms", "Age of what is known of the listings of targets.",
+               (bootMillis() - listings.cache().asOf).count());
 }
 
 void writeState(std::string &out, const feed::OperatorsView &operators, bool away, Millis now)
@@ -65,7 +73,7 @@
     std::string out;
     const Millis now = steadyMillis();
     writeCounters(out, counters);
-    writeStore(out, *m_operatorsFeed, *m_targetsFeed);
+    writeStore(out, *m_operatorsFeed, *m_listings);
     writeState(out, operators, operatorsAway, now);
     writeTargets(out, table, now);
     writeRetries(out, retries, now);
--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -8,6 +8,8 @@
 #include "ibislock/base/clock.h"
 #include "ibislock/base/digest.h"
 #include "ibislock/base/error.h"
+#include "ibislock/peer/frames.h"
+#include "ibislock/peer/topic_level.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,7 +24,7 @@
 /// An entry VM tells a target VM that it is there.
 struct SubscribeMessage
 {
-    std::int64_t operatorsEnd = -1; ///< The offset up to which the sender has read the operators' topic.
+    TopicLevel operators;
     bool wantsLoads = false;
 };
 
@@ -46,7 +48,7 @@
     int entryVms = 0; ///< How many entry VMs are there.
     std::vector<Naming> namings; ///< The newest of which the sender knows the time.
     std::optional<Millis> loadsIn; ///< Until the engine takes no more requests in order to load.
-    std::int64_t operatorsEnd = -1; ///< The highest offset up to which the sender or a subscriber has read.
+    TopicLevel operators;
 };
 
 /// A message over UDP.
@@ -85,9 +87,6 @@
 /// Writes a piece message with its length in front.
 std::string encode(const PieceMessage &message);
 
-/// The largest piece message that is read; a piece has 32 KiB on the present installations.
-inline constexpr std::size_t MaxPieceMessageBytes = 4 * 1024 * 1024;
-
 /// Takes piece messages out of bytes as they arrive.
 class PieceReader
 {
@@ -100,7 +99,7 @@
     Result<PieceMessage> next();
 
 private:
-    std::string m_bytes;
+    FrameReader m_frames;
 };
 
 } // namespace ibislock::peer
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -14,8 +14,10 @@
 }
 
 struct Subscribe {
-  operatorsEnd @0 :Int64;  # The offset up to which the sender has read the operators' topic.
+  operatorsEnd @0 :Int64 = -1;  # The end of the operators' topic, as far as the sender knows.
   wantsLoads @1 :Bool;
+  namingsEnd @2 :Int64 = -1;  # The offset behind the last naming of weights there.
+  levelAgeMs @3 :UInt32 = 4294967295;  # How old the knowledge is that the topic ended there.
 }
 
 struct Load {
@@ -29,7 +31,9 @@
   entryVms @6 :UInt16;  # How many entry VMs are there.
   loadsInMs @8 :UInt16 = 65535;  # Until the engine takes no more requests in order to load; 65535 if that is not planned.
   namings @9 :List(Naming);  # The newest namings of weights of which the sender knows the time.
-  operatorsEnd @7 :Int64;  # The offset up to which the operators' topic is known to have been read by some VM.
+  operatorsEnd @7 :Int64 = -1;  # These three as in a subscription.
+  namingsEnd @10 :Int64 = -1;
+  levelAgeMs @11 :UInt32 = 4294967295;
 }
 
 struct Naming {
@@ -59,3 +63,49 @@
   chunkBytes @0 :UInt64;
   digests @1 :Data;  # SHA-256 digests, one after another.
 }
+
+struct ListingsMessage {
+  # Sent over TCP between VMs, each behind its length in four bytes, little endian.
+  union {
+    ask @0 :ListingsAsk;
+    update @1 :ListingsUpdate;
+  }
+}
+
+struct ListingsAsk {
+  # Asks for the listings that changed at or behind an offset of their topic.
+  sequence @0 :UInt32;  # Given back in the answer.
+  from @1 :Int64;
+  waitMs @2 :UInt32;  # How long the answer may wait for the next change.
+}
+
+struct ListingsUpdate {
+  sequence @0 :UInt32;
+  end @1 :Int64;  # The offset up to which the sender knows the topic.
+  whole @2 :Bool;  # Holds all listings, and not only what changed.
+  heldMs @3 :UInt32;  # How long the ask was held back.
+  ageMs @4 :UInt32;  # How old the sender's knowledge is that the topic ended there.
+  storeBackMs @5 :Int64 = -1;  # Since the store came back from an outage that the sender noticed; -1 for none.
+  listings @6 :List(Listing);
+  operatorsEnd @7 :Int64 = -1;  # These three as in a subscription.
+  namingsEnd @8 :Int64 = -1;
+  levelAgeMs @9 :UInt32 = 4294967295;
+}
+
+struct Listing {
+  id @0 :Text;
+  offset @1 :Int64;  # Of its last change.
+  removed @2 :Bool;  # With nothing else below.
+  leaving @3 :Bool;
+  slots @4 :UInt16;
+  startedAt @5 :Int64;
+  service @6 :Text;
+  address @7 :Text;
+  domain @8 :Text;
+  models @9 :List(Model);
+}
+
+struct Model {
+  name @0 :Text;
+  version @1 :Int64;
+}
--- /dev/null
+++ b/libs/peer/src/codec.cpp
@@ -0,0 +1,25 @@
+#include "codec.h"
+
+#include <cstring>
+
+namespace ibislock::peer
+{
+
+std::string flatten(capnp::MessageBuilder &message)
+{
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+kj::Array<capnp::word> aligned(std::string_view bytes)
+{
+    auto words = kj::heapArray<capnp::word>((bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
+    if (words.size() > 0) {
+        std::memset(words.asBytes().begin(), 0, words.asBytes().size());
+        std::memcpy(words.begin(), bytes.data(), bytes.size());
+    }
+    return words;
+}
+
+} // namespace ibislock::peer
--- /dev/null
+++ b/libs/peer/src/listings.cpp
@@ -0,0 +1,133 @@
+#include "ibislock/peer/listings.h"
+
+#include "codec.h"
+#include "level_fields.h"
+#include "peer.capnp.h"
+
+#include <algorithm>
+
+namespace ibislock::peer
+{
+
+namespace
+{
+
+/// The value on the wire that stands for no outage.
+constexpr std::int64_t NoOutage = -1;
+
+std::uint32_t wireMillis(Millis time)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
+}
+
+void write(wire::Listing::Builder to, const ListingChange &change)
+{
+    to.setId(change.id);
+    to.setOffset(change.offset);
+    to.setRemoved(!change.entry);
+    if (!change.entry) {
+        return;
+    }
+    const serving::TargetEntry &entry = *change.entry;
+    to.setLeaving(entry.leaving);
+    to.setSlots(static_cast<std::uint16_t>(std::clamp(entry.slots, 0, 0xffff)));
+    to.setStartedAt(entry.startedAt);
+    to.setService(entry.service);
+    to.setAddress(entry.address);
+    to.setDomain(entry.domain);
+    auto models = to.initModels(static_cast<unsigned>(entry.models.size()));
+    for (unsigned n = 0; n < models.size(); ++n) {
+        models[n].setName(entry.models[n].name);
+        models[n].setVersion(entry.models[n].version);
+    }
+}
+
+ListingChange read(wire::Listing::Reader from)
+{
+    ListingChange out{.id = from.getId().cStr(), .entry = {}, .offset = from.getOffset()};
+    if (from.getRemoved()) {
+        return out;
+    }
+    serving::TargetEntry entry{.id = out.id,
+                               .service = from.getService().cStr(),
+                               .address = from.getAddress().cStr(),
+                               .domain = from.getDomain().cStr(),
+                               .slots = from.getSlots(),
+                               .leaving = from.getLeaving(),
+                               .startedAt = from.getStartedAt()};
+    for (const auto model : from.getModels()) {
+        entry.models.push_back({.name = model.getName().cStr(), .version = model.getVersion()});
+    }
+    out.entry = std::move(entry);
+    return out;
+}
+
+ListingsUpdate read(wire::ListingsUpdate::Reader from)
+{
+    ListingsUpdate out{.sequence = from.getSequence(),
+                       .end = from.getEnd(),
+                       .whole = from.getWhole(),
+                       .held = Millis{from.getHeldMs()},
+                       .age = Millis{from.getAgeMs()},
+                       .storeBack = {},
+                       .listings = {},
+                       .operators = levelFrom(from)};
+    if (from.getStoreBackMs() != NoOutage) {
+        out.storeBack = Millis{from.getStoreBackMs()};
+    }
+    for (const auto listing : from.getListings()) {
+        out.listings.push_back(read(listing));
+    }
+    return out;
+}
+
+} // namespace
+
+std::string encode(const ListingsAsk &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto ask = builder.initRoot<wire::ListingsMessage>().initAsk();
+    ask.setSequence(message.sequence);
+    ask.setFrom(message.from);
+    ask.setWaitMs(wireMillis(message.wait));
+    return frame(flatten(builder));
+}
+
+std::string encode(const ListingsUpdate &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto update = builder.initRoot<wire::ListingsMessage>().initUpdate();
+    update.setSequence(message.sequence);
+    update.setEnd(message.end);
+    update.setWhole(message.whole);
+    update.setHeldMs(wireMillis(message.held));
+    update.setAgeMs(wireMillis(message.age));
+    update.setStoreBackMs(message.storeBack ? message.storeBack->count() : NoOutage);
+    writeLevel(update, message.operators);
+    auto listings = update.initListings(static_cast<unsigned>(message.listings.size()));
+    for (unsigned n = 0; n < listings.size(); ++n) {
+        write(listings[n], message.listings[n]);
+    }
+    return frame(flatten(builder));
+}
+
+Result<ListingsMessage> decodeListings(std::string_view body)
+{
+    try {
+        const auto words = aligned(body);
+        capnp::FlatArrayMessageReader reader(words);
+        const auto message = reader.getRoot<wire::ListingsMessage>();
+        if (message.isAsk()) {
+            const auto ask = message.getAsk();
+            return ListingsAsk{.sequence = ask.getSequence(), .from = ask.getFrom(), .wait = Millis{ask.getWaitMs()}};
+        }
+        if (!message.isUpdate()) {
+            return failure(ErrorCode::Corrupt, "a message about listings of an unknown kind");
+        }
+        return read(message.getUpdate());
+    } catch (const kj::Exception &exception) {
+        return failure(ErrorCode::Corrupt, exception.getDescription().cStr());
+    }
+}
+
+} // namespace ibislock::peer
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -1,41 +1,18 @@
 #include "ibislock/peer/messages.h"
 
+#include "codec.h"
+#include "level_fields.h"
 #include "peer.capnp.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <cstring>
-#include <kj/exception.h>
-
 namespace ibislock::peer
 {
 
 namespace
 {
 
-constexpr std::size_t LengthBytes = 4;
-
 /// The value on the wire that stands for no planned load.
 constexpr std::uint16_t NoLoadPlanned = 65535;
 
-std::string flatten(capnp::MessageBuilder &message)
-{
-    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asBytes();
-    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
-}
-
-/// Copies bytes to words, as the codec needs its input aligned.
-kj::Array<capnp::word> aligned(std::string_view bytes)
-{
-    auto words = kj::heapArray<capnp::word>((bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
-    if (words.size() > 0) {
-        std::memset(words.asBytes().begin(), 0, words.asBytes().size());
-        std::memcpy(words.begin(), bytes.data(), bytes.size());
-    }
-    return words;
-}
-
 capnp::Data::Reader dataOf(std::string_view bytes)
 {
     return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
@@ -106,7 +83,7 @@
 {
     capnp::MallocMessageBuilder builder;
     auto subscribe = builder.initRoot<wire::Datagram>().initSubscribe();
-    subscribe.setOperatorsEnd(message.operatorsEnd);
+    writeLevel(subscribe, message.operators);
     subscribe.setWantsLoads(message.wantsLoads);
     return flatten(builder);
 }
@@ -132,7 +109,7 @@
         load.setLoadsInMs(
             static_cast<std::uint16_t>(std::min<std::int64_t>(message.loadsIn->count(), NoLoadPlanned - 1)));
     }
-    load.setOperatorsEnd(message.operatorsEnd);
+    writeLevel(load, message.operators);
     return flatten(builder);
 }
 
@@ -143,7 +120,7 @@
         capnp::FlatArrayMessageReader reader(words);
         const auto message = reader.getRoot<wire::Datagram>();
         if (message.isSubscribe()) {
-            return SubscribeMessage{.operatorsEnd = message.getSubscribe().getOperatorsEnd(),
+            return SubscribeMessage{.operators = levelFrom(message.getSubscribe()),
                                     .wantsLoads = message.getSubscribe().getWantsLoads()};
         }
         if (!message.isLoad()) {
@@ -165,7 +142,7 @@
                            .entryVms = load.getEntryVms(),
                            .namings = std::move(namings),
                            .loadsIn = loadsIn == NoLoadPlanned ? std::nullopt : std::optional(Millis{loadsIn}),
-                           .operatorsEnd = load.getOperatorsEnd()};
+                           .operators = levelFrom(load)};
     } catch (const kj::Exception &exception) {
         return failure(ErrorCode::Corrupt, exception.getDescription().cStr());
     }
@@ -205,38 +182,22 @@
         break;
     }
     }
-    const std::string body = flatten(builder);
-    std::string out(LengthBytes, '\0');
-    for (std::size_t n = 0; n < LengthBytes; ++n) {
-        out[n] = static_cast<char>(body.size() >> (8 * n) & 0xffU);
-    }
-    return out + body;
+    return frame(flatten(builder));
 }
 
 void PieceReader::add(std::string_view bytes)
 {
-    m_bytes.append(bytes);
+    m_frames.add(bytes);
 }
 
 Result<PieceMessage> PieceReader::next()
 {
-    if (m_bytes.size() < LengthBytes) {
-        return failure(ErrorCode::NotFound, "more bytes are needed");
-    }
-    std::size_t n = 0;
-    for (std::size_t i = 0; i < LengthBytes; ++i) {
-        n |= static_cast<std::size_t>(static_cast<unsigned char>(m_bytes[i])) << (8 * i);
-    }
-    if (n > MaxPieceMessageBytes) {
-        return failure(ErrorCode::Corrupt, "a piece message is too large");
-    }
-    if (m_bytes.size() < LengthBytes + n) {
-        return failure(ErrorCode::NotFound, "more bytes are needed");
+    const auto body = m_frames.next();
+    if (!body) {
+        return tl::unexpected(body.error());
     }
-    const std::string body = m_bytes.substr(LengthBytes, n);
-    m_bytes.erase(0, LengthBytes + n);
     try {
-        return decodePiece(body);
+        return decodePiece(*body);
     } catch (const kj::Exception &exception) {
         return failure(ErrorCode::Corrupt, exception.getDescription().cStr());
     }
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -22,6 +22,11 @@
 CAPNP_DECLARE_SCHEMA(ef4ed9c9da05cf22);
 CAPNP_DECLARE_SCHEMA(a9bf90d47d98f084);
 CAPNP_DECLARE_SCHEMA(a094b4fbb3f0775b);
+CAPNP_DECLARE_SCHEMA(849daff682d3750b);
+CAPNP_DECLARE_SCHEMA(b829336e0eda5f73);
+CAPNP_DECLARE_SCHEMA(eff40d56be4fe478);
+CAPNP_DECLARE_SCHEMA(8f9b8c8ca048b2c3);
+CAPNP_DECLARE_SCHEMA(927fcbca5a53a621);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -57,7 +62,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -72,7 +77,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 7, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -132,6 +137,85 @@
   };
 };
 
+struct ListingsMessage {
+  ListingsMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    ASK,
+    UPDATE,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(849daff682d3750b, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ListingsAsk {
+  ListingsAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ListingsUpdate {
+  ListingsUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 7, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Listing {
+  Listing() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f9b8c8ca048b2c3, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Model {
+  Model() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(927fcbca5a53a621, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Datagram::Reader {
@@ -252,6 +336,10 @@
 
   inline bool getWantsLoads() const;
 
+  inline  ::int64_t getNamingsEnd() const;
+
+  inline  ::uint32_t getLevelAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -286,6 +374,12 @@
   inline bool getWantsLoads();
   inline void setWantsLoads(bool value);
 
+  inline  ::int64_t getNamingsEnd();
+  inline void setNamingsEnd( ::int64_t value);
+
+  inline  ::uint32_t getLevelAgeMs();
+  inline void setLevelAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -350,6 +444,10 @@
   inline bool hasNamings() const;
   inline  ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Reader getNamings() const;
 
+  inline  ::int64_t getNamingsEnd() const;
+
+  inline  ::uint32_t getLevelAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -412,6 +510,12 @@
   inline void adoptNamings(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>> disownNamings();
 
+  inline  ::int64_t getNamingsEnd();
+  inline void setNamingsEnd( ::int64_t value);
+
+  inline  ::uint32_t getLevelAgeMs();
+  inline void setLevelAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -765,734 +869,1938 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline  ::ibislock::peer::wire::Datagram::Which Datagram::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::ibislock::peer::wire::Datagram::Which Datagram::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+class ListingsMessage::Reader {
+public:
+  typedef ListingsMessage Reads;
 
-inline bool Datagram::Reader::isSubscribe() const {
-  return which() == Datagram::SUBSCRIBE;
-}
-inline bool Datagram::Builder::isSubscribe() {
-  return which() == Datagram::SUBSCRIBE;
-}
-inline bool Datagram::Reader::hasSubscribe() const {
-  if (which() != Datagram::SUBSCRIBE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasSubscribe() {
-  if (which() != Datagram::SUBSCRIBE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::ibislock::peer::wire::Subscribe::Reader Datagram::Reader::getSubscribe() const {
-  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::getSubscribe() {
-  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setSubscribe( ::ibislock::peer::wire::Subscribe::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::initSubscribe() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptSubscribe(
-    ::capnp::Orphan< ::ibislock::peer::wire::Subscribe>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::ibislock::peer::wire::Subscribe> Datagram::Builder::disownSubscribe() {
-  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool Datagram::Reader::isLoad() const {
-  return which() == Datagram::LOAD;
-}
-inline bool Datagram::Builder::isLoad() {
-  return which() == Datagram::LOAD;
-}
-inline bool Datagram::Reader::hasLoad() const {
-  if (which() != Datagram::LOAD) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasLoad() {
-  if (which() != Datagram::LOAD) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::ibislock::peer::wire::Load::Reader Datagram::Reader::getLoad() const {
-  KJ_IREQUIRE((which() == Datagram::LOAD),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::getLoad() {
-  KJ_IREQUIRE((which() == Datagram::LOAD),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setLoad( ::ibislock::peer::wire::Load::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::initLoad() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptLoad(
-    ::capnp::Orphan< ::ibislock::peer::wire::Load>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::ibislock::peer::wire::Load> Datagram::Builder::disownLoad() {
-  KJ_IREQUIRE((which() == Datagram::LOAD),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::int64_t Subscribe::Reader::getOperatorsEnd() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::int64_t Subscribe::Builder::getOperatorsEnd() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Subscribe::Builder::setOperatorsEnd( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline Which which() const;
+  inline bool isAsk() const;
+  inline bool hasAsk() const;
+  inline  ::ibislock::peer::wire::ListingsAsk::Reader getAsk() const;
 
-inline bool Subscribe::Reader::getWantsLoads() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
+  inline bool isUpdate() const;
+  inline bool hasUpdate() const;
+  inline  ::ibislock::peer::wire::ListingsUpdate::Reader getUpdate() const;
 
-inline bool Subscribe::Builder::getWantsLoads() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void Subscribe::Builder::setWantsLoads(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint64_t Load::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+class ListingsMessage::Builder {
+public:
+  typedef ListingsMessage Builds;
 
-inline  ::uint64_t Load::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint64_t Load::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isAsk();
+  inline bool hasAsk();
+  inline  ::ibislock::peer::wire::ListingsAsk::Builder getAsk();
+  inline void setAsk( ::ibislock::peer::wire::ListingsAsk::Reader value);
+  inline  ::ibislock::peer::wire::ListingsAsk::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::ibislock::peer::wire::ListingsAsk>&& value);
+  inline ::capnp::Orphan< ::ibislock::peer::wire::ListingsAsk> disownAsk();
+
+  inline bool isUpdate();
+  inline bool hasUpdate();
+  inline  ::ibislock::peer::wire::ListingsUpdate::Builder getUpdate();
+  inline void setUpdate( ::ibislock::peer::wire::ListingsUpdate::Reader value);
+  inline  ::ibislock::peer::wire::ListingsUpdate::Builder initUpdate();
+  inline void adoptUpdate(::capnp::Orphan< ::ibislock::peer::wire::ListingsUpdate>&& value);
+  inline ::capnp::Orphan< ::ibislock::peer::wire::ListingsUpdate> disownUpdate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ListingsMessage::Pipeline {
+public:
+  typedef ListingsMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ListingsAsk::Reader {
+public:
+  typedef ListingsAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence() const;
+
+  inline  ::int64_t getFrom() const;
+
+  inline  ::uint32_t getWaitMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ListingsAsk::Builder {
+public:
+  typedef ListingsAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline  ::int64_t getFrom();
+  inline void setFrom( ::int64_t value);
+
+  inline  ::uint32_t getWaitMs();
+  inline void setWaitMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ListingsAsk::Pipeline {
+public:
+  typedef ListingsAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ListingsUpdate::Reader {
+public:
+  typedef ListingsUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence() const;
+
+  inline  ::int64_t getEnd() const;
+
+  inline bool getWhole() const;
+
+  inline  ::uint32_t getHeldMs() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::int64_t getStoreBackMs() const;
+
+  inline bool hasListings() const;
+  inline  ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>::Reader getListings() const;
+
+  inline  ::int64_t getOperatorsEnd() const;
+
+  inline  ::int64_t getNamingsEnd() const;
+
+  inline  ::uint32_t getLevelAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ListingsUpdate::Builder {
+public:
+  typedef ListingsUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline  ::int64_t getEnd();
+  inline void setEnd( ::int64_t value);
+
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
+  inline  ::uint32_t getHeldMs();
+  inline void setHeldMs( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::int64_t getStoreBackMs();
+  inline void setStoreBackMs( ::int64_t value);
+
+  inline bool hasListings();
+  inline  ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>::Builder getListings();
+  inline void setListings( ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>::Builder initListings(unsigned int size);
+  inline void adoptListings(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>> disownListings();
+
+  inline  ::int64_t getOperatorsEnd();
+  inline void setOperatorsEnd( ::int64_t value);
+
+  inline  ::int64_t getNamingsEnd();
+  inline void setNamingsEnd( ::int64_t value);
+
+  inline  ::uint32_t getLevelAgeMs();
+  inline void setLevelAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ListingsUpdate::Pipeline {
+public:
+  typedef ListingsUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Listing::Reader {
+public:
+  typedef Listing Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::int64_t getOffset() const;
+
+  inline bool getRemoved() const;
+
+  inline bool getLeaving() const;
+
+  inline  ::uint16_t getSlots() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasModels() const;
+  inline  ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Reader getModels() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Listing::Builder {
+public:
+  typedef Listing Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::int64_t getOffset();
+  inline void setOffset( ::int64_t value);
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasModels();
+  inline  ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Builder getModels();
+  inline void setModels( ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Builder initModels(unsigned int size);
+  inline void adoptModels(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>> disownModels();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Listing::Pipeline {
+public:
+  typedef Listing Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Model::Reader {
+public:
+  typedef Model Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::int64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Model::Builder {
+public:
+  typedef Model Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Model::Pipeline {
+public:
+  typedef Model Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::ibislock::peer::wire::Datagram::Which Datagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::ibislock::peer::wire::Datagram::Which Datagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Reader::isSubscribe() const {
+  return which() == Datagram::SUBSCRIBE;
+}
+inline bool Datagram::Builder::isSubscribe() {
+  return which() == Datagram::SUBSCRIBE;
+}
+inline bool Datagram::Reader::hasSubscribe() const {
+  if (which() != Datagram::SUBSCRIBE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasSubscribe() {
+  if (which() != Datagram::SUBSCRIBE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::peer::wire::Subscribe::Reader Datagram::Reader::getSubscribe() const {
+  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::getSubscribe() {
+  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setSubscribe( ::ibislock::peer::wire::Subscribe::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::initSubscribe() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptSubscribe(
+    ::capnp::Orphan< ::ibislock::peer::wire::Subscribe>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::peer::wire::Subscribe> Datagram::Builder::disownSubscribe() {
+  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isLoad() const {
+  return which() == Datagram::LOAD;
+}
+inline bool Datagram::Builder::isLoad() {
+  return which() == Datagram::LOAD;
+}
+inline bool Datagram::Reader::hasLoad() const {
+  if (which() != Datagram::LOAD) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasLoad() {
+  if (which() != Datagram::LOAD) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::peer::wire::Load::Reader Datagram::Reader::getLoad() const {
+  KJ_IREQUIRE((which() == Datagram::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::getLoad() {
+  KJ_IREQUIRE((which() == Datagram::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setLoad( ::ibislock::peer::wire::Load::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::initLoad() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptLoad(
+    ::capnp::Orphan< ::ibislock::peer::wire::Load>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::peer::wire::Load> Datagram::Builder::disownLoad() {
+  KJ_IREQUIRE((which() == Datagram::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Subscribe::Reader::getOperatorsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Subscribe::Builder::getOperatorsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Subscribe::Builder::setOperatorsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool Subscribe::Reader::getWantsLoads() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Subscribe::Builder::getWantsLoads() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setWantsLoads(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Subscribe::Reader::getNamingsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Subscribe::Builder::getNamingsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Subscribe::Builder::setNamingsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline  ::uint32_t Subscribe::Reader::getLevelAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Subscribe::Builder::getLevelAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Subscribe::Builder::setLevelAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
+inline  ::uint64_t Load::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Load::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Load::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Load::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getQueued() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getQueued() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setQueued( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Load::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Load::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getLoading() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getLoading() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLoading(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getEntryVms() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getEntryVms() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setEntryVms( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Load::Reader::getOperatorsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Load::Builder::getOperatorsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Load::Builder::setOperatorsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline  ::uint16_t Load::Reader::getLoadsInMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 65535u);
+}
+
+inline  ::uint16_t Load::Builder::getLoadsInMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 65535u);
+}
+inline void Load::Builder::setLoadsInMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value, 65535u);
+}
+
+inline bool Load::Reader::hasNamings() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasNamings() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Reader Load::Reader::getNamings() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Builder Load::Builder::getNamings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::setNamings( ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Builder Load::Builder::initNamings(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Load::Builder::adoptNamings(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>> Load::Builder::disownNamings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Load::Reader::getNamingsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Load::Builder::getNamingsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Load::Builder::setNamingsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline  ::uint32_t Load::Reader::getLevelAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Load::Builder::getLevelAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Load::Builder::setLevelAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
+inline bool Naming::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Naming::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Naming::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Naming::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Naming::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Naming::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Naming::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Naming::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Naming::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Naming::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Naming::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Naming::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Naming::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Naming::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::ibislock::peer::wire::PieceMessage::Which PieceMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline  ::ibislock::peer::wire::PieceMessage::Which PieceMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool PieceMessage::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PieceMessage::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PieceMessage::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PieceMessage::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PieceMessage::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PieceMessage::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PieceMessage::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t PieceMessage::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PieceMessage::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PieceMessage::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t PieceMessage::Reader::getIndex() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t PieceMessage::Builder::getIndex() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PieceMessage::Builder::setIndex( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PieceMessage::Reader::isAsk() const {
+  return which() == PieceMessage::ASK;
+}
+inline bool PieceMessage::Builder::isAsk() {
+  return which() == PieceMessage::ASK;
+}
+inline  ::uint32_t PieceMessage::Reader::getAsk() const {
+  KJ_IREQUIRE((which() == PieceMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PieceMessage::Builder::getAsk() {
+  KJ_IREQUIRE((which() == PieceMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PieceMessage::Builder::setAsk( ::uint32_t value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ASK);
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PieceMessage::Reader::isBytes() const {
+  return which() == PieceMessage::BYTES;
 }
-inline void Load::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool PieceMessage::Builder::isBytes() {
+  return which() == PieceMessage::BYTES;
+}
+inline bool PieceMessage::Reader::hasBytes() const {
+  if (which() != PieceMessage::BYTES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PieceMessage::Builder::hasBytes() {
+  if (which() != PieceMessage::BYTES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader PieceMessage::Reader::getBytes() const {
+  KJ_IREQUIRE((which() == PieceMessage::BYTES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder PieceMessage::Builder::getBytes() {
+  KJ_IREQUIRE((which() == PieceMessage::BYTES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::setBytes( ::capnp::Data::Reader value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::BYTES);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder PieceMessage::Builder::initBytes(unsigned int size) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::BYTES);
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PieceMessage::Builder::adoptBytes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::BYTES);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> PieceMessage::Builder::disownBytes() {
+  KJ_IREQUIRE((which() == PieceMessage::BYTES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Load::Reader::getRunning() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool PieceMessage::Reader::isMissing() const {
+  return which() == PieceMessage::MISSING;
+}
+inline bool PieceMessage::Builder::isMissing() {
+  return which() == PieceMessage::MISSING;
+}
+inline  ::capnp::Void PieceMessage::Reader::getMissing() const {
+  KJ_IREQUIRE((which() == PieceMessage::MISSING),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getRunning() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::Void PieceMessage::Builder::getMissing() {
+  KJ_IREQUIRE((which() == PieceMessage::MISSING),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setRunning( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void PieceMessage::Builder::setMissing( ::capnp::Void value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::MISSING);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Load::Reader::getQueued() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline bool PieceMessage::Reader::isManifest() const {
+  return which() == PieceMessage::MANIFEST;
+}
+inline bool PieceMessage::Builder::isManifest() {
+  return which() == PieceMessage::MANIFEST;
+}
+inline bool PieceMessage::Reader::hasManifest() const {
+  if (which() != PieceMessage::MANIFEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PieceMessage::Builder::hasManifest() {
+  if (which() != PieceMessage::MANIFEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::peer::wire::Manifest::Reader PieceMessage::Reader::getManifest() const {
+  KJ_IREQUIRE((which() == PieceMessage::MANIFEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::peer::wire::Manifest::Builder PieceMessage::Builder::getManifest() {
+  KJ_IREQUIRE((which() == PieceMessage::MANIFEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::setManifest( ::ibislock::peer::wire::Manifest::Reader value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::MANIFEST);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::peer::wire::Manifest::Builder PieceMessage::Builder::initManifest() {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::MANIFEST);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::adoptManifest(
+    ::capnp::Orphan< ::ibislock::peer::wire::Manifest>&& value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::MANIFEST);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::peer::wire::Manifest> PieceMessage::Builder::disownManifest() {
+  KJ_IREQUIRE((which() == PieceMessage::MANIFEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Load::Builder::getQueued() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline bool PieceMessage::Reader::isReady() const {
+  return which() == PieceMessage::READY;
 }
-inline void Load::Builder::setQueued( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline bool PieceMessage::Builder::isReady() {
+  return which() == PieceMessage::READY;
+}
+inline  ::capnp::Void PieceMessage::Reader::getReady() const {
+  KJ_IREQUIRE((which() == PieceMessage::READY),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Load::Reader::getVersion() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Void PieceMessage::Builder::getReady() {
+  KJ_IREQUIRE((which() == PieceMessage::READY),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PieceMessage::Builder::setReady( ::capnp::Void value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::READY);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Load::Builder::getVersion() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool PieceMessage::Reader::isElsewhere() const {
+  return which() == PieceMessage::ELSEWHERE;
 }
-inline void Load::Builder::setVersion( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool PieceMessage::Builder::isElsewhere() {
+  return which() == PieceMessage::ELSEWHERE;
+}
+inline bool PieceMessage::Reader::hasElsewhere() const {
+  if (which() != PieceMessage::ELSEWHERE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PieceMessage::Builder::hasElsewhere() {
+  if (which() != PieceMessage::ELSEWHERE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PieceMessage::Reader::getElsewhere() const {
+  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PieceMessage::Builder::getElsewhere() {
+  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::setElsewhere( ::capnp::Text::Reader value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PieceMessage::Builder::initElsewhere(unsigned int size) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PieceMessage::Builder::adoptElsewhere(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PieceMessage::Builder::disownElsewhere() {
+  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Load::Reader::getLoading() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Manifest::Reader::getChunkBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Load::Builder::getLoading() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Manifest::Builder::getChunkBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setLoading(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+inline void Manifest::Builder::setChunkBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Manifest::Reader::hasDigests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Manifest::Builder::hasDigests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t Load::Reader::getEntryVms() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Reader Manifest::Reader::getDigests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Load::Builder::getEntryVms() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder Manifest::Builder::getDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::setEntryVms( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+inline void Manifest::Builder::setDigests( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t Load::Reader::getOperatorsEnd() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder Manifest::Builder::initDigests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::int64_t Load::Builder::getOperatorsEnd() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void Manifest::Builder::adoptDigests(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Load::Builder::setOperatorsEnd( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Data> Manifest::Builder::disownDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Load::Reader::getLoadsInMs() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 65535u);
+inline  ::ibislock::peer::wire::ListingsMessage::Which ListingsMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::ibislock::peer::wire::ListingsMessage::Which ListingsMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getLoadsInMs() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 65535u);
+inline bool ListingsMessage::Reader::isAsk() const {
+  return which() == ListingsMessage::ASK;
 }
-inline void Load::Builder::setLoadsInMs( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value, 65535u);
+inline bool ListingsMessage::Builder::isAsk() {
+  return which() == ListingsMessage::ASK;
 }
-
-inline bool Load::Reader::hasNamings() const {
+inline bool ListingsMessage::Reader::hasAsk() const {
+  if (which() != ListingsMessage::ASK) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Load::Builder::hasNamings() {
+inline bool ListingsMessage::Builder::hasAsk() {
+  if (which() != ListingsMessage::ASK) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Reader Load::Reader::getNamings() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::ibislock::peer::wire::ListingsAsk::Reader ListingsMessage::Reader::getAsk() const {
+  KJ_IREQUIRE((which() == ListingsMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsAsk>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Builder Load::Builder::getNamings() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::ibislock::peer::wire::ListingsAsk::Builder ListingsMessage::Builder::getAsk() {
+  KJ_IREQUIRE((which() == ListingsMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsAsk>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::setNamings( ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ListingsMessage::Builder::setAsk( ::ibislock::peer::wire::ListingsAsk::Reader value) {
+  _builder.setDataField<ListingsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ListingsMessage::ASK);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsAsk>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>::Builder Load::Builder::initNamings(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::ibislock::peer::wire::ListingsAsk::Builder ListingsMessage::Builder::initAsk() {
+  _builder.setDataField<ListingsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ListingsMessage::ASK);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::adoptNamings(
-    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ListingsMessage::Builder::adoptAsk(
+    ::capnp::Orphan< ::ibislock::peer::wire::ListingsAsk>&& value) {
+  _builder.setDataField<ListingsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ListingsMessage::ASK);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsAsk>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>> Load::Builder::disownNamings() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Naming,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ibislock::peer::wire::ListingsAsk> ListingsMessage::Builder::disownAsk() {
+  KJ_IREQUIRE((which() == ListingsMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsAsk>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Naming::Reader::hasModel() const {
+inline bool ListingsMessage::Reader::isUpdate() const {
+  return which() == ListingsMessage::UPDATE;
+}
+inline bool ListingsMessage::Builder::isUpdate() {
+  return which() == ListingsMessage::UPDATE;
+}
+inline bool ListingsMessage::Reader::hasUpdate() const {
+  if (which() != ListingsMessage::UPDATE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Naming::Builder::hasModel() {
+inline bool ListingsMessage::Builder::hasUpdate() {
+  if (which() != ListingsMessage::UPDATE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Naming::Reader::getModel() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::ibislock::peer::wire::ListingsUpdate::Reader ListingsMessage::Reader::getUpdate() const {
+  KJ_IREQUIRE((which() == ListingsMessage::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsUpdate>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Naming::Builder::getModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::ibislock::peer::wire::ListingsUpdate::Builder ListingsMessage::Builder::getUpdate() {
+  KJ_IREQUIRE((which() == ListingsMessage::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsUpdate>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Naming::Builder::setModel( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ListingsMessage::Builder::setUpdate( ::ibislock::peer::wire::ListingsUpdate::Reader value) {
+  _builder.setDataField<ListingsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ListingsMessage::UPDATE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsUpdate>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Naming::Builder::initModel(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::ibislock::peer::wire::ListingsUpdate::Builder ListingsMessage::Builder::initUpdate() {
+  _builder.setDataField<ListingsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ListingsMessage::UPDATE);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Naming::Builder::adoptModel(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ListingsMessage::Builder::adoptUpdate(
+    ::capnp::Orphan< ::ibislock::peer::wire::ListingsUpdate>&& value) {
+  _builder.setDataField<ListingsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ListingsMessage::UPDATE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsUpdate>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Naming::Builder::disownModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ibislock::peer::wire::ListingsUpdate> ListingsMessage::Builder::disownUpdate() {
+  KJ_IREQUIRE((which() == ListingsMessage::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::ListingsUpdate>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Naming::Reader::getVersion() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t ListingsAsk::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Naming::Builder::getVersion() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t ListingsAsk::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Naming::Builder::setVersion( ::int64_t value) {
+inline void ListingsAsk::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ListingsAsk::Reader::getFrom() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ListingsAsk::Builder::getFrom() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ListingsAsk::Builder::setFrom( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ListingsAsk::Reader::getWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ListingsAsk::Builder::getWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ListingsAsk::Builder::setWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ListingsUpdate::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ListingsUpdate::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ListingsUpdate::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Naming::Reader::getAgeMs() const {
+inline  ::int64_t ListingsUpdate::Reader::getEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ListingsUpdate::Builder::getEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ListingsUpdate::Builder::setEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ListingsUpdate::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool ListingsUpdate::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void ListingsUpdate::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ListingsUpdate::Reader::getHeldMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Naming::Builder::getAgeMs() {
+inline  ::uint32_t ListingsUpdate::Builder::getHeldMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Naming::Builder::setAgeMs( ::uint32_t value) {
+inline void ListingsUpdate::Builder::setHeldMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::ibislock::peer::wire::PieceMessage::Which PieceMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ListingsUpdate::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline  ::ibislock::peer::wire::PieceMessage::Which PieceMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+
+inline  ::uint32_t ListingsUpdate::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ListingsUpdate::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PieceMessage::Reader::hasModel() const {
+inline  ::int64_t ListingsUpdate::Reader::getStoreBackMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t ListingsUpdate::Builder::getStoreBackMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void ListingsUpdate::Builder::setStoreBackMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool ListingsUpdate::Reader::hasListings() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PieceMessage::Builder::hasModel() {
+inline bool ListingsUpdate::Builder::hasListings() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PieceMessage::Reader::getModel() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>::Reader ListingsUpdate::Reader::getListings() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PieceMessage::Builder::getModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>::Builder ListingsUpdate::Builder::getListings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PieceMessage::Builder::setModel( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ListingsUpdate::Builder::setListings( ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PieceMessage::Builder::initModel(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>::Builder ListingsUpdate::Builder::initListings(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PieceMessage::Builder::adoptModel(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ListingsUpdate::Builder::adoptListings(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PieceMessage::Builder::disownModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>> ListingsUpdate::Builder::disownListings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Listing,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t PieceMessage::Reader::getVersion() const {
+inline  ::int64_t ListingsUpdate::Reader::getOperatorsEnd() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
 }
 
-inline  ::int64_t PieceMessage::Builder::getVersion() {
+inline  ::int64_t ListingsUpdate::Builder::getOperatorsEnd() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
 }
-inline void PieceMessage::Builder::setVersion( ::int64_t value) {
+inline void ListingsUpdate::Builder::setOperatorsEnd( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
-inline  ::int32_t PieceMessage::Reader::getIndex() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t ListingsUpdate::Reader::getNamingsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
 }
 
-inline  ::int32_t PieceMessage::Builder::getIndex() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t ListingsUpdate::Builder::getNamingsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
 }
-inline void PieceMessage::Builder::setIndex( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ListingsUpdate::Builder::setNamingsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
-inline bool PieceMessage::Reader::isAsk() const {
-  return which() == PieceMessage::ASK;
-}
-inline bool PieceMessage::Builder::isAsk() {
-  return which() == PieceMessage::ASK;
-}
-inline  ::uint32_t PieceMessage::Reader::getAsk() const {
-  KJ_IREQUIRE((which() == PieceMessage::ASK),
-              "Must check which() before get()ing a union member.");
+inline  ::uint32_t ListingsUpdate::Reader::getLevelAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, 4294967295u);
 }
 
-inline  ::uint32_t PieceMessage::Builder::getAsk() {
-  KJ_IREQUIRE((which() == PieceMessage::ASK),
-              "Must check which() before get()ing a union member.");
+inline  ::uint32_t ListingsUpdate::Builder::getLevelAgeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, 4294967295u);
 }
-inline void PieceMessage::Builder::setAsk( ::uint32_t value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ASK);
+inline void ListingsUpdate::Builder::setLevelAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
-inline bool PieceMessage::Reader::isBytes() const {
-  return which() == PieceMessage::BYTES;
+inline bool Listing::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Listing::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Listing::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Listing::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Listing::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Listing::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline bool PieceMessage::Builder::isBytes() {
-  return which() == PieceMessage::BYTES;
+inline void Listing::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool PieceMessage::Reader::hasBytes() const {
-  if (which() != PieceMessage::BYTES) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline ::capnp::Orphan< ::capnp::Text> Listing::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool PieceMessage::Builder::hasBytes() {
-  if (which() != PieceMessage::BYTES) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::int64_t Listing::Reader::getOffset() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Data::Reader PieceMessage::Reader::getBytes() const {
-  KJ_IREQUIRE((which() == PieceMessage::BYTES),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::int64_t Listing::Builder::getOffset() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Data::Builder PieceMessage::Builder::getBytes() {
-  KJ_IREQUIRE((which() == PieceMessage::BYTES),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Listing::Builder::setOffset( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline void PieceMessage::Builder::setBytes( ::capnp::Data::Reader value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::BYTES);
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline bool Listing::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Data::Builder PieceMessage::Builder::initBytes(unsigned int size) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::BYTES);
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline bool Listing::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void PieceMessage::Builder::adoptBytes(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::BYTES);
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Listing::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::Data> PieceMessage::Builder::disownBytes() {
-  KJ_IREQUIRE((which() == PieceMessage::BYTES),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool Listing::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 
-inline bool PieceMessage::Reader::isMissing() const {
-  return which() == PieceMessage::MISSING;
+inline bool Listing::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-inline bool PieceMessage::Builder::isMissing() {
-  return which() == PieceMessage::MISSING;
+inline void Listing::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Void PieceMessage::Reader::getMissing() const {
-  KJ_IREQUIRE((which() == PieceMessage::MISSING),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+
+inline  ::uint16_t Listing::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void PieceMessage::Builder::getMissing() {
-  KJ_IREQUIRE((which() == PieceMessage::MISSING),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Listing::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PieceMessage::Builder::setMissing( ::capnp::Void value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::MISSING);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Listing::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PieceMessage::Reader::isManifest() const {
-  return which() == PieceMessage::MANIFEST;
+inline  ::int64_t Listing::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool PieceMessage::Builder::isManifest() {
-  return which() == PieceMessage::MANIFEST;
+
+inline  ::int64_t Listing::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool PieceMessage::Reader::hasManifest() const {
-  if (which() != PieceMessage::MANIFEST) return false;
+inline void Listing::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Listing::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PieceMessage::Builder::hasManifest() {
-  if (which() != PieceMessage::MANIFEST) return false;
+inline bool Listing::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ibislock::peer::wire::Manifest::Reader PieceMessage::Reader::getManifest() const {
-  KJ_IREQUIRE((which() == PieceMessage::MANIFEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Listing::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::ibislock::peer::wire::Manifest::Builder PieceMessage::Builder::getManifest() {
-  KJ_IREQUIRE((which() == PieceMessage::MANIFEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Listing::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PieceMessage::Builder::setManifest( ::ibislock::peer::wire::Manifest::Reader value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::MANIFEST);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::set(_builder.getPointerField(
+inline void Listing::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::ibislock::peer::wire::Manifest::Builder PieceMessage::Builder::initManifest() {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::MANIFEST);
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Listing::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void PieceMessage::Builder::adoptManifest(
-    ::capnp::Orphan< ::ibislock::peer::wire::Manifest>&& value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::MANIFEST);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::adopt(_builder.getPointerField(
+inline void Listing::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ibislock::peer::wire::Manifest> PieceMessage::Builder::disownManifest() {
-  KJ_IREQUIRE((which() == PieceMessage::MANIFEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Manifest>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Listing::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PieceMessage::Reader::isReady() const {
-  return which() == PieceMessage::READY;
+inline bool Listing::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PieceMessage::Builder::isReady() {
-  return which() == PieceMessage::READY;
+inline bool Listing::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Void PieceMessage::Reader::getReady() const {
-  KJ_IREQUIRE((which() == PieceMessage::READY),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Listing::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::capnp::Void PieceMessage::Builder::getReady() {
-  KJ_IREQUIRE((which() == PieceMessage::READY),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Listing::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PieceMessage::Builder::setReady( ::capnp::Void value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::READY);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Listing::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline bool PieceMessage::Reader::isElsewhere() const {
-  return which() == PieceMessage::ELSEWHERE;
+inline  ::capnp::Text::Builder Listing::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline bool PieceMessage::Builder::isElsewhere() {
-  return which() == PieceMessage::ELSEWHERE;
+inline void Listing::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool PieceMessage::Reader::hasElsewhere() const {
-  if (which() != PieceMessage::ELSEWHERE) return false;
+inline ::capnp::Orphan< ::capnp::Text> Listing::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Listing::Reader::hasDomain() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool PieceMessage::Builder::hasElsewhere() {
-  if (which() != PieceMessage::ELSEWHERE) return false;
+inline bool Listing::Builder::hasDomain() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PieceMessage::Reader::getElsewhere() const {
-  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
-              "Must check which() before get()ing a union member.");
+inline  ::capnp::Text::Reader Listing::Reader::getDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PieceMessage::Builder::getElsewhere() {
-  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
-              "Must check which() before get()ing a union member.");
+inline  ::capnp::Text::Builder Listing::Builder::getDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void PieceMessage::Builder::setElsewhere( ::capnp::Text::Reader value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
+inline void Listing::Builder::setDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PieceMessage::Builder::initElsewhere(unsigned int size) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
+inline  ::capnp::Text::Builder Listing::Builder::initDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void PieceMessage::Builder::adoptElsewhere(
+inline void Listing::Builder::adoptDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<PieceMessage::Which>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::ELSEWHERE);
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PieceMessage::Builder::disownElsewhere() {
-  KJ_IREQUIRE((which() == PieceMessage::ELSEWHERE),
-              "Must check which() before get()ing a union member.");
+inline ::capnp::Orphan< ::capnp::Text> Listing::Builder::disownDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Manifest::Reader::getChunkBytes() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Listing::Reader::hasModels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Manifest::Builder::getChunkBytes() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Listing::Builder::hasModels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void Manifest::Builder::setChunkBytes( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Reader Listing::Reader::getModels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Builder Listing::Builder::getModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Listing::Builder::setModels( ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Builder Listing::Builder::initModels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Listing::Builder::adoptModels(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>> Listing::Builder::disownModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Manifest::Reader::hasDigests() const {
+inline bool Model::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Manifest::Builder::hasDigests() {
+inline bool Model::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Manifest::Reader::getDigests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Model::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Manifest::Builder::getDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Model::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Manifest::Builder::setDigests( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void Model::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Manifest::Builder::initDigests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Model::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Manifest::Builder::adoptDigests(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void Model::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Manifest::Builder::disownDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Model::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Model::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Model::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Model::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/serving/include/ibislock/serving/desired_state.h
+++ b/libs/serving/include/ibislock/serving/desired_state.h
@@ -78,6 +78,7 @@
     int maxConnections = 0; ///< That one target accepts from all callers together.
     std::optional<EngineSpec> engine;
     std::string originAddress; ///< Where weights come from; empty unless this is the origin.
+    double originMbps = 0; ///< Of its link; 0 if unknown.
     std::string domain; ///< Of the origin.
 };
 
@@ -127,6 +128,9 @@
 /// @return the service's name; empty if the route names none.
 std::string_view drawService(const Route &route, double draw);
 
+/// Tells whether the targets of a service are engines.
+bool hasEngine(const DesiredState &state, const std::string &service);
+
 /// Finds the service that is the origin of weights.
 const Service *findOrigin(const DesiredState &state);
 
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -24,6 +24,8 @@
 {
     std::string name;
     std::int64_t version = 0;
+
+    bool operator==(const ServedModel &) const = default;
 };
 
 /// What the platform lists of a target.
@@ -37,6 +39,8 @@
     bool leaving = false;
     std::int64_t startedAt = 0; ///< Unix milliseconds; 0 if unknown. Differs between two lives under one id.
     std::vector<ServedModel> models;
+
+    bool operator==(const TargetEntry &) const = default;
 };
 
 /// The load of a target as its own VM reports it.
@@ -109,6 +113,10 @@
 /// Notes whether the store answers.
 void noteStore(TargetTable &table, bool away, Millis now);
 
+/// Notes that the store came back from an outage that another VM noticed.
+/// @param at when.
+void noteStoreBack(TargetTable &table, Millis at);
+
 /// Drops targets whose lost listing has not come back in time.
 void expireLapsed(TargetTable &table, Millis now);
 
--- a/libs/serving/src/desired_state.cpp
+++ b/libs/serving/src/desired_state.cpp
@@ -73,6 +73,12 @@
     return route.services.empty() ? std::string_view() : std::string_view(route.services.back().service);
 }
 
+bool hasEngine(const DesiredState &state, const std::string &service)
+{
+    const auto it = state.services.find(service);
+    return it != state.services.end() && it->second.engine.has_value();
+}
+
 const Service *findOrigin(const DesiredState &state)
 {
     for (const auto &[name, service] : state.services) {
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -99,6 +99,11 @@
     table.storeAway = away;
 }
 
+void noteStoreBack(TargetTable &table, Millis at)
+{
+    table.storeBackAt = std::max(table.storeBackAt, at);
+}
+
 void expireLapsed(TargetTable &table, Millis now)
 {
     if (table.storeAway || now < table.storeBackAt + LapseGrace) {
--- a/libs/side/src/ahead_copy.cpp
+++ b/libs/side/src/ahead_copy.cpp
@@ -91,7 +91,8 @@
                      .origin = m_goal.origin,
                      .digests = m_held.digests,
                      .plan = weights::planPieces(static_cast<int>(m_held.digests.size()), m_self, m_domain,
-                                                 m_members(m_goal.version))});
+                                                 m_members(m_goal.version)),
+                     .originPieceTime = m_goal.originPieceTime});
     m_fetcher.fetchMore(m_pieces);
     m_changed();
 }
--- a/libs/side/src/manifest_seeker.cpp
+++ b/libs/side/src/manifest_seeker.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-/// How long a VM that is on its way to get the manifest is given.
-constexpr Millis ManifestWait{1000};
+/// How long a VM that is on its way to get the manifest is given: it may learn of the naming some 500 ms later, and
+/// asks another VM or the origin itself.
+constexpr Millis ManifestWait{1500};
 
 /// How much longer an ask lasts than the asked VM may wait.
 constexpr Millis AnswerMargin{700};
@@ -57,27 +58,38 @@
 void ManifestSeeker::ask()
 {
     m_asked = true;
-    m_nextAsk = steadyMillis() + RetryTime;
-    const auto sources = weights::pieceSources(peer::ManifestIndex, m_self, m_domain, m_members(m_goal.version));
-    const weights::PieceSource &first = sources.front();
-    if (first.vm.empty()) {
+    std::vector<weights::SpreadMember> members = m_members(m_goal.version);
+    for (weights::SpreadMember &member : members) {
+        member.holds = false; // A VM that has loaded a version may not know its manifest, as after a start of all.
+    }
+    m_sources = weights::pieceSources(peer::ManifestIndex, m_self, m_domain, members);
+    askSource(0, false);
+}
+
+void ManifestSeeker::askSource(std::size_t at, bool lostBefore)
+{
+    if (at >= m_sources.size() || m_sources[at].vm.empty()) {
         askOrigin();
         return;
     }
-    const Millis wait = first.waits ? ManifestWait : Millis{0};
-    m_exchange.ask(first.vm,
+    const weights::PieceSource &source = m_sources[at];
+    const Millis wait = source.waits || (lostBefore && source.substitutes) ? ManifestWait : Millis{0};
+    const Millis askedAt = steadyMillis();
+    m_exchange.ask(source.vm,
                    {.model = m_goal.model,
                     .version = m_goal.version,
                     .index = peer::ManifestIndex,
                     .waitMs = static_cast<std::uint32_t>(wait.count())},
-                   wait + AnswerMargin, [this, round = m_round](const std::optional<peer::PieceMessage> &answer) {
+                   wait + AnswerMargin,
+                   [this, round = m_round, at, wait, askedAt](const std::optional<peer::PieceMessage> &answer) {
                        if (round != m_round) {
                            return;
                        }
                        if (answer && answer->content == peer::PieceContent::Manifest && !answer->digests.empty()) {
                            take(answer->digests);
                        } else {
-                           askOrigin();
+                           const bool lost = !answer && steadyMillis() - askedAt < wait;
+                           askSource(at + 1, lost);
                        }
                    });
 }
--- a/libs/side/src/manifest_seeker.h
+++ b/libs/side/src/manifest_seeker.h
@@ -1,5 +1,6 @@
-// Finds the manifest of a version of weights: asks the VM that is the first to have it, then the origin, until one
-// gives it.
+// Finds the manifest of a version of weights: asks the VMs that are the first to have it, then the origin, until one
+// gives it. The origin takes few connections; it is asked by the owner of the manifest, and by others only if they
+// reach none that has it.
 
 #pragma once
 
@@ -34,6 +35,10 @@
 
 private:
     void ask();
+
+    /// @param at the place of the source among all.
+    /// @param lostBefore the source before could not be reached.
+    void askSource(std::size_t at, bool lostBefore);
     void askOrigin();
     void take(std::vector<Digest> digests);
 
@@ -47,6 +52,7 @@
     std::function<void(std::vector<Digest>)> m_found; ///< Empty while nothing is sought.
     std::uint64_t m_round = 0; ///< Counts beginnings; answers to an earlier one are ignored.
     bool m_asked = false;
+    std::vector<weights::PieceSource> m_sources;
     Millis m_nextAsk{0};
 };
 
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -48,9 +48,16 @@
         writeGauge(out, "ibislock_engine_running", "Requests at work.", m_engine.report()->running);
         writeGauge(out, "ibislock_engine_queued", "Requests that wait in the engine.", m_engine.report()->queued);
     }
-    writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.", m_operatorsFeed->calls());
+    writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
+                 m_operatorsFeed->calls() + m_listings->storeCalls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
-                 m_operatorsFeed->failures());
+                 m_operatorsFeed->failures() + m_listings->storeFailures());
+    writeCounter(out, "ibislock_relay_answers_total", "Answers of relays of listings that were taken over.",
+                 m_listings->relayAnswers());
+    writeCounter(out, "ibislock_relays_left_total", "Relays of listings that were lost or behind.",
+                 m_listings->relaysLeft());
+    writeCounter(out, "ibislock_listings_answered_total", "Asks of other VMs for listings that were answered.",
+                 m_listings->answersGiven());
     writeCounter(out, "ibislock_log_lines_dropped_total", "Log lines that were left out.", droppedLogLines());
     writeGauge(out, "ibislock_subscribers", "Entry VMs that are there.",
                static_cast<std::int64_t>(m_subscribers.size()));
