--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -3,6 +3,8 @@
 #include "ibislock/base/log.h"
 #include "origin_call.h"
 
+#include <algorithm>
+
 namespace ibislock::side
 {
 
@@ -18,8 +20,11 @@
 /// A transfer that takes longer went over a narrow link: a piece takes some 40 ms, and few wait in front of it.
 constexpr Millis SlowTransfer{500};
 
-/// How long a VM that is on its way to get a piece is given: most of a copy from the origin.
-constexpr Millis OwnerWait{3500};
+/// How long a VM that is on its way to get a piece is given at least, for learning of the naming and of the pieces.
+constexpr Millis LeastOwnerWait{3500};
+
+/// The same in percent of the time that the origin's link takes for a copy: the last piece, and its way through owners.
+constexpr int OwnerWaitPercent = 140;
 
 /// How long a VM that is not on its way to get a piece is given to say whether it holds it.
 constexpr Millis AskAtOnce{1};
@@ -47,6 +52,7 @@
     , m_order(order)
     , m_taken(std::move(taken))
     , m_random(systemRandom())
+    , m_nextOrigin(loop)
     , m_nextTransfer(loop)
 {
 }
@@ -55,6 +61,7 @@
 {
     stop();
     m_task = std::move(task);
+    m_beganAt = steadyMillis();
 }
 
 void PieceFetcher::stop()
@@ -63,7 +70,10 @@
     m_task = {};
     m_fetching.clear();
     m_notBefore.clear();
+    m_rounds.clear();
     m_originQueue.clear();
+    m_originTurns.clear();
+    m_nextOrigin.cancel();
     m_transfers.clear();
     m_transferring = 0;
     m_transferringFrom.clear();
@@ -86,50 +96,95 @@
         const bool tooSoon = it != m_notBefore.end() && now < it->second;
         if (!staged.contains(plan.piece) && !m_fetching.contains(plan.piece) && !tooSoon) {
             m_fetching.insert(plan.piece);
-            fetchFrom(plan.piece, plan.sources, 0);
+            fetchFrom({.piece = plan.piece, .role = plan.role, .sources = plan.sources});
         }
     }
 }
 
-void PieceFetcher::fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at, bool lostBefore)
+Millis PieceFetcher::ownerWait() const
 {
-    if (at >= sources.size() || sources[at].vm.empty()) {
-        logInfo(Part::Side, "A piece is asked of the origin.",
-                {{"version", std::to_string(m_task.version)},
-                 {"piece", std::to_string(piece)},
-                 {"asked_before", std::to_string(at)}});
-        m_originQueue.push_back(piece);
-        fetchNextFromOrigin();
+    const Millis copy = m_task.originPieceTime * static_cast<std::int64_t>(m_task.digests.size());
+    return std::max(LeastOwnerWait, copy * OwnerWaitPercent / 100);
+}
+
+void PieceFetcher::fetchFrom(Search search)
+{
+    if (search.at >= search.sources.size() || search.sources[search.at].vm.empty()) {
+        endSearch(search);
         return;
     }
-    const bool waits = sources[at].waits || (lostBefore && sources[at].substitutes);
-    const Millis wait = waits ? OwnerWait : AskAtOnce;
+    const weights::PieceSource &source = search.sources[search.at];
+    const bool waits = source.waits || (search.lostBefore && source.substitutes);
+    const Millis wait = waits ? ownerWait() : AskAtOnce;
     const Millis askedAt = steadyMillis();
-    const std::string vm = sources[at].vm;
-    m_exchange.ask(vm,
-                   {.model = m_task.model,
-                    .version = m_task.version,
-                    .index = piece,
-                    .waitMs = static_cast<std::uint32_t>(wait.count())},
-                   wait + AnswerMargin,
-                   [this, round = m_round, piece, sources = std::move(sources), at, wait,
+    const std::string vm = source.vm;
+    const peer::PieceMessage ask{.model = m_task.model,
+                                 .version = m_task.version,
+                                 .index = search.piece,
+                                 .waitMs = static_cast<std::uint32_t>(wait.count())};
+    m_exchange.ask(vm, ask, wait + AnswerMargin,
+                   [this, round = m_round, search = std::move(search), wait,
                     askedAt](const std::optional<peer::PieceMessage> &answer) mutable {
                        if (round != m_round) {
                            return;
                        }
                        if (answer && answer->content == peer::PieceContent::Ready) {
-                           transfer(piece, std::move(sources), at);
-                       } else {
-                           const bool lost = !answer && steadyMillis() - askedAt < wait;
-                           fetchFrom(piece, std::move(sources), at + 1, lost);
+                           m_transfers.push_back({.search = std::move(search)});
+                           transferNext();
+                           return;
                        }
+                       search.lostBefore = !answer && steadyMillis() - askedAt < wait;
+                       search.answered = search.answered || answer.has_value();
+                       ++search.at;
+                       fetchFrom(std::move(search));
                    });
 }
 
-void PieceFetcher::transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at)
+void PieceFetcher::endSearch(const Search &search)
 {
-    m_transfers.push_back({.piece = piece, .sources = std::move(sources), .at = at});
-    transferNext();
+    const int rounds = ++m_rounds[search.piece];
+    if (search.role == weights::PieceRole::Owner && rounds == 1) {
+        askOriginInTurn(search.piece);
+        return;
+    }
+    if (choiceWithoutSource(search.role, search.answered, rounds) == weights::OriginChoice::AskSourcesAgain) {
+        retryLater(search.piece);
+        return;
+    }
+    logInfo(Part::Side, "A piece is asked of the origin.",
+            {{"version", std::to_string(m_task.version)},
+             {"piece", std::to_string(search.piece)},
+             {"asked_before", std::to_string(search.at)},
+             {"rounds", std::to_string(rounds)}});
+    m_originQueue.push_back(search.piece);
+    fetchNextFromOrigin();
+}
+
+void PieceFetcher::askOriginInTurn(int piece)
+{
+    const Millis at = m_beganAt + weights::originTurn(piece, m_task.originPieceTime);
+    const auto place = std::upper_bound(m_originTurns.begin(), m_originTurns.end(), std::pair(at, piece));
+    m_originTurns.insert(place, {at, piece});
+    waitForOriginTurn();
+}
+
+void PieceFetcher::waitForOriginTurn()
+{
+    const Millis now = steadyMillis();
+    while (!m_originTurns.empty() && now >= m_originTurns.front().first) {
+        m_originQueue.push_back(m_originTurns.front().second);
+        m_originTurns.pop_front();
+        fetchNextFromOrigin();
+    }
+    if (m_originTurns.empty()) {
+        return;
+    }
+    m_nextOrigin.expires_after(m_originTurns.front().first - now);
+    m_nextOrigin.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            waitForOriginTurn();
+        }
+    });
 }
 
 PieceFetcher::Transfer PieceFetcher::takeTransfer()
@@ -182,7 +237,7 @@
     ++m_transferring;
     const std::string vm = vmOf(next);
     m_transferringFrom.insert(vm);
-    const peer::PieceMessage ask{.model = m_task.model, .version = m_task.version, .index = next.piece};
+    const peer::PieceMessage ask{.model = m_task.model, .version = m_task.version, .index = next.search.piece};
     m_exchange.ask(
         vm, ask, HolderTime,
         [this, round = m_round, now, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
@@ -199,9 +254,9 @@
     // On a link that is narrower than it should be, pieces must not queue up in front of requests.
     m_window = took > SlowTransfer ? 1 : std::min(m_window + 1, TransfersAtOnce);
     const bool good = answer && answer->content == peer::PieceContent::Bytes
-        && sha256(answer->bytes) == m_task.digests[static_cast<std::size_t>(done.piece)];
+        && sha256(answer->bytes) == m_task.digests[static_cast<std::size_t>(done.search.piece)];
     if (good) {
-        takePiece(done.piece, answer->bytes, false);
+        takePiece(done.search.piece, answer->bytes, false);
     } else if (answer && answer->content == peer::PieceContent::Elsewhere && answer->vm != m_self) {
         done.via = answer->vm;
         m_pace.nextAt -= m_pace.pieceTime; // Nothing came over the link.
@@ -210,14 +265,16 @@
         done.via.clear(); // The source itself still has the piece.
         m_transfers.push_back(std::move(done));
     } else {
-        fetchFrom(done.piece, std::move(done.sources), done.at + 1);
+        done.search.answered = true;
+        ++done.search.at;
+        fetchFrom(std::move(done.search));
     }
     transferNext();
 }
 
 std::string PieceFetcher::vmOf(const Transfer &transfer)
 {
-    return transfer.via.empty() ? transfer.sources[transfer.at].vm : transfer.via;
+    return transfer.via.empty() ? transfer.search.sources[transfer.search.at].vm : transfer.via;
 }
 
 void PieceFetcher::fetchNextFromOrigin()
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -26,6 +26,7 @@
     std::string origin; ///< IP:PORT; empty while unknown.
     std::vector<Digest> digests;
     std::vector<weights::PiecePlan> plan;
+    Millis originPieceTime{0}; ///< How long the origin's link takes for a piece; zero if unknown.
 };
 
 /// What has been fetched.
@@ -69,18 +70,31 @@
     const FetchCounts &counts() const;
 
 private:
-    /// A piece that a VM holds and that waits for room on our link.
-    struct Transfer
+    /// A piece that is sought.
+    struct Search
     {
         int piece = 0;
+        weights::PieceRole role = weights::PieceRole::Member;
         std::vector<weights::PieceSource> sources;
-        std::size_t at = 0;
+        std::size_t at = 0; ///< The source that is asked.
+        bool lostBefore = false; ///< The source before could not be reached.
+        bool answered = false; ///< Any source has answered.
+    };
+
+    /// A piece that a VM holds and that waits for room on our link.
+    struct Transfer
+    {
+        Search search;
         std::string via; ///< A VM to which the source has pointed; empty for the source itself.
     };
 
-    /// @param lostBefore the source before could not be reached.
-    void fetchFrom(int piece, std::vector<weights::PieceSource> sources, std::size_t at, bool lostBefore = false);
-    void transfer(int piece, std::vector<weights::PieceSource> sources, std::size_t at);
+    void fetchFrom(Search search);
+    void endSearch(const Search &search);
+    Millis ownerWait() const;
+
+    /// Asks the origin when it is the piece's turn.
+    void askOriginInTurn(int piece);
+    void waitForOriginTurn();
     void transferNext();
     void noteUrgent();
     Transfer takeTransfer();
@@ -104,6 +118,10 @@
     FetchCounts m_counts;
     std::uint64_t m_round = 0; ///< Counts beginnings; answers to an earlier one are ignored.
     std::set<int> m_fetching;
+    std::map<int, int> m_rounds; ///< How often all sources of a piece were asked.
+    Millis m_beganAt{0};
+    std::deque<std::pair<Millis, int>> m_originTurns; ///< Times and pieces that this VM owns, in their order.
+    asio::steady_timer m_nextOrigin;
     std::map<int, Millis> m_notBefore; ///< When a piece that could not be had is tried again.
     std::deque<int> m_originQueue; ///< Pieces to take from the origin, one after another.
     bool m_originBusy = false;
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -19,11 +19,8 @@
 /// Longest time between two loads; entry VMs rely on a load for two and a half times as long.
 constexpr Millis PublishTime{300};
 
-/// How long the listings of other target VMs are used while weights are spread: about as long as that takes.
-constexpr Millis MembersLifetime{4000};
-
-/// How long the store holds a read of the operators' topic back.
-constexpr Millis OperatorsWait{10000};
+/// How long a target VM that reads the store for no other may leave a new desired state unread.
+constexpr Millis StateDelay{10000};
 
 /// The first version of any weights; runners hold it before one is named.
 constexpr std::int64_t FirstVersion = 1;
@@ -36,14 +33,20 @@
 constexpr double LinkPart = 0.85;
 
 /// The size of a piece on the present installations; sets the pace only.
-constexpr double PieceBits = 32768 * 8;
+constexpr std::uint64_t PieceBytes = 32768;
+
+/// How long a link takes for some bytes.
+Millis transferTime(std::uint64_t bytes, double linkMbps)
+{
+    constexpr double BitsInMillisecondAtOneMbps = 1000;
+    const double rate = std::max(linkMbps, 0.1) * BitsInMillisecondAtOneMbps;
+    return Millis{static_cast<std::int64_t>(static_cast<double>(bytes) * 8 / rate) + 1};
+}
 
 /// How far apart pieces are, so that they use their part of a link.
 Millis pieceTimeOf(double linkMbps)
 {
-    constexpr double BitsInMillisecondAtOneMbps = 1000;
-    const double rate = std::max(linkMbps, 0.1) * LinkPart * BitsInMillisecondAtOneMbps;
-    return Millis{static_cast<std::int64_t>(PieceBits / rate) + 1};
+    return transferTime(PieceBytes, linkMbps * LinkPart);
 }
 
 } // namespace
@@ -88,8 +91,7 @@
     m_datagrams.non_blocking(true, ec);
     receive();
     m_operatorsFeed = std::make_unique<feed::TopicFeed>(
-        m_loop, m_client, m_settings.store,
-        feed::FeedOptions{.topic = std::string(platform::OperatorsTopic), .wait = OperatorsWait},
+        m_loop, m_client, m_settings.store, feed::operatorsFeedOptions(m_settings.bounds.stateTime),
         feed::FeedEvents{
             .snapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
@@ -104,7 +106,35 @@
                     updateGoal();
                 },
             .store = [](bool) {},
+            .level =
+                [this](Millis asOf) {
+                    m_level.end = m_operatorsFeed->next();
+                    m_level.asOf = asOf;
+                    m_levelReadAt = steadyMillis();
+                    m_operatorsFeed->setLazy(!m_listings->readsStore());
+                },
+        });
+    m_listings = std::make_unique<feed::ListingsFollower>(
+        m_loop, m_client, m_settings.store,
+        feed::FollowerOptions{.ip = m_settings.ip,
+                              .domain = m_settings.domain,
+                              .port = m_settings.lastPeerPort,
+                              .answers = true,
+                              .time = m_settings.bounds.drainTime},
+        feed::FollowerEvents{
+            .listing = [](const std::string &, const std::optional<serving::TargetEntry> &) {},
+            .store = [](bool) {},
+            .storeBack = [](Millis) {},
+            .hasDaemon =
+                [this](const serving::TargetEntry &entry) {
+                    return m_operators.state && serving::hasEngine(*m_operators.state, entry.service);
+                },
+            .level = [this](const feed::OperatorsLevel &level) { takeLevel(level); },
+            .ownLevel = [this] { return toMessage(m_level, bootMillis()); },
         });
+    if (const asio::error_code failed = m_listings->start()) {
+        return failure(ErrorCode::Unavailable, "the address for listings can't be opened: " + failed.message());
+    }
     m_operatorsFeed->start();
     m_engine.start();
     logInfo(Part::Side, "The target daemon has started.", {{"vm", m_settings.vmName}, {"domain", m_settings.domain}});
@@ -120,11 +150,11 @@
 
 void Side::applyOperatorRecord(const platform::KeyedRecord &record, bool live)
 {
-    const bool news = applyRecord(m_operators, record,
-                                  {.live = live, .now = steadyMillis(), .versionTime = m_settings.bounds.versionTime});
-    if (news && platform::isNamedWeightsKey(record.key)) {
-        m_membersAt = Millis{0}; // VMs may have come and gone since the last version was spread.
+    if (platform::isNamedWeightsKey(record.key)) {
+        noteNaming(m_level, record.offset);
     }
+    applyRecord(m_operators, record,
+                {.live = live, .now = steadyMillis(), .versionTime = m_settings.bounds.versionTime});
 }
 
 void Side::updateGoal()
@@ -141,6 +171,9 @@
     WeightsGoal goal{.model = service->second.engine->models.front(),
                      .version = FirstVersion,
                      .origin = origin != nullptr ? origin->originAddress : ""};
+    if (origin != nullptr && origin->originMbps > 0) {
+        goal.originPieceTime = transferTime(service->second.engine->chunkBytes, origin->originMbps);
+    }
     const auto it = m_operators.named.find(goal.model);
     if (it != m_operators.named.end()) {
         goal.version = it->second.back().version;
@@ -154,7 +187,11 @@
 std::vector<weights::SpreadMember> Side::members(std::int64_t version) const
 {
     std::vector<weights::SpreadMember> out;
-    for (const serving::TargetEntry &entry : m_members) {
+    for (const auto &[id, known] : m_listings->cache().listings) {
+        if (!known.entry) {
+            continue;
+        }
+        const serving::TargetEntry &entry = *known.entry;
         const auto endpoint = platform::endpointFrom(entry.address);
         if (!endpoint || entry.service != m_settings.service || endpoint->ip == m_settings.ip) {
             continue;
@@ -165,47 +202,10 @@
     return out;
 }
 
-void Side::refreshMembers()
-{
-    const Millis now = steadyMillis();
-    if (m_membersAsked || (m_membersAt > Millis{0} && now < m_membersAt + MembersLifetime)) {
-        return;
-    }
-    m_membersAsked = true;
-    const platform::ApiRequest request = platform::snapshotRequest(platform::TargetsTopic, "");
-    http::RequestHead head = request.head;
-    head.headers.add("Host", m_settings.store.ip);
-    m_client.call(
-        m_settings.store.ip, m_settings.store.port, writeRequest(head, ""),
-        {.connectTime = feed::CallTime, .timeout = feed::CallTime},
-        [this](net::ExchangeEnd end, const http::ResponseHead &, const std::string &body) {
-            m_membersAsked = false;
-            m_membersAt = steadyMillis();
-            const auto page = end == net::ExchangeEnd::Complete
-                ? platform::decodeSnapshot(body)
-                : Result<platform::SnapshotPage>(failure(ErrorCode::Unavailable, "no answer"));
-            if (!page) {
-                logInfo(Part::Side, "The listings of target VMs can't be read.", {{"cause", page.error().message}});
-                return; // Those that were read last are used.
-            }
-            std::vector<serving::TargetEntry> entries;
-            for (const platform::KeyedRecord &record : page->records) {
-                if (auto entry = platform::decodeTarget(record.key, record.value.value_or(""))) {
-                    entries.push_back(std::move(*entry));
-                }
-            }
-            m_members = std::move(entries);
-            m_agent.step();
-        });
-}
-
 void Side::proceed()
 {
-    if (m_agent.needsMembers()) {
-        refreshMembers();
-    }
-    // Who owns a piece follows from the list of members: an old list would send VMs to each other in vain.
-    if (m_membersAt > Millis{0} || !m_agent.needsMembers()) {
+    // Who owns a piece follows from the listings: without them each VM would take all pieces from the origin.
+    if (m_listings->synchronized() || !m_agent.needsMembers()) {
         m_agent.step();
     }
 }
@@ -234,7 +234,7 @@
         .entryVms = static_cast<int>(m_subscribers.size()),
         .namings = {},
         .loadsIn = m_agent.loadsIn(),
-        .operatorsEnd = std::max(m_operatorsEnd, m_operatorsFeed->next()),
+        .operators = {.end = m_level.end, .namingsEnd = m_level.namingsEnd, .age = Millis{0}},
     };
     const std::string content = peer::encode(load);
     if (content == m_lastPublished && !force) {
@@ -243,6 +243,7 @@
     m_lastPublished = content;
     m_publishedAt = now;
     load.namings = recentNamings(); // Their ages change all the time and are no reason to publish.
+    load.operators = toMessage(m_level, bootMillis());
     load.incarnation = m_incarnation;
     load.sequence = ++m_sequence;
     const std::string message = peer::encode(load);
@@ -270,6 +271,22 @@
     return out;
 }
 
+void Side::takeLevel(const feed::OperatorsLevel &level)
+{
+    const bool news = mergeLevel(m_level, level);
+    // A desired state changes little here and can wait; that not each VM reads all of them leaves room for weights.
+    const bool readsAll = m_listings->readsStore() || steadyMillis() >= m_levelReadAt + StateDelay;
+    const std::int64_t wanted = readsAll ? m_level.end : m_level.namingsEnd;
+    if (wanted > m_operatorsFeed->next()) {
+        m_operatorsFeed->hint(wanted);
+    } else {
+        m_operatorsFeed->confirm(m_level.asOf);
+    }
+    if (news) {
+        publish(true); // Entry VMs may wait for it.
+    }
+}
+
 void Side::receive()
 {
     m_datagrams.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const asio::error_code &ec, std::size_t n) {
@@ -284,8 +301,7 @@
             const Millis now = steadyMillis();
             subscriber.until = now + (subscribe.wantsLoads ? SubscriptionTime : PresenceTime);
             subscriber.loadsUntil = subscribe.wantsLoads ? subscriber.until : Millis{0};
-            m_operatorsEnd = std::max(m_operatorsEnd, subscribe.operatorsEnd);
-            m_operatorsFeed->hint(subscribe.operatorsEnd);
+            takeLevel(feed::fromMessage(subscribe.operators, bootMillis()));
         } else if (!message) {
             logDebug(Part::Side, "A datagram can't be read.", {{"cause", message.error().message}});
         }
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "ibislock/feed/listings_follower.h"
+#include "ibislock/feed/operators_level.h"
 #include "ibislock/feed/operators_view.h"
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/platform/listings.h"
@@ -36,10 +38,10 @@
     void applyOperatorRecord(const platform::KeyedRecord &record, bool live);
     std::vector<peer::Naming> recentNamings() const;
     void updateGoal();
-    void refreshMembers();
     void proceed();
     void receive();
     void publish(bool force);
+    void takeLevel(const feed::OperatorsLevel &level);
     void onReport();
     std::string metricsText() const;
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
@@ -52,16 +54,15 @@
     EngineWatch m_engine;
     WeightsAgent m_agent;
     std::unique_ptr<feed::TopicFeed> m_operatorsFeed;
+    std::unique_ptr<feed::ListingsFollower> m_listings;
     std::unique_ptr<net::Listener> m_metrics;
     asio::ip::udp::socket m_datagrams;
     asio::ip::udp::endpoint m_sender;
     std::array<char, 1500> m_buffer{};
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
     feed::OperatorsView m_operators;
-    std::int64_t m_operatorsEnd = -1; ///< The highest offset up to which a subscriber has read the operators' topic.
-    std::vector<serving::TargetEntry> m_members;
-    bool m_membersAsked = false;
-    Millis m_membersAt{0};
+    Millis m_levelReadAt{0}; ///< When this VM itself has read the operators' topic.
+    feed::OperatorsLevel m_level; ///< The end of the operators' topic, as far as any VM has told.
     std::uint64_t m_incarnation;
     std::uint64_t m_sequence = 0;
     std::string m_lastPublished;
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -87,7 +87,8 @@
                          .origin = m_goal.origin,
                          .digests = m_digests,
                          .plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain,
-                                                     m_members(m_goal.version))});
+                                                     m_members(m_goal.version)),
+                         .originPieceTime = m_goal.originPieceTime});
         stageCarried();
         fetchMore();
     } else if (m_phase == WeightsPhase::Verifying) {
--- a/libs/side/src/weights_goal.h
+++ b/libs/side/src/weights_goal.h
@@ -17,6 +17,7 @@
     serving::NamedVersions named; ///< All that have been named, with their times.
     Millis versionTime{0}; ///< From a naming until requests stop to begin on older versions.
     std::string origin; ///< IP:PORT; empty while unknown.
+    Millis originPieceTime{0}; ///< How long the origin's link takes for a piece; zero if unknown.
 };
 
 } // namespace ibislock::side
--- a/libs/weights/include/ibislock/weights/piece_sources.h
+++ b/libs/weights/include/ibislock/weights/piece_sources.h
@@ -7,6 +7,8 @@
 
 #pragma once
 
+#include "ibislock/base/clock.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,13 +39,41 @@
 std::vector<PieceSource> pieceSources(int piece, std::string_view self, std::string_view domain,
                                       const std::vector<SpreadMember> &members);
 
+/// What a VM does for a piece.
+enum class PieceRole {
+    Owner, ///< Takes it from the origin for all.
+    DomainOwner, ///< Takes it from its owner for its domain.
+    Member, ///< Takes it from its domain's owner, or from one that holds it.
+};
+
 /// A piece and where it is asked from.
 struct PiecePlan
 {
     int piece = 0;
+    PieceRole role = PieceRole::Member;
     std::vector<PieceSource> sources;
 };
 
+/// When the owner of a piece asks the origin for it. Answers a rollout to hundreds of VMs: if all owners asked at once,
+/// their connections would be over the origin's limit, and all pieces would arrive at the end; one after another, the
+/// first can be passed on while the others come.
+/// @param place of the piece among all.
+/// @param pieceTime how long the origin's link takes for one.
+/// @return the time from the beginning on.
+Millis originTurn(int place, Millis pieceTime);
+
+/// What a VM does about a piece that none of its sources has given.
+enum class OriginChoice {
+    Ask, ///< It asks the origin.
+    AskSourcesAgain, ///< It gives its sources more time.
+};
+
+/// Decides that. Answers owners that are late, because they learnt late of the version or the origin's link is slow: if
+/// all members turned to the origin then, it would send the same pieces again and again, and all would come too late.
+/// @param answered whether any of the sources said that it does not hold the piece yet; false if all were lost.
+/// @param rounds how often the sources have been asked.
+OriginChoice choiceWithoutSource(PieceRole role, bool answered, int rounds);
+
 /// Plans all pieces of a version: those that others wait for come first, or VMs would wait for each other in a circle.
 /// First what this VM takes from the origin, then what it takes for its domain, then the rest.
 std::vector<PiecePlan> planPieces(int pieces, std::string_view self, std::string_view domain,
--- a/libs/weights/src/piece_sources.cpp
+++ b/libs/weights/src/piece_sources.cpp
@@ -15,6 +15,16 @@
 /// Holders asked in a row before the next kind of source; more only delays the origin when all are cut off.
 constexpr std::size_t HoldersAsked = 3;
 
+/// Other VMs of the domain that are asked beside the owner and its substitute. Asking all would send a message from
+/// each VM to each other for each piece when an owner is slow.
+constexpr std::size_t OthersAsked = 2;
+
+/// How often a member asks its sources before it turns to the origin; a round lasts most of a copy from the origin.
+constexpr int MemberRounds = 2;
+
+/// The pause between two asks of the origin, in percent of what its link takes for a piece: its link is never idle.
+constexpr int OriginOverlapPercent = 85;
+
 /// The VMs of each domain in the order of their addresses, the asker among them.
 using Domains = std::map<std::string, std::vector<std::string>>;
 
@@ -66,6 +76,24 @@
     }
 }
 
+/// Adds VMs of the domain that may have got the piece before, in an order of the asker's own.
+/// @param inDomain all of the domain, the owner and its substitute in front.
+void addOthers(std::vector<PieceSource> &out, const std::string &key, std::string_view self,
+               const std::vector<std::string> &inDomain)
+{
+    std::vector<std::string> others;
+    for (std::size_t n = 2; n < inDomain.size(); ++n) {
+        if (inDomain[n] != self) {
+            others.push_back(inDomain[n]);
+        }
+    }
+    others = rendezvousOrder(key + std::string(self), others);
+    others.resize(std::min(others.size(), OthersAsked));
+    for (std::string &vm : others) {
+        out.push_back({.vm = std::move(vm), .waits = false});
+    }
+}
+
 } // namespace
 
 std::vector<PieceSource> pieceSources(int piece, std::string_view self, std::string_view domain,
@@ -82,11 +110,10 @@
         out.push_back({.vm = inDomain.front(), .waits = true});
         // When the owner is slow, others of the domain may have got the piece before. When it is lost, all of the
         // domain turn to the same VM, or each would take the piece from the origin.
-        for (std::size_t n = 1; n < inDomain.size(); ++n) {
-            if (inDomain[n] != self) {
-                out.push_back({.vm = inDomain[n], .waits = false, .substitutes = n == 1});
-            }
+        if (inDomain.size() > 1 && inDomain[1] != self) {
+            out.push_back({.vm = inDomain[1], .waits = false, .substitutes = true});
         }
+        addOthers(out, key, self, inDomain);
         if (owner != self && owner != inDomain.front()) {
             out.push_back({.vm = owner, .waits = false});
         }
@@ -122,21 +149,36 @@
             nearby.insert(member.vm);
         }
     }
-    const auto rank = [&](const PiecePlan &plan) {
-        const PieceSource &first = plan.sources.front();
-        return first.vm.empty() ? 0 : (nearby.contains(first.vm) ? 2 : 1);
+    const auto roleOf = [&](const PieceSource &first) {
+        if (first.vm.empty()) {
+            return PieceRole::Owner;
+        }
+        return nearby.contains(first.vm) ? PieceRole::Member : PieceRole::DomainOwner;
     };
     std::vector<PiecePlan> out;
     for (int piece = 0; piece < pieces; ++piece) {
-        out.push_back({.piece = piece, .sources = pieceSources(piece, self, domain, members)});
+        auto sources = pieceSources(piece, self, domain, members);
+        const PieceRole role = roleOf(sources.front());
+        out.push_back({.piece = piece, .role = role, .sources = std::move(sources)});
     }
     // Each VM begins at another piece, so that owners are not all asked for the same one first.
     const auto turn = pieces == 0
         ? 0
         : static_cast<std::ptrdiff_t>(rendezvousWeight("begin", self) % static_cast<std::uint64_t>(pieces));
     std::rotate(out.begin(), out.begin() + turn, out.end());
-    std::stable_sort(out.begin(), out.end(), [&](const PiecePlan &a, const PiecePlan &b) { return rank(a) < rank(b); });
+    std::stable_sort(out.begin(), out.end(), [](const PiecePlan &a, const PiecePlan &b) { return a.role < b.role; });
     return out;
 }
 
+Millis originTurn(int place, Millis pieceTime)
+{
+    return pieceTime * place * OriginOverlapPercent / 100;
+}
+
+OriginChoice choiceWithoutSource(PieceRole role, bool answered, int rounds)
+{
+    const bool patient = role == PieceRole::Member && answered && rounds < MemberRounds;
+    return patient ? OriginChoice::AskSourcesAgain : OriginChoice::Ask;
+}
+
 } // namespace ibislock::weights
