Connections to the origin are closed, senders tell their queues, and holds at a start are long

Ruled out: the link of the receiver (half used) and the processor (0.013 of 0.3 cores). Change: exchanges may close behind the answer; answers tell how long the ask waited; up to 16 transfers are asked for at once, and VMs count as holders 120 ms after they got a piece; a VM that does not inform others holds reads for 0.9 of the apply time; target VMs wait for their own listing before they act on the others.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -57,8 +57,8 @@
     /// Tells whether listings have been read since the start.
     bool synchronized() const;
 
-    /// Tells whether this VM reads the store, for others or for want of a relay.
-    bool readsStore() const;
+    /// Tells whether this VM reads the store for others, or for want of a relay that answers.
+    bool informsOthers() const;
 
     /// The relay that is asked; empty while the store is read.
     std::string relay() const;
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -19,7 +19,8 @@
 {
     std::string topic;
     Millis wait{10000}; ///< How long the store holds a read back until there is a record.
-    Millis pause{0}; ///< Between two reads; bounds the calls on a busy topic.
+    Millis lazyWait{0}; ///< The same while the feed is lazy.
+    Millis pause{0}; ///< Between the beginnings of two reads; bounds the calls on a busy topic.
     Millis lazyTime{0}; ///< How long a feed that is lazy relies on the last confirmation.
     bool newestOnly = false; ///< Of several records that were missed, the newest of each key is enough.
 };
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -14,11 +14,14 @@
 // reads on: what it had read before is then `StorePausePart` + `AskPausePart` + `WaitPart` + `MarginPart` old, and a
 // read of the store or a substitute follows.
 
-/// Between two reads of the store that brought something.
-constexpr double StorePausePart = 0.3;
+/// The same while nothing is listed, as at a start of all: nothing can leave.
+constexpr double EmptyWaitPart = 1.5;
+
+/// Between the beginnings of two reads of the store.
+constexpr double StorePausePart = 0.25;
 
 /// How long the store holds a read back; the next read follows at once.
-constexpr double StoreWaitPart = 0.4;
+constexpr double StoreWaitPart = 0.25;
 
 /// Between an answer of a relay and the next ask.
 constexpr double AskPausePart = 0.1;
@@ -29,7 +32,8 @@
 /// How much longer an answer may be on its way.
 constexpr double MarginPart = 0.1;
 
-/// How old the knowledge of a relay may be; one that reads the store is `StoreWaitPart` and a call behind at most.
+/// How old the knowledge of a relay may be; one that reads the store is `StorePausePart` + `StoreWaitPart` and a call
+/// behind at most.
 constexpr double OldestPart = 0.6;
 
 /// Answers in a row that may end before what is known here; a relay reads on between two asks, so more mean that one of
@@ -48,7 +52,10 @@
     , m_events(std::move(events))
     , m_relay(loop, m_cache, m_events.ownLevel)
     , m_feed(loop, client, std::move(store),
-             {.topic = std::string(platform::TargetsTopic), .wait = part(StoreWaitPart), .pause = part(StorePausePart)},
+             {.topic = std::string(platform::TargetsTopic),
+              .wait = part(StoreWaitPart),
+              .lazyWait = part(EmptyWaitPart),
+              .pause = part(StorePausePart)},
              {.snapshot = [this](const std::vector<platform::KeyedRecord> &records) { takeSnapshot(records); },
               .record = [this](const platform::KeyedRecord &record) { takeRecord(record); },
               .store =
@@ -93,9 +100,9 @@
     return m_cache.since >= 0;
 }
 
-bool ListingsFollower::readsStore() const
+bool ListingsFollower::informsOthers() const
 {
-    return m_readsStore;
+    return m_readsStore && m_options.answers && !m_cache.listings.empty();
 }
 
 std::string ListingsFollower::relay() const
@@ -182,9 +189,10 @@
     m_cache.end = m_feed.next();
     m_cache.asOf = asOf;
     forgetRemoved(m_cache, steadyMillis());
+    m_feed.setLazy(m_cache.listings.empty());
     m_relay.answerWaiting();
     const Millis now = steadyMillis();
-    if (!m_asking && now >= m_relaysAgainAt) {
+    if (!m_asking && now >= m_relaysAgainAt && !relays().empty()) {
         m_relaysAgainAt = now + RelayRetry;
         m_attempt = 0;
         askNext(); // The store is read on until a relay has answered.
--- a/libs/feed/src/operators_level.cpp
+++ b/libs/feed/src/operators_level.cpp
@@ -10,10 +10,13 @@
 namespace
 {
 
-/// How long the store holds a read back, as a part of the time in which a desired state must be in force. A read whose
-/// answer was lost is noticed after this time and that of a call.
+/// How long the store holds a read of a VM that tells others back, as a part of the time in which a desired state must
+/// be in force. A read whose answer was lost is noticed after this time and that of a call.
 constexpr double HoldPart = 0.35;
 
+/// The same for a VM that no other confirms, as after a start of all.
+constexpr double LazyHoldPart = 0.9;
+
 /// How long other VMs are relied on, as a part of that time: they read once in `HoldPart` and tell it with their loads.
 constexpr double LazyPart = 0.8;
 
@@ -28,6 +31,7 @@
 {
     return {.topic = std::string(platform::OperatorsTopic),
             .wait = partOf(stateTime, HoldPart),
+            .lazyWait = partOf(stateTime, LazyHoldPart),
             .lazyTime = partOf(stateTime, LazyPart),
             .newestOnly = true};
 }
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -256,7 +256,7 @@
 void TopicFeed::readOn()
 {
     // A store that was lost may be silent still: a read that it holds back could not be told from one that it ignores.
-    const Millis wait = m_away ? Millis{0} : m_options.wait;
+    const Millis wait = m_away ? Millis{0} : (m_lazy ? m_options.lazyWait : m_options.wait);
     m_heldFor = wait;
     call(platform::readRequest(m_options.topic, m_next, wait), wait + CallTime, &TopicFeed::readOn,
          [this](int status, const std::string &body) {
@@ -296,9 +296,7 @@
         return;
     }
     tellLevel();
-    // A read that was held back and brought nothing needs no pause behind it.
-    const bool held = page->records.empty() && m_heldFor > Millis{0};
-    readLater(held ? Millis{0} : m_options.pause);
+    readLater(std::max(Millis{0}, m_options.pause - (steadyMillis() - m_calledAt)));
 }
 
 } // namespace ibislock::feed
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "counters.h"
+#include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_level.h"
 #include "ibislock/feed/operators_view.h"
-#include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -71,6 +71,7 @@
     Millis stall{0}; ///< An answer that has begun may bring nothing for this long; 0 to go by `timeout` alone.
     Millis longest{0}; ///< For the whole exchange if `stall` is set.
     bool fresh = false; ///< Always on a new connection, so that it can't meet one that the peer is closing.
+    bool keeps = true; ///< The connection may be kept for the next request; if not, it is closed behind the answer.
     std::size_t largestBody = LargestBody; ///< Bytes; 0 for no limit, if whoever takes them does not keep them.
     Millis maxIdle{1000}; ///< A kept connection that was idle for longer is not used.
 };
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -191,7 +191,7 @@
         if (!m_skipping) {
             // Bytes behind the answer belong to no request: the connection is not used again.
             const bool clean = bytes.empty() && m_reader.response().keepAlive;
-            if (clean && m_connection->queued() == 0) {
+            if (clean && m_options.keeps && m_connection->queued() == 0) {
                 m_client->keep(m_key, std::move(m_connection), m_reader.response());
                 m_connection.reset();
             }
--- a/libs/net/test/http_client_test.cpp
+++ b/libs/net/test/http_client_test.cpp
@@ -26,18 +26,24 @@
     }
 
     int connections = 0;
+    int open = 0;
 
 private:
     void serve(const std::shared_ptr<Connection> &connection)
     {
         ++connections;
+        ++open;
         m_connections.push_back(connection);
-        connection->start({.data = [this, raw = connection.get()](std::string_view) {
-            raw->write(m_next < m_script.size() ? m_script[m_next++] : "");
-            if (m_closeAfter) {
-                raw->closeAfterWrites();
-            }
-        }});
+        connection->start({
+            .data =
+                [this, raw = connection.get()](std::string_view) {
+                    raw->write(m_next < m_script.size() ? m_script[m_next++] : "");
+                    if (m_closeAfter) {
+                        raw->closeAfterWrites();
+                    }
+                },
+            .closed = [this](ClosedBy) { --open; },
+        });
     }
 
     std::vector<std::string> m_script;
@@ -68,6 +74,19 @@
     return out;
 }
 
+TEST(HttpClientTest, AConnectionThatIsNotToBeKeptIsClosedBehindTheAnswer)
+{
+    asio::io_context loop;
+    ScriptedServer server(
+        loop, {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, false);
+    HttpClient client(loop);
+    callOnce(loop, client, server.port(), {.keeps = false});
+    loop.run_for(Millis{20});
+    EXPECT_EQ(server.open, 0);
+    callOnce(loop, client, server.port(), {.keeps = false});
+    EXPECT_EQ(server.connections, 2);
+}
+
 /// What a peer sends, and how the exchange must end.
 struct AnswerCase
 {
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -57,6 +57,7 @@
     ready @7 :Void;  # The piece is held now.
     elsewhere @8 :Text;  # The asked VM is busy; the VM that is named got the piece from it before.
   }
+  queuedMs @9 :UInt32;  # How long the ask of an answer waited at the asked VM.
 }
 
 struct Manifest {
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -44,6 +44,7 @@
     out.model = message.getModel().cStr();
     out.version = message.getVersion();
     out.index = message.getIndex();
+    out.queued = Millis{message.getQueuedMs()};
     switch (message.which()) {
     case wire::PieceMessage::ASK:
         out.content = PieceContent::Ask;
@@ -155,6 +156,7 @@
     piece.setModel(message.model);
     piece.setVersion(message.version);
     piece.setIndex(message.index);
+    piece.setQueuedMs(static_cast<std::uint32_t>(message.queued.count()));
     switch (message.content) {
     case PieceContent::Ask:
         piece.setAsk(message.waitMs);
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -679,6 +679,8 @@
   inline bool hasElsewhere() const;
   inline  ::capnp::Text::Reader getElsewhere() const;
 
+  inline  ::uint32_t getQueuedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -757,6 +759,9 @@
   inline void adoptElsewhere(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownElsewhere();
 
+  inline  ::uint32_t getQueuedMs();
+  inline void setQueuedMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2146,6 +2151,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t PieceMessage::Reader::getQueuedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PieceMessage::Builder::getQueuedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PieceMessage::Builder::setQueuedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Manifest::Reader::getChunkBytes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -20,8 +20,8 @@
 /// Asks for bytes that wait here, from which on askers are sent to VMs that got the piece before.
 constexpr std::size_t CrowdedAsks = 3;
 
-/// How long a piece that was sent takes to be staged at its receiver, at most VMs.
-constexpr Millis SettleTime{300};
+/// How long a piece that was sent takes to be staged at its receiver, at most VMs: two links, a check and a call.
+constexpr Millis SettleTime{120};
 
 /// How long a connection to a VM may take; a round trip takes a few ms, a lost packet a second.
 constexpr Millis ConnectTime{1200};
@@ -186,8 +186,9 @@
     if (ask.content != peer::PieceContent::Ask) {
         return;
     }
-    const Millis until = steadyMillis() + Millis{ask.waitMs};
-    m_waiting.push_back({.connection = connection, .ask = std::move(ask), .until = until});
+    const Millis now = steadyMillis();
+    const Millis until = now + Millis{ask.waitMs};
+    m_waiting.push_back({.connection = connection, .ask = std::move(ask), .since = now, .until = until});
     answerWaiting();
 }
 
@@ -254,8 +255,10 @@
             answerWaiting();
         }
     });
-    m_store.read(item.ask, [this, to = item.connection](const peer::PieceMessage &answer) {
+    const Millis queued = now - item.since;
+    m_store.read(item.ask, [this, queued, to = item.connection](peer::PieceMessage answer) {
         --m_reading;
+        answer.queued = queued;
         if (const auto open = to.lock()) {
             m_bytesServed += answer.bytes.size();
             open->write(peer::encode(answer));
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -75,6 +75,7 @@
     {
         std::weak_ptr<net::Connection> connection;
         peer::PieceMessage ask;
+        Millis since{0};
         Millis until{0};
     };
 
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -14,8 +14,9 @@
 /// Pieces asked for at once: all of a version. Asks are small, and a VM answers each as soon as it holds the piece.
 constexpr std::size_t FetchedAtOnce = 64;
 
-/// Pieces that this VM has asked for at once. Most wait at their senders, of which all must have something to send.
-constexpr int TransfersAtOnce = 6;
+/// Pieces that this VM has asked for at once. Most wait at their senders or are sent elsewhere, some 600 ms in all; with
+/// fewer, the VM's link stands idle meanwhile, as a piece takes some 40 ms there.
+constexpr int TransfersAtOnce = 16;
 
 /// A transfer that takes longer went over a narrow link: a piece takes some 40 ms, and few wait in front of it.
 constexpr Millis SlowTransfer{500};
@@ -252,7 +253,8 @@
     --m_transferring;
     m_transferringFrom.erase(vmOf(done));
     // On a link that is narrower than it should be, pieces must not queue up in front of requests.
-    m_window = took > SlowTransfer ? 1 : std::min(m_window + 1, TransfersAtOnce);
+    const Millis onTheWay = answer ? took - answer->queued : took;
+    m_window = onTheWay > SlowTransfer ? 1 : std::min(m_window + 1, TransfersAtOnce);
     const bool good = answer && answer->content == peer::PieceContent::Bytes
         && sha256(answer->bytes) == m_task.digests[static_cast<std::size_t>(done.search.piece)];
     if (good) {
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -22,6 +22,9 @@
 /// How long a target VM that reads the store for no other may leave a new desired state unread.
 constexpr Millis StateDelay{10000};
 
+/// How long a target VM waits for the listing of its own engine before it acts on the others; three heartbeats.
+constexpr Millis ListedTime{4000};
+
 /// The first version of any weights; runners hold it before one is named.
 constexpr std::int64_t FirstVersion = 1;
 
@@ -111,7 +114,7 @@
                     m_level.end = m_operatorsFeed->next();
                     m_level.asOf = asOf;
                     m_levelReadAt = steadyMillis();
-                    m_operatorsFeed->setLazy(!m_listings->readsStore());
+                    m_operatorsFeed->setLazy(!m_listings->informsOthers());
                 },
         });
     m_listings = std::make_unique<feed::ListingsFollower>(
@@ -135,6 +138,7 @@
     if (const asio::error_code failed = m_listings->start()) {
         return failure(ErrorCode::Unavailable, "the address for listings can't be opened: " + failed.message());
     }
+    m_operatorsFeed->setLazy(true); // Until it is known whom this VM informs.
     m_operatorsFeed->start();
     m_engine.start();
     logInfo(Part::Side, "The target daemon has started.", {{"vm", m_settings.vmName}, {"domain", m_settings.domain}});
@@ -204,12 +208,25 @@
 
 void Side::proceed()
 {
-    // Who owns a piece follows from the listings: without them each VM would take all pieces from the origin.
-    if (m_listings->synchronized() || !m_agent.needsMembers()) {
+    // Who owns a piece follows from the listings: without them each VM would take all pieces from the origin. At a
+    // start of all, targets list themselves some seconds later.
+    const bool known = m_listings->synchronized() && (isListed() || steadyMillis() >= m_startedAt + ListedTime);
+    if (known || !m_agent.needsMembers()) {
         m_agent.step();
     }
 }
 
+bool Side::isListed() const
+{
+    const auto &listings = m_listings->cache().listings;
+    return std::any_of(listings.begin(), listings.end(), [this](const auto &item) {
+        const auto &entry = item.second.entry;
+        const auto endpoint = entry ? platform::endpointFrom(entry->address)
+                                    : Result<platform::Endpoint>(failure(ErrorCode::NotFound, "removed"));
+        return endpoint && endpoint->ip == m_settings.ip;
+    });
+}
+
 void Side::onReport()
 {
     const Millis now = steadyMillis();
@@ -275,7 +292,7 @@
 {
     const bool news = mergeLevel(m_level, level);
     // A desired state changes little here and can wait; that not each VM reads all of them leaves room for weights.
-    const bool readsAll = m_listings->readsStore() || steadyMillis() >= m_levelReadAt + StateDelay;
+    const bool readsAll = m_listings->informsOthers() || steadyMillis() >= m_levelReadAt + StateDelay;
     const std::int64_t wanted = readsAll ? m_level.end : m_level.namingsEnd;
     if (wanted > m_operatorsFeed->next()) {
         m_operatorsFeed->hint(wanted);
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -39,6 +39,7 @@
     std::vector<peer::Naming> recentNamings() const;
     void updateGoal();
     void proceed();
+    bool isListed() const;
     void receive();
     void publish(bool force);
     void takeLevel(const feed::OperatorsLevel &level);
@@ -64,6 +65,7 @@
     Millis m_levelReadAt{0}; ///< When this VM itself has read the operators' topic.
     feed::OperatorsLevel m_level; ///< The end of the operators' topic, as far as any VM has told.
     std::uint64_t m_incarnation;
+    Millis m_startedAt = steadyMillis();
     std::uint64_t m_sequence = 0;
     std::string m_lastPublished;
     Millis m_publishedAt{0};
