A VM that starts behind two namings learns the first, and reads over a full link are not begun anew

Entry VMs that were added between two versions' times read only the last naming from the store, which keeps one of each model; peers told its time, so requests went to version 1 after version 2 had put it out of use. Ruled out: lost datagrams (the namings arrived; the version was unknown and ignored). Change: namings whose time is not over are told with the last one before, and are taken over if they are older than the newest; hints leave a read alone that is not held back, and a call after a failed one has 0.8 s more, up to 2.4 s.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -41,6 +41,9 @@
 /// begun may pause for as long: lost packets are sent again within some 200 ms, and twice.
 inline constexpr Millis CallTime{800};
 
+/// The same after calls that failed, `CallTime` longer each time: over a full link, asking anew only fills it more.
+inline constexpr Millis LongestCallTime{2400};
+
 /// How long an answer may take in all; the store keeps 20 s of history, and a page that takes longer is better asked
 /// for anew.
 inline constexpr Millis LongestAnswer{10000};
@@ -121,6 +124,8 @@
     std::int64_t m_snapshotEnd = -1;
     Millis m_backOff = FirstBackOff;
     bool m_away = false;
+    bool m_calling = false; ///< A call is under way.
+    Millis m_patience = CallTime; ///< How long the next call may take until its answer begins.
     bool m_lazy = false;
     bool m_newest = false; ///< The snapshot that is read makes up for records that were missed.
     Millis m_confirmedAt{0}; ///< By the boot clock.
@@ -129,6 +134,7 @@
     std::uint64_t m_failures = 0;
     std::shared_ptr<net::Exchange> m_exchange; ///< Of the call that is under way.
     std::int64_t m_hinted = -1;
+    bool m_hintPending = false; ///< The next read follows a hint, and is not to be held back.
     Millis m_calledAt{0};
     Millis m_calledAtBoot{0}; ///< The same by the boot clock.
     Millis m_heldFor{0}; ///< How long the store may hold the present call back.
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -67,6 +67,7 @@
         logWarning(Part::Store, "The store was lost.", {{"topic", m_options.topic}, {"cause", std::string(what)}});
         m_events.store(true);
     }
+    m_patience = std::min(m_patience + CallTime, LongestCallTime);
     later(jittered(m_random, m_backOff), again);
     m_backOff = std::min(m_backOff * 2, LongestBackOff);
 }
@@ -74,6 +75,7 @@
 void TopicFeed::succeeded()
 {
     m_backOff = FirstBackOff;
+    m_patience = CallTime;
     if (m_away) {
         m_away = false;
         logInfo(Part::Store, "The store is back.", {{"topic", m_options.topic}});
@@ -85,6 +87,7 @@
                      std::function<void(int status, const std::string &body)> done)
 {
     ++m_calls;
+    m_calling = true;
     m_calledAt = steadyMillis();
     m_calledAtBoot = bootMillis();
     const std::uint64_t round = ++m_round;
@@ -101,6 +104,7 @@
                                    if (round != m_round) {
                                        return;
                                    }
+                                   m_calling = false;
                                    if (end != net::ExchangeEnd::Complete) {
                                        failed(nameOf(net::ExchangeEndNames, end), again);
                                        return;
@@ -152,6 +156,7 @@
 void TopicFeed::suspend()
 {
     ++m_round;
+    m_calling = false;
     m_timer.cancel();
     if (m_exchange) {
         m_exchange->cancel();
@@ -178,10 +183,13 @@
     // has just begun will bring them; giving it up for each of many hints would never end.
     const bool justBegun = steadyMillis() - m_calledAt < PatientTime;
     const bool answering = m_exchange && m_exchange->isAnswering();
-    if (!m_synchronized || end <= m_next || end <= m_hinted || justBegun || answering) {
+    // A read that the store does not hold back brings all that there is; over a full link its answer takes its time.
+    const bool onItsWay = m_calling && m_heldFor == Millis{0};
+    if (!m_synchronized || end <= m_next || end <= m_hinted || justBegun || answering || onItsWay) {
         return;
     }
     m_hinted = end;
+    m_hintPending = true;
     logInfo(Part::Store, "Another VM has read on; reading at once.",
             {{"topic", m_options.topic}, {"offset", std::to_string(m_next)}, {"end", std::to_string(end)}});
     m_timer.cancel();
@@ -199,7 +207,7 @@
 {
     const std::string after = m_pages.empty() ? "" : m_pages.back().key;
     m_heldFor = Millis{0};
-    call(platform::snapshotRequest(m_options.topic, after), CallTime, &TopicFeed::readSnapshot,
+    call(platform::snapshotRequest(m_options.topic, after), m_patience, &TopicFeed::readSnapshot,
          [this](int status, const std::string &body) {
              if (status != OkStatus) {
                  failed("status " + std::to_string(status), &TopicFeed::readSnapshot);
@@ -256,9 +264,10 @@
 void TopicFeed::readOn()
 {
     // A store that was lost may be silent still: a read that it holds back could not be told from one that it ignores.
-    const Millis wait = m_away ? Millis{0} : (m_lazy ? m_options.lazyWait : m_options.wait);
+    const bool hinted = std::exchange(m_hintPending, false);
+    const Millis wait = m_away || hinted ? Millis{0} : (m_lazy ? m_options.lazyWait : m_options.wait);
     m_heldFor = wait;
-    call(platform::readRequest(m_options.topic, m_next, wait), wait + CallTime, &TopicFeed::readOn,
+    call(platform::readRequest(m_options.topic, m_next, wait), wait + m_patience, &TopicFeed::readOn,
          [this](int status, const std::string &body) {
              if (status == platform::TrimmedStatus) {
                  logInfo(Part::Store, "The store dropped records that were not read; starting over.",
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -16,7 +16,7 @@
 protected:
     TopicFeedTest()
         : m_feed(m_loop, m_client, {.ip = "127.0.0.1", .port = m_store.port()},
-                 {.topic = "keyed.t", .wait = Millis{200}},
+                 {.topic = "keyed.t", .wait = Millis{200}, .lazyWait = Millis{200}, .lazyTime = Millis{300}},
                  {.snapshot =
                       [this](const std::vector<platform::KeyedRecord> &records) {
                           for (const platform::KeyedRecord &record : records) {
@@ -77,6 +77,48 @@
     EXPECT_EQ(m_feed.next(), 2);
 }
 
+TEST_F(TopicFeedTest, AReadThatAHintBeganIsNotGivenUpForTheNextHint)
+{
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    m_store.delay = Millis{700}; // A large answer over a full link.
+    m_loop.run_for(std::chrono::milliseconds(10));
+    m_store.append("k", "1");
+    const int before = m_store.reads;
+    for (int n = 1; n < 12; ++n) {
+        m_feed.hint(n);
+        m_loop.run_for(std::chrono::milliseconds(100));
+    }
+    EXPECT_TRUE(runUntil([&] { return m_values["k"] == "1"; }));
+    EXPECT_LE(m_store.reads - before, 3);
+}
+
+TEST_F(TopicFeedTest, ALazyFeedLeavesTheStoreAloneWhileItIsConfirmed)
+{
+    m_feed.setLazy(true);
+    m_feed.confirm(bootMillis());
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_feed.synchronized(); }));
+    for (int n = 0; n < 10; ++n) {
+        m_feed.confirm(bootMillis());
+        m_loop.run_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_EQ(m_store.reads, 0);
+    m_store.append("a", "1");
+    m_feed.hint(1);
+    EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
+}
+
+TEST_F(TopicFeedTest, ALazyFeedReadsWhenNothingConfirmsItAnyMore)
+{
+    m_feed.setLazy(true);
+    m_feed.confirm(bootMillis());
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_feed.synchronized(); }));
+    m_store.append("a", "1");
+    EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
+}
+
 TEST_F(TopicFeedTest, AHintWhileAReadWaitsCountsNoRecordTwice)
 {
     m_feed.start();
--- a/libs/serving/include/ibislock/serving/named_versions.h
+++ b/libs/serving/include/ibislock/serving/named_versions.h
@@ -38,9 +38,16 @@
 bool noteNamed(NamedVersions &versions, std::int64_t version, Millis learntAt, NamingTime time = NamingTime::Seen);
 
 /// Takes over the time of a naming from another process. Of several, the earliest counts: a process may have been cut
-/// off when the version was named.
+/// off when the version was named. An older version than the newest may be new here: the store keeps only the last
+/// naming of a model, and a process that starts behind it would let requests begin on what the one before has put out
+/// of use.
 void correctTime(NamedVersions &versions, std::int64_t version, Millis learntAt);
 
+/// The namings that another process needs to know what may begin: those whose time is not over, and the last one
+/// before. Those of which the time is not known are left out.
+/// @param time from a naming until older versions are out.
+NamedVersions namingsToTell(const NamedVersions &versions, Millis now, Millis time);
+
 /// The oldest version on which something may begin.
 /// @param time from a naming until older versions are out.
 /// @return 0 while any may serve.
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -14,8 +14,8 @@
 /// Pieces asked for at once: all of a version. Asks are small, and a VM answers each as soon as it holds the piece.
 constexpr std::size_t FetchedAtOnce = 64;
 
-/// Pieces that this VM has asked for at once. Most wait at their senders or are sent elsewhere, some 600 ms in all; with
-/// fewer, the VM's link stands idle meanwhile, as a piece takes some 40 ms there.
+/// Pieces that this VM has asked for at once. Most wait at their senders or are sent elsewhere, some 600 ms in all;
+/// with fewer, the VM's link stands idle meanwhile, as a piece takes some 40 ms there.
 constexpr int TransfersAtOnce = 16;
 
 /// A transfer that takes longer went over a narrow link: a piece takes some 40 ms, and few wait in front of it.
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -279,10 +279,8 @@
     std::vector<peer::Naming> out;
     const Millis now = steadyMillis();
     for (const auto &[model, versions] : m_operators.named) {
-        for (const serving::NamedVersion &named : versions) {
-            if (named.time == serving::NamingTime::Seen && now - named.learntAt < m_settings.bounds.versionTime) {
-                out.push_back({.model = model, .version = named.version, .age = now - named.learntAt});
-            }
+        for (const serving::NamedVersion &named : namingsToTell(versions, now, m_settings.bounds.versionTime)) {
+            out.push_back({.model = model, .version = named.version, .age = now - named.learntAt});
         }
     }
     return out;
