Relays have more time to answer, others hold their reads, and pieces for another domain go first

Bytes between regions grew from 29 to 33 MB: members were sent to VMs of other domains for pieces. Ruled out by a trial: longer holds alone (1,606 calls; more stale answers). Change: relays read on after 0.1 and hold for 0.35 of the drain time, answers may be 0.2 late, VMs that none asks hold for 0.9; an answer that was held back is as old as its way; asks for another domain go first and their askers are not named to others.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -81,7 +81,7 @@
     void takeRecord(const platform::KeyedRecord &record);
     void takeLevel(Millis asOf);
     void tell(const std::vector<peer::ListingChange> &changes);
-    std::vector<std::string> relays() const;
+    std::vector<std::string> domainVms() const;
     void askNext();
     void askLater(Millis time);
     void connect(const std::string &vm);
@@ -100,6 +100,7 @@
     ListingsRelay m_relay;
     TopicFeed m_feed;
     bool m_readsStore = true;
+    bool m_isAsked = false; ///< Others may ask this VM for listings.
     bool m_asking = false; ///< An ask is under way, or planned.
     std::size_t m_attempt = 0; ///< The place of the relay that is asked, in their order.
     std::string m_relayVm; ///< The relay that is asked.
--- a/libs/feed/include/ibislock/feed/relay_order.h
+++ b/libs/feed/include/ibislock/feed/relay_order.h
@@ -26,4 +26,7 @@
 /// @return nothing if the VM is to read the store.
 std::vector<std::string> relaysFor(std::string_view self, const std::vector<std::string> &vms);
 
+/// Tells whether others may ask a VM: it is a relay, or a substitute of one.
+bool isAsked(std::string_view self, const std::vector<std::string> &vms);
+
 } // namespace ibislock::feed
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -41,7 +41,11 @@
 /// begun may pause for as long: lost packets are sent again within some 200 ms, and twice.
 inline constexpr Millis CallTime{800};
 
-/// The same after calls that failed, `CallTime` longer each time: over a full link, asking anew only fills it more.
+/// How long the answer to a read that was held back is on its way at most, unless the link is so full that the VM
+/// counts as slowed.
+inline constexpr Millis AnswerTime{150};
+
+/// `CallTime` after calls that failed, `CallTime` longer each time: over a full link, asking anew only fills it more.
 inline constexpr Millis LongestCallTime{2400};
 
 /// How long an answer may take in all; the store keeps 20 s of history, and a page that takes longer is better asked
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -14,14 +14,14 @@
 // reads on: what it had read before is then `StorePausePart` + `AskPausePart` + `WaitPart` + `MarginPart` old, and a
 // read of the store or a substitute follows.
 
-/// The same while nothing is listed, as at a start of all: nothing can leave.
-constexpr double EmptyWaitPart = 1.5;
+/// The same for a VM that is asked by none. A read whose answer was lost is noticed after this time and that of a call.
+constexpr double LazyWaitPart = 0.9;
 
 /// Between the beginnings of two reads of the store.
-constexpr double StorePausePart = 0.25;
+constexpr double StorePausePart = 0.1;
 
 /// How long the store holds a read back; the next read follows at once.
-constexpr double StoreWaitPart = 0.25;
+constexpr double StoreWaitPart = 0.35;
 
 /// Between an answer of a relay and the next ask.
 constexpr double AskPausePart = 0.1;
@@ -30,7 +30,7 @@
 constexpr double WaitPart = 0.2;
 
 /// How much longer an answer may be on its way.
-constexpr double MarginPart = 0.1;
+constexpr double MarginPart = 0.2;
 
 /// How old the knowledge of a relay may be; one that reads the store is `StorePausePart` + `StoreWaitPart` and a call
 /// behind at most.
@@ -54,7 +54,7 @@
     , m_feed(loop, client, std::move(store),
              {.topic = std::string(platform::TargetsTopic),
               .wait = part(StoreWaitPart),
-              .lazyWait = part(EmptyWaitPart),
+              .lazyWait = part(LazyWaitPart),
               .pause = part(StorePausePart)},
              {.snapshot = [this](const std::vector<platform::KeyedRecord> &records) { takeSnapshot(records); },
               .record = [this](const platform::KeyedRecord &record) { takeRecord(record); },
@@ -102,7 +102,7 @@
 
 bool ListingsFollower::informsOthers() const
 {
-    return m_readsStore && m_options.answers && !m_cache.listings.empty();
+    return m_readsStore && m_isAsked;
 }
 
 std::string ListingsFollower::relay() const
@@ -189,17 +189,19 @@
     m_cache.end = m_feed.next();
     m_cache.asOf = asOf;
     forgetRemoved(m_cache, steadyMillis());
-    m_feed.setLazy(m_cache.listings.empty());
+    const std::vector<std::string> vms = domainVms();
+    m_isAsked = m_options.answers && isAsked(m_options.ip, vms);
+    m_feed.setLazy(!m_isAsked);
     m_relay.answerWaiting();
     const Millis now = steadyMillis();
-    if (!m_asking && now >= m_relaysAgainAt && !relays().empty()) {
+    if (!m_asking && now >= m_relaysAgainAt && !relaysFor(m_options.ip, vms).empty()) {
         m_relaysAgainAt = now + RelayRetry;
         m_attempt = 0;
         askNext(); // The store is read on until a relay has answered.
     }
 }
 
-std::vector<std::string> ListingsFollower::relays() const
+std::vector<std::string> ListingsFollower::domainVms() const
 {
     std::vector<std::string> vms;
     for (const auto &[id, known] : m_cache.listings) {
@@ -211,12 +213,12 @@
             vms.push_back(std::move(endpoint->ip));
         }
     }
-    return relaysFor(m_options.ip, vms);
+    return vms;
 }
 
 void ListingsFollower::askNext()
 {
-    const std::vector<std::string> vms = relays();
+    const std::vector<std::string> vms = relaysFor(m_options.ip, domainVms());
     if (m_attempt >= vms.size()) {
         readStore();
         return;
--- a/libs/feed/src/operators_level.cpp
+++ b/libs/feed/src/operators_level.cpp
@@ -12,7 +12,7 @@
 
 /// How long the store holds a read of a VM that tells others back, as a part of the time in which a desired state must
 /// be in force. A read whose answer was lost is noticed after this time and that of a call.
-constexpr double HoldPart = 0.35;
+constexpr double HoldPart = 0.45;
 
 /// The same for a VM that no other confirms, as after a start of all.
 constexpr double LazyHoldPart = 0.9;
--- a/libs/feed/src/relay_order.cpp
+++ b/libs/feed/src/relay_order.cpp
@@ -12,6 +12,12 @@
 
 constexpr std::string_view OrderKey = "listings";
 
+/// How many VMs of a domain read the store for it.
+std::size_t relayCount(std::size_t vms)
+{
+    return vms == 0 ? 0 : 1 + (vms - 1) / VmsOfRelay;
+}
+
 } // namespace
 
 std::vector<std::string> relaysFor(std::string_view self, const std::vector<std::string> &vms)
@@ -20,7 +26,7 @@
         return {};
     }
     std::vector<std::string> order = weights::rendezvousOrder(OrderKey, vms);
-    const std::size_t relays = 1 + (order.size() - 1) / VmsOfRelay;
+    const std::size_t relays = relayCount(order.size());
     const auto own = static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
     if (own < relays) {
         return {};
@@ -34,4 +40,12 @@
     return out;
 }
 
+bool isAsked(std::string_view self, const std::vector<std::string> &vms)
+{
+    const std::vector<std::string> order = weights::rendezvousOrder(OrderKey, vms);
+    const std::size_t asked = std::min(relayCount(order.size()) + SubstituteRelays, order.size());
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(asked);
+    return std::find(order.begin(), end, self) != end;
+}
+
 } // namespace ibislock::feed
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -145,9 +145,11 @@
 
 void TopicFeed::tellLevel()
 {
-    // A read that was held back for all of its time has shown that nothing came meanwhile.
+    // A read that was held back for all of its time has shown that nothing came meanwhile; one that was held back is
+    // answered as soon as something comes.
     const Millis now = bootMillis();
-    const Millis asOf = now - m_calledAtBoot >= m_heldFor ? m_calledAtBoot + m_heldFor : m_calledAtBoot;
+    const Millis answeredAt = now - m_calledAtBoot >= m_heldFor ? m_calledAtBoot + m_heldFor : now - AnswerTime;
+    const Millis asOf = m_heldFor > Millis{0} ? std::max(m_calledAtBoot, answeredAt) : m_calledAtBoot;
     if (m_events.level) {
         m_events.level(asOf);
     }
--- a/libs/feed/test/listings_cache_test.cpp
+++ b/libs/feed/test/listings_cache_test.cpp
@@ -224,6 +224,20 @@
     }
 }
 
+TEST(RelayOrderTest, OnlyRelaysAndTheirSubstituteAreAsked)
+{
+    const auto vms = domainOf(40);
+    std::set<std::string> asked;
+    for (const std::string &vm : vms) {
+        const auto relays = relaysFor(vm, vms);
+        asked.insert(relays.begin(), relays.end());
+    }
+    EXPECT_EQ(asked.size(), 3U);
+    for (const std::string &vm : vms) {
+        EXPECT_EQ(isAsked(vm, vms), asked.contains(vm));
+    }
+}
+
 TEST(RelayOrderTest, ADomainWithoutDaemonsReadsTheStore)
 {
     EXPECT_TRUE(relaysFor("10.9.9.9", {}).empty());
--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -78,6 +78,7 @@
     int index = ManifestIndex;
     PieceContent content = PieceContent::Ask;
     std::uint32_t waitMs = 0; ///< Of an ask: 0 for the bytes now; else to be told within this time when it is held.
+    bool forDomain = false; ///< Of an ask: the asker is in another domain and takes the piece for all of it.
     Millis queued{0}; ///< Of an answer: how long its ask waited at the asked VM.
     std::string bytes; ///< Of a piece.
     std::string vm; ///< Of an answer that points elsewhere: who is to be asked.
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -58,6 +58,7 @@
     elsewhere @8 :Text;  # The asked VM is busy; the VM that is named got the piece from it before.
   }
   queuedMs @9 :UInt32;  # How long the ask of an answer waited at the asked VM.
+  forDomain @10 :Bool;  # The asker is in another domain and takes the piece for all of it.
 }
 
 struct Manifest {
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -45,6 +45,7 @@
     out.version = message.getVersion();
     out.index = message.getIndex();
     out.queued = Millis{message.getQueuedMs()};
+    out.forDomain = message.getForDomain();
     switch (message.which()) {
     case wire::PieceMessage::ASK:
         out.content = PieceContent::Ask;
@@ -156,6 +157,7 @@
     piece.setModel(message.model);
     piece.setVersion(message.version);
     piece.setIndex(message.index);
+    piece.setForDomain(message.forDomain);
     piece.setQueuedMs(static_cast<std::uint32_t>(message.queued.count()));
     switch (message.content) {
     case PieceContent::Ask:
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -681,6 +681,8 @@
 
   inline  ::uint32_t getQueuedMs() const;
 
+  inline bool getForDomain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -762,6 +764,9 @@
   inline  ::uint32_t getQueuedMs();
   inline void setQueuedMs( ::uint32_t value);
 
+  inline bool getForDomain();
+  inline void setForDomain(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2165,6 +2170,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PieceMessage::Reader::getForDomain() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+}
+
+inline bool PieceMessage::Builder::getForDomain() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+}
+inline void PieceMessage::Builder::setForDomain(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Manifest::Reader::getChunkBytes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "ibislock/base/log.h"
 
+#include <algorithm>
+
 namespace ibislock::side
 {
 
@@ -217,6 +219,8 @@
     const Millis now = steadyMillis();
     std::vector<Waiting> waiting;
     waiting.swap(m_waiting);
+    // A domain that waits for its first copy goes before the copies of this one.
+    std::stable_partition(waiting.begin(), waiting.end(), [](const Waiting &item) { return item.ask.forDomain; });
     for (Waiting &item : waiting) {
         const auto connection = item.connection.lock();
         if (!connection || !connection->isOpen()) {
@@ -268,6 +272,9 @@
 
 void PieceExchange::noteSent(const Waiting &item, const net::Connection &connection, Millis now)
 {
+    if (item.ask.forDomain) {
+        return; // Others of this domain are not sent to another one.
+    }
     if (item.ask.version != m_sentVersion) {
         m_sentVersion = item.ask.version;
         m_sent.clear();
@@ -279,7 +286,7 @@
 {
     const auto it = m_sent.find(item.ask.index);
     const bool crowded = m_waiting.size() >= CrowdedAsks;
-    if (!crowded || item.ask.version != m_sentVersion || it == m_sent.end()) {
+    if (item.ask.forDomain || !crowded || item.ask.version != m_sentVersion || it == m_sent.end()) {
         return {};
     }
     const auto connection = item.connection.lock();
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -238,7 +238,10 @@
     ++m_transferring;
     const std::string vm = vmOf(next);
     m_transferringFrom.insert(vm);
-    const peer::PieceMessage ask{.model = m_task.model, .version = m_task.version, .index = next.search.piece};
+    const peer::PieceMessage ask{.model = m_task.model,
+                                 .version = m_task.version,
+                                 .index = next.search.piece,
+                                 .forDomain = next.search.role == weights::PieceRole::DomainOwner};
     m_exchange.ask(
         vm, ask, HolderTime,
         [this, round = m_round, now, next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
