--- a/libs/entry/test/administration_test.cpp
+++ b/libs/entry/test/administration_test.cpp
@@ -2,9 +2,12 @@
 #include "entry_fixture.h"
 #include "paging.h"
 
+#include "ibislock/base/clock.h"
+
 #include <fstream>
 #include <rapidcheck/gtest.h>
 #include <set>
+#include <thread>
 
 namespace ibislock::entry
 {
@@ -102,8 +105,16 @@
     start();
     const auto filed = administration(FileKey)->Post("/v1/tickets", ticketText(1), "application/json");
     ASSERT_TRUE(filed && filed->status == 200);
-    const json status = get("/v1/status");
+    // Until the daemon has heard of the VMs for the first time, the status has no time, and says so.
+    json status = get("/v1/status");
+    const auto end = steadyMillis() + Millis{20000};
+    while (status["as_of_ms"].is_null() && steadyMillis() < end) {
+        EXPECT_TRUE(status["stale"]);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        status = get("/v1/status");
+    }
     EXPECT_FALSE(status["stale"]);
+    ASSERT_TRUE(status["as_of_ms"].is_number());
     EXPECT_GT(status["as_of_ms"], 0);
     const json rollout = status["scopes"][0]["rollout"];
     EXPECT_EQ(rollout["silent"], 1) << "a VM that was never heard of counts as silent";
