--- a/lab/experiments/vms.cpp
+++ b/lab/experiments/vms.cpp
@@ -5,11 +5,13 @@
 #include "platform/engine_stand_in.h"
 #include "platform/store_stand_in.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 namespace ibislock::lab
 {
@@ -68,8 +70,10 @@
         , m_store(loop)
         , m_origin(loop, "127.0.3.1")
         , m_client(loop)
-        , m_peerPort(freePort())
     {
+        while (m_firstPeerPort == m_lastPeerPort) {
+            std::tie(m_firstPeerPort, m_lastPeerPort) = std::minmax({freePort(), freePort()});
+        }
     }
 
     /// Starts all processes.
@@ -188,7 +192,7 @@
         std::ofstream(file) << "[vm]\nname = " << vm.ip << "\nip = " << vm.ip << "\ndomain = a\nlink_mbps = 1000\n"
                             << "[callers]\naddress = " << addressOf(vm, vm.callers)
                             << "\nreadiness = " << addressOf(vm, vm.readiness)
-                            << "\n[peers]\nfirst_port = " << m_peerPort << "\nlast_port = " << m_peerPort
+                            << "\n[peers]\nfirst_port = " << m_firstPeerPort << "\nlast_port = " << m_lastPeerPort
                             << "\n[store]\naddress = 127.0.0.1:" << m_store.port()
                             << "\n[engine]\naddress = " << (vm.engine ? addressOf(vm, vm.engine->port()) : "")
                             << "\nservice = " << (vm.engine ? "s" : "") << "\n[contract]\nversion_ms = " << VersionMs
@@ -260,7 +264,8 @@
     StoreStandIn m_store;
     OriginStandIn m_origin;
     net::HttpClient m_client;
-    std::uint16_t m_peerPort;
+    std::uint16_t m_firstPeerPort = 0;
+    std::uint16_t m_lastPeerPort = 0;
     std::vector<VmProcess> m_vms; ///< Targets first.
     std::map<std::string, bool> m_ready;
     Tally m_tally;
