--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -11,18 +11,18 @@
 {
 
 // Parts of the time in which a leaving target must be left alone. In the worst case a relay is lost just before it
-// reads on: what it had read before is then `StorePausePart` + `AskPausePart` + `WaitPart` + `MarginPart` old, and a
-// read of the store or a substitute follows.
-
-/// The same for a VM that is asked by none. A read whose answer was lost is noticed after this time and that of a call.
-constexpr double LazyWaitPart = 0.9;
+// passes on what it has read: it is left after `AskPausePart` + `WaitPart` + `MarginPart`, and a read of the store or a
+// substitute follows.
 
 /// Between the beginnings of two reads of the store.
 constexpr double StorePausePart = 0.1;
 
-/// How long the store holds a read back; the next read follows at once.
+/// How long the store holds a read of a VM that others ask back; the next read follows at once.
 constexpr double StoreWaitPart = 0.35;
 
+/// The same for a VM that is asked by none. A read whose answer was lost is noticed after this time and that of a call.
+constexpr double LazyWaitPart = 0.9;
+
 /// Between an answer of a relay and the next ask.
 constexpr double AskPausePart = 0.1;
 
