Metrics begin with how old a VM's knowledge is, and repeated store failures are logged

Callers saw states in force late, and the record of the incident could not tell why: what collects metrics keeps the first kilobytes of the page, and the version of the state and the age of listings stood behind the targets; of a store that was lost only the first failure was logged. Both now stand first, with for how long records of the operators' topic have been known to exist and not been read, the longest such time, and the reads given up for a hint; each further failure is a line with its cause. Test: TopicFeedTest.TellsForHowLongRecordsThatAreKnownToExistHaveBeenUnread. Decisions are unchanged.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -98,6 +98,15 @@
     /// How many of them failed.
     std::uint64_t failures() const;
 
+    /// How many of them were given up for a hint before their end.
+    std::uint64_t givenUp() const;
+
+    /// For how long records have been known to exist that were not read; 0 if there are none.
+    Millis behindFor() const;
+
+    /// The longest time for which that was so.
+    Millis longestBehind() const;
+
     /// Tells whether a whole snapshot has been read since the start.
     bool synchronized() const;
 
@@ -112,6 +121,8 @@
     void takeRecords(const std::string &body);
     void later(Millis time, void (TopicFeed::*step)());
     void tellLevel();
+    void noteBehind(std::int64_t end);
+    void advance(std::int64_t next);
     void failed(std::string_view what, void (TopicFeed::*again)());
     void succeeded();
     void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*again)(),
@@ -136,6 +147,10 @@
     bool m_synchronized = false;
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
+    std::uint64_t m_givenUp = 0;
+    std::int64_t m_knownEnd = -1; ///< The latest end that a hint told.
+    std::optional<Millis> m_behindSince; ///< By the boot clock.
+    Millis m_longestBehind{0};
     std::shared_ptr<net::Exchange> m_exchange; ///< Of the call that is under way.
     std::int64_t m_hinted = -1;
     bool m_hintPending = false; ///< The next read follows a hint, and is not to be held back.
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -43,6 +43,38 @@
     return m_failures;
 }
 
+std::uint64_t TopicFeed::givenUp() const
+{
+    return m_givenUp;
+}
+
+Millis TopicFeed::behindFor() const
+{
+    return m_behindSince ? bootMillis() - *m_behindSince : Millis{0};
+}
+
+Millis TopicFeed::longestBehind() const
+{
+    return std::max(m_longestBehind, behindFor());
+}
+
+void TopicFeed::noteBehind(std::int64_t end)
+{
+    m_knownEnd = std::max(m_knownEnd, end);
+    if (m_synchronized && m_next < m_knownEnd && !m_behindSince) {
+        m_behindSince = bootMillis();
+    }
+}
+
+void TopicFeed::advance(std::int64_t next)
+{
+    m_next = next;
+    if (m_next >= m_knownEnd) {
+        m_longestBehind = longestBehind();
+        m_behindSince.reset();
+    }
+}
+
 bool TopicFeed::synchronized() const
 {
     return m_synchronized;
@@ -66,6 +98,12 @@
         m_away = true;
         logWarning(Part::Store, "The store was lost.", {{"topic", m_options.topic}, {"cause", std::string(what)}});
         m_events.store(true);
+    } else {
+        logInfo(Part::Store, "A call to the store failed again.",
+                {{"topic", m_options.topic},
+                 {"cause", std::string(what)},
+                 {"offset", std::to_string(m_next)},
+                 {"behind_ms", std::to_string(behindFor().count())}});
     }
     m_patience = std::min(m_patience + CallTime, LongestCallTime);
     later(jittered(m_random, m_backOff), again);
@@ -170,7 +208,7 @@
 
 void TopicFeed::resume(std::int64_t next)
 {
-    m_next = next;
+    advance(next);
     readOn();
 }
 
@@ -181,6 +219,7 @@
 
 void TopicFeed::hint(std::int64_t end)
 {
+    noteBehind(end);
     // One early read for each hint: if the store itself does not show the records, the usual pace goes on. A read that
     // has just begun will bring them; giving it up for each of many hints would never end.
     const bool justBegun = steadyMillis() - m_calledAt < PatientTime;
@@ -196,6 +235,7 @@
             {{"topic", m_options.topic}, {"offset", std::to_string(m_next)}, {"end", std::to_string(end)}});
     m_timer.cancel();
     if (m_exchange) {
+        m_givenUp += m_calling ? 1 : 0;
         m_exchange->cancel();
     }
     if (m_options.newestOnly && end - m_next > 1) {
@@ -238,7 +278,8 @@
     if (std::exchange(m_newest, false) && m_snapshotEnd >= m_next) {
         takeNewest(std::exchange(m_pages, {}));
     } else {
-        m_next = std::exchange(m_snapshotEnd, -1);
+        m_knownEnd = m_snapshotEnd; // The topic may have begun anew.
+        advance(std::exchange(m_snapshotEnd, -1));
         m_synchronized = true;
         m_events.snapshot(std::exchange(m_pages, {}));
     }
@@ -257,7 +298,7 @@
     std::erase_if(records, [&](const platform::KeyedRecord &record) { return record.offset < m_next; });
     std::sort(records.begin(), records.end(),
               [](const platform::KeyedRecord &a, const platform::KeyedRecord &b) { return a.offset < b.offset; });
-    m_next = std::max(m_next, std::exchange(m_snapshotEnd, -1));
+    advance(std::max(m_next, std::exchange(m_snapshotEnd, -1)));
     for (const platform::KeyedRecord &record : records) {
         m_events.record(record);
     }
@@ -298,7 +339,7 @@
         return;
     }
     succeeded();
-    m_next = page->next;
+    advance(page->next);
     for (const platform::KeyedRecord &record : page->records) {
         m_events.record(record);
     }
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -111,6 +111,23 @@
     EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
 }
 
+TEST_F(TopicFeedTest, TellsForHowLongRecordsThatAreKnownToExistHaveBeenUnread)
+{
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_feed.synchronized() && m_store.reads > 0; }));
+    EXPECT_EQ(m_feed.behindFor(), Millis{0});
+    m_store.silent = true;
+    m_loop.run_for(PatientTime);
+    m_feed.hint(1);
+    m_loop.run_for(Millis{200});
+    EXPECT_GE(m_feed.behindFor(), Millis{200});
+    m_store.silent = false;
+    m_store.append("a", "1");
+    ASSERT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
+    EXPECT_EQ(m_feed.behindFor(), Millis{0});
+    EXPECT_GE(m_feed.longestBehind(), Millis{200});
+}
+
 TEST_F(TopicFeedTest, ALazyFeedReadsWhenNothingConfirmsItAnyMore)
 {
     m_feed.setLazy(true);
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -17,12 +17,23 @@
                  operators.calls() + listings.storeCalls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
                  operators.failures() + listings.storeFailures());
+    writeCounter(out, "ibislock_store_reads_given_up_total", "Reads of the operators' topic that were begun anew.",
+                 operators.givenUp());
     writeCounter(out, "ibislock_unusable_listings_total", "Listings of targets that could not be read.",
                  listings.unusable());
     writeCounter(out, "ibislock_relay_answers_total", "Answers of relays of listings that were taken over.",
                  listings.relayAnswers());
     writeCounter(out, "ibislock_relays_left_total", "Relays of listings that were lost or behind.",
                  listings.relaysLeft());
+}
+
+/// How old what this VM goes by is. Stands first: what collects metrics may keep only the beginning of the page.
+void writeKnowledge(std::string &out, const feed::TopicFeed &operators, const feed::ListingsFollower &listings)
+{
+    writeGauge(out, "ibislock_operators_behind_ms", "For how long records of the operators' topic have been unread.",
+               operators.behindFor().count());
+    writeGauge(out, "ibislock_operators_longest_behind_ms", "The longest such time since the start.",
+               operators.longestBehind().count());
     writeGauge(out, "ibislock_listings_age_ms", "Age of what is known of the listings of targets.",
                (bootMillis() - listings.cache().asOf).count());
 }
@@ -72,9 +83,10 @@
 {
     std::string out;
     const Millis now = steadyMillis();
+    writeState(out, operators, operatorsAway, now);
+    writeKnowledge(out, *m_operatorsFeed, *m_listings);
     writeCounters(out, counters);
     writeStore(out, *m_operatorsFeed, *m_listings);
-    writeState(out, operators, operatorsAway, now);
     writeTargets(out, table, now);
     writeRetries(out, retries, now);
     writeCounter(out, "ibislock_connections_opened_total", "Connections opened to targets and the store.",
