--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -161,6 +161,7 @@
         const auto &[key, value] = m_records[n];
         body += bigEndian(1 + key.size() + value.size(), 4) + static_cast<char>(key.size());
         body += key + value;
+        ++recordsSent[key];
     }
     const std::string answer = http::writeResponse({.status = 200}, body);
     const auto parts = static_cast<std::size_t>(spread / PartPause);
@@ -182,7 +183,7 @@
     });
 }
 
-std::string StoreStandIn::snapshot() const
+std::string StoreStandIn::snapshot()
 {
     std::map<std::string, std::size_t> newest;
     for (std::size_t n = 0; n < m_records.size(); ++n) {
@@ -190,6 +191,7 @@
     }
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[key, offset] : newest) {
+        ++recordsSent[key];
         items.push_back({{"Key", key}, {"Value", base64(m_records[offset].second)}, {"Offset", offset}});
     }
     return nlohmann::json{{"Items", items}, {"HasMore", false}, {"EndOffset", m_records.size()}}.dump();
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -33,6 +33,7 @@
 
     int snapshots = 0;
     int reads = 0;
+    std::map<std::string, int> recordsSent; ///< How often a record of a key was part of an answer.
     int refusals = 0; ///< Calls that are still to be refused with 503.
     bool silent = false; ///< Calls get no answer.
     std::size_t lastWait = 0; ///< How long the last read allowed to be held back, in milliseconds.
@@ -56,7 +57,7 @@
     void answerRead(net::Connection &connection, std::size_t from);
     void hold(net::Connection &connection, std::size_t from, Millis time);
     void writeInParts(const std::shared_ptr<net::Connection> &connection, std::string bytes, std::size_t part);
-    std::string snapshot() const;
+    std::string snapshot();
 
     asio::io_context &m_loop;
     std::vector<std::pair<std::string, std::string>> m_records;
