--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -34,6 +34,13 @@
     return at == std::string::npos ? 0 : std::stoul(target.substr(at + name.size() + 1));
 }
 
+std::string queryText(const std::string &target, const std::string &name)
+{
+    const std::size_t at = target.find(name + "=");
+    const std::size_t begin = at + name.size() + 1;
+    return at == std::string::npos ? "" : target.substr(begin, target.find('&', begin) - begin);
+}
+
 } // namespace
 
 StoreStandIn::StoreStandIn(asio::io_context &loop)
@@ -66,7 +73,7 @@
             continue;
         }
         if (item.from < m_records.size()) {
-            answerReadLater(connection, item.from);
+            answerReadLater(connection, item.topic, item.from);
         } else {
             m_waiting.push_back(item);
         }
@@ -106,9 +113,10 @@
         connection.write(http::writeResponse({.status = 503}, ""));
         return;
     }
+    const std::string topic = queryText(request.target, "Topic");
     if (request.target.find("log-newest") != std::string::npos) {
         ++snapshots;
-        connection.write(http::writeResponse({.status = 200}, snapshot()));
+        connection.write(http::writeResponse({.status = 200}, snapshot(topic)));
         return;
     }
     ++reads;
@@ -116,18 +124,18 @@
     if (from < m_first) {
         connection.write(http::writeResponse({.status = 410}, "{\"First\":" + std::to_string(m_first) + "}"));
     } else if (from < m_records.size()) {
-        answerReadLater(connection.shared_from_this(), from);
+        answerReadLater(connection.shared_from_this(), topic, from);
     } else if (lastWait == 0) {
-        answerRead(connection, from);
+        answerRead(connection, topic, from);
     } else {
-        hold(connection, from, Millis{static_cast<std::int64_t>(lastWait)});
+        hold(connection, topic, from, Millis{static_cast<std::int64_t>(lastWait)});
     }
 }
 
-void StoreStandIn::hold(net::Connection &connection, std::size_t from, Millis time)
+void StoreStandIn::hold(net::Connection &connection, const std::string &topic, std::size_t from, Millis time)
 {
     const std::uint64_t number = ++m_holds;
-    m_waiting.push_back({.connection = connection.weak_from_this(), .from = from, .number = number});
+    m_waiting.push_back({.connection = connection.weak_from_this(), .topic = topic, .from = from, .number = number});
     auto timer = std::make_shared<asio::steady_timer>(m_loop, time);
     timer->async_wait([this, timer, number](const asio::error_code &ec) {
         const auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
@@ -136,32 +144,35 @@
             return;
         }
         const auto to = it->connection.lock();
+        const std::string topicHeld = it->topic;
         const std::size_t at = it->from;
         m_waiting.erase(it);
         if (to && to->isOpen() && !silent) {
-            answerRead(*to, at);
+            answerRead(*to, topicHeld, at);
         }
     });
 }
 
-void StoreStandIn::answerReadLater(const std::shared_ptr<net::Connection> &connection, std::size_t from)
+void StoreStandIn::answerReadLater(const std::shared_ptr<net::Connection> &connection, const std::string &topic,
+                                   std::size_t from)
 {
     if (delay == Millis{0}) {
-        answerRead(*connection, from);
+        answerRead(*connection, topic, from);
         return;
     }
     auto timer = std::make_shared<asio::steady_timer>(m_loop, delay);
-    timer->async_wait([this, timer, connection, from](const asio::error_code &) { answerRead(*connection, from); });
+    timer->async_wait(
+        [this, timer, connection, topic, from](const asio::error_code &) { answerRead(*connection, topic, from); });
 }
 
-void StoreStandIn::answerRead(net::Connection &connection, std::size_t from)
+void StoreStandIn::answerRead(net::Connection &connection, const std::string &topic, std::size_t from)
 {
     std::string body = bigEndian(m_records.size(), 8) + bigEndian(m_first, 8);
     for (std::size_t n = from; n < m_records.size(); ++n) {
         const auto &[key, value] = m_records[n];
         body += bigEndian(1 + key.size() + value.size(), 4) + static_cast<char>(key.size());
         body += key + value;
-        ++recordsSent[key];
+        ++recordsSent[{topic, key}];
     }
     const std::string answer = http::writeResponse({.status = 200}, body);
     const auto parts = static_cast<std::size_t>(spread / PartPause);
@@ -183,7 +194,7 @@
     });
 }
 
-std::string StoreStandIn::snapshot()
+std::string StoreStandIn::snapshot(const std::string &topic)
 {
     std::map<std::string, std::size_t> newest;
     for (std::size_t n = 0; n < m_records.size(); ++n) {
@@ -191,7 +202,7 @@
     }
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[key, offset] : newest) {
-        ++recordsSent[key];
+        ++recordsSent[{topic, key}];
         items.push_back({{"Key", key}, {"Value", base64(m_records[offset].second)}, {"Offset", offset}});
     }
     return nlohmann::json{{"Items", items}, {"HasMore", false}, {"EndOffset", m_records.size()}}.dump();
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -33,7 +33,8 @@
 
     int snapshots = 0;
     int reads = 0;
-    std::map<std::string, int> recordsSent; ///< How often a record of a key was part of an answer.
+    std::map<std::pair<std::string, std::string>, int>
+        recordsSent; ///< How often a record was part of an answer, by the topic that was asked for and the key.
     int refusals = 0; ///< Calls that are still to be refused with 503.
     bool silent = false; ///< Calls get no answer.
     std::size_t lastWait = 0; ///< How long the last read allowed to be held back, in milliseconds.
@@ -47,17 +48,19 @@
     struct Waiting
     {
         std::weak_ptr<net::Connection> connection;
+        std::string topic;
         std::size_t from = 0;
         std::uint64_t number = 0; ///< Counts the reads that were held back.
     };
 
     void serve(const std::shared_ptr<net::Connection> &connection);
     void answer(net::Connection &connection, const http::RequestHead &request);
-    void answerReadLater(const std::shared_ptr<net::Connection> &connection, std::size_t from);
-    void answerRead(net::Connection &connection, std::size_t from);
-    void hold(net::Connection &connection, std::size_t from, Millis time);
+    void answerReadLater(const std::shared_ptr<net::Connection> &connection, const std::string &topic,
+                         std::size_t from);
+    void answerRead(net::Connection &connection, const std::string &topic, std::size_t from);
+    void hold(net::Connection &connection, const std::string &topic, std::size_t from, Millis time);
     void writeInParts(const std::shared_ptr<net::Connection> &connection, std::string bytes, std::size_t part);
-    std::string snapshot();
+    std::string snapshot(const std::string &topic);
 
     asio::io_context &m_loop;
     std::vector<std::pair<std::string, std::string>> m_records;
--- a/lab/test/dissemination_test.cpp
+++ b/lab/test/dissemination_test.cpp
@@ -1,7 +1,9 @@
-// Entry and target VMs of one failure domain on the users' platform, with stores of their own where a test cuts one off.
+// Entry and target VMs of one failure domain on the users' platform, with stores of their own where a test cuts one
+// off.
 
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
+#include "ibislock/platform/listings.h"
 #include "ibislock/side/daemon.h"
 #include "platform/engine_stand_in.h"
 #include "platform/store_stand_in.h"
@@ -17,6 +19,9 @@
 
 constexpr Millis StateTime{2000};
 
+/// Until all VMs have found a relay and rely on it: a relay that was not ready is asked anew after four seconds.
+constexpr Millis RelayTime{6000};
+
 /// A state whose only route is named after its version, so that callers can tell which one is in force.
 std::string stateOf(int version)
 {
@@ -135,6 +140,12 @@
         return status;
     }
 
+    /// How often the store has sent a state to those that follow the operators.
+    int copiesSent()
+    {
+        return m_store.recordsSent[{std::string(platform::OperatorsTopic), "config"}];
+    }
+
     bool allGoBy(int version, Millis within)
     {
         const Millis end = steadyMillis() + within;
@@ -172,7 +183,7 @@
     }
     addEntry(m_otherStore);
     ASSERT_TRUE(allGoBy(1, Millis{5000}));
-    m_loop.run_for(StateTime); // Until relays are found.
+    m_loop.run_for(RelayTime);
     m_otherStore.refusals = 1'000'000;
     m_store.append("config", stateOf(2)); // Reads that the other store holds back are not answered either.
     EXPECT_TRUE(allGoBy(2, StateTime));
@@ -187,12 +198,12 @@
         addEntry(m_store);
     }
     ASSERT_TRUE(allGoBy(1, Millis{5000}));
-    m_loop.run_for(StateTime);
-    const int before = m_store.recordsSent["config"];
+    m_loop.run_for(RelayTime);
+    const int before = copiesSent();
     append("config", stateOf(2));
     ASSERT_TRUE(allGoBy(2, StateTime));
     m_loop.run_for(StateTime);
-    EXPECT_LE(m_store.recordsSent["config"] - before, 2) << "one entry VM, and the target VM that passes listings on";
+    EXPECT_LE(copiesSent() - before, 2) << "one entry VM, and the target VM that passes listings on";
 }
 
 } // namespace
--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -9,6 +9,7 @@
 
 #include "ibislock/feed/listings_relay.h"
 #include "ibislock/feed/operators_level.h"
+#include "ibislock/feed/peer_link.h"
 #include "ibislock/feed/topic_feed.h"
 
 namespace ibislock::feed
@@ -21,6 +22,7 @@
     std::string domain; ///< The failure domain.
     std::uint16_t port = 0; ///< At which relays are asked.
     bool answers = false; ///< Listens there itself; so target VMs do.
+    bool entryVm = false; ///< Is an entry VM, and tells relays so.
     Millis time{2000}; ///< In which a leaving target must be left alone.
 };
 
@@ -35,6 +37,7 @@
         hasDaemon; ///< Tells whether a daemon of ours runs beside a target.
     std::function<void(const OperatorsLevel &)> level; ///< A relay tells where the operators' topic ended.
     std::function<peer::TopicLevel()> ownLevel; ///< What this VM knows of it, told to those that ask.
+    std::function<void(std::vector<std::string> vms)> entryVms; ///< Those that lately asked the relay.
 };
 
 /// The follower.
@@ -84,16 +87,13 @@
     std::vector<std::string> domainVms() const;
     void askNext();
     void askLater(Millis time);
-    void connect(const std::string &vm);
-    void send();
-    void onData(std::string_view bytes);
+    void takeFrame(const std::string &body);
     void takeUpdate(const peer::ListingsUpdate &update);
     void leaveRelay(std::string_view cause);
     void dropConnection();
     void readStore();
     Millis part(double share) const;
 
-    asio::io_context &m_loop;
     FollowerOptions m_options;
     FollowerEvents m_events;
     ListingsCache m_cache;
@@ -109,9 +109,7 @@
     int m_behind = 0; ///< Answers in a row that end before what is known here.
     Millis m_askedAt{0}; ///< By the boot clock.
     asio::steady_timer m_timer;
-    std::shared_ptr<asio::ip::tcp::socket> m_connecting;
-    std::shared_ptr<net::Connection> m_connection;
-    peer::FrameReader m_reader;
+    PeerLink m_link;
     std::uint64_t m_unusable = 0;
     std::uint64_t m_relayAnswers = 0;
     std::uint64_t m_relaysLeft = 0;
--- a/libs/feed/include/ibislock/feed/listings_relay.h
+++ b/libs/feed/include/ibislock/feed/listings_relay.h
@@ -6,8 +6,8 @@
 
 #pragma once
 
+#include "ibislock/feed/held_asks.h"
 #include "ibislock/feed/listings_cache.h"
-#include "ibislock/net/connection.h"
 
 namespace ibislock::feed
 {
@@ -19,9 +19,6 @@
     /// @param cache is read for each answer; outlives the relay.
     /// @param level is asked for each answer.
     ListingsRelay(asio::io_context &loop, const ListingsCache &cache, std::function<peer::TopicLevel()> level);
-    ~ListingsRelay();
-    ListingsRelay(const ListingsRelay &) = delete;
-    ListingsRelay &operator=(const ListingsRelay &) = delete;
 
     /// Begins to listen.
     /// @return nothing, or what failed.
@@ -37,26 +34,16 @@
     std::uint64_t answers() const;
 
 private:
-    struct Waiting
-    {
-        std::weak_ptr<net::Connection> connection;
-        peer::ListingsAsk ask;
-        Millis since{0}; ///< By the boot clock.
-    };
-
-    void serve(const std::shared_ptr<net::Connection> &connection);
-    bool isDue(const Waiting &waiting, Millis now) const;
-    peer::ListingsUpdate answerTo(const Waiting &waiting, Millis now) const;
-    void tick();
+    Result<peer::ListingsAsk> takeAsk(std::string_view body);
+    bool isDue(const peer::ListingsAsk &ask) const;
+    peer::ListingsUpdate answerTo(const peer::ListingsAsk &ask, Millis held) const;
+    std::vector<std::string> entryVms(Millis now) const;
 
     const ListingsCache &m_cache;
     std::function<peer::TopicLevel()> m_level;
-    net::Listener m_listener;
-    asio::steady_timer m_tick;
-    std::vector<Waiting> m_waiting;
-    std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_connections;
+    HeldAsks<peer::ListingsAsk> m_asks;
+    std::map<std::string, Millis, std::less<>> m_entryVms; ///< When they asked last, by the boot clock.
     std::optional<Millis> m_storeBackAt;
-    std::uint64_t m_answers = 0;
 };
 
 } // namespace ibislock::feed
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -77,6 +77,17 @@
     /// @param asOf when the store said so, by the boot clock.
     void confirm(Millis asOf);
 
+    /// Notes that another VM has seen the topic end at an offset; what `behindFor` tells counts from then on.
+    void noteEnd(std::int64_t end);
+
+    /// Takes over records that another VM has read; what is under way is given up. Does nothing before the first
+    /// snapshot, or if all of them are known.
+    /// @param records the newest of each key behind `next()`.
+    /// @param end the offset up to which they make the topic known.
+    /// @param asOf when the topic ended there, by the boot clock.
+    /// @return whether there was something new.
+    bool takeOver(std::vector<platform::KeyedRecord> records, std::int64_t end, Millis asOf);
+
     /// Stops to read, as the topic is followed elsewhere; what is under way is given up.
     void suspend();
 
@@ -115,13 +126,13 @@
     void readNewest();
     void readLater(Millis pause);
     void readIfUnconfirmed();
-    void takeNewest(std::vector<platform::KeyedRecord> records);
+    void takeNewest(std::vector<platform::KeyedRecord> records, std::int64_t end);
     void readOn();
     void takeSnapshotPage(const std::string &body);
     void takeRecords(const std::string &body);
     void later(Millis time, void (TopicFeed::*step)());
     void tellLevel();
-    void noteBehind(std::int64_t end);
+    void abandonCall();
     void advance(std::int64_t next);
     void failed(std::string_view what, void (TopicFeed::*again)());
     void succeeded();
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -47,8 +47,7 @@
 
 ListingsFollower::ListingsFollower(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store,
                                    FollowerOptions options, FollowerEvents events)
-    : m_loop(loop)
-    , m_options(std::move(options))
+    : m_options(std::move(options))
     , m_events(std::move(events))
     , m_relay(loop, m_cache, m_events.ownLevel)
     , m_feed(loop, client, std::move(store),
@@ -70,6 +69,12 @@
                       takeLevel(asOf);
                   }})
     , m_timer(loop)
+    , m_link(loop, m_options.port,
+             {.frame = [this](const std::string &body) { takeFrame(body); },
+              .lost =
+                  [this](std::string_view cause) {
+                      leaveRelay(cause);
+                  }})
 {
 }
 
@@ -225,12 +230,12 @@
     }
     m_asking = true;
     m_askedAt = bootMillis();
-    const bool connected = m_connection && m_connection->isOpen() && m_relayVm == vms[m_attempt];
-    if (connected) {
-        send();
-    } else {
-        connect(vms[m_attempt]);
-    }
+    m_relayVm = vms[m_attempt];
+    m_link.send(m_relayVm,
+                encode(peer::ListingsAsk{.sequence = ++m_sequence,
+                                         .from = m_cache.end,
+                                         .wait = part(WaitPart),
+                                         .entryVm = m_options.entryVm ? m_options.ip : ""}));
     m_timer.expires_after(part(WaitPart + MarginPart));
     m_timer.async_wait([this](const asio::error_code &ec) {
         if (!ec) {
@@ -249,62 +254,16 @@
     });
 }
 
-void ListingsFollower::connect(const std::string &vm)
+void ListingsFollower::takeFrame(const std::string &body)
 {
-    dropConnection();
-    m_relayVm = vm;
-    asio::error_code ec;
-    const auto address = asio::ip::make_address_v4(vm, ec);
-    if (ec) {
-        return; // The ask runs out of time, and the next relay follows.
+    const auto message = peer::decodeListings(body);
+    if (!message || !std::holds_alternative<peer::ListingsUpdate>(*message)) {
+        leaveRelay("unreadable answer");
+        return;
     }
-    m_connecting = std::make_shared<asio::ip::tcp::socket>(m_loop);
-    m_connecting->async_connect({address, m_options.port},
-                                [this, socket = m_connecting](const asio::error_code &failed) {
-                                    if (m_connecting != socket) {
-                                        return; // Given up meanwhile.
-                                    }
-                                    m_connecting.reset();
-                                    if (failed) {
-                                        leaveRelay("not connected");
-                                        return;
-                                    }
-                                    m_reader = {};
-                                    m_connection = net::Connection::adopt(std::move(*socket));
-                                    m_connection->start({
-                                        .data = [this](std::string_view bytes) { onData(bytes); },
-                                        .closed = [this](net::ClosedBy) { leaveRelay("connection lost"); },
-                                    });
-                                    send();
-                                });
-}
-
-void ListingsFollower::send()
-{
-    m_askedAt = bootMillis();
-    m_connection->write(
-        encode(peer::ListingsAsk{.sequence = ++m_sequence, .from = m_cache.end, .wait = part(WaitPart)}));
-}
-
-void ListingsFollower::onData(std::string_view bytes)
-{
-    m_reader.add(bytes);
-    const auto connection = m_connection; // Kept while its bytes are read; the relay may be left meanwhile.
-    while (m_connection == connection) {
-        const auto body = m_reader.next();
-        if (!body && body.error().code == ErrorCode::NotFound) {
-            return;
-        }
-        const auto message =
-            body ? peer::decodeListings(*body) : Result<peer::ListingsMessage>(tl::unexpected(body.error()));
-        if (!message || !std::holds_alternative<peer::ListingsUpdate>(*message)) {
-            leaveRelay("unreadable answer");
-            return;
-        }
-        const auto &update = std::get<peer::ListingsUpdate>(*message);
-        if (update.sequence == m_sequence) {
-            takeUpdate(update);
-        }
+    const auto &update = std::get<peer::ListingsUpdate>(*message);
+    if (update.sequence == m_sequence) {
+        takeUpdate(update);
     }
 }
 
@@ -327,6 +286,7 @@
         m_relay.noteStoreBack(bootMillis() - *update.storeBack);
         m_events.storeBack(now - *update.storeBack);
     }
+    m_events.entryVms(update.entryVms);
     m_events.level({.end = update.operators.end,
                     .namingsEnd = update.operators.namingsEnd,
                     .asOf = m_askedAt + update.held - update.operators.age});
@@ -378,11 +338,7 @@
 void ListingsFollower::dropConnection()
 {
     m_timer.cancel();
-    m_connecting.reset();
-    if (m_connection) {
-        m_connection->close();
-        m_connection.reset();
-    }
+    m_link.close();
 }
 
 void ListingsFollower::readStore()
--- /dev/null
+++ b/libs/feed/src/operators_follower.cpp
@@ -0,0 +1,272 @@
+#include "ibislock/feed/operators_follower.h"
+
+#include "ibislock/feed/source_order.h"
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+// Parts of the time in which a desired state must be in force. A VM whose sources are lost asks the store after
+// `FirstWaitPart` + `NextWaitPart` + 2 * `MarginPart`, and half of the time is left for the answer.
+
+/// How long the first source may take until it has the records; it may wait for another itself.
+constexpr double FirstWaitPart = 0.2;
+
+/// The same for the next one.
+constexpr double NextWaitPart = 0.1;
+
+/// How much longer an answer may be on its way, and may pause once it has begun.
+constexpr double MarginPart = 0.1;
+
+/// Until a VM that gave no answer is asked again.
+constexpr Millis SourceRetry{4000};
+
+platform::KeyedRecord fromMessage(const peer::PassedRecord &record)
+{
+    return {.key = record.key, .value = record.value, .offset = record.offset};
+}
+
+peer::PassedRecord toMessage(const platform::KeyedRecord &record)
+{
+    return {.key = record.key, .value = record.value, .offset = record.offset};
+}
+
+Result<peer::RecordsAsk> decodeAsk(std::string_view body)
+{
+    const auto message = peer::decodeRecords(body);
+    if (!message || !std::holds_alternative<peer::RecordsAsk>(*message)) {
+        return failure(ErrorCode::Corrupt, "no ask for records");
+    }
+    return std::get<peer::RecordsAsk>(*message);
+}
+
+} // namespace
+
+OperatorsFollower::OperatorsFollower(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store,
+                                     OperatorsFollowerOptions options, FeedEvents events)
+    : m_options(std::move(options))
+    , m_feed(loop, client, std::move(store), operatorsFeedOptions(m_options.stateTime), withCache(std::move(events)))
+    , m_asks(loop,
+             {.take = decodeAsk,
+              // A VM that can't read the store itself says at once what it has, so that the asker turns to another.
+              .isDue = [this](const peer::RecordsAsk &ask) { return m_away || m_cache.end >= ask.end; },
+              .answer =
+                  [this](const peer::RecordsAsk &ask, Millis) {
+                      peer::RecordsUpdate out{.sequence = ask.sequence, .end = m_cache.end, .records = {}};
+                      for (const platform::KeyedRecord &record : recordsFrom(m_cache, ask.from)) {
+                          out.records.push_back(toMessage(record));
+                      }
+                      return encode(out);
+                  }})
+    , m_link(loop, m_options.port,
+             {.frame = [this](const std::string &body) { takeFrame(body); },
+              .lost =
+                  [this](std::string_view cause) {
+                      m_link.close();
+                      if (m_asking) {
+                          leaveSource(cause);
+                      }
+                  }})
+    , m_timer(loop)
+{
+}
+
+FeedEvents OperatorsFollower::withCache(FeedEvents events)
+{
+    // Records are known only once all of an answer have been told.
+    const auto known = [this] {
+        if (m_options.entryVm) {
+            m_cache.end = m_feed.next();
+            m_asks.answerWaiting();
+        }
+    };
+    const auto note = [this](const platform::KeyedRecord &record) {
+        if (m_options.entryVm) {
+            noteRecord(m_cache, record);
+        }
+    };
+    return {
+        .snapshot =
+            [this, note, told = std::move(events.snapshot)](const std::vector<platform::KeyedRecord> &records) {
+                m_cache = {}; // The topic may have begun anew.
+                std::for_each(records.begin(), records.end(), note);
+                told(records);
+            },
+        .record =
+            [note, told = std::move(events.record)](const platform::KeyedRecord &record) {
+                note(record);
+                told(record);
+            },
+        .store =
+            [this, told = std::move(events.store)](bool away) {
+                m_away = away;
+                told(away);
+            },
+        .level =
+            [known, told = std::move(events.level)](Millis asOf) {
+                known();
+                if (told) {
+                    told(asOf);
+                }
+            },
+    };
+}
+
+Millis OperatorsFollower::part(double share) const
+{
+    return Millis{static_cast<std::int64_t>(static_cast<double>(m_options.stateTime.count()) * share)};
+}
+
+asio::error_code OperatorsFollower::start()
+{
+    const asio::error_code ec = m_options.entryVm ? m_asks.open(m_options.ip, m_options.port) : asio::error_code();
+    m_feed.start();
+    return ec;
+}
+
+void OperatorsFollower::setEntryVms(std::vector<std::string> vms)
+{
+    m_entryVms = std::move(vms);
+}
+
+void OperatorsFollower::setLazy(bool lazy)
+{
+    m_lazy = lazy;
+    m_feed.setLazy(lazy);
+}
+
+const TopicFeed &OperatorsFollower::feed() const
+{
+    return m_feed;
+}
+
+std::uint64_t OperatorsFollower::takenOver() const
+{
+    return m_takenOver;
+}
+
+std::uint64_t OperatorsFollower::askedInVain() const
+{
+    return m_askedInVain;
+}
+
+std::uint64_t OperatorsFollower::answersGiven() const
+{
+    return m_asks.answers();
+}
+
+void OperatorsFollower::takeLevel(const OperatorsLevel &level, std::int64_t end)
+{
+    if (end <= m_feed.next()) {
+        m_feed.confirm(level.asOf);
+        return;
+    }
+    m_wanted = end;
+    m_wantedAsOf = level.asOf;
+    m_feed.noteEnd(end);
+    if (m_asking || !m_feed.synchronized()) {
+        return;
+    }
+    m_sources = sources();
+    m_attempt = 0;
+    askNext();
+}
+
+std::vector<std::string> OperatorsFollower::sources() const
+{
+    if (!m_lazy && !m_away) {
+        return {}; // Others rely on this VM to read the store.
+    }
+    const bool inTree = m_options.entryVm && !m_away;
+    std::vector<std::string> out =
+        inTree ? sourcesInTree(m_options.ip, m_entryVms) : sourcesAnywhere(m_options.ip, m_entryVms);
+    std::erase_if(out, [this, now = steadyMillis()](const std::string &vm) {
+        const auto it = m_avoidedUntil.find(vm);
+        return it != m_avoidedUntil.end() && now < it->second;
+    });
+    return out;
+}
+
+void OperatorsFollower::askNext()
+{
+    m_asking = m_feed.next() < m_wanted && m_attempt < m_sources.size();
+    if (!m_asking) {
+        m_timer.cancel();
+        if (m_feed.next() < m_wanted) {
+            m_feed.hint(m_wanted);
+        }
+        return;
+    }
+    const Millis wait = part(m_attempt == 0 ? FirstWaitPart : NextWaitPart);
+    m_link.send(
+        m_sources[m_attempt],
+        encode(peer::RecordsAsk{.sequence = ++m_sequence, .from = m_feed.next(), .end = m_wanted, .wait = wait}));
+    awaitAnswer(wait + part(MarginPart));
+}
+
+void OperatorsFollower::awaitAnswer(Millis time)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([this, sequence = m_sequence](const asio::error_code &ec) {
+        if (ec || !m_asking || sequence != m_sequence) {
+            return;
+        }
+        const Millis silence = steadyMillis() - m_link.heardAt();
+        if (silence < part(MarginPart)) {
+            awaitAnswer(part(MarginPart) - silence); // The answer is coming in.
+        } else {
+            m_link.close();
+            leaveSource("no answer");
+        }
+    });
+}
+
+void OperatorsFollower::takeFrame(const std::string &body)
+{
+    const auto message = peer::decodeRecords(body);
+    if (!message || !std::holds_alternative<peer::RecordsUpdate>(*message)) {
+        m_link.close();
+        if (m_asking) {
+            leaveSource("unreadable answer");
+        }
+        return;
+    }
+    const auto &update = std::get<peer::RecordsUpdate>(*message);
+    if (m_asking && update.sequence == m_sequence) {
+        takeUpdate(update);
+    }
+}
+
+void OperatorsFollower::takeUpdate(const peer::RecordsUpdate &update)
+{
+    std::vector<platform::KeyedRecord> records;
+    records.reserve(update.records.size());
+    for (const peer::PassedRecord &record : update.records) {
+        records.push_back(fromMessage(record));
+    }
+    const bool brought = m_feed.takeOver(std::move(records), update.end, m_wantedAsOf);
+    if (brought) {
+        ++m_takenOver;
+    } else {
+        ++m_askedInVain;
+        ++m_attempt;
+    }
+    askNext(); // In quick succession of states, the same VM may have the next one by now.
+}
+
+void OperatorsFollower::leaveSource(std::string_view cause)
+{
+    ++m_askedInVain;
+    logInfo(Part::Store, "A VM that was asked for records gave none.",
+            {{"vm", m_link.vm()},
+             {"cause", std::string(cause)},
+             {"offset", std::to_string(m_feed.next())},
+             {"end", std::to_string(m_wanted)}});
+    m_avoidedUntil[m_link.vm()] = steadyMillis() + SourceRetry;
+    ++m_attempt;
+    askNext();
+}
+
+} // namespace ibislock::feed
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -58,7 +58,7 @@
     return std::max(m_longestBehind, behindFor());
 }
 
-void TopicFeed::noteBehind(std::int64_t end)
+void TopicFeed::noteEnd(std::int64_t end)
 {
     m_knownEnd = std::max(m_knownEnd, end);
     if (m_synchronized && m_next < m_knownEnd && !m_behindSince) {
@@ -193,7 +193,7 @@
     }
 }
 
-void TopicFeed::suspend()
+void TopicFeed::abandonCall()
 {
     ++m_round;
     m_calling = false;
@@ -203,6 +203,31 @@
     }
     m_pages.clear();
     m_snapshotEnd = -1;
+    m_newest = false;
+}
+
+bool TopicFeed::takeOver(std::vector<platform::KeyedRecord> records, std::int64_t end, Millis asOf)
+{
+    if (!m_synchronized || end <= m_next) {
+        return false;
+    }
+    abandonCall(); // It began at an earlier offset.
+    takeNewest(std::move(records), end);
+    confirm(asOf);
+    if (m_events.level) {
+        m_events.level(asOf);
+    }
+    if (m_away) {
+        later(jittered(m_random, m_backOff), &TopicFeed::readOn);
+    } else {
+        readLater(m_options.pause);
+    }
+    return true;
+}
+
+void TopicFeed::suspend()
+{
+    abandonCall();
     succeeded(); // The topic is followed elsewhere, so the store is not lost to this VM.
 }
 
@@ -219,7 +244,7 @@
 
 void TopicFeed::hint(std::int64_t end)
 {
-    noteBehind(end);
+    noteEnd(end);
     // One early read for each hint: if the store itself does not show the records, the usual pace goes on. A read that
     // has just begun will bring them; giving it up for each of many hints would never end.
     const bool justBegun = steadyMillis() - m_calledAt < PatientTime;
@@ -276,7 +301,7 @@
     }
     succeeded();
     if (std::exchange(m_newest, false) && m_snapshotEnd >= m_next) {
-        takeNewest(std::exchange(m_pages, {}));
+        takeNewest(std::exchange(m_pages, {}), std::exchange(m_snapshotEnd, -1));
     } else {
         m_knownEnd = m_snapshotEnd; // The topic may have begun anew.
         advance(std::exchange(m_snapshotEnd, -1));
@@ -293,12 +318,12 @@
     readSnapshot();
 }
 
-void TopicFeed::takeNewest(std::vector<platform::KeyedRecord> records)
+void TopicFeed::takeNewest(std::vector<platform::KeyedRecord> records, std::int64_t end)
 {
     std::erase_if(records, [&](const platform::KeyedRecord &record) { return record.offset < m_next; });
     std::sort(records.begin(), records.end(),
               [](const platform::KeyedRecord &a, const platform::KeyedRecord &b) { return a.offset < b.offset; });
-    advance(std::max(m_next, std::exchange(m_snapshotEnd, -1)));
+    advance(std::max(m_next, end));
     for (const platform::KeyedRecord &record : records) {
         m_events.record(record);
     }
--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -20,7 +20,7 @@
     Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool answers)
         : client(loop)
         , follower(loop, client, {.ip = "127.0.0.1", .port = storePort},
-                   {.ip = ip, .domain = "a", .port = port, .answers = answers, .time = LeaveTime},
+                   {.ip = ip, .domain = "a", .port = port, .answers = answers, .entryVm = !answers, .time = LeaveTime},
                    {.listing =
                         [this](const std::string &id, const std::optional<serving::TargetEntry> &entry) {
                             entry ? void(leaving[id] = entry->leaving) : void(leaving.erase(id));
@@ -29,9 +29,10 @@
                     .storeBack = [this](Millis) { ++storeBacks; },
                     .hasDaemon = [](const serving::TargetEntry &entry) { return entry.service == "engines"; },
                     .level = [this](const OperatorsLevel &told) { mergeLevel(level, told); },
-                    .ownLevel =
-                        [this] {
-                            return toMessage(level, bootMillis());
+                    .ownLevel = [this] { return toMessage(level, bootMillis()); },
+                    .entryVms =
+                        [this](std::vector<std::string> vms) {
+                            entryVms = std::move(vms);
                         }})
     {
     }
@@ -41,6 +42,7 @@
     bool away = false;
     int storeBacks = 0;
     OperatorsLevel level;
+    std::vector<std::string> entryVms;
     ListingsFollower follower;
 };
 
--- /dev/null
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -0,0 +1,244 @@
+#include "ibislock/feed/operators_follower.h"
+#include "ibislock/feed/source_order.h"
+
+#include "ibislock/platform/listings.h"
+#include "platform/store_stand_in.h"
+
+#include <gtest/gtest.h>
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+constexpr Millis StateTime{2000};
+
+/// A VM that follows the topic, at a loopback address of its own.
+struct Vm
+{
+    Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool entryVm)
+        : client(loop)
+        , follower(loop, client, {.ip = "127.0.0.1", .port = storePort},
+                   {.ip = ip, .port = port, .entryVm = entryVm, .stateTime = StateTime},
+                   {.snapshot =
+                        [this](const std::vector<platform::KeyedRecord> &records) {
+                            for (const platform::KeyedRecord &record : records) {
+                                values[record.key] = record.value.value_or("");
+                            }
+                        },
+                    .record =
+                        [this](const platform::KeyedRecord &record) {
+                            EXPECT_GT(record.offset, lastOffset) << "told twice, or in another order";
+                            lastOffset = record.offset;
+                            values[record.key] = record.value.value_or("");
+                        },
+                    .store =
+                        [](bool) {
+                        }})
+    {
+        follower.setLazy(true);
+    }
+
+    net::HttpClient client;
+    std::map<std::string, std::string> values;
+    std::int64_t lastOffset = -1;
+    OperatorsFollower follower;
+};
+
+/// Entry VMs of a domain that all know each other.
+class OperatorsFollowerTest : public testing::Test
+{
+protected:
+    OperatorsFollowerTest()
+    {
+        net::Listener probe(m_loop, [](const std::shared_ptr<net::Connection> &) {});
+        EXPECT_FALSE(probe.open("127.0.4.1", 0));
+        m_port = probe.port();
+        probe.close();
+        for (int n = 1; n <= EntryVms; ++n) {
+            m_ips.push_back("127.0.4." + std::to_string(n));
+        }
+        for (const std::string &ip : m_ips) {
+            if (sourcesInTree(ip, m_ips).empty()) {
+                m_first = ip;
+            }
+        }
+    }
+
+    Vm &add(const std::string &ip, lab::StoreStandIn &store, bool entryVm = true)
+    {
+        Vm &vm = *(m_vms[ip] = std::make_unique<Vm>(m_loop, ip, m_port, store.port(), entryVm));
+        EXPECT_FALSE(vm.follower.start());
+        vm.follower.setEntryVms(m_ips);
+        return vm;
+    }
+
+    void addAll()
+    {
+        append("config", "1");
+        for (const std::string &ip : m_ips) {
+            add(ip, m_store);
+        }
+        ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    }
+
+    /// Writes to both stores.
+    void append(const std::string &key, const std::string &value)
+    {
+        m_store.append(key, value);
+        m_otherStore.append(key, value);
+        ++m_end;
+    }
+
+    /// Tells VMs where the topic ends, as loads do.
+    void tellLevels()
+    {
+        for (const auto &[ip, vm] : m_vms) {
+            vm->follower.takeLevel({.end = m_end, .asOf = bootMillis()}, m_end);
+        }
+    }
+
+    /// Confirms to all VMs that there is nothing new until none has a read that the store holds back.
+    void letReadsEnd()
+    {
+        for (const Millis end = steadyMillis() + StateTime; steadyMillis() < end;) {
+            tellLevels();
+            m_loop.run_for(Millis{100});
+        }
+    }
+
+    /// How often the store has sent a state.
+    int copiesSent()
+    {
+        return m_store.recordsSent[{std::string(platform::OperatorsTopic), "config"}];
+    }
+
+    bool allHave(const std::string &value) const
+    {
+        return std::all_of(m_vms.begin(), m_vms.end(), [&](const auto &item) {
+            const auto it = item.second->values.find("config");
+            return it != item.second->values.end() && it->second == value;
+        });
+    }
+
+    bool runUntil(const std::function<bool()> &holds, Millis most = Millis{5000})
+    {
+        const Millis end = steadyMillis() + most;
+        while (!holds() && steadyMillis() < end) {
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+        }
+        return holds();
+    }
+
+    static constexpr int EntryVms = 8;
+    asio::io_context m_loop;
+    lab::StoreStandIn m_store{m_loop};
+    lab::StoreStandIn m_otherStore{m_loop}; ///< Holds the same; of VMs that are cut off from it alone.
+    std::uint16_t m_port = 0;
+    std::vector<std::string> m_ips;
+    std::string m_first; ///< The VM that reads the store for the others.
+    std::map<std::string, std::unique_ptr<Vm>> m_vms;
+    std::int64_t m_end = 0;
+};
+
+TEST_F(OperatorsFollowerTest, OneVmReadsAStateForAll)
+{
+    addAll();
+    letReadsEnd();
+    const int before = copiesSent();
+    append("config", "2");
+    tellLevels();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    EXPECT_EQ(copiesSent() - before, 1);
+}
+
+TEST_F(OperatorsFollowerTest, AVmThatTheStoreTurnsAwayGetsAStateFromAnother)
+{
+    append("config", "1");
+    for (const std::string &ip : m_ips) {
+        add(ip, ip == m_first ? m_otherStore : m_store); // The one that would read for the others.
+    }
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    m_otherStore.refusals = 1'000'000;
+    for (int n = 2; n < 6; ++n) {
+        m_store.append("config", std::to_string(n)); // Reads that the other store holds back are not answered either.
+        ++m_end;
+        const Millis end = steadyMillis() + StateTime;
+        while (!allHave(std::to_string(n)) && steadyMillis() < end) {
+            tellLevels();
+            m_loop.run_for(Millis{100});
+        }
+        ASSERT_TRUE(allHave(std::to_string(n))) << n;
+    }
+}
+
+TEST_F(OperatorsFollowerTest, ALostVmIsGivenUpInTimeForTheState)
+{
+    addAll();
+    m_vms.erase(m_first);
+    append("config", "2");
+    tellLevels();
+    EXPECT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+}
+
+TEST_F(OperatorsFollowerTest, AVmThatTakesAsksAndNeverAnswersIsGivenUpInTimeForTheState)
+{
+    addAll();
+    m_vms.erase(m_first);
+    std::vector<std::shared_ptr<net::Connection>> silent;
+    net::Listener frozen(m_loop, [&](const std::shared_ptr<net::Connection> &connection) {
+        connection->start({.data = [](std::string_view) {},
+                           .closed =
+                               [](net::ClosedBy) {
+                               }});
+        silent.push_back(connection);
+    });
+    ASSERT_FALSE(frozen.open(m_first, m_port));
+    append("config", "2");
+    tellLevels();
+    EXPECT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    EXPECT_FALSE(silent.empty());
+    for (const auto &connection : silent) {
+        connection->close();
+    }
+}
+
+TEST_F(OperatorsFollowerTest, AVmThatSendsWhatIsNoAnswerIsGivenUp)
+{
+    addAll();
+    m_vms.erase(m_first);
+    std::vector<std::shared_ptr<net::Connection>> garbled;
+    net::Listener listener(m_loop, [&](const std::shared_ptr<net::Connection> &connection) {
+        connection->start(
+            {.data = [raw = connection.get()](std::string_view) { raw->write(peer::frame("no message")); },
+             .closed =
+                 [](net::ClosedBy) {
+                 }});
+        garbled.push_back(connection);
+    });
+    ASSERT_FALSE(listener.open(m_first, m_port));
+    append("config", "2");
+    tellLevels();
+    EXPECT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    for (const auto &connection : garbled) {
+        connection->close();
+    }
+}
+
+TEST_F(OperatorsFollowerTest, StatesInQuickSuccessionReachAllInOrder)
+{
+    addAll();
+    for (int n = 2; n < 22; ++n) {
+        append("config", std::to_string(n));
+        append("other", std::to_string(n));
+        tellLevels();
+        m_loop.run_for(Millis{50});
+    }
+    tellLevels();
+    EXPECT_TRUE(runUntil([&] { return allHave("21"); }, StateTime));
+}
+
+} // namespace
+
+} // namespace ibislock::feed
--- /dev/null
+++ b/libs/feed/test/source_order_test.cpp
@@ -0,0 +1,103 @@
+#include "ibislock/feed/source_order.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+std::vector<std::string> someVms(std::size_t count)
+{
+    std::vector<std::string> out;
+    for (std::size_t n = 0; n < count; ++n) {
+        out.push_back("10.0.0." + std::to_string(n));
+    }
+    return out;
+}
+
+TEST(SourceOrderTest, AVmThatKnowsNoOtherReadsTheStore)
+{
+    EXPECT_TRUE(sourcesInTree("10.0.0.1", {}).empty());
+    EXPECT_TRUE(sourcesInTree("10.0.0.1", {"10.0.0.1"}).empty());
+    EXPECT_TRUE(sourcesAnywhere("10.0.0.1", {"10.0.0.1"}).empty());
+}
+
+TEST(SourceOrderTest, AVmThatTheStoreTurnsAwayAsksOthersAndNeverItself)
+{
+    const auto vms = someVms(8);
+    std::set<std::string> first;
+    for (const std::string &vm : vms) {
+        const auto sources = sourcesAnywhere(vm, vms);
+        EXPECT_EQ(sources.size(), MostSources);
+        EXPECT_EQ(std::count(sources.begin(), sources.end(), vm), 0);
+        first.insert(sources.front());
+    }
+    EXPECT_GT(first.size(), 2U) << "not all ask the same one";
+}
+
+// The load: 39 entry VMs of a domain, each of which lacks a state of some hundred kilobytes at the same moment.
+RC_GTEST_PROP(SourceOrderProperty, EachVmOfADomainHangsOnTheOneThatReadsTheStore, ())
+{
+    const auto vms = someVms(*rc::gen::inRange<std::size_t>(1, 40));
+    std::map<std::string, std::string> above;
+    std::map<std::string, std::size_t> askers;
+    std::size_t readers = 0;
+    for (const std::string &vm : vms) {
+        const auto sources = sourcesInTree(vm, vms);
+        if (sources.empty()) {
+            ++readers;
+        } else {
+            above[vm] = sources.front();
+            ++askers[sources.front()];
+        }
+    }
+    RC_ASSERT(readers == 1U);
+    for (const auto &[vm, count] : askers) {
+        RC_ASSERT(count <= TreeWidth);
+    }
+    for (std::string vm : vms) {
+        std::size_t steps = 0;
+        for (auto it = above.find(vm); it != above.end(); it = above.find(vm)) {
+            vm = it->second;
+            RC_ASSERT(++steps <= 3U);
+        }
+    }
+}
+
+// Two VMs may know different entry VMs for some seconds; then neither may wait for the other.
+RC_GTEST_PROP(SourceOrderProperty, NoTwoVmsWaitForEachOtherWhateverTheyKnow, ())
+{
+    const auto vms = someVms(12);
+    const auto partOf = [&] {
+        std::vector<std::string> out;
+        for (const std::string &vm : vms) {
+            if (*rc::gen::arbitrary<bool>()) {
+                out.push_back(vm);
+            }
+        }
+        return out;
+    };
+    std::map<std::string, std::string> above;
+    for (const std::string &vm : vms) {
+        const auto sources = sourcesInTree(vm, partOf());
+        if (!sources.empty()) {
+            above[vm] = sources.front();
+        }
+    }
+    for (const std::string &vm : vms) {
+        std::size_t steps = 0;
+        for (auto it = above.find(vm); it != above.end(); it = above.find(it->second)) {
+            RC_ASSERT(++steps < vms.size());
+        }
+    }
+}
+
+} // namespace
+
+} // namespace ibislock::feed
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -105,8 +105,10 @@
     }
     m_loads.non_blocking(true, ec);
     receiveLoads();
-    m_operatorsFeed = std::make_unique<feed::TopicFeed>(
-        loop, client, settings.store, feed::operatorsFeedOptions(settings.bounds.stateTime),
+    m_operatorsFollower = std::make_unique<feed::OperatorsFollower>(
+        loop, client, settings.store,
+        feed::OperatorsFollowerOptions{
+            .ip = settings.ip, .port = settings.lastPeerPort, .entryVm = true, .stateTime = settings.bounds.stateTime},
         feed::FeedEvents{
             .snapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
@@ -122,16 +124,17 @@
             .store = [this](bool away) { operatorsAway = away; },
             .level =
                 [this](Millis asOf) {
-                    m_level.end = m_operatorsFeed->next();
+                    m_level.end = m_operatorsFollower->feed().next();
                     m_level.asOf = asOf;
                 },
         });
-    m_operatorsFeed->setLazy(true); // Target VMs that read the store tell what they find with their loads.
+    m_operatorsFollower->setLazy(true); // Target VMs that read the store tell what they find with their loads.
     m_listings = std::make_unique<feed::ListingsFollower>(
         loop, client, settings.store,
         feed::FollowerOptions{.ip = settings.ip,
                               .domain = settings.domain,
                               .port = settings.lastPeerPort,
+                              .entryVm = true,
                               .time = settings.bounds.drainTime},
         feed::FollowerEvents{
             .listing = [this](const std::string &id,
@@ -141,8 +144,12 @@
             .hasDaemon = [this](const serving::TargetEntry &entry) { return isEngine(entry); },
             .level = [this](const feed::OperatorsLevel &level) { takeLevel(level); },
             .ownLevel = [this] { return toMessage(m_level, bootMillis()); },
+            .entryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
         });
-    m_operatorsFeed->start();
+    ok = opened("the address for records", m_operatorsFollower->start());
+    if (!ok) {
+        return ok;
+    }
     m_listings->start();
     tick();
     logInfo(Part::Front, "The entry daemon has started.", {{"vm", settings.vmName}, {"domain", settings.domain}});
@@ -374,11 +381,7 @@
 void Front::takeLevel(const feed::OperatorsLevel &level)
 {
     mergeLevel(m_level, level);
-    if (m_level.end > m_operatorsFeed->next()) {
-        m_operatorsFeed->hint(m_level.end);
-    } else {
-        m_operatorsFeed->confirm(m_level.asOf);
-    }
+    m_operatorsFollower->takeLevel(m_level, m_level.end);
 }
 
 void Front::receiveLoads()
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -4,9 +4,8 @@
 
 #include "counters.h"
 #include "ibislock/feed/listings_follower.h"
-#include "ibislock/feed/operators_level.h"
+#include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
-#include "ibislock/feed/topic_feed.h"
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/platform/listings.h"
@@ -94,7 +93,7 @@
     net::Listener m_callers;
     net::Listener m_readiness;
     net::Listener m_metrics;
-    std::unique_ptr<feed::TopicFeed> m_operatorsFeed;
+    std::unique_ptr<feed::OperatorsFollower> m_operatorsFollower;
     feed::OperatorsLevel m_level; ///< The end of the operators' topic, as far as any VM has told.
     std::unique_ptr<feed::ListingsFollower> m_listings;
     asio::steady_timer m_tick;
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -11,14 +11,21 @@
 namespace
 {
 
-void writeStore(std::string &out, const feed::TopicFeed &operators, const feed::ListingsFollower &listings)
+void writeStore(std::string &out, const feed::OperatorsFollower &follower, const feed::ListingsFollower &listings)
 {
+    const feed::TopicFeed &operators = follower.feed();
     writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
                  operators.calls() + listings.storeCalls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
                  operators.failures() + listings.storeFailures());
     writeCounter(out, "ibislock_store_reads_given_up_total", "Reads of the operators' topic that were begun anew.",
                  operators.givenUp());
+    writeCounter(out, "ibislock_records_taken_over_total", "How often records of operators came from another VM.",
+                 follower.takenOver());
+    writeCounter(out, "ibislock_records_asked_in_vain_total", "VMs that were asked for records and had none.",
+                 follower.askedInVain());
+    writeCounter(out, "ibislock_records_answered_total", "Asks of other VMs for records that were answered.",
+                 follower.answersGiven());
     writeCounter(out, "ibislock_unusable_listings_total", "Listings of targets that could not be read.",
                  listings.unusable());
     writeCounter(out, "ibislock_relay_answers_total", "Answers of relays of listings that were taken over.",
@@ -84,9 +91,9 @@
     std::string out;
     const Millis now = steadyMillis();
     writeState(out, operators, operatorsAway, now);
-    writeKnowledge(out, *m_operatorsFeed, *m_listings);
+    writeKnowledge(out, m_operatorsFollower->feed(), *m_listings);
     writeCounters(out, counters);
-    writeStore(out, *m_operatorsFeed, *m_listings);
+    writeStore(out, *m_operatorsFollower, *m_listings);
     writeTargets(out, table, now);
     writeRetries(out, retries, now);
     writeCounter(out, "ibislock_connections_opened_total", "Connections opened to targets and the store.",
--- a/libs/peer/include/ibislock/peer/listings.h
+++ b/libs/peer/include/ibislock/peer/listings.h
@@ -22,6 +22,7 @@
     std::uint32_t sequence = 0; ///< Given back in the answer.
     std::int64_t from = -1; ///< The offset up to which the asker knows the topic; below 0 for nothing.
     Millis wait{0}; ///< How long the answer may wait for the next change.
+    std::string entryVm; ///< The address of the asker if it is an entry VM of the domain; else empty.
 };
 
 /// A listing and where its last change stands in the topic.
@@ -43,6 +44,7 @@
     std::optional<Millis> storeBack; ///< How long ago the store came back from an outage that the sender noticed.
     std::vector<ListingChange> listings;
     TopicLevel operators; ///< What the sender knows of the operators' topic, which is not passed on itself.
+    std::vector<std::string> entryVms; ///< The addresses of entry VMs that lately asked the sender.
 };
 
 using ListingsMessage = std::variant<ListingsAsk, ListingsUpdate>;
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -79,6 +79,7 @@
   sequence @0 :UInt32;  # Given back in the answer.
   from @1 :Int64;
   waitMs @2 :UInt32;  # How long the answer may wait for the next change.
+  entryVm @3 :Text;  # The address of the asker if it is an entry VM of the domain; else empty.
 }
 
 struct ListingsUpdate {
@@ -92,6 +93,7 @@
   operatorsEnd @7 :Int64 = -1;  # These three as in a subscription.
   namingsEnd @8 :Int64 = -1;
   levelAgeMs @9 :UInt32 = 4294967295;
+  entryVms @10 :List(Text);  # The addresses of entry VMs that lately asked the sender.
 }
 
 struct Listing {
@@ -111,3 +113,32 @@
   name @0 :Text;
   version @1 :Int64;
 }
+
+struct RecordsMessage {
+  # Sent over TCP to entry VMs, each behind its length in four bytes, little endian.
+  union {
+    ask @0 :RecordsAsk;
+    update @1 :RecordsUpdate;
+  }
+}
+
+struct RecordsAsk {
+  # Asks for the newest record of each key of the operators' topic at or behind an offset.
+  sequence @0 :UInt32;  # Given back in the answer.
+  from @1 :Int64;
+  end @2 :Int64;  # The answer may wait until the asked VM knows the topic up to here.
+  waitMs @3 :UInt32;  # For how long it may wait.
+}
+
+struct RecordsUpdate {
+  sequence @0 :UInt32;
+  end @1 :Int64;  # The offset up to which the sender knows the topic.
+  records @2 :List(Record);
+}
+
+struct Record {
+  key @0 :Text;
+  offset @1 :Int64;
+  dropped @2 :Bool;  # Has no value.
+  value @3 :Data;
+}
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -1,5 +1,6 @@
 #include "codec.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace ibislock::peer
@@ -12,6 +13,11 @@
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
 }
 
+std::uint32_t wireMillis(Millis time)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
+}
+
 kj::Array<capnp::word> aligned(std::string_view bytes)
 {
     auto words = kj::heapArray<capnp::word>((bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
--- a/libs/peer/src/codec.h
+++ b/libs/peer/src/codec.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "ibislock/base/clock.h"
+
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
@@ -14,6 +16,9 @@
 /// Writes a message.
 std::string flatten(capnp::MessageBuilder &message);
 
+/// A time as messages hold it.
+std::uint32_t wireMillis(Millis time);
+
 /// Copies bytes to words, as the codec needs its input aligned.
 kj::Array<capnp::word> aligned(std::string_view bytes);
 
--- a/libs/peer/src/listings.cpp
+++ b/libs/peer/src/listings.cpp
@@ -15,11 +15,6 @@
 /// The value on the wire that stands for no outage.
 constexpr std::int64_t NoOutage = -1;
 
-std::uint32_t wireMillis(Millis time)
-{
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
-}
-
 void write(wire::Listing::Builder to, const ListingChange &change)
 {
     to.setId(change.id);
@@ -71,13 +66,17 @@
                        .age = Millis{from.getAgeMs()},
                        .storeBack = {},
                        .listings = {},
-                       .operators = levelFrom(from)};
+                       .operators = levelFrom(from),
+                       .entryVms = {}};
     if (from.getStoreBackMs() != NoOutage) {
         out.storeBack = Millis{from.getStoreBackMs()};
     }
     for (const auto listing : from.getListings()) {
         out.listings.push_back(read(listing));
     }
+    for (const auto vm : from.getEntryVms()) {
+        out.entryVms.emplace_back(vm.cStr());
+    }
     return out;
 }
 
@@ -90,6 +89,7 @@
     ask.setSequence(message.sequence);
     ask.setFrom(message.from);
     ask.setWaitMs(wireMillis(message.wait));
+    ask.setEntryVm(message.entryVm);
     return frame(flatten(builder));
 }
 
@@ -108,6 +108,10 @@
     for (unsigned n = 0; n < listings.size(); ++n) {
         write(listings[n], message.listings[n]);
     }
+    auto entryVms = update.initEntryVms(static_cast<unsigned>(message.entryVms.size()));
+    for (unsigned n = 0; n < entryVms.size(); ++n) {
+        entryVms.set(n, message.entryVms[n]);
+    }
     return frame(flatten(builder));
 }
 
@@ -119,7 +123,10 @@
         const auto message = reader.getRoot<wire::ListingsMessage>();
         if (message.isAsk()) {
             const auto ask = message.getAsk();
-            return ListingsAsk{.sequence = ask.getSequence(), .from = ask.getFrom(), .wait = Millis{ask.getWaitMs()}};
+            return ListingsAsk{.sequence = ask.getSequence(),
+                               .from = ask.getFrom(),
+                               .wait = Millis{ask.getWaitMs()},
+                               .entryVm = ask.getEntryVm().cStr()};
         }
         if (!message.isUpdate()) {
             return failure(ErrorCode::Corrupt, "a message about listings of an unknown kind");
--- /dev/null
+++ b/libs/peer/src/records.cpp
@@ -0,0 +1,85 @@
+#include "ibislock/peer/records.h"
+
+#include "codec.h"
+#include "peer.capnp.h"
+
+namespace ibislock::peer
+{
+
+namespace
+{
+
+PassedRecord read(wire::Record::Reader from)
+{
+    PassedRecord out{.key = from.getKey().cStr(), .value = {}, .offset = from.getOffset()};
+    if (!from.getDropped()) {
+        const auto value = from.getValue().asChars();
+        out.value.emplace(value.begin(), value.size());
+    }
+    return out;
+}
+
+RecordsUpdate read(wire::RecordsUpdate::Reader from)
+{
+    RecordsUpdate out{.sequence = from.getSequence(), .end = from.getEnd(), .records = {}};
+    for (const auto record : from.getRecords()) {
+        out.records.push_back(read(record));
+    }
+    return out;
+}
+
+} // namespace
+
+std::string encode(const RecordsAsk &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto ask = builder.initRoot<wire::RecordsMessage>().initAsk();
+    ask.setSequence(message.sequence);
+    ask.setFrom(message.from);
+    ask.setEnd(message.end);
+    ask.setWaitMs(wireMillis(message.wait));
+    return frame(flatten(builder));
+}
+
+std::string encode(const RecordsUpdate &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto update = builder.initRoot<wire::RecordsMessage>().initUpdate();
+    update.setSequence(message.sequence);
+    update.setEnd(message.end);
+    auto records = update.initRecords(static_cast<unsigned>(message.records.size()));
+    for (unsigned n = 0; n < records.size(); ++n) {
+        const PassedRecord &record = message.records[n];
+        records[n].setKey(record.key);
+        records[n].setOffset(record.offset);
+        records[n].setDropped(!record.value);
+        if (record.value) {
+            records[n].setValue(kj::StringPtr(record.value->c_str(), record.value->size()).asBytes());
+        }
+    }
+    return frame(flatten(builder));
+}
+
+Result<RecordsMessage> decodeRecords(std::string_view body)
+{
+    try {
+        const auto words = aligned(body);
+        capnp::FlatArrayMessageReader reader(words);
+        const auto message = reader.getRoot<wire::RecordsMessage>();
+        if (message.isAsk()) {
+            const auto ask = message.getAsk();
+            return RecordsAsk{.sequence = ask.getSequence(),
+                              .from = ask.getFrom(),
+                              .end = ask.getEnd(),
+                              .wait = Millis{ask.getWaitMs()}};
+        }
+        if (!message.isUpdate()) {
+            return failure(ErrorCode::Corrupt, "a message about records of an unknown kind");
+        }
+        return read(message.getUpdate());
+    } catch (const kj::Exception &exception) {
+        return failure(ErrorCode::Corrupt, exception.getDescription().cStr());
+    }
+}
+
+} // namespace ibislock::peer
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -27,6 +27,10 @@
 CAPNP_DECLARE_SCHEMA(eff40d56be4fe478);
 CAPNP_DECLARE_SCHEMA(8f9b8c8ca048b2c3);
 CAPNP_DECLARE_SCHEMA(927fcbca5a53a621);
+CAPNP_DECLARE_SCHEMA(ef18d9ef795df072);
+CAPNP_DECLARE_SCHEMA(b8aa2a1948ca91e1);
+CAPNP_DECLARE_SCHEMA(d9e4fe1067dc7d2a);
+CAPNP_DECLARE_SCHEMA(ae53cfff46a11fb2);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -164,7 +168,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -179,7 +183,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 7, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -216,6 +220,70 @@
   };
 };
 
+struct RecordsMessage {
+  RecordsMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    ASK,
+    UPDATE,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ef18d9ef795df072, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RecordsAsk {
+  RecordsAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8aa2a1948ca91e1, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RecordsUpdate {
+  RecordsUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9e4fe1067dc7d2a, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Record {
+  Record() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ae53cfff46a11fb2, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Datagram::Reader {
@@ -999,6 +1067,9 @@
 
   inline  ::uint32_t getWaitMs() const;
 
+  inline bool hasEntryVm() const;
+  inline  ::capnp::Text::Reader getEntryVm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1036,6 +1107,13 @@
   inline  ::uint32_t getWaitMs();
   inline void setWaitMs( ::uint32_t value);
 
+  inline bool hasEntryVm();
+  inline  ::capnp::Text::Builder getEntryVm();
+  inline void setEntryVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEntryVm(unsigned int size);
+  inline void adoptEntryVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEntryVm();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1100,6 +1178,9 @@
 
   inline  ::uint32_t getLevelAgeMs() const;
 
+  inline bool hasEntryVms() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntryVms() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1162,6 +1243,14 @@
   inline  ::uint32_t getLevelAgeMs();
   inline void setLevelAgeMs( ::uint32_t value);
 
+  inline bool hasEntryVms();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntryVms();
+  inline void setEntryVms( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEntryVms(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntryVms(unsigned int size);
+  inline void adoptEntryVms(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntryVms();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1420,176 +1509,556 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class RecordsMessage::Reader {
+public:
+  typedef RecordsMessage Reads;
 
-inline  ::ibislock::peer::wire::Datagram::Which Datagram::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::ibislock::peer::wire::Datagram::Which Datagram::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool Datagram::Reader::isSubscribe() const {
-  return which() == Datagram::SUBSCRIBE;
-}
-inline bool Datagram::Builder::isSubscribe() {
-  return which() == Datagram::SUBSCRIBE;
-}
-inline bool Datagram::Reader::hasSubscribe() const {
-  if (which() != Datagram::SUBSCRIBE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasSubscribe() {
-  if (which() != Datagram::SUBSCRIBE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::ibislock::peer::wire::Subscribe::Reader Datagram::Reader::getSubscribe() const {
-  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::getSubscribe() {
-  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setSubscribe( ::ibislock::peer::wire::Subscribe::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::initSubscribe() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptSubscribe(
-    ::capnp::Orphan< ::ibislock::peer::wire::Subscribe>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::ibislock::peer::wire::Subscribe> Datagram::Builder::disownSubscribe() {
-  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool Datagram::Reader::isLoad() const {
-  return which() == Datagram::LOAD;
-}
-inline bool Datagram::Builder::isLoad() {
-  return which() == Datagram::LOAD;
-}
-inline bool Datagram::Reader::hasLoad() const {
-  if (which() != Datagram::LOAD) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasLoad() {
-  if (which() != Datagram::LOAD) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::ibislock::peer::wire::Load::Reader Datagram::Reader::getLoad() const {
-  KJ_IREQUIRE((which() == Datagram::LOAD),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::getLoad() {
-  KJ_IREQUIRE((which() == Datagram::LOAD),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setLoad( ::ibislock::peer::wire::Load::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::initLoad() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptLoad(
-    ::capnp::Orphan< ::ibislock::peer::wire::Load>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
-  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::ibislock::peer::wire::Load> Datagram::Builder::disownLoad() {
-  KJ_IREQUIRE((which() == Datagram::LOAD),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::int64_t Subscribe::Reader::getOperatorsEnd() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, -1ll);
-}
+  inline Which which() const;
+  inline bool isAsk() const;
+  inline bool hasAsk() const;
+  inline  ::ibislock::peer::wire::RecordsAsk::Reader getAsk() const;
 
-inline  ::int64_t Subscribe::Builder::getOperatorsEnd() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, -1ll);
-}
-inline void Subscribe::Builder::setOperatorsEnd( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, -1ll);
-}
+  inline bool isUpdate() const;
+  inline bool hasUpdate() const;
+  inline  ::ibislock::peer::wire::RecordsUpdate::Reader getUpdate() const;
 
-inline bool Subscribe::Reader::getWantsLoads() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline bool Subscribe::Builder::getWantsLoads() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void Subscribe::Builder::setWantsLoads(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
+class RecordsMessage::Builder {
+public:
+  typedef RecordsMessage Builds;
 
-inline  ::int64_t Subscribe::Reader::getNamingsEnd() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::int64_t Subscribe::Builder::getNamingsEnd() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
-}
-inline void Subscribe::Builder::setNamingsEnd( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t Subscribe::Reader::getLevelAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
-}
+  inline Which which();
+  inline bool isAsk();
+  inline bool hasAsk();
+  inline  ::ibislock::peer::wire::RecordsAsk::Builder getAsk();
+  inline void setAsk( ::ibislock::peer::wire::RecordsAsk::Reader value);
+  inline  ::ibislock::peer::wire::RecordsAsk::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::ibislock::peer::wire::RecordsAsk>&& value);
+  inline ::capnp::Orphan< ::ibislock::peer::wire::RecordsAsk> disownAsk();
 
-inline  ::uint32_t Subscribe::Builder::getLevelAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
-}
+  inline bool isUpdate();
+  inline bool hasUpdate();
+  inline  ::ibislock::peer::wire::RecordsUpdate::Builder getUpdate();
+  inline void setUpdate( ::ibislock::peer::wire::RecordsUpdate::Reader value);
+  inline  ::ibislock::peer::wire::RecordsUpdate::Builder initUpdate();
+  inline void adoptUpdate(::capnp::Orphan< ::ibislock::peer::wire::RecordsUpdate>&& value);
+  inline ::capnp::Orphan< ::ibislock::peer::wire::RecordsUpdate> disownUpdate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RecordsMessage::Pipeline {
+public:
+  typedef RecordsMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RecordsAsk::Reader {
+public:
+  typedef RecordsAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence() const;
+
+  inline  ::int64_t getFrom() const;
+
+  inline  ::int64_t getEnd() const;
+
+  inline  ::uint32_t getWaitMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RecordsAsk::Builder {
+public:
+  typedef RecordsAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline  ::int64_t getFrom();
+  inline void setFrom( ::int64_t value);
+
+  inline  ::int64_t getEnd();
+  inline void setEnd( ::int64_t value);
+
+  inline  ::uint32_t getWaitMs();
+  inline void setWaitMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RecordsAsk::Pipeline {
+public:
+  typedef RecordsAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RecordsUpdate::Reader {
+public:
+  typedef RecordsUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence() const;
+
+  inline  ::int64_t getEnd() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RecordsUpdate::Builder {
+public:
+  typedef RecordsUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline  ::int64_t getEnd();
+  inline void setEnd( ::int64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RecordsUpdate::Pipeline {
+public:
+  typedef RecordsUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Record::Reader {
+public:
+  typedef Record Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::int64_t getOffset() const;
+
+  inline bool getDropped() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Record::Builder {
+public:
+  typedef Record Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::int64_t getOffset();
+  inline void setOffset( ::int64_t value);
+
+  inline bool getDropped();
+  inline void setDropped(bool value);
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Record::Pipeline {
+public:
+  typedef Record Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::ibislock::peer::wire::Datagram::Which Datagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::ibislock::peer::wire::Datagram::Which Datagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Reader::isSubscribe() const {
+  return which() == Datagram::SUBSCRIBE;
+}
+inline bool Datagram::Builder::isSubscribe() {
+  return which() == Datagram::SUBSCRIBE;
+}
+inline bool Datagram::Reader::hasSubscribe() const {
+  if (which() != Datagram::SUBSCRIBE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasSubscribe() {
+  if (which() != Datagram::SUBSCRIBE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::peer::wire::Subscribe::Reader Datagram::Reader::getSubscribe() const {
+  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::getSubscribe() {
+  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setSubscribe( ::ibislock::peer::wire::Subscribe::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::peer::wire::Subscribe::Builder Datagram::Builder::initSubscribe() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptSubscribe(
+    ::capnp::Orphan< ::ibislock::peer::wire::Subscribe>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SUBSCRIBE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::peer::wire::Subscribe> Datagram::Builder::disownSubscribe() {
+  KJ_IREQUIRE((which() == Datagram::SUBSCRIBE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Subscribe>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isLoad() const {
+  return which() == Datagram::LOAD;
+}
+inline bool Datagram::Builder::isLoad() {
+  return which() == Datagram::LOAD;
+}
+inline bool Datagram::Reader::hasLoad() const {
+  if (which() != Datagram::LOAD) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasLoad() {
+  if (which() != Datagram::LOAD) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::peer::wire::Load::Reader Datagram::Reader::getLoad() const {
+  KJ_IREQUIRE((which() == Datagram::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::getLoad() {
+  KJ_IREQUIRE((which() == Datagram::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setLoad( ::ibislock::peer::wire::Load::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::peer::wire::Load::Builder Datagram::Builder::initLoad() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptLoad(
+    ::capnp::Orphan< ::ibislock::peer::wire::Load>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOAD);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::peer::wire::Load> Datagram::Builder::disownLoad() {
+  KJ_IREQUIRE((which() == Datagram::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Subscribe::Reader::getOperatorsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Subscribe::Builder::getOperatorsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Subscribe::Builder::setOperatorsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool Subscribe::Reader::getWantsLoads() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Subscribe::Builder::getWantsLoads() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setWantsLoads(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Subscribe::Reader::getNamingsEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Subscribe::Builder::getNamingsEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Subscribe::Builder::setNamingsEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline  ::uint32_t Subscribe::Reader::getLevelAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Subscribe::Builder::getLevelAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
+}
 inline void Subscribe::Builder::setLevelAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4294967295u);
@@ -2376,19 +2845,53 @@
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-
-inline  ::uint32_t ListingsAsk::Reader::getWaitMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+
+inline  ::uint32_t ListingsAsk::Reader::getWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ListingsAsk::Builder::getWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ListingsAsk::Builder::setWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ListingsAsk::Reader::hasEntryVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ListingsAsk::Builder::hasEntryVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ListingsAsk::Reader::getEntryVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ListingsAsk::Builder::getEntryVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ListingsAsk::Builder::setEntryVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t ListingsAsk::Builder::getWaitMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ListingsAsk::Builder::initEntryVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ListingsAsk::Builder::setWaitMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ListingsAsk::Builder::adoptEntryVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ListingsAsk::Builder::disownEntryVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline  ::uint32_t ListingsUpdate::Reader::getSequence() const {
@@ -2551,6 +3054,44 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline bool ListingsUpdate::Reader::hasEntryVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ListingsUpdate::Builder::hasEntryVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ListingsUpdate::Reader::getEntryVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ListingsUpdate::Builder::getEntryVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ListingsUpdate::Builder::setEntryVms( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void ListingsUpdate::Builder::setEntryVms(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ListingsUpdate::Builder::initEntryVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ListingsUpdate::Builder::adoptEntryVms(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ListingsUpdate::Builder::disownEntryVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Listing::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2839,6 +3380,337 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::ibislock::peer::wire::RecordsMessage::Which RecordsMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::ibislock::peer::wire::RecordsMessage::Which RecordsMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RecordsMessage::Reader::isAsk() const {
+  return which() == RecordsMessage::ASK;
+}
+inline bool RecordsMessage::Builder::isAsk() {
+  return which() == RecordsMessage::ASK;
+}
+inline bool RecordsMessage::Reader::hasAsk() const {
+  if (which() != RecordsMessage::ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordsMessage::Builder::hasAsk() {
+  if (which() != RecordsMessage::ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::peer::wire::RecordsAsk::Reader RecordsMessage::Reader::getAsk() const {
+  KJ_IREQUIRE((which() == RecordsMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::peer::wire::RecordsAsk::Builder RecordsMessage::Builder::getAsk() {
+  KJ_IREQUIRE((which() == RecordsMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordsMessage::Builder::setAsk( ::ibislock::peer::wire::RecordsAsk::Reader value) {
+  _builder.setDataField<RecordsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RecordsMessage::ASK);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::peer::wire::RecordsAsk::Builder RecordsMessage::Builder::initAsk() {
+  _builder.setDataField<RecordsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RecordsMessage::ASK);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordsMessage::Builder::adoptAsk(
+    ::capnp::Orphan< ::ibislock::peer::wire::RecordsAsk>&& value) {
+  _builder.setDataField<RecordsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RecordsMessage::ASK);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::peer::wire::RecordsAsk> RecordsMessage::Builder::disownAsk() {
+  KJ_IREQUIRE((which() == RecordsMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RecordsMessage::Reader::isUpdate() const {
+  return which() == RecordsMessage::UPDATE;
+}
+inline bool RecordsMessage::Builder::isUpdate() {
+  return which() == RecordsMessage::UPDATE;
+}
+inline bool RecordsMessage::Reader::hasUpdate() const {
+  if (which() != RecordsMessage::UPDATE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordsMessage::Builder::hasUpdate() {
+  if (which() != RecordsMessage::UPDATE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ibislock::peer::wire::RecordsUpdate::Reader RecordsMessage::Reader::getUpdate() const {
+  KJ_IREQUIRE((which() == RecordsMessage::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsUpdate>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ibislock::peer::wire::RecordsUpdate::Builder RecordsMessage::Builder::getUpdate() {
+  KJ_IREQUIRE((which() == RecordsMessage::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsUpdate>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordsMessage::Builder::setUpdate( ::ibislock::peer::wire::RecordsUpdate::Reader value) {
+  _builder.setDataField<RecordsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RecordsMessage::UPDATE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsUpdate>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ibislock::peer::wire::RecordsUpdate::Builder RecordsMessage::Builder::initUpdate() {
+  _builder.setDataField<RecordsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RecordsMessage::UPDATE);
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordsMessage::Builder::adoptUpdate(
+    ::capnp::Orphan< ::ibislock::peer::wire::RecordsUpdate>&& value) {
+  _builder.setDataField<RecordsMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RecordsMessage::UPDATE);
+  ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsUpdate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ibislock::peer::wire::RecordsUpdate> RecordsMessage::Builder::disownUpdate() {
+  KJ_IREQUIRE((which() == RecordsMessage::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ibislock::peer::wire::RecordsUpdate>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RecordsAsk::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RecordsAsk::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecordsAsk::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RecordsAsk::Reader::getFrom() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RecordsAsk::Builder::getFrom() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RecordsAsk::Builder::setFrom( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RecordsAsk::Reader::getEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RecordsAsk::Builder::getEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RecordsAsk::Builder::setEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RecordsAsk::Reader::getWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RecordsAsk::Builder::getWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RecordsAsk::Builder::setWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RecordsUpdate::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RecordsUpdate::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecordsUpdate::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RecordsUpdate::Reader::getEnd() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RecordsUpdate::Builder::getEnd() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RecordsUpdate::Builder::setEnd( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RecordsUpdate::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordsUpdate::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader RecordsUpdate::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder RecordsUpdate::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordsUpdate::Builder::setRecords( ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder RecordsUpdate::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RecordsUpdate::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>> RecordsUpdate::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Record::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Record::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Record::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Record::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Record::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Record::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Record::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Record::Reader::getOffset() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Record::Builder::getOffset() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setOffset( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Record::Reader::getDropped() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Record::Builder::getDropped() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setDropped(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Record::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Record::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Record::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Record::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Record::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Record::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Record::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -1,4 +1,6 @@
+#include "ibislock/peer/listings.h"
 #include "ibislock/peer/messages.h"
+#include "ibislock/peer/records.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -9,6 +11,14 @@
 namespace
 {
 
+/// The body of a message that stands behind its length.
+std::string frameBody(const std::string &bytes)
+{
+    FrameReader reader;
+    reader.add(bytes);
+    return *reader.next();
+}
+
 TEST(MessagesTest, ALoadComesBackAsItWas)
 {
     const auto read = decodeDatagram(encode(LoadMessage{.incarnation = 7,
@@ -61,6 +71,46 @@
     EXPECT_EQ(reader.next().error().code, ErrorCode::Corrupt);
 }
 
+TEST(MessagesTest, RecordsComeBackAsTheyWere)
+{
+    const auto ask =
+        decodeRecords(frameBody(encode(RecordsAsk{.sequence = 3, .from = 7, .end = 9, .wait = Millis{40}})));
+    ASSERT_TRUE(ask);
+    EXPECT_EQ(std::get<RecordsAsk>(*ask).sequence, 3U);
+    EXPECT_EQ(std::get<RecordsAsk>(*ask).from, 7);
+    EXPECT_EQ(std::get<RecordsAsk>(*ask).end, 9);
+    EXPECT_EQ(std::get<RecordsAsk>(*ask).wait, Millis{40});
+
+    const std::string value("a\0b", 3);
+    const auto update = decodeRecords(frameBody(
+        encode(RecordsUpdate{.sequence = 4, .end = 9, .records = {{"k", value, 7}, {"gone", std::nullopt, 8}}})));
+    ASSERT_TRUE(update);
+    const auto &read = std::get<RecordsUpdate>(*update);
+    EXPECT_EQ(read.sequence, 4U);
+    EXPECT_EQ(read.end, 9);
+    ASSERT_EQ(read.records.size(), 2U);
+    EXPECT_EQ(read.records[0].key, "k");
+    EXPECT_EQ(read.records[0].value, value);
+    EXPECT_EQ(read.records[0].offset, 7);
+    EXPECT_FALSE(read.records[1].value);
+}
+
+TEST(MessagesTest, EntryVmsComeBackWithListings)
+{
+    const auto ask = decodeListings(frameBody(encode(ListingsAsk{.entryVm = "10.0.0.1"})));
+    ASSERT_TRUE(ask);
+    EXPECT_EQ(std::get<ListingsAsk>(*ask).entryVm, "10.0.0.1");
+    const auto update = decodeListings(frameBody(encode(ListingsUpdate{.entryVms = {"10.0.0.1", "10.0.0.2"}})));
+    ASSERT_TRUE(update);
+    EXPECT_EQ(std::get<ListingsUpdate>(*update).entryVms, (std::vector<std::string>{"10.0.0.1", "10.0.0.2"}));
+}
+
+RC_GTEST_PROP(MessagesTest, AnyBodyIsAMessageAboutRecordsOrCorrupt, (const std::string &bytes))
+{
+    const auto read = decodeRecords(bytes);
+    RC_ASSERT(read.has_value() || read.error().code == ErrorCode::Corrupt);
+}
+
 } // namespace
 
 } // namespace ibislock::peer
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -49,9 +49,9 @@
         writeGauge(out, "ibislock_engine_queued", "Requests that wait in the engine.", m_engine.report()->queued);
     }
     writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
-                 m_operatorsFeed->calls() + m_listings->storeCalls());
+                 m_operatorsFollower->feed().calls() + m_listings->storeCalls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
-                 m_operatorsFeed->failures() + m_listings->storeFailures());
+                 m_operatorsFollower->feed().failures() + m_listings->storeFailures());
     writeCounter(out, "ibislock_relay_answers_total", "Answers of relays of listings that were taken over.",
                  m_listings->relayAnswers());
     writeCounter(out, "ibislock_relays_left_total", "Relays of listings that were lost or behind.",
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -93,8 +93,10 @@
     }
     m_datagrams.non_blocking(true, ec);
     receive();
-    m_operatorsFeed = std::make_unique<feed::TopicFeed>(
-        m_loop, m_client, m_settings.store, feed::operatorsFeedOptions(m_settings.bounds.stateTime),
+    m_operatorsFollower = std::make_unique<feed::OperatorsFollower>(
+        m_loop, m_client, m_settings.store,
+        feed::OperatorsFollowerOptions{
+            .ip = m_settings.ip, .port = m_settings.lastPeerPort, .stateTime = m_settings.bounds.stateTime},
         feed::FeedEvents{
             .snapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
@@ -111,10 +113,10 @@
             .store = [](bool) {},
             .level =
                 [this](Millis asOf) {
-                    m_level.end = m_operatorsFeed->next();
+                    m_level.end = m_operatorsFollower->feed().next();
                     m_level.asOf = asOf;
                     m_levelReadAt = steadyMillis();
-                    m_operatorsFeed->setLazy(!m_listings->informsOthers());
+                    m_operatorsFollower->setLazy(!m_listings->informsOthers());
                 },
         });
     m_listings = std::make_unique<feed::ListingsFollower>(
@@ -134,12 +136,13 @@
                 },
             .level = [this](const feed::OperatorsLevel &level) { takeLevel(level); },
             .ownLevel = [this] { return toMessage(m_level, bootMillis()); },
+            .entryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
         });
     if (const asio::error_code failed = m_listings->start()) {
         return failure(ErrorCode::Unavailable, "the address for listings can't be opened: " + failed.message());
     }
-    m_operatorsFeed->setLazy(true); // Until it is known whom this VM informs.
-    m_operatorsFeed->start();
+    m_operatorsFollower->setLazy(true); // Until it is known whom this VM informs.
+    m_operatorsFollower->start();
     m_engine.start();
     logInfo(Part::Side, "The target daemon has started.", {{"vm", m_settings.vmName}, {"domain", m_settings.domain}});
     return {};
@@ -292,11 +295,7 @@
     // A desired state changes little here and can wait; that not each VM reads all of them leaves room for weights.
     const bool readsAll = m_listings->informsOthers() || steadyMillis() >= m_levelReadAt + StateDelay;
     const std::int64_t wanted = readsAll ? m_level.end : m_level.namingsEnd;
-    if (wanted > m_operatorsFeed->next()) {
-        m_operatorsFeed->hint(wanted);
-    } else {
-        m_operatorsFeed->confirm(m_level.asOf);
-    }
+    m_operatorsFollower->takeLevel(m_level, wanted);
     if (news) {
         publish(true); // Entry VMs may wait for it.
     }
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -3,9 +3,8 @@
 #pragma once
 
 #include "ibislock/feed/listings_follower.h"
-#include "ibislock/feed/operators_level.h"
+#include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
-#include "ibislock/feed/topic_feed.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/named_versions.h"
 #include "ibislock/side/daemon.h"
@@ -54,7 +53,7 @@
     net::HttpClient m_client;
     EngineWatch m_engine;
     WeightsAgent m_agent;
-    std::unique_ptr<feed::TopicFeed> m_operatorsFeed;
+    std::unique_ptr<feed::OperatorsFollower> m_operatorsFollower;
     std::unique_ptr<feed::ListingsFollower> m_listings;
     std::unique_ptr<net::Listener> m_metrics;
     asio::ip::udp::socket m_datagrams;
