--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -153,6 +153,33 @@
     EXPECT_EQ(copiesSent() - before, 1);
 }
 
+TEST_F(OperatorsFollowerTest, ATargetVmThatInformsNobodyAsksAnEntryVm)
+{
+    addAll();
+    Vm &target = add("127.0.4.100", m_store, false);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    letReadsEnd();
+    const int before = copiesSent();
+    append("config", "2");
+    tellLevels();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    EXPECT_EQ(copiesSent() - before, 1);
+    EXPECT_EQ(target.follower.takenOver(), 1U);
+}
+
+TEST_F(OperatorsFollowerTest, AVmOnWhichOthersRelyReadsTheStoreItself)
+{
+    addAll();
+    Vm &relay = add("127.0.4.100", m_store, false);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    relay.follower.setLazy(false);
+    letReadsEnd();
+    append("config", "2");
+    tellLevels();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    EXPECT_EQ(relay.follower.takenOver(), 0U);
+}
+
 TEST_F(OperatorsFollowerTest, AVmThatTheStoreTurnsAwayGetsAStateFromAnother)
 {
     append("config", "1");
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -111,6 +111,38 @@
     EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
 }
 
+TEST_F(TopicFeedTest, RecordsThatAnotherVmHasReadAreTakenOverOnceWhileAReadIsUnderWay)
+{
+    m_store.append("a", "1");
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_feed.synchronized() && m_store.reads > 0; }));
+    m_store.delay = Millis{100};
+    m_store.append("a", "2"); // Its answer is on the way.
+    EXPECT_TRUE(m_feed.takeOver({{.key = "a", .value = "2", .offset = 1}}, 2, bootMillis()));
+    EXPECT_EQ(m_feed.next(), 2);
+    m_loop.run_for(Millis{300});
+    EXPECT_EQ(m_recordsTold, 1);
+    EXPECT_FALSE(m_feed.takeOver({{.key = "a", .value = "1", .offset = 0}}, 1, bootMillis())) << "older";
+    m_store.append("a", "3");
+    EXPECT_TRUE(runUntil([&] { return m_values["a"] == "3"; })) << "goes on behind what was taken over";
+    EXPECT_EQ(m_recordsTold, 2);
+}
+
+TEST_F(TopicFeedTest, RecordsAreTakenOverWhileTheStoreIsLostAndItIsAskedAgain)
+{
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_feed.synchronized() && m_store.reads > 0; }));
+    m_store.refusals = 1'000'000;
+    ASSERT_TRUE(runUntil([&] { return m_away; }));
+    EXPECT_TRUE(m_feed.takeOver({{.key = "a", .value = "1", .offset = 0}}, 1, bootMillis()));
+    EXPECT_EQ(m_values["a"], "1");
+    EXPECT_TRUE(m_away);
+    m_store.append("a", "1");
+    m_store.refusals = 0;
+    EXPECT_TRUE(runUntil([&] { return !m_away; }));
+    EXPECT_EQ(m_recordsTold, 1);
+}
+
 TEST_F(TopicFeedTest, TellsForHowLongRecordsThatAreKnownToExistHaveBeenUnread)
 {
     m_feed.start();
