--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -50,6 +50,13 @@
 class OperatorsFollowerTest : public testing::Test
 {
 protected:
+    ~OperatorsFollowerTest() override
+    {
+        for (const auto &connection : m_replaced) {
+            connection->close();
+        }
+    }
+
     OperatorsFollowerTest()
     {
         net::Listener probe(m_loop, [](const std::shared_ptr<net::Connection> &) {});
@@ -83,6 +90,22 @@
         ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
     }
 
+    /// Puts something else in the place of the VM that reads the store for the others.
+    /// @param onAsk is called whenever it is sent something.
+    void replaceFirst(const std::function<void(net::Connection &)> &onAsk)
+    {
+        m_vms.erase(m_first);
+        m_listener =
+            std::make_unique<net::Listener>(m_loop, [this, onAsk](const std::shared_ptr<net::Connection> &connection) {
+                connection->start({.data = [raw = connection.get(), onAsk](std::string_view) { onAsk(*raw); },
+                                   .closed =
+                                       [](net::ClosedBy) {
+                                       }});
+                m_replaced.push_back(connection);
+            });
+        ASSERT_FALSE(m_listener->open(m_first, m_port));
+    }
+
     /// Writes to both stores.
     void append(const std::string &key, const std::string &value)
     {
@@ -140,6 +163,8 @@
     std::string m_first; ///< The VM that reads the store for the others.
     std::map<std::string, std::unique_ptr<Vm>> m_vms;
     std::int64_t m_end = 0;
+    std::unique_ptr<net::Listener> m_listener;
+    std::vector<std::shared_ptr<net::Connection>> m_replaced; ///< Connections to what is in the first VM's place.
 };
 
 TEST_F(OperatorsFollowerTest, OneVmReadsAStateForAll)
@@ -212,45 +237,21 @@
 TEST_F(OperatorsFollowerTest, AVmThatTakesAsksAndNeverAnswersIsGivenUpInTimeForTheState)
 {
     addAll();
-    m_vms.erase(m_first);
-    std::vector<std::shared_ptr<net::Connection>> silent;
-    net::Listener frozen(m_loop, [&](const std::shared_ptr<net::Connection> &connection) {
-        connection->start({.data = [](std::string_view) {},
-                           .closed =
-                               [](net::ClosedBy) {
-                               }});
-        silent.push_back(connection);
-    });
-    ASSERT_FALSE(frozen.open(m_first, m_port));
+    replaceFirst([](net::Connection &) {});
     append("config", "2");
     tellLevels();
     EXPECT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
-    EXPECT_FALSE(silent.empty());
-    for (const auto &connection : silent) {
-        connection->close();
-    }
+    EXPECT_FALSE(m_replaced.empty()) << "it was asked";
 }
 
 TEST_F(OperatorsFollowerTest, AVmThatSendsWhatIsNoAnswerIsGivenUp)
 {
     addAll();
-    m_vms.erase(m_first);
-    std::vector<std::shared_ptr<net::Connection>> garbled;
-    net::Listener listener(m_loop, [&](const std::shared_ptr<net::Connection> &connection) {
-        connection->start(
-            {.data = [raw = connection.get()](std::string_view) { raw->write(peer::frame("no message")); },
-             .closed =
-                 [](net::ClosedBy) {
-                 }});
-        garbled.push_back(connection);
-    });
-    ASSERT_FALSE(listener.open(m_first, m_port));
+    replaceFirst([](net::Connection &connection) { connection.write(peer::frame("no message")); });
     append("config", "2");
     tellLevels();
     EXPECT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
-    for (const auto &connection : garbled) {
-        connection->close();
-    }
+    EXPECT_FALSE(m_replaced.empty()) << "it was asked";
 }
 
 TEST_F(OperatorsFollowerTest, StatesInQuickSuccessionReachAllInOrder)
