--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -128,6 +128,17 @@
     EXPECT_TRUE(m_vms.front()->follower.relay().empty());
 }
 
+TEST_F(ListingsFollowerTest, EntryVmsThatAskARelayAreToldToAllAndForgottenWhenTheyAskNoMore)
+{
+    add(m_relayIp, m_store);
+    Vm &target = add(m_substituteIp, m_store);
+    Vm &entry = add(Entry, m_store);
+    const std::vector<std::string> entryVms{Entry};
+    EXPECT_TRUE(runUntil([&] { return target.entryVms == entryVms && entry.entryVms == entryVms; }));
+    m_vms.pop_back();
+    EXPECT_TRUE(runUntil([&] { return target.entryVms.empty(); }, Millis{8000}));
+}
+
 TEST_F(ListingsFollowerTest, WithoutAnyRelayTheStoreIsRead)
 {
     Vm &entry = add(Entry, m_store);
