--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -186,6 +186,15 @@
         m_firstSentAt = now;
         observe(front.counters.waited, now - receivedAt);
     }
+    if (m_sends > 0) {
+        logInfo(Part::Front, "A request is sent again.",
+                {{"id", request.attemptId},
+                 {"kind", std::string(nameOf(serving::RequestKindNames, route.kind))},
+                 {"known", m_life.state},
+                 {"sends", std::to_string(m_sends)},
+                 {"target", target.entry.id},
+                 {"since_first_ms", std::to_string((now - m_firstSentAt).count())}});
+    }
     advance(m_life, RequestEvent::Send);
     ++m_sends;
     ++front.counters.sends;
@@ -240,6 +249,8 @@
                  {"target", target},
                  {"end", std::string(nameOf(net::ExchangeEndNames, result.end))},
                  {"status", std::to_string(m_answer == Answer::None ? 0 : m_answerHead.status)},
+                 {"sends", std::to_string(m_sends)},
+                 {"connected", result.connected ? "1" : "0"},
                  {"reused", result.reused ? "1" : "0"},
                  {"after_ms", std::to_string((steadyMillis() - m_sentAt).count())}});
     }
--- a/libs/front/src/call_answer.cpp
+++ b/libs/front/src/call_answer.cpp
@@ -80,7 +80,7 @@
             logInfo(Part::Front, "An event of a stream has no end; the target is left.",
                     {{"id", request.attemptId}, {"target", m_targetId}});
             m_exchange->cancel();
-            takeEnd({.end = net::ExchangeEnd::Broken, .answered = true});
+            takeEnd({.end = net::ExchangeEnd::Broken, .connected = true, .answered = true});
         }
     } else if (m_answer == Answer::Buffered) {
         m_answerBody += bytes;
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -81,6 +81,7 @@
     void serveReadiness(const std::shared_ptr<net::Connection> &connection);
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
     void tick();
+    void noteStall(Millis now);
     void subscribe(Millis now);
     bool isEngine(const serving::TargetEntry &entry) const;
     void receiveLoads();
@@ -97,6 +98,8 @@
     feed::OperatorsLevel m_level; ///< The end of the operators' topic, as far as any VM has told.
     std::unique_ptr<feed::ListingsFollower> m_listings;
     asio::steady_timer m_tick;
+    Millis m_tickDueAt{0}; ///< 0 before the first tick.
+    Millis m_longestStall{0}; ///< By how much a tick was late at most.
     asio::ip::udp::socket m_loads;
     asio::ip::udp::endpoint m_loadSender;
     std::array<char, 1500> m_loadBuffer{};
--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -37,6 +37,7 @@
 struct ExchangeResult
 {
     ExchangeEnd end = ExchangeEnd::Complete;
+    bool connected = false; ///< A connection was there, so the request was written to it.
     bool reused = false; ///< It went over a connection that had been used before.
     bool answered = false; ///< At least one byte of an answer came.
 };
@@ -120,6 +121,7 @@
     std::size_t m_bodyBytes = 0; ///< Of the answer that is taken.
     std::size_t m_skippedBytes = 0; ///< Of all that were skipped, heads not counted.
     std::size_t m_skippedAnswers = 0;
+    bool m_connected = false;
     bool m_reused = false;
     bool m_answered = false;
     bool m_headTaken = false;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -119,6 +119,7 @@
 void Exchange::begin(std::shared_ptr<Connection> connection, bool reused)
 {
     m_connection = std::move(connection);
+    m_connected = true;
     m_reused = reused;
     m_beganAt = steadyMillis();
     if (m_options.timeout > Millis{0}) {
@@ -232,7 +233,7 @@
 {
     const auto self = shared_from_this();
     const auto handler = std::move(m_events.end);
-    const ExchangeResult result{.end = end, .reused = m_reused, .answered = m_answered};
+    const ExchangeResult result{.end = end, .connected = m_connected, .reused = m_reused, .answered = m_answered};
     cancel();
     if (handler) {
         handler(result);
