--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -17,10 +17,11 @@
 /// A VM that follows the listings, at a loopback address of its own.
 struct Vm
 {
-    Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool answers)
+    Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool answers,
+       Millis leaveTime = LeaveTime)
         : client(loop)
         , follower(loop, client, {.ip = "127.0.0.1", .port = storePort},
-                   {.ip = ip, .domain = "a", .port = port, .answers = answers, .entryVm = !answers, .time = LeaveTime},
+                   {.ip = ip, .domain = "a", .port = port, .answers = answers, .entryVm = !answers, .time = leaveTime},
                    {.listing =
                         [this](const std::string &id, const std::optional<serving::TargetEntry> &entry) {
                             entry ? void(leaving[id] = entry->leaving) : void(leaving.erase(id));
@@ -191,6 +192,42 @@
     }
 }
 
+TEST_F(ListingsFollowerTest, ARelayThatHasAnsweredIsNotLeftAfterTheLoopStoodStill)
+{
+    constexpr Millis LongTime{4000};
+    constexpr Millis LongerThanAnAnswer{LongTime * 2 / 5 + Millis{200}};
+    asio::io_context relayLoop; // Goes on while the loop of the entry VM stands still.
+    lab::StoreStandIn relayStore(relayLoop);
+    for (const char *ip : {"127.0.2.1", "127.0.2.2"}) {
+        append(relayStore, ip, "engines");
+    }
+    Vm relay(relayLoop, m_relayIp, m_port, relayStore.port(), true, LongTime);
+    ASSERT_FALSE(relay.follower.start());
+    Vm entry(m_loop, Entry, m_port, m_store.port(), false, LongTime);
+    ASSERT_FALSE(entry.follower.start());
+    const auto runBothUntil = [&](const std::function<bool()> &holds) {
+        const Millis end = steadyMillis() + Millis{20000};
+        while (!holds() && steadyMillis() < end) {
+            m_loop.run_one_for(Millis{5});
+            relayLoop.run_one_for(Millis{5});
+        }
+        return holds();
+    };
+    const std::uint64_t answers = entry.follower.relayAnswers();
+    ASSERT_TRUE(runBothUntil([&] { return entry.follower.relayAnswers() > answers; }));
+    const std::uint64_t left = entry.follower.relaysLeft();
+    // The next ask is held back by the relay; its answer comes while the loop stands still.
+    for (const Millis end = steadyMillis() + LongTime / 5; steadyMillis() < end;) {
+        m_loop.run_one_for(Millis{5});
+        relayLoop.run_one_for(Millis{5});
+    }
+    append(relayStore, "127.0.2.7", "plain");
+    relayLoop.run_for(LongerThanAnAnswer);
+    ASSERT_TRUE(runBothUntil([&] { return entry.leaving.contains("i-127.0.2.7"); }));
+    m_loop.poll(); // A handler that is still queued.
+    EXPECT_EQ(entry.follower.relaysLeft(), left);
+}
+
 TEST_F(ListingsFollowerTest, ARelayThatKnowsATopicThatBeganAnewIsNotFollowedForever)
 {
     // The relay's topic is shorter for good: the store decides which of both is right.
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace ibislock::front
 {
 
@@ -57,6 +59,13 @@
     std::string body;
 };
 
+/// Lets the loop stand still behind some of the handlers that a call takes.
+struct Stall
+{
+    int handlers = 0; ///< That run before it.
+    Millis time{0};
+};
+
 /// A daemon with a store and two targets.
 class FrontTest : public testing::Test
 {
@@ -98,7 +107,7 @@
         return head;
     }
 
-    CallerAnswer call(const http::RequestHead &head, const std::string &body = "body")
+    CallerAnswer call(const http::RequestHead &head, const std::string &body = "body", const Stall &stall = {})
     {
         CallerAnswer out;
         bool done = false;
@@ -115,6 +124,10 @@
                                                      out.whole = result.end == net::ExchangeEnd::Complete;
                                                      done = true;
                                                  }});
+        for (int n = 0; n < stall.handlers; ++n) {
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+        }
+        std::this_thread::sleep_for(stall.time);
         const Millis end = steadyMillis() + Millis{5000};
         while (!done && steadyMillis() < end) {
             m_loop.run_one_for(std::chrono::milliseconds(20));
@@ -472,6 +485,37 @@
                                          EndlessCase{"Event", "/events/x", TargetBehaviour::EndlessEvent, 200, false}),
                          [](const auto &item) { return item.param.name; });
 
+/// Handlers behind which the loop stands still in turn: those of a call, and ticks between them.
+constexpr int HandlersOfACall = 6;
+
+TEST_F(FrontTest, ARequestThatMustRunOnceIsNotSentToASecondTargetAfterTheLoopStoodStill)
+{
+    constexpr Millis LongerThanConnecting{450};
+    list(m_first);
+    list(m_second);
+    start();
+    for (int n = 0; n < HandlersOfACall; ++n) {
+        const std::size_t before = runs();
+        call(request("/once/x"), "body", {.handlers = n, .time = LongerThanConnecting});
+        runFor(Millis{30}); // What is still on its way arrives.
+        EXPECT_LE(runs() - before, 1U) << "the loop stood still after " << n << " handlers";
+    }
+}
+
+TEST_F(FrontTest, ARequestThatRanIsNotRefusedAsNotRunAfterTheLoopStoodStill)
+{
+    list(m_first);
+    start();
+    for (int n = 0; n < HandlersOfACall; ++n) {
+        const std::size_t before = runs();
+        http::RequestHead head = request("/once/x");
+        head.headers.set("X-Ibislock-Deadline-Ms", "100");
+        const CallerAnswer answer = call(head, "body", {.handlers = n, .time = Millis{120}});
+        runFor(Millis{30});
+        EXPECT_TRUE(answer.status != 503 || runs() == before) << "the loop stood still after " << n << " handlers";
+    }
+}
+
 TEST_F(FrontTest, AStoppingVmAnswersWhatItHasAndClosesConnections)
 {
     list(m_first);
--- a/libs/net/test/http_client_test.cpp
+++ b/libs/net/test/http_client_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <thread>
+
 namespace ibislock::net
 {
 
@@ -25,8 +28,17 @@
         return m_listener.port();
     }
 
+    /// Writes more on all connections.
+    void writeToAll(std::string_view bytes)
+    {
+        for (const auto &connection : m_connections) {
+            connection->write(bytes);
+        }
+    }
+
     int connections = 0;
     int open = 0;
+    int requests = 0; ///< One for each piece of bytes that came.
 
 private:
     void serve(const std::shared_ptr<Connection> &connection)
@@ -37,6 +49,7 @@
         connection->start({
             .data =
                 [this, raw = connection.get()](std::string_view) {
+                    ++requests;
                     raw->write(m_next < m_script.size() ? m_script[m_next++] : "");
                     if (m_closeAfter) {
                         raw->closeAfterWrites();
@@ -253,6 +266,54 @@
                              ExchangeEnd::TimedOut}),
     [](const auto &item) { return item.param.name; });
 
+TEST(HttpClientTest, ARequestThatWasWrittenIsNotToldAsNotConnectedAfterTheLoopStoodStill)
+{
+    asio::io_context loop;
+    ScriptedServer server(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"}, false);
+    HttpClient client(loop);
+    std::optional<ExchangeEnd> end;
+    const auto exchange =
+        client.call("127.0.0.1", server.port(), "GET / HTTP/1.1\r\n\r\n", {.connectTime = Millis{20}},
+                    [&](ExchangeEnd how, const http::ResponseHead &, const std::string &) { end = how; });
+    std::this_thread::sleep_for(Millis{60}); // The connection and the end of its time are both due.
+    while (!end) {
+        loop.run_one();
+    }
+    loop.run_for(Millis{50}); // What was written arrives.
+    EXPECT_EQ(*end == ExchangeEnd::NotConnected, server.requests == 0) << nameOf(ExchangeEndNames, *end);
+}
+
+TEST(HttpClientTest, AnAnswerThatComesInAfterTheLoopStoodStillIsNotGivenUpForItsStall)
+{
+    asio::io_context loop;
+    ScriptedServer server(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhi"}, false);
+    HttpClient client(loop);
+    std::optional<ExchangeEnd> end;
+    std::string body;
+    const auto exchange = client.send("127.0.0.1", server.port(), "GET / HTTP/1.1\r\n\r\n",
+                                      {.timeout = Millis{2000}, .stall = Millis{100}, .longest = Millis{2000}},
+                                      {.body = [&](const std::string &part) { body += part; },
+                                       .end =
+                                           [&](const ExchangeResult &result) {
+                                               end = result.end;
+                                           }});
+    while (body.size() < 2) {
+        loop.run_one();
+    }
+    server.writeToAll("l");
+    std::this_thread::sleep_for(Millis{150}); // More of the answer and the end of its stall are both due.
+    while (!end && body.size() < 3) {
+        loop.run_one();
+    }
+    loop.poll(); // A handler that is still queued.
+    server.writeToAll("o");
+    while (!end) {
+        loop.run_one();
+    }
+    EXPECT_EQ(*end, ExchangeEnd::Complete);
+    EXPECT_EQ(body, "hilo");
+}
+
 TEST(HttpClientTest, AnAnswerToHeadHasNoBody)
 {
     asio::io_context loop;
