A request that was written never counts as not connected, and a timer that was cancelled or started anew does not fire

Cause: a handler of asio's timers whose time is up is queued, and neither cancelling nor arming the timer anew takes it back. When the loop stands still for longer than a connection may take, the connection and the end of its time are both due. The connection's handler cancels the timer, in vain, and writes the request; then the timer's handler ends the exchange as NotConnected, whose meaning is that nothing was sent. The call's state is `unsent` again, and it goes to a second target. In the same way an answer that comes in was given up as TimedOut. Change: net::Timer numbers its starts and cancellations, so that a queued handler of an earlier one, or of a timer that is gone, does nothing. An exchange that runs out of time says NotConnected only if no connection was there, whatever timer fired. Why it works: the claim that nothing was sent now follows from whether the request was written, and the handler that made it wrong can't run.

--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -9,8 +9,8 @@
 #include "ibislock/base/clock.h"
 #include "ibislock/http/reader.h"
 #include "ibislock/net/connection.h"
+#include "ibislock/net/timer.h"
 
-#include <asio/steady_timer.hpp>
 #include <map>
 #include <set>
 
@@ -100,7 +100,7 @@
              ExchangeEvents events);
     void connect(const asio::ip::tcp::endpoint &endpoint);
     void begin(std::shared_ptr<Connection> connection, bool reused);
-    void armTimer(Millis time, ExchangeEnd end);
+    void armTimer(Millis time);
     void onData(std::string_view bytes);
     void onClosed(ClosedBy by);
     void finish(ExchangeEnd end);
@@ -114,7 +114,7 @@
     ExchangeEvents m_events;
     std::shared_ptr<Connection> m_connection;
     std::shared_ptr<asio::ip::tcp::socket> m_socket;
-    asio::steady_timer m_timer;
+    Timer m_timer; ///< The time that a connection may take, then that of the answer.
     http::MessageReader m_reader;
     bool m_isHead = false; ///< The request is HEAD: its answers have no body.
     Millis m_beganAt{0};
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -87,13 +87,10 @@
     }
 }
 
-void Exchange::armTimer(Millis time, ExchangeEnd end)
+void Exchange::armTimer(Millis time)
 {
-    m_timer.expires_after(time);
-    m_timer.async_wait([self = shared_from_this(), end](const asio::error_code &ec) {
-        if (!ec && !self->m_done) {
-            self->finish(end);
-        }
+    m_timer.start(time, [self = shared_from_this()] {
+        self->finish(self->m_connected ? ExchangeEnd::TimedOut : ExchangeEnd::NotConnected);
     });
 }
 
@@ -101,7 +98,7 @@
 {
     ++m_client->m_opened;
     m_socket = std::make_shared<asio::ip::tcp::socket>(m_client->m_loop);
-    armTimer(m_options.connectTime, ExchangeEnd::NotConnected);
+    armTimer(m_options.connectTime);
     m_socket->async_connect(endpoint, [self = shared_from_this(), socket = m_socket](const asio::error_code &ec) {
         if (self->m_done) {
             return;
@@ -123,7 +120,7 @@
     m_reused = reused;
     m_beganAt = steadyMillis();
     if (m_options.timeout > Millis{0}) {
-        armTimer(m_options.timeout, ExchangeEnd::TimedOut);
+        armTimer(m_options.timeout);
     }
     ConnectionEvents events{
         .data = [self = shared_from_this()](std::string_view bytes) { self->onData(bytes); },
@@ -165,7 +162,7 @@
     m_answered = true;
     if (m_options.stall > Millis{0}) {
         const Millis left = m_beganAt + m_options.longest - steadyMillis();
-        armTimer(std::clamp(left, Millis{0}, m_options.stall), ExchangeEnd::TimedOut);
+        armTimer(std::clamp(left, Millis{0}, m_options.stall));
     }
     while (!m_done && !bytes.empty()) {
         const auto used = m_reader.feed(bytes);
--- /dev/null
+++ b/libs/net/test/timer_test.cpp
@@ -0,0 +1,128 @@
+#include "ibislock/net/timer.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <optional>
+#include <thread>
+
+namespace ibislock::net
+{
+
+namespace
+{
+
+constexpr Millis Short{5};
+
+/// Until a timer that was started with `Short` is due.
+void letItBecomeDue()
+{
+    std::this_thread::sleep_for(2 * Short);
+}
+
+TEST(TimerTest, CallsItsHandlerOnce)
+{
+    asio::io_context loop;
+    Timer timer(loop);
+    int calls = 0;
+    timer.start(Short, [&] { ++calls; });
+    loop.run();
+    EXPECT_EQ(calls, 1);
+}
+
+/// Runs a handler in front of that of a timer when both are due, so that the timer's is queued already.
+template <typename Change>
+void changeWhileQueued(asio::io_context &loop, Change change)
+{
+    asio::steady_timer first(loop, Millis{1});
+    first.async_wait([&](const asio::error_code &) { change(); });
+    letItBecomeDue();
+    loop.run();
+}
+
+TEST(TimerTest, AHandlerThatIsQueuedDoesNotRunAfterItWasCancelled)
+{
+    asio::io_context loop;
+    Timer timer(loop);
+    bool ran = false;
+    timer.start(Short, [&] { ran = true; });
+    changeWhileQueued(loop, [&] { timer.cancel(); });
+    EXPECT_FALSE(ran);
+}
+
+TEST(TimerTest, AHandlerThatIsQueuedDoesNotRunAfterItWasStartedAnew)
+{
+    asio::io_context loop;
+    Timer timer(loop);
+    std::string ran;
+    timer.start(Short, [&] { ran += "old"; });
+    changeWhileQueued(loop, [&] { timer.start(Short, [&] { ran += "new"; }); });
+    EXPECT_EQ(ran, "new");
+}
+
+TEST(TimerTest, AHandlerThatIsQueuedDoesNotRunAfterItsTimerIsGone)
+{
+    asio::io_context loop;
+    std::optional<Timer> timer(std::in_place, loop);
+    bool ran = false;
+    timer->start(Short, [&] { ran = true; });
+    changeWhileQueued(loop, [&] { timer.reset(); });
+    EXPECT_FALSE(ran);
+}
+
+TEST(TimerTest, AHandlerMayStartAndDestroyItsTimer)
+{
+    asio::io_context loop;
+    std::optional<Timer> timer(std::in_place, loop);
+    int calls = 0;
+    timer->start(Short, [&] {
+        ++calls;
+        timer->start(Short, [&] {
+            ++calls;
+            timer.reset();
+        });
+    });
+    loop.run();
+    EXPECT_EQ(calls, 2);
+}
+
+/// What is done with a timer in one turn of the loop.
+enum class Step { Start, Cancel, StandStill, RunSome };
+
+RC_GTEST_PROP(TimerProperty, OnlyTheLastHandlerThatWasStartedRunsAndAtMostOnce, ())
+{
+    asio::io_context loop;
+    Timer timer(loop);
+    int current = 0; // The handler that may run; 0 for none.
+    int started = 0;
+    const auto steps = *rc::gen::container<std::vector<Step>>(
+        rc::gen::element(Step::Start, Step::Cancel, Step::StandStill, Step::RunSome));
+    for (const Step step : steps) {
+        switch (step) {
+        case Step::Start:
+            current = ++started;
+            timer.start(Millis{started % 2}, [&current, own = started] {
+                RC_ASSERT(own == current);
+                current = 0;
+            });
+            break;
+        case Step::Cancel:
+            current = 0;
+            timer.cancel();
+            break;
+        case Step::StandStill:
+            std::this_thread::sleep_for(Millis{2});
+            break;
+        case Step::RunSome:
+            loop.poll_one();
+            loop.restart();
+            break;
+        }
+    }
+    loop.run();
+    RC_ASSERT(current == 0);
+}
+
+} // namespace
+
+} // namespace ibislock::net
