All timers of the daemons are taken back when they are cancelled or started anew

A follower of listings left a relay that had answered while the loop stood still (relaysLeft 2, 0 expected): the answer started the pause before the next ask, and the queued end of the wait for it fired as if there had been no answer, so that the store was read in place of a relay that was there. Change: net::Timer in place of asio's timers in the followers of listings and operators, the topic feed, held asks, the tick of the entry daemon, the watch of the engine, the exchange and the fetcher of pieces, the order to load and the pause of a listener. Numbers of their own that three of them kept for this go; the feed's round stays for its calls. A begun order to load is cancelled with its round: its handler, which ran late with an error, could mark the order of the next round as not sent. Left: the scheduler of the product's own daemons (libs/node) arms each timer from its own handler only and never cancels it.

--- a/libs/feed/include/ibislock/feed/held_asks.h
+++ b/libs/feed/include/ibislock/feed/held_asks.h
@@ -10,7 +10,6 @@
 #include "ibislock/net/connection.h"
 #include "ibislock/peer/frames.h"
 
-#include <asio/steady_timer.hpp>
 #include <map>
 #include <vector>
 
@@ -137,17 +136,12 @@
         if (!m_waiting.empty()) {
             answerWaiting();
         }
-        m_tick.expires_after(TickTime);
-        m_tick.async_wait([this](const asio::error_code &ec) {
-            if (!ec) {
-                tick();
-            }
-        });
+        m_tick.start(TickTime, [this] { tick(); });
     }
 
     AskHandler<Ask> m_handler;
     net::Listener m_listener;
-    asio::steady_timer m_tick;
+    net::Timer m_tick;
     std::vector<Waiting> m_waiting;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_connections;
     std::uint64_t m_answers = 0;
--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -108,7 +108,7 @@
     std::uint32_t m_sequence = 0;
     int m_behind = 0; ///< Answers in a row that end before what is known here.
     Millis m_askedAt{0}; ///< By the boot clock.
-    asio::steady_timer m_timer;
+    net::Timer m_timer;
     PeerLink m_link;
     std::uint64_t m_unusable = 0;
     std::uint64_t m_relayAnswers = 0;
--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -76,7 +76,7 @@
     TopicFeed m_feed;
     HeldAsks<peer::RecordsAsk> m_asks;
     PeerLink m_link;
-    asio::steady_timer m_timer;
+    net::Timer m_timer;
     std::vector<std::string> m_entryVms;
     std::map<std::string, Millis, std::less<>> m_avoidedUntil; ///< VMs that gave no answer; monotonic time.
     std::vector<std::string> m_sources; ///< Of the present ask.
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -143,7 +143,7 @@
     platform::Endpoint m_store;
     FeedOptions m_options;
     FeedEvents m_events;
-    asio::steady_timer m_timer;
+    net::Timer m_timer;
     Random m_random;
     std::vector<platform::KeyedRecord> m_pages;
     std::int64_t m_next = -1;
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -236,22 +236,12 @@
                                          .from = m_cache.end,
                                          .wait = part(WaitPart),
                                          .entryVm = m_options.entryVm ? m_options.ip : ""}));
-    m_timer.expires_after(part(WaitPart + MarginPart));
-    m_timer.async_wait([this](const asio::error_code &ec) {
-        if (!ec) {
-            leaveRelay("no answer");
-        }
-    });
+    m_timer.start(part(WaitPart + MarginPart), [this] { leaveRelay("no answer"); });
 }
 
 void ListingsFollower::askLater(Millis time)
 {
-    m_timer.expires_after(time);
-    m_timer.async_wait([this](const asio::error_code &ec) {
-        if (!ec) {
-            askNext();
-        }
-    });
+    m_timer.start(time, [this] { askNext(); });
 }
 
 void ListingsFollower::takeFrame(const std::string &body)
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -208,11 +208,7 @@
 
 void OperatorsFollower::awaitAnswer(Millis time)
 {
-    m_timer.expires_after(time);
-    m_timer.async_wait([this, sequence = m_sequence](const asio::error_code &ec) {
-        if (ec || !m_asking || sequence != m_sequence) {
-            return;
-        }
+    m_timer.start(time, [this] {
         const Millis silence = steadyMillis() - m_link.heardAt();
         if (silence < part(MarginPart)) {
             awaitAnswer(part(MarginPart) - silence); // The answer is coming in.
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -82,13 +82,8 @@
 
 void TopicFeed::later(Millis time, void (TopicFeed::*step)())
 {
-    // A wait that has ended may still be queued when another step begins; its round tells that it is over.
-    m_timer.expires_after(time);
-    m_timer.async_wait([this, step, round = ++m_round](const asio::error_code &ec) {
-        if (!ec && round == m_round) {
-            (this->*step)();
-        }
-    });
+    ++m_round;
+    m_timer.start(time, [this, step] { (this->*step)(); });
 }
 
 void TopicFeed::failed(std::string_view what, void (TopicFeed::*again)())
@@ -125,6 +120,7 @@
                      std::function<void(int status, const std::string &body)> done)
 {
     ++m_calls;
+    m_timer.cancel();
     m_calling = true;
     m_calledAt = steadyMillis();
     m_calledAtBoot = bootMillis();
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -353,12 +353,7 @@
         finishDrainIfIdle(now);
     }
     m_tickDueAt = steadyMillis() + TickTime;
-    m_tick.expires_after(TickTime);
-    m_tick.async_wait([this](const asio::error_code &ec) {
-        if (!ec) {
-            tick();
-        }
-    });
+    m_tick.start(TickTime, [this] { tick(); });
 }
 
 bool Front::isEngine(const serving::TargetEntry &entry) const
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -97,7 +97,7 @@
     std::unique_ptr<feed::OperatorsFollower> m_operatorsFollower;
     feed::OperatorsLevel m_level; ///< The end of the operators' topic, as far as any VM has told.
     std::unique_ptr<feed::ListingsFollower> m_listings;
-    asio::steady_timer m_tick;
+    net::Timer m_tick;
     Millis m_tickDueAt{0}; ///< 0 before the first tick.
     Millis m_longestStall{0}; ///< By how much a tick was late at most.
     asio::ip::udp::socket m_loads;
--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -6,11 +6,10 @@
 
 #pragma once
 
-#include "ibislock/base/clock.h"
+#include "ibislock/net/timer.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -107,7 +106,7 @@
     void acceptNext();
 
     asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_pause;
+    Timer m_pause;
     std::function<void(std::shared_ptr<Connection>)> m_accepted;
 };
 
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -281,12 +281,7 @@
             return;
         }
         // Most often no descriptor is free: at once, the next try would fail the same way and keep the loop busy.
-        m_pause.expires_after(AcceptPause);
-        m_pause.async_wait([this](const asio::error_code &stopped) {
-            if (!stopped && m_acceptor.is_open()) {
-                acceptNext();
-            }
-        });
+        m_pause.start(AcceptPause, [this] { acceptNext(); });
     });
 }
 
--- a/libs/side/src/engine_watch.cpp
+++ b/libs/side/src/engine_watch.cpp
@@ -80,12 +80,7 @@
             m_report.reset();
         }
         m_changed();
-        m_timer.expires_after(PollTime);
-        m_timer.async_wait([this](const asio::error_code &ec) {
-            if (!ec) {
-                poll();
-            }
-        });
+        m_timer.start(PollTime, [this] { poll(); });
     });
 }
 
--- a/libs/side/src/engine_watch.h
+++ b/libs/side/src/engine_watch.h
@@ -40,7 +40,7 @@
     net::HttpClient &m_client;
     platform::Endpoint m_engine;
     std::function<void()> m_changed;
-    asio::steady_timer m_timer;
+    net::Timer m_timer;
     std::optional<platform::EngineReport> m_report;
     Millis m_reportedAt{0};
     int m_failures = 0;
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -253,12 +253,7 @@
     ++m_reading;
     noteSent(item, connection, now);
     m_nextPieceAt = item.ask.index == peer::ManifestIndex ? now : now + m_pieceTime;
-    m_nextPiece.expires_after(m_pieceTime);
-    m_nextPiece.async_wait([this](const asio::error_code &ec) {
-        if (!ec) {
-            answerWaiting();
-        }
-    });
+    m_nextPiece.start(m_pieceTime, [this] { answerWaiting(); });
     const Millis queued = now - item.since;
     m_store.read(item.ask, [this, queued, to = item.connection](peer::PieceMessage answer) {
         --m_reading;
@@ -333,12 +328,7 @@
     if (!m_waiting.empty()) {
         answerWaiting();
     }
-    m_tick.expires_after(TickTime);
-    m_tick.async_wait([this](const asio::error_code &ec) {
-        if (!ec) {
-            tick();
-        }
-    });
+    m_tick.start(TickTime, [this] { tick(); });
 }
 
 } // namespace ibislock::side
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -5,7 +5,6 @@
 #include "ibislock/net/connection.h"
 #include "ibislock/peer/messages.h"
 
-#include <asio/steady_timer.hpp>
 #include <map>
 #include <optional>
 
@@ -105,7 +104,7 @@
     Millis m_nextPieceAt{0};
     PieceStore m_store;
     net::Listener m_listener;
-    asio::steady_timer m_tick;
+    net::Timer m_tick;
     std::map<std::string, Asked> m_asked;
     std::vector<Waiting> m_waiting;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_served;
@@ -120,7 +119,7 @@
     std::map<int, std::vector<Sent>> m_sent; ///< By piece, of the version that is spread now.
     std::int64_t m_sentVersion = 0;
     int m_reading = 0; ///< Asks of others that are being read.
-    asio::steady_timer m_nextPiece;
+    net::Timer m_nextPiece;
     std::uint64_t m_bytesServed = 0;
 };
 
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -75,6 +75,7 @@
     m_originQueue.clear();
     m_originTurns.clear();
     m_nextOrigin.cancel();
+    m_nextTransfer.cancel();
     m_transfers.clear();
     m_transferring = 0;
     m_transferringFrom.clear();
@@ -180,12 +181,7 @@
     if (m_originTurns.empty()) {
         return;
     }
-    m_nextOrigin.expires_after(m_originTurns.front().first - now);
-    m_nextOrigin.async_wait([this](const asio::error_code &ec) {
-        if (!ec) {
-            waitForOriginTurn();
-        }
-    });
+    m_nextOrigin.start(m_originTurns.front().first - now, [this] { waitForOriginTurn(); });
 }
 
 PieceFetcher::Transfer PieceFetcher::takeTransfer()
@@ -223,12 +219,8 @@
     }
     noteUrgent();
     if (!m_transfers.empty() && (yields || now < m_pace.nextAt)) {
-        m_nextTransfer.expires_after(std::max(m_pace.nextAt - now, yields ? m_pace.pieceTime : Millis{0}));
-        m_nextTransfer.async_wait([this](const asio::error_code &ec) {
-            if (!ec) {
-                transferNext();
-            }
-        });
+        m_nextTransfer.start(std::max(m_pace.nextAt - now, yields ? m_pace.pieceTime : Millis{0}),
+                             [this] { transferNext(); });
     }
 }
 
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -121,7 +121,7 @@
     std::map<int, int> m_rounds; ///< How often all sources of a piece were asked.
     Millis m_beganAt{0};
     std::deque<std::pair<Millis, int>> m_originTurns; ///< Times and pieces that this VM owns, in their order.
-    asio::steady_timer m_nextOrigin;
+    net::Timer m_nextOrigin;
     std::map<int, Millis> m_notBefore; ///< When a piece that could not be had is tried again.
     std::deque<int> m_originQueue; ///< Pieces to take from the origin, one after another.
     bool m_originBusy = false;
@@ -129,7 +129,7 @@
     int m_transferring = 0;
     int m_window = 1; ///< Transfers that may be under way at once.
     std::set<std::string> m_transferringFrom;
-    asio::steady_timer m_nextTransfer;
+    net::Timer m_nextTransfer;
 };
 
 } // namespace ibislock::side
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -188,6 +188,7 @@
 void WeightsAgent::restart()
 {
     ++m_round;
+    m_retry.cancel();
     m_digests.clear();
     m_staged.clear();
     m_unstaged.clear();
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -113,7 +113,7 @@
     SpreadMembers m_members;
     LinkPace m_pace;
     PieceExchange m_exchange;
-    asio::steady_timer m_retry;
+    net::Timer m_retry;
     ManifestSeeker m_seeker;
     PieceFetcher m_fetcher;
     AheadCopy m_ahead; ///< Of the next goal.
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -158,9 +158,8 @@
     enter(WeightsPhase::Ordered);
     m_orderSent = true;
     m_orderAccepted = false;
-    m_retry.expires_after(AnnounceTime);
-    m_retry.async_wait([this, round = m_round](const asio::error_code &ec) {
-        if (ec || round != m_round || !m_engine.report()) {
+    m_retry.start(AnnounceTime, [this, round = m_round] {
+        if (!m_engine.report()) {
             m_orderSent = false;
             return;
         }
