Tests of the lines of sends: whether a send was connected, and each send beyond the first

Cause: the fields `connected` and `sends` of "A send did not end in an answer." and the line "A request is sent again." had no test, and no test of the repository read log lines. Three tests of the front: a send that was not connected has connected=0 and the next one is a line with kind, known=unsent and sends; a lost one has connected=1 and the next is a line with known=unknown; a lost request that must run once has one send and no line of another.

--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/front/daemon.h"
 
 #include "ibislock/net/http_client.h"
+#include "platform/log_capture.h"
 #include "platform/store_stand_in.h"
 #include "platform/target_stand_in.h"
 
@@ -90,6 +91,13 @@
         m_store.append(target.id, target.listing("s", leaving));
     }
 
+    /// Lists a target at whose address nothing listens any more.
+    void listGone(const std::string &id)
+    {
+        const lab::TargetStandIn gone(m_loop, id);
+        m_store.append(id, gone.listing("s"));
+    }
+
     void runFor(Millis time)
     {
         m_loop.run_for(time);
@@ -516,6 +524,72 @@
     }
 }
 
+const std::string UnansweredSend = "A send did not end in an answer.";
+const std::string SecondSend = "A request is sent again.";
+
+TEST_F(FrontTest, TheLineOfASendThatWasNotConnectedSaysSoAndTheNextSendIsALine)
+{
+    listGone("i-3");
+    listGone("i-4");
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/once/x")).status, 503);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_GE(ends.size(), 2U);
+    for (std::size_t n = 0; n < ends.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(ends[n], "id", "attempt-1")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "end", "not_connected")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "connected", "0")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "sends", std::to_string(n + 1))) << ends[n];
+    }
+    const auto again = log.take(SecondSend);
+    ASSERT_EQ(again.size(), ends.size() - 1);
+    for (std::size_t n = 0; n < again.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(again[n], "id", "attempt-1")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "kind", "non_idempotent")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "known", "unsent")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "sends", std::to_string(n + 1))) << again[n];
+    }
+}
+
+TEST_F(FrontTest, TheLineOfALostSendSaysThatItWasConnectedAndTheNextSendIsALine)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).status, 502);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 2U);
+    for (std::size_t n = 0; n < ends.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(ends[n], "end", "broken")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "connected", "1")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "sends", std::to_string(n + 1))) << ends[n];
+    }
+    const auto again = log.take(SecondSend);
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_TRUE(lab::hasField(again[0], "id", "attempt-1")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "kind", "idempotent")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "known", "unknown")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "sends", "1")) << again[0];
+}
+
+TEST_F(FrontTest, ALostRequestThatMustRunOnceHasNoLineOfASecondSend)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/once/x")).status, 502);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_TRUE(lab::hasField(ends[0], "connected", "1")) << ends[0];
+    EXPECT_TRUE(lab::hasField(ends[0], "sends", "1")) << ends[0];
+    EXPECT_TRUE(log.take(SecondSend).empty());
+}
+
 TEST_F(FrontTest, AStoppingVmAnswersWhatItHasAndClosesConnections)
 {
     list(m_first);
