Both daemons tell pauses of their event loop

Cause: only `ibislock front` had the line "The event loop stood still." and ibislock_loop_longest_stall_ms. A target VM's daemon that was frozen left no trace. Change: LoopStalls in libs/base, with the time as an argument, holds what was the front's own. The target daemon has a tick of its own each 100 ms, as none of its timers runs at a fixed time: the one of the engine's reports waits for the engine.

--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -36,9 +36,6 @@
 /// By how much sooner than the platform kills it a stopping process ends.
 constexpr Millis KillMargin{200};
 
-/// A tick that is late by this much is told: half of the time that a connection to a target may take.
-constexpr Millis StallToTell{200};
-
 std::string_view requestPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -320,19 +317,10 @@
     });
 }
 
-void Front::noteStall(Millis now)
-{
-    const Millis stall = m_tickDueAt > Millis{0} ? now - m_tickDueAt : Millis{0};
-    m_longestStall = std::max(m_longestStall, stall);
-    if (stall >= StallToTell) {
-        logWarning(Part::Front, "The event loop stood still.", {{"stall_ms", std::to_string(stall.count())}});
-    }
-}
-
 void Front::tick()
 {
     const Millis now = steadyMillis();
-    noteStall(now);
+    tellLateTick(m_stalls, m_tickDueAt, now, Part::Front);
     expireLapsed(table, now);
     std::vector<std::shared_ptr<CallerConnection>> connections;
     connections.reserve(m_connections.size());
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "counters.h"
+#include "ibislock/base/loop_stalls.h"
 #include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
@@ -81,7 +82,6 @@
     void serveReadiness(const std::shared_ptr<net::Connection> &connection);
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
     void tick();
-    void noteStall(Millis now);
     void subscribe(Millis now);
     bool isEngine(const serving::TargetEntry &entry) const;
     void receiveLoads();
@@ -99,7 +99,7 @@
     std::unique_ptr<feed::ListingsFollower> m_listings;
     asio::steady_timer m_tick;
     Millis m_tickDueAt{0}; ///< 0 before the first tick.
-    Millis m_longestStall{0}; ///< By how much a tick was late at most.
+    LoopStalls m_stalls;
     asio::ip::udp::socket m_loads;
     asio::ip::udp::endpoint m_loadSender;
     std::array<char, 1500> m_loadBuffer{};
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -92,8 +92,7 @@
     const Millis now = steadyMillis();
     writeState(out, operators, operatorsAway, now);
     writeKnowledge(out, m_operatorsFollower->feed(), *m_listings);
-    writeGauge(out, "ibislock_loop_longest_stall_ms", "By how much the event loop was late at most since the start.",
-               m_longestStall.count());
+    writeStalls(out, m_stalls);
     writeCounters(out, counters);
     writeStore(out, *m_operatorsFollower, *m_listings);
     writeTargets(out, table, now);
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -1,5 +1,6 @@
 #include "ibislock/front/daemon.h"
 
+#include "ibislock/base/loop_stalls.h"
 #include "ibislock/net/http_client.h"
 #include "platform/log_capture.h"
 #include "platform/store_stand_in.h"
@@ -590,6 +591,17 @@
     EXPECT_TRUE(log.take(SecondSend).empty());
 }
 
+TEST_F(FrontTest, APauseOfTheLoopIsALine)
+{
+    start();
+    lab::LogCapture log;
+    std::this_thread::sleep_for(StallToTell * 2);
+    m_loop.poll();
+    const auto lines = log.take("front: The event loop stood still.");
+    ASSERT_FALSE(lines.empty());
+    EXPECT_NE(lines[0].find(" stall_ms="), std::string::npos) << lines[0];
+}
+
 TEST_F(FrontTest, AStoppingVmAnswersWhatItHasAndClosesConnections)
 {
     list(m_first);
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -61,6 +61,7 @@
     writeCounter(out, "ibislock_log_lines_dropped_total", "Log lines that were left out.", droppedLogLines());
     writeGauge(out, "ibislock_subscribers", "Entry VMs that are there.",
                static_cast<std::int64_t>(m_subscribers.size()));
+    writeStalls(out, m_stalls);
     writeMemory(out);
     return out;
 }
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -32,6 +32,9 @@
 /// takes.
 constexpr Millis VersionMargin{1800};
 
+/// Between two looks at how late the loop is; the engine's reports are as far apart.
+constexpr Millis TickTime{100};
+
 /// The part of the VM's link that pieces may use; requests to the engine and its answers share the link.
 constexpr double LinkPart = 0.85;
 
@@ -64,6 +67,7 @@
               pieceTimeOf(m_settings.linkMbps), [this](std::int64_t version) { return members(version); })
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
+    , m_tick(loop)
 {
 }
 
@@ -144,6 +148,7 @@
     m_operatorsFollower->setLazy(true); // Until it is known whom this VM informs.
     m_operatorsFollower->start();
     m_engine.start();
+    tick();
     logInfo(Part::Side, "The target daemon has started.", {{"vm", m_settings.vmName}, {"domain", m_settings.domain}});
     return {};
 }
@@ -239,6 +244,18 @@
     flushLog();
 }
 
+void Side::tick()
+{
+    tellLateTick(m_stalls, m_tickDueAt, steadyMillis(), Part::Side);
+    m_tickDueAt = steadyMillis() + TickTime;
+    m_tick.expires_after(TickTime);
+    m_tick.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
 void Side::publish(bool force)
 {
     const Millis now = steadyMillis();
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "ibislock/base/loop_stalls.h"
 #include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
@@ -11,6 +12,7 @@
 #include "weights_agent.h"
 
 #include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
 
 namespace ibislock::side
 {
@@ -43,6 +45,7 @@
     void publish(bool force);
     void takeLevel(const feed::OperatorsLevel &level);
     void onReport();
+    void tick();
     std::string metricsText() const;
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
     std::vector<weights::SpreadMember> members(std::int64_t version) const;
@@ -69,6 +72,9 @@
     std::string m_lastPublished;
     Millis m_publishedAt{0};
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_administration;
+    asio::steady_timer m_tick; ///< Shows pauses of the loop.
+    Millis m_tickDueAt{0}; ///< 0 before the first tick.
+    LoopStalls m_stalls;
 };
 
 } // namespace ibislock::side
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -1,12 +1,17 @@
 #include "ibislock/side/daemon.h"
 
+#include "ibislock/base/loop_stalls.h"
+#include "ibislock/net/http_client.h"
 #include "ibislock/peer/messages.h"
 #include "platform/engine_stand_in.h"
+#include "platform/log_capture.h"
 #include "platform/store_stand_in.h"
 
 #include <asio/ip/udp.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <thread>
 
 namespace ibislock::side
 {
@@ -402,6 +407,39 @@
     EXPECT_TRUE(isThere.loads().empty());
 }
 
+TEST_F(SideTest, APauseOfTheLoopIsALineAndAMetric)
+{
+    Vm &vm = add(1);
+    std::uint16_t port = 0;
+    {
+        net::Listener probe(m_loop, [](const std::shared_ptr<net::Connection> &) {});
+        ASSERT_FALSE(probe.open(vm.ip, 0));
+        port = probe.port();
+    }
+    vm.daemon = std::make_unique<SideDaemon>(m_loop, vm.settings, SideOptions{.metricsPort = port});
+    start();
+    m_loop.run_for(std::chrono::milliseconds(50));
+    lab::LogCapture log;
+    std::this_thread::sleep_for(StallToTell * 2);
+    m_loop.poll();
+    const auto lines = log.take("side: The event loop stood still.");
+    ASSERT_FALSE(lines.empty());
+    EXPECT_NE(lines[0].find(" stall_ms="), std::string::npos) << lines[0];
+
+    net::HttpClient client(m_loop);
+    std::optional<std::string> metrics;
+    const auto exchange =
+        client.call(vm.ip, port, "GET /metrics HTTP/1.1\r\n\r\n", {.timeout = Millis{5000}},
+                    [&](net::ExchangeEnd, const http::ResponseHead &, const std::string &body) { metrics = body; });
+    while (!metrics) {
+        m_loop.run_one();
+    }
+    const std::string name = "\nibislock_loop_longest_stall_ms ";
+    const std::size_t at = metrics->find(name);
+    ASSERT_NE(at, std::string::npos) << *metrics;
+    EXPECT_GE(Millis{std::stoll(metrics->substr(at + name.size()))}, StallToTell);
+}
+
 } // namespace
 
 } // namespace ibislock::side
