explain says which send accounts for a request that ran twice

Cause: `ibislock explain` put the lines of an id in order and said how the request ended. For an id that ran at two targets that is "The target's whole answer was handed over": nothing led to the send that should not have been. Change: one sentence for a send that ended as not connected although connected=1, and one for a request that must run once and was sent again after a send that may have run, by the lines of its sends or by `known`.

--- a/app/log_story.cpp
+++ b/app/log_story.cpp
@@ -2,6 +2,8 @@
 
 #include "ibislock/front/call_outcome.h"
 #include "ibislock/http/message.h"
+#include "ibislock/net/http_client.h"
+#include "ibislock/serving/desired_state.h"
 
 #include <algorithm>
 #include <sstream>
@@ -41,6 +43,40 @@
     return line.substr(begin, line.find(' ', begin) - begin);
 }
 
+/// Whether a line is the end of a send after which the target may have run the request. An answer that came in whole
+/// with a status says itself what the target did.
+bool mayHaveRun(const std::string &line)
+{
+    const bool answered = fieldOf(line, "end") == nameOf(net::ExchangeEndNames, net::ExchangeEnd::Complete)
+        && fieldOf(line, "status") != "0";
+    return fieldOf(line, "connected") == "1" && !answered;
+}
+
+/// Writes a sentence on each send that contradicts what was known: what explains a request that ran twice.
+void tellContradictions(std::string &out, const std::vector<StoryLine> &lines)
+{
+    bool sent = false;
+    for (const StoryLine &line : lines) {
+        const std::string &text = line.text;
+        if (text.find("A send did not end in an answer.") != std::string::npos) {
+            sent = sent || mayHaveRun(text);
+            if (mayHaveRun(text)
+                && fieldOf(text, "end") == nameOf(net::ExchangeEndNames, net::ExchangeEnd::NotConnected)) {
+                out.append("=> A send to ").append(fieldOf(text, "target"));
+                out += " ended as not connected although its connection had come about: it may have run. Report it, "
+                       "with the lines \"The event loop stood still.\" of its VM.\n";
+            }
+        } else if (text.find("A request is sent again.") != std::string::npos) {
+            const bool once =
+                fieldOf(text, "kind") == nameOf(serving::RequestKindNames, serving::RequestKind::NonIdempotent);
+            if (once && (sent || fieldOf(text, "known") != "unsent")) {
+                out.append("=> A request that must run once was sent again, to ").append(fieldOf(text, "target"));
+                out += ", after a send that may have run. Report it.\n";
+            }
+        }
+    }
+}
+
 } // namespace
 
 void addLines(LogStory &story, std::istream &log)
@@ -72,6 +108,7 @@
             out.append("=> ").append(front::explanationOf(*outcome)).append("\n");
         }
     }
+    tellContradictions(out, lines);
     return out;
 }
 
--- a/app/log_story.h
+++ b/app/log_story.h
@@ -31,7 +31,8 @@
 /// Takes the lines of the request from a log. What stands in front of a line's time, as a collector adds it, is kept.
 void addLines(LogStory &story, std::istream &log);
 
-/// Writes the lines in the order of their times, and a sentence on each end.
+/// Writes the lines in the order of their times, and a sentence on each end and on each send that contradicts what was
+/// known of the ones before it.
 std::string tell(const LogStory &story);
 
 } // namespace ibislock::app
