An answer that names no request is no promise that the request was not run

What callers would see: a request that ran is answered 503, which promises that it did not run, or runs at a second target. Targets name the request that they answer, and a late or surplus answer on a kept connection, where the next one is expected, can only be told by that id. Call::takeHead skipped answers with another id, but took one without an id for the request's own: its Not-Executed mark or 421 made the request count as unsent, and a signed failure was handed to the caller, with a 503 among them.

The new cases failed on the code before: OnceRefusalWithoutId, OnceMisdirectionWithoutId and OnceFailureWithoutId got 503 instead of 502 after one run, OftenRefusalWithoutId 503 instead of 502 after two, and FixedStreamRefusalWithoutId (a stream that may not be resumed) ran at both targets (runs() 2, 1 expected) and got 503.

Now such an answer is none, whatever it says: the request counts as one that may have run. One that may be repeated goes on to another target at once, any other ends with 502. Waiting for a further answer would hold the second kind, which has a connection of its own, for nothing. A log line tells of each answer that is not taken for this.

The stand-ins of targets and engines sent refusals without an id, which real targets don't do; they name the request now.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -181,6 +181,7 @@
 {
     const std::string attempt(request.headers.find("X-Ibislock-Attempt-Id").value_or(""));
     http::ResponseHead head{.status = 200};
+    head.headers.add("X-Ibislock-Attempt-Id", attempt);
     if (version == 0 || m_loading) {
         head.status = 503;
         head.headers.add("X-Ibislock-Not-Executed", "1");
@@ -188,7 +189,6 @@
         return;
     }
     ++served;
-    head.headers.add("X-Ibislock-Attempt-Id", attempt);
     head.headers.add("X-Ibislock-Response-Signature", "s-" + attempt);
     connection.write(http::writeResponse(head, "answer to " + attempt));
 }
--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -91,6 +91,19 @@
     return out;
 }
 
+http::ResponseHead TargetStandIn::refusal(int status, const std::string &attempt) const
+{
+    http::ResponseHead out{.status = status};
+    if (!attempt.empty()) {
+        out.headers.add("X-Ibislock-Attempt-Id", attempt);
+    }
+    out.headers.add("X-Ibislock-Not-Executed", "1");
+    for (const http::Header &line : said.lines) {
+        out.headers.add(line.name, line.value);
+    }
+    return out;
+}
+
 void TargetStandIn::answer(net::Connection &connection, const http::RequestHead &request)
 {
     const std::string attempt = headerOf(request, "X-Ibislock-Attempt-Id");
@@ -110,13 +123,19 @@
     case TargetBehaviour::Fail:
         connection.write(http::writeResponse(head(500, attempt), "failed"));
         break;
-    case TargetBehaviour::Refuse: {
-        http::ResponseHead refusal{.status = 503};
-        refusal.headers.add("X-Ibislock-Not-Executed", "1");
-        for (const http::Header &line : said.lines) {
-            refusal.headers.add(line.name, line.value);
-        }
-        connection.write(http::writeResponse(refusal, ""));
+    case TargetBehaviour::Refuse:
+        connection.write(http::writeResponse(refusal(503, attempt), ""));
+        break;
+    case TargetBehaviour::RefuseUnnamed:
+        connection.write(http::writeResponse(refusal(503, ""), "") + http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::MisdirectUnnamed:
+        connection.write(http::writeResponse(refusal(421, ""), "") + http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::FailUnnamed: {
+        http::ResponseHead failed = head(503, attempt);
+        failed.headers.remove("X-Ibislock-Attempt-Id");
+        connection.write(http::writeResponse(failed, "failed") + http::writeResponse(own, body));
         break;
     }
     case TargetBehaviour::CloseUnanswered:
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -20,6 +20,9 @@
     Extra, ///< Sends bytes behind a whole answer.
     Fail, ///< Runs it and answers with a signed 500.
     Refuse, ///< Does not run it and says so.
+    RefuseUnnamed, ///< Runs it, and sends a refusal that names no request in front of its answer.
+    MisdirectUnnamed, ///< The same with a 421.
+    FailUnnamed, ///< The same with a signed 503 that does not say that the request was not run.
     CloseUnanswered, ///< Runs it and closes the connection.
     CutOff, ///< Runs it and closes within the answer.
     Unsigned, ///< Answers without its signature.
@@ -72,6 +75,10 @@
     void writeForever(net::Connection &connection, const std::string &begin, const std::string &part);
     http::ResponseHead head(int status, const std::string &attempt) const;
 
+    /// The head of an answer that says that a request was not run.
+    /// @param attempt of the request; empty for none.
+    http::ResponseHead refusal(int status, const std::string &attempt) const;
+
     asio::io_context &m_loop;
     std::vector<std::shared_ptr<net::Connection>> m_connections;
     net::Listener m_listener;
--- a/libs/front/src/call_answer.cpp
+++ b/libs/front/src/call_answer.cpp
@@ -60,8 +60,14 @@
     }
     m_answerHead = answer;
     const bool success = answer.status / 100 == 2;
-    const bool own = said.signedByTarget && !said.encoded && !(success && said.attemptId.empty());
-    if (said.notExecuted && !success) {
+    // Targets name the request that they answer: without its id, it may be a late answer to another one.
+    const bool named = said.attemptId == request.attemptId;
+    if (!named) {
+        logInfo(Part::Front, "An answer that names no request was not taken.",
+                {{"id", request.attemptId}, {"target", m_targetId}, {"status", std::to_string(answer.status)}});
+    }
+    const bool own = named && said.signedByTarget && !said.encoded;
+    if (named && said.notExecuted && !success) {
         m_answer = Answer::NotRun;
     } else if (!own || (hasBegun() && !success)) {
         // Handled as a failure at its end: not the target's own bytes, or nothing that a begun stream can go on with.
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -22,6 +22,7 @@
     R"({"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","TimeoutMs":700,"TargetLatencyMs":50,"Service":"s","MaxAttempts":2},)"
     R"({"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","TimeoutMs":2000,"Service":"s",)"
     R"("MaxAttempts":2,"ResumeStreams":true},)"
+    R"({"Name":"fixed","Host":"h","PathPrefix":"/fixed/","Kind":"streaming","TimeoutMs":700,"Service":"s","MaxAttempts":2},)"
     R"({"Name":"open","Host":"h","PathPrefix":"/open/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1,)"
     R"("Anonymous":true},)"
     R"({"Name":"nobody","Host":"h","PathPrefix":"/nobody/","Kind":"idempotent","TimeoutMs":700,"Service":"none"}],)"
@@ -189,6 +190,10 @@
                     OutcomeCase{"OnceBytesBehindTheAnswer", "/once/x", TargetBehaviour::Extra, 200, 1},
                     OutcomeCase{"OnceFailed", "/once/x", TargetBehaviour::Fail, 500, 1},
                     OutcomeCase{"OnceRefused", "/once/x", TargetBehaviour::Refuse, 503, 0},
+                    OutcomeCase{"OnceRefusalWithoutId", "/once/x", TargetBehaviour::RefuseUnnamed, 502, 1},
+                    OutcomeCase{"OnceMisdirectionWithoutId", "/once/x", TargetBehaviour::MisdirectUnnamed, 502, 1},
+                    OutcomeCase{"OnceFailureWithoutId", "/once/x", TargetBehaviour::FailUnnamed, 502, 1},
+                    OutcomeCase{"FixedStreamRefusalWithoutId", "/fixed/x", TargetBehaviour::RefuseUnnamed, 502, 1},
                     OutcomeCase{"OnceAnswerLost", "/once/x", TargetBehaviour::CloseUnanswered, 502, 1},
                     OutcomeCase{"OnceAnswerCutOff", "/once/x", TargetBehaviour::CutOff, 502, 1},
                     OutcomeCase{"OnceUnsigned", "/once/x", TargetBehaviour::Unsigned, 502, 1},
@@ -197,7 +202,8 @@
                     OutcomeCase{"OnceSilent", "/once/x", TargetBehaviour::Silent, 504, 1},
                     OutcomeCase{"OftenAnswerLost", "/often/x", TargetBehaviour::CloseUnanswered, 502, 2},
                     OutcomeCase{"OftenFailed", "/often/x", TargetBehaviour::Fail, 500, 2},
-                    OutcomeCase{"OftenRefused", "/often/x", TargetBehaviour::Refuse, 503, 0}),
+                    OutcomeCase{"OftenRefused", "/often/x", TargetBehaviour::Refuse, 503, 0},
+                    OutcomeCase{"OftenRefusalWithoutId", "/often/x", TargetBehaviour::RefuseUnnamed, 502, 2}),
     [](const auto &item) { return item.param.name; });
 
 TEST_F(FrontTest, WithoutADesiredStateEverythingIsRefusedAsNotRun)
