A stream that may not be resumed goes over a new connection, as all that must run once

What callers would see: a stream of a route without ResumeStreams ends with 502 though its target did not even read it, since the target closed the kept connection as the request was written. Such a request counts as one that must run once, so it can't be sent again. It was also the only one of these that could meet late answers to earlier requests. Call::send chose a new connection by the kind non_idempotent alone; the rule of what may run twice stood in three places, and this one had left out the routes.

AStreamThatMayNotBeResumedDoesNotMeetAConnectionThatItsTargetCloses failed on the code before: 502 instead of 200 for the second of three calls, runs() 2 instead of 3.

The rule is now one function, serving::mayRunTwice, which the send, the stall and the state chart of requests ask. Such streams cost a connection each from now on.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -61,13 +61,17 @@
     auto reader = std::make_shared<http::MessageReader>(http::MessageKind::Request, http::ReaderLimits{});
     connection->start({
         .data =
-            [this, raw = connection.get(), reader](std::string_view bytes) {
+            [this, raw = connection.get(), reader, used = std::make_shared<bool>(false)](std::string_view bytes) {
+                if (std::exchange(*used, true) && behaviour == TargetBehaviour::StreamOnce) {
+                    raw->close();
+                    return;
+                }
                 while (!bytes.empty()) {
-                    const auto used = reader->feed(bytes);
-                    if (!used || !reader->complete()) {
+                    const auto n = reader->feed(bytes);
+                    if (!n || !reader->complete()) {
                         return;
                     }
-                    bytes.remove_prefix(*used);
+                    bytes.remove_prefix(*n);
                     if (behaviour != TargetBehaviour::Refuse) {
                         requests.push_back(reader->request());
                         bodies.push_back(reader->takeBody());
@@ -171,6 +175,7 @@
     case TargetBehaviour::Stream:
     case TargetBehaviour::StreamWithoutIds:
     case TargetBehaviour::StreamCutOff:
+    case TargetBehaviour::StreamOnce:
     case TargetBehaviour::EndlessEvent:
         answerStream(connection, request);
         break;
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -33,6 +33,7 @@
     Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
     StreamWithoutIds, ///< A stream whose events have no ids, cut off in the middle of the third.
     StreamCutOff, ///< The same, but closes in the middle of the third event.
+    StreamOnce, ///< The first request of a connection as a stream; closes at the next, which it does not run.
     EndlessHead, ///< Runs it and sends a head without end.
     EndlessBody, ///< Runs it and sends a body without end.
     EndlessNoise, ///< Runs it and sends bytes that are no answer, without end.
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -209,7 +209,7 @@
     m_events.partial.clear();
     const http::RequestHead forwarded = platform::targetRequest(head, targetOptions(target, now));
     // What must not run twice goes over a new connection: a kept one may be closed by the target as it is sent.
-    const bool fresh = route.kind == RequestKind::NonIdempotent || m_sends > 1;
+    const bool fresh = !serving::mayRunTwice(route.kind, route.resumable) || m_sends > 1;
     m_exchange = front.client.send(
         endpoint->ip, endpoint->port, writeRequest(forwarded, body),
         {.connectTime = std::min(ConnectTime, deadlineAt - now),
--- a/libs/front/src/call_time.cpp
+++ b/libs/front/src/call_time.cpp
@@ -8,7 +8,6 @@
 {
 
 using serving::RequestEvent;
-using serving::RequestKind;
 
 namespace
 {
@@ -32,9 +31,8 @@
 
 bool Call::isStalled(Millis now) const
 {
-    const bool mayRunTwice =
-        route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
-    if (!m_exchange || !mayRunTwice || m_sends - m_connectFailures >= route.maxTargets) {
+    const bool repeatable = serving::mayRunTwice(route.kind, route.resumable);
+    if (!m_exchange || !repeatable || m_sends - m_connectFailures >= route.maxTargets) {
         return false;
     }
     const Millis silence = now - std::max(m_sentAt, m_lastEventAt);
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -352,6 +352,17 @@
     EXPECT_EQ(runs(), 1U);
 }
 
+TEST_F(FrontTest, AStreamThatMayNotBeResumedDoesNotMeetAConnectionThatItsTargetCloses)
+{
+    m_first.behaviour = TargetBehaviour::StreamOnce;
+    list(m_first);
+    start();
+    for (int n = 0; n < 3; ++n) {
+        EXPECT_EQ(call(request("/fixed/x")).status, 200);
+    }
+    EXPECT_EQ(runs(), 3U);
+}
+
 TEST_F(FrontTest, AStreamThatCannotGoOnDoesNotLookComplete)
 {
     m_first.behaviour = TargetBehaviour::StreamCutOff;
--- a/libs/serving/include/ibislock/serving/request_life.h
+++ b/libs/serving/include/ibislock/serving/request_life.h
@@ -64,6 +64,10 @@
 /// @return what is said to the caller.
 RequestAction advance(RequestLife &life, RequestEvent event);
 
+/// Tells whether requests of a kind may run more than once.
+/// @param resumable whether streams of the route may be resumed.
+bool mayRunTwice(RequestKind kind, bool resumable);
+
 /// Tells whether a request may be sent now: what may have run is sent again only if its kind allows to run it twice.
 bool maySend(const RequestLife &life, RequestKind kind, bool resumable);
 
--- a/libs/serving/src/request_life.cpp
+++ b/libs/serving/src/request_life.cpp
@@ -12,11 +12,15 @@
     return valueOf(RequestActionNames, transition.action).value_or(RequestAction::None);
 }
 
+bool mayRunTwice(RequestKind kind, bool resumable)
+{
+    return kind == RequestKind::Idempotent || (kind == RequestKind::Stream && resumable);
+}
+
 bool maySend(const RequestLife &life, RequestKind kind, bool resumable)
 {
-    const bool mayRunTwice = kind == RequestKind::Idempotent || (kind == RequestKind::Stream && resumable);
     const bool mayHaveRun = life.state == "unknown" || life.state == "broken";
-    return life.state == "unsent" || (mayHaveRun && mayRunTwice);
+    return life.state == "unsent" || (mayHaveRun && mayRunTwice(kind, resumable));
 }
 
 bool hasBegun(const RequestLife &life)
