The time in which an engine is silent does not show that its order to load had no effect

What callers would see: tokens made with layers of two versions. An order to load may be accepted without an answer, and loads what is staged then. The agent took an order without an answer for not accepted when the engine's report showed nothing of it 1.5 s after the call had ended. That time also ran while the engine answered nothing: an engine that was frozen or cut off for longer than the call and these 1.5 s got pieces of the next version as soon as it answered again, and could then accept the order that it still had before it.

The 1.5 s now run from the end of the call or from the first report after a silence, whichever is later; until then nothing is staged. An engine that answers all the while is handled as before. The stand-in counts orders that it delays, so that the test knows when one is on its way.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -196,6 +196,7 @@
 void EngineStandIn::order(net::Connection &connection, const std::string &body)
 {
     if (orderDelay > Millis{0}) {
+        ++delayedOrders;
         auto timer = std::make_shared<asio::steady_timer>(m_loop, orderDelay);
         timer->async_wait([this, timer, body](const asio::error_code &) { acceptOrder(body); });
         return;
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -72,6 +72,7 @@
     int refusedOrders = 0;
     int served = 0; ///< Requests that were run.
     Millis orderDelay{0}; ///< Orders get no answer and are accepted this late.
+    int delayedOrders = 0; ///< That came while there was such a delay.
     bool away = false; ///< Closes connections without an answer.
     bool loadedSpoilt = false; ///< A load began while a staged piece was not what it should be.
     WeightsStandIn expected; ///< What the engine checks a load against, except for its version.
--- a/libs/side/src/engine_watch.cpp
+++ b/libs/side/src/engine_watch.cpp
@@ -57,6 +57,11 @@
     return m_reportedAt;
 }
 
+Millis EngineWatch::answersSince() const
+{
+    return m_answersSince;
+}
+
 std::int64_t EngineWatch::loadedVersion() const
 {
     return m_report && !m_report->models.empty() ? m_report->models.front().version : 0;
@@ -74,6 +79,7 @@
             }
             m_report = std::move(*report);
             m_reportedAt = steadyMillis();
+            m_answersSince = m_failures > 0 || m_answersSince == Millis{0} ? m_reportedAt : m_answersSince;
             m_failures = 0;
         } else if (++m_failures == FailuresToLose) {
             logWarning(Part::Side, "The engine does not answer.", {{"cause", report.error().message}});
--- a/libs/side/src/engine_watch.h
+++ b/libs/side/src/engine_watch.h
@@ -31,6 +31,9 @@
     /// When the last report came.
     Millis reportedAt() const;
 
+    /// Since when each question for a report has been answered.
+    Millis answersSince() const;
+
     /// The version of a model that is loaded; 0 for none.
     std::int64_t loadedVersion() const;
 
@@ -43,6 +46,7 @@
     asio::steady_timer m_timer;
     std::optional<platform::EngineReport> m_report;
     Millis m_reportedAt{0};
+    Millis m_answersSince{0};
     int m_failures = 0;
 };
 
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// After an order without effect, when it is looked at anew.
+/// How long an engine that answers shows nothing of an order until the order counts as without effect.
 constexpr Millis OrderTime{1500};
 
 /// The part of the pieces that must be here for an overtaken version to be finished. With less, the rest takes as long
@@ -110,6 +110,13 @@
     return steadyMillis() >= useless || (m_phase == WeightsPhase::Fetching && m_ahead.isWhole());
 }
 
+bool WeightsAgent::isOrderWithoutEffect(Millis now) const
+{
+    // An engine that was silent may take the order once it goes on.
+    const Millis since = std::max(m_enteredAt, m_engine.answersSince());
+    return !m_orderSent && !m_engine.report()->ordered && now > since + OrderTime;
+}
+
 double WeightsAgent::turnPart() const
 {
     return weights::turnOf(m_self, m_domain, m_members(m_goal.version));
@@ -260,8 +267,8 @@
         if (goalReached()) {
             enter(WeightsPhase::Idle);
             adoptNextGoal();
-        } else if (!m_orderSent && !m_engine.report()->ordered && now > m_enteredAt + OrderTime) {
-            enter(WeightsPhase::Waiting); // The order had no effect; all is verified again before the next.
+        } else if (isOrderWithoutEffect(now)) {
+            enter(WeightsPhase::Waiting); // All is verified again before the next order.
             adoptNextGoal();
         }
         break;
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -104,6 +104,9 @@
     bool isWorthFinishing() const;
     bool isOutdated() const;
     bool goalReached() const;
+
+    /// Tells whether the engine has answered for long enough without a sign of the order.
+    bool isOrderWithoutEffect(Millis now) const;
     std::optional<bool> holdsForPeer(const peer::PieceMessage &ask) const;
     void readForPeer(const peer::PieceMessage &ask, const std::function<void(peer::PieceMessage)> &done);
 
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -209,6 +209,31 @@
     expectNothingSpoilt();
 }
 
+TEST_F(SideTest, TheTimeInWhichAnEngineIsSilentDoesNotShowThatItsOrderHadNoEffect)
+{
+    constexpr Millis Silence{3700}; // Longer than the daemon waits for an answer, and then for an effect.
+    add(1);
+    add(1);
+    start();
+    m_loop.run_for(std::chrono::milliseconds(300));
+    lab::EngineStandIn &engine = m_vms[0]->engine;
+    engine.orderDelay = Silence + Millis{800};
+    name(2);
+    const Millis end = steadyMillis() + Millis{10000};
+    while (engine.delayedOrders == 0 && steadyMillis() < end) {
+        m_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    ASSERT_EQ(engine.delayedOrders, 1);
+    engine.away = true;
+    name(3);
+    m_loop.run_for(Silence);
+    engine.away = false;
+    m_loop.run_for(std::chrono::milliseconds(1200));
+    engine.orderDelay = Millis{0};
+    ASSERT_TRUE(runUntilLoaded(3));
+    expectNothingSpoilt();
+}
+
 TEST_F(SideTest, AVersionThatIsNamedOnTheWayOvertakes)
 {
     for (int n = 0; n < 4; ++n) {
