--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -24,6 +24,7 @@
     R"({"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","TimeoutMs":700,"TargetLatencyMs":50,"Service":"s","MaxAttempts":2},)"
     R"({"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","TimeoutMs":2000,"Service":"s",)"
     R"("MaxAttempts":2,"ResumeStreams":true},)"
+    R"({"Name":"fixed","Host":"h","PathPrefix":"/fixed/","Kind":"streaming","TimeoutMs":700,"Service":"s","MaxAttempts":2},)"
     R"({"Name":"open","Host":"h","PathPrefix":"/open/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1,)"
     R"("Anonymous":true},)"
     R"({"Name":"nobody","Host":"h","PathPrefix":"/nobody/","Kind":"idempotent","TimeoutMs":700,"Service":"none"}],)"
@@ -198,6 +199,10 @@
                     OutcomeCase{"OnceBytesBehindTheAnswer", "/once/x", TargetBehaviour::Extra, 200, 1},
                     OutcomeCase{"OnceFailed", "/once/x", TargetBehaviour::Fail, 500, 1},
                     OutcomeCase{"OnceRefused", "/once/x", TargetBehaviour::Refuse, 503, 0},
+                    OutcomeCase{"OnceRefusalWithoutId", "/once/x", TargetBehaviour::RefuseUnnamed, 502, 1},
+                    OutcomeCase{"OnceMisdirectionWithoutId", "/once/x", TargetBehaviour::MisdirectUnnamed, 502, 1},
+                    OutcomeCase{"OnceFailureWithoutId", "/once/x", TargetBehaviour::FailUnnamed, 502, 1},
+                    OutcomeCase{"FixedStreamRefusalWithoutId", "/fixed/x", TargetBehaviour::RefuseUnnamed, 502, 1},
                     OutcomeCase{"OnceAnswerLost", "/once/x", TargetBehaviour::CloseUnanswered, 502, 1},
                     OutcomeCase{"OnceAnswerCutOff", "/once/x", TargetBehaviour::CutOff, 502, 1},
                     OutcomeCase{"OnceUnsigned", "/once/x", TargetBehaviour::Unsigned, 502, 1},
@@ -206,7 +211,8 @@
                     OutcomeCase{"OnceSilent", "/once/x", TargetBehaviour::Silent, 504, 1},
                     OutcomeCase{"OftenAnswerLost", "/often/x", TargetBehaviour::CloseUnanswered, 502, 2},
                     OutcomeCase{"OftenFailed", "/often/x", TargetBehaviour::Fail, 500, 2},
-                    OutcomeCase{"OftenRefused", "/often/x", TargetBehaviour::Refuse, 503, 0}),
+                    OutcomeCase{"OftenRefused", "/often/x", TargetBehaviour::Refuse, 503, 0},
+                    OutcomeCase{"OftenRefusalWithoutId", "/often/x", TargetBehaviour::RefuseUnnamed, 502, 2}),
     [](const auto &item) { return item.param.name; });
 
 TEST_F(FrontTest, WithoutADesiredStateEverythingIsRefusedAsNotRun)
@@ -355,6 +361,17 @@
     EXPECT_EQ(runs(), 1U);
 }
 
+TEST_F(FrontTest, AStreamThatMayNotBeResumedDoesNotMeetAConnectionThatItsTargetCloses)
+{
+    m_first.behaviour = TargetBehaviour::StreamOnce;
+    list(m_first);
+    start();
+    for (int n = 0; n < 3; ++n) {
+        EXPECT_EQ(call(request("/fixed/x")).status, 200);
+    }
+    EXPECT_EQ(runs(), 3U);
+}
+
 TEST_F(FrontTest, AStreamThatCannotGoOnDoesNotLookComplete)
 {
     m_first.behaviour = TargetBehaviour::StreamCutOff;
