--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -248,12 +248,7 @@
 {
     tellLateTick(m_stalls, m_tickDueAt, steadyMillis(), Part::Side);
     m_tickDueAt = steadyMillis() + TickTime;
-    m_tick.expires_after(TickTime);
-    m_tick.async_wait([this](const asio::error_code &ec) {
-        if (!ec) {
-            tick();
-        }
-    });
+    m_tick.start(TickTime, [this] { tick(); });
 }
 
 void Side::publish(bool force)
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -12,7 +12,6 @@
 #include "weights_agent.h"
 
 #include <asio/ip/udp.hpp>
-#include <asio/steady_timer.hpp>
 
 namespace ibislock::side
 {
@@ -72,7 +71,7 @@
     std::string m_lastPublished;
     Millis m_publishedAt{0};
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_administration;
-    asio::steady_timer m_tick; ///< Shows pauses of the loop.
+    net::Timer m_tick; ///< Shows pauses of the loop.
     Millis m_tickDueAt{0}; ///< 0 before the first tick.
     LoopStalls m_stalls;
 };
