A send that the target did not execute has its line whatever the status

Cause: the line was left out for each whole answer whose status is not 5xx, and so for these. Change: such a send is no served one; what is told of the target is as before.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -72,7 +72,7 @@
                         return;
                     }
                     bytes.remove_prefix(*n);
-                    if (behaviour != TargetBehaviour::Refuse) {
+                    if (behaviour != TargetBehaviour::Refuse && behaviour != TargetBehaviour::RefuseBusy) {
                         requests.push_back(reader->request());
                         bodies.push_back(reader->takeBody());
                     }
@@ -130,6 +130,9 @@
     case TargetBehaviour::Refuse:
         connection.write(http::writeResponse(refusal(503, attempt), ""));
         break;
+    case TargetBehaviour::RefuseBusy:
+        connection.write(http::writeResponse(refusal(429, attempt), ""));
+        break;
     case TargetBehaviour::RefuseUnnamed:
         connection.write(http::writeResponse(refusal(503, ""), "") + http::writeResponse(own, body));
         break;
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -20,6 +20,7 @@
     Extra, ///< Sends bytes behind a whole answer.
     Fail, ///< Runs it and answers with a signed 500.
     Refuse, ///< Does not run it and says so.
+    RefuseBusy, ///< The same with a 429.
     RefuseUnnamed, ///< Runs it, and sends a refusal that names no request in front of its answer.
     MisdirectUnnamed, ///< The same with a 421.
     FailUnnamed, ///< The same with a signed 503 that does not say that the request was not run.
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -240,9 +240,10 @@
     }
     const auto self = shared_from_this();
     const bool complete = result.end == net::ExchangeEnd::Complete;
-    const bool served = complete && m_answer != Answer::None && m_answerHead.status / 100 != 5;
+    const bool notRun = complete && m_answer == Answer::NotRun;
+    const bool served = complete && !notRun && m_answer != Answer::None && m_answerHead.status / 100 != 5;
     const std::string target = m_targetId;
-    releaseTarget(served || (complete && m_answer == Answer::NotRun));
+    releaseTarget(served || notRun);
     if (!served) {
         logInfo(Part::Front, "A send did not end in an answer.",
                 {{"id", request.attemptId},
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -593,6 +593,23 @@
     EXPECT_TRUE(lab::hasField(again[0], "sends", "1")) << again[0];
 }
 
+TEST_F(FrontTest, ATargetThatSaysThatItDidNotExecuteARequestHasALineWhateverTheStatus)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::RefuseBusy;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).status, 503);
+    EXPECT_EQ(runs(), 0U);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 2U);
+    for (const std::string &end : ends) {
+        EXPECT_TRUE(lab::hasField(end, "end", "complete")) << end;
+        EXPECT_TRUE(lab::hasField(end, "status", "429")) << end;
+    }
+}
+
 TEST_F(FrontTest, ALostRequestThatMustRunOnceHasNoLineOfASecondSend)
 {
     m_first.behaviour = m_second.behaviour = TargetBehaviour::CloseUnanswered;
