--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -61,14 +61,18 @@
     auto reader = std::make_shared<http::MessageReader>(http::MessageKind::Request, http::ReaderLimits{});
     connection->start({
         .data =
-            [this, raw = connection.get(), reader](std::string_view bytes) {
+            [this, raw = connection.get(), reader, used = std::make_shared<bool>(false)](std::string_view bytes) {
+                if (std::exchange(*used, true) && behaviour == TargetBehaviour::StreamOnce) {
+                    raw->close();
+                    return;
+                }
                 while (!bytes.empty()) {
-                    const auto used = reader->feed(bytes);
-                    if (!used || !reader->complete()) {
+                    const auto n = reader->feed(bytes);
+                    if (!n || !reader->complete()) {
                         return;
                     }
-                    bytes.remove_prefix(*used);
-                    if (behaviour != TargetBehaviour::Refuse) {
+                    bytes.remove_prefix(*n);
+                    if (behaviour != TargetBehaviour::Refuse && behaviour != TargetBehaviour::RefuseBusy) {
                         requests.push_back(reader->request());
                         bodies.push_back(reader->takeBody());
                     }
@@ -91,6 +95,19 @@
     return out;
 }
 
+http::ResponseHead TargetStandIn::refusal(int status, const std::string &attempt) const
+{
+    http::ResponseHead out{.status = status};
+    if (!attempt.empty()) {
+        out.headers.add("X-Ibislock-Attempt-Id", attempt);
+    }
+    out.headers.add("X-Ibislock-Not-Executed", "1");
+    for (const http::Header &line : said.lines) {
+        out.headers.add(line.name, line.value);
+    }
+    return out;
+}
+
 void TargetStandIn::answer(net::Connection &connection, const http::RequestHead &request)
 {
     const std::string attempt = headerOf(request, "X-Ibislock-Attempt-Id");
@@ -110,13 +127,22 @@
     case TargetBehaviour::Fail:
         connection.write(http::writeResponse(head(500, attempt), "failed"));
         break;
-    case TargetBehaviour::Refuse: {
-        http::ResponseHead refusal{.status = 503};
-        refusal.headers.add("X-Ibislock-Not-Executed", "1");
-        for (const http::Header &line : said.lines) {
-            refusal.headers.add(line.name, line.value);
-        }
-        connection.write(http::writeResponse(refusal, ""));
+    case TargetBehaviour::Refuse:
+        connection.write(http::writeResponse(refusal(503, attempt), ""));
+        break;
+    case TargetBehaviour::RefuseBusy:
+        connection.write(http::writeResponse(refusal(429, attempt), ""));
+        break;
+    case TargetBehaviour::RefuseUnnamed:
+        connection.write(http::writeResponse(refusal(503, ""), "") + http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::MisdirectUnnamed:
+        connection.write(http::writeResponse(refusal(421, ""), "") + http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::FailUnnamed: {
+        http::ResponseHead failed = head(503, attempt);
+        failed.headers.remove("X-Ibislock-Attempt-Id");
+        connection.write(http::writeResponse(failed, "failed") + http::writeResponse(own, body));
         break;
     }
     case TargetBehaviour::CloseUnanswered:
@@ -152,6 +178,7 @@
     case TargetBehaviour::Stream:
     case TargetBehaviour::StreamWithoutIds:
     case TargetBehaviour::StreamCutOff:
+    case TargetBehaviour::StreamOnce:
     case TargetBehaviour::EndlessEvent:
         answerStream(connection, request);
         break;
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -209,7 +209,7 @@
     m_events.partial.clear();
     const http::RequestHead forwarded = platform::targetRequest(head, targetOptions(target, now));
     // What must not run twice goes over a new connection: a kept one may be closed by the target as it is sent.
-    const bool fresh = route.kind == RequestKind::NonIdempotent || m_sends > 1;
+    const bool fresh = !serving::mayRunTwice(route.kind, route.resumable) || m_sends > 1;
     m_exchange = front.client.send(
         endpoint->ip, endpoint->port, writeRequest(forwarded, body),
         {.connectTime = std::min(ConnectTime, deadlineAt - now),
@@ -240,9 +240,10 @@
     }
     const auto self = shared_from_this();
     const bool complete = result.end == net::ExchangeEnd::Complete;
-    const bool served = complete && m_answer != Answer::None && m_answerHead.status / 100 != 5;
+    const bool notRun = complete && m_answer == Answer::NotRun;
+    const bool served = complete && !notRun && m_answer != Answer::None && m_answerHead.status / 100 != 5;
     const std::string target = m_targetId;
-    releaseTarget(served || (complete && m_answer == Answer::NotRun));
+    releaseTarget(served || notRun);
     if (!served) {
         logInfo(Part::Front, "A send did not end in an answer.",
                 {{"id", request.attemptId},
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -1,6 +1,8 @@
 #include "ibislock/front/daemon.h"
 
+#include "ibislock/base/loop_stalls.h"
 #include "ibislock/net/http_client.h"
+#include "platform/log_capture.h"
 #include "platform/store_stand_in.h"
 #include "platform/target_stand_in.h"
 
@@ -22,6 +24,7 @@
     R"({"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","TimeoutMs":700,"TargetLatencyMs":50,"Service":"s","MaxAttempts":2},)"
     R"({"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","TimeoutMs":2000,"Service":"s",)"
     R"("MaxAttempts":2,"ResumeStreams":true},)"
+    R"({"Name":"fixed","Host":"h","PathPrefix":"/fixed/","Kind":"streaming","TimeoutMs":700,"Service":"s","MaxAttempts":2},)"
     R"({"Name":"open","Host":"h","PathPrefix":"/open/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1,)"
     R"("Anonymous":true},)"
     R"({"Name":"nobody","Host":"h","PathPrefix":"/nobody/","Kind":"idempotent","TimeoutMs":700,"Service":"none"}],)"
@@ -90,6 +93,13 @@
         m_store.append(target.id, target.listing("s", leaving));
     }
 
+    /// Lists a target at whose address nothing listens any more.
+    void listGone(const std::string &id)
+    {
+        const lab::TargetStandIn gone(m_loop, id);
+        m_store.append(id, gone.listing("s"));
+    }
+
     void runFor(Millis time)
     {
         m_loop.run_for(time);
@@ -189,6 +199,10 @@
                     OutcomeCase{"OnceBytesBehindTheAnswer", "/once/x", TargetBehaviour::Extra, 200, 1},
                     OutcomeCase{"OnceFailed", "/once/x", TargetBehaviour::Fail, 500, 1},
                     OutcomeCase{"OnceRefused", "/once/x", TargetBehaviour::Refuse, 503, 0},
+                    OutcomeCase{"OnceRefusalWithoutId", "/once/x", TargetBehaviour::RefuseUnnamed, 502, 1},
+                    OutcomeCase{"OnceMisdirectionWithoutId", "/once/x", TargetBehaviour::MisdirectUnnamed, 502, 1},
+                    OutcomeCase{"OnceFailureWithoutId", "/once/x", TargetBehaviour::FailUnnamed, 502, 1},
+                    OutcomeCase{"FixedStreamRefusalWithoutId", "/fixed/x", TargetBehaviour::RefuseUnnamed, 502, 1},
                     OutcomeCase{"OnceAnswerLost", "/once/x", TargetBehaviour::CloseUnanswered, 502, 1},
                     OutcomeCase{"OnceAnswerCutOff", "/once/x", TargetBehaviour::CutOff, 502, 1},
                     OutcomeCase{"OnceUnsigned", "/once/x", TargetBehaviour::Unsigned, 502, 1},
@@ -197,7 +211,8 @@
                     OutcomeCase{"OnceSilent", "/once/x", TargetBehaviour::Silent, 504, 1},
                     OutcomeCase{"OftenAnswerLost", "/often/x", TargetBehaviour::CloseUnanswered, 502, 2},
                     OutcomeCase{"OftenFailed", "/often/x", TargetBehaviour::Fail, 500, 2},
-                    OutcomeCase{"OftenRefused", "/often/x", TargetBehaviour::Refuse, 503, 0}),
+                    OutcomeCase{"OftenRefused", "/often/x", TargetBehaviour::Refuse, 503, 0},
+                    OutcomeCase{"OftenRefusalWithoutId", "/often/x", TargetBehaviour::RefuseUnnamed, 502, 2}),
     [](const auto &item) { return item.param.name; });
 
 TEST_F(FrontTest, WithoutADesiredStateEverythingIsRefusedAsNotRun)
@@ -346,6 +361,17 @@
     EXPECT_EQ(runs(), 1U);
 }
 
+TEST_F(FrontTest, AStreamThatMayNotBeResumedDoesNotMeetAConnectionThatItsTargetCloses)
+{
+    m_first.behaviour = TargetBehaviour::StreamOnce;
+    list(m_first);
+    start();
+    for (int n = 0; n < 3; ++n) {
+        EXPECT_EQ(call(request("/fixed/x")).status, 200);
+    }
+    EXPECT_EQ(runs(), 3U);
+}
+
 TEST_F(FrontTest, AStreamThatCannotGoOnDoesNotLookComplete)
 {
     m_first.behaviour = TargetBehaviour::StreamCutOff;
@@ -516,6 +542,100 @@
     }
 }
 
+const std::string UnansweredSend = "A send did not end in an answer.";
+const std::string SecondSend = "A request is sent again.";
+
+TEST_F(FrontTest, TheLineOfASendThatWasNotConnectedSaysSoAndTheNextSendIsALine)
+{
+    listGone("i-3");
+    listGone("i-4");
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/once/x")).status, 503);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_GE(ends.size(), 2U);
+    for (std::size_t n = 0; n < ends.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(ends[n], "id", "attempt-1")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "end", "not_connected")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "connected", "0")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "sends", std::to_string(n + 1))) << ends[n];
+    }
+    const auto again = log.take(SecondSend);
+    ASSERT_EQ(again.size(), ends.size() - 1);
+    for (std::size_t n = 0; n < again.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(again[n], "id", "attempt-1")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "kind", "non_idempotent")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "known", "unsent")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "sends", std::to_string(n + 1))) << again[n];
+    }
+}
+
+TEST_F(FrontTest, TheLineOfALostSendSaysThatItWasConnectedAndTheNextSendIsALine)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).status, 502);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 2U);
+    for (std::size_t n = 0; n < ends.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(ends[n], "end", "broken")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "connected", "1")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "sends", std::to_string(n + 1))) << ends[n];
+    }
+    const auto again = log.take(SecondSend);
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_TRUE(lab::hasField(again[0], "id", "attempt-1")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "kind", "idempotent")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "known", "unknown")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "sends", "1")) << again[0];
+}
+
+TEST_F(FrontTest, ATargetThatSaysThatItDidNotExecuteARequestHasALineWhateverTheStatus)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::RefuseBusy;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).status, 503);
+    EXPECT_EQ(runs(), 0U);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 2U);
+    for (const std::string &end : ends) {
+        EXPECT_TRUE(lab::hasField(end, "end", "complete")) << end;
+        EXPECT_TRUE(lab::hasField(end, "status", "429")) << end;
+    }
+}
+
+TEST_F(FrontTest, ALostRequestThatMustRunOnceHasNoLineOfASecondSend)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/once/x")).status, 502);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_TRUE(lab::hasField(ends[0], "connected", "1")) << ends[0];
+    EXPECT_TRUE(lab::hasField(ends[0], "sends", "1")) << ends[0];
+    EXPECT_TRUE(log.take(SecondSend).empty());
+}
+
+TEST_F(FrontTest, APauseOfTheLoopIsALine)
+{
+    start();
+    lab::LogCapture log;
+    std::this_thread::sleep_for(StallToTell * 2);
+    m_loop.poll();
+    const auto lines = log.take("front: The event loop stood still.");
+    ASSERT_FALSE(lines.empty());
+    EXPECT_NE(lines[0].find(" stall_ms="), std::string::npos) << lines[0];
+}
+
 TEST_F(FrontTest, AStoppingVmAnswersWhatItHasAndClosesConnections)
 {
     list(m_first);
