--- a/libs/feed/include/ibislock/feed/held_asks.h
+++ b/libs/feed/include/ibislock/feed/held_asks.h
@@ -8,6 +8,7 @@
 
 #include "ibislock/base/log.h"
 #include "ibislock/net/connection.h"
+#include "ibislock/net/timer.h"
 #include "ibislock/peer/frames.h"
 
 #include <map>
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -8,6 +8,7 @@
 
 #include "ibislock/base/random.h"
 #include "ibislock/net/http_client.h"
+#include "ibislock/net/timer.h"
 #include "ibislock/platform/settings.h"
 #include "ibislock/platform/store_api.h"
 
@@ -168,7 +169,7 @@
     Millis m_calledAt{0};
     Millis m_calledAtBoot{0}; ///< The same by the boot clock.
     Millis m_heldFor{0}; ///< How long the store may hold the present call back.
-    std::uint64_t m_round = 0; ///< Of the present call or wait; those before are over.
+    std::uint64_t m_round = 0; ///< Of the present call; answers to those before are ignored.
 };
 
 } // namespace ibislock::feed
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -82,7 +82,6 @@
 
 void TopicFeed::later(Millis time, void (TopicFeed::*step)())
 {
-    ++m_round;
     m_timer.start(time, [this, step] { (this->*step)(); });
 }
 
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -340,7 +340,7 @@
     if (draining) {
         finishDrainIfIdle(now);
     }
-    m_tickDueAt = steadyMillis() + TickTime;
+    m_tickDueAt = now + TickTime; // A long step within a tick makes the next one late.
     m_tick.start(TickTime, [this] { tick(); });
 }
 
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -9,6 +9,7 @@
 #include "ibislock/feed/operators_view.h"
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
+#include "ibislock/net/timer.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/admission.h"
 #include "ibislock/serving/retry_share.h"
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -281,7 +281,11 @@
             return;
         }
         // Most often no descriptor is free: at once, the next try would fail the same way and keep the loop busy.
-        m_pause.start(AcceptPause, [this] { acceptNext(); });
+        m_pause.start(AcceptPause, [this] {
+            if (m_acceptor.is_open()) { // It may have been closed while the failure was queued.
+                acceptNext();
+            }
+        });
     });
 }
 
--- a/libs/side/src/engine_watch.h
+++ b/libs/side/src/engine_watch.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ibislock/net/http_client.h"
+#include "ibislock/net/timer.h"
 #include "ibislock/platform/engine_api.h"
 #include "ibislock/platform/settings.h"
 
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ibislock/net/connection.h"
+#include "ibislock/net/timer.h"
 #include "ibislock/peer/messages.h"
 
 #include <map>
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -8,6 +8,7 @@
 
 #include "ibislock/base/random.h"
 #include "ibislock/net/http_client.h"
+#include "ibislock/net/timer.h"
 #include "ibislock/weights/piece_sources.h"
 #include "link_pace.h"
 #include "piece_exchange.h"
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -30,7 +30,7 @@
                      .read = [this](const peer::PieceMessage &ask,
                                     const std::function<void(peer::PieceMessage)> &done) { readForPeer(ask, done); },
                  })
-    , m_retry(loop)
+    , m_announcement(loop)
     , m_seeker(loop, client, m_exchange, m_self, m_domain, m_members)
     , m_fetcher(loop, client, m_exchange, m_self, m_pace, FetchOrder::Urgent,
                 [this](int piece, std::string bytes) { stage(piece, std::move(bytes)); })
@@ -195,7 +195,7 @@
 void WeightsAgent::restart()
 {
     ++m_round;
-    m_retry.cancel();
+    m_announcement.cancel();
     m_digests.clear();
     m_staged.clear();
     m_unstaged.clear();
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -116,7 +116,7 @@
     SpreadMembers m_members;
     LinkPace m_pace;
     PieceExchange m_exchange;
-    net::Timer m_retry;
+    net::Timer m_announcement; ///< Between the news that the engine takes no more requests and the order to load.
     ManifestSeeker m_seeker;
     PieceFetcher m_fetcher;
     AheadCopy m_ahead; ///< Of the next goal.
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -158,7 +158,7 @@
     enter(WeightsPhase::Ordered);
     m_orderSent = true;
     m_orderAccepted = false;
-    m_retry.start(AnnounceTime, [this, round = m_round] {
+    m_announcement.start(AnnounceTime, [this, round = m_round] {
         if (!m_engine.report()) {
             m_orderSent = false;
             return;
