Only the target of a key tells that a call with it was not run

What callers saw: a call with a key that had run and been answered was repeated while its target could not be reached, and got refused_not_run. The session proves "not run" for its own attempt (no connection, or a withdrawal that the target confirmed), which says nothing of earlier calls with the same key. The same held when no time was left for an attempt.

AKeyWhoseTargetCanNotBeReachedIsUnknown failed on the code before: refused_not_run instead of unknown for each of five calls after the target had been killed.

Unless the target itself has ended the call, a session with a key now ends as unknown where it would end as refused_not_run. The caller uses the key again, and the target's register answers. This holds for all ways in which an attempt can end, so the case in which the target is not known any more needs no rule of its own.

--- a/lab/test/requests_test.cpp
+++ b/lab/test/requests_test.cpp
@@ -131,6 +131,18 @@
     EXPECT_EQ(runsOf("reading"), 0U);
 }
 
+TEST_F(RequestsTest, AKeyWhoseTargetCanNotBeReachedIsUnknown)
+{
+    constexpr int Tries = 5; // The first may meet the connection as it breaks, the others find none.
+    const std::string key = mint(0);
+    ASSERT_EQ(post(0, "/desk/readings", "reading", key).status, 200);
+    m_deployment.killTarget(m_deployment.services()[0]);
+    for (int n = 0; n < Tries; ++n) {
+        EXPECT_EQ(codeOf(post(0, "/desk/readings", "reading", key)), "unknown");
+    }
+    EXPECT_EQ(runsOf("reading"), 1U);
+}
+
 TEST_F(RequestsTest, AKeyThatWasNotMintedIsRefused)
 {
     EXPECT_EQ(post(0, "/desk/readings", "reading", "of my own").status, 400);
--- a/libs/entry/src/request_session.cpp
+++ b/libs/entry/src/request_session.cpp
@@ -94,8 +94,6 @@
     const auto key = requests::keyFromText(m_request.key);
     auto target = key && m_tried.empty() ? m_dispatcher.find(m_request, key->vm) : std::nullopt;
     if (!target) {
-        // Earlier calls with the key may have run there.
-        m_earlier = Outcome::Unknown;
         return std::nullopt;
     }
     return Dispatcher::Chosen{.target = std::move(*target)};
@@ -139,6 +137,7 @@
             counters.add(Counter::AnswersDropped);
             return endFor(Outcome::FailedAfterStart, Refusal::None, checked.error().message);
         }
+        m_targetEnded = true;
         if (received->cachedBytes) {
             m_dispatcher.noteCached(m_attempt->chosen, *received->cachedBytes);
         }
@@ -215,6 +214,11 @@
     if (m_released && end.outcome == Outcome::RefusedNotRun) {
         end.outcome = Outcome::FailedAfterStart;
     }
+    if (!m_request.key.empty() && !m_targetEnded && end.outcome == Outcome::RefusedNotRun) {
+        // An earlier call with the key may have run, which only its target knows.
+        end.outcome = Outcome::Unknown;
+        end.refusal = Refusal::None;
+    }
     if (end.retryAfter <= Millis(0)) {
         end.retryAfter = m_dispatcher.m_options.retryAfter;
     }
--- a/libs/entry/src/request_session.h
+++ b/libs/entry/src/request_session.h
@@ -71,6 +71,7 @@
     requests::Outcome m_earlier = requests::Outcome::RefusedNotRun;
     std::uint32_t m_eventsReleased = 0;
     bool m_released = false;
+    bool m_targetEnded = false; ///< The target itself has said how the request ended.
     std::string m_tail; ///< The last bytes released, to see whether an event ended there.
     bool m_counted = false;
 };
