An entry VM that is leaving does not say that a call with a key was not run

What callers saw: a call with a key that had run and been answered was repeated through an entry VM that was being stopped, and got refused_not_run. That VM refuses before it looks at anything, and does not know whether an earlier call with the key has run; a caller that mints a new key, as the reference says for refused_not_run, runs the call a second time.

Calls of services that have a key are unknown there now; calls without one are refused as before.

--- a/lab/test/requests_test.cpp
+++ b/lab/test/requests_test.cpp
@@ -58,7 +58,13 @@
     httplib::Response post(std::size_t entry, const std::string &path, const std::string &body,
                            const std::string &key = {}) const
     {
-        httplib::Client client(m_deployment.callerUrls().at(entry));
+        return postTo(m_deployment.callerUrls().at(entry), path, body, key);
+    }
+
+    static httplib::Response postTo(const std::string &url, const std::string &path, const std::string &body,
+                                    const std::string &key = {})
+    {
+        httplib::Client client(url);
         client.set_bearer_token_auth(CallerCredential);
         client.set_read_timeout(40);
         httplib::Headers headers;
@@ -195,6 +201,23 @@
     }
 }
 
+TEST_F(RequestsTest, ALeavingEntryVmDoesNotSayThatACallWithAKeyWasNotRun)
+{
+    constexpr unsigned LongStream = 1500;
+    const std::string key = mint(0);
+    ASSERT_EQ(post(0, "/desk/readings", "reading", key).status, 200);
+    const std::string url = m_deployment.callerUrls()[0];
+    const std::uint64_t started = m_deployment.targets()[0].engine->started();
+    std::thread caller([&] { complete(0, true, LongStream); });
+    EXPECT_TRUE(waitFor([&] { return m_deployment.targets()[0].engine->started() > started; }));
+    std::thread stop([&] { m_deployment.stopEntry(m_deployment.entries()[0]); });
+    EXPECT_TRUE(waitFor([&] { return postTo(url, "/v1/keys", R"({"path": "/desk/readings"})").status == 503; }));
+    EXPECT_EQ(codeOf(postTo(url, "/desk/readings", "reading", key)), "unknown");
+    caller.join();
+    stop.join();
+    EXPECT_EQ(runsOf("reading"), 1U);
+}
+
 TEST_F(RequestsTest, ATargetThatThePlatformListsAsLeavingTakesNoNewWork)
 {
     const TargetVm &vm = m_deployment.targets()[0];
--- a/libs/entry/src/callers_api.cpp
+++ b/libs/entry/src/callers_api.cpp
@@ -103,13 +103,14 @@
     m_broken = true;
 }
 
-bool CallersApi::isLeaving(httplib::Response &response) const
+bool CallersApi::isLeaving(httplib::Response &response, const std::string &key) const
 {
     if (!m_leaving) {
         return false;
     }
+    // An earlier call with the key may have run.
     replyOutcome(response,
-                 {.outcome = Outcome::RefusedNotRun,
+                 {.outcome = key.empty() ? Outcome::RefusedNotRun : Outcome::Unknown,
                   .message = "this entry VM is leaving",
                   .retryAfter = m_options.retryAfter,
                   .refusal = requests::Refusal::Leaving});
@@ -186,7 +187,8 @@
 void CallersApi::service(const httplib::Request &call, httplib::Response &response)
 {
     const auto workspace = workspaceOf(call, response);
-    if (!workspace || isLeaving(response)) {
+    const std::string key = call.get_header_value("Idempotency-Key");
+    if (!workspace || isLeaving(response, key)) {
         return;
     }
     const std::string *role = roleOf(call.path);
@@ -194,7 +196,6 @@
         replyError(response, 404, "not_found", "no route leads there");
         return;
     }
-    const std::string key = call.get_header_value("Idempotency-Key");
     if (!key.empty() && !requests::keyFromText(key)) {
         replyError(response, 400, "invalid_argument", "the key was not minted here; POST /v1/keys mints one");
         return;
--- a/libs/entry/src/callers_api.h
+++ b/libs/entry/src/callers_api.h
@@ -31,7 +31,10 @@
     void mintKey(const httplib::Request &call, httplib::Response &response);
     const std::string *roleOf(const std::string &path) const;
     void dropIfBroken(httplib::Response &response) const;
-    bool isLeaving(httplib::Response &response) const;
+
+    /// Refuses a call while this VM is leaving.
+    /// @param key of the call; empty for none.
+    bool isLeaving(httplib::Response &response, const std::string &key = {}) const;
     void answerWhole(RequestSession &session, httplib::Response &response);
     void answerStream(const std::shared_ptr<RequestSession> &session, httplib::Response &response);
 
