--- /dev/null
+++ b/libs/front/test/front_fixture.h
@@ -0,0 +1,163 @@
+// What the tests of the entry daemon share: a daemon with a store and two targets on loopback, and a caller.
+
+#pragma once
+
+#include "ibislock/front/daemon.h"
+#include "ibislock/net/http_client.h"
+#include "platform/store_stand_in.h"
+#include "platform/target_stand_in.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace ibislock::front
+{
+
+using lab::TargetBehaviour;
+
+/// Routes of each kind to one service.
+inline const std::string DesiredState =
+    R"({"Version":1,"Routes":[)"
+    R"({"Name":"once","Host":"h","PathPrefix":"/once/","Kind":"non_idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1},)"
+    R"({"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","TimeoutMs":700,"TargetLatencyMs":50,"Service":"s","MaxAttempts":2},)"
+    R"({"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","TimeoutMs":2000,"Service":"s",)"
+    R"("MaxAttempts":2,"ResumeStreams":true},)"
+    R"({"Name":"fixed","Host":"h","PathPrefix":"/fixed/","Kind":"streaming","TimeoutMs":700,"Service":"s","MaxAttempts":2},)"
+    R"({"Name":"open","Host":"h","PathPrefix":"/open/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1,)"
+    R"("Anonymous":true},)"
+    R"({"Name":"nobody","Host":"h","PathPrefix":"/nobody/","Kind":"idempotent","TimeoutMs":700,"Service":"none"}],)"
+    R"("Services":[{"Name":"s","HealthPath":"/health","MaxConns":100}],"Tenants":[{"Name":"w","ApiKeys":["key"]}]})";
+
+/// The same with an engine behind the service.
+inline const std::string EngineState =
+    R"({"Version":1,"Routes":[{"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","TimeoutMs":6000,)"
+    R"("Service":"s","MaxAttempts":2,"ResumeStreams":true}],"Services":[{"Name":"s","HealthPath":"/health",)"
+    R"("MaxConns":100,"Engine":{"Slots":16,"Models":[{"Name":"m","WarmupS":0.3}],"step_ms":9.27,"read_per_s":20700}}]})";
+
+/// From the naming of weights until nothing begins on older ones.
+inline constexpr Millis VersionTime{3000};
+
+/// Settings of an entry VM on loopback.
+inline platform::DaemonSettings settingsFor(std::uint16_t storePort)
+{
+    platform::DaemonSettings out;
+    out.vmName = "entry-1";
+    out.ip = "127.0.0.1";
+    out.domain = "a";
+    out.callers = {.ip = "127.0.0.1", .port = 0};
+    out.readiness = {.ip = "127.0.0.1", .port = 0};
+    out.store = {.ip = "127.0.0.1", .port = storePort};
+    out.bounds.retryAllowance = 1000;
+    out.bounds.versionTime = VersionTime;
+    return out;
+}
+
+/// What a caller got.
+struct CallerAnswer
+{
+    int status = 0; ///< 0 for none.
+    bool whole = false;
+    http::Headers headers;
+    std::string body;
+};
+
+/// Lets the loop stand still behind some of the handlers that a call takes.
+struct Stall
+{
+    int handlers = 0; ///< That run before it.
+    Millis time{0};
+};
+
+/// A daemon with a store and two targets.
+class FrontTest : public testing::Test
+{
+protected:
+    FrontTest()
+        : m_daemon(m_loop, settingsFor(m_store.port()), {})
+    {
+    }
+
+    void start(const std::string &state = DesiredState)
+    {
+        if (!state.empty()) {
+            m_store.append("config", state);
+        }
+        ASSERT_TRUE(m_daemon.start());
+        runFor(Millis{60});
+    }
+
+    /// Lists targets; the store stand-in holds one topic, so that listings and the state come by the same reads.
+    void list(const lab::TargetStandIn &target, bool leaving = false)
+    {
+        m_store.append(target.id, target.listing("s", leaving));
+    }
+
+    /// Lists a target at whose address nothing listens any more.
+    void listGone(const std::string &id)
+    {
+        const lab::TargetStandIn gone(m_loop, id);
+        m_store.append(id, gone.listing("s"));
+    }
+
+    void runFor(Millis time)
+    {
+        m_loop.run_for(time);
+    }
+
+    http::RequestHead request(const std::string &path, const std::string &key = "key")
+    {
+        http::RequestHead head{.method = "POST", .target = path};
+        head.headers.add("Host", "h");
+        head.headers.add("X-Ibislock-Attempt-Id", "attempt-" + std::to_string(++m_attempts));
+        head.headers.add("X-Ibislock-Deadline-Ms", "1000");
+        if (!key.empty()) {
+            head.headers.add("X-Api-Key", key);
+        }
+        return head;
+    }
+
+    CallerAnswer call(const http::RequestHead &head, const std::string &body = "body", const Stall &stall = {})
+    {
+        CallerAnswer out;
+        bool done = false;
+        const auto exchange = m_client.send("127.0.0.1", m_daemon.callerPort(), writeRequest(head, body), {},
+                                            {.head =
+                                                 [&](const http::ResponseHead &answer) {
+                                                     out.status = answer.status;
+                                                     out.headers = answer.headers;
+                                                     return net::HeadVerdict::Take;
+                                                 },
+                                             .body = [&](const std::string &part) { out.body += part; },
+                                             .end =
+                                                 [&](const net::ExchangeResult &result) {
+                                                     out.whole = result.end == net::ExchangeEnd::Complete;
+                                                     done = true;
+                                                 }});
+        for (int n = 0; n < stall.handlers; ++n) {
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+        }
+        std::this_thread::sleep_for(stall.time);
+        const Millis end = steadyMillis() + Millis{5000};
+        while (!done && steadyMillis() < end) {
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+        }
+        EXPECT_TRUE(done);
+        return out;
+    }
+
+    std::size_t runs() const
+    {
+        return m_first.requests.size() + m_second.requests.size();
+    }
+
+    asio::io_context m_loop;
+    lab::StoreStandIn m_store{m_loop};
+    lab::TargetStandIn m_first{m_loop, "i-1"};
+    lab::TargetStandIn m_second{m_loop, "i-2"};
+    net::HttpClient m_client{m_loop};
+    FrontDaemon m_daemon;
+    int m_attempts = 0;
+};
+
+} // namespace ibislock::front
--- /dev/null
+++ b/libs/front/test/front_sends_test.cpp
@@ -0,0 +1,141 @@
+// Sends of a request beyond its first: when there is one, and what the log tells of it.
+
+#include "front_fixture.h"
+
+#include "ibislock/base/loop_stalls.h"
+#include "platform/log_capture.h"
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+/// Handlers behind which the loop stands still in turn: those of a call, and ticks between them.
+constexpr int HandlersOfACall = 6;
+
+TEST_F(FrontTest, ARequestThatMustRunOnceIsNotSentToASecondTargetAfterTheLoopStoodStill)
+{
+    constexpr Millis LongerThanConnecting{450};
+    list(m_first);
+    list(m_second);
+    start();
+    for (int n = 0; n < HandlersOfACall; ++n) {
+        const std::size_t before = runs();
+        call(request("/once/x"), "body", {.handlers = n, .time = LongerThanConnecting});
+        runFor(Millis{30}); // What is still on its way arrives.
+        EXPECT_LE(runs() - before, 1U) << "the loop stood still after " << n << " handlers";
+    }
+}
+
+TEST_F(FrontTest, ARequestThatRanIsNotRefusedAsNotRunAfterTheLoopStoodStill)
+{
+    list(m_first);
+    start();
+    for (int n = 0; n < HandlersOfACall; ++n) {
+        const std::size_t before = runs();
+        http::RequestHead head = request("/once/x");
+        head.headers.set("X-Ibislock-Deadline-Ms", "100");
+        const CallerAnswer answer = call(head, "body", {.handlers = n, .time = Millis{120}});
+        runFor(Millis{30});
+        EXPECT_TRUE(answer.status != 503 || runs() == before) << "the loop stood still after " << n << " handlers";
+    }
+}
+
+const std::string UnansweredSend = "A send did not end in an answer.";
+const std::string SecondSend = "A request is sent again.";
+
+TEST_F(FrontTest, TheLineOfASendThatWasNotConnectedSaysSoAndTheNextSendIsALine)
+{
+    listGone("i-3");
+    listGone("i-4");
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/once/x")).status, 503);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_GE(ends.size(), 2U);
+    for (std::size_t n = 0; n < ends.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(ends[n], "id", "attempt-1")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "end", "not_connected")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "connected", "0")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "sends", std::to_string(n + 1))) << ends[n];
+    }
+    const auto again = log.take(SecondSend);
+    ASSERT_EQ(again.size(), ends.size() - 1);
+    for (std::size_t n = 0; n < again.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(again[n], "id", "attempt-1")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "kind", "non_idempotent")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "known", "unsent")) << again[n];
+        EXPECT_TRUE(lab::hasField(again[n], "sends", std::to_string(n + 1))) << again[n];
+    }
+}
+
+TEST_F(FrontTest, TheLineOfALostSendSaysThatItWasConnectedAndTheNextSendIsALine)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).status, 502);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 2U);
+    for (std::size_t n = 0; n < ends.size(); ++n) {
+        EXPECT_TRUE(lab::hasField(ends[n], "end", "broken")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "connected", "1")) << ends[n];
+        EXPECT_TRUE(lab::hasField(ends[n], "sends", std::to_string(n + 1))) << ends[n];
+    }
+    const auto again = log.take(SecondSend);
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_TRUE(lab::hasField(again[0], "id", "attempt-1")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "kind", "idempotent")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "known", "unknown")) << again[0];
+    EXPECT_TRUE(lab::hasField(again[0], "sends", "1")) << again[0];
+}
+
+TEST_F(FrontTest, ATargetThatSaysThatItDidNotExecuteARequestHasALineWhateverTheStatus)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::RefuseBusy;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).status, 503);
+    EXPECT_EQ(runs(), 0U);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 2U);
+    for (const std::string &end : ends) {
+        EXPECT_TRUE(lab::hasField(end, "end", "complete")) << end;
+        EXPECT_TRUE(lab::hasField(end, "status", "429")) << end;
+    }
+}
+
+TEST_F(FrontTest, ALostRequestThatMustRunOnceHasNoLineOfASecondSend)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/once/x")).status, 502);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_TRUE(lab::hasField(ends[0], "connected", "1")) << ends[0];
+    EXPECT_TRUE(lab::hasField(ends[0], "sends", "1")) << ends[0];
+    EXPECT_TRUE(log.take(SecondSend).empty());
+}
+
+TEST_F(FrontTest, APauseOfTheLoopIsALine)
+{
+    start();
+    lab::LogCapture log;
+    std::this_thread::sleep_for(StallToTell * 2);
+    m_loop.poll();
+    const auto lines = log.take("front: The event loop stood still.");
+    ASSERT_FALSE(lines.empty());
+    EXPECT_NE(lines[0].find(" stall_ms="), std::string::npos) << lines[0];
+}
+
+} // namespace
+
+} // namespace ibislock::front
