Logs tell how old the check of a piece was when its load was ordered

The record can't tell an order on an old check from an order that is accepted late, a late write to the stage, or a piece that was known to be bad: all leave the same lines.

The line of a load order now has the age of the oldest check when it is sent, the time until its response, the pieces found bad since the check and the writes without a response so far. A failed write names its version and whether that version was superseded, also when its round is over. A piece that is found bad for another VM is a warning and counts, as one that is found in the verification. Two metrics beside them. Checks are timed by the boot clock, which goes on while a VM is suspended. Decisions stay as they were.

--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -32,6 +32,11 @@
     writeCounter(out, "ibislock_pieces_corrupt_total", "Pieces that did not match their digest.",
                  counts.fetched.corrupt + counts.corruptStaged);
     writeCounter(out, "ibislock_load_orders_total", "Orders to the engine.", counts.loadOrders);
+    writeGauge(out, "ibislock_load_order_check_age_ms",
+               "Longest time between the check of a staged piece and the response to the load order.",
+               counts.oldestCheckAge.count());
+    writeCounter(out, "ibislock_stage_writes_unanswered_total", "Writes to the stage that got no response.",
+                 counts.unansweredWrites);
     writeCounter(out, "ibislock_piece_bytes_served_total", "Bytes of pieces sent to other VMs.", bytesServed);
 }
 
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -153,7 +153,11 @@
     fetched.fromOrigin += ahead.fromOrigin;
     fetched.fromPeers += ahead.fromPeers;
     fetched.corrupt += ahead.corrupt;
-    return {.fetched = fetched, .corruptStaged = m_corruptStaged, .loadOrders = m_loadOrders};
+    return {.fetched = fetched,
+            .corruptStaged = m_corruptStaged,
+            .loadOrders = m_loadOrders,
+            .unansweredWrites = m_unansweredWrites,
+            .oldestCheckAge = m_oldestCheckAge};
 }
 
 std::uint64_t WeightsAgent::bytesServed() const
@@ -203,6 +207,7 @@
     m_orderTimer.cancel();
     m_digests.clear();
     m_staged.clear();
+    m_checks = {};
     m_unstaged.clear();
     m_pieceFetcher.stop();
     m_manifestFetcher.stop();
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -7,6 +7,7 @@
 
 #include "desired_weights.h"
 #include "engine_monitor.h"
+#include "ibislock/weights/stage_checks.h"
 #include "weights_prefetch.h"
 
 #include <set>
@@ -52,6 +53,8 @@
     FetchCounts fetched;
     std::uint64_t corruptStaged = 0; ///< Staged pieces that no longer matched their digest.
     std::uint64_t loadOrders = 0; ///< Load orders that were sent to the engine.
+    std::uint64_t unansweredWrites = 0; ///< Writes to the stage without a response; they may take effect later.
+    Millis oldestCheckAge{0}; ///< Longest time between the check of a piece and the response to the load order.
 };
 
 /// Manages the weights of one engine.
@@ -96,12 +99,19 @@
     void readStage();
     void readNextPiece(std::uint64_t generation);
     void finishReading();
+
+    /// Records that a staged piece is missing or corrupt.
+    /// @param reader for whom the piece was read; appears in the log.
+    void recordMismatch(int piece, int status, const std::string &reader);
     void stagePrefetched();
+    void recordFailedWrite(std::int64_t version, int piece, int status);
     void retryStaging();
     void keepUnstaged();
     void fetchMore();
     void stage(int piece, std::string bytes);
     void orderLoad();
+    void sendOrder();
+    void handleOrderResponse(Millis sentAt, int status, const std::string &body);
     void scheduleLoad();
     double rolloutFraction() const;
     void setNextDesired(const DesiredWeights &desired);
@@ -134,6 +144,7 @@
     std::uint64_t m_generation = 0; ///< Incremented on each restart; responses of an earlier generation are ignored.
     std::vector<Digest> m_digests; ///< Of the pieces of `m_desired`.
     std::set<int> m_staged; ///< Staged pieces that matched their digest.
+    weights::StageChecks m_checks; ///< Of the verification before the order.
     std::map<int, std::string> m_unstaged; ///< Verified pieces that could not be staged.
     Millis m_stageRetryAt{0}; ///< When staging `m_unstaged` is retried.
     int m_nextReadIndex = 0;
@@ -143,6 +154,8 @@
     std::int64_t m_engineStart = 0;
     std::uint64_t m_corruptStaged = 0;
     std::uint64_t m_loadOrders = 0;
+    std::uint64_t m_unansweredWrites = 0;
+    Millis m_oldestCheckAge{0};
 };
 
 } // namespace ibislock::side
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -59,22 +59,35 @@
     }
     const int piece = m_nextReadIndex++;
     m_engine.call(platform::makeStageGetRequest(m_desired.model, piece), StageTime,
-                  [this, generation, piece](int status, const std::string &body) {
+                  [this, generation, piece, requestedAt = bootMillis()](int status, const std::string &body) {
                       if (generation != m_generation) {
                           return;
                       }
                       if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
                           m_staged.insert(piece);
-                      } else if (m_staged.erase(piece) > 0) {
-                          ++m_corruptStaged;
-                          logWarning(
-                              LogComponent::Side, "A staged piece doesn't match its digest.",
-                              {{"version", std::to_string(m_desired.version)}, {"piece", std::to_string(piece)}});
+                          recordMatch(m_checks, piece, requestedAt);
+                      } else {
+                          recordMismatch(piece, status, "verification");
                       }
                       readNextPiece(generation);
                   });
 }
 
+void WeightsAgent::recordMismatch(int piece, int status, const std::string &reader)
+{
+    discardCheck(m_checks, piece);
+    if (m_staged.erase(piece) == 0) {
+        return;
+    }
+    ++m_corruptStaged;
+    logWarning(LogComponent::Side, "A staged piece doesn't match its digest.",
+               {{"version", std::to_string(m_desired.version)},
+                {"piece", std::to_string(piece)},
+                {"status", std::to_string(status)},
+                {"reader", reader},
+                {"phase", std::string(nameOf(WeightsPhaseNames, m_phase))}});
+}
+
 void WeightsAgent::finishReading()
 {
     const bool all = m_staged.size() == m_digests.size();
@@ -123,26 +136,38 @@
 void WeightsAgent::stage(int piece, std::string bytes)
 {
     const auto kept = std::make_shared<std::string>(std::move(bytes));
-    m_engine.call(platform::makeStagePutRequest(m_desired.model, piece, *kept), StageTime,
-                  [this, generation = m_generation, piece, kept](int status, const std::string &) {
-                      if (generation != m_generation) {
-                          return;
-                      }
-                      if (!succeeded(status)) {
-                          logWarning(LogComponent::Side, "Staging a piece failed; keeping it in memory.",
-                                     {{"piece", std::to_string(piece)}, {"status", std::to_string(status)}});
-                          m_unstaged[piece] = std::move(*kept);
-                          m_stageRetryAt = steadyMillis() + StagePause;
-                          m_exchange.completePending();
-                          return;
-                      }
-                      m_pieceFetcher.recordStaging(piece, true);
-                      m_staged.insert(piece);
-                      m_exchange.completePending();
-                      if (m_phase == WeightsPhase::Fetching) {
-                          fetchMore();
-                      }
-                  });
+    m_engine.call(
+        platform::makeStagePutRequest(m_desired.model, piece, *kept), StageTime,
+        [this, generation = m_generation, version = m_desired.version, piece, kept](int status, const std::string &) {
+            if (!succeeded(status)) {
+                recordFailedWrite(version, piece, status);
+            }
+            if (generation != m_generation) {
+                return;
+            }
+            if (!succeeded(status)) {
+                m_unstaged[piece] = std::move(*kept);
+                m_stageRetryAt = steadyMillis() + StagePause;
+                m_exchange.completePending();
+                return;
+            }
+            m_pieceFetcher.recordStaging(piece, true);
+            m_staged.insert(piece);
+            m_exchange.completePending();
+            if (m_phase == WeightsPhase::Fetching) {
+                fetchMore();
+            }
+        });
+}
+
+void WeightsAgent::recordFailedWrite(std::int64_t version, int piece, int status)
+{
+    m_unansweredWrites += status == 0 ? 1 : 0;
+    logWarning(LogComponent::Side, "Staging a piece failed.",
+               {{"version", std::to_string(version)},
+                {"piece", std::to_string(piece)},
+                {"status", std::to_string(status)},
+                {"superseded", version == m_desired.version ? "0" : "1"}});
 }
 
 void WeightsAgent::retryStaging()
@@ -160,32 +185,47 @@
     enterPhase(WeightsPhase::Ordered);
     m_orderSent = true;
     m_orderAccepted = false;
-    m_orderTimer.start(AnnounceTime, [this, generation = m_generation] {
-        if (!m_engine.report()) {
-            m_orderSent = false;
-            return;
-        }
-        ++m_loadOrders;
-        m_engine.call(platform::makeLoadRequest(m_desired.model, m_desired.version, m_engine.report()->ordersStarted),
-                      StageTime, [this, generation](int status, const std::string &body) {
-                          if (generation != m_generation) {
-                              return;
-                          }
-                          m_orderSent = false;
-                          m_phaseEnteredAt = steadyMillis();
-                          m_orderAccepted = succeeded(status);
-                          logInfo(LogComponent::Side, "Sent a load order to the engine.",
-                                  {{"version", std::to_string(m_desired.version)},
-                                   {"status", std::to_string(status)},
-                                   {"answer", succeeded(status) ? "" : body.substr(0, 100)}});
-                          if (status != 0) {
-                              // An accepted order loads what was staged when it was accepted, regardless of what is
-                              // staged later. An order without a response may still be accepted; in that case, nothing
-                              // is staged until the engine's report shows its effect.
-                              adoptNextDesired();
-                          }
-                      });
-    });
+    m_orderTimer.start(AnnounceTime, [this] { sendOrder(); });
+}
+
+void WeightsAgent::sendOrder()
+{
+    if (!m_engine.report()) {
+        m_orderSent = false;
+        return;
+    }
+    ++m_loadOrders;
+    m_engine.call(platform::makeLoadRequest(m_desired.model, m_desired.version, m_engine.report()->ordersStarted),
+                  StageTime,
+                  [this, generation = m_generation, sentAt = bootMillis()](int status, const std::string &body) {
+                      if (generation == m_generation) {
+                          handleOrderResponse(sentAt, status, body);
+                      }
+                  });
+}
+
+void WeightsAgent::handleOrderResponse(Millis sentAt, int status, const std::string &body)
+{
+    m_orderSent = false;
+    m_phaseEnteredAt = steadyMillis();
+    m_orderAccepted = succeeded(status);
+    const Millis now = bootMillis();
+    const Millis oldest = oldestCheck(m_checks).value_or(sentAt);
+    m_oldestCheckAge = std::max(m_oldestCheckAge, now - oldest);
+    logInfo(LogComponent::Side, "Sent a load order to the engine.",
+            {{"version", std::to_string(m_desired.version)},
+             {"status", std::to_string(status)},
+             {"oldest_check_ms", std::to_string((sentAt - oldest).count())},
+             {"took_ms", std::to_string((now - sentAt).count())},
+             {"bad_since_check", std::to_string(m_digests.size() - m_checks.checkedAt.size())},
+             {"unanswered_writes", std::to_string(m_unansweredWrites)},
+             {"answer", succeeded(status) ? "" : body.substr(0, 100)}});
+    if (status != 0) {
+        // An accepted order loads what was staged when it was accepted, regardless of what is staged later. An order
+        // without a response may still be accepted; in that case, nothing is staged until the engine's report shows
+        // its effect.
+        adoptNextDesired();
+    }
 }
 
 std::optional<bool> WeightsAgent::holdsForPeer(const peer::PieceMessage &request) const
@@ -225,7 +265,7 @@
                       const bool good = status == OkStatus && generation == m_generation
                           && sha256(body) == m_digests[static_cast<std::size_t>(answer.index)];
                       if (!good && generation == m_generation) {
-                          m_staged.erase(answer.index);
+                          recordMismatch(answer.index, status, "peer");
                       }
                       answer.content = good ? peer::PieceContent::Bytes : peer::PieceContent::Missing;
                       answer.bytes = good ? std::move(body) : std::string();
