Failing tests: loads that take pieces which became corrupt after their check

The stand-in of the engine learns delayed reads, held writes and held orders, and answers 200 to an order for the version that is loaded, as the users' engines do.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -165,11 +165,16 @@
                              {"Running", 0}}
                   .dump());
     } else if (request.target.find("/stage-put/") != std::string::npos) {
-        staged[queryNumber(request.target, "Num")] = body;
+        const int piece = queryNumber(request.target, "Num");
+        if (holdsWrites) {
+            m_heldWrites[piece] = body;
+            return;
+        }
+        stageReads = 0;
+        staged[piece] = body;
         reply(connection, 200, "");
     } else if (request.target.find("/stage-get/") != std::string::npos) {
-        const auto it = staged.find(queryNumber(request.target, "Num"));
-        reply(connection, it == staged.end() ? 404 : 200, it == staged.end() ? "" : it->second);
+        readPiece(connection, queryNumber(request.target, "Num"));
     } else if (request.target == "/ibislock/order") {
         order(connection, body);
     } else {
@@ -177,6 +182,38 @@
     }
 }
 
+void EngineStandIn::applyHeldWrites()
+{
+    for (auto &[piece, bytes] : std::exchange(m_heldWrites, {})) {
+        staged[piece] = std::move(bytes);
+    }
+}
+
+void EngineStandIn::applyHeldOrders()
+{
+    for (const std::string &body : std::exchange(m_heldOrders, {})) {
+        acceptOrder(body);
+    }
+}
+
+void EngineStandIn::readPiece(net::Connection &connection, int piece)
+{
+    ++stageReads;
+    const auto it = staged.find(piece);
+    const int status = it == staged.end() ? 404 : 200;
+    const std::string bytes = it == staged.end() ? "" : it->second;
+    if (readDelay == Millis{0}) {
+        reply(connection, status, bytes);
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, readDelay);
+    timer->async_wait([timer, status, bytes, to = connection.shared_from_this()](const asio::error_code &ec) {
+        if (!ec && to->isOpen()) {
+            reply(*to, status, bytes);
+        }
+    });
+}
+
 void EngineStandIn::serve(net::Connection &connection, const http::RequestHead &request)
 {
     const std::string attempt(request.headers.find("X-Ibislock-Attempt-Id").value_or(""));
@@ -195,21 +232,32 @@
 
 void EngineStandIn::order(net::Connection &connection, const std::string &body)
 {
+    if (holdsOrders) {
+        ++delayedOrders;
+        m_heldOrders.push_back(body);
+        return;
+    }
     if (orderDelay > Millis{0}) {
         ++delayedOrders;
         auto timer = std::make_shared<asio::steady_timer>(m_loop, orderDelay);
         timer->async_wait([this, timer, body](const asio::error_code &) { acceptOrder(body); });
         return;
     }
-    reply(connection, acceptOrder(body) ? 202 : 409, "");
+    reply(connection, acceptOrder(body), "");
 }
 
-bool EngineStandIn::acceptOrder(const std::string &body)
+int EngineStandIn::acceptOrder(const std::string &body)
 {
     const nlohmann::json wanted = nlohmann::json::parse(body);
     if (m_loading || wanted.value("Expected", orders) != orders) {
         ++refusedOrders;
-        return false;
+        return 409;
+    }
+    if (wanted.value("Version", std::int64_t{0}) == version) {
+        return 200;
+    }
+    if (onAccepted) {
+        onAccepted();
     }
     ++orders;
     m_loading = true;
@@ -223,7 +271,7 @@
             m_loading = false;
         }
     });
-    return true;
+    return 202;
 }
 
 } // namespace ibislock::lab
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -7,6 +7,7 @@
 #include "ibislock/net/connection.h"
 
 #include <asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -63,6 +64,12 @@
 
     std::uint16_t port() const;
 
+    /// Applies the writes that were held.
+    void applyHeldWrites();
+
+    /// Applies the orders that were held.
+    void applyHeldOrders();
+
     /// Tells whether each staged piece is that of some weights.
     bool holdsWhole(const WeightsStandIn &weights) const;
 
@@ -72,6 +79,11 @@
     int refusedOrders = 0;
     int served = 0; ///< Requests that were run.
     Millis orderDelay{0}; ///< Orders get no answer and are accepted this late.
+    Millis readDelay{0}; ///< Until the bytes of a staged piece, as they were when they were requested, are sent.
+    int stageReads = 0; ///< Reads of staged pieces since the last write to the stage.
+    bool holdsWrites = false; ///< Writes to the stage get no answer and take effect with applyHeldWrites().
+    bool holdsOrders = false; ///< Orders get no answer and take effect with applyHeldOrders().
+    std::function<void()> onAccepted; ///< Called when an order is accepted, before its load begins.
     int delayedOrders = 0; ///< That came while there was such a delay.
     bool away = false; ///< Closes connections without an answer.
     bool loadedSpoilt = false; ///< A load began while a staged piece was not what it should be.
@@ -82,12 +94,15 @@
     void answer(net::Connection &connection, const http::RequestHead &request, const std::string &body);
     void serve(net::Connection &connection, const http::RequestHead &request);
     void order(net::Connection &connection, const std::string &body);
-    bool acceptOrder(const std::string &body);
+    int acceptOrder(const std::string &body);
+    void readPiece(net::Connection &connection, int piece);
 
     asio::io_context &m_loop;
     std::vector<std::shared_ptr<net::Connection>> m_connections;
     net::Listener m_listener;
     asio::steady_timer m_load;
+    std::map<int, std::string> m_heldWrites;
+    std::vector<std::string> m_heldOrders;
     bool m_loading = false;
 };
 
