A connection that comes about too late is not used

Callers would see a request run at a target after a pause of their entry VM, with the time that was left before the pause: it may start on weights that were retired meanwhile, at a target that was announced as leaving, or after its caller has gone. An order to an engine would go out on a check made before the pause. Nothing limited the time between the making of a request and its writing.

Cause: a request is made when `send` is called and written when the handler of its connection runs. That handler did not look at the time. After a pause it runs before the handler of the connect timeout, cancels it and writes.

Change: the handler compares the boot clock, which goes on while the VM is suspended, with the start of the attempt. From the connect timeout on the attempt ends as `NotConnected`; nothing was written, so the front chooses a target anew, with the time and the weights of that moment.

Why it works: a request goes out over a kept connection at once, or over a new one within the connect timeout of `send`.

Evidence: HttpClientTest.RequestIsNotWrittenToConnectionHandledAfterItsTimeout failed before, each time it was run (once): "Expected equality of these values: server.requests Which is: 1 / 0", with the outcome `Complete` in place of `NotConnected`. That a suspension counts is read, not shown: the test only pauses the loop.

Cost: a loop that is late by more than the connect timeout (400 ms at the front) all the time reaches no target over new connections, where it sent late before; each such attempt counts as a failure of the target.

--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -68,7 +68,7 @@
 /// How a request is sent, and the limits of its exchange.
 struct ExchangeOptions
 {
-    Millis connectTimeout{1000};
+    Millis connectTimeout{1000}; ///< Also bounds the time from `send` until the request is written.
     Millis timeout{0}; ///< Limit of the exchange, or of the time to first byte if `stallTimeout` is set; 0 for none.
     Millis stallTimeout{0}; ///< Longest pause within a response that has started; 0 applies `timeout` alone.
     Millis totalTimeout{0}; ///< Limit of the whole exchange if `stallTimeout` is set.
@@ -118,6 +118,7 @@
     Timer m_timer; ///< Limits the connection attempt, then the response.
     http::MessageReader m_reader;
     bool m_isHeadRequest = false; ///< It is a HEAD request, whose responses have no body.
+    Millis m_connectStartedAt{0}; ///< By the boot clock.
     Millis m_startedAt{0};
     std::size_t m_bodyBytes = 0; ///< Body bytes of the accepted response.
     std::size_t m_skippedBytes = 0; ///< Body bytes of all skipped responses.
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -99,12 +99,14 @@
 {
     ++m_client->m_connectionsOpened;
     m_socket = std::make_shared<asio::ip::tcp::socket>(m_client->m_loop);
+    m_connectStartedAt = bootMillis();
     armTimer(m_options.connectTimeout);
     m_socket->async_connect(endpoint, [self = shared_from_this(), socket = m_socket](const asio::error_code &ec) {
         if (self->m_done) {
             return;
         }
-        if (ec) {
+        const bool late = bootMillis() - self->m_connectStartedAt >= self->m_options.connectTimeout;
+        if (ec || late) {
             self->finish(ExchangeOutcome::NotConnected);
             return;
         }
--- a/libs/net/test/http_client_test.cpp
+++ b/libs/net/test/http_client_test.cpp
@@ -286,6 +286,28 @@
     EXPECT_EQ(*end == ExchangeOutcome::NotConnected, server.requests == 0) << nameOf(ExchangeOutcomeNames, *end);
 }
 
+// A connection that the loop handles after its timeout must not be used, whichever of the two handlers runs first: the
+// request was made for the time at which it was sent.
+TEST(HttpClientTest, RequestIsNotWrittenToConnectionHandledAfterItsTimeout)
+{
+    asio::io_context loop;
+    ScriptedServer server(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"}, false);
+    HttpClient client(loop);
+    std::optional<ExchangeResult> end;
+    const auto exchange = client.send("127.0.0.1", server.port(), "GET / HTTP/1.1\r\n\r\n",
+                                      {.connectTimeout = Millis{20}}, {.end = [&](const ExchangeResult &result) {
+                                          end = result;
+                                      }});
+    std::this_thread::sleep_for(Millis{60}); // The connection is established and its timeout has expired.
+    while (!end) {
+        loop.run_one();
+    }
+    loop.run_for(Millis{50}); // Written bytes arrive.
+    EXPECT_EQ(end->outcome, ExchangeOutcome::NotConnected);
+    EXPECT_FALSE(end->connected);
+    EXPECT_EQ(server.requests, 0);
+}
+
 // If the loop stalls, received bytes and the expired stall timeout are handled in one iteration. The exchange must then
 // not time out, as the response has continued.
 TEST(HttpClientTest, ContinuingResponseDoesNotTimeOutAfterLoopStall)
