An announcement that was read late counts from when others read it

Callers would see requests begin on weights that are retired (rule VERSION): an entry VM that reads an announcement late, after a pause or over a slow link, lets requests start on older weights for as long after the grace period as it was late, though it runs well by then.

Cause: the time at which a process read the record was taken for the time of the announcement, with no bound on the time between. Target VMs report when they read it with each load, but `applyAnnouncementTime` ignored these reports for a version that the process had observed itself.

Change: the earliest of the own time and the reported ones counts.

Why it works: a report gives an age, and its way takes time, so what is computed from it is never earlier than the moment at which another process read the record. The grace period is not shortened by it.

Evidence: AnnouncedVersionsTest.AnAnnouncementThatWasReadLateAppliesAtTheTimeThatOthersReport failed before: "requiredVersion(versions, Millis{8000}, GracePeriod) Which is: 0 / 2".

--- a/libs/serving/include/ibislock/serving/announced_versions.h
+++ b/libs/serving/include/ibislock/serving/announced_versions.h
@@ -39,8 +39,9 @@
 bool recordAnnouncement(AnnouncedVersions &versions, std::int64_t version, Millis learntAt,
                         AnnouncementTimeSource timeSource = AnnouncementTimeSource::Observed);
 
-/// Applies the time of an announcement that another process reported. Of several reported times, the earliest counts: a
-/// process may have been partitioned when the version was announced. A version that is older than the newest is
+/// Applies the time of an announcement that another process reported. Of the reported times and the time at which this
+/// process observed it, the earliest counts: a process may have stalled or been partitioned when the version was
+/// announced. A version that is older than the newest is
 /// inserted if it is not known yet: the store keeps only the last announcement of a model, and a process that starts
 /// after it would otherwise let requests start on versions that the previous announcement has retired.
 void applyAnnouncementTime(AnnouncedVersions &versions, std::int64_t version, Millis learntAt);
--- a/libs/serving/src/announced_versions.cpp
+++ b/libs/serving/src/announced_versions.cpp
@@ -28,12 +28,10 @@
         versions.insert(it, {.version = version, .learntAt = learntAt, .timeSource = AnnouncementTimeSource::Reported});
         return;
     }
-    if (it->timeSource == AnnouncementTimeSource::Observed) {
-        return;
+    if (it->timeSource == AnnouncementTimeSource::Unknown || learntAt < it->learntAt) {
+        it->learntAt = learntAt;
+        it->timeSource = AnnouncementTimeSource::Reported;
     }
-    const bool first = it->timeSource == AnnouncementTimeSource::Unknown;
-    it->learntAt = first ? learntAt : std::min(it->learntAt, learntAt);
-    it->timeSource = AnnouncementTimeSource::Reported;
 }
 
 AnnouncedVersions announcementsToReport(const AnnouncedVersions &versions, Millis now, Millis gracePeriod)
--- a/libs/serving/test/announced_versions_test.cpp
+++ b/libs/serving/test/announced_versions_test.cpp
@@ -71,6 +71,21 @@
     EXPECT_EQ(requiredVersion(versions, Millis{13000}, Millis{7000}), 2);
 }
 
+// A process that stalled or was cut off reads an announcement long after it was made. Requests would then start on
+// retired weights for as long as it was late.
+TEST(AnnouncedVersionsTest, AnAnnouncementThatWasReadLateAppliesAtTheTimeThatOthersReport)
+{
+    constexpr Millis GracePeriod{7000};
+    AnnouncedVersions versions;
+    recordAnnouncement(versions, 2, Millis{4000});
+    applyAnnouncementTime(versions, 2, Millis{5000}); // Reported by a process that read it later still.
+    EXPECT_EQ(requiredVersion(versions, Millis{10999}, GracePeriod), 0);
+    EXPECT_EQ(requiredVersion(versions, Millis{11000}, GracePeriod), 2);
+    applyAnnouncementTime(versions, 2, Millis{1000});
+    EXPECT_EQ(requiredVersion(versions, Millis{7999}, GracePeriod), 0);
+    EXPECT_EQ(requiredVersion(versions, Millis{8000}, GracePeriod), 2);
+}
+
 TEST(AnnouncedVersionsTest, PendingTimeIsThatOfTheFirstVersionNotYetLoaded)
 {
     AnnouncedVersions versions;
