A load is ordered only on checks that are recent, and an engine serves it only if they held

Cause: the target daemon checked all staged pieces, one after another, and ordered the load later; nothing bounded the time between a check and the acceptance of the order. A daemon that stood still, an engine that answered reads slowly, or an order that waited at the engine made the check seconds old, and pieces that had become corrupt meanwhile were loaded. Of the same class, in the same place: a piece found corrupt for another VM after the verification did not stop the order; a write of a superseded version could take effect after the verification; an order without a response could take effect after a newer version was being staged.

Change: - The order goes out at most 1.5 s after the oldest check, by the boot clock; otherwise the pieces are verified again, at once the first time, then after a second in which the engine serves on. Slow reads run at once (at most 32), so that all pieces are read within half a second if the engine can. Entry VMs are told when the verification begins, so the wait of 150 ms no longer comes on top of it. - A response later than 2.8 s after the oldest check, or an order without a response that took effect, is followed by one more verification. Until it holds, entry VMs are told that the engine loads; if it doesn't hold, until the engine has loaded again. - A piece found corrupt for another VM discards its check. Writes of another version must have settled before the verification begins. While an order without a response may still take effect, nothing of another version is staged; the same version is ordered again with the same expected count, so that only one of the two can take effect.

Ruled out: nothing in the callers' record tells these ways apart; the word rotten speaks against mixed versions.

--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -21,7 +21,7 @@
 /// How a request and response exchange ended.
 enum class ExchangeOutcome {
     Complete, ///< The complete response was read.
-    NotConnected, ///< No connection was established; nothing was sent.
+    NotConnected, ///< No connection was established in time; nothing was sent.
     Broken, ///< The connection failed or the response was invalid; the peer may have read the request.
     TimedOut, ///< The time limit was exceeded; the peer may have read the request.
 };
--- a/libs/side/src/engine_monitor.cpp
+++ b/libs/side/src/engine_monitor.cpp
@@ -2,6 +2,8 @@
 
 #include "ibislock/base/log.h"
 
+#include <algorithm>
+
 namespace ibislock::side
 {
 
@@ -37,13 +39,30 @@
 
 void EngineMonitor::call(const platform::ApiRequest &request, Millis timeout,
                          std::function<void(int status, std::string body)> done)
+{
+    exchange(request, {.connectTimeout = timeout, .timeout = timeout},
+             [done = std::move(done)](net::ExchangeOutcome, int status, std::string body) {
+                 done(status, std::move(body));
+             });
+}
+
+void EngineMonitor::order(const platform::ApiRequest &request, Millis timeout, Millis sendDeadline,
+                          std::function<void(net::ExchangeOutcome outcome, int status, std::string body)> done)
+{
+    // A connection that is established later is not used.
+    const Millis left = std::max(Millis{1}, sendDeadline - bootMillis());
+    exchange(request, {.connectTimeout = std::min(timeout, left), .timeout = timeout}, std::move(done));
+}
+
+void EngineMonitor::exchange(const platform::ApiRequest &request, const net::ExchangeOptions &options,
+                             std::function<void(net::ExchangeOutcome outcome, int status, std::string body)> done)
 {
     http::RequestHead head = request.head;
     head.headers.add("Host", m_engine.ip);
     m_client.call(
-        m_engine.ip, m_engine.port, writeRequest(head, request.body), {.connectTimeout = timeout, .timeout = timeout},
+        m_engine.ip, m_engine.port, writeRequest(head, request.body), options,
         [done = std::move(done)](net::ExchangeOutcome end, const http::ResponseHead &answer, std::string body) {
-            done(end == net::ExchangeOutcome::Complete ? answer.status : 0, std::move(body));
+            done(end, end == net::ExchangeOutcome::Complete ? answer.status : 0, std::move(body));
         });
 }
 
--- a/libs/side/src/engine_monitor.h
+++ b/libs/side/src/engine_monitor.h
@@ -26,6 +26,12 @@
     void call(const platform::ApiRequest &request, Millis timeout,
               std::function<void(int status, std::string body)> done);
 
+    /// Sends an order to the engine.
+    /// @param sendDeadline time of the boot clock after which the order must not be sent.
+    /// @param done receives the outcome, the HTTP status, or 0 without a complete response, and the body.
+    void order(const platform::ApiRequest &request, Millis timeout, Millis sendDeadline,
+               std::function<void(net::ExchangeOutcome outcome, int status, std::string body)> done);
+
     /// Returns the last report; nothing while the engine doesn't respond.
     const std::optional<platform::EngineReport> &report() const;
 
@@ -40,6 +46,8 @@
 
 private:
     void poll();
+    void exchange(const platform::ApiRequest &request, const net::ExchangeOptions &options,
+                  std::function<void(net::ExchangeOutcome outcome, int status, std::string body)> done);
 
     net::HttpClient &m_client;
     platform::Endpoint m_engine;
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -32,6 +32,8 @@
     writeCounter(out, "ibislock_pieces_corrupt_total", "Pieces that did not match their digest.",
                  counts.fetched.corrupt + counts.corruptStaged);
     writeCounter(out, "ibislock_load_orders_total", "Orders to the engine.", counts.loadOrders);
+    writeCounter(out, "ibislock_load_checks_stale_total", "Loads not ordered because a check of a piece was too old.",
+                 counts.staleChecks);
     writeGauge(out, "ibislock_load_order_check_age_ms",
                "Longest time between the check of a staged piece and the response to the load order.",
                counts.oldestCheckAge.count());
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -2,6 +2,8 @@
 
 #include "ibislock/base/log.h"
 
+#include <algorithm>
+
 namespace ibislock::side
 {
 
@@ -11,6 +13,13 @@
 /// How long an engine may respond without showing an order in its reports before the order counts as failed.
 constexpr Millis OrderTime{1500};
 
+/// How long an engine that responds may take to apply a write to its stage that got no response.
+constexpr Millis WriteTime{1500};
+
+/// How long an engine that responds may take to accept an order that got no response. Until then, the stage keeps the
+/// version that was ordered.
+constexpr Millis PendingOrderTime{10000};
+
 /// Fraction of the pieces that must be staged for a superseded version to be finished. With fewer, the rest would take
 /// as long as the newer version.
 constexpr double WorthFinishing = 0.25;
@@ -54,7 +63,7 @@
     }
     const bool changed = desired.model != m_desired.model || desired.version != m_desired.version;
     const bool superseded = changed && desired.model == m_desired.model;
-    if (superseded && (hasAllPieces() || isWorthFinishing())) {
+    if (superseded && (hasAllPieces() || isWorthFinishing() || m_pendingOrder || m_phase == WeightsPhase::Rechecking)) {
         setNextDesired(desired);
         return;
     }
@@ -81,7 +90,7 @@
 
 void WeightsAgent::adoptNextDesired()
 {
-    if (m_nextDesired) {
+    if (m_nextDesired && !m_pendingOrder) {
         m_desired = *std::exchange(m_nextDesired, std::nullopt);
         m_prefetched = m_prefetch.take();
         restart();
@@ -104,8 +113,9 @@
 
 bool WeightsAgent::isOutdated() const
 {
-    const bool loads = m_phase == WeightsPhase::Verifying || m_phase == WeightsPhase::Ordered;
-    if (!m_nextDesired || loads) {
+    const bool loads =
+        m_phase == WeightsPhase::Verifying || m_phase == WeightsPhase::Ordered || m_phase == WeightsPhase::Rechecking;
+    if (!m_nextDesired || loads || m_pendingOrder) {
         return false;
     }
     // The desired version is outdated if no request could start on it once it is loaded, or if the newer version is
@@ -122,6 +132,29 @@
     return !m_orderSent && !m_engine.report()->orderInProgress && now > since + OrderTime;
 }
 
+bool WeightsAgent::areWritesSettled(Millis now)
+{
+    std::erase_if(m_writes, [&](const auto &item) {
+        const StageWrite &write = item.second;
+        return !write.isActive && now > std::max(write.unansweredSince, m_engine.respondingSince()) + WriteTime;
+    });
+    return std::none_of(m_writes.begin(), m_writes.end(),
+                        [this](const auto &item) { return item.second.version != m_desired.version; });
+}
+
+void WeightsAgent::updatePendingOrder(Millis now)
+{
+    if (!m_pendingOrder || m_orderSent || m_phase == WeightsPhase::Verifying) {
+        return;
+    }
+    if (m_engine.report()->ordersStarted != m_pendingOrder->ordersBefore) {
+        m_pendingOrder.reset();
+        recheckLoad();
+    } else if (now > std::max(m_pendingOrder->since, m_engine.respondingSince()) + PendingOrderTime) {
+        m_pendingOrder.reset();
+    }
+}
+
 double WeightsAgent::rolloutFraction() const
 {
     return weights::rolloutPosition(m_self, m_domain, m_members(m_desired.version));
@@ -157,6 +190,7 @@
             .corruptStaged = m_corruptStaged,
             .loadOrders = m_loadOrders,
             .unansweredWrites = m_unansweredWrites,
+            .staleChecks = m_staleChecks,
             .oldestCheckAge = m_oldestCheckAge};
 }
 
@@ -167,7 +201,8 @@
 
 bool WeightsAgent::isLoading() const
 {
-    return m_phase == WeightsPhase::Verifying || m_phase == WeightsPhase::Ordered;
+    return m_phase == WeightsPhase::Verifying || m_phase == WeightsPhase::Ordered || m_phase == WeightsPhase::Rechecking
+        || m_loadUnproven;
 }
 
 std::optional<Millis> WeightsAgent::timeUntilLoad() const
@@ -211,8 +246,10 @@
     m_unstaged.clear();
     m_pieceFetcher.stop();
     m_manifestFetcher.stop();
+    m_activeReads = 0;
     m_orderSent = false;
     m_orderAccepted = false;
+    m_verifiedAgain = false;
     if (m_desired.version == 0) {
         enterPhase(WeightsPhase::Idle);
     } else if (!m_prefetched.digests.empty()) {
@@ -238,6 +275,10 @@
     }
     if (m_engine.report()->startedAt != m_engineStart) {
         m_engineStart = m_engine.report()->startedAt;
+        // A restarted engine has no weights, and what its predecessor had received has no effect.
+        m_loadUnproven = false;
+        m_pendingOrder.reset();
+        m_writes.clear();
         if (m_nextDesired) {
             adoptNextDesired(); // The restarted engine has nothing left to finish.
         } else {
@@ -246,6 +287,7 @@
         }
     }
     m_prefetch.step();
+    updatePendingOrder(now);
     if (isOutdated()) {
         adoptNextDesired();
     }
@@ -264,18 +306,19 @@
         fetchMore();
         break;
     case WeightsPhase::Waiting:
-        if (isDesiredLoaded()) {
+        if (isDesiredLoaded() && !m_loadUnproven) {
             enterPhase(WeightsPhase::Idle);
             adoptNextDesired();
-        } else if (now >= m_loadAt && !m_engine.report()->orderInProgress) {
+        } else if (now >= m_loadAt && !m_engine.report()->orderInProgress && areWritesSettled(now)) {
             enterPhase(WeightsPhase::Verifying);
             readStage();
         }
         break;
     case WeightsPhase::Verifying:
+    case WeightsPhase::Rechecking:
         break;
     case WeightsPhase::Ordered:
-        if (isDesiredLoaded()) {
+        if (isDesiredLoaded() && !m_loadUnproven) {
             enterPhase(WeightsPhase::Idle);
             adoptNextDesired();
         } else if (isOrderIneffective(now)) {
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -1,5 +1,6 @@
 // Brings the desired version of the weights to the engine: verifies the staged pieces, fetches the missing ones,
-// verifies all pieces again right before the load, and orders the load at the time of the rollout schedule. If a newer
+// verifies all pieces again right before the load, and orders the load at the time of the rollout schedule. An engine
+// that may have accepted an order long after that gets no requests until the pieces were verified once more. If a newer
 // version is announced when much of the desired one is staged, that one is finished while the newer one is prefetched
 // into memory.
 
@@ -24,10 +25,11 @@
     Waiting, ///< All pieces are staged; waits for its time in the rollout schedule.
     Verifying, ///< Reads and verifies all pieces again before the order.
     Ordered, ///< The engine is ordered to load.
+    Rechecking, ///< The engine may have accepted the order late; reads and verifies all pieces once more.
 };
 
 /// External names of the phases.
-inline constexpr NameTable<WeightsPhase, 7> WeightsPhaseNames{{
+inline constexpr NameTable<WeightsPhase, 8> WeightsPhaseNames{{
     {WeightsPhase::Idle, "idle"},
     {WeightsPhase::Manifest, "manifest"},
     {WeightsPhase::Reading, "reading"},
@@ -35,6 +37,7 @@
     {WeightsPhase::Waiting, "waiting"},
     {WeightsPhase::Verifying, "verifying"},
     {WeightsPhase::Ordered, "ordered"},
+    {WeightsPhase::Rechecking, "rechecking"},
 }};
 
 /// The progress towards the desired version.
@@ -54,6 +57,7 @@
     std::uint64_t corruptStaged = 0; ///< Staged pieces that no longer matched their digest.
     std::uint64_t loadOrders = 0; ///< Load orders that were sent to the engine.
     std::uint64_t unansweredWrites = 0; ///< Writes to the stage without a response; they may take effect later.
+    std::uint64_t staleChecks = 0; ///< Loads that were not ordered because a check was too old.
     Millis oldestCheckAge{0}; ///< Longest time between the check of a piece and the response to the load order.
 };
 
@@ -78,7 +82,8 @@
     /// Advances the state machine after a report of the engine or a change of the members.
     void step();
 
-    /// Returns whether the engine accepts no new requests because this agent loads weights.
+    /// Returns whether the engine must get no new requests: this agent loads weights, or can't rule out that the loaded
+    /// ones are corrupt.
     bool isLoading() const;
 
     /// Returns the time until the engine is ordered to load; nothing if no load is scheduled.
@@ -97,21 +102,33 @@
     void restart();
     void applyManifest(std::vector<Digest> digests);
     void readStage();
-    void readNextPiece(std::uint64_t generation);
+    void readMorePieces();
+    void handlePieceRead(int piece, Millis requestedAt, int status, const std::string &body);
     void finishReading();
+    void finishRechecking();
+    void beginFetching();
 
     /// Records that a staged piece is missing or corrupt.
     /// @param reader for whom the piece was read; appears in the log.
     void recordMismatch(int piece, int status, const std::string &reader);
     void stagePrefetched();
-    void recordFailedWrite(std::int64_t version, int piece, int status);
+    void recordWrite(std::uint64_t write, std::int64_t version, int piece, int status);
     void retryStaging();
     void keepUnstaged();
     void fetchMore();
     void stage(int piece, std::string bytes);
     void orderLoad();
     void sendOrder();
-    void handleOrderResponse(Millis sentAt, int status, const std::string &body);
+    void verifyAgain();
+    void handleOrderResponse(Millis sentAt, std::int64_t ordersBefore, net::ExchangeOutcome outcome, int status,
+                             const std::string &body);
+    void logOrder(Millis sentAt, net::ExchangeOutcome outcome, int status, const std::string &body);
+
+    /// Records that the engine has accepted an order of which this agent doesn't know when.
+    void recheckLoad();
+
+    /// Follows an order without a response until the engine's report shows its effect, or it can't be pending any more.
+    void updatePendingOrder(Millis now);
     void scheduleLoad();
     double rolloutFraction() const;
     void setNextDesired(const DesiredWeights &desired);
@@ -119,6 +136,9 @@
     bool hasAllPieces() const;
     bool isWorthFinishing() const;
     bool isOutdated() const;
+
+    /// Returns whether no write of another version to the stage can take effect any more.
+    bool areWritesSettled(Millis now);
     bool isDesiredLoaded() const;
 
     /// Returns whether the engine has responded for long enough without showing the order in its report.
@@ -144,17 +164,42 @@
     std::uint64_t m_generation = 0; ///< Incremented on each restart; responses of an earlier generation are ignored.
     std::vector<Digest> m_digests; ///< Of the pieces of `m_desired`.
     std::set<int> m_staged; ///< Staged pieces that matched their digest.
-    weights::StageChecks m_checks; ///< Of the verification before the order.
+    weights::StageChecks m_checks; ///< Of the latest verification.
     std::map<int, std::string> m_unstaged; ///< Verified pieces that could not be staged.
     Millis m_stageRetryAt{0}; ///< When staging `m_unstaged` is retried.
     int m_nextReadIndex = 0;
+    int m_activeReads = 0;
+    Millis m_readTime{0}; ///< How long the latest read of a staged piece took.
     Millis m_phaseEnteredAt{0};
     bool m_orderSent = false;
     bool m_orderAccepted = false;
+    bool m_verifiedAgain = false; ///< The verification was repeated because a check was too old.
+    bool m_loadUnproven = false; ///< The engine may have loaded a piece that had been corrupt for too long.
     std::int64_t m_engineStart = 0;
+
+    /// An order without a response, which may take effect later.
+    struct PendingOrder
+    {
+        std::int64_t ordersBefore = 0; ///< It takes effect only while the engine has started this number of orders.
+        Millis since{0};
+    };
+
+    std::optional<PendingOrder> m_pendingOrder;
+
+    /// A write to the stage whose effect isn't known.
+    struct StageWrite
+    {
+        std::int64_t version = 0;
+        bool isActive = true; ///< The response may still arrive.
+        Millis unansweredSince{0}; ///< When it ended without a response.
+    };
+
+    std::uint64_t m_nextWrite = 0;
+    std::map<std::uint64_t, StageWrite> m_writes;
     std::uint64_t m_corruptStaged = 0;
     std::uint64_t m_loadOrders = 0;
     std::uint64_t m_unansweredWrites = 0;
+    std::uint64_t m_staleChecks = 0;
     Millis m_oldestCheckAge{0};
 };
 
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -19,6 +19,9 @@
 /// takes a few milliseconds.
 constexpr Millis AnnounceTime{150};
 
+/// Delay before a load is tried again if its pieces were not verified fast enough.
+constexpr Millis SlowVerificationPause{1000};
+
 constexpr int OkStatus = 200;
 constexpr int CreatedStatus = 201;
 constexpr int AcceptedStatus = 202;
@@ -42,35 +45,44 @@
 void WeightsAgent::readStage()
 {
     m_nextReadIndex = 0;
-    readNextPiece(m_generation);
+    m_checks = {};
+    readMorePieces();
 }
 
-void WeightsAgent::readNextPiece(std::uint64_t generation)
+void WeightsAgent::readMorePieces()
 {
-    if (generation != m_generation || (m_phase != WeightsPhase::Reading && m_phase != WeightsPhase::Verifying)) {
-        return;
+    const int count = static_cast<int>(m_digests.size());
+    const int limit = weights::stageReadsAtOnce(m_digests.size(), m_readTime);
+    while (m_nextReadIndex < count && m_activeReads < limit) {
+        const int piece = m_nextReadIndex++;
+        if (m_prefetched.pieces.contains(piece)) {
+            continue; // It is staged from memory, regardless of the stage's content.
+        }
+        ++m_activeReads;
+        m_engine.call(
+            platform::makeStageGetRequest(m_desired.model, piece), StageTime,
+            [this, generation = m_generation, piece, requestedAt = bootMillis()](int status, const std::string &body) {
+                if (generation == m_generation) {
+                    handlePieceRead(piece, requestedAt, status, body);
+                }
+            });
     }
-    while (m_prefetched.pieces.contains(m_nextReadIndex)) {
-        ++m_nextReadIndex; // It is staged from memory, regardless of the stage's content.
-    }
-    if (m_nextReadIndex >= static_cast<int>(m_digests.size())) {
+    if (m_activeReads == 0) {
         finishReading();
-        return;
     }
-    const int piece = m_nextReadIndex++;
-    m_engine.call(platform::makeStageGetRequest(m_desired.model, piece), StageTime,
-                  [this, generation, piece, requestedAt = bootMillis()](int status, const std::string &body) {
-                      if (generation != m_generation) {
-                          return;
-                      }
-                      if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
-                          m_staged.insert(piece);
-                          recordMatch(m_checks, piece, requestedAt);
-                      } else {
-                          recordMismatch(piece, status, "verification");
-                      }
-                      readNextPiece(generation);
-                  });
+}
+
+void WeightsAgent::handlePieceRead(int piece, Millis requestedAt, int status, const std::string &body)
+{
+    --m_activeReads;
+    m_readTime = bootMillis() - requestedAt;
+    if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
+        m_staged.insert(piece);
+        recordMatch(m_checks, piece, requestedAt);
+    } else {
+        recordMismatch(piece, status, "verification");
+    }
+    readMorePieces();
 }
 
 void WeightsAgent::recordMismatch(int piece, int status, const std::string &reader)
@@ -90,22 +102,17 @@
 
 void WeightsAgent::finishReading()
 {
+    if (m_phase == WeightsPhase::Rechecking) {
+        finishRechecking();
+        return;
+    }
     const bool all = m_staged.size() == m_digests.size();
-    if (isDesiredLoaded()) {
+    if (isDesiredLoaded() && !m_loadUnproven) {
         m_prefetched = {};
         enterPhase(WeightsPhase::Idle);
         adoptNextDesired();
     } else if (!all) {
-        enterPhase(WeightsPhase::Fetching);
-        m_pieceFetcher.begin({.model = m_desired.model,
-                              .version = m_desired.version,
-                              .origin = m_desired.origin,
-                              .digests = m_digests,
-                              .plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain,
-                                                          m_members(m_desired.version)),
-                              .originPieceTime = m_desired.originPieceTime});
-        stagePrefetched();
-        fetchMore();
+        beginFetching();
     } else if (m_phase == WeightsPhase::Verifying) {
         orderLoad();
     } else {
@@ -114,6 +121,38 @@
     m_exchange.completePending();
 }
 
+void WeightsAgent::finishRechecking()
+{
+    if (m_staged.size() == m_digests.size()) {
+        // Pieces that match now matched when the order was accepted, as nothing has been written since.
+        m_loadUnproven = false;
+        enterPhase(WeightsPhase::Ordered);
+        step();
+        return;
+    }
+    logWarning(LogComponent::Side,
+               "The engine may have loaded corrupt pieces; it gets no requests until it has loaded weights again.",
+               {{"version", std::to_string(m_desired.version)},
+                {"matching", std::to_string(m_staged.size())},
+                {"pieces", std::to_string(m_digests.size())}});
+    beginFetching();
+    m_exchange.completePending();
+}
+
+void WeightsAgent::beginFetching()
+{
+    enterPhase(WeightsPhase::Fetching);
+    m_pieceFetcher.begin({.model = m_desired.model,
+                          .version = m_desired.version,
+                          .origin = m_desired.origin,
+                          .digests = m_digests,
+                          .plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain,
+                                                      m_members(m_desired.version)),
+                          .originPieceTime = m_desired.originPieceTime});
+    stagePrefetched();
+    fetchMore();
+}
+
 void WeightsAgent::stagePrefetched()
 {
     for (auto &[piece, bytes] : std::exchange(m_prefetched, {}).pieces) {
@@ -136,32 +175,42 @@
 void WeightsAgent::stage(int piece, std::string bytes)
 {
     const auto kept = std::make_shared<std::string>(std::move(bytes));
-    m_engine.call(
-        platform::makeStagePutRequest(m_desired.model, piece, *kept), StageTime,
-        [this, generation = m_generation, version = m_desired.version, piece, kept](int status, const std::string &) {
-            if (!succeeded(status)) {
-                recordFailedWrite(version, piece, status);
-            }
-            if (generation != m_generation) {
-                return;
-            }
-            if (!succeeded(status)) {
-                m_unstaged[piece] = std::move(*kept);
-                m_stageRetryAt = steadyMillis() + StagePause;
-                m_exchange.completePending();
-                return;
-            }
-            m_pieceFetcher.recordStaging(piece, true);
-            m_staged.insert(piece);
-            m_exchange.completePending();
-            if (m_phase == WeightsPhase::Fetching) {
-                fetchMore();
-            }
-        });
+    const std::uint64_t write = ++m_nextWrite;
+    m_writes[write] = {.version = m_desired.version};
+    m_engine.call(platform::makeStagePutRequest(m_desired.model, piece, *kept), StageTime,
+                  [this, generation = m_generation, version = m_desired.version, write, piece,
+                   kept](int status, const std::string &) {
+                      recordWrite(write, version, piece, status);
+                      if (generation != m_generation) {
+                          return;
+                      }
+                      if (!succeeded(status)) {
+                          m_unstaged[piece] = std::move(*kept);
+                          m_stageRetryAt = steadyMillis() + StagePause;
+                          m_exchange.completePending();
+                          return;
+                      }
+                      m_pieceFetcher.recordStaging(piece, true);
+                      m_staged.insert(piece);
+                      m_exchange.completePending();
+                      if (m_phase == WeightsPhase::Fetching) {
+                          fetchMore();
+                      }
+                  });
 }
 
-void WeightsAgent::recordFailedWrite(std::int64_t version, int piece, int status)
+void WeightsAgent::recordWrite(std::uint64_t write, std::int64_t version, int piece, int status)
 {
+    const auto it = m_writes.find(write);
+    if (it != m_writes.end() && status != 0) {
+        m_writes.erase(it);
+    } else if (it != m_writes.end()) {
+        it->second.isActive = false;
+        it->second.unansweredSince = steadyMillis();
+    }
+    if (succeeded(status)) {
+        return;
+    }
     m_unansweredWrites += status == 0 ? 1 : 0;
     logWarning(LogComponent::Side, "Staging a piece failed.",
                {{"version", std::to_string(version)},
@@ -182,10 +231,12 @@
 
 void WeightsAgent::orderLoad()
 {
+    // Entry VMs have been told since the verification began.
+    const Millis announcedAt = m_phaseEnteredAt;
     enterPhase(WeightsPhase::Ordered);
     m_orderSent = true;
     m_orderAccepted = false;
-    m_orderTimer.start(AnnounceTime, [this] { sendOrder(); });
+    m_orderTimer.start(std::max(Millis{0}, announcedAt + AnnounceTime - steadyMillis()), [this] { sendOrder(); });
 }
 
 void WeightsAgent::sendOrder()
@@ -194,38 +245,98 @@
         m_orderSent = false;
         return;
     }
+    if (!mayOrderLoad(m_checks, m_digests.size(), bootMillis())) {
+        verifyAgain();
+        return;
+    }
     ++m_loadOrders;
-    m_engine.call(platform::makeLoadRequest(m_desired.model, m_desired.version, m_engine.report()->ordersStarted),
-                  StageTime,
-                  [this, generation = m_generation, sentAt = bootMillis()](int status, const std::string &body) {
-                      if (generation == m_generation) {
-                          handleOrderResponse(sentAt, status, body);
-                      }
-                  });
+    const std::int64_t ordersBefore = m_engine.report()->ordersStarted;
+    m_engine.order(platform::makeLoadRequest(m_desired.model, m_desired.version, ordersBefore), StageTime,
+                   orderDeadline(m_checks),
+                   [this, generation = m_generation, ordersBefore,
+                    sentAt = bootMillis()](net::ExchangeOutcome outcome, int status, const std::string &body) {
+                       if (generation == m_generation) {
+                           handleOrderResponse(sentAt, ordersBefore, outcome, status, body);
+                       }
+                   });
+}
+
+void WeightsAgent::verifyAgain()
+{
+    ++m_staleChecks;
+    m_orderSent = false;
+    const Millis now = bootMillis();
+    logInfo(LogComponent::Side, "The pieces are verified again; a check is too old for the load order.",
+            {{"version", std::to_string(m_desired.version)},
+             {"oldest_check_ms", std::to_string((now - oldestCheck(m_checks).value_or(now)).count())},
+             {"bad_since_check", std::to_string(m_digests.size() - m_checks.checkedAt.size())}});
+    if (std::exchange(m_verifiedAgain, !m_verifiedAgain)) {
+        // The engine serves its present version in the meantime.
+        enterPhase(WeightsPhase::Waiting);
+        m_loadAt = steadyMillis() + SlowVerificationPause;
+        return;
+    }
+    enterPhase(WeightsPhase::Verifying);
+    readStage();
 }
 
-void WeightsAgent::handleOrderResponse(Millis sentAt, int status, const std::string &body)
+void WeightsAgent::handleOrderResponse(Millis sentAt, std::int64_t ordersBefore, net::ExchangeOutcome outcome,
+                                       int status, const std::string &body)
 {
+    logOrder(sentAt, outcome, status, body);
+    if (outcome == net::ExchangeOutcome::NotConnected) {
+        verifyAgain();
+        return;
+    }
     m_orderSent = false;
+    m_verifiedAgain = false;
     m_phaseEnteredAt = steadyMillis();
     m_orderAccepted = succeeded(status);
+    if (status == 0) {
+        // An order without a response may still be accepted. Until its fate is known, nothing of another version is
+        // staged.
+        m_pendingOrder = {.ordersBefore = ordersBefore, .since = steadyMillis()};
+        return;
+    }
+    if (status == AcceptedStatus) {
+        m_pendingOrder.reset(); // Another order with the same count can't be accepted any more.
+        m_loadUnproven = false;
+        if (!isLoadProven(m_checks, m_digests.size(), bootMillis())) {
+            recheckLoad();
+            return;
+        }
+    } else if (m_orderAccepted && m_loadUnproven) {
+        logError(LogComponent::Side, "The engine keeps weights that may be corrupt; it gets no requests.",
+                 {{"version", std::to_string(m_desired.version)}});
+        enterPhase(WeightsPhase::Idle);
+    }
+    // An accepted order loads what was staged when it was accepted, regardless of what is staged later.
+    adoptNextDesired();
+}
+
+void WeightsAgent::logOrder(Millis sentAt, net::ExchangeOutcome outcome, int status, const std::string &body)
+{
     const Millis now = bootMillis();
     const Millis oldest = oldestCheck(m_checks).value_or(sentAt);
     m_oldestCheckAge = std::max(m_oldestCheckAge, now - oldest);
     logInfo(LogComponent::Side, "Sent a load order to the engine.",
             {{"version", std::to_string(m_desired.version)},
+             {"outcome", std::string(nameOf(net::ExchangeOutcomeNames, outcome))},
              {"status", std::to_string(status)},
              {"oldest_check_ms", std::to_string((sentAt - oldest).count())},
              {"took_ms", std::to_string((now - sentAt).count())},
              {"bad_since_check", std::to_string(m_digests.size() - m_checks.checkedAt.size())},
              {"unanswered_writes", std::to_string(m_unansweredWrites)},
              {"answer", succeeded(status) ? "" : body.substr(0, 100)}});
-    if (status != 0) {
-        // An accepted order loads what was staged when it was accepted, regardless of what is staged later. An order
-        // without a response may still be accepted; in that case, nothing is staged until the engine's report shows
-        // its effect.
-        adoptNextDesired();
-    }
+}
+
+void WeightsAgent::recheckLoad()
+{
+    logWarning(LogComponent::Side, "The engine may have accepted a load order late; its pieces are verified once more.",
+               {{"version", std::to_string(m_desired.version)}});
+    m_loadUnproven = true;
+    enterPhase(WeightsPhase::Rechecking);
+    readStage();
 }
 
 std::optional<bool> WeightsAgent::holdsForPeer(const peer::PieceMessage &request) const
