--- a/lab/experiments/vms.cpp
+++ b/lab/experiments/vms.cpp
@@ -1,6 +1,6 @@
 #include "experiments/vms.h"
 
-#include "experiments/vms_deployment.h"
+#include "experiments/vms_rot.h"
 
 #include <cxxopts.hpp>
 #include <iostream>
@@ -64,18 +64,22 @@
         "directory", "where settings and logs go",
         cxxopts::value<std::string>())("entries", "entry VMs", cxxopts::value<int>()->default_value("2"))(
         "targets", "target VMs; the last one starts without weights", cxxopts::value<int>()->default_value("4"))(
-        "seconds", "how long callers send", cxxopts::value<int>()->default_value("5"))(
-        "kill", "kill an entry VM on the way and start it again")("help", "print this help");
+        "seconds", "how long callers send",
+        cxxopts::value<int>()->default_value("5"))("kill", "kill an entry VM on the way and start it again")(
+        "rot", "staged pieces turn bad between their check and the load")(
+        "seed", "of --rot", cxxopts::value<std::uint64_t>()->default_value("1"))("help", "print this help");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") != 0 || parsed.count("ibislock") == 0 || parsed.count("directory") == 0) {
         std::cout << options.help();
         return parsed.count("help") != 0 ? 0 : 2;
     }
     asio::io_context loop;
+    const bool rot = parsed.count("rot") != 0;
     const VmsOptions vms{.program = parsed["ibislock"].as<std::string>(),
                          .directory = parsed["directory"].as<std::string>(),
                          .entries = parsed["entries"].as<int>(),
-                         .targets = parsed["targets"].as<int>(),
+                         .targets = rot ? RotTargets : parsed["targets"].as<int>(),
+                         .pieces = rot ? RotPieces : VmsOptions{}.pieces,
                          .length = Millis{parsed["seconds"].as<int>() * 1000},
                          .kill = parsed.count("kill") != 0};
     VmsDeployment deployment(loop, vms);
@@ -83,6 +87,9 @@
         std::cout << "vms: failed, an entry VM did not become ready\n";
         return 1;
     }
+    if (rot) {
+        return runRot(loop, deployment, parsed["seed"].as<std::uint64_t>()) ? 0 : 1;
+    }
     play(loop, deployment, vms);
     return report(deployment, vms) ? 0 : 1;
 }
--- a/lab/experiments/vms_deployment.cpp
+++ b/lab/experiments/vms_deployment.cpp
@@ -28,6 +28,7 @@
     while (m_firstPeerPort == m_lastPeerPort) {
         std::tie(m_firstPeerPort, m_lastPeerPort) = std::minmax({freePort(), freePort()});
     }
+    m_origin.weights.pieces = m_options.pieces;
 }
 
 bool VmsDeployment::start()
@@ -68,6 +69,11 @@
 void VmsDeployment::announce(std::int64_t version)
 {
     m_origin.weights.version = version;
+    for (VmProcess &vm : m_vms) {
+        if (vm.engine) {
+            vm.engine->expected.version = version;
+        }
+    }
     m_store.append("version/m", nlohmann::json{{"Model", "m"}, {"Version", version}}.dump());
 }
 
@@ -76,7 +82,8 @@
     VmProcess vm{.ip = "127.0.3." + std::to_string(number + 10), .kind = "side"};
     vm.engine = std::make_unique<EngineStandIn>(m_loop, vm.ip, 0);
     vm.engine->version = version;
-    const WeightsStandIn weights{.version = version};
+    const WeightsStandIn weights{.version = version, .pieces = m_options.pieces};
+    vm.engine->expected = weights;
     for (int piece = 0; version > 0 && piece < weights.pieces; ++piece) {
         vm.engine->staged[piece] = pieceBytes(weights, piece);
     }
--- a/lab/experiments/vms_deployment.h
+++ b/lab/experiments/vms_deployment.h
@@ -18,6 +18,7 @@
     std::string directory;
     int entries = 2;
     int targets = 4;
+    int pieces = 8; ///< Of each version.
     Millis length{5000};
     Millis versionTime{4000}; ///< The contract's time for a version; short, so that turns are soon over.
     bool kill = false;
--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -64,11 +64,6 @@
 
 } // namespace
 
-std::string pieceBytes(const WeightsStandIn &weights, int piece)
-{
-    return weights.model + " version " + std::to_string(weights.version) + " piece " + std::to_string(piece);
-}
-
 OriginStandIn::OriginStandIn(asio::io_context &loop, const std::string &ip)
     : m_loop(loop)
     , m_ip(ip)
@@ -120,6 +115,7 @@
                                           const std::string &body) { answer(to, request, body); });
                  })
     , m_load(loop)
+    , m_thaw(loop)
 {
     m_listener.open(ip, port);
 }
@@ -136,16 +132,75 @@
 
 bool EngineStandIn::holdsWhole(const WeightsStandIn &weights) const
 {
-    for (int piece = 0; piece < weights.pieces; ++piece) {
-        const auto it = staged.find(piece);
-        if (it == staged.end() || it->second != pieceBytes(weights, piece)) {
-            return false;
+    const LoadFaults faults = loadFaults(staged, m_bad, weights, steadyMillis());
+    return !breaksRule(faults) && faults.badInTime == 0;
+}
+
+void EngineStandIn::turnBad(const std::vector<int> &pieces)
+{
+    for (const int piece : pieces) {
+        m_bad.emplace(piece, steadyMillis());
+    }
+}
+
+void EngineStandIn::restart()
+{
+    m_load.cancel();
+    m_loading = false;
+    m_bad.clear();
+    m_verification.reset();
+    m_usable = true;
+    staged.clear();
+    version = 0;
+    orders = 0;
+    ++startedAt;
+}
+
+void EngineStandIn::freeze(Millis length)
+{
+    m_frozen = true;
+    m_thaw.expires_after(length);
+    m_thaw.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            m_frozen = false;
+            for (const auto &waiting : std::exchange(m_waiting, {})) {
+                waiting();
+            }
         }
+    });
+}
+
+std::vector<int> EngineStandIn::verifiedPieces() const
+{
+    return m_verification.readPieces();
+}
+
+const LoadCounts &EngineStandIn::loadCounts() const
+{
+    return m_counts;
+}
+
+void EngineStandIn::emitStage(StageEvent event)
+{
+    if (onStage) {
+        onStage(event);
     }
-    return true;
 }
 
 void EngineStandIn::answer(net::Connection &connection, const http::RequestHead &request, const std::string &body)
+{
+    if (request.target == "/ibislock/order" && !m_frozen) {
+        emitStage(StageEvent::OrderArrives);
+    }
+    if (m_frozen) {
+        m_waiting.push_back(
+            [this, kept = connection.shared_from_this(), request, body] { handle(*kept, request, body); });
+        return;
+    }
+    handle(connection, request, body);
+}
+
+void EngineStandIn::handle(net::Connection &connection, const http::RequestHead &request, const std::string &body)
 {
     if (away) {
         connection.close();
@@ -165,11 +220,13 @@
                              {"Running", 0}}
                   .dump());
     } else if (request.target.find("/stage-put/") != std::string::npos) {
-        staged[queryNumber(request.target, "Num")] = body;
+        const int piece = queryNumber(request.target, "Num");
+        staged[piece] = body;
+        m_bad.erase(piece);
+        m_verification.reset();
         reply(connection, 200, "");
     } else if (request.target.find("/stage-get/") != std::string::npos) {
-        const auto it = staged.find(queryNumber(request.target, "Num"));
-        reply(connection, it == staged.end() ? 404 : 200, it == staged.end() ? "" : it->second);
+        readStage(connection, queryNumber(request.target, "Num"));
     } else if (request.target == "/ibislock/order") {
         order(connection, body);
     } else {
@@ -177,6 +234,35 @@
     }
 }
 
+void EngineStandIn::readStage(net::Connection &connection, int piece)
+{
+    const auto it = staged.find(piece);
+    const int status = it == staged.end() ? 404 : 200;
+    const std::string bytes = it == staged.end() ? "" : it->second + (m_bad.contains(piece) ? " turned bad" : "");
+    const auto step = m_verification.read(piece, holdsWhole(expected), expected.pieces, steadyMillis());
+    if (step == VerificationWatch::Step::Begins) {
+        emitStage(StageEvent::VerificationBegins);
+    }
+    const auto finish = [this, kept = connection.shared_from_this(), status, bytes, step] {
+        if (kept->isOpen()) {
+            reply(*kept, status, bytes);
+        }
+        if (step == VerificationWatch::Step::Ends) {
+            emitStage(StageEvent::VerificationEnds);
+        }
+    };
+    if (readDelay == Millis{0}) {
+        finish();
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, readDelay);
+    timer->async_wait([timer, finish](const asio::error_code &ec) {
+        if (!ec) {
+            finish();
+        }
+    });
+}
+
 void EngineStandIn::serve(net::Connection &connection, const http::RequestHead &request)
 {
     const std::string attempt(request.headers.find("X-Ibislock-Attempt-Id").value_or(""));
@@ -189,6 +275,7 @@
         return;
     }
     ++served;
+    m_counts.servedViolating += m_usable ? 0 : 1;
     head.headers.add("X-Ibislock-Response-Signature", "s-" + attempt);
     connection.write(http::writeResponse(head, "answer to " + attempt));
 }
@@ -216,10 +303,16 @@
     WeightsStandIn weights = expected;
     weights.version = wanted.value("Version", std::int64_t{0});
     loadedSpoilt = loadedSpoilt || !holdsWhole(weights);
+    const LoadFaults faults = loadFaults(staged, m_bad, weights, steadyMillis());
+    const bool violating = breaksRule(faults);
+    ++m_counts.loads;
+    m_counts.violating += violating ? 1 : 0;
+    m_counts.badInTime += !violating && faults.badInTime > 0 ? 1 : 0;
     m_load.expires_after(LoadTime);
-    m_load.async_wait([this, loaded = weights.version](const asio::error_code &ec) {
+    m_load.async_wait([this, violating, loaded = weights.version](const asio::error_code &ec) {
         if (!ec) {
             version = loaded;
+            m_usable = !violating;
             m_loading = false;
         }
     });
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -5,8 +5,11 @@
 #include "ibislock/base/clock.h"
 #include "ibislock/http/reader.h"
 #include "ibislock/net/connection.h"
+#include "platform/staged_pieces.h"
 
 #include <asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -14,17 +17,6 @@
 namespace ibislock::lab
 {
 
-/// A version of weights: its pieces are made from their numbers.
-struct WeightsStandIn
-{
-    std::string model = "m";
-    std::int64_t version = 1;
-    int pieces = 8;
-};
-
-/// The bytes of a piece.
-std::string pieceBytes(const WeightsStandIn &weights, int piece);
-
 /// Serves manifests and pieces of the newest weights and of the version before.
 class OriginStandIn
 {
@@ -51,6 +43,22 @@
     net::Listener m_listener;
 };
 
+/// A moment in the stage of an engine.
+enum class StageEvent {
+    VerificationBegins,
+    VerificationEnds, ///< The last read was served.
+    OrderArrives,
+};
+
+/// What came of the orders of an engine.
+struct LoadCounts
+{
+    int loads = 0;
+    int badInTime = 0; ///< Loads with pieces that had turned bad, all of them within the time that is allowed.
+    int violating = 0; ///< Loads whose weights must not be used.
+    int servedViolating = 0; ///< Requests that were run with such weights.
+};
+
 /// An engine with its stage.
 class EngineStandIn
 {
@@ -66,6 +74,20 @@
     /// Tells whether each staged piece is that of some weights.
     bool holdsWhole(const WeightsStandIn &weights) const;
 
+    /// Turns staged pieces bad.
+    void turnBad(const std::vector<int> &pieces);
+
+    /// Starts the engine again: nothing is loaded or staged.
+    void restart();
+
+    /// Gives no answers for a time; then answers all that waited, in order.
+    void freeze(Millis length);
+
+    /// Returns the pieces that the verification under way has read.
+    std::vector<int> verifiedPieces() const;
+
+    const LoadCounts &loadCounts() const;
+
     std::int64_t version = 0; ///< That is loaded; 0 for none.
     std::int64_t startedAt = 1;
     int orders = 0;
@@ -73,13 +95,18 @@
     int served = 0; ///< Requests that were run.
     Millis orderDelay{0}; ///< Orders get no answer and are accepted this late.
     int delayedOrders = 0; ///< That came while there was such a delay.
+    Millis readDelay{0}; ///< Until a read of the stage is answered.
+    std::function<void(StageEvent)> onStage; ///< Is called at each such moment.
     bool away = false; ///< Closes connections without an answer.
     bool loadedSpoilt = false; ///< A load began while a staged piece was not what it should be.
-    WeightsStandIn expected; ///< What the engine checks a load against, except for its version.
-    std::map<int, std::string> staged;
+    WeightsStandIn expected; ///< What the engine checks a load against; the order names the version.
+    std::map<int, std::string> staged; ///< As written; pieces may have turned bad since.
 
 private:
     void answer(net::Connection &connection, const http::RequestHead &request, const std::string &body);
+    void handle(net::Connection &connection, const http::RequestHead &request, const std::string &body);
+    void readStage(net::Connection &connection, int piece);
+    void emitStage(StageEvent event);
     void serve(net::Connection &connection, const http::RequestHead &request);
     void order(net::Connection &connection, const std::string &body);
     bool acceptOrder(const std::string &body);
@@ -88,7 +115,14 @@
     std::vector<std::shared_ptr<net::Connection>> m_connections;
     net::Listener m_listener;
     asio::steady_timer m_load;
+    asio::steady_timer m_thaw;
     bool m_loading = false;
+    bool m_frozen = false;
+    bool m_usable = true; ///< The loaded weights may be used.
+    std::deque<std::function<void()>> m_waiting; ///< Came while the engine gave no answers.
+    BadPieces m_bad;
+    VerificationWatch m_verification;
+    LoadCounts m_counts;
 };
 
 } // namespace ibislock::lab
