A late load is proven only by pieces that were not staged after it, and an engine is not left out without cause

Cause: the check counted staged pieces, not its own matches, and staging went on while it ran; a second order could carry another count of orders than the first; a read without a response counted as a corrupt piece; a piece found bad after the order made its load unproven; an engine that reads too slowly never got its order.

Change: nothing is staged while an order without a response is pending or its load is checked, and only the matches of that check count. A load is judged by the checks as they were when the order went out. Reads without a response are repeated. After two verifications that were too slow the order goes out and its load is checked. An engine with a pending order counts as loading. The wait of 150 ms follows the verification again, as before, since the message to entry VMs may leave up to a poll later.

--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -138,8 +138,12 @@
         const StageWrite &write = item.second;
         return !write.isActive && now > std::max(write.unansweredSince, m_engine.respondingSince()) + WriteTime;
     });
-    return std::none_of(m_writes.begin(), m_writes.end(),
-                        [this](const auto &item) { return item.second.version != m_desired.version; });
+    return m_writes.empty();
+}
+
+bool WeightsAgent::isStageFixed() const
+{
+    return m_pendingOrder || m_phase == WeightsPhase::Rechecking;
 }
 
 void WeightsAgent::updatePendingOrder(Millis now)
@@ -166,7 +170,7 @@
     const Millis now = steadyMillis();
     const std::int64_t loaded = m_engine.loadedVersion();
     const Millis deadline = oldestPendingAnnouncementTime(m_desired.announced, loaded) + m_desired.gracePeriod;
-    const Millis left = loaded == 0 ? Millis{0} : std::max(Millis{0}, deadline - now);
+    const Millis left = loaded == 0 || m_loadUnproven ? Millis{0} : std::max(Millis{0}, deadline - now);
     m_loadAt = now + left * static_cast<std::int64_t>(rolloutFraction() * 1000) / 1000;
 }
 
@@ -249,7 +253,8 @@
     m_activeReads = 0;
     m_orderSent = false;
     m_orderAccepted = false;
-    m_verifiedAgain = false;
+    m_staleVerifications = 0;
+    m_pendingOrder.reset();
     if (m_desired.version == 0) {
         enterPhase(WeightsPhase::Idle);
     } else if (!m_prefetched.digests.empty()) {
@@ -277,7 +282,7 @@
         m_engineStart = m_engine.report()->startedAt;
         // A restarted engine has no weights, and what its predecessor had received has no effect.
         m_loadUnproven = false;
-        m_pendingOrder.reset();
+        m_pendingOrder.reset(); // adoptNextDesired() requires it.
         m_writes.clear();
         if (m_nextDesired) {
             adoptNextDesired(); // The restarted engine has nothing left to finish.
@@ -306,7 +311,7 @@
         fetchMore();
         break;
     case WeightsPhase::Waiting:
-        if (isDesiredLoaded() && !m_loadUnproven) {
+        if (isDesiredLoaded() && !m_loadUnproven && !m_pendingOrder) {
             enterPhase(WeightsPhase::Idle);
             adoptNextDesired();
         } else if (now >= m_loadAt && !m_engine.report()->orderInProgress && areWritesSettled(now)) {
@@ -318,7 +323,7 @@
     case WeightsPhase::Rechecking:
         break;
     case WeightsPhase::Ordered:
-        if (isDesiredLoaded() && !m_loadUnproven) {
+        if (isDesiredLoaded() && !m_loadUnproven && !m_pendingOrder) {
             enterPhase(WeightsPhase::Idle);
             adoptNextDesired();
         } else if (isOrderIneffective(now)) {
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -120,9 +120,17 @@
     void orderLoad();
     void sendOrder();
     void verifyAgain();
-    void handleOrderResponse(Millis sentAt, std::int64_t ordersBefore, net::ExchangeOutcome outcome, int status,
-                             const std::string &body);
-    void logOrder(Millis sentAt, net::ExchangeOutcome outcome, int status, const std::string &body);
+
+    /// A load order that was sent.
+    struct SentOrder
+    {
+        Millis sentAt{0};
+        std::int64_t ordersBefore = 0;
+        weights::StageChecks checks; ///< When it was sent; a piece may be found corrupt later.
+    };
+
+    void handleOrderResponse(const SentOrder &order, net::ExchangeOutcome outcome, int status, const std::string &body);
+    void logOrder(const SentOrder &order, net::ExchangeOutcome outcome, int status, const std::string &body);
 
     /// Records that the engine has accepted an order of which this agent doesn't know when.
     void recheckLoad();
@@ -137,7 +145,10 @@
     bool isWorthFinishing() const;
     bool isOutdated() const;
 
-    /// Returns whether no write of another version to the stage can take effect any more.
+    /// Returns whether the stage must keep its content, as the engine may accept an order late or has done so.
+    bool isStageFixed() const;
+
+    /// Returns whether no write to the stage can take effect any more.
     bool areWritesSettled(Millis now);
     bool isDesiredLoaded() const;
 
@@ -173,7 +184,8 @@
     Millis m_phaseEnteredAt{0};
     bool m_orderSent = false;
     bool m_orderAccepted = false;
-    bool m_verifiedAgain = false; ///< The verification was repeated because a check was too old.
+    int m_staleVerifications = 0; ///< Verifications in a row that took too long to order a load.
+    bool m_recheckMismatch = false; ///< A piece didn't match its digest after the order.
     bool m_loadUnproven = false; ///< The engine may have loaded a piece that had been corrupt for too long.
     std::int64_t m_engineStart = 0;
 
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -19,19 +19,30 @@
 /// takes a few milliseconds.
 constexpr Millis AnnounceTime{150};
 
-/// Delay before a load is tried again if its pieces were not verified fast enough.
-constexpr Millis SlowVerificationPause{1000};
+/// Delay before the stage is read again if the engine didn't respond.
+constexpr Millis EngineRetryPause{1000};
+
+/// Verifications in a row that may take too long. Then the load is ordered all the same, and its pieces are verified
+/// once more before the engine serves.
+constexpr int MaxStaleVerifications = 2;
 
 constexpr int OkStatus = 200;
 constexpr int CreatedStatus = 201;
 constexpr int AcceptedStatus = 202;
 constexpr int NoContentStatus = 204;
+constexpr int NotFoundStatus = 404;
 
 bool succeeded(int status)
 {
     return status == OkStatus || status == CreatedStatus || status == AcceptedStatus || status == NoContentStatus;
 }
 
+/// Returns whether a read of a piece shows its content, or that it is missing.
+bool showsContent(int status)
+{
+    return status == OkStatus || status == NotFoundStatus;
+}
+
 } // namespace
 
 void WeightsAgent::applyManifest(std::vector<Digest> digests)
@@ -46,6 +57,7 @@
 {
     m_nextReadIndex = 0;
     m_checks = {};
+    m_recheckMismatch = false;
     readMorePieces();
 }
 
@@ -79,7 +91,8 @@
     if (status == OkStatus && sha256(body) == m_digests[static_cast<std::size_t>(piece)]) {
         m_staged.insert(piece);
         recordMatch(m_checks, piece, requestedAt);
-    } else {
+    } else if (m_phase != WeightsPhase::Rechecking || showsContent(status)) {
+        m_recheckMismatch = true;
         recordMismatch(piece, status, "verification");
     }
     readMorePieces();
@@ -107,7 +120,7 @@
         return;
     }
     const bool all = m_staged.size() == m_digests.size();
-    if (isDesiredLoaded() && !m_loadUnproven) {
+    if (isDesiredLoaded() && !m_loadUnproven && !m_pendingOrder) {
         m_prefetched = {};
         enterPhase(WeightsPhase::Idle);
         adoptNextDesired();
@@ -123,18 +136,26 @@
 
 void WeightsAgent::finishRechecking()
 {
-    if (m_staged.size() == m_digests.size()) {
+    if (m_checks.checkedAt.size() == m_digests.size() && !m_digests.empty()) {
         // Pieces that match now matched when the order was accepted, as nothing has been written since.
         m_loadUnproven = false;
         enterPhase(WeightsPhase::Ordered);
         step();
         return;
     }
+    if (!m_recheckMismatch) {
+        m_orderTimer.start(EngineRetryPause, [this] { readStage(); });
+        return;
+    }
     logWarning(LogComponent::Side,
                "The engine may have loaded corrupt pieces; it gets no requests until it has loaded weights again.",
                {{"version", std::to_string(m_desired.version)},
-                {"matching", std::to_string(m_staged.size())},
+                {"matching", std::to_string(m_checks.checkedAt.size())},
                 {"pieces", std::to_string(m_digests.size())}});
+    if (m_nextDesired) {
+        adoptNextDesired();
+        return;
+    }
     beginFetching();
     m_exchange.completePending();
 }
@@ -174,6 +195,11 @@
 
 void WeightsAgent::stage(int piece, std::string bytes)
 {
+    if (isStageFixed()) {
+        m_unstaged[piece] = std::move(bytes);
+        m_exchange.completePending();
+        return;
+    }
     const auto kept = std::make_shared<std::string>(std::move(bytes));
     const std::uint64_t write = ++m_nextWrite;
     m_writes[write] = {.version = m_desired.version};
@@ -221,7 +247,7 @@
 
 void WeightsAgent::retryStaging()
 {
-    if (m_unstaged.empty() || steadyMillis() < m_stageRetryAt) {
+    if (m_unstaged.empty() || steadyMillis() < m_stageRetryAt || isStageFixed()) {
         return;
     }
     for (auto &[piece, bytes] : std::exchange(m_unstaged, {})) {
@@ -231,77 +257,76 @@
 
 void WeightsAgent::orderLoad()
 {
-    // Entry VMs have been told since the verification began.
-    const Millis announcedAt = m_phaseEnteredAt;
     enterPhase(WeightsPhase::Ordered);
     m_orderSent = true;
     m_orderAccepted = false;
-    m_orderTimer.start(std::max(Millis{0}, announcedAt + AnnounceTime - steadyMillis()), [this] { sendOrder(); });
+    m_orderTimer.start(AnnounceTime, [this] { sendOrder(); });
 }
 
 void WeightsAgent::sendOrder()
 {
+    m_orderSent = false;
     if (!m_engine.report()) {
-        m_orderSent = false;
         return;
     }
-    if (!mayOrderLoad(m_checks, m_digests.size(), bootMillis())) {
+    SentOrder order{.sentAt = bootMillis(), .ordersBefore = m_engine.report()->ordersStarted, .checks = m_checks};
+    if (m_pendingOrder && m_pendingOrder->ordersBefore != order.ordersBefore) {
+        updatePendingOrder(steadyMillis());
+        return;
+    }
+    const bool recent = mayOrderLoad(m_checks, m_digests.size(), order.sentAt);
+    const bool checked = m_checks.checkedAt.size() == m_digests.size();
+    if (!recent && (!checked || m_staleVerifications < MaxStaleVerifications)) {
         verifyAgain();
         return;
     }
+    m_orderSent = true;
     ++m_loadOrders;
-    const std::int64_t ordersBefore = m_engine.report()->ordersStarted;
-    m_engine.order(platform::makeLoadRequest(m_desired.model, m_desired.version, ordersBefore), StageTime,
-                   orderDeadline(m_checks),
-                   [this, generation = m_generation, ordersBefore,
-                    sentAt = bootMillis()](net::ExchangeOutcome outcome, int status, const std::string &body) {
-                       if (generation == m_generation) {
-                           handleOrderResponse(sentAt, ordersBefore, outcome, status, body);
-                       }
-                   });
+    const Millis deadline = recent ? orderDeadline(m_checks) : order.sentAt + weights::MaxCheckAgeAtOrder;
+    m_engine.order(
+        platform::makeLoadRequest(m_desired.model, m_desired.version, order.ordersBefore), StageTime, deadline,
+        [this, generation = m_generation, order](net::ExchangeOutcome outcome, int status, const std::string &body) {
+            if (generation == m_generation) {
+                handleOrderResponse(order, outcome, status, body);
+            }
+        });
 }
 
 void WeightsAgent::verifyAgain()
 {
     ++m_staleChecks;
-    m_orderSent = false;
+    ++m_staleVerifications;
     const Millis now = bootMillis();
     logInfo(LogComponent::Side, "The pieces are verified again; a check is too old for the load order.",
             {{"version", std::to_string(m_desired.version)},
              {"oldest_check_ms", std::to_string((now - oldestCheck(m_checks).value_or(now)).count())},
              {"bad_since_check", std::to_string(m_digests.size() - m_checks.checkedAt.size())}});
-    if (std::exchange(m_verifiedAgain, !m_verifiedAgain)) {
-        // The engine serves its present version in the meantime.
-        enterPhase(WeightsPhase::Waiting);
-        m_loadAt = steadyMillis() + SlowVerificationPause;
-        return;
-    }
     enterPhase(WeightsPhase::Verifying);
     readStage();
 }
 
-void WeightsAgent::handleOrderResponse(Millis sentAt, std::int64_t ordersBefore, net::ExchangeOutcome outcome,
-                                       int status, const std::string &body)
+void WeightsAgent::handleOrderResponse(const SentOrder &order, net::ExchangeOutcome outcome, int status,
+                                       const std::string &body)
 {
-    logOrder(sentAt, outcome, status, body);
+    logOrder(order, outcome, status, body);
+    m_orderSent = false;
     if (outcome == net::ExchangeOutcome::NotConnected) {
-        verifyAgain();
+        enterPhase(WeightsPhase::Waiting);
+        m_loadAt = steadyMillis() + EngineRetryPause;
         return;
     }
-    m_orderSent = false;
-    m_verifiedAgain = false;
+    m_staleVerifications = 0;
     m_phaseEnteredAt = steadyMillis();
     m_orderAccepted = succeeded(status);
     if (status == 0) {
-        // An order without a response may still be accepted. Until its fate is known, nothing of another version is
-        // staged.
-        m_pendingOrder = {.ordersBefore = ordersBefore, .since = steadyMillis()};
+        // An order without a response may still be accepted. Until its fate is known, nothing is staged.
+        m_pendingOrder = {.ordersBefore = order.ordersBefore, .since = steadyMillis()};
         return;
     }
     if (status == AcceptedStatus) {
         m_pendingOrder.reset(); // Another order with the same count can't be accepted any more.
         m_loadUnproven = false;
-        if (!isLoadProven(m_checks, m_digests.size(), bootMillis())) {
+        if (!isLoadProven(order.checks, m_digests.size(), bootMillis())) {
             recheckLoad();
             return;
         }
@@ -314,17 +339,17 @@
     adoptNextDesired();
 }
 
-void WeightsAgent::logOrder(Millis sentAt, net::ExchangeOutcome outcome, int status, const std::string &body)
+void WeightsAgent::logOrder(const SentOrder &order, net::ExchangeOutcome outcome, int status, const std::string &body)
 {
     const Millis now = bootMillis();
-    const Millis oldest = oldestCheck(m_checks).value_or(sentAt);
+    const Millis oldest = oldestCheck(order.checks).value_or(order.sentAt);
     m_oldestCheckAge = std::max(m_oldestCheckAge, now - oldest);
     logInfo(LogComponent::Side, "Sent a load order to the engine.",
             {{"version", std::to_string(m_desired.version)},
              {"outcome", std::string(nameOf(net::ExchangeOutcomeNames, outcome))},
              {"status", std::to_string(status)},
-             {"oldest_check_ms", std::to_string((sentAt - oldest).count())},
-             {"took_ms", std::to_string((now - sentAt).count())},
+             {"oldest_check_ms", std::to_string((order.sentAt - oldest).count())},
+             {"took_ms", std::to_string((now - order.sentAt).count())},
              {"bad_since_check", std::to_string(m_digests.size() - m_checks.checkedAt.size())},
              {"unanswered_writes", std::to_string(m_unansweredWrites)},
              {"answer", succeeded(status) ? "" : body.substr(0, 100)}});
@@ -335,6 +360,7 @@
     logWarning(LogComponent::Side, "The engine may have accepted a load order late; its pieces are verified once more.",
                {{"version", std::to_string(m_desired.version)}});
     m_loadUnproven = true;
+    m_pieceFetcher.stop(); // The recheck must not see pieces that were staged after the load.
     enterPhase(WeightsPhase::Rechecking);
     readStage();
 }
@@ -375,7 +401,7 @@
                   [this, generation = m_generation, answer, done](int status, std::string body) mutable {
                       const bool good = status == OkStatus && generation == m_generation
                           && sha256(body) == m_digests[static_cast<std::size_t>(answer.index)];
-                      if (!good && generation == m_generation) {
+                      if (!good && generation == m_generation && showsContent(status)) {
                           recordMismatch(answer.index, status, "peer");
                       }
                       answer.content = good ? peer::PieceContent::Bytes : peer::PieceContent::Missing;
--- a/libs/side/test/side_load_order_test.cpp
+++ b/libs/side/test/side_load_order_test.cpp
@@ -258,6 +258,54 @@
     expectNothingSpoilt();
 }
 
+TEST_F(LoadOrderTest, AnEngineIsNotLeftOutBecauseItsPiecesCouldNotBeReadAfterALateOrder)
+{
+    Vm &vm = add(1);
+    start();
+    LoadListener entry(m_loop, "127.0.1.101", m_peerPort);
+    m_loop.run_for(std::chrono::milliseconds(300));
+    vm.engine.orderDelay = LongPause;
+    name(2);
+    ASSERT_TRUE(runUntil([&] { return vm.engine.delayedOrders == 1; }));
+    vm.engine.orderDelay = Millis{0};
+    ASSERT_TRUE(runUntilLoaded(2));
+    vm.engine.stageReads = 0;
+    ASSERT_TRUE(runUntil([&] { return vm.engine.stageReads > 0; })); // The pieces are being checked again.
+    vm.engine.away = true;
+    m_loop.run_for(std::chrono::milliseconds(500));
+    vm.engine.away = false;
+    EXPECT_TRUE(runUntil([&] {
+        entry.subscribe(vm.ip);
+        const auto load = entry.latest();
+        return load && load->version == 2 && !load->loading;
+    }));
+}
+
+TEST_F(LoadOrderTest, APieceThatIsStagedAfterALateOrderDoesNotProveItsLoad)
+{
+    Vm &vm = add(1);
+    start();
+    LoadListener entry(m_loop, "127.0.1.101", m_peerPort);
+    m_loop.run_for(std::chrono::milliseconds(300));
+    judgeLoads(vm, 2);
+    vm.engine.holdsOrders = true;
+    name(2);
+    ASSERT_TRUE(runUntil([&] { return vm.engine.delayedOrders == 1; }));
+    corrupt(vm, 3);
+    const int served = m_origin.piecesServed;
+    ASSERT_TRUE(runUntil([&] { return m_origin.piecesServed > served; })) << "the piece must be fetched again";
+    vm.engine.holdsOrders = false;
+    vm.engine.applyHeldOrders();
+    ASSERT_EQ(m_badLoads, 1);
+    const Millis end = steadyMillis() + Millis{3000};
+    while (steadyMillis() < end) {
+        entry.subscribe(vm.ip);
+        m_loop.run_for(std::chrono::milliseconds(50));
+        const auto load = entry.latest();
+        ASSERT_FALSE(load && load->version == 2 && !load->loading);
+    }
+}
+
 } // namespace
 
 } // namespace ibislock::side
