Logs name the framing and the incomplete event of a target's response

The record of the incident can't tell a stream that ended with its connection from one whose framing was completed or one that was reset: the last line of a request had neither. Now both lines that end an attempt or a request have framing= and incomplete_bytes=.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -207,6 +207,7 @@
     m_sentAt = now;
     recordAttempt(target, now, promptMs(request.promptTokens));
     m_responseHandling = ResponseHandling::None;
+    m_framing = "none";
     m_responseBody.clear();
     m_eventSplitter.incompleteEvent.clear();
     const http::RequestHead forwarded = platform::makeTargetRequest(head, targetOptions(target, now));
@@ -247,6 +248,7 @@
     const bool served =
         complete && !notRun && m_responseHandling != ResponseHandling::None && m_responseHead.status / 100 != 5;
     const std::string target = m_targetId;
+    m_incompleteBytes = m_eventSplitter.incompleteEvent.size();
     releaseTarget(served || notRun);
     if (!served) {
         logInfo(LogComponent::Front, "A request attempt failed.",
@@ -257,6 +259,8 @@
                  {"sends", std::to_string(m_attempts)},
                  {"connected", result.connected ? "1" : "0"},
                  {"reused", result.reused ? "1" : "0"},
+                 {"framing", std::string(m_framing)},
+                 {"incomplete_bytes", std::to_string(m_incompleteBytes)},
                  {"after_ms", std::to_string((steadyMillis() - m_sentAt).count())}});
     }
     if (complete && m_responseHandling == ResponseHandling::Buffered) {
@@ -374,6 +378,8 @@
              {"waited_ms", std::to_string(m_attempts > 0 ? (m_firstSentAt - receivedAt).count() : -1)},
              {"first_ms", std::to_string(m_firstEventAt > Millis{0} ? (m_firstEventAt - receivedAt).count() : -1)},
              {"pause_ms", std::to_string(m_longestEventGap.count())},
+             {"framing", std::string(m_framing)},
+             {"incomplete_bytes", std::to_string(m_incompleteBytes)},
              {"goal_ms", std::to_string(route.latencyObjective.count())},
              {"took_ms", std::to_string(whole.count())}});
 }
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -123,6 +123,8 @@
     http::ResponseHead m_responseHead;
     std::string m_responseBody;
     EventSplitter m_eventSplitter;
+    std::string_view m_framing = "none"; ///< What marks the end of the attempt's response, as logged.
+    std::size_t m_incompleteBytes = 0; ///< Bytes of an incomplete event at the end of the last response.
     Millis m_sentAt{0};
     Millis m_firstSentAt{0};
     Millis m_firstEventAt{0};
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -19,6 +19,12 @@
 /// Maximum size of one event of a stream; an event usually holds a few tokens.
 constexpr std::size_t LargestEvent = 256 * 1024;
 
+/// Returns what marks the end of a response's body.
+std::string_view framingOf(const http::ResponseHead &head)
+{
+    return head.closeDelimited ? "close" : (head.chunked ? "chunked" : "length");
+}
+
 } // namespace
 
 void Call::applySignals(const platform::TargetResponse &said)
@@ -60,6 +66,7 @@
         return net::HeadDecision::Skip;
     }
     m_responseHead = answer;
+    m_framing = framingOf(answer);
     const bool success = answer.status / 100 == 2;
     // Targets send the id of the request with their response. Without it, this may be a late response to another
     // request.
--- a/libs/front/test/front_sends_test.cpp
+++ b/libs/front/test/front_sends_test.cpp
@@ -129,6 +129,19 @@
     EXPECT_TRUE(log.take(SecondSend).empty());
 }
 
+TEST_F(FrontTest, LogsTheFramingAndTheIncompleteEventOfAResponse)
+{
+    m_first.behaviour = TargetBehaviour::StreamCutOff;
+    list(m_first);
+    start();
+    lab::LogCapture log;
+    call(request("/events/x"));
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_TRUE(lab::hasField(ends[0], "framing", "chunked")) << ends[0];
+    EXPECT_TRUE(lab::hasField(ends[0], "incomplete_bytes", "7")) << ends[0];
+}
+
 TEST_F(FrontTest, LogsLoopStall)
 {
     start();
