Test: a close-delimited response that is reset is not complete

Rules out the third hypothesis: a reset behind the bytes of a response without framing, at once or 20 ms later, ends the exchange as broken.

--- a/libs/net/test/http_client_test.cpp
+++ b/libs/net/test/http_client_test.cpp
@@ -137,6 +137,47 @@
                    ExchangeOutcome::Complete, "x"}),
     [](const auto &item) { return item.param.name; });
 
+/// A server whose response has no framing, and which resets the connection after it.
+class ResettingServer
+{
+public:
+    ResettingServer(asio::io_context &loop, Millis pause)
+        : m_acceptor(loop, {asio::ip::address_v4::loopback(), 0})
+        , m_socket(loop)
+        , m_pause(loop)
+    {
+        m_acceptor.async_accept(m_socket, [this, pause](const asio::error_code &) {
+            m_socket.async_wait(asio::ip::tcp::socket::wait_read, [this, pause](const asio::error_code &) {
+                m_socket.write_some(asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\nhi")));
+                m_pause.start(pause, [this] {
+                    m_socket.set_option(asio::socket_base::linger(true, 0));
+                    m_socket.close();
+                });
+            });
+        });
+    }
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+private:
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::socket m_socket;
+    Timer m_pause;
+};
+
+TEST(HttpClientTest, CloseDelimitedResponseThatIsResetIsNotComplete)
+{
+    for (const Millis pause : {Millis{0}, Millis{20}}) {
+        asio::io_context loop;
+        ResettingServer server(loop, pause);
+        HttpClient client(loop);
+        EXPECT_EQ(callOnce(loop, client, server.port()).end, ExchangeOutcome::Broken) << pause.count();
+    }
+}
+
 TEST(HttpClientTest, ReusesConnectionForTheNextCall)
 {
     asio::io_context loop;
