Failing tests: streams that end inside an event are forwarded as complete

In the fixture of the entry daemon's tests the first target ends its stream inside the third event (its connection ends, without length or chunks; or in chunks with a last chunk), or without any event. The caller gets a 200 that is framed as complete with 49 or 0 of 105 bytes, on routes that may be resumed and on others, and the attempt counts as served.

Whole streams, also one without framing and one with a comment and empty lines at its end, pass and must stay as they are.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -11,6 +11,9 @@
 /// Bytes that behaviours without end write at once.
 constexpr std::size_t EndlessPart = 64 * 1024;
 
+/// Bytes that are sent of the event in which a stream is cut off.
+constexpr std::size_t CutEventBytes = 7;
+
 std::string headerOf(const http::RequestHead &request, std::string_view name)
 {
     return std::string(request.headers.find(name).value_or(""));
@@ -179,9 +182,16 @@
     case TargetBehaviour::StreamWithoutIds:
     case TargetBehaviour::StreamCutOff:
     case TargetBehaviour::StreamOnce:
+    case TargetBehaviour::StreamFramedCutOff:
+    case TargetBehaviour::StreamWithTail:
     case TargetBehaviour::EndlessEvent:
         answerStream(connection, request);
         break;
+    case TargetBehaviour::StreamUnframed:
+    case TargetBehaviour::StreamUnframedCutOff:
+    case TargetBehaviour::StreamUnframedEmpty:
+        answerUnframedStream(connection, request);
+        break;
     case TargetBehaviour::EndlessHead:
         writeForever(connection, "HTTP/1.1 200 OK\r\n", "X-Filler: " + std::string(500, 'x') + "\r\n");
         break;
@@ -223,7 +233,8 @@
 
 void TargetStandIn::answerStream(net::Connection &connection, const http::RequestHead &request)
 {
-    const bool cutOff = behaviour == TargetBehaviour::StreamWithoutIds || behaviour == TargetBehaviour::StreamCutOff;
+    const bool cutOff = behaviour == TargetBehaviour::StreamWithoutIds || behaviour == TargetBehaviour::StreamCutOff
+        || behaviour == TargetBehaviour::StreamFramedCutOff;
     const bool ids = behaviour != TargetBehaviour::StreamWithoutIds;
     const std::string last = headerOf(request, "Last-Event-Id");
     http::ResponseHead own = head(200, headerOf(request, "X-Ibislock-Attempt-Id"));
@@ -235,14 +246,37 @@
             return;
         }
         if (cutOff && number == 2) {
-            connection.write(http::writeChunk(eventText(number).substr(0, 7)));
-            connection.closeAfterWrites();
+            connection.write(http::writeChunk(eventText(number).substr(0, CutEventBytes)));
+            if (behaviour == TargetBehaviour::StreamFramedCutOff) {
+                connection.write(http::LastChunk);
+            } else {
+                connection.closeAfterWrites();
+            }
             return;
         }
         const std::string event = eventText(number);
         connection.write(http::writeChunk(ids ? event : event.substr(event.find('\n') + 1)));
     }
+    if (behaviour == TargetBehaviour::StreamWithTail) {
+        connection.write(http::writeChunk(": the end\n\r\n\n"));
+    }
     connection.write(http::LastChunk);
 }
 
+void TargetStandIn::answerUnframedStream(net::Connection &connection, const http::RequestHead &request)
+{
+    const std::string last = headerOf(request, "Last-Event-Id");
+    connection.write("HTTP/1.1 200 OK\r\nX-Ibislock-Attempt-Id: " + headerOf(request, "X-Ibislock-Attempt-Id")
+                     + "\r\nX-Ibislock-Response-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n");
+    const bool empty = behaviour == TargetBehaviour::StreamUnframedEmpty;
+    for (int number = last.empty() ? 0 : std::stoi(last) + 1; number < events && !empty; ++number) {
+        if (behaviour != TargetBehaviour::StreamUnframed && number == 2) {
+            connection.write(eventText(number).substr(0, CutEventBytes));
+            break;
+        }
+        connection.write(eventText(number));
+    }
+    connection.closeAfterWrites();
+}
+
 } // namespace ibislock::lab
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -34,6 +34,11 @@
     Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
     StreamWithoutIds, ///< A stream whose events have no ids, cut off in the middle of the third.
     StreamCutOff, ///< The same, but closes in the middle of the third event.
+    StreamUnframed, ///< A whole stream without a length or chunks, which ends with its connection.
+    StreamUnframedCutOff, ///< The same, but closes in the middle of the third event.
+    StreamUnframedEmpty, ///< The head of such a stream, and closes.
+    StreamFramedCutOff, ///< A stream in chunks that ends in the middle of the third event with a last chunk.
+    StreamWithTail, ///< A whole stream, and a comment and empty lines behind it.
     StreamOnce, ///< The first request of a connection as a stream; closes at the next, which it does not run.
     EndlessHead, ///< Runs it and sends a head without end.
     EndlessBody, ///< Runs it and sends a body without end.
@@ -72,6 +77,7 @@
     void serve(const std::shared_ptr<net::Connection> &connection);
     void answer(net::Connection &connection, const http::RequestHead &request);
     void answerStream(net::Connection &connection, const http::RequestHead &request);
+    void answerUnframedStream(net::Connection &connection, const http::RequestHead &request);
 
     /// Writes a begin once and a part again and again, until the connection is closed.
     void writeForever(net::Connection &connection, const std::string &begin, const std::string &part);
