A stream is complete only if it ends between two events

Callers got a 200 that was framed as complete and whose last event was cut off, or without any event, when an engine crashed.

Cause: the end of what carries the stream (the engine's connection, when the response has neither a length nor chunks, or its last chunk) was taken for the end of the stream. Exchange rightly reports such a response as complete; Call::finishRelayed then forwarded the incomplete event and wrote a last chunk of its own, which vouched for it. The attempt also counted as served by the engine that had crashed, and the stream was not resumed.

Ruled out: a reset taken for an end, a joined second attempt (sends=1).

Now a stream that ends inside an event is a broken attempt whatever its framing, and so is a close-delimited one without any event. It is resumed where the kind allows it, else the caller's connection is aborted without a last chunk (or it gets a 502 if nothing was sent), and the engine's failure is recorded.

Why it works: whether a stream is whole is read from its events, so no framing of the hop behind us can make a part look whole. What remains: a close-delimited stream that is cut exactly between two events can't be told from a whole one.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -209,7 +209,7 @@
     m_responseHandling = ResponseHandling::None;
     m_framing = "none";
     m_responseBody.clear();
-    m_eventSplitter.incompleteEvent.clear();
+    startResponse(m_eventSplitter);
     const http::RequestHead forwarded = platform::makeTargetRequest(head, targetOptions(target, now));
     // A request that must not run twice gets a new connection: the target may close a pooled one while the request is
     // being sent, and it would be unknown whether it ran.
@@ -237,12 +237,15 @@
     m_targetId.clear();
 }
 
-void Call::onEnd(const net::ExchangeResult &result)
+void Call::onEnd(net::ExchangeResult result)
 {
     if (m_done) {
         return;
     }
     const auto self = shared_from_this();
+    if (result.outcome == net::ExchangeOutcome::Complete && isStreamTruncated()) {
+        result.outcome = net::ExchangeOutcome::Broken;
+    }
     const bool complete = result.outcome == net::ExchangeOutcome::Complete;
     const bool notRun = complete && m_responseHandling == ResponseHandling::NotRun;
     const bool served =
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -89,7 +89,10 @@
     /// Records the draining and backoff signals in a target's response.
     void applySignals(const platform::TargetResponse &said);
     void onBody(const std::string &bytes);
-    void onEnd(const net::ExchangeResult &result);
+    void onEnd(net::ExchangeResult result);
+
+    /// Returns whether a response that is complete by its framing is a stream that was cut off.
+    bool isStreamTruncated() const;
     void finishBuffered();
     void finishRelayed();
     void handleFailure(const net::ExchangeResult &result);
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -129,6 +129,13 @@
     }
 }
 
+bool Call::isStreamTruncated() const
+{
+    // A connection that ends before the first event shows only that the target is gone.
+    const bool withoutEvidence = m_responseHead.closeDelimited && !m_eventSplitter.hasEvents;
+    return m_responseHandling == ResponseHandling::Relayed && (endsInsideEvent(m_eventSplitter) || withoutEvidence);
+}
+
 void Call::onCallerDrained()
 {
     if (m_exchange) {
