Failed attempts name the shared parts of their prompt

The record can't tell which part the broken requests have in common: no daemon decoded X-Ibislock-Prompt-Prefix.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -4,6 +4,9 @@
 #include "ibislock/base/log.h"
 #include "ibislock/serving/retry_delay.h"
 
+#include <array>
+#include <charconv>
+
 namespace ibislock::front
 {
 
@@ -38,6 +41,18 @@
 /// The status which promises the caller that the request was not executed and won't be.
 constexpr int NotRunStatus = 503;
 
+/// Returns the ids of the parts of a prompt that other requests may share, as logged.
+std::string partsText(const std::vector<std::uint64_t> &parts)
+{
+    std::string out;
+    std::array<char, 17> text{};
+    for (const std::uint64_t part : parts) {
+        const auto [end, ec] = std::to_chars(text.data(), text.data() + text.size(), part, 16);
+        out.append(out.empty() ? "" : ",").append(text.data(), end);
+    }
+    return out;
+}
+
 std::string_view statusText(int status)
 {
     return status == 0 ? "none" : http::reasonPhrase(status);
@@ -264,6 +279,8 @@
                  {"reused", result.reused ? "1" : "0"},
                  {"framing", std::string(m_framing)},
                  {"incomplete_bytes", std::to_string(m_incompleteBytes)},
+                 {"events", m_eventSplitter.hasEvents ? "1" : "0"},
+                 {"parts", partsText(request.sharedParts)},
                  {"after_ms", std::to_string((steadyMillis() - m_sentAt).count())}});
     }
     if (complete && m_responseHandling == ResponseHandling::Buffered) {
--- a/libs/front/test/front_sends_test.cpp
+++ b/libs/front/test/front_sends_test.cpp
@@ -142,6 +142,21 @@
     EXPECT_TRUE(lab::hasField(ends[0], "incomplete_bytes", "7")) << ends[0];
 }
 
+TEST_F(FrontTest, LogsTheSharedPartsOfAPromptWhoseAttemptFailed)
+{
+    m_first.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    start();
+    lab::LogCapture log;
+    http::RequestHead head = request("/events/x");
+    head.headers.add("X-Ibislock-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    call(head);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_TRUE(lab::hasField(ends[0], "events", "0")) << ends[0];
+    EXPECT_TRUE(lab::hasField(ends[0], "parts", "5c1e07a2,91bd3f06")) << ends[0];
+}
+
 TEST_F(FrontTest, LogsLoopStall)
 {
     start();
