Failing tests: requests with a part that crashes engines are sent on

Engines that crash within the first event of a prompt with one part, 12 such requests 200 ms apart: each is sent to two engines and 24 crash, where five crashes and three more sends are allowed. The same with four entry VMs that get the requests in turn, over the daemons of eight target VMs. Sound requests with the other parts are served before and must stay so (passes).

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -26,12 +26,13 @@
 
 } // namespace
 
-TargetStandIn::TargetStandIn(asio::io_context &loop, std::string targetId)
+TargetStandIn::TargetStandIn(asio::io_context &loop, std::string targetId, const std::string &ip)
     : id(std::move(targetId))
     , m_loop(loop)
+    , m_ip(ip)
     , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); })
 {
-    m_listener.open("127.0.0.1", 0);
+    m_listener.open(m_ip, 0);
 }
 
 TargetStandIn::~TargetStandIn()
@@ -49,8 +50,8 @@
 std::string TargetStandIn::listing(const std::string &service, bool leaving) const
 {
     nlohmann::json out{
-        {"Service", service}, {"Address", "127.0.0.1:" + std::to_string(port())}, {"Zone", "a"},     {"Version", "v1"},
-        {"Slots", 6},         {"State", leaving ? "draining" : "ready"},          {"ColdLeftMs", 0}, {"Sequence", 1}};
+        {"Service", service}, {"Address", m_ip + ":" + std::to_string(port())}, {"Zone", "a"},     {"Version", "v1"},
+        {"Slots", 6},         {"State", leaving ? "draining" : "ready"},        {"ColdLeftMs", 0}, {"Sequence", 1}};
     if (weightsVersion > 0) {
         out["Models"] = {{{"Name", "m"}, {"Version", weightsVersion}, {"Adapters", nlohmann::json::array()}}};
     }
@@ -184,6 +185,7 @@
     case TargetBehaviour::StreamOnce:
     case TargetBehaviour::StreamFramedCutOff:
     case TargetBehaviour::StreamWithTail:
+    case TargetBehaviour::StreamUnlessCrashing:
     case TargetBehaviour::EndlessEvent:
         answerStream(connection, request);
         break;
@@ -237,6 +239,8 @@
         || behaviour == TargetBehaviour::StreamFramedCutOff;
     const bool ids = behaviour != TargetBehaviour::StreamWithoutIds;
     const std::string last = headerOf(request, "Last-Event-Id");
+    const bool crashing = isCrashing(request);
+    crashes += crashing ? 1 : 0;
     http::ResponseHead own = head(200, headerOf(request, "X-Ibislock-Attempt-Id"));
     own.headers.add("Content-Type", "text/event-stream");
     connection.write(http::writeChunkedHead(own));
@@ -245,7 +249,7 @@
             writeForever(connection, "", http::writeChunk(std::string(EndlessPart, 'x')));
             return;
         }
-        if (cutOff && number == 2) {
+        if ((cutOff && number == 2) || crashing) {
             connection.write(http::writeChunk(eventText(number).substr(0, CutEventBytes)));
             if (behaviour == TargetBehaviour::StreamFramedCutOff) {
                 connection.write(http::LastChunk);
@@ -263,6 +267,12 @@
     connection.write(http::LastChunk);
 }
 
+bool TargetStandIn::isCrashing(const http::RequestHead &request) const
+{
+    return behaviour == TargetBehaviour::StreamUnlessCrashing
+        && headerOf(request, "X-Ibislock-Prompt-Prefix").find(crashingPart + ":") != std::string::npos;
+}
+
 void TargetStandIn::answerUnframedStream(net::Connection &connection, const http::RequestHead &request)
 {
     const std::string last = headerOf(request, "Last-Event-Id");
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -39,6 +39,7 @@
     StreamUnframedEmpty, ///< The head of such a stream, and closes.
     StreamFramedCutOff, ///< A stream in chunks that ends in the middle of the third event with a last chunk.
     StreamWithTail, ///< A whole stream, and a comment and empty lines behind it.
+    StreamUnlessCrashing, ///< A whole stream, but a prompt with `crashingPart` is cut off within the first event.
     StreamOnce, ///< The first request of a connection as a stream; closes at the next, which it does not run.
     EndlessHead, ///< Runs it and sends a head without end.
     EndlessBody, ///< Runs it and sends a body without end.
@@ -52,7 +53,7 @@
 class TargetStandIn
 {
 public:
-    TargetStandIn(asio::io_context &loop, std::string id);
+    TargetStandIn(asio::io_context &loop, std::string id, const std::string &ip = "127.0.0.1");
 
     ~TargetStandIn();
     TargetStandIn(const TargetStandIn &) = delete;
@@ -69,6 +70,8 @@
     std::int64_t weightsVersion = 0; ///< Of model "m", as listed; 0 for a target without weights.
     std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
     std::vector<std::string> bodies;
+    std::string crashingPart = "bad"; ///< Id of a part of a prompt, in hexadecimal.
+    int crashes = 0; ///< Requests with that part that were run.
     int open = 0; ///< Connections that are open.
     http::Headers said; ///< Added to each answer and refusal.
     std::size_t endlessBytes = 0; ///< Sent so far by behaviours without end.
@@ -77,6 +80,7 @@
     void serve(const std::shared_ptr<net::Connection> &connection);
     void answer(net::Connection &connection, const http::RequestHead &request);
     void answerStream(net::Connection &connection, const http::RequestHead &request);
+    bool isCrashing(const http::RequestHead &request) const;
     void answerUnframedStream(net::Connection &connection, const http::RequestHead &request);
 
     /// Writes a begin once and a part again and again, until the connection is closed.
@@ -88,6 +92,7 @@
     http::ResponseHead refusal(int status, const std::string &attempt) const;
 
     asio::io_context &m_loop;
+    std::string m_ip;
     std::vector<std::shared_ptr<net::Connection>> m_connections;
     net::Listener m_listener;
 };
