Suspects are judged only while there is news of them

Up to 512 suspicions stay for five minutes after ordinary crashes, and were judged anew every 60 ms. A verdict changes only with a new suspicion that settles, so the judgement ends 1.25 s after the last one.

--- a/libs/serving/include/ibislock/serving/prompt_quarantine.h
+++ b/libs/serving/include/ibislock/serving/prompt_quarantine.h
@@ -62,6 +62,7 @@
     std::map<std::uint64_t, QuarantinedPart> parts;
     std::map<std::uint64_t, Millis> releasedParts; ///< When a part left quarantine without an answer.
     Millis lastFullReportAt{0};
+    Millis lastSuspicionAt{0}; ///< When a suspicion was last added.
     bool hasUnreported = false; ///< Some entries have reports left.
 };
 
--- a/libs/serving/src/prompt_quarantine.cpp
+++ b/libs/serving/src/prompt_quarantine.cpp
@@ -18,6 +18,9 @@
 
 constexpr Millis MinProbeWait{1000};
 
+/// How long suspects are judged after the last suspicion has settled; callers judge them several times a second.
+constexpr Millis JudgeMargin{1000};
+
 /// What is known of one crash, from all requests that were at the engine.
 struct Crash
 {
@@ -91,8 +94,9 @@
     }
 }
 
-void addSuspicion(PromptQuarantine &quarantine, const CrashSuspicion &suspicion)
+void addSuspicion(PromptQuarantine &quarantine, const CrashSuspicion &suspicion, Millis now)
 {
+    quarantine.lastSuspicionAt = now;
     quarantine.hasUnreported = true;
     std::vector<CrashSuspicion> &list = quarantine.suspicions[suspicion.part];
     const auto it = std::find_if(list.begin(), list.end(),
@@ -265,7 +269,8 @@
                       .at = now,
                       .responding = crash.responding,
                       .depth = static_cast<int>(n),
-                      .reportsLeft = ReportsOfOwn});
+                      .reportsLeft = ReportsOfOwn},
+                     now);
     }
 }
 
@@ -284,6 +289,9 @@
 std::vector<std::uint64_t> quarantineSuspects(PromptQuarantine &quarantine, Millis now, const QuarantinePolicy &policy)
 {
     std::vector<std::uint64_t> out;
+    if (now > quarantine.lastSuspicionAt + policy.settleTime + JudgeMargin) {
+        return out; // The verdicts are those of the last time.
+    }
     for (;;) {
         const std::map<std::uint64_t, Crash> crashes = crashesByEngine(quarantine);
         std::optional<Candidate> best;
@@ -342,6 +350,9 @@
 
 std::vector<std::uint64_t> expireQuarantine(PromptQuarantine &quarantine, Millis now, const QuarantinePolicy &policy)
 {
+    if (quarantine.suspicions.empty() && quarantine.parts.empty() && quarantine.releasedParts.empty()) {
+        return {};
+    }
     std::vector<std::uint64_t> suspected;
     for (const auto &[part, list] : quarantine.suspicions) {
         suspected.push_back(part);
@@ -411,7 +422,8 @@
                       .at = now - said.age,
                       .responding = said.responding,
                       .depth = said.depth,
-                      .reportsLeft = ReportsOfOthers});
+                      .reportsLeft = ReportsOfOthers},
+                     now);
     }
     for (const QuarantineReport::Part &said : report.parts) {
         AnsweredPart *answer = findAnswer(quarantine, said.part);
