Suspicions of prompts are passed on to a bounded number of VMs

Each target VM with news sent it to all entry VMs that ask for its load, some 34 on a deployment of 300 machines, so that each entry VM would get each suspicion up to 36 times: by count some 25 MB when a seventh of the engines crash at once, partly over the links between regions (worked out from the code, not measured).

Now a target VM passes suspicions on to six of them; parts in quarantine still go to all. The first crash under a part that was answered within 30 s isn't reported: most crashes have another cause, and most parts are shared by many requests. A response that said 'not executed' makes no suspects.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -293,7 +293,8 @@
 {
     const bool crashed = usesEngine && result.connected && result.outcome == net::ExchangeOutcome::Broken;
     const bool answered = responseStarted() || m_eventSplitter.hasEvents;
-    if (crashed && !answered && !request.sharedParts.empty()) {
+    const bool refused = m_responseHandling == ResponseHandling::NotRun;
+    if (crashed && !answered && !refused && !request.sharedParts.empty()) {
         recordCrash(front.quarantine,
                     {.engine = serving::incarnationOf(m_targetId, m_targetStartedAt),
                      .parts = request.sharedParts,
--- a/libs/serving/include/ibislock/serving/prompt_quarantine.h
+++ b/libs/serving/include/ibislock/serving/prompt_quarantine.h
@@ -103,8 +103,10 @@
     bool responding = false; ///< The engine had begun to respond to the request.
 };
 
-/// Records such a crash.
-void recordCrash(PromptQuarantine &quarantine, const EngineCrash &crash, Millis now);
+/// Records such a crash. Other VMs are told of it, but for parts that were answered a short time ago only from the
+/// second crash on, as most crashes have another cause and most parts are shared by many requests.
+void recordCrash(PromptQuarantine &quarantine, const EngineCrash &crash, Millis now,
+                 const QuarantinePolicy &policy = {});
 
 /// Records the first event of a response, which clears all parts of its prompt.
 /// @return the parts that it released from quarantine.
--- a/libs/serving/src/prompt_quarantine.cpp
+++ b/libs/serving/src/prompt_quarantine.cpp
@@ -43,6 +43,11 @@
     quarantine.hasUnreported = true;
 }
 
+bool wasAnsweredLately(const AnsweredPart &answer, Millis now, const QuarantinePolicy &policy)
+{
+    return now - answer.at < policy.answerLifetime;
+}
+
 AnsweredPart *findAnswer(PromptQuarantine &quarantine, std::uint64_t part)
 {
     const auto it = quarantine.answers.find(part);
@@ -154,7 +159,7 @@
 {
     const bool probation = isOnProbation(quarantine, part);
     const AnsweredPart *answer = findAnswer(quarantine, part);
-    Candidate out{.part = part, .answered = answer != nullptr && now - answer->at < policy.answerLifetime};
+    Candidate out{.part = part, .answered = answer != nullptr && wasAnsweredLately(*answer, now, policy)};
     std::vector<Millis> times;
     for (const CrashSuspicion &suspicion : quarantine.suspicions.at(part)) {
         const Crash &crash = crashes.at(suspicion.engine);
@@ -260,16 +265,19 @@
     return XXH64(engine.data(), engine.size(), static_cast<XXH64_hash_t>(startedAt));
 }
 
-void recordCrash(PromptQuarantine &quarantine, const EngineCrash &crash, Millis now)
+void recordCrash(PromptQuarantine &quarantine, const EngineCrash &crash, Millis now, const QuarantinePolicy &policy)
 {
     for (std::size_t n = 0; n < crash.parts.size(); ++n) {
+        const bool first = !quarantine.suspicions.contains(crash.parts[n]);
+        const AnsweredPart *answer = findAnswer(quarantine, crash.parts[n]);
+        const bool answered = answer != nullptr && wasAnsweredLately(*answer, now, policy);
         addSuspicion(quarantine,
                      {.engine = crash.engine,
                       .part = crash.parts[n],
                       .at = now,
                       .responding = crash.responding,
                       .depth = static_cast<int>(n),
-                      .reportsLeft = ReportsOfOwn},
+                      .reportsLeft = first && answered ? 0 : ReportsOfOwn},
                      now);
     }
 }
@@ -410,7 +418,7 @@
     }
     for (const QuarantineReport::Suspicion &said : report.suspicions) {
         AnsweredPart *answer = findAnswer(quarantine, said.part);
-        if (answer != nullptr && now - answer->at < policy.answerLifetime) {
+        if (answer != nullptr && wasAnsweredLately(*answer, now, policy)) {
             scheduleReports(quarantine, *answer, ReportsOfOwn); // The sender may not know of it.
         }
         if (answer != nullptr && answer->at >= now - said.age) {
--- a/libs/serving/test/prompt_quarantine_test.cpp
+++ b/libs/serving/test/prompt_quarantine_test.cpp
@@ -195,6 +195,18 @@
     EXPECT_FALSE(makeReport(m_quarantine, m_now));
 }
 
+TEST_F(PromptQuarantineTest, FirstCrashUnderAnAnsweredPartIsNotReported)
+{
+    recordAnswer(m_quarantine, {Common}, m_now);
+    crash({Common, Bad});
+    const auto first = makeReport(m_quarantine, m_now);
+    ASSERT_TRUE(first);
+    ASSERT_EQ(first->suspicions.size(), 1U);
+    EXPECT_EQ(first->suspicions[0].part, Bad);
+    crash({Common});
+    EXPECT_EQ(makeReport(m_quarantine, m_now)->suspicions.size(), 2U);
+}
+
 /// Entry VMs whose requests crash engines, over reports that are late or get lost.
 class Deployment
 {
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -33,6 +33,10 @@
 /// load.
 constexpr Millis VersionMargin{1800};
 
+/// Number of entry VMs to which suspicions of prompts that crash engines are passed on; these send them to other target
+/// VMs. Parts in quarantine go to all.
+constexpr std::size_t SuspicionFanout = 6;
+
 /// Shortest time between two reports of prompts that crash engines.
 constexpr Millis ShareTime{50};
 
@@ -71,6 +75,7 @@
               pieceTimeOf(m_settings.linkMbps), [this](std::int64_t version) { return distributionMembers(version); })
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
+    , m_random(systemRandom())
     , m_tickTimer(loop)
 {
 }
@@ -369,13 +374,21 @@
         return;
     }
     const std::string message = peer::encode(peer::QuarantineMessage{.report = *report});
+    std::vector<asio::ip::udp::endpoint> receivers;
     for (const auto &[endpoint, subscriber] : m_subscribers) {
         if (steadyMillis() <= subscriber.loadsUntil) {
-            asio::error_code ec;
-            m_datagrams.send_to(asio::buffer(message), endpoint, 0, ec);
-            // A datagram that can't be sent is made up for by other target VMs.
+            receivers.push_back(endpoint);
         }
     }
+    if (report->parts.empty()) {
+        std::shuffle(receivers.begin(), receivers.end(), m_random);
+        receivers.resize(std::min(receivers.size(), SuspicionFanout));
+    }
+    for (const auto &endpoint : receivers) {
+        asio::error_code ec;
+        m_datagrams.send_to(asio::buffer(message), endpoint, 0, ec);
+        // A datagram that can't be sent is made up for by other target VMs.
+    }
 }
 
 void Side::serveMetrics(const std::shared_ptr<net::Connection> &connection)
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ibislock/base/loop_stalls.h"
+#include "ibislock/base/random.h"
 #include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
@@ -75,6 +76,7 @@
     Millis m_watermarkReadAt{0}; ///< When this VM itself last read the operators' topic.
     feed::OperatorsWatermark m_watermark; ///< The latest known end of the operators' topic.
     std::uint64_t m_incarnation;
+    Random m_random;
     Millis m_startedAt = steadyMillis();
     std::uint64_t m_sequence = 0;
     std::string m_lastPublished;
