--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -63,6 +63,7 @@
     , m_loads(ioLoop)
 {
     quarantine.self = random();
+    quarantine.forwardOneIn = serving::EntryForwardOneIn;
     retries.ratio = settings.bounds.retryRatio;
     retries.allowance = settings.bounds.retryAllowance;
     retries.window = settings.bounds.retryWindow;
--- a/libs/front/src/front_quarantine.cpp
+++ b/libs/front/src/front_quarantine.cpp
@@ -12,12 +12,6 @@
 namespace
 {
 
-/// Interval at which suspects are judged and reports are sent.
-constexpr Millis UpdateTime{60};
-
-/// Number of target VMs that are sent a report; each passes it on to all entry VMs that ask for its load.
-constexpr std::size_t ReportFanout = 3;
-
 void logReleased(const std::vector<std::uint64_t> &parts)
 {
     for (const std::uint64_t part : parts) {
@@ -65,7 +59,7 @@
     if (now < m_nextQuarantineUpdateAt) {
         return;
     }
-    m_nextQuarantineUpdateAt = now + UpdateTime;
+    m_nextQuarantineUpdateAt = now + serving::EntryReportInterval;
     logQuarantined(quarantineSuspects(quarantine, now), "crashes");
     logReleased(expireQuarantine(quarantine, now));
     if (const auto report = makeReport(quarantine, now)) {
@@ -83,7 +77,7 @@
         }
     }
     std::shuffle(addresses.begin(), addresses.end(), random);
-    addresses.resize(std::min(addresses.size(), ReportFanout));
+    addresses.resize(std::min(addresses.size(), serving::EntryReportFanout));
     const std::string message = peer::encode(peer::QuarantineMessage{.report = report});
     for (const std::string &address : addresses) {
         const auto endpoint = platform::parseEndpoint(address);
--- a/libs/serving/include/ibislock/serving/prompt_quarantine.h
+++ b/libs/serving/include/ibislock/serving/prompt_quarantine.h
@@ -55,6 +55,7 @@
 struct PromptQuarantine
 {
     std::uint64_t self = 0; ///< Identifies this VM.
+    std::uint64_t forwardOneIn = 1; ///< Of the suspicions and answers that others report, one in so many is passed on.
     std::unordered_map<std::uint64_t, std::vector<CrashSuspicion>> suspicions; ///< By part.
     std::size_t suspicionCount = 0; ///< Number of suspicions of all parts.
     std::unordered_map<std::uint64_t, AnsweredPart> answers; ///< By part; holds the latest ones.
@@ -167,8 +168,22 @@
     std::vector<Suspicion> suspicions;
     std::vector<Answer> answers;
     std::vector<Part> parts;
+    bool forAll = false; ///< Parts are new in quarantine, so that it goes to all receivers. Not sent.
 };
 
+/// Number of target VMs to which an entry VM sends a report. Each passes it on to entry VMs that ask for its load.
+inline constexpr std::size_t EntryReportFanout = 3;
+
+/// Number of entry VMs to which a target VM passes a report on that isn't for all of them.
+inline constexpr std::size_t TargetReportFanout = 6;
+
+/// The `forwardOneIn` of entry VMs, as each of them hears of a suspicion from several target VMs.
+inline constexpr std::uint64_t EntryForwardOneIn = 3;
+
+/// Shortest time between two reports of an entry VM, and of a target VM.
+inline constexpr Millis EntryReportInterval{60};
+inline constexpr Millis TargetReportInterval{50};
+
 /// Maximum number of suspicions and answers in a report, so that it fits into a datagram.
 inline constexpr std::size_t MaxReportedSuspicions = 24;
 inline constexpr std::size_t MaxReportedAnswers = 16;
--- a/libs/serving/src/prompt_quarantine.cpp
+++ b/libs/serving/src/prompt_quarantine.cpp
@@ -16,11 +16,21 @@
 constexpr int ReportsOfOwn = 2;
 constexpr int ReportsOfOthers = 1;
 
+/// An answer that others report is passed on if it is so much later than the last one that is known.
+constexpr Millis AnswerNewsGap{std::chrono::seconds{10}};
+
 constexpr Millis MinProbeWait{1000};
 
 /// How long suspects are judged after the last suspicion has settled; callers judge them several times a second.
 constexpr Millis JudgeMargin{1000};
 
+/// Returns how many reports contain an entry that others reported.
+int reportsOfOthers(const PromptQuarantine &quarantine, std::uint64_t entry)
+{
+    const std::uint64_t draw = XXH64(&entry, sizeof entry, quarantine.self);
+    return draw % quarantine.forwardOneIn == 0 ? ReportsOfOthers : 0;
+}
+
 /// What is known of one crash, from all requests that were at the engine.
 struct Crash
 {
@@ -199,8 +209,9 @@
 }
 
 /// Applies an answer to a request with a part.
+/// @param own whether this VM got the answer.
 /// @return whether the part was released from quarantine.
-bool applyAnswer(PromptQuarantine &quarantine, std::uint64_t part, Millis at, int reports)
+bool applyAnswer(PromptQuarantine &quarantine, std::uint64_t part, Millis at, bool own)
 {
     const bool suspected = quarantine.suspicions.contains(part);
     const auto it = quarantine.parts.find(part);
@@ -209,10 +220,10 @@
     if (at < answer.at) {
         return false;
     }
-    const bool news = suspected || released || (reports == ReportsOfOthers && at > answer.at);
+    const bool news = suspected || released || (!own && at > answer.at + AnswerNewsGap);
     answer.at = at;
     if (news) {
-        scheduleReports(quarantine, answer, reports);
+        scheduleReports(quarantine, answer, own ? ReportsOfOwn : reportsOfOthers(quarantine, part));
     }
     eraseSuspicions(quarantine, part, at);
     if (released) {
@@ -287,7 +298,7 @@
 {
     std::vector<std::uint64_t> released;
     for (const std::uint64_t part : parts) {
-        if (applyAnswer(quarantine, part, now, ReportsOfOwn)) {
+        if (applyAnswer(quarantine, part, now, /*own=*/true)) {
             released.push_back(part);
         }
     }
@@ -395,6 +406,7 @@
     const bool due =
         quarantine.lastFullReportAt == Millis{0} || now - quarantine.lastFullReportAt >= policy.fullReportInterval;
     if (due && !quarantine.parts.empty()) {
+        out.forAll = quarantine.lastFullReportAt == Millis{0};
         quarantine.lastFullReportAt = now;
         for (const auto &[part, entry] : quarantine.parts) {
             out.parts.push_back({.part = part,
@@ -412,7 +424,7 @@
 {
     ReportChanges out;
     for (const QuarantineReport::Answer &answer : report.answers) {
-        if (applyAnswer(quarantine, answer.part, now - answer.age, ReportsOfOthers)) {
+        if (applyAnswer(quarantine, answer.part, now - answer.age, /*own=*/false)) {
             out.released.push_back(answer.part);
         }
     }
@@ -430,7 +442,7 @@
                       .at = now - said.age,
                       .responding = said.responding,
                       .depth = said.depth,
-                      .reportsLeft = ReportsOfOthers},
+                      .reportsLeft = reportsOfOthers(quarantine, said.engine ^ said.part)},
                      now);
     }
     for (const QuarantineReport::Part &said : report.parts) {
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -33,13 +33,6 @@
 /// load.
 constexpr Millis VersionMargin{1800};
 
-/// Number of entry VMs to which suspicions of prompts that crash engines are passed on; these send them to other target
-/// VMs. Parts in quarantine go to all.
-constexpr std::size_t SuspicionFanout = 6;
-
-/// Shortest time between two reports of prompts that crash engines.
-constexpr Millis ShareTime{50};
-
 /// Interval of the check for stalls of the event loop; equals the interval of the engine's reports.
 constexpr Millis TickTime{100};
 
@@ -364,7 +357,7 @@
 void Side::shareQuarantine()
 {
     const Millis now = bootMillis();
-    if (now < m_quarantineSharedAt + ShareTime) {
+    if (now < m_quarantineSharedAt + serving::TargetReportInterval) {
         return; // The next tick does it.
     }
     m_quarantineSharedAt = now;
@@ -380,9 +373,9 @@
             receivers.push_back(endpoint);
         }
     }
-    if (report->parts.empty()) {
+    if (!report->forAll) {
         std::shuffle(receivers.begin(), receivers.end(), m_random);
-        receivers.resize(std::min(receivers.size(), SuspicionFanout));
+        receivers.resize(std::min(receivers.size(), serving::TargetReportFanout));
     }
     for (const auto &endpoint : receivers) {
         asio::error_code ec;
