Judging more suspects than the quarantine has room for ends

With more than 16 parts under which three engines crashed, each new part in quarantine replaced another one, which was a suspect again at once: the judgement never ended and the entry VM's loop stood still.

--- a/libs/serving/include/ibislock/serving/prompt_quarantine.h
+++ b/libs/serving/include/ibislock/serving/prompt_quarantine.h
@@ -89,7 +89,7 @@
 /// Maximum number of parts in one generation of answers.
 inline constexpr std::size_t MaxAnswers = 1024;
 
-/// Maximum number of parts in quarantine; a new one replaces the one without requests for the longest time.
+/// Maximum number of parts in quarantine.
 inline constexpr std::size_t MaxQuarantinedParts = 16;
 
 /// Returns the number that identifies one incarnation of an engine in all VMs.
--- a/libs/serving/src/prompt_quarantine.cpp
+++ b/libs/serving/src/prompt_quarantine.cpp
@@ -19,6 +19,9 @@
 /// An answer that others report is passed on if it is so much later than the last one that is known.
 constexpr Millis AnswerNewsGap{std::chrono::seconds{10}};
 
+/// A part may be replaced in a full quarantine if no request with it came for so long before one with the new part.
+constexpr Millis MinQuietTime{std::chrono::seconds{10}};
+
 constexpr Millis MinProbeWait{1000};
 
 /// How long suspects are judged after the last suspicion has settled; callers judge them several times a second.
@@ -195,17 +198,25 @@
     return a.crashes != b.crashes ? a.crashes > b.crashes : a.depth > b.depth;
 }
 
-void quarantinePart(PromptQuarantine &quarantine, std::uint64_t part, const QuarantinedPart &entry)
+/// Puts a part into quarantine. If the quarantine is full, it replaces the part without requests for the longest time,
+/// unless requests with that one came a short time ago.
+/// @return whether there was room.
+bool quarantinePart(PromptQuarantine &quarantine, std::uint64_t part, const QuarantinedPart &entry)
 {
-    if (quarantine.parts.size() >= MaxQuarantinedParts && !quarantine.parts.contains(part)) {
-        quarantine.parts.erase(
+    if (quarantine.parts.size() >= MaxQuarantinedParts) {
+        const auto quietest =
             std::min_element(quarantine.parts.begin(), quarantine.parts.end(), [](const auto &a, const auto &b) {
                 return a.second.lastRequestAt < b.second.lastRequestAt;
-            }));
+            });
+        if (quietest->second.lastRequestAt + MinQuietTime > entry.lastRequestAt) {
+            return false;
+        }
+        quarantine.parts.erase(quietest);
     }
     quarantine.parts[part] = entry;
     quarantine.releasedParts.erase(part);
     quarantine.lastFullReportAt = Millis{0};
+    return true;
 }
 
 /// Applies an answer to a request with a part.
@@ -321,15 +332,14 @@
                 best = candidate;
             }
         }
-        if (!best) {
+        const QuarantinedPart entry{.since = now,
+                                    .lastRequestAt = now,
+                                    .origin = quarantine.self,
+                                    .probeAt = now + policy.firstProbeTime,
+                                    .probeInterval = policy.firstProbeTime};
+        if (!best || !quarantinePart(quarantine, best->part, entry)) {
             return out;
         }
-        quarantinePart(quarantine, best->part,
-                       {.since = now,
-                        .lastRequestAt = now,
-                        .origin = quarantine.self,
-                        .probeAt = now + policy.firstProbeTime,
-                        .probeInterval = policy.firstProbeTime});
         out.push_back(best->part);
     }
 }
@@ -461,13 +471,14 @@
             continue;
         }
         const Millis since = now - said.age;
-        quarantinePart(quarantine, said.part,
-                       {.since = since,
-                        .lastRequestAt = now - said.requestAge,
-                        .origin = said.origin,
-                        .probeAt = std::max(since + policy.firstProbeTime, now),
-                        .probeInterval = policy.firstProbeTime});
-        out.quarantined.push_back(said.part);
+        const QuarantinedPart entry{.since = since,
+                                    .lastRequestAt = now - said.requestAge,
+                                    .origin = said.origin,
+                                    .probeAt = std::max(since + policy.firstProbeTime, now),
+                                    .probeInterval = policy.firstProbeTime};
+        if (quarantinePart(quarantine, said.part, entry)) {
+            out.quarantined.push_back(said.part);
+        }
     }
     return out;
 }
--- a/libs/serving/test/prompt_quarantine_test.cpp
+++ b/libs/serving/test/prompt_quarantine_test.cpp
@@ -207,6 +207,50 @@
     EXPECT_EQ(makeReport(m_quarantine, m_now)->suspicions.size(), 2U);
 }
 
+// Of more parts than there is room for, each would replace another one that is a suspect again at once, without end.
+TEST_F(PromptQuarantineTest, MoreSuspectsThanThereIsRoomForAreNotJudgedForever)
+{
+    for (int n = 0; n < 3; ++n) {
+        for (std::uint64_t part = 1; part <= MaxQuarantinedParts + 4; ++part) {
+            crash({part});
+        }
+        m_now += Millis{200};
+    }
+    EXPECT_EQ(quarantined().size(), MaxQuarantinedParts);
+}
+
+RC_GTEST_PROP(PromptQuarantineModelTest, AnyReportsLeaveTheStateBounded, ())
+{
+    PromptQuarantine quarantine{.self = 1};
+    const auto number = rc::gen::inRange<std::uint64_t>(0, 2000);
+    const auto age = rc::gen::map(rc::gen::arbitrary<std::uint32_t>(), [](std::uint32_t ms) { return Millis{ms}; });
+    Millis now{1'000'000};
+    for (int n = 0; n < 60; ++n) {
+        QuarantineReport report;
+        for (int i = 0; i < 20; ++i) {
+            report.suspicions.push_back(
+                {.engine = *number, .part = *number, .age = *age, .responding = *number < 1000});
+            report.answers.push_back({.part = *number, .age = *age});
+            report.parts.push_back({.part = *number, .origin = *number, .age = *age, .requestAge = *age});
+        }
+        applyReport(quarantine, report, now);
+        quarantineSuspects(quarantine, now);
+        expireQuarantine(quarantine, now);
+        const auto out = makeReport(quarantine, now);
+        RC_ASSERT(quarantine.parts.size() <= MaxQuarantinedParts);
+        RC_ASSERT(quarantine.suspicionCount <= MaxSuspicions);
+        RC_ASSERT(!out || out->suspicions.size() <= MaxReportedSuspicions);
+        RC_ASSERT(!out || out->answers.size() <= MaxReportedAnswers);
+        now += Millis{50};
+    }
+    std::size_t count = 0;
+    for (const auto &[part, list] : quarantine.suspicions) {
+        RC_ASSERT(!list.empty());
+        count += list.size();
+    }
+    RC_ASSERT(count == quarantine.suspicionCount);
+}
+
 /// Entry VMs whose requests crash engines, over reports that are late or get lost.
 class Deployment
 {
