--- a/lab/test/quarantine_scale_test.cpp
+++ b/lab/test/quarantine_scale_test.cpp
@@ -4,7 +4,7 @@
 #include "ibislock/base/random.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/serving/load_subscriptions.h"
-#include "ibislock/serving/prompt_quarantine.h"
+#include "ibislock/serving/quarantine_report.h"
 
 #include <gtest/gtest.h>
 
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -13,7 +13,7 @@
 #include "ibislock/peer/messages.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/admission.h"
-#include "ibislock/serving/prompt_quarantine.h"
+#include "ibislock/serving/quarantine_report.h"
 #include "ibislock/serving/retry_budget_share.h"
 
 #include <asio/ip/udp.hpp>
--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -10,7 +10,7 @@
 #include "ibislock/base/error.h"
 #include "ibislock/peer/frames.h"
 #include "ibislock/peer/topic_watermark.h"
-#include "ibislock/serving/prompt_quarantine.h"
+#include "ibislock/serving/quarantine_report.h"
 
 #include <cstdint>
 #include <optional>
--- a/libs/serving/include/ibislock/serving/prompt_quarantine.h
+++ b/libs/serving/include/ibislock/serving/prompt_quarantine.h
@@ -1,13 +1,12 @@
 // Finds parts of prompts that crash engines, and quarantines them: requests with such a part are refused until it is
 // known to be harmless. Requests share parts, so a crash makes all parts of the requests suspect whose first event was
 // due at that engine. A part is quarantined once several engines have crashed under it at different moments and no
-// request with it has been answered since. Entry VMs pool what they know in reports.
+// request with it has been answered since. VMs pool what they know with `quarantine_report.h`.
 //
 //     recordAnswer(quarantine, parts, now);                       // the first event of a response
 //     recordCrash(quarantine, {.engine = e, .parts = parts}, now);
 //     for (std::uint64_t part : quarantineSuspects(quarantine, now)) { log(part); }
 //     if (findQuarantined(quarantine, parts)) { refuse(); }
-//     if (auto report = makeReport(quarantine, now)) { send(*report); }
 
 #pragma once
 
@@ -136,72 +135,4 @@
 std::vector<std::uint64_t> expireQuarantine(PromptQuarantine &quarantine, Millis now,
                                             const QuarantinePolicy &policy = {});
 
-/// What one VM tells others. Ages count from the moment at which it is made.
-struct QuarantineReport
-{
-    /// A `CrashSuspicion` with its age.
-    struct Suspicion
-    {
-        std::uint64_t engine = 0;
-        std::uint64_t part = 0;
-        Millis age{0};
-        bool responding = false;
-        int depth = 0;
-    };
-
-    /// An `AnsweredPart` with its age.
-    struct Answer
-    {
-        std::uint64_t part = 0;
-        Millis age{0};
-    };
-
-    /// A `QuarantinedPart` with its ages.
-    struct Part
-    {
-        std::uint64_t part = 0;
-        std::uint64_t origin = 0;
-        Millis age{0};
-        Millis requestAge{0};
-    };
-
-    std::vector<Suspicion> suspicions;
-    std::vector<Answer> answers;
-    std::vector<Part> parts;
-    bool forAll = false; ///< Parts are new in quarantine, so that it goes to all receivers. Not sent.
-};
-
-/// Number of target VMs to which an entry VM sends a report. Each passes it on to entry VMs that ask for its load.
-inline constexpr std::size_t EntryReportFanout = 3;
-
-/// Number of entry VMs to which a target VM passes a report on that isn't for all of them.
-inline constexpr std::size_t TargetReportFanout = 6;
-
-/// The `forwardOneIn` of entry VMs, as each of them hears of a suspicion from several target VMs.
-inline constexpr std::uint64_t EntryForwardOneIn = 3;
-
-/// Shortest time between two reports of an entry VM, and of a target VM.
-inline constexpr Millis EntryReportInterval{60};
-inline constexpr Millis TargetReportInterval{50};
-
-/// Maximum number of suspicions and answers in a report, so that it fits into a datagram.
-inline constexpr std::size_t MaxReportedSuspicions = 24;
-inline constexpr std::size_t MaxReportedAnswers = 16;
-
-/// Makes a report of what has not been reported often enough, and of all parts in quarantine from time to time.
-/// @return the report, or nothing if there is nothing to report.
-std::optional<QuarantineReport> makeReport(PromptQuarantine &quarantine, Millis now,
-                                           const QuarantinePolicy &policy = {});
-
-/// What a report changed.
-struct ReportChanges
-{
-    std::vector<std::uint64_t> quarantined;
-    std::vector<std::uint64_t> released;
-};
-
-/// Applies the report of another VM.
-ReportChanges applyReport(PromptQuarantine &quarantine, const QuarantineReport &report, Millis now,
-                          const QuarantinePolicy &policy = {});
-
 } // namespace ibislock::serving
--- a/libs/serving/test/prompt_quarantine_test.cpp
+++ b/libs/serving/test/prompt_quarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "ibislock/serving/prompt_quarantine.h"
+#include "ibislock/serving/quarantine_report.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -10,7 +10,7 @@
 #include "ibislock/peer/messages.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/announced_versions.h"
-#include "ibislock/serving/prompt_quarantine.h"
+#include "ibislock/serving/quarantine_report.h"
 #include "ibislock/side/daemon.h"
 #include "weights_agent.h"
 
