Logs tell on which weights an attempt was sent, and how old an announcement can be

No change of logic.

The lines could not tell a resumed stream that waits at its second engine from one that runs there, nor an announcement that was read late from one that was made just then.

"A request attempt failed.", "Retrying a request.", "Cancelled a request before its target could start it on retired weights.", "A target stopped responding" and the last line of a request have `weights`, the version that the target was known to hold when the attempt was sent, and `begun`, whether that attempt (not the call) had brought part of a response. "New weights were announced." has `offset`, `from` (the VM that forwarded the record, or `store`), and `max_age_ms`, the time since this VM last knew the topic without it.

Tests: FrontTest.LogsTheWeightsOfEachAttemptAndWhetherItHadBegun, LogsWhenAnAnnouncementCanHaveBeenMadeAtTheEarliest, TopicFeedTest.KnowsSinceWhenARecordCanHaveExisted.

--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -55,6 +55,9 @@
     /// Returns the feed that reads the store.
     const TopicFeed &feed() const;
 
+    /// Returns the VM whose records are being delivered; empty if they were read from the store.
+    const std::string &recordSource() const;
+
     /// Returns the number of updates of other VMs that brought new records.
     std::uint64_t peerUpdatesApplied() const;
 
@@ -86,6 +89,7 @@
     std::map<std::string, Millis, std::less<>> m_avoidedUntil; ///< VMs that didn't respond; monotonic time.
     std::vector<std::string> m_sources; ///< The VMs to try, in their order.
     std::size_t m_sourceIndex = 0; ///< The index of the current one in `m_sources`.
+    std::string m_recordSource; ///< The VM whose update is being applied; empty for none.
     bool m_requesting = false;
     std::int64_t m_wantedEnd = -1; ///< The offset up to which records are requested.
     Millis m_wantedAsOf{0}; ///< When the topic ended there, by the boot clock.
--- a/libs/feed/include/ibislock/feed/operators_view.h
+++ b/libs/feed/include/ibislock/feed/operators_view.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace ibislock::feed
@@ -30,6 +31,8 @@
 {
     bool live = true; ///< It was read when it was written; false for a record of a snapshot.
     Millis now{0};
+    std::optional<Millis> maxAge; ///< Time since the topic was last known not to hold it; nothing if it never was.
+    std::string source; ///< The VM that forwarded it; empty if it was read from the store.
     Millis versionTime{0}; ///< The grace period from an announcement until no request starts on older weights.
 };
 
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -123,6 +123,10 @@
     /// Returns the greatest `lagTime` since the start.
     Millis maxLagTime() const;
 
+    /// Returns the latest time, by the boot clock, at which the topic is known to have ended before the records that
+    /// are being delivered; zero if unknown.
+    Millis endKnownAt() const;
+
     /// Returns whether a complete snapshot has been read since the start.
     bool synchronized() const;
 
@@ -160,6 +164,7 @@
     bool m_passive = false;
     bool m_readsNewest = false; ///< The snapshot under way replaces records that were missed.
     Millis m_validatedAt{0}; ///< By the boot clock.
+    Millis m_endKnownAt{0}; ///< When the topic is known to have ended at `m_nextOffset`, by the boot clock.
     bool m_synchronized = false;
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -148,6 +148,11 @@
     return m_feed;
 }
 
+const std::string &OperatorsFollower::recordSource() const
+{
+    return m_recordSource;
+}
+
 std::uint64_t OperatorsFollower::peerUpdatesApplied() const
 {
     return m_peerUpdatesApplied;
@@ -249,7 +254,9 @@
     for (const peer::TopicRecord &record : update.records) {
         records.push_back(fromMessage(record));
     }
+    m_recordSource = m_sourceClient.vm();
     const bool applied = m_feed.applyRecords(std::move(records), update.end, m_wantedAsOf);
+    m_recordSource.clear();
     if (applied) {
         ++m_peerUpdatesApplied;
     } else {
--- a/libs/feed/src/operators_view.cpp
+++ b/libs/feed/src/operators_view.cpp
@@ -26,7 +26,10 @@
     logInfo(LogComponent::Store, "New weights were announced.",
             {{"model", weights->model},
              {"version", std::to_string(weights->version)},
-             {"time", context.live ? "seen" : "unknown"}});
+             {"time", context.live ? "seen" : "unknown"},
+             {"offset", std::to_string(record.offset)},
+             {"from", context.source.empty() ? "store" : context.source},
+             {"max_age_ms", std::to_string(context.maxAge ? context.maxAge->count() : -1)}});
     return true;
 }
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -58,6 +58,11 @@
     return std::max(m_maxLag, lagTime());
 }
 
+Millis TopicFeed::endKnownAt() const
+{
+    return m_endKnownAt;
+}
+
 void TopicFeed::recordKnownEnd(std::int64_t end)
 {
     m_knownEnd = std::max(m_knownEnd, end);
@@ -156,6 +161,7 @@
 void TopicFeed::markValidated(Millis asOf)
 {
     m_validatedAt = std::max(m_validatedAt, asOf);
+    m_endKnownAt = std::max(m_endKnownAt, asOf);
 }
 
 void TopicFeed::scheduleRead(Millis delay)
@@ -186,6 +192,7 @@
     const Millis respondedAt =
         now - m_callStartedAtBoot >= m_longPollTime ? m_callStartedAtBoot + m_longPollTime : now - MaxResponseTransit;
     const Millis asOf = m_longPollTime > Millis{0} ? std::max(m_callStartedAtBoot, respondedAt) : m_callStartedAtBoot;
+    m_endKnownAt = std::max(m_endKnownAt, asOf);
     if (m_events.onWatermark) {
         m_events.onWatermark(asOf);
     }
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -30,6 +30,7 @@
                       [this](const platform::KeyedRecord &record) {
                           m_values[record.key] = record.value.value_or("");
                           ++m_recordsDelivered;
+                          m_endKnownAt = m_feed.endKnownAt();
                           notifyAfter(m_notifyRounds);
                       },
                   .onStoreOutage =
@@ -65,12 +66,26 @@
     net::HttpClient m_client{m_loop};
     std::map<std::string, std::string> m_values;
     int m_recordsDelivered = 0;
+    Millis m_endKnownAt{0}; ///< What the feed knew when it delivered the last record.
     bool m_storeUnreachable = false;
     Millis m_timeLimit{5000};
     int m_notifyRounds = -1; ///< From each record to a notification; below 0 for none.
     TopicFeed m_feed;
 };
 
+TEST_F(TopicFeedTest, KnowsSinceWhenARecordCanHaveExisted)
+{
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_feed.synchronized(); }));
+    const Millis beforeValidation = bootMillis();
+    m_feed.markValidated(beforeValidation);
+    m_store.append("k", "v");
+    ASSERT_TRUE(runUntil([&] { return m_recordsDelivered == 1; }));
+    EXPECT_GE(m_endKnownAt, beforeValidation);
+    EXPECT_LE(m_endKnownAt, bootMillis());
+    EXPECT_GE(m_feed.endKnownAt(), m_endKnownAt);
+}
+
 TEST_F(TopicFeedTest, DeliversTheSnapshotThenEachRecord)
 {
     m_store.append("a", "1");
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -205,6 +205,8 @@
                  {"known", m_lifecycle.state},
                  {"sends", std::to_string(m_attempts)},
                  {"target", target.entry.id},
+                 {"weights", std::to_string(usesEngine ? knownVersion(target, now) : 0)},
+                 {"begun", attemptBegun() ? "1" : "0"},
                  {"since_first_ms", std::to_string((now - m_firstSentAt).count())}});
     }
     advance(m_lifecycle, RequestEvent::Send);
@@ -214,6 +216,7 @@
     triedTargets.insert(target.entry.id);
     m_targetId = target.entry.id;
     m_targetStartedAt = target.entry.startedAt;
+    m_weightsVersion = usesEngine ? knownVersion(target, now) : 0;
     m_sentAt = now;
     recordAttempt(target, now, promptMs(request.promptTokens));
     m_responseHandling = ResponseHandling::None;
@@ -276,6 +279,8 @@
                  {"framing", std::string(m_framing)},
                  {"incomplete_bytes", std::to_string(m_incompleteBytes)},
                  {"events", m_eventSplitter.hasEvents ? "1" : "0"},
+                 {"weights", std::to_string(m_weightsVersion)},
+                 {"begun", attemptBegun() ? "1" : "0"},
                  {"parts", partsText(request.sharedParts)},
                  {"after_ms", std::to_string((steadyMillis() - m_sentAt).count())}});
     }
@@ -403,6 +408,8 @@
              {"state", front.operators.state ? std::to_string(front.operators.state->version) : "none"},
              {"sends", std::to_string(m_attempts)},
              {"target", m_lastTargetId},
+             {"weights", std::to_string(m_weightsVersion)},
+             {"begun", attemptBegun() ? "1" : "0"},
              {"occupancy", std::to_string(m_occupancyPercent)},
              {"load_age_ms", std::to_string(m_loadAge.count())},
              {"waited_ms", std::to_string(m_attempts > 0 ? (m_firstSentAt - receivedAt).count() : -1)},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -106,6 +106,13 @@
     /// @return whether the request is retried.
     bool switchTarget(Millis now);
 
+    /// Returns whether the target has begun to respond to the last attempt: a complete event of a stream, or bytes of
+    /// another body.
+    bool attemptBegun() const
+    {
+        return m_eventSplitter.hasEvents || !m_responseBody.empty();
+    }
+
     /// Returns whether the request has been queued at its engine for so long that it would start on retired weights.
     bool wouldStartOnRetiredWeights(Millis now) const;
 
@@ -125,6 +132,7 @@
     std::shared_ptr<net::Exchange> m_exchange;
     std::string m_targetId;
     std::int64_t m_targetStartedAt = 0; ///< Incarnation of the target that the request was sent to.
+    std::int64_t m_weightsVersion = 0; ///< Version that the target was known to hold at the send; 0 for none.
     ResponseHandling m_responseHandling = ResponseHandling::None;
     http::ResponseHead m_responseHead;
     std::string m_responseBody;
--- a/libs/front/src/call_timeouts.cpp
+++ b/libs/front/src/call_timeouts.cpp
@@ -59,6 +59,8 @@
     logInfo(LogComponent::Front, "A target stopped responding; moving the request to another target.",
             {{"id", request.attemptId},
              {"target", m_targetId},
+             {"weights", std::to_string(m_weightsVersion)},
+             {"begun", attemptBegun() ? "1" : "0"},
              {"silent_ms", std::to_string((now - std::max(m_sentAt, m_lastEventAt)).count())}});
     m_exchange->cancel();
     releaseTarget(false);
@@ -79,7 +81,12 @@
 void Call::cancelAttempt(Millis now)
 {
     logInfo(LogComponent::Front, "Cancelled a request before its target could start it on retired weights.",
-            {{"id", request.attemptId}, {"target", m_targetId}, {"sent_ms", std::to_string((now - m_sentAt).count())}});
+            {{"id", request.attemptId},
+             {"target", m_targetId},
+             {"weights", std::to_string(m_weightsVersion)},
+             {"begun", attemptBegun() ? "1" : "0"},
+             {"required", std::to_string(front.minVersionOf(request.model, now, WithdrawMargin))},
+             {"sent_ms", std::to_string((now - m_sentAt).count())}});
     m_exchange->cancel();
     releaseTarget(true);
     advance(m_lifecycle, RequestEvent::OutcomeUnknown);
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -173,8 +173,13 @@
     if (platform::isAnnouncedWeightsKey(record.key)) {
         recordAnnouncementOffset(m_operatorsWatermark, record.offset);
     }
+    const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
     applyRecord(operators, record,
-                {.live = live, .now = steadyMillis(), .versionTime = settings.bounds.versionGracePeriod});
+                {.live = live,
+                 .now = steadyMillis(),
+                 .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
+                 .source = m_operatorsFollower->recordSource(),
+                 .versionTime = settings.bounds.versionGracePeriod});
 }
 
 void Front::applyListing(const std::string &id, const std::optional<serving::TargetEntry> &entry)
--- a/libs/front/test/front_sends_test.cpp
+++ b/libs/front/test/front_sends_test.cpp
@@ -157,6 +157,47 @@
     EXPECT_TRUE(lab::hasField(ends[0], "parts", "5c1e07a2,91bd3f06")) << ends[0];
 }
 
+TEST_F(FrontTest, LogsTheWeightsOfEachAttemptAndWhetherItHadBegun)
+{
+    m_first.behaviour = TargetBehaviour::StreamCutOff;
+    m_second.behaviour = TargetBehaviour::CloseUnanswered;
+    m_first.weightsVersion = m_second.weightsVersion = 3;
+    list(m_first);
+    list(m_second);
+    start(EngineState);
+    lab::LogCapture log;
+    http::RequestHead head = request("/events/x");
+    call(head);
+    const auto ends = log.take(UnansweredSend);
+    ASSERT_EQ(ends.size(), 2U);
+    for (const std::string &end : ends) {
+        EXPECT_TRUE(lab::hasField(end, "weights", "3")) << end;
+        // An attempt that follows one with events has none of its own.
+        EXPECT_TRUE(lab::hasField(end, "begun", lab::hasField(end, "target", "i-1") ? "1" : "0")) << end;
+    }
+    const auto again = log.take(SecondSend);
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_TRUE(lab::hasField(again[0], "weights", "3")) << again[0];
+    const auto last = log.take("A request was not served.");
+    ASSERT_EQ(last.size(), 1U);
+    EXPECT_TRUE(lab::hasField(last[0], "weights", "3")) << last[0];
+}
+
+TEST_F(FrontTest, LogsWhenAnAnnouncementCanHaveBeenMadeAtTheEarliest)
+{
+    start();
+    m_store.append("version/m", R"({"Model":"m","Version":2})");
+    lab::LogCapture log;
+    runFor(Millis{60});
+    m_store.append("version/m", R"({"Model":"m","Version":3})");
+    runFor(Millis{60});
+    const auto lines = log.take("New weights were announced.");
+    ASSERT_EQ(lines.size(), 2U);
+    EXPECT_TRUE(lab::hasField(lines[1], "offset", "2")) << lines[1];
+    EXPECT_TRUE(lab::hasField(lines[1], "from", "store")) << lines[1];
+    EXPECT_FALSE(lab::hasField(lines[1], "max_age_ms", "-1")) << lines[1];
+}
+
 TEST_F(FrontTest, LogsLoopStall)
 {
     start();
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -168,8 +168,13 @@
     if (platform::isAnnouncedWeightsKey(record.key)) {
         recordAnnouncementOffset(m_watermark, record.offset);
     }
+    const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
     applyRecord(m_operators, record,
-                {.live = live, .now = steadyMillis(), .versionTime = m_settings.bounds.versionGracePeriod});
+                {.live = live,
+                 .now = steadyMillis(),
+                 .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
+                 .source = m_operatorsFollower->recordSource(),
+                 .versionTime = m_settings.bounds.versionGracePeriod});
 }
 
 void Side::updateDesiredWeights()
