Failing tests: requests wait at engines until their weights are retired

- RequestAtAnUnlistedEngineIsCancelledBeforeItStartsOnRetiredWeights: the listing of the engine is removed while the request waits; its connection stays open.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -182,6 +182,8 @@
     case TargetBehaviour::Stream:
     case TargetBehaviour::StreamWithoutIds:
     case TargetBehaviour::StreamCutOff:
+    case TargetBehaviour::StreamCutOffThenSilent:
+    case TargetBehaviour::StreamThenSilent:
     case TargetBehaviour::StreamOnce:
     case TargetBehaviour::StreamFramedCutOff:
     case TargetBehaviour::StreamWithTail:
@@ -236,9 +238,12 @@
 void TargetStandIn::answerStream(net::Connection &connection, const http::RequestHead &request)
 {
     const bool cutOff = behaviour == TargetBehaviour::StreamWithoutIds || behaviour == TargetBehaviour::StreamCutOff
-        || behaviour == TargetBehaviour::StreamFramedCutOff;
+        || behaviour == TargetBehaviour::StreamCutOffThenSilent || behaviour == TargetBehaviour::StreamFramedCutOff;
     const bool ids = behaviour != TargetBehaviour::StreamWithoutIds;
     const std::string last = headerOf(request, "Last-Event-Id");
+    if (behaviour == TargetBehaviour::StreamCutOffThenSilent && !last.empty()) {
+        return;
+    }
     const bool crashing = isCrashing(request);
     crashes += crashing ? 1 : 0;
     http::ResponseHead own = head(200, headerOf(request, "X-Ibislock-Attempt-Id"));
@@ -249,6 +254,9 @@
             writeForever(connection, "", http::writeChunk(std::string(EndlessPart, 'x')));
             return;
         }
+        if (behaviour == TargetBehaviour::StreamThenSilent && number == 2) {
+            return;
+        }
         if ((cutOff && number == 2) || crashing) {
             connection.write(http::writeChunk(eventText(number).substr(0, CutEventBytes)));
             if (behaviour == TargetBehaviour::StreamFramedCutOff) {
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -34,6 +34,8 @@
     Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
     StreamWithoutIds, ///< A stream whose events have no ids, cut off in the middle of the third.
     StreamCutOff, ///< The same, but closes in the middle of the third event.
+    StreamCutOffThenSilent, ///< The same, but a stream that goes on behind Last-Event-Id is never answered.
+    StreamThenSilent, ///< The first two events of a stream, and nothing more.
     StreamUnframed, ///< A whole stream without a length or chunks, which ends with its connection.
     StreamUnframedCutOff, ///< The same, but closes in the middle of the third event.
     StreamUnframedEmpty, ///< The head of such a stream, and closes.
--- a/libs/front/test/front_fixture.h
+++ b/libs/front/test/front_fixture.h
@@ -39,12 +39,14 @@
 inline constexpr Millis VersionTime{3000};
 
 /// Returns the settings of an entry VM on loopback.
-inline platform::DaemonSettings settingsFor(std::uint16_t storePort)
+/// @param peerPort the port for load reports; 0 for any.
+inline platform::DaemonSettings settingsFor(std::uint16_t storePort, std::uint16_t peerPort = 0)
 {
     platform::DaemonSettings out;
     out.vmName = "entry-1";
     out.ip = "127.0.0.1";
     out.domain = "a";
+    out.firstPeerPort = peerPort;
     out.callers = {.ip = "127.0.0.1", .port = 0};
     out.readiness = {.ip = "127.0.0.1", .port = 0};
     out.store = {.ip = "127.0.0.1", .port = storePort};
@@ -73,8 +75,9 @@
 class FrontTest : public testing::Test
 {
 protected:
-    FrontTest()
-        : m_daemon(m_loop, settingsFor(m_store.port()), {})
+    explicit FrontTest(std::uint16_t peerPort = 0)
+        : m_peerPort(peerPort)
+        , m_daemon(m_loop, settingsFor(m_store.port(), peerPort), {})
     {
     }
 
@@ -156,6 +159,7 @@
     lab::TargetStandIn m_first{m_loop, "i-1"};
     lab::TargetStandIn m_second{m_loop, "i-2"};
     net::HttpClient m_client{m_loop};
+    std::uint16_t m_peerPort = 0; ///< The port on which the daemon receives load reports; 0 for any.
     FrontDaemon m_daemon;
     int m_attempts = 0;
 };
