Decide by the attempt whether a waiting request would start on retired weights

Callers saw requests begin on a version of the weights that had been retired.

Cause: an entry VM cancels what waits in an engine 250 ms before the engine's weights are retired. It decided this by two facts that are not the attempt's. `Call::responseStarted()` lives longer: a stream that was broken off within its first engine and resumed at a second one has "started", so its second attempt was never cancelled, however long it waited. The listing of the target lives shorter: a target that is no longer listed had no version, so that what waited there stayed; and a target that was listed again in another incarnation had the version of that one.

Change: `serving::Attempt` holds what an attempt was sent to (target and incarnation), for which version, when, and whether its own response has started. It is set anew with each send. `mayStartOnRetiredWeights` decides by it. Only the same incarnation, by a valid load report or its listing, can show that it has loaded newer weights since; without such evidence the version for which the attempt was sent counts. So an attempt stays at an engine that has loaded in time.

RetiredWeightsTest has the table of the decision.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -190,7 +190,6 @@
         refuse(CallOutcome::NoTarget); // Not reached: listings without a valid address are ignored.
         return;
     }
-    m_lastTargetId = target.entry.id;
     m_loadAge = target.load ? now - target.load->receivedAt : Millis{-1};
     m_occupancyPercent =
         static_cast<int>(100 * estimatedRequests(target, usesEngine, now) / std::max(target.entry.slots, 1));
@@ -206,7 +205,7 @@
                  {"sends", std::to_string(m_attempts)},
                  {"target", target.entry.id},
                  {"weights", std::to_string(usesEngine ? knownVersion(target, now) : 0)},
-                 {"begun", attemptBegun() ? "1" : "0"},
+                 {"begun", m_attempt.responseStarted ? "1" : "0"},
                  {"since_first_ms", std::to_string((now - m_firstSentAt).count())}});
     }
     advance(m_lifecycle, RequestEvent::Send);
@@ -214,10 +213,7 @@
     ++front.counters.attempts;
     front.counters.retries += m_attempts > 1 ? 1 : 0;
     triedTargets.insert(target.entry.id);
-    m_targetId = target.entry.id;
-    m_targetStartedAt = target.entry.startedAt;
-    m_weightsVersion = usesEngine ? knownVersion(target, now) : 0;
-    m_sentAt = now;
+    m_attempt = serving::startAttempt(target, usesEngine, now);
     recordAttempt(target, now, promptMs(request.promptTokens));
     m_responseHandling = ResponseHandling::None;
     m_framing = "none";
@@ -242,12 +238,11 @@
 void Call::releaseTarget(bool good)
 {
     m_exchange.reset();
-    const auto it = front.table.targets.find(m_targetId);
+    const auto it = front.table.targets.find(m_attempt.targetId);
     if (it != front.table.targets.end()) {
         it->second.inFlight = std::max(0, it->second.inFlight - 1);
         recordOutcome(it->second, good, steadyMillis());
     }
-    m_targetId.clear();
 }
 
 void Call::onEnd(net::ExchangeResult result)
@@ -263,14 +258,13 @@
     const bool notRun = complete && m_responseHandling == ResponseHandling::NotRun;
     const bool served =
         complete && !notRun && m_responseHandling != ResponseHandling::None && m_responseHead.status / 100 != 5;
-    const std::string target = m_targetId;
     m_incompleteBytes = m_eventSplitter.incompleteEvent.size();
     recordEngineCrash(result);
     releaseTarget(served || notRun);
     if (!served) {
         logInfo(LogComponent::Front, "A request attempt failed.",
                 {{"id", request.attemptId},
-                 {"target", target},
+                 {"target", m_attempt.targetId},
                  {"end", std::string(nameOf(net::ExchangeOutcomeNames, result.outcome))},
                  {"status", std::to_string(m_responseHandling == ResponseHandling::None ? 0 : m_responseHead.status)},
                  {"sends", std::to_string(m_attempts)},
@@ -279,10 +273,10 @@
                  {"framing", std::string(m_framing)},
                  {"incomplete_bytes", std::to_string(m_incompleteBytes)},
                  {"events", m_eventSplitter.hasEvents ? "1" : "0"},
-                 {"weights", std::to_string(m_weightsVersion)},
-                 {"begun", attemptBegun() ? "1" : "0"},
+                 {"weights", std::to_string(m_attempt.weightsVersion)},
+                 {"begun", m_attempt.responseStarted ? "1" : "0"},
                  {"parts", partsText(request.sharedParts)},
-                 {"after_ms", std::to_string((steadyMillis() - m_sentAt).count())}});
+                 {"after_ms", std::to_string((steadyMillis() - m_attempt.sentAt).count())}});
     }
     if (complete && m_responseHandling == ResponseHandling::Buffered) {
         finishBuffered();
@@ -301,7 +295,7 @@
     const bool refused = m_responseHandling == ResponseHandling::NotRun;
     if (crashed && !answered && !refused && !request.sharedParts.empty()) {
         recordCrash(front.quarantine,
-                    {.engine = serving::incarnationOf(m_targetId, m_targetStartedAt),
+                    {.engine = serving::incarnationOf(m_attempt.targetId, m_attempt.targetStartedAt),
                      .parts = request.sharedParts,
                      .responding = m_responseHandling != ResponseHandling::None},
                     bootMillis());
@@ -407,9 +401,9 @@
              {"service", service},
              {"state", front.operators.state ? std::to_string(front.operators.state->version) : "none"},
              {"sends", std::to_string(m_attempts)},
-             {"target", m_lastTargetId},
-             {"weights", std::to_string(m_weightsVersion)},
-             {"begun", attemptBegun() ? "1" : "0"},
+             {"target", m_attempt.targetId},
+             {"weights", std::to_string(m_attempt.weightsVersion)},
+             {"begun", m_attempt.responseStarted ? "1" : "0"},
              {"occupancy", std::to_string(m_occupancyPercent)},
              {"load_age_ms", std::to_string(m_loadAge.count())},
              {"waited_ms", std::to_string(m_attempts > 0 ? (m_firstSentAt - receivedAt).count() : -1)},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -6,6 +6,7 @@
 #include "event_splitter.h"
 #include "front.h"
 #include "ibislock/platform/messages.h"
+#include "ibislock/serving/attempt.h"
 #include "ibislock/serving/request_lifecycle.h"
 
 namespace ibislock::front
@@ -106,14 +107,7 @@
     /// @return whether the request is retried.
     bool switchTarget(Millis now);
 
-    /// Returns whether the target has begun to respond to the last attempt: a complete event of a stream, or bytes of
-    /// another body.
-    bool attemptBegun() const
-    {
-        return m_eventSplitter.hasEvents || !m_responseBody.empty();
-    }
-
-    /// Returns whether the request has been queued at its engine for so long that it would start on retired weights.
+    /// Returns whether the attempt has been queued at its engine for so long that it would start on retired weights.
     bool wouldStartOnRetiredWeights(Millis now) const;
 
     /// Cancels such an attempt; the request is retried if its kind and the budget allow it.
@@ -130,21 +124,17 @@
 
     std::weak_ptr<CallerConnection> m_connection;
     std::shared_ptr<net::Exchange> m_exchange;
-    std::string m_targetId;
-    std::int64_t m_targetStartedAt = 0; ///< Incarnation of the target that the request was sent to.
-    std::int64_t m_weightsVersion = 0; ///< Version that the target was known to hold at the send; 0 for none.
+    serving::Attempt m_attempt; ///< The last attempt, also after its end.
     ResponseHandling m_responseHandling = ResponseHandling::None;
     http::ResponseHead m_responseHead;
     std::string m_responseBody;
     EventSplitter m_eventSplitter;
     std::string_view m_framing = "none"; ///< What marks the end of the attempt's response, as logged.
     std::size_t m_incompleteBytes = 0; ///< Bytes of an incomplete event at the end of the last response.
-    Millis m_sentAt{0};
     Millis m_firstSentAt{0};
     Millis m_firstEventAt{0};
     Millis m_lastEventAt{0};
     Millis m_longestEventGap{0}; ///< Between two forwarded events.
-    std::string m_lastTargetId;
     int m_occupancyPercent = 0; ///< Estimated occupancy of the last target when the request was sent.
     Millis m_loadAge{0}; ///< Age of the load report behind that estimate; -1 ms without one.
     int m_attempts = 0;
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -32,27 +32,28 @@
     // The response to a misdirected request comes from another target than the listed one.
     const bool says = said.draining || said.backoff || said.backoffInvalid;
     const Millis now = steadyMillis();
-    serving::TargetSignals *notice =
-        says && !said.misdirected ? signalsOf(front.table, m_targetId, m_targetStartedAt, now) : nullptr;
+    serving::TargetSignals *notice = says && !said.misdirected
+        ? signalsOf(front.table, m_attempt.targetId, m_attempt.targetStartedAt, now)
+        : nullptr;
     if (notice == nullptr) {
         return;
     }
     if (said.draining && !notice->draining) {
         recordDraining(*notice);
         logInfo(LogComponent::Front, "A target reported that it is draining.",
-                {{"id", request.attemptId}, {"target", m_targetId}});
+                {{"id", request.attemptId}, {"target", m_attempt.targetId}});
     }
     if (said.backoff) {
         recordBackoff(*notice, *said.backoff, now);
         logInfo(LogComponent::Front, "A target requested a backoff.",
                 {{"id", request.attemptId},
-                 {"target", m_targetId},
+                 {"target", m_attempt.targetId},
                  {"asked_ms", std::to_string(said.backoff->count())},
                  {"granted_ms", std::to_string((notice->backoffUntil - now).count())}});
     }
     if (said.backoffInvalid) {
         logInfo(LogComponent::Front, "Ignored an invalid Retry-After value from a target.",
-                {{"id", request.attemptId}, {"target", m_targetId}});
+                {{"id", request.attemptId}, {"target", m_attempt.targetId}});
     }
 }
 
@@ -62,7 +63,7 @@
     applySignals(said);
     if (!said.attemptId.empty() && said.attemptId != request.attemptId) {
         logInfo(LogComponent::Front, "Skipped a response to another request.",
-                {{"id", request.attemptId}, {"target", m_targetId}, {"answers", said.attemptId}});
+                {{"id", request.attemptId}, {"target", m_attempt.targetId}, {"answers", said.attemptId}});
         return net::HeadDecision::Skip;
     }
     m_responseHead = answer;
@@ -73,7 +74,7 @@
     const bool named = said.attemptId == request.attemptId;
     if (!named) {
         logInfo(LogComponent::Front, "Rejected a response without a request id.",
-                {{"id", request.attemptId}, {"target", m_targetId}, {"status", std::to_string(answer.status)}});
+                {{"id", request.attemptId}, {"target", m_attempt.targetId}, {"status", std::to_string(answer.status)}});
     }
     const bool own = named && said.signedByTarget && !said.contentEncoded;
     if (named && said.notExecuted && !success) {
@@ -94,18 +95,20 @@
     if (m_responseHandling == ResponseHandling::Relayed) {
         const bool hadEvents = m_eventSplitter.hasEvents;
         const std::string events = appendBytes(m_eventSplitter, bytes);
+        m_attempt.responseStarted = m_eventSplitter.hasEvents;
         if (usesEngine && m_eventSplitter.hasEvents && !hadEvents) {
             front.recordAnsweredParts(request.sharedParts);
         }
         relayEvents(events);
         if (m_eventSplitter.incompleteEvent.size() > LargestEvent && m_exchange) {
             logInfo(LogComponent::Front, "A stream event exceeds the size limit; cancelling the attempt.",
-                    {{"id", request.attemptId}, {"target", m_targetId}});
+                    {{"id", request.attemptId}, {"target", m_attempt.targetId}});
             m_exchange->cancel();
             onEnd({.outcome = net::ExchangeOutcome::Broken, .connected = true, .responseStarted = true});
         }
     } else if (m_responseHandling == ResponseHandling::Buffered) {
         m_responseBody += bytes;
+        m_attempt.responseStarted = !m_responseBody.empty();
     }
 }
 
--- a/libs/front/src/call_timeouts.cpp
+++ b/libs/front/src/call_timeouts.cpp
@@ -36,11 +36,11 @@
     if (!m_exchange || !repeatable || m_attempts - m_connectFailures >= route.maxTargets) {
         return false;
     }
-    const Millis silence = now - std::max(m_sentAt, m_lastEventAt);
+    const Millis silence = now - std::max(m_attempt.sentAt, m_lastEventAt);
     if (!usesEngine) {
         return silence > std::max(route.latencyObjective * PlainStallFactor, LeastStall);
     }
-    const auto it = front.table.targets.find(m_targetId);
+    const auto it = front.table.targets.find(m_attempt.targetId);
     const bool reports = it != front.table.targets.end() && hasFreshLoad(it->second, now);
     return !reports && silence > EngineStall;
 }
@@ -58,10 +58,10 @@
     }
     logInfo(LogComponent::Front, "A target stopped responding; moving the request to another target.",
             {{"id", request.attemptId},
-             {"target", m_targetId},
-             {"weights", std::to_string(m_weightsVersion)},
-             {"begun", attemptBegun() ? "1" : "0"},
-             {"silent_ms", std::to_string((now - std::max(m_sentAt, m_lastEventAt)).count())}});
+             {"target", m_attempt.targetId},
+             {"weights", std::to_string(m_attempt.weightsVersion)},
+             {"begun", m_attempt.responseStarted ? "1" : "0"},
+             {"silent_ms", std::to_string((now - std::max(m_attempt.sentAt, m_lastEventAt)).count())}});
     m_exchange->cancel();
     releaseTarget(false);
     front.dispatch(shared_from_this());
@@ -70,23 +70,20 @@
 
 bool Call::wouldStartOnRetiredWeights(Millis now) const
 {
-    if (!m_exchange || !usesEngine || responseStarted()) {
-        return false;
-    }
-    const auto it = front.table.targets.find(m_targetId);
-    const std::int64_t required = front.minVersionOf(request.model, now, WithdrawMargin);
-    return required > 0 && it != front.table.targets.end() && knownVersion(it->second, now) < required;
+    return m_exchange
+        && mayStartOnRetiredWeights(m_attempt, front.table, front.minVersionOf(request.model, now, WithdrawMargin),
+                                    now);
 }
 
 void Call::cancelAttempt(Millis now)
 {
     logInfo(LogComponent::Front, "Cancelled a request before its target could start it on retired weights.",
             {{"id", request.attemptId},
-             {"target", m_targetId},
-             {"weights", std::to_string(m_weightsVersion)},
-             {"begun", attemptBegun() ? "1" : "0"},
+             {"target", m_attempt.targetId},
+             {"weights", std::to_string(m_attempt.weightsVersion)},
+             {"begun", m_attempt.responseStarted ? "1" : "0"},
              {"required", std::to_string(front.minVersionOf(request.model, now, WithdrawMargin))},
-             {"sent_ms", std::to_string((now - m_sentAt).count())}});
+             {"sent_ms", std::to_string((now - m_attempt.sentAt).count())}});
     m_exchange->cancel();
     releaseTarget(true);
     advance(m_lifecycle, RequestEvent::OutcomeUnknown);
--- /dev/null
+++ b/libs/serving/include/ibislock/serving/attempt.h
@@ -0,0 +1,39 @@
+// One attempt of a request: what was sent to which incarnation of a target, for which version of the weights, and
+// whether the target has begun to respond. A request may have several attempts, and a target may be listed under the
+// same id in another incarnation, or not at all, while an attempt still waits there. Decisions about an attempt are
+// therefore based on its own data.
+//
+//     Attempt attempt = startAttempt(target, /*engine=*/true, now);
+//     if (mayStartOnRetiredWeights(attempt, table, requiredVersion, now)) { ... }
+
+#pragma once
+
+#include "ibislock/serving/target_table.h"
+
+namespace ibislock::serving
+{
+
+/// An attempt of a request at a target.
+struct Attempt
+{
+    std::string targetId;
+    std::int64_t targetStartedAt = 0; ///< Incarnation of the target, as in `TargetEntry`.
+    std::int64_t weightsVersion = 0; ///< Version that the target was known to hold; 0 for one without weights.
+    Millis sentAt{0};
+    bool responseStarted = false; ///< Part of the body of this attempt's response was received.
+};
+
+/// Returns the attempt that is sent to a target now.
+/// @param engine whether the target serves with weights.
+Attempt startAttempt(const Target &target, bool engine, Millis now);
+
+/// Returns the target of an attempt if the incarnation that the attempt was sent to is listed; null otherwise.
+Target *targetOf(TargetTable &table, const Attempt &attempt);
+const Target *targetOf(const TargetTable &table, const Attempt &attempt);
+
+/// Returns whether an attempt that waits at its target may start there on retired weights. Without evidence that the
+/// same incarnation has loaded newer weights, it is assumed to hold those for which the attempt was sent.
+/// @param required the oldest version that isn't retired; 0 for any.
+bool mayStartOnRetiredWeights(const Attempt &attempt, const TargetTable &table, std::int64_t required, Millis now);
+
+} // namespace ibislock::serving
--- /dev/null
+++ b/libs/serving/test/attempt_test.cpp
@@ -0,0 +1,103 @@
+#include "ibislock/serving/attempt.h"
+#include "ibislock/serving/placement.h"
+
+#include <gtest/gtest.h>
+
+namespace ibislock::serving
+{
+
+namespace
+{
+
+constexpr Millis Now{10000};
+constexpr std::int64_t FirstStart = 100;
+constexpr std::int64_t SecondStart = 200;
+
+/// What is known of the target of an attempt that was sent for version 2.
+struct KnownTarget
+{
+    bool listed = true;
+    std::int64_t startedAt = FirstStart;
+    std::int64_t listedVersion = 2;
+    std::int64_t reportedVersion = 0; ///< 0 without a load report.
+    Millis reportAge{0};
+};
+
+struct RetiredWeightsCase
+{
+    std::string name;
+    KnownTarget target;
+    std::int64_t required = 3;
+    bool responseStarted = false;
+    bool expected = true;
+};
+
+class RetiredWeightsTest : public testing::TestWithParam<RetiredWeightsCase>
+{
+};
+
+TargetEntry entryOf(std::int64_t startedAt, std::int64_t version)
+{
+    return {.id = "a",
+            .service = "s",
+            .address = "10.0.0.1:1",
+            .domain = "d",
+            .slots = 16,
+            .startedAt = startedAt,
+            .models = {{"m", version}}};
+}
+
+TEST_P(RetiredWeightsTest, DecidesByTheAttemptAndTheIncarnationThatItWasSentTo)
+{
+    const RetiredWeightsCase &item = GetParam();
+    TargetTable table;
+    applyEntry(table, "a", entryOf(FirstStart, 2), Millis{0});
+    Attempt attempt = startAttempt(table.targets.at("a"), /*engine=*/true, Millis{0});
+    attempt.responseStarted = item.responseStarted;
+    if (item.target.listed) {
+        applyEntry(table, "a", entryOf(item.target.startedAt, item.target.listedVersion), Millis{1});
+    } else {
+        applyEntry(table, "a", std::nullopt, Millis{1});
+    }
+    if (item.target.reportedVersion > 0) {
+        const Millis at = Now - item.target.reportAge;
+        applyLoad(table, "a", {.version = item.target.reportedVersion, .receivedAt = at}, at);
+    }
+    EXPECT_EQ(mayStartOnRetiredWeights(attempt, table, item.required, Now), item.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, RetiredWeightsTest,
+    testing::Values(
+        RetiredWeightsCase{.name = "SameWeights", .target = {}},
+        RetiredWeightsCase{.name = "NothingIsRetired", .target = {}, .required = 0, .expected = false},
+        RetiredWeightsCase{.name = "OnlyOlderWeightsAreRetired", .target = {}, .required = 2, .expected = false},
+        RetiredWeightsCase{.name = "ResponseHasStarted", .target = {}, .responseStarted = true, .expected = false},
+        RetiredWeightsCase{.name = "NotListed", .target = {.listed = false}},
+        RetiredWeightsCase{.name = "NotListedAndOnlyOlderWeightsAreRetired",
+                           .target = {.listed = false},
+                           .required = 2,
+                           .expected = false},
+        RetiredWeightsCase{.name = "ReportsNewWeights", .target = {.reportedVersion = 3}, .expected = false},
+        RetiredWeightsCase{.name = "ListsNewWeights", .target = {.listedVersion = 3}, .expected = false},
+        RetiredWeightsCase{.name = "ListsNewWeightsButReportsOldOnes",
+                           .target = {.listedVersion = 3, .reportedVersion = 2}},
+        RetiredWeightsCase{.name = "ReportOfNewWeightsHasExpired",
+                           .target = {.reportedVersion = 3, .reportAge = LoadReportLifetime}},
+        RetiredWeightsCase{.name = "AnotherIncarnationListsNewWeights",
+                           .target = {.startedAt = SecondStart, .listedVersion = 3}},
+        RetiredWeightsCase{.name = "AnotherIncarnationReportsNewWeights",
+                           .target = {.startedAt = SecondStart, .listedVersion = 3, .reportedVersion = 3}}),
+    [](const auto &item) { return item.param.name; });
+
+TEST(AttemptTest, ATargetWithoutWeightsHasNoneToRetire)
+{
+    TargetTable table;
+    applyEntry(table, "a", entryOf(FirstStart, 2), Millis{0});
+    const Attempt attempt = startAttempt(table.targets.at("a"), /*engine=*/false, Millis{0});
+    EXPECT_FALSE(mayStartOnRetiredWeights(attempt, table, 3, Now));
+}
+
+} // namespace
+
+} // namespace ibislock::serving
