A crashed engine's successor doesn't vouch for the requests that wait at the crashed one

What callers saw: a request to an engine that crashed without its connection being reset waits until its deadline if the engine is listed again, although another engine could answer.

Cause: an engine that has stopped reporting its load counts as stalled after 500 ms of silence, and the request is moved. The load was looked up by the id of the target, so that reports of the next incarnation counted for an attempt at the one before.

Change: only the incarnation that the attempt was sent to reports for it (`targetOf`).

Evidence: FrontVersionsTest.RequestIsMovedFromACrashedEngineWhoseSuccessorReports fails on the commit before (the second engine gets no request within 1.4 s; no answer) and passes now.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -55,6 +55,9 @@
     if (weightsVersion > 0) {
         out["Models"] = {{{"Name", "m"}, {"Version", weightsVersion}, {"Adapters", nlohmann::json::array()}}};
     }
+    if (startedAt > 0) {
+        out["born"] = startedAt;
+    }
     return out.dump();
 }
 
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -70,6 +70,7 @@
     TargetBehaviour behaviour = TargetBehaviour::Answer;
     int events = 5;
     std::int64_t weightsVersion = 0; ///< Of model "m", as listed; 0 for a target without weights.
+    std::int64_t startedAt = 0; ///< Start of its incarnation, as listed; 0 to list none.
     std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
     std::vector<std::string> bodies;
     std::string crashingPart = "bad"; ///< Id of a part of a prompt, in hexadecimal.
--- a/libs/front/src/call_timeouts.cpp
+++ b/libs/front/src/call_timeouts.cpp
@@ -40,8 +40,8 @@
     if (!usesEngine) {
         return silence > std::max(route.latencyObjective * PlainStallFactor, LeastStall);
     }
-    const auto it = front.table.targets.find(m_attempt.targetId);
-    const bool reports = it != front.table.targets.end() && hasFreshLoad(it->second, now);
+    const serving::Target *target = targetOf(front.table, m_attempt);
+    const bool reports = target != nullptr && hasFreshLoad(*target, now);
     return !reports && silence > EngineStall;
 }
 
--- a/libs/front/test/front_versions_test.cpp
+++ b/libs/front/test/front_versions_test.cpp
@@ -1,4 +1,4 @@
-// Requests that wait at engines whose weights are retired.
+// Requests that wait at engines whose weights are retired, or that have crashed.
 
 #include "front_fixture.h"
 
@@ -178,6 +178,22 @@
     EXPECT_FALSE(m_ended);
 }
 
+// The load reports of the next incarnation counted for what waited at the one that had crashed.
+TEST_F(FrontVersionsTest, RequestIsMovedFromACrashedEngineWhoseSuccessorReports)
+{
+    constexpr Millis LongEnoughToMove{1400};
+    m_first.behaviour = TargetBehaviour::Silent;
+    m_second.behaviour = TargetBehaviour::Stream;
+    m_second.weightsVersion = 1;
+    sendBeforeRetirement(EngineState, {&m_first});
+    m_first.startedAt = 1;
+    list(m_first);
+    list(m_second);
+    runUntil(LongEnoughToMove, 1);
+    EXPECT_EQ(m_second.requests.size(), 1U);
+    EXPECT_TRUE(m_answer.whole);
+}
+
 } // namespace
 
 } // namespace ibislock::front
