Count attempts in flight and their outcomes for the incarnation that they were sent to

What callers saw: three requests that fail late at a crashed target eject the incarnation that has replaced it for a second; requests in flight at a crashed target count as those of its successor, and their ends then take the successor's own off the count; a target whose listing lapses and returns starts at 0 in flight, and gets more than it should. The count matters for targets that report no load.

Change: `endAttempt` books on the incarnation that the attempt was sent to, by the start and the address of the listing. Attempts at an earlier incarnation aren't in flight at the next one. What is retained of an unlisted target (before: its signals) has its requests in flight.

Evidence: with the lookup by id, these three tests fail, and pass now: AttemptTest.FailuresOfACrashedIncarnationDontEjectItsSuccessor (3 failures, ejected for 1 s), AttemptsAtACrashedIncarnationAreNotInFlightAtItsSuccessor (4 in flight, expected 0), AttemptsAtATargetThatIsListedAgainAreStillInFlight (0, expected 3). The names in TargetSignalsTest follow RetainedTarget.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -238,11 +238,7 @@
 void Call::releaseTarget(bool good)
 {
     m_exchange.reset();
-    const auto it = front.table.targets.find(m_attempt.targetId);
-    if (it != front.table.targets.end()) {
-        it->second.inFlight = std::max(0, it->second.inFlight - 1);
-        recordOutcome(it->second, good, steadyMillis());
-    }
+    endAttempt(front.table, m_attempt, good, steadyMillis());
 }
 
 void Call::onEnd(net::ExchangeResult result)
--- a/libs/serving/include/ibislock/serving/attempt.h
+++ b/libs/serving/include/ibislock/serving/attempt.h
@@ -5,6 +5,7 @@
 //
 //     Attempt attempt = startAttempt(target, /*engine=*/true, now);
 //     if (mayStartOnRetiredWeights(attempt, table, requiredVersion, now)) { ... }
+//     endAttempt(table, attempt, /*success=*/true, now);
 
 #pragma once
 
@@ -17,6 +18,7 @@
 struct Attempt
 {
     std::string targetId;
+    std::string targetAddress;
     std::int64_t targetStartedAt = 0; ///< Incarnation of the target, as in `TargetEntry`.
     std::int64_t weightsVersion = 0; ///< Version that the target was known to hold; 0 for one without weights.
     Millis sentAt{0};
@@ -31,6 +33,10 @@
 Target *targetOf(TargetTable &table, const Attempt &attempt);
 const Target *targetOf(const TargetTable &table, const Attempt &attempt);
 
+/// Records the end of an attempt: it is in flight no more, and its outcome counts for the incarnation that it was sent
+/// to, if that is listed or retained.
+void endAttempt(TargetTable &table, const Attempt &attempt, bool success, Millis now);
+
 /// Returns whether an attempt that waits at its target may start there on retired weights. Without evidence that the
 /// same incarnation has loaded newer weights, it is assumed to hold those for which the attempt was sent.
 /// @param required the oldest version that isn't retired; 0 for any.
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -74,28 +74,30 @@
     TargetEntry entry;
     std::optional<TargetLoad> load;
     TargetHealth health;
-    int inFlight = 0; ///< Requests of this entry VM that are in flight.
+    int inFlight = 0; ///< Requests of this entry VM that are in flight at the present incarnation.
     std::deque<RecentAttempt> recentAttempts; ///< The last requests of this entry VM.
     Millis loadCoversUntil{0}; ///< Requests sent after this time are not included in the load.
     std::optional<Millis> expiringSince; ///< When the listing was removed during a store outage.
     TargetSignals signals; ///< Signals of the present incarnation.
 };
 
-/// Signals of a target that is no longer listed, kept in case it is listed again.
-struct RetainedSignals
+/// What is retained of a target that is no longer listed, in case the same incarnation is listed again.
+struct RetainedTarget
 {
     TargetSignals signals;
+    std::string address;
+    int inFlight = 0; ///< As in `Target`.
     Millis since{0}; ///< When the listing was removed, or the last signal after that was received.
 };
 
-/// How long signals of an unlisted target are retained; a target that is gone for longer has been replaced.
-inline constexpr Millis RetainedSignalsLifetime{std::chrono::minutes{10}};
+/// How long an unlisted target is retained; one that is gone for longer has been replaced.
+inline constexpr Millis RetainedTargetLifetime{std::chrono::minutes{10}};
 
 /// All targets by id.
 struct TargetTable
 {
     std::map<std::string, Target, std::less<>> targets;
-    std::map<std::string, RetainedSignals, std::less<>> retainedSignals; ///< By id of the target.
+    std::map<std::string, RetainedTarget, std::less<>> retainedTargets; ///< By id of the target.
     Millis storeRecoveredAt{0}; ///< When the store last recovered from an outage.
     bool storeUnreachable = false;
 };
@@ -117,7 +119,7 @@
 /// @param at the time of the recovery.
 void recordStoreRecovery(TargetTable &table, Millis at);
 
-/// Removes targets whose listing did not return within `ListingGracePeriod`, and retained signals that are too old.
+/// Removes targets whose listing did not return within `ListingGracePeriod`, and retained ones that are too old.
 void expireListings(TargetTable &table, Millis now);
 
 /// Applies a reported load.
--- a/libs/serving/src/attempt.cpp
+++ b/libs/serving/src/attempt.cpp
@@ -2,12 +2,26 @@
 
 #include "ibislock/serving/placement.h"
 
+#include <algorithm>
+
 namespace ibislock::serving
 {
 
+namespace
+{
+
+/// Returns whether a listing is of the incarnation that an attempt was sent to.
+bool wasSentTo(const Attempt &attempt, const TargetEntry &entry)
+{
+    return entry.startedAt == attempt.targetStartedAt && entry.address == attempt.targetAddress;
+}
+
+} // namespace
+
 Attempt startAttempt(const Target &target, bool engine, Millis now)
 {
     return {.targetId = target.entry.id,
+            .targetAddress = target.entry.address,
             .targetStartedAt = target.entry.startedAt,
             .weightsVersion = engine ? knownVersion(target, now) : 0,
             .sentAt = now};
@@ -16,15 +30,27 @@
 Target *targetOf(TargetTable &table, const Attempt &attempt)
 {
     const auto it = table.targets.find(attempt.targetId);
-    const bool listed = it != table.targets.end() && it->second.entry.startedAt == attempt.targetStartedAt;
-    return listed ? &it->second : nullptr;
+    return it != table.targets.end() && wasSentTo(attempt, it->second.entry) ? &it->second : nullptr;
 }
 
 const Target *targetOf(const TargetTable &table, const Attempt &attempt)
 {
     const auto it = table.targets.find(attempt.targetId);
-    const bool listed = it != table.targets.end() && it->second.entry.startedAt == attempt.targetStartedAt;
-    return listed ? &it->second : nullptr;
+    return it != table.targets.end() && wasSentTo(attempt, it->second.entry) ? &it->second : nullptr;
+}
+
+void endAttempt(TargetTable &table, const Attempt &attempt, bool success, Millis now)
+{
+    if (Target *target = targetOf(table, attempt)) {
+        target->inFlight = std::max(0, target->inFlight - 1);
+        recordOutcome(*target, success, now);
+        return;
+    }
+    const auto it = table.retainedTargets.find(attempt.targetId);
+    if (it != table.retainedTargets.end() && it->second.signals.startedAt == attempt.targetStartedAt
+        && it->second.address == attempt.targetAddress) {
+        it->second.inFlight = std::max(0, it->second.inFlight - 1);
+    }
 }
 
 bool mayStartOnRetiredWeights(const Attempt &attempt, const TargetTable &table, std::int64_t required, Millis now)
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -19,19 +19,24 @@
 
 void eraseTarget(TargetTable &table, std::map<std::string, Target, std::less<>>::iterator it, Millis now)
 {
-    if (!acceptsRequests(it->second.signals, now)) {
-        table.retainedSignals[it->first] = {.signals = it->second.signals, .since = now};
+    const Target &target = it->second;
+    if (!acceptsRequests(target.signals, now) || target.inFlight > 0) {
+        table.retainedTargets[it->first] = {
+            .signals = target.signals, .address = target.entry.address, .inFlight = target.inFlight, .since = now};
     }
     table.targets.erase(it);
 }
 
-/// Removes the retained signals of a newly listed target and returns them if they are of the same incarnation.
-TargetSignals takeRetainedSignals(TargetTable &table, const std::string &id, std::int64_t startedAt)
+/// Removes what is retained of a newly listed target and returns it if it is of the same incarnation.
+RetainedTarget takeRetained(TargetTable &table, const std::string &id, const TargetEntry &entry)
 {
-    const auto it = table.retainedSignals.find(id);
-    const bool sameIncarnation = it != table.retainedSignals.end() && it->second.signals.startedAt == startedAt;
-    const TargetSignals out = sameIncarnation ? it->second.signals : TargetSignals{.startedAt = startedAt};
-    table.retainedSignals.erase(id);
+    const auto it = table.retainedTargets.find(id);
+    const bool sameIncarnation = it != table.retainedTargets.end() && it->second.signals.startedAt == entry.startedAt;
+    RetainedTarget out = sameIncarnation ? it->second : RetainedTarget{.signals = {.startedAt = entry.startedAt}};
+    if (out.address != entry.address) {
+        out.inFlight = 0;
+    }
+    table.retainedTargets.erase(id);
     return out;
 }
 
@@ -65,8 +70,11 @@
         target.load.reset();
         target.health = {};
         target.recentAttempts.clear();
+        target.inFlight = 0;
         if (target.entry.id.empty() || target.entry.startedAt != entry->startedAt) {
-            target.signals = takeRetainedSignals(table, id, entry->startedAt);
+            const RetainedTarget retained = takeRetained(table, id, *entry);
+            target.signals = retained.signals;
+            target.inFlight = retained.inFlight;
         }
     }
     target.expiringSince.reset();
@@ -117,8 +125,8 @@
         }
         it = next;
     }
-    std::erase_if(table.retainedSignals,
-                  [&](const auto &item) { return now > item.second.since + RetainedSignalsLifetime; });
+    std::erase_if(table.retainedTargets,
+                  [&](const auto &item) { return now > item.second.since + RetainedTargetLifetime; });
 }
 
 void applyLoad(TargetTable &table, std::string_view id, const TargetLoad &load, Millis coversUntil)
@@ -137,9 +145,9 @@
     if (it != table.targets.end()) {
         return it->second.entry.startedAt == startedAt ? &it->second.signals : nullptr;
     }
-    RetainedSignals &retained = table.retainedSignals[std::string(id)];
+    RetainedTarget &retained = table.retainedTargets[std::string(id)];
     if (retained.signals.startedAt != startedAt) {
-        retained.signals = {.startedAt = startedAt};
+        retained = {.signals = {.startedAt = startedAt}};
     }
     retained.since = now;
     return &retained.signals;
--- a/libs/serving/test/attempt_test.cpp
+++ b/libs/serving/test/attempt_test.cpp
@@ -18,6 +18,7 @@
 {
     bool listed = true;
     std::int64_t startedAt = FirstStart;
+    std::string address = "10.0.0.1:1";
     std::int64_t listedVersion = 2;
     std::int64_t reportedVersion = 0; ///< 0 without a load report.
     Millis reportAge{0};
@@ -36,11 +37,11 @@
 {
 };
 
-TargetEntry entryOf(std::int64_t startedAt, std::int64_t version)
+TargetEntry entryOf(std::int64_t startedAt, std::int64_t version, const std::string &address = "10.0.0.1:1")
 {
     return {.id = "a",
             .service = "s",
-            .address = "10.0.0.1:1",
+            .address = address,
             .domain = "d",
             .slots = 16,
             .startedAt = startedAt,
@@ -55,7 +56,8 @@
     Attempt attempt = startAttempt(table.targets.at("a"), /*engine=*/true, Millis{0});
     attempt.responseStarted = item.responseStarted;
     if (item.target.listed) {
-        applyEntry(table, "a", entryOf(item.target.startedAt, item.target.listedVersion), Millis{1});
+        applyEntry(table, "a", entryOf(item.target.startedAt, item.target.listedVersion, item.target.address),
+                   Millis{1});
     } else {
         applyEntry(table, "a", std::nullopt, Millis{1});
     }
@@ -86,6 +88,8 @@
                            .target = {.reportedVersion = 3, .reportAge = LoadReportLifetime}},
         RetiredWeightsCase{.name = "AnotherIncarnationListsNewWeights",
                            .target = {.startedAt = SecondStart, .listedVersion = 3}},
+        RetiredWeightsCase{.name = "ListsNewWeightsAtAnotherAddress",
+                           .target = {.address = "10.0.0.2:1", .listedVersion = 3}},
         RetiredWeightsCase{.name = "AnotherIncarnationReportsNewWeights",
                            .target = {.startedAt = SecondStart, .listedVersion = 3, .reportedVersion = 3}}),
     [](const auto &item) { return item.param.name; });
@@ -98,6 +102,61 @@
     EXPECT_FALSE(mayStartOnRetiredWeights(attempt, table, 3, Now));
 }
 
+/// Sends a number of attempts to the listed target.
+std::vector<Attempt> sendAttempts(TargetTable &table, int count)
+{
+    std::vector<Attempt> out;
+    for (int n = 0; n < count; ++n) {
+        recordAttempt(table.targets.at("a"), Now, 0);
+        out.push_back(startAttempt(table.targets.at("a"), /*engine=*/true, Now));
+    }
+    return out;
+}
+
+void endAttempts(TargetTable &table, const std::vector<Attempt> &attempts, bool success)
+{
+    for (const Attempt &attempt : attempts) {
+        endAttempt(table, attempt, success, Now);
+    }
+}
+
+TEST(AttemptTest, FailuresOfACrashedIncarnationDontEjectItsSuccessor)
+{
+    TargetTable table;
+    applyEntry(table, "a", entryOf(FirstStart, 2), Now);
+    const std::vector<Attempt> attempts = sendAttempts(table, EjectionFailureThreshold);
+    applyEntry(table, "a", entryOf(SecondStart, 2), Now);
+    endAttempts(table, attempts, /*success=*/false);
+    EXPECT_EQ(table.targets.at("a").health.consecutiveFailures, 0);
+    EXPECT_EQ(table.targets.at("a").health.ejectedUntil, Millis{0});
+}
+
+TEST(AttemptTest, AttemptsAtACrashedIncarnationAreNotInFlightAtItsSuccessor)
+{
+    TargetTable table;
+    applyEntry(table, "a", entryOf(FirstStart, 2), Now);
+    const std::vector<Attempt> earlier = sendAttempts(table, 4);
+    applyEntry(table, "a", entryOf(SecondStart, 2), Now);
+    EXPECT_EQ(table.targets.at("a").inFlight, 0);
+    sendAttempts(table, 3);
+    endAttempts(table, earlier, /*success=*/true);
+    EXPECT_EQ(table.targets.at("a").inFlight, 3);
+}
+
+TEST(AttemptTest, AttemptsAtATargetThatIsListedAgainAreStillInFlight)
+{
+    TargetTable table;
+    applyEntry(table, "a", entryOf(FirstStart, 2), Now);
+    const std::vector<Attempt> attempts = sendAttempts(table, 4);
+    applyEntry(table, "a", std::nullopt, Now);
+    endAttempt(table, attempts.front(), /*success=*/true, Now);
+    applyEntry(table, "a", entryOf(FirstStart, 2), Now);
+    EXPECT_EQ(table.targets.at("a").inFlight, 3);
+    sendAttempts(table, 2);
+    endAttempt(table, attempts.back(), /*success=*/true, Now);
+    EXPECT_EQ(table.targets.at("a").inFlight, 4);
+}
+
 } // namespace
 
 } // namespace ibislock::serving
--- a/libs/serving/test/target_signals_test.cpp
+++ b/libs/serving/test/target_signals_test.cpp
@@ -80,10 +80,10 @@
     applyEntry(table, "a", listed("a"), Millis{0});
     recordDraining(*signalsOf(table, "a", FirstIncarnation, Millis{10}));
     applyEntry(table, "a", std::nullopt, Millis{20});
-    expireListings(table, Millis{20} + RetainedSignalsLifetime);
-    EXPECT_EQ(table.retainedSignals.size(), 1U);
-    expireListings(table, Millis{21} + RetainedSignalsLifetime);
-    EXPECT_TRUE(table.retainedSignals.empty());
+    expireListings(table, Millis{20} + RetainedTargetLifetime);
+    EXPECT_EQ(table.retainedTargets.size(), 1U);
+    expireListings(table, Millis{21} + RetainedTargetLifetime);
+    EXPECT_TRUE(table.retainedTargets.empty());
 }
 
 // One of two targets is overloaded and asks for a backoff of 2 s.
