A request that is cancelled at retired weights may wait for a slot elsewhere

What callers saw: a request that waits at an engine until 250 ms before its weights are retired, or a stream that is resumed there, ends with 502 or broken off if all engines with the new weights are full at that moment.

Cause: after an attempt ended by itself, the request may wait 300 ms for a slot (`ResumeWait`); after one that the entry VM cancelled it may not, although the caller has waited as long.

Change: both go through `retryInterrupted`.

Evidence: FrontVersionsTest.CancelledRequestWaitsForASlotOnTheNewWeights: an engine with the new weights has room 150 ms after the cancellation; before 502 without a request to it, now 200 and the whole stream.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -51,7 +51,7 @@
 {
     nlohmann::json out{
         {"Service", service}, {"Address", m_ip + ":" + std::to_string(port())}, {"Zone", "a"},     {"Version", "v1"},
-        {"Slots", 6},         {"State", leaving ? "draining" : "ready"},        {"ColdLeftMs", 0}, {"Sequence", 1}};
+        {"Slots", Slots},     {"State", leaving ? "draining" : "ready"},        {"ColdLeftMs", 0}, {"Sequence", 1}};
     if (weightsVersion > 0) {
         out["Models"] = {{{"Name", "m"}, {"Version", weightsVersion}, {"Adapters", nlohmann::json::array()}}};
     }
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -63,6 +63,9 @@
 
     std::uint16_t port() const;
 
+    /// Requests that the target processes concurrently, as listed.
+    static constexpr int Slots = 6;
+
     /// The listing that the target would write.
     std::string listing(const std::string &service, bool leaving = false) const;
 
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -327,9 +327,16 @@
         refuse(notConnected ? CallOutcome::NoTarget : (notRun ? CallOutcome::NotExecuted : CallOutcome::Unknown));
         return;
     }
-    if (!notConnected && !notRun) {
-        m_resumeWaitUntil = steadyMillis() + ResumeWait;
+    if (notConnected || notRun) {
+        front.dispatch(shared_from_this());
+    } else {
+        retryInterrupted();
     }
+}
+
+void Call::retryInterrupted()
+{
+    m_resumeWaitUntil = steadyMillis() + ResumeWait;
     front.dispatch(shared_from_this());
 }
 
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -99,6 +99,9 @@
     void handleFailure(const net::ExchangeResult &result);
     bool tryReserveRetry();
 
+    /// Dispatches the call again after an attempt was interrupted; it may wait for a slot meanwhile.
+    void retryInterrupted();
+
     /// Returns whether the target seems to hang or to be unreachable, and the request may be retried.
     bool isStalled(Millis now) const;
 
--- a/libs/front/src/call_timeouts.cpp
+++ b/libs/front/src/call_timeouts.cpp
@@ -88,7 +88,7 @@
     releaseTarget(true);
     advance(m_lifecycle, RequestEvent::OutcomeUnknown);
     if (tryReserveRetry()) {
-        front.dispatch(shared_from_this());
+        retryInterrupted();
     } else {
         refuse(CallOutcome::Unknown);
     }
--- a/libs/front/test/front_versions_test.cpp
+++ b/libs/front/test/front_versions_test.cpp
@@ -18,6 +18,9 @@
 /// When a waiting request must have been cancelled, counted from then; some 50 ms before the weights are retired.
 constexpr Millis UntilTheCancellation{500};
 
+/// The address of a third engine; the others have 127.0.0.1.
+const std::string ThirdIp = "127.0.0.3";
+
 /// Between two load reports of an engine.
 constexpr Millis ReportInterval{200};
 
@@ -40,8 +43,6 @@
     FrontVersionsTest()
         : FrontTest(freePort())
     {
-        m_loads.open(asio::ip::udp::v4());
-        m_loads.bind({asio::ip::make_address_v4("127.0.0.1"), 0});
     }
 
     /// Starts the daemon with engines on version 1, announces version 2, and sends a request.
@@ -85,11 +86,13 @@
         }
     }
 
-    void reportLoad(std::int64_t version)
+    /// Reports the load of all engines on an address.
+    void reportLoad(std::int64_t version, const std::string &ip = "127.0.0.1", int running = 1)
     {
         const std::string message = peer::encode(peer::LoadMessage{
-            .incarnation = 1, .sequence = ++m_reports, .queued = 1, .version = version, .entryVmCount = 1});
-        m_loads.send_to(asio::buffer(message), {asio::ip::make_address_v4("127.0.0.1"), m_peerPort});
+            .incarnation = 1, .sequence = ++m_reports, .running = running, .version = version, .entryVmCount = 1});
+        asio::ip::udp::socket socket(m_loop, {asio::ip::make_address_v4(ip), 0});
+        socket.send_to(asio::buffer(message), {asio::ip::make_address_v4("127.0.0.1"), m_peerPort});
     }
 
     /// Returns the target at which a stream that was broken off by the other one waits.
@@ -100,7 +103,6 @@
         return second ? m_second : m_first;
     }
 
-    asio::ip::udp::socket m_loads{m_loop};
     std::shared_ptr<net::Exchange> m_exchange;
     CallerAnswer m_answer;
     bool m_ended = false;
@@ -127,7 +129,7 @@
 // A stream that waited at a second engine stayed there, although another one had the new weights.
 TEST_F(FrontVersionsTest, ResumedStreamContinuesOnTheNewWeights)
 {
-    lab::TargetStandIn third(m_loop, "i-3", "127.0.0.3");
+    lab::TargetStandIn third(m_loop, "i-3", ThirdIp);
     third.behaviour = TargetBehaviour::Stream;
     third.weightsVersion = 2;
     m_first.behaviour = m_second.behaviour = TargetBehaviour::StreamCutOffThenSilent;
@@ -178,6 +180,30 @@
     EXPECT_FALSE(m_ended);
 }
 
+// All engines with the new weights are full when the request is cancelled, and one has room 150 ms later.
+TEST_F(FrontVersionsTest, CancelledRequestWaitsForASlotOnTheNewWeights)
+{
+    constexpr Millis UntilThereIsRoom{150};
+    lab::TargetStandIn third(m_loop, "i-3", ThirdIp);
+    third.behaviour = TargetBehaviour::Stream;
+    third.weightsVersion = 2;
+    m_first.behaviour = TargetBehaviour::Silent;
+    sendBeforeRetirement(EngineState, {&m_first});
+    list(third);
+    Millis cancelledAt{0};
+    while (!m_ended && steadyMillis() < m_announcedAt + VersionTime) {
+        cancelledAt = cancelledAt == Millis{0} && m_first.open == 0 ? steadyMillis() : cancelledAt;
+        const bool room = cancelledAt > Millis{0} && steadyMillis() >= cancelledAt + UntilThereIsRoom;
+        reportLoad(1);
+        reportLoad(2, ThirdIp, room ? 0 : lab::TargetStandIn::Slots);
+        runFor(Millis{20});
+    }
+    EXPECT_GT(cancelledAt, Millis{0});
+    EXPECT_EQ(third.requests.size(), 1U);
+    EXPECT_EQ(m_answer.status, 200);
+    EXPECT_TRUE(m_answer.whole);
+}
+
 // The load reports of the next incarnation counted for what waited at the one that had crashed.
 TEST_F(FrontVersionsTest, RequestIsMovedFromACrashedEngineWhoseSuccessorReports)
 {
