A target VM that becomes a relay reads the operators' topic at once

Callers saw requests begin on a version of the weights that had been retired.

Cause: target VMs that are relays of listings also read the operators' topic for all others, who are passive and rely on it for up to 0.8 of the time within which a state must take effect. Whether a VM is one of those was looked up only when its own follower of the operators' topic had news from the store. A passive follower has none while others validate the topic. So a VM that became a relay stayed passive; when engines crash and the relays of all domains change one after the other, nobody reads any more until the last validation expires. An announcement of weights, or a desired state, is then read by all VMs up to that much late, and no load report can correct its time.

Change: the role is looked up with each tick (100 ms), and a follower that is no longer passive reads at once.

Evidence: SideTest.VmThatBecomesARelayReadsTheOperatorsTopicForOthers: a VM is validated by others, then becomes a relay; it did not read a new version in three runs of three before, and does within 500 ms in three of three now.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -74,7 +74,8 @@
     void start();
 
     /// Sets whether the feed is passive, i.e. leaves it to other VMs to poll the store. A passive feed reads when it is
-    /// notified of new records, or when its data has not been validated for `FeedOptions::validityTime`.
+    /// notified of new records, or when its data has not been validated for `FeedOptions::validityTime`. One that is no
+    /// longer passive reads at once, as others rely on it. Not to be called while the feed is suspended.
     void setPassive(bool passive);
 
     /// Records that another VM has found no records after `nextOffset()` that are needed here.
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -155,7 +155,11 @@
 
 void TopicFeed::setPassive(bool passive)
 {
+    const bool activated = m_passive && !passive;
     m_passive = passive;
+    if (activated && m_synchronized && !m_callActive && !m_storeUnreachable) {
+        schedule(Millis{0}, &TopicFeed::readUnlessValidated);
+    }
 }
 
 void TopicFeed::markValidated(Millis asOf)
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -122,7 +122,6 @@
                     m_watermark.end = m_operatorsFollower->feed().nextOffset();
                     m_watermark.asOf = asOf;
                     m_watermarkReadAt = steadyMillis();
-                    m_operatorsFollower->setPassive(!m_listingsFollower->readsStoreForOthers());
                 },
         });
     m_listingsFollower = std::make_unique<feed::ListingsFollower>(
@@ -256,6 +255,7 @@
 {
     reportLateTick(m_stalls, m_tickDueAt, steadyMillis(), LogComponent::Side);
     shareQuarantine();
+    m_operatorsFollower->setPassive(!m_listingsFollower->readsStoreForOthers());
     m_tickDueAt = steadyMillis() + TickTime;
     m_tickTimer.start(TickTime, [this] { tick(); });
 }
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/base/loop_stalls.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/peer/messages.h"
+#include "ibislock/platform/listings.h"
 #include "platform/log_capture.h"
 #include "side_fixture.h"
 
@@ -270,6 +271,15 @@
         m_socket.send_to(asio::buffer(peer::encode(peer::SubscribeMessage{.wantsLoads = wantsLoads})), to);
     }
 
+    /// Tells a VM that the operators' topic ends at an offset now.
+    void validate(const std::string &vm, std::int64_t end)
+    {
+        const asio::ip::udp::endpoint to(asio::ip::make_address_v4(vm), m_socket.local_endpoint().port());
+        const peer::SubscribeMessage message{
+            .operatorsWatermark = {.end = end, .announcementsEnd = 0, .age = Millis{0}}};
+        m_socket.send_to(asio::buffer(peer::encode(message)), to);
+    }
+
     /// Returns the load messages that have arrived.
     std::vector<peer::LoadMessage> loads()
     {
@@ -305,6 +315,34 @@
     EXPECT_TRUE(isThere.loads().empty());
 }
 
+// It went on relying on other VMs, which by then relied on it. New versions were read when that expired.
+TEST_F(SideTest, VmThatBecomesARelayReadsTheOperatorsTopicForOthers)
+{
+    constexpr Millis UntilItIsARelay{2500};
+    constexpr Millis UntilItHasRead{500};
+    Vm vm(m_loop, 1, m_peerPort, m_store.port(), m_limits);
+    vm.engine.version = 1;
+    start();
+    ASSERT_TRUE(vm.daemon->start());
+    EntryStandIn entry(m_loop, "127.0.1.101", m_peerPort);
+    std::int64_t end = 1;
+    const auto runValidated = [&](Millis time) {
+        for (const Millis until = steadyMillis() + time; steadyMillis() < until;) {
+            entry.validate(vm.ip, end);
+            m_loop.run_for(std::chrono::milliseconds(50));
+        }
+    };
+    runValidated(Millis{500});
+    m_store.append("i-" + vm.ip, vm.listing());
+    m_loop.run_for(std::chrono::milliseconds(20));
+    ++end;
+    runValidated(UntilItIsARelay);
+    name(2);
+    runValidated(UntilItHasRead);
+    const auto sent = m_store.recordsSent.find({std::string(platform::OperatorsTopic), "version/m"});
+    EXPECT_NE(sent, m_store.recordsSent.end());
+}
+
 TEST_F(SideTest, AStallOfTheEventLoopIsLoggedAndCounted)
 {
     Vm &vm = add(1);
