--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -51,10 +51,13 @@
 {
     nlohmann::json out{
         {"Service", service}, {"Address", m_ip + ":" + std::to_string(port())}, {"Zone", "a"},     {"Version", "v1"},
-        {"Slots", 6},         {"State", leaving ? "draining" : "ready"},        {"ColdLeftMs", 0}, {"Sequence", 1}};
+        {"Slots", Slots},     {"State", leaving ? "draining" : "ready"},        {"ColdLeftMs", 0}, {"Sequence", 1}};
     if (weightsVersion > 0) {
         out["Models"] = {{{"Name", "m"}, {"Version", weightsVersion}, {"Adapters", nlohmann::json::array()}}};
     }
+    if (startedAt > 0) {
+        out["born"] = startedAt;
+    }
     return out.dump();
 }
 
@@ -182,6 +185,8 @@
     case TargetBehaviour::Stream:
     case TargetBehaviour::StreamWithoutIds:
     case TargetBehaviour::StreamCutOff:
+    case TargetBehaviour::StreamCutOffThenSilent:
+    case TargetBehaviour::StreamThenSilent:
     case TargetBehaviour::StreamOnce:
     case TargetBehaviour::StreamFramedCutOff:
     case TargetBehaviour::StreamWithTail:
@@ -236,9 +241,12 @@
 void TargetStandIn::answerStream(net::Connection &connection, const http::RequestHead &request)
 {
     const bool cutOff = behaviour == TargetBehaviour::StreamWithoutIds || behaviour == TargetBehaviour::StreamCutOff
-        || behaviour == TargetBehaviour::StreamFramedCutOff;
+        || behaviour == TargetBehaviour::StreamCutOffThenSilent || behaviour == TargetBehaviour::StreamFramedCutOff;
     const bool ids = behaviour != TargetBehaviour::StreamWithoutIds;
     const std::string last = headerOf(request, "Last-Event-Id");
+    if (behaviour == TargetBehaviour::StreamCutOffThenSilent && !last.empty()) {
+        return;
+    }
     const bool crashing = isCrashing(request);
     crashes += crashing ? 1 : 0;
     http::ResponseHead own = head(200, headerOf(request, "X-Ibislock-Attempt-Id"));
@@ -249,6 +257,9 @@
             writeForever(connection, "", http::writeChunk(std::string(EndlessPart, 'x')));
             return;
         }
+        if (behaviour == TargetBehaviour::StreamThenSilent && number == 2) {
+            return;
+        }
         if ((cutOff && number == 2) || crashing) {
             connection.write(http::writeChunk(eventText(number).substr(0, CutEventBytes)));
             if (behaviour == TargetBehaviour::StreamFramedCutOff) {
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -34,6 +34,8 @@
     Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
     StreamWithoutIds, ///< A stream whose events have no ids, cut off in the middle of the third.
     StreamCutOff, ///< The same, but closes in the middle of the third event.
+    StreamCutOffThenSilent, ///< The same, but a stream that goes on behind Last-Event-Id is never answered.
+    StreamThenSilent, ///< The first two events of a stream, and nothing more.
     StreamUnframed, ///< A whole stream without a length or chunks, which ends with its connection.
     StreamUnframedCutOff, ///< The same, but closes in the middle of the third event.
     StreamUnframedEmpty, ///< The head of such a stream, and closes.
@@ -61,6 +63,9 @@
 
     std::uint16_t port() const;
 
+    /// Requests that the target processes concurrently, as listed.
+    static constexpr int Slots = 6;
+
     /// The listing that the target would write.
     std::string listing(const std::string &service, bool leaving = false) const;
 
@@ -68,6 +73,7 @@
     TargetBehaviour behaviour = TargetBehaviour::Answer;
     int events = 5;
     std::int64_t weightsVersion = 0; ///< Of model "m", as listed; 0 for a target without weights.
+    std::int64_t startedAt = 0; ///< Start of its incarnation, as listed; 0 to list none.
     std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
     std::vector<std::string> bodies;
     std::string crashingPart = "bad"; ///< Id of a part of a prompt, in hexadecimal.
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -122,7 +122,6 @@
                     m_watermark.end = m_operatorsFollower->feed().nextOffset();
                     m_watermark.asOf = asOf;
                     m_watermarkReadAt = steadyMillis();
-                    m_operatorsFollower->setPassive(!m_listingsFollower->readsStoreForOthers());
                 },
         });
     m_listingsFollower = std::make_unique<feed::ListingsFollower>(
@@ -168,8 +167,13 @@
     if (platform::isAnnouncedWeightsKey(record.key)) {
         recordAnnouncementOffset(m_watermark, record.offset);
     }
+    const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
     applyRecord(m_operators, record,
-                {.live = live, .now = steadyMillis(), .versionTime = m_settings.bounds.versionGracePeriod});
+                {.live = live,
+                 .now = steadyMillis(),
+                 .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
+                 .source = m_operatorsFollower->recordSource(),
+                 .versionTime = m_settings.bounds.versionGracePeriod});
 }
 
 void Side::updateDesiredWeights()
@@ -251,6 +255,7 @@
 {
     reportLateTick(m_stalls, m_tickDueAt, steadyMillis(), LogComponent::Side);
     shareQuarantine();
+    m_operatorsFollower->setPassive(!m_listingsFollower->readsStoreForOthers());
     m_tickDueAt = steadyMillis() + TickTime;
     m_tickTimer.start(TickTime, [this] { tick(); });
 }
