A cancellation reaches an engine behind a full link before its weights are retired

Cause: the margin of 250 ms between a cancellation and the retirement left next to nothing for the way. Weights share the links between regions, so packets wait there; a VM counts as slowed, and isn't bound, only beyond half a second.

Change: 500 ms more, the time that packets may wait. A request that is cancelled earlier has waited 0.75 s at its engine or more, as none is sent there in the last 1.5 s.

--- a/libs/front/src/call_timeouts.cpp
+++ b/libs/front/src/call_timeouts.cpp
@@ -23,10 +23,13 @@
 /// How long an engine may send nothing for a request after its VM has stopped reporting its load.
 constexpr Millis EngineStall{500};
 
-/// A request that hasn't started on older weights is cancelled this much before they are retired. This covers the way
-/// to the target, a tick, the engine step that would start the request, and the delay until this VM read the
-/// announcement.
-constexpr Millis WithdrawMargin{250};
+/// How long packets may wait at the links on the way to a target before its VM counts as slowed.
+constexpr Millis MaxLinkDelay{500};
+
+/// A request that hasn't started on older weights is cancelled this much before they are retired. Beside the way of the
+/// cancellation to the target, this covers a tick, the engine step that would start the request, and the delay until
+/// this VM read the announcement.
+constexpr Millis WithdrawMargin = MaxLinkDelay + Millis{250};
 
 } // namespace
 
