Log how old the listings were by which a target was chosen

Requests reached a target 3.2 s after the store had accepted that it leaves, and no line said what their entry VMs knew of the target, from whom and as of when: the last line of a request names the age of the load, not that of the listings, and "A target's listing changed." names the relay but not how late the change was learnt.

The last line of a request, "Retrying a request." and "A request attempt failed." now have listings_age_ms and listings_from. The lines of changed listings have age_ms, the age of the listings before the change, which bounds how long it was unknown. The lines about relays have the age as well. ibislock_listings_greatest_used_age_ms is the greatest age since the start at which a target was chosen; target VMs report ibislock_listings_age_ms too, so that the age at a relay is seen.

No decision changes. Tests: LogsTheAgeAndTheSourceOfTheListingsOfEachSend, LogsThatARequestWasPlacedByNoListingsIfItWasNotSent, LogsTheAgeAndTheSourceOfAChangedListing.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -17,6 +17,9 @@
 namespace ibislock::feed
 {
 
+/// The source of listings that were read from the store, as logged.
+inline constexpr std::string_view StoreSource = "store";
+
 /// Settings of a follower.
 struct ListingsFollowerOptions
 {
@@ -73,6 +76,12 @@
     /// Returns the address of the relay in use; empty while the store is read.
     std::string relay() const;
 
+    /// Returns the time since the listings were the present ones in the store; targets may have left since.
+    Millis age() const;
+
+    /// Returns who confirmed the listings last: the address of a relay, or `StoreSource`.
+    const std::string &source() const;
+
     /// Returns the number of calls to the store.
     std::uint64_t storeCalls() const;
 
@@ -117,6 +126,7 @@
     bool m_requesting = false; ///< A request is under way or scheduled.
     std::size_t m_relayIndex = 0; ///< The index of the relay in use, in the order of `relaysFor`.
     std::string m_currentRelay; ///< The address of the relay in use.
+    std::string m_source{StoreSource}; ///< Who confirmed the listings last.
     Millis m_retryRelaysAt{0}; ///< When relays that failed are tried again; monotonic time.
     std::uint32_t m_sequence = 0;
     int m_regressions = 0; ///< Consecutive updates that end before the cached listings.
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -117,6 +117,16 @@
     return m_readsStore ? std::string() : m_currentRelay;
 }
 
+Millis ListingsFollower::age() const
+{
+    return bootMillis() - m_cache.asOf;
+}
+
+const std::string &ListingsFollower::source() const
+{
+    return m_source;
+}
+
 std::uint64_t ListingsFollower::storeCalls() const
 {
     return m_feed.calls();
@@ -173,12 +183,14 @@
             listings.push_back(std::move(change));
         }
     }
+    m_source = StoreSource;
     notify(replaceListings(m_cache, listings, m_feed.nextOffset(), steadyMillis()));
 }
 
 void ListingsFollower::applyRecord(const platform::KeyedRecord &record)
 {
     const peer::ListingChange change = decode(record);
+    m_source = StoreSource;
     if (applyTopicRecord(m_cache, change, steadyMillis())) {
         notify({change});
     }
@@ -195,6 +207,7 @@
 {
     m_cache.end = m_feed.nextOffset();
     m_cache.asOf = asOf;
+    m_source = StoreSource;
     pruneTombstones(m_cache, steadyMillis());
     const std::vector<std::string> vms = domainVms();
     m_servesOthers = m_options.servesListings && isRelayOrBackup(m_options.ip, vms);
@@ -272,7 +285,8 @@
     if (m_readsStore) {
         m_readsStore = false;
         m_feed.suspend();
-        logInfo(LogComponent::Store, "Reading listings from a relay.", {{"relay", m_currentRelay}});
+        logInfo(LogComponent::Store, "Reading listings from a relay.",
+                {{"relay", m_currentRelay}, {"age_ms", std::to_string((bootMillis() - asOf).count())}});
     }
     if (update.sinceStoreRecovery) {
         m_relayServer.recordStoreRecovery(bootMillis() - *update.sinceStoreRecovery);
@@ -288,6 +302,7 @@
         failOver("behind");
         return;
     }
+    m_source = m_currentRelay;
     if (update.end >= m_cache.end) {
         std::vector<peer::ListingChange> changes;
         if (update.isSnapshot) {
@@ -316,9 +331,7 @@
 {
     ++m_relayFailovers;
     logInfo(LogComponent::Store, "A relay of listings failed; trying the next source.",
-            {{"relay", m_currentRelay},
-             {"cause", std::string(cause)},
-             {"age_ms", std::to_string((bootMillis() - m_cache.asOf).count())}});
+            {{"relay", m_currentRelay}, {"cause", std::string(cause)}, {"age_ms", std::to_string(age().count())}});
     closeConnection();
     if (m_relayIndex == 0) {
         m_retryRelaysAt = steadyMillis() + RelayRetryInterval;
@@ -339,7 +352,8 @@
     closeConnection();
     if (!m_readsStore) {
         m_readsStore = true;
-        logInfo(LogComponent::Store, "Reading listings from the store.", {{"offset", std::to_string(m_cache.end)}});
+        logInfo(LogComponent::Store, "Reading listings from the store.",
+                {{"offset", std::to_string(m_cache.end)}, {"age_ms", std::to_string(age().count())}});
         m_feed.resume(m_cache.end);
     }
 }
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -191,6 +191,7 @@
         return;
     }
     m_lastTargetId = target.entry.id;
+    m_listingsUsed = front.recordListingsUse();
     m_loadAge = target.load ? now - target.load->receivedAt : Millis{-1};
     m_occupancyPercent =
         static_cast<int>(100 * estimatedRequests(target, usesEngine, now) / std::max(target.entry.slots, 1));
@@ -205,6 +206,8 @@
                  {"known", m_lifecycle.state},
                  {"sends", std::to_string(m_attempts)},
                  {"target", target.entry.id},
+                 {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
+                 {"listings_from", m_listingsUsed.source},
                  {"since_first_ms", std::to_string((now - m_firstSentAt).count())}});
     }
     advance(m_lifecycle, RequestEvent::Send);
@@ -276,6 +279,8 @@
                  {"framing", std::string(m_framing)},
                  {"incomplete_bytes", std::to_string(m_incompleteBytes)},
                  {"events", m_eventSplitter.hasEvents ? "1" : "0"},
+                 {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
+                 {"listings_from", m_listingsUsed.source},
                  {"parts", partsText(request.sharedParts)},
                  {"after_ms", std::to_string((steadyMillis() - m_sentAt).count())}});
     }
@@ -405,6 +410,8 @@
              {"target", m_lastTargetId},
              {"occupancy", std::to_string(m_occupancyPercent)},
              {"load_age_ms", std::to_string(m_loadAge.count())},
+             {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
+             {"listings_from", m_listingsUsed.source},
              {"waited_ms", std::to_string(m_attempts > 0 ? (m_firstSentAt - receivedAt).count() : -1)},
              {"first_ms", std::to_string(m_firstEventAt > Millis{0} ? (m_firstEventAt - receivedAt).count() : -1)},
              {"pause_ms", std::to_string(m_longestEventGap.count())},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -138,6 +138,7 @@
     Millis m_longestEventGap{0}; ///< Between two forwarded events.
     std::string m_lastTargetId;
     int m_occupancyPercent = 0; ///< Estimated occupancy of the last target when the request was sent.
+    ListingsUsed m_listingsUsed; ///< The listings by which the last target was chosen.
     Millis m_loadAge{0}; ///< Age of the load report behind that estimate; -1 ms without one.
     int m_attempts = 0;
     int m_connectFailures = 0;
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -33,6 +33,7 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t retriesWithoutBudget = 0;
+    Millis maxListingsAge{0}; ///< The greatest age of the listings by which a target was chosen.
     LatencyHistogram waitTime; ///< From the request until its first attempt.
     LatencyHistogram timeToFirstByte; ///< From the request until the first bytes of the response.
     LatencyHistogram totalTime; ///< From the request until its end.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -189,7 +189,8 @@
                  {"service", entry ? entry->service : ""},
                  {"leaving", entry && entry->draining ? "1" : "0"},
                  {"end", std::to_string(m_listings->cache().end)},
-                 {"from", m_listings->relay().empty() ? "store" : m_listings->relay()}});
+                 {"age_ms", std::to_string(m_listings->age().count())},
+                 {"from", m_listings->source()}});
     }
     applyEntry(table, id, entry, now);
 }
@@ -229,6 +230,13 @@
                  random);
 }
 
+ListingsUsed Front::recordListingsUse()
+{
+    const Millis age = m_listings->age();
+    counters.maxListingsAge = std::max(counters.maxListingsAge, age);
+    return {.age = age, .source = m_listings->source()};
+}
+
 void Front::dispatch(const std::shared_ptr<Call> &call)
 {
     if (call->isDone()) {
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -27,6 +27,13 @@
 /// targets whose weights aren't retired before then.
 inline constexpr Millis MaxQueueTime{1500};
 
+/// What was known of the listings of targets when one was chosen.
+struct ListingsUsed
+{
+    Millis age{-1}; ///< Since they were the present ones in the store; -1 ms if no target was chosen.
+    std::string source = "none"; ///< Who confirmed them: the address of a relay, or the store.
+};
+
 class Call;
 class CallerConnection;
 
@@ -55,6 +62,10 @@
     /// Chooses a target for a call.
     serving::Placement findPlacement(const Call &call, Millis now);
 
+    /// Records that a target was chosen by the listings as they are known.
+    /// @return their age and source.
+    ListingsUsed recordListingsUse();
+
     /// Dispatches the calls that wait for a slot; called when a target may have a free one.
     void dispatchWaiting();
 
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -35,14 +35,17 @@
 }
 
 /// Writes the age of the VM's data. Comes early in the page, as collectors may keep only its beginning.
-void writeKnowledge(std::string &out, const feed::TopicFeed &operators, const feed::ListingsFollower &listings)
+void writeKnowledge(std::string &out, const feed::TopicFeed &operators, const feed::ListingsFollower &listings,
+                    Millis maxListingsAge)
 {
     writeGauge(out, "ibislock_operators_behind_ms", "For how long records of the operators' topic have been unread.",
                operators.lagTime().count());
     writeGauge(out, "ibislock_operators_longest_behind_ms", "The longest such time since the start.",
                operators.maxLagTime().count());
     writeGauge(out, "ibislock_listings_age_ms", "Age of what is known of the listings of targets.",
-               (bootMillis() - listings.cache().asOf).count());
+               listings.age().count());
+    writeGauge(out, "ibislock_listings_greatest_used_age_ms",
+               "The greatest age of the listings when a target was chosen, since the start.", maxListingsAge.count());
 }
 
 void writeState(std::string &out, const feed::OperatorsView &operators, bool away, Millis now)
@@ -91,7 +94,7 @@
     std::string out;
     const Millis now = steadyMillis();
     writeState(out, operators, operatorsUnreachable, now);
-    writeKnowledge(out, m_operatorsFollower->feed(), *m_listings);
+    writeKnowledge(out, m_operatorsFollower->feed(), *m_listings, counters.maxListingsAge);
     writeStallMetrics(out, m_stalls);
     writeCounters(out, counters);
     writeStore(out, *m_operatorsFollower, *m_listings);
--- a/libs/front/test/front_sends_test.cpp
+++ b/libs/front/test/front_sends_test.cpp
@@ -129,6 +129,56 @@
     EXPECT_TRUE(log.take(SecondSend).empty());
 }
 
+TEST_F(FrontTest, LogsTheAgeAndTheSourceOfTheListingsOfEachSend)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    list(m_second);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).status, 502);
+    std::vector<std::string> lines = log.take(UnansweredSend);
+    for (const std::string &sentence : {SecondSend, std::string("A request was not served.")}) {
+        for (const std::string &line : log.take(sentence)) {
+            lines.push_back(line);
+        }
+    }
+    ASSERT_EQ(lines.size(), 4U);
+    for (const std::string &line : lines) {
+        EXPECT_TRUE(lab::hasField(line, "listings_from", "store")) << line;
+        const std::size_t at = line.find("listings_age_ms=");
+        ASSERT_NE(at, std::string::npos) << line;
+        const Millis age{std::stoll(line.substr(line.find('=', at) + 1))};
+        EXPECT_GE(age, Millis{0}) << line;
+        EXPECT_LT(age, Millis{5000}) << line;
+    }
+}
+
+TEST_F(FrontTest, LogsThatARequestWasPlacedByNoListingsIfItWasNotSent)
+{
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).status, 503);
+    const auto ends = log.take("A request was not served.");
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_TRUE(lab::hasField(ends[0], "listings_age_ms", "-1")) << ends[0];
+    EXPECT_TRUE(lab::hasField(ends[0], "listings_from", "none")) << ends[0];
+}
+
+TEST_F(FrontTest, LogsTheAgeAndTheSourceOfAChangedListing)
+{
+    list(m_first);
+    start();
+    lab::LogCapture log;
+    list(m_first, true);
+    runFor(Millis{500});
+    const auto changes = log.take("A target's listing changed.");
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_TRUE(lab::hasField(changes[0], "leaving", "1")) << changes[0];
+    EXPECT_TRUE(lab::hasField(changes[0], "from", "store")) << changes[0];
+    EXPECT_NE(changes[0].find(" age_ms="), std::string::npos) << changes[0];
+}
+
 TEST_F(FrontTest, LogsTheFramingAndTheIncompleteEventOfAResponse)
 {
     m_first.behaviour = TargetBehaviour::StreamCutOff;
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -59,6 +59,8 @@
                  m_operatorsFollower->feed().calls() + m_listingsFollower->storeCalls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
                  m_operatorsFollower->feed().failures() + m_listingsFollower->storeFailures());
+    writeGauge(out, "ibislock_listings_age_ms", "Age of what is known of the listings of targets.",
+               m_listingsFollower->age().count());
     writeCounter(out, "ibislock_relay_answers_total", "Answers of relays of listings that were taken over.",
                  m_listingsFollower->relayResponses());
     writeCounter(out, "ibislock_relays_left_total", "Relays of listings that were lost or behind.",
