Read the store beside a relay before the listings are too old to be used

Callers' requests may reach a target 3.2 s after it has said that it leaves, where 3 s are allowed.

Cause (as far as the record tells): each hop of listings had a limit, and nothing limited their age when a target is chosen. An entry VM takes listings of 0.6 of the drain time from its relay, asks again 0.1 later, waits 0.4, does the same with the backup, and only then reads the store, whose answer it allows 0.9 and 0.8 s. All entry VMs of a domain follow one relay. A relay and a backup that fall silent make the age 2,901 ms at a drain time of 2,000 ms.

Change: an entry VM that knows targets reads the store itself when its listings are 0.45 to 0.5 of the drain time old, without a hold, and beside whatever its relays do; a read may take 0.2, and is repeated on a new connection. All times derive from the age (listings_schedule.h): a relay may hold a request until the age is 0.35, so that a sound relay keeps it below 0.45, and data of more than 0.5 isn't taken over. An entry VM that reads the store lets it hold a read for 0.1. A VM that can't reach the store goes on with what it knows, and reads beside its source once in a drain time.

Placement doesn't look at the age: all listings of a VM have the same, so there is nothing to prefer, and refusing would only stop a domain that is cut off.

ListingsScheduleTest plays the times in virtual time: 0.5 and a call whatever a relay does, 0.7 and a call if the first read is lost, and no read of its own beside a sound relay.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -13,6 +13,7 @@
 #include "ibislock/feed/operators_watermark.h"
 #include "ibislock/feed/peer_client.h"
 #include "ibislock/feed/topic_feed.h"
+#include "ibislock/feed/topic_poll.h"
 
 namespace ibislock::feed
 {
@@ -88,6 +89,9 @@
     /// Returns the number of calls to the store that failed.
     std::uint64_t storeFailures() const;
 
+    /// Returns how often the store was read beside a late source, as the listings had grown old.
+    std::uint64_t ownReads() const;
+
     /// Returns the number of responses of relays that were fresh enough to be used.
     std::uint64_t relayResponses() const;
 
@@ -114,6 +118,11 @@
     void failOver(std::string_view cause);
     void closeConnection();
     void followStore();
+    bool usesListings() const;
+    void scheduleOwnRead();
+    void scheduleOwnRead(Millis delay);
+    void readStoreBeside();
+    void applyOwnPage(const platform::ReadPage &page, Millis asOf);
     Millis fractionOfDrainTime(double fraction) const;
 
     ListingsFollowerOptions m_options;
@@ -121,6 +130,10 @@
     ListingsCache m_cache;
     ListingsRelay m_relayServer;
     TopicFeed m_feed;
+    TopicPoll m_ownRead; ///< Reads the store beside a late source.
+    net::Timer m_ownReadTimer;
+    Millis m_ownReadAt{0}; ///< When the last of these reads was started, by the boot clock.
+    Random m_random;
     bool m_readsStore = true;
     bool m_servesOthers = false; ///< This VM is a relay or backup, from which others request listings.
     bool m_requesting = false; ///< A request is under way or scheduled.
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -123,6 +123,12 @@
     /// Returns the greatest `lagTime` since the start.
     Millis maxLagTime() const;
 
+    /// Returns whether the last call failed.
+    bool isUnreachable() const;
+
+    /// Returns whether a snapshot is being read.
+    bool isReadingSnapshot() const;
+
     /// Returns whether a complete snapshot has been read since the start.
     bool synchronized() const;
 
@@ -161,6 +167,7 @@
     bool m_readsNewest = false; ///< The snapshot under way replaces records that were missed.
     Millis m_validatedAt{0}; ///< By the boot clock.
     bool m_synchronized = false;
+    bool m_readingSnapshot = false; ///< A page of a snapshot is under way, or is requested next.
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
     std::uint64_t m_cancelledCalls = 0;
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/feed/listings_follower.h"
 
 #include "ibislock/base/log.h"
+#include "ibislock/feed/listings_schedule.h"
 #include "ibislock/feed/relay_order.h"
 #include "ibislock/platform/listings.h"
 
@@ -10,33 +11,6 @@
 namespace
 {
 
-// Fractions of the time within which requests to a draining target must stop. In the worst case a relay fails just
-// before it forwards a change: it is replaced after `RequestPauseFraction` + `LongPollFraction` +
-// `ResponseMarginFraction`, and a read of the store or a request to a backup follows.
-
-/// Interval between the starts of two reads of the store.
-constexpr double StoreReadIntervalFraction = 0.1;
-
-/// How long the store may hold a read of a VM that serves others; the next read follows at once.
-constexpr double StoreLongPollFraction = 0.35;
-
-/// How long the store may hold a read of a VM that serves no others. A read whose response was lost times out after
-/// this time and that of a call.
-constexpr double PassiveLongPollFraction = 0.9;
-
-/// Pause between a response of a relay and the next request.
-constexpr double RequestPauseFraction = 0.1;
-
-/// How long a relay may hold a request until something changes.
-constexpr double LongPollFraction = 0.2;
-
-/// How much longer a response may take to arrive.
-constexpr double ResponseMarginFraction = 0.2;
-
-/// The greatest age of a relay's data that is accepted; a relay that reads the store lags by at most
-/// `StoreReadIntervalFraction` + `StoreLongPollFraction` and the time of a call.
-constexpr double MaxAgeFraction = 0.6;
-
 /// Consecutive updates that may end before the cached listings. A relay reads on between two requests, so more of them
 /// mean that the topic was recreated and one of the two VMs still has the old one. A read of the store decides which.
 constexpr int MaxRegressions = 3;
@@ -51,7 +25,7 @@
     : m_options(std::move(options))
     , m_events(std::move(events))
     , m_relayServer(loop, m_cache, m_events.ownWatermark)
-    , m_feed(loop, client, std::move(store),
+    , m_feed(loop, client, store,
              {.topic = std::string(platform::TargetsTopic),
               .longPollTime = fractionOfDrainTime(StoreLongPollFraction),
               .passiveLongPollTime = fractionOfDrainTime(PassiveLongPollFraction),
@@ -69,6 +43,16 @@
                   [this](Millis asOf) {
                       handleWatermark(asOf);
                   }})
+    , m_ownRead(client, std::move(store), std::string(platform::TargetsTopic),
+                {.onPage = [this](const platform::ReadPage &page, Millis asOf) { applyOwnPage(page, asOf); },
+                 .onFailure =
+                     [this](std::string_view cause) {
+                         logInfo(LogComponent::Store, "A read of the store beside a late source failed.",
+                                 {{"cause", std::string(cause)}, {"age_ms", std::to_string(age().count())}});
+                         scheduleOwnRead();
+                     }})
+    , m_ownReadTimer(loop)
+    , m_random(systemRandom())
     , m_timer(loop)
     , m_relayClient(loop, m_options.port,
                     {.onFrame = [this](const std::string &body) { handleFrame(body); },
@@ -86,7 +70,7 @@
 
 Millis ListingsFollower::fractionOfDrainTime(double fraction) const
 {
-    return Millis{static_cast<std::int64_t>(static_cast<double>(m_options.drainTime.count()) * fraction)};
+    return fractionOf(m_options.drainTime, fraction);
 }
 
 asio::error_code ListingsFollower::start()
@@ -129,12 +113,17 @@
 
 std::uint64_t ListingsFollower::storeCalls() const
 {
-    return m_feed.calls();
+    return m_feed.calls() + m_ownRead.calls();
 }
 
 std::uint64_t ListingsFollower::storeFailures() const
 {
-    return m_feed.failures();
+    return m_feed.failures() + m_ownRead.failures();
+}
+
+std::uint64_t ListingsFollower::ownReads() const
+{
+    return m_ownRead.calls();
 }
 
 std::uint64_t ListingsFollower::relayResponses() const
@@ -205,13 +194,14 @@
 
 void ListingsFollower::handleWatermark(Millis asOf)
 {
-    m_cache.end = m_feed.nextOffset();
-    m_cache.asOf = asOf;
+    m_cache.end = std::max(m_cache.end, m_feed.nextOffset()); // A read beside the feed may be ahead of it.
+    m_cache.asOf = std::max(m_cache.asOf, asOf);
     m_source = StoreSource;
+    scheduleOwnRead();
     pruneTombstones(m_cache, steadyMillis());
     const std::vector<std::string> vms = domainVms();
     m_servesOthers = m_options.servesListings && isRelayOrBackup(m_options.ip, vms);
-    m_feed.setPassive(!m_servesOthers);
+    m_feed.setPassive(!m_servesOthers && !usesListings());
     m_relayServer.completePending();
     const Millis now = steadyMillis();
     if (!m_requesting && now >= m_retryRelaysAt && !relaysFor(m_options.ip, vms).empty()) {
@@ -245,13 +235,14 @@
     }
     m_requesting = true;
     m_requestedAt = bootMillis();
+    const Millis wait = relayHoldTime(age(), m_options.drainTime);
     m_currentRelay = vms[m_relayIndex];
     m_relayClient.send(m_currentRelay,
                        encode(peer::ListingsRequest{.sequence = ++m_sequence,
                                                     .from = m_cache.end,
-                                                    .wait = fractionOfDrainTime(LongPollFraction),
+                                                    .wait = wait,
                                                     .entryVm = m_options.isEntryVm ? m_options.ip : ""}));
-    m_timer.start(fractionOfDrainTime(LongPollFraction + ResponseMarginFraction), [this] { failOver("no answer"); });
+    m_timer.start(wait + fractionOfDrainTime(ResponseMarginFraction), [this] { failOver("no answer"); });
 }
 
 void ListingsFollower::scheduleRequest(Millis delay)
@@ -318,6 +309,7 @@
         notify(changes);
     }
     m_cache.asOf = std::max(m_cache.asOf, asOf);
+    scheduleOwnRead();
     pruneTombstones(m_cache, now);
     m_relayServer.completePending();
     if (m_relayIndex > 0 && now >= m_retryRelaysAt) {
@@ -358,4 +350,68 @@
     }
 }
 
+bool ListingsFollower::usesListings() const
+{
+    return m_options.isEntryVm && std::any_of(m_cache.listings.begin(), m_cache.listings.end(), [](const auto &item) {
+               return item.second.entry.has_value();
+           });
+}
+
+void ListingsFollower::scheduleOwnRead()
+{
+    if (!usesListings() || m_ownRead.isActive()) {
+        return;
+    }
+    const double spread = std::uniform_real_distribution<double>(0, 1)(m_random);
+    const Millis sinceLast = bootMillis() - m_ownReadAt;
+    scheduleOwnRead(std::max(timeUntilOwnRead(age(), m_options.drainTime, spread),
+                             ownReadInterval(age(), m_options.drainTime) - sinceLast));
+}
+
+void ListingsFollower::scheduleOwnRead(Millis delay)
+{
+    m_ownReadTimer.start(delay, [this] { readStoreBeside(); });
+}
+
+void ListingsFollower::readStoreBeside()
+{
+    if (!usesListings() || m_ownRead.isActive()) {
+        return;
+    }
+    const Millis due = timeUntilOwnRead(age(), m_options.drainTime, 1);
+    const bool feedReads = m_readsStore && (m_feed.isUnreachable() || m_feed.isReadingSnapshot());
+    if (due > Millis{0} || feedReads) {
+        scheduleOwnRead(std::max(due, fractionOfDrainTime(OwnReadTimeoutFraction)));
+        return;
+    }
+    m_ownReadAt = bootMillis();
+    logInfo(LogComponent::Store, "The listings are old; reading the store beside their source.",
+            {{"age_ms", std::to_string(age().count())},
+             {"source", m_source},
+             {"relay", relay()},
+             {"offset", std::to_string(m_cache.end)}});
+    m_ownRead.start(m_cache.end, fractionOfDrainTime(OwnReadTimeoutFraction));
+}
+
+void ListingsFollower::applyOwnPage(const platform::ReadPage &page, Millis asOf)
+{
+    if (!(m_readsStore && m_feed.isReadingSnapshot())) { // The snapshot may be older, or of a topic that is recreated.
+        for (const platform::KeyedRecord &record : page.records) {
+            applyRecord(record);
+        }
+        m_cache.end = std::max(m_cache.end, page.nextOffset);
+        if (page.nextOffset >= page.endOffset) {
+            m_cache.asOf = std::max(m_cache.asOf, asOf);
+            m_source = StoreSource;
+        }
+        pruneTombstones(m_cache, steadyMillis());
+        m_relayServer.completePending();
+        if (page.nextOffset < page.endOffset) {
+            scheduleOwnRead(Millis{0});
+            return;
+        }
+    }
+    scheduleOwnRead();
+}
+
 } // namespace ibislock::feed
--- /dev/null
+++ b/libs/feed/src/listings_schedule.cpp
@@ -0,0 +1,29 @@
+#include "ibislock/feed/listings_schedule.h"
+
+#include <algorithm>
+
+namespace ibislock::feed
+{
+
+Millis fractionOf(Millis drainTime, double fraction)
+{
+    return Millis{static_cast<std::int64_t>(static_cast<double>(drainTime.count()) * fraction)};
+}
+
+Millis relayHoldTime(Millis age, Millis drainTime)
+{
+    return std::clamp(fractionOf(drainTime, RelayHoldAgeFraction) - age, Millis{0},
+                      fractionOf(drainTime, RelayHoldFraction));
+}
+
+Millis timeUntilOwnRead(Millis age, Millis drainTime, double spread)
+{
+    return std::max(fractionOf(drainTime, OwnReadFraction - OwnReadSpreadFraction * spread) - age, Millis{0});
+}
+
+Millis ownReadInterval(Millis age, Millis drainTime)
+{
+    return fractionOf(drainTime, age < drainTime ? OwnReadTimeoutFraction : LateOwnReadIntervalFraction);
+}
+
+} // namespace ibislock::feed
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -75,6 +75,16 @@
     }
 }
 
+bool TopicFeed::isUnreachable() const
+{
+    return m_storeUnreachable;
+}
+
+bool TopicFeed::isReadingSnapshot() const
+{
+    return m_readingSnapshot;
+}
+
 bool TopicFeed::synchronized() const
 {
     return m_synchronized;
@@ -202,6 +212,7 @@
     m_snapshotRecords.clear();
     m_snapshotEnd = -1;
     m_readsNewest = false;
+    m_readingSnapshot = false;
 }
 
 bool TopicFeed::applyRecords(std::vector<platform::KeyedRecord> records, std::int64_t end, Millis asOf)
@@ -275,6 +286,7 @@
 {
     const std::string after = m_snapshotRecords.empty() ? "" : m_snapshotRecords.back().key;
     m_longPollTime = Millis{0};
+    m_readingSnapshot = true;
     call(platform::makeSnapshotRequest(m_options.topic, after), m_firstByteTimeout, &TopicFeed::readSnapshot,
          [this](int status, const std::string &body) {
              if (status != OkStatus) {
@@ -301,6 +313,7 @@
         readSnapshot();
         return;
     }
+    m_readingSnapshot = false;
     handleSuccess();
     if (std::exchange(m_readsNewest, false) && m_snapshotEnd >= m_nextOffset) {
         applyNewest(std::exchange(m_snapshotRecords, {}), std::exchange(m_snapshotEnd, -1));
--- /dev/null
+++ b/libs/feed/src/topic_poll.cpp
@@ -0,0 +1,110 @@
+#include "ibislock/feed/topic_poll.h"
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+constexpr int OkStatus = 200;
+
+/// How long a pooled connection to the store may have been idle.
+constexpr Millis MaxIdle{30000};
+
+} // namespace
+
+TopicPoll::TopicPoll(net::HttpClient &client, platform::Endpoint store, std::string topic, TopicPollEvents events)
+    : m_client(client)
+    , m_store(std::move(store))
+    , m_topic(std::move(topic))
+    , m_events(std::move(events))
+{
+}
+
+TopicPoll::~TopicPoll()
+{
+    cancel();
+}
+
+void TopicPoll::start(std::int64_t from, Millis timeout)
+{
+    cancel();
+    ++m_calls;
+    m_active = true;
+    m_startedAt = bootMillis();
+    const platform::ApiRequest request = platform::makeReadRequest(m_topic, from, Millis{0});
+    http::RequestHead head = request.head;
+    head.headers.add("Host", m_store.ip);
+    m_exchange =
+        m_client.call(m_store.ip, m_store.port, writeRequest(head, request.body),
+                      {.connectTimeout = timeout,
+                       .timeout = timeout,
+                       .stallTimeout = timeout,
+                       .totalTimeout = timeout * 2,
+                       .newConnection = m_lastFailed,
+                       .maxIdle = MaxIdle},
+                      [this, from, generation = m_generation](
+                          net::ExchangeOutcome outcome, const http::ResponseHead &response, const std::string &body) {
+                          if (generation == m_generation) {
+                              finish(outcome, response.status, body, from);
+                          }
+                      });
+}
+
+void TopicPoll::cancel()
+{
+    ++m_generation;
+    m_active = false;
+    if (m_exchange) {
+        m_exchange->cancel();
+        m_exchange.reset();
+    }
+}
+
+bool TopicPoll::isActive() const
+{
+    return m_active;
+}
+
+std::uint64_t TopicPoll::calls() const
+{
+    return m_calls;
+}
+
+std::uint64_t TopicPoll::failures() const
+{
+    return m_failures;
+}
+
+void TopicPoll::finish(net::ExchangeOutcome outcome, int status, const std::string &body, std::int64_t from)
+{
+    m_active = false;
+    if (outcome != net::ExchangeOutcome::Complete) {
+        fail(nameOf(net::ExchangeOutcomeNames, outcome));
+        return;
+    }
+    if (status != OkStatus) {
+        fail("status " + std::to_string(status));
+        return;
+    }
+    const auto page = platform::decodeReadPage(body, from);
+    if (!page) {
+        fail(page.error().message);
+        return;
+    }
+    if (page->endOffset < from) {
+        fail("the topic ends before the offset");
+        return;
+    }
+    m_lastFailed = false;
+    m_events.onPage(*page, m_startedAt);
+}
+
+void TopicPoll::fail(std::string_view cause)
+{
+    m_lastFailed = true;
+    ++m_failures;
+    m_events.onFailure(cause);
+}
+
+} // namespace ibislock::feed
--- /dev/null
+++ b/libs/feed/test/listings_schedule_test.cpp
@@ -0,0 +1,152 @@
+// The schedule of an entry VM in virtual time: how old its listings get, whatever its relay does, and how often it has
+// to read the store itself.
+
+#include "ibislock/feed/listings_schedule.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+
+namespace ibislock::feed
+{
+
+namespace
+{
+
+constexpr Millis DrainTime{1000};
+constexpr Millis CallTime{40}; ///< Of a call to the store, or to a relay and back.
+constexpr Millis CheckInterval{50}; ///< Of the time limits of held requests, at the relay.
+
+/// The response of a source.
+struct Response
+{
+    Millis arrivesAt{0};
+    Millis asOf{0}; ///< When the listings in it were the present ones.
+};
+
+/// Returns the response to a request that was sent at a time and may be held; nothing if it is lost.
+using Relay = std::function<std::optional<Response>(Millis sentAt, Millis hold)>;
+
+/// Returns the response to a read that was started at a time; nothing if it is lost.
+using Store = std::function<std::optional<Response>(Millis startedAt)>;
+
+/// What an entry VM went through.
+struct Result
+{
+    Millis greatestAge{0};
+    int ownReads = 0;
+};
+
+/// Follows a relay, and reads the store beside it, with the functions under test.
+Result follow(Millis length, const Relay &relay, const Store &store)
+{
+    Result out;
+    Millis asOf{0};
+    Millis requestAt{0};
+    std::optional<Response> update;
+    Millis ownReadAt = -DrainTime;
+    std::optional<Response> page;
+    Millis pageTimeout{0};
+    bool reading = false;
+    for (Millis now{0}; now < length; ++now) {
+        if (update && now >= update->arrivesAt) {
+            const bool fresh = now - update->asOf <= fractionOf(DrainTime, MaxAgeFraction);
+            asOf = fresh ? std::max(asOf, update->asOf) : asOf;
+            update.reset();
+        }
+        if (now >= requestAt) {
+            const Millis hold = relayHoldTime(now - asOf, DrainTime);
+            update = relay(now, hold);
+            const Millis timeout = now + hold + fractionOf(DrainTime, ResponseMarginFraction);
+            if (update && update->arrivesAt > timeout) {
+                update.reset();
+            }
+            requestAt = update ? update->arrivesAt + fractionOf(DrainTime, RequestPauseFraction) : timeout;
+        }
+        if (reading && page && now >= page->arrivesAt) {
+            asOf = std::max(asOf, page->asOf);
+            reading = false;
+        }
+        reading = reading && now < pageTimeout;
+        const bool due = timeUntilOwnRead(now - asOf, DrainTime, 0) == Millis{0}
+            && now - ownReadAt >= ownReadInterval(now - asOf, DrainTime);
+        if (!reading && due) {
+            ++out.ownReads;
+            reading = true;
+            ownReadAt = now;
+            pageTimeout = now + fractionOf(DrainTime, OwnReadTimeoutFraction);
+            page = store(now);
+        }
+        out.greatestAge = std::max(out.greatestAge, now - asOf);
+    }
+    return out;
+}
+
+std::optional<Response> respondingStore(Millis startedAt)
+{
+    return Response{.arrivesAt = startedAt + CallTime, .asOf = startedAt};
+}
+
+std::optional<Response> deadRelay(Millis, Millis)
+{
+    return std::nullopt;
+}
+
+/// A relay each of whose reads is held, and ended by a record, so that its listings count as of the start of the read.
+std::optional<Response> soundRelay(Millis sentAt, Millis hold)
+{
+    const Millis interval = fractionOf(DrainTime, StoreLongPollFraction);
+    const Millis respondedAt = sentAt + hold + (hold > Millis{0} ? CheckInterval : Millis{0});
+    const Millis readEndedAt = (respondedAt - CallTime) / interval * interval;
+    return Response{.arrivesAt = respondedAt + CallTime / 2, .asOf = readEndedAt - interval};
+}
+
+TEST(ListingsScheduleTest, WithoutARelayTheListingsAreAsOldAsTheOwnReadAndItsCall)
+{
+    const Result result = follow(10 * DrainTime, deadRelay, respondingStore);
+    EXPECT_LE(result.greatestAge, fractionOf(DrainTime, OwnReadFraction) + CallTime);
+    EXPECT_LE(result.ownReads, 21);
+}
+
+TEST(ListingsScheduleTest, ALostOwnReadIsRepeatedInTime)
+{
+    int reads = 0;
+    const Result result = follow(10 * DrainTime, deadRelay, [&](Millis startedAt) -> std::optional<Response> {
+        return ++reads % 2 == 1 ? std::nullopt : respondingStore(startedAt);
+    });
+    EXPECT_LE(result.greatestAge, fractionOf(DrainTime, OwnReadFraction + OwnReadTimeoutFraction) + CallTime);
+}
+
+TEST(ListingsScheduleTest, AStoreThatIsAwayIsReadAFewTimesAndThenOnceInADrainTime)
+{
+    const Result result = follow(10 * DrainTime, deadRelay, [](Millis) { return std::nullopt; });
+    EXPECT_LE(result.ownReads, 3 + 10);
+}
+
+TEST(ListingsScheduleTest, BesideASoundRelayTheStoreIsNotRead)
+{
+    EXPECT_EQ(follow(100 * DrainTime, soundRelay, respondingStore).ownReads, 0);
+}
+
+RC_GTEST_PROP(ListingsScheduleProperty, WhateverARelayDoesListingsAreNeverTooOldToBeUsed, ())
+{
+    // Each response is lost, late or old.
+    const auto responses = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        64, rc::gen::pair(rc::gen::inRange(0, 600), rc::gen::inRange(0, 1200)));
+    std::size_t next = 0;
+    const Result result = follow(
+        10 * DrainTime,
+        [&](Millis sentAt, Millis) -> std::optional<Response> {
+            const auto &[delay, age] = responses[next++ % responses.size()];
+            return Response{.arrivesAt = sentAt + Millis{delay + 1}, .asOf = sentAt - Millis{age}};
+        },
+        respondingStore);
+    RC_ASSERT(result.greatestAge <= fractionOf(DrainTime, OwnReadFraction) + CallTime);
+}
+
+} // namespace
+
+} // namespace ibislock::feed
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -32,6 +32,8 @@
                  listings.relayResponses());
     writeCounter(out, "ibislock_relays_left_total", "Relays of listings that were lost or behind.",
                  listings.relayFailovers());
+    writeCounter(out, "ibislock_listings_own_reads_total",
+                 "Reads of the store beside a late source, as the listings had grown old.", listings.ownReads());
 }
 
 /// Writes the age of the VM's data. Comes early in the page, as collectors may keep only its beginning.
