Count what the store answered as of the start of its call

The age that is passed on between VMs was understated, so that each hop's limit was kept by figures that were too low.

Cause: a read that ended before its time limit counted as of 150 ms before its arrival at most (MaxResponseTransit), and one that arrived after its time limit as of the limit, also if records had ended it long before. Over a link that weights fill, a response takes half a second and more.

Change: a read counts as of the start of its call; only one that returned nothing and took as long as it might be held counts as of that limit, as it shows that nothing was written until then. The constant goes.

Ages are true now, and larger by up to the time of a held read.

Evidence: AResponseThatWasLongUnderWayCountsAsOfBeforeItWasSent failed before (149 ms after a record that the response lacks) and ASnapshotCountsAsOfItsFirstPage (201 ms after its start, with pages of 100 ms). AReadThatWasHeldToItsLimitCountsAsOfThatLimit passed before and after. BesideASoundRelayTheStoreIsNotRead already counts reads from their start. All 59 tests of feed_test pass.

--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -116,7 +116,15 @@
     const std::string topic = queryText(request.target, "Topic");
     if (request.target.find("log-newest") != std::string::npos) {
         ++snapshots;
-        connection.write(http::writeResponse({.status = 200}, snapshot(topic)));
+        const std::string page = snapshot(topic, queryText(request.target, "After"));
+        if (snapshotDelay == Millis{0}) {
+            connection.write(http::writeResponse({.status = 200}, page));
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(m_loop, snapshotDelay);
+        timer->async_wait([timer, page, to = connection.shared_from_this()](const asio::error_code &) {
+            to->write(http::writeResponse({.status = 200}, page));
+        });
         return;
     }
     ++reads;
@@ -194,18 +202,26 @@
     });
 }
 
-std::string StoreStandIn::snapshot(const std::string &topic)
+std::string StoreStandIn::snapshot(const std::string &topic, const std::string &after)
 {
     std::map<std::string, std::size_t> newest;
     for (std::size_t n = 0; n < m_records.size(); ++n) {
         newest[m_records[n].first] = n;
     }
     nlohmann::json items = nlohmann::json::array();
+    bool hasMore = false;
     for (const auto &[key, offset] : newest) {
+        if (!after.empty() && key <= after) {
+            continue;
+        }
+        hasMore = snapshotPageSize > 0 && items.size() == snapshotPageSize;
+        if (hasMore) {
+            break;
+        }
         ++recordsSent[{topic, key}];
         items.push_back({{"Key", key}, {"Value", base64(m_records[offset].second)}, {"Offset", offset}});
     }
-    return nlohmann::json{{"Items", items}, {"HasMore", false}, {"EndOffset", m_records.size()}}.dump();
+    return nlohmann::json{{"Items", items}, {"HasMore", hasMore}, {"EndOffset", m_records.size()}}.dump();
 }
 
 } // namespace ibislock::lab
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -39,6 +39,8 @@
     bool silent = false; ///< Calls get no answer.
     std::size_t lastWait = 0; ///< How long the last read allowed to be held back, in milliseconds.
     Millis delay{0}; ///< Until a read is answered.
+    std::size_t snapshotPageSize = 0; ///< How many records a page of a snapshot has at most; 0 for all.
+    Millis snapshotDelay{0}; ///< Until a page of a snapshot is sent.
     Millis spread{0}; ///< The answer to a read comes in over this time, a part each `PartPause`.
 
     /// Between two parts of an answer that is spread.
@@ -60,7 +62,7 @@
     void answerRead(net::Connection &connection, const std::string &topic, std::size_t from);
     void hold(net::Connection &connection, const std::string &topic, std::size_t from, Millis time);
     void writeInParts(const std::shared_ptr<net::Connection> &connection, std::string bytes, std::size_t part);
-    std::string snapshot(const std::string &topic);
+    std::string snapshot(const std::string &topic, const std::string &after);
 
     asio::io_context &m_loop;
     std::vector<std::pair<std::string, std::string>> m_records;
--- a/libs/feed/include/ibislock/feed/listings_schedule.h
+++ b/libs/feed/include/ibislock/feed/listings_schedule.h
@@ -42,8 +42,9 @@
 /// The age at which an entry VM reads the store itself, beside its relay.
 inline constexpr double OwnReadFraction = 0.5;
 
-/// The greatest age of a relay's data that is accepted.
-inline constexpr double MaxAgeFraction = OwnReadFraction;
+/// The greatest age of a relay's data that is accepted; a relay with older data is replaced. Beyond `OwnReadFraction`,
+/// as a response may have waited for a stalled event loop.
+inline constexpr double MaxAgeFraction = 0.6;
 
 /// The part of `OwnReadFraction` over which such reads are spread, so that the VMs of a relay that fails don't all read
 /// at one moment.
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -35,7 +35,7 @@
     std::function<void(bool unreachable)> onStoreOutage; ///< A store outage began (true) or ended (false).
 
     /// Called after each update that reached the end of the topic: all records before `nextOffset()` are delivered, and
-    /// the topic ended there at the time `asOf` of the boot clock. May be empty.
+    /// the topic ended there at the time `asOf` of the boot clock or later. May be empty.
     std::function<void(Millis asOf)> onWatermark = {};
 };
 
@@ -44,9 +44,6 @@
 /// 200 ms, and possibly twice.
 inline constexpr Millis FirstByteTimeout{800};
 
-/// Longest transit of the response to a held read, unless the link is so congested that the VM counts as slowed.
-inline constexpr Millis MaxResponseTransit{150};
-
 /// Limit of the first-byte timeout, which grows by `FirstByteTimeout` with each failed call: over a congested link,
 /// retries only add to the congestion.
 inline constexpr Millis MaxFirstByteTimeout{2400};
@@ -142,7 +139,7 @@
     void applySnapshotPage(const std::string &body);
     void applyReadPage(const std::string &body);
     void schedule(Millis delay, void (TopicFeed::*step)());
-    void reportWatermark();
+    void reportWatermark(Millis asOf);
     void cancelCall();
     void advanceTo(std::int64_t offset);
     void handleFailure(std::string_view cause, void (TopicFeed::*retry)());
@@ -181,6 +178,7 @@
     bool m_notificationPending = false; ///< The next read follows a notification, and the store must not hold it.
     Millis m_callStartedAt{0}; ///< In monotonic time.
     Millis m_callStartedAtBoot{0}; ///< The same by the boot clock.
+    Millis m_snapshotStartedAt{0}; ///< When the first page of the snapshot was requested, by the boot clock.
     Millis m_longPollTime{0}; ///< How long the store may hold the current call.
     std::uint64_t m_generation = 0; ///< Identifies the current call; responses to earlier ones are ignored.
 };
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -188,14 +188,8 @@
     schedule(jittered(m_random, m_options.validityTime / ChecksPerValidityTime), &TopicFeed::readUnlessValidated);
 }
 
-void TopicFeed::reportWatermark()
-{
-    // A read that was held until its time limit shows that no record was written meanwhile; a held read is answered as
-    // soon as there is one.
-    const Millis now = bootMillis();
-    const Millis respondedAt =
-        now - m_callStartedAtBoot >= m_longPollTime ? m_callStartedAtBoot + m_longPollTime : now - MaxResponseTransit;
-    const Millis asOf = m_longPollTime > Millis{0} ? std::max(m_callStartedAtBoot, respondedAt) : m_callStartedAtBoot;
+void TopicFeed::reportWatermark(Millis asOf)
+{
     if (m_events.onWatermark) {
         m_events.onWatermark(asOf);
     }
@@ -307,6 +301,7 @@
     if (m_snapshotEnd < 0) {
         // The end as of the first page: what changes while later pages are read is read again.
         m_snapshotEnd = page->endOffset;
+        m_snapshotStartedAt = m_callStartedAtBoot;
     }
     std::move(page->records.begin(), page->records.end(), std::back_inserter(m_snapshotRecords));
     if (page->hasMore && !page->records.empty()) {
@@ -323,7 +318,7 @@
         m_synchronized = true;
         m_events.onSnapshot(std::exchange(m_snapshotRecords, {}));
     }
-    reportWatermark();
+    reportWatermark(m_snapshotStartedAt);
     scheduleRead(m_options.minReadInterval);
 }
 
@@ -390,7 +385,10 @@
         schedule(m_options.minReadInterval, &TopicFeed::readNext);
         return;
     }
-    reportWatermark();
+    // How long the response was under way is unknown: over a congested link it takes a second. A read without records
+    // was held until its time limit, which shows that none was written until then.
+    const bool heldToLimit = page->records.empty() && bootMillis() - m_callStartedAtBoot >= m_longPollTime;
+    reportWatermark(m_callStartedAtBoot + (heldToLimit ? m_longPollTime : Millis{0}));
     scheduleRead(std::max(Millis{0}, m_options.minReadInterval - (steadyMillis() - m_callStartedAt)));
 }
 
