A relay that is behind doesn't make the listings count as new

Up to three consecutive updates may end before what the requesting VM knows, as those of a lagging relay do.

Cause: such an update changes no listing, yet its time was taken over as the time of the VM's own listings. A relay that keeps the records of an older topic, or overestimates its time, thus kept entry VMs on old listings for up to 1.2 of the drain time, and then the backup as long.

Change: only an update that reaches what is known confirms it.

Evidence: ListingsAgeTest has such relays and backups now.

--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -293,8 +293,9 @@
         failOver("behind");
         return;
     }
-    m_source = m_currentRelay;
+    // An update that ends before what is known is of another topic or overestimates its time: it confirms nothing.
     if (update.end >= m_cache.end) {
+        m_source = m_currentRelay;
         std::vector<peer::ListingChange> changes;
         if (update.isSnapshot) {
             changes = replaceListings(m_cache, update.listings, update.end, now);
@@ -307,8 +308,8 @@
         }
         m_cache.end = update.end;
         notify(changes);
+        m_cache.asOf = std::max(m_cache.asOf, asOf);
     }
-    m_cache.asOf = std::max(m_cache.asOf, asOf);
     scheduleOwnRead();
     pruneTombstones(m_cache, now);
     m_relayServer.completePending();
--- a/libs/feed/test/listings_age_test.cpp
+++ b/libs/feed/test/listings_age_test.cpp
@@ -26,14 +26,16 @@
     Closed, ///< Closes its connections, as a VM does whose process has ended.
     Stale, ///< Responds with listings that are too old, as a VM does that is cut off from the store.
     Restarted, ///< Responds without any listings.
+    Behind, ///< Responds that the topic ends before what the requesting VM knows, as if that were new.
 };
 
-constexpr NameTable<RelayState, 5> RelayStateNames{{
+constexpr NameTable<RelayState, 6> RelayStateNames{{
     {RelayState::Serving, "serving"},
     {RelayState::Silent, "silent"},
     {RelayState::Closed, "closed"},
     {RelayState::Stale, "stale"},
     {RelayState::Restarted, "restarted"},
+    {RelayState::Behind, "behind"},
 }};
 
 /// A target VM that serves listings until it fails.
@@ -42,7 +44,8 @@
 public:
     /// @param servedAge the age of the listings that it sends.
     RelayStandIn(asio::io_context &loop, const std::string &ip, std::uint16_t port, Millis servedAge)
-        : m_servedAge(servedAge)
+        : m_timer(loop)
+        , m_servedAge(servedAge)
         , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); })
     {
         EXPECT_FALSE(m_listener.open(ip, port));
@@ -105,11 +108,28 @@
             update.age = Millis{std::chrono::hours{24}};
             connection.write(encode(update));
             break;
+        case RelayState::Behind:
+            update.end = request.from - 1;
+            update.age = Millis{0};
+            update.heldFor = request.wait;
+            respondLater(connection, update);
+            break;
         }
     }
 
+    /// Holds a request as long as it may be.
+    void respondLater(net::Connection &connection, const peer::ListingsUpdate &update)
+    {
+        m_timer.start(update.heldFor, [update, to = connection.weak_from_this()] {
+            if (const auto open = to.lock()) {
+                open->write(encode(update));
+            }
+        });
+    }
+
     RelayState m_state = RelayState::Serving;
     RelayState m_next = RelayState::Serving;
+    net::Timer m_timer;
     Millis m_servedAge;
     std::vector<std::shared_ptr<net::Connection>> m_connections;
     net::Listener m_listener;
@@ -229,7 +249,8 @@
 
 TEST_F(ListingsAgeTest, ListingsAreNeverTooOldToBeUsedWhileTheRelayAndItsBackupFail)
 {
-    constexpr std::array Failures{RelayState::Silent, RelayState::Closed, RelayState::Stale, RelayState::Restarted};
+    constexpr std::array Failures{RelayState::Silent, RelayState::Closed, RelayState::Stale, RelayState::Restarted,
+                                  RelayState::Behind};
     for (const Millis servedAge : {DrainTime * 3 / 10, DrainTime * 55 / 100}) {
         for (const RelayState relay : Failures) {
             for (const RelayState backup : Failures) {
