A write of a listing that is appended late doesn't undo a later one

A VM that knew that a target leaves could take it for ready again.

Cause: listings were ordered by their offsets alone. A write whose call is under way for long, or is carried out seconds later, is appended behind later ones of the same target: a heartbeat that says ready behind the record that says draining, or behind the removal of the listing. The target counted as usable until its next heartbeat, some 1.2 s. `Sequence`, which tells the order of the writes of one incarnation, was checked and thrown away.

Change: platform/ decodes it as the number of the write. The number is forwarded between VMs. Another incarnation, or one that isn't known (`born` missing), is ordered by offsets as before, and so is a topic that was recreated. A listing without a valid number still names no target.

Evidence: AnEarlierWriteThatIsAppendedLateIsIgnored, AnEarlierWriteThanTheLastHeartbeatIsIgnored and AnEarlierWriteDoesNotListARemovedTargetAgain failed without the comparison.

--- a/libs/feed/include/ibislock/feed/listings_cache.h
+++ b/libs/feed/include/ibislock/feed/listings_cache.h
@@ -18,6 +18,8 @@
 {
     std::optional<serving::TargetEntry> entry; ///< Empty in a tombstone.
     std::int64_t offset = 0; ///< The offset of the last change.
+    std::int64_t startedAt = 0; ///< The last listed incarnation; 0 if unknown. Also in a tombstone.
+    std::int64_t writeNumber = 0; ///< The number of the last write of that incarnation. Also in a tombstone.
     Millis changedAt{0}; ///< When this VM learned of the change, in monotonic time.
 };
 
@@ -34,6 +36,9 @@
 /// send a request every second or two.
 inline constexpr Millis TombstoneLifetime{30000};
 
+// A write that was under way for long may be appended after later ones of the same incarnation, or after the removal of
+// its listing. Such a record is ignored wherever it comes from.
+
 /// Applies the next record of the topic. A record that changes nothing is a heartbeat and isn't forwarded.
 /// @return whether the listing changed.
 bool applyTopicRecord(ListingsCache &cache, const peer::ListingChange &record, Millis now);
--- a/libs/feed/src/listings_cache.cpp
+++ b/libs/feed/src/listings_cache.cpp
@@ -8,17 +8,38 @@
 namespace
 {
 
+peer::ListingChange toChange(const std::string &id, const CachedListing &cached)
+{
+    return {
+        .id = id, .entry = cached.entry, .offset = cached.offset, .writeNumber = cached.entry ? cached.writeNumber : 0};
+}
+
+/// Returns whether a record was written before the cached one, though it follows it in the topic.
+bool isEarlierWrite(const peer::ListingChange &change, const CachedListing &cached)
+{
+    return change.entry && change.entry->startedAt != 0 && change.entry->startedAt == cached.startedAt
+        && change.writeNumber < cached.writeNumber;
+}
+
 /// @param forwardEqual whether an entry that equals the cached one is forwarded.
 bool apply(ListingsCache &cache, const peer::ListingChange &change, Millis now, bool forwardEqual)
 {
     const auto it = cache.listings.find(change.id);
     const bool cached = it != cache.listings.end();
-    if (cached && change.offset < it->second.offset) {
+    if (cached && (change.offset < it->second.offset || isEarlierWrite(change, it->second))) {
         return false;
     }
     const bool equal = cached ? change.entry == it->second.entry : !change.entry;
     if (!equal || forwardEqual) {
-        cache.listings[change.id] = {.entry = change.entry, .offset = change.offset, .changedAt = now};
+        CachedListing &item = cache.listings[change.id];
+        item.entry = change.entry;
+        item.offset = change.offset;
+        item.changedAt = now;
+    }
+    if (change.entry) {
+        CachedListing &item = cache.listings[change.id];
+        item.startedAt = change.entry->startedAt;
+        item.writeNumber = change.writeNumber;
     }
     return !equal;
 }
@@ -42,6 +63,7 @@
         // The topic was recreated: the cached offsets are no longer valid.
         for (auto &[id, cached] : cache.listings) {
             cached.offset = -1;
+            cached.startedAt = 0;
         }
     }
     std::set<std::string, std::less<>> listed;
@@ -75,7 +97,7 @@
     std::vector<peer::ListingChange> out;
     for (const auto &[id, cached] : cache.listings) {
         if (cached.offset >= from) {
-            out.push_back({.id = id, .entry = cached.entry, .offset = cached.offset});
+            out.push_back(toChange(id, cached));
         }
     }
     return out;
@@ -86,7 +108,7 @@
     std::vector<peer::ListingChange> out;
     for (const auto &[id, cached] : cache.listings) {
         if (cached.entry) {
-            out.push_back({.id = id, .entry = cached.entry, .offset = cached.offset});
+            out.push_back(toChange(id, cached));
         }
     }
     return out;
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -152,13 +152,14 @@
     if (!record.value) {
         return out;
     }
-    auto entry = platform::decodeTarget(record.key, *record.value);
-    if (entry) {
-        out.entry = std::move(*entry);
+    auto listing = platform::decodeTarget(record.key, *record.value);
+    if (listing) {
+        out.entry = std::move(listing->entry);
+        out.writeNumber = listing->writeNumber;
     } else {
         ++m_unusableListings;
         logInfo(LogComponent::Store, "A listing can't be used; its target gets no requests.",
-                {{"target", record.key}, {"cause", entry.error().message}});
+                {{"target", record.key}, {"cause", listing.error().message}});
     }
     return out;
 }
--- a/libs/feed/test/listings_cache_test.cpp
+++ b/libs/feed/test/listings_cache_test.cpp
@@ -16,6 +16,16 @@
     return {.id = id, .entry = serving::TargetEntry{.id = id, .models = {{"m", version}}}, .offset = offset};
 }
 
+/// The listing of an incarnation, and the number of its write.
+peer::ListingChange written(std::int64_t offset, std::int64_t startedAt, std::int64_t writeNumber,
+                            bool draining = false)
+{
+    return {.id = "a",
+            .entry = serving::TargetEntry{.id = "a", .draining = draining, .startedAt = startedAt},
+            .offset = offset,
+            .writeNumber = writeNumber};
+}
+
 peer::ListingChange removed(const std::string &id, std::int64_t offset)
 {
     return {.id = id, .entry = {}, .offset = offset};
@@ -39,6 +49,56 @@
     EXPECT_EQ(cache.listings.at("a").entry->models.front().version, 2);
 }
 
+// A heartbeat that was under way when its target said that it leaves made the target usable again.
+TEST(ListingsCacheTest, AnEarlierWriteThatIsAppendedLateIsIgnored)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(1, 5, 20)}, 2, Millis{0});
+    EXPECT_TRUE(applyTopicRecord(cache, written(2, 5, 22, true), Millis{0}));
+    EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 21), Millis{0}));
+    EXPECT_FALSE(applyListing(cache, written(3, 5, 21), Millis{0})) << "forwarded by a VM that didn't know better";
+    EXPECT_TRUE(replaceListings(cache, {written(3, 5, 21)}, 4, Millis{0}).empty()) << "in a snapshot";
+    EXPECT_TRUE(cache.listings.at("a").entry->draining);
+}
+
+TEST(ListingsCacheTest, AnEarlierWriteThanTheLastHeartbeatIsIgnored)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(1, 5, 20, true)}, 2, Millis{0});
+    EXPECT_FALSE(applyTopicRecord(cache, written(2, 5, 23, true), Millis{0}));
+    EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 22), Millis{0}));
+    EXPECT_EQ(changesFrom(cache, 0).front().writeNumber, 23);
+}
+
+TEST(ListingsCacheTest, AnEarlierWriteDoesNotListARemovedTargetAgain)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(1, 5, 20)}, 2, Millis{0});
+    EXPECT_TRUE(applyTopicRecord(cache, removed("a", 2), Millis{0}));
+    EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 19), Millis{0}));
+    EXPECT_FALSE(cache.listings.at("a").entry);
+    // One that expired during an outage of the store is listed again.
+    EXPECT_TRUE(applyTopicRecord(cache, written(4, 5, 21), Millis{0}));
+}
+
+TEST(ListingsCacheTest, WritesOfAnotherIncarnationAreOrderedByTheirOffsets)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(1, 5, 20, true)}, 2, Millis{0});
+    EXPECT_TRUE(applyTopicRecord(cache, written(2, 9, 1), Millis{0})) << "born anew";
+    EXPECT_FALSE(cache.listings.at("a").entry->draining);
+    EXPECT_TRUE(applyTopicRecord(cache, written(3, 0, 7, true), Millis{0})) << "of an unknown incarnation";
+    EXPECT_TRUE(applyTopicRecord(cache, written(4, 0, 6), Millis{0}));
+}
+
+TEST(ListingsCacheTest, ARecreatedTopicMayHoldEarlierWrites)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(100, 5, 20, true)}, 101, Millis{0});
+    EXPECT_EQ(replaceListings(cache, {written(0, 5, 3)}, 1, Millis{0}).size(), 1U);
+    EXPECT_FALSE(cache.listings.at("a").entry->draining);
+}
+
 TEST(ListingsCacheTest, ListingsMissingFromASnapshotAreRemoved)
 {
     ListingsCache cache;
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -137,6 +137,7 @@
   address @7 :Text;
   domain @8 :Text;
   models @9 :List(Model);
+  writeNumber @10 :Int64;  # Of the last write of its incarnation that the sender knows, also a heartbeat.
 }
 
 struct Model {
--- a/libs/peer/src/listings.cpp
+++ b/libs/peer/src/listings.cpp
@@ -27,6 +27,7 @@
     to.setLeaving(entry.draining);
     to.setSlots(static_cast<std::uint16_t>(std::clamp(entry.slots, 0, 0xffff)));
     to.setStartedAt(entry.startedAt);
+    to.setWriteNumber(change.writeNumber);
     to.setService(entry.service);
     to.setAddress(entry.address);
     to.setDomain(entry.domain);
@@ -40,6 +41,7 @@
 ListingChange read(wire::Listing::Reader from)
 {
     ListingChange out{.id = from.getId().cStr(), .entry = {}, .offset = from.getOffset()};
+    out.writeNumber = from.getWriteNumber();
     if (from.getRemoved()) {
         return out;
     }
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -263,7 +263,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8f9b8c8ca048b2c3, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(8f9b8c8ca048b2c3, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1765,6 +1765,8 @@
   inline bool hasModels() const;
   inline  ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>::Reader getModels() const;
 
+  inline  ::int64_t getWriteNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1843,6 +1845,9 @@
   inline void adoptModels(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Model,  ::capnp::Kind::STRUCT>> disownModels();
 
+  inline  ::int64_t getWriteNumber();
+  inline void setWriteNumber( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4088,6 +4093,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Listing::Reader::getWriteNumber() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Listing::Builder::getWriteNumber() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Listing::Builder::setWriteNumber( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Model::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -130,6 +130,17 @@
     EXPECT_FALSE(read.records[1].value);
 }
 
+TEST(MessagesTest, TheNumberOfAWriteIsForwarded)
+{
+    const ListingChange change{.id = "i-1",
+                               .entry = serving::TargetEntry{.id = "i-1", .startedAt = 5},
+                               .offset = 7,
+                               .writeNumber = 1'000'000'000'000};
+    const auto update = decodeListings(frameBody(encode(ListingsUpdate{.listings = {change}})));
+    ASSERT_TRUE(update);
+    EXPECT_EQ(std::get<ListingsUpdate>(*update).listings.front().writeNumber, change.writeNumber);
+}
+
 TEST(MessagesTest, EntryVmsAreDecodedWithListings)
 {
     const auto request = decodeListings(frameBody(encode(ListingsRequest{.entryVm = "10.0.0.1"})));
