An incarnation that has said that it leaves gets no more requests

The table of targets took each listing as it came: one that says ready behind one that says draining made the target usable again.

A target whose incarnation isn't known is used as it is listed.

This covers what the order of writes can't: a VM that knew the leaving by another way than the one by which an older listing comes, or a runner's own ready after its draining. A runner that was born anew may be used at once.

Evidence: AnIncarnationThatLeavesGetsNoRequestsWhateverIsListedAfterwards failed before; AnUnknownIncarnationIsUsedAsItIsListed passed before and after.

--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -103,7 +103,8 @@
 /// Grace period for a listing that was removed during a store outage to be published again, as the platform specifies.
 inline constexpr Millis ListingGracePeriod{2000};
 
-/// Applies the present listing of an id.
+/// Applies the present listing of an id. An incarnation that has said that it leaves gets no more requests, whatever is
+/// listed of it afterwards.
 /// @param entry nothing if the listing was removed or can't be decoded.
 void applyEntry(TargetTable &table, const std::string &id, std::optional<TargetEntry> entry, Millis now);
 
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -71,6 +71,9 @@
     }
     target.expiringSince.reset();
     target.entry = std::move(*entry);
+    if (target.entry.draining && target.entry.startedAt != 0) {
+        recordDraining(target.signals); // An incarnation that leaves doesn't come back.
+    }
 }
 
 void replaceEntries(TargetTable &table, std::vector<TargetEntry> entries, Millis now)
--- a/libs/serving/test/serving_test.cpp
+++ b/libs/serving/test/serving_test.cpp
@@ -58,6 +58,40 @@
     EXPECT_TRUE(table.targets.empty());
 }
 
+TEST(TargetTableTest, AnIncarnationThatLeavesGetsNoRequestsWhateverIsListedAfterwards)
+{
+    TargetTable table;
+    TargetEntry entry{.id = "i-1", .service = "s", .address = "10.0.0.1:80", .startedAt = 5};
+    const auto isUsable = [&] {
+        Random random(1);
+        return place(table, {.service = "s", .now = Millis{0}}, random).target != nullptr;
+    };
+    applyEntry(table, "i-1", entry, Millis{0});
+    EXPECT_TRUE(isUsable());
+    entry.draining = true;
+    applyEntry(table, "i-1", entry, Millis{0});
+    entry.draining = false;
+    applyEntry(table, "i-1", entry, Millis{0});
+    EXPECT_FALSE(isUsable()) << "listed as ready";
+    applyEntry(table, "i-1", std::nullopt, Millis{0});
+    applyEntry(table, "i-1", entry, Millis{0});
+    EXPECT_FALSE(isUsable()) << "removed and listed again";
+    entry.startedAt = 6;
+    applyEntry(table, "i-1", entry, Millis{0});
+    EXPECT_TRUE(isUsable()) << "born anew";
+}
+
+TEST(TargetTableTest, AnUnknownIncarnationIsUsedAsItIsListed)
+{
+    TargetTable table;
+    TargetEntry entry{.id = "i-1", .service = "s", .address = "10.0.0.1:80", .draining = true};
+    applyEntry(table, "i-1", entry, Millis{0});
+    entry.draining = false;
+    applyEntry(table, "i-1", entry, Millis{0});
+    Random random(1);
+    EXPECT_NE(place(table, {.service = "s", .now = Millis{0}}, random).target, nullptr);
+}
+
 TEST(TargetTableTest, AListingRemovedInAnOutageIsKeptUntilItsGracePeriodEnds)
 {
     TargetTable table;
