The read after one that a record ended is held for the rest only

Listings grow old while a relay waits for the store, and each hop adds to their age.

Cause: since reads count as of their start, a read that a record ends late leaves the listings as old as it was held, and the next read may be held as long: twice the time.

Change: a read may be held until the data is as old as one read may be held. A relay's listings are thus at most 0.3 of the drain time and a call old (0.35 before, and as long again); the read after a failover isn't held. The pause before the next request to a relay shrinks from 0.1 to 0.05 as the listings get old. The same holds for the operators' topic and its relays.

Evidence: AfterAReadThatARecordEndedTheNextOneIsHeldForTheRest; BesideASoundRelayTheStoreIsNotRead now plays relays that are always as old as they may get, at a drain time of 2 s and calls of 40 ms: no own read, and an age of at most 0.45. All 65 tests of feed_test pass.

--- a/libs/feed/include/ibislock/feed/listings_schedule.h
+++ b/libs/feed/include/ibislock/feed/listings_schedule.h
@@ -19,16 +19,17 @@
 /// Interval between the starts of two reads of the store by a VM that follows the topic.
 inline constexpr double StoreReadIntervalFraction = 0.1;
 
-/// How long the store may hold a read until there is a record. The listings are as old as this while the next read is
-/// held, and twice as old if a record ends it.
-inline constexpr double StoreLongPollFraction = StoreReadIntervalFraction;
+/// How long the store may hold a read until there is a record, and the greatest age of the listings of a VM that
+/// follows the topic, but for a call.
+inline constexpr double StoreLongPollFraction = 0.3;
 
 /// The same for a VM for which the age of its listings doesn't matter: it serves no others and has no listings to use,
 /// or is no entry VM.
 inline constexpr double PassiveLongPollFraction = 0.9;
 
-/// Pause between a response of a relay and the next request.
+/// Pause between a response of a relay and the next request, and the shortest one if the listings are old.
 inline constexpr double RequestPauseFraction = 0.1;
+inline constexpr double MinRequestPauseFraction = 0.05;
 
 /// How long a relay may hold a request until something changes.
 inline constexpr double RelayHoldFraction = 0.2;
@@ -59,6 +60,10 @@
 /// Returns a fraction of the drain time.
 Millis fractionOf(Millis drainTime, double fraction);
 
+/// Returns the pause after a response of a relay.
+/// @param age the age of the listings when the response has been applied.
+Millis requestPause(Millis age, Millis drainTime);
+
 /// Returns how long a relay may hold the next request.
 /// @param age the age of the listings when the request is sent.
 Millis relayHoldTime(Millis age, Millis drainTime);
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -19,7 +19,9 @@
 struct FeedOptions
 {
     std::string topic;
-    Millis longPollTime{10000}; ///< How long the store may hold a read until there is a record.
+    /// How long the store may hold a read until there is a record. A read that a record ended counts as of its start,
+    /// and the next one is held for the rest only, so that the data is never older than this and a call.
+    Millis longPollTime{10000};
     Millis passiveLongPollTime{0}; ///< The same while the feed is passive.
     Millis minReadInterval{0}; ///< Between the starts of two reads; limits the calls on a busy topic.
     Millis validityTime{0}; ///< How long a passive feed relies on the last validation.
@@ -140,6 +142,7 @@
     void applyReadPage(const std::string &body);
     void schedule(Millis delay, void (TopicFeed::*step)());
     void reportWatermark(Millis asOf);
+    Millis holdTime() const;
     void cancelCall();
     void advanceTo(std::int64_t offset);
     void handleFailure(std::string_view cause, void (TopicFeed::*retry)());
@@ -178,6 +181,7 @@
     bool m_notificationPending = false; ///< The next read follows a notification, and the store must not hold it.
     Millis m_callStartedAt{0}; ///< In monotonic time.
     Millis m_callStartedAtBoot{0}; ///< The same by the boot clock.
+    Millis m_asOf{0}; ///< When the topic was last known to end at `nextOffset()`, by the boot clock.
     Millis m_snapshotStartedAt{0}; ///< When the first page of the snapshot was requested, by the boot clock.
     Millis m_longPollTime{0}; ///< How long the store may hold the current call.
     std::uint64_t m_generation = 0; ///< Identifies the current call; responses to earlier ones are ignored.
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -318,7 +318,7 @@
         m_retryRelaysAt = now + RelayRetryInterval;
         m_relayIndex = 0;
     }
-    scheduleRequest(fractionOfDrainTime(RequestPauseFraction));
+    scheduleRequest(requestPause(age(), m_options.drainTime));
 }
 
 void ListingsFollower::failOver(std::string_view cause)
--- a/libs/feed/src/listings_schedule.cpp
+++ b/libs/feed/src/listings_schedule.cpp
@@ -10,6 +10,12 @@
     return Millis{static_cast<std::int64_t>(static_cast<double>(drainTime.count()) * fraction)};
 }
 
+Millis requestPause(Millis age, Millis drainTime)
+{
+    return std::clamp(fractionOf(drainTime, RelayHoldAgeFraction) - age, fractionOf(drainTime, MinRequestPauseFraction),
+                      fractionOf(drainTime, RequestPauseFraction));
+}
+
 Millis relayHoldTime(Millis age, Millis drainTime)
 {
     return std::clamp(fractionOf(drainTime, RelayHoldAgeFraction) - age, Millis{0},
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -188,8 +188,17 @@
     schedule(jittered(m_random, m_options.validityTime / ChecksPerValidityTime), &TopicFeed::readUnlessValidated);
 }
 
+Millis TopicFeed::holdTime() const
+{
+    if (m_passive) {
+        return m_options.passiveLongPollTime;
+    }
+    return std::clamp(m_options.longPollTime - (bootMillis() - m_asOf), Millis{0}, m_options.longPollTime);
+}
+
 void TopicFeed::reportWatermark(Millis asOf)
 {
+    m_asOf = std::max(m_asOf, asOf);
     if (m_events.onWatermark) {
         m_events.onWatermark(asOf);
     }
@@ -217,9 +226,7 @@
     cancelCall(); // It started at an earlier offset.
     applyNewest(std::move(records), end);
     markValidated(asOf);
-    if (m_events.onWatermark) {
-        m_events.onWatermark(asOf);
-    }
+    reportWatermark(asOf);
     if (m_storeUnreachable) {
         schedule(jittered(m_random, m_backoff), &TopicFeed::readNext);
     } else {
@@ -343,9 +350,7 @@
 {
     // In an outage the store may still be unresponsive: a held read could not be told from an ignored one.
     const bool notified = std::exchange(m_notificationPending, false);
-    const Millis wait = m_storeUnreachable || notified
-        ? Millis{0}
-        : (m_passive ? m_options.passiveLongPollTime : m_options.longPollTime);
+    const Millis wait = m_storeUnreachable || notified ? Millis{0} : holdTime();
     m_longPollTime = wait;
     call(platform::makeReadRequest(m_options.topic, m_nextOffset, wait), wait + m_firstByteTimeout,
          &TopicFeed::readNext, [this](int status, const std::string &body) {
--- a/libs/feed/test/listings_schedule_test.cpp
+++ b/libs/feed/test/listings_schedule_test.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr Millis DrainTime{1000};
+constexpr Millis DrainTime{2000};
 constexpr Millis CallTime{40}; ///< Of a call to the store, or to a relay and back.
 constexpr Millis CheckInterval{50}; ///< Of the time limits of held requests, at the relay.
 
@@ -46,6 +46,7 @@
     Result out;
     Millis asOf{0};
     Millis requestAt{0};
+    bool pauseDue = false; ///< The pause after the last response is still to be added to `requestAt`.
     std::optional<Response> update;
     Millis ownReadAt = -DrainTime;
     std::optional<Response> page;
@@ -57,6 +58,9 @@
             asOf = fresh ? std::max(asOf, update->asOf) : asOf;
             update.reset();
         }
+        if (now >= requestAt && std::exchange(pauseDue, false)) {
+            requestAt = now + requestPause(now - asOf, DrainTime);
+        }
         if (now >= requestAt) {
             const Millis hold = relayHoldTime(now - asOf, DrainTime);
             update = relay(now, hold);
@@ -64,7 +68,8 @@
             if (update && update->arrivesAt > timeout) {
                 update.reset();
             }
-            requestAt = update ? update->arrivesAt + fractionOf(DrainTime, RequestPauseFraction) : timeout;
+            requestAt = update ? update->arrivesAt : timeout;
+            pauseDue = update.has_value();
         }
         if (reading && page && now >= page->arrivesAt) {
             asOf = std::max(asOf, page->asOf);
@@ -95,13 +100,16 @@
     return std::nullopt;
 }
 
-/// A relay each of whose reads is held, and ended by a record, so that its listings count as of the start of the read.
-std::optional<Response> soundRelay(Millis sentAt, Millis hold)
+/// A relay whose reads are held to their limit, or whose listings are always as old as they may get.
+Relay soundRelay(bool alwaysOldest)
 {
-    const Millis interval = fractionOf(DrainTime, StoreLongPollFraction);
-    const Millis respondedAt = sentAt + hold + (hold > Millis{0} ? CheckInterval : Millis{0});
-    const Millis readEndedAt = (respondedAt - CallTime) / interval * interval;
-    return Response{.arrivesAt = respondedAt + CallTime / 2, .asOf = readEndedAt - interval};
+    return [alwaysOldest](Millis sentAt, Millis hold) -> std::optional<Response> {
+        const Millis longPoll = fractionOf(DrainTime, StoreLongPollFraction);
+        const Millis respondedAt = sentAt + hold + (hold > Millis{0} ? CheckInterval : Millis{0});
+        const Millis readAt = respondedAt - CallTime;
+        return Response{.arrivesAt = respondedAt + CallTime / 2,
+                        .asOf = alwaysOldest ? readAt - longPoll : readAt / longPoll * longPoll};
+    };
 }
 
 TEST(ListingsScheduleTest, WithoutARelayTheListingsAreAsOldAsTheOwnReadAndItsCall)
@@ -128,14 +136,18 @@
 
 TEST(ListingsScheduleTest, BesideASoundRelayTheStoreIsNotRead)
 {
-    EXPECT_EQ(follow(100 * DrainTime, soundRelay, respondingStore).ownReads, 0);
+    for (const bool alwaysOldest : {false, true}) {
+        const Result result = follow(100 * DrainTime, soundRelay(alwaysOldest), respondingStore);
+        EXPECT_EQ(result.ownReads, 0) << alwaysOldest;
+        EXPECT_LE(result.greatestAge, fractionOf(DrainTime, OwnReadFraction - OwnReadSpreadFraction)) << alwaysOldest;
+    }
 }
 
 RC_GTEST_PROP(ListingsScheduleProperty, WhateverARelayDoesListingsAreNeverTooOldToBeUsed, ())
 {
     // Each response is lost, late or old.
     const auto responses = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        64, rc::gen::pair(rc::gen::inRange(0, 600), rc::gen::inRange(0, 1200)));
+        64, rc::gen::pair(rc::gen::inRange(0, 1200), rc::gen::inRange(0, 2400)));
     std::size_t next = 0;
     const Result result = follow(
         10 * DrainTime,
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -113,6 +113,18 @@
     EXPECT_LT(m_asOf - startedAt, m_store.snapshotDelay);
 }
 
+TEST_F(TopicFeedTest, AfterAReadThatARecordEndedTheNextOneIsHeldForTheRest)
+{
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    m_loop.run_for(Millis{100});
+    m_store.append("a", "1");
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 1; }));
+    EXPECT_LE(m_store.lastWait, 100U); // The limit is 200 ms.
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 2; }));
+    EXPECT_GT(m_store.lastWait, 100U);
+}
+
 TEST_F(TopicFeedTest, AReadThatWasHeldToItsLimitCountsAsOfThatLimit)
 {
     m_feed.start();
