A VM that the store rejects asks relays of listings again

A VM that had lost its relay and turned to the store asked no relay again before the store had responded to it.

Cause: relays were tried again only on a successful read of the store. While the store rejects some VMs only, such a VM stayed ignorant though its relay, which the store serves, was back: it learnt of no leaving target, and took the store for away.

Evidence: AVmThatTheStoreRejectsReturnsToItsRelay failed before (not back after 10 s) and passes; all tests of feed_test pass.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -110,6 +110,8 @@
     void applyRecord(const platform::KeyedRecord &record);
     void handleWatermark(Millis asOf);
     void notify(const std::vector<peer::ListingChange> &changes);
+    void retryRelays(const std::vector<std::string> &vms);
+    void retryRelaysWithoutStore();
     std::vector<std::string> domainVms() const;
     void requestUpdate();
     void scheduleRequest(Millis delay);
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -204,6 +204,11 @@
     m_servesOthers = m_options.servesListings && isRelayOrBackup(m_options.ip, vms);
     m_feed.setPassive(!m_servesOthers && !usesListings());
     m_relayServer.completePending();
+    retryRelays(vms);
+}
+
+void ListingsFollower::retryRelays(const std::vector<std::string> &vms)
+{
     const Millis now = steadyMillis();
     if (!m_requesting && now >= m_retryRelaysAt && !relaysFor(m_options.ip, vms).empty()) {
         m_retryRelaysAt = now + RelayRetryInterval;
@@ -212,6 +217,12 @@
     }
 }
 
+void ListingsFollower::retryRelaysWithoutStore()
+{
+    m_timer.start(RelayRetryInterval, [this] { retryRelaysWithoutStore(); });
+    retryRelays(domainVms());
+}
+
 std::vector<std::string> ListingsFollower::domainVms() const
 {
     std::vector<std::string> vms;
@@ -344,6 +355,7 @@
 {
     m_requesting = false;
     closeConnection();
+    m_timer.start(RelayRetryInterval, [this] { retryRelaysWithoutStore(); });
     if (!m_readsStore) {
         m_readsStore = true;
         logInfo(LogComponent::Store, "Reading listings from the store.",
--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -235,6 +235,23 @@
     EXPECT_EQ(entry.follower.relayFailovers(), failovers);
 }
 
+// A VM that had lost its relay asked no relay again until the store responded to it.
+TEST_F(ListingsFollowerTest, AVmThatTheStoreRejectsReturnsToItsRelay)
+{
+    add(m_relayIp, m_relayStore);
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    m_store.refusals = 1'000'000;
+    m_store.append("i-127.0.2.7", ""); // Ends a read that the store holds.
+    m_vms.erase(m_vms.begin());
+    ASSERT_TRUE(runUntil([&] { return entry.storeUnreachable; }));
+    append(m_relayStore, "127.0.2.8", "plain");
+    add(m_relayIp, m_relayStore);
+    EXPECT_TRUE(runUntil([&] { return entry.draining.contains("i-127.0.2.8"); }, Millis{10000}));
+    EXPECT_EQ(entry.follower.relay(), m_relayIp);
+    EXPECT_FALSE(entry.storeUnreachable);
+}
+
 TEST_F(ListingsFollowerTest, ARelayWithARecreatedTopicIsNotFollowedForever)
 {
     // The relay's topic stays shorter: a read of the store decides which of the two is right.
