--- a/libs/front/test/front_sends_test.cpp
+++ b/libs/front/test/front_sends_test.cpp
@@ -165,6 +165,41 @@
     EXPECT_TRUE(lab::hasField(ends[0], "listings_from", "none")) << ends[0];
 }
 
+TEST_F(FrontTest, ReportsTheGreatestAgeOfTheListingsInUse)
+{
+    constexpr Millis Silence{700};
+    std::uint16_t port = 0;
+    {
+        net::Listener probe(m_loop, [](const std::shared_ptr<net::Connection> &) {});
+        ASSERT_FALSE(probe.open("127.0.0.1", 0));
+        port = probe.port();
+    }
+    m_store.append("config", DesiredState);
+    list(m_first);
+    FrontDaemon daemon(m_loop, settingsFor(m_store.port()), {.metricsPort = port});
+    ASSERT_TRUE(daemon.start());
+    runFor(Millis{100});
+    const auto finish = [&](std::uint16_t to, const std::string &bytes) {
+        std::optional<std::string> out;
+        const auto exchange = m_client.call(
+            "127.0.0.1", to, bytes, {.timeout = Millis{5000}},
+            [&](net::ExchangeOutcome, const http::ResponseHead &, const std::string &body) { out = body; });
+        while (!out) {
+            m_loop.run_one();
+        }
+        return *out;
+    };
+    m_store.silent = true;
+    runFor(Silence);
+    EXPECT_EQ(finish(daemon.callerPort(), writeRequest(request("/often/x"), "body")), "from i-1");
+    const std::string name = "\nibislock_listings_greatest_used_age_ms ";
+    const std::string metrics = finish(port, "GET /metrics HTTP/1.1\r\n\r\n");
+    const std::size_t at = metrics.find(name);
+    ASSERT_NE(at, std::string::npos) << metrics;
+    EXPECT_GE(Millis{std::stoll(metrics.substr(at + name.size()))}, Silence / 2);
+    EXPECT_NE(metrics.find("\nibislock_listings_own_reads_total "), std::string::npos) << metrics;
+}
+
 TEST_F(FrontTest, LogsTheAgeAndTheSourceOfAChangedListing)
 {
     list(m_first);
