--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -13,10 +13,14 @@
 #include "ibislock/feed/operators_watermark.h"
 #include "ibislock/feed/peer_client.h"
 #include "ibislock/feed/topic_feed.h"
+#include "ibislock/feed/topic_poll.h"
 
 namespace ibislock::feed
 {
 
+/// The source of listings that were read from the store, as logged.
+inline constexpr std::string_view StoreSource = "store";
+
 /// Settings of a follower.
 struct ListingsFollowerOptions
 {
@@ -73,12 +77,21 @@
     /// Returns the address of the relay in use; empty while the store is read.
     std::string relay() const;
 
+    /// Returns the time since the listings were the present ones in the store; targets may have left since.
+    Millis age() const;
+
+    /// Returns who confirmed the listings last: the address of a relay, or `StoreSource`.
+    const std::string &source() const;
+
     /// Returns the number of calls to the store.
     std::uint64_t storeCalls() const;
 
     /// Returns the number of calls to the store that failed.
     std::uint64_t storeFailures() const;
 
+    /// Returns how often the store was read beside a late source, as the listings had grown old.
+    std::uint64_t ownReads() const;
+
     /// Returns the number of responses of relays that were fresh enough to be used.
     std::uint64_t relayResponses() const;
 
@@ -97,6 +110,8 @@
     void applyRecord(const platform::KeyedRecord &record);
     void handleWatermark(Millis asOf);
     void notify(const std::vector<peer::ListingChange> &changes);
+    void retryRelays(const std::vector<std::string> &vms);
+    void retryRelaysWithoutStore();
     std::vector<std::string> domainVms() const;
     void requestUpdate();
     void scheduleRequest(Millis delay);
@@ -105,6 +120,11 @@
     void failOver(std::string_view cause);
     void closeConnection();
     void followStore();
+    bool usesListings() const;
+    void scheduleOwnRead();
+    void scheduleOwnRead(Millis delay);
+    void readStoreBeside();
+    void applyOwnPage(const platform::ReadPage &page, Millis asOf);
     Millis fractionOfDrainTime(double fraction) const;
 
     ListingsFollowerOptions m_options;
@@ -112,11 +132,16 @@
     ListingsCache m_cache;
     ListingsRelay m_relayServer;
     TopicFeed m_feed;
+    TopicPoll m_ownRead; ///< Reads the store beside a late source.
+    net::Timer m_ownReadTimer;
+    Millis m_ownReadAt{0}; ///< When the last of these reads was started, by the boot clock.
+    Random m_random;
     bool m_readsStore = true;
     bool m_servesOthers = false; ///< This VM is a relay or backup, from which others request listings.
     bool m_requesting = false; ///< A request is under way or scheduled.
     std::size_t m_relayIndex = 0; ///< The index of the relay in use, in the order of `relaysFor`.
     std::string m_currentRelay; ///< The address of the relay in use.
+    std::string m_source{StoreSource}; ///< Who confirmed the listings last.
     Millis m_retryRelaysAt{0}; ///< When relays that failed are tried again; monotonic time.
     std::uint32_t m_sequence = 0;
     int m_regressions = 0; ///< Consecutive updates that end before the cached listings.
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -19,7 +19,9 @@
 struct FeedOptions
 {
     std::string topic;
-    Millis longPollTime{10000}; ///< How long the store may hold a read until there is a record.
+    /// How long the store may hold a read until there is a record. A read that a record ended counts as of its start,
+    /// and the next one is held for the rest only, so that the data is never older than this and a call.
+    Millis longPollTime{10000};
     Millis passiveLongPollTime{0}; ///< The same while the feed is passive.
     Millis minReadInterval{0}; ///< Between the starts of two reads; limits the calls on a busy topic.
     Millis validityTime{0}; ///< How long a passive feed relies on the last validation.
@@ -35,7 +37,7 @@
     std::function<void(bool unreachable)> onStoreOutage; ///< A store outage began (true) or ended (false).
 
     /// Called after each update that reached the end of the topic: all records before `nextOffset()` are delivered, and
-    /// the topic ended there at the time `asOf` of the boot clock. May be empty.
+    /// the topic ended there at the time `asOf` of the boot clock or later. May be empty.
     std::function<void(Millis asOf)> onWatermark = {};
 };
 
@@ -44,9 +46,6 @@
 /// 200 ms, and possibly twice.
 inline constexpr Millis FirstByteTimeout{800};
 
-/// Longest transit of the response to a held read, unless the link is so congested that the VM counts as slowed.
-inline constexpr Millis MaxResponseTransit{150};
-
 /// Limit of the first-byte timeout, which grows by `FirstByteTimeout` with each failed call: over a congested link,
 /// retries only add to the congestion.
 inline constexpr Millis MaxFirstByteTimeout{2400};
@@ -128,6 +127,12 @@
     /// are being delivered; zero if unknown.
     Millis endKnownAt() const;
 
+    /// Returns whether the last call failed.
+    bool isUnreachable() const;
+
+    /// Returns whether a snapshot is being read.
+    bool isReadingSnapshot() const;
+
     /// Returns whether a complete snapshot has been read since the start.
     bool synchronized() const;
 
@@ -141,7 +146,8 @@
     void applySnapshotPage(const std::string &body);
     void applyReadPage(const std::string &body);
     void schedule(Millis delay, void (TopicFeed::*step)());
-    void reportWatermark();
+    void reportWatermark(Millis asOf);
+    Millis holdTime() const;
     void cancelCall();
     void advanceTo(std::int64_t offset);
     void handleFailure(std::string_view cause, void (TopicFeed::*retry)());
@@ -167,6 +173,7 @@
     Millis m_validatedAt{0}; ///< By the boot clock.
     Millis m_endKnownAt{0}; ///< When the topic is known to have ended at `m_nextOffset`, by the boot clock.
     bool m_synchronized = false;
+    bool m_readingSnapshot = false; ///< A page of a snapshot is under way, or is requested next.
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
     std::uint64_t m_cancelledCalls = 0;
@@ -180,6 +187,7 @@
     bool m_notificationPending = false; ///< The next read follows a notification, and the store must not hold it.
     Millis m_callStartedAt{0}; ///< In monotonic time.
     Millis m_callStartedAtBoot{0}; ///< The same by the boot clock.
+    Millis m_snapshotStartedAt{0}; ///< When the first page of the snapshot was requested, by the boot clock.
     Millis m_longPollTime{0}; ///< How long the store may hold the current call.
     std::uint64_t m_generation = 0; ///< Identifies the current call; responses to earlier ones are ignored.
 };
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/feed/listings_follower.h"
 
 #include "ibislock/base/log.h"
+#include "ibislock/feed/listings_schedule.h"
 #include "ibislock/feed/relay_order.h"
 #include "ibislock/platform/listings.h"
 
@@ -10,33 +11,6 @@
 namespace
 {
 
-// Fractions of the time within which requests to a draining target must stop. In the worst case a relay fails just
-// before it forwards a change: it is replaced after `RequestPauseFraction` + `LongPollFraction` +
-// `ResponseMarginFraction`, and a read of the store or a request to a backup follows.
-
-/// Interval between the starts of two reads of the store.
-constexpr double StoreReadIntervalFraction = 0.1;
-
-/// How long the store may hold a read of a VM that serves others; the next read follows at once.
-constexpr double StoreLongPollFraction = 0.35;
-
-/// How long the store may hold a read of a VM that serves no others. A read whose response was lost times out after
-/// this time and that of a call.
-constexpr double PassiveLongPollFraction = 0.9;
-
-/// Pause between a response of a relay and the next request.
-constexpr double RequestPauseFraction = 0.1;
-
-/// How long a relay may hold a request until something changes.
-constexpr double LongPollFraction = 0.2;
-
-/// How much longer a response may take to arrive.
-constexpr double ResponseMarginFraction = 0.2;
-
-/// The greatest age of a relay's data that is accepted; a relay that reads the store lags by at most
-/// `StoreReadIntervalFraction` + `StoreLongPollFraction` and the time of a call.
-constexpr double MaxAgeFraction = 0.6;
-
 /// Consecutive updates that may end before the cached listings. A relay reads on between two requests, so more of them
 /// mean that the topic was recreated and one of the two VMs still has the old one. A read of the store decides which.
 constexpr int MaxRegressions = 3;
@@ -51,7 +25,7 @@
     : m_options(std::move(options))
     , m_events(std::move(events))
     , m_relayServer(loop, m_cache, m_events.ownWatermark)
-    , m_feed(loop, client, std::move(store),
+    , m_feed(loop, client, store,
              {.topic = std::string(platform::TargetsTopic),
               .longPollTime = fractionOfDrainTime(StoreLongPollFraction),
               .passiveLongPollTime = fractionOfDrainTime(PassiveLongPollFraction),
@@ -69,6 +43,16 @@
                   [this](Millis asOf) {
                       handleWatermark(asOf);
                   }})
+    , m_ownRead(client, std::move(store), std::string(platform::TargetsTopic),
+                {.onPage = [this](const platform::ReadPage &page, Millis asOf) { applyOwnPage(page, asOf); },
+                 .onFailure =
+                     [this](std::string_view cause) {
+                         logInfo(LogComponent::Store, "A read of the store beside a late source failed.",
+                                 {{"cause", std::string(cause)}, {"age_ms", std::to_string(age().count())}});
+                         scheduleOwnRead();
+                     }})
+    , m_ownReadTimer(loop)
+    , m_random(systemRandom())
     , m_timer(loop)
     , m_relayClient(loop, m_options.port,
                     {.onFrame = [this](const std::string &body) { handleFrame(body); },
@@ -86,7 +70,7 @@
 
 Millis ListingsFollower::fractionOfDrainTime(double fraction) const
 {
-    return Millis{static_cast<std::int64_t>(static_cast<double>(m_options.drainTime.count()) * fraction)};
+    return fractionOf(m_options.drainTime, fraction);
 }
 
 asio::error_code ListingsFollower::start()
@@ -117,14 +101,29 @@
     return m_readsStore ? std::string() : m_currentRelay;
 }
 
+Millis ListingsFollower::age() const
+{
+    return bootMillis() - m_cache.asOf;
+}
+
+const std::string &ListingsFollower::source() const
+{
+    return m_source;
+}
+
 std::uint64_t ListingsFollower::storeCalls() const
 {
-    return m_feed.calls();
+    return m_feed.calls() + m_ownRead.calls();
 }
 
 std::uint64_t ListingsFollower::storeFailures() const
 {
-    return m_feed.failures();
+    return m_feed.failures() + m_ownRead.failures();
+}
+
+std::uint64_t ListingsFollower::ownReads() const
+{
+    return m_ownRead.calls();
 }
 
 std::uint64_t ListingsFollower::relayResponses() const
@@ -153,13 +152,14 @@
     if (!record.value) {
         return out;
     }
-    auto entry = platform::decodeTarget(record.key, *record.value);
-    if (entry) {
-        out.entry = std::move(*entry);
+    auto listing = platform::decodeTarget(record.key, *record.value);
+    if (listing) {
+        out.entry = std::move(listing->entry);
+        out.writeNumber = listing->writeNumber;
     } else {
         ++m_unusableListings;
         logInfo(LogComponent::Store, "A listing can't be used; its target gets no requests.",
-                {{"target", record.key}, {"cause", entry.error().message}});
+                {{"target", record.key}, {"cause", listing.error().message}});
     }
     return out;
 }
@@ -173,12 +173,14 @@
             listings.push_back(std::move(change));
         }
     }
+    m_source = StoreSource;
     notify(replaceListings(m_cache, listings, m_feed.nextOffset(), steadyMillis()));
 }
 
 void ListingsFollower::applyRecord(const platform::KeyedRecord &record)
 {
     const peer::ListingChange change = decode(record);
+    m_source = StoreSource;
     if (applyTopicRecord(m_cache, change, steadyMillis())) {
         notify({change});
     }
@@ -193,13 +195,20 @@
 
 void ListingsFollower::handleWatermark(Millis asOf)
 {
-    m_cache.end = m_feed.nextOffset();
-    m_cache.asOf = asOf;
+    m_cache.end = std::max(m_cache.end, m_feed.nextOffset()); // A read beside the feed may be ahead of it.
+    m_cache.asOf = std::max(m_cache.asOf, asOf);
+    m_source = StoreSource;
+    scheduleOwnRead();
     pruneTombstones(m_cache, steadyMillis());
     const std::vector<std::string> vms = domainVms();
     m_servesOthers = m_options.servesListings && isRelayOrBackup(m_options.ip, vms);
-    m_feed.setPassive(!m_servesOthers);
+    m_feed.setPassive(!m_servesOthers && !usesListings());
     m_relayServer.completePending();
+    retryRelays(vms);
+}
+
+void ListingsFollower::retryRelays(const std::vector<std::string> &vms)
+{
     const Millis now = steadyMillis();
     if (!m_requesting && now >= m_retryRelaysAt && !relaysFor(m_options.ip, vms).empty()) {
         m_retryRelaysAt = now + RelayRetryInterval;
@@ -208,6 +217,12 @@
     }
 }
 
+void ListingsFollower::retryRelaysWithoutStore()
+{
+    m_timer.start(RelayRetryInterval, [this] { retryRelaysWithoutStore(); });
+    retryRelays(domainVms());
+}
+
 std::vector<std::string> ListingsFollower::domainVms() const
 {
     std::vector<std::string> vms;
@@ -232,13 +247,14 @@
     }
     m_requesting = true;
     m_requestedAt = bootMillis();
+    const Millis wait = relayHoldTime(age(), m_options.drainTime);
     m_currentRelay = vms[m_relayIndex];
     m_relayClient.send(m_currentRelay,
                        encode(peer::ListingsRequest{.sequence = ++m_sequence,
                                                     .from = m_cache.end,
-                                                    .wait = fractionOfDrainTime(LongPollFraction),
+                                                    .wait = wait,
                                                     .entryVm = m_options.isEntryVm ? m_options.ip : ""}));
-    m_timer.start(fractionOfDrainTime(LongPollFraction + ResponseMarginFraction), [this] { failOver("no answer"); });
+    m_timer.start(wait + fractionOfDrainTime(ResponseMarginFraction), [this] { failOver("no answer"); });
 }
 
 void ListingsFollower::scheduleRequest(Millis delay)
@@ -272,7 +288,8 @@
     if (m_readsStore) {
         m_readsStore = false;
         m_feed.suspend();
-        logInfo(LogComponent::Store, "Reading listings from a relay.", {{"relay", m_currentRelay}});
+        logInfo(LogComponent::Store, "Reading listings from a relay.",
+                {{"relay", m_currentRelay}, {"age_ms", std::to_string((bootMillis() - asOf).count())}});
     }
     if (update.sinceStoreRecovery) {
         m_relayServer.recordStoreRecovery(bootMillis() - *update.sinceStoreRecovery);
@@ -288,7 +305,9 @@
         failOver("behind");
         return;
     }
+    // An update that ends before what is known is of another topic or overestimates its time: it confirms nothing.
     if (update.end >= m_cache.end) {
+        m_source = m_currentRelay;
         std::vector<peer::ListingChange> changes;
         if (update.isSnapshot) {
             changes = replaceListings(m_cache, update.listings, update.end, now);
@@ -301,24 +320,23 @@
         }
         m_cache.end = update.end;
         notify(changes);
+        m_cache.asOf = std::max(m_cache.asOf, asOf);
     }
-    m_cache.asOf = std::max(m_cache.asOf, asOf);
+    scheduleOwnRead();
     pruneTombstones(m_cache, now);
     m_relayServer.completePending();
     if (m_relayIndex > 0 && now >= m_retryRelaysAt) {
         m_retryRelaysAt = now + RelayRetryInterval;
         m_relayIndex = 0;
     }
-    scheduleRequest(fractionOfDrainTime(RequestPauseFraction));
+    scheduleRequest(requestPause(age(), m_options.drainTime));
 }
 
 void ListingsFollower::failOver(std::string_view cause)
 {
     ++m_relayFailovers;
     logInfo(LogComponent::Store, "A relay of listings failed; trying the next source.",
-            {{"relay", m_currentRelay},
-             {"cause", std::string(cause)},
-             {"age_ms", std::to_string((bootMillis() - m_cache.asOf).count())}});
+            {{"relay", m_currentRelay}, {"cause", std::string(cause)}, {"age_ms", std::to_string(age().count())}});
     closeConnection();
     if (m_relayIndex == 0) {
         m_retryRelaysAt = steadyMillis() + RelayRetryInterval;
@@ -337,11 +355,77 @@
 {
     m_requesting = false;
     closeConnection();
+    m_timer.start(RelayRetryInterval, [this] { retryRelaysWithoutStore(); });
     if (!m_readsStore) {
         m_readsStore = true;
-        logInfo(LogComponent::Store, "Reading listings from the store.", {{"offset", std::to_string(m_cache.end)}});
+        logInfo(LogComponent::Store, "Reading listings from the store.",
+                {{"offset", std::to_string(m_cache.end)}, {"age_ms", std::to_string(age().count())}});
         m_feed.resume(m_cache.end);
     }
 }
 
+bool ListingsFollower::usesListings() const
+{
+    return m_options.isEntryVm && std::any_of(m_cache.listings.begin(), m_cache.listings.end(), [](const auto &item) {
+               return item.second.entry.has_value();
+           });
+}
+
+void ListingsFollower::scheduleOwnRead()
+{
+    if (!usesListings() || m_ownRead.isActive()) {
+        return;
+    }
+    const double spread = std::uniform_real_distribution<double>(0, 1)(m_random);
+    const Millis sinceLast = bootMillis() - m_ownReadAt;
+    scheduleOwnRead(std::max(timeUntilOwnRead(age(), m_options.drainTime, spread),
+                             ownReadInterval(age(), m_options.drainTime) - sinceLast));
+}
+
+void ListingsFollower::scheduleOwnRead(Millis delay)
+{
+    m_ownReadTimer.start(delay, [this] { readStoreBeside(); });
+}
+
+void ListingsFollower::readStoreBeside()
+{
+    if (!usesListings() || m_ownRead.isActive()) {
+        return;
+    }
+    const Millis due = timeUntilOwnRead(age(), m_options.drainTime, 1);
+    const bool feedReads = m_readsStore && (m_feed.isUnreachable() || m_feed.isReadingSnapshot());
+    if (due > Millis{0} || feedReads) {
+        scheduleOwnRead(std::max(due, fractionOfDrainTime(OwnReadTimeoutFraction)));
+        return;
+    }
+    m_ownReadAt = bootMillis();
+    logInfo(LogComponent::Store, "The listings are old; reading the store beside their source.",
+            {{"age_ms", std::to_string(age().count())},
+             {"source", m_source},
+             {"relay", relay()},
+             {"offset", std::to_string(m_cache.end)}});
+    m_ownRead.start(m_cache.end, fractionOfDrainTime(OwnReadTimeoutFraction));
+}
+
+void ListingsFollower::applyOwnPage(const platform::ReadPage &page, Millis asOf)
+{
+    if (!(m_readsStore && m_feed.isReadingSnapshot())) { // The snapshot may be older, or of a topic that is recreated.
+        for (const platform::KeyedRecord &record : page.records) {
+            applyRecord(record);
+        }
+        m_cache.end = std::max(m_cache.end, page.nextOffset);
+        if (page.nextOffset >= page.endOffset) {
+            m_cache.asOf = std::max(m_cache.asOf, asOf);
+            m_source = StoreSource;
+        }
+        pruneTombstones(m_cache, steadyMillis());
+        m_relayServer.completePending();
+        if (page.nextOffset < page.endOffset) {
+            scheduleOwnRead(Millis{0});
+            return;
+        }
+    }
+    scheduleOwnRead();
+}
+
 } // namespace ibislock::feed
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -80,6 +80,16 @@
     }
 }
 
+bool TopicFeed::isUnreachable() const
+{
+    return m_storeUnreachable;
+}
+
+bool TopicFeed::isReadingSnapshot() const
+{
+    return m_readingSnapshot;
+}
+
 bool TopicFeed::synchronized() const
 {
     return m_synchronized;
@@ -188,14 +198,16 @@
     schedule(jittered(m_random, m_options.validityTime / ChecksPerValidityTime), &TopicFeed::readUnlessValidated);
 }
 
-void TopicFeed::reportWatermark()
+Millis TopicFeed::holdTime() const
+{
+    if (m_passive) {
+        return m_options.passiveLongPollTime;
+    }
+    return std::clamp(m_options.longPollTime - (bootMillis() - m_endKnownAt), Millis{0}, m_options.longPollTime);
+}
+
+void TopicFeed::reportWatermark(Millis asOf)
 {
-    // A read that was held until its time limit shows that no record was written meanwhile; a held read is answered as
-    // soon as there is one.
-    const Millis now = bootMillis();
-    const Millis respondedAt =
-        now - m_callStartedAtBoot >= m_longPollTime ? m_callStartedAtBoot + m_longPollTime : now - MaxResponseTransit;
-    const Millis asOf = m_longPollTime > Millis{0} ? std::max(m_callStartedAtBoot, respondedAt) : m_callStartedAtBoot;
     m_endKnownAt = std::max(m_endKnownAt, asOf);
     if (m_events.onWatermark) {
         m_events.onWatermark(asOf);
@@ -213,6 +225,7 @@
     m_snapshotRecords.clear();
     m_snapshotEnd = -1;
     m_readsNewest = false;
+    m_readingSnapshot = false;
 }
 
 bool TopicFeed::applyRecords(std::vector<platform::KeyedRecord> records, std::int64_t end, Millis asOf)
@@ -223,9 +236,7 @@
     cancelCall(); // It started at an earlier offset.
     applyNewest(std::move(records), end);
     markValidated(asOf);
-    if (m_events.onWatermark) {
-        m_events.onWatermark(asOf);
-    }
+    reportWatermark(asOf);
     if (m_storeUnreachable) {
         schedule(jittered(m_random, m_backoff), &TopicFeed::readNext);
     } else {
@@ -286,6 +297,7 @@
 {
     const std::string after = m_snapshotRecords.empty() ? "" : m_snapshotRecords.back().key;
     m_longPollTime = Millis{0};
+    m_readingSnapshot = true;
     call(platform::makeSnapshotRequest(m_options.topic, after), m_firstByteTimeout, &TopicFeed::readSnapshot,
          [this](int status, const std::string &body) {
              if (status != OkStatus) {
@@ -306,12 +318,14 @@
     if (m_snapshotEnd < 0) {
         // The end as of the first page: what changes while later pages are read is read again.
         m_snapshotEnd = page->endOffset;
+        m_snapshotStartedAt = m_callStartedAtBoot;
     }
     std::move(page->records.begin(), page->records.end(), std::back_inserter(m_snapshotRecords));
     if (page->hasMore && !page->records.empty()) {
         readSnapshot();
         return;
     }
+    m_readingSnapshot = false;
     handleSuccess();
     if (std::exchange(m_readsNewest, false) && m_snapshotEnd >= m_nextOffset) {
         applyNewest(std::exchange(m_snapshotRecords, {}), std::exchange(m_snapshotEnd, -1));
@@ -321,7 +335,7 @@
         m_synchronized = true;
         m_events.onSnapshot(std::exchange(m_snapshotRecords, {}));
     }
-    reportWatermark();
+    reportWatermark(m_snapshotStartedAt);
     scheduleRead(m_options.minReadInterval);
 }
 
@@ -346,9 +360,7 @@
 {
     // In an outage the store may still be unresponsive: a held read could not be told from an ignored one.
     const bool notified = std::exchange(m_notificationPending, false);
-    const Millis wait = m_storeUnreachable || notified
-        ? Millis{0}
-        : (m_passive ? m_options.passiveLongPollTime : m_options.longPollTime);
+    const Millis wait = m_storeUnreachable || notified ? Millis{0} : holdTime();
     m_longPollTime = wait;
     call(platform::makeReadRequest(m_options.topic, m_nextOffset, wait), wait + m_firstByteTimeout,
          &TopicFeed::readNext, [this](int status, const std::string &body) {
@@ -388,7 +400,10 @@
         schedule(m_options.minReadInterval, &TopicFeed::readNext);
         return;
     }
-    reportWatermark();
+    // How long the response was under way is unknown: over a congested link it takes a second. A read without records
+    // was held until its time limit, which shows that none was written until then.
+    const bool heldToLimit = page->records.empty() && bootMillis() - m_callStartedAtBoot >= m_longPollTime;
+    reportWatermark(m_callStartedAtBoot + (heldToLimit ? m_longPollTime : Millis{0}));
     scheduleRead(std::max(Millis{0}, m_options.minReadInterval - (steadyMillis() - m_callStartedAt)));
 }
 
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -190,6 +190,7 @@
         refuse(CallOutcome::NoTarget); // Not reached: listings without a valid address are ignored.
         return;
     }
+    m_listingsUsed = front.recordListingsUse();
     m_loadAge = target.load ? now - target.load->receivedAt : Millis{-1};
     m_occupancyPercent =
         static_cast<int>(100 * estimatedRequests(target, usesEngine, now) / std::max(target.entry.slots, 1));
@@ -206,6 +207,8 @@
                  {"target", target.entry.id},
                  {"weights", std::to_string(usesEngine ? knownVersion(target, now) : 0)},
                  {"begun", m_attempt.responseStarted ? "1" : "0"},
+                 {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
+                 {"listings_from", m_listingsUsed.source},
                  {"since_first_ms", std::to_string((now - m_firstSentAt).count())}});
     }
     advance(m_lifecycle, RequestEvent::Send);
@@ -271,6 +274,8 @@
                  {"events", m_eventSplitter.hasEvents ? "1" : "0"},
                  {"weights", std::to_string(m_attempt.weightsVersion)},
                  {"begun", m_attempt.responseStarted ? "1" : "0"},
+                 {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
+                 {"listings_from", m_listingsUsed.source},
                  {"parts", partsText(request.sharedParts)},
                  {"after_ms", std::to_string((steadyMillis() - m_attempt.sentAt).count())}});
     }
@@ -409,6 +414,8 @@
              {"begun", m_attempt.responseStarted ? "1" : "0"},
              {"occupancy", std::to_string(m_occupancyPercent)},
              {"load_age_ms", std::to_string(m_loadAge.count())},
+             {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
+             {"listings_from", m_listingsUsed.source},
              {"waited_ms", std::to_string(m_attempts > 0 ? (m_firstSentAt - receivedAt).count() : -1)},
              {"first_ms", std::to_string(m_firstEventAt > Millis{0} ? (m_firstEventAt - receivedAt).count() : -1)},
              {"pause_ms", std::to_string(m_longestEventGap.count())},
