--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -1,7 +1,7 @@
 // Keeps the listings of targets up to date: requests changes from a relay of the own failure domain, or reads the store
 // if this VM is a relay itself or finds no fresh one. Updates of a relay carry the age of its data; a relay that is cut
 // off from the store, frozen or gone is replaced after a fraction of the time within which requests to a draining
-// target must stop.
+// target must stop. An entry VM whose listings grow old meanwhile reads the store beside it (`listings_schedule.h`).
 //
 //     ListingsFollower follower(loop, client, store, {.ip = "10.0.0.1", .domain = "a", .drainTime = Millis{2000}},
 //                               events);
