Logs tell which attempts are the same request

The line of a failed attempt and the last line of a request have request=, a digest of method, host, path, workspace (or key, where no workspace is known) and body. It is the same on each attempt of the caller and at each VM; an attempt id, a deadline and the last event's id are not in it. The line of a failed attempt has the incarnation of its target.

No change of logic.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
+#include "ibislock/serving/request_digest.h"
 #include "ibislock/serving/retry_delay.h"
 
 namespace ibislock::front
@@ -123,6 +124,11 @@
         workspace = holder->name;
         priority = holder->priority * 10 + route.priority;
     }
+    digest = serving::requestDigest({.method = head.method,
+                                     .host = request.host,
+                                     .target = head.target,
+                                     .caller = workspace.empty() ? request.apiKey : workspace,
+                                     .body = body});
     service = serving::sampleService(route, std::uniform_real_distribution<double>(0, 1)(front.random));
     const auto it = state.services.find(service);
     usesEngine = it != state.services.end() && it->second.engine.has_value();
@@ -267,7 +273,9 @@
     if (!served) {
         logInfo(LogComponent::Front, "A request attempt failed.",
                 {{"id", request.attemptId},
+                 {"request", hexNumber(digest)},
                  {"target", target},
+                 {"incarnation", std::to_string(m_targetStartedAt)},
                  {"end", std::string(nameOf(net::ExchangeOutcomeNames, result.outcome))},
                  {"status", std::to_string(m_responseHandling == ResponseHandling::None ? 0 : m_responseHead.status)},
                  {"sends", std::to_string(m_attempts)},
@@ -396,6 +404,7 @@
     logInfo(LogComponent::Front,
             outcome == CallOutcome::Answered ? "A request was answered." : "A request was not served.",
             {{"id", request.attemptId},
+             {"request", hexNumber(digest)},
              {"outcome", std::string(nameOf(CallOutcomeNames, outcome))},
              {"status", std::string(statusText(status))},
              {"route", route.name},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -71,6 +71,7 @@
     serving::Route route; ///< A copy, as the desired state may change during the call.
     std::string service;
     std::string workspace;
+    std::uint64_t digest = 0; ///< The same for each attempt of the caller to send this request.
     bool usesEngine = false;
     serving::EngineSpec engineSpec;
     bool counted = false; ///< Counted as a request to its service.
--- a/libs/front/test/front_quarantine_test.cpp
+++ b/libs/front/test/front_quarantine_test.cpp
@@ -2,6 +2,8 @@
 
 #include "front_fixture.h"
 
+#include "platform/log_capture.h"
+
 namespace ibislock::front
 {
 
@@ -78,6 +80,58 @@
     EXPECT_EQ(callWithParts("1:40,3:100").status, 200);
 }
 
+/// Returns the value of a field of a log line; empty if the line has no such field.
+std::string fieldOf(const std::string &line, const std::string &name)
+{
+    const std::size_t at = line.find(" " + name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::size_t begin = at + name.size() + 2;
+    return line.substr(begin, line.find(' ', begin) - begin);
+}
+
+TEST_F(FrontTest, LogsTheSameDigestForEachAttemptOfARequest)
+{
+    list(m_first);
+    start();
+    lab::LogCapture log;
+    const http::RequestHead head = request("/often/x");
+    call(head, "one");
+    http::RequestHead again = request("/often/x");
+    again.headers.set("X-Ibislock-Deadline-Ms", "900");
+    again.headers.add("Last-Event-Id", "3");
+    call(again, "one");
+    call(request("/often/x"), "two");
+    call(request("/often/y"), "one");
+    const auto lines = log.take("A request was answered.");
+    ASSERT_EQ(lines.size(), 4U);
+    const std::string digest = fieldOf(lines[0], "request");
+    EXPECT_FALSE(digest.empty());
+    EXPECT_EQ(fieldOf(lines[1], "request"), digest);
+    EXPECT_NE(fieldOf(lines[2], "request"), digest);
+    EXPECT_NE(fieldOf(lines[3], "request"), digest);
+}
+
+// All requests that a target had when it crashed can be collected by target and incarnation, and those that it had
+// begun to answer can be told from the others.
+TEST_F(FrontTest, LogsWhichRequestsATargetHadWhenItsConnectionBroke)
+{
+    m_first.behaviour = TargetBehaviour::CloseUnanswered;
+    list(m_first);
+    start();
+    lab::LogCapture log;
+    const CallerAnswer answer = call(request("/once/x"));
+    EXPECT_EQ(answer.status, 502);
+    const auto attempts = log.take("A request attempt failed.");
+    ASSERT_EQ(attempts.size(), 1U);
+    EXPECT_EQ(fieldOf(attempts[0], "target"), m_first.id);
+    EXPECT_FALSE(fieldOf(attempts[0], "incarnation").empty());
+    EXPECT_FALSE(fieldOf(attempts[0], "request").empty());
+    EXPECT_EQ(fieldOf(attempts[0], "framing"), "none");
+    EXPECT_EQ(attempts[0].find("key"), std::string::npos);
+}
+
 } // namespace
 
 } // namespace ibislock::front
