Failing tests: one request crashes one target after the other

Three crashes and three more sends are allowed; the tests allow six crashes in all.

Sound requests with the same parts of a prompt, and at the same path, are answered all the time. Plain targets are covered as well.

Prompts with other parts get other bodies in the older tests of crashing parts: they were one request by path, caller and body before, which none is. What they check is unchanged.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -189,6 +189,9 @@
     case TargetBehaviour::EndlessEvent:
         answerStream(connection, request);
         break;
+    case TargetBehaviour::AnswerUnlessCrashing:
+        answerUnlessCrashing(connection, request);
+        break;
     case TargetBehaviour::StreamUnframed:
     case TargetBehaviour::StreamUnframedCutOff:
     case TargetBehaviour::StreamUnframedEmpty:
@@ -269,8 +272,20 @@
 
 bool TargetStandIn::isCrashing(const http::RequestHead &request) const
 {
-    return behaviour == TargetBehaviour::StreamUnlessCrashing
-        && headerOf(request, "X-Ibislock-Prompt-Prefix").find(crashingPart + ":") != std::string::npos;
+    const bool hasPart = headerOf(request, "X-Ibislock-Prompt-Prefix").find(crashingPart + ":") != std::string::npos;
+    const bool hasBody = !bodies.empty() && bodies.back() == crashingBody;
+    return (behaviour == TargetBehaviour::StreamUnlessCrashing && (hasPart || hasBody))
+        || (behaviour == TargetBehaviour::AnswerUnlessCrashing && hasBody);
+}
+
+void TargetStandIn::answerUnlessCrashing(net::Connection &connection, const http::RequestHead &request)
+{
+    if (isCrashing(request)) {
+        ++crashes;
+        connection.close();
+        return;
+    }
+    connection.write(http::writeResponse(head(200, headerOf(request, "X-Ibislock-Attempt-Id")), "from " + id));
 }
 
 void TargetStandIn::answerUnframedStream(net::Connection &connection, const http::RequestHead &request)
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -39,7 +39,10 @@
     StreamUnframedEmpty, ///< The head of such a stream, and closes.
     StreamFramedCutOff, ///< A stream in chunks that ends in the middle of the third event with a last chunk.
     StreamWithTail, ///< A whole stream, and a comment and empty lines behind it.
-    StreamUnlessCrashing, ///< A whole stream, but a prompt with `crashingPart` is cut off within the first event.
+    /// A whole stream, but a prompt with `crashingPart` and a request with `crashingBody` are cut off within the first
+    /// event.
+    StreamUnlessCrashing,
+    AnswerUnlessCrashing, ///< Answers, but closes the connection without a response to a request with `crashingBody`.
     StreamOnce, ///< The first request of a connection as a stream; closes at the next, which it does not run.
     EndlessHead, ///< Runs it and sends a head without end.
     EndlessBody, ///< Runs it and sends a body without end.
@@ -71,7 +74,8 @@
     std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
     std::vector<std::string> bodies;
     std::string crashingPart = "bad"; ///< Id of a part of a prompt, in hexadecimal.
-    int crashes = 0; ///< Requests with that part that were run.
+    std::string crashingBody = "deadly";
+    int crashes = 0; ///< Requests with that part or body that were run.
     int open = 0; ///< Connections that are open.
     http::Headers said; ///< Added to each answer and refusal.
     std::size_t endlessBytes = 0; ///< Sent so far by behaviours without end.
@@ -81,6 +85,7 @@
     void answer(net::Connection &connection, const http::RequestHead &request);
     void answerStream(net::Connection &connection, const http::RequestHead &request);
     bool isCrashing(const http::RequestHead &request) const;
+    void answerUnlessCrashing(net::Connection &connection, const http::RequestHead &request);
     void answerUnframedStream(net::Connection &connection, const http::RequestHead &request);
 
     /// Writes a begin once and a part again and again, until the connection is closed.
--- a/lab/test/prompt_quarantine_test.cpp
+++ b/lab/test/prompt_quarantine_test.cpp
@@ -30,6 +30,9 @@
 constexpr int CrashesUntilKnown = 5;
 constexpr int SendsAfterwards = 3;
 
+/// Crashes after which a request that crashes engines by itself must be known.
+constexpr int CrashesUntilRequestIsKnown = 3;
+
 /// A target VM: requests reach one stand-in, and the daemon asks another one for the load.
 struct TargetVm
 {
@@ -95,8 +98,9 @@
         ASSERT_TRUE(m_entries.back()->start());
     }
 
+    /// @param body empty for one that goes with the parts, as other prompts have other bodies.
     /// @return the status that a caller gets; 0 for none.
-    int call(std::size_t entry, const std::string &parts)
+    int call(std::size_t entry, const std::string &parts, const std::string &body = "")
     {
         int status = 0;
         bool done = false;
@@ -107,7 +111,8 @@
         head.headers.add("X-Ibislock-Token-Count", "100,100");
         head.headers.add("X-Ibislock-Prompt-Prefix", parts + ",f" + std::to_string(m_attempts) + ":50");
         const auto exchange =
-            m_client.call(m_entryIps[entry], m_entries[entry]->callerPort(), writeRequest(head, "b"), {},
+            m_client.call(m_entryIps[entry], m_entries[entry]->callerPort(),
+                          writeRequest(head, body.empty() ? "prompt of " + parts : body), {},
                           [&](net::ExchangeOutcome, const http::ResponseHead &answer, const std::string &) {
                               status = answer.status;
                               done = true;
@@ -162,6 +167,30 @@
     }
 }
 
+// Each part of such a request's prompt is in sound requests as well, whose answers clear it at all entry VMs.
+TEST_F(PromptQuarantineTest, RequestThatCrashesEnginesIsNotSentByAnyEntryVm)
+{
+    constexpr int TargetVms = 12;
+    constexpr int EntryVms = 4;
+    for (int n = 0; n < TargetVms; ++n) {
+        addTarget();
+    }
+    for (int n = 0; n < EntryVms; ++n) {
+        addEntry();
+    }
+    m_loop.run_for(StartTime);
+    for (int n = 0; n < 3 * EntryVms; ++n) {
+        call(n % EntryVms, "1:40,2:100", "deadly");
+        EXPECT_EQ(call((n + 1) % EntryVms, "1:40,2:100", "sound " + std::to_string(n)), 200) << n;
+        m_loop.run_for(Pause);
+    }
+    EXPECT_LE(crashes(), CrashesUntilRequestIsKnown + SendsAfterwards);
+    for (std::size_t n = 0; n < EntryVms; ++n) {
+        EXPECT_EQ(call(n, "1:40,2:100", "deadly"), 503) << n;
+        EXPECT_EQ(call(n, "1:40,2:100", "sound"), 200) << n;
+    }
+}
+
 } // namespace
 
 } // namespace ibislock
--- a/libs/front/test/front_quarantine_test.cpp
+++ b/libs/front/test/front_quarantine_test.cpp
@@ -14,6 +14,12 @@
 constexpr int CrashesUntilKnown = 5;
 constexpr int SendsAfterwards = 3;
 
+/// Crashes after which a request that crashes targets by itself must be known.
+constexpr int CrashesUntilRequestIsKnown = 3;
+
+/// The body of the request that crashes targets.
+const std::string Deadly = "deadly";
+
 /// Time between two requests; crashes at the same moment have one cause as a rule.
 constexpr Millis Pause{200};
 
@@ -32,13 +38,25 @@
         start(EngineState);
     }
 
-    CallerAnswer callWithParts(const std::string &parts)
+    /// Starts the daemon with plain targets that crash on the request `Deadly`.
+    void startPlainTargets(int count, TargetBehaviour behaviour = TargetBehaviour::AnswerUnlessCrashing)
+    {
+        for (int n = 0; n < count; ++n) {
+            m_engines.push_back(std::make_unique<lab::TargetStandIn>(m_loop, "t-" + std::to_string(n)));
+            m_engines.back()->behaviour = behaviour;
+            list(*m_engines.back());
+        }
+        start();
+    }
+
+    /// @param body empty for one that goes with the parts, as other prompts have other bodies.
+    CallerAnswer callWithParts(const std::string &parts, const std::string &body = "")
     {
         http::RequestHead head = request("/events/x");
         head.headers.add("X-Ibislock-Model", "m");
         head.headers.add("X-Ibislock-Token-Count", "100,100");
         head.headers.add("X-Ibislock-Prompt-Prefix", parts + ",f" + std::to_string(m_attempts) + ":50");
-        return call(head);
+        return call(head, body.empty() ? "prompt of " + parts : body);
     }
 
     int crashes() const
@@ -80,6 +98,85 @@
     EXPECT_EQ(callWithParts("1:40,3:100").status, 200);
 }
 
+// Each part of such a request's prompt is in sound requests as well, whose answers clear it.
+TEST_F(FrontQuarantineTest, RequestThatCrashesEnginesIsNotSentOn)
+{
+    constexpr int Rounds = 12;
+    startEngines(12);
+    CallerAnswer last;
+    for (int n = 0; n < Rounds; ++n) {
+        last = callWithParts("1:40,2:100", Deadly);
+        EXPECT_EQ(callWithParts("1:40,2:100", "sound " + std::to_string(n)).status, 200) << n;
+        runFor(Pause);
+    }
+    EXPECT_LE(crashes(), CrashesUntilRequestIsKnown + SendsAfterwards);
+    EXPECT_EQ(last.status, 503);
+    EXPECT_TRUE(last.headers.find("Retry-After"));
+}
+
+TEST_F(FrontQuarantineTest, RequestWithoutPromptPartsThatCrashesEnginesIsNotSentOn)
+{
+    constexpr int Rounds = 12;
+    startEngines(12);
+    CallerAnswer last;
+    for (int n = 0; n < Rounds; ++n) {
+        last = call(request("/events/x"), Deadly);
+        EXPECT_EQ(call(request("/events/x"), "sound").status, 200) << n;
+        runFor(Pause);
+    }
+    EXPECT_LE(crashes(), CrashesUntilRequestIsKnown + SendsAfterwards);
+    EXPECT_EQ(last.status, 503);
+}
+
+/// A route to plain targets, and what these do.
+struct PlainRoute
+{
+    std::string name;
+    TargetBehaviour behaviour = TargetBehaviour::AnswerUnlessCrashing;
+};
+
+class FrontPlainQuarantineTest : public FrontQuarantineTest, public testing::WithParamInterface<PlainRoute>
+{
+};
+
+TEST_P(FrontPlainQuarantineTest, RequestThatCrashesPlainTargetsIsNotSentOn)
+{
+    constexpr int Rounds = 12;
+    const std::string path = "/" + GetParam().name + "/x";
+    startPlainTargets(12, GetParam().behaviour);
+    CallerAnswer last;
+    for (int n = 0; n < Rounds; ++n) {
+        last = call(request(path), Deadly);
+        EXPECT_EQ(call(request(path), "sound").status, 200) << n;
+        runFor(Pause);
+    }
+    EXPECT_LE(crashes(), CrashesUntilRequestIsKnown + SendsAfterwards);
+    EXPECT_EQ(last.status, 503);
+    EXPECT_TRUE(last.headers.find("Retry-After"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Routes, FrontPlainQuarantineTest,
+                         testing::Values(PlainRoute{"once"}, PlainRoute{"often"},
+                                         PlainRoute{"fixed", TargetBehaviour::StreamUnlessCrashing}),
+                         [](const auto &item) { return item.param.name; });
+
+// The same body at another path is another request.
+TEST_F(FrontQuarantineTest, RequestsThatDifferFromACrashingOneInTheirPathAreServed)
+{
+    constexpr int Rounds = 6;
+    startPlainTargets(12);
+    for (int n = 0; n < Rounds; ++n) {
+        call(request("/often/x"), Deadly);
+        runFor(Pause);
+    }
+    for (const auto &target : m_engines) {
+        target->crashingBody = "none";
+    }
+    EXPECT_EQ(call(request("/often/x"), Deadly).status, 503);
+    EXPECT_EQ(call(request("/often/y"), Deadly).status, 200);
+    EXPECT_EQ(call(request("/open/x", ""), Deadly).status, 200);
+}
+
 /// Returns the value of a field of a log line; empty if the line has no such field.
 std::string fieldOf(const std::string &line, const std::string &name)
 {
