Quarantine whole requests that crash the targets that run them

Callers saw one target after the other crash: a request that crashes each runner that begins to run it comes again at any entry VM, and each sent it to two targets.

Cause: crashes were connected with the parts of a prompt that requests share, and with nothing else. Such a request's parts are answered under sound requests all the time, which clears them. What the request has for itself, its path, caller and body, was not looked at, and plain services were left out. The class: a fault of the input is booked on the worker that shows it; the quarantine of parts knew one kind of input only.

Change: the digest of the whole request is one more suspect beside the parts of its prompt, in the same lists, reports and limits. Only an answer to the same digest clears it. The third crash anywhere quarantines it; no different moments are asked for, as one request at three targets that crash without an answer in between is rare. A crash under a request in quarantine counts for no other request, and once for a part, so that a bad part is found although its requests are repeated; a crash that a part explains counts for no request. Of a request and a part with equal cases, the request is taken.

Whether a target crashed under a request is decided by the attempt: it had no event, and from a plain target no head of a response.

Models of 1 to 11 VMs keep both bounds.

MessagesTest asks for the largest report with as many parts as one report may hold now. The tests of the quarantine name suspects instead of numbers.

--- a/lab/test/quarantine_scale_test.cpp
+++ b/lab/test/quarantine_scale_test.cpp
@@ -27,12 +27,22 @@
 constexpr std::uint64_t Common = 1;
 constexpr std::uint64_t Bad = 2;
 
+/// Returns a request, by its digest.
+serving::Suspect requestOf(std::uint64_t digest)
+{
+    return {digest, serving::SuspectKind::Request};
+}
+
 /// How often a target VM reports at least, if there is something to report.
 constexpr Millis TargetTick{100};
 
 /// The bound of the contract: this long after the fifth crash, few requests with the part may be sent.
 constexpr Millis KnownTime{3000};
 constexpr std::size_t CrashesUntilKnown = 5;
+
+/// The same for a request that crashes targets by itself.
+constexpr std::size_t CrashesUntilRequestIsKnown = 3;
+
 constexpr int SendsAfterwards = 3;
 
 /// Entry VMs and target VMs that exchange reports as the daemons do.
@@ -65,7 +75,7 @@
         return m_entries[n].quarantine;
     }
 
-    std::size_t knowing(std::uint64_t part) const
+    std::size_t knowing(const serving::Suspect &part) const
     {
         return static_cast<std::size_t>(std::count_if(
             m_entries.begin(), m_entries.end(), [&](const Vm &vm) { return vm.quarantine.parts.contains(part); }));
@@ -206,7 +216,7 @@
                     ? 1
                     : 0;
                 crashes.push_back(network.now);
-                recordCrash(network.entry(vm), {.engine = ++engine, .parts = {Common, Bad}, .responding = true},
+                recordCrash(network.entry(vm), {.engine = ++engine, .suspects = {Common, Bad}, .responding = true},
                             network.now);
             }
         }
@@ -221,6 +231,44 @@
     EXPECT_EQ(network.quarantined(), GetParam().entryVms);
 }
 
+TEST_P(QuarantineScaleTest, EachEntryVmKnowsACrashingRequestSoonAfterTheThirdCrash)
+{
+    Network network(GetParam().entryVms, GetParam().targetVms);
+    const serving::Suspect deadly = requestOf(1);
+    std::vector<Millis> crashes;
+    int late = 0;
+    std::uint64_t engine = 0;
+    std::uint64_t request = 1;
+    Millis nextAt = network.now;
+    const Millis end = network.now + Millis{20000};
+    while (network.now < end) {
+        if (network.now >= nextAt) {
+            nextAt += GetParam().pause;
+            const std::size_t vm = network.draw(GetParam().entryVms);
+            for (int n = 0; n < 2 && !findQuarantined(network.entry(vm), {Common, deadly}); ++n) {
+                late += crashes.size() >= CrashesUntilRequestIsKnown
+                        && network.now > crashes[CrashesUntilRequestIsKnown - 1] + KnownTime
+                    ? 1
+                    : 0;
+                crashes.push_back(network.now);
+                ++engine;
+                recordCrash(network.entry(vm), {.engine = engine, .suspects = {Common, deadly}, .responding = true},
+                            network.now);
+                recordCrash(network.entry(network.draw(GetParam().entryVms)),
+                            {.engine = engine, .suspects = {Common, requestOf(++request)}}, network.now);
+            }
+        }
+        recordAnswer(network.entry(network.draw(GetParam().entryVms)), {Common, requestOf(++request)}, network.now);
+        network.tick();
+    }
+    RecordProperty("crashes", static_cast<int>(crashes.size()));
+    RecordProperty("datagrams", static_cast<int>(network.datagrams));
+    RecordProperty("bytes_between_domains", static_cast<int>(network.bytesBetweenDomains));
+    EXPECT_LE(late, SendsAfterwards);
+    EXPECT_EQ(network.knowing(deadly), GetParam().entryVms);
+    EXPECT_EQ(network.quarantined(), GetParam().entryVms);
+}
+
 INSTANTIATE_TEST_SUITE_P(Cases, QuarantineScaleTest,
                          testing::Values(ScaleCase{8, 20, Millis{50}}, ScaleCase{8, 20, Millis{1000}},
                                          ScaleCase{38, 58, Millis{100}}, ScaleCase{149, 156, Millis{20}},
@@ -240,11 +288,13 @@
     for (std::size_t n = 0; n < EntryVms; ++n) {
         recordAnswer(network.entry(n), {Common}, network.now);
     }
+    std::uint64_t request = 0;
     for (std::uint64_t engine = 1; engine <= CrashedEngines; ++engine) {
         for (int n = 0; n < WaitingRequests; ++n) {
             const std::uint64_t subject = 100 + network.draw(Subjects);
             recordCrash(network.entry(network.draw(EntryVms)),
-                        {.engine = engine, .parts = {Common, subject}, .responding = n == 0}, network.now);
+                        {.engine = engine, .suspects = {Common, subject, requestOf(++request)}, .responding = n == 0},
+                        network.now);
         }
     }
     const Millis end = network.now + Millis{2000};
--- a/libs/front/include/ibislock/front/call_outcome.h
+++ b/libs/front/include/ibislock/front/call_outcome.h
@@ -23,7 +23,7 @@
     NoTarget, ///< Refused: the service has no usable or reachable target.
     Full, ///< Refused: all usable targets are full.
     TargetsBackingOff, ///< Refused: all usable targets have requested a backoff.
-    Quarantined, ///< Refused: its prompt has a part that crashes engines.
+    Quarantined, ///< Refused: it crashes targets, or its prompt has a part that crashes engines.
     NotExecuted, ///< Refused: the targets that received it did not execute it.
     ExpiredBeforeSend, ///< Refused: its deadline was reached before it was sent.
     Unknown, ///< It was sent, and it is unknown whether a target executed it.
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -132,6 +132,7 @@
     service = serving::sampleService(route, std::uniform_real_distribution<double>(0, 1)(front.random));
     const auto it = state.services.find(service);
     usesEngine = it != state.services.end() && it->second.engine.has_value();
+    suspects = serving::suspectsOf(usesEngine ? request.sharedParts : std::vector<std::uint64_t>{}, digest);
     if (usesEngine) {
         engineSpec = *it->second.engine;
     }
@@ -265,7 +266,7 @@
     const bool served =
         complete && !notRun && m_responseHandling != ResponseHandling::None && m_responseHead.status / 100 != 5;
     m_incompleteBytes = m_eventSplitter.incompleteEvent.size();
-    recordEngineCrash(result);
+    recordTargetCrash(result);
     releaseTarget(served || notRun);
     if (!served) {
         logInfo(LogComponent::Front, "A request attempt failed.",
@@ -296,16 +297,19 @@
     front.dispatchWaiting();
 }
 
-void Call::recordEngineCrash(const net::ExchangeResult &result)
+void Call::recordTargetCrash(const net::ExchangeResult &result)
 {
-    const bool crashed = usesEngine && result.connected && result.outcome == net::ExchangeOutcome::Broken;
-    const bool answered = responseStarted() || m_eventSplitter.hasEvents;
+    const bool crashed = result.connected && result.outcome == net::ExchangeOutcome::Broken;
+    const bool begun = m_responseHandling != ResponseHandling::None;
+    // A plain target has run the request when it sends the head of a response; a stream may begin before.
+    const bool answered =
+        m_attempt.responseStarted || (!usesEngine && m_responseHandling == ResponseHandling::Buffered);
     const bool refused = m_responseHandling == ResponseHandling::NotRun;
-    if (crashed && !answered && !refused && !request.sharedParts.empty()) {
+    if (crashed && !answered && !refused) {
         recordCrash(front.quarantine,
                     {.engine = serving::incarnationOf(m_attempt.targetId, m_attempt.targetStartedAt),
-                     .parts = request.sharedParts,
-                     .responding = m_responseHandling != ResponseHandling::None},
+                     .suspects = suspects,
+                     .responding = begun},
                     bootMillis());
     }
 }
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -73,6 +73,7 @@
     std::string service;
     std::string workspace;
     std::uint64_t digest = 0; ///< The same for each attempt of the caller to send this request.
+    std::vector<serving::Suspect> suspects; ///< The request and the parts of its prompt that others may share.
     bool usesEngine = false;
     serving::EngineSpec engineSpec;
     bool counted = false; ///< Counted as a request to its service.
@@ -118,8 +119,8 @@
     void respond(const std::string &bytes, bool close);
     void releaseTarget(bool good);
 
-    /// Makes the parts of the prompt suspect if the engine may have crashed on them.
-    void recordEngineCrash(const net::ExchangeResult &result);
+    /// Makes the request and the parts of its prompt suspect if the target may have crashed on them.
+    void recordTargetCrash(const net::ExchangeResult &result);
     void finish(CallOutcome outcome, int status);
     platform::TargetRequestOptions targetOptions(const serving::Target &target, Millis now) const;
 
--- a/libs/front/src/call_outcome.cpp
+++ b/libs/front/src/call_outcome.cpp
@@ -26,9 +26,9 @@
     case CallOutcome::TargetsBackingOff:
         return "It did not run: all usable targets of its service had requested a backoff with Retry-After.";
     case CallOutcome::Quarantined:
-        return "It did not run: its prompt has a part under which several engines have crashed; the part is named in "
-               "the "
-               "line \"A part of prompts crashes engines.\".";
+        return "It did not run: several targets have crashed under this request or under a part of its prompt, which "
+               "is "
+               "named in the line \"A request crashes targets.\" or \"A part of prompts crashes engines.\".";
     case CallOutcome::NotExecuted:
         return "It did not run: the targets that received it reported that they did not execute it.";
     case CallOutcome::ExpiredBeforeSend:
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -96,8 +96,8 @@
         const bool hadEvents = m_eventSplitter.hasEvents;
         const std::string events = appendBytes(m_eventSplitter, bytes);
         m_attempt.responseStarted = m_eventSplitter.hasEvents;
-        if (usesEngine && m_eventSplitter.hasEvents && !hadEvents) {
-            front.recordAnsweredParts(request.sharedParts);
+        if (m_eventSplitter.hasEvents && !hadEvents) {
+            front.recordAnswered(suspects);
         }
         relayEvents(events);
         if (m_eventSplitter.incompleteEvent.size() > LargestEvent && m_exchange) {
@@ -162,8 +162,8 @@
         }
         m_lifecycle = before;
     }
-    if (usesEngine && m_responseHead.status / 100 == 2) {
-        front.recordAnsweredParts(request.sharedParts);
+    if (m_responseHead.status / 100 == 2) {
+        front.recordAnswered(suspects);
     }
     advance(m_lifecycle, RequestEvent::ResponseComplete);
     http::ResponseHead forwarded = platform::makeCallerResponse(m_responseHead);
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -58,8 +58,9 @@
     /// Dispatches the calls that wait for a slot; called when a target may have a free one.
     void dispatchWaiting();
 
-    /// Records the first event of a response, which shows that no part of its prompt crashes engines.
-    void recordAnsweredParts(const std::vector<std::uint64_t> &parts);
+    /// Records the first event of a response, which shows that neither the request nor a part of its prompt crashes
+    /// targets.
+    void recordAnswered(const std::vector<serving::Suspect> &suspects);
 
     /// Returns the oldest version of weights on which a request may start; 0 if any may.
     /// @param ahead how long after `now` it starts.
@@ -97,7 +98,7 @@
     void applyLoad(const std::string &ip, const peer::LoadMessage &load);
     void applyQuarantine(const peer::QuarantineMessage &message);
 
-    /// Quarantines parts of prompts that crash engines, and reports what is known of them to other VMs.
+    /// Quarantines requests and parts of prompts that crash targets, and reports what is known of them to other VMs.
     void updateQuarantine();
     void sendQuarantine(const serving::QuarantineReport &report);
     bool refuseQuarantined(const std::shared_ptr<Call> &call);
--- a/libs/front/src/front_quarantine.cpp
+++ b/libs/front/src/front_quarantine.cpp
@@ -1,4 +1,4 @@
-// How an entry VM finds, refuses and reports prompts that crash engines.
+// How an entry VM finds, refuses and reports requests and prompts that crash targets.
 
 #include "call.h"
 #include "front.h"
@@ -12,37 +12,46 @@
 namespace
 {
 
-void logReleased(const std::vector<std::uint64_t> &parts)
+void logReleased(const std::vector<serving::Suspect> &suspects)
 {
-    for (const std::uint64_t part : parts) {
-        logInfo(LogComponent::Front, "A part of prompts has left quarantine.", {{"part", hexNumber(part)}});
+    for (const serving::Suspect &suspect : suspects) {
+        if (suspect.kind == serving::SuspectKind::Part) {
+            logInfo(LogComponent::Front, "A part of prompts has left quarantine.", {{"part", hexNumber(suspect.id)}});
+        } else {
+            logInfo(LogComponent::Front, "A request has left quarantine.", {{"request", hexNumber(suspect.id)}});
+        }
     }
 }
 
-void logQuarantined(const std::vector<std::uint64_t> &parts, std::string_view from)
+void logQuarantined(const std::vector<serving::Suspect> &suspects, std::string_view from)
 {
-    for (const std::uint64_t part : parts) {
-        logWarning(LogComponent::Front, "A part of prompts crashes engines.",
-                   {{"part", hexNumber(part)}, {"from", std::string(from)}});
+    for (const serving::Suspect &suspect : suspects) {
+        if (suspect.kind == serving::SuspectKind::Part) {
+            logWarning(LogComponent::Front, "A part of prompts crashes engines.",
+                       {{"part", hexNumber(suspect.id)}, {"from", std::string(from)}});
+        } else {
+            logWarning(LogComponent::Front, "A request crashes targets.",
+                       {{"request", hexNumber(suspect.id)}, {"from", std::string(from)}});
+        }
     }
 }
 
 } // namespace
 
-void Front::recordAnsweredParts(const std::vector<std::uint64_t> &parts)
+void Front::recordAnswered(const std::vector<serving::Suspect> &suspects)
 {
-    logReleased(recordAnswer(quarantine, parts, bootMillis()));
+    logReleased(recordAnswer(quarantine, suspects, bootMillis()));
 }
 
 bool Front::refuseQuarantined(const std::shared_ptr<Call> &call)
 {
     // A stream that has started can't be the cause of a crash.
-    const auto part = call->responseStarted() ? std::nullopt : findQuarantined(quarantine, call->request.sharedParts);
+    const auto suspect = call->responseStarted() ? std::nullopt : findQuarantined(quarantine, call->suspects);
     const Millis now = bootMillis();
-    if (!part || tryProbe(quarantine, *part, now)) {
+    if (!suspect || tryProbe(quarantine, *suspect, now)) {
         return false;
     }
-    call->refuse(CallOutcome::Quarantined, timeUntilProbe(quarantine, *part, now));
+    call->refuse(CallOutcome::Quarantined, timeUntilProbe(quarantine, *suspect, now));
     return true;
 }
 
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -5,6 +5,8 @@
 #include "ibislock/base/log.h"
 #include "ibislock/base/metrics_text.h"
 
+#include <algorithm>
+
 namespace ibislock::front
 {
 
@@ -100,9 +102,13 @@
     writeCounter(out, "ibislock_connections_opened_total", "Connections opened to targets and the store.",
                  client.connectionsOpened());
     writeCounter(out, "ibislock_log_lines_dropped_total", "Log lines that were left out.", droppedLogLines());
+    const auto requests = std::count_if(quarantine.parts.begin(), quarantine.parts.end(), [](const auto &item) {
+        return item.first.kind == serving::SuspectKind::Request;
+    });
     writeGauge(out, "ibislock_quarantined_parts",
                "Parts of prompts that crash engines, with which requests are refused.",
-               static_cast<std::int64_t>(quarantine.parts.size()));
+               static_cast<std::int64_t>(quarantine.parts.size()) - requests);
+    writeGauge(out, "ibislock_quarantined_requests", "Requests that crash targets, which are refused.", requests);
     writeGauge(out, "ibislock_waiting", "Requests that wait for a slot.", static_cast<std::int64_t>(m_waiting.size()));
     writeGauge(out, "ibislock_caller_connections", "Connections of callers.",
                static_cast<std::int64_t>(m_connections.size()));
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -11,7 +11,7 @@
     # An entry VM tells a target VM that it is there, and may ask for loads; valid for some seconds.
     load @1 :Load;
     quarantine @2 :Quarantine;
-    # What a VM knows of parts of prompts that crash engines.
+    # What a VM knows of requests and parts of prompts that crash targets.
   }
 }
 
@@ -45,25 +45,28 @@
 }
 
 struct Suspicion {
-  # An engine crashed before the first event of a request with the part.
-  engine @0 :UInt64;  # Identifies the incarnation of the engine.
+  # A target crashed before the first event of a request, or of one with the part.
+  engine @0 :UInt64;  # Identifies the incarnation of the target.
   part @1 :UInt64;
   ageMs @2 :UInt32;
-  responding @3 :Bool;  # The engine had begun to respond to the request.
+  responding @3 :Bool;  # The target had begun to respond to the request.
   depth @4 :UInt8;  # The position of the part in its prompt.
+  isRequest @5 :Bool;  # The digest of a request instead of a part.
 }
 
 struct AnsweredPart {
   # The last answer to a request with the part.
   part @0 :UInt64;
   ageMs @1 :UInt32;
+  isRequest @2 :Bool;
 }
 
 struct QuarantinedPart {
   part @0 :UInt64;
   origin @1 :UInt64;  # The entry VM that probes the part.
   ageMs @2 :UInt32;
-  requestAgeMs @3 :UInt32;  # How long ago the last request with the part arrived.
+  requestAgeMs @3 :UInt32;  # How long ago the last such request arrived.
+  isRequest @4 :Bool;
 }
 
 struct Naming {
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -35,21 +35,32 @@
     return out;
 }
 
+serving::Suspect suspectFrom(std::uint64_t id, bool isRequest)
+{
+    return {id, isRequest ? serving::SuspectKind::Request : serving::SuspectKind::Part};
+}
+
+bool isRequest(const serving::Suspect &suspect)
+{
+    return suspect.kind == serving::SuspectKind::Request;
+}
+
 serving::QuarantineReport decodeQuarantine(const wire::Quarantine::Reader &message)
 {
     serving::QuarantineReport out;
     for (const auto suspicion : message.getSuspicions()) {
         out.suspicions.push_back({.engine = suspicion.getEngine(),
-                                  .part = suspicion.getPart(),
+                                  .part = suspectFrom(suspicion.getPart(), suspicion.getIsRequest()),
                                   .age = Millis{suspicion.getAgeMs()},
                                   .responding = suspicion.getResponding(),
                                   .depth = suspicion.getDepth()});
     }
     for (const auto answer : message.getAnswers()) {
-        out.answers.push_back({.part = answer.getPart(), .age = Millis{answer.getAgeMs()}});
+        out.answers.push_back(
+            {.part = suspectFrom(answer.getPart(), answer.getIsRequest()), .age = Millis{answer.getAgeMs()}});
     }
     for (const auto part : message.getParts()) {
-        out.parts.push_back({.part = part.getPart(),
+        out.parts.push_back({.part = suspectFrom(part.getPart(), part.getIsRequest()),
                              .origin = part.getOrigin(),
                              .age = Millis{part.getAgeMs()},
                              .requestAge = Millis{part.getRequestAgeMs()}});
@@ -145,19 +156,22 @@
     auto suspicions = quarantine.initSuspicions(static_cast<unsigned>(report.suspicions.size()));
     for (unsigned n = 0; n < suspicions.size(); ++n) {
         suspicions[n].setEngine(report.suspicions[n].engine);
-        suspicions[n].setPart(report.suspicions[n].part);
+        suspicions[n].setPart(report.suspicions[n].part.id);
+        suspicions[n].setIsRequest(isRequest(report.suspicions[n].part));
         suspicions[n].setAgeMs(wireMillis(report.suspicions[n].age));
         suspicions[n].setResponding(report.suspicions[n].responding);
         suspicions[n].setDepth(static_cast<std::uint8_t>(report.suspicions[n].depth));
     }
     auto answers = quarantine.initAnswers(static_cast<unsigned>(report.answers.size()));
     for (unsigned n = 0; n < answers.size(); ++n) {
-        answers[n].setPart(report.answers[n].part);
+        answers[n].setPart(report.answers[n].part.id);
+        answers[n].setIsRequest(isRequest(report.answers[n].part));
         answers[n].setAgeMs(wireMillis(report.answers[n].age));
     }
     auto parts = quarantine.initParts(static_cast<unsigned>(report.parts.size()));
     for (unsigned n = 0; n < parts.size(); ++n) {
-        parts[n].setPart(report.parts[n].part);
+        parts[n].setPart(report.parts[n].part.id);
+        parts[n].setIsRequest(isRequest(report.parts[n].part));
         parts[n].setOrigin(report.parts[n].origin);
         parts[n].setAgeMs(wireMillis(report.parts[n].age));
         parts[n].setRequestAgeMs(wireMillis(report.parts[n].requestAge));
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -146,7 +146,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8941073b24b24f46, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8941073b24b24f46, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -815,6 +815,8 @@
 
   inline  ::uint8_t getDepth() const;
 
+  inline bool getIsRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -858,6 +860,9 @@
   inline  ::uint8_t getDepth();
   inline void setDepth( ::uint8_t value);
 
+  inline bool getIsRequest();
+  inline void setIsRequest(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -905,6 +910,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline bool getIsRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -939,6 +946,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline bool getIsRequest();
+  inline void setIsRequest(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -990,6 +1000,8 @@
 
   inline  ::uint32_t getRequestAgeMs() const;
 
+  inline bool getIsRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1030,6 +1042,9 @@
   inline  ::uint32_t getRequestAgeMs();
   inline void setRequestAgeMs( ::uint32_t value);
 
+  inline bool getIsRequest();
+  inline void setIsRequest(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2924,6 +2939,20 @@
       ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Suspicion::Reader::getIsRequest() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
+}
+
+inline bool Suspicion::Builder::getIsRequest() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setIsRequest(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AnsweredPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2952,6 +2981,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AnsweredPart::Reader::getIsRequest() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool AnsweredPart::Builder::getIsRequest() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void AnsweredPart::Builder::setIsRequest(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t QuarantinedPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3008,6 +3051,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuarantinedPart::Reader::getIsRequest() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuarantinedPart::Builder::getIsRequest() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void QuarantinedPart::Builder::setIsRequest(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Naming::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -67,6 +67,19 @@
     EXPECT_EQ(report.parts[0].requestAge, Millis{10});
 }
 
+TEST(MessagesTest, RequestsInAQuarantineReportStayRequests)
+{
+    const serving::Suspect request(7, serving::SuspectKind::Request);
+    const auto read = decodeDatagram(encode(QuarantineMessage{.report = {.suspicions = {{.engine = 1, .part = request}},
+                                                                         .answers = {{.part = request}},
+                                                                         .parts = {{.part = request}}}}));
+    ASSERT_TRUE(read);
+    const auto &report = std::get<QuarantineMessage>(*read).report;
+    EXPECT_EQ(report.suspicions[0].part, request);
+    EXPECT_EQ(report.answers[0].part, request);
+    EXPECT_EQ(report.parts[0].part, request);
+}
+
 // A datagram over 1,472 bytes is fragmented, and the receivers' buffers hold 1,500 bytes.
 TEST(MessagesTest, TheLargestQuarantineReportFitsIntoADatagram)
 {
@@ -74,7 +87,7 @@
     QuarantineMessage message;
     message.report.suspicions.resize(serving::MaxReportedSuspicions, {.age = Millis{1}});
     message.report.answers.resize(serving::MaxReportedAnswers, {.age = Millis{1}});
-    message.report.parts.resize(serving::MaxQuarantinedParts, {.age = Millis{1}});
+    message.report.parts.resize(serving::MaxReportedParts, {.age = Millis{1}});
     EXPECT_LE(encode(message).size(), MaxDatagram);
 }
 
--- a/libs/serving/include/ibislock/serving/quarantine_report.h
+++ b/libs/serving/include/ibislock/serving/quarantine_report.h
@@ -1,5 +1,6 @@
-// Reports with which VMs pool what they know of parts of prompts that crash engines. An entry VM sends a report to a
-// few target VMs, and each of these passes on what is new to it. Nothing is reported while no engine crashes.
+// Reports with which VMs pool what they know of requests and parts of prompts that crash targets. An entry VM sends a
+// report to a few target VMs, and each of these passes on what is new to it. Nothing is reported while no engine
+// crashes.
 //
 //     if (auto report = makeReport(quarantine, now)) { send(*report); }
 //     ReportChanges changes = applyReport(quarantine, report, now);   // a report of another VM
@@ -18,7 +19,7 @@
     struct Suspicion
     {
         std::uint64_t engine = 0;
-        std::uint64_t part = 0;
+        Suspect part;
         Millis age{0};
         bool responding = false;
         int depth = 0;
@@ -27,14 +28,14 @@
     /// An `AnsweredPart` with its age.
     struct Answer
     {
-        std::uint64_t part = 0;
+        Suspect part;
         Millis age{0};
     };
 
     /// A `QuarantinedPart` with its ages.
     struct Part
     {
-        std::uint64_t part = 0;
+        Suspect part;
         std::uint64_t origin = 0;
         Millis age{0};
         Millis requestAge{0};
@@ -59,11 +60,13 @@
 inline constexpr Millis EntryReportInterval{60};
 inline constexpr Millis TargetReportInterval{50};
 
-/// Maximum number of suspicions and answers in a report, so that it fits into a datagram.
+/// Maximum number of suspicions, answers and parts in a report, so that it fits into a datagram.
 inline constexpr std::size_t MaxReportedSuspicions = 24;
 inline constexpr std::size_t MaxReportedAnswers = 16;
+inline constexpr std::size_t MaxReportedParts = 16;
 
-/// Makes a report of what has not been reported often enough, and of all parts in quarantine from time to time.
+/// Makes a report of what has not been reported often enough, and of all that is in quarantine from time to time. What
+/// does not fit is in the next report.
 /// @return the report, or nothing if there is nothing to report.
 std::optional<QuarantineReport> makeReport(PromptQuarantine &quarantine, Millis now,
                                            const QuarantinePolicy &policy = {});
@@ -71,8 +74,8 @@
 /// What a report changed.
 struct ReportChanges
 {
-    std::vector<std::uint64_t> quarantined;
-    std::vector<std::uint64_t> released;
+    std::vector<Suspect> quarantined;
+    std::vector<Suspect> released;
 };
 
 /// Applies the report of another VM.
--- a/libs/serving/src/quarantine_report.cpp
+++ b/libs/serving/src/quarantine_report.cpp
@@ -34,7 +34,7 @@
 
 /// Moves answers into a report.
 /// @return whether some have reports left.
-bool takeAnswers(std::unordered_map<std::uint64_t, AnsweredPart> &answers, QuarantineReport &out, Millis now)
+bool takeAnswers(std::unordered_map<Suspect, AnsweredPart, SuspectHash> &answers, QuarantineReport &out, Millis now)
 {
     bool more = false;
     for (auto &[part, answer] : answers) {
@@ -47,6 +47,22 @@
     return more;
 }
 
+/// Moves the next parts of the full report into a report.
+void takeParts(PromptQuarantine &quarantine, QuarantineReport &out, Millis now)
+{
+    std::vector<Suspect> &rest = quarantine.unreportedParts;
+    out.forAll = !rest.empty() && quarantine.fullReportForAll;
+    for (; !rest.empty() && out.parts.size() < MaxReportedParts; rest.pop_back()) {
+        const auto it = quarantine.parts.find(rest.back());
+        if (it != quarantine.parts.end()) {
+            out.parts.push_back({.part = it->first,
+                                 .origin = it->second.origin,
+                                 .age = now - it->second.since,
+                                 .requestAge = now - it->second.lastRequestAt});
+        }
+    }
+}
+
 } // namespace
 
 std::optional<QuarantineReport> makeReport(PromptQuarantine &quarantine, Millis now, const QuarantinePolicy &policy)
@@ -60,15 +76,19 @@
     const bool due =
         quarantine.lastFullReportAt == Millis{0} || now - quarantine.lastFullReportAt >= policy.fullReportInterval;
     if (due && !quarantine.parts.empty()) {
-        out.forAll = quarantine.lastFullReportAt == Millis{0};
+        quarantine.fullReportForAll = quarantine.lastFullReportAt == Millis{0};
         quarantine.lastFullReportAt = now;
+        quarantine.unreportedParts.clear();
         for (const auto &[part, entry] : quarantine.parts) {
-            out.parts.push_back({.part = part,
-                                 .origin = entry.origin,
-                                 .age = now - entry.since,
-                                 .requestAge = now - entry.lastRequestAt});
+            quarantine.unreportedParts.push_back(part);
         }
+        // The newest come first, as nobody else may know of them.
+        std::sort(quarantine.unreportedParts.begin(), quarantine.unreportedParts.end(),
+                  [&](const Suspect &a, const Suspect &b) {
+                      return quarantine.parts.at(a).since < quarantine.parts.at(b).since;
+                  });
     }
+    takeParts(quarantine, out, now);
     const bool empty = out.suspicions.empty() && out.answers.empty() && out.parts.empty();
     return empty ? std::nullopt : std::optional(std::move(out));
 }
@@ -96,7 +116,7 @@
                       .at = now - said.age,
                       .responding = said.responding,
                       .depth = said.depth,
-                      .reportsLeft = reportsOfOthers(quarantine, said.engine ^ said.part)},
+                      .reportsLeft = reportsOfOthers(quarantine, said.engine ^ said.part.id)},
                      now);
     }
     for (const QuarantineReport::Part &said : report.parts) {
--- a/libs/serving/src/quarantine_state.cpp
+++ b/libs/serving/src/quarantine_state.cpp
@@ -16,7 +16,7 @@
 /// A part may be replaced in a full quarantine if no request with it came for so long before one with the new part.
 constexpr Millis MinQuietTime{std::chrono::seconds{10}};
 
-AnsweredPart &answerOf(PromptQuarantine &quarantine, std::uint64_t part)
+AnsweredPart &answerOf(PromptQuarantine &quarantine, const Suspect &part)
 {
     const AnsweredPart *known = findAnswer(quarantine, part);
     const AnsweredPart copy = known != nullptr ? *known : AnsweredPart{};
@@ -28,7 +28,7 @@
 
 void dropOldestSuspicion(PromptQuarantine &quarantine)
 {
-    std::uint64_t part = 0;
+    Suspect part;
     Millis oldest = Millis::max();
     for (const auto &[candidate, list] : quarantine.suspicions) {
         if (list.front().at < oldest) {
@@ -63,7 +63,7 @@
     return now - answer.at < policy.answerLifetime;
 }
 
-AnsweredPart *findAnswer(PromptQuarantine &quarantine, std::uint64_t part)
+AnsweredPart *findAnswer(PromptQuarantine &quarantine, const Suspect &part)
 {
     const auto it = quarantine.answers.find(part);
     if (it != quarantine.answers.end()) {
@@ -73,7 +73,7 @@
     return older != quarantine.olderAnswers.end() ? &older->second : nullptr;
 }
 
-void eraseSuspicions(PromptQuarantine &quarantine, std::uint64_t part, Millis upTo)
+void eraseSuspicions(PromptQuarantine &quarantine, const Suspect &part, Millis upTo)
 {
     const auto it = quarantine.suspicions.find(part);
     if (it == quarantine.suspicions.end()) {
@@ -106,7 +106,7 @@
     }
 }
 
-bool quarantinePart(PromptQuarantine &quarantine, std::uint64_t part, const QuarantinedPart &entry)
+bool quarantinePart(PromptQuarantine &quarantine, const Suspect &part, const QuarantinedPart &entry)
 {
     if (quarantine.parts.size() >= MaxQuarantinedParts) {
         const auto quietest =
@@ -124,11 +124,14 @@
     return true;
 }
 
-bool applyAnswer(PromptQuarantine &quarantine, std::uint64_t part, Millis at, bool own)
+bool applyAnswer(PromptQuarantine &quarantine, const Suspect &part, Millis at, bool own)
 {
     const bool suspected = quarantine.suspicions.contains(part);
     const auto it = quarantine.parts.find(part);
     const bool released = it != quarantine.parts.end() && it->second.since <= at;
+    if (part.kind == SuspectKind::Request && !suspected && !released) {
+        return false; // Nearly each request is another one, and only few of them become suspects.
+    }
     AnsweredPart &answer = answerOf(quarantine, part);
     if (at < answer.at) {
         return false;
@@ -136,7 +139,7 @@
     const bool news = suspected || released || (!own && at > answer.at + AnswerNewsGap);
     answer.at = at;
     if (news) {
-        scheduleReports(quarantine, answer, own ? ReportsOfOwn : reportsOfOthers(quarantine, part));
+        scheduleReports(quarantine, answer, own ? ReportsOfOwn : reportsOfOthers(quarantine, part.id));
     }
     eraseSuspicions(quarantine, part, at);
     if (released) {
--- a/libs/serving/src/quarantine_state.h
+++ b/libs/serving/src/quarantine_state.h
@@ -22,10 +22,10 @@
 
 /// Finds the last answer to a request with a part.
 /// @return the answer; null if none is known.
-AnsweredPart *findAnswer(PromptQuarantine &quarantine, std::uint64_t part);
+AnsweredPart *findAnswer(PromptQuarantine &quarantine, const Suspect &part);
 
 /// Removes the suspicions of a part up to a time.
-void eraseSuspicions(PromptQuarantine &quarantine, std::uint64_t part, Millis upTo);
+void eraseSuspicions(PromptQuarantine &quarantine, const Suspect &part, Millis upTo);
 
 /// Adds a suspicion, or completes the one of the same crash.
 void addSuspicion(PromptQuarantine &quarantine, const CrashSuspicion &suspicion, Millis now);
@@ -33,11 +33,11 @@
 /// Puts a part into quarantine. If the quarantine is full, it replaces the part without requests for the longest time,
 /// unless requests with that one came a short time ago.
 /// @return whether there was room.
-bool quarantinePart(PromptQuarantine &quarantine, std::uint64_t part, const QuarantinedPart &entry);
+bool quarantinePart(PromptQuarantine &quarantine, const Suspect &part, const QuarantinedPart &entry);
 
 /// Applies an answer to a request with a part.
 /// @param own whether this VM got the answer.
 /// @return whether the part was released from quarantine.
-bool applyAnswer(PromptQuarantine &quarantine, std::uint64_t part, Millis at, bool own);
+bool applyAnswer(PromptQuarantine &quarantine, const Suspect &part, Millis at, bool own);
 
 } // namespace ibislock::serving
--- a/libs/serving/test/prompt_quarantine_test.cpp
+++ b/libs/serving/test/prompt_quarantine_test.cpp
@@ -12,12 +12,16 @@
 namespace
 {
 
-using Parts = std::vector<std::uint64_t>;
+using Parts = std::vector<Suspect>;
 
 constexpr std::uint64_t Common = 1;
 constexpr std::uint64_t Bad = 2;
 constexpr std::uint64_t Sound = 3;
 
+/// Requests, by their digests.
+const Suspect Deadly(1, SuspectKind::Request);
+const Suspect SoundRequest(2, SuspectKind::Request);
+
 /// Longer than the time in which reports of a crash arrive.
 constexpr Millis Settled{1000};
 
@@ -32,13 +36,13 @@
     /// Records the crash of another engine.
     void crash(const Parts &parts, bool responding = true)
     {
-        recordCrash(m_quarantine, {.engine = ++m_engine, .parts = parts, .responding = responding}, m_now);
+        recordCrash(m_quarantine, {.engine = ++m_engine, .suspects = parts, .responding = responding}, m_now);
     }
 
     /// Records the crash of the same engine as the last time.
     void crashAgain(const Parts &parts, bool responding = true)
     {
-        recordCrash(m_quarantine, {.engine = m_engine, .parts = parts, .responding = responding}, m_now);
+        recordCrash(m_quarantine, {.engine = m_engine, .suspects = parts, .responding = responding}, m_now);
     }
 
     Parts quarantined()
@@ -219,19 +223,134 @@
     EXPECT_EQ(quarantined().size(), MaxQuarantinedParts);
 }
 
+TEST_F(PromptQuarantineTest, RequestUnderWhichThreeTargetsCrashedIsQuarantinedAndItsPartsAreNot)
+{
+    for (int n = 0; n < 2; ++n) {
+        crash({Common, Sound, Deadly});
+    }
+    EXPECT_EQ(quarantined(), Parts{});
+    crash({Common, Sound, Deadly});
+    EXPECT_EQ(quarantined(), Parts{Deadly});
+    EXPECT_EQ(findQuarantined(m_quarantine, {Common, Sound, Deadly}), Deadly);
+    EXPECT_EQ(findQuarantined(m_quarantine, {Common, Sound, SoundRequest}), std::nullopt);
+}
+
+TEST_F(PromptQuarantineTest, AnswersToOtherRequestsDoNotClearARequest)
+{
+    for (int n = 0; n < 3; ++n) {
+        crash({Common, Deadly});
+        recordAnswer(m_quarantine, {Common, SoundRequest}, m_now);
+        m_now += Millis{200};
+    }
+    EXPECT_EQ(quarantined(), Parts{Deadly});
+}
+
+TEST_F(PromptQuarantineTest, AnswerClearsARequest)
+{
+    crash({SoundRequest});
+    crash({SoundRequest});
+    recordAnswer(m_quarantine, {SoundRequest}, m_now);
+    m_now += Millis{1};
+    crash({SoundRequest});
+    crash({SoundRequest});
+    EXPECT_EQ(quarantined(), Parts{});
+}
+
+TEST_F(PromptQuarantineTest, CrashThatARequestExplainsIsNotCountedForOthers)
+{
+    for (int n = 0; n < 4; ++n) {
+        crash({Common, Deadly});
+        if (n > 0) {
+            crashAgain({Common, SoundRequest});
+        }
+        m_now += Millis{200};
+    }
+    EXPECT_EQ(quarantined(), Parts{Deadly});
+}
+
+TEST_F(PromptQuarantineTest, CrashThatAPartExplainsIsNotCountedForRequests)
+{
+    for (std::uint64_t n = 0; n < 4; ++n) {
+        crash({Bad, Suspect(10 + n, SuspectKind::Request)});
+        if (n > 0) {
+            crashAgain({SoundRequest});
+        }
+        m_now += Millis{200};
+    }
+    EXPECT_EQ(quarantined(), Parts{Bad});
+}
+
+// The first of them is quarantined by itself, as its callers repeat it; the part that they share must be found all the
+// same.
+TEST_F(PromptQuarantineTest, PartIsFoundAfterARequestWithItIsQuarantined)
+{
+    for (int n = 0; n < 3; ++n) {
+        crash({Bad, Deadly});
+        m_now += Millis{200};
+    }
+    ASSERT_EQ(quarantined(), Parts{Deadly});
+    crash({Bad, SoundRequest});
+    m_now += Millis{200};
+    crash({Bad, SoundRequest});
+    EXPECT_EQ(quarantined(), (Parts{Deadly, Bad}));
+}
+
+TEST_F(PromptQuarantineTest, RequestsThatWaitedAtATargetThatHadBegunAnotherAreNotSuspected)
+{
+    for (int n = 0; n < 2; ++n) {
+        crash({Deadly});
+        crashAgain({SoundRequest}, /*responding=*/false);
+    }
+    crash({Suspect(10, SuspectKind::Request)});
+    crashAgain({SoundRequest}, /*responding=*/false);
+    EXPECT_EQ(quarantined(), Parts{});
+}
+
+// Nearly each request is another one.
+TEST_F(PromptQuarantineTest, AnswersToRequestsThatAreNoSuspectsAreNotKept)
+{
+    for (std::uint64_t n = 0; n < 5000; ++n) {
+        recordAnswer(m_quarantine, {Common, Suspect(n, SuspectKind::Request)}, m_now);
+    }
+    EXPECT_EQ(m_quarantine.answers.size() + m_quarantine.olderAnswers.size(), 1U);
+}
+
+TEST_F(PromptQuarantineTest, ReportsNameAllThatIsInQuarantineHoweverMuchItIs)
+{
+    constexpr std::uint64_t Requests = 40;
+    static_assert(Requests > 2 * MaxReportedParts && Requests <= MaxQuarantinedParts);
+    for (int n = 0; n < 3; ++n) {
+        for (std::uint64_t id = 1; id <= Requests; ++id) {
+            crash({Suspect(id, SuspectKind::Request)});
+        }
+    }
+    ASSERT_EQ(quarantined().size(), Requests);
+    PromptQuarantine other{.self = 8};
+    for (std::uint64_t n = 0; n < Requests; n += MaxReportedParts) {
+        const auto report = makeReport(m_quarantine, m_now);
+        ASSERT_TRUE(report);
+        EXPECT_TRUE(report->forAll);
+        EXPECT_LE(report->parts.size(), MaxReportedParts);
+        applyReport(other, *report, m_now);
+    }
+    EXPECT_EQ(other.parts.size(), Requests);
+}
+
 RC_GTEST_PROP(PromptQuarantineModelTest, AnyReportsLeaveTheStateBounded, ())
 {
     PromptQuarantine quarantine{.self = 1};
     const auto number = rc::gen::inRange<std::uint64_t>(0, 2000);
+    const auto suspect = rc::gen::map(
+        number, [](std::uint64_t n) { return Suspect(n / 2, n % 2 == 0 ? SuspectKind::Part : SuspectKind::Request); });
     const auto age = rc::gen::map(rc::gen::arbitrary<std::uint32_t>(), [](std::uint32_t ms) { return Millis{ms}; });
     Millis now{1'000'000};
     for (int n = 0; n < 60; ++n) {
         QuarantineReport report;
         for (int i = 0; i < 20; ++i) {
             report.suspicions.push_back(
-                {.engine = *number, .part = *number, .age = *age, .responding = *number < 1000});
-            report.answers.push_back({.part = *number, .age = *age});
-            report.parts.push_back({.part = *number, .origin = *number, .age = *age, .requestAge = *age});
+                {.engine = *number, .part = *suspect, .age = *age, .responding = *number < 1000});
+            report.answers.push_back({.part = *suspect, .age = *age});
+            report.parts.push_back({.part = *suspect, .origin = *number, .age = *age, .requestAge = *age});
         }
         applyReport(quarantine, report, now);
         quarantineSuspects(quarantine, now);
@@ -241,6 +360,7 @@
         RC_ASSERT(quarantine.suspicionCount <= MaxSuspicions);
         RC_ASSERT(!out || out->suspicions.size() <= MaxReportedSuspicions);
         RC_ASSERT(!out || out->answers.size() <= MaxReportedAnswers);
+        RC_ASSERT(!out || out->parts.size() <= MaxReportedParts);
         now += Millis{50};
     }
     std::size_t count = 0;
@@ -268,14 +388,20 @@
     /// A sound request waits at each of the engines.
     void sendBad(std::size_t vm, std::uint64_t soundPart)
     {
-        for (int n = 0; n < 2 && !findQuarantined(m_vms[vm], {Common, Bad}); ++n) {
+        sendCrashing(vm, {Common, Bad}, {Common, soundPart});
+    }
+
+    /// Lets a request that crashes each engine arrive at a VM, which sends it to two engines unless it is in
+    /// quarantine. A sound request waits at each of the engines.
+    void sendCrashing(std::size_t vm, const Parts &suspects, const Parts &soundSuspects)
+    {
+        for (int n = 0; n < 2 && !findQuarantined(m_vms[vm], suspects); ++n) {
             ++sends;
             ++m_engine;
             crashTimes.push_back(now);
-            recordCrash(m_vms[vm], {.engine = m_engine, .parts = {Common, Bad}, .responding = true}, now);
+            recordCrash(m_vms[vm], {.engine = m_engine, .suspects = suspects, .responding = true}, now);
             const std::size_t other = draw(m_vms.size());
-            recordCrash(m_vms[other], {.engine = m_engine, .parts = {Common, soundPart}, .responding = draw(2) == 0},
-                        now);
+            recordCrash(m_vms[other], {.engine = m_engine, .suspects = soundSuspects, .responding = draw(2) == 0}, now);
         }
     }
 
@@ -315,7 +441,7 @@
         m_state = value;
     }
 
-    bool isQuarantinedEverywhere(std::uint64_t part) const
+    bool isQuarantinedEverywhere(const Suspect &part) const
     {
         return std::all_of(m_vms.begin(), m_vms.end(),
                            [&](const PromptQuarantine &vm) { return vm.parts.contains(part); });
@@ -376,6 +502,70 @@
     RC_ASSERT(deployment.quarantinedParts() == 1U);
 }
 
+// Three seconds after the third crash, all entry VMs together may send the request three times.
+RC_GTEST_PROP(PromptQuarantineModelTest, CrashingRequestIsKnownEverywhereSoonAfterTheThirdCrash, ())
+{
+    const int vms = *rc::gen::inRange(1, 12);
+    const int pauseTicks = *rc::gen::inRange(1, 100);
+    const int loss = *rc::gen::inRange(0, 40);
+    Deployment deployment(vms, loss);
+    deployment.seed(*rc::gen::arbitrary<std::uint64_t>());
+    int sendsAtBound = -1;
+    std::uint64_t request = 1000;
+    for (int tick = 0; tick < 1500; ++tick) {
+        const Millis bound =
+            deployment.crashTimes.size() >= 3 ? deployment.crashTimes[2] + Millis{3000} : Millis::max();
+        if (sendsAtBound < 0 && deployment.now > bound) {
+            sendsAtBound = deployment.sends;
+        }
+        const std::uint64_t subject = 100 + deployment.draw(40);
+        if (tick % pauseTicks == 0) {
+            deployment.sendCrashing(deployment.draw(static_cast<std::size_t>(vms)), {Common, Sound, Deadly},
+                                    {Common, subject, Suspect(++request, SuspectKind::Request)});
+        }
+        // Sound requests with the same parts are answered all the while.
+        deployment.answer(
+            deployment.draw(static_cast<std::size_t>(vms)),
+            {Common, deployment.draw(2) == 0 ? Sound : subject, Suspect(++request, SuspectKind::Request)});
+        deployment.tick();
+    }
+    RC_ASSERT(deployment.isQuarantinedEverywhere(Deadly));
+    RC_ASSERT(sendsAtBound < 0 || deployment.sends - sendsAtBound <= 3);
+    RC_ASSERT(deployment.quarantinedParts() == 1U);
+}
+
+// Callers repeat each request with the bad part several times, so that requests with it are quarantined as well.
+RC_GTEST_PROP(PromptQuarantineModelTest, CrashingPartIsKnownSoonWhenItsRequestsAreRepeated, ())
+{
+    const int vms = *rc::gen::inRange(1, 12);
+    const int pauseTicks = *rc::gen::inRange(1, 100);
+    const int repeats = *rc::gen::inRange(1, 5);
+    const int loss = *rc::gen::inRange(0, 40);
+    Deployment deployment(vms, loss);
+    deployment.seed(*rc::gen::arbitrary<std::uint64_t>());
+    int sendsAtBound = -1;
+    std::uint64_t request = 1000;
+    for (int tick = 0; tick < 1500; ++tick) {
+        const Millis bound =
+            deployment.crashTimes.size() >= 5 ? deployment.crashTimes[4] + Millis{3000} : Millis::max();
+        if (sendsAtBound < 0 && deployment.now > bound) {
+            sendsAtBound = deployment.sends;
+        }
+        const std::uint64_t subject = 100 + deployment.draw(40);
+        if (tick % pauseTicks == 0) {
+            const auto call = static_cast<std::uint64_t>(tick / pauseTicks / repeats);
+            deployment.sendCrashing(deployment.draw(static_cast<std::size_t>(vms)),
+                                    {Common, Bad, Suspect(call, SuspectKind::Request)},
+                                    {Common, subject, Suspect(++request, SuspectKind::Request)});
+        }
+        deployment.answer(deployment.draw(static_cast<std::size_t>(vms)),
+                          {Common, subject, Suspect(++request, SuspectKind::Request)});
+        deployment.tick();
+    }
+    RC_ASSERT(sendsAtBound < 0 || deployment.sends - sendsAtBound <= 3);
+    RC_ASSERT(deployment.isQuarantinedEverywhere(Bad) || deployment.crashTimes.size() < 5);
+}
+
 } // namespace
 
 } // namespace ibislock::serving
