Cancel requests that wait at engines when they are found to crash them

A request waits at its engine until the engine begins it.

An attempt at an engine that has no event yet is cancelled once its request or a part of its prompt is in quarantine, unless it is a probe. The caller gets a 502, as the request may have run. Attempts at plain targets stay: these run a request soon, and its end there is of use to callers.

RequestThatWaitsAtAnEngineIsCancelledWhenItIsQuarantined failed before.

--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -35,8 +35,8 @@
     /// Cancels the call because its caller has disconnected.
     void cancel();
 
-    /// Cancels the attempt if its target has stopped responding or would start on retired weights; ends the call if its
-    /// deadline has passed.
+    /// Cancels the attempt if its target has stopped responding, would start on retired weights or would crash under
+    /// it; ends the call if its deadline has passed.
     void checkTimeouts(Millis now);
 
     /// Resumes reading the target's response after the write queue to the caller has emptied.
@@ -73,6 +73,7 @@
     std::string service;
     std::string workspace;
     std::uint64_t digest = 0; ///< The same for each attempt of the caller to send this request.
+    bool isProbe = false; ///< Sent although it is in quarantine, to find out whether it still crashes its target.
     std::vector<serving::Suspect> suspects; ///< The request and the parts of its prompt that others may share.
     bool usesEngine = false;
     serving::EngineSpec engineSpec;
@@ -115,6 +116,12 @@
     /// Cancels such an attempt; the request is retried if its kind and the budget allow it.
     void cancelAttempt(Millis now);
 
+    /// Returns whether the attempt waits at an engine that it would crash, as far as is known by now.
+    bool wouldCrashEngine() const;
+
+    /// Cancels such an attempt and refuses the request.
+    void cancelQuarantined();
+
     void relayEvents(const std::string &events);
     void respond(const std::string &bytes, bool close);
     void releaseTarget(bool good);
--- a/libs/front/src/call_timeouts.cpp
+++ b/libs/front/src/call_timeouts.cpp
@@ -1,4 +1,5 @@
-// Timeouts of a call: a target that stops responding, weights that are retired, and the caller's deadline.
+// Timeouts of a call: a target that stops responding, weights that are retired, a quarantine, and the caller's
+// deadline.
 
 #include "call.h"
 #include "caller_connection.h"
@@ -94,8 +95,31 @@
     }
 }
 
+bool Call::wouldCrashEngine() const
+{
+    return m_exchange && usesEngine && !isProbe && !m_attempt.responseStarted && !responseStarted()
+        && findQuarantined(front.quarantine, suspects);
+}
+
+void Call::cancelQuarantined()
+{
+    logInfo(LogComponent::Front, "Cancelled a request that would crash its engine.",
+            {{"id", request.attemptId},
+             {"request", hexNumber(digest)},
+             {"target", m_attempt.targetId},
+             {"sent_ms", std::to_string((steadyMillis() - m_attempt.sentAt).count())}});
+    m_exchange->cancel();
+    releaseTarget(true);
+    advance(m_lifecycle, RequestEvent::OutcomeUnknown);
+    refuse(CallOutcome::Quarantined);
+}
+
 void Call::checkTimeouts(Millis now)
 {
+    if (!m_done && wouldCrashEngine()) {
+        cancelQuarantined();
+        return;
+    }
     if (!m_done && wouldStartOnRetiredWeights(now)) {
         cancelAttempt(now);
         return;
--- a/libs/front/src/front_quarantine.cpp
+++ b/libs/front/src/front_quarantine.cpp
@@ -48,7 +48,11 @@
     // A stream that has started can't be the cause of a crash.
     const auto suspect = call->responseStarted() ? std::nullopt : findQuarantined(quarantine, call->suspects);
     const Millis now = bootMillis();
-    if (!suspect || tryProbe(quarantine, *suspect, now)) {
+    if (!suspect) {
+        return false;
+    }
+    call->isProbe = tryProbe(quarantine, *suspect, now);
+    if (call->isProbe) {
         return false;
     }
     call->refuse(CallOutcome::Quarantined, timeUntilProbe(quarantine, *suspect, now));
--- a/libs/front/test/front_quarantine_test.cpp
+++ b/libs/front/test/front_quarantine_test.cpp
@@ -28,6 +28,12 @@
 protected:
     /// Starts the daemon with engines that crash on the part `bad`.
     void startEngines(int count)
+    {
+        listEngines(count);
+        start(EngineState);
+    }
+
+    void listEngines(int count)
     {
         for (int n = 0; n < count; ++n) {
             m_engines.push_back(std::make_unique<lab::TargetStandIn>(m_loop, "e-" + std::to_string(n)));
@@ -35,7 +41,6 @@
             m_engines.back()->weightsVersion = 1;
             list(*m_engines.back());
         }
-        start(EngineState);
     }
 
     /// Starts the daemon with plain targets that crash on the request `Deadly`.
@@ -128,6 +133,38 @@
     EXPECT_EQ(last.status, 503);
 }
 
+// The request would crash the engine as soon as this one begins it.
+TEST_F(FrontQuarantineTest, RequestThatWaitsAtAnEngineIsCancelledWhenItIsQuarantined)
+{
+    std::string state = EngineState;
+    state.replace(state.find("\"MaxAttempts\":2"), std::string("\"MaxAttempts\":2").size(), "\"MaxAttempts\":1");
+    m_first.behaviour = TargetBehaviour::Silent;
+    m_first.weightsVersion = 1;
+    list(m_first);
+    start(state);
+    int status = 0;
+    http::RequestHead head = request("/events/x");
+    head.headers.set("X-Ibislock-Deadline-Ms", "5000");
+    const auto waiting = m_client.send("127.0.0.1", m_daemon.callerPort(), writeRequest(head, Deadly), {},
+                                       {.head = [&](const http::ResponseHead &answer) {
+                                           status = answer.status;
+                                           return net::HeadDecision::Accept;
+                                       }});
+    runFor(Pause);
+    ASSERT_EQ(m_first.requests.size(), 1U);
+    list(m_first, /*leaving=*/true);
+    listEngines(4);
+    runFor(Pause);
+    for (int n = 0; n < CrashesUntilRequestIsKnown; ++n) {
+        call(request("/events/x"), Deadly);
+    }
+    EXPECT_EQ(status, 0);
+    runFor(Millis{500});
+    EXPECT_EQ(status, 502);
+    EXPECT_EQ(m_first.open, 0);
+    EXPECT_EQ(crashes(), CrashesUntilRequestIsKnown);
+}
+
 /// A route to plain targets, and what these do.
 struct PlainRoute
 {
