--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -245,11 +245,7 @@
 void Call::releaseTarget(bool good)
 {
     m_exchange.reset();
-    const auto it = front.table.targets.find(m_attempt.targetId);
-    if (it != front.table.targets.end()) {
-        it->second.inFlight = std::max(0, it->second.inFlight - 1);
-        recordOutcome(it->second, good, steadyMillis());
-    }
+    endAttempt(front.table, m_attempt, good, steadyMillis());
 }
 
 void Call::onEnd(net::ExchangeResult result)
@@ -343,9 +339,16 @@
         refuse(notConnected ? CallOutcome::NoTarget : (notRun ? CallOutcome::NotExecuted : CallOutcome::Unknown));
         return;
     }
-    if (!notConnected && !notRun) {
-        m_resumeWaitUntil = steadyMillis() + ResumeWait;
+    if (notConnected || notRun) {
+        front.dispatch(shared_from_this());
+    } else {
+        retryInterrupted();
     }
+}
+
+void Call::retryInterrupted()
+{
+    m_resumeWaitUntil = steadyMillis() + ResumeWait;
     front.dispatch(shared_from_this());
 }
 
