Any answer of a plain target but a server error clears its request

Only a 2xx cleared a request, so one that a plain target answers with a 404 all the time would have been quarantined by the third ordinary crash in five minutes, and refused.

PlainRequestThatIsAnsweredWithAnErrorIsNotSuspected failed before (a 503 on each call from the third crash on). Engines still clear by a 2xx or an event only, as they may send an error to a request that they didn't begin.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -134,6 +134,9 @@
     case TargetBehaviour::Fail:
         connection.write(http::writeResponse(head(500, attempt), "failed"));
         break;
+    case TargetBehaviour::NotFound:
+        connection.write(http::writeResponse(head(404, attempt), "not found"));
+        break;
     case TargetBehaviour::Refuse:
         connection.write(http::writeResponse(refusal(503, attempt), ""));
         break;
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -19,6 +19,7 @@
     AnswerTwice, ///< Sends the answer to an earlier request in front of its own.
     Extra, ///< Sends bytes behind a whole answer.
     Fail, ///< Runs it and answers with a signed 500.
+    NotFound, ///< The same with a 404.
     Refuse, ///< Does not run it and says so.
     RefuseBusy, ///< The same with a 429.
     RefuseUnnamed, ///< Runs it, and sends a refusal that names no request in front of its answer.
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -162,7 +162,9 @@
         }
         m_lifecycle = before;
     }
-    if (m_responseHead.status / 100 == 2) {
+    const int statusClass = m_responseHead.status / 100;
+    // A plain target that answers with an error of the caller has run the request; an engine may not have begun it.
+    if (statusClass == 2 || (!usesEngine && statusClass < 5)) {
         front.recordAnswered(suspects);
     }
     advance(m_lifecycle, RequestEvent::ResponseComplete);
--- a/libs/front/test/front_quarantine_test.cpp
+++ b/libs/front/test/front_quarantine_test.cpp
@@ -230,6 +230,26 @@
     EXPECT_EQ(call(request("/open/x", ""), Deadly).status, 200);
 }
 
+// A target that answers has not crashed, whatever it answers.
+TEST_F(FrontQuarantineTest, PlainRequestThatIsAnsweredWithAnErrorIsNotSuspected)
+{
+    startPlainTargets(8);
+    for (int n = 0; n < 6; ++n) {
+        EXPECT_EQ(call(request("/once/x"), Deadly).status, 502) << n;
+        unlistCrashed();
+        runFor(Pause);
+        if (n % 2 == 1) {
+            for (const auto &target : m_engines) {
+                target->behaviour = TargetBehaviour::NotFound;
+            }
+            EXPECT_EQ(call(request("/once/x"), Deadly).status, 404) << n;
+            for (const auto &target : m_engines) {
+                target->behaviour = TargetBehaviour::AnswerUnlessCrashing;
+            }
+        }
+    }
+}
+
 /// Returns the value of a field of a log line; empty if the line has no such field.
 std::string fieldOf(const std::string &line, const std::string &name)
 {
