An answer after the last crash releases what is quarantined a moment later

The quarantine counted from the moment of the verdict, so that the answer was older than it and did not release it.

The quarantine counts from the last crash that speaks for it. An answer later than that one releases it at each VM that learns of both, in either order.

AnswerAfterTheLastCrashReleasesARequestThatIsQuarantinedLater failed before.

--- a/libs/serving/src/prompt_quarantine.cpp
+++ b/libs/serving/src/prompt_quarantine.cpp
@@ -33,6 +33,7 @@
     std::size_t crashes = 0;
     bool answered = false; ///< It was answered before these crashes.
     int depth = 0;
+    Millis lastCrashAt{0};
 };
 
 using Crashes = std::map<std::uint64_t, Crash>;
@@ -106,6 +107,7 @@
          countedCrashes(quarantine.suspicions.at(part), crashes, probation ? now : now - policy.settleTime)) {
         times.push_back(suspicion.at);
         out.depth = std::max(out.depth, suspicion.depth);
+        out.lastCrashAt = std::max(out.lastCrashAt, suspicion.at);
     }
     out.crashes = times.size();
     if (isRequest) {
@@ -187,12 +189,16 @@
                 best = candidate;
             }
         }
-        const QuarantinedPart entry{.since = now,
+        if (!best) {
+            return out;
+        }
+        // Counted from the last crash, so that an answer since then releases it whose report is still under way.
+        const QuarantinedPart entry{.since = best->lastCrashAt,
                                     .lastRequestAt = now,
                                     .origin = quarantine.self,
                                     .probeAt = now + policy.firstProbeTime,
                                     .probeInterval = policy.firstProbeTime};
-        if (!best || !quarantinePart(quarantine, best->part, entry)) {
+        if (!quarantinePart(quarantine, best->part, entry)) {
             return out;
         }
         out.push_back(best->part);
--- a/libs/serving/test/prompt_quarantine_test.cpp
+++ b/libs/serving/test/prompt_quarantine_test.cpp
@@ -256,6 +256,21 @@
     EXPECT_EQ(quarantined(), Parts{});
 }
 
+// The report of the answer is under way when another VM quarantines the request.
+TEST_F(PromptQuarantineTest, AnswerAfterTheLastCrashReleasesARequestThatIsQuarantinedLater)
+{
+    const Parts request{SoundRequest};
+    for (int n = 0; n < 3; ++n) {
+        crash(request);
+    }
+    PromptQuarantine other{.self = 8};
+    recordCrash(other, {.engine = m_engine, .suspects = request, .responding = true}, m_now);
+    recordAnswer(other, request, m_now + Millis{200});
+    ASSERT_EQ(quarantined(), request);
+    EXPECT_EQ(applyReport(other, *makeReport(m_quarantine, m_now), m_now).quarantined, Parts{});
+    EXPECT_EQ(applyReport(m_quarantine, *makeReport(other, m_now), m_now).released, request);
+}
+
 TEST_F(PromptQuarantineTest, CrashThatARequestExplainsIsNotCountedForOthers)
 {
     for (int n = 0; n < 4; ++n) {
