--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -134,6 +134,9 @@
     case TargetBehaviour::Fail:
         connection.write(http::writeResponse(head(500, attempt), "failed"));
         break;
+    case TargetBehaviour::NotFound:
+        connection.write(http::writeResponse(head(404, attempt), "not found"));
+        break;
     case TargetBehaviour::Refuse:
         connection.write(http::writeResponse(refusal(503, attempt), ""));
         break;
@@ -194,6 +197,9 @@
     case TargetBehaviour::EndlessEvent:
         answerStream(connection, request);
         break;
+    case TargetBehaviour::AnswerUnlessCrashing:
+        answerUnlessCrashing(connection, request);
+        break;
     case TargetBehaviour::StreamUnframed:
     case TargetBehaviour::StreamUnframedCutOff:
     case TargetBehaviour::StreamUnframedEmpty:
@@ -280,8 +286,20 @@
 
 bool TargetStandIn::isCrashing(const http::RequestHead &request) const
 {
-    return behaviour == TargetBehaviour::StreamUnlessCrashing
-        && headerOf(request, "X-Ibislock-Prompt-Prefix").find(crashingPart + ":") != std::string::npos;
+    const bool hasPart = headerOf(request, "X-Ibislock-Prompt-Prefix").find(crashingPart + ":") != std::string::npos;
+    const bool hasBody = !bodies.empty() && bodies.back() == crashingBody;
+    return (behaviour == TargetBehaviour::StreamUnlessCrashing && (hasPart || hasBody))
+        || (behaviour == TargetBehaviour::AnswerUnlessCrashing && hasBody);
+}
+
+void TargetStandIn::answerUnlessCrashing(net::Connection &connection, const http::RequestHead &request)
+{
+    if (isCrashing(request)) {
+        ++crashes;
+        connection.close();
+        return;
+    }
+    connection.write(http::writeResponse(head(200, headerOf(request, "X-Ibislock-Attempt-Id")), "from " + id));
 }
 
 void TargetStandIn::answerUnframedStream(net::Connection &connection, const http::RequestHead &request)
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
+#include "ibislock/serving/request_digest.h"
 #include "ibislock/serving/retry_delay.h"
 
 namespace ibislock::front
@@ -123,9 +124,15 @@
         workspace = holder->name;
         priority = holder->priority * 10 + route.priority;
     }
+    digest = serving::requestDigest({.method = head.method,
+                                     .host = request.host,
+                                     .target = head.target,
+                                     .caller = workspace.empty() ? request.apiKey : workspace,
+                                     .body = body});
     service = serving::sampleService(route, std::uniform_real_distribution<double>(0, 1)(front.random));
     const auto it = state.services.find(service);
     usesEngine = it != state.services.end() && it->second.engine.has_value();
+    suspects = serving::suspectsOf(usesEngine ? request.sharedParts : std::vector<std::uint64_t>{}, digest);
     if (usesEngine) {
         engineSpec = *it->second.engine;
     }
@@ -258,12 +265,14 @@
     const bool served =
         complete && !notRun && m_responseHandling != ResponseHandling::None && m_responseHead.status / 100 != 5;
     m_incompleteBytes = m_eventSplitter.incompleteEvent.size();
-    recordEngineCrash(result);
+    recordTargetCrash(result);
     releaseTarget(served || notRun);
     if (!served) {
         logInfo(LogComponent::Front, "A request attempt failed.",
                 {{"id", request.attemptId},
+                 {"request", hexNumber(digest)},
                  {"target", m_attempt.targetId},
+                 {"incarnation", std::to_string(m_attempt.targetStartedAt)},
                  {"end", std::string(nameOf(net::ExchangeOutcomeNames, result.outcome))},
                  {"status", std::to_string(m_responseHandling == ResponseHandling::None ? 0 : m_responseHead.status)},
                  {"sends", std::to_string(m_attempts)},
@@ -289,16 +298,19 @@
     front.dispatchWaiting();
 }
 
-void Call::recordEngineCrash(const net::ExchangeResult &result)
+void Call::recordTargetCrash(const net::ExchangeResult &result)
 {
-    const bool crashed = usesEngine && result.connected && result.outcome == net::ExchangeOutcome::Broken;
-    const bool answered = responseStarted() || m_eventSplitter.hasEvents;
+    const bool crashed = result.connected && result.outcome == net::ExchangeOutcome::Broken;
+    const bool begun = m_responseHandling != ResponseHandling::None;
+    // A plain target has run the request when it sends the head of a response; a stream may begin before.
+    const bool answered =
+        m_attempt.responseStarted || (!usesEngine && m_responseHandling == ResponseHandling::Buffered);
     const bool refused = m_responseHandling == ResponseHandling::NotRun;
-    if (crashed && !answered && !refused && !request.sharedParts.empty()) {
+    if (crashed && !answered && !refused) {
         recordCrash(front.quarantine,
                     {.engine = serving::incarnationOf(m_attempt.targetId, m_attempt.targetStartedAt),
-                     .parts = request.sharedParts,
-                     .responding = m_responseHandling != ResponseHandling::None},
+                     .suspects = suspects,
+                     .responding = begun},
                     bootMillis());
     }
 }
@@ -403,6 +415,7 @@
     logInfo(LogComponent::Front,
             outcome == CallOutcome::Answered ? "A request was answered." : "A request was not served.",
             {{"id", request.attemptId},
+             {"request", hexNumber(digest)},
              {"outcome", std::string(nameOf(CallOutcomeNames, outcome))},
              {"status", std::string(statusText(status))},
              {"route", route.name},
