Entry daemons of tests choose between equal targets by a fixed seed

Cause: two targets that cost the same are chosen by a generator that is seeded by the operating system. The second one gets all eight streams in one of 256 runs. Four tests, ten with their cases, ask that the first one got a request.

Change: FrontOptions::randomSeed, which the fixture of the entry daemon's tests and the tests of whole deployments set; daemons seed their generator as before. What the tests ask for is the same.

--- a/lab/test/dissemination_test.cpp
+++ b/lab/test/dissemination_test.cpp
@@ -79,8 +79,8 @@
     void addEntry(const lab::StoreStandIn &store)
     {
         const std::string ip = "127.0.3." + std::to_string(100 + m_entries.size());
-        m_entries.push_back(
-            std::make_unique<front::FrontDaemon>(m_loop, settingsFor(ip, store), front::FrontOptions{}));
+        m_entries.push_back(std::make_unique<front::FrontDaemon>(
+            m_loop, settingsFor(ip, store), front::FrontOptions{.randomSeed = m_entries.size() + 1}));
         m_entryIps.push_back(ip);
         ASSERT_TRUE(m_entries.back()->start());
     }
--- a/lab/test/prompt_quarantine_test.cpp
+++ b/lab/test/prompt_quarantine_test.cpp
@@ -94,11 +94,12 @@
     {
         const std::string ip = "127.0.6." + std::to_string(100 + m_entries.size());
         m_entryIps.push_back(ip);
-        m_entries.push_back(std::make_unique<front::FrontDaemon>(m_loop, settingsFor(ip), front::FrontOptions{}));
+        m_entries.push_back(std::make_unique<front::FrontDaemon>(
+            m_loop, settingsFor(ip), front::FrontOptions{.randomSeed = m_entries.size() + 1}));
         ASSERT_TRUE(m_entries.back()->start());
     }
 
-    /// @param body empty for one that goes with the parts, as other prompts have other bodies.
+    /// @param body empty for one that no other request has.
     /// @return the status that a caller gets; 0 for none.
     int call(std::size_t entry, const std::string &parts, const std::string &body = "")
     {
--- a/libs/front/include/ibislock/front/daemon.h
+++ b/libs/front/include/ibislock/front/daemon.h
@@ -11,15 +11,18 @@
 #include "ibislock/platform/settings.h"
 
 #include <asio/io_context.hpp>
+#include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace ibislock::front
 {
 
-/// Options that come from the command line.
+/// Options that don't come from the settings file.
 struct FrontOptions
 {
     std::uint16_t metricsPort = 0; ///< Port of the metrics endpoint; 0 disables it.
+    std::optional<std::uint64_t> randomSeed; ///< Set in tests; otherwise the seed comes from the operating system.
 };
 
 class Front;
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -50,7 +50,7 @@
     , settings(std::move(daemonSettings))
     , options(frontOptions)
     , client(ioLoop)
-    , random(systemRandom())
+    , random(options.randomSeed ? Random(*options.randomSeed) : systemRandom())
     , m_callers(ioLoop,
                 [this](const std::shared_ptr<net::Connection> &connection) {
                     auto caller = std::make_shared<CallerConnection>(*this, connection);
--- a/libs/front/test/front_fixture.h
+++ b/libs/front/test/front_fixture.h
@@ -38,6 +38,9 @@
 /// Grace period from the announcement of weights until no request may start on older ones.
 inline constexpr Millis VersionTime{3000};
 
+/// Seed by which the daemon chooses between equal targets.
+inline constexpr std::uint64_t RandomSeed = 1;
+
 /// Returns the settings of an entry VM on loopback.
 /// @param peerPort the port for load reports; 0 for any.
 inline platform::DaemonSettings settingsFor(std::uint16_t storePort, std::uint16_t peerPort = 0)
@@ -77,7 +80,7 @@
 protected:
     explicit FrontTest(std::uint16_t peerPort = 0)
         : m_peerPort(peerPort)
-        , m_daemon(m_loop, settingsFor(m_store.port(), peerPort), {})
+        , m_daemon(m_loop, settingsFor(m_store.port(), peerPort), {.randomSeed = RandomSeed})
     {
     }
 
