Engines of the quarantine's tests start anew after a crash, and prompts have bodies of their own

Two faults of tests of prompt parts that crash engines.

Cause: its eight engines crash again and again without a new incarnation. Two crashes of one incarnation count once, as no process ends twice, so the verdict came late when an engine was chosen again. Engines that have crashed are listed as started anew now; the bounds are the same.

Since requests are quarantined as a whole, the test passed for another reason: each of its prompts had the same body and path, so that the request was quarantined, and the part was never judged. Each prompt has a body of its own now, here and in PromptQuarantineTest.

--- a/lab/test/prompt_quarantine_test.cpp
+++ b/lab/test/prompt_quarantine_test.cpp
@@ -113,7 +113,7 @@
         head.headers.add("X-Ibislock-Prompt-Prefix", parts + ",f" + std::to_string(m_attempts) + ":50");
         const auto exchange =
             m_client.call(m_entryIps[entry], m_entries[entry]->callerPort(),
-                          writeRequest(head, body.empty() ? "prompt of " + parts : body), {},
+                          writeRequest(head, body.empty() ? "prompt " + std::to_string(m_attempts) : body), {},
                           [&](net::ExchangeOutcome, const http::ResponseHead &answer, const std::string &) {
                               status = answer.status;
                               done = true;
@@ -125,6 +125,18 @@
         return status;
     }
 
+    /// Lists the engines that have crashed as started anew.
+    void restartCrashed()
+    {
+        for (const auto &target : m_targets) {
+            lab::TargetStandIn &engine = target->requests;
+            if (engine.startedAt != engine.crashes) {
+                engine.startedAt = engine.crashes;
+                m_store.append(engine.id, engine.listing("s"));
+            }
+        }
+    }
+
     /// Takes the engines that have crashed out of service, as none can crash twice.
     void unlistCrashed()
     {
@@ -169,6 +181,7 @@
     ASSERT_EQ(call(0, "1:40,2:100"), 200);
     for (int n = 0; n < 3 * EntryVms; ++n) {
         call(n % EntryVms, "1:40,bad:100");
+        restartCrashed();
         m_loop.run_for(Pause);
     }
     EXPECT_LE(crashes(), CrashesUntilKnown + SendsAfterwards);
--- a/libs/front/test/front_quarantine_test.cpp
+++ b/libs/front/test/front_quarantine_test.cpp
@@ -23,6 +23,9 @@
 /// Time between two requests; crashes at the same moment have one cause as a rule.
 constexpr Millis Pause{200};
 
+/// Until the daemon has read a listing.
+constexpr Millis ListingTime{20};
+
 class FrontQuarantineTest : public FrontTest
 {
 protected:
@@ -54,14 +57,26 @@
         start();
     }
 
-    /// @param body empty for one that goes with the parts, as other prompts have other bodies.
+    /// @param body empty for one that no other request has.
     CallerAnswer callWithParts(const std::string &parts, const std::string &body = "")
     {
         http::RequestHead head = request("/events/x");
         head.headers.add("X-Ibislock-Model", "m");
         head.headers.add("X-Ibislock-Token-Count", "100,100");
         head.headers.add("X-Ibislock-Prompt-Prefix", parts + ",f" + std::to_string(m_attempts) + ":50");
-        return call(head, body.empty() ? "prompt of " + parts : body);
+        return call(head, body.empty() ? "prompt " + std::to_string(m_attempts) : body);
+    }
+
+    /// Lists the targets that have crashed as started anew.
+    void restartCrashed()
+    {
+        for (const auto &engine : m_engines) {
+            if (engine->startedAt != engine->crashes) {
+                engine->startedAt = engine->crashes;
+                list(*engine);
+            }
+        }
+        runFor(ListingTime);
     }
 
     /// Takes the targets that have crashed out of service, as none can crash twice.
@@ -94,7 +109,8 @@
     CallerAnswer last;
     for (int n = 0; n < Rounds; ++n) {
         last = callWithParts("1:40,bad:200");
-        runFor(Pause);
+        restartCrashed();
+        runFor(Pause - ListingTime);
     }
     EXPECT_LE(crashes(), CrashesUntilKnown + SendsAfterwards);
     EXPECT_EQ(last.status, 503);
@@ -107,8 +123,9 @@
     startEngines(8);
     for (int n = 0; n < Rounds; ++n) {
         callWithParts("1:40,bad:200,2:100");
+        restartCrashed();
         EXPECT_EQ(callWithParts("1:40,2:100").status, 200) << n;
-        runFor(Pause);
+        runFor(Pause - ListingTime);
     }
     EXPECT_EQ(callWithParts("1:40,3:100").status, 200);
 }
