Older VMs take no request in quarantine for a part of prompts

While VMs of two versions run, callers' deadly request would go on: a VM of the version before whole requests were quarantined ignores the flag that tells a request from a part, and passes its digest on as a part. Newer VMs that hear of it quarantine the digest as a part, which explains the crashes, and a crash that a part explains counts for no request.

Change: requests are in lists of their own, which older VMs ignore. They pass nothing of them on, so that requests are pooled by newer VMs only.

Evidence: MessagesTest.RequestsAreInNoListThatOlderVmsReadAsParts failed before (one entry in each of the three lists that older VMs read). The size test of the largest report has requests and parts in one report now as well.

--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -42,6 +42,10 @@
   suspicions @0 :List(Suspicion);
   answers @1 :List(AnsweredPart);
   parts @2 :List(QuarantinedPart);
+  # The same for requests, by their digests. Lists of their own, as VMs of older versions know parts only.
+  requestSuspicions @3 :List(Suspicion);
+  requestAnswers @4 :List(AnsweredPart);
+  requests @5 :List(QuarantinedPart);
 }
 
 struct Suspicion {
@@ -51,14 +55,12 @@
   ageMs @2 :UInt32;
   responding @3 :Bool;  # The target had begun to respond to the request.
   depth @4 :UInt8;  # The position of the part in its prompt.
-  isRequest @5 :Bool;  # The digest of a request instead of a part.
 }
 
 struct AnsweredPart {
   # The last answer to a request with the part.
   part @0 :UInt64;
   ageMs @1 :UInt32;
-  isRequest @2 :Bool;
 }
 
 struct QuarantinedPart {
@@ -66,7 +68,6 @@
   origin @1 :UInt64;  # The entry VM that probes the part.
   ageMs @2 :UInt32;
   requestAgeMs @3 :UInt32;  # How long ago the last such request arrived.
-  isRequest @4 :Bool;
 }
 
 struct Naming {
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -4,6 +4,8 @@
 #include "peer.capnp.h"
 #include "watermark_fields.h"
 
+#include <algorithm>
+
 namespace ibislock::peer
 {
 
@@ -35,39 +37,106 @@
     return out;
 }
 
-serving::Suspect suspectFrom(std::uint64_t id, bool isRequest)
-{
-    return {id, isRequest ? serving::SuspectKind::Request : serving::SuspectKind::Part};
-}
-
-bool isRequest(const serving::Suspect &suspect)
-{
-    return suspect.kind == serving::SuspectKind::Request;
-}
+using serving::SuspectKind;
 
-serving::QuarantineReport decodeQuarantine(const wire::Quarantine::Reader &message)
+void decodeSuspicions(const capnp::List<wire::Suspicion>::Reader &list, SuspectKind kind,
+                      serving::QuarantineReport &out)
 {
-    serving::QuarantineReport out;
-    for (const auto suspicion : message.getSuspicions()) {
+    for (const auto suspicion : list) {
         out.suspicions.push_back({.engine = suspicion.getEngine(),
-                                  .part = suspectFrom(suspicion.getPart(), suspicion.getIsRequest()),
+                                  .part = {suspicion.getPart(), kind},
                                   .age = Millis{suspicion.getAgeMs()},
                                   .responding = suspicion.getResponding(),
                                   .depth = suspicion.getDepth()});
     }
-    for (const auto answer : message.getAnswers()) {
-        out.answers.push_back(
-            {.part = suspectFrom(answer.getPart(), answer.getIsRequest()), .age = Millis{answer.getAgeMs()}});
+}
+
+void decodeAnswers(const capnp::List<wire::AnsweredPart>::Reader &list, SuspectKind kind,
+                   serving::QuarantineReport &out)
+{
+    for (const auto answer : list) {
+        out.answers.push_back({.part = {answer.getPart(), kind}, .age = Millis{answer.getAgeMs()}});
     }
-    for (const auto part : message.getParts()) {
-        out.parts.push_back({.part = suspectFrom(part.getPart(), part.getIsRequest()),
+}
+
+void decodeParts(const capnp::List<wire::QuarantinedPart>::Reader &list, SuspectKind kind,
+                 serving::QuarantineReport &out)
+{
+    for (const auto part : list) {
+        out.parts.push_back({.part = {part.getPart(), kind},
                              .origin = part.getOrigin(),
                              .age = Millis{part.getAgeMs()},
                              .requestAge = Millis{part.getRequestAgeMs()}});
     }
+}
+
+serving::QuarantineReport decodeQuarantine(const wire::Quarantine::Reader &message)
+{
+    serving::QuarantineReport out;
+    decodeSuspicions(message.getSuspicions(), SuspectKind::Part, out);
+    decodeSuspicions(message.getRequestSuspicions(), SuspectKind::Request, out);
+    decodeAnswers(message.getAnswers(), SuspectKind::Part, out);
+    decodeAnswers(message.getRequestAnswers(), SuspectKind::Request, out);
+    decodeParts(message.getParts(), SuspectKind::Part, out);
+    decodeParts(message.getRequests(), SuspectKind::Request, out);
     return out;
 }
 
+/// Returns how many entries of a report are of a kind.
+template <typename Entry>
+unsigned countOf(const std::vector<Entry> &entries, SuspectKind kind)
+{
+    return static_cast<unsigned>(
+        std::count_if(entries.begin(), entries.end(), [&](const Entry &entry) { return entry.part.kind == kind; }));
+}
+
+void encodeSuspicions(const serving::QuarantineReport &report, SuspectKind kind,
+                      capnp::List<wire::Suspicion>::Builder list)
+{
+    unsigned n = 0;
+    for (const auto &suspicion : report.suspicions) {
+        if (suspicion.part.kind != kind) {
+            continue;
+        }
+        auto to = list[n++];
+        to.setEngine(suspicion.engine);
+        to.setPart(suspicion.part.id);
+        to.setAgeMs(wireMillis(suspicion.age));
+        to.setResponding(suspicion.responding);
+        to.setDepth(static_cast<std::uint8_t>(suspicion.depth));
+    }
+}
+
+void encodeAnswers(const serving::QuarantineReport &report, SuspectKind kind,
+                   capnp::List<wire::AnsweredPart>::Builder list)
+{
+    unsigned n = 0;
+    for (const auto &answer : report.answers) {
+        if (answer.part.kind != kind) {
+            continue;
+        }
+        auto to = list[n++];
+        to.setPart(answer.part.id);
+        to.setAgeMs(wireMillis(answer.age));
+    }
+}
+
+void encodeParts(const serving::QuarantineReport &report, SuspectKind kind,
+                 capnp::List<wire::QuarantinedPart>::Builder list)
+{
+    unsigned n = 0;
+    for (const auto &part : report.parts) {
+        if (part.part.kind != kind) {
+            continue;
+        }
+        auto to = list[n++];
+        to.setPart(part.part.id);
+        to.setOrigin(part.origin);
+        to.setAgeMs(wireMillis(part.age));
+        to.setRequestAgeMs(wireMillis(part.requestAge));
+    }
+}
+
 Result<PieceMessage> decodePiece(std::string_view bytes)
 {
     PieceMessage out;
@@ -153,28 +222,24 @@
     capnp::MallocMessageBuilder builder;
     auto quarantine = builder.initRoot<wire::Datagram>().initQuarantine();
     const serving::QuarantineReport &report = message.report;
-    auto suspicions = quarantine.initSuspicions(static_cast<unsigned>(report.suspicions.size()));
-    for (unsigned n = 0; n < suspicions.size(); ++n) {
-        suspicions[n].setEngine(report.suspicions[n].engine);
-        suspicions[n].setPart(report.suspicions[n].part.id);
-        suspicions[n].setIsRequest(isRequest(report.suspicions[n].part));
-        suspicions[n].setAgeMs(wireMillis(report.suspicions[n].age));
-        suspicions[n].setResponding(report.suspicions[n].responding);
-        suspicions[n].setDepth(static_cast<std::uint8_t>(report.suspicions[n].depth));
+    // A list that isn't there takes no space.
+    if (const unsigned n = countOf(report.suspicions, SuspectKind::Part)) {
+        encodeSuspicions(report, SuspectKind::Part, quarantine.initSuspicions(n));
+    }
+    if (const unsigned n = countOf(report.suspicions, SuspectKind::Request)) {
+        encodeSuspicions(report, SuspectKind::Request, quarantine.initRequestSuspicions(n));
+    }
+    if (const unsigned n = countOf(report.answers, SuspectKind::Part)) {
+        encodeAnswers(report, SuspectKind::Part, quarantine.initAnswers(n));
+    }
+    if (const unsigned n = countOf(report.answers, SuspectKind::Request)) {
+        encodeAnswers(report, SuspectKind::Request, quarantine.initRequestAnswers(n));
     }
-    auto answers = quarantine.initAnswers(static_cast<unsigned>(report.answers.size()));
-    for (unsigned n = 0; n < answers.size(); ++n) {
-        answers[n].setPart(report.answers[n].part.id);
-        answers[n].setIsRequest(isRequest(report.answers[n].part));
-        answers[n].setAgeMs(wireMillis(report.answers[n].age));
+    if (const unsigned n = countOf(report.parts, SuspectKind::Part)) {
+        encodeParts(report, SuspectKind::Part, quarantine.initParts(n));
     }
-    auto parts = quarantine.initParts(static_cast<unsigned>(report.parts.size()));
-    for (unsigned n = 0; n < parts.size(); ++n) {
-        parts[n].setPart(report.parts[n].part.id);
-        parts[n].setIsRequest(isRequest(report.parts[n].part));
-        parts[n].setOrigin(report.parts[n].origin);
-        parts[n].setAgeMs(wireMillis(report.parts[n].age));
-        parts[n].setRequestAgeMs(wireMillis(report.parts[n].requestAge));
+    if (const unsigned n = countOf(report.parts, SuspectKind::Request)) {
+        encodeParts(report, SuspectKind::Request, quarantine.initRequests(n));
     }
     return flatten(builder);
 }
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -101,7 +101,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8aae198a96d0c427, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8aae198a96d0c427, 0, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -146,7 +146,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8941073b24b24f46, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8941073b24b24f46, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -713,6 +713,15 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
 
+  inline bool hasRequestSuspicions() const;
+  inline  ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader getRequestSuspicions() const;
+
+  inline bool hasRequestAnswers() const;
+  inline  ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>::Reader getRequestAnswers() const;
+
+  inline bool hasRequests() const;
+  inline  ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Reader getRequests() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -762,6 +771,27 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>> disownParts();
 
+  inline bool hasRequestSuspicions();
+  inline  ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder getRequestSuspicions();
+  inline void setRequestSuspicions( ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder initRequestSuspicions(unsigned int size);
+  inline void adoptRequestSuspicions(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>> disownRequestSuspicions();
+
+  inline bool hasRequestAnswers();
+  inline  ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>::Builder getRequestAnswers();
+  inline void setRequestAnswers( ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>::Builder initRequestAnswers(unsigned int size);
+  inline void adoptRequestAnswers(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>> disownRequestAnswers();
+
+  inline bool hasRequests();
+  inline  ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Builder getRequests();
+  inline void setRequests( ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Builder initRequests(unsigned int size);
+  inline void adoptRequests(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>> disownRequests();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -815,8 +845,6 @@
 
   inline  ::uint8_t getDepth() const;
 
-  inline bool getIsRequest() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -860,9 +888,6 @@
   inline  ::uint8_t getDepth();
   inline void setDepth( ::uint8_t value);
 
-  inline bool getIsRequest();
-  inline void setIsRequest(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -910,8 +935,6 @@
 
   inline  ::uint32_t getAgeMs() const;
 
-  inline bool getIsRequest() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -946,9 +969,6 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
-  inline bool getIsRequest();
-  inline void setIsRequest(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1000,8 +1020,6 @@
 
   inline  ::uint32_t getRequestAgeMs() const;
 
-  inline bool getIsRequest() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1042,9 +1060,6 @@
   inline  ::uint32_t getRequestAgeMs();
   inline void setRequestAgeMs( ::uint32_t value);
 
-  inline bool getIsRequest();
-  inline void setIsRequest(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2874,6 +2889,108 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Quarantine::Reader::hasRequestSuspicions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Quarantine::Builder::hasRequestSuspicions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader Quarantine::Reader::getRequestSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Quarantine::Builder::getRequestSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Quarantine::Builder::setRequestSuspicions( ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Quarantine::Builder::initRequestSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Quarantine::Builder::adoptRequestSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>> Quarantine::Builder::disownRequestSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Quarantine::Reader::hasRequestAnswers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Quarantine::Builder::hasRequestAnswers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>::Reader Quarantine::Reader::getRequestAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>::Builder Quarantine::Builder::getRequestAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Quarantine::Builder::setRequestAnswers( ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>::Builder Quarantine::Builder::initRequestAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Quarantine::Builder::adoptRequestAnswers(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>> Quarantine::Builder::disownRequestAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::AnsweredPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Quarantine::Reader::hasRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Quarantine::Builder::hasRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Reader Quarantine::Reader::getRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Builder Quarantine::Builder::getRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Quarantine::Builder::setRequests( ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>::Builder Quarantine::Builder::initRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Quarantine::Builder::adoptRequests(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>> Quarantine::Builder::disownRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::QuarantinedPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Suspicion::Reader::getEngine() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2944,20 +3061,6 @@
       ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Suspicion::Reader::getIsRequest() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
-}
-
-inline bool Suspicion::Builder::getIsRequest() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
-}
-inline void Suspicion::Builder::setIsRequest(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<161>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t AnsweredPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2986,20 +3089,6 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AnsweredPart::Reader::getIsRequest() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-
-inline bool AnsweredPart::Builder::getIsRequest() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-inline void AnsweredPart::Builder::setIsRequest(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t QuarantinedPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3056,20 +3145,6 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuarantinedPart::Reader::getIsRequest() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-
-inline bool QuarantinedPart::Builder::getIsRequest() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-inline void QuarantinedPart::Builder::setIsRequest(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Naming::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -1,10 +1,14 @@
 #include "ibislock/peer/listings.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/peer/records.h"
+#include "peer.capnp.h"
 
+#include <capnp/serialize.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstring>
+
 namespace ibislock::peer
 {
 
@@ -80,6 +84,51 @@
     EXPECT_EQ(report.parts[0].part, request);
 }
 
+// An older VM knows the first three lists only. It would quarantine the digest as a part, which explains the crashes.
+TEST(MessagesTest, RequestsAreInNoListThatOlderVmsReadAsParts)
+{
+    const serving::Suspect request(7, serving::SuspectKind::Request);
+    const std::string bytes = encode(QuarantineMessage{.report = {.suspicions = {{.engine = 1, .part = request}},
+                                                                  .answers = {{.part = request}},
+                                                                  .parts = {{.part = request}}}});
+    std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.data(), bytes.data(), bytes.size());
+    capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()));
+    const auto report = reader.getRoot<wire::Datagram>().getQuarantine();
+    EXPECT_EQ(report.getSuspicions().size(), 0U);
+    EXPECT_EQ(report.getAnswers().size(), 0U);
+    EXPECT_EQ(report.getParts().size(), 0U);
+}
+
+TEST(MessagesTest, APartAndARequestWithTheSameNumberStayApart)
+{
+    const serving::Suspect request(7, serving::SuspectKind::Request);
+    const auto read = decodeDatagram(encode(QuarantineMessage{
+        .report = {.suspicions = {{.engine = 4, .part = 7},
+                                  {.engine = 1, .part = request, .age = Millis{2}, .responding = true, .depth = 3}},
+                   .answers = {{.part = 7, .age = Millis{8}}, {.part = request, .age = Millis{9}}},
+                   .parts = {{.part = 7, .origin = 6}, {.part = request, .origin = 5, .age = Millis{11}}}}}));
+    ASSERT_TRUE(read);
+    const auto &report = std::get<QuarantineMessage>(*read).report;
+    ASSERT_EQ(report.suspicions.size(), 2U);
+    EXPECT_EQ(report.suspicions[0].part, 7U);
+    EXPECT_EQ(report.suspicions[0].engine, 4U);
+    EXPECT_EQ(report.suspicions[1].part, request);
+    EXPECT_EQ(report.suspicions[1].engine, 1U);
+    EXPECT_EQ(report.suspicions[1].age, Millis{2});
+    EXPECT_TRUE(report.suspicions[1].responding);
+    EXPECT_EQ(report.suspicions[1].depth, 3);
+    ASSERT_EQ(report.answers.size(), 2U);
+    EXPECT_EQ(report.answers[0].age, Millis{8});
+    EXPECT_EQ(report.answers[1].part, request);
+    EXPECT_EQ(report.answers[1].age, Millis{9});
+    ASSERT_EQ(report.parts.size(), 2U);
+    EXPECT_EQ(report.parts[0].origin, 6U);
+    EXPECT_EQ(report.parts[1].part, request);
+    EXPECT_EQ(report.parts[1].origin, 5U);
+    EXPECT_EQ(report.parts[1].age, Millis{11});
+}
+
 // A datagram over 1,472 bytes is fragmented, and the receivers' buffers hold 1,500 bytes.
 TEST(MessagesTest, TheLargestQuarantineReportFitsIntoADatagram)
 {
@@ -89,6 +138,11 @@
     message.report.answers.resize(serving::MaxReportedAnswers, {.age = Millis{1}});
     message.report.parts.resize(serving::MaxReportedParts, {.age = Millis{1}});
     EXPECT_LE(encode(message).size(), MaxDatagram);
+    const serving::Suspect request(7, serving::SuspectKind::Request);
+    message.report.suspicions.back().part = request;
+    message.report.answers.back().part = request;
+    message.report.parts.back().part = request;
+    EXPECT_LE(encode(message).size(), MaxDatagram);
 }
 
 RC_GTEST_PROP(MessagesTest, AnyDatagramIsAMessageOrCorrupt, (const std::string &bytes))
