An answer clears a request also at VMs that hear of its crash later

A sound request whose callers repeat it at other entry VMs could be refused everywhere although each crash under it was followed by an answer.

Cause: an answer to a request that the answering VM did not suspect yet was dropped. Reports of a crash take up to some hundred ms and reach some of the VMs only, so that the answer often comes first. The VM then took the older crash over as a suspicion, and the VM that saw the crash never heard of the answer. VMs that pass reports on dropped answers to requests that they did not suspect as well.

Change: a VM remembers the last answers that it got, in a bounded list of its own. When a report names such a request with an older crash, the answer counts and is reported. Reported answers are passed on like those to parts. A request that crashes its targets is never answered, so that its quarantine is the same.

Evidence: AnswerBeforeTheReportOfAnEarlierCrashClearsARequest (quarantined after three crashes with an answer after each) and AnswerToASuspectIsPassedOnByVmsThatHaveNotHeardOfTheCrash failed before.

--- a/libs/serving/include/ibislock/serving/prompt_quarantine.h
+++ b/libs/serving/include/ibislock/serving/prompt_quarantine.h
@@ -98,6 +98,9 @@
     /// Holds the latest answers: those with any part, and those to requests that were suspects.
     std::unordered_map<Suspect, AnsweredPart, SuspectHash> answers;
     std::unordered_map<Suspect, AnsweredPart, SuspectHash> olderAnswers; ///< The generation before `answers`.
+    /// When this VM last got answers to other requests; VMs may report later that these are suspects.
+    std::unordered_map<Suspect, Millis, SuspectHash> answeredRequests;
+    std::unordered_map<Suspect, Millis, SuspectHash> olderAnsweredRequests; ///< The generation before.
     std::map<Suspect, QuarantinedPart> parts;
     std::map<Suspect, Millis> releasedParts; ///< When a suspect left quarantine without an answer.
     std::vector<Suspect> unreportedParts; ///< Rest of the full report, which may take several datagrams.
--- a/libs/serving/src/quarantine_report.cpp
+++ b/libs/serving/src/quarantine_report.cpp
@@ -103,6 +103,7 @@
         }
     }
     for (const QuarantineReport::Suspicion &said : report.suspicions) {
+        keepAnswerSince(quarantine, said.part, now - said.age);
         AnsweredPart *answer = findAnswer(quarantine, said.part);
         if (answer != nullptr && wasAnsweredLately(*answer, now, policy)) {
             scheduleReports(quarantine, *answer, ReportsOfOwn); // The sender may not know of it.
@@ -120,6 +121,7 @@
                      now);
     }
     for (const QuarantineReport::Part &said : report.parts) {
+        keepAnswerSince(quarantine, said.part, now - said.age);
         AnsweredPart *answer = findAnswer(quarantine, said.part);
         if (answer != nullptr && answer->at >= now - said.age) {
             scheduleReports(quarantine, *answer, ReportsOfOwn);
--- a/libs/serving/src/quarantine_state.cpp
+++ b/libs/serving/src/quarantine_state.cpp
@@ -26,6 +26,14 @@
     return quarantine.answers.try_emplace(part, copy).first->second;
 }
 
+void recordAnsweredRequest(PromptQuarantine &quarantine, const Suspect &request, Millis at)
+{
+    if (quarantine.answeredRequests.size() >= MaxAnswers && !quarantine.answeredRequests.contains(request)) {
+        quarantine.olderAnsweredRequests = std::exchange(quarantine.answeredRequests, {});
+    }
+    quarantine.answeredRequests[request] = at;
+}
+
 void dropOldestSuspicion(PromptQuarantine &quarantine)
 {
     Suspect part;
@@ -73,6 +81,25 @@
     return older != quarantine.olderAnswers.end() ? &older->second : nullptr;
 }
 
+std::optional<Millis> lastAnswerToRequest(const PromptQuarantine &quarantine, const Suspect &request)
+{
+    const auto it = quarantine.answeredRequests.find(request);
+    if (it != quarantine.answeredRequests.end()) {
+        return it->second;
+    }
+    const auto older = quarantine.olderAnsweredRequests.find(request);
+    return older != quarantine.olderAnsweredRequests.end() ? std::optional(older->second) : std::nullopt;
+}
+
+void keepAnswerSince(PromptQuarantine &quarantine, const Suspect &suspect, Millis since)
+{
+    const auto at = lastAnswerToRequest(quarantine, suspect);
+    if (at && *at >= since) {
+        AnsweredPart &answer = answerOf(quarantine, suspect);
+        answer.at = std::max(answer.at, *at);
+    }
+}
+
 void eraseSuspicions(PromptQuarantine &quarantine, const Suspect &part, Millis upTo)
 {
     const auto it = quarantine.suspicions.find(part);
@@ -129,8 +156,9 @@
     const bool suspected = quarantine.suspicions.contains(part);
     const auto it = quarantine.parts.find(part);
     const bool released = it != quarantine.parts.end() && it->second.since <= at;
-    if (part.kind == SuspectKind::Request && !suspected && !released) {
-        return false; // Nearly each request is another one, and only few of them become suspects.
+    if (own && part.kind == SuspectKind::Request && !suspected && !released) {
+        recordAnsweredRequest(quarantine, part, at); // Nearly each request is another one; few become suspects.
+        return false;
     }
     AnsweredPart &answer = answerOf(quarantine, part);
     if (at < answer.at) {
--- a/libs/serving/src/quarantine_state.h
+++ b/libs/serving/src/quarantine_state.h
@@ -20,10 +20,16 @@
 /// Returns whether an answer shows that its part was harmless a short time ago.
 bool wasAnsweredLately(const AnsweredPart &answer, Millis now, const QuarantinePolicy &policy);
 
-/// Finds the last answer to a request with a part.
+/// Finds the last answer to a request with a part, or to a request.
 /// @return the answer; null if none is known.
 AnsweredPart *findAnswer(PromptQuarantine &quarantine, const Suspect &part);
 
+/// Returns when this VM last got an answer to a request that it did not suspect.
+std::optional<Millis> lastAnswerToRequest(const PromptQuarantine &quarantine, const Suspect &request);
+
+/// Adds that answer to the answers that are reported, if it isn't older than what others report of the request.
+void keepAnswerSince(PromptQuarantine &quarantine, const Suspect &suspect, Millis since);
+
 /// Removes the suspicions of a part up to a time.
 void eraseSuspicions(PromptQuarantine &quarantine, const Suspect &part, Millis upTo);
 
--- a/libs/serving/test/prompt_quarantine_test.cpp
+++ b/libs/serving/test/prompt_quarantine_test.cpp
@@ -321,13 +321,54 @@
     EXPECT_EQ(quarantined(), Parts{});
 }
 
+// A caller repeats its request at other VMs, which answer it before they hear of the crash.
+TEST_F(PromptQuarantineTest, AnswerBeforeTheReportOfAnEarlierCrashClearsARequest)
+{
+    const Parts request{SoundRequest};
+    for (std::uint64_t n = 0; n < 3; ++n) {
+        PromptQuarantine other{.self = 8 + n};
+        crash(request);
+        const auto report = makeReport(m_quarantine, m_now);
+        ASSERT_TRUE(report);
+        recordAnswer(other, request, m_now + Millis{20});
+        QuarantineReport received = *report;
+        received.suspicions[0].age += Millis{50};
+        applyReport(other, received, m_now + Millis{50});
+        EXPECT_TRUE(other.suspicions.empty()) << n;
+        const auto answer = makeReport(other, m_now + Millis{50});
+        if (answer) {
+            applyReport(m_quarantine, *answer, m_now + Millis{50});
+        }
+        m_now += Millis{200};
+    }
+    EXPECT_EQ(quarantined(), Parts{});
+}
+
+// The VMs that pass reports on need not be those that heard of the crash.
+TEST_F(PromptQuarantineTest, AnswerToASuspectIsPassedOnByVmsThatHaveNotHeardOfTheCrash)
+{
+    const Parts request{SoundRequest};
+    crash(request);
+    recordAnswer(m_quarantine, request, m_now + Millis{20});
+    const auto report = makeReport(m_quarantine, m_now + Millis{20});
+    ASSERT_TRUE(report);
+    ASSERT_EQ(report->answers.size(), 1U);
+    PromptQuarantine relay{.self = 8};
+    applyReport(relay, *report, m_now + Millis{30});
+    const auto forwarded = makeReport(relay, m_now + Millis{30});
+    ASSERT_TRUE(forwarded);
+    EXPECT_EQ(forwarded->answers.size(), 1U);
+}
+
 // Nearly each request is another one.
-TEST_F(PromptQuarantineTest, AnswersToRequestsThatAreNoSuspectsAreNotKept)
+TEST_F(PromptQuarantineTest, AnswersToRequestsThatAreNoSuspectsDisplaceNoOthers)
 {
     for (std::uint64_t n = 0; n < 5000; ++n) {
         recordAnswer(m_quarantine, {Common, Suspect(n, SuspectKind::Request)}, m_now);
     }
     EXPECT_EQ(m_quarantine.answers.size() + m_quarantine.olderAnswers.size(), 1U);
+    EXPECT_LE(m_quarantine.answeredRequests.size() + m_quarantine.olderAnsweredRequests.size(), 2 * MaxAnswers);
+    EXPECT_FALSE(makeReport(m_quarantine, m_now));
 }
 
 TEST_F(PromptQuarantineTest, ReportsNameAllThatIsInQuarantineHoweverMuchItIs)
@@ -549,6 +590,37 @@
     RC_ASSERT(deployment.quarantinedParts() == 1U);
 }
 
+// The same request was answered before, by the weights of an earlier version. Callers send it each 20 ms to 6 s.
+RC_GTEST_PROP(PromptQuarantineModelTest, CrashingRequestThatWasAnsweredBeforeIsKnownSoonAfterTheThirdCrash, ())
+{
+    const int vms = *rc::gen::inRange(1, 12);
+    const int pauseTicks = *rc::gen::inRange(1, 300);
+    const int loss = *rc::gen::inRange(0, 40);
+    Deployment deployment(vms, loss);
+    deployment.seed(*rc::gen::arbitrary<std::uint64_t>());
+    for (std::size_t vm = 0; vm < static_cast<std::size_t>(vms); ++vm) {
+        deployment.answer(vm, {Common, Deadly});
+    }
+    deployment.tick();
+    int sendsAtBound = -1;
+    for (int tick = 0; tick < 1500; ++tick) {
+        const Millis bound =
+            deployment.crashTimes.size() >= 3 ? deployment.crashTimes[2] + Millis{3000} : Millis::max();
+        if (sendsAtBound < 0 && deployment.now > bound) {
+            sendsAtBound = deployment.sends;
+        }
+        if (tick % pauseTicks == 0) {
+            deployment.sendCrashing(deployment.draw(static_cast<std::size_t>(vms)), {Common, Deadly},
+                                    {Common, SoundRequest});
+        }
+        deployment.answer(deployment.draw(static_cast<std::size_t>(vms)), {Common, SoundRequest});
+        deployment.tick();
+    }
+    RC_ASSERT(deployment.isQuarantinedEverywhere(Deadly));
+    RC_ASSERT(sendsAtBound < 0 || deployment.sends - sendsAtBound <= 3);
+    RC_ASSERT(deployment.quarantinedParts() == 1U);
+}
+
 // Callers repeat each request with the bad part several times, so that requests with it are quarantined as well.
 RC_GTEST_PROP(PromptQuarantineModelTest, CrashingPartIsKnownSoonWhenItsRequestsAreRepeated, ())
 {
