Targets that crash together don't quarantine a request that was answered before

When the targets of a domain crash at one moment while three of them run copies of a request that many callers send, such as a call without a body on a plain route, the request was refused everywhere, for a minute at least: its probe comes after 60 s, and nothing else is sent that could clear it.

Cause: three crashes quarantine a request however close together they are. Parts of prompts ask for different moments because of such crashes.

Change: an entry VM that got an answer to the request within 30 s before asks for crashes at three moments, as for parts. Requests that were never answered, as those that crash targets are, are quarantined by the third crash as before.

Partial: a VM that has not answered such a request lately judges by the third crash, and its verdict holds for all. Answers are not passed on for this, as their times are later by each way that they take.

--- a/libs/front/test/front_quarantine_test.cpp
+++ b/libs/front/test/front_quarantine_test.cpp
@@ -247,6 +247,36 @@
     EXPECT_EQ(call(request("/open/x", ""), Deadly).status, 200);
 }
 
+// Three targets of one domain lose power while each of them runs a request that many callers send.
+TEST_F(FrontQuarantineTest, OftenAnsweredRequestIsServedAfterTargetsCrashedTogether)
+{
+    startPlainTargets(3, TargetBehaviour::Answer);
+    ASSERT_EQ(call(request("/once/x")).status, 200);
+    for (const auto &target : m_engines) {
+        target->behaviour = TargetBehaviour::Silent;
+    }
+    std::vector<std::shared_ptr<net::Exchange>> waiting;
+    const auto allRun = [this] {
+        return std::all_of(m_engines.begin(), m_engines.end(),
+                           [](const auto &target) { return target->open > 0 && !target->requests.empty(); });
+    };
+    for (int n = 0; n < 12; ++n) {
+        waiting.push_back(
+            m_client.send("127.0.0.1", m_daemon.callerPort(), writeRequest(request("/once/x"), "body"), {}, {}));
+        runFor(Millis{5});
+    }
+    ASSERT_TRUE(allRun());
+    for (const auto &target : m_engines) {
+        list(*target, /*leaving=*/true);
+    }
+    m_engines.clear();
+    m_engines.push_back(std::make_unique<lab::TargetStandIn>(m_loop, "t-new"));
+    list(*m_engines.back());
+    runFor(Millis{600});
+    EXPECT_EQ(call(request("/once/x"), "another").status, 200);
+    EXPECT_EQ(call(request("/once/x")).status, 200);
+}
+
 // A target that answers has not crashed, whatever it answers.
 TEST_F(FrontQuarantineTest, PlainRequestThatIsAnsweredWithAnErrorIsNotSuspected)
 {
--- a/libs/serving/src/prompt_quarantine.cpp
+++ b/libs/serving/src/prompt_quarantine.cpp
@@ -112,7 +112,12 @@
     out.crashes = times.size();
     if (isRequest) {
         const auto threshold = static_cast<std::size_t>(probation ? 1 : policy.requestThreshold);
-        return out.crashes >= threshold ? std::optional(out) : std::nullopt;
+        const auto lastAnswer = lastAnswerToRequest(quarantine, part);
+        const bool answered = lastAnswer && now - *lastAnswer < policy.answerLifetime;
+        // Targets that crash together for another reason may all have had a request that is sent often.
+        const std::size_t counted =
+            answered ? static_cast<std::size_t>(countMoments(std::move(times), policy.momentGap)) : out.crashes;
+        return counted >= threshold ? std::optional(out) : std::nullopt;
     }
     const int threshold = probation ? 1 : (out.answered ? policy.answeredMomentThreshold : policy.momentThreshold);
     return countMoments(std::move(times), policy.momentGap) >= threshold ? std::optional(out) : std::nullopt;
--- a/libs/serving/test/prompt_quarantine_test.cpp
+++ b/libs/serving/test/prompt_quarantine_test.cpp
@@ -360,6 +360,27 @@
     EXPECT_EQ(forwarded->answers.size(), 1U);
 }
 
+// Targets that crash together, as their domain loses power, may all have had a request that is often sent.
+TEST_F(PromptQuarantineTest, CrashesAtOneMomentDoNotQuarantineARequestThatWasAnsweredBefore)
+{
+    recordAnswer(m_quarantine, {SoundRequest}, m_now - Millis{100});
+    for (int n = 0; n < 6; ++n) {
+        crash({SoundRequest});
+        m_now += Millis{5};
+    }
+    EXPECT_EQ(quarantined(), Parts{});
+}
+
+TEST_F(PromptQuarantineTest, RequestThatWasAnsweredBeforeIsQuarantinedAfterCrashesAtThreeMoments)
+{
+    recordAnswer(m_quarantine, {SoundRequest}, m_now - Millis{100});
+    for (int n = 0; n < 3; ++n) {
+        EXPECT_EQ(quarantined(), Parts{}) << n;
+        crash({SoundRequest});
+    }
+    EXPECT_EQ(quarantined(), Parts{SoundRequest});
+}
+
 // Nearly each request is another one.
 TEST_F(PromptQuarantineTest, AnswersToRequestsThatAreNoSuspectsDisplaceNoOthers)
 {
