A VM that becomes a relay reads the store for others at once

Callers saw requests begin on retired weights, and requests at targets that had said that they leave.

Cause: whether a VM is a relay or backup was looked up only after a read of the store. While it follows a relay it makes none, so that what it knew of its role was that of its last read, mostly of its start. Once the relays before it had gone, it read the store as one that serves nobody: the read was held for 0.9 of the drain time, as heartbeats write no records. Until it ended the VM did not count as one that reads for others, so that it did not read the operators' topic either, although its role is looked up with each tick.

Change: the role is looked up when the VM turns to the store, and the feed is resumed with it.

Evidence: ListingsFollowerTest.AVmThatBecomesARelayReadsTheStoreForOthersAtOnce failed before (not after half of the drain time, listings of 701 ms at a drain time of 1,000 ms) and passes now.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -110,6 +110,7 @@
     void applyRecord(const platform::KeyedRecord &record);
     void handleWatermark(Millis asOf);
     void notify(const std::vector<peer::ListingChange> &changes);
+    void updateRole(const std::vector<std::string> &vms);
     void retryRelays(const std::vector<std::string> &vms);
     void retryRelaysWithoutStore();
     std::vector<std::string> domainVms() const;
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -98,7 +98,8 @@
 
     /// Resumes reading.
     /// @param offset the offset up to which the topic is known through other VMs.
-    void resume(std::int64_t offset);
+    /// @param passive as in `setPassive`.
+    void resume(std::int64_t offset, bool passive);
 
     /// Notifies the feed of records that another process has read; those that are unread here are read at once. A read
     /// whose response is arriving goes on: it is large or its link is slow, and it would only start again.
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -201,12 +201,17 @@
     scheduleOwnRead();
     pruneTombstones(m_cache, steadyMillis());
     const std::vector<std::string> vms = domainVms();
-    m_servesOthers = m_options.servesListings && isRelayOrBackup(m_options.ip, vms);
+    updateRole(vms);
     m_feed.setPassive(!m_servesOthers && !usesListings());
     m_relayServer.completePending();
     retryRelays(vms);
 }
 
+void ListingsFollower::updateRole(const std::vector<std::string> &vms)
+{
+    m_servesOthers = m_options.servesListings && isRelayOrBackup(m_options.ip, vms);
+}
+
 void ListingsFollower::retryRelays(const std::vector<std::string> &vms)
 {
     const Millis now = steadyMillis();
@@ -360,7 +365,8 @@
         m_readsStore = true;
         logInfo(LogComponent::Store, "Reading listings from the store.",
                 {{"offset", std::to_string(m_cache.end)}, {"age_ms", std::to_string(age().count())}});
-        m_feed.resume(m_cache.end);
+        updateRole(domainVms()); // It may have changed while a relay was followed.
+        m_feed.resume(m_cache.end, !m_servesOthers && !usesListings());
     }
 }
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -251,8 +251,9 @@
     handleSuccess(); // The topic is followed through another VM, so this VM has no store outage.
 }
 
-void TopicFeed::resume(std::int64_t offset)
+void TopicFeed::resume(std::int64_t offset, bool passive)
 {
+    m_passive = passive;
     advanceTo(offset);
     readNext();
 }
--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -169,6 +169,28 @@
     EXPECT_TRUE(backup.follower.relay().empty());
 }
 
+// The store held its first read for 0.9 of the drain time, and until then it didn't read the operators' topic either.
+TEST_F(ListingsFollowerTest, AVmThatBecomesARelayReadsTheStoreForOthersAtOnce)
+{
+    const std::string third = "127.0.2.3";
+    for (lab::StoreStandIn *store : {&m_store, &m_relayStore}) {
+        append(*store, third, "engines");
+    }
+    const std::vector<std::string> vms{m_relayIp, m_backupIp, third};
+    const std::vector<std::string> serving = relaysFor(Entry, vms);
+    const std::string next =
+        *std::find_if(vms.begin(), vms.end(), [&](const std::string &vm) { return !isRelayOrBackup(vm, vms); });
+    add(serving.front(), m_store);
+    Vm &vm = add(next, m_store);
+    ASSERT_TRUE(follows(vm, serving.front()));
+    for (const std::string &gone : serving) {
+        m_store.append("i-" + gone, "");
+    }
+    ASSERT_TRUE(runUntil([&] { return vm.draining.size() == 1 && vm.follower.relay().empty(); }));
+    EXPECT_TRUE(runUntil([&] { return vm.follower.readsStoreForOthers(); }, DrainTime / 2));
+    EXPECT_LE(vm.follower.age(), DrainTime / 2);
+}
+
 TEST_F(ListingsFollowerTest, ARelayThatIsCutOffFromTheStoreIsReplaced)
 {
     add(m_relayIp, m_relayStore);
