A change of a listing without a number is ordered by its offset

Seen in a review, not by callers.

VMs of an earlier release forward none, which is read as 0. Where an entry VM had read the listing from the store, each change that such a relay forwarded was taken for an earlier write and ignored, while the end and the age of the listings moved on. It never learnt that a target of that incarnation leaves.

Change: a change without a number is ordered by its offset, and doesn't replace the number that is known.

Evidence: ListingsCacheTest.AChangeWithoutANumberIsOrderedByItsOffset failed before (the draining listing isn't applied) and passes now.

--- a/libs/feed/include/ibislock/feed/listings_cache.h
+++ b/libs/feed/include/ibislock/feed/listings_cache.h
@@ -19,7 +19,7 @@
     std::optional<serving::TargetEntry> entry; ///< Empty in a tombstone.
     std::int64_t offset = 0; ///< The offset of the last change.
     std::int64_t startedAt = 0; ///< The last listed incarnation; 0 if unknown. Also in a tombstone.
-    std::int64_t writeNumber = 0; ///< The number of the last write of that incarnation. Also in a tombstone.
+    std::int64_t writeNumber = 0; ///< The last known number of its writes; 0 if unknown. Also in a tombstone.
     Millis changedAt{0}; ///< When this VM learned of the change, in monotonic time.
 };
 
--- a/libs/feed/src/listings_cache.cpp
+++ b/libs/feed/src/listings_cache.cpp
@@ -1,5 +1,6 @@
 #include "ibislock/feed/listings_cache.h"
 
+#include <algorithm>
 #include <set>
 
 namespace ibislock::feed
@@ -14,11 +15,17 @@
         .id = id, .entry = cached.entry, .offset = cached.offset, .writeNumber = cached.entry ? cached.writeNumber : 0};
 }
 
-/// Returns whether a record was written before the cached one, though it follows it in the topic.
+/// Returns whether a change is of the incarnation that was listed last.
+bool isSameIncarnation(const peer::ListingChange &change, const CachedListing &cached)
+{
+    return change.entry && change.entry->startedAt != 0 && change.entry->startedAt == cached.startedAt;
+}
+
+/// Returns whether a record was written before the cached one, though it follows it in the topic. VMs of earlier
+/// releases forward no numbers.
 bool isEarlierWrite(const peer::ListingChange &change, const CachedListing &cached)
 {
-    return change.entry && change.entry->startedAt != 0 && change.entry->startedAt == cached.startedAt
-        && change.writeNumber < cached.writeNumber;
+    return isSameIncarnation(change, cached) && change.writeNumber > 0 && change.writeNumber < cached.writeNumber;
 }
 
 /// @param forwardEqual whether an entry that equals the cached one is forwarded.
@@ -38,8 +45,9 @@
     }
     if (change.entry) {
         CachedListing &item = cache.listings[change.id];
+        item.writeNumber =
+            isSameIncarnation(change, item) ? std::max(item.writeNumber, change.writeNumber) : change.writeNumber;
         item.startedAt = change.entry->startedAt;
-        item.writeNumber = change.writeNumber;
     }
     return !equal;
 }
--- a/libs/feed/test/listings_cache_test.cpp
+++ b/libs/feed/test/listings_cache_test.cpp
@@ -91,6 +91,16 @@
     EXPECT_TRUE(applyTopicRecord(cache, written(4, 0, 6), Millis{0}));
 }
 
+// A relay of an earlier release forwards no numbers: what it told of leaving targets was taken for earlier writes.
+TEST(ListingsCacheTest, AChangeWithoutANumberIsOrderedByItsOffset)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(1, 5, 20)}, 2, Millis{0});
+    EXPECT_TRUE(applyListing(cache, written(2, 5, 0, true), Millis{0}));
+    EXPECT_TRUE(cache.listings.at("a").entry->draining);
+    EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 19), Millis{0})) << "the number that was known still counts";
+}
+
 TEST(ListingsCacheTest, ARecreatedTopicMayHoldEarlierWrites)
 {
     ListingsCache cache;
--- a/libs/peer/include/ibislock/peer/listings.h
+++ b/libs/peer/include/ibislock/peer/listings.h
@@ -33,7 +33,7 @@
     std::string id;
     std::optional<serving::TargetEntry> entry; ///< Empty if the listing was removed.
     std::int64_t offset = 0;
-    std::int64_t writeNumber = 0; ///< Of the last known write by its incarnation; 0 if it was removed.
+    std::int64_t writeNumber = 0; ///< Of the last known write by its incarnation; 0 if it was removed or is unknown.
 };
 
 /// The response to a `ListingsRequest`.
