A slow read of the store beside a late relay is awaited

Requests may reach a target after the drain time.

Cause: a read beside a relay was given up after 0.2 of the drain time and started anew, 400 ms at 2 s. Over a link that weights fill, packets may wait for half a second, as `WithdrawMargin` allows for. Each read was given up before its response came, and the listings grew old until the VM had given up its relays and read the store with a longer limit.

Change: a read may take 0.4 of the drain time, and the next one starts after 0.2 as before, beside it and over a connection of its own. A lost response costs as much time as before.

Evidence: ListingsAgeTest.ASlowResponseOfTheStoreIsAwaited, with responses that take 450 ms and a silent relay and backup, failed before (1,952 ms of 1,800 ms) and passes now. What it costs in calls was not measured.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -15,6 +15,8 @@
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/feed/topic_poll.h"
 
+#include <array>
+
 namespace ibislock::feed
 {
 
@@ -125,6 +127,7 @@
     void scheduleOwnRead();
     void scheduleOwnRead(Millis delay);
     void readStoreBeside();
+    TopicPollEvents ownReadEvents();
     void applyOwnPage(const platform::ReadPage &page, Millis asOf);
     Millis fractionOfDrainTime(double fraction) const;
 
@@ -133,7 +136,8 @@
     ListingsCache m_cache;
     ListingsRelay m_relayServer;
     TopicFeed m_feed;
-    TopicPoll m_ownRead; ///< Reads the store beside a late source.
+    std::array<TopicPoll, 2> m_ownReads; ///< Read the store beside a late source, in turn.
+    std::size_t m_nextOwnRead = 0; ///< The index in `m_ownReads` of the one to start next.
     net::Timer m_ownReadTimer;
     Millis m_ownReadAt{0}; ///< When the last of these reads was started, by the boot clock.
     Random m_random;
--- a/libs/feed/include/ibislock/feed/listings_schedule.h
+++ b/libs/feed/include/ibislock/feed/listings_schedule.h
@@ -13,7 +13,7 @@
 
 // All fractions are of the drain time, the time within which requests to a draining target must stop. An entry VM uses
 // no listings that are older than `OwnReadFraction` + the time of a call to the store, and one whose first read is lost
-// none that are older than `OwnReadFraction` + `OwnReadTimeoutFraction` + that time. The rest is left for a request to
+// none that are older than `OwnReadFraction` + `OwnReadIntervalFraction` + that time. The rest is left for a request to
 // reach its target.
 
 /// Interval between the starts of two reads of the store by a VM that follows the topic.
@@ -51,8 +51,12 @@
 /// at one moment.
 inline constexpr double OwnReadSpreadFraction = 0.05;
 
-/// How long such a read may take; the next one follows after this time.
-inline constexpr double OwnReadTimeoutFraction = 0.2;
+/// Interval between the starts of two such reads. A slow one goes on beside the next, as packets may wait at a full
+/// link for half a second.
+inline constexpr double OwnReadIntervalFraction = 0.2;
+
+/// How long such a read may take.
+inline constexpr double OwnReadTimeoutFraction = 0.4;
 
 /// Interval of such reads once the listings are older than the drain time: the store can't be reached.
 inline constexpr double LateOwnReadIntervalFraction = 1.0;
@@ -74,7 +78,7 @@
 /// @return the delay; 0 if the read is due.
 Millis timeUntilOwnRead(Millis age, Millis drainTime, double spread);
 
-/// Returns the time between the starts of two such reads, of which the first one failed.
+/// Returns the time between the starts of two such reads.
 /// @param age the age of the listings.
 Millis ownReadInterval(Millis age, Millis drainTime);
 
--- a/libs/feed/include/ibislock/feed/topic_poll.h
+++ b/libs/feed/include/ibislock/feed/topic_poll.h
@@ -35,7 +35,8 @@
 
     /// Reads the records from an offset on. After a failure a new connection is used, as the old one may be dead.
     /// @param timeout limit of the time to the first byte of the response, and of each pause within it.
-    void start(std::int64_t from, Millis timeout);
+    /// @param newConnection whether a new connection is used in any case.
+    void start(std::int64_t from, Millis timeout, bool newConnection = false);
 
     /// Cancels the read under way; no callback is called for it.
     void cancel();
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -43,14 +43,8 @@
                   [this](Millis asOf) {
                       handleWatermark(asOf);
                   }})
-    , m_ownRead(client, std::move(store), std::string(platform::TargetsTopic),
-                {.onPage = [this](const platform::ReadPage &page, Millis asOf) { applyOwnPage(page, asOf); },
-                 .onFailure =
-                     [this](std::string_view cause) {
-                         logInfo(LogComponent::Store, "A read of the store beside a late source failed.",
-                                 {{"cause", std::string(cause)}, {"age_ms", std::to_string(age().count())}});
-                         scheduleOwnRead();
-                     }})
+    , m_ownReads{TopicPoll(client, store, std::string(platform::TargetsTopic), ownReadEvents()),
+                 TopicPoll(client, std::move(store), std::string(platform::TargetsTopic), ownReadEvents())}
     , m_ownReadTimer(loop)
     , m_random(systemRandom())
     , m_timer(loop)
@@ -113,17 +107,17 @@
 
 std::uint64_t ListingsFollower::storeCalls() const
 {
-    return m_feed.calls() + m_ownRead.calls();
+    return m_feed.calls() + ownReads();
 }
 
 std::uint64_t ListingsFollower::storeFailures() const
 {
-    return m_feed.failures() + m_ownRead.failures();
+    return m_feed.failures() + m_ownReads[0].failures() + m_ownReads[1].failures();
 }
 
 std::uint64_t ListingsFollower::ownReads() const
 {
-    return m_ownRead.calls();
+    return m_ownReads[0].calls() + m_ownReads[1].calls();
 }
 
 std::uint64_t ListingsFollower::relayResponses() const
@@ -379,7 +373,7 @@
 
 void ListingsFollower::scheduleOwnRead()
 {
-    if (!usesListings() || m_ownRead.isActive()) {
+    if (!usesListings()) {
         return;
     }
     const double spread = std::uniform_real_distribution<double>(0, 1)(m_random);
@@ -395,13 +389,18 @@
 
 void ListingsFollower::readStoreBeside()
 {
-    if (!usesListings() || m_ownRead.isActive()) {
+    if (!usesListings()) {
         return;
     }
     const Millis due = timeUntilOwnRead(age(), m_options.drainTime, 1);
     const bool feedReads = m_readsStore && (m_feed.isUnreachable() || m_feed.isReadingSnapshot());
     if (due > Millis{0} || feedReads) {
-        scheduleOwnRead(std::max(due, fractionOfDrainTime(OwnReadTimeoutFraction)));
+        scheduleOwnRead(std::max(due, fractionOfDrainTime(OwnReadIntervalFraction)));
+        return;
+    }
+    const Millis untilNext = ownReadInterval(age(), m_options.drainTime) - (bootMillis() - m_ownReadAt);
+    if (untilNext > Millis{0}) {
+        scheduleOwnRead(untilNext);
         return;
     }
     m_ownReadAt = bootMillis();
@@ -410,7 +409,22 @@
              {"source", m_source},
              {"relay", relay()},
              {"offset", std::to_string(m_cache.end)}});
-    m_ownRead.start(m_cache.end, fractionOfDrainTime(OwnReadTimeoutFraction));
+    const bool another =
+        std::any_of(m_ownReads.begin(), m_ownReads.end(), [](const TopicPoll &read) { return read.isActive(); });
+    m_ownReads[m_nextOwnRead].start(m_cache.end, fractionOfDrainTime(OwnReadTimeoutFraction), another);
+    m_nextOwnRead = (m_nextOwnRead + 1) % m_ownReads.size();
+    scheduleOwnRead();
+}
+
+TopicPollEvents ListingsFollower::ownReadEvents()
+{
+    return {.onPage = [this](const platform::ReadPage &page, Millis asOf) { applyOwnPage(page, asOf); },
+            .onFailure =
+                [this](std::string_view cause) {
+                    logInfo(LogComponent::Store, "A read of the store beside a late source failed.",
+                            {{"cause", std::string(cause)}, {"age_ms", std::to_string(age().count())}});
+                    scheduleOwnRead();
+                }};
 }
 
 void ListingsFollower::applyOwnPage(const platform::ReadPage &page, Millis asOf)
@@ -427,6 +441,7 @@
         pruneTombstones(m_cache, steadyMillis());
         m_relayServer.completePending();
         if (page.nextOffset < page.endOffset) {
+            m_ownReadAt = Millis{0};
             scheduleOwnRead(Millis{0});
             return;
         }
--- a/libs/feed/src/listings_schedule.cpp
+++ b/libs/feed/src/listings_schedule.cpp
@@ -29,7 +29,7 @@
 
 Millis ownReadInterval(Millis age, Millis drainTime)
 {
-    return fractionOf(drainTime, age < drainTime ? OwnReadTimeoutFraction : LateOwnReadIntervalFraction);
+    return fractionOf(drainTime, age < drainTime ? OwnReadIntervalFraction : LateOwnReadIntervalFraction);
 }
 
 } // namespace ibislock::feed
--- a/libs/feed/src/topic_poll.cpp
+++ b/libs/feed/src/topic_poll.cpp
@@ -26,7 +26,7 @@
     cancel();
 }
 
-void TopicPoll::start(std::int64_t from, Millis timeout)
+void TopicPoll::start(std::int64_t from, Millis timeout, bool newConnection)
 {
     cancel();
     ++m_calls;
@@ -41,7 +41,7 @@
                        .timeout = timeout,
                        .stallTimeout = timeout,
                        .totalTimeout = timeout * 2,
-                       .newConnection = m_lastFailed,
+                       .newConnection = newConnection || m_lastFailed,
                        .maxIdle = MaxIdle},
                       [this, from, generation = m_generation](
                           net::ExchangeOutcome outcome, const http::ResponseHead &response, const std::string &body) {
--- a/libs/feed/test/listings_age_test.cpp
+++ b/libs/feed/test/listings_age_test.cpp
@@ -278,6 +278,24 @@
     }
 }
 
+// A read was given up after 0.4 s and started again, so that none was answered over a link on which packets wait.
+TEST_F(ListingsAgeTest, ASlowResponseOfTheStoreIsAwaited)
+{
+    constexpr Millis ResponseTime{450};
+    add(RelayState::Silent, RelayState::Silent, DrainTime * 3 / 10);
+    start();
+    runFor(DrainTime / 2);
+    Domain &domain = *m_domains.front();
+    ASSERT_TRUE(domain.entry->synchronized());
+    domain.greatestAge = Millis{0};
+    m_failures.front()();
+    m_store.delay = ResponseTime;
+    append("127.0.4.200", "plain", "none", true);
+    runFor(MaxUsedAge);
+    EXPECT_TRUE(domain.draining.contains("i-127.0.4.200"));
+    EXPECT_LE(domain.greatestAge, MaxUsedAge);
+}
+
 } // namespace
 
 } // namespace ibislock::feed
