A short outage of one relay gives listings that are gone no grace period

A target whose listing is removed may get requests after the drain time.

Cause: while the store was away, listings of live targets may expire, so that one that is removed within 2 s of its return is kept in use until these 2 s are over. A relay reported a return after each failed read, also if only its own read had been refused or lost, and all entry VMs of its domain took that over. A target that left just then without saying so was kept for 2 s, beside the time until its removal was known (0.5 of the drain time with a silent relay): 3.5 s of 3 s, or 3 s of 2 s.

Change: a relay reports only outages in which a listing can have expired, of two heartbeats or more, counted from the start of the call that failed. What an entry VM notices itself while it reads the store counts as before.

Evidence: ListingsFollowerTest.AShortOutageOfARelayIsNotReportedToOthers failed before (one refused read, two reports) and passes now; AnOutageInWhichListingsMayHaveExpiredIsReportedToOthers passed before and after.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -23,6 +23,10 @@
 /// The source of listings that were read from the store, as logged.
 inline constexpr std::string_view StoreSource = "store";
 
+/// Shortest outage of the store in which a listing may expire, in heartbeats: one expires after three without a write,
+/// of which the first may have begun before the outage.
+inline constexpr int HeartbeatsMissedToExpire = 2;
+
 /// Settings of a follower.
 struct ListingsFollowerOptions
 {
@@ -32,6 +36,7 @@
     bool servesListings = false; ///< Listens on `port` itself, as target VMs do.
     bool isEntryVm = false; ///< This is an entry VM, and its requests say so.
     Millis drainTime{2000}; ///< The time within which requests to a draining target must stop.
+    Millis minExpiringOutage{0}; ///< In a store outage that is shorter, no listing of a live target expires.
 };
 
 /// Functions that a follower calls to report events and to query its owner.
@@ -111,6 +116,7 @@
     void applySnapshot(const std::vector<platform::KeyedRecord> &records);
     void applyRecord(const platform::KeyedRecord &record);
     void handleWatermark(Millis asOf);
+    void handleStoreOutage(bool unreachable);
     void notify(const std::vector<peer::ListingChange> &changes);
     void updateRole(const std::vector<std::string> &vms);
     void retryRelays(const std::vector<std::string> &vms);
@@ -141,6 +147,7 @@
     net::Timer m_ownReadTimer;
     Millis m_ownReadAt{0}; ///< When the last of these reads was started, by the boot clock.
     Random m_random;
+    Millis m_outageSince{0}; ///< When the store outage that this VM noticed last may have begun, by the boot clock.
     bool m_readsStore = true;
     bool m_servesOthers = false; ///< This VM is a relay or backup, from which others request listings.
     bool m_requesting = false; ///< A request is under way or scheduled.
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -32,13 +32,7 @@
               .minReadInterval = fractionOfDrainTime(StoreReadIntervalFraction)},
              {.onSnapshot = [this](const std::vector<platform::KeyedRecord> &records) { applySnapshot(records); },
               .onRecord = [this](const platform::KeyedRecord &record) { applyRecord(record); },
-              .onStoreOutage =
-                  [this](bool unreachable) {
-                      if (!unreachable) {
-                          m_relayServer.recordStoreRecovery(bootMillis());
-                      }
-                      m_events.onStoreOutage(unreachable);
-                  },
+              .onStoreOutage = [this](bool unreachable) { handleStoreOutage(unreachable); },
               .onWatermark =
                   [this](Millis asOf) {
                       handleWatermark(asOf);
@@ -187,6 +181,17 @@
     }
 }
 
+void ListingsFollower::handleStoreOutage(bool unreachable)
+{
+    if (unreachable) {
+        // The call that failed may have waited for its whole time limit.
+        m_outageSince = bootMillis() - fractionOfDrainTime(StoreLongPollFraction) - FirstByteTimeout;
+    } else if (bootMillis() - m_outageSince >= m_options.minExpiringOutage) {
+        m_relayServer.recordStoreRecovery(bootMillis());
+    }
+    m_events.onStoreOutage(unreachable);
+}
+
 void ListingsFollower::handleWatermark(Millis asOf)
 {
     m_cache.end = std::max(m_cache.end, m_feed.nextOffset()); // A read beside the feed may be ahead of it.
--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -18,7 +18,7 @@
 struct Vm
 {
     Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool servesListings,
-       Millis drainTime = DrainTime)
+       Millis drainTime = DrainTime, Millis minExpiringOutage = Millis{0})
         : client(loop)
         , follower(loop, client, {.ip = "127.0.0.1", .port = storePort},
                    {.ip = ip,
@@ -26,7 +26,8 @@
                     .port = port,
                     .servesListings = servesListings,
                     .isEntryVm = !servesListings,
-                    .drainTime = drainTime},
+                    .drainTime = drainTime,
+                    .minExpiringOutage = minExpiringOutage},
                    {.onListing =
                         [this](const std::string &id, const std::optional<serving::TargetEntry> &entry) {
                             entry ? void(draining[id] = entry->draining) : void(draining.erase(id));
@@ -300,6 +301,38 @@
     EXPECT_EQ(entry.draining.size(), 2U);
 }
 
+// One refused read at a relay let its domain keep targets that had left for two seconds.
+TEST_F(ListingsFollowerTest, AShortOutageOfARelayIsNotReportedToOthers)
+{
+    constexpr Millis MinExpiringOutage{2400};
+    Vm relay(m_loop, m_relayIp, m_port, m_relayStore.port(), true, DrainTime, MinExpiringOutage);
+    ASSERT_FALSE(relay.follower.start());
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    m_relayStore.refusals = 1;
+    append(m_relayStore, "127.0.2.7", "plain"); // Ends a read that the store holds.
+    ASSERT_TRUE(runUntil([&] { return relay.storeUnreachable; }));
+    ASSERT_TRUE(runUntil([&] { return !relay.storeUnreachable; }));
+    append(m_relayStore, "127.0.2.8", "plain");
+    ASSERT_TRUE(runUntil([&] { return entry.draining.contains("i-127.0.2.8"); }));
+    ASSERT_EQ(entry.follower.relay(), m_relayIp);
+    EXPECT_EQ(entry.storeRecoveries, 0);
+}
+
+TEST_F(ListingsFollowerTest, AnOutageInWhichListingsMayHaveExpiredIsReportedToOthers)
+{
+    constexpr Millis MinExpiringOutage{2400};
+    Vm relay(m_loop, m_relayIp, m_port, m_relayStore.port(), true, DrainTime, MinExpiringOutage);
+    ASSERT_FALSE(relay.follower.start());
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    m_relayStore.silent = true;
+    const Millis startedAt = steadyMillis();
+    runUntil([&] { return steadyMillis() >= startedAt + MinExpiringOutage; });
+    m_relayStore.silent = false;
+    EXPECT_TRUE(runUntil([&] { return entry.storeRecoveries > 0; }, Millis{10000}));
+}
+
 } // namespace
 
 } // namespace ibislock::feed
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -141,7 +141,8 @@
                                       .domain = settings.domain,
                                       .port = settings.lastPeerPort,
                                       .isEntryVm = true,
-                                      .drainTime = settings.bounds.drainTimeout},
+                                      .drainTime = settings.bounds.drainTimeout,
+                                      .minExpiringOutage = settings.heartbeatInterval * feed::HeartbeatsMissedToExpire},
         feed::ListingsFollowerEvents{
             .onListing = [this](const std::string &id,
                                 const std::optional<serving::TargetEntry> &entry) { applyListing(id, entry); },
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -130,7 +130,9 @@
                                       .domain = m_settings.domain,
                                       .port = m_settings.lastPeerPort,
                                       .servesListings = true,
-                                      .drainTime = m_settings.bounds.drainTimeout},
+                                      .drainTime = m_settings.bounds.drainTimeout,
+                                      .minExpiringOutage =
+                                          m_settings.heartbeatInterval * feed::HeartbeatsMissedToExpire},
         feed::ListingsFollowerEvents{
             .onListing = [](const std::string &, const std::optional<serving::TargetEntry> &) {},
             .onStoreOutage = [](bool) {},
