Tests of the quarantine wait until the daemon has read a listing

RequestThatWaitsAtAnEngineIsCancelledWhenItIsQuarantined failed in 4 of 42 runs, six at a time on a busy machine: two crashes instead of three, no answer to the waiting request, its connection still open.

Cause: the test lists an engine and calls 200 ms later, and the daemon reads listings each 200 ms. On a busy machine each read is a little later than the one before, until the new engine isn't known when the request comes, which is refused. With one read delayed by 230 ms the test fails with the same three expectations, twice of two runs.

Change: the fixture waits until the store has sent the listing; so do the tests that list crashed engines anew, which allowed 20 ms. With the delayed read it passes in three of three runs; 24 of 24 runs of FrontQuarantineTest pass, six at a time. What the tests ask for is unchanged.

--- a/libs/front/test/front_fixture.h
+++ b/libs/front/test/front_fixture.h
@@ -4,6 +4,7 @@
 
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
+#include "ibislock/platform/listings.h"
 #include "platform/store_stand_in.h"
 #include "platform/target_stand_in.h"
 
@@ -99,6 +100,31 @@
         m_store.append(target.id, target.listing("s", leaving));
     }
 
+    /// Writes a target's listing and waits until the daemon has read it.
+    void listAndWait(const lab::TargetStandIn &target)
+    {
+        const int before = timesRead(target);
+        list(target);
+        waitUntilRead(target, before + 1);
+    }
+
+    /// Waits until the daemon has read the listing of a target, which takes longer than the interval of its reads.
+    /// @param times how often it has then read listings of the target since its start.
+    void waitUntilRead(const lab::TargetStandIn &target, int times = 1)
+    {
+        const Millis end = steadyMillis() + Millis{5000};
+        while (timesRead(target) < times && steadyMillis() < end) {
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+        }
+        EXPECT_GE(timesRead(target), times);
+        runFor(Millis{20}); // The response is under way.
+    }
+
+    int timesRead(const lab::TargetStandIn &target)
+    {
+        return m_store.recordsSent[{std::string(platform::TargetsTopic), target.id}];
+    }
+
     /// Writes the listing of a target at whose address nothing listens.
     void listGone(const std::string &id)
     {
--- a/libs/front/test/front_quarantine_test.cpp
+++ b/libs/front/test/front_quarantine_test.cpp
@@ -23,9 +23,6 @@
 /// Time between two requests; crashes at the same moment have one cause as a rule.
 constexpr Millis Pause{200};
 
-/// Until the daemon has read a listing.
-constexpr Millis ListingTime{20};
-
 class FrontQuarantineTest : public FrontTest
 {
 protected:
@@ -73,10 +70,9 @@
         for (const auto &engine : m_engines) {
             if (engine->startedAt != engine->crashes) {
                 engine->startedAt = engine->crashes;
-                list(*engine);
+                listAndWait(*engine);
             }
         }
-        runFor(ListingTime);
     }
 
     /// Takes the targets that have crashed out of service, as none can crash twice.
@@ -110,7 +106,7 @@
     for (int n = 0; n < Rounds; ++n) {
         last = callWithParts("1:40,bad:200");
         restartCrashed();
-        runFor(Pause - ListingTime);
+        runFor(Pause);
     }
     EXPECT_LE(crashes(), CrashesUntilKnown + SendsAfterwards);
     EXPECT_EQ(last.status, 503);
@@ -125,7 +121,7 @@
         callWithParts("1:40,bad:200,2:100");
         restartCrashed();
         EXPECT_EQ(callWithParts("1:40,2:100").status, 200) << n;
-        runFor(Pause - ListingTime);
+        runFor(Pause);
     }
     EXPECT_EQ(callWithParts("1:40,3:100").status, 200);
 }
@@ -185,6 +181,7 @@
     for (int n = 0; n < CrashesUntilRequestIsKnown; ++n) {
         EXPECT_EQ(status, 0);
         listEngines(1);
+        waitUntilRead(*m_engines.back());
         runFor(Pause);
         call(request("/events/x"), Deadly);
         unlistCrashed();
