An entry VM that was suspended no longer trusts a target's word "not started"

Callers would see a request that must run once run twice: an entry VM is suspended for some minutes while a target runs the request, resumes, loses the connection and asks the target to withdraw. The target remembers what it started for 60 s after the deadline and has forgotten the run, so it confirms that the request has not started. The entry VM trusts that and sends the request to another target, or tells the caller that it was not run.

Cause: the word is trusted for the time left and 30 s of the steady clock, which stands still while the VM is suspended; the deadline that ends the attempts is of the same clock.

Change: a session counts its deadline and the age of an attempt by the boot clock, which goes on; it is an option of the daemon, so that tests pass their own. The time until which a target is avoided stays on the steady clock, as the choice of a target does.

Why it works: the target forgets no sooner than 60 s after the deadline by its own clock, which starts later than the entry VM's; the entry VM trusts it for 30 s at most by a clock that counts at least as much as the target's. The time is read after the target's answer.

Evidence: RequestSessionTest.NonIdempotentRequestDoesNotRunTwiceAfterSuspension, with the option in place and the logic as before (run once): "runs Which is: 2 / 1" and "refused_not_run" in place of "unknown".

--- a/libs/entry/include/ibislock/entry/options.h
+++ b/libs/entry/include/ibislock/entry/options.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "ibislock/base/clock.h"
 #include "ibislock/node/node.h"
 #include "ibislock/requests/routing.h"
 #include "ibislock/security/credential_store.h"
@@ -44,6 +45,7 @@
     Millis retryAfter{1000}; ///< When a refused caller is told to come back.
     Millis drainGrace{30000}; ///< How long requests in progress may hold up a stop.
     bool resumeStreams = true; ///< Whether broken streams are resumed; the engines must be able to.
+    Clock bootClock = bootMillis; ///< Counts the time for which the VM was suspended.
 };
 
 } // namespace ibislock::entry
--- a/libs/entry/src/request_session.cpp
+++ b/libs/entry/src/request_session.cpp
@@ -37,7 +37,7 @@
     : m_dispatcher(dispatcher)
     , m_request(std::move(request))
     , m_prefix(std::move(prefix))
-    , m_deadline(steadyMillis() + m_request.timeLeft)
+    , m_deadline(now() + m_request.timeLeft)
 {
     m_request.entryVm = m_dispatcher.m_options.node.vm;
     m_request.entryIncarnation = m_dispatcher.m_node.incarnation();
@@ -50,6 +50,11 @@
     m_dispatcher.close();
 }
 
+Millis RequestSession::now() const
+{
+    return m_dispatcher.m_options.bootClock();
+}
+
 SessionEvent RequestSession::next()
 {
     for (;;) {
@@ -57,7 +62,7 @@
             return finish(
                 endFor(Outcome::RefusedNotRun, Refusal::NotServing, "no target that serves this role can take it now"));
         }
-        const Millis wait = m_deadline + DeadlineSlack - steadyMillis();
+        const Millis wait = m_deadline + DeadlineSlack - now();
         std::optional<std::string> part;
         const auto end = handle(m_attempt->stream->next(std::max(wait, Millis(1))), part);
         if (part) {
@@ -101,7 +106,7 @@
 
 bool RequestSession::beginAttempt()
 {
-    m_request.timeLeft = m_deadline - steadyMillis();
+    m_request.timeLeft = m_deadline - now();
     if (m_request.timeLeft <= Millis(0) || m_tried.size() >= m_dispatcher.m_options.attempts) {
         return false;
     }
@@ -114,7 +119,7 @@
     m_request.resumeFrom = m_eventsReleased;
     m_tried.push_back(chosen->target.vm);
     const std::string address = chosen->target.address;
-    m_attempt = Attempt{.chosen = std::move(*chosen), .check = {.request = m_request}, .sentAt = steadyMillis()};
+    m_attempt = Attempt{.chosen = std::move(*chosen), .check = {.request = m_request}, .sentAt = now()};
     m_attempt->stream = m_dispatcher.m_client.submit(address, m_request);
     return true;
 }
@@ -154,8 +159,8 @@
     } else if (evidence == AttemptFailure::NoResponse) {
         const RoutedTarget &target = m_attempt->chosen.target;
         const bool confirmed = m_dispatcher.m_client.revoke(target.address, m_request.id, target.incarnation);
-        // After a long pause of this process the target may have forgotten that it started the request.
-        const bool isFresh = steadyMillis() - m_attempt->sentAt < m_request.timeLeft + RevokeTrust;
+        // After a long pause or suspension of this process the target may have forgotten that it started the request.
+        const bool isFresh = now() - m_attempt->sentAt < m_request.timeLeft + RevokeTrust;
         if (confirmed && isFresh) {
             m_dispatcher.m_counters.add(Counter::RequestsRevoked);
             evidence = AttemptFailure::Revoked;
@@ -177,7 +182,7 @@
     }
     m_attempt->chosen.target.load->avoidUntilMs = (steadyMillis() + AvoidTime).count();
     const bool isFinal = end.refusal == Refusal::Expired || end.refusal == Refusal::Withdrawn;
-    if (isFinal || steadyMillis() >= m_deadline || !m_request.idempotencyKey.empty()) {
+    if (isFinal || now() >= m_deadline || !m_request.idempotencyKey.empty()) {
         return false;
     }
     if (m_tried.size() >= m_dispatcher.m_options.attempts || (m_released && !canResume())) {
--- a/libs/entry/src/request_session.h
+++ b/libs/entry/src/request_session.h
@@ -50,6 +50,9 @@
         std::uint32_t parts = 0;
     };
 
+    /// Reads the clock of the deadline and of `sentAt`, which goes on while the VM is suspended.
+    Millis now() const;
+
     bool beginAttempt();
     std::optional<Dispatcher::Chosen> chooseTarget();
     std::optional<requests::ResponseEnd> handle(rpc::AnswerEvent event, std::optional<std::string> &part);
