AnEngineIsNotLeftOutBecauseItsPiecesCouldNotBeReadAfterALateOrder waits for the reads after the load was accepted

The log has "its pieces are verified once more", as it should.

Cause: the daemon may notice the load while it goes on, which takes 20 ms, and check all eight pieces before the load ends. The test counted reads from the end of the load.

Change: reads count from the moment at which the engine accepts the order.

--- a/libs/side/test/side_load_order_test.cpp
+++ b/libs/side/test/side_load_order_test.cpp
@@ -268,12 +268,15 @@
     name(2);
     ASSERT_TRUE(runUntil([&] { return vm.engine.delayedOrders == 1; }));
     vm.engine.orderDelay = Millis{0};
-    ASSERT_TRUE(runUntilLoaded(2));
-    vm.engine.stageReads = 0;
-    ASSERT_TRUE(runUntil([&] { return vm.engine.stageReads > 0; })); // The pieces are being checked again.
+    vm.engine.onAccepted = [&vm] {
+        vm.engine.stageReads = 0;
+    };
+    // The pieces are checked again as soon as the daemon knows of the load, maybe before it has ended.
+    ASSERT_TRUE(runUntil([&] { return vm.engine.orders == 1 && vm.engine.stageReads > 0; }));
     vm.engine.away = true;
     m_loop.run_for(std::chrono::milliseconds(500));
     vm.engine.away = false;
+    ASSERT_TRUE(runUntilLoaded(2));
     EXPECT_TRUE(runUntil([&] {
         entry.subscribe(vm.ip);
         const auto load = entry.latest();
