Quarantine's header says when answered requests are quarantined; reads beside a source are named

Comments, a local name, and a sentence that the formatter had split in three; the machine's behaviour is the same. serving_test and feed_test pass, one run each.

--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -414,9 +414,9 @@
              {"source", m_source},
              {"relay", relay()},
              {"offset", std::to_string(m_cache.end)}});
-    const bool another =
+    const bool otherGoesOn =
         std::any_of(m_ownReads.begin(), m_ownReads.end(), [](const TopicPoll &read) { return read.isActive(); });
-    m_ownReads[m_nextOwnRead].start(m_cache.end, fractionOfDrainTime(OwnReadTimeoutFraction), another);
+    m_ownReads[m_nextOwnRead].start(m_cache.end, fractionOfDrainTime(OwnReadTimeoutFraction), otherGoesOn);
     m_nextOwnRead = (m_nextOwnRead + 1) % m_ownReads.size();
     scheduleOwnRead();
 }
@@ -446,7 +446,7 @@
         pruneTombstones(m_cache, steadyMillis());
         m_relayServer.completePending();
         if (page.nextOffset < page.endOffset) {
-            m_ownReadAt = Millis{0};
+            m_ownReadAt = Millis{0}; // The rest is read at once.
             scheduleOwnRead(Millis{0});
             return;
         }
--- a/libs/front/src/call_outcome.cpp
+++ b/libs/front/src/call_outcome.cpp
@@ -27,8 +27,7 @@
         return "It did not run: all usable targets of its service had requested a backoff with Retry-After.";
     case CallOutcome::Quarantined:
         return "It did not run: several targets have crashed under this request or under a part of its prompt, which "
-               "is "
-               "named in the line \"A request crashes targets.\" or \"A part of prompts crashes engines.\".";
+               "is named in the line \"A request crashes targets.\" or \"A part of prompts crashes engines.\".";
     case CallOutcome::NotExecuted:
         return "It did not run: the targets that received it reported that they did not execute it.";
     case CallOutcome::ExpiredBeforeSend:
--- a/libs/serving/include/ibislock/serving/prompt_quarantine.h
+++ b/libs/serving/include/ibislock/serving/prompt_quarantine.h
@@ -2,8 +2,8 @@
 // requests with such a part, are refused until they are known to be harmless. A crash makes all requests suspect whose
 // first event was due at that target, and all parts of their prompts, which other requests share. A part is quarantined
 // once several engines have crashed under it at different moments and no request with it has been answered since; a
-// request once several targets have crashed under it and it has not been answered since. VMs pool what they know with
-// `quarantine_report.h`.
+// request once several targets have crashed under it and it has not been answered since, at different moments if it was
+// answered a short time before. VMs pool what they know with `quarantine_report.h`.
 //
 //     recordAnswer(quarantine, suspects, now);                    // the first event of a response
 //     recordCrash(quarantine, {.engine = e, .suspects = suspects}, now);
@@ -114,7 +114,7 @@
 struct QuarantinePolicy
 {
     int momentThreshold = 3; ///< Crashes at different moments after which a part is quarantined.
-    int requestThreshold = 3; ///< Crashes after which a request is quarantined.
+    int requestThreshold = 3; ///< Crashes, or moments for an answered request, after which a request is quarantined.
     int answeredMomentThreshold = 6; ///< The same for a part that was answered within `answerLifetime`.
     Millis momentGap{150}; ///< Crashes that are closer together count as one moment, as they may have one cause.
     Millis settleTime{250}; ///< A crash counts after this time, in which reports of other VMs arrive.
