Review, case 2: one wrong digit in a manifest keeps new weights from all engines (RECOVER)

Tried: a manifest of the origin with one wrong digit, announced before and behind a kill of all processes. Seen: the manifest is passed on to all side daemons and never fetched again.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# All daemons are killed; when they are back, the origin sends the manifest of new weights with one wrong digit. Exits with
+# 1 if RECOVER was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out both, TROUBLE=kill the wrong digit.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+[[ -x target/app/ibislock && -x target/review/manifest ]] || { echo "build first: the deploy file, review/build.sh"; exit 2; }
+directory=$(mktemp -d) || exit 2
+trap 'rm -rf "$directory"' EXIT
+# The daemons end with the program that starts them.
+timeout -s KILL 110 target/review/manifest "$directory" "$here/record.txt"
+verdict=$?
+[[ -z ${KEEP_LOGS:-} ]] || cp -r "$directory" "$KEEP_LOGS"
+((verdict <= 2)) || verdict=2
+exit "$verdict"
