Review: the stand-ins stand beside their build script

Moved without a change of their text, as each folder below review/ but those of the cases would be taken for a case.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,10 +6,10 @@
 compile=(g++ -std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers)
 shared=()
 for source in http record store runner daemons callers scene; do
-    "${compile[@]}" -c "review/standins/$source.cpp" -o "target/review/$source.o"
+    "${compile[@]}" -c "review/$source.cpp" -o "target/review/$source.o"
     shared+=("target/review/$source.o")
 done
-for source in review/standins/*.cpp; do
+for source in review/*.cpp; do
     name=$(basename "$source" .cpp)
     grep -q '^int main' "$source" || continue
     "${compile[@]}" "$source" "${shared[@]}" -lcrypto -pthread -o "target/review/$name"
