Front, side: logs and a counter that tell the review's hypotheses apart

Case 1 needs the calls of an entry VM for the operators' topic by themselves, case 2 the source and content of a manifest and the digest of what came for a piece.

--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -18,6 +18,8 @@
     const feed::TopicFeed &operators = follower.feed();
     writeCounter(out, "ibislock_store_calls_total", "Calls to the platform's store.",
                  operators.calls() + listings.storeCalls());
+    writeCounter(out, "ibislock_operators_store_calls_total", "Calls to the platform's store for the operators' topic.",
+                 operators.calls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
                  operators.failures() + listings.storeFailures());
     writeCounter(out, "ibislock_store_reads_given_up_total", "Reads of the operators' topic that were begun anew.",
--- a/libs/side/src/manifest_fetcher.cpp
+++ b/libs/side/src/manifest_fetcher.cpp
@@ -88,7 +88,7 @@
                 return;
             }
             if (answer && answer->content == peer::PieceContent::Manifest && !answer->digests.empty()) {
-                finish(answer->digests);
+                finish(answer->digests, m_sources[sourceIndex].vm);
             } else {
                 const bool unreachable = !answer && steadyMillis() - askedAt < wait;
                 requestFromSource(sourceIndex + 1, unreachable);
@@ -107,7 +107,7 @@
                                                       : Result<platform::WeightsManifest>(failure(
                                                           ErrorCode::Unavailable, "status " + std::to_string(status)));
                    if (manifest && manifest->version == m_desired.version && manifest->model == m_desired.model) {
-                       finish(std::move(manifest->digests));
+                       finish(std::move(manifest->digests), "");
                        return;
                    }
                    logWarning(LogComponent::Side, "Fetching the manifest from the origin failed.",
@@ -118,8 +118,17 @@
                });
 }
 
-void ManifestFetcher::finish(std::vector<Digest> digests)
+void ManifestFetcher::finish(std::vector<Digest> digests, const std::string &source)
 {
+    std::string content;
+    for (const Digest &digest : digests) {
+        content += bytesOf(digest);
+    }
+    logInfo(LogComponent::Side, "A manifest was received.",
+            {{"version", std::to_string(m_desired.version)},
+             {"from", source.empty() ? "origin" : source},
+             {"pieces", std::to_string(digests.size())},
+             {"digest", toHex(sha256(content))}});
     const auto onFound = std::exchange(m_found, nullptr);
     stop();
     onFound(std::move(digests));
--- a/libs/side/src/manifest_fetcher.h
+++ b/libs/side/src/manifest_fetcher.h
@@ -41,7 +41,9 @@
     /// @param previousUnreachable whether the previous source was unreachable.
     void requestFromSource(std::size_t sourceIndex, bool previousUnreachable);
     void requestFromOrigin();
-    void finish(std::vector<Digest> digests);
+
+    /// @param source the VM that sent the manifest; empty for the origin.
+    void finish(std::vector<Digest> digests, const std::string &source);
 
     asio::io_context &m_loop;
     net::HttpClient &m_client;
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -308,7 +308,10 @@
                    logInfo(LogComponent::Side, "Fetching a piece from the origin failed.",
                            {{"version", std::to_string(m_task.version)},
                             {"piece", std::to_string(piece)},
-                            {"status", std::to_string(status)}});
+                            {"status", std::to_string(status)},
+                            {"bytes", std::to_string(body.size())},
+                            {"expected", toHex(m_task.digests[static_cast<std::size_t>(piece)])},
+                            {"received", toHex(sha256(body))}});
                    retryLater(piece);
                    fetchNextFromOrigin();
                });
