--- a/fuzz/fuzz_listing.cpp
+++ b/fuzz/fuzz_listing.cpp
@@ -20,7 +20,7 @@
     static_cast<void>(platform::decodeSnapshotPage(text));
     static_cast<void>(platform::decodeSettings("f", text));
     const auto page = platform::decodeReadPage(text, 0);
-    if (page && page->nextOffset != static_cast<std::int64_t>(page->records.size())) {
+    if (page && page->next.offset != static_cast<std::int64_t>(page->records.size())) {
         __builtin_trap();
     }
     static_cast<void>(ibislock::peer::decodeDatagram(text));
--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -85,6 +85,30 @@
     m_first = before;
 }
 
+std::size_t StoreStandIn::size() const
+{
+    return m_records.size();
+}
+
+void StoreStandIn::restore(std::size_t n)
+{
+    m_records.resize(n);
+    ++era;
+    m_waiting.clear();
+    for (const auto &connection : std::exchange(m_connections, {})) {
+        connection->close();
+    }
+}
+
+http::ResponseHead StoreStandIn::headWith(int status) const
+{
+    http::ResponseHead out{.status = status};
+    if (era > 0) {
+        out.headers.add("Store-Era", std::to_string(era));
+    }
+    return out;
+}
+
 void StoreStandIn::serve(const std::shared_ptr<net::Connection> &connection)
 {
     m_connections.push_back(connection);
@@ -110,7 +134,7 @@
     }
     if (refusals > 0) {
         --refusals;
-        connection.write(http::writeResponse({.status = 503}, ""));
+        connection.write(http::writeResponse(headWith(503), ""));
         return;
     }
     const std::string topic = queryText(request.target, "Topic");
@@ -118,19 +142,18 @@
         ++snapshots;
         const std::string page = snapshot(topic, queryText(request.target, "After"));
         if (snapshotDelay == Millis{0}) {
-            connection.write(http::writeResponse({.status = 200}, page));
+            connection.write(http::writeResponse(headWith(200), page));
             return;
         }
         auto timer = std::make_shared<asio::steady_timer>(m_loop, snapshotDelay);
-        timer->async_wait([timer, page, to = connection.shared_from_this()](const asio::error_code &) {
-            to->write(http::writeResponse({.status = 200}, page));
-        });
+        timer->async_wait([timer, bytes = http::writeResponse(headWith(200), page),
+                           to = connection.shared_from_this()](const asio::error_code &) { to->write(bytes); });
         return;
     }
     ++reads;
     const std::size_t from = queryNumber(request.target, "From");
-    if (from < m_first) {
-        connection.write(http::writeResponse({.status = 410}, "{\"First\":" + std::to_string(m_first) + "}"));
+    if (from < m_first || (era > 0 && from > m_records.size())) {
+        connection.write(http::writeResponse(headWith(410), "{\"First\":" + std::to_string(m_first) + "}"));
     } else if (from < m_records.size()) {
         answerReadLater(connection.shared_from_this(), topic, from);
     } else if (lastWait == 0) {
@@ -182,7 +205,7 @@
         body += key + value;
         ++recordsSent[{topic, key}];
     }
-    const std::string answer = http::writeResponse({.status = 200}, body);
+    const std::string answer = http::writeResponse(headWith(200), body);
     const auto parts = static_cast<std::size_t>(spread / PartPause);
     writeInParts(connection.shared_from_this(), answer, parts == 0 ? answer.size() : answer.size() / parts + 1);
 }
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -1,4 +1,6 @@
-// A stand-in for the platform's store: one keyed topic in memory, served over HTTP on loopback.
+// A stand-in for the platform's store: one keyed topic in memory, served over HTTP on loopback. It can be restored from
+// an older copy. What the contract leaves open: the connections are closed at that moment, and a read from behind the
+// end gets 410.
 
 #pragma once
 
@@ -31,6 +33,13 @@
     /// Drops all records before an offset.
     void trim(std::size_t before);
 
+    /// Returns the number of records that have been appended, less those that were lost.
+    std::size_t size() const;
+
+    /// Comes back from a copy that has the first `n` records only, in the next era. All connections are closed.
+    void restore(std::size_t n);
+
+    std::int64_t era = 0; ///< Sent with each response; none is sent while it is 0.
     int snapshots = 0;
     int reads = 0;
     std::map<std::pair<std::string, std::string>, int>
@@ -63,6 +72,7 @@
     void hold(net::Connection &connection, const std::string &topic, std::size_t from, Millis time);
     void writeInParts(const std::shared_ptr<net::Connection> &connection, std::string bytes, std::size_t part);
     std::string snapshot(const std::string &topic, const std::string &after);
+    http::ResponseHead headWith(int status) const;
 
     asio::io_context &m_loop;
     std::vector<std::pair<std::string, std::string>> m_records;
--- a/lab/test/dissemination_test.cpp
+++ b/lab/test/dissemination_test.cpp
@@ -206,6 +206,35 @@
     EXPECT_LE(copiesSent() - before, 2) << "one entry VM, and the target VM that passes listings on";
 }
 
+/// How long after the return of a restored store the next state is written.
+class RestoredStoreTest : public DisseminationTest, public testing::WithParamInterface<Millis>
+{
+};
+
+// An offset that was assigned again counted as read: entry VMs stayed on the state of before for good.
+TEST_P(RestoredStoreTest, AStateAtTheOffsetOfALostOneTakesEffectOnAllEntryVms)
+{
+    m_store.era = 1;
+    append("config", stateOf(1));
+    addTarget("127.0.3.1", m_store);
+    addTarget("127.0.3.2", m_store);
+    addEntry(m_store);
+    addEntry(m_store);
+    ASSERT_TRUE(allGoBy(1, Millis{5000}));
+    m_loop.run_for(RelayTime);
+    const std::size_t copy = m_store.size();
+    append("config", stateOf(2));
+    append("config", stateOf(3));
+    ASSERT_TRUE(allGoBy(3, StateTime));
+    m_store.restore(copy);
+    append("config", stateOf(3)); // The operators write their newest state again.
+    m_loop.run_for(GetParam());
+    append("config", stateOf(4));
+    EXPECT_TRUE(allGoBy(4, StateTime));
+}
+
+INSTANTIATE_TEST_SUITE_P(Pauses, RestoredStoreTest, testing::Values(Millis{0}, Millis{1000}, Millis{4000}));
+
 } // namespace
 
 } // namespace ibislock
--- a/libs/feed/include/ibislock/feed/listings_cache.h
+++ b/libs/feed/include/ibislock/feed/listings_cache.h
@@ -1,5 +1,5 @@
-// Cache of all listings of targets that a VM knows, with the offset at which each last changed. Most records of the
-// topic are heartbeats that change nothing; only the changes after an offset are forwarded to other VMs. No I/O.
+// Cache of all listings of targets that a VM knows, with the position at which each last changed. Most records of the
+// topic are heartbeats that change nothing; only the changes after a position are forwarded to other VMs. No I/O.
 //
 //     if (applyTopicRecord(cache, change, now)) { ... }         // a record that was read from the topic
 //     if (covers(cache, from)) { changesFrom(cache, from); }    // the changes that another VM lacks
@@ -17,18 +17,18 @@
 struct CachedListing
 {
     std::optional<serving::TargetEntry> entry; ///< Empty in a tombstone.
-    std::int64_t offset = 0; ///< The offset of the last change.
+    TopicPosition position; ///< The position of the last change.
     std::int64_t startedAt = 0; ///< The last listed incarnation; 0 if unknown. Also in a tombstone.
     std::int64_t writeNumber = 0; ///< The last known number of its writes; 0 if unknown. Also in a tombstone.
     Millis changedAt{0}; ///< When this VM learned of the change, in monotonic time.
 };
 
-/// The listings, as of an offset of the topic.
+/// The listings, as of a position in the topic.
 struct ListingsCache
 {
     std::map<std::string, CachedListing, std::less<>> listings; ///< By id; includes tombstones.
-    std::int64_t coveredFrom = -1; ///< All changes at or after this offset are known; below 0 if none are.
-    std::int64_t end = -1; ///< The offset up to which the topic is known; below 0 if it isn't.
+    TopicPosition coveredFrom; ///< All changes at or after this position are known; unknown if none are.
+    TopicPosition end; ///< The position up to which the topic is known.
     Millis asOf{0}; ///< When the topic ended at `end`, by the boot clock.
 };
 
@@ -49,17 +49,18 @@
 bool applyListing(ListingsCache &cache, const peer::ListingChange &change, Millis now);
 
 /// Replaces all listings by those of a snapshot. The changes in between are unknown, so a VM that requests them from an
-/// earlier offset gets all listings.
-/// @param end the offset up to which the snapshot holds; below `cache.end` it means that the topic was recreated.
+/// earlier position gets all listings. In a snapshot of a later era, which comes from an older copy, a listing that was
+/// written before the cached one is ignored, so that a target that has left or is leaving doesn't return by it.
+/// @param end the position up to which the snapshot holds; below `cache.end` it means that the topic was recreated.
 /// @return the changes, including removals.
-std::vector<peer::ListingChange> replaceListings(ListingsCache &cache, const std::vector<peer::ListingChange> &listings,
-                                                 std::int64_t end, Millis now);
+std::vector<peer::ListingChange> replaceListings(ListingsCache &cache, const std::vector<peer::ListingChange> &snapshot,
+                                                 const TopicPosition &end, Millis now);
 
-/// Returns whether all changes from an offset on are known.
-bool covers(const ListingsCache &cache, std::int64_t from);
+/// Returns whether all changes from a position on are known.
+bool covers(const ListingsCache &cache, const TopicPosition &from);
 
-/// Returns the listings that changed at or after an offset, including tombstones.
-std::vector<peer::ListingChange> changesFrom(const ListingsCache &cache, std::int64_t from);
+/// Returns the listings that changed at or after a position, including tombstones.
+std::vector<peer::ListingChange> changesFrom(const ListingsCache &cache, const TopicPosition &from);
 
 /// Returns all listings, without tombstones.
 std::vector<peer::ListingChange> allListings(const ListingsCache &cache);
--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -46,7 +46,7 @@
     std::function<void(const std::string &id, const std::optional<serving::TargetEntry> &entry)> onListing;
     /// A store outage began (true) or ended (false), as this VM sees it.
     std::function<void(bool unreachable)> onStoreOutage;
-    /// A relay reports that a store outage ended at this monotonic time.
+    /// A relay reports that a store outage ended at this monotonic time, or the store was restored from a copy.
     std::function<void(Millis at)> onStoreRecovered;
     /// Returns whether an ibislock daemon runs beside a target.
     std::function<bool(const serving::TargetEntry &)> hasDaemon;
@@ -115,6 +115,9 @@
     peer::ListingChange decode(const platform::KeyedRecord &record);
     void applySnapshot(const std::vector<platform::KeyedRecord> &records);
     void applyRecord(const platform::KeyedRecord &record);
+
+    /// Records that the store was restored if the topic is now known up to an end of a later era.
+    void recordEra(const TopicPosition &end);
     void handleWatermark(Millis asOf);
     void handleStoreOutage(bool unreachable);
     void notify(const std::vector<peer::ListingChange> &changes);
--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -46,8 +46,8 @@
     void setEntryVms(std::vector<std::string> vms);
 
     /// Applies the watermark of another VM. Records before `end` that are unknown here are requested.
-    /// @param end the offset up to which this VM needs the topic; at most that of the watermark.
-    void applyWatermark(const OperatorsWatermark &watermark, std::int64_t end);
+    /// @param end the position up to which this VM needs the topic; at most that of the watermark.
+    void applyWatermark(const OperatorsWatermark &watermark, TopicPosition end);
 
     /// Sets whether this VM is passive, i.e. leaves it to others to poll the store.
     void setPassive(bool passive);
@@ -91,7 +91,7 @@
     std::size_t m_sourceIndex = 0; ///< The index of the current one in `m_sources`.
     std::string m_recordSource; ///< The VM whose update is being applied; empty for none.
     bool m_requesting = false;
-    std::int64_t m_wantedEnd = -1; ///< The offset up to which records are requested.
+    TopicPosition m_wantedEnd; ///< The position up to which records are requested.
     Millis m_wantedAsOf{0}; ///< When the topic ended there, by the boot clock.
     std::uint32_t m_sequence = 0;
     std::uint64_t m_peerUpdatesApplied = 0;
--- a/libs/feed/include/ibislock/feed/operators_watermark.h
+++ b/libs/feed/include/ibislock/feed/operators_watermark.h
@@ -1,7 +1,7 @@
 // The watermark of the operators' topic: its end as far as a VM knows it, and when it ended there. VMs exchange it with
 // its age, so that most of them need not poll the store for new records. No I/O.
 //
-//     if (mergeWatermark(watermark, {.end = 12, .announcementsEnd = 9, .asOf = now - age})) { ... }
+//     if (mergeWatermark(watermark, {.end = end, .announcementsEnd = announcementsEnd, .asOf = now - age})) { ... }
 
 #pragma once
 
@@ -14,18 +14,18 @@
 /// The end of the topic at a point in time.
 struct OperatorsWatermark
 {
-    std::int64_t end = -1; ///< The offset after the last record; below 0 if unknown.
-    std::int64_t announcementsEnd = -1; ///< The offset after the last announcement of weights.
+    TopicPosition end; ///< The position after the last record.
+    TopicPosition announcementsEnd; ///< The position after the last announcement of weights.
     Millis asOf{0}; ///< When the topic ended there, by the boot clock.
 };
 
 /// Merges the watermark of another VM into that of this one. A VM with an earlier end has read the topic earlier,
-/// whatever age it reports, and is ignored.
+/// whatever age it reports, and is ignored. The times at which the topic ended in different eras aren't compared.
 /// @return whether the end advanced.
 bool mergeWatermark(OperatorsWatermark &watermark, const OperatorsWatermark &other);
 
-/// Records that an announcement of weights was read at an offset.
-void recordAnnouncementOffset(OperatorsWatermark &watermark, std::int64_t offset);
+/// Records that an announcement of weights was read at a position.
+void recordAnnouncementPosition(OperatorsWatermark &watermark, const TopicPosition &position);
 
 /// Returns the options with which daemons follow the operators' topic.
 /// @param stateTime the time within which a desired state must take effect.
--- a/libs/feed/include/ibislock/feed/records_cache.h
+++ b/libs/feed/include/ibislock/feed/records_cache.h
@@ -1,8 +1,8 @@
 // Cache of the newest record of each key of a topic, from which a VM answers requests of others. No I/O.
 //
 //     applyTopicRecord(cache, record);
-//     cache.end = 12;
-//     std::vector<platform::KeyedRecord> unread = recordsFrom(cache, 10);
+//     cache.end = {.era = 1, .offset = 12};
+//     std::vector<platform::KeyedRecord> unread = recordsFrom(cache, {.era = 1, .offset = 10});
 
 #pragma once
 
@@ -13,17 +13,18 @@
 namespace ibislock::feed
 {
 
-/// The newest records, as of an offset of the topic.
+/// The newest records, as of a position in the topic.
 struct RecordsCache
 {
     std::map<std::string, platform::KeyedRecord, std::less<>> newest; ///< By key; includes deleted keys.
-    std::int64_t end = -1; ///< The offset up to which the topic is known; below 0 if it isn't.
+    TopicPosition end; ///< The position up to which the topic is known.
 };
 
 /// Applies a record of the topic. One that is older than the cached record of its key is ignored.
 void applyTopicRecord(RecordsCache &cache, const platform::KeyedRecord &record);
 
-/// Returns the newest record of each key whose offset is at or after `from`, in the order of the topic.
-std::vector<platform::KeyedRecord> recordsFrom(const RecordsCache &cache, std::int64_t from);
+/// Returns the newest record of each key at or after `from`, in the order of the topic. Records of an earlier era than
+/// that of `cache.end` are left out: the topic no longer holds them.
+std::vector<platform::KeyedRecord> recordsFrom(const RecordsCache &cache, const TopicPosition &from);
 
 } // namespace ibislock::feed
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -1,5 +1,6 @@
 // Follows a keyed topic of the platform's store: reads a snapshot with the newest record of each key, then each new
-// record. Reads a new snapshot when the store no longer has the records that were missed, and retries during outages.
+// record. Reads a new snapshot when the store no longer has the records that were missed or was restored from an older
+// copy, and retries during outages.
 //
 //     TopicFeed feed(loop, client, store, {.topic = platform::TargetsTopic, .minReadInterval = Millis{500}}, events);
 //     feed.start();
@@ -31,12 +32,12 @@
 /// Callbacks of a feed.
 struct FeedEvents
 {
-    /// The records of all keys; other keys no longer exist.
+    /// The records of all keys; other keys no longer exist. A restored store may lack records that were delivered.
     std::function<void(std::vector<platform::KeyedRecord>)> onSnapshot;
     std::function<void(const platform::KeyedRecord &)> onRecord;
     std::function<void(bool unreachable)> onStoreOutage; ///< A store outage began (true) or ended (false).
 
-    /// Called after each update that reached the end of the topic: all records before `nextOffset()` are delivered, and
+    /// Called after each update that reached the end of the topic: all records before `position()` are delivered, and
     /// the topic ended there at the time `asOf` of the boot clock or later. May be empty.
     std::function<void(Millis asOf)> onWatermark = {};
 };
@@ -77,37 +78,37 @@
     /// longer passive reads at once, as others rely on it. Not to be called while the feed is suspended.
     void setPassive(bool passive);
 
-    /// Records that another VM has found no records after `nextOffset()` that are needed here.
+    /// Records that another VM has found no records after `position()` that are needed here.
     /// @param asOf when the store reported that, by the boot clock.
     void markValidated(Millis asOf);
 
-    /// Records that another VM has seen the topic end at an offset; if records before it are unread, `lagTime`
-    /// counts from then on.
-    void recordKnownEnd(std::int64_t end);
+    /// Records that another VM has seen the topic end at a position; if records before it are unread, `lagTime` counts
+    /// from then on. Responses of an era before it are ignored.
+    void recordKnownEnd(const TopicPosition &end);
 
     /// Applies records that another VM has read, and cancels the call under way. Does nothing before the first
     /// snapshot, or if the topic is known up to `end`.
-    /// @param records the newest record of each key from `nextOffset()` on.
-    /// @param end the offset up to which the topic is known with these records.
+    /// @param records the newest record of each key from `position()` on; of each key if `end` is of a later era.
+    /// @param end the position up to which the topic is known with these records.
     /// @param asOf when the topic ended there, by the boot clock.
     /// @return whether the records were applied.
-    bool applyRecords(std::vector<platform::KeyedRecord> records, std::int64_t end, Millis asOf);
+    bool applyRecords(std::vector<platform::KeyedRecord> records, const TopicPosition &end, Millis asOf);
 
     /// Stops reading, as the topic is followed through another VM; cancels the call under way.
     void suspend();
 
     /// Resumes reading.
-    /// @param offset the offset up to which the topic is known through other VMs.
+    /// @param position the position up to which the topic is known through other VMs.
     /// @param passive as in `setPassive`.
-    void resume(std::int64_t offset, bool passive);
+    void resume(const TopicPosition &position, bool passive);
 
     /// Notifies the feed of records that another process has read; those that are unread here are read at once. A read
     /// whose response is arriving goes on: it is large or its link is slow, and it would only start again.
-    /// @param end the offset after the last record that the other process has read.
-    void notifyNewRecords(std::int64_t end);
+    /// @param end the position after the last record that the other process has read.
+    void notifyNewRecords(const TopicPosition &end);
 
-    /// Returns the offset after the last record that was read; below 0 before the first snapshot.
-    std::int64_t nextOffset() const;
+    /// Returns the position after the last record that was read; unknown before the first snapshot.
+    const TopicPosition &position() const;
 
     /// Returns the number of calls to the store.
     std::uint64_t calls() const;
@@ -118,6 +119,12 @@
     /// Returns the number of calls that were cancelled on a notification of new records.
     std::uint64_t cancelledCalls() const;
 
+    /// Returns how often the store was found to have been restored from an older copy.
+    std::uint64_t restores() const;
+
+    /// Returns the number of responses that were ignored as they were of an earlier era than the one that is known.
+    std::uint64_t outdatedResponses() const;
+
     /// Returns for how long unread records have been known to exist; 0 if there are none.
     Millis lagTime() const;
 
@@ -142,19 +149,26 @@
     void readNewest();
     void scheduleRead(Millis delay);
     void readUnlessValidated();
-    void applyNewest(std::vector<platform::KeyedRecord> records, std::int64_t end);
+    void applyNewest(std::vector<platform::KeyedRecord> records, const TopicPosition &end);
     void readNext();
-    void applySnapshotPage(const std::string &body);
-    void applyReadPage(const std::string &body);
+    void applySnapshotPage(std::int64_t era, const std::string &body);
+    void finishSnapshot();
+    void applyReadPage(std::int64_t era, const std::string &body);
+    bool isRestored(std::int64_t era) const;
+    void recordRestore(std::int64_t era);
+
+    /// Returns the era of a response.
+    /// @return the era, or why the response can't be used.
+    Result<std::int64_t> eraOf(const http::ResponseHead &response);
     void schedule(Millis delay, void (TopicFeed::*step)());
     void reportWatermark(Millis asOf);
     Millis holdTime() const;
     void cancelCall();
-    void advanceTo(std::int64_t offset);
+    void advanceTo(const TopicPosition &position);
     void handleFailure(std::string_view cause, void (TopicFeed::*retry)());
     void handleSuccess();
     void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(),
-              std::function<void(int status, const std::string &body)> done);
+              std::function<void(std::int64_t era, int status, const std::string &body)> done);
 
     net::HttpClient &m_client;
     platform::Endpoint m_store;
@@ -163,8 +177,8 @@
     net::Timer m_timer;
     Random m_random;
     std::vector<platform::KeyedRecord> m_snapshotRecords;
-    std::int64_t m_nextOffset = -1;
-    std::int64_t m_snapshotEnd = -1;
+    TopicPosition m_position;
+    std::optional<TopicPosition> m_snapshotEnd; ///< The end as of the first page of the snapshot under way.
     Millis m_backoff = InitialBackoff;
     bool m_storeUnreachable = false;
     bool m_callActive = false; ///< A call is under way.
@@ -172,19 +186,21 @@
     bool m_passive = false;
     bool m_readsNewest = false; ///< The snapshot under way replaces records that were missed.
     Millis m_validatedAt{0}; ///< By the boot clock.
-    Millis m_endKnownAt{0}; ///< When the topic is known to have ended at `m_nextOffset`, by the boot clock.
+    Millis m_endKnownAt{0}; ///< When the topic is known to have ended at `m_position`, by the boot clock.
     bool m_synchronized = false;
     bool m_readingSnapshot = false; ///< A page of a snapshot is under way, or is requested next.
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
     std::uint64_t m_cancelledCalls = 0;
-    /// The highest end that is known from reports of other VMs; -1 if unknown. Reset to the end of each snapshot that
-    /// is delivered by `FeedEvents::onSnapshot`, since the topic may have been recreated.
-    std::int64_t m_knownEnd = -1;
+    std::uint64_t m_restores = 0;
+    std::uint64_t m_outdatedResponses = 0;
+    /// The highest end that is known from reports of other VMs. Reset to the end of each snapshot that is delivered by
+    /// `FeedEvents::onSnapshot`, since the topic may have been recreated.
+    TopicPosition m_knownEnd;
     std::optional<Millis> m_lagSince; ///< By the boot clock.
     Millis m_maxLag{0};
     std::shared_ptr<net::Exchange> m_exchange; ///< The exchange of the call under way.
-    std::int64_t m_notifiedEnd = -1; ///< The end of the last notification that led to a read.
+    TopicPosition m_notifiedEnd; ///< The end of the last notification that led to a read.
     bool m_notificationPending = false; ///< The next read follows a notification, and the store must not hold it.
     Millis m_callStartedAt{0}; ///< In monotonic time.
     Millis m_callStartedAtBoot{0}; ///< The same by the boot clock.
--- a/libs/feed/include/ibislock/feed/topic_poll.h
+++ b/libs/feed/include/ibislock/feed/topic_poll.h
@@ -4,7 +4,7 @@
 //     TopicPoll poll(client, store, platform::TargetsTopic,
 //                    {.onPage = [](const platform::ReadPage &page, Millis asOf) {...},
 //                     .onFailure = [](std::string_view cause) {...}});
-//     poll.start(offset, Millis{400});
+//     poll.start(position, Millis{400});
 
 #pragma once
 
@@ -20,7 +20,7 @@
 {
     /// @param asOf when the topic ended at the end of the page or later, by the boot clock.
     std::function<void(const platform::ReadPage &page, Millis asOf)> onPage;
-    /// The store didn't respond in time, refused the read, or no longer has the records.
+    /// The store didn't respond in time, refused the read, no longer has the records, or responded in another era.
     std::function<void(std::string_view cause)> onFailure;
 };
 
@@ -33,10 +33,10 @@
     TopicPoll(const TopicPoll &) = delete;
     TopicPoll &operator=(const TopicPoll &) = delete;
 
-    /// Reads the records from an offset on. After a failure a new connection is used, as the old one may be dead.
+    /// Reads the records from a position on. After a failure a new connection is used, as the old one may be dead.
     /// @param timeout limit of the time to the first byte of the response, and of each pause within it.
     /// @param newConnection whether a new connection is used in any case.
-    void start(std::int64_t from, Millis timeout, bool newConnection = false);
+    void start(const TopicPosition &from, Millis timeout, bool newConnection = false);
 
     /// Cancels the read under way; no callback is called for it.
     void cancel();
@@ -51,7 +51,8 @@
     std::uint64_t failures() const;
 
 private:
-    void finish(net::ExchangeOutcome outcome, int status, const std::string &body, std::int64_t from);
+    void finish(net::ExchangeOutcome outcome, const http::ResponseHead &response, const std::string &body,
+                const TopicPosition &from);
     void fail(std::string_view cause);
 
     net::HttpClient &m_client;
--- a/libs/feed/src/listings_cache.cpp
+++ b/libs/feed/src/listings_cache.cpp
@@ -11,8 +11,10 @@
 
 peer::ListingChange toChange(const std::string &id, const CachedListing &cached)
 {
-    return {
-        .id = id, .entry = cached.entry, .offset = cached.offset, .writeNumber = cached.entry ? cached.writeNumber : 0};
+    return {.id = id,
+            .entry = cached.entry,
+            .position = cached.position,
+            .writeNumber = cached.entry ? cached.writeNumber : 0};
 }
 
 /// Returns whether a change is of the incarnation that was listed last.
@@ -28,19 +30,57 @@
     return isSameIncarnation(change, cached) && change.writeNumber > 0 && change.writeNumber < cached.writeNumber;
 }
 
+/// Returns whether a change is of an incarnation before the one that was listed last; they start at increasing times.
+bool isEarlierIncarnation(const peer::ListingChange &change, const CachedListing &cached)
+{
+    return change.entry && change.entry->startedAt != 0 && change.entry->startedAt < cached.startedAt;
+}
+
+/// Returns whether a listing of a restored topic may have been written before the cached one.
+bool mayPrecede(const peer::ListingChange &listing, const CachedListing &cached)
+{
+    const bool sameOrUnknown = listing.entry->startedAt == cached.startedAt;
+    return isEarlierIncarnation(listing, cached) || (sameOrUnknown && listing.writeNumber <= cached.writeNumber);
+}
+
+/// Prepares the cache for a snapshot of a later era, as positions of earlier eras no longer count.
+/// @return the listings of the snapshot, with cached ones in place of those that may have been written before them.
+std::vector<peer::ListingChange> enterEra(ListingsCache &cache, const std::vector<peer::ListingChange> &snapshot,
+                                          std::int64_t era)
+{
+    for (auto &[id, cached] : cache.listings) {
+        cached.position = {.era = era, .offset = -1};
+    }
+    std::vector<peer::ListingChange> out;
+    for (const peer::ListingChange &listing : snapshot) {
+        const auto it = cache.listings.find(listing.id);
+        if (it == cache.listings.end() || !mayPrecede(listing, it->second)) {
+            out.push_back(listing);
+        } else if (it->second.entry) {
+            out.push_back(toChange(listing.id, it->second));
+            out.back().position = listing.position;
+        }
+    }
+    return out;
+}
+
 /// @param forwardEqual whether an entry that equals the cached one is forwarded.
 bool apply(ListingsCache &cache, const peer::ListingChange &change, Millis now, bool forwardEqual)
 {
     const auto it = cache.listings.find(change.id);
     const bool cached = it != cache.listings.end();
-    if (cached && (change.offset < it->second.offset || isEarlierWrite(change, it->second))) {
+    if (cached && (change.position < it->second.position || isEarlierWrite(change, it->second))) {
+        return false;
+    }
+    // VMs that knew more than a restored store list a target differently at the same position.
+    if (cached && change.position == it->second.position && isEarlierIncarnation(change, it->second)) {
         return false;
     }
     const bool equal = cached ? change.entry == it->second.entry : !change.entry;
     if (!equal || forwardEqual) {
         CachedListing &item = cache.listings[change.id];
         item.entry = change.entry;
-        item.offset = change.offset;
+        item.position = change.position;
         item.changedAt = now;
     }
     if (change.entry) {
@@ -64,13 +104,15 @@
     return apply(cache, change, now, true);
 }
 
-std::vector<peer::ListingChange> replaceListings(ListingsCache &cache, const std::vector<peer::ListingChange> &listings,
-                                                 std::int64_t end, Millis now)
+std::vector<peer::ListingChange> replaceListings(ListingsCache &cache, const std::vector<peer::ListingChange> &snapshot,
+                                                 const TopicPosition &end, Millis now)
 {
+    const bool restored = cache.end.isKnown() && end.era > cache.end.era;
+    const std::vector<peer::ListingChange> listings = restored ? enterEra(cache, snapshot, end.era) : snapshot;
     if (end < cache.end) {
         // The topic was recreated: the cached offsets are no longer valid.
         for (auto &[id, cached] : cache.listings) {
-            cached.offset = -1;
+            cached.position = {};
             cached.startedAt = 0;
         }
     }
@@ -84,7 +126,7 @@
     }
     for (const auto &[id, cached] : cache.listings) {
         if (cached.entry && !listed.contains(id)) {
-            changed.push_back({.id = id, .entry = {}, .offset = end - 1});
+            changed.push_back({.id = id, .entry = {}, .position = advancedBy(end, -1)});
         }
     }
     for (const peer::ListingChange &change : changed) {
@@ -95,16 +137,16 @@
     return changed;
 }
 
-bool covers(const ListingsCache &cache, std::int64_t from)
+bool covers(const ListingsCache &cache, const TopicPosition &from)
 {
-    return cache.coveredFrom >= 0 && from >= cache.coveredFrom;
+    return cache.coveredFrom.isKnown() && from >= cache.coveredFrom;
 }
 
-std::vector<peer::ListingChange> changesFrom(const ListingsCache &cache, std::int64_t from)
+std::vector<peer::ListingChange> changesFrom(const ListingsCache &cache, const TopicPosition &from)
 {
     std::vector<peer::ListingChange> out;
     for (const auto &[id, cached] : cache.listings) {
-        if (cached.offset >= from) {
+        if (cached.position >= from) {
             out.push_back(toChange(id, cached));
         }
     }
@@ -126,7 +168,8 @@
 {
     for (auto it = cache.listings.begin(); it != cache.listings.end();) {
         const bool expired = !it->second.entry && now >= it->second.changedAt + TombstoneLifetime;
-        cache.coveredFrom = expired ? std::max(cache.coveredFrom, it->second.offset + 1) : cache.coveredFrom;
+        cache.coveredFrom =
+            expired ? std::max(cache.coveredFrom, advancedBy(it->second.position, 1)) : cache.coveredFrom;
         it = expired ? cache.listings.erase(it) : std::next(it);
     }
 }
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -76,7 +76,7 @@
 
 bool ListingsFollower::synchronized() const
 {
-    return m_cache.coveredFrom >= 0;
+    return m_cache.coveredFrom.isKnown();
 }
 
 bool ListingsFollower::readsStoreForOthers() const
@@ -136,7 +136,7 @@
 
 peer::ListingChange ListingsFollower::decode(const platform::KeyedRecord &record)
 {
-    peer::ListingChange out{.id = record.key, .entry = {}, .offset = record.offset};
+    peer::ListingChange out{.id = record.key, .entry = {}, .position = record.position};
     if (!record.value) {
         return out;
     }
@@ -162,7 +162,8 @@
         }
     }
     m_source = StoreSource;
-    notify(replaceListings(m_cache, listings, m_feed.nextOffset(), steadyMillis()));
+    recordEra(m_feed.position());
+    notify(replaceListings(m_cache, listings, m_feed.position(), steadyMillis()));
 }
 
 void ListingsFollower::applyRecord(const platform::KeyedRecord &record)
@@ -192,9 +193,21 @@
     m_events.onStoreOutage(unreachable);
 }
 
+void ListingsFollower::recordEra(const TopicPosition &end)
+{
+    if (!m_cache.end.isKnown() || end.era <= m_cache.end.era) {
+        return;
+    }
+    // Listings of live targets may be missing from the older copy; their targets write them again.
+    logWarning(LogComponent::Store, "The store was restored from an older copy; replacing all listings.",
+               {{"offset", toText(m_cache.end)}, {"end", toText(end)}, {"from", m_source}});
+    m_relayServer.recordStoreRecovery(bootMillis());
+    m_events.onStoreRecovered(steadyMillis());
+}
+
 void ListingsFollower::handleWatermark(Millis asOf)
 {
-    m_cache.end = std::max(m_cache.end, m_feed.nextOffset()); // A read beside the feed may be ahead of it.
+    m_cache.end = std::max(m_cache.end, m_feed.position()); // A read beside the feed may be ahead of it.
     m_cache.asOf = std::max(m_cache.asOf, asOf);
     m_source = StoreSource;
     scheduleOwnRead();
@@ -283,7 +296,7 @@
 {
     // The response left the relay `heldFor` after the request was sent or later, so this can only overestimate the age.
     const Millis asOf = m_requestedAt + update.heldFor - update.age;
-    if (update.end < 0 || bootMillis() - asOf > fractionOfDrainTime(MaxAgeFraction)) {
+    if (!update.end.isKnown() || bootMillis() - asOf > fractionOfDrainTime(MaxAgeFraction)) {
         failOver("stale answer");
         return;
     }
@@ -312,6 +325,7 @@
     // An update that ends before what is known is of another topic or overestimates its time: it confirms nothing.
     if (update.end >= m_cache.end) {
         m_source = m_currentRelay;
+        recordEra(update.end);
         std::vector<peer::ListingChange> changes;
         if (update.isSnapshot) {
             changes = replaceListings(m_cache, update.listings, update.end, now);
@@ -363,7 +377,7 @@
     if (!m_readsStore) {
         m_readsStore = true;
         logInfo(LogComponent::Store, "Reading listings from the store.",
-                {{"offset", std::to_string(m_cache.end)}, {"age_ms", std::to_string(age().count())}});
+                {{"offset", toText(m_cache.end)}, {"age_ms", std::to_string(age().count())}});
         updateRole(domainVms()); // It may have changed while a relay was followed.
         m_feed.resume(m_cache.end, !m_servesOthers && !usesListings());
     }
@@ -413,7 +427,7 @@
             {{"age_ms", std::to_string(age().count())},
              {"source", m_source},
              {"relay", relay()},
-             {"offset", std::to_string(m_cache.end)}});
+             {"offset", toText(m_cache.end)}});
     const bool otherGoesOn =
         std::any_of(m_ownReads.begin(), m_ownReads.end(), [](const TopicPoll &read) { return read.isActive(); });
     m_ownReads[m_nextOwnRead].start(m_cache.end, fractionOfDrainTime(OwnReadTimeoutFraction), otherGoesOn);
@@ -438,14 +452,14 @@
         for (const platform::KeyedRecord &record : page.records) {
             applyRecord(record);
         }
-        m_cache.end = std::max(m_cache.end, page.nextOffset);
-        if (page.nextOffset >= page.endOffset) {
+        m_cache.end = std::max(m_cache.end, page.next);
+        if (page.next >= page.end) {
             m_cache.asOf = std::max(m_cache.asOf, asOf);
             m_source = StoreSource;
         }
         pruneTombstones(m_cache, steadyMillis());
         m_relayServer.completePending();
-        if (page.nextOffset < page.endOffset) {
+        if (page.next < page.end) {
             m_ownReadAt = Millis{0}; // The rest is read at once.
             scheduleOwnRead(Millis{0});
             return;
--- a/libs/feed/src/listings_relay.cpp
+++ b/libs/feed/src/listings_relay.cpp
@@ -65,7 +65,7 @@
 
 bool ListingsRelay::isReady(const peer::ListingsRequest &request) const
 {
-    if (m_cache.coveredFrom < 0 || m_cache.end < request.from) {
+    if (!m_cache.coveredFrom.isKnown() || m_cache.end < request.from) {
         return false;
     }
     return !covers(m_cache, request.from) || !changesFrom(m_cache, request.from).empty();
@@ -85,7 +85,7 @@
 peer::ListingsUpdate ListingsRelay::makeResponse(const peer::ListingsRequest &request, Millis heldFor) const
 {
     const Millis now = bootMillis();
-    const bool hasListings = m_cache.coveredFrom >= 0;
+    const bool hasListings = m_cache.coveredFrom.isKnown();
     peer::ListingsUpdate out{.sequence = request.sequence,
                              .end = m_cache.end,
                              .isSnapshot = hasListings && !covers(m_cache, request.from),
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -26,12 +26,12 @@
 
 platform::KeyedRecord fromMessage(const peer::TopicRecord &record)
 {
-    return {.key = record.key, .value = record.value, .offset = record.offset};
+    return {.key = record.key, .value = record.value, .position = record.position};
 }
 
 peer::TopicRecord toMessage(const platform::KeyedRecord &record)
 {
-    return {.key = record.key, .value = record.value, .offset = record.offset};
+    return {.key = record.key, .value = record.value, .position = record.position};
 }
 
 Result<peer::RecordsRequest> decodeRequest(std::string_view body)
@@ -83,7 +83,7 @@
     // Records are served only after all records of a response have been delivered.
     const auto publishEnd = [this] {
         if (m_options.isEntryVm) {
-            m_cache.end = m_feed.nextOffset();
+            m_cache.end = m_feed.position();
             m_server.completePending();
         }
     };
@@ -168,9 +168,9 @@
     return m_server.responsesSent();
 }
 
-void OperatorsFollower::applyWatermark(const OperatorsWatermark &watermark, std::int64_t end)
+void OperatorsFollower::applyWatermark(const OperatorsWatermark &watermark, TopicPosition end)
 {
-    if (end <= m_feed.nextOffset()) {
+    if (end <= m_feed.position()) {
         m_feed.markValidated(watermark.asOf);
         return;
     }
@@ -202,10 +202,10 @@
 
 void OperatorsFollower::requestNext()
 {
-    m_requesting = m_feed.nextOffset() < m_wantedEnd && m_sourceIndex < m_sources.size();
+    m_requesting = m_feed.position() < m_wantedEnd && m_sourceIndex < m_sources.size();
     if (!m_requesting) {
         m_timer.cancel();
-        if (m_feed.nextOffset() < m_wantedEnd) {
+        if (m_feed.position() < m_wantedEnd) {
             m_feed.notifyNewRecords(m_wantedEnd);
         }
         return;
@@ -214,7 +214,7 @@
     m_sourceClient.send(
         m_sources[m_sourceIndex],
         encode(peer::RecordsRequest{
-            .sequence = ++m_sequence, .from = m_feed.nextOffset(), .awaitedEnd = m_wantedEnd, .wait = wait}));
+            .sequence = ++m_sequence, .from = m_feed.position(), .awaitedEnd = m_wantedEnd, .wait = wait}));
     awaitResponse(wait + fractionOfStateTime(ResponseMarginFraction));
 }
 
@@ -272,8 +272,8 @@
     logInfo(LogComponent::Store, "A request for records to another VM failed; trying the next source.",
             {{"vm", m_sourceClient.vm()},
              {"cause", std::string(cause)},
-             {"offset", std::to_string(m_feed.nextOffset())},
-             {"end", std::to_string(m_wantedEnd)}});
+             {"offset", toText(m_feed.position())},
+             {"end", toText(m_wantedEnd)}});
     m_avoidedUntil[m_sourceClient.vm()] = steadyMillis() + SourceRetryInterval;
     ++m_sourceIndex;
     requestNext();
--- a/libs/feed/src/operators_view.cpp
+++ b/libs/feed/src/operators_view.cpp
@@ -27,7 +27,7 @@
             {{"model", weights->model},
              {"version", std::to_string(weights->version)},
              {"time", context.live ? "seen" : "unknown"},
-             {"offset", std::to_string(record.offset)},
+             {"offset", toText(record.position)},
              {"from", context.source.empty() ? "store" : context.source},
              {"max_age_ms", std::to_string(context.maxAge ? context.maxAge->count() : -1)}});
     return true;
@@ -48,7 +48,7 @@
     logInfo(LogComponent::Store, "A new desired state is in effect.",
             {{"version", std::to_string(view.state->version)},
              {"routes", std::to_string(view.state->routes.size())},
-             {"offset", std::to_string(record.offset)}});
+             {"offset", toText(record.position)}});
     return true;
 }
 
--- a/libs/feed/src/operators_watermark.cpp
+++ b/libs/feed/src/operators_watermark.cpp
@@ -43,22 +43,23 @@
         return false;
     }
     const bool advanced = other.end > watermark.end;
+    const bool sameEra = other.end.era == watermark.end.era;
     watermark = {.end = other.end,
                  .announcementsEnd = std::max(watermark.announcementsEnd, other.announcementsEnd),
-                 .asOf = std::max(watermark.asOf, other.asOf)};
+                 .asOf = sameEra ? std::max(watermark.asOf, other.asOf) : other.asOf};
     return advanced;
 }
 
-void recordAnnouncementOffset(OperatorsWatermark &watermark, std::int64_t offset)
+void recordAnnouncementPosition(OperatorsWatermark &watermark, const TopicPosition &position)
 {
-    watermark.announcementsEnd = std::max(watermark.announcementsEnd, offset + 1);
+    watermark.announcementsEnd = std::max(watermark.announcementsEnd, advancedBy(position, 1));
 }
 
 peer::TopicWatermark toMessage(const OperatorsWatermark &watermark, Millis now)
 {
     return {.end = watermark.end,
             .announcementsEnd = watermark.announcementsEnd,
-            .age = watermark.end < 0 ? peer::TopicWatermark::UnknownAge : now - watermark.asOf};
+            .age = !watermark.end.isKnown() ? peer::TopicWatermark::UnknownAge : now - watermark.asOf};
 }
 
 OperatorsWatermark fromMessage(const peer::TopicWatermark &watermark, Millis now)
--- a/libs/feed/src/records_cache.cpp
+++ b/libs/feed/src/records_cache.cpp
@@ -8,21 +8,21 @@
 void applyTopicRecord(RecordsCache &cache, const platform::KeyedRecord &record)
 {
     const auto [it, isNew] = cache.newest.try_emplace(record.key, record);
-    if (!isNew && it->second.offset < record.offset) {
+    if (!isNew && it->second.position < record.position) {
         it->second = record;
     }
 }
 
-std::vector<platform::KeyedRecord> recordsFrom(const RecordsCache &cache, std::int64_t from)
+std::vector<platform::KeyedRecord> recordsFrom(const RecordsCache &cache, const TopicPosition &from)
 {
     std::vector<platform::KeyedRecord> out;
     for (const auto &[key, record] : cache.newest) {
-        if (record.offset >= from) {
+        if (record.position >= from && record.position.era == cache.end.era) {
             out.push_back(record);
         }
     }
     std::sort(out.begin(), out.end(),
-              [](const platform::KeyedRecord &a, const platform::KeyedRecord &b) { return a.offset < b.offset; });
+              [](const platform::KeyedRecord &a, const platform::KeyedRecord &b) { return a.position < b.position; });
     return out;
 }
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -43,6 +43,16 @@
     return m_failures;
 }
 
+std::uint64_t TopicFeed::restores() const
+{
+    return m_restores;
+}
+
+std::uint64_t TopicFeed::outdatedResponses() const
+{
+    return m_outdatedResponses;
+}
+
 std::uint64_t TopicFeed::cancelledCalls() const
 {
     return m_cancelledCalls;
@@ -63,18 +73,18 @@
     return m_endKnownAt;
 }
 
-void TopicFeed::recordKnownEnd(std::int64_t end)
+void TopicFeed::recordKnownEnd(const TopicPosition &end)
 {
     m_knownEnd = std::max(m_knownEnd, end);
-    if (m_synchronized && m_nextOffset < m_knownEnd && !m_lagSince) {
+    if (m_synchronized && m_position < m_knownEnd && !m_lagSince) {
         m_lagSince = bootMillis();
     }
 }
 
-void TopicFeed::advanceTo(std::int64_t offset)
+void TopicFeed::advanceTo(const TopicPosition &position)
 {
-    m_nextOffset = offset;
-    if (m_nextOffset >= m_knownEnd) {
+    m_position = position;
+    if (m_position >= m_knownEnd) {
         m_maxLag = maxLagTime();
         m_lagSince.reset();
     }
@@ -112,7 +122,7 @@
         logInfo(LogComponent::Store, "A call to the store failed again.",
                 {{"topic", m_options.topic},
                  {"cause", std::string(cause)},
-                 {"offset", std::to_string(m_nextOffset)},
+                 {"offset", toText(m_position)},
                  {"behind_ms", std::to_string(lagTime().count())}});
     }
     m_firstByteTimeout = std::min(m_firstByteTimeout + FirstByteTimeout, MaxFirstByteTimeout);
@@ -132,7 +142,7 @@
 }
 
 void TopicFeed::call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(),
-                     std::function<void(int status, const std::string &body)> done)
+                     std::function<void(std::int64_t era, int status, const std::string &body)> done)
 {
     ++m_calls;
     m_timer.cancel();
@@ -159,10 +169,42 @@
                               handleFailure(nameOf(net::ExchangeOutcomeNames, end), retry);
                               return;
                           }
-                          done(response.status, body);
+                          const auto era = eraOf(response);
+                          if (!era) {
+                              handleFailure(era.error().message, retry);
+                              return;
+                          }
+                          done(*era, response.status, body);
                       });
 }
 
+Result<std::int64_t> TopicFeed::eraOf(const http::ResponseHead &response)
+{
+    auto era = platform::decodeEra(response);
+    const std::int64_t known = std::max(m_position.era, m_knownEnd.era);
+    if (era && *era >= known) {
+        return era;
+    }
+    ++m_outdatedResponses;
+    logWarning(LogComponent::Store, "Ignored a response of the store from before it was restored.",
+               {{"topic", m_options.topic},
+                {"era", era ? std::to_string(*era) : "invalid"},
+                {"known_era", std::to_string(known)}});
+    return era ? failure(ErrorCode::Unavailable, "an earlier era") : era;
+}
+
+bool TopicFeed::isRestored(std::int64_t era) const
+{
+    return m_synchronized && era > m_position.era;
+}
+
+void TopicFeed::recordRestore(std::int64_t era)
+{
+    ++m_restores;
+    logWarning(LogComponent::Store, "The store was restored from an older copy; reading all records again.",
+               {{"topic", m_options.topic}, {"offset", toText(m_position)}, {"era", std::to_string(era)}});
+}
+
 void TopicFeed::setPassive(bool passive)
 {
     const bool activated = m_passive && !passive;
@@ -223,17 +265,20 @@
         m_exchange->cancel();
     }
     m_snapshotRecords.clear();
-    m_snapshotEnd = -1;
+    m_snapshotEnd.reset();
     m_readsNewest = false;
     m_readingSnapshot = false;
 }
 
-bool TopicFeed::applyRecords(std::vector<platform::KeyedRecord> records, std::int64_t end, Millis asOf)
+bool TopicFeed::applyRecords(std::vector<platform::KeyedRecord> records, const TopicPosition &end, Millis asOf)
 {
-    if (!m_synchronized || end <= m_nextOffset) {
+    if (!m_synchronized || end <= m_position) {
         return false;
     }
     cancelCall(); // It started at an earlier offset.
+    if (isRestored(end.era)) {
+        recordRestore(end.era);
+    }
     applyNewest(std::move(records), end);
     markValidated(asOf);
     reportWatermark(asOf);
@@ -251,19 +296,19 @@
     handleSuccess(); // The topic is followed through another VM, so this VM has no store outage.
 }
 
-void TopicFeed::resume(std::int64_t offset, bool passive)
+void TopicFeed::resume(const TopicPosition &position, bool passive)
 {
     m_passive = passive;
-    advanceTo(offset);
+    advanceTo(position);
     readNext();
 }
 
-std::int64_t TopicFeed::nextOffset() const
+const TopicPosition &TopicFeed::position() const
 {
-    return m_nextOffset;
+    return m_position;
 }
 
-void TopicFeed::notifyNewRecords(std::int64_t end)
+void TopicFeed::notifyNewRecords(const TopicPosition &end)
 {
     recordKnownEnd(end);
     // One early read for each notification: if the store itself does not return the records, the usual read interval
@@ -274,20 +319,22 @@
     // A read that the store does not hold returns all records that there are; over a congested link its response takes
     // long.
     const bool unheldReadActive = m_callActive && m_longPollTime == Millis{0};
-    if (!m_synchronized || end <= m_nextOffset || end <= m_notifiedEnd || justStarted || responseArriving
+    if (!m_synchronized || end <= m_position || end <= m_notifiedEnd || justStarted || responseArriving
         || unheldReadActive) {
         return;
     }
     m_notifiedEnd = end;
     m_notificationPending = true;
     logInfo(LogComponent::Store, "Another VM reported new records; reading at once.",
-            {{"topic", m_options.topic}, {"offset", std::to_string(m_nextOffset)}, {"end", std::to_string(end)}});
+            {{"topic", m_options.topic}, {"offset", toText(m_position)}, {"end", toText(end)}});
     m_timer.cancel();
     if (m_exchange) {
         m_cancelledCalls += m_callActive ? 1 : 0;
         m_exchange->cancel();
     }
-    if (m_options.newestOnly && end - m_nextOffset > 1) {
+    if (end.era != m_position.era) {
+        readSnapshot();
+    } else if (m_options.newestOnly && end.offset - m_position.offset > 1) {
         readNewest();
     } else {
         readNext();
@@ -300,25 +347,32 @@
     m_longPollTime = Millis{0};
     m_readingSnapshot = true;
     call(platform::makeSnapshotRequest(m_options.topic, after), m_firstByteTimeout, &TopicFeed::readSnapshot,
-         [this](int status, const std::string &body) {
+         [this](std::int64_t era, int status, const std::string &body) {
              if (status != OkStatus) {
                  handleFailure("status " + std::to_string(status), &TopicFeed::readSnapshot);
                  return;
              }
-             applySnapshotPage(body);
+             applySnapshotPage(era, body);
          });
 }
 
-void TopicFeed::applySnapshotPage(const std::string &body)
+void TopicFeed::applySnapshotPage(std::int64_t era, const std::string &body)
 {
-    auto page = platform::decodeSnapshotPage(body);
+    auto page = platform::decodeSnapshotPage(body, era);
     if (!page) {
         handleFailure(page.error().message, &TopicFeed::readSnapshot);
         return;
     }
-    if (m_snapshotEnd < 0) {
+    if (m_snapshotEnd && m_snapshotEnd->era != era) {
+        // The pages that were read are of an earlier era, and this one follows on one of them.
+        m_snapshotRecords.clear();
+        m_snapshotEnd.reset();
+        readSnapshot();
+        return;
+    }
+    if (!m_snapshotEnd) {
         // The end as of the first page: what changes while later pages are read is read again.
-        m_snapshotEnd = page->endOffset;
+        m_snapshotEnd = page->end;
         m_snapshotStartedAt = m_callStartedAtBoot;
     }
     std::move(page->records.begin(), page->records.end(), std::back_inserter(m_snapshotRecords));
@@ -326,15 +380,28 @@
         readSnapshot();
         return;
     }
+    finishSnapshot();
+}
+
+void TopicFeed::finishSnapshot()
+{
     m_readingSnapshot = false;
     handleSuccess();
-    if (std::exchange(m_readsNewest, false) && m_snapshotEnd >= m_nextOffset) {
-        applyNewest(std::exchange(m_snapshotRecords, {}), std::exchange(m_snapshotEnd, -1));
+    const TopicPosition end = *std::exchange(m_snapshotEnd, std::nullopt);
+    std::vector<platform::KeyedRecord> records = std::exchange(m_snapshotRecords, {});
+    const bool restored = isRestored(end.era);
+    if (restored) {
+        recordRestore(end.era);
+    }
+    // What is new in a restored topic was written since it was last read, as the records after a position are.
+    const bool newestOnly = std::exchange(m_readsNewest, false) || (restored && m_options.newestOnly);
+    if (newestOnly && end >= m_position) {
+        applyNewest(std::move(records), end);
     } else {
-        m_knownEnd = m_snapshotEnd; // The topic may have been recreated.
-        advanceTo(std::exchange(m_snapshotEnd, -1));
+        m_knownEnd = end; // The topic may have been recreated.
+        advanceTo(end);
         m_synchronized = true;
-        m_events.onSnapshot(std::exchange(m_snapshotRecords, {}));
+        m_events.onSnapshot(std::move(records));
     }
     reportWatermark(m_snapshotStartedAt);
     scheduleRead(m_options.minReadInterval);
@@ -346,12 +413,12 @@
     readSnapshot();
 }
 
-void TopicFeed::applyNewest(std::vector<platform::KeyedRecord> records, std::int64_t end)
+void TopicFeed::applyNewest(std::vector<platform::KeyedRecord> records, const TopicPosition &end)
 {
-    std::erase_if(records, [&](const platform::KeyedRecord &record) { return record.offset < m_nextOffset; });
+    std::erase_if(records, [&](const platform::KeyedRecord &record) { return record.position < m_position; });
     std::sort(records.begin(), records.end(),
-              [](const platform::KeyedRecord &a, const platform::KeyedRecord &b) { return a.offset < b.offset; });
-    advanceTo(std::max(m_nextOffset, end));
+              [](const platform::KeyedRecord &a, const platform::KeyedRecord &b) { return a.position < b.position; });
+    advanceTo(std::max(m_position, end));
     for (const platform::KeyedRecord &record : records) {
         m_events.onRecord(record);
     }
@@ -363,41 +430,41 @@
     const bool notified = std::exchange(m_notificationPending, false);
     const Millis wait = m_storeUnreachable || notified ? Millis{0} : holdTime();
     m_longPollTime = wait;
-    call(platform::makeReadRequest(m_options.topic, m_nextOffset, wait), wait + m_firstByteTimeout,
-         &TopicFeed::readNext, [this](int status, const std::string &body) {
-             if (status == platform::TrimmedStatus) {
+    call(platform::makeReadRequest(m_options.topic, m_position.offset, wait), wait + m_firstByteTimeout,
+         &TopicFeed::readNext, [this](std::int64_t era, int status, const std::string &body) {
+             if (isRestored(era)) {
+                 readSnapshot(); // Its offsets aren't those that were read before.
+             } else if (status == platform::TrimmedStatus) {
                  logInfo(LogComponent::Store, "The store no longer has the unread records; reading a new snapshot.",
-                         {{"topic", m_options.topic}, {"offset", std::to_string(m_nextOffset)}});
+                         {{"topic", m_options.topic}, {"offset", toText(m_position)}});
                  readSnapshot();
              } else if (status != OkStatus) {
                  handleFailure("status " + std::to_string(status), &TopicFeed::readNext);
              } else {
-                 applyReadPage(body);
+                 applyReadPage(era, body);
              }
          });
 }
 
-void TopicFeed::applyReadPage(const std::string &body)
+void TopicFeed::applyReadPage(std::int64_t era, const std::string &body)
 {
-    const auto page = platform::decodeReadPage(body, m_nextOffset);
+    const auto page = platform::decodeReadPage(body, {.era = era, .offset = m_position.offset});
     if (!page) {
         handleFailure(page.error().message, &TopicFeed::readNext);
         return;
     }
-    if (page->endOffset < m_nextOffset) {
+    if (page->end < m_position) {
         logWarning(LogComponent::Store, "The topic ends before the offset that was read; reading a new snapshot.",
-                   {{"topic", m_options.topic},
-                    {"offset", std::to_string(m_nextOffset)},
-                    {"end", std::to_string(page->endOffset)}});
+                   {{"topic", m_options.topic}, {"offset", toText(m_position)}, {"end", toText(page->end)}});
         readSnapshot();
         return;
     }
     handleSuccess();
-    advanceTo(page->nextOffset);
+    advanceTo(page->next);
     for (const platform::KeyedRecord &record : page->records) {
         m_events.onRecord(record);
     }
-    if (page->nextOffset < page->endOffset) {
+    if (page->next < page->end) {
         schedule(m_options.minReadInterval, &TopicFeed::readNext);
         return;
     }
--- a/libs/feed/src/topic_poll.cpp
+++ b/libs/feed/src/topic_poll.cpp
@@ -26,13 +26,13 @@
     cancel();
 }
 
-void TopicPoll::start(std::int64_t from, Millis timeout, bool newConnection)
+void TopicPoll::start(const TopicPosition &from, Millis timeout, bool newConnection)
 {
     cancel();
     ++m_calls;
     m_active = true;
     m_startedAt = bootMillis();
-    const platform::ApiRequest request = platform::makeReadRequest(m_topic, from, Millis{0});
+    const platform::ApiRequest request = platform::makeReadRequest(m_topic, from.offset, Millis{0});
     http::RequestHead head = request.head;
     head.headers.add("Host", m_store.ip);
     m_exchange =
@@ -46,7 +46,7 @@
                       [this, from, generation = m_generation](
                           net::ExchangeOutcome outcome, const http::ResponseHead &response, const std::string &body) {
                           if (generation == m_generation) {
-                              finish(outcome, response.status, body, from);
+                              finish(outcome, response, body, from);
                           }
                       });
 }
@@ -76,15 +76,21 @@
     return m_failures;
 }
 
-void TopicPoll::finish(net::ExchangeOutcome outcome, int status, const std::string &body, std::int64_t from)
+void TopicPoll::finish(net::ExchangeOutcome outcome, const http::ResponseHead &response, const std::string &body,
+                       const TopicPosition &from)
 {
     m_active = false;
     if (outcome != net::ExchangeOutcome::Complete) {
         fail(nameOf(net::ExchangeOutcomeNames, outcome));
         return;
     }
-    if (status != OkStatus) {
-        fail("status " + std::to_string(status));
+    const auto era = platform::decodeEra(response);
+    if (!era || *era != from.era) {
+        fail("another era of the store");
+        return;
+    }
+    if (response.status != OkStatus) {
+        fail("status " + std::to_string(response.status));
         return;
     }
     const auto page = platform::decodeReadPage(body, from);
@@ -92,7 +98,7 @@
         fail(page.error().message);
         return;
     }
-    if (page->endOffset < from) {
+    if (page->end < from) {
         fail("the topic ends before the offset");
         return;
     }
--- a/libs/feed/test/listings_age_test.cpp
+++ b/libs/feed/test/listings_age_test.cpp
@@ -104,12 +104,12 @@
             connection.write(encode(update));
             break;
         case RelayState::Restarted:
-            update.end = -1;
+            update.end = {};
             update.age = Millis{std::chrono::hours{24}};
             connection.write(encode(update));
             break;
         case RelayState::Behind:
-            update.end = request.from - 1;
+            update.end = advancedBy(request.from, -1);
             update.age = Millis{0};
             update.heldFor = request.wait;
             respondLater(connection, update);
--- a/libs/feed/test/listings_cache_test.cpp
+++ b/libs/feed/test/listings_cache_test.cpp
@@ -11,9 +11,14 @@
 namespace
 {
 
+TopicPosition at(std::int64_t offset, std::int64_t era = 0)
+{
+    return {.era = era, .offset = offset};
+}
+
 peer::ListingChange listed(const std::string &id, std::int64_t offset, std::int64_t version = 1)
 {
-    return {.id = id, .entry = serving::TargetEntry{.id = id, .models = {{"m", version}}}, .offset = offset};
+    return {.id = id, .entry = serving::TargetEntry{.id = id, .models = {{"m", version}}}, .position = at(offset)};
 }
 
 /// The listing of an incarnation, and the number of its write.
@@ -22,29 +27,35 @@
 {
     return {.id = "a",
             .entry = serving::TargetEntry{.id = "a", .draining = draining, .startedAt = startedAt},
-            .offset = offset,
+            .position = at(offset),
             .writeNumber = writeNumber};
 }
 
 peer::ListingChange removed(const std::string &id, std::int64_t offset)
 {
-    return {.id = id, .entry = {}, .offset = offset};
+    return {.id = id, .entry = {}, .position = at(offset)};
+}
+
+peer::ListingChange inEra(peer::ListingChange change, std::int64_t era)
+{
+    change.position.era = era;
+    return change;
 }
 
 TEST(ListingsCacheTest, AHeartbeatChangesNothing)
 {
     ListingsCache cache;
-    replaceListings(cache, {listed("a", 3)}, 4, Millis{0});
+    replaceListings(cache, {listed("a", 3)}, at(4), Millis{0});
     EXPECT_FALSE(applyTopicRecord(cache, listed("a", 9), Millis{10}));
-    EXPECT_TRUE(changesFrom(cache, 4).empty());
+    EXPECT_TRUE(changesFrom(cache, at(4)).empty());
     EXPECT_TRUE(applyTopicRecord(cache, listed("a", 10, 2), Millis{20}));
-    EXPECT_EQ(changesFrom(cache, 4).size(), 1U);
+    EXPECT_EQ(changesFrom(cache, at(4)).size(), 1U);
 }
 
 TEST(ListingsCacheTest, AnOlderListingIsIgnored)
 {
     ListingsCache cache;
-    replaceListings(cache, {listed("a", 8, 2)}, 9, Millis{0});
+    replaceListings(cache, {listed("a", 8, 2)}, at(9), Millis{0});
     EXPECT_FALSE(applyListing(cache, listed("a", 5, 1), Millis{0}));
     EXPECT_EQ(cache.listings.at("a").entry->models.front().version, 2);
 }
@@ -53,27 +64,27 @@
 TEST(ListingsCacheTest, AnEarlierWriteThatIsAppendedLateIsIgnored)
 {
     ListingsCache cache;
-    replaceListings(cache, {written(1, 5, 20)}, 2, Millis{0});
+    replaceListings(cache, {written(1, 5, 20)}, at(2), Millis{0});
     EXPECT_TRUE(applyTopicRecord(cache, written(2, 5, 22, true), Millis{0}));
     EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 21), Millis{0}));
     EXPECT_FALSE(applyListing(cache, written(3, 5, 21), Millis{0})) << "forwarded by a VM that didn't know better";
-    EXPECT_TRUE(replaceListings(cache, {written(3, 5, 21)}, 4, Millis{0}).empty()) << "in a snapshot";
+    EXPECT_TRUE(replaceListings(cache, {written(3, 5, 21)}, at(4), Millis{0}).empty()) << "in a snapshot";
     EXPECT_TRUE(cache.listings.at("a").entry->draining);
 }
 
 TEST(ListingsCacheTest, AnEarlierWriteThanTheLastHeartbeatIsIgnored)
 {
     ListingsCache cache;
-    replaceListings(cache, {written(1, 5, 20, true)}, 2, Millis{0});
+    replaceListings(cache, {written(1, 5, 20, true)}, at(2), Millis{0});
     EXPECT_FALSE(applyTopicRecord(cache, written(2, 5, 23, true), Millis{0}));
     EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 22), Millis{0}));
-    EXPECT_EQ(changesFrom(cache, 0).front().writeNumber, 23);
+    EXPECT_EQ(changesFrom(cache, at(0)).front().writeNumber, 23);
 }
 
 TEST(ListingsCacheTest, AnEarlierWriteDoesNotListARemovedTargetAgain)
 {
     ListingsCache cache;
-    replaceListings(cache, {written(1, 5, 20)}, 2, Millis{0});
+    replaceListings(cache, {written(1, 5, 20)}, at(2), Millis{0});
     EXPECT_TRUE(applyTopicRecord(cache, removed("a", 2), Millis{0}));
     EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 19), Millis{0}));
     EXPECT_FALSE(cache.listings.at("a").entry);
@@ -84,7 +95,7 @@
 TEST(ListingsCacheTest, WritesOfAnotherIncarnationAreOrderedByTheirOffsets)
 {
     ListingsCache cache;
-    replaceListings(cache, {written(1, 5, 20, true)}, 2, Millis{0});
+    replaceListings(cache, {written(1, 5, 20, true)}, at(2), Millis{0});
     EXPECT_TRUE(applyTopicRecord(cache, written(2, 9, 1), Millis{0})) << "born anew";
     EXPECT_FALSE(cache.listings.at("a").entry->draining);
     EXPECT_TRUE(applyTopicRecord(cache, written(3, 0, 7, true), Millis{0})) << "of an unknown incarnation";
@@ -95,7 +106,7 @@
 TEST(ListingsCacheTest, AChangeWithoutANumberIsOrderedByItsOffset)
 {
     ListingsCache cache;
-    replaceListings(cache, {written(1, 5, 20)}, 2, Millis{0});
+    replaceListings(cache, {written(1, 5, 20)}, at(2), Millis{0});
     EXPECT_TRUE(applyListing(cache, written(2, 5, 0, true), Millis{0}));
     EXPECT_TRUE(cache.listings.at("a").entry->draining);
     EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 19), Millis{0})) << "the number that was known still counts";
@@ -104,57 +115,108 @@
 TEST(ListingsCacheTest, ARecreatedTopicMayHoldEarlierWrites)
 {
     ListingsCache cache;
-    replaceListings(cache, {written(100, 5, 20, true)}, 101, Millis{0});
-    EXPECT_EQ(replaceListings(cache, {written(0, 5, 3)}, 1, Millis{0}).size(), 1U);
+    replaceListings(cache, {written(100, 5, 20, true)}, at(101), Millis{0});
+    EXPECT_EQ(replaceListings(cache, {written(0, 5, 3)}, at(1), Millis{0}).size(), 1U);
     EXPECT_FALSE(cache.listings.at("a").entry->draining);
 }
 
 TEST(ListingsCacheTest, ListingsMissingFromASnapshotAreRemoved)
 {
     ListingsCache cache;
-    replaceListings(cache, {listed("a", 1), listed("b", 2)}, 3, Millis{0});
-    const auto changes = replaceListings(cache, {listed("b", 2)}, 9, Millis{0});
+    replaceListings(cache, {listed("a", 1), listed("b", 2)}, at(3), Millis{0});
+    const auto changes = replaceListings(cache, {listed("b", 2)}, at(9), Millis{0});
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(changes.front().id, "a");
     EXPECT_FALSE(changes.front().entry);
-    EXPECT_FALSE(covers(cache, 3));
+    EXPECT_FALSE(covers(cache, at(3)));
 }
 
 TEST(ListingsCacheTest, ASnapshotOfARecreatedTopicReplacesAll)
 {
     ListingsCache cache;
-    replaceListings(cache, {listed("a", 100, 5), listed("b", 101)}, 102, Millis{0});
-    const auto changes = replaceListings(cache, {listed("a", 0, 6)}, 1, Millis{0});
+    replaceListings(cache, {listed("a", 100, 5), listed("b", 101)}, at(102), Millis{0});
+    const auto changes = replaceListings(cache, {listed("a", 0, 6)}, at(1), Millis{0});
     EXPECT_EQ(changes.size(), 2U);
-    EXPECT_EQ(cache.end, 1);
+    EXPECT_EQ(cache.end, at(1));
     EXPECT_EQ(cache.listings.at("a").entry->models.front().version, 6);
-    EXPECT_FALSE(covers(cache, 0));
+    EXPECT_FALSE(covers(cache, at(0)));
+}
+
+// What a copy of the store holds of a target may be from before it said that it leaves.
+TEST(ListingsCacheTest, ALeavingTargetStaysSoWhenTheStoreIsRestored)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(100, 5, 20, true)}, at(101, 1), Millis{0});
+    EXPECT_TRUE(replaceListings(cache, {inEra(written(60, 5, 18), 2)}, at(61, 2), Millis{0}).empty());
+    EXPECT_TRUE(cache.listings.at("a").entry->draining);
+    EXPECT_EQ(cache.end, at(61, 2));
+    EXPECT_FALSE(covers(cache, at(101, 1))) << "VMs of the earlier era get all listings";
+    EXPECT_FALSE(applyTopicRecord(cache, inEra(written(61, 5, 19), 2), Millis{0})) << "a write that was under way";
+    EXPECT_FALSE(applyTopicRecord(cache, inEra(written(62, 5, 21, true), 2), Millis{0}));
+    EXPECT_TRUE(applyTopicRecord(cache, inEra(written(63, 9, 1), 2), Millis{0})) << "born anew";
+}
+
+TEST(ListingsCacheTest, ALeavingTargetOfAnUnknownIncarnationStaysSoUntilItWritesAgain)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(100, 0, 0, true)}, at(101, 1), Millis{0});
+    EXPECT_TRUE(replaceListings(cache, {inEra(written(60, 0, 0), 2)}, at(61, 2), Millis{0}).empty());
+    EXPECT_TRUE(cache.listings.at("a").entry->draining);
+    EXPECT_TRUE(applyTopicRecord(cache, inEra(written(61, 0, 0), 2), Millis{0}));
+    EXPECT_FALSE(cache.listings.at("a").entry->draining);
+}
+
+TEST(ListingsCacheTest, ATargetThatHasLeftDoesNotReturnWhenTheStoreIsRestored)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(99, 5, 20)}, at(100, 1), Millis{0});
+    applyTopicRecord(cache, inEra(removed("a", 100), 1), Millis{0});
+    EXPECT_TRUE(replaceListings(cache, {inEra(written(60, 5, 18), 2)}, at(61, 2), Millis{0}).empty());
+    EXPECT_FALSE(cache.listings.at("a").entry);
+    EXPECT_TRUE(applyTopicRecord(cache, inEra(written(61, 5, 21), 2), Millis{0})) << "it is there after all";
+}
+
+TEST(ListingsCacheTest, AnEarlierIncarnationDoesNotReturnWhenTheStoreIsRestored)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(100, 900, 3)}, at(101, 1), Millis{0});
+    EXPECT_TRUE(replaceListings(cache, {inEra(written(60, 500, 70), 2)}, at(61, 2), Millis{0}).empty());
+    EXPECT_EQ(cache.listings.at("a").entry->startedAt, 900);
+}
+
+TEST(ListingsCacheTest, AListingThatARestoredStoreLacksIsRemovedUntilItIsWrittenAgain)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(100, 5, 20)}, at(101, 1), Millis{0});
+    ASSERT_EQ(replaceListings(cache, {}, at(50, 2), Millis{0}).size(), 1U);
+    EXPECT_FALSE(cache.listings.at("a").entry);
+    EXPECT_TRUE(applyTopicRecord(cache, inEra(written(50, 5, 20), 2), Millis{0})) << "with the same number";
 }
 
 TEST(ListingsCacheTest, TombstonesArePrunedAndEarlierOffsetsNoLongerCovered)
 {
     ListingsCache cache;
-    replaceListings(cache, {listed("a", 1), listed("b", 2)}, 3, Millis{0});
+    replaceListings(cache, {listed("a", 1), listed("b", 2)}, at(3), Millis{0});
     applyTopicRecord(cache, removed("a", 5), Millis{0});
-    EXPECT_TRUE(covers(cache, 3));
+    EXPECT_TRUE(covers(cache, at(3)));
     pruneTombstones(cache, TombstoneLifetime);
     EXPECT_EQ(cache.listings.size(), 1U);
-    EXPECT_FALSE(covers(cache, 5));
-    EXPECT_TRUE(covers(cache, 6));
+    EXPECT_FALSE(covers(cache, at(5)));
+    EXPECT_TRUE(covers(cache, at(6)));
 }
 
 TEST(ListingsCacheTest, AListingRemovedAndAddedAgainUnseenIsForwarded)
 {
     ListingsCache relay;
     ListingsCache follower;
-    replaceListings(relay, {listed("a", 1)}, 2, Millis{0});
-    replaceListings(follower, {listed("a", 1)}, 2, Millis{0});
+    replaceListings(relay, {listed("a", 1)}, at(2), Millis{0});
+    replaceListings(follower, {listed("a", 1)}, at(2), Millis{0});
     applyTopicRecord(relay, removed("a", 2), Millis{0});
     applyTopicRecord(relay, listed("a", 3), Millis{0});
-    for (const peer::ListingChange &change : changesFrom(relay, 2)) {
+    for (const peer::ListingChange &change : changesFrom(relay, at(2))) {
         applyListing(follower, change, Millis{0});
     }
-    EXPECT_EQ(changesFrom(follower, 3).size(), 1U);
+    EXPECT_EQ(changesFrom(follower, at(3)).size(), 1U);
 }
 
 /// Returns the versions in a cache by the id of their listing, without offsets.
@@ -192,7 +254,7 @@
     std::vector<ListingsCache> vms(4);
     const auto read = [&](ListingsCache &vm) {
         const auto end = static_cast<std::int64_t>(topic.size());
-        if (vm.coveredFrom < 0) {
+        if (!vm.coveredFrom.isKnown()) {
             std::map<std::string, peer::ListingChange> newest;
             for (const peer::ListingChange &change : topic) {
                 newest[change.id] = change;
@@ -203,13 +265,13 @@
                     listings.push_back(change);
                 }
             }
-            replaceListings(vm, listings, end, Millis{0});
+            replaceListings(vm, listings, at(end), Millis{0});
             return;
         }
-        for (auto at = vm.end; at < end; ++at) {
-            applyTopicRecord(vm, topic[static_cast<std::size_t>(at)], Millis{0});
+        for (auto offset = vm.end.offset; offset < end; ++offset) {
+            applyTopicRecord(vm, topic[static_cast<std::size_t>(offset)], Millis{0});
         }
-        vm.end = end;
+        vm.end = at(end);
     };
     const auto steps = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 1 << 20));
     for (const int step : steps) {
@@ -235,7 +297,7 @@
             break;
         case 5:
         case 6:
-            if (vm.coveredFrom >= 0 && other.coveredFrom >= 0) {
+            if (vm.coveredFrom.isKnown() && other.coveredFrom.isKnown()) {
                 follow(vm, other);
             }
             break;
@@ -243,8 +305,8 @@
             step % 16 == 7 ? pruneTombstones(vm, TombstoneLifetime) : void(vm = {});
         }
         for (const ListingsCache &each : vms) {
-            if (each.end >= 0) {
-                RC_ASSERT(versionsOf(each) == contentAt[static_cast<std::size_t>(each.end)]);
+            if (each.end.isKnown()) {
+                RC_ASSERT(versionsOf(each) == contentAt[static_cast<std::size_t>(each.end.offset)]);
             }
         }
     }
--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -333,6 +333,27 @@
     EXPECT_TRUE(runUntil([&] { return entry.storeRecoveries > 0; }, Millis{10000}));
 }
 
+// The copy of a restored store lists a target as usable that said since that it leaves, and lacks one that is new.
+TEST_F(ListingsFollowerTest, ARestoredStoreBringsNoLeavingTargetBack)
+{
+    m_store.era = 1;
+    append(m_store, "127.0.2.7", "plain");
+    add(m_relayIp, m_store);
+    Vm &entry = add(Entry, m_store);
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    const std::size_t copy = m_store.size();
+    append(m_store, "127.0.2.7", "plain", true);
+    append(m_store, "127.0.2.8", "plain");
+    ASSERT_TRUE(runUntil([&] { return entry.draining["i-127.0.2.7"] && entry.draining.contains("i-127.0.2.8"); }));
+    m_store.restore(copy);
+    ASSERT_TRUE(runUntil([&] { return entry.follower.cache().end.era == 2; }));
+    EXPECT_TRUE(entry.draining["i-127.0.2.7"]);
+    EXPECT_GE(entry.storeRecoveries, 1) << "a missing listing is kept for a while";
+    append(m_store, "127.0.2.8", "plain");
+    EXPECT_TRUE(runUntil([&] { return entry.draining.contains("i-127.0.2.8"); }));
+    EXPECT_EQ(entry.follower.relay(), m_relayIp);
+}
+
 } // namespace
 
 } // namespace ibislock::feed
--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -29,8 +29,8 @@
                         },
                     .onRecord =
                         [this](const platform::KeyedRecord &record) {
-                            EXPECT_GT(record.offset, lastOffset) << "delivered twice, or out of order";
-                            lastOffset = record.offset;
+                            EXPECT_GT(record.position, lastPosition) << "delivered twice, or out of order";
+                            lastPosition = record.position;
                             values[record.key] = record.value.value_or("");
                         },
                     .onStoreOutage =
@@ -42,7 +42,7 @@
 
     net::HttpClient client;
     std::map<std::string, std::string> values;
-    std::int64_t lastOffset = -1;
+    TopicPosition lastPosition;
     OperatorsFollower follower;
 };
 
@@ -118,7 +118,8 @@
     void reportWatermarks()
     {
         for (const auto &[ip, vm] : m_vms) {
-            vm->follower.applyWatermark({.end = m_end, .asOf = bootMillis()}, m_end);
+            const TopicPosition end{.era = m_era, .offset = m_end};
+            vm->follower.applyWatermark({.end = end, .asOf = bootMillis()}, end);
         }
     }
 
@@ -164,6 +165,7 @@
     std::string m_root; ///< The root of the tree, which reads the store for the others.
     std::map<std::string, std::unique_ptr<Vm>> m_vms;
     std::int64_t m_end = 0;
+    std::int64_t m_era = 0;
     std::unique_ptr<net::Listener> m_listener;
     std::vector<std::shared_ptr<net::Connection>>
         m_listenerConnections; ///< Connections to the listener in place of the root.
@@ -270,6 +272,40 @@
     EXPECT_TRUE(runUntil([&] { return allHave("21"); }, StateTime));
 }
 
+// VMs took the end of before the restore back from each other, and none read the records behind it.
+TEST_F(OperatorsFollowerTest, ARestoredTopicReachesAllVmsThoughItIsShorter)
+{
+    m_store.era = m_otherStore.era = m_era = 1;
+    addAll();
+    const std::size_t copy = m_store.size();
+    append("config", "2");
+    append("config", "3");
+    reportWatermarks();
+    ASSERT_TRUE(runUntil([&] { return allHave("3"); }, StateTime));
+    letReadsEnd();
+    m_store.restore(copy);
+    m_otherStore.restore(copy);
+    m_era = 2;
+    m_end = static_cast<std::int64_t>(copy);
+    append("config", "3");
+    reportWatermarks();
+    ASSERT_TRUE(runUntil([&] {
+        return std::all_of(m_vms.begin(), m_vms.end(),
+                           [](const auto &item) { return item.second->follower.feed().position().era == 2; });
+    }));
+    letReadsEnd();
+    const int before = copiesSent();
+    append("config", "4");
+    reportWatermarks();
+    EXPECT_TRUE(runUntil([&] { return allHave("4"); }, StateTime));
+    EXPECT_LE(copiesSent() - before, 3) << "the VMs read the store for each other";
+    for (const auto &[ip, vm] : m_vms) {
+        const TopicPosition earlier{.era = 1, .offset = 50};
+        vm->follower.applyWatermark({.end = earlier, .asOf = bootMillis()}, earlier);
+        EXPECT_EQ(vm->follower.feed().position(), (TopicPosition{.era = 2, .offset = m_end})) << ip;
+    }
+}
+
 } // namespace
 
 } // namespace ibislock::feed
--- a/libs/feed/test/operators_view_test.cpp
+++ b/libs/feed/test/operators_view_test.cpp
@@ -10,7 +10,8 @@
 
 platform::KeyedRecord state(int version)
 {
-    return {.key = "config", .value = R"({"Version":)" + std::to_string(version) + "}", .offset = version};
+    return {
+        .key = "config", .value = R"({"Version":)" + std::to_string(version) + "}", .position = {.offset = version}};
 }
 
 TEST(OperatorsViewTest, AnOlderStateNeverReplacesANewerOne)
@@ -26,9 +27,9 @@
 {
     OperatorsView view;
     applyRecord(view, state(7), {});
-    EXPECT_FALSE(applyRecord(view, {.key = "config", .value = "no json", .offset = 8}, {}));
-    EXPECT_FALSE(applyRecord(view, {.key = "config", .value = std::nullopt, .offset = 9}, {}));
-    EXPECT_FALSE(applyRecord(view, {.key = "version/m", .value = R"({"Model":3})", .offset = 10}, {}));
+    EXPECT_FALSE(applyRecord(view, {.key = "config", .value = "no json", .position = {.offset = 8}}, {}));
+    EXPECT_FALSE(applyRecord(view, {.key = "config", .value = std::nullopt, .position = {.offset = 9}}, {}));
+    EXPECT_FALSE(applyRecord(view, {.key = "version/m", .value = R"({"Model":3})", .position = {.offset = 10}}, {}));
     EXPECT_EQ(view.state->version, 7);
     EXPECT_TRUE(view.announced.empty());
 }
@@ -36,7 +37,8 @@
 TEST(OperatorsViewTest, AnAnnouncementInASnapshotCountsAsOld)
 {
     OperatorsView view;
-    const platform::KeyedRecord announcement{.key = "version/m", .value = R"({"Model":"m","Version":2})", .offset = 1};
+    const platform::KeyedRecord announcement{
+        .key = "version/m", .value = R"({"Model":"m","Version":2})", .position = {.offset = 1}};
     EXPECT_TRUE(applyRecord(view, announcement, {.live = false, .now = Millis{9000}, .versionTime = Millis{8000}}));
     EXPECT_EQ(view.announced.at("m").front().learntAt, Millis{1000});
     EXPECT_EQ(view.announced.at("m").front().timeSource, serving::AnnouncementTimeSource::Unknown);
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -10,6 +10,11 @@
 namespace
 {
 
+TopicPosition at(std::int64_t offset, std::int64_t era = 0)
+{
+    return {.era = era, .offset = offset};
+}
+
 /// A feed that reads a stand-in of the store, and what it has delivered.
 class TopicFeedTest : public testing::Test
 {
@@ -46,7 +51,7 @@
     void notifyAfter(int rounds)
     {
         if (rounds == 0) {
-            m_feed.notifyNewRecords(m_feed.nextOffset() + 1);
+            m_feed.notifyNewRecords(advancedBy(m_feed.position(), 1));
         } else if (rounds > 0) {
             asio::post(m_loop, [this, rounds] { notifyAfter(rounds - 1); });
         }
@@ -95,7 +100,7 @@
     ASSERT_TRUE(runUntil([&] { return m_values["a"] == "1" && m_store.reads > 0; }));
     m_store.append("a", "2");
     EXPECT_TRUE(runUntil([&] { return m_values["a"] == "2"; }));
-    EXPECT_EQ(m_feed.nextOffset(), 2);
+    EXPECT_EQ(m_feed.position().offset, 2);
 }
 
 TEST_F(TopicFeedTest, AResponseThatWasLongUnderWayCountsAsOfBeforeItWasSent)
@@ -158,7 +163,7 @@
     m_store.append("k", "1");
     const int before = m_store.reads;
     for (int n = 1; n < 25; ++n) {
-        m_feed.notifyNewRecords(n);
+        m_feed.notifyNewRecords(at(n));
         m_loop.run_for(std::chrono::milliseconds(100));
         if (n == 11) {
             EXPECT_LE(m_store.reads - before, 3);
@@ -179,7 +184,7 @@
     }
     EXPECT_EQ(m_store.reads, 0);
     m_store.append("a", "1");
-    m_feed.notifyNewRecords(1);
+    m_feed.notifyNewRecords(at(1));
     EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
 }
 
@@ -190,11 +195,11 @@
     ASSERT_TRUE(runUntil([&] { return m_feed.synchronized() && m_store.reads > 0; }));
     m_store.delay = Millis{100};
     m_store.append("a", "2"); // Its response is under way.
-    EXPECT_TRUE(m_feed.applyRecords({{.key = "a", .value = "2", .offset = 1}}, 2, bootMillis()));
-    EXPECT_EQ(m_feed.nextOffset(), 2);
+    EXPECT_TRUE(m_feed.applyRecords({{.key = "a", .value = "2", .position = at(1)}}, at(2), bootMillis()));
+    EXPECT_EQ(m_feed.position().offset, 2);
     m_loop.run_for(Millis{300});
     EXPECT_EQ(m_recordsDelivered, 1);
-    EXPECT_FALSE(m_feed.applyRecords({{.key = "a", .value = "1", .offset = 0}}, 1, bootMillis())) << "older";
+    EXPECT_FALSE(m_feed.applyRecords({{.key = "a", .value = "1", .position = at(0)}}, at(1), bootMillis())) << "older";
     m_store.append("a", "3");
     EXPECT_TRUE(runUntil([&] { return m_values["a"] == "3"; })) << "goes on after the records that were applied";
     EXPECT_EQ(m_recordsDelivered, 2);
@@ -206,7 +211,7 @@
     ASSERT_TRUE(runUntil([&] { return m_feed.synchronized() && m_store.reads > 0; }));
     m_store.refusals = 1'000'000;
     ASSERT_TRUE(runUntil([&] { return m_storeUnreachable; }));
-    EXPECT_TRUE(m_feed.applyRecords({{.key = "a", .value = "1", .offset = 0}}, 1, bootMillis()));
+    EXPECT_TRUE(m_feed.applyRecords({{.key = "a", .value = "1", .position = at(0)}}, at(1), bootMillis()));
     EXPECT_EQ(m_values["a"], "1");
     EXPECT_TRUE(m_storeUnreachable);
     m_store.append("a", "1");
@@ -222,7 +227,7 @@
     EXPECT_EQ(m_feed.lagTime(), Millis{0});
     m_store.silent = true;
     m_loop.run_for(MinCancelAge);
-    m_feed.notifyNewRecords(1);
+    m_feed.notifyNewRecords(at(1));
     m_loop.run_for(Millis{200});
     EXPECT_GE(m_feed.lagTime(), Millis{200});
     m_store.silent = false;
@@ -247,12 +252,12 @@
     m_feed.start();
     ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
     for (int n = 1; n <= 20; ++n) {
-        m_feed.notifyNewRecords(n);
+        m_feed.notifyNewRecords(at(n));
         m_store.append("k", std::to_string(n));
-        m_feed.notifyNewRecords(n + 1);
+        m_feed.notifyNewRecords(at(n + 1));
         ASSERT_TRUE(runUntil([&] { return m_values["k"] == std::to_string(n); })) << n;
     }
-    EXPECT_EQ(m_feed.nextOffset(), 20);
+    EXPECT_EQ(m_feed.position().offset, 20);
     EXPECT_EQ(m_recordsDelivered, 20);
 }
 
@@ -267,7 +272,7 @@
         for (int round = 0; round < 50; ++round) {
             m_loop.poll_one();
         }
-        ASSERT_LE(m_feed.nextOffset(), n);
+        ASSERT_LE(m_feed.position().offset, n);
     }
     EXPECT_EQ(m_recordsDelivered, 24);
 }
@@ -284,7 +289,7 @@
     std::function<void(const asio::error_code &)> notify = [&](const asio::error_code &ec) {
         if (!ec) {
             m_store.append("k", std::to_string(end));
-            m_feed.notifyNewRecords(++end);
+            m_feed.notifyNewRecords(at(++end));
             timer.expires_after(Millis{10});
             timer.async_wait(notify);
         }
@@ -307,7 +312,7 @@
     std::int64_t end = 1;
     std::function<void(const asio::error_code &)> notify = [&](const asio::error_code &ec) {
         if (!ec) {
-            m_feed.notifyNewRecords(++end);
+            m_feed.notifyNewRecords(at(++end));
             timer.expires_after(Millis{100});
             timer.async_wait(notify);
         }
@@ -331,6 +336,111 @@
     EXPECT_TRUE(runUntil([&] { return m_values["a"] == "2"; }));
 }
 
+// A record that got the offset of a lost one was never read.
+TEST_F(TopicFeedTest, ARecordAtTheOffsetOfALostOneIsDelivered)
+{
+    m_store.era = 1;
+    m_store.append("a", "1");
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    m_store.append("a", "2");
+    ASSERT_TRUE(runUntil([&] { return m_values["a"] == "2"; }));
+    m_store.restore(1);
+    m_store.append("b", "1");
+    EXPECT_TRUE(runUntil([&] { return m_values["b"] == "1"; }));
+    EXPECT_EQ(m_feed.position(), at(2, 2));
+    EXPECT_EQ(m_feed.restores(), 1U);
+}
+
+// A restored topic that has grown beyond the known end looked like one with a few new records.
+TEST_F(TopicFeedTest, ARestoredTopicThatHasGrownIsReadFromItsBeginning)
+{
+    m_store.era = 1;
+    m_store.append("a", "1");
+    m_store.append("b", "1");
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    m_store.silent = true;
+    m_store.restore(1);
+    m_store.append("b", "2");
+    m_store.append("c", "1");
+    m_store.append("d", "1");
+    m_store.silent = false;
+    EXPECT_TRUE(runUntil([&] { return m_values["d"] == "1"; }));
+    EXPECT_EQ(m_values["b"], "2");
+    EXPECT_EQ(m_values["c"], "1");
+}
+
+TEST_F(TopicFeedTest, ASecondRestoreWithinSecondsIsNoticed)
+{
+    m_store.era = 1;
+    m_store.append("a", "1");
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    for (int n = 2; n < 5; ++n) {
+        m_store.restore(1);
+        m_store.append("b", std::to_string(n));
+        ASSERT_TRUE(runUntil([&] { return m_values["b"] == std::to_string(n); })) << n;
+        EXPECT_EQ(m_feed.position(), at(2, n));
+    }
+}
+
+TEST_F(TopicFeedTest, ASnapshotDuringWhichTheStoreIsRestoredIsReadAgain)
+{
+    m_store.era = 1;
+    for (const char *key : {"a", "b", "c"}) {
+        m_store.append(key, "1");
+    }
+    m_store.snapshotPageSize = 1;
+    m_store.snapshotDelay = Millis{100};
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.snapshots == 2; }));
+    m_store.restore(0);
+    m_store.append("a", "2");
+    EXPECT_TRUE(runUntil([&] { return m_feed.synchronized(); }));
+    EXPECT_EQ(m_values["a"], "2");
+    EXPECT_EQ(m_feed.position(), at(1, 2));
+}
+
+TEST_F(TopicFeedTest, AResponseOfAnEarlierEraIsIgnored)
+{
+    m_store.era = 1;
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    m_feed.notifyNewRecords(at(1, 2)); // Another VM has read the restored store.
+    m_store.append("a", "1");
+    ASSERT_TRUE(runUntil([&] { return m_feed.outdatedResponses() > 0; }));
+    EXPECT_FALSE(m_values.contains("a"));
+    m_store.restore(1);
+    EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
+}
+
+TEST_F(TopicFeedTest, AResponseWithoutAnEraIsIgnoredOnceOneWasReported)
+{
+    m_store.era = 1;
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads > 0; }));
+    m_store.era = 0;
+    m_store.append("a", "1");
+    ASSERT_TRUE(runUntil([&] { return m_feed.outdatedResponses() > 0; }));
+    EXPECT_FALSE(m_values.contains("a"));
+    m_store.era = 1;
+    EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
+}
+
+TEST_F(TopicFeedTest, RecordsOfAnotherVmInALaterEraAreApplied)
+{
+    m_store.era = 1;
+    m_store.append("a", "1");
+    m_store.append("a", "2");
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_feed.synchronized() && m_store.reads > 0; }));
+    EXPECT_TRUE(m_feed.applyRecords({{.key = "a", .value = "3", .position = at(0, 2)}}, at(1, 2), bootMillis()));
+    EXPECT_EQ(m_values["a"], "3");
+    EXPECT_EQ(m_feed.position(), at(1, 2));
+    EXPECT_FALSE(m_feed.applyRecords({{.key = "a", .value = "2", .position = at(1, 1)}}, at(2, 1), bootMillis()));
+}
+
 TEST_F(TopicFeedTest, ARejectingStoreIsUnreachableUntilItResponds)
 {
     m_store.refusals = 3;
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -130,7 +130,7 @@
             .onStoreOutage = [this](bool away) { operatorsUnreachable = away; },
             .onWatermark =
                 [this](Millis asOf) {
-                    m_operatorsWatermark.end = m_operatorsFollower->feed().nextOffset();
+                    m_operatorsWatermark.end = m_operatorsFollower->feed().position();
                     m_operatorsWatermark.asOf = asOf;
                 },
         });
@@ -172,7 +172,7 @@
 void Front::applyOperatorRecord(const platform::KeyedRecord &record, bool live)
 {
     if (platform::isAnnouncedWeightsKey(record.key)) {
-        recordAnnouncementOffset(m_operatorsWatermark, record.offset);
+        recordAnnouncementPosition(m_operatorsWatermark, record.position);
     }
     const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
     applyRecord(operators, record,
@@ -194,7 +194,7 @@
                 {{"target", id},
                  {"service", entry ? entry->service : ""},
                  {"leaving", entry && entry->draining ? "1" : "0"},
-                 {"end", std::to_string(m_listings->cache().end)},
+                 {"end", toText(m_listings->cache().end)},
                  {"age_ms", std::to_string(m_listings->age().count())},
                  {"from", m_listings->source()}});
     }
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -4,6 +4,7 @@
 
 #include "ibislock/base/log.h"
 #include "ibislock/base/metrics_text.h"
+#include "ibislock/feed/era_metrics.h"
 
 #include <algorithm>
 
@@ -22,6 +23,7 @@
                  operators.calls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
                  operators.failures() + listings.storeFailures());
+    writeEraMetrics(out, operators);
     writeCounter(out, "ibislock_store_reads_given_up_total", "Reads of the operators' topic that were begun anew.",
                  operators.cancelledCalls());
     writeCounter(out, "ibislock_records_taken_over_total", "How often records of operators came from another VM.",
--- a/libs/peer/include/ibislock/peer/listings.h
+++ b/libs/peer/include/ibislock/peer/listings.h
@@ -22,17 +22,17 @@
     /// Identifies the request; the update repeats it, so that the requesting VM can ignore responses to earlier
     /// requests.
     std::uint32_t sequence = 0;
-    std::int64_t from = -1; ///< The offset up to which the requesting VM knows the topic; below 0 if it doesn't.
+    TopicPosition from; ///< The position up to which the requesting VM knows the topic.
     Millis wait{0}; ///< How long the request may be held until the next change.
     std::string entryVm; ///< The address of the requesting VM if it is an entry VM of the domain; else empty.
 };
 
-/// A listing and the offset of its last change.
+/// A listing and the position of its last change.
 struct ListingChange
 {
     std::string id;
     std::optional<serving::TargetEntry> entry; ///< Empty if the listing was removed.
-    std::int64_t offset = 0;
+    TopicPosition position;
     std::int64_t writeNumber = 0; ///< Of the last known write by its incarnation; 0 if it was removed or is unknown.
 };
 
@@ -40,7 +40,7 @@
 struct ListingsUpdate
 {
     std::uint32_t sequence = 0;
-    std::int64_t end = -1; ///< The offset up to which the sender knows the topic.
+    TopicPosition end; ///< The position up to which the sender knows the topic; its era is that of all listings.
     bool isSnapshot = false; ///< Holds all listings instead of only those that changed.
     Millis heldFor{0}; ///< How long the request was held.
     Millis age{0}; ///< Time since the topic ended at `end`, as far as the sender knows.
--- a/libs/peer/include/ibislock/peer/records.h
+++ b/libs/peer/include/ibislock/peer/records.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "ibislock/base/clock.h"
+#include "ibislock/base/topic_position.h"
 #include "ibislock/peer/frames.h"
 
 #include <cstdint>
@@ -18,14 +19,14 @@
 namespace ibislock::peer
 {
 
-/// Requests the records from an offset on.
+/// Requests the records from a position on.
 struct RecordsRequest
 {
     /// Identifies the request; the update repeats it, so that the requesting VM can ignore responses to earlier
     /// requests.
     std::uint32_t sequence = 0;
-    std::int64_t from = 0; ///< The offset up to which the requesting VM knows the topic.
-    std::int64_t awaitedEnd = 0; ///< The request may be held until the responding VM knows the topic up to here.
+    TopicPosition from; ///< The position up to which the requesting VM knows the topic.
+    TopicPosition awaitedEnd; ///< The request may be held until the responding VM knows the topic up to here.
     Millis wait{0}; ///< How long the request may be held.
 };
 
@@ -34,15 +35,16 @@
 {
     std::string key;
     std::optional<std::string> value; ///< Empty if the key was deleted.
-    std::int64_t offset = 0;
+    TopicPosition position;
 };
 
 /// The response to a `RecordsRequest`.
 struct RecordsUpdate
 {
     std::uint32_t sequence = 0;
-    std::int64_t end = -1; ///< The offset up to which the sender knows the topic; below 0 if it doesn't.
-    std::vector<TopicRecord> records; ///< The newest of each key, if it is at or after the requested offset.
+    TopicPosition end; ///< The position up to which the sender knows the topic.
+    /// The newest of each key, if it is at or after the requested position; all of the era of `end`.
+    std::vector<TopicRecord> records;
 };
 
 using RecordsMessage = std::variant<RecordsRequest, RecordsUpdate>;
--- a/libs/peer/include/ibislock/peer/topic_watermark.h
+++ b/libs/peer/include/ibislock/peer/topic_watermark.h
@@ -3,8 +3,7 @@
 #pragma once
 
 #include "ibislock/base/clock.h"
-
-#include <cstdint>
+#include "ibislock/base/topic_position.h"
 
 namespace ibislock::peer
 {
@@ -12,8 +11,8 @@
 /// The end of the operators' topic, as a VM has read it from the store.
 struct TopicWatermark
 {
-    std::int64_t end = -1; ///< The offset after the last record; below 0 if unknown.
-    std::int64_t announcementsEnd = -1; ///< The offset after the last announcement of weights.
+    TopicPosition end; ///< The position after the last record.
+    TopicPosition announcementsEnd; ///< The position after the last announcement of weights.
     Millis age{UnknownAge}; ///< Time since the store reported this end.
 
     /// The age of an unknown watermark.
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -20,6 +20,8 @@
   wantsLoads @1 :Bool;
   namingsEnd @2 :Int64 = -1;  # The offset behind the last naming of weights there.
   levelAgeMs @3 :UInt32 = 4294967295;  # How old the knowledge is that the topic ended there.
+  operatorsEra @4 :Int64;  # The eras of the store in which the two offsets were given out; VMs of older versions send 0.
+  namingsEra @5 :Int64;
 }
 
 struct Load {
@@ -33,9 +35,11 @@
   entryVms @6 :UInt16;  # How many entry VMs are there.
   loadsInMs @8 :UInt16 = 65535;  # Until the engine takes no more requests in order to load; 65535 if that is not planned.
   namings @9 :List(Naming);  # The newest namings of weights of which the sender knows the time.
-  operatorsEnd @7 :Int64 = -1;  # These three as in a subscription.
+  operatorsEnd @7 :Int64 = -1;  # These five as in a subscription.
   namingsEnd @10 :Int64 = -1;
   levelAgeMs @11 :UInt32 = 4294967295;
+  operatorsEra @12 :Int64;
+  namingsEra @13 :Int64;
 }
 
 struct Quarantine {
@@ -114,6 +118,7 @@
   from @1 :Int64;
   waitMs @2 :UInt32;  # How long the answer may wait for the next change.
   entryVm @3 :Text;  # The address of the asker if it is an entry VM of the domain; else empty.
+  era @4 :Int64;  # Of the offset.
 }
 
 struct ListingsUpdate {
@@ -124,10 +129,13 @@
   ageMs @4 :UInt32;  # How old the sender's knowledge is that the topic ended there.
   storeBackMs @5 :Int64 = -1;  # Since the store came back from an outage that the sender noticed; -1 for none.
   listings @6 :List(Listing);
-  operatorsEnd @7 :Int64 = -1;  # These three as in a subscription.
+  operatorsEnd @7 :Int64 = -1;  # These, and their eras below, as in a subscription.
   namingsEnd @8 :Int64 = -1;
   levelAgeMs @9 :UInt32 = 4294967295;
   entryVms @10 :List(Text);  # The addresses of entry VMs that lately asked the sender.
+  era @11 :Int64;  # Of the end and of all listings.
+  operatorsEra @12 :Int64;
+  namingsEra @13 :Int64;
 }
 
 struct Listing {
@@ -163,12 +171,15 @@
   from @1 :Int64;
   end @2 :Int64;  # The answer may wait until the asked VM knows the topic up to here.
   waitMs @3 :UInt32;  # For how long it may wait.
+  fromEra @4 :Int64;  # The eras of the two offsets.
+  endEra @5 :Int64;
 }
 
 struct RecordsUpdate {
   sequence @0 :UInt32;
   end @1 :Int64;  # The offset up to which the sender knows the topic.
   records @2 :List(Record);
+  era @3 :Int64;  # Of the end and of all records.
 }
 
 struct Record {
--- a/libs/peer/src/listings.cpp
+++ b/libs/peer/src/listings.cpp
@@ -18,7 +18,7 @@
 void write(wire::Listing::Builder to, const ListingChange &change)
 {
     to.setId(change.id);
-    to.setOffset(change.offset);
+    to.setOffset(change.position.offset);
     to.setRemoved(!change.entry);
     if (!change.entry) {
         return;
@@ -38,9 +38,9 @@
     }
 }
 
-ListingChange read(wire::Listing::Reader from)
+ListingChange read(wire::Listing::Reader from, std::int64_t era)
 {
-    ListingChange out{.id = from.getId().cStr(), .entry = {}, .offset = from.getOffset()};
+    ListingChange out{.id = from.getId().cStr(), .entry = {}, .position = {.era = era, .offset = from.getOffset()}};
     out.writeNumber = from.getWriteNumber();
     if (from.getRemoved()) {
         return out;
@@ -62,7 +62,7 @@
 ListingsUpdate read(wire::ListingsUpdate::Reader from)
 {
     ListingsUpdate out{.sequence = from.getSequence(),
-                       .end = from.getEnd(),
+                       .end = {.era = from.getEra(), .offset = from.getEnd()},
                        .isSnapshot = from.getWhole(),
                        .heldFor = Millis{from.getHeldMs()},
                        .age = Millis{from.getAgeMs()},
@@ -74,7 +74,7 @@
         out.sinceStoreRecovery = Millis{from.getStoreBackMs()};
     }
     for (const auto listing : from.getListings()) {
-        out.listings.push_back(read(listing));
+        out.listings.push_back(read(listing, from.getEra()));
     }
     for (const auto vm : from.getEntryVms()) {
         out.entryVms.emplace_back(vm.cStr());
@@ -89,7 +89,8 @@
     capnp::MallocMessageBuilder builder;
     auto request = builder.initRoot<wire::ListingsMessage>().initAsk();
     request.setSequence(message.sequence);
-    request.setFrom(message.from);
+    request.setFrom(message.from.offset);
+    request.setEra(message.from.era);
     request.setWaitMs(wireMillis(message.wait));
     request.setEntryVm(message.entryVm);
     return frame(flatten(builder));
@@ -100,7 +101,8 @@
     capnp::MallocMessageBuilder builder;
     auto update = builder.initRoot<wire::ListingsMessage>().initUpdate();
     update.setSequence(message.sequence);
-    update.setEnd(message.end);
+    update.setEnd(message.end.offset);
+    update.setEra(message.end.era);
     update.setWhole(message.isSnapshot);
     update.setHeldMs(wireMillis(message.heldFor));
     update.setAgeMs(wireMillis(message.age));
@@ -126,7 +128,7 @@
         if (message.isAsk()) {
             const auto request = message.getAsk();
             return ListingsRequest{.sequence = request.getSequence(),
-                                   .from = request.getFrom(),
+                                   .from = {.era = request.getEra(), .offset = request.getFrom()},
                                    .wait = Millis{request.getWaitMs()},
                                    .entryVm = request.getEntryVm().cStr()};
         }
--- a/libs/peer/src/records.cpp
+++ b/libs/peer/src/records.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-TopicRecord read(wire::Record::Reader from)
+TopicRecord read(wire::Record::Reader from, std::int64_t era)
 {
-    TopicRecord out{.key = from.getKey().cStr(), .value = {}, .offset = from.getOffset()};
+    TopicRecord out{.key = from.getKey().cStr(), .value = {}, .position = {.era = era, .offset = from.getOffset()}};
     if (!from.getDropped()) {
         const auto value = from.getValue().asChars();
         out.value.emplace(value.begin(), value.size());
@@ -21,9 +21,10 @@
 
 RecordsUpdate read(wire::RecordsUpdate::Reader from)
 {
-    RecordsUpdate out{.sequence = from.getSequence(), .end = from.getEnd(), .records = {}};
+    RecordsUpdate out{
+        .sequence = from.getSequence(), .end = {.era = from.getEra(), .offset = from.getEnd()}, .records = {}};
     for (const auto record : from.getRecords()) {
-        out.records.push_back(read(record));
+        out.records.push_back(read(record, from.getEra()));
     }
     return out;
 }
@@ -35,8 +36,10 @@
     capnp::MallocMessageBuilder builder;
     auto request = builder.initRoot<wire::RecordsMessage>().initAsk();
     request.setSequence(message.sequence);
-    request.setFrom(message.from);
-    request.setEnd(message.awaitedEnd);
+    request.setFrom(message.from.offset);
+    request.setFromEra(message.from.era);
+    request.setEnd(message.awaitedEnd.offset);
+    request.setEndEra(message.awaitedEnd.era);
     request.setWaitMs(wireMillis(message.wait));
     return frame(flatten(builder));
 }
@@ -46,12 +49,13 @@
     capnp::MallocMessageBuilder builder;
     auto update = builder.initRoot<wire::RecordsMessage>().initUpdate();
     update.setSequence(message.sequence);
-    update.setEnd(message.end);
+    update.setEnd(message.end.offset);
+    update.setEra(message.end.era);
     auto records = update.initRecords(static_cast<unsigned>(message.records.size()));
     for (unsigned n = 0; n < records.size(); ++n) {
         const TopicRecord &record = message.records[n];
         records[n].setKey(record.key);
-        records[n].setOffset(record.offset);
+        records[n].setOffset(record.position.offset);
         records[n].setDropped(!record.value);
         if (record.value) {
             records[n].setValue(kj::StringPtr(record.value->c_str(), record.value->size()).asBytes());
@@ -69,8 +73,8 @@
         if (message.isAsk()) {
             const auto request = message.getAsk();
             return RecordsRequest{.sequence = request.getSequence(),
-                                  .from = request.getFrom(),
-                                  .awaitedEnd = request.getEnd(),
+                                  .from = {.era = request.getFromEra(), .offset = request.getFrom()},
+                                  .awaitedEnd = {.era = request.getEndEra(), .offset = request.getEnd()},
                                   .wait = Millis{request.getWaitMs()}};
         }
         if (!message.isUpdate()) {
--- a/libs/peer/src/watermark_fields.h
+++ b/libs/peer/src/watermark_fields.h
@@ -13,8 +13,10 @@
 template <typename Builder>
 void writeWatermark(Builder to, const TopicWatermark &watermark)
 {
-    to.setOperatorsEnd(watermark.end);
-    to.setNamingsEnd(watermark.announcementsEnd);
+    to.setOperatorsEnd(watermark.end.offset);
+    to.setOperatorsEra(watermark.end.era);
+    to.setNamingsEnd(watermark.announcementsEnd.offset);
+    to.setNamingsEra(watermark.announcementsEnd.era);
     to.setLevelAgeMs(static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(watermark.age.count(), 0, TopicWatermark::UnknownAge.count())));
 }
@@ -23,8 +25,9 @@
 template <typename Reader>
 TopicWatermark readWatermark(Reader from)
 {
-    return {
-        .end = from.getOperatorsEnd(), .announcementsEnd = from.getNamingsEnd(), .age = Millis{from.getLevelAgeMs()}};
+    return {.end = {.era = from.getOperatorsEra(), .offset = from.getOperatorsEnd()},
+            .announcementsEnd = {.era = from.getNamingsEra(), .offset = from.getNamingsEnd()},
+            .age = Millis{from.getLevelAgeMs()}};
 }
 
 } // namespace ibislock::peer
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 7, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 9, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -233,7 +233,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,7 +248,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 10, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -312,7 +312,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b8aa2a1948ca91e1, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b8aa2a1948ca91e1, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -327,7 +327,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9e4fe1067dc7d2a, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d9e4fe1067dc7d2a, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -485,6 +485,10 @@
 
   inline  ::uint32_t getLevelAgeMs() const;
 
+  inline  ::int64_t getOperatorsEra() const;
+
+  inline  ::int64_t getNamingsEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -525,6 +529,12 @@
   inline  ::uint32_t getLevelAgeMs();
   inline void setLevelAgeMs( ::uint32_t value);
 
+  inline  ::int64_t getOperatorsEra();
+  inline void setOperatorsEra( ::int64_t value);
+
+  inline  ::int64_t getNamingsEra();
+  inline void setNamingsEra( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -593,6 +603,10 @@
 
   inline  ::uint32_t getLevelAgeMs() const;
 
+  inline  ::int64_t getOperatorsEra() const;
+
+  inline  ::int64_t getNamingsEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -661,6 +675,12 @@
   inline  ::uint32_t getLevelAgeMs();
   inline void setLevelAgeMs( ::uint32_t value);
 
+  inline  ::int64_t getOperatorsEra();
+  inline void setOperatorsEra( ::int64_t value);
+
+  inline  ::int64_t getNamingsEra();
+  inline void setNamingsEra( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1546,6 +1566,8 @@
   inline bool hasEntryVm() const;
   inline  ::capnp::Text::Reader getEntryVm() const;
 
+  inline  ::int64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1590,6 +1612,9 @@
   inline void adoptEntryVm(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownEntryVm();
 
+  inline  ::int64_t getEra();
+  inline void setEra( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1657,6 +1682,12 @@
   inline bool hasEntryVms() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntryVms() const;
 
+  inline  ::int64_t getEra() const;
+
+  inline  ::int64_t getOperatorsEra() const;
+
+  inline  ::int64_t getNamingsEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1727,6 +1758,15 @@
   inline void adoptEntryVms(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntryVms();
 
+  inline  ::int64_t getEra();
+  inline void setEra( ::int64_t value);
+
+  inline  ::int64_t getOperatorsEra();
+  inline void setOperatorsEra( ::int64_t value);
+
+  inline  ::int64_t getNamingsEra();
+  inline void setNamingsEra( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2112,6 +2152,10 @@
 
   inline  ::uint32_t getWaitMs() const;
 
+  inline  ::int64_t getFromEra() const;
+
+  inline  ::int64_t getEndEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2152,6 +2196,12 @@
   inline  ::uint32_t getWaitMs();
   inline void setWaitMs( ::uint32_t value);
 
+  inline  ::int64_t getFromEra();
+  inline void setFromEra( ::int64_t value);
+
+  inline  ::int64_t getEndEra();
+  inline void setEndEra( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2202,6 +2252,8 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline  ::int64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2243,6 +2295,9 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline  ::int64_t getEra();
+  inline void setEra( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2599,6 +2654,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline  ::int64_t Subscribe::Reader::getOperatorsEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Subscribe::Builder::getOperatorsEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setOperatorsEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Subscribe::Reader::getNamingsEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Subscribe::Builder::getNamingsEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setNamingsEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Load::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2787,6 +2870,34 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline  ::int64_t Load::Reader::getOperatorsEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Load::Builder::getOperatorsEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setOperatorsEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Load::Reader::getNamingsEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Load::Builder::getNamingsEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setNamingsEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Quarantine::Reader::hasSuspicions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3787,6 +3898,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t ListingsAsk::Reader::getEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ListingsAsk::Builder::getEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ListingsAsk::Builder::setEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ListingsUpdate::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3985,6 +4110,48 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t ListingsUpdate::Reader::getEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ListingsUpdate::Builder::getEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void ListingsUpdate::Builder::setEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ListingsUpdate::Reader::getOperatorsEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ListingsUpdate::Builder::getOperatorsEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ListingsUpdate::Builder::setOperatorsEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ListingsUpdate::Reader::getNamingsEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ListingsUpdate::Builder::getNamingsEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void ListingsUpdate::Builder::setNamingsEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Listing::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4460,6 +4627,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t RecordsAsk::Reader::getFromEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RecordsAsk::Builder::getFromEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RecordsAsk::Builder::setFromEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RecordsAsk::Reader::getEndEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RecordsAsk::Builder::getEndEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RecordsAsk::Builder::setEndEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RecordsUpdate::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4522,6 +4717,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t RecordsUpdate::Reader::getEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RecordsUpdate::Builder::getEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RecordsUpdate::Builder::setEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Record::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -175,25 +175,27 @@
 
 TEST(MessagesTest, RecordsAreDecodedAsTheyWereEncoded)
 {
-    const auto request =
-        decodeRecords(frameBody(encode(RecordsRequest{.sequence = 3, .from = 7, .awaitedEnd = 9, .wait = Millis{40}})));
+    const auto request = decodeRecords(frameBody(encode(RecordsRequest{
+        .sequence = 3, .from = {.era = 1, .offset = 7}, .awaitedEnd = {.era = 2, .offset = 9}, .wait = Millis{40}})));
     ASSERT_TRUE(request);
     EXPECT_EQ(std::get<RecordsRequest>(*request).sequence, 3U);
-    EXPECT_EQ(std::get<RecordsRequest>(*request).from, 7);
-    EXPECT_EQ(std::get<RecordsRequest>(*request).awaitedEnd, 9);
+    EXPECT_EQ(std::get<RecordsRequest>(*request).from, (TopicPosition{.era = 1, .offset = 7}));
+    EXPECT_EQ(std::get<RecordsRequest>(*request).awaitedEnd, (TopicPosition{.era = 2, .offset = 9}));
     EXPECT_EQ(std::get<RecordsRequest>(*request).wait, Millis{40});
 
     const std::string value("a\0b", 3);
-    const auto update = decodeRecords(frameBody(
-        encode(RecordsUpdate{.sequence = 4, .end = 9, .records = {{"k", value, 7}, {"gone", std::nullopt, 8}}})));
+    const auto update = decodeRecords(frameBody(encode(RecordsUpdate{
+        .sequence = 4,
+        .end = {.era = 3, .offset = 9},
+        .records = {{"k", value, {.era = 3, .offset = 7}}, {"gone", std::nullopt, {.era = 3, .offset = 8}}}})));
     ASSERT_TRUE(update);
     const auto &read = std::get<RecordsUpdate>(*update);
     EXPECT_EQ(read.sequence, 4U);
-    EXPECT_EQ(read.end, 9);
+    EXPECT_EQ(read.end, (TopicPosition{.era = 3, .offset = 9}));
     ASSERT_EQ(read.records.size(), 2U);
     EXPECT_EQ(read.records[0].key, "k");
     EXPECT_EQ(read.records[0].value, value);
-    EXPECT_EQ(read.records[0].offset, 7);
+    EXPECT_EQ(read.records[0].position, (TopicPosition{.era = 3, .offset = 7}));
     EXPECT_FALSE(read.records[1].value);
 }
 
@@ -201,13 +203,38 @@
 {
     const ListingChange change{.id = "i-1",
                                .entry = serving::TargetEntry{.id = "i-1", .startedAt = 5},
-                               .offset = 7,
+                               .position = {.offset = 7},
                                .writeNumber = 1'000'000'000'000};
     const auto update = decodeListings(frameBody(encode(ListingsUpdate{.listings = {change}})));
     ASSERT_TRUE(update);
     EXPECT_EQ(std::get<ListingsUpdate>(*update).listings.front().writeNumber, change.writeNumber);
 }
 
+TEST(MessagesTest, ErasAreForwarded)
+{
+    const TopicPosition end{.era = 4, .offset = 9};
+    const TopicPosition announcementsEnd{.era = 3, .offset = 20};
+    const TopicWatermark watermark{.end = end, .announcementsEnd = announcementsEnd, .age = Millis{5}};
+    const auto request = decodeListings(frameBody(encode(ListingsRequest{.from = end})));
+    ASSERT_TRUE(request);
+    EXPECT_EQ(std::get<ListingsRequest>(*request).from, end);
+    const ListingChange change{.id = "i-1", .entry = {}, .position = {.era = 4, .offset = 7}};
+    const auto update = decodeListings(
+        frameBody(encode(ListingsUpdate{.end = end, .listings = {change}, .operatorsWatermark = watermark})));
+    ASSERT_TRUE(update);
+    const auto &listings = std::get<ListingsUpdate>(*update);
+    EXPECT_EQ(listings.end, end);
+    EXPECT_EQ(listings.listings.front().position, change.position);
+    EXPECT_EQ(listings.operatorsWatermark.end, end);
+    EXPECT_EQ(listings.operatorsWatermark.announcementsEnd, announcementsEnd);
+    const auto subscription = decodeDatagram(encode(SubscribeMessage{.operatorsWatermark = watermark}));
+    ASSERT_TRUE(subscription);
+    EXPECT_EQ(std::get<SubscribeMessage>(*subscription).operatorsWatermark.end, end);
+    const auto load = decodeDatagram(encode(LoadMessage{.operatorsWatermark = watermark}));
+    ASSERT_TRUE(load);
+    EXPECT_EQ(std::get<LoadMessage>(*load).operatorsWatermark.announcementsEnd, announcementsEnd);
+}
+
 TEST(MessagesTest, EntryVmsAreDecodedWithListings)
 {
     const auto request = decodeListings(frameBody(encode(ListingsRequest{.entryVm = "10.0.0.1"})));
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "ibislock/base/log.h"
 #include "ibislock/base/metrics_text.h"
+#include "ibislock/feed/era_metrics.h"
 #include "side.h"
 
 namespace ibislock::side
@@ -59,6 +60,7 @@
                  m_operatorsFollower->feed().calls() + m_listingsFollower->storeCalls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
                  m_operatorsFollower->feed().failures() + m_listingsFollower->storeFailures());
+    writeEraMetrics(out, m_operatorsFollower->feed());
     writeGauge(out, "ibislock_listings_age_ms", "Age of what is known of the listings of targets.",
                m_listingsFollower->age().count());
     writeCounter(out, "ibislock_relay_answers_total", "Answers of relays of listings that were taken over.",
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -119,7 +119,7 @@
             .onStoreOutage = [](bool) {},
             .onWatermark =
                 [this](Millis asOf) {
-                    m_watermark.end = m_operatorsFollower->feed().nextOffset();
+                    m_watermark.end = m_operatorsFollower->feed().position();
                     m_watermark.asOf = asOf;
                     m_watermarkReadAt = steadyMillis();
                 },
@@ -167,7 +167,7 @@
 void Side::applyOperatorRecord(const platform::KeyedRecord &record, bool live)
 {
     if (platform::isAnnouncedWeightsKey(record.key)) {
-        recordAnnouncementOffset(m_watermark, record.offset);
+        recordAnnouncementPosition(m_watermark, record.position);
     }
     const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
     applyRecord(m_operators, record,
@@ -321,7 +321,7 @@
     // A new desired state has little effect on a target VM and can wait. Reading it on few VMs only leaves bandwidth
     // for weights.
     const bool readsAll = m_listingsFollower->readsStoreForOthers() || steadyMillis() >= m_watermarkReadAt + StateDelay;
-    const std::int64_t wanted = readsAll ? m_watermark.end : m_watermark.announcementsEnd;
+    const TopicPosition wanted = readsAll ? m_watermark.end : m_watermark.announcementsEnd;
     m_operatorsFollower->applyWatermark(m_watermark, wanted);
     if (news) {
         publishLoad(true); // Entry VMs may be waiting for it.
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -276,7 +276,7 @@
     {
         const asio::ip::udp::endpoint to(asio::ip::make_address_v4(vm), m_socket.local_endpoint().port());
         const peer::SubscribeMessage message{
-            .operatorsWatermark = {.end = end, .announcementsEnd = 0, .age = Millis{0}}};
+            .operatorsWatermark = {.end = {.offset = end}, .announcementsEnd = {.offset = 0}, .age = Millis{0}}};
         m_socket.send_to(asio::buffer(peer::encode(message)), to);
     }
 
