Side: a manifest is used only once the origin has sent it twice, and replaced when pieces keep differing from it

Cause: any manifest that could be decoded was believed for as long as the version was desired, and handed to all VMs. Evidence: all four VMs had the manifest of one content, and piece 0 came with the same bytes each time. Ruled out: a piece that is corrupted on its way comes with other bytes each time; VMs that wait for the owner don't ask the origin themselves, as all did.

Now the origin is asked twice at once, and a manifest that it has sent twice is used. One whose number of pieces isn't that of the desired state isn't used, wherever it comes from: a shorter list passed off an incomplete version as complete. Bytes that come twice in a row for a piece and don't match make the manifest suspect; it is fetched from the origin anew and replaced, which also corrects what a VM of an earlier release has passed on.

LoadOrderTest counts manifests; each is requested twice now, so that it expects 6, as strict.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -51,11 +51,13 @@
     connection.write(http::writeResponse({.status = status}, body));
 }
 
-std::string manifestOf(const WeightsStandIn &weights)
+/// @param wrongPiece the piece whose digest is wrong; below 0 for none.
+/// @param pieces how many pieces are listed.
+std::string manifestOf(const WeightsStandIn &weights, int wrongPiece, int pieces)
 {
     nlohmann::json digests = nlohmann::json::array();
-    for (int piece = 0; piece < weights.pieces; ++piece) {
-        digests.push_back(toHex(sha256(pieceBytes(weights, piece))));
+    for (int piece = 0; piece < pieces; ++piece) {
+        digests.push_back(toHex(sha256(pieceBytes(weights, piece == wrongPiece ? piece + 1000 : piece))));
     }
     return nlohmann::json{
         {"Model", weights.model}, {"Version", weights.version}, {"ChunkBytes", 64}, {"Digests", digests}}
@@ -77,7 +79,9 @@
                 reply(to, away ? 503 : 410, "");
             } else if (request.target.find("/manifest/") != std::string::npos) {
                 ++manifestsServed;
-                reply(to, 200, manifestOf(asked));
+                const int wrongPiece = wrongManifests > 0 ? --wrongManifests % asked.pieces : -1;
+                const int missing = shortManifests > 0 && shortManifests-- > 0 ? 1 : 0;
+                reply(to, 200, manifestOf(asked, wrongPiece, asked.pieces - missing));
             } else {
                 ++piecesServed;
                 const bool bad = spoilt > 0 && spoilt-- > 0;
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -33,6 +33,8 @@
     int piecesServed = 0;
     int manifestsServed = 0;
     int spoilt = 0; ///< Pieces that are still to be sent with wrong bytes.
+    int wrongManifests = 0; ///< Manifests that are still to be sent with a wrong digest, another one each time.
+    int shortManifests = 0; ///< Manifests that are still to be sent without their last digest.
     bool away = false; ///< Answers 503.
     Millis delay{0}; ///< Until a piece is sent.
 
--- a/libs/side/src/desired_weights.h
+++ b/libs/side/src/desired_weights.h
@@ -14,6 +14,7 @@
 {
     std::string model;
     std::int64_t version = 0;
+    int pieces = 0; ///< Number of pieces of each version; 0 if unknown.
     serving::AnnouncedVersions announced; ///< All announced versions, with the times of their announcements.
     Millis gracePeriod{0}; ///< From an announcement until no request starts on an older version.
     std::string origin; ///< IP:PORT; empty while unknown.
--- a/libs/side/src/manifest_fetcher.cpp
+++ b/libs/side/src/manifest_fetcher.cpp
@@ -3,6 +3,8 @@
 #include "ibislock/base/log.h"
 #include "origin_call.h"
 
+#include <algorithm>
+
 namespace ibislock::side
 {
 
@@ -19,6 +21,13 @@
 /// Delay before a manifest that no source delivered is requested again.
 constexpr Millis RetryTime{250};
 
+/// How many equal manifests of the origin make it usable; they are requested at the same time, so that this takes no
+/// longer than one.
+constexpr int EqualManifests = 2;
+
+/// Different manifests of which the origin sends one again at most; with more, all are discarded.
+constexpr std::size_t MaxCandidates = 8;
+
 constexpr int OkStatus = 200;
 
 } // namespace
@@ -34,10 +43,12 @@
 {
 }
 
-void ManifestFetcher::begin(const DesiredWeights &desired, std::function<void(std::vector<Digest>)> onFound)
+void ManifestFetcher::begin(const DesiredWeights &desired, ManifestSource source,
+                            std::function<void(std::vector<Digest>)> onFound)
 {
     stop();
     m_desired = desired;
+    m_source = source;
     m_found = std::move(onFound);
 }
 
@@ -46,6 +57,8 @@
     ++m_generation;
     m_found = nullptr;
     m_requestActive = false;
+    m_candidates.clear();
+    m_originCalls = 0;
 }
 
 void ManifestFetcher::step()
@@ -58,6 +71,10 @@
 void ManifestFetcher::startRequest()
 {
     m_requestActive = true;
+    if (m_source == ManifestSource::Origin || !m_candidates.empty()) {
+        requestFromOrigin();
+        return;
+    }
     std::vector<weights::DistributionMember> members = m_members(m_desired.version);
     for (weights::DistributionMember &member : members) {
         member.hasVersion =
@@ -87,7 +104,8 @@
             if (generation != m_generation) {
                 return;
             }
-            if (answer && answer->content == peer::PieceContent::Manifest && !answer->digests.empty()) {
+            const bool isManifest = answer && answer->content == peer::PieceContent::Manifest;
+            if (isManifest && hasAllPieces(answer->digests)) {
                 finish(answer->digests, m_sources[sourceIndex].vm);
             } else {
                 const bool unreachable = !answer && steadyMillis() - askedAt < wait;
@@ -98,26 +116,81 @@
 
 void ManifestFetcher::requestFromOrigin()
 {
+    const int calls = m_candidates.empty() ? EqualManifests : 1;
+    for (int n = 0; n < calls; ++n) {
+        callManifestOrigin();
+    }
+}
+
+void ManifestFetcher::callManifestOrigin()
+{
+    ++m_originCalls;
     callOrigin(m_loop, m_client, m_desired.origin, platform::makeManifestRequest(m_desired.model, m_desired.version),
                [this, generation = m_generation](int status, const std::string &body) {
-                   if (generation != m_generation) {
-                       return;
-                   }
-                   auto manifest = status == OkStatus ? platform::decodeManifest(body)
-                                                      : Result<platform::WeightsManifest>(failure(
-                                                          ErrorCode::Unavailable, "status " + std::to_string(status)));
-                   if (manifest && manifest->version == m_desired.version && manifest->model == m_desired.model) {
-                       finish(std::move(manifest->digests), "");
-                       return;
+                   if (generation == m_generation) {
+                       --m_originCalls;
+                       handleOriginResponse(status, body);
                    }
-                   logWarning(LogComponent::Side, "Fetching the manifest from the origin failed.",
-                              {{"version", std::to_string(m_desired.version)},
-                               {"cause", manifest ? "another version" : manifest.error().message}});
-                   m_requestActive = false;
-                   m_nextAttemptAt = steadyMillis() + RetryTime;
                });
 }
 
+void ManifestFetcher::handleOriginResponse(int status, const std::string &body)
+{
+    auto digests = usableDigests(status, body);
+    if (digests && std::find(m_candidates.begin(), m_candidates.end(), *digests) != m_candidates.end()) {
+        finish(std::move(*digests), "");
+        return;
+    }
+    if (digests) {
+        m_candidates.push_back(std::move(*digests));
+    } else {
+        logWarning(LogComponent::Side, "Fetching the manifest from the origin failed.",
+                   {{"version", std::to_string(m_desired.version)}, {"cause", digests.error().message}});
+    }
+    if (m_originCalls > 0) {
+        return;
+    }
+    if (m_candidates.size() > 1) {
+        logWarning(
+            LogComponent::Side, "The origin has sent different manifests; requesting it again.",
+            {{"version", std::to_string(m_desired.version)}, {"different", std::to_string(m_candidates.size())}});
+    }
+    if (m_candidates.size() >= MaxCandidates) {
+        m_candidates.clear();
+    }
+    if (digests && !m_candidates.empty()) {
+        callManifestOrigin();
+        return;
+    }
+    m_requestActive = false;
+    m_nextAttemptAt = steadyMillis() + RetryTime;
+}
+
+Result<std::vector<Digest>> ManifestFetcher::usableDigests(int status, const std::string &body) const
+{
+    if (status != OkStatus) {
+        return failure(ErrorCode::Unavailable, "status " + std::to_string(status));
+    }
+    auto manifest = platform::decodeManifest(body);
+    if (!manifest) {
+        return tl::unexpected(manifest.error());
+    }
+    if (manifest->version != m_desired.version || manifest->model != m_desired.model) {
+        return failure(ErrorCode::Corrupt, "another version");
+    }
+    if (!hasAllPieces(manifest->digests)) {
+        return failure(ErrorCode::Corrupt,
+                       std::to_string(manifest->digests.size()) + " pieces of " + std::to_string(m_desired.pieces));
+    }
+    return std::move(manifest->digests);
+}
+
+bool ManifestFetcher::hasAllPieces(const std::vector<Digest> &digests) const
+{
+    // A list that is too short would pass off an incomplete version as complete.
+    return !digests.empty() && (m_desired.pieces == 0 || digests.size() == static_cast<std::size_t>(m_desired.pieces));
+}
+
 void ManifestFetcher::finish(std::vector<Digest> digests, const std::string &source)
 {
     std::string content;
--- a/libs/side/src/manifest_fetcher.h
+++ b/libs/side/src/manifest_fetcher.h
@@ -1,6 +1,7 @@
 // Fetches the manifest of a version of weights: from the VMs that receive it first, then from the origin. The origin
 // accepts few connections, so only the owner of the manifest requests it there; other VMs do so only if no source has
-// delivered it.
+// delivered it. All pieces are verified against the manifest, and nothing verifies the manifest itself. So one from the
+// origin, which may be corrupted on its way, is used only once the origin has sent the same one twice.
 
 #pragma once
 
@@ -15,6 +16,12 @@
 /// Returns the currently known VMs that take part in the distribution of a version.
 using DistributionMembers = std::function<std::vector<weights::DistributionMember>(std::int64_t version)>;
 
+/// Where a manifest may come from.
+enum class ManifestSource {
+    Any, ///< Another VM that has it, or the origin.
+    Origin, ///< Only the origin, to verify one that is in use.
+};
+
 /// Fetches one manifest at a time.
 class ManifestFetcher
 {
@@ -25,7 +32,7 @@
 
     /// Starts to fetch the manifest of a version; cancels an earlier fetch.
     /// @param onFound receives the digests of the pieces, once.
-    void begin(const DesiredWeights &desired, std::function<void(std::vector<Digest>)> onFound);
+    void begin(const DesiredWeights &desired, ManifestSource source, std::function<void(std::vector<Digest>)> onFound);
 
     /// Cancels the fetch.
     void stop();
@@ -41,6 +48,13 @@
     /// @param previousUnreachable whether the previous source was unreachable.
     void requestFromSource(std::size_t sourceIndex, bool previousUnreachable);
     void requestFromOrigin();
+    void callManifestOrigin();
+    void handleOriginResponse(int status, const std::string &body);
+
+    /// Returns the digests of a manifest that was sent for the desired version.
+    /// @return the digests, or why the manifest can't be used.
+    Result<std::vector<Digest>> usableDigests(int status, const std::string &body) const;
+    bool hasAllPieces(const std::vector<Digest> &digests) const;
 
     /// @param source the VM that sent the manifest; empty for the origin.
     void finish(std::vector<Digest> digests, const std::string &source);
@@ -57,6 +71,9 @@
         0; ///< Incremented on each start and stop; responses of an earlier generation are ignored.
     bool m_requestActive = false;
     std::vector<weights::PieceSource> m_sources;
+    ManifestSource m_source = ManifestSource::Any;
+    std::vector<std::vector<Digest>> m_candidates; ///< Different manifests that the origin has sent, each once.
+    int m_originCalls = 0; ///< Calls to the origin that are under way.
     Millis m_nextAttemptAt{0};
 };
 
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -47,15 +47,14 @@
 } // namespace
 
 PieceFetcher::PieceFetcher(asio::io_context &loop, net::HttpClient &client, PieceExchange &exchange, std::string self,
-                           LinkPacing &pacing, FetchPriority priority,
-                           std::function<void(int piece, std::string bytes)> onPiece)
+                           LinkPacing &pacing, FetchPriority priority, PieceFetcherEvents events)
     : m_loop(loop)
     , m_client(client)
     , m_exchange(exchange)
     , m_self(std::move(self))
     , m_pacing(pacing)
     , m_priority(priority)
-    , m_onPiece(std::move(onPiece))
+    , m_events(std::move(events))
     , m_random(systemRandom())
     , m_originTimer(loop)
     , m_transferTimer(loop)
@@ -76,6 +75,8 @@
     m_fetching.clear();
     m_retryAt.clear();
     m_searchRounds.clear();
+    m_mismatches.clear();
+    m_manifestDoubted = false;
     m_originQueue.clear();
     m_originSchedule.clear();
     m_originTimer.cancel();
@@ -255,11 +256,22 @@
     // On a link that is slower than configured, pieces must not queue before inference requests.
     const Millis onTheWay = answer ? took - answer->queueTime : took;
     m_transferWindow = onTheWay > SlowTransfer ? 1 : std::min(m_transferWindow + 1, TransfersAtOnce);
-    const bool good = answer && answer->content == peer::PieceContent::Bytes
-        && sha256(answer->bytes) == m_task.digests[static_cast<std::size_t>(done.search.piece)];
-    if (good) {
+    const bool isPiece = answer && answer->content == peer::PieceContent::Bytes;
+    const Digest received = isPiece ? sha256(answer->bytes) : Digest();
+    if (isPiece && received == m_task.digests[static_cast<std::size_t>(done.search.piece)]) {
         deliverPiece(done.search.piece, answer->bytes, false);
-    } else if (answer && answer->content == peer::PieceContent::Redirect && answer->redirectVm != m_self) {
+        startTransfers();
+        return;
+    }
+    if (isPiece) {
+        logInfo(LogComponent::Side, "A piece from another VM doesn't match its digest.",
+                {{"version", std::to_string(m_task.version)},
+                 {"piece", std::to_string(done.search.piece)},
+                 {"vm", vmOf(done)},
+                 {"received", toHex(received)}});
+        recordMismatch(done.search.piece, received);
+    }
+    if (answer && answer->content == peer::PieceContent::Redirect && answer->redirectVm != m_self) {
         done.redirectVm = answer->redirectVm;
         m_pacing.nextTransferAt -= m_pacing.pieceInterval; // The redirect used no bandwidth.
         m_queuedTransfers.push_back(std::move(done));
@@ -299,7 +311,8 @@
                        fetchNextFromOrigin();
                        return;
                    }
-                   if (status == OkStatus && sha256(body) == m_task.digests[static_cast<std::size_t>(piece)]) {
+                   const Digest received = sha256(body);
+                   if (status == OkStatus && received == m_task.digests[static_cast<std::size_t>(piece)]) {
                        deliverPiece(piece, std::move(body), true);
                        fetchNextFromOrigin();
                        return;
@@ -311,8 +324,11 @@
                             {"status", std::to_string(status)},
                             {"bytes", std::to_string(body.size())},
                             {"expected", toHex(m_task.digests[static_cast<std::size_t>(piece)])},
-                            {"received", toHex(sha256(body))}});
+                            {"received", toHex(received)}});
                    retryLater(piece);
+                   if (status == OkStatus) {
+                       recordMismatch(piece, received);
+                   }
                    fetchNextFromOrigin();
                });
 }
@@ -337,10 +353,22 @@
     m_retryAt[piece] = steadyMillis() + jittered(m_random, RetryTime);
 }
 
+void PieceFetcher::recordMismatch(int piece, const Digest &received)
+{
+    const auto [it, first] = m_mismatches.try_emplace(piece, received);
+    if (first || it->second != received) {
+        it->second = received; // Bytes that were corrupted on their way differ each time.
+        return;
+    }
+    if (!std::exchange(m_manifestDoubted, true)) {
+        m_events.onManifestDoubt();
+    }
+}
+
 void PieceFetcher::deliverPiece(int piece, std::string bytes, bool fromOrigin)
 {
     ++(fromOrigin ? m_counts.fromOrigin : m_counts.fromPeers);
-    m_onPiece(piece, std::move(bytes));
+    m_events.onPiece(piece, std::move(bytes));
 }
 
 } // namespace ibislock::side
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -45,14 +45,23 @@
     Background, ///< Transfers wait while there are urgent ones.
 };
 
+/// Callbacks of a fetcher.
+struct PieceFetcherEvents
+{
+    /// Receives each piece that matches its digest.
+    std::function<void(int piece, std::string bytes)> onPiece;
+    /// The same bytes have come twice in a row for a piece that doesn't match its digest: the manifest may be wrong,
+    /// not the piece. Called once for each task.
+    std::function<void()> onManifestDoubt;
+};
+
 /// Fetches the pieces of one version at a time.
 class PieceFetcher
 {
 public:
     /// @param pacing the rate limit of the VM's link; must outlive the fetcher.
-    /// @param onPiece receives each piece that matches its digest.
     PieceFetcher(asio::io_context &loop, net::HttpClient &client, PieceExchange &exchange, std::string self,
-                 LinkPacing &pacing, FetchPriority priority, std::function<void(int piece, std::string bytes)> onPiece);
+                 LinkPacing &pacing, FetchPriority priority, PieceFetcherEvents events);
 
     /// Starts with a version; cancels the fetches of another one.
     void begin(FetchTask task);
@@ -108,6 +117,7 @@
     void fetchFromOrigin(int piece);
     void deliverPiece(int piece, std::string bytes, bool fromOrigin);
     void retryLater(int piece);
+    void recordMismatch(int piece, const Digest &received);
 
     asio::io_context &m_loop;
     net::HttpClient &m_client;
@@ -115,7 +125,7 @@
     std::string m_self;
     LinkPacing &m_pacing;
     FetchPriority m_priority;
-    std::function<void(int piece, std::string bytes)> m_onPiece;
+    PieceFetcherEvents m_events;
     Random m_random;
     FetchTask m_task;
     FetchCounts m_counts;
@@ -123,6 +133,8 @@
         0; ///< Incremented on each start and stop; responses of an earlier generation are ignored.
     std::set<int> m_fetching;
     std::map<int, int> m_searchRounds; ///< By piece: how often all its sources were tried.
+    std::map<int, Digest> m_mismatches; ///< By piece: the digest of the bytes that came last and didn't match.
+    bool m_manifestDoubted = false;
     Millis m_startedAt{0};
     std::deque<std::pair<Millis, int>>
         m_originSchedule; ///< Fetch times of the pieces that this VM owns, in ascending order.
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -191,6 +191,7 @@
     const serving::Service *origin = findOrigin(*m_operators.state);
     DesiredWeights desired{.model = service->second.engine->models.front(),
                            .version = FirstVersion,
+                           .pieces = service->second.engine->chunks,
                            .origin = origin != nullptr ? origin->originAddress : ""};
     if (origin != nullptr && origin->originMbps > 0) {
         desired.originPieceTime = transferTime(service->second.engine->chunkBytes, origin->originMbps);
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -44,7 +44,11 @@
     , m_orderTimer(loop)
     , m_manifestFetcher(loop, client, m_exchange, m_self, m_domain, m_members)
     , m_pieceFetcher(loop, client, m_exchange, m_self, m_pacing, FetchPriority::Urgent,
-                     [this](int piece, std::string bytes) { stage(piece, std::move(bytes)); })
+                     {.onPiece = [this](int piece, std::string bytes) { stage(piece, std::move(bytes)); },
+                      .onManifestDoubt =
+                          [this] {
+                              verifyManifest();
+                          }})
     , m_prefetch(loop, client, m_exchange, m_self, m_domain, m_pacing, m_members,
                  [this] { m_exchange.completePending(); })
 {
@@ -245,6 +249,7 @@
     ++m_generation;
     m_orderTimer.cancel();
     m_digests.clear();
+    m_correctDigests.clear();
     m_staged.clear();
     m_checks = {};
     m_unstaged.clear();
@@ -261,7 +266,8 @@
         applyManifest(m_prefetched.digests);
     } else {
         enterPhase(WeightsPhase::Manifest);
-        m_manifestFetcher.begin(m_desired, [this](std::vector<Digest> digests) { applyManifest(std::move(digests)); });
+        m_manifestFetcher.begin(m_desired, ManifestSource::Any,
+                                [this](std::vector<Digest> digests) { applyManifest(std::move(digests)); });
     }
 }
 
@@ -308,7 +314,12 @@
     case WeightsPhase::Reading:
         break;
     case WeightsPhase::Fetching:
-        fetchMore();
+        m_manifestFetcher.step();
+        if (!m_correctDigests.empty() && !m_pendingOrder) {
+            replaceManifest(std::exchange(m_correctDigests, {}));
+        } else {
+            fetchMore();
+        }
         break;
     case WeightsPhase::Waiting:
         if (isDesiredLoaded() && !m_loadUnproven && !m_pendingOrder) {
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -108,6 +108,11 @@
     void finishRechecking();
     void beginFetching();
 
+    /// Fetches the manifest from the origin, as pieces keep differing from the one in use, and replaces it if it is
+    /// another one.
+    void verifyManifest();
+    void replaceManifest(std::vector<Digest> digests);
+
     /// Records that a staged piece is missing or corrupt.
     /// @param reader for whom the piece was read; appears in the log.
     void recordMismatch(int piece, int status, const std::string &reader);
@@ -174,6 +179,7 @@
     WeightsPhase m_phase = WeightsPhase::Idle;
     std::uint64_t m_generation = 0; ///< Incremented on each restart; responses of an earlier generation are ignored.
     std::vector<Digest> m_digests; ///< Of the pieces of `m_desired`.
+    std::vector<Digest> m_correctDigests; ///< That replace `m_digests` once no order is pending; empty for none.
     std::set<int> m_staged; ///< Staged pieces that matched their digest.
     weights::StageChecks m_checks; ///< Of the latest verification.
     std::map<int, std::string> m_unstaged; ///< Verified pieces that could not be staged.
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -174,6 +174,29 @@
     fetchMore();
 }
 
+void WeightsAgent::verifyManifest()
+{
+    logWarning(LogComponent::Side, "A piece keeps differing from its digest; requesting the manifest again.",
+               {{"version", std::to_string(m_desired.version)}});
+    m_manifestFetcher.begin(m_desired, ManifestSource::Origin,
+                            [this](std::vector<Digest> digests) { replaceManifest(std::move(digests)); });
+}
+
+void WeightsAgent::replaceManifest(std::vector<Digest> digests)
+{
+    if (digests == m_digests || m_phase != WeightsPhase::Fetching) {
+        return;
+    }
+    if (m_pendingOrder) {
+        m_correctDigests = std::move(digests);
+        return;
+    }
+    logWarning(LogComponent::Side, "Replacing a wrong manifest by that of the origin.",
+               {{"version", std::to_string(m_desired.version)}});
+    m_prefetched = {.digests = std::move(digests), .pieces = {}};
+    restart();
+}
+
 void WeightsAgent::stagePrefetched()
 {
     for (auto &[piece, bytes] : std::exchange(m_prefetched, {}).pieces) {
--- a/libs/side/src/weights_prefetch.cpp
+++ b/libs/side/src/weights_prefetch.cpp
@@ -14,12 +14,17 @@
     , m_changed(std::move(onChange))
     , m_manifestFetcher(loop, client, exchange, self, std::move(domain), std::move(members))
     , m_pieceFetcher(loop, client, exchange, std::move(self), pacing, FetchPriority::Background,
-                     [this](int piece, std::string bytes) {
-                         m_prefetched.pieces[piece] = std::move(bytes);
-                         m_heldPieces.insert(piece);
-                         m_pieceFetcher.recordStaging(piece, true);
-                         m_changed();
-                     })
+                     {.onPiece =
+                          [this](int piece, std::string bytes) {
+                              m_prefetched.pieces[piece] = std::move(bytes);
+                              m_heldPieces.insert(piece);
+                              m_pieceFetcher.recordStaging(piece, true);
+                              m_changed();
+                          },
+                      .onManifestDoubt =
+                          [this] {
+                              verifyManifest();
+                          }})
 {
 }
 
@@ -29,7 +34,8 @@
     m_desired = desired;
     logInfo(LogComponent::Side, "Prefetching a newer version of the weights.",
             {{"version", std::to_string(desired.version)}});
-    m_manifestFetcher.begin(desired, [this](std::vector<Digest> digests) { applyManifest(std::move(digests)); });
+    m_manifestFetcher.begin(desired, ManifestSource::Any,
+                            [this](std::vector<Digest> digests) { applyManifest(std::move(digests)); });
     m_manifestFetcher.step();
 }
 
@@ -85,6 +91,23 @@
     return m_pieceFetcher.counts();
 }
 
+void WeightsPrefetch::verifyManifest()
+{
+    m_manifestFetcher.begin(m_desired, ManifestSource::Origin, [this](std::vector<Digest> digests) {
+        if (digests == m_prefetched.digests) {
+            return;
+        }
+        logWarning(LogComponent::Side, "Replacing a wrong manifest by that of the origin.",
+                   {{"version", std::to_string(m_desired.version)}});
+        std::erase_if(m_prefetched.pieces, [&](const auto &item) {
+            const auto piece = static_cast<std::size_t>(item.first);
+            const bool wrong = piece >= digests.size() || m_prefetched.digests[piece] != digests[piece];
+            return wrong && m_heldPieces.erase(item.first) > 0;
+        });
+        applyManifest(std::move(digests));
+    });
+}
+
 void WeightsPrefetch::applyManifest(std::vector<Digest> digests)
 {
     m_prefetched.digests = std::move(digests);
--- a/libs/side/src/weights_prefetch.h
+++ b/libs/side/src/weights_prefetch.h
@@ -57,6 +57,7 @@
 
 private:
     void applyManifest(std::vector<Digest> digests);
+    void verifyManifest();
 
     std::string m_self;
     std::string m_domain;
--- a/libs/side/test/side_load_order_test.cpp
+++ b/libs/side/test/side_load_order_test.cpp
@@ -135,7 +135,7 @@
     ASSERT_TRUE(runUntil([&] { return m_origin.piecesServed >= 1; }));
     m_loop.run_for(std::chrono::milliseconds(20)); // The write arrives at the engine.
     name(3);
-    ASSERT_TRUE(runUntil([&] { return m_origin.manifestsServed == 3; }));
+    ASSERT_TRUE(runUntil([&] { return m_origin.manifestsServed == 6; })) << "of three versions, twice each";
     vm.engine.holdsWrites = false;
     ASSERT_TRUE(runUntil([&] { return vm.engine.holdsWhole({.version = 3}); }));
     const Millis end = steadyMillis() + Millis{1500};
