Front: a failure without end in answer to a stream is cut off at the limit of buffered responses

The entry daemon exceeded its 260 MB within 1.6 s and was killed; 8 requests that sound targets were running ended without an answer (LOST).

Cause: exchanges on streaming routes had no limit of the body, since the events of a stream are forwarded as they arrive, but any answer other than 2xx is buffered. Evidence: the test, in which the caller reads and all bytes are consumed, shows the growth; the limit alone ends it. That rules out the queue to the caller and unread bytes.

Now the limit is set when the head is known. It also ends bodies that are ignored. "A request attempt failed." says `too_large`.

FrontEndlessTest "BodyOfAFailedStream" failed before.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -211,6 +211,10 @@
     case TargetBehaviour::EndlessBody:
         writeForever(connection, http::writeChunkedHead(own), http::writeChunk(std::string(EndlessPart, 'x')));
         break;
+    case TargetBehaviour::EndlessFailure:
+        own.status = 500;
+        writeForever(connection, http::writeChunkedHead(own), http::writeChunk(std::string(EndlessPart, 'x')));
+        break;
     case TargetBehaviour::EndlessNoise:
         writeForever(connection, "", std::string(EndlessPart, '?'));
         break;
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -49,6 +49,7 @@
     StreamOnce, ///< The first request of a connection as a stream; closes at the next, which it does not run.
     EndlessHead, ///< Runs it and sends a head without end.
     EndlessBody, ///< Runs it and sends a body without end.
+    EndlessFailure, ///< Runs it and sends a signed 500 whose body has no end.
     EndlessNoise, ///< Runs it and sends bytes that are no answer, without end.
     EndlessInterim, ///< Runs it and sends interim answers without end.
     EndlessBehind, ///< Runs it, answers, and sends bytes without end behind the answer.
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -33,9 +33,6 @@
 /// How long an interrupted request may wait for a slot at another target; a longer gap makes its stream late.
 constexpr Millis ResumeWait{300};
 
-/// Maximum size of a buffered response; responses of plain services have some hundred bytes.
-constexpr std::size_t LargestHeldAnswer = 4U << 20U;
-
 /// The status which promises the caller that the request was not executed and won't be.
 constexpr int NotRunStatus = 503;
 
@@ -237,7 +234,7 @@
         endpoint->ip, endpoint->port, writeRequest(forwarded, body),
         {.connectTimeout = std::min(ConnectTime, deadlineAt - now),
          .newConnection = fresh,
-         .maxBodyBytes = route.kind == RequestKind::Stream ? 0 : LargestHeldAnswer},
+         .maxBodyBytes = MaxBufferedResponse},
         {
             .head = [self = shared_from_this()](const http::ResponseHead &answer) { return self->onHead(answer); },
             .body = [self = shared_from_this()](const std::string &bytes) { self->onBody(bytes); },
@@ -278,6 +275,7 @@
                  {"sends", std::to_string(m_attempts)},
                  {"connected", result.connected ? "1" : "0"},
                  {"reused", result.reused ? "1" : "0"},
+                 {"too_large", result.tooLarge ? "1" : "0"},
                  {"framing", std::string(m_framing)},
                  {"incomplete_bytes", std::to_string(m_incompleteBytes)},
                  {"events", m_eventSplitter.hasEvents ? "1" : "0"},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -12,6 +12,9 @@
 namespace ibislock::front
 {
 
+/// Maximum size of a buffered response in bytes; responses of plain services have some hundred.
+inline constexpr std::size_t MaxBufferedResponse = 4U << 20U;
+
 /// A caller's request, its attempts at targets and its response.
 class Call : public std::enable_shared_from_this<Call>
 {
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -87,6 +87,10 @@
         m_responseHandling =
             success && route.kind == RequestKind::Stream ? ResponseHandling::Relayed : ResponseHandling::Buffered;
     }
+    // Only the events of a stream are forwarded as they arrive; whatever else a target sends is buffered or ignored.
+    if (m_exchange) {
+        m_exchange->limitBody(m_responseHandling == ResponseHandling::Relayed ? 0 : MaxBufferedResponse);
+    }
     return net::HeadDecision::Accept;
 }
 
--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -353,6 +353,8 @@
 INSTANTIATE_TEST_SUITE_P(Cases, FrontEndlessTest,
                          testing::Values(EndlessCase{"Head", "/once/x", TargetBehaviour::EndlessHead, 502},
                                          EndlessCase{"Body", "/once/x", TargetBehaviour::EndlessBody, 502},
+                                         EndlessCase{"BodyOfAFailedStream", "/fixed/x", TargetBehaviour::EndlessFailure,
+                                                     502},
                                          EndlessCase{"Noise", "/once/x", TargetBehaviour::EndlessNoise, 502},
                                          EndlessCase{"Interim", "/once/x", TargetBehaviour::EndlessInterim, 502},
                                          EndlessCase{"AfterAResponse", "/once/x", TargetBehaviour::EndlessBehind, 200},
--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -41,6 +41,7 @@
     bool connected = false; ///< A connection was established and the request written to it.
     bool reused = false; ///< The connection came from the pool.
     bool responseStarted = false; ///< At least one byte of a response arrived.
+    bool tooLarge = false; ///< The body exceeded its limit.
 };
 
 /// What to do with a response whose head has been read: deliver it, or skip it and wait for the next one.
@@ -92,6 +93,10 @@
     /// Returns whether the response has started but isn't complete.
     bool isReceivingResponse() const;
 
+    /// Replaces the limit of the body, once its head shows whether the body must be buffered.
+    /// @param bytes the limit; 0 for none.
+    void limitBody(std::size_t bytes);
+
     /// Pauses or resumes reading the response.
     void setReadingPaused(bool pause);
 
@@ -128,6 +133,7 @@
     bool m_responseStarted = false;
     bool m_headHandled = false;
     bool m_skipping = false;
+    bool m_tooLarge = false;
     bool m_done = false;
 };
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -149,14 +149,21 @@
     return !m_done;
 }
 
+void Exchange::limitBody(std::size_t bytes)
+{
+    m_options.maxBodyBytes = bytes;
+}
+
 bool Exchange::exceedsBodyLimit(std::size_t bytes)
 {
     if (m_skipping) {
         m_skippedBytes += bytes;
-        return m_skippedBytes > MaxSkippedBytes;
+        m_tooLarge = m_skippedBytes > MaxSkippedBytes;
+    } else {
+        m_bodyBytes += bytes;
+        m_tooLarge = m_options.maxBodyBytes > 0 && m_bodyBytes > m_options.maxBodyBytes;
     }
-    m_bodyBytes += bytes;
-    return m_options.maxBodyBytes > 0 && m_bodyBytes > m_options.maxBodyBytes;
+    return m_tooLarge;
 }
 
 void Exchange::onData(std::string_view bytes)
@@ -234,8 +241,11 @@
 {
     const auto self = shared_from_this();
     const auto handler = std::move(m_events.end);
-    const ExchangeResult result{
-        .outcome = end, .connected = m_connected, .reused = m_reused, .responseStarted = m_responseStarted};
+    const ExchangeResult result{.outcome = end,
+                                .connected = m_connected,
+                                .reused = m_reused,
+                                .responseStarted = m_responseStarted,
+                                .tooLarge = m_tooLarge};
     cancel();
     if (handler) {
         handler(result);
