--- a/fuzz/fuzz_listing.cpp
+++ b/fuzz/fuzz_listing.cpp
@@ -17,9 +17,9 @@
     static_cast<void>(platform::decodeTarget("i-1", text));
     static_cast<void>(platform::decodeReport(text));
     static_cast<void>(platform::decodeManifest(text));
-    static_cast<void>(platform::decodeSnapshotPage(text));
+    static_cast<void>(platform::decodeSnapshotPage(text, 0));
     static_cast<void>(platform::decodeSettings("f", text));
-    const auto page = platform::decodeReadPage(text, 0);
+    const auto page = platform::decodeReadPage(text, {.offset = 0});
     if (page && page->next.offset != static_cast<std::int64_t>(page->records.size())) {
         __builtin_trap();
     }
