Serving, platform: an entry without its start doesn't bring a leaving target back

Cause: the entry was accepted although a field was missing that every target writes, and its missing start counted as an incarnation of its own, so that what was known of the target was dropped.

Test fixtures list `ColdLeftMs`, as targets do.

Before: TargetTableTest.AnEntryWithoutItsStartIsNoNewIncarnation failed.

--- a/libs/feed/src/listings_cache.cpp
+++ b/libs/feed/src/listings_cache.cpp
@@ -83,7 +83,7 @@
         item.position = change.position;
         item.changedAt = now;
     }
-    if (change.entry) {
+    if (change.entry && (change.entry->startedAt != 0 || !cached || it->second.startedAt == 0)) {
         CachedListing &item = cache.listings[change.id];
         item.writeNumber =
             isSameIncarnation(change, item) ? std::max(item.writeNumber, change.writeNumber) : change.writeNumber;
--- a/libs/feed/test/listings_age_test.cpp
+++ b/libs/feed/test/listings_age_test.cpp
@@ -168,6 +168,7 @@
                                       {"Version", "v1"},
                                       {"Slots", 16},
                                       {"State", draining ? "draining" : "ready"},
+                                      {"ColdLeftMs", 0},
                                       {"Sequence", ++m_writes}}
                            .dump());
     }
--- a/libs/feed/test/listings_cache_test.cpp
+++ b/libs/feed/test/listings_cache_test.cpp
@@ -102,6 +102,16 @@
     EXPECT_TRUE(applyTopicRecord(cache, written(4, 0, 6), Millis{0}));
 }
 
+TEST(ListingsCacheTest, AnEntryWithoutItsStartDoesNotHideEarlierWrites)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(1, 5, 20, true)}, at(2), Millis{0});
+    applyTopicRecord(cache, written(2, 0, 3), Millis{0});
+    EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 19), Millis{0})) << "written before 20";
+    EXPECT_TRUE(applyTopicRecord(cache, written(4, 5, 21, true), Millis{0}));
+    EXPECT_TRUE(cache.listings.at("a").entry->draining);
+}
+
 // A relay of an earlier release forwards no numbers: what it told of leaving targets was taken for earlier writes.
 TEST(ListingsCacheTest, AChangeWithoutANumberIsOrderedByItsOffset)
 {
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -194,6 +194,7 @@
                 {{"target", id},
                  {"service", entry ? entry->service : ""},
                  {"leaving", entry && entry->draining ? "1" : "0"},
+                 {"incarnation", std::to_string(entry ? entry->startedAt : 0)},
                  {"end", toText(m_listings->cache().end)},
                  {"age_ms", std::to_string(m_listings->age().count())},
                  {"from", m_listings->source()}});
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -40,6 +40,13 @@
     return out;
 }
 
+/// Returns the start of the incarnation that was listed last under an id that is no longer listed; 0 if unknown.
+std::int64_t retainedIncarnation(const TargetTable &table, const std::string &id)
+{
+    const auto it = table.retainedTargets.find(id);
+    return it == table.retainedTargets.end() ? 0 : it->second.signals.startedAt;
+}
+
 void removeEntry(TargetTable &table, const std::string &id, Millis now)
 {
     const auto it = table.targets.find(id);
@@ -64,6 +71,11 @@
         return;
     }
     Target &target = table.targets[id];
+    const bool namesIncarnation = entry->startedAt != 0;
+    if (!namesIncarnation) {
+        // Without its start an entry doesn't show that the target was started again.
+        entry->startedAt = target.entry.id.empty() ? retainedIncarnation(table, id) : target.entry.startedAt;
+    }
     const bool newIncarnation =
         target.entry.id.empty() || target.entry.startedAt != entry->startedAt || target.entry.address != entry->address;
     if (newIncarnation) {
@@ -79,7 +91,7 @@
     }
     target.expiringSince.reset();
     target.entry = std::move(*entry);
-    if (target.entry.draining && target.entry.startedAt != 0) {
+    if (target.entry.draining && namesIncarnation) {
         recordDraining(target.signals); // An incarnation that leaves doesn't come back.
     }
 }
--- a/libs/serving/test/serving_test.cpp
+++ b/libs/serving/test/serving_test.cpp
@@ -81,6 +81,34 @@
     EXPECT_TRUE(isUsable()) << "born anew";
 }
 
+// An entry that another program wrote under the id of a leaving target made that target usable again.
+TEST(TargetTableTest, AnEntryWithoutItsStartIsNoNewIncarnation)
+{
+    TargetTable table;
+    TargetEntry entry{.id = "i-1", .service = "s", .address = "10.0.0.1:80", .draining = true, .startedAt = 5};
+    const auto isUsable = [&] {
+        Random random(1);
+        return place(table, {.service = "s", .now = Millis{0}}, random).target != nullptr;
+    };
+    TargetEntry foreign = entry;
+    foreign.draining = false;
+    foreign.startedAt = 0;
+    applyEntry(table, "i-1", entry, Millis{0});
+    applyEntry(table, "i-1", foreign, Millis{0});
+    EXPECT_FALSE(isUsable());
+    applyEntry(table, "i-1", std::nullopt, Millis{0});
+    applyEntry(table, "i-1", foreign, Millis{0});
+    EXPECT_FALSE(isUsable()) << "removed and listed again";
+    entry.draining = false;
+    entry.startedAt = 6;
+    applyEntry(table, "i-1", entry, Millis{0});
+    EXPECT_TRUE(isUsable()) << "born anew";
+    foreign.draining = true;
+    applyEntry(table, "i-1", foreign, Millis{0});
+    applyEntry(table, "i-1", entry, Millis{0});
+    EXPECT_TRUE(isUsable()) << "it has not said itself that it leaves";
+}
+
 TEST(TargetTableTest, AnUnknownIncarnationIsUsedAsItIsListed)
 {
     TargetTable table;
--- a/libs/side/test/side_manifest_test.cpp
+++ b/libs/side/test/side_manifest_test.cpp
@@ -80,6 +80,7 @@
                                       {"Version", "v1"},
                                       {"Slots", 16},
                                       {"State", "ready"},
+                                      {"ColdLeftMs", 0},
                                       {"Sequence", 1}}
                            .dump());
     }
