Side: responses of the engine and of the origin are limited to what they can sensibly hold

Now a read of a piece is limited to the size of a piece and 64 KB, so that one that is a little too long is still read and compared; a manifest to 1 MB, any other response of the engine to 64 KB.

With the limit of 16 MB put back SideTest.AReadOfTheStageWithoutEndIsCutOff fails.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -257,9 +257,33 @@
     }
 }
 
+void EngineStandIn::writeForever(const std::shared_ptr<net::Connection> &connection)
+{
+    constexpr std::size_t Part = 16 * 1024;
+    if (!connection->isOpen()) {
+        return;
+    }
+    if (connection->queuedBytes() < Part) {
+        endlessBytes += Part;
+        connection->write(http::writeChunk(std::string(Part, 'x')));
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, Millis{1});
+    timer->async_wait([this, timer, connection](const asio::error_code &ec) {
+        if (!ec) {
+            writeForever(connection);
+        }
+    });
+}
+
 void EngineStandIn::readStage(net::Connection &connection, int piece)
 {
     ++stageReads;
+    if (endlessReads) {
+        ++endlessResponses;
+        connection.write(http::writeChunkedHead({.status = 200}));
+        writeForever(connection.shared_from_this());
+        return;
+    }
     const auto it = staged.find(piece);
     const int status = it == staged.end() ? 404 : 200;
     const std::string bytes = it == staged.end() ? "" : it->second + (m_bad.contains(piece) ? " turned bad" : "");
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -103,6 +103,9 @@
     int served = 0; ///< Requests that were run.
     Millis orderDelay{0}; ///< Orders get no answer and are accepted this late.
     Millis readDelay{0}; ///< Until the bytes of a staged piece, as they were when they were requested, are sent.
+    bool endlessReads = false; ///< Reads of staged pieces get a body without end.
+    std::size_t endlessBytes = 0; ///< Sent so far in such bodies.
+    int endlessResponses = 0; ///< How many such bodies were begun.
     int stageReads = 0; ///< Reads of staged pieces since the last write to the stage.
     bool holdsWrites = false; ///< Writes to the stage get no answer and take effect with applyHeldWrites().
     bool holdsOrders = false; ///< Orders get no answer and take effect with applyHeldOrders().
@@ -118,6 +121,7 @@
     void answer(net::Connection &connection, const http::RequestHead &request, const std::string &body);
     void handle(net::Connection &connection, const http::RequestHead &request, const std::string &body);
     void readStage(net::Connection &connection, int piece);
+    void writeForever(const std::shared_ptr<net::Connection> &connection);
     void emitStage(StageEvent event);
     void serve(net::Connection &connection, const http::RequestHead &request);
     void order(net::Connection &connection, const std::string &body);
--- a/libs/side/src/engine_monitor.cpp
+++ b/libs/side/src/engine_monitor.cpp
@@ -38,9 +38,9 @@
 }
 
 void EngineMonitor::call(const platform::ApiRequest &request, Millis timeout,
-                         std::function<void(int status, std::string body)> done)
+                         std::function<void(int status, std::string body)> done, std::size_t maxBodyBytes)
 {
-    exchange(request, {.connectTimeout = timeout, .timeout = timeout},
+    exchange(request, {.connectTimeout = timeout, .timeout = timeout, .maxBodyBytes = maxBodyBytes},
              [done = std::move(done)](net::ExchangeOutcome, int status, std::string body) {
                  done(status, std::move(body));
              });
@@ -51,7 +51,9 @@
 {
     // A connection that is established later is not used.
     const Millis left = std::max(Millis{1}, sendDeadline - bootMillis());
-    exchange(request, {.connectTimeout = std::min(timeout, left), .timeout = timeout}, std::move(done));
+    exchange(request,
+             {.connectTimeout = std::min(timeout, left), .timeout = timeout, .maxBodyBytes = MaxEngineReplyBytes},
+             std::move(done));
 }
 
 void EngineMonitor::exchange(const platform::ApiRequest &request, const net::ExchangeOptions &options,
--- a/libs/side/src/engine_monitor.h
+++ b/libs/side/src/engine_monitor.h
@@ -10,6 +10,10 @@
 namespace ibislock::side
 {
 
+/// Maximum size of the engine's response to a report, a write or an order, which have some hundred bytes. An engine in
+/// trouble may send without end, to many requests at once.
+inline constexpr std::size_t MaxEngineReplyBytes = 64U << 10U;
+
 /// Polls the engine and sends requests to it.
 class EngineMonitor
 {
@@ -23,8 +27,9 @@
 
     /// Sends a request to the engine.
     /// @param done receives the HTTP status, or 0 without a complete response, and the body.
+    /// @param maxBodyBytes limit of the body.
     void call(const platform::ApiRequest &request, Millis timeout,
-              std::function<void(int status, std::string body)> done);
+              std::function<void(int status, std::string body)> done, std::size_t maxBodyBytes = MaxEngineReplyBytes);
 
     /// Sends an order to the engine.
     /// @param sendDeadline time of the boot clock after which the order must not be sent.
--- a/libs/side/src/manifest_fetcher.cpp
+++ b/libs/side/src/manifest_fetcher.cpp
@@ -28,6 +28,9 @@
 /// Different manifests of which the origin sends one again at most; with more, all are discarded.
 constexpr std::size_t MaxCandidates = 8;
 
+/// Maximum size of a manifest; each piece takes some 70 bytes in it.
+constexpr std::size_t MaxManifestBytes = 1U << 20U;
+
 constexpr int OkStatus = 200;
 
 } // namespace
@@ -126,7 +129,7 @@
 {
     ++m_originCalls;
     callOrigin(m_loop, m_client, m_desired.origin, platform::makeManifestRequest(m_desired.model, m_desired.version),
-               [this, generation = m_generation](int status, const std::string &body) {
+               MaxManifestBytes, [this, generation = m_generation](int status, const std::string &body) {
                    if (generation == m_generation) {
                        --m_originCalls;
                        handleOriginResponse(status, body);
--- a/libs/side/src/origin_call.cpp
+++ b/libs/side/src/origin_call.cpp
@@ -17,7 +17,8 @@
 } // namespace
 
 void callOrigin(asio::io_context &loop, net::HttpClient &client, const std::string &address,
-                const platform::ApiRequest &request, std::function<void(int status, std::string body)> done)
+                const platform::ApiRequest &request, std::size_t maxBodyBytes,
+                std::function<void(int status, std::string body)> done)
 {
     const auto endpoint = platform::parseEndpoint(address);
     if (!endpoint) {
@@ -29,7 +30,11 @@
     // The origin accepts a few dozen connections from all VMs together; a persistent connection would use up one that
     // another VM needs.
     client.call(endpoint->ip, endpoint->port, writeRequest(head, request.body),
-                {.connectTimeout = ConnectTime, .timeout = OriginTime, .newConnection = true, .keepAlive = false},
+                {.connectTimeout = ConnectTime,
+                 .timeout = OriginTime,
+                 .newConnection = true,
+                 .keepAlive = false,
+                 .maxBodyBytes = maxBodyBytes},
                 [done = std::move(done)](net::ExchangeOutcome end, const http::ResponseHead &answer, std::string body) {
                     done(end == net::ExchangeOutcome::Complete ? answer.status : 0, std::move(body));
                 });
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -1,5 +1,6 @@
 #include "piece_fetcher.h"
 
+#include "desired_weights.h"
 #include "ibislock/base/log.h"
 #include "origin_call.h"
 
@@ -305,6 +306,7 @@
 void PieceFetcher::fetchFromOrigin(int piece)
 {
     callOrigin(m_loop, m_client, m_task.origin, platform::makePieceRequest(m_task.model, m_task.version, piece),
+               maxPieceResponse(m_task.pieceBytes),
                [this, generation = m_generation, piece](int status, std::string body) {
                    m_originFetchActive = false;
                    if (generation != m_generation) {
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -29,6 +29,7 @@
     std::vector<Digest> digests;
     std::vector<weights::PiecePlan> plan;
     Millis originPieceTime{0}; ///< How long the origin's link takes for a piece; zero if unknown.
+    std::size_t pieceBytes = 0; ///< Size of the largest piece; 0 if unknown.
 };
 
 /// Counters of fetched pieces.
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -192,6 +192,7 @@
     DesiredWeights desired{.model = service->second.engine->models.front(),
                            .version = FirstVersion,
                            .pieces = service->second.engine->chunks,
+                           .pieceBytes = static_cast<std::size_t>(service->second.engine->chunkBytes),
                            .origin = origin != nullptr ? origin->originAddress : ""};
     if (origin != nullptr && origin->originMbps > 0) {
         desired.originPieceTime = transferTime(service->second.engine->chunkBytes, origin->originMbps);
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -77,7 +77,8 @@
                 if (generation == m_generation) {
                     handlePieceRead(piece, requestedAt, status, body);
                 }
-            });
+            },
+            maxPieceResponse(m_desired.pieceBytes));
     }
     if (m_activeReads == 0) {
         finishReading();
@@ -169,7 +170,8 @@
                           .digests = m_digests,
                           .plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain,
                                                       m_members(m_desired.version)),
-                          .originPieceTime = m_desired.originPieceTime});
+                          .originPieceTime = m_desired.originPieceTime,
+                          .pieceBytes = m_desired.pieceBytes});
     stagePrefetched();
     fetchMore();
 }
@@ -420,17 +422,19 @@
         done(std::move(answer));
         return;
     }
-    m_engine.call(platform::makeStageGetRequest(request.model, request.index), StageTime,
-                  [this, generation = m_generation, answer, done](int status, std::string body) mutable {
-                      const bool good = status == OkStatus && generation == m_generation
-                          && sha256(body) == m_digests[static_cast<std::size_t>(answer.index)];
-                      if (!good && generation == m_generation && showsContent(status)) {
-                          recordMismatch(answer.index, status, "peer");
-                      }
-                      answer.content = good ? peer::PieceContent::Bytes : peer::PieceContent::Missing;
-                      answer.bytes = good ? std::move(body) : std::string();
-                      done(std::move(answer));
-                  });
+    m_engine.call(
+        platform::makeStageGetRequest(request.model, request.index), StageTime,
+        [this, generation = m_generation, answer, done](int status, std::string body) mutable {
+            const bool good = status == OkStatus && generation == m_generation
+                && sha256(body) == m_digests[static_cast<std::size_t>(answer.index)];
+            if (!good && generation == m_generation && showsContent(status)) {
+                recordMismatch(answer.index, status, "peer");
+            }
+            answer.content = good ? peer::PieceContent::Bytes : peer::PieceContent::Missing;
+            answer.bytes = good ? std::move(body) : std::string();
+            done(std::move(answer));
+        },
+        maxPieceResponse(m_desired.pieceBytes));
 }
 
 } // namespace ibislock::side
--- a/libs/side/src/weights_prefetch.cpp
+++ b/libs/side/src/weights_prefetch.cpp
@@ -117,7 +117,8 @@
                           .digests = m_prefetched.digests,
                           .plan = weights::planPieces(static_cast<int>(m_prefetched.digests.size()), m_self, m_domain,
                                                       m_members(m_desired.version)),
-                          .originPieceTime = m_desired.originPieceTime});
+                          .originPieceTime = m_desired.originPieceTime,
+                          .pieceBytes = m_desired.pieceBytes});
     m_pieceFetcher.fetchMore(m_heldPieces);
     m_changed();
 }
--- a/libs/side/test/side_test.cpp
+++ b/libs/side/test/side_test.cpp
@@ -220,6 +220,22 @@
     expectNothingSpoilt();
 }
 
+// Each read of a piece could hold 16 MB, 32 at a time: the daemon exceeded its memory and was killed again and again.
+TEST_F(SideTest, AReadOfTheStageWithoutEndIsCutOff)
+{
+    constexpr std::size_t MostBytes = 1U << 20U; // Of each response: the limit, and bytes in transit.
+    Vm &vm = add(1);
+    vm.engine.endlessReads = true;
+    start();
+    m_loop.run_for(Millis{1000});
+    ASSERT_GT(vm.engine.endlessResponses, 0);
+    EXPECT_LT(vm.engine.endlessBytes / static_cast<std::size_t>(vm.engine.endlessResponses), MostBytes);
+    vm.engine.endlessReads = false;
+    name(2);
+    EXPECT_TRUE(runUntilLoaded(2));
+    expectNothingSpoilt();
+}
+
 TEST_F(SideTest, AnUnreachableVmDoesNotBlockTheOthers)
 {
     for (int n = 0; n < 4; ++n) {
