--- a/libs/front/test/front_test.cpp
+++ b/libs/front/test/front_test.cpp
@@ -353,6 +353,7 @@
 INSTANTIATE_TEST_SUITE_P(Cases, FrontEndlessTest,
                          testing::Values(EndlessCase{"Head", "/once/x", TargetBehaviour::EndlessHead, 502},
                                          EndlessCase{"Body", "/once/x", TargetBehaviour::EndlessBody, 502},
+                                         // A signed failure on a streaming route was buffered without a limit.
                                          EndlessCase{"BodyOfAFailedStream", "/fixed/x", TargetBehaviour::EndlessFailure,
                                                      502},
                                          EndlessCase{"Noise", "/once/x", TargetBehaviour::EndlessNoise, 502},
