Front: logs and metrics tell requests to targets whose listing was removed

Now unlisted_ms says for how long, in_use whether a removed target stays in use, and two metrics count such attempts and the longest time. No change of logic.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -194,7 +194,7 @@
         refuse(CallOutcome::NoTarget); // Not reached: listings without a valid address are ignored.
         return;
     }
-    m_listingsUsed = front.recordListingsUse();
+    m_listingsUsed = front.recordListingsUse(target, now);
     m_loadAge = target.load ? now - target.load->receivedAt : Millis{-1};
     m_occupancyPercent =
         static_cast<int>(100 * estimatedRequests(target, usesEngine, now) / std::max(target.entry.slots, 1));
@@ -213,6 +213,7 @@
                  {"begun", m_attempt.responseStarted ? "1" : "0"},
                  {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
                  {"listings_from", m_listingsUsed.source},
+                 {"unlisted_ms", std::to_string(m_listingsUsed.unlistedFor.count())},
                  {"since_first_ms", std::to_string((now - m_firstSentAt).count())}});
     }
     advance(m_lifecycle, RequestEvent::Send);
@@ -283,6 +284,7 @@
                  {"begun", m_attempt.responseStarted ? "1" : "0"},
                  {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
                  {"listings_from", m_listingsUsed.source},
+                 {"unlisted_ms", std::to_string(m_listingsUsed.unlistedFor.count())},
                  {"parts", partsText(request.sharedParts)},
                  {"after_ms", std::to_string((steadyMillis() - m_attempt.sentAt).count())}});
     }
@@ -427,6 +429,7 @@
              {"load_age_ms", std::to_string(m_loadAge.count())},
              {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
              {"listings_from", m_listingsUsed.source},
+             {"unlisted_ms", std::to_string(m_listingsUsed.unlistedFor.count())},
              {"waited_ms", std::to_string(m_attempts > 0 ? (m_firstSentAt - receivedAt).count() : -1)},
              {"first_ms", std::to_string(m_firstEventAt > Millis{0} ? (m_firstEventAt - receivedAt).count() : -1)},
              {"pause_ms", std::to_string(m_longestEventGap.count())},
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -34,6 +34,8 @@
     std::uint64_t retries = 0;
     std::uint64_t retriesWithoutBudget = 0;
     Millis maxListingsAge{0}; ///< The greatest age of the listings by which a target was chosen.
+    std::uint64_t attemptsAtUnlistedTargets = 0; ///< Attempts at targets whose listing was known to be removed.
+    Millis maxUnlistedUse{0}; ///< The longest time after which a target was chosen whose listing had been removed.
     LatencyHistogram waitTime; ///< From the request until its first attempt.
     LatencyHistogram timeToFirstByte; ///< From the request until the first bytes of the response.
     LatencyHistogram totalTime; ///< From the request until its end.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -183,23 +183,30 @@
                  .versionTime = settings.bounds.versionGracePeriod});
 }
 
+bool Front::mayGetRequests(const std::string &id, Millis now) const
+{
+    const auto it = table.targets.find(id);
+    return it != table.targets.end() && !it->second.entry.draining && acceptsRequests(it->second.signals, now);
+}
+
 void Front::applyListing(const std::string &id, const std::optional<serving::TargetEntry> &entry)
 {
     const Millis now = steadyMillis();
     const auto it = table.targets.find(id);
     const bool news = !entry || it == table.targets.end() || it->second.entry.draining != entry->draining
         || it->second.entry.startedAt != entry->startedAt;
+    applyEntry(table, id, entry, now);
     if (news) {
         logInfo(LogComponent::Front, entry ? "A target's listing changed." : "A target's listing was removed.",
                 {{"target", id},
                  {"service", entry ? entry->service : ""},
                  {"leaving", entry && entry->draining ? "1" : "0"},
                  {"incarnation", std::to_string(entry ? entry->startedAt : 0)},
+                 {"in_use", mayGetRequests(id, now) ? "1" : "0"},
                  {"end", toText(m_listings->cache().end)},
                  {"age_ms", std::to_string(m_listings->age().count())},
                  {"from", m_listings->source()}});
     }
-    applyEntry(table, id, entry, now);
 }
 
 std::int64_t Front::minVersionOf(const std::string &model, Millis now, Millis ahead) const
@@ -237,11 +244,17 @@
                  random);
 }
 
-ListingsUsed Front::recordListingsUse()
+ListingsUsed Front::recordListingsUse(const serving::Target &target, Millis now)
 {
     const Millis age = m_listings->age();
     counters.maxListingsAge = std::max(counters.maxListingsAge, age);
-    return {.age = age, .source = m_listings->source()};
+    ListingsUsed out{.age = age, .source = m_listings->source()};
+    if (target.expiringSince) {
+        out.unlistedFor = now - *target.expiringSince;
+        ++counters.attemptsAtUnlistedTargets;
+        counters.maxUnlistedUse = std::max(counters.maxUnlistedUse, out.unlistedFor);
+    }
+    return out;
 }
 
 void Front::dispatch(const std::shared_ptr<Call> &call)
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -32,6 +32,7 @@
 {
     Millis age{-1}; ///< Since they were the present ones in the store; -1 ms if no target was chosen.
     std::string source = "none"; ///< Who confirmed them: the address of a relay, or the store.
+    Millis unlistedFor{-1}; ///< Since this VM learned that the target's listing was removed; -1 ms if it is listed.
 };
 
 class Call;
@@ -63,8 +64,8 @@
     serving::Placement findPlacement(const Call &call, Millis now);
 
     /// Records that a target was chosen by the listings as they are known.
-    /// @return their age and source.
-    ListingsUsed recordListingsUse();
+    /// @return what was known of them.
+    ListingsUsed recordListingsUse(const serving::Target &target, Millis now);
 
     /// Dispatches the calls that wait for a slot; called when a target may have a free one.
     void dispatchWaiting();
@@ -97,6 +98,9 @@
 
 private:
     void applyOperatorRecord(const platform::KeyedRecord &record, bool live);
+
+    /// Returns whether a target may be chosen, as far as its listing and its own signals tell.
+    bool mayGetRequests(const std::string &id, Millis now) const;
     void applyListing(const std::string &id, const std::optional<serving::TargetEntry> &entry);
     void serveReadiness(const std::shared_ptr<net::Connection> &connection);
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -44,7 +44,7 @@
 
 /// Writes the age of the VM's data. Comes early in the page, as collectors may keep only its beginning.
 void writeKnowledge(std::string &out, const feed::TopicFeed &operators, const feed::ListingsFollower &listings,
-                    Millis maxListingsAge)
+                    const FrontCounters &counters)
 {
     writeGauge(out, "ibislock_operators_behind_ms", "For how long records of the operators' topic have been unread.",
                operators.lagTime().count());
@@ -53,7 +53,13 @@
     writeGauge(out, "ibislock_listings_age_ms", "Age of what is known of the listings of targets.",
                listings.age().count());
     writeGauge(out, "ibislock_listings_greatest_used_age_ms",
-               "The greatest age of the listings when a target was chosen, since the start.", maxListingsAge.count());
+               "The greatest age of the listings when a target was chosen, since the start.",
+               counters.maxListingsAge.count());
+    writeCounter(out, "ibislock_unlisted_targets_used_total",
+                 "Attempts at targets whose listing was known to be removed.", counters.attemptsAtUnlistedTargets);
+    writeGauge(out, "ibislock_unlisted_targets_longest_use_ms",
+               "The longest time after which such a target was chosen, since its listing was known to be removed.",
+               counters.maxUnlistedUse.count());
 }
 
 void writeState(std::string &out, const feed::OperatorsView &operators, bool away, Millis now)
@@ -102,7 +108,7 @@
     std::string out;
     const Millis now = steadyMillis();
     writeState(out, operators, operatorsUnreachable, now);
-    writeKnowledge(out, m_operatorsFollower->feed(), *m_listings, counters.maxListingsAge);
+    writeKnowledge(out, m_operatorsFollower->feed(), *m_listings, counters);
     writeStallMetrics(out, m_stalls);
     writeCounters(out, counters);
     writeStore(out, *m_operatorsFollower, *m_listings);
--- a/libs/front/test/front_fixture.h
+++ b/libs/front/test/front_fixture.h
@@ -100,6 +100,12 @@
         m_store.append(target.id, target.listing("s", leaving));
     }
 
+    /// Removes a target's listing.
+    void unlist(const lab::TargetStandIn &target)
+    {
+        m_store.append(target.id, "");
+    }
+
     /// Writes a target's listing and waits until the daemon has read it.
     void listAndWait(const lab::TargetStandIn &target)
     {
--- /dev/null
+++ b/libs/front/test/front_listings_test.cpp
@@ -0,0 +1,51 @@
+// Which targets get requests while listings are removed and the store can't be read.
+
+#include "front_fixture.h"
+#include "platform/log_capture.h"
+
+namespace ibislock::front
+{
+
+namespace
+{
+
+TEST_F(FrontTest, LogsThatATargetWithoutListingIsUsed)
+{
+    constexpr Millis Outage{4000}; // Listings may expire in it.
+    list(m_first);
+    start();
+    m_store.silent = true;
+    runFor(Outage / 2);
+    lab::LogCapture log;
+    unlist(m_first);
+    runFor(Outage / 2);
+    m_store.silent = false;
+    const Millis end = steadyMillis() + Millis{5000};
+    while (timesRead(m_first) < 2 && steadyMillis() < end) {
+        runFor(Millis{20});
+    }
+    runFor(Millis{100});
+    EXPECT_EQ(call(request("/often/x")).body, "from i-1");
+    std::vector<std::string> lines = log.take("A target's listing was removed.");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_TRUE(lab::hasField(lines[0], "in_use", "1")) << lines[0];
+    lines = log.take("A request was answered.");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_FALSE(lab::hasField(lines[0], "unlisted_ms", "-1")) << lines[0];
+    EXPECT_NE(lines[0].find(" unlisted_ms="), std::string::npos) << lines[0];
+}
+
+TEST_F(FrontTest, LogsThatTheTargetOfARequestIsListed)
+{
+    list(m_first);
+    start();
+    lab::LogCapture log;
+    EXPECT_EQ(call(request("/often/x")).body, "from i-1");
+    const std::vector<std::string> lines = log.take("A request was answered.");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_TRUE(lab::hasField(lines[0], "unlisted_ms", "-1")) << lines[0];
+}
+
+} // namespace
+
+} // namespace ibislock::front
