Failing test: a target that left while reads failed is used beyond the drain time

In the fixture of the entry daemon's tests the store refuses reads for 1.2 s, and a target's listing is removed at the start of that time. No listing of a live target expires in 1.2 s; it takes three missed heartbeats of 1.2 s.

--- a/libs/front/test/front_listings_test.cpp
+++ b/libs/front/test/front_listings_test.cpp
@@ -3,12 +3,17 @@
 #include "front_fixture.h"
 #include "platform/log_capture.h"
 
+#include <limits>
+
 namespace ibislock::front
 {
 
 namespace
 {
 
+/// The drain time of `settingsFor`.
+constexpr Millis DrainTime{2000};
+
 TEST_F(FrontTest, LogsThatATargetWithoutListingIsUsed)
 {
     constexpr Millis Outage{4000}; // Listings may expire in it.
@@ -46,6 +51,28 @@
     EXPECT_TRUE(lab::hasField(lines[0], "unlisted_ms", "-1")) << lines[0];
 }
 
+// A target that leaves without a report has its listing removed; it was used until 2 s after the VM could read again.
+TEST_F(FrontTest, TargetThatLeavesWhileReadsFailGetsNoRequestsAfterTheDrainTime)
+{
+    constexpr Millis Refusing{1200}; // No listing expires in so short an outage.
+    list(m_first);
+    list(m_second);
+    start();
+    m_store.refusals = std::numeric_limits<int>::max();
+    runFor(Millis{700}); // The read that is held ends.
+    unlist(m_first);
+    const Millis removedAt = steadyMillis();
+    runFor(Refusing);
+    m_store.refusals = 0;
+    runFor(removedAt + DrainTime - steadyMillis());
+    const std::size_t before = m_first.requests.size();
+    while (steadyMillis() < removedAt + DrainTime + Refusing) {
+        call(request("/often/x"));
+        runFor(Millis{20});
+    }
+    EXPECT_EQ(m_first.requests.size() - before, 0U);
+}
+
 } // namespace
 
 } // namespace ibislock::front
