Listings: an outage is told by the age of the listings, not by failed calls

Callers saw requests that reach a target after the drain time though its listing had been removed, and entry VMs knew it.

Cause: each failed call of an entry VM began an outage of the store for it, and a target whose listing was removed until 2 s after the VM's next successful call counted as one whose listing had expired in that outage. Relays reported their own outages to VMs that had read the store all the while. Nothing bounded the use of the target from its removal: it was the length of the failure and 2 s, and each further failure prolonged it. Some targets leave without a report; for them the removal is all there is.

Now an outage is one if the listings were not confirmed, by anybody whom the VM asks, for the time in which listings may expire (two heartbeats, at least the drain time). Whether calls failed meanwhile doesn't matter, and reports of relays aren't used. While the listings aren't current, no target is dropped, as its listing may have returned unseen.

AnOutageInWhichListingsMayHaveExpiredIsReportedToOthers held what is the fault: an entry VM that had read the store took over the outage of a relay whose store alone was silent. It is replaced by two: the VM notices an outage that it goes through behind a relay, once, and none if it has read the store itself. recordStoreState is gone, so three tests of the table record the recovery directly.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -44,9 +44,10 @@
 {
     /// A listing changed; `entry` is empty if it was removed or can't be used.
     std::function<void(const std::string &id, const std::optional<serving::TargetEntry> &entry)> onListing;
-    /// A store outage began (true) or ended (false), as this VM sees it.
-    std::function<void(bool unreachable)> onStoreOutage;
-    /// A relay reports that a store outage ended at this monotonic time, or the store was restored from a copy.
+    /// Called before changes are delivered that an outage of the store may have caused. It was restored from a copy, or
+    /// the listings were not confirmed for so long that those of live targets may have expired; calls of this VM or of
+    /// a relay that fail for a shorter time, or while another VM reads the store, are no outage.
+    /// @param at the present monotonic time.
     std::function<void(Millis at)> onStoreRecovered;
     /// Returns whether an ibislock daemon runs beside a target.
     std::function<bool(const serving::TargetEntry &)> hasDaemon;
@@ -87,6 +88,12 @@
     /// Returns the time since the listings were the present ones in the store; targets may have left since.
     Millis age() const;
 
+    /// Returns whether the listings are as new as those of an entry VM are while the store responds.
+    bool isCurrent() const;
+
+    /// Returns whether this VM reads the store itself and its last call failed.
+    bool storeUnreachable() const;
+
     /// Returns who confirmed the listings last: the address of a relay, or `StoreSource`.
     const std::string &source() const;
 
@@ -119,7 +126,10 @@
     /// Records that the store was restored if the topic is now known up to an end of a later era.
     void recordEra(const TopicPosition &end);
     void handleWatermark(Millis asOf);
-    void handleStoreOutage(bool unreachable);
+
+    /// Records the end of an outage in which listings may have expired, if there was one. To be called before what the
+    /// store holds now is applied.
+    void recordOutageEnd();
     void notify(const std::vector<peer::ListingChange> &changes);
     void updateRole(const std::vector<std::string> &vms);
     void retryRelays(const std::vector<std::string> &vms);
@@ -150,7 +160,7 @@
     net::Timer m_ownReadTimer;
     Millis m_ownReadAt{0}; ///< When the last of these reads was started, by the boot clock.
     Random m_random;
-    Millis m_outageSince{0}; ///< When the store outage that this VM noticed last may have begun, by the boot clock.
+    Millis m_outageEndedAt{0}; ///< When the last outage ended in which listings may have expired, by the boot clock.
     bool m_readsStore = true;
     bool m_servesOthers = false; ///< This VM is a relay or backup, from which others request listings.
     bool m_requesting = false; ///< A request is under way or scheduled.
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -32,7 +32,7 @@
               .minReadInterval = fractionOfDrainTime(StoreReadIntervalFraction)},
              {.onSnapshot = [this](const std::vector<platform::KeyedRecord> &records) { applySnapshot(records); },
               .onRecord = [this](const platform::KeyedRecord &record) { applyRecord(record); },
-              .onStoreOutage = [this](bool unreachable) { handleStoreOutage(unreachable); },
+              .onStoreOutage = [](bool) {},
               .onWatermark =
                   [this](Millis asOf) {
                       handleWatermark(asOf);
@@ -94,6 +94,16 @@
     return bootMillis() - m_cache.asOf;
 }
 
+bool ListingsFollower::isCurrent() const
+{
+    return age() < fractionOfDrainTime(OwnReadFraction);
+}
+
+bool ListingsFollower::storeUnreachable() const
+{
+    return m_readsStore && m_feed.isUnreachable();
+}
+
 const std::string &ListingsFollower::source() const
 {
     return m_source;
@@ -161,6 +171,7 @@
             listings.push_back(std::move(change));
         }
     }
+    recordOutageEnd();
     m_source = StoreSource;
     recordEra(m_feed.position());
     notify(replaceListings(m_cache, listings, m_feed.position(), steadyMillis()));
@@ -169,6 +180,7 @@
 void ListingsFollower::applyRecord(const platform::KeyedRecord &record)
 {
     const peer::ListingChange change = decode(record);
+    recordOutageEnd();
     m_source = StoreSource;
     if (applyTopicRecord(m_cache, change, steadyMillis())) {
         notify({change});
@@ -182,15 +194,19 @@
     }
 }
 
-void ListingsFollower::handleStoreOutage(bool unreachable)
+void ListingsFollower::recordOutageEnd()
 {
-    if (unreachable) {
-        // The call that failed may have waited for its whole time limit.
-        m_outageSince = bootMillis() - fractionOfDrainTime(StoreLongPollFraction) - FirstByteTimeout;
-    } else if (bootMillis() - m_outageSince >= m_options.minExpiringOutage) {
-        m_relayServer.recordStoreRecovery(bootMillis());
+    // Without an outage the listings of an entry VM are never as old as the drain time.
+    const Millis expiringAge = std::max(m_options.minExpiringOutage, m_options.drainTime);
+    const bool expiring = m_cache.asOf > Millis{0} && age() >= expiringAge;
+    // Several records may be applied before the listings are confirmed.
+    const bool recorded = m_outageEndedAt > m_cache.asOf && bootMillis() - m_outageEndedAt < expiringAge;
+    if (!expiring || recorded) {
+        return;
     }
-    m_events.onStoreOutage(unreachable);
+    m_outageEndedAt = bootMillis();
+    m_relayServer.recordStoreRecovery(m_outageEndedAt);
+    m_events.onStoreRecovered(steadyMillis());
 }
 
 void ListingsFollower::recordEra(const TopicPosition &end)
@@ -207,6 +223,7 @@
 
 void ListingsFollower::handleWatermark(Millis asOf)
 {
+    recordOutageEnd();
     m_cache.end = std::max(m_cache.end, m_feed.position()); // A read beside the feed may be ahead of it.
     m_cache.asOf = std::max(m_cache.asOf, asOf);
     m_source = StoreSource;
@@ -308,10 +325,6 @@
         logInfo(LogComponent::Store, "Reading listings from a relay.",
                 {{"relay", m_currentRelay}, {"age_ms", std::to_string((bootMillis() - asOf).count())}});
     }
-    if (update.sinceStoreRecovery) {
-        m_relayServer.recordStoreRecovery(bootMillis() - *update.sinceStoreRecovery);
-        m_events.onStoreRecovered(now - *update.sinceStoreRecovery);
-    }
     m_events.onEntryVms(update.entryVms);
     m_events.onOperatorsWatermark({.end = update.operatorsWatermark.end,
                                    .announcementsEnd = update.operatorsWatermark.announcementsEnd,
@@ -324,6 +337,7 @@
     }
     // An update that ends before what is known is of another topic or overestimates its time: it confirms nothing.
     if (update.end >= m_cache.end) {
+        recordOutageEnd();
         m_source = m_currentRelay;
         recordEra(update.end);
         std::vector<peer::ListingChange> changes;
@@ -454,6 +468,7 @@
         }
         m_cache.end = std::max(m_cache.end, page.next);
         if (page.next >= page.end) {
+            recordOutageEnd();
             m_cache.asOf = std::max(m_cache.asOf, asOf);
             m_source = StoreSource;
         }
--- a/libs/feed/test/listings_age_test.cpp
+++ b/libs/feed/test/listings_age_test.cpp
@@ -217,7 +217,6 @@
                                 domain.draining.insert(id);
                             }
                         },
-                    .onStoreOutage = [](bool) {},
                     .onStoreRecovered = [](Millis) {},
                     .hasDaemon = [](const serving::TargetEntry &entry) { return entry.service == "engines"; },
                     .onOperatorsWatermark = [](const OperatorsWatermark &) {},
--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -32,7 +32,6 @@
                         [this](const std::string &id, const std::optional<serving::TargetEntry> &entry) {
                             entry ? void(draining[id] = entry->draining) : void(draining.erase(id));
                         },
-                    .onStoreOutage = [this](bool unreachable) { storeUnreachable = unreachable; },
                     .onStoreRecovered = [this](Millis) { ++storeRecoveries; },
                     .hasDaemon = [](const serving::TargetEntry &entry) { return entry.service == "engines"; },
                     .onOperatorsWatermark =
@@ -47,7 +46,6 @@
 
     net::HttpClient client;
     std::map<std::string, bool> draining; ///< Whether a target is draining; for all that are listed.
-    bool storeUnreachable = false;
     int storeRecoveries = 0;
     OperatorsWatermark watermark;
     std::vector<std::string> entryVms;
@@ -268,12 +266,12 @@
     m_store.refusals = 1'000'000;
     m_store.append("i-127.0.2.7", ""); // Ends a read that the store holds.
     m_vms.erase(m_vms.begin());
-    ASSERT_TRUE(runUntil([&] { return entry.storeUnreachable; }));
+    ASSERT_TRUE(runUntil([&] { return entry.follower.storeUnreachable(); }));
     append(m_relayStore, "127.0.2.8", "plain");
     add(m_relayIp, m_relayStore);
     EXPECT_TRUE(runUntil([&] { return entry.draining.contains("i-127.0.2.8"); }, Millis{10000}));
     EXPECT_EQ(entry.follower.relay(), m_relayIp);
-    EXPECT_FALSE(entry.storeUnreachable);
+    EXPECT_FALSE(entry.follower.storeUnreachable());
 }
 
 TEST_F(ListingsFollowerTest, ARelayWithARecreatedTopicIsNotFollowedForever)
@@ -295,9 +293,9 @@
     Vm &entry = add(Entry, m_store);
     ASSERT_TRUE(follows(entry, m_relayIp));
     m_store.silent = true;
-    EXPECT_TRUE(runUntil([&] { return entry.storeUnreachable; }));
+    EXPECT_TRUE(runUntil([&] { return entry.follower.storeUnreachable(); }));
     m_store.silent = false;
-    EXPECT_TRUE(runUntil([&] { return !entry.storeUnreachable; }));
+    EXPECT_TRUE(runUntil([&] { return !entry.follower.storeUnreachable(); }));
     ASSERT_TRUE(runUntil([&] { return entry.storeRecoveries > 0; }, Millis{8000}));
     EXPECT_EQ(entry.draining.size(), 2U);
 }
@@ -312,26 +310,48 @@
     ASSERT_TRUE(follows(entry, m_relayIp));
     m_relayStore.refusals = 1;
     append(m_relayStore, "127.0.2.7", "plain"); // Ends a read that the store holds.
-    ASSERT_TRUE(runUntil([&] { return relay.storeUnreachable; }));
-    ASSERT_TRUE(runUntil([&] { return !relay.storeUnreachable; }));
+    ASSERT_TRUE(runUntil([&] { return relay.follower.storeUnreachable(); }));
+    ASSERT_TRUE(runUntil([&] { return !relay.follower.storeUnreachable(); }));
     append(m_relayStore, "127.0.2.8", "plain");
     ASSERT_TRUE(runUntil([&] { return entry.draining.contains("i-127.0.2.8"); }));
     ASSERT_EQ(entry.follower.relay(), m_relayIp);
     EXPECT_EQ(entry.storeRecoveries, 0);
 }
 
-TEST_F(ListingsFollowerTest, AnOutageInWhichListingsMayHaveExpiredIsReportedToOthers)
+TEST_F(ListingsFollowerTest, AnOutageInWhichListingsMayHaveExpiredIsNoticedBehindARelay)
 {
     constexpr Millis MinExpiringOutage{2400};
     Vm relay(m_loop, m_relayIp, m_port, m_relayStore.port(), true, DrainTime, MinExpiringOutage);
     ASSERT_FALSE(relay.follower.start());
-    Vm &entry = add(Entry, m_store);
+    Vm entry(m_loop, Entry, m_port, m_store.port(), false, DrainTime, MinExpiringOutage);
+    ASSERT_FALSE(entry.follower.start());
     ASSERT_TRUE(follows(entry, m_relayIp));
-    m_relayStore.silent = true;
+    m_store.silent = m_relayStore.silent = true;
     const Millis startedAt = steadyMillis();
     runUntil([&] { return steadyMillis() >= startedAt + MinExpiringOutage; });
-    m_relayStore.silent = false;
+    EXPECT_EQ(entry.storeRecoveries, 0);
+    m_relayStore.silent = false; // The entry VM learns from its relay alone that the store responds again.
     EXPECT_TRUE(runUntil([&] { return entry.storeRecoveries > 0; }, Millis{10000}));
+    EXPECT_EQ(entry.storeRecoveries, 1);
+    EXPECT_EQ(entry.follower.relay(), m_relayIp);
+}
+
+// A relay that had been cut off let VMs that had read the store meanwhile keep targets that had left for two seconds.
+TEST_F(ListingsFollowerTest, AnOutageOfARelayAloneIsNoneForAVmThatReadTheStore)
+{
+    constexpr Millis Outage{2600};
+    Vm relay(m_loop, m_relayIp, m_port, m_relayStore.port(), true, DrainTime, Outage / 2);
+    ASSERT_FALSE(relay.follower.start());
+    Vm entry(m_loop, Entry, m_port, m_store.port(), false, DrainTime, Outage / 2);
+    ASSERT_FALSE(entry.follower.start());
+    ASSERT_TRUE(follows(entry, m_relayIp));
+    m_relayStore.silent = true;
+    const Millis startedAt = steadyMillis();
+    runUntil([&] { return steadyMillis() >= startedAt + Outage; });
+    ASSERT_TRUE(relay.follower.storeUnreachable());
+    m_relayStore.silent = false;
+    ASSERT_TRUE(runUntil([&] { return entry.follower.relay() == m_relayIp; }, Millis{10000}));
+    EXPECT_EQ(entry.storeRecoveries, 0);
 }
 
 // The copy of a restored store lists a target as usable that said since that it leaves, and lacks one that is new.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -146,8 +146,7 @@
         feed::ListingsFollowerEvents{
             .onListing = [this](const std::string &id,
                                 const std::optional<serving::TargetEntry> &entry) { applyListing(id, entry); },
-            .onStoreOutage = [this](bool away) { recordStoreState(table, away, steadyMillis()); },
-            .onStoreRecovered = [this](Millis at) { recordStoreRecovery(table, at); },
+            .onStoreRecovered = [this](Millis at) { recordRecovery(at); },
             .hasDaemon = [this](const serving::TargetEntry &entry) { return isEngine(entry); },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_operatorsWatermark, bootMillis()); },
@@ -183,6 +182,13 @@
                  .versionTime = settings.bounds.versionGracePeriod});
 }
 
+void Front::recordRecovery(Millis at)
+{
+    logInfo(LogComponent::Front, "The listings are known again after an outage; those that are missing may return.",
+            {{"age_ms", std::to_string(m_listings->age().count())}, {"from", m_listings->source()}});
+    recordStoreRecovery(table, at);
+}
+
 bool Front::mayGetRequests(const std::string &id, Millis now) const
 {
     const auto it = table.targets.find(id);
@@ -362,7 +368,9 @@
 {
     const Millis now = steadyMillis();
     reportLateTick(m_stalls, m_tickDueAt, now, LogComponent::Front);
-    expireListings(table, now);
+    if (m_listings->isCurrent()) { // Otherwise a listing may have returned by now.
+        expireListings(table, now);
+    }
     std::vector<std::shared_ptr<CallerConnection>> connections;
     connections.reserve(m_connections.size());
     for (const auto &[raw, connection] : m_connections) {
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -98,6 +98,7 @@
 
 private:
     void applyOperatorRecord(const platform::KeyedRecord &record, bool live);
+    void recordRecovery(Millis at);
 
     /// Returns whether a target may be chosen, as far as its listing and its own signals tell.
     bool mayGetRequests(const std::string &id, Millis now) const;
--- a/libs/front/test/front_listings_test.cpp
+++ b/libs/front/test/front_listings_test.cpp
@@ -73,6 +73,27 @@
     EXPECT_EQ(m_first.requests.size() - before, 0U);
 }
 
+TEST_F(FrontTest, TargetThatMayReturnIsUsedWhileTheStoreIsAwayAgain)
+{
+    constexpr Millis Outage{3000}; // Listings may expire in it.
+    constexpr Millis GracePeriod = serving::ListingGracePeriod;
+    list(m_first);
+    start();
+    m_store.silent = true;
+    runFor(Outage / 2);
+    unlist(m_first);
+    runFor(Outage / 2);
+    m_store.silent = false;
+    const Millis end = steadyMillis() + Millis{5000};
+    while (timesRead(m_first) < 2 && steadyMillis() < end) {
+        runFor(Millis{20});
+    }
+    runFor(Millis{200});
+    m_store.silent = true;
+    runFor(GracePeriod + Millis{500});
+    EXPECT_EQ(call(request("/often/x")).body, "from i-1");
+}
+
 } // namespace
 
 } // namespace ibislock::front
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -77,7 +77,7 @@
     int inFlight = 0; ///< Requests of this entry VM that are in flight at the present incarnation.
     std::deque<RecentAttempt> recentAttempts; ///< The last requests of this entry VM.
     Millis loadCoversUntil{0}; ///< Requests sent after this time are not included in the load.
-    std::optional<Millis> expiringSince; ///< When the listing was removed during a store outage.
+    std::optional<Millis> expiringSince; ///< When the removal of the listing was learned, if it may return.
     TargetSignals signals; ///< Signals of the present incarnation.
 };
 
@@ -98,8 +98,7 @@
 {
     std::map<std::string, Target, std::less<>> targets;
     std::map<std::string, RetainedTarget, std::less<>> retainedTargets; ///< By id of the target.
-    Millis storeRecoveredAt{0}; ///< When the store last recovered from an outage.
-    bool storeUnreachable = false;
+    Millis storeRecoveredAt{0}; ///< When the store last recovered from an outage in which listings may have expired.
 };
 
 /// Grace period for a listing that was removed during a store outage to be published again, as the platform specifies.
@@ -114,14 +113,13 @@
 /// Replaces all listings; targets that are not among them are treated as removed.
 void replaceEntries(TargetTable &table, std::vector<TargetEntry> entries, Millis now);
 
-/// Records whether the store is reachable.
-void recordStoreState(TargetTable &table, bool unreachable, Millis now);
-
-/// Records that the store recovered from an outage that another VM detected.
+/// Records that the store recovered from an outage in which listings of live targets may have expired. Listings that
+/// are removed within `ListingGracePeriod` count as expired.
 /// @param at the time of the recovery.
 void recordStoreRecovery(TargetTable &table, Millis at);
 
-/// Removes targets whose listing did not return within `ListingGracePeriod`, and retained ones that are too old.
+/// Removes targets whose listing did not return within `ListingGracePeriod`, and retained ones that are too old. Not to
+/// be called while the listings aren't current, as one may have returned.
 void expireListings(TargetTable &table, Millis now);
 
 /// Applies a reported load.
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -9,12 +9,10 @@
 namespace
 {
 
-/// Returns whether a listing may have been removed only because it expired during a store outage.
-bool mayHaveExpiredInOutage(const TargetTable &table, const Target &target, Millis now)
+/// Returns whether targets whose listing expired in an outage of the store may still be listed again.
+bool isInGracePeriod(const TargetTable &table, Millis now)
 {
-    const bool recentOutage = table.storeUnreachable
-        || (table.storeRecoveredAt > Millis{0} && now < table.storeRecoveredAt + ListingGracePeriod);
-    return recentOutage && !target.entry.draining;
+    return table.storeRecoveredAt > Millis{0} && now < table.storeRecoveredAt + ListingGracePeriod;
 }
 
 void eraseTarget(TargetTable &table, std::map<std::string, Target, std::less<>>::iterator it, Millis now)
@@ -53,7 +51,7 @@
     if (it == table.targets.end()) {
         return;
     }
-    if (mayHaveExpiredInOutage(table, it->second, now)) {
+    if (isInGracePeriod(table, now) && !it->second.entry.draining) {
         if (!it->second.expiringSince) {
             it->second.expiringSince = now;
         }
@@ -115,14 +113,6 @@
     }
 }
 
-void recordStoreState(TargetTable &table, bool unreachable, Millis now)
-{
-    if (table.storeUnreachable && !unreachable) {
-        table.storeRecoveredAt = now;
-    }
-    table.storeUnreachable = unreachable;
-}
-
 void recordStoreRecovery(TargetTable &table, Millis at)
 {
     table.storeRecoveredAt = std::max(table.storeRecoveredAt, at);
@@ -130,7 +120,7 @@
 
 void expireListings(TargetTable &table, Millis now)
 {
-    if (table.storeUnreachable || now < table.storeRecoveredAt + ListingGracePeriod) {
+    if (isInGracePeriod(table, now)) {
         return;
     }
     for (auto it = table.targets.begin(); it != table.targets.end();) {
--- a/libs/serving/test/serving_test.cpp
+++ b/libs/serving/test/serving_test.cpp
@@ -124,8 +124,7 @@
 {
     TargetTable table;
     applyEntry(table, "a", engineTarget("a"), Millis{0});
-    recordStoreState(table, true, Millis{1000});
-    recordStoreState(table, false, Millis{5000});
+    recordStoreRecovery(table, Millis{5000});
     applyEntry(table, "a", std::nullopt, Millis{5100});
     expireListings(table, Millis{6900});
     EXPECT_EQ(table.targets.size(), 1U);
@@ -137,8 +136,7 @@
 {
     TargetTable table;
     applyEntry(table, "a", engineTarget("a"), Millis{0});
-    recordStoreState(table, true, Millis{1000});
-    recordStoreState(table, false, Millis{5000});
+    recordStoreRecovery(table, Millis{5000});
     applyEntry(table, "a", std::nullopt, Millis{5100});
     applyEntry(table, "a", engineTarget("a"), Millis{6000});
     expireListings(table, Millis{8000});
@@ -151,8 +149,7 @@
     TargetEntry entry = engineTarget("a");
     entry.draining = true;
     applyEntry(table, "a", entry, Millis{0});
-    recordStoreState(table, true, Millis{1000});
-    recordStoreState(table, false, Millis{5000});
+    recordStoreRecovery(table, Millis{5000});
     applyEntry(table, "a", std::nullopt, Millis{5100});
     EXPECT_TRUE(table.targets.empty());
 }
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -135,7 +135,6 @@
                                           m_settings.heartbeatInterval * feed::HeartbeatsMissedToExpire},
         feed::ListingsFollowerEvents{
             .onListing = [](const std::string &, const std::optional<serving::TargetEntry> &) {},
-            .onStoreOutage = [](bool) {},
             .onStoreRecovered = [](Millis) {},
             .hasDaemon =
                 [this](const serving::TargetEntry &entry) {
