Listings: the store is read beside a feed that counts as unreachable

Callers saw requests at a target that had left while their entry VM was cut off from the store, more than a second after the cut had ended.

Cause: while its feed counted the store as unreachable, an entry VM read the store by the calls of that feed alone. They connect for 0.8 s, wait up to 2.4 s for the first byte, and pause up to 0.5 s, so that the VM noticed that the store responds again 1.3 s late behind a cut, and 2.9 s behind a silent store. All that it kept for the time of the outage it kept for longer.

Now the reads beside a late source go on: four in a drain time while the listings are older than that, and one after five drain times. ListingsAreConfirmedSoonAfterTheStoreRespondsAgain failed before: the listings were 5,306 ms and 6,307 ms old half a drain time after outages of 4 s and 5 s.

Until then an entry VM makes some 16 more calls in an outage.

--- a/libs/feed/include/ibislock/feed/listings_schedule.h
+++ b/libs/feed/include/ibislock/feed/listings_schedule.h
@@ -58,8 +58,13 @@
 /// How long such a read may take.
 inline constexpr double OwnReadTimeoutFraction = 0.4;
 
-/// Interval of such reads once the listings are older than the drain time: the store can't be reached.
-inline constexpr double LateOwnReadIntervalFraction = 1.0;
+/// Interval of such reads once the listings are older than the drain time: the store can't be reached. These reads show
+/// soon that it responds again; the calls of a feed wait longer.
+inline constexpr double OutageReadIntervalFraction = 0.25;
+
+/// The age, in drain times, from which on the interval is longer, as the store may be away for minutes.
+inline constexpr double LongOutageFraction = 5.0;
+inline constexpr double LongOutageReadIntervalFraction = 1.0;
 
 /// Returns a fraction of the drain time.
 Millis fractionOf(Millis drainTime, double fraction);
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -426,8 +426,7 @@
         return;
     }
     const Millis due = timeUntilOwnRead(age(), m_options.drainTime, 1);
-    const bool feedReads = m_readsStore && (m_feed.isUnreachable() || m_feed.isReadingSnapshot());
-    if (due > Millis{0} || feedReads) {
+    if (due > Millis{0} || (m_readsStore && m_feed.isReadingSnapshot())) {
         scheduleOwnRead(std::max(due, fractionOfDrainTime(OwnReadIntervalFraction)));
         return;
     }
--- a/libs/feed/src/listings_schedule.cpp
+++ b/libs/feed/src/listings_schedule.cpp
@@ -29,7 +29,10 @@
 
 Millis ownReadInterval(Millis age, Millis drainTime)
 {
-    return fractionOf(drainTime, age < drainTime ? OwnReadIntervalFraction : LateOwnReadIntervalFraction);
+    if (age >= fractionOf(drainTime, LongOutageFraction)) {
+        return fractionOf(drainTime, LongOutageReadIntervalFraction);
+    }
+    return fractionOf(drainTime, age < drainTime ? OwnReadIntervalFraction : OutageReadIntervalFraction);
 }
 
 } // namespace ibislock::feed
--- a/libs/feed/test/listings_age_test.cpp
+++ b/libs/feed/test/listings_age_test.cpp
@@ -296,6 +296,28 @@
     EXPECT_LE(domain.greatestAge, MaxUsedAge);
 }
 
+// While its feed counted the store as unreachable, a VM waited for the calls of the feed, which take up to 2.4 s.
+TEST_F(ListingsAgeTest, ListingsAreConfirmedSoonAfterTheStoreRespondsAgain)
+{
+    for (const Millis outage : {DrainTime * 3 / 2, DrainTime * 2, DrainTime * 5 / 2}) {
+        m_store.silent = false;
+        m_domains.clear();
+        m_failures.clear();
+        add(RelayState::Silent, RelayState::Silent, DrainTime * 3 / 10);
+        start();
+        runFor(DrainTime / 2);
+        Domain &domain = *m_domains.front();
+        ASSERT_TRUE(domain.entry->synchronized());
+        m_failures.front()();
+        m_store.silent = true;
+        runFor(outage);
+        ASSERT_GE(domain.entry->age(), outage);
+        m_store.silent = false;
+        runFor(DrainTime / 2);
+        EXPECT_LT(domain.entry->age(), DrainTime / 2) << outage.count() << " ms";
+    }
+}
+
 } // namespace
 
 } // namespace ibislock::feed
