Listings: targets whose listing is missing are kept from the end of an outage, not from its discovery

Callers saw requests at a target that had left, up to 3 s before, of an entry VM that had been cut off.

Cause: the two seconds in which an expired listing may return counted from the VM's first response after the outage, up to 3 s behind its end. The platform counts them from the return of the store.

Now they count from the earliest time at which the outage can have ended: the start of the last call that failed, or that went without a response for 200 ms. AnOutageIsNotReportedToEndLaterThanItDid failed before, at three lengths of the outage: 398 ms, 237 ms and 76 ms behind the end.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -47,7 +47,7 @@
     /// Called before changes are delivered that an outage of the store may have caused. It was restored from a copy, or
     /// the listings were not confirmed for so long that those of live targets may have expired; calls of this VM or of
     /// a relay that fail for a shorter time, or while another VM reads the store, are no outage.
-    /// @param at the present monotonic time.
+    /// @param at the earliest time at which the outage may have ended, in monotonic time.
     std::function<void(Millis at)> onStoreRecovered;
     /// Returns whether an ibislock daemon runs beside a target.
     std::function<bool(const serving::TargetEntry &)> hasDaemon;
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -47,6 +47,10 @@
 /// 200 ms, and possibly twice.
 inline constexpr Millis FirstByteTimeout{800};
 
+/// How long a response that the store doesn't hold may take until the store counts as unreachable when the call was
+/// started; it takes some 10 ms unless a link on the way is full.
+inline constexpr Millis ResponseOverdueTime{200};
+
 /// Limit of the first-byte timeout, which grows by `FirstByteTimeout` with each failed call: over a congested link,
 /// retries only add to the congestion.
 inline constexpr Millis MaxFirstByteTimeout{2400};
@@ -138,6 +142,10 @@
     /// Returns whether the last call failed.
     bool isUnreachable() const;
 
+    /// Returns when the store was last found unreachable: the start, by the boot clock, of the last call that failed or
+    /// that has been without a response for `ResponseOverdueTime`; zero if there was none.
+    Millis lastUnreachableAt() const;
+
     /// Returns whether a snapshot is being read.
     bool isReadingSnapshot() const;
 
@@ -204,6 +212,7 @@
     bool m_notificationPending = false; ///< The next read follows a notification, and the store must not hold it.
     Millis m_callStartedAt{0}; ///< In monotonic time.
     Millis m_callStartedAtBoot{0}; ///< The same by the boot clock.
+    Millis m_lastFailedCallAt{0}; ///< When the last call that failed was started, by the boot clock.
     Millis m_snapshotStartedAt{0}; ///< When the first page of the snapshot was requested, by the boot clock.
     Millis m_longPollTime{0}; ///< How long the store may hold the current call.
     std::uint64_t m_generation = 0; ///< Identifies the current call; responses to earlier ones are ignored.
--- a/libs/feed/include/ibislock/feed/topic_poll.h
+++ b/libs/feed/include/ibislock/feed/topic_poll.h
@@ -50,6 +50,9 @@
     /// Returns the number of reads that failed.
     std::uint64_t failures() const;
 
+    /// As `TopicFeed::lastUnreachableAt`.
+    Millis lastUnreachableAt() const;
+
 private:
     void finish(net::ExchangeOutcome outcome, const http::ResponseHead &response, const std::string &body,
                 const TopicPosition &from);
@@ -63,6 +66,7 @@
     bool m_active = false; ///< A read is under way.
     Millis m_startedAt{0}; ///< When the read under way started, by the boot clock.
     bool m_lastFailed = false;
+    Millis m_lastFailedAt{0}; ///< When the last read that failed was started, by the boot clock.
     std::uint64_t m_generation = 0; ///< Identifies the current read; responses to earlier ones are ignored.
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -205,8 +205,11 @@
         return;
     }
     m_outageEndedAt = bootMillis();
-    m_relayServer.recordStoreRecovery(m_outageEndedAt);
-    m_events.onStoreRecovered(steadyMillis());
+    // The store may have responded again since the last call without a response was started.
+    const Millis earliestEnd = std::max({m_cache.asOf, m_feed.lastUnreachableAt(), m_ownReads[0].lastUnreachableAt(),
+                                         m_ownReads[1].lastUnreachableAt()});
+    m_relayServer.recordStoreRecovery(earliestEnd);
+    m_events.onStoreRecovered(steadyMillis() - (m_outageEndedAt - earliestEnd));
 }
 
 void ListingsFollower::recordEra(const TopicPosition &end)
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -95,6 +95,12 @@
     return m_storeUnreachable;
 }
 
+Millis TopicFeed::lastUnreachableAt() const
+{
+    const bool overdue = m_callActive && bootMillis() - m_callStartedAtBoot >= m_longPollTime + ResponseOverdueTime;
+    return overdue ? m_callStartedAtBoot : m_lastFailedCallAt;
+}
+
 bool TopicFeed::isReadingSnapshot() const
 {
     return m_readingSnapshot;
@@ -113,6 +119,7 @@
 void TopicFeed::handleFailure(std::string_view cause, void (TopicFeed::*retry)())
 {
     ++m_failures;
+    m_lastFailedCallAt = m_callStartedAtBoot;
     if (!m_storeUnreachable) {
         m_storeUnreachable = true;
         logWarning(LogComponent::Store, "The store is unreachable.",
--- a/libs/feed/src/topic_poll.cpp
+++ b/libs/feed/src/topic_poll.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/feed/topic_poll.h"
 
+#include "ibislock/feed/topic_feed.h"
+
 namespace ibislock::feed
 {
 
@@ -76,6 +78,12 @@
     return m_failures;
 }
 
+Millis TopicPoll::lastUnreachableAt() const
+{
+    const bool overdue = m_active && bootMillis() - m_startedAt >= ResponseOverdueTime;
+    return overdue ? m_startedAt : m_lastFailedAt;
+}
+
 void TopicPoll::finish(net::ExchangeOutcome outcome, const http::ResponseHead &response, const std::string &body,
                        const TopicPosition &from)
 {
@@ -109,6 +117,7 @@
 void TopicPoll::fail(std::string_view cause)
 {
     m_lastFailed = true;
+    m_lastFailedAt = m_startedAt;
     ++m_failures;
     m_events.onFailure(cause);
 }
--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -32,7 +32,11 @@
                         [this](const std::string &id, const std::optional<serving::TargetEntry> &entry) {
                             entry ? void(draining[id] = entry->draining) : void(draining.erase(id));
                         },
-                    .onStoreRecovered = [this](Millis) { ++storeRecoveries; },
+                    .onStoreRecovered =
+                        [this](Millis at) {
+                            ++storeRecoveries;
+                            storeRecoveredAt = at;
+                        },
                     .hasDaemon = [](const serving::TargetEntry &entry) { return entry.service == "engines"; },
                     .onOperatorsWatermark =
                         [this](const OperatorsWatermark &reported) { mergeWatermark(watermark, reported); },
@@ -47,6 +51,7 @@
     net::HttpClient client;
     std::map<std::string, bool> draining; ///< Whether a target is draining; for all that are listed.
     int storeRecoveries = 0;
+    Millis storeRecoveredAt{0};
     OperatorsWatermark watermark;
     std::vector<std::string> entryVms;
     ListingsFollower follower;
@@ -336,6 +341,27 @@
     EXPECT_EQ(entry.follower.relay(), m_relayIp);
 }
 
+// Targets that had left were kept until two seconds after a VM had noticed that the store responds again, which takes a
+// second or more.
+TEST_F(ListingsFollowerTest, AnOutageIsNotReportedToEndLaterThanItDid)
+{
+    constexpr Millis Step{150}; // The calls that fail are at different points when the store responds again.
+    for (Millis outage = DrainTime * 3 / 2; outage < DrainTime * 4; outage += DrainTime + Step) {
+        m_store.silent = false;
+        m_vms.clear();
+        Vm &entry = add(Entry, m_store);
+        ASSERT_TRUE(runUntil([&] { return entry.follower.synchronized(); }));
+        m_store.silent = true;
+        const Millis startedAt = steadyMillis();
+        runUntil([&] { return steadyMillis() >= startedAt + outage; });
+        m_store.silent = false;
+        const Millis endedAt = steadyMillis();
+        ASSERT_TRUE(runUntil([&] { return entry.storeRecoveries > 0; }));
+        EXPECT_GE(entry.storeRecoveredAt, startedAt) << outage.count() << " ms";
+        EXPECT_LE(entry.storeRecoveredAt, endedAt) << outage.count() << " ms";
+    }
+}
+
 // A relay that had been cut off let VMs that had read the store meanwhile keep targets that had left for two seconds.
 TEST_F(ListingsFollowerTest, AnOutageOfARelayAloneIsNoneForAVmThatReadTheStore)
 {
