Listings: a late write of an earlier incarnation doesn't bring a leaving target back

Callers could get to a target that leaves, for as long as its listing stood there.

Cause: any other start of an incarnation counted as a new one, though the listing was a write of the incarnation before that the store carried out late (up to 6 s); what was known of the present one, its leaving included, was dropped. A removed listing was replaced in the same way. The cache compared starts only at equal positions and behind a restore.

Now a record of an incarnation that started before one that is draining or was removed is ignored, in the cache and, where the target itself has signalled that it is draining, in the table. An entry of another service doesn't count as the later incarnation, as another program may have written it. A target whose clock was set back while it restarted is unlisted until its tombstone is pruned (30 s) and it writes again; the other way round requests reached a target that had left.

AWriteOfAnEarlierIncarnationDoesNotListATargetThatLeavesAgain and AnEarlierIncarnationThatIsListedLateGetsNoRequests failed before.

--- a/libs/feed/include/ibislock/feed/listings_cache.h
+++ b/libs/feed/include/ibislock/feed/listings_cache.h
@@ -37,7 +37,7 @@
 inline constexpr Millis TombstoneLifetime{30000};
 
 // A write that was under way for long may be appended after later ones of the same incarnation, or after the removal of
-// its listing. Such a record is ignored wherever it comes from.
+// its listing, or after a later incarnation has left. Such a record is ignored wherever it comes from.
 
 /// Applies the next record of the topic. A record that changes nothing is a heartbeat and isn't forwarded.
 /// @return whether the listing changed.
--- a/libs/feed/src/listings_cache.cpp
+++ b/libs/feed/src/listings_cache.cpp
@@ -36,6 +36,15 @@
     return change.entry && change.entry->startedAt != 0 && change.entry->startedAt < cached.startedAt;
 }
 
+/// Returns whether a record is of an incarnation before one that has left or is leaving; it was written before that one
+/// started. If the target had started again, its start would be later unless its clock was set back meanwhile.
+bool precedesALeaving(const peer::ListingChange &change, const CachedListing &cached)
+{
+    const bool left =
+        !cached.entry || (cached.entry->draining && change.entry && cached.entry->service == change.entry->service);
+    return left && isEarlierIncarnation(change, cached);
+}
+
 /// Returns whether a listing of a restored topic may have been written before the cached one.
 bool mayPrecede(const peer::ListingChange &listing, const CachedListing &cached)
 {
@@ -69,7 +78,9 @@
 {
     const auto it = cache.listings.find(change.id);
     const bool cached = it != cache.listings.end();
-    if (cached && (change.position < it->second.position || isEarlierWrite(change, it->second))) {
+    if (cached
+        && (change.position < it->second.position || isEarlierWrite(change, it->second)
+            || precedesALeaving(change, it->second))) {
         return false;
     }
     // VMs that knew more than a restored store list a target differently at the same position.
--- a/libs/feed/test/listings_cache_test.cpp
+++ b/libs/feed/test/listings_cache_test.cpp
@@ -102,6 +102,32 @@
     EXPECT_TRUE(applyTopicRecord(cache, written(4, 0, 6), Millis{0}));
 }
 
+// A write of a crashed incarnation that was appended late made a leaving target usable, as if it had started again.
+TEST(ListingsCacheTest, AWriteOfAnEarlierIncarnationDoesNotListATargetThatLeavesAgain)
+{
+    ListingsCache cache;
+    replaceListings(cache, {written(1, 5, 20)}, at(2), Millis{0});
+    EXPECT_TRUE(applyTopicRecord(cache, written(2, 9, 1, true), Millis{0}));
+    EXPECT_FALSE(applyTopicRecord(cache, written(3, 5, 21), Millis{0}));
+    EXPECT_FALSE(applyListing(cache, written(3, 5, 21), Millis{0})) << "forwarded by a VM that didn't know better";
+    EXPECT_TRUE(cache.listings.at("a").entry->draining);
+    EXPECT_TRUE(applyTopicRecord(cache, removed("a", 4), Millis{0}));
+    EXPECT_FALSE(applyTopicRecord(cache, written(5, 5, 22), Millis{0})) << "behind the removal";
+    EXPECT_TRUE(applyTopicRecord(cache, written(6, 10, 1), Millis{0})) << "started again";
+}
+
+// An entry of another program, for a service of its own, doesn't hide what the target writes.
+TEST(ListingsCacheTest, AnEntryOfAnotherServiceDoesNotHideAnEarlierIncarnation)
+{
+    ListingsCache cache;
+    peer::ListingChange foreign = written(2, 9, 1, true);
+    foreign.entry->service = "other";
+    replaceListings(cache, {written(1, 5, 20)}, at(2), Millis{0});
+    EXPECT_TRUE(applyTopicRecord(cache, foreign, Millis{0}));
+    EXPECT_TRUE(applyTopicRecord(cache, written(3, 5, 21), Millis{0}));
+    EXPECT_FALSE(cache.listings.at("a").entry->draining);
+}
+
 TEST(ListingsCacheTest, AnEntryWithoutItsStartDoesNotHideEarlierWrites)
 {
     ListingsCache cache;
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -105,8 +105,8 @@
 inline constexpr Millis ListingGracePeriod{2000};
 
 /// Applies the present listing of an id. An incarnation that has said that it leaves gets no more requests, whatever is
-/// listed of it afterwards. An entry without the start of its incarnation counts as one of the incarnation that is
-/// known.
+/// listed of it afterwards; a listing of an earlier incarnation is then a write that was late. An entry without the
+/// start of its incarnation counts as one of the incarnation that is known.
 /// @param entry nothing if the listing was removed or can't be decoded.
 void applyEntry(TargetTable &table, const std::string &id, std::optional<TargetEntry> entry, Millis now);
 
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -45,6 +45,19 @@
     return it == table.retainedTargets.end() ? 0 : it->second.signals.startedAt;
 }
 
+/// Returns whether a listing is of an incarnation before the known one, which has said that it is draining.
+bool precedesALeaving(const TargetTable &table, const std::string &id, const TargetEntry &entry)
+{
+    const auto it = table.targets.find(id);
+    if (it != table.targets.end()) {
+        return it->second.signals.draining && it->second.entry.service == entry.service && entry.startedAt != 0
+            && entry.startedAt < it->second.entry.startedAt;
+    }
+    const auto retained = table.retainedTargets.find(id);
+    return retained != table.retainedTargets.end() && retained->second.signals.draining && entry.startedAt != 0
+        && entry.startedAt < retained->second.signals.startedAt;
+}
+
 void removeEntry(TargetTable &table, const std::string &id, Millis now)
 {
     const auto it = table.targets.find(id);
@@ -68,6 +81,9 @@
         removeEntry(table, id, now);
         return;
     }
+    if (precedesALeaving(table, id, *entry)) {
+        return;
+    }
     Target &target = table.targets[id];
     const bool namesIncarnation = entry->startedAt != 0;
     if (!namesIncarnation) {
--- a/libs/serving/test/serving_test.cpp
+++ b/libs/serving/test/serving_test.cpp
@@ -81,6 +81,29 @@
     EXPECT_TRUE(isUsable()) << "born anew";
 }
 
+// A write of a crashed incarnation that was appended late made a target usable that had said that it is draining.
+TEST(TargetTableTest, AnEarlierIncarnationThatIsListedLateGetsNoRequests)
+{
+    TargetTable table;
+    TargetEntry entry{.id = "i-1", .service = "s", .address = "10.0.0.1:80", .startedAt = 6};
+    TargetEntry earlier = entry;
+    earlier.startedAt = 5;
+    const auto isUsable = [&] {
+        Random random(1);
+        return place(table, {.service = "s", .now = Millis{0}}, random).target != nullptr;
+    };
+    applyEntry(table, "i-1", entry, Millis{0});
+    recordDraining(*signalsOf(table, "i-1", 6, Millis{0}));
+    applyEntry(table, "i-1", earlier, Millis{0});
+    EXPECT_FALSE(isUsable());
+    applyEntry(table, "i-1", std::nullopt, Millis{0});
+    applyEntry(table, "i-1", earlier, Millis{0});
+    EXPECT_FALSE(isUsable()) << "behind the removal";
+    entry.startedAt = 7;
+    applyEntry(table, "i-1", entry, Millis{0});
+    EXPECT_TRUE(isUsable()) << "started again";
+}
+
 // An entry that another program wrote under the id of a leaving target made that target usable again.
 TEST(TargetTableTest, AnEntryWithoutItsStartIsNoNewIncarnation)
 {
