--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -106,6 +106,10 @@
     /// @param passive as in `setPassive`.
     void resume(const TopicPosition &position, bool passive);
 
+    /// Reads at once, as another call has shown that the store responds. A call whose response is arriving goes on. Not
+    /// to be called while the feed is suspended.
+    void readNow();
+
     /// Notifies the feed of records that another process has read; those that are unread here are read at once. A read
     /// whose response is arriving goes on: it is large or its link is slow, and it would only start again.
     /// @param end the position after the last record that the other process has read.
--- a/libs/feed/include/ibislock/feed/topic_poll.h
+++ b/libs/feed/include/ibislock/feed/topic_poll.h
@@ -20,8 +20,11 @@
 {
     /// @param asOf when the topic ended at the end of the page or later, by the boot clock.
     std::function<void(const platform::ReadPage &page, Millis asOf)> onPage;
-    /// The store didn't respond in time, refused the read, no longer has the records, or responded in another era.
+    /// The store didn't respond in time, refused the read, or responded in an earlier era.
     std::function<void(std::string_view cause)> onFailure;
+    /// The store has no records from the position on: it dropped some of them, was restored, or the topic was
+    /// recreated.
+    std::function<void(std::string_view cause)> onPositionGone;
 };
 
 /// Reads one topic on request.
@@ -57,6 +60,7 @@
     void finish(net::ExchangeOutcome outcome, const http::ResponseHead &response, const std::string &body,
                 const TopicPosition &from);
     void fail(std::string_view cause);
+    void reportPositionGone(std::string_view cause);
 
     net::HttpClient &m_client;
     platform::Endpoint m_store;
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -459,6 +459,13 @@
                     logInfo(LogComponent::Store, "A read of the store beside a late source failed.",
                             {{"cause", std::string(cause)}, {"age_ms", std::to_string(age().count())}});
                     scheduleOwnRead();
+                },
+            .onPositionGone =
+                [this](std::string_view cause) {
+                    logInfo(LogComponent::Store, "The store has no records from the position on; reading a snapshot.",
+                            {{"cause", std::string(cause)}, {"offset", toText(m_cache.end)}});
+                    scheduleOwnRead();
+                    m_readsStore ? m_feed.readNow() : followStore();
                 }};
 }
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -310,6 +310,15 @@
     readNext();
 }
 
+void TopicFeed::readNow()
+{
+    if (m_readingSnapshot || (m_exchange && m_exchange->isReceivingResponse())) {
+        return;
+    }
+    cancelCall();
+    readNext();
+}
+
 const TopicPosition &TopicFeed::position() const
 {
     return m_position;
--- a/libs/feed/src/topic_poll.cpp
+++ b/libs/feed/src/topic_poll.cpp
@@ -93,8 +93,12 @@
         return;
     }
     const auto era = platform::decodeEra(response);
-    if (!era || *era != from.era) {
-        fail("another era of the store");
+    if (!era || *era < from.era) {
+        fail("an earlier era of the store");
+        return;
+    }
+    if (*era > from.era || response.status == platform::TrimmedStatus) {
+        reportPositionGone(*era > from.era ? "the store was restored" : "records were dropped");
         return;
     }
     if (response.status != OkStatus) {
@@ -107,13 +111,19 @@
         return;
     }
     if (page->end < from) {
-        fail("the topic ends before the offset");
+        reportPositionGone("the topic ends before the offset");
         return;
     }
     m_lastFailed = false;
     m_events.onPage(*page, m_startedAt);
 }
 
+void TopicPoll::reportPositionGone(std::string_view cause)
+{
+    m_lastFailed = false;
+    m_events.onPositionGone(cause);
+}
+
 void TopicPoll::fail(std::string_view cause)
 {
     m_lastFailed = true;
--- a/libs/feed/test/listings_age_test.cpp
+++ b/libs/feed/test/listings_age_test.cpp
@@ -296,6 +296,31 @@
     EXPECT_LE(domain.greatestAge, MaxUsedAge);
 }
 
+// A read beside a silent relay failed again and again where the store no longer had the records, or was restored.
+TEST_F(ListingsAgeTest, ListingsAreReadAnewBesideASilentRelayIfTheirPositionIsGone)
+{
+    for (const bool restored : {false, true}) {
+        m_store.era = 1;
+        m_domains.clear();
+        m_failures.clear();
+        add(RelayState::Silent, RelayState::Silent, DrainTime * 3 / 10);
+        start();
+        runFor(DrainTime / 2);
+        Domain &domain = *m_domains.front();
+        ASSERT_TRUE(domain.entry->synchronized());
+        domain.greatestAge = Millis{0};
+        m_failures.front()();
+        if (restored) {
+            m_store.restore(m_store.size());
+        }
+        append("127.0.4.200", "plain", "none", true);
+        m_store.trim(m_store.size());
+        runFor(MaxUsedAge);
+        EXPECT_TRUE(domain.draining.contains("i-127.0.4.200")) << restored;
+        EXPECT_LE(domain.greatestAge, DrainTime * 7 / 10) << restored;
+    }
+}
+
 // While its feed counted the store as unreachable, a VM waited for the calls of the feed, which take up to 2.4 s.
 TEST_F(ListingsAgeTest, ListingsAreConfirmedSoonAfterTheStoreRespondsAgain)
 {
