Failing test: a watermark that goes round between VMs stays young by the time it is under way

Datagrams count the time under way as zero, and the newest date is kept, so that the watermark grows younger at each hop.

--- a/libs/feed/test/operators_watermark_test.cpp
+++ b/libs/feed/test/operators_watermark_test.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/feed/operators_watermark.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <rapidcheck/gtest.h>
 
 namespace ibislock::feed
@@ -76,6 +77,96 @@
     }
 }
 
+/// A VM of the exchange that `WatermarkExchangeTest` plays in virtual time.
+struct ExchangingVm
+{
+    OperatorsWatermark watermark;
+
+    peer::TopicWatermark send(Millis now) const
+    {
+        return toMessage(watermark, now);
+    }
+
+    void receive(const peer::TopicWatermark &message, Millis now)
+    {
+        mergeWatermark(watermark, fromMessage(message, now));
+    }
+};
+
+/// Entry and target VMs that exchange their watermarks after the last VM that reads the store has fallen silent.
+class WatermarkExchangeTest : public testing::TestWithParam<int>
+{
+protected:
+    /// How often entry VMs and target VMs send, as the daemons do.
+    static constexpr Millis EntryInterval{1000};
+    static constexpr Millis TargetInterval{300};
+
+    /// Returns the age of the youngest watermark, `time` after the last read.
+    Millis youngestAfter(Millis time)
+    {
+        for (Millis now{0}; now <= time; ++now) {
+            deliver(now);
+            for (std::size_t n = 0; n < Vms; ++n) {
+                const Millis interval = isEntryVm(n) ? EntryInterval : TargetInterval;
+                if ((now + Millis{37 * static_cast<int>(n)}) % interval == Millis{0}) {
+                    sendToOthers(n, now);
+                }
+            }
+        }
+        Millis out = Millis::max();
+        for (const ExchangingVm &vm : m_vms) {
+            out = std::min(out, time - vm.watermark.asOf);
+        }
+        return out;
+    }
+
+private:
+    static constexpr std::size_t Vms = 12;
+
+    struct Datagram
+    {
+        std::size_t to = 0;
+        peer::TopicWatermark watermark;
+    };
+
+    static bool isEntryVm(std::size_t n)
+    {
+        return n % 2 == 0;
+    }
+
+    void sendToOthers(std::size_t from, Millis now)
+    {
+        for (std::size_t to = 0; to < Vms; ++to) {
+            if (isEntryVm(to) != isEntryVm(from)) {
+                m_underWay.emplace(now + Millis{GetParam()}, Datagram{.to = to, .watermark = m_vms.at(from).send(now)});
+            }
+        }
+    }
+
+    void deliver(Millis now)
+    {
+        while (!m_underWay.empty() && m_underWay.begin()->first <= now) {
+            const Datagram datagram = m_underWay.begin()->second;
+            m_underWay.erase(m_underWay.begin());
+            m_vms.at(datagram.to).receive(datagram.watermark, now);
+        }
+    }
+
+    std::vector<ExchangingVm> m_vms{
+        Vms, ExchangingVm{.watermark = {.end = at(7, 0), .announcementsEnd = at(3, 0), .asOf = Millis{0}}}};
+    std::multimap<Millis, Datagram> m_underWay; ///< By the time of their arrival.
+};
+
+// A VM that others validate reads the store by itself once the watermark is too old; it must not stay young by the time
+// that it is under way.
+TEST_P(WatermarkExchangeTest, AWatermarkGetsOlderHoweverLongItIsUnderWay)
+{
+    constexpr Millis Silence{5000};
+    EXPECT_GE(youngestAfter(Silence), Silence);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ways, WatermarkExchangeTest, testing::Values(1, 50, 200, 800));
+
 } // namespace
 
 } // namespace ibislock::feed
