Feed: the age of a watermark counts from when its message was sent, however long that was under way

Cause: a datagram's watermark was dated by its arrival less the sender's age, so that the time under way (a full link, a socket's buffer, a loop that is late) counted as zero. VMs keep the newest date and pass it on, so that it grew younger at each hop. A VM that others validate then doesn't read the store, however long ago the last VM that did has fallen silent.

Change: subscriptions and loads carry a stamp of their sender and return the last stamp of their receiver with the time that it was held (feed/send_time.h). The receiver knows by its own clock when the message can have been sent at the earliest, as it does for the updates of relays. Without a stamp of its own in a message, as from a VM of an earlier release, the watermark tells of new records but validates nothing.

--- a/libs/feed/include/ibislock/feed/operators_watermark.h
+++ b/libs/feed/include/ibislock/feed/operators_watermark.h
@@ -34,7 +34,9 @@
 /// Returns a watermark as messages carry it, with its age at the time `now` of the boot clock.
 peer::TopicWatermark toMessage(const OperatorsWatermark &watermark, Millis now);
 
-/// Returns the watermark that a message carries, which was received at the time `now` of the boot clock.
-OperatorsWatermark fromMessage(const peer::TopicWatermark &watermark, Millis now);
+/// Returns the watermark that a message carries. Its age counts from when the message was sent, not received, as it is
+/// passed on: otherwise it would stay young by the time that it is under way.
+/// @param sentAfter a time before the message was sent, by the boot clock; nothing if unknown, which validates nothing.
+OperatorsWatermark fromMessage(const peer::TopicWatermark &watermark, std::optional<Millis> sentAfter);
 
 } // namespace ibislock::feed
--- a/libs/feed/src/operators_watermark.cpp
+++ b/libs/feed/src/operators_watermark.cpp
@@ -62,9 +62,11 @@
             .age = !watermark.end.isKnown() ? peer::TopicWatermark::UnknownAge : now - watermark.asOf};
 }
 
-OperatorsWatermark fromMessage(const peer::TopicWatermark &watermark, Millis now)
+OperatorsWatermark fromMessage(const peer::TopicWatermark &watermark, std::optional<Millis> sentAfter)
 {
-    return {.end = watermark.end, .announcementsEnd = watermark.announcementsEnd, .asOf = now - watermark.age};
+    return {.end = watermark.end,
+            .announcementsEnd = watermark.announcementsEnd,
+            .asOf = sentAfter.value_or(Millis{0}) - (sentAfter ? watermark.age : peer::TopicWatermark::UnknownAge)};
 }
 
 } // namespace ibislock::feed
--- a/libs/feed/test/operators_watermark_test.cpp
+++ b/libs/feed/test/operators_watermark_test.cpp
@@ -1,4 +1,5 @@
 #include "ibislock/feed/operators_watermark.h"
+#include "ibislock/feed/send_time.h"
 
 #include <gtest/gtest.h>
 #include <map>
@@ -81,15 +82,18 @@
 struct ExchangingVm
 {
     OperatorsWatermark watermark;
+    SendTimeClock clock;
+    std::map<std::size_t, SendTimePeer> peers;
 
-    peer::TopicWatermark send(Millis now) const
+    peer::SubscribeMessage send(std::size_t to, Millis now)
     {
-        return toMessage(watermark, now);
+        return {.operatorsWatermark = toMessage(watermark, now), .stamps = stampsFor(clock, peers[to], now)};
     }
 
-    void receive(const peer::TopicWatermark &message, Millis now)
+    void receive(std::size_t from, const peer::SubscribeMessage &message, Millis now)
     {
-        mergeWatermark(watermark, fromMessage(message, now));
+        const auto sentAfter = recordStamps(clock, peers[from], message.stamps, now);
+        mergeWatermark(watermark, fromMessage(message.operatorsWatermark, sentAfter));
     }
 };
 
@@ -125,8 +129,9 @@
 
     struct Datagram
     {
+        std::size_t from = 0;
         std::size_t to = 0;
-        peer::TopicWatermark watermark;
+        peer::SubscribeMessage message;
     };
 
     static bool isEntryVm(std::size_t n)
@@ -138,7 +143,8 @@
     {
         for (std::size_t to = 0; to < Vms; ++to) {
             if (isEntryVm(to) != isEntryVm(from)) {
-                m_underWay.emplace(now + Millis{GetParam()}, Datagram{.to = to, .watermark = m_vms.at(from).send(now)});
+                m_underWay.emplace(now + Millis{GetParam()},
+                                   Datagram{.from = from, .to = to, .message = m_vms.at(from).send(to, now)});
             }
         }
     }
@@ -148,12 +154,22 @@
         while (!m_underWay.empty() && m_underWay.begin()->first <= now) {
             const Datagram datagram = m_underWay.begin()->second;
             m_underWay.erase(m_underWay.begin());
-            m_vms.at(datagram.to).receive(datagram.watermark, now);
+            m_vms.at(datagram.to).receive(datagram.from, datagram.message, now);
         }
     }
 
-    std::vector<ExchangingVm> m_vms{
-        Vms, ExchangingVm{.watermark = {.end = at(7, 0), .announcementsEnd = at(3, 0), .asOf = Millis{0}}}};
+    static std::vector<ExchangingVm> vmsThatHaveReadNow()
+    {
+        std::vector<ExchangingVm> out;
+        for (std::size_t n = 0; n < Vms; ++n) {
+            out.push_back({.watermark = {.end = at(7, 0), .announcementsEnd = at(3, 0), .asOf = Millis{0}},
+                           .clock = makeSendTimeClock(1 + 1'000'000 * n, Millis{0}),
+                           .peers = {}});
+        }
+        return out;
+    }
+
+    std::vector<ExchangingVm> m_vms = vmsThatHaveReadNow();
     std::multimap<Millis, Datagram> m_underWay; ///< By the time of their arrival.
 };
 
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -63,6 +63,7 @@
     , m_loads(ioLoop)
 {
     quarantine.self = random();
+    m_sendTimeClock = feed::makeSendTimeClock(systemRandom()(), bootMillis());
     quarantine.forwardOneIn = serving::EntryForwardOneIn;
     retries.ratio = settings.bounds.retryRatio;
     retries.allowance = settings.bounds.retryAllowance;
@@ -419,8 +420,10 @@
         if (ec || !(wantsLoads || tellOthers)) {
             continue;
         }
-        const std::string message =
-            peer::encode(peer::SubscribeMessage{.operatorsWatermark = level, .wantsLoads = wantsLoads});
+        const std::string message = peer::encode(
+            peer::SubscribeMessage{.operatorsWatermark = level,
+                                   .wantsLoads = wantsLoads,
+                                   .stamps = stampsFor(m_sendTimeClock, m_loadSenders[endpoint->ip], bootMillis())});
         m_loads.send_to(asio::buffer(message), {address, settings.firstPeerPort}, 0, ec);
         // A failure to send is ignored; the next datagram replaces this one.
     }
@@ -467,7 +470,8 @@
     incarnation = load.incarnation;
     sequence = load.sequence;
     retries.entryVms = std::max(load.entryVmCount, 1);
-    applyWatermark(feed::fromMessage(load.operatorsWatermark, bootMillis()));
+    const auto sentAfter = recordStamps(m_sendTimeClock, m_loadSenders[ip], load.stamps, bootMillis());
+    applyWatermark(feed::fromMessage(load.operatorsWatermark, sentAfter));
     const Millis now = steadyMillis();
     for (const peer::Announcement &naming : load.announcements) {
         const auto it = operators.announced.find(naming.model);
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -7,6 +7,7 @@
 #include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
+#include "ibislock/feed/send_time.h"
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/net/timer.h"
@@ -137,6 +138,8 @@
     std::array<char, 1500> m_loadBuffer{};
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
         m_loadSequence; ///< Incarnation and sequence of the last load report, by IP address.
+    feed::SendTimeClock m_sendTimeClock; ///< Its times are of the boot clock.
+    std::map<std::string, feed::SendTimePeer> m_loadSenders; ///< Target VMs that report loads, by IP address.
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_adminConnections;
     WaitingCalls m_waiting; ///< Calls whose targets are full.
--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -9,6 +9,7 @@
 #include "ibislock/base/digest.h"
 #include "ibislock/base/error.h"
 #include "ibislock/peer/frames.h"
+#include "ibislock/peer/send_stamps.h"
 #include "ibislock/peer/topic_watermark.h"
 #include "ibislock/serving/quarantine_report.h"
 
@@ -27,6 +28,7 @@
 {
     TopicWatermark operatorsWatermark;
     bool wantsLoads = false;
+    SendStamps stamps;
 };
 
 /// An announced version of weights, and how long ago it was announced.
@@ -50,6 +52,7 @@
     std::vector<Announcement> announcements; ///< The newest announcements of which the sender knows the time.
     std::optional<Millis> loadStartsIn; ///< Time until the engine stops taking requests in order to load.
     TopicWatermark operatorsWatermark;
+    SendStamps stamps;
 };
 
 /// What a VM knows of parts of prompts that crash engines. Entry VMs send it to target VMs, which pass it on.
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -22,6 +22,9 @@
   levelAgeMs @3 :UInt32 = 4294967295;  # How old the knowledge is that the topic ended there.
   operatorsEra @4 :Int64;  # The eras of the store in which the two offsets were given out; VMs of older versions send 0.
   namingsEra @5 :Int64;
+  sentStamp @6 :UInt64;  # Of the sender's clock; 0 from VMs of older versions.
+  returnedStamp @7 :UInt64;  # The last stamp that the sender received from the receiver; 0 for none.
+  heldMs @8 :UInt32;  # How long ago the sender received it.
 }
 
 struct Load {
@@ -40,6 +43,9 @@
   levelAgeMs @11 :UInt32 = 4294967295;
   operatorsEra @12 :Int64;
   namingsEra @13 :Int64;
+  sentStamp @14 :UInt64;  # These three as in a subscription.
+  returnedStamp @15 :UInt64;
+  heldMs @16 :UInt32;
 }
 
 struct Quarantine {
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -5,6 +5,7 @@
 #include "watermark_fields.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace ibislock::peer
 {
@@ -181,6 +182,21 @@
     return failure(ErrorCode::Corrupt, "piece message of unknown type");
 }
 
+template <typename Builder>
+void writeStamps(Builder to, const SendStamps &stamps)
+{
+    to.setSentStamp(stamps.sent);
+    to.setReturnedStamp(stamps.returned);
+    to.setHeldMs(static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(stamps.heldFor.count(), 0, std::numeric_limits<std::uint32_t>::max())));
+}
+
+template <typename Reader>
+SendStamps readStamps(Reader from)
+{
+    return {.sent = from.getSentStamp(), .returned = from.getReturnedStamp(), .heldFor = Millis{from.getHeldMs()}};
+}
+
 } // namespace
 
 std::string encode(const SubscribeMessage &message)
@@ -189,6 +205,7 @@
     auto subscribe = builder.initRoot<wire::Datagram>().initSubscribe();
     writeWatermark(subscribe, message.operatorsWatermark);
     subscribe.setWantsLoads(message.wantsLoads);
+    writeStamps(subscribe, message.stamps);
     return flatten(builder);
 }
 
@@ -214,6 +231,7 @@
             static_cast<std::uint16_t>(std::min<std::int64_t>(message.loadStartsIn->count(), NoLoadPlanned - 1)));
     }
     writeWatermark(load, message.operatorsWatermark);
+    writeStamps(load, message.stamps);
     return flatten(builder);
 }
 
@@ -252,7 +270,8 @@
         const auto message = reader.getRoot<wire::Datagram>();
         if (message.isSubscribe()) {
             return SubscribeMessage{.operatorsWatermark = readWatermark(message.getSubscribe()),
-                                    .wantsLoads = message.getSubscribe().getWantsLoads()};
+                                    .wantsLoads = message.getSubscribe().getWantsLoads(),
+                                    .stamps = readStamps(message.getSubscribe())};
         }
         if (message.isQuarantine()) {
             return QuarantineMessage{.report = decodeQuarantine(message.getQuarantine())};
@@ -277,7 +296,8 @@
                            .entryVmCount = load.getEntryVms(),
                            .announcements = std::move(announcements),
                            .loadStartsIn = loadsInMs == NoLoadPlanned ? std::nullopt : std::optional(Millis{loadsInMs}),
-                           .operatorsWatermark = readWatermark(load)};
+                           .operatorsWatermark = readWatermark(load),
+                           .stamps = readStamps(load)};
     } catch (const kj::Exception &exception) {
         return failure(ErrorCode::Corrupt, exception.getDescription().cStr());
     }
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 8, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 9, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 12, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -489,6 +489,12 @@
 
   inline  ::int64_t getNamingsEra() const;
 
+  inline  ::uint64_t getSentStamp() const;
+
+  inline  ::uint64_t getReturnedStamp() const;
+
+  inline  ::uint32_t getHeldMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -535,6 +541,15 @@
   inline  ::int64_t getNamingsEra();
   inline void setNamingsEra( ::int64_t value);
 
+  inline  ::uint64_t getSentStamp();
+  inline void setSentStamp( ::uint64_t value);
+
+  inline  ::uint64_t getReturnedStamp();
+  inline void setReturnedStamp( ::uint64_t value);
+
+  inline  ::uint32_t getHeldMs();
+  inline void setHeldMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -607,6 +622,12 @@
 
   inline  ::int64_t getNamingsEra() const;
 
+  inline  ::uint64_t getSentStamp() const;
+
+  inline  ::uint64_t getReturnedStamp() const;
+
+  inline  ::uint32_t getHeldMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -681,6 +702,15 @@
   inline  ::int64_t getNamingsEra();
   inline void setNamingsEra( ::int64_t value);
 
+  inline  ::uint64_t getSentStamp();
+  inline void setSentStamp( ::uint64_t value);
+
+  inline  ::uint64_t getReturnedStamp();
+  inline void setReturnedStamp( ::uint64_t value);
+
+  inline  ::uint32_t getHeldMs();
+  inline void setHeldMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2682,6 +2712,48 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Subscribe::Reader::getSentStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Subscribe::Builder::getSentStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setSentStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Subscribe::Reader::getReturnedStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Subscribe::Builder::getReturnedStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setReturnedStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Subscribe::Reader::getHeldMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Subscribe::Builder::getHeldMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setHeldMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Load::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2898,6 +2970,48 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Load::Reader::getSentStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getSentStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSentStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Load::Reader::getReturnedStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getReturnedStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setReturnedStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getHeldMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getHeldMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setHeldMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Quarantine::Reader::hasSuspicions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -69,6 +69,7 @@
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
     , m_random(systemRandom())
+    , m_sendTimeClock(feed::makeSendTimeClock(m_random(), bootMillis()))
     , m_tickTimer(loop)
 {
 }
@@ -292,11 +293,12 @@
     load.operatorsWatermark = toMessage(m_watermark, bootMillis());
     load.incarnation = m_incarnation;
     load.sequence = ++m_sequence;
-    const std::string message = peer::encode(load);
     for (const auto &[endpoint, subscriber] : m_subscribers) {
         if (now > subscriber.loadsUntil) {
             continue;
         }
+        load.stamps = stampsFor(m_sendTimeClock, subscriber.sender, bootMillis());
+        const std::string message = peer::encode(load);
         asio::error_code ec;
         m_datagrams.send_to(asio::buffer(message), endpoint, 0, ec);
         // A datagram that can't be sent is replaced by the next one.
@@ -359,7 +361,8 @@
     if (added) {
         m_quarantine.lastFullReportAt = Millis{0}; // A new entry VM must not wait for the next full report.
     }
-    applyWatermark(feed::fromMessage(message.operatorsWatermark, bootMillis()));
+    const auto sentAfter = recordStamps(m_sendTimeClock, it->second.sender, message.stamps, bootMillis());
+    applyWatermark(feed::fromMessage(message.operatorsWatermark, sentAfter));
 }
 
 void Side::shareQuarantine()
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -7,6 +7,7 @@
 #include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
+#include "ibislock/feed/send_time.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/announced_versions.h"
@@ -36,6 +37,7 @@
     {
         Millis presentUntil{0};
         Millis loadsUntil{0}; ///< The load is reported to it until then.
+        feed::SendTimePeer sender;
     };
 
     void applyOperatorRecord(const platform::KeyedRecord &record, bool live);
@@ -78,6 +80,7 @@
     std::uint64_t m_incarnation;
     Random m_random;
     Millis m_startedAt = steadyMillis();
+    feed::SendTimeClock m_sendTimeClock; ///< Its times are of the boot clock.
     std::uint64_t m_sequence = 0;
     std::string m_lastPublished;
     Millis m_publishedAt{0};
