--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -235,6 +235,20 @@
     EXPECT_EQ(std::get<LoadMessage>(*load).operatorsWatermark.announcementsEnd, announcementsEnd);
 }
 
+TEST(MessagesTest, StampsAreDecodedAsTheyWereEncoded)
+{
+    const SendStamps stamps{.sent = ~0ULL, .returned = 1ULL << 63, .heldFor = Millis{1234}};
+    const auto same = [&](const SendStamps &read) {
+        return read.sent == stamps.sent && read.returned == stamps.returned && read.heldFor == stamps.heldFor;
+    };
+    const auto subscription = decodeDatagram(encode(SubscribeMessage{.stamps = stamps}));
+    EXPECT_TRUE(same(std::get<SubscribeMessage>(*subscription).stamps));
+    const auto load = decodeDatagram(encode(LoadMessage{.stamps = stamps}));
+    EXPECT_TRUE(same(std::get<LoadMessage>(*load).stamps));
+    const auto none = decodeDatagram(encode(LoadMessage{}));
+    EXPECT_EQ(std::get<LoadMessage>(*none).stamps.returned, 0U);
+}
+
 TEST(MessagesTest, EntryVmsAreDecodedWithListings)
 {
     const auto request = decodeListings(frameBody(encode(ListingsRequest{.entryVm = "10.0.0.1"})));
