Feed: records before the reported end of the operators' topic don't count as its end

Cause: an update of another VM was applied as of the time of the watermark by which it was requested, also if it ended before the end that this time belongs to: the source had fewer records, a later watermark had come meanwhile, or the VM needs the topic only up to the last announcement.

Evidence: a state comes 2.41 to 2.55 s after its confirmation, 2 s are allowed, where the first read's response is lost and the source is one record behind; records up to 2 are reported as the end of the topic as of a time at which it ended at 3. Such an update now leaves the time of the last known end as it is, so that the feed reads on, and says nothing about the end to others.

--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -92,7 +92,7 @@
     std::string m_recordSource; ///< The VM whose update is being applied; empty for none.
     bool m_requesting = false;
     TopicPosition m_wantedEnd; ///< The position up to which records are requested.
-    Millis m_wantedAsOf{0}; ///< When the topic ended there, by the boot clock.
+    OperatorsWatermark m_reported; ///< The watermark by which they are requested; it may end behind them.
     std::uint32_t m_sequence = 0;
     std::uint64_t m_peerUpdatesApplied = 0;
     std::uint64_t m_failedRequests = 0;
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -175,7 +175,7 @@
         return;
     }
     m_wantedEnd = end;
-    m_wantedAsOf = watermark.asOf;
+    m_reported = watermark;
     m_feed.recordKnownEnd(end);
     if (m_requesting || !m_feed.synchronized()) {
         return;
@@ -255,7 +255,9 @@
         records.push_back(fromMessage(record));
     }
     m_recordSource = m_sourceClient.vm();
-    const bool applied = m_feed.applyRecords(std::move(records), update.end, m_wantedAsOf);
+    // Records before the reported end don't show that the topic ended behind them.
+    const Millis asOf = update.end >= m_reported.end ? m_reported.asOf : m_feed.endKnownAt();
+    const bool applied = m_feed.applyRecords(std::move(records), update.end, asOf);
     m_recordSource.clear();
     if (applied) {
         ++m_peerUpdatesApplied;
