Failing tests: records before the known end of the operators' topic count as its end

An update of another VM that ends before the position up to which records are wanted is reported, and taken here, as the topic's end as of the watermark's time, at which the topic ended further on. VMs at the same position are validated by that, and a passive VM whose own read the update cancelled doesn't repeat it.

--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -33,8 +33,10 @@
                             lastPosition = record.position;
                             values[record.key] = record.value.value_or("");
                         },
-                    .onStoreOutage =
-                        [](bool) {
+                    .onStoreOutage = [](bool) {},
+                    .onWatermark =
+                        [this](Millis asOf) {
+                            reportedAsOf[follower.feed().position()] = asOf;
                         }})
     {
         follower.setPassive(true);
@@ -43,6 +45,7 @@
     net::HttpClient client;
     std::map<std::string, std::string> values;
     TopicPosition lastPosition;
+    std::map<TopicPosition, Millis> reportedAsOf; ///< What it reports to others: when the topic ended at a position.
     OperatorsFollower follower;
 };
 
@@ -93,19 +96,58 @@
     /// Replaces the VM that reads the store for the others by a plain listener.
     /// @param onData is called when the listener receives data.
     void replaceRoot(const std::function<void(net::Connection &)> &onData)
+    {
+        replaceRootWith([onData](net::Connection &connection, std::string_view) { onData(connection); });
+    }
+
+    /// Does so with what the listener receives.
+    void replaceRootWith(const std::function<void(net::Connection &, std::string_view)> &onData)
     {
         m_vms.erase(m_root);
         m_listener =
             std::make_unique<net::Listener>(m_loop, [this, onData](const std::shared_ptr<net::Connection> &connection) {
-                connection->start({.data = [raw = connection.get(), onData](std::string_view) { onData(*raw); },
-                                   .closed =
-                                       [](net::CloseReason) {
-                                       }});
+                connection->start(
+                    {.data = [raw = connection.get(), onData](std::string_view bytes) { onData(*raw, bytes); },
+                     .closed =
+                         [](net::CloseReason) {
+                         }});
                 m_listenerConnections.push_back(connection);
             });
         ASSERT_FALSE(m_listener->open(m_root, m_port));
     }
 
+    /// Replaces the VM that reads the store for the others by a listener that responds to each request at once.
+    void replaceRoot(const std::function<peer::RecordsUpdate(const peer::RecordsRequest &)> &respond)
+    {
+        replaceRootWith([respond, reader = std::make_shared<peer::FrameReader>()](net::Connection &connection,
+                                                                                  std::string_view bytes) {
+            reader->add(bytes);
+            for (auto body = reader->next(); body; body = reader->next()) {
+                const auto message = peer::decodeRecords(*body);
+                ASSERT_TRUE(message);
+                connection.write(encode(respond(std::get<peer::RecordsRequest>(*message))));
+            }
+        });
+    }
+
+    /// Returns an entry VM that asks nobody but the root.
+    std::string childOfRoot() const
+    {
+        return *std::find_if(m_ips.begin(), m_ips.end(), [this](const std::string &ip) {
+            return sourcesInTree(ip, m_ips) == std::vector<std::string>{m_root};
+        });
+    }
+
+    /// Returns the update of a VM that knows the first records of the key "config", of values 1, 2 and so on.
+    static peer::RecordsUpdate updateUpTo(std::int64_t end, const peer::RecordsRequest &request)
+    {
+        peer::RecordsUpdate out{.sequence = request.sequence, .end = {.era = 0, .offset = end}, .records = {}};
+        if (out.end > request.from) {
+            out.records.push_back({.key = "config", .value = std::to_string(end), .position = advancedBy(out.end, -1)});
+        }
+        return out;
+    }
+
     /// Writes to both stores.
     void append(const std::string &key, const std::string &value)
     {
@@ -259,6 +301,62 @@
     EXPECT_FALSE(m_listenerConnections.empty()) << "it received a request";
 }
 
+// A VM reported that the topic ended before a record that it knew of, as of a time at which the record was there. VMs
+// that lacked it were validated by that.
+TEST_F(OperatorsFollowerTest, RecordsBeforeTheWantedEndAreNotReportedAsTheEndOfTheTopic)
+{
+    append("config", "1");
+    replaceRoot([](const peer::RecordsRequest &request) { return updateUpTo(2, request); });
+    Vm &vm = add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    m_loop.run_for(Millis{20});
+    const Millis readAt = bootMillis(); // Later than the VM's own read.
+    const TopicPosition end{.era = 0, .offset = 3};
+    vm.follower.applyWatermark({.end = end, .asOf = readAt}, end);
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    EXPECT_LT(vm.reportedAsOf.at({.era = 0, .offset = 2}), readAt) << "the topic ended at 3 by then";
+}
+
+// The same at a target VM that needs the topic only up to the last announcement.
+TEST_F(OperatorsFollowerTest, RecordsUpToAnAnnouncementAreNotReportedAsTheEndOfTheTopic)
+{
+    append("config", "1");
+    replaceRoot([](const peer::RecordsRequest &request) { return updateUpTo(2, request); });
+    Vm &vm = add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    m_loop.run_for(Millis{20});
+    const Millis readAt = bootMillis(); // Later than the VM's own read.
+    const TopicPosition needed{.era = 0, .offset = 2};
+    vm.follower.applyWatermark({.end = {.era = 0, .offset = 3}, .announcementsEnd = needed, .asOf = readAt}, needed);
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    EXPECT_LT(vm.reportedAsOf.at(needed), readAt) << "the topic ended at 3 by then";
+}
+
+// Records of another VM that ended before the wanted end cancelled the read of the store and counted as a validation,
+// so that nobody read the newest state.
+TEST_F(OperatorsFollowerTest, RecordsBeforeTheWantedEndDoNotDelayTheStateBehindThem)
+{
+    append("config", "1");
+    bool sourceHasSecond = false;
+    replaceRoot([&](const peer::RecordsRequest &request) { return updateUpTo(sourceHasSecond ? 2 : 1, request); });
+    add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    letReadsEnd();
+    m_store.silent = true; // The response to the first read is lost.
+    append("config", "2");
+    append("config", "3");
+    const Millis confirmedAt = steadyMillis();
+    constexpr double LostFraction = 0.35;
+    while (!allHave("3") && steadyMillis() < confirmedAt + 2 * StateTime) {
+        sourceHasSecond = steadyMillis() >= confirmedAt + std::chrono::duration_cast<Millis>(StateTime * LostFraction);
+        m_store.silent = !sourceHasSecond;
+        reportWatermarks();
+        m_loop.run_for(Millis{50});
+    }
+    ASSERT_TRUE(allHave("3"));
+    EXPECT_LE(steadyMillis() - confirmedAt, StateTime);
+}
+
 TEST_F(OperatorsFollowerTest, StatesInQuickSuccessionReachAllInOrder)
 {
     addAll();
