Failing test: a lost response to a read of a VM without validation is noticed too late

A passive VM that no other VM validates lets the store hold its read for 0.9 of the time within which a state must be in force; with the timeout of a call, a lost response is noticed after that time. One VM on loopback: the state comes 2.68 s after its confirmation, 2 s are allowed.

--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -357,6 +357,21 @@
     EXPECT_LE(steadyMillis() - confirmedAt, StateTime);
 }
 
+// Reads of a VM that nobody validates were held for so long that a lost response was noticed too late.
+TEST_F(OperatorsFollowerTest, AStateIsInTimeThoughTheResponseToAReadOfAVmWithoutValidationIsLost)
+{
+    append("config", "1");
+    add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    m_store.silent = true;
+    ASSERT_TRUE(runUntil([&] { return m_store.lastWait > 0; }));
+    m_store.silent = false;
+    append("config", "2");
+    const Millis confirmedAt = steadyMillis();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }));
+    EXPECT_LE(steadyMillis() - confirmedAt, StateTime);
+}
+
 TEST_F(OperatorsFollowerTest, StatesInQuickSuccessionReachAllInOrder)
 {
     addAll();
