--- a/libs/feed/test/send_time_test.cpp
+++ b/libs/feed/test/send_time_test.cpp
@@ -1,6 +1,8 @@
 #include "ibislock/feed/send_time.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <vector>
 
 namespace ibislock::feed
 {
@@ -63,6 +65,64 @@
         << "held for longer than since it was sent";
 }
 
+using Micros = std::chrono::microseconds;
+
+/// A process whose clock differs from true time.
+struct SendingProcess
+{
+    Micros ahead{0};
+    SendTimeClock clock;
+    SendTimePeer peer;
+
+    Millis read(Micros now) const
+    {
+        return std::chrono::floor<Millis>(now + ahead);
+    }
+};
+
+// Datagrams are lost, late, reordered and repeated, and processes start anew, also at the address of another one.
+RC_GTEST_PROP(SendTimeProperty, ADatagramIsNeverTakenForYoungerThanItIs, ())
+{
+    struct Datagram
+    {
+        std::size_t to = 0;
+        peer::SendStamps stamps;
+        Micros sentAt{0};
+    };
+    const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(200, rc::gen::inRange(0U, 1U << 30U));
+    std::vector<SendingProcess> vms(2);
+    std::vector<Datagram> sent;
+    Micros now{std::chrono::hours{1}};
+    std::uint64_t random = 0;
+    const auto restart = [&](SendingProcess &vm, std::uint32_t step) {
+        random += 0x9e3779b97f4a7c15; // Far from all others.
+        vm = {.ahead = Micros{step % 3'000'000}, .clock = {}, .peer = {}};
+        vm.clock = makeSendTimeClock(random, vm.read(now));
+    };
+    restart(vms[0], 1234);
+    restart(vms[1], 1'999'999);
+    for (const std::uint32_t step : steps) {
+        const std::size_t vm = step / 16 % 2;
+        const std::uint32_t rest = step / 32;
+        if (step % 16 == 0) {
+            restart(vms[vm], rest);
+        } else if (step % 16 == 1) {
+            vms[vm].peer = {};
+        } else if (step % 16 < 5) {
+            now += Micros{rest % 700'000};
+        } else if (step % 16 < 10) {
+            sent.push_back(
+                {.to = 1 - vm, .stamps = stampsFor(vms[vm].clock, vms[vm].peer, vms[vm].read(now)), .sentAt = now});
+        } else if (!sent.empty()) {
+            const std::size_t back = std::min<std::size_t>(sent.size(), step % 16 < 14 ? 3 : 40);
+            const Datagram &datagram = sent[sent.size() - 1 - rest % back];
+            SendingProcess &receiver = vms[datagram.to];
+            const auto sentAfter = recordStamps(receiver.clock, receiver.peer, datagram.stamps, receiver.read(now));
+            RC_ASSERT(!sentAfter || *sentAfter <= receiver.read(datagram.sentAt) + Millis{1}); // Clocks are rounded.
+        }
+    }
+}
+
 } // namespace
 
 } // namespace ibislock::feed
