--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -409,7 +409,9 @@
         }
     }
     const std::set<std::string> watched = serving::chooseLoadSubscriptions(settings.vmName, settings.domain, engines);
-    const peer::TopicWatermark level = toMessage(m_operatorsWatermark, bootMillis());
+    // One time for ages and stamps: a stall in between would make the watermark younger.
+    const Millis bootNow = bootMillis();
+    const peer::TopicWatermark level = toMessage(m_operatorsWatermark, bootNow);
     const bool tellOthers = now >= m_nextPresenceAt;
     m_nextPresenceAt = tellOthers ? now + PresencePause : m_nextPresenceAt;
     for (const serving::SubscriptionCandidate &engine : engines) {
@@ -423,7 +425,7 @@
         const std::string message = peer::encode(
             peer::SubscribeMessage{.operatorsWatermark = level,
                                    .wantsLoads = wantsLoads,
-                                   .stamps = stampsFor(m_sendTimeClock, m_loadSenders[endpoint->ip], bootMillis())});
+                                   .stamps = stampsFor(m_sendTimeClock, m_loadSenders[endpoint->ip], bootNow)});
         m_loads.send_to(asio::buffer(message), {address, settings.firstPeerPort}, 0, ec);
         // A failure to send is ignored; the next datagram replaces this one.
     }
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -290,14 +290,16 @@
     m_lastPublished = content;
     m_publishedAt = now;
     load.announcements = recentAnnouncements(); // Their ages always change and are no reason to publish.
-    load.operatorsWatermark = toMessage(m_watermark, bootMillis());
+    // One time for ages and stamps: a stall in between would make the watermark younger.
+    const Millis bootNow = bootMillis();
+    load.operatorsWatermark = toMessage(m_watermark, bootNow);
     load.incarnation = m_incarnation;
     load.sequence = ++m_sequence;
     for (const auto &[endpoint, subscriber] : m_subscribers) {
         if (now > subscriber.loadsUntil) {
             continue;
         }
-        load.stamps = stampsFor(m_sendTimeClock, subscriber.sender, bootMillis());
+        load.stamps = stampsFor(m_sendTimeClock, subscriber.sender, bootNow);
         const std::string message = peer::encode(load);
         asio::error_code ec;
         m_datagrams.send_to(asio::buffer(message), endpoint, 0, ec);
