Feed: a passive VM that is no longer validated learns at once whether its desired state is the newest

What callers saw: nothing by itself. The knowledge of such a VM got older than the time within which a state must be in effect although the store would have answered: validation lapses at 0.8 to 0.9 of it, and the read behind it was held for 0.9 more, so that nothing new was known for up to 1.8 of that time, and a store that doesn't answer couldn't be told from one that holds.

Change: a passive feed that relies on validation holds its reads as others do, for the rest until its data have the age of the longest hold. The first read behind a lapse returns at once, the next ones are held for 0.9 as before: one call more for a lapse, none otherwise. A passive feed of listings, whose age doesn't matter, holds as before.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -23,7 +23,8 @@
     /// How long the store may hold a read until there is a record. A read that a record ended counts as of its start,
     /// and the next one is held for the rest only, so that the data is never older than this and a call.
     Millis longPollTime{10000};
-    Millis passiveLongPollTime{0}; ///< The same while the feed is passive.
+    Millis passiveLongPollTime{
+        0}; ///< The same while the feed is passive; without `validityTime` the age doesn't matter.
     Millis minReadInterval{0}; ///< Between the starts of two reads; limits the calls on a busy topic.
     Millis validityTime{0}; ///< How long a passive feed relies on the last validation.
     bool newestOnly = false; ///< Of several records that were missed, only the newest of each key is needed.
@@ -67,6 +68,10 @@
 inline constexpr Millis InitialBackoff{100};
 inline constexpr Millis MaxBackoff{500};
 
+/// Returns how long the store may hold a read, so that the data never gets older than `longest` and a call.
+/// @param age the age of the data when the read is started.
+Millis holdTimeFor(Millis longest, Millis age);
+
 /// Follows one topic.
 class TopicFeed
 {
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+Millis holdTimeFor(Millis longest, Millis age)
+{
+    return std::clamp(longest - age, Millis{0}, longest);
+}
+
 TopicFeed::TopicFeed(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store, FeedOptions options,
                      FeedEvents events)
     : m_client(client)
@@ -249,10 +254,10 @@
 
 Millis TopicFeed::holdTime() const
 {
-    if (m_passive) {
+    if (m_passive && m_options.validityTime == Millis{0}) {
         return m_options.passiveLongPollTime;
     }
-    return std::clamp(m_options.longPollTime - (bootMillis() - m_endKnownAt), Millis{0}, m_options.longPollTime);
+    return holdTimeFor(m_passive ? m_options.passiveLongPollTime : m_options.longPollTime, bootMillis() - m_endKnownAt);
 }
 
 void TopicFeed::reportWatermark(Millis asOf)
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -247,6 +247,18 @@
     EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
 }
 
+// The store held the read to its limit, so that the data got twice as old as they may before the VM knew them again.
+TEST_F(TopicFeedTest, APassiveFeedThatIsNoLongerValidatedKnowsTheEndAtOnce)
+{
+    m_feed.setPassive(true);
+    m_feed.markValidated(bootMillis());
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads == 1; }));
+    EXPECT_EQ(m_store.lastWait, 0U); // The limit is 200 ms, and the data are older.
+    ASSERT_TRUE(runUntil([&] { return m_store.reads == 2; }));
+    EXPECT_GT(m_store.lastWait, 100U);
+}
+
 TEST_F(TopicFeedTest, ANotificationDuringAHeldReadDeliversNoRecordTwice)
 {
     m_feed.start();
