Front: an unknown route or key is not run while a newer desired state may exist

Entry VMs are passive and seldom call: one that knows of unread records, or whose calls and sources have fallen silent, had made no call that failed.

Change: feed/state_currency.h decides by what the VM knows: no unread records, no failed call, and the topic known to have had no others within the time in which a state must be in effect. Otherwise the outcome is refused_old_state: 503 with Retry-After, as for a VM without a state; so is a request without a key, as its route may have become anonymous. Lines of requests have state_age_ms, metrics ibislock_state_confirmed_age_ms.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -138,6 +138,9 @@
     /// Returns the number of responses that were ignored as they were of an earlier era than the one that is known.
     std::uint64_t outdatedResponses() const;
 
+    /// Returns whether unread records are known to exist.
+    bool isBehind() const;
+
     /// Returns for how long unread records have been known to exist; 0 if there are none.
     Millis lagTime() const;
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -63,6 +63,11 @@
     return m_cancelledCalls;
 }
 
+bool TopicFeed::isBehind() const
+{
+    return m_lagSince.has_value();
+}
+
 Millis TopicFeed::lagTime() const
 {
     return m_lagSince ? bootMillis() - *m_lagSince : Millis{0};
--- a/libs/front/include/ibislock/front/call_outcome.h
+++ b/libs/front/include/ibislock/front/call_outcome.h
@@ -14,7 +14,8 @@
 enum class CallOutcome {
     Answered, ///< The target's complete response was forwarded, whatever its status.
     Stopping, ///< Refused: this VM is shutting down.
-    NoDesiredState, ///< Refused: this VM has no desired state, or possibly not the latest one.
+    NoDesiredState, ///< Refused: this VM has no desired state.
+    StateNotCurrent, ///< Refused: its route or key is unknown here, and this VM may not have the latest desired state.
     /// Refused: the deadline header is not a single number, the Host header is missing or repeated, or the attempt id
     /// or API key is repeated.
     BadRequest,
@@ -33,13 +34,14 @@
 };
 
 /// Number of outcomes.
-inline constexpr std::size_t CallOutcomeCount = 16;
+inline constexpr std::size_t CallOutcomeCount = 17;
 
 /// Names of the outcomes in logs and metrics.
 inline constexpr NameTable<CallOutcome, CallOutcomeCount> CallOutcomeNames{{
     {CallOutcome::Answered, "answered"},
     {CallOutcome::Stopping, "refused_stopping"},
     {CallOutcome::NoDesiredState, "refused_no_state"},
+    {CallOutcome::StateNotCurrent, "refused_old_state"},
     {CallOutcome::BadRequest, "bad_request"},
     {CallOutcome::NoRoute, "no_route"},
     {CallOutcome::UnknownKey, "no_key"},
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -108,15 +108,14 @@
     const serving::DesiredState &state = *front.operators.state;
     const serving::Route *found = findRoute(state, request.host, head.target);
     if (found == nullptr) {
-        return front.operatorsUnreachable ? CallOutcome::NoDesiredState : CallOutcome::NoRoute;
+        return front.isStateCurrent() ? CallOutcome::NoRoute : CallOutcome::StateNotCurrent;
     }
     route = *found;
     priority = route.priority;
     if (!route.anonymous && !state.workspaces.empty()) {
         const serving::Workspace *holder = findWorkspace(state, request.apiKey);
         if (holder == nullptr) {
-            return front.operatorsUnreachable && !request.apiKey.empty() ? CallOutcome::NoDesiredState
-                                                                         : CallOutcome::UnknownKey;
+            return front.isStateCurrent() ? CallOutcome::UnknownKey : CallOutcome::StateNotCurrent;
         }
         workspace = holder->name;
         priority = holder->priority * 10 + route.priority;
@@ -421,6 +420,7 @@
              {"route", route.name},
              {"service", service},
              {"state", front.operators.state ? std::to_string(front.operators.state->version) : "none"},
+             {"state_age_ms", std::to_string(front.stateAge().count())},
              {"sends", std::to_string(m_attempts)},
              {"target", m_attempt.targetId},
              {"weights", std::to_string(m_attempt.weightsVersion)},
--- a/libs/front/src/call_outcome.cpp
+++ b/libs/front/src/call_outcome.cpp
@@ -11,7 +11,11 @@
     case CallOutcome::Stopping:
         return "It did not run: the entry VM was shutting down and would not have finished it in time.";
     case CallOutcome::NoDesiredState:
-        return "It did not run: the entry VM had no desired state, or could not read the latest one from the store.";
+        return "It did not run: the entry VM had no desired state.";
+    case CallOutcome::StateNotCurrent:
+        return "It did not run: the desired state in effect has no route or key for it, and the entry VM may not have "
+               "had "
+               "the latest one; see state_age_ms, and the lines of the store.";
     case CallOutcome::BadRequest:
         return "It did not run: a header had an invalid value.";
     case CallOutcome::NoRoute:
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -3,6 +3,7 @@
 #include "call.h"
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
+#include "ibislock/feed/state_currency.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/serving/load_subscriptions.h"
 
@@ -224,6 +225,20 @@
         : requiredVersion(it->second, now + ahead, settings.bounds.versionGracePeriod);
 }
 
+bool Front::isStateCurrent() const
+{
+    const feed::TopicFeed &feed = m_operatorsFollower->feed();
+    return feed::isStateCurrent(
+        {.behind = feed.isBehind(), .storeUnreachable = operatorsUnreachable, .endKnownAt = feed.endKnownAt()},
+        settings.bounds.stateApplyTime, bootMillis());
+}
+
+Millis Front::stateAge() const
+{
+    const Millis knownAt = m_operatorsFollower->feed().endKnownAt();
+    return knownAt > Millis{0} ? bootMillis() - knownAt : Millis{-1};
+}
+
 void Front::accept(const std::shared_ptr<Call> &call)
 {
     const auto refused = call->resolve();
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -79,6 +79,13 @@
     /// @param ahead how long after `now` it starts.
     std::int64_t minVersionOf(const std::string &model, Millis now, Millis ahead) const;
 
+    /// Returns whether each desired state that must be in effect is known here. Otherwise a route or key that the known
+    /// one lacks may exist.
+    bool isStateCurrent() const;
+
+    /// Returns for how long newer desired states may have existed; -1 ms before the first snapshot.
+    Millis stateAge() const;
+
     /// Removes and releases a caller's connection.
     void removeConnection(const CallerConnection *connection);
 
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -62,7 +62,7 @@
                counters.maxUnlistedUse.count());
 }
 
-void writeState(std::string &out, const feed::OperatorsView &operators, bool away, Millis now)
+void writeState(std::string &out, const feed::OperatorsView &operators, bool away, Millis confirmedAge, Millis now)
 {
     writeGauge(out, "ibislock_state_version", "Version of the desired state in force.",
                operators.state ? operators.state->version : 0);
@@ -70,6 +70,8 @@
         writeGauge(out, "ibislock_state_age_ms", "Time since this VM read that state.",
                    (now - operators.stateReadAt).count());
     }
+    writeGauge(out, "ibislock_state_confirmed_age_ms",
+               "Time since no newer state is known to have existed; -1 before the first one.", confirmedAge.count());
     writeGauge(out, "ibislock_store_away", "1 while the operators' topic can't be read.", away ? 1 : 0);
 }
 
@@ -107,7 +109,7 @@
 {
     std::string out;
     const Millis now = steadyMillis();
-    writeState(out, operators, operatorsUnreachable, now);
+    writeState(out, operators, operatorsUnreachable, stateAge(), now);
     writeKnowledge(out, m_operatorsFollower->feed(), *m_listings, counters);
     writeStallMetrics(out, m_stalls);
     writeCounters(out, counters);
