--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+Millis holdTimeFor(Millis longest, Millis age)
+{
+    return std::clamp(longest - age, Millis{0}, longest);
+}
+
 TopicFeed::TopicFeed(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store, FeedOptions options,
                      FeedEvents events)
     : m_client(client)
@@ -58,6 +63,11 @@
     return m_cancelledCalls;
 }
 
+bool TopicFeed::isBehind() const
+{
+    return m_lagSince.has_value();
+}
+
 Millis TopicFeed::lagTime() const
 {
     return m_lagSince ? bootMillis() - *m_lagSince : Millis{0};
@@ -249,10 +259,10 @@
 
 Millis TopicFeed::holdTime() const
 {
-    if (m_passive) {
+    if (m_passive && m_options.validityTime == Millis{0}) {
         return m_options.passiveLongPollTime;
     }
-    return std::clamp(m_options.longPollTime - (bootMillis() - m_endKnownAt), Millis{0}, m_options.longPollTime);
+    return holdTimeFor(m_passive ? m_options.passiveLongPollTime : m_options.longPollTime, bootMillis() - m_endKnownAt);
 }
 
 void TopicFeed::reportWatermark(Millis asOf)
