Failing test: an entry VM that starts behind a restore goes by the copy's state

What callers see: an entry VM that starts between the return of the store from an older copy and the operators' next write refuses requests with 401 and 404 that the VMs beside it serve, and runs some with a dropped route or key, for as long as the operators need.

--- a/lab/test/dissemination_test.cpp
+++ b/lab/test/dissemination_test.cpp
@@ -85,6 +85,15 @@
         ASSERT_TRUE(m_entries.back()->start());
     }
 
+    /// Ends the process of an entry VM and starts another one.
+    void restartEntry(std::size_t entry, const lab::StoreStandIn &store)
+    {
+        m_entries[entry].reset();
+        m_entries[entry] = std::make_unique<front::FrontDaemon>(m_loop, settingsFor(m_entryIps[entry], store),
+                                                                front::FrontOptions{.randomSeed = entry + 1});
+        ASSERT_TRUE(m_entries[entry]->start());
+    }
+
     /// Adds a target VM with its engine; the first one of a domain passes on what it learns.
     void addTarget(const std::string &ip, const lab::StoreStandIn &store)
     {
@@ -236,6 +245,36 @@
 
 INSTANTIATE_TEST_SUITE_P(Pauses, RestoredStoreTest, testing::Values(Millis{0}, Millis{1000}, Millis{4000}));
 
+// An entry VM that started between the return of the store and the operators' next write went by the copy's state.
+TEST_F(DisseminationTest, AnEntryVmThatStartsBehindARestoreGoesByTheNewerStateOfOthers)
+{
+    m_store.era = 1;
+    append("config", stateOf(1));
+    addTarget("127.0.3.1", m_store);
+    addTarget("127.0.3.2", m_store);
+    addEntry(m_store);
+    addEntry(m_store);
+    ASSERT_TRUE(allGoBy(1, Millis{5000}));
+    m_loop.run_for(RelayTime);
+    const std::size_t copy = m_store.size();
+    append("config", stateOf(2));
+    append("config", stateOf(3));
+    ASSERT_TRUE(allGoBy(3, StateTime));
+    m_store.restore(copy);
+    m_loop.run_for(StateTime);
+    addEntry(m_store);
+    EXPECT_TRUE(allGoBy(3, StateTime));
+    // Those that have read it themselves are replaced one after the other.
+    for (const std::size_t n : {0U, 1U}) {
+        restartEntry(n, m_store);
+        EXPECT_TRUE(allGoBy(3, StateTime));
+    }
+    append("config", stateOf(3)); // The operators write their newest state again.
+    m_loop.run_for(StateTime);
+    append("config", stateOf(4));
+    EXPECT_TRUE(allGoBy(4, StateTime));
+}
+
 } // namespace
 
 } // namespace ibislock
