Operators' topic: a VM that starts behind a restore asks the entry VMs beside it for records that the topic lacks

Cause: a VM that knew a newer state keeps it in force, but nothing hands it out. The cache from which entry VMs serve others holds the newest record of each key by position, and the copy's record has the later era, so that it replaces the newer one.

Entry VMs now keep the records in force beside those of the topic. Versions only rise at each VM, so a record that is handed out can't replace a newer one. A VM of an earlier release answers such a request with what it has read behind the position, which is harmless. Records in force are kept a second time in memory.

--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "ibislock/feed/long_poll_server.h"
+#include "ibislock/feed/lost_records_query.h"
 #include "ibislock/feed/operators_watermark.h"
 #include "ibislock/feed/peer_client.h"
 #include "ibislock/feed/records_cache.h"
@@ -34,6 +35,7 @@
 class OperatorsFollower
 {
 public:
+    /// @param events receive by `onSnapshot`, beside snapshots, records in force at another VM that the topic lacks.
     OperatorsFollower(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store,
                       OperatorsFollowerOptions options, FeedEvents events);
 
@@ -45,6 +47,13 @@
     /// @param vms the addresses of the entry VMs.
     void setEntryVms(std::vector<std::string> vms);
 
+    /// Records that a record took effect here. Entry VMs hand it out to VMs that start while the topic lacks it.
+    void recordInForce(const platform::KeyedRecord &record);
+
+    /// Returns whether what has been read is complete: after a start, a topic that was restored from an older copy may
+    /// lack records by which other VMs go, and these are asked first. It is complete, too, if no VM responds in time.
+    bool isCaughtUp() const;
+
     /// Applies the watermark of another VM. Records before `end` that are unknown here are requested.
     /// @param end the position up to which this VM needs the topic; at most that of the watermark.
     void applyWatermark(const OperatorsWatermark &watermark, TopicPosition end);
@@ -69,6 +78,7 @@
 
 private:
     FeedEvents withCache(FeedEvents events);
+    void applyLostRecords(const std::string &vm, const std::vector<platform::KeyedRecord> &records);
     std::vector<std::string> sources() const;
     void requestNext();
     void awaitResponse(Millis time);
@@ -78,12 +88,14 @@
     Millis fractionOfStateTime(double fraction) const;
 
     OperatorsFollowerOptions m_options;
+    std::function<void(std::vector<platform::KeyedRecord>)> m_onSnapshot; ///< As passed to the constructor.
     RecordsCache m_cache; ///< Filled on entry VMs only; other VMs serve no requests.
     bool m_storeUnreachable = false; ///< A call to the store failed and none has succeeded since.
     bool m_passive = false;
     TopicFeed m_feed;
     LongPollServer<peer::RecordsRequest> m_server;
     PeerClient m_sourceClient;
+    LostRecordsQuery m_lostRecordsQuery;
     net::Timer m_timer;
     std::vector<std::string> m_entryVms;
     std::map<std::string, Millis, std::less<>> m_avoidedUntil; ///< VMs that didn't respond; monotonic time.
--- a/libs/feed/include/ibislock/feed/records_cache.h
+++ b/libs/feed/include/ibislock/feed/records_cache.h
@@ -18,6 +18,9 @@
 {
     std::map<std::string, platform::KeyedRecord, std::less<>> newest; ///< By key; includes deleted keys.
     TopicPosition end; ///< The position up to which the topic is known.
+    /// The records that took effect last, by key. The topic lacks one if the store was restored from an older copy, or
+    /// if a later record of the key is invalid.
+    std::map<std::string, platform::KeyedRecord, std::less<>> inForce;
 };
 
 /// Applies a record of the topic. One that is older than the cached record of its key is ignored.
@@ -27,4 +30,7 @@
 /// that of `cache.end` are left out: the topic no longer holds them.
 std::vector<platform::KeyedRecord> recordsFrom(const RecordsCache &cache, const TopicPosition &from);
 
+/// Returns the records in force that the newest records of the topic lack.
+std::vector<platform::KeyedRecord> lostRecords(const RecordsCache &cache);
+
 } // namespace ibislock::feed
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -21,6 +21,9 @@
 /// How much longer a response may take to arrive, and how long it may stall once it has started.
 constexpr double ResponseMarginFraction = 0.1;
 
+/// How long a VM that starts may count as not ready because no other VM has told it what the topic lacks.
+constexpr double CatchUpFraction = 0.5;
+
 /// Time until a VM that didn't respond is used as a source again.
 constexpr Millis SourceRetryInterval{4000};
 
@@ -48,6 +51,7 @@
 OperatorsFollower::OperatorsFollower(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store,
                                      OperatorsFollowerOptions options, FeedEvents events)
     : m_options(std::move(options))
+    , m_onSnapshot(events.onSnapshot)
     , m_feed(loop, client, std::move(store), operatorsFeedOptions(m_options.stateTime), withCache(std::move(events)))
     , m_server(
           loop,
@@ -60,7 +64,9 @@
            .makeResponse =
                [this](const peer::RecordsRequest &request, Millis) {
                    peer::RecordsUpdate out{.sequence = request.sequence, .end = m_cache.end, .records = {}};
-                   for (const platform::KeyedRecord &record : recordsFrom(m_cache, request.from)) {
+                   const bool wantsLost = !request.awaitedEnd.isKnown();
+                   for (const platform::KeyedRecord &record :
+                        wantsLost ? lostRecords(m_cache) : recordsFrom(m_cache, request.from)) {
                        out.records.push_back(toMessage(record));
                    }
                    return encode(out);
@@ -74,6 +80,14 @@
                                   failOver(cause);
                               }
                           }})
+    , m_lostRecordsQuery(loop,
+                         {.ip = m_options.ip,
+                          .port = m_options.port,
+                          .responseTime = fractionOfStateTime(ResponseMarginFraction),
+                          .maxWait = fractionOfStateTime(CatchUpFraction)},
+                         [this](const std::string &vm, const std::vector<platform::KeyedRecord> &records) {
+                             applyLostRecords(vm, records);
+                         })
     , m_timer(loop)
 {
 }
@@ -96,9 +110,11 @@
         .onSnapshot =
             [this, cacheRecord,
              deliver = std::move(events.onSnapshot)](const std::vector<platform::KeyedRecord> &records) {
-                m_cache = {}; // The topic may have been recreated.
+                // The topic may have been recreated; what is in force stays.
+                m_cache = {.newest = {}, .end = {}, .inForce = std::move(m_cache.inForce)};
                 std::for_each(records.begin(), records.end(), cacheRecord);
                 deliver(records);
+                m_lostRecordsQuery.start(m_feed.position());
             },
         .onRecord =
             [cacheRecord, deliver = std::move(events.onRecord)](const platform::KeyedRecord &record) {
@@ -135,6 +151,26 @@
 void OperatorsFollower::setEntryVms(std::vector<std::string> vms)
 {
     m_entryVms = std::move(vms);
+    m_lostRecordsQuery.setVms(m_entryVms);
+}
+
+void OperatorsFollower::recordInForce(const platform::KeyedRecord &record)
+{
+    if (m_options.isEntryVm) {
+        m_cache.inForce.insert_or_assign(record.key, record);
+    }
+}
+
+bool OperatorsFollower::isCaughtUp() const
+{
+    return m_lostRecordsQuery.completed();
+}
+
+void OperatorsFollower::applyLostRecords(const std::string &vm, const std::vector<platform::KeyedRecord> &records)
+{
+    m_recordSource = vm;
+    m_onSnapshot(records);
+    m_recordSource.clear();
 }
 
 void OperatorsFollower::setPassive(bool passive)
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -175,12 +175,16 @@
         recordAnnouncementPosition(m_operatorsWatermark, record.position);
     }
     const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
-    applyRecord(operators, record,
-                {.live = live,
-                 .now = steadyMillis(),
-                 .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
-                 .source = m_operatorsFollower->recordSource(),
-                 .versionTime = settings.bounds.versionGracePeriod});
+    const bool inForce =
+        applyRecord(operators, record,
+                    {.live = live,
+                     .now = steadyMillis(),
+                     .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
+                     .source = m_operatorsFollower->recordSource(),
+                     .versionTime = settings.bounds.versionGracePeriod});
+    if (inForce) {
+        m_operatorsFollower->recordInForce(record);
+    }
 }
 
 void Front::recordRecovery(Millis at)
@@ -317,7 +321,7 @@
 
 bool Front::isReady() const
 {
-    return operators.state != nullptr && !draining;
+    return operators.state != nullptr && m_operatorsFollower->isCaughtUp() && !draining;
 }
 
 void Front::serveReadiness(const std::shared_ptr<net::Connection> &connection)
--- a/libs/peer/include/ibislock/peer/records.h
+++ b/libs/peer/include/ibislock/peer/records.h
@@ -26,7 +26,9 @@
     /// requests.
     std::uint32_t sequence = 0;
     TopicPosition from; ///< The position up to which the requesting VM knows the topic.
-    TopicPosition awaitedEnd; ///< The request may be held until the responding VM knows the topic up to here.
+    /// The request may be held until the responding VM knows the topic up to here. If unknown, records are requested
+    /// that are in force at the responding VM and that the topic lacks.
+    TopicPosition awaitedEnd;
     Millis wait{0}; ///< How long the request may be held.
 };
 
@@ -43,7 +45,8 @@
 {
     std::uint32_t sequence = 0;
     TopicPosition end; ///< The position up to which the sender knows the topic.
-    /// The newest of each key, if it is at or after the requested position; all of the era of `end`.
+    /// The newest of each key, if it is at or after the requested position; all of the era of `end`. The positions of
+    /// records that the topic lacks mean nothing.
     std::vector<TopicRecord> records;
 };
 
