Failing test: the only entry VM of a domain goes by the copy's state behind a restore

What callers see: as in, where an entry VM has no other one in its domain (the Authority has such a domain): it starts behind the return of the store and handles requests by the copy's state until the operators write again.

--- a/lab/test/dissemination_test.cpp
+++ b/lab/test/dissemination_test.cpp
@@ -263,10 +263,12 @@
     m_store.restore(copy);
     m_loop.run_for(StateTime);
     addEntry(m_store);
+    m_loop.run_for(StateTime);
     EXPECT_TRUE(allGoBy(3, StateTime));
     // Those that have read it themselves are replaced one after the other.
     for (const std::size_t n : {0U, 1U}) {
         restartEntry(n, m_store);
+        m_loop.run_for(StateTime);
         EXPECT_TRUE(allGoBy(3, StateTime));
     }
     append("config", stateOf(3)); // The operators write their newest state again.
@@ -275,6 +277,32 @@
     EXPECT_TRUE(allGoBy(4, StateTime));
 }
 
+// Only entry VMs handed out the state that a restored topic lacks, and a domain may have a single one.
+TEST_F(DisseminationTest, TheOnlyEntryVmOfADomainThatStartsBehindARestoreGoesByTheNewerStateOfTargetVms)
+{
+    m_store.era = 1;
+    append("config", stateOf(1));
+    addTarget("127.0.3.1", m_store);
+    addTarget("127.0.3.2", m_store);
+    addTarget("127.0.3.3", m_store);
+    addEntry(m_store);
+    ASSERT_TRUE(allGoBy(1, Millis{5000}));
+    m_loop.run_for(RelayTime);
+    const std::size_t copy = m_store.size();
+    append("config", stateOf(2));
+    append("config", stateOf(3));
+    ASSERT_TRUE(allGoBy(3, StateTime));
+    m_store.restore(copy);
+    m_loop.run_for(StateTime);
+    restartEntry(0, m_store);
+    m_loop.run_for(StateTime);
+    EXPECT_TRUE(allGoBy(3, StateTime));
+    append("config", stateOf(3)); // The operators write their newest state again.
+    m_loop.run_for(StateTime);
+    append("config", stateOf(4));
+    EXPECT_TRUE(allGoBy(4, StateTime));
+}
+
 } // namespace
 
 } // namespace ibislock
