Operators' topic: a VM that starts behind a restore gets what the topic lacks from its relay, too

What callers saw: as the failing test before says, the only entry VM of a domain goes by the copy's state until the operators write again.

Cause: only entry VMs handed out the records in force. Target VMs have them, but serve listings alone.

Target VMs keep the records in force, too. The request for listings of a VM that has just started says so, is answered at once, and the response holds the records that the topic lacks. It comes before the addresses of the entry VMs, which are asked next, so an entry VM counts as ready behind both. A relay of an earlier release ignores the field; so does a VM of an earlier release that gets none. The target VMs keep the operators' records a second time in memory, as entry VMs do.

Evidence: DisseminationTest.TheOnlyEntryVmOfADomainThatStartsBehindARestoreGoesByTheNewerStateOfTargetVms failed before, and passes.

--- a/libs/feed/include/ibislock/feed/lost_records_query.h
+++ b/libs/feed/include/ibislock/feed/lost_records_query.h
@@ -11,7 +11,6 @@
 #include "ibislock/feed/peer_client.h"
 #include "ibislock/net/timer.h"
 #include "ibislock/peer/records.h"
-#include "ibislock/platform/store_api.h"
 
 #include <optional>
 #include <set>
@@ -35,18 +34,22 @@
 class LostRecordsQuery
 {
 public:
-    /// @param deliver is called with the records that a VM has sent; their positions are unknown.
+    /// @param deliver is called with the records that a VM has sent; their positions mean nothing.
     LostRecordsQuery(asio::io_context &loop, LostRecordsQueryOptions options,
-                     std::function<void(const std::string &vm, std::vector<platform::KeyedRecord> records)> deliver);
+                     std::function<void(const std::string &vm, const std::vector<peer::TopicRecord> &records)> deliver);
 
     /// Starts to ask, unless the store has never reported an era, and so was never restored. Only the first call has
     /// an effect.
     /// @param position the end of the first snapshot.
     void start(const TopicPosition &position);
 
-    /// Sets the VMs that may be asked. Those that are reported only after `maxWait` are asked, too.
+    /// Sets the VMs that may be asked, as reported by the relay, whose own records have been delivered. Those that are
+    /// reported only after `maxWait` are asked, too.
     void setVms(const std::vector<std::string> &vms);
 
+    /// Returns whether the relay of the listings is to be asked, too: it may be the only VM that has the records.
+    bool wantsRelay() const;
+
     /// Returns whether the VMs that are known have been asked, or `maxWait` has passed since the start.
     bool completed() const;
 
@@ -57,7 +60,7 @@
     void finishRequest();
 
     LostRecordsQueryOptions m_options;
-    std::function<void(const std::string &, std::vector<platform::KeyedRecord>)> m_deliver;
+    std::function<void(const std::string &, const std::vector<peer::TopicRecord> &)> m_deliver;
     PeerClient m_client;
     net::Timer m_responseTimer;
     net::Timer m_waitTimer;
--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -47,9 +47,18 @@
     /// @param vms the addresses of the entry VMs.
     void setEntryVms(std::vector<std::string> vms);
 
-    /// Records that a record took effect here. Entry VMs hand it out to VMs that start while the topic lacks it.
+    /// Records that a record took effect here. It is handed out to VMs that start while the topic lacks it.
     void recordInForce(const platform::KeyedRecord &record);
 
+    /// Returns the records in force here that the topic lacks.
+    std::vector<peer::TopicRecord> lostRecords() const;
+
+    /// Returns whether such records of a relay are needed; its entry VMs are expected in `setEntryVms` next.
+    bool wantsLostRecords() const;
+
+    /// Applies such records of another VM.
+    void applyLostRecords(const std::string &vm, const std::vector<peer::TopicRecord> &records);
+
     /// Returns whether what has been read is complete: after a start, a topic that was restored from an older copy may
     /// lack records by which other VMs go, and these are asked first. It is complete, too, if no VM responds in time.
     bool isCaughtUp() const;
@@ -78,7 +87,6 @@
 
 private:
     FeedEvents withCache(FeedEvents events);
-    void applyLostRecords(const std::string &vm, const std::vector<platform::KeyedRecord> &records);
     std::vector<std::string> sources() const;
     void requestNext();
     void awaitResponse(Millis time);
@@ -89,7 +97,7 @@
 
     OperatorsFollowerOptions m_options;
     std::function<void(std::vector<platform::KeyedRecord>)> m_onSnapshot; ///< As passed to the constructor.
-    RecordsCache m_cache; ///< Filled on entry VMs only; other VMs serve no requests.
+    RecordsCache m_cache;
     bool m_storeUnreachable = false; ///< A call to the store failed and none has succeeded since.
     bool m_passive = false;
     TopicFeed m_feed;
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -24,7 +24,7 @@
                                    ListingsFollowerOptions options, ListingsFollowerEvents events)
     : m_options(std::move(options))
     , m_events(std::move(events))
-    , m_relayServer(loop, m_cache, m_events.ownWatermark)
+    , m_relayServer(loop, m_cache, m_events.ownWatermark, m_events.lostRecords)
     , m_feed(loop, client, store,
              {.topic = std::string(platform::TargetsTopic),
               .longPollTime = fractionOfDrainTime(StoreLongPollFraction),
@@ -286,11 +286,13 @@
     m_requestedAt = bootMillis();
     const Millis wait = relayHoldTime(age(), m_options.drainTime);
     m_currentRelay = vms[m_relayIndex];
-    m_relayClient.send(m_currentRelay,
-                       encode(peer::ListingsRequest{.sequence = ++m_sequence,
-                                                    .from = m_cache.end,
-                                                    .wait = wait,
-                                                    .entryVm = m_options.isEntryVm ? m_options.ip : ""}));
+    m_relayClient.send(
+        m_currentRelay,
+        encode(peer::ListingsRequest{.sequence = ++m_sequence,
+                                     .from = m_cache.end,
+                                     .wait = wait,
+                                     .entryVm = m_options.isEntryVm ? m_options.ip : "",
+                                     .wantsLostRecords = m_events.wantsLostRecords && m_events.wantsLostRecords()}));
     m_timer.start(wait + fractionOfDrainTime(ResponseMarginFraction), [this] { failOver("no answer"); });
 }
 
@@ -328,6 +330,9 @@
         logInfo(LogComponent::Store, "Reading listings from a relay.",
                 {{"relay", m_currentRelay}, {"age_ms", std::to_string((bootMillis() - asOf).count())}});
     }
+    if (m_events.onLostRecords && !update.lostRecords.empty()) {
+        m_events.onLostRecords(m_currentRelay, update.lostRecords);
+    }
     m_events.onEntryVms(update.entryVms);
     m_events.onOperatorsWatermark({.end = update.operatorsWatermark.end,
                                    .announcementsEnd = update.operatorsWatermark.announcementsEnd,
--- a/libs/feed/src/listings_relay.cpp
+++ b/libs/feed/src/listings_relay.cpp
@@ -15,9 +15,11 @@
 } // namespace
 
 ListingsRelay::ListingsRelay(asio::io_context &loop, const ListingsCache &cache,
-                             std::function<peer::TopicWatermark()> watermark)
+                             std::function<peer::TopicWatermark()> watermark,
+                             std::function<std::vector<peer::TopicRecord>()> lostRecords)
     : m_cache(cache)
     , m_ownWatermark(std::move(watermark))
+    , m_lostRecords(std::move(lostRecords))
     , m_server(loop,
                {.decode = [this](std::string_view body) { return decodeRequest(body); },
                 .isReady = [this](const peer::ListingsRequest &request) { return isReady(request); },
@@ -68,7 +70,7 @@
     if (!m_cache.coveredFrom.isKnown() || m_cache.end < request.from) {
         return false;
     }
-    return !covers(m_cache, request.from) || !changesFrom(m_cache, request.from).empty();
+    return request.wantsLostRecords || !covers(m_cache, request.from) || !changesFrom(m_cache, request.from).empty();
 }
 
 std::vector<std::string> ListingsRelay::recentEntryVms(Millis now) const
@@ -94,7 +96,11 @@
                              .sinceStoreRecovery = {},
                              .listings = {},
                              .operatorsWatermark = m_ownWatermark(),
-                             .entryVms = recentEntryVms(now)};
+                             .entryVms = recentEntryVms(now),
+                             .lostRecords = {}};
+    if (request.wantsLostRecords && m_lostRecords) {
+        out.lostRecords = m_lostRecords();
+    }
     if (m_storeRecoveredAt) {
         out.sinceStoreRecovery = now - *m_storeRecoveredAt;
     }
--- a/libs/feed/src/lost_records_query.cpp
+++ b/libs/feed/src/lost_records_query.cpp
@@ -10,7 +10,7 @@
 
 LostRecordsQuery::LostRecordsQuery(
     asio::io_context &loop, LostRecordsQueryOptions options,
-    std::function<void(const std::string &vm, std::vector<platform::KeyedRecord> records)> deliver)
+    std::function<void(const std::string &vm, const std::vector<peer::TopicRecord> &records)> deliver)
     : m_options(std::move(options))
     , m_deliver(std::move(deliver))
     , m_client(loop, m_options.port,
@@ -51,6 +51,11 @@
     askNext();
 }
 
+bool LostRecordsQuery::wantsRelay() const
+{
+    return !m_vmsKnown && !(m_position && m_position->era == 0);
+}
+
 bool LostRecordsQuery::completed() const
 {
     return m_position && (m_position->era == 0 || m_waitOver || (m_vmsKnown && !m_asking));
@@ -93,14 +98,8 @@
         return;
     }
     ++m_responses;
-    std::vector<platform::KeyedRecord> records;
-    for (const peer::TopicRecord &record : update->records) {
-        records.push_back({.key = record.key, .value = record.value, .position = {}});
-    }
-    if (!records.empty()) {
-        logInfo(LogComponent::Store, "Another VM has records in force that the store lacks.",
-                {{"vm", m_client.vm()}, {"records", std::to_string(records.size())}, {"offset", toText(*m_position)}});
-        m_deliver(m_client.vm(), std::move(records));
+    if (!update->records.empty()) {
+        m_deliver(m_client.vm(), update->records);
     }
     finishRequest();
 }
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -64,9 +64,11 @@
            .makeResponse =
                [this](const peer::RecordsRequest &request, Millis) {
                    peer::RecordsUpdate out{.sequence = request.sequence, .end = m_cache.end, .records = {}};
-                   const bool wantsLost = !request.awaitedEnd.isKnown();
-                   for (const platform::KeyedRecord &record :
-                        wantsLost ? lostRecords(m_cache) : recordsFrom(m_cache, request.from)) {
+                   if (!request.awaitedEnd.isKnown()) {
+                       out.records = lostRecords();
+                       return encode(out);
+                   }
+                   for (const platform::KeyedRecord &record : recordsFrom(m_cache, request.from)) {
                        out.records.push_back(toMessage(record));
                    }
                    return encode(out);
@@ -85,7 +87,7 @@
                           .port = m_options.port,
                           .responseTime = fractionOfStateTime(ResponseMarginFraction),
                           .maxWait = fractionOfStateTime(CatchUpFraction)},
-                         [this](const std::string &vm, const std::vector<platform::KeyedRecord> &records) {
+                         [this](const std::string &vm, const std::vector<peer::TopicRecord> &records) {
                              applyLostRecords(vm, records);
                          })
     , m_timer(loop)
@@ -96,15 +98,11 @@
 {
     // Records are served only after all records of a response have been delivered.
     const auto publishEnd = [this] {
-        if (m_options.isEntryVm) {
-            m_cache.end = m_feed.position();
-            m_server.completePending();
-        }
+        m_cache.end = m_feed.position();
+        m_server.completePending();
     };
     const auto cacheRecord = [this](const platform::KeyedRecord &record) {
-        if (m_options.isEntryVm) {
-            applyTopicRecord(m_cache, record);
-        }
+        applyTopicRecord(m_cache, record);
     };
     return {
         .onSnapshot =
@@ -156,9 +154,7 @@
 
 void OperatorsFollower::recordInForce(const platform::KeyedRecord &record)
 {
-    if (m_options.isEntryVm) {
-        m_cache.inForce.insert_or_assign(record.key, record);
-    }
+    m_cache.inForce.insert_or_assign(record.key, record);
 }
 
 bool OperatorsFollower::isCaughtUp() const
@@ -166,10 +162,30 @@
     return m_lostRecordsQuery.completed();
 }
 
-void OperatorsFollower::applyLostRecords(const std::string &vm, const std::vector<platform::KeyedRecord> &records)
+std::vector<peer::TopicRecord> OperatorsFollower::lostRecords() const
 {
+    std::vector<peer::TopicRecord> out;
+    for (const platform::KeyedRecord &record : feed::lostRecords(m_cache)) {
+        out.push_back(toMessage(record));
+    }
+    return out;
+}
+
+bool OperatorsFollower::wantsLostRecords() const
+{
+    return m_lostRecordsQuery.wantsRelay();
+}
+
+void OperatorsFollower::applyLostRecords(const std::string &vm, const std::vector<peer::TopicRecord> &records)
+{
+    logInfo(LogComponent::Store, "Another VM has records in force that the store lacks.",
+            {{"vm", vm}, {"records", std::to_string(records.size())}, {"offset", toText(m_feed.position())}});
+    std::vector<platform::KeyedRecord> out;
+    for (const peer::TopicRecord &record : records) {
+        out.push_back({.key = record.key, .value = record.value, .position = {}});
+    }
     m_recordSource = vm;
-    m_onSnapshot(records);
+    m_onSnapshot(std::move(out));
     m_recordSource.clear();
 }
 
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -151,6 +151,12 @@
             .hasDaemon = [this](const serving::TargetEntry &entry) { return isEngine(entry); },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_operatorsWatermark, bootMillis()); },
+            .lostRecords = [this] { return m_operatorsFollower->lostRecords(); },
+            .wantsLostRecords = [this] { return m_operatorsFollower->wantsLostRecords(); },
+            .onLostRecords =
+                [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
+                    m_operatorsFollower->applyLostRecords(relay, records);
+                },
             .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
         });
     ok = opened("the listener for record requests", m_operatorsFollower->start());
--- a/libs/peer/include/ibislock/peer/listings.h
+++ b/libs/peer/include/ibislock/peer/listings.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "ibislock/peer/frames.h"
+#include "ibislock/peer/records.h"
 #include "ibislock/peer/topic_watermark.h"
 #include "ibislock/serving/target_table.h"
 
@@ -25,6 +26,7 @@
     TopicPosition from; ///< The position up to which the requesting VM knows the topic.
     Millis wait{0}; ///< How long the request may be held until the next change.
     std::string entryVm; ///< The address of the requesting VM if it is an entry VM of the domain; else empty.
+    bool wantsLostRecords = false; ///< The requesting VM has just started, and is answered at once.
 };
 
 /// A listing and the position of its last change.
@@ -48,6 +50,8 @@
     std::vector<ListingChange> listings;
     TopicWatermark operatorsWatermark; ///< The sender's watermark of the operators' topic; its records aren't sent.
     std::vector<std::string> entryVms; ///< The addresses of entry VMs that recently sent requests to the sender.
+    /// Records that are in force at the sender and that the operators' topic lacks; their positions mean nothing.
+    std::vector<TopicRecord> lostRecords;
 };
 
 using ListingsMessage = std::variant<ListingsRequest, ListingsUpdate>;
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -125,6 +125,7 @@
   waitMs @2 :UInt32;  # How long the answer may wait for the next change.
   entryVm @3 :Text;  # The address of the asker if it is an entry VM of the domain; else empty.
   era @4 :Int64;  # Of the offset.
+  wantsLostRecords @5 :Bool;  # The asker has just started.
 }
 
 struct ListingsUpdate {
@@ -142,6 +143,7 @@
   era @11 :Int64;  # Of the end and of all listings.
   operatorsEra @12 :Int64;
   namingsEra @13 :Int64;
+  lostRecords @14 :List(Record);  # In force at the sender, and missing from the operators' topic.
 }
 
 struct Listing {
--- a/libs/peer/src/codec.h
+++ b/libs/peer/src/codec.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "ibislock/base/clock.h"
+#include "ibislock/peer/records.h"
+#include "peer.capnp.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -22,4 +24,11 @@
 /// Copies bytes to words, as the codec needs its input aligned.
 kj::Array<capnp::word> aligned(std::string_view bytes);
 
+/// Reads a record.
+/// @param era the era of its position.
+TopicRecord readRecord(wire::Record::Reader from, std::int64_t era);
+
+/// Writes records.
+void writeRecords(capnp::List<wire::Record>::Builder to, const std::vector<TopicRecord> &records);
+
 } // namespace ibislock::peer
--- a/libs/peer/src/listings.cpp
+++ b/libs/peer/src/listings.cpp
@@ -69,7 +69,8 @@
                        .sinceStoreRecovery = {},
                        .listings = {},
                        .operatorsWatermark = readWatermark(from),
-                       .entryVms = {}};
+                       .entryVms = {},
+                       .lostRecords = {}};
     if (from.getStoreBackMs() != NoOutage) {
         out.sinceStoreRecovery = Millis{from.getStoreBackMs()};
     }
@@ -79,6 +80,9 @@
     for (const auto vm : from.getEntryVms()) {
         out.entryVms.emplace_back(vm.cStr());
     }
+    for (const auto record : from.getLostRecords()) {
+        out.lostRecords.push_back(readRecord(record, from.getOperatorsEra()));
+    }
     return out;
 }
 
@@ -93,6 +97,7 @@
     request.setEra(message.from.era);
     request.setWaitMs(wireMillis(message.wait));
     request.setEntryVm(message.entryVm);
+    request.setWantsLostRecords(message.wantsLostRecords);
     return frame(flatten(builder));
 }
 
@@ -116,6 +121,7 @@
     for (unsigned n = 0; n < entryVms.size(); ++n) {
         entryVms.set(n, message.entryVms[n]);
     }
+    writeRecords(update.initLostRecords(static_cast<unsigned>(message.lostRecords.size())), message.lostRecords);
     return frame(flatten(builder));
 }
 
@@ -130,7 +136,8 @@
             return ListingsRequest{.sequence = request.getSequence(),
                                    .from = {.era = request.getEra(), .offset = request.getFrom()},
                                    .wait = Millis{request.getWaitMs()},
-                                   .entryVm = request.getEntryVm().cStr()};
+                                   .entryVm = request.getEntryVm().cStr(),
+                                   .wantsLostRecords = request.getWantsLostRecords()};
         }
         if (!message.isUpdate()) {
             return failure(ErrorCode::Corrupt, "listings message of unknown type");
--- a/libs/peer/src/records.cpp
+++ b/libs/peer/src/records.cpp
@@ -6,10 +6,7 @@
 namespace ibislock::peer
 {
 
-namespace
-{
-
-TopicRecord read(wire::Record::Reader from, std::int64_t era)
+TopicRecord readRecord(wire::Record::Reader from, std::int64_t era)
 {
     TopicRecord out{.key = from.getKey().cStr(), .value = {}, .position = {.era = era, .offset = from.getOffset()}};
     if (!from.getDropped()) {
@@ -19,12 +16,28 @@
     return out;
 }
 
+void writeRecords(capnp::List<wire::Record>::Builder to, const std::vector<TopicRecord> &records)
+{
+    for (unsigned n = 0; n < to.size(); ++n) {
+        const TopicRecord &record = records[n];
+        to[n].setKey(record.key);
+        to[n].setOffset(record.position.offset);
+        to[n].setDropped(!record.value);
+        if (record.value) {
+            to[n].setValue(kj::StringPtr(record.value->c_str(), record.value->size()).asBytes());
+        }
+    }
+}
+
+namespace
+{
+
 RecordsUpdate read(wire::RecordsUpdate::Reader from)
 {
     RecordsUpdate out{
         .sequence = from.getSequence(), .end = {.era = from.getEra(), .offset = from.getEnd()}, .records = {}};
     for (const auto record : from.getRecords()) {
-        out.records.push_back(read(record, from.getEra()));
+        out.records.push_back(readRecord(record, from.getEra()));
     }
     return out;
 }
@@ -51,16 +64,7 @@
     update.setSequence(message.sequence);
     update.setEnd(message.end.offset);
     update.setEra(message.end.era);
-    auto records = update.initRecords(static_cast<unsigned>(message.records.size()));
-    for (unsigned n = 0; n < records.size(); ++n) {
-        const TopicRecord &record = message.records[n];
-        records[n].setKey(record.key);
-        records[n].setOffset(record.position.offset);
-        records[n].setDropped(!record.value);
-        if (record.value) {
-            records[n].setValue(kj::StringPtr(record.value->c_str(), record.value->size()).asBytes());
-        }
-    }
+    writeRecords(update.initRecords(static_cast<unsigned>(message.records.size())), message.records);
     return frame(flatten(builder));
 }
 
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -233,7 +233,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,7 +248,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 10, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 10, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1598,6 +1598,8 @@
 
   inline  ::int64_t getEra() const;
 
+  inline bool getWantsLostRecords() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1645,6 +1647,9 @@
   inline  ::int64_t getEra();
   inline void setEra( ::int64_t value);
 
+  inline bool getWantsLostRecords();
+  inline void setWantsLostRecords(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1718,6 +1723,9 @@
 
   inline  ::int64_t getNamingsEra() const;
 
+  inline bool hasLostRecords() const;
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader getLostRecords() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1797,6 +1805,13 @@
   inline  ::int64_t getNamingsEra();
   inline void setNamingsEra( ::int64_t value);
 
+  inline bool hasLostRecords();
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder getLostRecords();
+  inline void setLostRecords( ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder initLostRecords(unsigned int size);
+  inline void adoptLostRecords(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>> disownLostRecords();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4026,6 +4041,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ListingsAsk::Reader::getWantsLostRecords() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool ListingsAsk::Builder::getWantsLostRecords() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void ListingsAsk::Builder::setWantsLostRecords(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ListingsUpdate::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4266,6 +4295,40 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ListingsUpdate::Reader::hasLostRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ListingsUpdate::Builder::hasLostRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader ListingsUpdate::Reader::getLostRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder ListingsUpdate::Builder::getLostRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ListingsUpdate::Builder::setLostRecords( ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder ListingsUpdate::Builder::initLostRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ListingsUpdate::Builder::adoptLostRecords(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>> ListingsUpdate::Builder::disownLostRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Listing::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -245,6 +245,23 @@
     EXPECT_EQ(std::get<ListingsUpdate>(*update).entryVms, (std::vector<std::string>{"10.0.0.1", "10.0.0.2"}));
 }
 
+TEST(MessagesTest, LostRecordsAreDecodedWithListings)
+{
+    const auto request = decodeListings(frameBody(encode(ListingsRequest{.wantsLostRecords = true})));
+    ASSERT_TRUE(request);
+    EXPECT_TRUE(std::get<ListingsRequest>(*request).wantsLostRecords);
+    const std::string binary("a\0b", 3);
+    const auto update = decodeListings(
+        frameBody(encode(ListingsUpdate{.lostRecords = {{.key = "config", .value = binary}, {.key = "dropped"}}})));
+    ASSERT_TRUE(update);
+    const auto &records = std::get<ListingsUpdate>(*update).lostRecords;
+    ASSERT_EQ(records.size(), 2U);
+    EXPECT_EQ(records[0].key, "config");
+    EXPECT_EQ(records[0].value, binary);
+    EXPECT_EQ(records[1].key, "dropped");
+    EXPECT_FALSE(records[1].value);
+}
+
 RC_GTEST_PROP(MessagesTest, AnyBodyIsARecordsMessageOrCorrupt, (const std::string &bytes))
 {
     const auto read = decodeRecords(bytes);
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -143,6 +143,12 @@
                 },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_watermark, bootMillis()); },
+            .lostRecords = [this] { return m_operatorsFollower->lostRecords(); },
+            .wantsLostRecords = [this] { return m_operatorsFollower->wantsLostRecords(); },
+            .onLostRecords =
+                [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
+                    m_operatorsFollower->applyLostRecords(relay, records);
+                },
             .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
         });
     if (const asio::error_code failed = m_listingsFollower->start()) {
@@ -170,12 +176,16 @@
         recordAnnouncementPosition(m_watermark, record.position);
     }
     const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
-    applyRecord(m_operators, record,
-                {.live = live,
-                 .now = steadyMillis(),
-                 .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
-                 .source = m_operatorsFollower->recordSource(),
-                 .versionTime = m_settings.bounds.versionGracePeriod});
+    const bool inForce =
+        applyRecord(m_operators, record,
+                    {.live = live,
+                     .now = steadyMillis(),
+                     .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
+                     .source = m_operatorsFollower->recordSource(),
+                     .versionTime = m_settings.bounds.versionGracePeriod});
+    if (inForce) {
+        m_operatorsFollower->recordInForce(record);
+    }
 }
 
 void Side::updateDesiredWeights()
