Operators' topic: a VM that doesn't know of a restore yet hands out all records in force

What callers saw: an entry VM that started right behind the return of the store went by the copy's state until the operators wrote again, although its relay had the newer one.

Cause: what the topic lacks was taken from the records that the responding VM had read last. One that hasn't read the restored topic yet knows the lost record as the newest of its key, and handed out nothing.

The requests tell the era in which the requesting VM has read the store. If it is later than the one that the responding VM knows, the topic may lack any record, and all that are in force are handed out.

--- a/lab/test/dissemination_test.cpp
+++ b/lab/test/dissemination_test.cpp
@@ -303,6 +303,27 @@
     EXPECT_TRUE(allGoBy(4, StateTime));
 }
 
+// VMs that had not read the restored topic yet took their newest state for one that it holds, and handed out nothing.
+TEST_F(DisseminationTest, AnEntryVmThatKnowsOfARestoreBeforeOthersGoesByTheirNewerState)
+{
+    m_store.era = 1;
+    append("config", stateOf(1));
+    addTarget("127.0.3.1", m_store);
+    addTarget("127.0.3.2", m_store);
+    addEntry(m_store);
+    addEntry(m_store);
+    ASSERT_TRUE(allGoBy(1, Millis{5000}));
+    m_loop.run_for(RelayTime);
+    const std::size_t copy = m_store.size();
+    append("config", stateOf(2));
+    append("config", stateOf(3));
+    ASSERT_TRUE(allGoBy(3, StateTime));
+    m_store.restore(copy);
+    restartEntry(0, m_store);
+    m_loop.run_for(StateTime);
+    EXPECT_TRUE(allGoBy(3, StateTime));
+}
+
 } // namespace
 
 } // namespace ibislock
--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -55,8 +55,9 @@
     std::function<void(const OperatorsWatermark &)> onOperatorsWatermark;
     /// Returns this VM's watermark of the operators' topic, which it sends in its responses to requesting VMs.
     std::function<peer::TopicWatermark()> ownWatermark;
-    /// Returns the records of the operators' topic that are in force here and that the topic lacks. May be empty.
-    std::function<std::vector<peer::TopicRecord>()> lostRecords = {};
+    /// Returns the records of the operators' topic that are in force here and that the topic lacks in an era, or may
+    /// lack. May be empty.
+    std::function<std::vector<peer::TopicRecord>(std::int64_t era)> lostRecords = {};
     /// Returns whether such records of a relay are needed, as this VM has just started. May be empty.
     std::function<bool()> wantsLostRecords = {};
     /// Called with such records of a relay.
--- a/libs/feed/include/ibislock/feed/listings_relay.h
+++ b/libs/feed/include/ibislock/feed/listings_relay.h
@@ -20,7 +20,7 @@
     /// @param watermark returns the watermark of the operators' topic; called for each response.
     /// @param lostRecords returns the records of the operators' topic for a VM that has just started; may be empty.
     ListingsRelay(asio::io_context &loop, const ListingsCache &cache, std::function<peer::TopicWatermark()> watermark,
-                  std::function<std::vector<peer::TopicRecord>()> lostRecords);
+                  std::function<std::vector<peer::TopicRecord>(std::int64_t era)> lostRecords);
 
     /// Starts to listen.
     /// @return an empty code, or why the address can't be listened on.
@@ -44,7 +44,7 @@
 
     const ListingsCache &m_cache;
     std::function<peer::TopicWatermark()> m_ownWatermark;
-    std::function<std::vector<peer::TopicRecord>()> m_lostRecords;
+    std::function<std::vector<peer::TopicRecord>(std::int64_t era)> m_lostRecords;
     LongPollServer<peer::ListingsRequest> m_server;
     std::map<std::string, Millis, std::less<>> m_entryVms; ///< The time of the last request, by address; boot clock.
     std::optional<Millis> m_storeRecoveredAt;
--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -50,8 +50,9 @@
     /// Records that a record took effect here. It is handed out to VMs that start while the topic lacks it.
     void recordInForce(const platform::KeyedRecord &record);
 
-    /// Returns the records in force here that the topic lacks.
-    std::vector<peer::TopicRecord> lostRecords() const;
+    /// Returns the records in force here that the topic lacks, or may lack.
+    /// @param era the era in which the requesting VM has read the store.
+    std::vector<peer::TopicRecord> lostRecords(std::int64_t era) const;
 
     /// Returns whether such records of a relay are needed; its entry VMs are expected in `setEntryVms` next.
     bool wantsLostRecords() const;
--- a/libs/feed/include/ibislock/feed/records_cache.h
+++ b/libs/feed/include/ibislock/feed/records_cache.h
@@ -30,7 +30,8 @@
 /// that of `cache.end` are left out: the topic no longer holds them.
 std::vector<platform::KeyedRecord> recordsFrom(const RecordsCache &cache, const TopicPosition &from);
 
-/// Returns the records in force that the newest records of the topic lack.
-std::vector<platform::KeyedRecord> lostRecords(const RecordsCache &cache);
+/// Returns the records in force that the topic lacks, or may lack.
+/// @param era the era of the topic. If it is later than that of the cache, the topic may lack any record.
+std::vector<platform::KeyedRecord> lostRecords(const RecordsCache &cache, std::int64_t era);
 
 } // namespace ibislock::feed
--- a/libs/feed/src/listings_relay.cpp
+++ b/libs/feed/src/listings_relay.cpp
@@ -16,7 +16,7 @@
 
 ListingsRelay::ListingsRelay(asio::io_context &loop, const ListingsCache &cache,
                              std::function<peer::TopicWatermark()> watermark,
-                             std::function<std::vector<peer::TopicRecord>()> lostRecords)
+                             std::function<std::vector<peer::TopicRecord>(std::int64_t era)> lostRecords)
     : m_cache(cache)
     , m_ownWatermark(std::move(watermark))
     , m_lostRecords(std::move(lostRecords))
@@ -99,7 +99,7 @@
                              .entryVms = recentEntryVms(now),
                              .lostRecords = {}};
     if (request.wantsLostRecords && m_lostRecords) {
-        out.lostRecords = m_lostRecords();
+        out.lostRecords = m_lostRecords(request.from.era);
     }
     if (m_storeRecoveredAt) {
         out.sinceStoreRecovery = now - *m_storeRecoveredAt;
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -65,7 +65,7 @@
                [this](const peer::RecordsRequest &request, Millis) {
                    peer::RecordsUpdate out{.sequence = request.sequence, .end = m_cache.end, .records = {}};
                    if (!request.awaitedEnd.isKnown()) {
-                       out.records = lostRecords();
+                       out.records = lostRecords(request.from.era);
                        return encode(out);
                    }
                    for (const platform::KeyedRecord &record : recordsFrom(m_cache, request.from)) {
@@ -162,10 +162,10 @@
     return m_lostRecordsQuery.completed();
 }
 
-std::vector<peer::TopicRecord> OperatorsFollower::lostRecords() const
+std::vector<peer::TopicRecord> OperatorsFollower::lostRecords(std::int64_t era) const
 {
     std::vector<peer::TopicRecord> out;
-    for (const platform::KeyedRecord &record : feed::lostRecords(m_cache)) {
+    for (const platform::KeyedRecord &record : feed::lostRecords(m_cache, era)) {
         out.push_back(toMessage(record));
     }
     return out;
--- a/libs/feed/src/records_cache.cpp
+++ b/libs/feed/src/records_cache.cpp
@@ -26,12 +26,12 @@
     return out;
 }
 
-std::vector<platform::KeyedRecord> lostRecords(const RecordsCache &cache)
+std::vector<platform::KeyedRecord> lostRecords(const RecordsCache &cache, std::int64_t era)
 {
     std::vector<platform::KeyedRecord> out;
     for (const auto &[key, record] : cache.inForce) {
         const auto it = cache.newest.find(key);
-        if (it == cache.newest.end() || it->second.value != record.value) {
+        if (cache.end.era < era || it == cache.newest.end() || it->second.value != record.value) {
             out.push_back(record);
         }
     }
--- a/libs/feed/test/lost_records_query_test.cpp
+++ b/libs/feed/test/lost_records_query_test.cpp
@@ -27,17 +27,19 @@
         applyTopicRecord(cache, recordOf(key, "new", {.era = 1, .offset = 7}));
         cache.inForce[key] = cache.newest[key];
     }
-    EXPECT_TRUE(lostRecords(cache).empty());
+    EXPECT_TRUE(lostRecords(cache, 1).empty());
+    EXPECT_EQ(lostRecords(cache, 2).size(), 3U) << "it is not known here what the restored topic holds";
     applyTopicRecord(cache, recordOf("config", "old", {.era = 2, .offset = 1}));
     applyTopicRecord(cache, recordOf("same", "new", {.era = 2, .offset = 2}));
     cache.newest.erase("dropped");
-    const auto lost = lostRecords(cache);
+    cache.end = {.era = 2, .offset = 3};
+    const auto lost = lostRecords(cache, 2);
     ASSERT_EQ(lost.size(), 2U);
     EXPECT_EQ(lost[0].key, "config");
     EXPECT_EQ(lost[0].value, "new");
     EXPECT_EQ(lost[1].key, "dropped");
     applyTopicRecord(cache, recordOf("config", "new", {.era = 2, .offset = 3}));
-    EXPECT_EQ(lostRecords(cache).size(), 1U) << "it was written again";
+    EXPECT_EQ(lostRecords(cache, 2).size(), 1U) << "it was written again";
 }
 
 /// VMs that answer on loopback addresses.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -151,7 +151,7 @@
             .hasDaemon = [this](const serving::TargetEntry &entry) { return isEngine(entry); },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_operatorsWatermark, bootMillis()); },
-            .lostRecords = [this] { return m_operatorsFollower->lostRecords(); },
+            .lostRecords = [this](std::int64_t era) { return m_operatorsFollower->lostRecords(era); },
             .wantsLostRecords = [this] { return m_operatorsFollower->wantsLostRecords(); },
             .onLostRecords =
                 [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -143,7 +143,7 @@
                 },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_watermark, bootMillis()); },
-            .lostRecords = [this] { return m_operatorsFollower->lostRecords(); },
+            .lostRecords = [this](std::int64_t era) { return m_operatorsFollower->lostRecords(era); },
             .wantsLostRecords = [this] { return m_operatorsFollower->wantsLostRecords(); },
             .onLostRecords =
                 [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
