--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -152,6 +152,12 @@
             .hasDaemon = [this](const serving::TargetEntry &entry) { return isEngine(entry); },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_operatorsWatermark, bootMillis()); },
+            .lostRecords = [this](std::int64_t era) { return m_operatorsFollower->lostRecords(era); },
+            .wantsLostRecords = [this] { return m_operatorsFollower->wantsLostRecords(); },
+            .onLostRecords =
+                [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
+                    m_operatorsFollower->applyLostRecords(relay, records);
+                },
             .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
         });
     ok = opened("the listener for record requests", m_operatorsFollower->start());
@@ -176,12 +182,16 @@
         recordAnnouncementPosition(m_operatorsWatermark, record.position);
     }
     const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
-    applyRecord(operators, record,
-                {.live = live,
-                 .now = steadyMillis(),
-                 .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
-                 .source = m_operatorsFollower->recordSource(),
-                 .versionTime = settings.bounds.versionGracePeriod});
+    const bool inForce =
+        applyRecord(operators, record,
+                    {.live = live,
+                     .now = steadyMillis(),
+                     .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
+                     .source = m_operatorsFollower->recordSource(),
+                     .versionTime = settings.bounds.versionGracePeriod});
+    if (inForce) {
+        m_operatorsFollower->recordInForce(record);
+    }
 }
 
 void Front::recordRecovery(Millis at)
@@ -332,7 +342,7 @@
 
 bool Front::isReady() const
 {
-    return operators.state != nullptr && !draining;
+    return operators.state != nullptr && m_operatorsFollower->isCaughtUp() && !draining;
 }
 
 void Front::serveReadiness(const std::shared_ptr<net::Connection> &connection)
