Front: log lines and a metric of the limits that targets name

Nothing told which entry VM knew of a target's limit since when. Decodes the limit (one decimal number; anything else is ignored with a log line), and logs when a target names, changes or ends it, with the target's incarnation, the number of entry VMs and the interval between this VM's turns. ibislock_limited_targets counts targets with a limit.

A response without a limit ends it only if its request was sent after the limit was learned, as it may be older otherwise.

--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -95,6 +95,9 @@
 
     /// Records the draining and backoff signals in a target's response.
     void applySignals(const platform::TargetResponse &said);
+
+    /// Records what a target's response says of its limit.
+    void applyLimit(const platform::TargetResponse &said);
     void onBody(const std::string &bytes);
     void onEnd(net::ExchangeResult result);
 
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -19,6 +19,19 @@
 /// Maximum size of one event of a stream; an event usually holds a few tokens.
 constexpr std::size_t LargestEvent = 256 * 1024;
 
+/// Returns the sentence with which a change of a target's limit is logged.
+std::string_view sentenceOf(serving::LimitChange change)
+{
+    switch (change) {
+    case serving::LimitChange::Named:
+        return "A target named a limit of requests.";
+    case serving::LimitChange::Changed:
+        return "A target changed its limit of requests.";
+    default:
+        return "A target's limit of requests ended.";
+    }
+}
+
 /// Returns what marks the end of a response's body.
 std::string_view framingOf(const http::ResponseHead &head)
 {
@@ -57,10 +70,50 @@
     }
 }
 
+void Call::applyLimit(const platform::TargetResponse &said)
+{
+    if (said.misdirected) {
+        return;
+    }
+    if (said.requestLimitInvalid) {
+        logInfo(LogComponent::Front, "Ignored an invalid limit of a target.",
+                {{"id", request.attemptId}, {"target", m_attempt.targetId}});
+        return;
+    }
+    const Millis now = steadyMillis();
+    // Only the target's own response to this request shows that it has no limit any more.
+    const bool own = said.attemptId == request.attemptId && (said.signedByTarget || said.notExecuted);
+    const auto it = front.table.targets.find(m_attempt.targetId);
+    const bool known = it != front.table.targets.end() && it->second.signals.limit;
+    if (!said.requestLimit && !(own && known)) {
+        return;
+    }
+    serving::TargetSignals *signals = signalsOf(front.table, m_attempt.targetId, m_attempt.targetStartedAt, now);
+    if (signals == nullptr) {
+        return;
+    }
+    const int entryVms = front.retries.entryVms;
+    const serving::LimitChange change =
+        recordLimit(*signals, {.perSecond = said.requestLimit, .sentAt = m_attempt.sentAt, .entryVms = entryVms},
+                    front.random, now);
+    if (change == serving::LimitChange::None) {
+        return;
+    }
+    logInfo(LogComponent::Front, sentenceOf(change),
+            {{"id", request.attemptId},
+             {"target", m_attempt.targetId},
+             {"incarnation", std::to_string(m_attempt.targetStartedAt)},
+             {"per_second", said.requestLimit ? std::to_string(*said.requestLimit) : "none"},
+             {"entry_vms", std::to_string(entryVms)},
+             {"from", "response"},
+             {"interval_ms", std::to_string(signals->limit ? signals->limit->interval.count() : 0)}});
+}
+
 net::HeadDecision Call::onHead(const http::ResponseHead &answer)
 {
     const platform::TargetResponse said = platform::decodeTargetResponse(answer);
     applySignals(said);
+    applyLimit(said);
     if (!said.attemptId.empty() && said.attemptId != request.attemptId) {
         logInfo(LogComponent::Front, "Skipped a response to another request.",
                 {{"id", request.attemptId}, {"target", m_attempt.targetId}, {"answers", said.attemptId}});
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -77,6 +77,9 @@
 {
     constexpr double Percent = 100;
     writeGauge(out, "ibislock_targets", "Targets that are known.", static_cast<std::int64_t>(table.targets.size()));
+    const auto limited = std::count_if(table.targets.begin(), table.targets.end(),
+                                       [](const auto &item) { return item.second.signals.limit; });
+    writeGauge(out, "ibislock_limited_targets", "Targets that name a limit of requests.", limited);
     writeMetricHeader(out, "ibislock_target_occupancy_percent", "gauge", "Requests for each slot, as believed.");
     for (const auto &[id, target] : table.targets) {
         const bool engine = target.load.has_value();
--- a/libs/serving/src/target_signals.cpp
+++ b/libs/serving/src/target_signals.cpp
@@ -15,6 +15,25 @@
     signals.backoffUntil = std::max(signals.backoffUntil, now + std::min(backoff, MaxBackoff));
 }
 
+LimitChange recordLimit(TargetSignals &signals, const LimitSignal &signal, Random &random, Millis now)
+{
+    if (!signal.perSecond) {
+        const bool ends = signals.limit && signal.sentAt >= signals.limit->learnedAt;
+        if (ends) {
+            signals.limit.reset();
+        }
+        return ends ? LimitChange::Ended : LimitChange::None;
+    }
+    const LimitTerms terms{.perSecond = *signal.perSecond, .entryVms = signal.entryVms};
+    if (!signals.limit) {
+        signals.limit = startLimit(terms, random, now);
+        return LimitChange::Named;
+    }
+    const bool changed = signals.limit->terms.perSecond != terms.perSecond;
+    changeLimit(*signals.limit, terms, random, now);
+    return changed ? LimitChange::Changed : LimitChange::None;
+}
+
 bool acceptsRequests(const TargetSignals &signals, Millis now)
 {
     return !signals.draining && now >= signals.backoffUntil;
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -18,7 +18,7 @@
 void eraseTarget(TargetTable &table, std::map<std::string, Target, std::less<>>::iterator it, Millis now)
 {
     const Target &target = it->second;
-    if (!acceptsRequests(target.signals, now) || target.inFlight > 0) {
+    if (!acceptsRequests(target.signals, now) || target.signals.limit || target.inFlight > 0) {
         table.retainedTargets[it->first] = {
             .signals = target.signals, .address = target.entry.address, .inFlight = target.inFlight, .since = now};
     }
