Front: the largest recent number of entry VMs counts, not that of the last report

Each entry VM took the number of entry VMs by which it shares the retry budget from whichever target VM reported last. A target VM that has just started knows few of them, so that for a moment each entry VM's share was several times too large. With targets that start one after the other, as when VMs are replaced, the share jumps with each report.

The largest number of the last 5 to 10 s counts now; target VMs hear of each entry VM every 3 s. An entry VM that left is counted for so long, which makes shares smaller.

FrontLimitsTest.ATargetVmThatHasJustStartedDoesNotRaiseTheShare fails if the last report counts (entry_vms=1 instead of 38).

--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -70,6 +70,7 @@
     retries.window = settings.bounds.retryWindow;
     // Until target VMs report how many entry VMs there are, the share of the retry budget is that of a large number.
     constexpr int AssumedEntryVms = 16;
+    m_entryVms = serving::assumedEntryVms(AssumedEntryVms, steadyMillis());
     retries.entryVms = AssumedEntryVms;
 }
 
@@ -461,6 +462,12 @@
     }
 }
 
+void Front::applyEntryVmCount(int reported)
+{
+    recordEntryVms(m_entryVms, reported, steadyMillis());
+    retries.entryVms = entryVms(m_entryVms);
+}
+
 void Front::applyLoad(const std::string &ip, const peer::LoadMessage &load)
 {
     auto &[incarnation, sequence] = m_loadSequence[ip];
@@ -469,7 +476,7 @@
     }
     incarnation = load.incarnation;
     sequence = load.sequence;
-    retries.entryVms = std::max(load.entryVmCount, 1);
+    applyEntryVmCount(load.entryVmCount);
     const auto sentAfter = recordStamps(m_sendTimeClock, m_loadSenders[ip], load.stamps, bootMillis());
     applyWatermark(feed::fromMessage(load.operatorsWatermark, sentAfter));
     const Millis now = steadyMillis();
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -14,6 +14,7 @@
 #include "ibislock/peer/messages.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/admission.h"
+#include "ibislock/serving/entry_vm_count.h"
 #include "ibislock/serving/quarantine_report.h"
 #include "ibislock/serving/retry_budget_share.h"
 
@@ -113,6 +114,9 @@
     void applyWatermark(const feed::OperatorsWatermark &level);
     void applyDatagram(const std::string &ip, std::string_view bytes);
     void applyLoad(const std::string &ip, const peer::LoadMessage &load);
+
+    /// Records the number of entry VMs that a target VM knows, for what they share.
+    void applyEntryVmCount(int reported);
     void applyQuarantine(const peer::QuarantineMessage &message);
 
     /// Quarantines requests and parts of prompts that crash targets, and reports what is known of them to other VMs.
@@ -139,6 +143,7 @@
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
         m_loadSequence; ///< Incarnation and sequence of the last load report, by IP address.
     feed::SendTimeClock m_sendTimeClock; ///< Its times are of the boot clock.
+    serving::EntryVmCount m_entryVms; ///< As target VMs report it.
     std::map<std::string, feed::SendTimePeer> m_loadSenders; ///< Target VMs that report loads, by IP address.
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_adminConnections;
--- a/libs/front/test/front_fixture.h
+++ b/libs/front/test/front_fixture.h
@@ -8,6 +8,7 @@
 #include "platform/store_stand_in.h"
 #include "platform/target_stand_in.h"
 
+#include <asio/ip/udp.hpp>
 #include <gtest/gtest.h>
 
 #include <thread>
@@ -59,6 +60,13 @@
     return out;
 }
 
+/// Returns a UDP port that is free on loopback.
+inline std::uint16_t freePort()
+{
+    asio::io_context loop;
+    return asio::ip::udp::socket(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}).local_endpoint().port();
+}
+
 /// The response that a caller received.
 struct CallerAnswer
 {
--- a/libs/front/test/front_limits_test.cpp
+++ b/libs/front/test/front_limits_test.cpp
@@ -1,5 +1,8 @@
 #include "front_fixture.h"
 
+#include "ibislock/peer/messages.h"
+#include "platform/log_capture.h"
+
 #include <algorithm>
 
 namespace ibislock::front
@@ -14,6 +17,21 @@
 class FrontLimitsTest : public FrontTest
 {
 protected:
+    FrontLimitsTest()
+        : FrontTest(freePort())
+    {
+    }
+
+    /// Reports a number of entry VMs, as the target VM on an address knows it.
+    void reportEntryVms(int number, const std::string &ip = "127.0.0.1")
+    {
+        const std::string message =
+            peer::encode(peer::LoadMessage{.incarnation = 1, .sequence = ++m_reports, .entryVmCount = number});
+        asio::ip::udp::socket socket(m_loop, {asio::ip::make_address_v4(ip), 0});
+        socket.send_to(asio::buffer(message), {asio::ip::make_address_v4("127.0.0.1"), m_peerPort});
+        runFor(Millis{20});
+    }
+
     /// Makes many calls one after the other, which takes less than 4 s.
     /// @return the statuses of the responses.
     std::vector<int> callOften(const std::string &path)
@@ -24,6 +42,8 @@
         }
         return out;
     }
+
+    std::uint64_t m_reports = 0;
 };
 
 TEST_F(FrontLimitsTest, ATargetThatNamesALimitGetsNoMoreThanThat)
@@ -37,6 +57,21 @@
     EXPECT_EQ(std::count(statuses.begin(), statuses.end(), 200), ManyCalls);
 }
 
+// A target VM that has just started knows few entry VMs; each would use too large a share of what all may do together.
+TEST_F(FrontLimitsTest, ATargetVmThatHasJustStartedDoesNotRaiseTheShare)
+{
+    lab::LogCapture log;
+    m_first.said.add("Server-Limit", "1");
+    list(m_first);
+    start();
+    reportEntryVms(38);
+    reportEntryVms(1, "127.0.0.3");
+    EXPECT_EQ(call(request("/often/x")).status, 200);
+    const std::vector<std::string> lines = log.take("A target named a limit of requests.");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_TRUE(lab::hasField(lines.front(), "entry_vms", "38")) << lines.front();
+}
+
 } // namespace
 
 } // namespace ibislock::front
--- a/libs/front/test/front_versions_test.cpp
+++ b/libs/front/test/front_versions_test.cpp
@@ -34,13 +34,6 @@
     R"("Service":"s","MaxAttempts":3,"ResumeStreams":true}],"Services":[{"Name":"s","HealthPath":"/health",)"
     R"("MaxConns":100,"Engine":{"Slots":16,"Models":[{"Name":"m","WarmupS":0.3}],"step_ms":9.27,"read_per_s":20700}}]})";
 
-/// Returns a UDP port that is free on loopback.
-std::uint16_t freePort()
-{
-    asio::io_context loop;
-    return asio::ip::udp::socket(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}).local_endpoint().port();
-}
-
 class FrontVersionsTest : public FrontTest
 {
 protected:
