Front: entry VMs together send a target no more than the limit it names

Nothing read the limit.

Each entry VM now sends to such a target in turns of its own (serving/request_limit.h), one request each, as far apart as there are entry VMs for the limit. Placement leaves a target without a turn out, and each send ends the turn, whether it is a first one, a retry or a resumed stream; placement and send are one step, so that no request that waited slips by. If only such targets are left, a request that can't have a turn in time is refused at once. Retry-After is then the time until some entry VM has a turn.

Why it holds for all entry VMs together: a turn allows one request, no VM has one when it learns of the limit, and first turns are spread over an interval. Up to some number of entry VMs the bound holds however they use their turns, also all at once; beyond it a turn that isn't used is lost after 500 ms.

--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -46,6 +46,9 @@
     writeCounter(out, "ibislock_repeated_sends_total", "Sends of a request beyond its first.", counters.retries);
     writeCounter(out, "ibislock_retries_without_budget_total", "Sends that the retry budget did not allow.",
                  counters.retriesWithoutBudget);
+    writeCounter(out, "ibislock_choices_without_turn_total",
+                 "Choices of a target in which the limit of one or more left this VM no turn.",
+                 counters.choicesWithoutTurn);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waitTime);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.",
                    counters.timeToFirstByte);
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -33,6 +33,7 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t retriesWithoutBudget = 0;
+    std::uint64_t choicesWithoutTurn = 0; ///< Choices of targets in which a limit left this VM no turn.
     Millis maxListingsAge{0}; ///< The greatest age of the listings by which a target was chosen.
     std::uint64_t attemptsAtUnlistedTargets = 0; ///< Attempts at targets whose listing was known to be removed.
     Millis maxUnlistedUse{0}; ///< The longest time after which a target was chosen whose listing had been removed.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -275,6 +275,7 @@
     }
     const Millis now = steadyMillis();
     const serving::Placement placement = findPlacement(*call, now);
+    counters.choicesWithoutTurn += placement.withoutTurn > 0 ? 1 : 0;
     switch (serving::admit(call->admissionRequest(now), placement)) {
     case serving::AdmissionDecision::Send:
         call->send(*placement.target);
@@ -286,7 +287,7 @@
         call->refuse(CallOutcome::Full);
         break;
     case serving::AdmissionDecision::RefuseBackingOff:
-        call->refuse(CallOutcome::TargetsBackingOff, placement.backoffUntil - now);
+        call->refuse(CallOutcome::TargetsBackingOff, placement.suggestedPause);
         break;
     case serving::AdmissionDecision::RefuseNoTarget:
         call->refuse(CallOutcome::NoTarget);
@@ -465,7 +466,11 @@
 void Front::applyEntryVmCount(int reported)
 {
     recordEntryVms(m_entryVms, reported, steadyMillis());
-    retries.entryVms = entryVms(m_entryVms);
+    const int number = entryVms(m_entryVms);
+    if (number != retries.entryVms) {
+        applyEntryVms(table, number, random, steadyMillis());
+    }
+    retries.entryVms = number;
 }
 
 void Front::applyLoad(const std::string &ip, const peer::LoadMessage &load)
--- a/libs/front/test/front_limits_test.cpp
+++ b/libs/front/test/front_limits_test.cpp
@@ -57,6 +57,63 @@
     EXPECT_EQ(std::count(statuses.begin(), statuses.end(), 200), ManyCalls);
 }
 
+TEST_F(FrontLimitsTest, WhenOnlyTargetsWithoutATurnAreLeftCallersAreRefusedAtOnce)
+{
+    m_first.said.add("Server-Limit", "1");
+    list(m_first);
+    start();
+    EXPECT_EQ(call(request("/once/x")).status, 200);
+    const CallerAnswer answer = call(request("/once/x"));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_GT(std::stod(std::string(answer.headers.find("Retry-After").value_or("0"))), 0.1);
+    const std::vector<int> statuses = callOften("/once/x");
+    EXPECT_LE(m_first.requests.size(), 11U);
+    EXPECT_LE(static_cast<std::size_t>(std::count(statuses.begin(), statuses.end(), 200)), m_first.requests.size());
+}
+
+// What is sent again counts as well.
+TEST_F(FrontLimitsTest, RetriesAndResumedStreamsKeepTheLimit)
+{
+    m_first.said.add("Server-Limit", "1");
+    m_first.behaviour = TargetBehaviour::StreamCutOff;
+    m_second.behaviour = TargetBehaviour::Fail;
+    list(m_first);
+    list(m_second);
+    start();
+    callOften("/events/x");
+    callOften("/often/x");
+    EXPECT_LE(m_first.requests.size(), 11U);
+}
+
+TEST_F(FrontLimitsTest, AnInvalidLimitIsIgnored)
+{
+    for (const char *limit : {"-1", "nan", "one", ""}) {
+        m_first.said = {};
+        m_first.said.add("Server-Limit", limit);
+        if (m_first.requests.empty()) {
+            list(m_first);
+            start();
+        }
+        EXPECT_EQ(call(request("/once/x")).status, 200) << limit;
+        EXPECT_EQ(call(request("/once/x")).status, 200) << limit;
+    }
+}
+
+TEST_F(FrontLimitsTest, AResponseWithoutALimitEndsIt)
+{
+    m_first.said.add("Server-Limit", "1000000");
+    list(m_first);
+    start();
+    EXPECT_EQ(call(request("/once/x")).status, 200);
+    m_first.said = {};
+    runFor(Millis{20}); // Until the next turn.
+    EXPECT_EQ(call(request("/once/x")).status, 200);
+    lab::LogCapture log;
+    m_first.said.add("Server-Limit", "1");
+    EXPECT_EQ(call(request("/once/x")).status, 200);
+    EXPECT_EQ(log.take("A target named a limit of requests.").size(), 1U);
+}
+
 // A target VM that has just started knows few entry VMs; each would use too large a share of what all may do together.
 TEST_F(FrontLimitsTest, ATargetVmThatHasJustStartedDoesNotRaiseTheShare)
 {
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -35,7 +35,7 @@
     None, ///< The request has a target.
     Unavailable, ///< The service has no usable target.
     Full, ///< All usable targets are full.
-    BackingOff, ///< All usable targets have asked for a backoff.
+    BackingOff, ///< All usable targets have asked for a backoff, or name limits under which this VM has no turn.
 };
 
 /// The target chosen for a request.
@@ -44,7 +44,9 @@
     Target *target = nullptr;
     PlacementFailure reason = PlacementFailure::Unavailable;
     double occupancy = 0; ///< Requests per slot of the chosen target, or of the least occupied one if none was chosen.
-    Millis backoffUntil{0}; ///< When the first of the targets that asked for a backoff accepts requests again.
+    Millis backoffUntil{0}; ///< When the first of the targets that back off accepts requests of this VM again.
+    Millis suggestedPause{0}; ///< How long the caller should wait in that case.
+    int withoutTurn = 0; ///< Targets that were left out because their limits leave this VM no turn.
 };
 
 /// How long a request may run past the time at which its target starts to load weights: the load waits for running
--- a/libs/serving/include/ibislock/serving/target_signals.h
+++ b/libs/serving/include/ibislock/serving/target_signals.h
@@ -53,4 +53,11 @@
 /// Returns whether the target may be sent a request.
 bool acceptsRequests(const TargetSignals &signals, Millis now);
 
+/// Returns when this VM may send a request to a target that isn't draining; `now` if it may do so at once.
+Millis acceptsRequestsFrom(const TargetSignals &signals, Millis now);
+
+/// Returns how long a caller should wait that finds no other target. With a limit, that is the time until some entry VM
+/// has a turn, and not until this one has.
+Millis suggestedPause(const TargetSignals &signals, Millis now);
+
 } // namespace ibislock::serving
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -134,7 +134,10 @@
 /// Number of recent attempts that are kept; an entry VM sends fewer to one target between two load reports.
 inline constexpr std::size_t MaxRecentAttempts = 32;
 
-/// Records that a request was sent to a target.
+/// Applies a new number of entry VMs to all limits.
+void applyEntryVms(TargetTable &table, int entryVms, Random &random, Millis now);
+
+/// Records that a request was sent to a target, and ends this VM's turn if the target names a limit.
 /// @param promptMs the prefill time of its prompt, in milliseconds; 0 for plain services.
 void recordAttempt(Target &target, Millis now, double promptMs);
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -45,6 +45,23 @@
     return request.urgent ? policy.engineFullOccupancy : policy.lateEngineFullOccupancy;
 }
 
+/// Targets that back off or have no turn for this VM.
+struct BackingOffTargets
+{
+    std::optional<Millis> until; ///< When the first of them accepts requests.
+    Millis pause{0}; ///< The shortest time that a caller should wait.
+    int withoutTurn = 0;
+};
+
+void addTarget(BackingOffTargets &targets, const TargetSignals &signals, Millis now)
+{
+    const Millis from = acceptsRequestsFrom(signals, now);
+    const Millis pause = suggestedPause(signals, now);
+    targets.pause = targets.until ? std::min(targets.pause, pause) : pause;
+    targets.until = std::min(targets.until.value_or(from), from);
+    targets.withoutTurn += signals.limit && !hasTurn(*signals.limit, now) ? 1 : 0;
+}
+
 } // namespace
 
 std::int64_t knownVersion(const Target &target, Millis now)
@@ -91,13 +108,13 @@
     // If no target has room, the occupancy of the least occupied one shows how full the service is.
     std::vector<Placement> available;
     Placement leastOccupied;
-    std::optional<Millis> backoffUntil;
+    BackingOffTargets backingOff;
     for (auto &[id, target] : table.targets) {
         if (!isUsable(target, request) || (anyReporting && !hasFreshLoad(target, request.now))) {
             continue;
         }
         if (!acceptsRequests(target.signals, request.now)) {
-            backoffUntil = std::min(backoffUntil.value_or(target.signals.backoffUntil), target.signals.backoffUntil);
+            addTarget(backingOff, target.signals, request.now);
             continue;
         }
         const double slots = target.entry.slots > 0 ? target.entry.slots : 1;
@@ -109,8 +126,11 @@
             available.push_back({.target = &target, .reason = PlacementFailure::None, .occupancy = occupancy});
         }
     }
-    if (leastOccupied.reason == PlacementFailure::Unavailable && backoffUntil) {
-        return {.reason = PlacementFailure::BackingOff, .backoffUntil = *backoffUntil};
+    if (leastOccupied.reason == PlacementFailure::Unavailable && backingOff.until) {
+        return {.reason = PlacementFailure::BackingOff,
+                .backoffUntil = *backingOff.until,
+                .suggestedPause = backingOff.pause,
+                .withoutTurn = backingOff.withoutTurn};
     }
     Placement best = leastOccupied;
     double bestCost = 0;
@@ -126,6 +146,7 @@
             bestCost = cost;
         }
     }
+    best.withoutTurn = backingOff.withoutTurn;
     return best;
 }
 
--- a/libs/serving/src/request_limit.cpp
+++ b/libs/serving/src/request_limit.cpp
@@ -15,9 +15,16 @@
 /// Fraction of a limit that entry VMs use which lose their turns; the phases of many may coincide.
 constexpr double LostFraction = 0.5;
 
-/// Entry VMs keep their turns up to this number of them, and this one more for each request a second.
-constexpr double KeptTurns = 3;
-constexpr double KeptTurnsPerLimit = 2;
+/// What a target has to bear in any 4 s: one and a half times its limit, and 5 requests more.
+constexpr double AllowedSeconds = 1.5 * 4;
+constexpr double AllowedBurst = 5;
+
+/// Entry VMs keep their turns if all of them together send at most this fraction of that, however they use them; the
+/// rest is a margin for entry VMs that joined unnoticed.
+constexpr double KeptShareOfAllowed = 0.75;
+
+/// The time in which requests are sent that may arrive within 4 s.
+constexpr double ArrivalSeconds = 5;
 
 /// How long a turn lasts that is lost if it isn't used.
 constexpr Millis LostTurnLength{500};
@@ -28,11 +35,18 @@
 /// A bound for intervals, below which arithmetic with times can't overflow.
 constexpr double MaxIntervalMs = 1e9;
 
+/// Returns whether the limit holds even if all entry VMs use the turns that they have kept at the same moment.
+bool keepsTurns(double perSecond, double entryVms)
+{
+    const double sendsOfEach = 1 + std::floor(ArrivalSeconds * KeptFraction * perSecond / entryVms);
+    return entryVms * sendsOfEach <= KeptShareOfAllowed * (AllowedSeconds * perSecond + AllowedBurst);
+}
+
 void applyTerms(RequestLimit &limit, const LimitTerms &terms)
 {
     const double perSecond = std::max(terms.perSecond, MinPerSecond);
     const double entryVms = std::max(terms.entryVms, 1);
-    const bool kept = entryVms <= KeptTurns + KeptTurnsPerLimit * perSecond;
+    const bool kept = keepsTurns(perSecond, entryVms);
     const double intervalMs = 1000 * entryVms / (perSecond * (kept ? KeptFraction : LostFraction));
     limit.terms = terms;
     limit.interval = Millis{static_cast<std::int64_t>(std::ceil(std::min(intervalMs, MaxIntervalMs)))};
--- a/libs/serving/src/target_signals.cpp
+++ b/libs/serving/src/target_signals.cpp
@@ -36,7 +36,23 @@
 
 bool acceptsRequests(const TargetSignals &signals, Millis now)
 {
-    return !signals.draining && now >= signals.backoffUntil;
+    return !signals.draining && acceptsRequestsFrom(signals, now) <= now;
+}
+
+Millis acceptsRequestsFrom(const TargetSignals &signals, Millis now)
+{
+    const Millis turn = signals.limit ? nextTurn(*signals.limit, now) : now;
+    return std::max(signals.backoffUntil, turn);
+}
+
+Millis suggestedPause(const TargetSignals &signals, Millis now)
+{
+    const Millis backoff = std::max(signals.backoffUntil - now, Millis{0});
+    if (!signals.limit) {
+        return backoff;
+    }
+    const Millis ownTurn = nextTurn(*signals.limit, now) - now;
+    return std::max(backoff, std::min(ownTurn, signals.limit->interval / std::max(signals.limit->terms.entryVms, 1)));
 }
 
 } // namespace ibislock::serving
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -174,8 +174,27 @@
     return &retained.signals;
 }
 
+void applyEntryVms(TargetTable &table, int entryVms, Random &random, Millis now)
+{
+    const auto apply = [&](TargetSignals &signals) {
+        if (signals.limit) {
+            changeLimit(*signals.limit, {.perSecond = signals.limit->terms.perSecond, .entryVms = entryVms}, random,
+                        now);
+        }
+    };
+    for (auto &[id, target] : table.targets) {
+        apply(target.signals);
+    }
+    for (auto &[id, retained] : table.retainedTargets) {
+        apply(retained.signals);
+    }
+}
+
 void recordAttempt(Target &target, Millis now, double promptMs)
 {
+    if (target.signals.limit) {
+        takeTurn(*target.signals.limit, now);
+    }
     ++target.inFlight;
     target.recentAttempts.push_back({.sentAt = now, .promptMs = promptMs});
     if (target.recentAttempts.size() > MaxRecentAttempts) {
--- a/libs/serving/test/target_signals_test.cpp
+++ b/libs/serving/test/target_signals_test.cpp
@@ -143,6 +143,72 @@
     EXPECT_EQ(admit(request, placeAt(table, Millis{500})), AdmissionDecision::Wait);
 }
 
+/// What a response to a request that was sent at a time says of the limit of a target, to one of eight entry VMs.
+LimitSignal limitSignal(std::optional<double> perSecond, Millis sentAt)
+{
+    return {.perSecond = perSecond, .sentAt = sentAt, .entryVms = 8};
+}
+
+TEST(TargetSignalsTest, RequestsGoToOtherTargetsWhileALimitLeavesNoTurn)
+{
+    TargetTable table;
+    applyEntry(table, "a", listed("a"), Millis{0});
+    applyEntry(table, "b", listed("b"), Millis{0});
+    Random random(1);
+    EXPECT_EQ(
+        recordLimit(*signalsOf(table, "a", FirstIncarnation, Millis{0}), limitSignal(1, Millis{0}), random, Millis{0}),
+        LimitChange::Named);
+    int toLimited = 0;
+    for (Millis now{0}; now < Millis{64000}; now += Millis{20}) {
+        const Placement placement = placeAt(table, now);
+        ASSERT_NE(placement.target, nullptr);
+        toLimited += placement.target->entry.id == "a" ? 1 : 0;
+        recordAttempt(*placement.target, now, 0);
+        placement.target->inFlight = 0;
+    }
+    EXPECT_LE(toLimited, 8); // Its share of one request a second.
+    EXPECT_GT(toLimited, 0);
+}
+
+TEST(TargetSignalsTest, WhenAllTargetsNameLimitsTheRetryDelayCoversTheTurnsOfAllEntryVms)
+{
+    TargetTable table;
+    applyEntry(table, "a", listed("a"), Millis{0});
+    Random random(1);
+    recordLimit(*signalsOf(table, "a", FirstIncarnation, Millis{0}), limitSignal(1, Millis{0}), random, Millis{0});
+    const Placement placement = placeAt(table, Millis{0});
+    EXPECT_EQ(placement.reason, PlacementFailure::BackingOff);
+    EXPECT_EQ(placement.withoutTurn, 1);
+    EXPECT_EQ(placement.backoffUntil, acceptsRequestsFrom(table.targets.at("a").signals, Millis{0}));
+    EXPECT_LE(placement.suggestedPause, Millis{2000});
+}
+
+// A response whose request was sent before this VM learned of the limit may have been sent before the target named it.
+TEST(TargetSignalsTest, OnlyAResponseToALaterRequestEndsALimit)
+{
+    TargetSignals signals;
+    Random random(1);
+    recordLimit(signals, limitSignal(1, Millis{0}), random, Millis{100});
+    EXPECT_EQ(recordLimit(signals, limitSignal({}, Millis{90}), random, Millis{110}), LimitChange::None);
+    EXPECT_TRUE(signals.limit);
+    EXPECT_EQ(recordLimit(signals, limitSignal(2, Millis{90}), random, Millis{120}), LimitChange::Changed);
+    EXPECT_EQ(recordLimit(signals, limitSignal({}, Millis{130}), random, Millis{140}), LimitChange::Ended);
+    EXPECT_FALSE(signals.limit);
+}
+
+TEST(TargetSignalsTest, ALimitHoldsForOneIncarnationAlsoIfItsListingIsPublishedAgain)
+{
+    TargetTable table;
+    applyEntry(table, "a", listed("a"), Millis{0});
+    Random random(1);
+    recordLimit(*signalsOf(table, "a", FirstIncarnation, Millis{0}), limitSignal(1, Millis{0}), random, Millis{0});
+    applyEntry(table, "a", std::nullopt, Millis{20});
+    applyEntry(table, "a", listed("a"), Millis{40});
+    EXPECT_TRUE(table.targets.at("a").signals.limit);
+    applyEntry(table, "a", listed("a", SecondIncarnation), Millis{60});
+    EXPECT_FALSE(table.targets.at("a").signals.limit);
+}
+
 } // namespace
 
 } // namespace ibislock::serving
