Front: a refusal without a limit doesn't end the limit of its target

A target in need may refuse requests without naming its limit again; the entry VM would then send without a limit until the next response that names it. Only a signed response to a request that was run ends a limit now. FrontLimitsTest.ARefusalWithoutALimitDoesNotEndIt guards it.

--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -81,8 +81,8 @@
         return;
     }
     const Millis now = steadyMillis();
-    // Only the target's own response to this request shows that it has no limit any more.
-    const bool own = said.attemptId == request.attemptId && (said.signedByTarget || said.notExecuted);
+    // Only the target's own response to this request shows that it has no limit any more; a refusal may not name one.
+    const bool own = said.attemptId == request.attemptId && said.signedByTarget && !said.notExecuted;
     const auto it = front.table.targets.find(m_attempt.targetId);
     const bool known = it != front.table.targets.end() && it->second.signals.limit;
     if (!said.requestLimit && !(own && known)) {
--- a/libs/front/test/front_limits_test.cpp
+++ b/libs/front/test/front_limits_test.cpp
@@ -114,6 +114,20 @@
     EXPECT_EQ(log.take("A target named a limit of requests.").size(), 1U);
 }
 
+TEST_F(FrontLimitsTest, ARefusalWithoutALimitDoesNotEndIt)
+{
+    lab::LogCapture log;
+    m_first.said.add("Server-Limit", "1000000");
+    list(m_first);
+    start();
+    EXPECT_EQ(call(request("/once/x")).status, 200);
+    m_first.said = {};
+    m_first.behaviour = TargetBehaviour::Refuse;
+    runFor(Millis{20}); // Until the next turn.
+    EXPECT_EQ(call(request("/once/x")).status, 503);
+    EXPECT_EQ(log.take("A target's limit of requests ended.").size(), 0U);
+}
+
 // A target VM that has just started knows few entry VMs; each would use too large a share of what all may do together.
 TEST_F(FrontLimitsTest, ATargetVmThatHasJustStartedDoesNotRaiseTheShare)
 {
