--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -71,6 +71,7 @@
     retries.window = settings.bounds.retryWindow;
     // Until target VMs report how many entry VMs there are, the share of the retry budget is that of a large number.
     constexpr int AssumedEntryVms = 16;
+    m_entryVms = serving::assumedEntryVms(AssumedEntryVms, steadyMillis());
     retries.entryVms = AssumedEntryVms;
 }
 
@@ -299,6 +300,7 @@
     }
     const Millis now = steadyMillis();
     const serving::Placement placement = findPlacement(*call, now);
+    counters.choicesWithoutTurn += placement.withoutTurn > 0 ? 1 : 0;
     switch (serving::admit(call->admissionRequest(now), placement)) {
     case serving::AdmissionDecision::Send:
         call->send(*placement.target);
@@ -310,7 +312,7 @@
         call->refuse(CallOutcome::Full);
         break;
     case serving::AdmissionDecision::RefuseBackingOff:
-        call->refuse(CallOutcome::TargetsBackingOff, placement.backoffUntil - now);
+        call->refuse(CallOutcome::TargetsBackingOff, placement.suggestedPause);
         break;
     case serving::AdmissionDecision::RefuseNoTarget:
         call->refuse(CallOutcome::NoTarget);
@@ -488,6 +490,16 @@
     }
 }
 
+void Front::applyEntryVmCount(int reported)
+{
+    recordEntryVms(m_entryVms, reported, steadyMillis());
+    const int number = entryVms(m_entryVms);
+    if (number != retries.entryVms) {
+        applyEntryVms(table, number, random, steadyMillis());
+    }
+    retries.entryVms = number;
+}
+
 void Front::applyLoad(const std::string &ip, const peer::LoadMessage &load)
 {
     auto &[incarnation, sequence] = m_loadSequence[ip];
@@ -496,7 +508,7 @@
     }
     incarnation = load.incarnation;
     sequence = load.sequence;
-    retries.entryVms = std::max(load.entryVmCount, 1);
+    applyEntryVmCount(load.entryVmCount);
     const auto sentAfter = recordStamps(m_sendTimeClock, m_loadSenders[ip], load.stamps, bootMillis());
     applyWatermark(feed::fromMessage(load.operatorsWatermark, sentAfter));
     const Millis now = steadyMillis();
