Feed: a read of known records whose response is lost is repeated within the time for a desired state

Cause: once 0.5 of the time has gone to other VMs, one read of the store followed; the next one came behind the first-byte timeout of 0.8 s, and up to 2.4 s after failed calls, whatever the time for a state. With 1.5 s that is past it (0.75 + 0.8 s), with 2 s and calls that failed before too. A held read isn't begun anew in its first 0.5 s either.

Change: a read that isn't held, while records are known to be unread, is repeated beside the first 0.2 of the time later, twice at most. The first response that begins to arrive is used and the other exchanges are cancelled: a shorter timeout would have begun anew what arrives over a congested link, where the first byte takes 500 ms. The outage is still reported when the first exchange fails, as it decides whom this VM asks. A held read can be begun anew after 0.25 of the time, 0.5 s at most (unchanged for 2 s). Calls of feeds without a time for states are as before. Repeated reads are logged and counted.

Before and after, both sources silent, then one response lost, 1.5 s for a state (operators_follower_test): not known within 1.5 s before (the test fails without the repetition), known in time now, with one repetition.

--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -129,7 +129,8 @@
 void StoreStandIn::answer(net::Connection &connection, const http::RequestHead &request)
 {
     lastWait = queryNumber(request.target, "WaitMs");
-    if (silent) {
+    if (silent || losses > 0) {
+        losses -= silent ? 0 : 1;
         return;
     }
     if (refusals > 0) {
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -46,6 +46,7 @@
         recordsSent; ///< How often a record was part of an answer, by the topic that was asked for and the key.
     int refusals = 0; ///< Calls that are still to be refused with 503.
     bool silent = false; ///< Calls get no answer.
+    int losses = 0; ///< Calls that are still to get no answer.
     std::size_t lastWait = 0; ///< How long the last read allowed to be held back, in milliseconds.
     Millis delay{0}; ///< Until a read is answered.
     std::size_t snapshotPageSize = 0; ///< How many records a page of a snapshot has at most; 0 for all.
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -16,6 +16,9 @@
 namespace ibislock::feed
 {
 
+/// Default of `FeedOptions::minCancelAge`; a large response over a shared link takes about 100 ms.
+inline constexpr Millis MinCancelAge{500};
+
 /// Settings of a feed.
 struct FeedOptions
 {
@@ -27,6 +30,11 @@
         0}; ///< The same while the feed is passive; without `validityTime` the age doesn't matter.
     Millis minReadInterval{0}; ///< Between the starts of two reads; limits the calls on a busy topic.
     Millis validityTime{0}; ///< How long a passive feed relies on the last validation.
+    /// After which time a read of records that are known to exist is repeated beside the first one, which may be lost;
+    /// 0 for never.
+    Millis repeatTime{0};
+    Millis minCancelAge =
+        MinCancelAge; ///< A held call that is younger is not cancelled on a notification of new records.
     bool newestOnly = false; ///< Of several records that were missed, only the newest of each key is needed.
 };
 
@@ -60,9 +68,8 @@
 /// requested again.
 inline constexpr Millis MaxResponseTime{10000};
 
-/// A call that is younger than this is not cancelled on a notification of new records; a large response over a shared
-/// link takes about 100 ms.
-inline constexpr Millis MinCancelAge{500};
+/// How often a call is repeated at most.
+inline constexpr std::size_t MaxRepeats = 2;
 
 /// Backoff after the first failed call, doubled up to `MaxBackoff`; calls are charged for, and outages last seconds.
 inline constexpr Millis InitialBackoff{100};
@@ -132,6 +139,9 @@
     /// Returns the number of calls that were cancelled on a notification of new records.
     std::uint64_t cancelledCalls() const;
 
+    /// Returns the number of reads that were sent beside an earlier one that had no response.
+    std::uint64_t repeatedCalls() const;
+
     /// Returns how often the store was found to have been restored from an older copy.
     std::uint64_t restores() const;
 
@@ -185,10 +195,23 @@
     Millis holdTime() const;
     void cancelCall();
     void advanceTo(const TopicPosition &position);
+    void recordFailure(std::string_view cause);
     void handleFailure(std::string_view cause, void (TopicFeed::*retry)());
     void handleSuccess();
-    void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(),
-              std::function<void(std::int64_t era, int status, const std::string &body)> done);
+
+    /// Sends the request of the current call, for the first time or beside the earlier ones.
+    void sendCall();
+
+    /// Repeats the current call after `FeedOptions::repeatTime` if it then has no response and records are unread.
+    void scheduleRepeat();
+    void onCallEnd(const net::Exchange *exchange, net::ExchangeOutcome end, const http::ResponseHead &response,
+                   const std::string &body);
+    void cancelExchanges(const net::Exchange *kept = nullptr);
+    bool isReceivingResponse() const;
+
+    /// What is done with the response to a call.
+    using ResponseHandler = std::function<void(std::int64_t era, int status, const std::string &body)>;
+    void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(), ResponseHandler done);
 
     net::HttpClient &m_client;
     platform::Endpoint m_store;
@@ -219,7 +242,14 @@
     TopicPosition m_knownEnd;
     std::optional<Millis> m_lagSince; ///< By the boot clock.
     Millis m_maxLag{0};
-    std::shared_ptr<net::Exchange> m_exchange; ///< The exchange of the call under way.
+    std::vector<std::shared_ptr<net::Exchange>> m_exchanges; ///< The exchanges of the call under way.
+    std::string m_callBytes; ///< The request of the call under way.
+    Millis m_callTimeout{0}; ///< Until the first byte of its response.
+    void (TopicFeed::*m_callRetry)() = nullptr; ///< What follows if it fails.
+    ResponseHandler m_callDone;
+    std::size_t m_repeats = 0; ///< How often it was repeated.
+    net::Timer m_repeatTimer;
+    std::uint64_t m_repeatedCalls = 0;
     TopicPosition m_notifiedEnd; ///< The end of the last notification that led to a read.
     bool m_notificationPending = false; ///< The next read follows a notification, and the store must not hold it.
     Millis m_callStartedAt{0}; ///< In monotonic time.
--- a/libs/feed/src/operators_watermark.cpp
+++ b/libs/feed/src/operators_watermark.cpp
@@ -21,6 +21,13 @@
 /// and report the result with their loads.
 constexpr double ValidityFraction = 0.8;
 
+/// After which time a read of records that are known to exist is repeated beside the first one. A VM whose sources fail
+/// reads when half of the time is left, so that one or two responses may be lost.
+constexpr double RepeatFraction = 0.2;
+
+/// The limit of `FeedOptions::minCancelAge`.
+constexpr double CancelAgeFraction = 0.25;
+
 Millis fractionOf(Millis time, double fraction)
 {
     return Millis{static_cast<std::int64_t>(static_cast<double>(time.count()) * fraction)};
@@ -34,6 +41,8 @@
             .longPollTime = fractionOf(stateTime, LongPollFraction),
             .passiveLongPollTime = fractionOf(stateTime, PassiveLongPollFraction),
             .validityTime = fractionOf(stateTime, ValidityFraction),
+            .repeatTime = fractionOf(stateTime, RepeatFraction),
+            .minCancelAge = std::min(fractionOf(stateTime, CancelAgeFraction), MinCancelAge),
             .newestOnly = true};
 }
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -30,6 +30,7 @@
     , m_events(std::move(events))
     , m_timer(loop)
     , m_random(systemRandom())
+    , m_repeatTimer(loop)
 {
 }
 
@@ -58,6 +59,11 @@
     return m_outdatedResponses;
 }
 
+std::uint64_t TopicFeed::repeatedCalls() const
+{
+    return m_repeatedCalls;
+}
+
 std::uint64_t TopicFeed::cancelledCalls() const
 {
     return m_cancelledCalls;
@@ -126,7 +132,7 @@
     m_timer.start(delay, [this, step] { (this->*step)(); });
 }
 
-void TopicFeed::handleFailure(std::string_view cause, void (TopicFeed::*retry)())
+void TopicFeed::recordFailure(std::string_view cause)
 {
     ++m_failures;
     m_lastFailedCallAt = m_callStartedAtBoot;
@@ -143,6 +149,11 @@
                  {"behind_ms", std::to_string(lagTime().count())}});
     }
     m_firstByteTimeout = std::min(m_firstByteTimeout + FirstByteTimeout, MaxFirstByteTimeout);
+}
+
+void TopicFeed::handleFailure(std::string_view cause, void (TopicFeed::*retry)())
+{
+    recordFailure(cause);
     schedule(jittered(m_random, m_backoff), retry);
     m_backoff = std::min(m_backoff * 2, MaxBackoff);
 }
@@ -159,40 +170,124 @@
 }
 
 void TopicFeed::call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(),
-                     std::function<void(std::int64_t era, int status, const std::string &body)> done)
+                     ResponseHandler done)
 {
-    ++m_calls;
     m_timer.cancel();
+    cancelExchanges();
     m_callActive = true;
     m_callStartedAt = steadyMillis();
     m_callStartedAtBoot = bootMillis();
-    const std::uint64_t generation = ++m_generation;
+    ++m_generation;
     http::RequestHead head = request.head;
     head.headers.add("Host", m_store.ip);
-    m_exchange =
-        m_client.call(m_store.ip, m_store.port, writeRequest(head, request.body),
+    m_callBytes = writeRequest(head, request.body);
+    m_callTimeout = timeout;
+    m_callRetry = retry;
+    m_callDone = std::move(done);
+    m_repeats = 0;
+    sendCall();
+    scheduleRepeat();
+}
+
+void TopicFeed::sendCall()
+{
+    struct Response
+    {
+        http::ResponseHead head;
+        std::string body;
+        const net::Exchange *exchange = nullptr;
+    };
+    ++m_calls;
+    const std::uint64_t generation = m_generation;
+    auto response = std::make_shared<Response>();
+    const auto exchange =
+        m_client.send(m_store.ip, m_store.port, m_callBytes,
                       {.connectTimeout = FirstByteTimeout,
-                       .timeout = timeout,
+                       .timeout = m_callTimeout,
                        .stallTimeout = FirstByteTimeout,
-                       .totalTimeout = timeout + MaxResponseTime,
+                       .totalTimeout = m_callTimeout + MaxResponseTime,
                        .maxIdle = Millis{30000}},
-                      [this, generation, retry, done = std::move(done)](
-                          net::ExchangeOutcome end, const http::ResponseHead &response, const std::string &body) {
-                          if (generation != m_generation) {
-                              return;
-                          }
-                          m_callActive = false;
-                          if (end != net::ExchangeOutcome::Complete) {
-                              handleFailure(nameOf(net::ExchangeOutcomeNames, end), retry);
-                              return;
-                          }
-                          const auto era = eraOf(response);
-                          if (!era) {
-                              handleFailure(era.error().message, retry);
-                              return;
-                          }
-                          done(*era, response.status, body);
-                      });
+                      {.head =
+                           [this, generation, response](const http::ResponseHead &head) {
+                               response->head = head;
+                               if (generation == m_generation) {
+                                   cancelExchanges(response->exchange);
+                               }
+                               return net::HeadDecision::Accept;
+                           },
+                       .body = [response](const std::string &part) { response->body.append(part); },
+                       .end =
+                           [this, generation, response](const net::ExchangeResult &result) {
+                               if (generation == m_generation) {
+                                   onCallEnd(response->exchange, result.outcome, response->head, response->body);
+                               }
+                           }});
+    response->exchange = exchange.get();
+    m_exchanges.push_back(exchange);
+}
+
+void TopicFeed::scheduleRepeat()
+{
+    // A held read has no response until there is a record.
+    if (m_options.repeatTime == Millis{0} || m_longPollTime > Millis{0} || m_repeats == MaxRepeats) {
+        return;
+    }
+    m_repeatTimer.start(m_options.repeatTime, [this] {
+        if (!m_callActive || isReceivingResponse()) {
+            return;
+        }
+        if (isBehind()) {
+            ++m_repeats;
+            ++m_repeatedCalls;
+            logInfo(LogComponent::Store, "A read of new records has no response; reading beside it.",
+                    {{"topic", m_options.topic},
+                     {"offset", toText(m_position)},
+                     {"behind_ms", std::to_string(lagTime().count())}});
+            sendCall();
+        }
+        scheduleRepeat();
+    });
+}
+
+void TopicFeed::onCallEnd(const net::Exchange *exchange, net::ExchangeOutcome end, const http::ResponseHead &response,
+                          const std::string &body)
+{
+    std::erase_if(m_exchanges, [&](const auto &item) { return item.get() == exchange; });
+    const std::string_view cause = nameOf(net::ExchangeOutcomeNames, end);
+    if (end != net::ExchangeOutcome::Complete && !m_exchanges.empty()) {
+        recordFailure(cause); // The call goes on by its repetitions.
+        return;
+    }
+    cancelExchanges();
+    m_callActive = false;
+    if (end != net::ExchangeOutcome::Complete) {
+        handleFailure(cause, m_callRetry);
+        return;
+    }
+    const auto era = eraOf(response);
+    if (!era) {
+        handleFailure(era.error().message, m_callRetry);
+        return;
+    }
+    const ResponseHandler done = std::move(m_callDone); // It may start the next call.
+    done(*era, response.status, body);
+}
+
+void TopicFeed::cancelExchanges(const net::Exchange *kept)
+{
+    m_repeatTimer.cancel();
+    for (const auto &exchange : m_exchanges) {
+        if (exchange.get() != kept) {
+            exchange->cancel();
+        }
+    }
+    std::erase_if(m_exchanges, [&](const auto &exchange) { return exchange.get() != kept; });
+}
+
+bool TopicFeed::isReceivingResponse() const
+{
+    return std::any_of(m_exchanges.begin(), m_exchanges.end(),
+                       [](const auto &exchange) { return exchange->isReceivingResponse(); });
 }
 
 Result<std::int64_t> TopicFeed::eraOf(const http::ResponseHead &response)
@@ -278,9 +373,7 @@
     ++m_generation;
     m_callActive = false;
     m_timer.cancel();
-    if (m_exchange) {
-        m_exchange->cancel();
-    }
+    cancelExchanges();
     m_snapshotRecords.clear();
     m_snapshotEnd.reset();
     m_readsNewest = false;
@@ -322,7 +415,7 @@
 
 void TopicFeed::readNow()
 {
-    if (m_readingSnapshot || (m_exchange && m_exchange->isReceivingResponse())) {
+    if (m_readingSnapshot || isReceivingResponse()) {
         return;
     }
     cancelCall();
@@ -340,8 +433,8 @@
     // One early read for each notification: if the store itself does not return the records, the usual read interval
     // applies. A read that has just started will return them; if each of many notifications cancelled it, none would
     // complete.
-    const bool justStarted = steadyMillis() - m_callStartedAt < MinCancelAge;
-    const bool responseArriving = m_exchange && m_exchange->isReceivingResponse();
+    const bool justStarted = steadyMillis() - m_callStartedAt < m_options.minCancelAge;
+    const bool responseArriving = isReceivingResponse();
     // A read that the store does not hold returns all records that there are; over a congested link its response takes
     // long.
     const bool unheldReadActive = m_callActive && m_longPollTime == Millis{0};
@@ -354,10 +447,8 @@
     logInfo(LogComponent::Store, "Another VM reported new records; reading at once.",
             {{"topic", m_options.topic}, {"offset", toText(m_position)}, {"end", toText(end)}});
     m_timer.cancel();
-    if (m_exchange) {
-        m_cancelledCalls += m_callActive ? 1 : 0;
-        m_exchange->cancel();
-    }
+    m_cancelledCalls += m_callActive ? 1 : 0;
+    cancelExchanges();
     if (end.era != m_position.era) {
         readSnapshot();
     } else if (m_options.newestOnly && end.offset - m_position.offset > 1) {
--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -17,10 +17,11 @@
 /// A VM that follows the topic, at a loopback address of its own.
 struct Vm
 {
-    Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool entryVm)
+    Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool entryVm,
+       Millis stateTime)
         : client(loop)
         , follower(loop, client, {.ip = "127.0.0.1", .port = storePort},
-                   {.ip = ip, .port = port, .isEntryVm = entryVm, .stateTime = StateTime},
+                   {.ip = ip, .port = port, .isEntryVm = entryVm, .stateTime = stateTime},
                    {.onSnapshot =
                         [this](const std::vector<platform::KeyedRecord> &records) {
                             for (const platform::KeyedRecord &record : records) {
@@ -75,7 +76,7 @@
 
     Vm &add(const std::string &ip, lab::StoreStandIn &store, bool entryVm = true)
     {
-        Vm &vm = *(m_vms[ip] = std::make_unique<Vm>(m_loop, ip, m_port, store.port(), entryVm));
+        Vm &vm = *(m_vms[ip] = std::make_unique<Vm>(m_loop, ip, m_port, store.port(), entryVm, m_stateTime));
         EXPECT_FALSE(vm.follower.start());
         vm.follower.setEntryVms(m_ips);
         return vm;
@@ -126,7 +127,7 @@
     /// Validates the state of all VMs until the store holds no read of any.
     void letReadsEnd()
     {
-        for (const Millis end = steadyMillis() + StateTime; steadyMillis() < end;) {
+        for (const Millis end = steadyMillis() + m_stateTime; steadyMillis() < end;) {
             reportWatermarks();
             m_loop.run_for(Millis{100});
         }
@@ -155,7 +156,31 @@
         return holds();
     }
 
+    /// Lets one VM go on with two sources, which receive requests and never respond.
+    Vm &isolateBehindSilentSources()
+    {
+        std::string ip;
+        for (const std::string &candidate : m_ips) {
+            ip = sourcesInTree(candidate, m_ips).size() == 2 ? candidate : ip;
+        }
+        std::erase_if(m_vms, [&](const auto &item) { return item.first != ip; });
+        for (const std::string &source : sourcesInTree(ip, m_ips)) {
+            const auto listener =
+                std::make_shared<net::Listener>(m_loop, [this](const std::shared_ptr<net::Connection> &connection) {
+                    connection->start({.data = [](std::string_view) {},
+                                       .closed =
+                                           [](net::CloseReason) {
+                                           }});
+                    m_listenerConnections.push_back(connection);
+                });
+            EXPECT_FALSE(listener->open(source, m_port));
+            m_silentSources.push_back(listener);
+        }
+        return *m_vms.at(ip);
+    }
+
     static constexpr int EntryVms = 8;
+    Millis m_stateTime = StateTime;
     asio::io_context m_loop;
     lab::StoreStandIn m_store{m_loop};
     lab::StoreStandIn m_otherStore{
@@ -167,6 +192,7 @@
     std::int64_t m_end = 0;
     std::int64_t m_era = 0;
     std::unique_ptr<net::Listener> m_listener;
+    std::vector<std::shared_ptr<net::Listener>> m_silentSources;
     std::vector<std::shared_ptr<net::Connection>>
         m_listenerConnections; ///< Connections to the listener in place of the root.
 };
@@ -249,6 +275,53 @@
     EXPECT_FALSE(m_listenerConnections.empty()) << "it received a request";
 }
 
+// After the sources, the next read followed the lost one later than the state had to be in effect.
+TEST_F(OperatorsFollowerTest, AReadWhoseResponseIsLostIsRepeatedInTimeForTheState)
+{
+    m_stateTime = Millis{1500};
+    addAll();
+    letReadsEnd();
+    const Vm &vm = isolateBehindSilentSources();
+    m_store.losses = 1;
+    append("config", "2");
+    reportWatermarks();
+    EXPECT_TRUE(runUntil([&] { return allHave("2"); }, m_stateTime));
+    EXPECT_EQ(m_store.losses, 0);
+    EXPECT_EQ(m_listenerConnections.size(), 2U) << "both sources received a request";
+    EXPECT_EQ(vm.follower.feed().repeatedCalls(), 1U);
+}
+
+// A retry must not begin anew what arrives over a congested link.
+TEST_F(OperatorsFollowerTest, AReadThatIsRepeatedIsNotCancelled)
+{
+    addAll();
+    letReadsEnd();
+    const Vm &vm = isolateBehindSilentSources();
+    const int before = copiesSent();
+    m_store.delay = Millis{600}; // Until the first byte of the response; the read is repeated after 400 ms.
+    append("config", "2");
+    reportWatermarks();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }));
+    EXPECT_EQ(copiesSent() - before, 1) << "the response to the first read was used";
+    EXPECT_EQ(vm.follower.feed().repeatedCalls(), 1U);
+    EXPECT_EQ(vm.follower.feed().failures(), 0U);
+}
+
+// All calls that are under way count as one: the outage is known when the first of them fails.
+TEST_F(OperatorsFollowerTest, AStoreThatDoesNotRespondIsUnreachableThoughReadsAreRepeated)
+{
+    addAll();
+    letReadsEnd();
+    const Vm &vm = isolateBehindSilentSources();
+    m_store.losses = 3;
+    append("config", "2");
+    reportWatermarks();
+    ASSERT_TRUE(runUntil([&] { return vm.follower.feed().isUnreachable(); }));
+    EXPECT_EQ(vm.follower.feed().failures(), 1U);
+    EXPECT_TRUE(runUntil([&] { return allHave("2"); }));
+    EXPECT_FALSE(vm.follower.feed().isUnreachable());
+}
+
 TEST_F(OperatorsFollowerTest, ASourceThatSendsInvalidMessagesIsReplaced)
 {
     addAll();
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -26,6 +26,9 @@
     writeEraMetrics(out, operators);
     writeCounter(out, "ibislock_store_reads_given_up_total", "Reads of the operators' topic that were begun anew.",
                  operators.cancelledCalls());
+    writeCounter(out, "ibislock_store_reads_repeated_total",
+                 "Reads of the operators' topic that were sent beside one without a response.",
+                 operators.repeatedCalls());
     writeCounter(out, "ibislock_records_taken_over_total", "How often records of operators came from another VM.",
                  follower.peerUpdatesApplied());
     writeCounter(out, "ibislock_records_asked_in_vain_total", "VMs that were asked for records and had none.",
