--- a/libs/front/test/front_state_test.cpp
+++ b/libs/front/test/front_state_test.cpp
@@ -26,12 +26,6 @@
     R"({"Name":"other","Host":"h","PathPrefix":"/other/","Kind":"idempotent","TimeoutMs":700,"Service":"s","MaxAttempts":1}],)"
     R"("Services":[{"Name":"s","HealthPath":"/health","MaxConns":100}],"Tenants":[{"Name":"w","ApiKeys":["new","key"]}]})";
 
-std::uint16_t freePort()
-{
-    asio::io_context loop;
-    return asio::ip::udp::socket(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}).local_endpoint().port();
-}
-
 class FrontStateTest : public FrontTest
 {
 protected:
