Feed: an announced end that the store doesn't have is forgotten

What callers saw: with an end in a report that the topic never reaches (a lost era, a stranger's datagram), unknown routes and keys would get 503 for good since "an unknown route or key is not run while a newer desired state may exist", and the metric of unread records grew for good before.

Cause: a feed was behind the highest end that was reported until it reached it, whatever the store responded.

By the order of calls, not by times: a read of the same millisecond may have been answered before the record was written. Such an end doesn't keep newer states away: the VM isn't validated meanwhile, and reads the store itself.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -99,7 +99,8 @@
     void markValidated(Millis asOf);
 
     /// Records that another VM has seen the topic end at a position; if records before it are unread, `lagTime` counts
-    /// from then on. Responses of an era before it are ignored.
+    /// from then on, until a read that was started later shows that the store doesn't have them. Responses of an era
+    /// before it are ignored.
     void recordKnownEnd(const TopicPosition &end);
 
     /// Applies records that another VM has read, and cancels the call under way. Does nothing before the first
@@ -193,6 +194,10 @@
     void schedule(Millis delay, void (TopicFeed::*step)());
     void reportWatermark(Millis asOf);
     Millis holdTime() const;
+
+    /// Forgets a known end beyond the position if it was reported before a call that has shown the position to be the
+    /// end.
+    void forgetKnownEnd(std::uint64_t generation);
     void cancelCall();
     void advanceTo(const TopicPosition &position);
     void recordFailure(std::string_view cause);
@@ -240,6 +245,7 @@
     /// The highest end that is known from reports of other VMs. Reset to the end of each snapshot that is delivered by
     /// `FeedEvents::onSnapshot`, since the topic may have been recreated.
     TopicPosition m_knownEnd;
+    std::uint64_t m_knownEndGeneration = 0; ///< `m_generation` when it was reported; later calls are greater.
     std::optional<Millis> m_lagSince; ///< By the boot clock.
     Millis m_maxLag{0};
     std::vector<std::shared_ptr<net::Exchange>> m_exchanges; ///< The exchanges of the call under way.
@@ -255,6 +261,7 @@
     Millis m_callStartedAt{0}; ///< In monotonic time.
     Millis m_callStartedAtBoot{0}; ///< The same by the boot clock.
     Millis m_lastFailedCallAt{0}; ///< When the last call that failed was started, by the boot clock.
+    std::uint64_t m_snapshotGeneration = 0; ///< Of the call for the first page of the snapshot.
     Millis m_snapshotStartedAt{0}; ///< When the first page of the snapshot was requested, by the boot clock.
     Millis m_longPollTime{0}; ///< How long the store may hold the current call.
     std::uint64_t m_generation = 0; ///< Identifies the current call; responses to earlier ones are ignored.
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -91,7 +91,10 @@
 
 void TopicFeed::recordKnownEnd(const TopicPosition &end)
 {
-    m_knownEnd = std::max(m_knownEnd, end);
+    if (end > m_knownEnd) {
+        m_knownEnd = end;
+        m_knownEndGeneration = m_generation;
+    }
     if (m_synchronized && m_position < m_knownEnd && !m_lagSince) {
         m_lagSince = bootMillis();
     }
@@ -106,6 +109,17 @@
     }
 }
 
+void TopicFeed::forgetKnownEnd(std::uint64_t generation)
+{
+    if (m_position >= m_knownEnd || generation <= m_knownEndGeneration) {
+        return;
+    }
+    logWarning(LogComponent::Store, "The store does not have the records that another VM reported.",
+               {{"topic", m_options.topic}, {"offset", toText(m_position)}, {"end", toText(m_knownEnd)}});
+    m_knownEnd = m_position;
+    advanceTo(m_position);
+}
+
 bool TopicFeed::isUnreachable() const
 {
     return m_storeUnreachable;
@@ -491,6 +505,7 @@
         // The end as of the first page: what changes while later pages are read is read again.
         m_snapshotEnd = page->end;
         m_snapshotStartedAt = m_callStartedAtBoot;
+        m_snapshotGeneration = m_generation;
     }
     std::move(page->records.begin(), page->records.end(), std::back_inserter(m_snapshotRecords));
     if (page->hasMore && !page->records.empty()) {
@@ -514,6 +529,7 @@
     const bool newestOnly = std::exchange(m_readsNewest, false) || (restored && m_options.newestOnly);
     if (newestOnly && end >= m_position) {
         applyNewest(std::move(records), end);
+        forgetKnownEnd(m_snapshotGeneration);
     } else {
         m_knownEnd = end; // The topic may have been recreated.
         advanceTo(end);
@@ -585,6 +601,7 @@
         schedule(m_options.minReadInterval, &TopicFeed::readNext);
         return;
     }
+    forgetKnownEnd(m_generation);
     // How long the response was under way is unknown: over a congested link it takes a second. A read without records
     // was held until its time limit, which shows that none was written until then.
     const bool heldToLimit = page->records.empty() && bootMillis() - m_callStartedAtBoot >= m_longPollTime;
--- a/libs/feed/test/topic_feed_test.cpp
+++ b/libs/feed/test/topic_feed_test.cpp
@@ -237,6 +237,20 @@
     EXPECT_GE(m_feed.maxLagTime(), Millis{200});
 }
 
+// The feed counted as behind for good, whatever the store responded.
+TEST_F(TopicFeedTest, AReportedEndThatTheStoreDoesNotHaveIsForgotten)
+{
+    m_feed.start();
+    ASSERT_TRUE(runUntil([&] { return m_store.reads == 1; }));
+    m_feed.recordKnownEnd(at(5));
+    ASSERT_TRUE(runUntil([&] { return m_store.reads == 2; }));
+    EXPECT_TRUE(m_feed.isBehind()) << "the first read was started before the end was reported";
+    EXPECT_TRUE(runUntil([&] { return !m_feed.isBehind(); }));
+    EXPECT_EQ(m_feed.lagTime(), Millis{0});
+    m_store.append("a", "1");
+    EXPECT_TRUE(runUntil([&] { return m_values["a"] == "1"; }));
+}
+
 TEST_F(TopicFeedTest, APassiveFeedReadsWhenItIsNoLongerValidated)
 {
     m_feed.setPassive(true);
--- a/libs/front/test/front_state_test.cpp
+++ b/libs/front/test/front_state_test.cpp
@@ -128,6 +128,20 @@
     EXPECT_EQ(callUnknownRoute().first, 404);
 }
 
+// An end that never comes made each unknown route wait for a state that doesn't exist.
+TEST_F(FrontStateTest, AnUnknownRouteIsRefusedForGoodOnceTheStoreDoesNotHaveTheRecords)
+{
+    start();
+    reportEnd(m_store.size() + 5);
+    runFor(Millis{50});
+    const Millis end = steadyMillis() + 3 * StateTime;
+    int status = 0;
+    while ((status = call(request("/other/x")).status) != 404 && steadyMillis() < end) {
+        runFor(Millis{50});
+    }
+    EXPECT_EQ(status, 404);
+}
+
 // A VM that neither the store nor others had told anything for longer than the time refused routes with 404.
 TEST_F(FrontStateTest, AnUnknownRouteIsNotRunOnceTheStateMayBeTooOld)
 {
