Feed: a feed that is destroyed cancels its exchanges

Suspected cause, not traced: callbacks of exchanges refer to the feed and were only kept from acting by a number in it. Not built to the end nor run yet: verify before merging.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -86,6 +86,11 @@
     TopicFeed(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store, FeedOptions options,
               FeedEvents events);
 
+    /// Cancels the call under way.
+    ~TopicFeed();
+    TopicFeed(const TopicFeed &) = delete;
+    TopicFeed &operator=(const TopicFeed &) = delete;
+
     /// Starts with reading a snapshot.
     void start();
 
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -34,6 +34,11 @@
 {
 }
 
+TopicFeed::~TopicFeed()
+{
+    cancelExchanges();
+}
+
 void TopicFeed::start()
 {
     readSnapshot();
