--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -16,6 +16,9 @@
 namespace ibislock::feed
 {
 
+/// Default of `FeedOptions::minCancelAge`; a large response over a shared link takes about 100 ms.
+inline constexpr Millis MinCancelAge{500};
+
 /// Settings of a feed.
 struct FeedOptions
 {
@@ -23,9 +26,15 @@
     /// How long the store may hold a read until there is a record. A read that a record ended counts as of its start,
     /// and the next one is held for the rest only, so that the data is never older than this and a call.
     Millis longPollTime{10000};
-    Millis passiveLongPollTime{0}; ///< The same while the feed is passive.
+    Millis passiveLongPollTime{
+        0}; ///< The same while the feed is passive; without `validityTime` the age doesn't matter.
     Millis minReadInterval{0}; ///< Between the starts of two reads; limits the calls on a busy topic.
     Millis validityTime{0}; ///< How long a passive feed relies on the last validation.
+    /// After which time a read of records that are known to exist is repeated beside the first one, which may be lost;
+    /// 0 for never.
+    Millis repeatTime{0};
+    Millis minCancelAge =
+        MinCancelAge; ///< A held call that is younger is not cancelled on a notification of new records.
     bool newestOnly = false; ///< Of several records that were missed, only the newest of each key is needed.
 };
 
@@ -59,14 +68,17 @@
 /// requested again.
 inline constexpr Millis MaxResponseTime{10000};
 
-/// A call that is younger than this is not cancelled on a notification of new records; a large response over a shared
-/// link takes about 100 ms.
-inline constexpr Millis MinCancelAge{500};
+/// How often a call is repeated at most.
+inline constexpr std::size_t MaxRepeats = 2;
 
 /// Backoff after the first failed call, doubled up to `MaxBackoff`; calls are charged for, and outages last seconds.
 inline constexpr Millis InitialBackoff{100};
 inline constexpr Millis MaxBackoff{500};
 
+/// Returns how long the store may hold a read, so that the data never gets older than `longest` and a call.
+/// @param age the age of the data when the read is started.
+Millis holdTimeFor(Millis longest, Millis age);
+
 /// Follows one topic.
 class TopicFeed
 {
@@ -74,6 +86,11 @@
     TopicFeed(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store, FeedOptions options,
               FeedEvents events);
 
+    /// Cancels the call under way.
+    ~TopicFeed();
+    TopicFeed(const TopicFeed &) = delete;
+    TopicFeed &operator=(const TopicFeed &) = delete;
+
     /// Starts with reading a snapshot.
     void start();
 
@@ -87,7 +104,8 @@
     void markValidated(Millis asOf);
 
     /// Records that another VM has seen the topic end at a position; if records before it are unread, `lagTime` counts
-    /// from then on. Responses of an era before it are ignored.
+    /// from then on, until a read that was started later shows that the store doesn't have them. Responses of an era
+    /// before it are ignored.
     void recordKnownEnd(const TopicPosition &end);
 
     /// Applies records that another VM has read, and cancels the call under way. Does nothing before the first
@@ -127,12 +145,18 @@
     /// Returns the number of calls that were cancelled on a notification of new records.
     std::uint64_t cancelledCalls() const;
 
+    /// Returns the number of reads that were sent beside an earlier one that had no response.
+    std::uint64_t repeatedCalls() const;
+
     /// Returns how often the store was found to have been restored from an older copy.
     std::uint64_t restores() const;
 
     /// Returns the number of responses that were ignored as they were of an earlier era than the one that is known.
     std::uint64_t outdatedResponses() const;
 
+    /// Returns whether unread records are known to exist.
+    bool isBehind() const;
+
     /// Returns for how long unread records have been known to exist; 0 if there are none.
     Millis lagTime() const;
 
@@ -175,12 +199,29 @@
     void schedule(Millis delay, void (TopicFeed::*step)());
     void reportWatermark(Millis asOf);
     Millis holdTime() const;
+
+    /// Forgets a known end beyond the position if it was reported before a call that has shown the position to be the
+    /// end.
+    void forgetKnownEnd(std::uint64_t generation);
     void cancelCall();
     void advanceTo(const TopicPosition &position);
+    void recordFailure(std::string_view cause);
     void handleFailure(std::string_view cause, void (TopicFeed::*retry)());
     void handleSuccess();
-    void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(),
-              std::function<void(std::int64_t era, int status, const std::string &body)> done);
+
+    /// Sends the request of the current call, for the first time or beside the earlier ones.
+    void sendCall();
+
+    /// Repeats the current call after `FeedOptions::repeatTime` if it then has no response and records are unread.
+    void scheduleRepeat();
+    void onCallEnd(const net::Exchange *exchange, net::ExchangeOutcome end, const http::ResponseHead &response,
+                   const std::string &body);
+    void cancelExchanges(const net::Exchange *kept = nullptr);
+    bool isReceivingResponse() const;
+
+    /// What is done with the response to a call.
+    using ResponseHandler = std::function<void(std::int64_t era, int status, const std::string &body)>;
+    void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(), ResponseHandler done);
 
     net::HttpClient &m_client;
     platform::Endpoint m_store;
@@ -209,14 +250,23 @@
     /// The highest end that is known from reports of other VMs. Reset to the end of each snapshot that is delivered by
     /// `FeedEvents::onSnapshot`, since the topic may have been recreated.
     TopicPosition m_knownEnd;
+    std::uint64_t m_knownEndGeneration = 0; ///< `m_generation` when it was reported; later calls are greater.
     std::optional<Millis> m_lagSince; ///< By the boot clock.
     Millis m_maxLag{0};
-    std::shared_ptr<net::Exchange> m_exchange; ///< The exchange of the call under way.
+    std::vector<std::shared_ptr<net::Exchange>> m_exchanges; ///< The exchanges of the call under way.
+    std::string m_callBytes; ///< The request of the call under way.
+    Millis m_callTimeout{0}; ///< Until the first byte of its response.
+    void (TopicFeed::*m_callRetry)() = nullptr; ///< What follows if it fails.
+    ResponseHandler m_callDone;
+    std::size_t m_repeats = 0; ///< How often it was repeated.
+    net::Timer m_repeatTimer;
+    std::uint64_t m_repeatedCalls = 0;
     TopicPosition m_notifiedEnd; ///< The end of the last notification that led to a read.
     bool m_notificationPending = false; ///< The next read follows a notification, and the store must not hold it.
     Millis m_callStartedAt{0}; ///< In monotonic time.
     Millis m_callStartedAtBoot{0}; ///< The same by the boot clock.
     Millis m_lastFailedCallAt{0}; ///< When the last call that failed was started, by the boot clock.
+    std::uint64_t m_snapshotGeneration = 0; ///< Of the call for the first page of the snapshot.
     Millis m_snapshotStartedAt{0}; ///< When the first page of the snapshot was requested, by the boot clock.
     Millis m_longPollTime{0}; ///< How long the store may hold the current call.
     std::uint64_t m_generation = 0; ///< Identifies the current call; responses to earlier ones are ignored.
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+Millis holdTimeFor(Millis longest, Millis age)
+{
+    return std::clamp(longest - age, Millis{0}, longest);
+}
+
 TopicFeed::TopicFeed(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store, FeedOptions options,
                      FeedEvents events)
     : m_client(client)
@@ -25,7 +30,13 @@
     , m_events(std::move(events))
     , m_timer(loop)
     , m_random(systemRandom())
+    , m_repeatTimer(loop)
+{
+}
+
+TopicFeed::~TopicFeed()
 {
+    cancelExchanges();
 }
 
 void TopicFeed::start()
@@ -53,11 +64,21 @@
     return m_outdatedResponses;
 }
 
+std::uint64_t TopicFeed::repeatedCalls() const
+{
+    return m_repeatedCalls;
+}
+
 std::uint64_t TopicFeed::cancelledCalls() const
 {
     return m_cancelledCalls;
 }
 
+bool TopicFeed::isBehind() const
+{
+    return m_lagSince.has_value();
+}
+
 Millis TopicFeed::lagTime() const
 {
     return m_lagSince ? bootMillis() - *m_lagSince : Millis{0};
@@ -75,7 +96,10 @@
 
 void TopicFeed::recordKnownEnd(const TopicPosition &end)
 {
-    m_knownEnd = std::max(m_knownEnd, end);
+    if (end > m_knownEnd) {
+        m_knownEnd = end;
+        m_knownEndGeneration = m_generation;
+    }
     if (m_synchronized && m_position < m_knownEnd && !m_lagSince) {
         m_lagSince = bootMillis();
     }
@@ -90,6 +114,17 @@
     }
 }
 
+void TopicFeed::forgetKnownEnd(std::uint64_t generation)
+{
+    if (m_position >= m_knownEnd || generation <= m_knownEndGeneration) {
+        return;
+    }
+    logWarning(LogComponent::Store, "The store does not have the records that another VM reported.",
+               {{"topic", m_options.topic}, {"offset", toText(m_position)}, {"end", toText(m_knownEnd)}});
+    m_knownEnd = m_position;
+    advanceTo(m_position);
+}
+
 bool TopicFeed::isUnreachable() const
 {
     return m_storeUnreachable;
@@ -116,7 +151,7 @@
     m_timer.start(delay, [this, step] { (this->*step)(); });
 }
 
-void TopicFeed::handleFailure(std::string_view cause, void (TopicFeed::*retry)())
+void TopicFeed::recordFailure(std::string_view cause)
 {
     ++m_failures;
     m_lastFailedCallAt = m_callStartedAtBoot;
@@ -133,6 +168,11 @@
                  {"behind_ms", std::to_string(lagTime().count())}});
     }
     m_firstByteTimeout = std::min(m_firstByteTimeout + FirstByteTimeout, MaxFirstByteTimeout);
+}
+
+void TopicFeed::handleFailure(std::string_view cause, void (TopicFeed::*retry)())
+{
+    recordFailure(cause);
     schedule(jittered(m_random, m_backoff), retry);
     m_backoff = std::min(m_backoff * 2, MaxBackoff);
 }
@@ -149,40 +189,124 @@
 }
 
 void TopicFeed::call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(),
-                     std::function<void(std::int64_t era, int status, const std::string &body)> done)
+                     ResponseHandler done)
 {
-    ++m_calls;
     m_timer.cancel();
+    cancelExchanges();
     m_callActive = true;
     m_callStartedAt = steadyMillis();
     m_callStartedAtBoot = bootMillis();
-    const std::uint64_t generation = ++m_generation;
+    ++m_generation;
     http::RequestHead head = request.head;
     head.headers.add("Host", m_store.ip);
-    m_exchange =
-        m_client.call(m_store.ip, m_store.port, writeRequest(head, request.body),
+    m_callBytes = writeRequest(head, request.body);
+    m_callTimeout = timeout;
+    m_callRetry = retry;
+    m_callDone = std::move(done);
+    m_repeats = 0;
+    sendCall();
+    scheduleRepeat();
+}
+
+void TopicFeed::sendCall()
+{
+    struct Response
+    {
+        http::ResponseHead head;
+        std::string body;
+        const net::Exchange *exchange = nullptr;
+    };
+    ++m_calls;
+    const std::uint64_t generation = m_generation;
+    auto response = std::make_shared<Response>();
+    const auto exchange =
+        m_client.send(m_store.ip, m_store.port, m_callBytes,
                       {.connectTimeout = FirstByteTimeout,
-                       .timeout = timeout,
+                       .timeout = m_callTimeout,
                        .stallTimeout = FirstByteTimeout,
-                       .totalTimeout = timeout + MaxResponseTime,
+                       .totalTimeout = m_callTimeout + MaxResponseTime,
                        .maxIdle = Millis{30000}},
-                      [this, generation, retry, done = std::move(done)](
-                          net::ExchangeOutcome end, const http::ResponseHead &response, const std::string &body) {
-                          if (generation != m_generation) {
-                              return;
-                          }
-                          m_callActive = false;
-                          if (end != net::ExchangeOutcome::Complete) {
-                              handleFailure(nameOf(net::ExchangeOutcomeNames, end), retry);
-                              return;
-                          }
-                          const auto era = eraOf(response);
-                          if (!era) {
-                              handleFailure(era.error().message, retry);
-                              return;
-                          }
-                          done(*era, response.status, body);
-                      });
+                      {.head =
+                           [this, generation, response](const http::ResponseHead &head) {
+                               response->head = head;
+                               if (generation == m_generation) {
+                                   cancelExchanges(response->exchange);
+                               }
+                               return net::HeadDecision::Accept;
+                           },
+                       .body = [response](const std::string &part) { response->body.append(part); },
+                       .end =
+                           [this, generation, response](const net::ExchangeResult &result) {
+                               if (generation == m_generation) {
+                                   onCallEnd(response->exchange, result.outcome, response->head, response->body);
+                               }
+                           }});
+    response->exchange = exchange.get();
+    m_exchanges.push_back(exchange);
+}
+
+void TopicFeed::scheduleRepeat()
+{
+    // A held read has no response until there is a record.
+    if (m_options.repeatTime == Millis{0} || m_longPollTime > Millis{0} || m_repeats == MaxRepeats) {
+        return;
+    }
+    m_repeatTimer.start(m_options.repeatTime, [this] {
+        if (!m_callActive || isReceivingResponse()) {
+            return;
+        }
+        if (isBehind()) {
+            ++m_repeats;
+            ++m_repeatedCalls;
+            logInfo(LogComponent::Store, "A read of new records has no response; reading beside it.",
+                    {{"topic", m_options.topic},
+                     {"offset", toText(m_position)},
+                     {"behind_ms", std::to_string(lagTime().count())}});
+            sendCall();
+        }
+        scheduleRepeat();
+    });
+}
+
+void TopicFeed::onCallEnd(const net::Exchange *exchange, net::ExchangeOutcome end, const http::ResponseHead &response,
+                          const std::string &body)
+{
+    std::erase_if(m_exchanges, [&](const auto &item) { return item.get() == exchange; });
+    const std::string_view cause = nameOf(net::ExchangeOutcomeNames, end);
+    if (end != net::ExchangeOutcome::Complete && !m_exchanges.empty()) {
+        recordFailure(cause); // The call goes on by its repetitions.
+        return;
+    }
+    cancelExchanges();
+    m_callActive = false;
+    if (end != net::ExchangeOutcome::Complete) {
+        handleFailure(cause, m_callRetry);
+        return;
+    }
+    const auto era = eraOf(response);
+    if (!era) {
+        handleFailure(era.error().message, m_callRetry);
+        return;
+    }
+    const ResponseHandler done = std::move(m_callDone); // It may start the next call.
+    done(*era, response.status, body);
+}
+
+void TopicFeed::cancelExchanges(const net::Exchange *kept)
+{
+    m_repeatTimer.cancel();
+    for (const auto &exchange : m_exchanges) {
+        if (exchange.get() != kept) {
+            exchange->cancel();
+        }
+    }
+    std::erase_if(m_exchanges, [&](const auto &exchange) { return exchange.get() != kept; });
+}
+
+bool TopicFeed::isReceivingResponse() const
+{
+    return std::any_of(m_exchanges.begin(), m_exchanges.end(),
+                       [](const auto &exchange) { return exchange->isReceivingResponse(); });
 }
 
 Result<std::int64_t> TopicFeed::eraOf(const http::ResponseHead &response)
@@ -249,10 +373,10 @@
 
 Millis TopicFeed::holdTime() const
 {
-    if (m_passive) {
+    if (m_passive && m_options.validityTime == Millis{0}) {
         return m_options.passiveLongPollTime;
     }
-    return std::clamp(m_options.longPollTime - (bootMillis() - m_endKnownAt), Millis{0}, m_options.longPollTime);
+    return holdTimeFor(m_passive ? m_options.passiveLongPollTime : m_options.longPollTime, bootMillis() - m_endKnownAt);
 }
 
 void TopicFeed::reportWatermark(Millis asOf)
@@ -268,9 +392,7 @@
     ++m_generation;
     m_callActive = false;
     m_timer.cancel();
-    if (m_exchange) {
-        m_exchange->cancel();
-    }
+    cancelExchanges();
     m_snapshotRecords.clear();
     m_snapshotEnd.reset();
     m_readsNewest = false;
@@ -312,7 +434,7 @@
 
 void TopicFeed::readNow()
 {
-    if (m_readingSnapshot || (m_exchange && m_exchange->isReceivingResponse())) {
+    if (m_readingSnapshot || isReceivingResponse()) {
         return;
     }
     cancelCall();
@@ -330,8 +452,8 @@
     // One early read for each notification: if the store itself does not return the records, the usual read interval
     // applies. A read that has just started will return them; if each of many notifications cancelled it, none would
     // complete.
-    const bool justStarted = steadyMillis() - m_callStartedAt < MinCancelAge;
-    const bool responseArriving = m_exchange && m_exchange->isReceivingResponse();
+    const bool justStarted = steadyMillis() - m_callStartedAt < m_options.minCancelAge;
+    const bool responseArriving = isReceivingResponse();
     // A read that the store does not hold returns all records that there are; over a congested link its response takes
     // long.
     const bool unheldReadActive = m_callActive && m_longPollTime == Millis{0};
@@ -344,10 +466,8 @@
     logInfo(LogComponent::Store, "Another VM reported new records; reading at once.",
             {{"topic", m_options.topic}, {"offset", toText(m_position)}, {"end", toText(end)}});
     m_timer.cancel();
-    if (m_exchange) {
-        m_cancelledCalls += m_callActive ? 1 : 0;
-        m_exchange->cancel();
-    }
+    m_cancelledCalls += m_callActive ? 1 : 0;
+    cancelExchanges();
     if (end.era != m_position.era) {
         readSnapshot();
     } else if (m_options.newestOnly && end.offset - m_position.offset > 1) {
@@ -390,6 +510,7 @@
         // The end as of the first page: what changes while later pages are read is read again.
         m_snapshotEnd = page->end;
         m_snapshotStartedAt = m_callStartedAtBoot;
+        m_snapshotGeneration = m_generation;
     }
     std::move(page->records.begin(), page->records.end(), std::back_inserter(m_snapshotRecords));
     if (page->hasMore && !page->records.empty()) {
@@ -413,6 +534,7 @@
     const bool newestOnly = std::exchange(m_readsNewest, false) || (restored && m_options.newestOnly);
     if (newestOnly && end >= m_position) {
         applyNewest(std::move(records), end);
+        forgetKnownEnd(m_snapshotGeneration);
     } else {
         m_knownEnd = end; // The topic may have been recreated.
         advanceTo(end);
@@ -484,6 +606,7 @@
         schedule(m_options.minReadInterval, &TopicFeed::readNext);
         return;
     }
+    forgetKnownEnd(m_generation);
     // How long the response was under way is unknown: over a congested link it takes a second. A read without records
     // was held until its time limit, which shows that none was written until then.
     const bool heldToLimit = page->records.empty() && bootMillis() - m_callStartedAtBoot >= m_longPollTime;
--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -17,10 +17,11 @@
 /// A VM that follows the topic, at a loopback address of its own.
 struct Vm
 {
-    Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool entryVm)
+    Vm(asio::io_context &loop, const std::string &ip, std::uint16_t port, std::uint16_t storePort, bool entryVm,
+       Millis stateTime)
         : client(loop)
         , follower(loop, client, {.ip = "127.0.0.1", .port = storePort},
-                   {.ip = ip, .port = port, .isEntryVm = entryVm, .stateTime = StateTime},
+                   {.ip = ip, .port = port, .isEntryVm = entryVm, .stateTime = stateTime},
                    {.onSnapshot =
                         [this](const std::vector<platform::KeyedRecord> &records) {
                             for (const platform::KeyedRecord &record : records) {
@@ -33,8 +34,10 @@
                             lastPosition = record.position;
                             values[record.key] = record.value.value_or("");
                         },
-                    .onStoreOutage =
-                        [](bool) {
+                    .onStoreOutage = [](bool) {},
+                    .onWatermark =
+                        [this](Millis asOf) {
+                            reportedAsOf[follower.feed().position()] = asOf;
                         }})
     {
         follower.setPassive(true);
@@ -43,6 +46,7 @@
     net::HttpClient client;
     std::map<std::string, std::string> values;
     TopicPosition lastPosition;
+    std::map<TopicPosition, Millis> reportedAsOf; ///< What it reports to others: when the topic ended at a position.
     OperatorsFollower follower;
 };
 
@@ -75,7 +79,7 @@
 
     Vm &add(const std::string &ip, lab::StoreStandIn &store, bool entryVm = true)
     {
-        Vm &vm = *(m_vms[ip] = std::make_unique<Vm>(m_loop, ip, m_port, store.port(), entryVm));
+        Vm &vm = *(m_vms[ip] = std::make_unique<Vm>(m_loop, ip, m_port, store.port(), entryVm, m_stateTime));
         EXPECT_FALSE(vm.follower.start());
         vm.follower.setEntryVms(m_ips);
         return vm;
@@ -93,19 +97,58 @@
     /// Replaces the VM that reads the store for the others by a plain listener.
     /// @param onData is called when the listener receives data.
     void replaceRoot(const std::function<void(net::Connection &)> &onData)
+    {
+        replaceRootWith([onData](net::Connection &connection, std::string_view) { onData(connection); });
+    }
+
+    /// Does so with what the listener receives.
+    void replaceRootWith(const std::function<void(net::Connection &, std::string_view)> &onData)
     {
         m_vms.erase(m_root);
         m_listener =
             std::make_unique<net::Listener>(m_loop, [this, onData](const std::shared_ptr<net::Connection> &connection) {
-                connection->start({.data = [raw = connection.get(), onData](std::string_view) { onData(*raw); },
-                                   .closed =
-                                       [](net::CloseReason) {
-                                       }});
+                connection->start(
+                    {.data = [raw = connection.get(), onData](std::string_view bytes) { onData(*raw, bytes); },
+                     .closed =
+                         [](net::CloseReason) {
+                         }});
                 m_listenerConnections.push_back(connection);
             });
         ASSERT_FALSE(m_listener->open(m_root, m_port));
     }
 
+    /// Replaces the VM that reads the store for the others by a listener that responds to each request at once.
+    void replaceRoot(const std::function<peer::RecordsUpdate(const peer::RecordsRequest &)> &respond)
+    {
+        replaceRootWith([respond, reader = std::make_shared<peer::FrameReader>()](net::Connection &connection,
+                                                                                  std::string_view bytes) {
+            reader->add(bytes);
+            for (auto body = reader->next(); body; body = reader->next()) {
+                const auto message = peer::decodeRecords(*body);
+                ASSERT_TRUE(message);
+                connection.write(encode(respond(std::get<peer::RecordsRequest>(*message))));
+            }
+        });
+    }
+
+    /// Returns an entry VM that asks nobody but the root.
+    std::string childOfRoot() const
+    {
+        return *std::find_if(m_ips.begin(), m_ips.end(), [this](const std::string &ip) {
+            return sourcesInTree(ip, m_ips) == std::vector<std::string>{m_root};
+        });
+    }
+
+    /// Returns the update of a VM that knows the first records of the key "config", of values 1, 2 and so on.
+    static peer::RecordsUpdate updateUpTo(std::int64_t end, const peer::RecordsRequest &request)
+    {
+        peer::RecordsUpdate out{.sequence = request.sequence, .end = {.era = 0, .offset = end}, .records = {}};
+        if (out.end > request.from) {
+            out.records.push_back({.key = "config", .value = std::to_string(end), .position = advancedBy(out.end, -1)});
+        }
+        return out;
+    }
+
     /// Writes to both stores.
     void append(const std::string &key, const std::string &value)
     {
@@ -126,7 +169,7 @@
     /// Validates the state of all VMs until the store holds no read of any.
     void letReadsEnd()
     {
-        for (const Millis end = steadyMillis() + StateTime; steadyMillis() < end;) {
+        for (const Millis end = steadyMillis() + m_stateTime; steadyMillis() < end;) {
             reportWatermarks();
             m_loop.run_for(Millis{100});
         }
@@ -155,7 +198,31 @@
         return holds();
     }
 
+    /// Lets one VM go on with two sources, which receive requests and never respond.
+    Vm &isolateBehindSilentSources()
+    {
+        std::string ip;
+        for (const std::string &candidate : m_ips) {
+            ip = sourcesInTree(candidate, m_ips).size() == 2 ? candidate : ip;
+        }
+        std::erase_if(m_vms, [&](const auto &item) { return item.first != ip; });
+        for (const std::string &source : sourcesInTree(ip, m_ips)) {
+            const auto listener =
+                std::make_shared<net::Listener>(m_loop, [this](const std::shared_ptr<net::Connection> &connection) {
+                    connection->start({.data = [](std::string_view) {},
+                                       .closed =
+                                           [](net::CloseReason) {
+                                           }});
+                    m_listenerConnections.push_back(connection);
+                });
+            EXPECT_FALSE(listener->open(source, m_port));
+            m_silentSources.push_back(listener);
+        }
+        return *m_vms.at(ip);
+    }
+
     static constexpr int EntryVms = 8;
+    Millis m_stateTime = StateTime;
     asio::io_context m_loop;
     lab::StoreStandIn m_store{m_loop};
     lab::StoreStandIn m_otherStore{
@@ -167,6 +234,7 @@
     std::int64_t m_end = 0;
     std::int64_t m_era = 0;
     std::unique_ptr<net::Listener> m_listener;
+    std::vector<std::shared_ptr<net::Listener>> m_silentSources;
     std::vector<std::shared_ptr<net::Connection>>
         m_listenerConnections; ///< Connections to the listener in place of the root.
 };
@@ -249,6 +317,53 @@
     EXPECT_FALSE(m_listenerConnections.empty()) << "it received a request";
 }
 
+// After the sources, the next read followed the lost one later than the state had to be in effect.
+TEST_F(OperatorsFollowerTest, AReadWhoseResponseIsLostIsRepeatedInTimeForTheState)
+{
+    m_stateTime = Millis{1500};
+    addAll();
+    letReadsEnd();
+    const Vm &vm = isolateBehindSilentSources();
+    m_store.losses = 1;
+    append("config", "2");
+    reportWatermarks();
+    EXPECT_TRUE(runUntil([&] { return allHave("2"); }, m_stateTime));
+    EXPECT_EQ(m_store.losses, 0);
+    EXPECT_EQ(m_listenerConnections.size(), 2U) << "both sources received a request";
+    EXPECT_EQ(vm.follower.feed().repeatedCalls(), 1U);
+}
+
+// A retry must not begin anew what arrives over a congested link.
+TEST_F(OperatorsFollowerTest, AReadThatIsRepeatedIsNotCancelled)
+{
+    addAll();
+    letReadsEnd();
+    const Vm &vm = isolateBehindSilentSources();
+    const int before = copiesSent();
+    m_store.delay = Millis{600}; // Until the first byte of the response; the read is repeated after 400 ms.
+    append("config", "2");
+    reportWatermarks();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }));
+    EXPECT_EQ(copiesSent() - before, 1) << "the response to the first read was used";
+    EXPECT_EQ(vm.follower.feed().repeatedCalls(), 1U);
+    EXPECT_EQ(vm.follower.feed().failures(), 0U);
+}
+
+// All calls that are under way count as one: the outage is known when the first of them fails.
+TEST_F(OperatorsFollowerTest, AStoreThatDoesNotRespondIsUnreachableThoughReadsAreRepeated)
+{
+    addAll();
+    letReadsEnd();
+    const Vm &vm = isolateBehindSilentSources();
+    m_store.losses = 3;
+    append("config", "2");
+    reportWatermarks();
+    ASSERT_TRUE(runUntil([&] { return vm.follower.feed().isUnreachable(); }));
+    EXPECT_EQ(vm.follower.feed().failures(), 1U);
+    EXPECT_TRUE(runUntil([&] { return allHave("2"); }));
+    EXPECT_FALSE(vm.follower.feed().isUnreachable());
+}
+
 TEST_F(OperatorsFollowerTest, ASourceThatSendsInvalidMessagesIsReplaced)
 {
     addAll();
@@ -259,6 +374,77 @@
     EXPECT_FALSE(m_listenerConnections.empty()) << "it received a request";
 }
 
+// A VM reported that the topic ended before a record that it knew of, as of a time at which the record was there. VMs
+// that lacked it were validated by that.
+TEST_F(OperatorsFollowerTest, RecordsBeforeTheWantedEndAreNotReportedAsTheEndOfTheTopic)
+{
+    append("config", "1");
+    replaceRoot([](const peer::RecordsRequest &request) { return updateUpTo(2, request); });
+    Vm &vm = add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    m_loop.run_for(Millis{20});
+    const Millis readAt = bootMillis(); // Later than the VM's own read.
+    const TopicPosition end{.era = 0, .offset = 3};
+    vm.follower.applyWatermark({.end = end, .asOf = readAt}, end);
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    EXPECT_LT(vm.reportedAsOf.at({.era = 0, .offset = 2}), readAt) << "the topic ended at 3 by then";
+}
+
+// The same at a target VM that needs the topic only up to the last announcement.
+TEST_F(OperatorsFollowerTest, RecordsUpToAnAnnouncementAreNotReportedAsTheEndOfTheTopic)
+{
+    append("config", "1");
+    replaceRoot([](const peer::RecordsRequest &request) { return updateUpTo(2, request); });
+    Vm &vm = add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    m_loop.run_for(Millis{20});
+    const Millis readAt = bootMillis(); // Later than the VM's own read.
+    const TopicPosition needed{.era = 0, .offset = 2};
+    vm.follower.applyWatermark({.end = {.era = 0, .offset = 3}, .announcementsEnd = needed, .asOf = readAt}, needed);
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }, StateTime));
+    EXPECT_LT(vm.reportedAsOf.at(needed), readAt) << "the topic ended at 3 by then";
+}
+
+// Records of another VM that ended before the wanted end cancelled the read of the store and counted as a validation,
+// so that nobody read the newest state.
+TEST_F(OperatorsFollowerTest, RecordsBeforeTheWantedEndDoNotDelayTheStateBehindThem)
+{
+    append("config", "1");
+    bool sourceHasSecond = false;
+    replaceRoot([&](const peer::RecordsRequest &request) { return updateUpTo(sourceHasSecond ? 2 : 1, request); });
+    add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    letReadsEnd();
+    m_store.silent = true; // The response to the first read is lost.
+    append("config", "2");
+    append("config", "3");
+    const Millis confirmedAt = steadyMillis();
+    constexpr double LostFraction = 0.35;
+    while (!allHave("3") && steadyMillis() < confirmedAt + 2 * StateTime) {
+        sourceHasSecond = steadyMillis() >= confirmedAt + std::chrono::duration_cast<Millis>(StateTime * LostFraction);
+        m_store.silent = !sourceHasSecond;
+        reportWatermarks();
+        m_loop.run_for(Millis{50});
+    }
+    ASSERT_TRUE(allHave("3"));
+    EXPECT_LE(steadyMillis() - confirmedAt, StateTime);
+}
+
+// Reads of a VM that nobody validates were held for so long that a lost response was noticed too late.
+TEST_F(OperatorsFollowerTest, AStateIsInTimeThoughTheResponseToAReadOfAVmWithoutValidationIsLost)
+{
+    append("config", "1");
+    add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    m_store.silent = true;
+    ASSERT_TRUE(runUntil([&] { return m_store.lastWait > 0; }));
+    m_store.silent = false;
+    append("config", "2");
+    const Millis confirmedAt = steadyMillis();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }));
+    EXPECT_LE(steadyMillis() - confirmedAt, StateTime);
+}
+
 TEST_F(OperatorsFollowerTest, StatesInQuickSuccessionReachAllInOrder)
 {
     addAll();
--- a/libs/feed/test/operators_watermark_test.cpp
+++ b/libs/feed/test/operators_watermark_test.cpp
@@ -1,6 +1,8 @@
 #include "ibislock/feed/operators_watermark.h"
+#include "ibislock/feed/send_time.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <rapidcheck/gtest.h>
 
 namespace ibislock::feed
@@ -76,6 +78,111 @@
     }
 }
 
+/// A VM of the exchange that `WatermarkExchangeTest` plays in virtual time.
+struct ExchangingVm
+{
+    OperatorsWatermark watermark;
+    SendTimeClock clock;
+    std::map<std::size_t, SendTimePeer> peers;
+
+    peer::SubscribeMessage send(std::size_t to, Millis now)
+    {
+        return {.operatorsWatermark = toMessage(watermark, now), .stamps = stampsFor(clock, peers[to], now)};
+    }
+
+    void receive(std::size_t from, const peer::SubscribeMessage &message, Millis now)
+    {
+        const auto sentAfter = recordStamps(clock, peers[from], message.stamps, now);
+        mergeWatermark(watermark, fromMessage(message.operatorsWatermark, sentAfter));
+    }
+};
+
+/// Entry and target VMs that exchange their watermarks after the last VM that reads the store has fallen silent.
+class WatermarkExchangeTest : public testing::TestWithParam<int>
+{
+protected:
+    /// How often entry VMs and target VMs send, as the daemons do.
+    static constexpr Millis EntryInterval{1000};
+    static constexpr Millis TargetInterval{300};
+
+    /// Returns the age of the youngest watermark, `time` after the last read.
+    Millis youngestAfter(Millis time)
+    {
+        for (Millis now{0}; now <= time; ++now) {
+            deliver(now);
+            for (std::size_t n = 0; n < Vms; ++n) {
+                const Millis interval = isEntryVm(n) ? EntryInterval : TargetInterval;
+                if ((now + Millis{37 * static_cast<int>(n)}) % interval == Millis{0}) {
+                    sendToOthers(n, now);
+                }
+            }
+        }
+        Millis out = Millis::max();
+        for (const ExchangingVm &vm : m_vms) {
+            out = std::min(out, time - vm.watermark.asOf);
+        }
+        return out;
+    }
+
+private:
+    static constexpr std::size_t Vms = 12;
+
+    struct Datagram
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        peer::SubscribeMessage message;
+    };
+
+    static bool isEntryVm(std::size_t n)
+    {
+        return n % 2 == 0;
+    }
+
+    void sendToOthers(std::size_t from, Millis now)
+    {
+        for (std::size_t to = 0; to < Vms; ++to) {
+            if (isEntryVm(to) != isEntryVm(from)) {
+                m_underWay.emplace(now + Millis{GetParam()},
+                                   Datagram{.from = from, .to = to, .message = m_vms.at(from).send(to, now)});
+            }
+        }
+    }
+
+    void deliver(Millis now)
+    {
+        while (!m_underWay.empty() && m_underWay.begin()->first <= now) {
+            const Datagram datagram = m_underWay.begin()->second;
+            m_underWay.erase(m_underWay.begin());
+            m_vms.at(datagram.to).receive(datagram.from, datagram.message, now);
+        }
+    }
+
+    static std::vector<ExchangingVm> vmsThatHaveReadNow()
+    {
+        std::vector<ExchangingVm> out;
+        for (std::size_t n = 0; n < Vms; ++n) {
+            out.push_back({.watermark = {.end = at(7, 0), .announcementsEnd = at(3, 0), .asOf = Millis{0}},
+                           .clock = makeSendTimeClock(1 + 1'000'000 * n, Millis{0}),
+                           .peers = {}});
+        }
+        return out;
+    }
+
+    std::vector<ExchangingVm> m_vms = vmsThatHaveReadNow();
+    std::multimap<Millis, Datagram> m_underWay; ///< By the time of their arrival.
+};
+
+// A VM that others validate reads the store by itself once the watermark is too old; it must not stay young by the time
+// that it is under way.
+TEST_P(WatermarkExchangeTest, AWatermarkGetsOlderHoweverLongItIsUnderWay)
+{
+    constexpr Millis Silence{5000};
+    EXPECT_GE(youngestAfter(Silence), Silence);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ways, WatermarkExchangeTest, testing::Values(1, 50, 200, 800));
+
 } // namespace
 
 } // namespace ibislock::feed
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -3,6 +3,7 @@
 #include "call.h"
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
+#include "ibislock/feed/state_currency.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/serving/load_subscriptions.h"
 
@@ -63,12 +64,14 @@
     , m_loads(ioLoop)
 {
     quarantine.self = random();
+    m_sendTimeClock = feed::makeSendTimeClock(systemRandom()(), bootMillis());
     quarantine.forwardOneIn = serving::EntryForwardOneIn;
     retries.ratio = settings.bounds.retryRatio;
     retries.allowance = settings.bounds.retryAllowance;
     retries.window = settings.bounds.retryWindow;
     // Until target VMs report how many entry VMs there are, the share of the retry budget is that of a large number.
     constexpr int AssumedEntryVms = 16;
+    m_entryVms = serving::assumedEntryVms(AssumedEntryVms, steadyMillis());
     retries.entryVms = AssumedEntryVms;
 }
 
@@ -150,6 +153,12 @@
             .hasDaemon = [this](const serving::TargetEntry &entry) { return isEngine(entry); },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_operatorsWatermark, bootMillis()); },
+            .lostRecords = [this](std::int64_t era) { return m_operatorsFollower->lostRecords(era); },
+            .wantsLostRecords = [this] { return m_operatorsFollower->wantsLostRecords(); },
+            .onLostRecords =
+                [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
+                    m_operatorsFollower->applyLostRecords(relay, records);
+                },
             .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
         });
     ok = opened("the listener for record requests", m_operatorsFollower->start());
@@ -174,12 +183,16 @@
         recordAnnouncementPosition(m_operatorsWatermark, record.position);
     }
     const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
-    applyRecord(operators, record,
-                {.live = live,
-                 .now = steadyMillis(),
-                 .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
-                 .source = m_operatorsFollower->recordSource(),
-                 .versionTime = settings.bounds.versionGracePeriod});
+    const bool inForce =
+        applyRecord(operators, record,
+                    {.live = live,
+                     .now = steadyMillis(),
+                     .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
+                     .source = m_operatorsFollower->recordSource(),
+                     .versionTime = settings.bounds.versionGracePeriod});
+    if (inForce) {
+        m_operatorsFollower->recordInForce(record);
+    }
 }
 
 void Front::recordRecovery(Millis at)
@@ -223,6 +236,20 @@
         : requiredVersion(it->second, now + ahead, settings.bounds.versionGracePeriod);
 }
 
+bool Front::isStateCurrent() const
+{
+    const feed::TopicFeed &feed = m_operatorsFollower->feed();
+    return feed::isStateCurrent(
+        {.behind = feed.isBehind(), .storeUnreachable = operatorsUnreachable, .endKnownAt = feed.endKnownAt()},
+        settings.bounds.stateApplyTime, bootMillis());
+}
+
+Millis Front::stateAge() const
+{
+    const Millis knownAt = m_operatorsFollower->feed().endKnownAt();
+    return knownAt > Millis{0} ? bootMillis() - knownAt : Millis{-1};
+}
+
 void Front::accept(const std::shared_ptr<Call> &call)
 {
     const auto refused = call->resolve();
@@ -273,6 +300,7 @@
     }
     const Millis now = steadyMillis();
     const serving::Placement placement = findPlacement(*call, now);
+    counters.choicesWithoutTurn += placement.withoutTurn > 0 ? 1 : 0;
     switch (serving::admit(call->admissionRequest(now), placement)) {
     case serving::AdmissionDecision::Send:
         call->send(*placement.target);
@@ -284,7 +312,7 @@
         call->refuse(CallOutcome::Full);
         break;
     case serving::AdmissionDecision::RefuseBackingOff:
-        call->refuse(CallOutcome::TargetsBackingOff, placement.backoffUntil - now);
+        call->refuse(CallOutcome::TargetsBackingOff, placement.suggestedPause);
         break;
     case serving::AdmissionDecision::RefuseNoTarget:
         call->refuse(CallOutcome::NoTarget);
@@ -316,7 +344,7 @@
 
 bool Front::isReady() const
 {
-    return operators.state != nullptr && !draining;
+    return operators.state != nullptr && m_operatorsFollower->isCaughtUp() && !draining;
 }
 
 void Front::serveReadiness(const std::shared_ptr<net::Connection> &connection)
@@ -408,7 +436,9 @@
         }
     }
     const std::set<std::string> watched = serving::chooseLoadSubscriptions(settings.vmName, settings.domain, engines);
-    const peer::TopicWatermark level = toMessage(m_operatorsWatermark, bootMillis());
+    // One time for ages and stamps: a stall in between would make the watermark younger.
+    const Millis bootNow = bootMillis();
+    const peer::TopicWatermark level = toMessage(m_operatorsWatermark, bootNow);
     const bool tellOthers = now >= m_nextPresenceAt;
     m_nextPresenceAt = tellOthers ? now + PresencePause : m_nextPresenceAt;
     for (const serving::SubscriptionCandidate &engine : engines) {
@@ -419,8 +449,10 @@
         if (ec || !(wantsLoads || tellOthers)) {
             continue;
         }
-        const std::string message =
-            peer::encode(peer::SubscribeMessage{.operatorsWatermark = level, .wantsLoads = wantsLoads});
+        const std::string message = peer::encode(
+            peer::SubscribeMessage{.operatorsWatermark = level,
+                                   .wantsLoads = wantsLoads,
+                                   .stamps = stampsFor(m_sendTimeClock, m_loadSenders[endpoint->ip], bootNow)});
         m_loads.send_to(asio::buffer(message), {address, settings.firstPeerPort}, 0, ec);
         // A failure to send is ignored; the next datagram replaces this one.
     }
@@ -458,6 +490,16 @@
     }
 }
 
+void Front::applyEntryVmCount(int reported)
+{
+    recordEntryVms(m_entryVms, reported, steadyMillis());
+    const int number = entryVms(m_entryVms);
+    if (number != retries.entryVms) {
+        applyEntryVms(table, number, random, steadyMillis());
+    }
+    retries.entryVms = number;
+}
+
 void Front::applyLoad(const std::string &ip, const peer::LoadMessage &load)
 {
     auto &[incarnation, sequence] = m_loadSequence[ip];
@@ -466,8 +508,9 @@
     }
     incarnation = load.incarnation;
     sequence = load.sequence;
-    retries.entryVms = std::max(load.entryVmCount, 1);
-    applyWatermark(feed::fromMessage(load.operatorsWatermark, bootMillis()));
+    applyEntryVmCount(load.entryVmCount);
+    const auto sentAfter = recordStamps(m_sendTimeClock, m_loadSenders[ip], load.stamps, bootMillis());
+    applyWatermark(feed::fromMessage(load.operatorsWatermark, sentAfter));
     const Millis now = steadyMillis();
     for (const peer::Announcement &naming : load.announcements) {
         const auto it = operators.announced.find(naming.model);
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -7,12 +7,14 @@
 #include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
+#include "ibislock/feed/send_time.h"
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/net/timer.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/admission.h"
+#include "ibislock/serving/entry_vm_count.h"
 #include "ibislock/serving/quarantine_report.h"
 #include "ibislock/serving/retry_budget_share.h"
 
@@ -78,6 +80,13 @@
     /// @param ahead how long after `now` it starts.
     std::int64_t minVersionOf(const std::string &model, Millis now, Millis ahead) const;
 
+    /// Returns whether each desired state that must be in effect is known here. Otherwise a route or key that the known
+    /// one lacks may exist.
+    bool isStateCurrent() const;
+
+    /// Returns for how long newer desired states may have existed; -1 ms before the first snapshot.
+    Millis stateAge() const;
+
     /// Removes and releases a caller's connection.
     void removeConnection(const CallerConnection *connection);
 
@@ -112,6 +121,9 @@
     void applyWatermark(const feed::OperatorsWatermark &level);
     void applyDatagram(const std::string &ip, std::string_view bytes);
     void applyLoad(const std::string &ip, const peer::LoadMessage &load);
+
+    /// Records the number of entry VMs that a target VM knows, for what they share.
+    void applyEntryVmCount(int reported);
     void applyQuarantine(const peer::QuarantineMessage &message);
 
     /// Quarantines requests and parts of prompts that crash targets, and reports what is known of them to other VMs.
@@ -137,6 +149,9 @@
     std::array<char, 1500> m_loadBuffer{};
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
         m_loadSequence; ///< Incarnation and sequence of the last load report, by IP address.
+    feed::SendTimeClock m_sendTimeClock; ///< Its times are of the boot clock.
+    serving::EntryVmCount m_entryVms; ///< As target VMs report it.
+    std::map<std::string, feed::SendTimePeer> m_loadSenders; ///< Target VMs that report loads, by IP address.
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_adminConnections;
     WaitingCalls m_waiting; ///< Calls whose targets are full.
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -26,6 +26,9 @@
     writeEraMetrics(out, operators);
     writeCounter(out, "ibislock_store_reads_given_up_total", "Reads of the operators' topic that were begun anew.",
                  operators.cancelledCalls());
+    writeCounter(out, "ibislock_store_reads_repeated_total",
+                 "Reads of the operators' topic that were sent beside one without a response.",
+                 operators.repeatedCalls());
     writeCounter(out, "ibislock_records_taken_over_total", "How often records of operators came from another VM.",
                  follower.peerUpdatesApplied());
     writeCounter(out, "ibislock_records_asked_in_vain_total", "VMs that were asked for records and had none.",
@@ -62,7 +65,7 @@
                counters.maxUnlistedUse.count());
 }
 
-void writeState(std::string &out, const feed::OperatorsView &operators, bool away, Millis now)
+void writeState(std::string &out, const feed::OperatorsView &operators, bool away, Millis confirmedAge, Millis now)
 {
     writeGauge(out, "ibislock_state_version", "Version of the desired state in force.",
                operators.state ? operators.state->version : 0);
@@ -70,6 +73,8 @@
         writeGauge(out, "ibislock_state_age_ms", "Time since this VM read that state.",
                    (now - operators.stateReadAt).count());
     }
+    writeGauge(out, "ibislock_state_confirmed_age_ms",
+               "Time since no newer state is known to have existed; -1 before the first one.", confirmedAge.count());
     writeGauge(out, "ibislock_store_away", "1 while the operators' topic can't be read.", away ? 1 : 0);
 }
 
@@ -77,6 +82,9 @@
 {
     constexpr double Percent = 100;
     writeGauge(out, "ibislock_targets", "Targets that are known.", static_cast<std::int64_t>(table.targets.size()));
+    const auto limited = std::count_if(table.targets.begin(), table.targets.end(),
+                                       [](const auto &item) { return item.second.signals.limit; });
+    writeGauge(out, "ibislock_limited_targets", "Targets that name a limit of requests.", limited);
     writeMetricHeader(out, "ibislock_target_occupancy_percent", "gauge", "Requests for each slot, as believed.");
     for (const auto &[id, target] : table.targets) {
         const bool engine = target.load.has_value();
@@ -107,7 +115,7 @@
 {
     std::string out;
     const Millis now = steadyMillis();
-    writeState(out, operators, operatorsUnreachable, now);
+    writeState(out, operators, operatorsUnreachable, stateAge(), now);
     writeKnowledge(out, m_operatorsFollower->feed(), *m_listings, counters);
     writeStallMetrics(out, m_stalls);
     writeCounters(out, counters);
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8fec0e865b1d56bc, 8, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 9, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 12, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -233,7 +233,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b829336e0eda5f73, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,7 +248,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 10, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eff40d56be4fe478, 10, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -489,6 +489,12 @@
 
   inline  ::int64_t getNamingsEra() const;
 
+  inline  ::uint64_t getSentStamp() const;
+
+  inline  ::uint64_t getReturnedStamp() const;
+
+  inline  ::uint32_t getHeldMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -535,6 +541,15 @@
   inline  ::int64_t getNamingsEra();
   inline void setNamingsEra( ::int64_t value);
 
+  inline  ::uint64_t getSentStamp();
+  inline void setSentStamp( ::uint64_t value);
+
+  inline  ::uint64_t getReturnedStamp();
+  inline void setReturnedStamp( ::uint64_t value);
+
+  inline  ::uint32_t getHeldMs();
+  inline void setHeldMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -607,6 +622,12 @@
 
   inline  ::int64_t getNamingsEra() const;
 
+  inline  ::uint64_t getSentStamp() const;
+
+  inline  ::uint64_t getReturnedStamp() const;
+
+  inline  ::uint32_t getHeldMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -681,6 +702,15 @@
   inline  ::int64_t getNamingsEra();
   inline void setNamingsEra( ::int64_t value);
 
+  inline  ::uint64_t getSentStamp();
+  inline void setSentStamp( ::uint64_t value);
+
+  inline  ::uint64_t getReturnedStamp();
+  inline void setReturnedStamp( ::uint64_t value);
+
+  inline  ::uint32_t getHeldMs();
+  inline void setHeldMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1568,6 +1598,8 @@
 
   inline  ::int64_t getEra() const;
 
+  inline bool getWantsLostRecords() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1615,6 +1647,9 @@
   inline  ::int64_t getEra();
   inline void setEra( ::int64_t value);
 
+  inline bool getWantsLostRecords();
+  inline void setWantsLostRecords(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1688,6 +1723,9 @@
 
   inline  ::int64_t getNamingsEra() const;
 
+  inline bool hasLostRecords() const;
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader getLostRecords() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1767,6 +1805,13 @@
   inline  ::int64_t getNamingsEra();
   inline void setNamingsEra( ::int64_t value);
 
+  inline bool hasLostRecords();
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder getLostRecords();
+  inline void setLostRecords( ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder initLostRecords(unsigned int size);
+  inline void adoptLostRecords(::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>> disownLostRecords();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2682,6 +2727,48 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Subscribe::Reader::getSentStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Subscribe::Builder::getSentStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setSentStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Subscribe::Reader::getReturnedStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Subscribe::Builder::getReturnedStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setReturnedStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Subscribe::Reader::getHeldMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Subscribe::Builder::getHeldMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Subscribe::Builder::setHeldMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Load::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2898,6 +2985,48 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Load::Reader::getSentStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getSentStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSentStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Load::Reader::getReturnedStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getReturnedStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setReturnedStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getHeldMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getHeldMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setHeldMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Quarantine::Reader::hasSuspicions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3912,6 +4041,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ListingsAsk::Reader::getWantsLostRecords() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool ListingsAsk::Builder::getWantsLostRecords() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void ListingsAsk::Builder::setWantsLostRecords(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ListingsUpdate::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4152,6 +4295,40 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ListingsUpdate::Reader::hasLostRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ListingsUpdate::Builder::hasLostRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader ListingsUpdate::Reader::getLostRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder ListingsUpdate::Builder::getLostRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ListingsUpdate::Builder::setLostRecords( ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>::Builder ListingsUpdate::Builder::initLostRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ListingsUpdate::Builder::adoptLostRecords(
+    ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>> ListingsUpdate::Builder::disownLostRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibislock::peer::wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Listing::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -69,6 +69,7 @@
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
     , m_random(systemRandom())
+    , m_sendTimeClock(feed::makeSendTimeClock(m_random(), bootMillis()))
     , m_tickTimer(loop)
 {
 }
@@ -142,6 +143,12 @@
                 },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_watermark, bootMillis()); },
+            .lostRecords = [this](std::int64_t era) { return m_operatorsFollower->lostRecords(era); },
+            .wantsLostRecords = [this] { return m_operatorsFollower->wantsLostRecords(); },
+            .onLostRecords =
+                [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
+                    m_operatorsFollower->applyLostRecords(relay, records);
+                },
             .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
         });
     if (const asio::error_code failed = m_listingsFollower->start()) {
@@ -169,12 +176,16 @@
         recordAnnouncementPosition(m_watermark, record.position);
     }
     const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
-    applyRecord(m_operators, record,
-                {.live = live,
-                 .now = steadyMillis(),
-                 .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
-                 .source = m_operatorsFollower->recordSource(),
-                 .versionTime = m_settings.bounds.versionGracePeriod});
+    const bool inForce =
+        applyRecord(m_operators, record,
+                    {.live = live,
+                     .now = steadyMillis(),
+                     .maxAge = absentAt > Millis{0} ? std::optional(bootMillis() - absentAt) : std::nullopt,
+                     .source = m_operatorsFollower->recordSource(),
+                     .versionTime = m_settings.bounds.versionGracePeriod});
+    if (inForce) {
+        m_operatorsFollower->recordInForce(record);
+    }
 }
 
 void Side::updateDesiredWeights()
@@ -289,14 +300,17 @@
     m_lastPublished = content;
     m_publishedAt = now;
     load.announcements = recentAnnouncements(); // Their ages always change and are no reason to publish.
-    load.operatorsWatermark = toMessage(m_watermark, bootMillis());
+    // One time for ages and stamps: a stall in between would make the watermark younger.
+    const Millis bootNow = bootMillis();
+    load.operatorsWatermark = toMessage(m_watermark, bootNow);
     load.incarnation = m_incarnation;
     load.sequence = ++m_sequence;
-    const std::string message = peer::encode(load);
     for (const auto &[endpoint, subscriber] : m_subscribers) {
         if (now > subscriber.loadsUntil) {
             continue;
         }
+        load.stamps = stampsFor(m_sendTimeClock, subscriber.sender, bootNow);
+        const std::string message = peer::encode(load);
         asio::error_code ec;
         m_datagrams.send_to(asio::buffer(message), endpoint, 0, ec);
         // A datagram that can't be sent is replaced by the next one.
@@ -359,7 +373,8 @@
     if (added) {
         m_quarantine.lastFullReportAt = Millis{0}; // A new entry VM must not wait for the next full report.
     }
-    applyWatermark(feed::fromMessage(message.operatorsWatermark, bootMillis()));
+    const auto sentAfter = recordStamps(m_sendTimeClock, it->second.sender, message.stamps, bootMillis());
+    applyWatermark(feed::fromMessage(message.operatorsWatermark, sentAfter));
 }
 
 void Side::shareQuarantine()
