--- a/libs/feed/src/operators_watermark.cpp
+++ b/libs/feed/src/operators_watermark.cpp
@@ -14,8 +14,8 @@
 /// state must take effect. A read whose response was lost times out after this time and that of a call.
 constexpr double LongPollFraction = 0.45;
 
-/// The same for a passive VM whose state no other VM validates, as after all VMs were started. After a lost response there
-/// is time for the timeout of that call and another read.
+/// The same for a passive VM whose state no other VM validates, as after all VMs were started. After a lost response
+/// there is time for the timeout of that call and another read.
 constexpr double PassiveLongPollFraction = 0.5;
 
 /// How long a validation by other VMs is relied on, as a fraction of that time: they read once in `LongPollFraction`
