--- a/libs/serving/src/request_limit.cpp
+++ b/libs/serving/src/request_limit.cpp
@@ -15,9 +15,9 @@
 /// Fraction of a limit that entry VMs use which lose their turns; the phases of many may coincide.
 constexpr double LostFraction = 0.5;
 
-/// What a target has to bear in any 4 s: one and a half times its limit, and 5 requests more.
+/// In any 4 s a target may get the requests of this many seconds at its limit, and `AllowedBurst` requests more.
 constexpr double AllowedSeconds = 1.5 * 4;
-constexpr double AllowedBurst = 5;
+constexpr double AllowedBurst = 5; ///< Requests.
 
 /// Entry VMs keep their turns if all of them together send at most this fraction of that, however they use them; the
 /// rest is a margin for entry VMs that joined unnoticed.
@@ -30,7 +30,7 @@
 constexpr Millis LostTurnLength{500};
 
 /// Lower limits are treated as this one: only a response shows that the limit has ended.
-constexpr double MinPerSecond = 0.2;
+constexpr double MinPerSecond = 0.2; ///< Requests a second, of all entry VMs together.
 
 /// A bound for intervals, below which arithmetic with times can't overflow.
 constexpr double MaxIntervalMs = 1e9;
