--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -190,6 +190,7 @@
     case TargetBehaviour::StreamCutOff:
     case TargetBehaviour::StreamCutOffThenSilent:
     case TargetBehaviour::StreamThenSilent:
+    case TargetBehaviour::StreamPausing:
     case TargetBehaviour::StreamOnce:
     case TargetBehaviour::StreamFramedCutOff:
     case TargetBehaviour::StreamWithTail:
@@ -262,6 +263,10 @@
     http::ResponseHead own = head(200, headerOf(request, "X-Ibislock-Attempt-Id"));
     own.headers.add("Content-Type", "text/event-stream");
     connection.write(http::writeChunkedHead(own));
+    if (behaviour == TargetBehaviour::StreamPausing) {
+        writeEvents(connection.shared_from_this(), last.empty() ? 0 : std::stoi(last) + 1);
+        return;
+    }
     for (int number = last.empty() ? 0 : std::stoi(last) + 1; number < events; ++number) {
         if (behaviour == TargetBehaviour::EndlessEvent && number == 2) {
             writeForever(connection, "", http::writeChunk(std::string(EndlessPart, 'x')));
@@ -288,6 +293,25 @@
     connection.write(http::LastChunk);
 }
 
+void TargetStandIn::writeEvents(const std::shared_ptr<net::Connection> &connection, int from)
+{
+    const int pauseAt = pausesFirst ? from : 2;
+    for (int number = from; number < events; ++number) {
+        if (number == pauseAt && pause > Millis{0}) {
+            auto timer = std::make_shared<asio::steady_timer>(m_loop, pause);
+            timer->async_wait([this, timer, connection, number](const asio::error_code &) {
+                for (int rest = number; rest < events && connection->isOpen(); ++rest) {
+                    connection->write(http::writeChunk(eventText(rest)));
+                }
+                connection->write(http::LastChunk);
+            });
+            return;
+        }
+        connection->write(http::writeChunk(eventText(number)));
+    }
+    connection->write(http::LastChunk);
+}
+
 bool TargetStandIn::isCrashing(const http::RequestHead &request) const
 {
     const bool hasPart = headerOf(request, "X-Ibislock-Prompt-Prefix").find(crashingPart + ":") != std::string::npos;
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "ibislock/base/clock.h"
 #include "ibislock/http/reader.h"
 #include "ibislock/net/connection.h"
 
@@ -46,6 +47,7 @@
     /// event.
     StreamUnlessCrashing,
     AnswerUnlessCrashing, ///< Answers, but closes the connection without a response to a request with `crashingBody`.
+    StreamPausing, ///< A whole stream that sends nothing for `pause` after its second event.
     StreamOnce, ///< The first request of a connection as a stream; closes at the next, which it does not run.
     EndlessHead, ///< Runs it and sends a head without end.
     EndlessBody, ///< Runs it and sends a body without end.
@@ -77,6 +79,8 @@
     std::string id;
     TargetBehaviour behaviour = TargetBehaviour::Answer;
     int events = 5;
+    Millis pause{0}; ///< Of a stream that pauses, and in front of its first event if `pausesFirst`.
+    bool pausesFirst = false; ///< A stream that pauses does so in front of its first event.
     std::int64_t weightsVersion = 0; ///< Of model "m", as listed; 0 for a target without weights.
     std::int64_t startedAt = 0; ///< Start of its incarnation, as listed; 0 to list none.
     std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
@@ -93,6 +97,9 @@
     void answer(net::Connection &connection, const http::RequestHead &request);
     void answerStream(net::Connection &connection, const http::RequestHead &request);
     bool isCrashing(const http::RequestHead &request) const;
+
+    /// Writes the events of a stream from a number on, and the pause between them.
+    void writeEvents(const std::shared_ptr<net::Connection> &connection, int from);
     void answerUnlessCrashing(net::Connection &connection, const http::RequestHead &request);
     void answerUnframedStream(net::Connection &connection, const http::RequestHead &request);
 
