Front: an attempt at a silent target goes on beside the next one until one of them responds

Cause: a request that may run twice left a target that had sent nothing for a while (engines: 500 ms, with no load reported for 750 ms; plain targets: three times the objective). Its attempt was cancelled when the next one was sent, before any other target had taken the request over. A sound target may be silent for a second and go on. If the next target refused or failed, both attempts were used up: a begun stream was cut off, another request got 502. The class: silence alone is taken for the end of what is silent, and what works is given up before its replacement does.

Now both attempts are in progress. The first one that sends an event, or a complete response that is no server error, is forwarded and the others are cancelled at once; an attempt that fails beside another one ends nothing. An engine that does not report is passed over for one that does, or after 1.5 s; a target that is as silent itself is not tried. A stream that has begun is not limited by attempts that their targets did not execute; each send is still paid for from the retry budget.

Operators see the counters ibislock_silent_targets_passed_over_total and ..._responded_total, the line of the target that responded after all, and last_failure on the last line of a request.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -5,6 +5,8 @@
 #include "ibislock/serving/request_digest.h"
 #include "ibislock/serving/retry_delay.h"
 
+#include <utility>
+
 namespace ibislock::front
 {
 
@@ -176,7 +178,7 @@
             usesEngine && front.minVersionOf(request.model, now, MaxQueueTime) > 0 ? knownVersion(target, now) : 0,
     };
     if (responseStarted()) {
-        out.lastEventId = m_eventSplitter.lastId;
+        out.lastEventId = m_attempt->eventSplitter.lastId;
     }
     return out;
 }
@@ -193,9 +195,10 @@
         refuse(CallOutcome::NoTarget); // Not reached: listings without a valid address are ignored.
         return;
     }
-    m_listingsUsed = front.recordListingsUse(target, now);
-    m_loadAge = target.load ? now - target.load->receivedAt : Millis{-1};
-    m_occupancyPercent =
+    const auto attempt = std::make_shared<CallAttempt>();
+    attempt->listingsUsed = front.recordListingsUse(target, now);
+    attempt->loadAge = target.load ? now - target.load->receivedAt : Millis{-1};
+    attempt->occupancyPercent =
         static_cast<int>(100 * estimatedRequests(target, usesEngine, now) / std::max(target.entry.slots, 1));
     if (m_attempts == 0) {
         m_firstSentAt = now;
@@ -209,10 +212,11 @@
                  {"sends", std::to_string(m_attempts)},
                  {"target", target.entry.id},
                  {"weights", std::to_string(usesEngine ? knownVersion(target, now) : 0)},
-                 {"begun", m_attempt.responseStarted ? "1" : "0"},
-                 {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
-                 {"listings_from", m_listingsUsed.source},
-                 {"unlisted_ms", std::to_string(m_listingsUsed.unlistedFor.count())},
+                 {"begun", m_attempt->sent.responseStarted ? "1" : "0"},
+                 {"in_progress", std::to_string(m_attemptsInProgress.size())},
+                 {"listings_age_ms", std::to_string(attempt->listingsUsed.age.count())},
+                 {"listings_from", attempt->listingsUsed.source},
+                 {"unlisted_ms", std::to_string(attempt->listingsUsed.unlistedFor.count())},
                  {"since_first_ms", std::to_string((now - m_firstSentAt).count())}});
     }
     advance(m_lifecycle, RequestEvent::Send);
@@ -220,106 +224,152 @@
     ++front.counters.attempts;
     front.counters.retries += m_attempts > 1 ? 1 : 0;
     triedTargets.insert(target.entry.id);
-    m_attempt = serving::startAttempt(target, usesEngine, now);
+    attempt->sent = serving::startAttempt(target, usesEngine, now);
     recordAttempt(target, now, promptMs(request.promptTokens));
-    m_responseHandling = ResponseHandling::None;
-    m_framing = "none";
-    m_responseBody.clear();
-    startResponse(m_eventSplitter);
+    if (m_attempt) {
+        attempt->eventSplitter = m_attempt->eventSplitter;
+        startResponse(attempt->eventSplitter);
+    }
     const http::RequestHead forwarded = platform::makeTargetRequest(head, targetOptions(target, now));
     // A request that must not run twice gets a new connection: the target may close a pooled one while the request is
     // being sent, and it would be unknown whether it ran.
     const bool fresh = !serving::mayRunTwice(route.kind, route.resumable) || m_attempts > 1;
-    m_exchange = front.client.send(
+    attempt->exchange = front.client.send(
         endpoint->ip, endpoint->port, writeRequest(forwarded, body),
         {.connectTimeout = std::min(ConnectTime, deadlineAt - now),
          .newConnection = fresh,
          .maxBodyBytes = MaxBufferedResponse},
         {
-            .head = [self = shared_from_this()](const http::ResponseHead &answer) { return self->onHead(answer); },
-            .body = [self = shared_from_this()](const std::string &bytes) { self->onBody(bytes); },
-            .end = [self = shared_from_this()](const net::ExchangeResult &result) { self->onEnd(result); },
+            .head = [self = shared_from_this(),
+                     attempt](const http::ResponseHead &answer) { return self->onHead(*attempt, answer); },
+            .body = [self = shared_from_this(), attempt](const std::string &bytes) { self->onBody(attempt, bytes); },
+            .end = [self = shared_from_this(),
+                    attempt](const net::ExchangeResult &result) { self->onEnd(attempt, result); },
         });
+    m_attempt = attempt;
+    m_attemptsInProgress.push_back(attempt);
+}
+
+void Call::releaseTarget(const AttemptPointer &attempt, bool success)
+{
+    attempt->exchange.reset();
+    std::erase(m_attemptsInProgress, attempt);
+    endAttempt(front.table, attempt->sent, success, steadyMillis());
 }
 
-void Call::releaseTarget(bool good)
+void Call::cancelAttempts()
 {
-    m_exchange.reset();
-    endAttempt(front.table, m_attempt, good, steadyMillis());
+    const auto attempts = std::exchange(m_attemptsInProgress, {});
+    for (const AttemptPointer &attempt : attempts) {
+        attempt->exchange->cancel();
+        attempt->exchange.reset();
+        withdrawAttempt(front.table, attempt->sent);
+    }
 }
 
-void Call::onEnd(net::ExchangeResult result)
+void Call::prefer(const AttemptPointer &attempt)
+{
+    m_attempt = attempt;
+    if (attempt->passedOverAt > Millis{0}) {
+        ++front.counters.silentTargetsResponded;
+        logInfo(LogComponent::Front, "A target that was silent has responded after all.",
+                {{"id", request.attemptId},
+                 {"target", attempt->sent.targetId},
+                 {"since_sent_elsewhere_ms", std::to_string((steadyMillis() - attempt->passedOverAt).count())}});
+        attempt->passedOverAt = Millis{0};
+    }
+    const bool inProgress = std::erase(m_attemptsInProgress, attempt) > 0;
+    cancelAttempts();
+    if (inProgress) {
+        m_attemptsInProgress.push_back(attempt);
+    }
+}
+
+void Call::onEnd(const AttemptPointer &attempt, net::ExchangeResult result)
 {
     if (m_done) {
         return;
     }
     const auto self = shared_from_this();
-    if (result.outcome == net::ExchangeOutcome::Complete && isStreamTruncated()) {
+    if (result.outcome == net::ExchangeOutcome::Complete && isStreamTruncated(*attempt)) {
         result.outcome = net::ExchangeOutcome::Broken;
     }
     const bool complete = result.outcome == net::ExchangeOutcome::Complete;
-    const bool notRun = complete && m_responseHandling == ResponseHandling::NotRun;
+    const bool notRun = complete && attempt->handling == ResponseHandling::NotRun;
     const bool served =
-        complete && !notRun && m_responseHandling != ResponseHandling::None && m_responseHead.status / 100 != 5;
-    m_incompleteBytes = m_eventSplitter.incompleteEvent.size();
-    recordTargetCrash(result);
-    releaseTarget(served || notRun);
+        complete && !notRun && attempt->handling != ResponseHandling::None && attempt->responseHead.status / 100 != 5;
+    attempt->incompleteBytes = attempt->eventSplitter.incompleteEvent.size();
+    recordTargetCrash(*attempt, result);
+    releaseTarget(attempt, served || notRun);
     if (!served) {
-        logInfo(LogComponent::Front, "A request attempt failed.",
-                {{"id", request.attemptId},
-                 {"request", hexNumber(digest)},
-                 {"target", m_attempt.targetId},
-                 {"incarnation", std::to_string(m_attempt.targetStartedAt)},
-                 {"end", std::string(nameOf(net::ExchangeOutcomeNames, result.outcome))},
-                 {"status", std::to_string(m_responseHandling == ResponseHandling::None ? 0 : m_responseHead.status)},
-                 {"sends", std::to_string(m_attempts)},
-                 {"connected", result.connected ? "1" : "0"},
-                 {"reused", result.reused ? "1" : "0"},
-                 {"too_large", result.tooLarge ? "1" : "0"},
-                 {"framing", std::string(m_framing)},
-                 {"incomplete_bytes", std::to_string(m_incompleteBytes)},
-                 {"events", m_eventSplitter.hasEvents ? "1" : "0"},
-                 {"weights", std::to_string(m_attempt.weightsVersion)},
-                 {"begun", m_attempt.responseStarted ? "1" : "0"},
-                 {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
-                 {"listings_from", m_listingsUsed.source},
-                 {"unlisted_ms", std::to_string(m_listingsUsed.unlistedFor.count())},
-                 {"parts", partsText(request.sharedParts)},
-                 {"after_ms", std::to_string((steadyMillis() - m_attempt.sentAt).count())}});
-    }
-    if (complete && m_responseHandling == ResponseHandling::Buffered) {
-        finishBuffered();
-    } else if (complete && m_responseHandling == ResponseHandling::Relayed) {
-        finishRelayed();
+        logFailedAttempt(*attempt, result);
+        m_lastFailure = std::string(nameOf(net::ExchangeOutcomeNames, result.outcome)) + "/"
+            + std::to_string(attempt->handling == ResponseHandling::None ? 0 : attempt->responseHead.status);
+    }
+    if (complete && attempt->handling == ResponseHandling::Buffered && !mayBeAnsweredByAnother(*attempt)) {
+        finishBuffered(attempt);
+    } else if (complete && attempt->handling == ResponseHandling::Relayed) {
+        finishRelayed(attempt);
     } else {
-        handleFailure(result);
+        handleFailure(*attempt, result);
     }
     front.dispatchWaiting();
 }
 
-void Call::recordTargetCrash(const net::ExchangeResult &result)
+void Call::logFailedAttempt(const CallAttempt &attempt, const net::ExchangeResult &result) const
+{
+    logInfo(LogComponent::Front, "A request attempt failed.",
+            {{"id", request.attemptId},
+             {"request", hexNumber(digest)},
+             {"target", attempt.sent.targetId},
+             {"incarnation", std::to_string(attempt.sent.targetStartedAt)},
+             {"end", std::string(nameOf(net::ExchangeOutcomeNames, result.outcome))},
+             {"status", std::to_string(attempt.handling == ResponseHandling::None ? 0 : attempt.responseHead.status)},
+             {"sends", std::to_string(m_attempts)},
+             {"in_progress", std::to_string(m_attemptsInProgress.size())},
+             {"connected", result.connected ? "1" : "0"},
+             {"reused", result.reused ? "1" : "0"},
+             {"too_large", result.tooLarge ? "1" : "0"},
+             {"framing", std::string(attempt.framing)},
+             {"incomplete_bytes", std::to_string(attempt.incompleteBytes)},
+             {"events", attempt.eventSplitter.hasEvents ? "1" : "0"},
+             {"weights", std::to_string(attempt.sent.weightsVersion)},
+             {"begun", attempt.sent.responseStarted ? "1" : "0"},
+             {"listings_age_ms", std::to_string(attempt.listingsUsed.age.count())},
+             {"listings_from", attempt.listingsUsed.source},
+             {"unlisted_ms", std::to_string(attempt.listingsUsed.unlistedFor.count())},
+             {"parts", partsText(request.sharedParts)},
+             {"after_ms", std::to_string((steadyMillis() - attempt.sent.sentAt).count())}});
+}
+
+void Call::recordTargetCrash(const CallAttempt &attempt, const net::ExchangeResult &result)
 {
     const bool crashed = result.connected && result.outcome == net::ExchangeOutcome::Broken;
-    const bool begun = m_responseHandling != ResponseHandling::None;
+    const bool begun = attempt.handling != ResponseHandling::None;
     // A plain target has run the request when it sends the head of a response; a stream may begin before.
     const bool answered =
-        m_attempt.responseStarted || (!usesEngine && m_responseHandling == ResponseHandling::Buffered);
-    const bool refused = m_responseHandling == ResponseHandling::NotRun;
+        attempt.sent.responseStarted || (!usesEngine && attempt.handling == ResponseHandling::Buffered);
+    const bool refused = attempt.handling == ResponseHandling::NotRun;
     if (crashed && !answered && !refused) {
         recordCrash(front.quarantine,
-                    {.engine = serving::incarnationOf(m_attempt.targetId, m_attempt.targetStartedAt),
+                    {.engine = serving::incarnationOf(attempt.sent.targetId, attempt.sent.targetStartedAt),
                      .suspects = suspects,
                      .responding = begun},
                     bootMillis());
     }
 }
 
+int Call::countedAttempts() const
+{
+    // A target that did not execute a stream that has begun elsewhere is no reason to give that stream up.
+    return m_attempts - m_connectFailures - (responseStarted() ? m_refusedAttempts : 0);
+}
+
 /// Consumes one retry of the budget if route, kind and deadline allow another attempt.
 bool Call::tryReserveRetry()
 {
-    const bool allowed =
-        maySend(m_lifecycle, route.kind, route.resumable) && m_attempts - m_connectFailures < route.maxTargets;
-    const bool knowsWhereToGoOn = !responseStarted() || m_eventSplitter.lastId >= 0;
+    const bool allowed = maySend(m_lifecycle, route.kind, route.resumable) && countedAttempts() < route.maxTargets;
+    const bool knowsWhereToGoOn = !responseStarted() || m_attempt->eventSplitter.lastId >= 0;
     if (!allowed || !knowsWhereToGoOn || deadlineAt - steadyMillis() < LeastTime) {
         return false;
     }
@@ -330,13 +380,18 @@
     return true;
 }
 
-void Call::handleFailure(const net::ExchangeResult &result)
+void Call::handleFailure(const CallAttempt &attempt, const net::ExchangeResult &result)
 {
     const bool notConnected = result.outcome == net::ExchangeOutcome::NotConnected;
     const bool notRun =
-        result.outcome == net::ExchangeOutcome::Complete && m_responseHandling == ResponseHandling::NotRun;
-    advance(m_lifecycle, notConnected || notRun ? RequestEvent::Refused : RequestEvent::OutcomeUnknown);
+        result.outcome == net::ExchangeOutcome::Complete && attempt.handling == ResponseHandling::NotRun;
     m_connectFailures += notConnected ? 1 : 0;
+    m_refusedAttempts += notRun ? 1 : 0;
+    if (!m_attemptsInProgress.empty()) {
+        m_attempt = m_attemptsInProgress.back();
+        return;
+    }
+    advance(m_lifecycle, notConnected || notRun ? RequestEvent::Refused : RequestEvent::OutcomeUnknown);
     const bool again = notConnected ? m_connectFailures < MaxConnectFailures && deadlineAt - steadyMillis() >= LeastTime
                                     : tryReserveRetry();
     if (!again) {
@@ -369,13 +424,14 @@
     if (m_done) {
         return;
     }
+    cancelAttempts();
     const auto connection = m_connection.lock();
     const RequestAction action = advance(m_lifecycle, RequestEvent::StopRetrying);
     if (action == RequestAction::AbortConnection) {
         if (connection) {
             connection->abort(); // Without its last chunk, the response is visibly incomplete.
         }
-        finish(CallOutcome::StreamTruncated, m_responseHead.status);
+        finish(CallOutcome::StreamTruncated, m_attempt->responseHead.status);
         return;
     }
     if (action == RequestAction::RespondOutcomeUnknown && statusOf(outcome) == NotRunStatus) {
@@ -395,10 +451,7 @@
     if (m_done) {
         return;
     }
-    if (m_exchange) {
-        m_exchange->cancel();
-        releaseTarget(true);
-    }
+    cancelAttempts();
     finish(CallOutcome::CallerDisconnected, 0);
 }
 
@@ -411,6 +464,7 @@
     ++front.counters.outcomes[static_cast<std::size_t>(outcome)];
     const Millis whole = steadyMillis() - receivedAt;
     observe(front.counters.totalTime, whole);
+    const CallAttempt last = m_attempt ? *m_attempt : CallAttempt{};
     logInfo(LogComponent::Front,
             outcome == CallOutcome::Answered ? "A request was answered." : "A request was not served.",
             {{"id", request.attemptId},
@@ -422,19 +476,20 @@
              {"state", front.operators.state ? std::to_string(front.operators.state->version) : "none"},
              {"state_age_ms", std::to_string(front.stateAge().count())},
              {"sends", std::to_string(m_attempts)},
-             {"target", m_attempt.targetId},
-             {"weights", std::to_string(m_attempt.weightsVersion)},
-             {"begun", m_attempt.responseStarted ? "1" : "0"},
-             {"occupancy", std::to_string(m_occupancyPercent)},
-             {"load_age_ms", std::to_string(m_loadAge.count())},
-             {"listings_age_ms", std::to_string(m_listingsUsed.age.count())},
-             {"listings_from", m_listingsUsed.source},
-             {"unlisted_ms", std::to_string(m_listingsUsed.unlistedFor.count())},
+             {"target", last.sent.targetId},
+             {"weights", std::to_string(last.sent.weightsVersion)},
+             {"begun", last.sent.responseStarted ? "1" : "0"},
+             {"last_failure", m_lastFailure},
+             {"occupancy", std::to_string(last.occupancyPercent)},
+             {"load_age_ms", std::to_string(last.loadAge.count())},
+             {"listings_age_ms", std::to_string(last.listingsUsed.age.count())},
+             {"listings_from", last.listingsUsed.source},
+             {"unlisted_ms", std::to_string(last.listingsUsed.unlistedFor.count())},
              {"waited_ms", std::to_string(m_attempts > 0 ? (m_firstSentAt - receivedAt).count() : -1)},
              {"first_ms", std::to_string(m_firstEventAt > Millis{0} ? (m_firstEventAt - receivedAt).count() : -1)},
              {"pause_ms", std::to_string(m_longestEventGap.count())},
-             {"framing", std::string(m_framing)},
-             {"incomplete_bytes", std::to_string(m_incompleteBytes)},
+             {"framing", std::string(last.framing)},
+             {"incomplete_bytes", std::to_string(last.incompleteBytes)},
              {"goal_ms", std::to_string(route.latencyObjective.count())},
              {"took_ms", std::to_string(whole.count())}});
 }
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -15,7 +15,29 @@
 /// Maximum size of a buffered response in bytes; responses of plain services have some hundred.
 inline constexpr std::size_t MaxBufferedResponse = 4U << 20U;
 
-/// A caller's request, its attempts at targets and its response.
+/// How the response of an attempt is handled. `None` treats it as failed.
+enum class ResponseHandling { None, Buffered, Relayed, NotRun };
+
+/// One attempt of a call, and what was received of its response.
+struct CallAttempt
+{
+    serving::Attempt sent;
+    std::shared_ptr<net::Exchange> exchange;
+    ResponseHandling handling = ResponseHandling::None;
+    http::ResponseHead responseHead;
+    std::string responseBody;
+    EventSplitter eventSplitter; ///< Goes on after the last event that was forwarded when the attempt was sent.
+    std::string_view framing = "none"; ///< What marks the end of the response, as logged.
+    std::size_t incompleteBytes = 0; ///< Bytes of an incomplete event at the end of the response.
+    int occupancyPercent = 0; ///< Estimated occupancy of the target when the request was sent.
+    ListingsUsed listingsUsed; ///< The listings by which the target was chosen.
+    Millis loadAge{0}; ///< Age of the load report behind that estimate; -1 ms without one.
+    Millis passedOverAt{0}; ///< When the request was sent to another target as well, as this one was silent; 0 if not.
+};
+
+/// A caller's request, its attempts at targets and its response. While a target is silent, an attempt at another one
+/// may be in progress beside the one there; the first of them that sends something usable is the one whose response is
+/// forwarded, and the others are cancelled.
 class Call : public std::enable_shared_from_this<Call>
 {
 public:
@@ -88,24 +110,33 @@
     std::set<std::string> triedTargets;
 
 private:
-    /// How the response of the current attempt is handled. `None` treats it as failed.
-    enum class ResponseHandling { None, Buffered, Relayed, NotRun };
+    using AttemptPointer = std::shared_ptr<CallAttempt>;
 
-    net::HeadDecision onHead(const http::ResponseHead &answer);
+    net::HeadDecision onHead(CallAttempt &attempt, const http::ResponseHead &answer);
 
     /// Records the draining and backoff signals in a target's response.
-    void applySignals(const platform::TargetResponse &said);
+    void applySignals(const CallAttempt &attempt, const platform::TargetResponse &said);
 
     /// Records what a target's response says of its limit.
-    void applyLimit(const platform::TargetResponse &said);
-    void onBody(const std::string &bytes);
-    void onEnd(net::ExchangeResult result);
+    void applyLimit(const CallAttempt &attempt, const platform::TargetResponse &said);
+    void onBody(const AttemptPointer &attempt, const std::string &bytes);
+    void onEnd(const AttemptPointer &attempt, net::ExchangeResult result);
+    void logFailedAttempt(const CallAttempt &attempt, const net::ExchangeResult &result) const;
 
     /// Returns whether a response that is complete by its framing is a stream that was cut off.
-    bool isStreamTruncated() const;
-    void finishBuffered();
-    void finishRelayed();
-    void handleFailure(const net::ExchangeResult &result);
+    static bool isStreamTruncated(const CallAttempt &attempt);
+
+    /// Makes an attempt the one whose response is forwarded, and cancels the others.
+    void prefer(const AttemptPointer &attempt);
+
+    /// Returns whether a response is a server error, and another attempt is in progress, which may succeed.
+    bool mayBeAnsweredByAnother(const CallAttempt &attempt) const;
+    void finishBuffered(const AttemptPointer &attempt);
+    void finishRelayed(const AttemptPointer &attempt);
+    void handleFailure(const CallAttempt &attempt, const net::ExchangeResult &result);
+
+    /// Returns how many attempts count towards the limit of the route.
+    int countedAttempts() const;
     bool tryReserveRetry();
 
     /// Dispatches the call again after an attempt was interrupted; it may wait for a slot meanwhile.
@@ -114,16 +145,24 @@
     /// Returns whether the target seems to hang or to be unreachable, and the request may be retried.
     bool isStalled(Millis now) const;
 
-    /// Cancels the attempt and retries at another target. Without another target, the attempt continues, as the stalled
-    /// target may still respond.
-    /// @return whether the request is retried.
-    bool switchTarget(Millis now);
+    /// Returns how long a plain target may send nothing for a request that may be retried.
+    Millis plainStall() const;
+
+    /// Returns whether a target is likely to respond earlier than one that has been silent for a time.
+    bool isWorthTrying(const serving::Target &target, Millis silence, Millis now) const;
+
+    /// Sends the request to another target as well. The attempt at the stalled one continues, as it may still respond.
+    void tryAnotherTarget(Millis now);
 
-    /// Returns whether the attempt has been queued at its engine for so long that it would start on retired weights.
-    bool wouldStartOnRetiredWeights(Millis now) const;
+    /// Returns an attempt that has been queued at its engine for so long that it would start on retired weights; null
+    /// if there is none.
+    AttemptPointer attemptOnRetiredWeights(Millis now) const;
 
-    /// Cancels such an attempt; the request is retried if its kind and the budget allow it.
-    void cancelAttempt(Millis now);
+    /// Cancels such an attempt; if no other is in progress, the request is retried if its kind and the budget allow it.
+    void cancelAttempt(const AttemptPointer &attempt, Millis now);
+
+    /// Cancels all attempts in progress; none of them counts as a failure of its target.
+    void cancelAttempts();
 
     /// Returns whether the attempt waits at an engine that it would crash, as far as is known by now.
     bool wouldCrashEngine() const;
@@ -131,33 +170,30 @@
     /// Cancels such an attempt and refuses the request.
     void cancelQuarantined();
 
-    void relayEvents(const std::string &events);
+    void relayEvents(const AttemptPointer &attempt, const std::string &events);
     void respond(const std::string &bytes, bool close);
-    void releaseTarget(bool good);
+
+    /// Ends an attempt, which is in progress no more.
+    /// @param success whether it counts as a success of its target.
+    void releaseTarget(const AttemptPointer &attempt, bool success);
 
     /// Makes the request and the parts of its prompt suspect if the target may have crashed on them.
-    void recordTargetCrash(const net::ExchangeResult &result);
+    void recordTargetCrash(const CallAttempt &attempt, const net::ExchangeResult &result);
     void finish(CallOutcome outcome, int status);
     platform::TargetRequestOptions targetOptions(const serving::Target &target, Millis now) const;
 
     std::weak_ptr<CallerConnection> m_connection;
-    std::shared_ptr<net::Exchange> m_exchange;
-    serving::Attempt m_attempt; ///< The last attempt, also after its end.
-    ResponseHandling m_responseHandling = ResponseHandling::None;
-    http::ResponseHead m_responseHead;
-    std::string m_responseBody;
-    EventSplitter m_eventSplitter;
-    std::string_view m_framing = "none"; ///< What marks the end of the attempt's response, as logged.
-    std::size_t m_incompleteBytes = 0; ///< Bytes of an incomplete event at the end of the last response.
+    std::vector<AttemptPointer> m_attemptsInProgress; ///< In the order in which they were sent.
+    AttemptPointer
+        m_attempt; ///< The one that was sent last or is preferred, also after its end; null before the first.
+    std::string m_lastFailure = "none"; ///< How the last attempt that failed ended, as logged.
     Millis m_firstSentAt{0};
     Millis m_firstEventAt{0};
     Millis m_lastEventAt{0};
     Millis m_longestEventGap{0}; ///< Between two forwarded events.
-    int m_occupancyPercent = 0; ///< Estimated occupancy of the last target when the request was sent.
-    ListingsUsed m_listingsUsed; ///< The listings by which the last target was chosen.
-    Millis m_loadAge{0}; ///< Age of the load report behind that estimate; -1 ms without one.
     int m_attempts = 0;
     int m_connectFailures = 0;
+    int m_refusedAttempts = 0; ///< Attempts that their targets did not execute.
     Millis m_resumeWaitUntil{0}; ///< A request whose attempt was interrupted may wait for a slot at least until then.
     serving::RequestLifecycle m_lifecycle; ///< Decides whether it may be retried and how it may end.
     bool m_done = false;
--- a/libs/front/src/call_outcome.cpp
+++ b/libs/front/src/call_outcome.cpp
@@ -39,8 +39,9 @@
     case CallOutcome::Unknown:
         return "Whether it ran is unknown: it was sent, and the target's response was lost, incomplete or not its own.";
     case CallOutcome::StreamTruncated:
-        return "Its stream was aborted after its first event: the target's connection failed, and no other target "
-               "could continue the stream.";
+        return "Its stream was aborted after its first event: no attempt was in progress any more, and no other target "
+               "could "
+               "continue the stream; last_failure says how the last attempt failed.";
     case CallOutcome::TimedOut:
         return "Whether it ran is unknown: it was sent, and its deadline passed before the response was complete.";
     case CallOutcome::CallerDisconnected:
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -40,13 +40,13 @@
 
 } // namespace
 
-void Call::applySignals(const platform::TargetResponse &said)
+void Call::applySignals(const CallAttempt &attempt, const platform::TargetResponse &said)
 {
     // The response to a misdirected request comes from another target than the listed one.
     const bool says = said.draining || said.backoff || said.backoffInvalid;
     const Millis now = steadyMillis();
     serving::TargetSignals *notice = says && !said.misdirected
-        ? signalsOf(front.table, m_attempt.targetId, m_attempt.targetStartedAt, now)
+        ? signalsOf(front.table, attempt.sent.targetId, attempt.sent.targetStartedAt, now)
         : nullptr;
     if (notice == nullptr) {
         return;
@@ -54,127 +54,136 @@
     if (said.draining && !notice->draining) {
         recordDraining(*notice);
         logInfo(LogComponent::Front, "A target reported that it is draining.",
-                {{"id", request.attemptId}, {"target", m_attempt.targetId}});
+                {{"id", request.attemptId}, {"target", attempt.sent.targetId}});
     }
     if (said.backoff) {
         recordBackoff(*notice, *said.backoff, now);
         logInfo(LogComponent::Front, "A target requested a backoff.",
                 {{"id", request.attemptId},
-                 {"target", m_attempt.targetId},
+                 {"target", attempt.sent.targetId},
                  {"asked_ms", std::to_string(said.backoff->count())},
                  {"granted_ms", std::to_string((notice->backoffUntil - now).count())}});
     }
     if (said.backoffInvalid) {
         logInfo(LogComponent::Front, "Ignored an invalid Retry-After value from a target.",
-                {{"id", request.attemptId}, {"target", m_attempt.targetId}});
+                {{"id", request.attemptId}, {"target", attempt.sent.targetId}});
     }
 }
 
-void Call::applyLimit(const platform::TargetResponse &said)
+void Call::applyLimit(const CallAttempt &attempt, const platform::TargetResponse &said)
 {
     if (said.misdirected) {
         return;
     }
     if (said.requestLimitInvalid) {
         logInfo(LogComponent::Front, "Ignored an invalid limit of a target.",
-                {{"id", request.attemptId}, {"target", m_attempt.targetId}});
+                {{"id", request.attemptId}, {"target", attempt.sent.targetId}});
         return;
     }
     const Millis now = steadyMillis();
     // Only the target's own response to this request shows that it has no limit any more; a refusal may not name one.
     const bool own = said.attemptId == request.attemptId && said.signedByTarget && !said.notExecuted;
-    const auto it = front.table.targets.find(m_attempt.targetId);
+    const auto it = front.table.targets.find(attempt.sent.targetId);
     const bool known = it != front.table.targets.end() && it->second.signals.limit;
     if (!said.requestLimit && !(own && known)) {
         return;
     }
-    serving::TargetSignals *signals = signalsOf(front.table, m_attempt.targetId, m_attempt.targetStartedAt, now);
+    serving::TargetSignals *signals = signalsOf(front.table, attempt.sent.targetId, attempt.sent.targetStartedAt, now);
     if (signals == nullptr) {
         return;
     }
     const int entryVms = front.retries.entryVms;
     const serving::LimitChange change =
-        recordLimit(*signals, {.perSecond = said.requestLimit, .sentAt = m_attempt.sentAt, .entryVms = entryVms},
+        recordLimit(*signals, {.perSecond = said.requestLimit, .sentAt = attempt.sent.sentAt, .entryVms = entryVms},
                     front.random, now);
     if (change == serving::LimitChange::None) {
         return;
     }
     logInfo(LogComponent::Front, sentenceOf(change),
             {{"id", request.attemptId},
-             {"target", m_attempt.targetId},
-             {"incarnation", std::to_string(m_attempt.targetStartedAt)},
+             {"target", attempt.sent.targetId},
+             {"incarnation", std::to_string(attempt.sent.targetStartedAt)},
              {"per_second", said.requestLimit ? std::to_string(*said.requestLimit) : "none"},
              {"entry_vms", std::to_string(entryVms)},
              {"from", "response"},
              {"interval_ms", std::to_string(signals->limit ? signals->limit->interval.count() : 0)}});
 }
 
-net::HeadDecision Call::onHead(const http::ResponseHead &answer)
+net::HeadDecision Call::onHead(CallAttempt &attempt, const http::ResponseHead &answer)
 {
+    recordSignOfLife(front.table, attempt.sent, steadyMillis());
     const platform::TargetResponse said = platform::decodeTargetResponse(answer);
-    applySignals(said);
-    applyLimit(said);
+    applySignals(attempt, said);
+    applyLimit(attempt, said);
     if (!said.attemptId.empty() && said.attemptId != request.attemptId) {
         logInfo(LogComponent::Front, "Skipped a response to another request.",
-                {{"id", request.attemptId}, {"target", m_attempt.targetId}, {"answers", said.attemptId}});
+                {{"id", request.attemptId}, {"target", attempt.sent.targetId}, {"answers", said.attemptId}});
         return net::HeadDecision::Skip;
     }
-    m_responseHead = answer;
-    m_framing = framingOf(answer);
+    attempt.responseHead = answer;
+    attempt.framing = framingOf(answer);
     const bool success = answer.status / 100 == 2;
     // Targets send the id of the request with their response. Without it, this may be a late response to another
     // request.
     const bool named = said.attemptId == request.attemptId;
     if (!named) {
-        logInfo(LogComponent::Front, "Rejected a response without a request id.",
-                {{"id", request.attemptId}, {"target", m_attempt.targetId}, {"status", std::to_string(answer.status)}});
+        logInfo(
+            LogComponent::Front, "Rejected a response without a request id.",
+            {{"id", request.attemptId}, {"target", attempt.sent.targetId}, {"status", std::to_string(answer.status)}});
     }
     const bool own = named && said.signedByTarget && !said.contentEncoded;
     if (named && said.notExecuted && !success) {
-        m_responseHandling = ResponseHandling::NotRun;
+        attempt.handling = ResponseHandling::NotRun;
     } else if (!own || (responseStarted() && !success)) {
         // The attempt counts as failed at its end: these aren't the target's own bytes, or an error can't be forwarded
         // within a stream that has started.
-        m_responseHandling = ResponseHandling::None;
+        attempt.handling = ResponseHandling::None;
     } else {
-        m_responseHandling =
+        attempt.handling =
             success && route.kind == RequestKind::Stream ? ResponseHandling::Relayed : ResponseHandling::Buffered;
     }
     // Only the events of a stream are forwarded as they arrive; whatever else a target sends is buffered or ignored.
-    if (m_exchange) {
-        m_exchange->limitBody(m_responseHandling == ResponseHandling::Relayed ? 0 : MaxBufferedResponse);
+    if (attempt.exchange) {
+        attempt.exchange->limitBody(attempt.handling == ResponseHandling::Relayed ? 0 : MaxBufferedResponse);
     }
     return net::HeadDecision::Accept;
 }
 
-void Call::onBody(const std::string &bytes)
+void Call::onBody(const AttemptPointer &attempt, const std::string &bytes)
 {
-    if (m_responseHandling == ResponseHandling::Relayed) {
-        const bool hadEvents = m_eventSplitter.hasEvents;
-        const std::string events = appendBytes(m_eventSplitter, bytes);
-        m_attempt.responseStarted = m_eventSplitter.hasEvents;
-        if (m_eventSplitter.hasEvents && !hadEvents) {
+    recordSignOfLife(front.table, attempt->sent, steadyMillis());
+    if (attempt->handling == ResponseHandling::Relayed) {
+        EventSplitter &splitter = attempt->eventSplitter;
+        const bool hadEvents = splitter.hasEvents;
+        const std::string events = appendBytes(splitter, bytes);
+        attempt->sent.responseStarted = splitter.hasEvents;
+        if (splitter.hasEvents && !hadEvents) {
             front.recordAnswered(suspects);
         }
-        relayEvents(events);
-        if (m_eventSplitter.incompleteEvent.size() > LargestEvent && m_exchange) {
+        relayEvents(attempt, events);
+        if (splitter.incompleteEvent.size() > LargestEvent && attempt->exchange) {
             logInfo(LogComponent::Front, "A stream event exceeds the size limit; cancelling the attempt.",
-                    {{"id", request.attemptId}, {"target", m_attempt.targetId}});
-            m_exchange->cancel();
-            onEnd({.outcome = net::ExchangeOutcome::Broken, .connected = true, .responseStarted = true});
+                    {{"id", request.attemptId}, {"target", attempt->sent.targetId}});
+            attempt->exchange->cancel();
+            onEnd(attempt, {.outcome = net::ExchangeOutcome::Broken, .connected = true, .responseStarted = true});
         }
-    } else if (m_responseHandling == ResponseHandling::Buffered) {
-        m_responseBody += bytes;
-        m_attempt.responseStarted = !m_responseBody.empty();
+    } else if (attempt->handling == ResponseHandling::Buffered) {
+        attempt->responseBody += bytes;
+        attempt->sent.responseStarted = !attempt->responseBody.empty();
     }
 }
 
-void Call::relayEvents(const std::string &events)
+void Call::relayEvents(const AttemptPointer &attempt, const std::string &events)
 {
     const auto connection = m_connection.lock();
     if (events.empty() || !connection || m_done) {
         return;
     }
+    // A comment doesn't show that the target goes on with the stream.
+    if (m_attemptsInProgress.size() > 1 && !hasField(events)) {
+        return;
+    }
+    prefer(attempt);
     std::string out;
     const Millis now = steadyMillis();
     m_longestEventGap = m_lastEventAt > Millis{0} ? std::max(m_longestEventGap, now - m_lastEventAt) : Millis{0};
@@ -183,34 +192,41 @@
         advance(m_lifecycle, RequestEvent::ResponseStarted);
         m_firstEventAt = now;
         observe(front.counters.timeToFirstByte, now - receivedAt);
-        http::ResponseHead forwarded = platform::makeCallerResponse(m_responseHead);
+        http::ResponseHead forwarded = platform::makeCallerResponse(attempt->responseHead);
         forwarded.keepAlive = connection->keepsAlive();
         out = writeChunkedHead(forwarded);
     }
     out += http::writeChunk(events);
     connection->write(out);
-    if (connection->queuedBytes() > CallerBacklogBytes && m_exchange) {
-        m_exchange->setReadingPaused(true);
+    if (connection->queuedBytes() > CallerBacklogBytes && attempt->exchange) {
+        attempt->exchange->setReadingPaused(true);
     }
 }
 
-bool Call::isStreamTruncated() const
+bool Call::isStreamTruncated(const CallAttempt &attempt)
 {
     // A connection that ends before the first event shows only that the target is gone.
-    const bool withoutEvidence = m_responseHead.closeDelimited && !m_eventSplitter.hasEvents;
-    return m_responseHandling == ResponseHandling::Relayed && (endsInsideEvent(m_eventSplitter) || withoutEvidence);
+    const bool withoutEvidence = attempt.responseHead.closeDelimited && !attempt.eventSplitter.hasEvents;
+    return attempt.handling == ResponseHandling::Relayed && (endsInsideEvent(attempt.eventSplitter) || withoutEvidence);
 }
 
 void Call::onCallerDrained()
 {
-    if (m_exchange) {
-        m_exchange->setReadingPaused(false);
+    for (const AttemptPointer &attempt : m_attemptsInProgress) {
+        attempt->exchange->setReadingPaused(false);
     }
 }
 
-void Call::finishBuffered()
+bool Call::mayBeAnsweredByAnother(const CallAttempt &attempt) const
+{
+    return attempt.responseHead.status / 100 == 5 && !m_attemptsInProgress.empty();
+}
+
+void Call::finishBuffered(const AttemptPointer &attempt)
 {
-    if (m_responseHead.status / 100 == 5 && route.kind == RequestKind::Idempotent) {
+    prefer(attempt);
+    const int statusClass = attempt->responseHead.status / 100;
+    if (statusClass == 5 && route.kind == RequestKind::Idempotent) {
         const serving::RequestLifecycle before = m_lifecycle;
         advance(m_lifecycle, RequestEvent::OutcomeUnknown); // A server error; another target may succeed.
         if (tryReserveRetry()) {
@@ -219,33 +235,33 @@
         }
         m_lifecycle = before;
     }
-    const int statusClass = m_responseHead.status / 100;
     // A plain target that answers with an error of the caller has run the request; an engine may not have begun it.
     if (statusClass == 2 || (!usesEngine && statusClass < 5)) {
         front.recordAnswered(suspects);
     }
     advance(m_lifecycle, RequestEvent::ResponseComplete);
-    http::ResponseHead forwarded = platform::makeCallerResponse(m_responseHead);
+    http::ResponseHead forwarded = platform::makeCallerResponse(attempt->responseHead);
     const auto connection = m_connection.lock();
     forwarded.keepAlive = connection && connection->keepsAlive();
-    respond(writeResponse(forwarded, m_responseBody), !forwarded.keepAlive);
+    respond(writeResponse(forwarded, attempt->responseBody), !forwarded.keepAlive);
     observe(front.counters.timeToFirstByte, steadyMillis() - receivedAt);
-    finish(CallOutcome::Answered, m_responseHead.status);
+    finish(CallOutcome::Answered, attempt->responseHead.status);
 }
 
-void Call::finishRelayed()
+void Call::finishRelayed(const AttemptPointer &attempt)
 {
-    relayEvents(std::exchange(m_eventSplitter.incompleteEvent, {}));
+    prefer(attempt);
+    relayEvents(attempt, std::exchange(attempt->eventSplitter.incompleteEvent, {}));
     const auto connection = m_connection.lock();
     std::string out;
     if (!responseStarted()) {
-        http::ResponseHead forwarded = platform::makeCallerResponse(m_responseHead);
+        http::ResponseHead forwarded = platform::makeCallerResponse(attempt->responseHead);
         forwarded.keepAlive = connection && connection->keepsAlive();
         out = writeChunkedHead(forwarded);
     }
     advance(m_lifecycle, RequestEvent::ResponseComplete);
     respond(out.append(http::LastChunk), !(connection && connection->keepsAlive()));
-    finish(CallOutcome::Answered, m_responseHead.status);
+    finish(CallOutcome::Answered, attempt->responseHead.status);
 }
 
 } // namespace ibislock::front
--- a/libs/front/src/call_timeouts.cpp
+++ b/libs/front/src/call_timeouts.cpp
@@ -5,6 +5,8 @@
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
 
+#include <algorithm>
+
 namespace ibislock::front
 {
 
@@ -24,6 +26,9 @@
 /// How long an engine may send nothing for a request after its VM has stopped reporting its load.
 constexpr Millis EngineStall{500};
 
+/// How long an engine may send nothing for a request while no engine reports. A sound one may be silent for a second.
+constexpr Millis UnreportedStall{1500};
+
 /// How long packets may wait at the links on the way to a target before its VM counts as slowed.
 constexpr Millis MaxLinkDelay{500};
 
@@ -37,59 +42,85 @@
 bool Call::isStalled(Millis now) const
 {
     const bool repeatable = serving::mayRunTwice(route.kind, route.resumable);
-    if (!m_exchange || !repeatable || m_attempts - m_connectFailures >= route.maxTargets) {
+    if (m_attemptsInProgress.empty() || !repeatable || countedAttempts() >= route.maxTargets) {
         return false;
     }
-    const Millis silence = now - std::max(m_attempt.sentAt, m_lastEventAt);
+    const CallAttempt &newest = *m_attemptsInProgress.back();
+    const Millis silence = now - std::max(newest.sent.sentAt, m_lastEventAt);
     if (!usesEngine) {
-        return silence > std::max(route.latencyObjective * PlainStallFactor, LeastStall);
+        return silence > plainStall();
     }
-    const serving::Target *target = targetOf(front.table, m_attempt);
+    const serving::Target *target = targetOf(front.table, newest.sent);
     const bool reports = target != nullptr && hasFreshLoad(*target, now);
     return !reports && silence > EngineStall;
 }
 
-bool Call::switchTarget(Millis now)
+Millis Call::plainStall() const
 {
-    if (front.findPlacement(*this, now).target == nullptr) {
-        return false;
+    return std::max(route.latencyObjective * PlainStallFactor, LeastStall);
+}
+
+bool Call::isWorthTrying(const serving::Target &target, Millis silence, Millis now) const
+{
+    if (!usesEngine) {
+        return silenceOf(target, now) <= plainStall();
+    }
+    // If no engine reports, the silence shows nothing about one of them.
+    return hasFreshLoad(target, now) || (silence > UnreportedStall && silenceOf(target, now) <= EngineStall);
+}
+
+void Call::tryAnotherTarget(Millis now)
+{
+    const serving::Placement placement = front.findPlacement(*this, now);
+    const bool quarantined = !responseStarted() && findQuarantined(front.quarantine, suspects);
+    CallAttempt &silent = *m_attemptsInProgress.back();
+    const Millis silence = now - std::max(silent.sent.sentAt, m_lastEventAt);
+    if (placement.target == nullptr || quarantined || !isWorthTrying(*placement.target, silence, now)) {
+        return;
     }
     const serving::RequestLifecycle before = m_lifecycle;
     advance(m_lifecycle, RequestEvent::OutcomeUnknown);
     if (!tryReserveRetry()) {
         m_lifecycle = before;
-        return false;
+        return;
     }
-    logInfo(LogComponent::Front, "A target stopped responding; moving the request to another target.",
+    silent.passedOverAt = now;
+    ++front.counters.silentTargetsPassedOver;
+    recordSilence(front.table, silent.sent, now);
+    logInfo(LogComponent::Front, "A target is silent; sending the request to another target as well.",
             {{"id", request.attemptId},
-             {"target", m_attempt.targetId},
-             {"weights", std::to_string(m_attempt.weightsVersion)},
-             {"begun", m_attempt.responseStarted ? "1" : "0"},
-             {"silent_ms", std::to_string((now - std::max(m_attempt.sentAt, m_lastEventAt)).count())}});
-    m_exchange->cancel();
-    releaseTarget(false);
-    front.dispatch(shared_from_this());
-    return true;
+             {"target", silent.sent.targetId},
+             {"weights", std::to_string(silent.sent.weightsVersion)},
+             {"begun", silent.sent.responseStarted ? "1" : "0"},
+             {"silent_ms", std::to_string(silence.count())}});
+    send(*placement.target);
 }
 
-bool Call::wouldStartOnRetiredWeights(Millis now) const
+Call::AttemptPointer Call::attemptOnRetiredWeights(Millis now) const
 {
-    return m_exchange
-        && mayStartOnRetiredWeights(m_attempt, front.table, front.minVersionOf(request.model, now, WithdrawMargin),
-                                    now);
+    const std::int64_t required = front.minVersionOf(request.model, now, WithdrawMargin);
+    const auto it =
+        std::find_if(m_attemptsInProgress.begin(), m_attemptsInProgress.end(), [&](const AttemptPointer &attempt) {
+            return mayStartOnRetiredWeights(attempt->sent, front.table, required, now);
+        });
+    return it == m_attemptsInProgress.end() ? nullptr : *it;
 }
 
-void Call::cancelAttempt(Millis now)
+void Call::cancelAttempt(const AttemptPointer &attempt, Millis now)
 {
     logInfo(LogComponent::Front, "Cancelled a request before its target could start it on retired weights.",
             {{"id", request.attemptId},
-             {"target", m_attempt.targetId},
-             {"weights", std::to_string(m_attempt.weightsVersion)},
-             {"begun", m_attempt.responseStarted ? "1" : "0"},
+             {"target", attempt->sent.targetId},
+             {"weights", std::to_string(attempt->sent.weightsVersion)},
+             {"begun", attempt->sent.responseStarted ? "1" : "0"},
              {"required", std::to_string(front.minVersionOf(request.model, now, WithdrawMargin))},
-             {"sent_ms", std::to_string((now - m_attempt.sentAt).count())}});
-    m_exchange->cancel();
-    releaseTarget(true);
+             {"sent_ms", std::to_string((now - attempt->sent.sentAt).count())}});
+    attempt->exchange->cancel();
+    releaseTarget(attempt, true);
+    if (!m_attemptsInProgress.empty()) {
+        m_attempt = m_attemptsInProgress.back();
+        return;
+    }
     advance(m_lifecycle, RequestEvent::OutcomeUnknown);
     if (tryReserveRetry()) {
         retryInterrupted();
@@ -100,7 +131,7 @@
 
 bool Call::wouldCrashEngine() const
 {
-    return m_exchange && usesEngine && !isProbe && !m_attempt.responseStarted && !responseStarted()
+    return !m_attemptsInProgress.empty() && usesEngine && !isProbe && !responseStarted()
         && findQuarantined(front.quarantine, suspects);
 }
 
@@ -109,10 +140,9 @@
     logInfo(LogComponent::Front, "Cancelled a request that would crash its engine.",
             {{"id", request.attemptId},
              {"request", hexNumber(digest)},
-             {"target", m_attempt.targetId},
-             {"sent_ms", std::to_string((steadyMillis() - m_attempt.sentAt).count())}});
-    m_exchange->cancel();
-    releaseTarget(true);
+             {"target", m_attempt->sent.targetId},
+             {"sent_ms", std::to_string((steadyMillis() - m_attempt->sent.sentAt).count())}});
+    cancelAttempts();
     advance(m_lifecycle, RequestEvent::OutcomeUnknown);
     refuse(CallOutcome::Quarantined);
 }
@@ -123,20 +153,17 @@
         cancelQuarantined();
         return;
     }
-    if (!m_done && wouldStartOnRetiredWeights(now)) {
-        cancelAttempt(now);
-        return;
-    }
-    if (!m_done && isStalled(now) && switchTarget(now)) {
+    if (const AttemptPointer retired = m_done ? nullptr : attemptOnRetiredWeights(now)) {
+        cancelAttempt(retired, now);
         return;
     }
-    if (m_done || deadlineAt == Millis{0} || now < deadlineAt + (m_exchange ? LimitSlack : Millis{0})) {
+    const bool inProgress = !m_attemptsInProgress.empty();
+    if (m_done || deadlineAt == Millis{0} || now < deadlineAt + (inProgress ? LimitSlack : Millis{0})) {
+        if (!m_done && isStalled(now)) {
+            tryAnotherTarget(now);
+        }
         return;
     }
-    if (m_exchange) {
-        m_exchange->cancel();
-        releaseTarget(true);
-    }
     refuse(CallOutcome::ExpiredBeforeSend);
 }
 
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -46,6 +46,10 @@
     writeCounter(out, "ibislock_repeated_sends_total", "Sends of a request beyond its first.", counters.retries);
     writeCounter(out, "ibislock_retries_without_budget_total", "Sends that the retry budget did not allow.",
                  counters.retriesWithoutBudget);
+    writeCounter(out, "ibislock_silent_targets_passed_over_total",
+                 "Requests sent to another target as well, as theirs was silent.", counters.silentTargetsPassedOver);
+    writeCounter(out, "ibislock_silent_targets_responded_total",
+                 "Requests that such a silent target responded to after all.", counters.silentTargetsResponded);
     writeCounter(out, "ibislock_choices_without_turn_total",
                  "Choices of a target in which the limit of one or more left this VM no turn.",
                  counters.choicesWithoutTurn);
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -33,6 +33,8 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t retriesWithoutBudget = 0;
+    std::uint64_t silentTargetsPassedOver = 0; ///< Requests sent to another target as well, as theirs was silent.
+    std::uint64_t silentTargetsResponded = 0; ///< Requests that such a silent target responded to after all.
     std::uint64_t choicesWithoutTurn = 0; ///< Choices of targets in which a limit left this VM no turn.
     Millis maxListingsAge{0}; ///< The greatest age of the listings by which a target was chosen.
     std::uint64_t attemptsAtUnlistedTargets = 0; ///< Attempts at targets whose listing was known to be removed.
--- a/libs/front/src/event_splitter.cpp
+++ b/libs/front/src/event_splitter.cpp
@@ -78,6 +78,16 @@
     return out;
 }
 
+bool hasField(std::string_view events)
+{
+    while (!events.empty()) {
+        if (isField(takeLine(events))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool endsInsideEvent(const EventSplitter &splitter)
 {
     for (std::string_view rest = splitter.incompleteEvent; !rest.empty();) {
--- a/libs/front/src/event_splitter.h
+++ b/libs/front/src/event_splitter.h
@@ -25,6 +25,9 @@
 /// @return all events that are now complete, unchanged.
 std::string appendBytes(EventSplitter &splitter, std::string_view bytes);
 
+/// Returns whether complete events hold more than comments and empty lines.
+bool hasField(std::string_view events);
+
 /// Returns whether the bytes so far end inside an event. Empty lines and complete comments belong to no event.
 bool endsInsideEvent(const EventSplitter &splitter);
 
--- a/libs/serving/include/ibislock/serving/attempt.h
+++ b/libs/serving/include/ibislock/serving/attempt.h
@@ -37,6 +37,16 @@
 /// to, if that is listed or retained.
 void endAttempt(TargetTable &table, const Attempt &attempt, bool success, Millis now);
 
+/// Records that an attempt is in flight no more and shows nothing of its target, as another attempt was preferred.
+void withdrawAttempt(TargetTable &table, const Attempt &attempt);
+
+/// Records that the target of an attempt has sent something.
+void recordSignOfLife(TargetTable &table, const Attempt &attempt, Millis now);
+
+/// Records that the target of an attempt has been silent for so long that its request is sent to another one as well.
+/// It counts as a failure.
+void recordSilence(TargetTable &table, const Attempt &attempt, Millis now);
+
 /// Returns whether an attempt that waits at its target may start there on retired weights. Without evidence that the
 /// same incarnation has loaded newer weights, it is assumed to hold those for which the attempt was sent.
 /// @param required the oldest version that isn't retired; 0 for any.
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -75,6 +75,7 @@
     std::optional<TargetLoad> load;
     TargetHealth health;
     int inFlight = 0; ///< Requests of this entry VM that are in flight at the present incarnation.
+    Millis heardAt{0}; ///< When it last sent something to this entry VM, or got a request with no other in flight.
     std::deque<RecentAttempt> recentAttempts; ///< The last requests of this entry VM.
     Millis loadCoversUntil{0}; ///< Requests sent after this time are not included in the load.
     std::optional<Millis> expiringSince; ///< When the removal of the listing was learned, if it may return.
@@ -141,6 +142,9 @@
 /// @param promptMs the prefill time of its prompt, in milliseconds; 0 for plain services.
 void recordAttempt(Target &target, Millis now, double promptMs);
 
+/// Returns for how long a target has sent nothing while requests of this VM were in flight there; 0 if none is.
+Millis silenceOf(const Target &target, Millis now);
+
 /// Number of consecutive failures after which a target is ejected; one or two also occur under load.
 inline constexpr int EjectionFailureThreshold = 3;
 
--- a/libs/serving/src/attempt.cpp
+++ b/libs/serving/src/attempt.cpp
@@ -39,11 +39,10 @@
     return it != table.targets.end() && wasSentTo(attempt, it->second.entry) ? &it->second : nullptr;
 }
 
-void endAttempt(TargetTable &table, const Attempt &attempt, bool success, Millis now)
+void withdrawAttempt(TargetTable &table, const Attempt &attempt)
 {
     if (Target *target = targetOf(table, attempt)) {
         target->inFlight = std::max(0, target->inFlight - 1);
-        recordOutcome(*target, success, now);
         return;
     }
     const auto it = table.retainedTargets.find(attempt.targetId);
@@ -53,6 +52,28 @@
     }
 }
 
+void endAttempt(TargetTable &table, const Attempt &attempt, bool success, Millis now)
+{
+    withdrawAttempt(table, attempt);
+    if (Target *target = targetOf(table, attempt)) {
+        recordOutcome(*target, success, now);
+    }
+}
+
+void recordSignOfLife(TargetTable &table, const Attempt &attempt, Millis now)
+{
+    if (Target *target = targetOf(table, attempt)) {
+        target->heardAt = now;
+    }
+}
+
+void recordSilence(TargetTable &table, const Attempt &attempt, Millis now)
+{
+    if (Target *target = targetOf(table, attempt)) {
+        recordOutcome(*target, /*success=*/false, now);
+    }
+}
+
 bool mayStartOnRetiredWeights(const Attempt &attempt, const TargetTable &table, std::int64_t required, Millis now)
 {
     const bool usesWeights = attempt.weightsVersion > 0;
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -195,6 +195,7 @@
     if (target.signals.limit) {
         takeTurn(*target.signals.limit, now);
     }
+    target.heardAt = target.inFlight == 0 ? now : target.heardAt;
     ++target.inFlight;
     target.recentAttempts.push_back({.sentAt = now, .promptMs = promptMs});
     if (target.recentAttempts.size() > MaxRecentAttempts) {
@@ -202,6 +203,11 @@
     }
 }
 
+Millis silenceOf(const Target &target, Millis now)
+{
+    return target.inFlight > 0 ? now - target.heardAt : Millis{0};
+}
+
 void recordOutcome(Target &target, bool success, Millis now)
 {
     if (success) {
