Front: a request that neither its silent target nor another one ran is refused as not run

Cause: an attempt at a silent target counts as one that may have run the request once another attempt is begun beside it, also if the target says afterwards that it did not run it.

The request's chart gets all_refused: when no attempt is in progress and each one was refused or not connected, nothing can have run. RequestThatASilentTargetDidNotRunEitherIsRefusedAsNotRun fails without the event in call.cpp (502) and passes with it; a request that a silent target may have run still gets 504.

The other tests show what an attempt beside a silent one has to keep, and pass on's logic too: which attempt goes on, no event repeated or mixed when both go on at once (six pauses), the end of all attempts when the caller leaves or the deadline passes, and no attempt elsewhere while no engine reports.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -79,7 +79,8 @@
                         return;
                     }
                     bytes.remove_prefix(*n);
-                    if (behaviour != TargetBehaviour::Refuse && behaviour != TargetBehaviour::RefuseBusy) {
+                    if (behaviour != TargetBehaviour::Refuse && behaviour != TargetBehaviour::RefuseBusy
+                        && behaviour != TargetBehaviour::RefuseLate) {
                         requests.push_back(reader->request());
                         bodies.push_back(reader->takeBody());
                     }
@@ -177,12 +178,12 @@
                          + "\r\nX-Ibislock-Response-Signature: s\r\n\r\n" + body);
         connection.closeAfterWrites();
         break;
-    case TargetBehaviour::Late: {
-        auto timer = std::make_shared<asio::steady_timer>(m_loop, std::chrono::milliseconds(400));
-        timer->async_wait([timer, to = connection.shared_from_this(),
-                           bytes = http::writeResponse(own, body)](const asio::error_code &) { to->write(bytes); });
+    case TargetBehaviour::Late:
+        writeLate(connection, http::writeResponse(own, body));
+        break;
+    case TargetBehaviour::RefuseLate:
+        writeLate(connection, http::writeResponse(refusal(503, attempt), ""));
         break;
-    }
     case TargetBehaviour::Silent:
         break;
     case TargetBehaviour::Stream:
@@ -228,6 +229,14 @@
     }
 }
 
+void TargetStandIn::writeLate(net::Connection &connection, std::string bytes)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, std::chrono::milliseconds(400));
+    timer->async_wait([timer, to = connection.shared_from_this(), late = std::move(bytes)](const asio::error_code &) {
+        to->write(late);
+    });
+}
+
 void TargetStandIn::writeForever(net::Connection &connection, const std::string &begin, const std::string &part)
 {
     connection.write(begin);
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -32,6 +32,7 @@
     Encoded, ///< Answers with an encoded body.
     Unframed, ///< Answers without a length, and closes.
     Late, ///< Runs it and answers after 400 ms.
+    RefuseLate, ///< Does not run it and says so after 400 ms.
     Silent, ///< Runs it and never answers.
     Stream, ///< Runs it as a stream of `events` events, going on behind Last-Event-Id.
     StreamWithoutIds, ///< A stream whose events have no ids, cut off in the middle of the third.
@@ -103,6 +104,8 @@
     void answerUnlessCrashing(net::Connection &connection, const http::RequestHead &request);
     void answerUnframedStream(net::Connection &connection, const http::RequestHead &request);
 
+    void writeLate(net::Connection &connection, std::string bytes);
+
     /// Writes a begin once and a part again and again, until the connection is closed.
     void writeForever(net::Connection &connection, const std::string &begin, const std::string &part);
     http::ResponseHead head(int status, const std::string &attempt) const;
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -392,6 +392,9 @@
         return;
     }
     advance(m_lifecycle, notConnected || notRun ? RequestEvent::Refused : RequestEvent::OutcomeUnknown);
+    if (m_attempts == m_connectFailures + m_refusedAttempts) {
+        advance(m_lifecycle, RequestEvent::AllRefused);
+    }
     const bool again = notConnected ? m_connectFailures < MaxConnectFailures && deadlineAt - steadyMillis() >= LeastTime
                                     : tryReserveRetry();
     if (!again) {
--- a/libs/front/test/front_silence_test.cpp
+++ b/libs/front/test/front_silence_test.cpp
@@ -106,6 +106,142 @@
     EXPECT_EQ(m_answer.body, wholeStream());
 }
 
+TEST_F(FrontSilenceTest, StreamGoesOnAtAnotherTargetWhileItsOwnIsSilent)
+{
+    m_first.behaviour = TargetBehaviour::StreamThenSilent;
+    m_other.behaviour = TargetBehaviour::Stream;
+    sendToTheFirst();
+    runUntilEnd(Millis{2000});
+    EXPECT_TRUE(m_answer.whole);
+    EXPECT_EQ(m_answer.body, wholeStream());
+    EXPECT_EQ(m_other.requests.size(), 1U);
+    runFor(Millis{50});
+    EXPECT_EQ(m_first.open, 0);
+}
+
+TEST_F(FrontSilenceTest, StreamGoesOnAtItsOwnTargetWhileTheOtherOneIsSilentToo)
+{
+    m_first.behaviour = m_other.behaviour = TargetBehaviour::StreamPausing;
+    m_first.pause = Silence;
+    m_other.pause = Millis{4000};
+    m_other.pausesFirst = true;
+    sendToTheFirst();
+    runUntilEnd(Millis{2500});
+    EXPECT_TRUE(m_answer.whole);
+    EXPECT_EQ(m_answer.body, wholeStream());
+    EXPECT_EQ(m_other.requests.size(), 1U);
+    runFor(Millis{50});
+    EXPECT_EQ(m_other.open, 0);
+}
+
+class FrontRaceTest : public FrontSilenceTest, public testing::WithParamInterface<Millis>
+{
+};
+
+// Both targets send their events at about the same time.
+TEST_P(FrontRaceTest, EventsOfTwoTargetsAreNeitherRepeatedNorMixed)
+{
+    m_first.behaviour = m_other.behaviour = TargetBehaviour::StreamPausing;
+    m_first.pause = Silence;
+    m_other.pause = GetParam();
+    m_other.pausesFirst = true;
+    sendToTheFirst();
+    runUntilEnd(Millis{3000});
+    EXPECT_EQ(m_other.requests.size(), 1U);
+    EXPECT_TRUE(m_answer.whole);
+    EXPECT_EQ(m_answer.body, wholeStream());
+}
+
+INSTANTIATE_TEST_SUITE_P(Pauses, FrontRaceTest,
+                         testing::Values(Millis{440}, Millis{480}, Millis{500}, Millis{520}, Millis{540}, Millis{560}),
+                         [](const auto &item) { return "Of" + std::to_string(item.param.count()) + "Ms"; });
+
+// Neither target has sent an event when the caller's first one arrives.
+TEST_F(FrontSilenceTest, StreamThatHasNotBegunIsServedByTheTargetThatBeginsFirst)
+{
+    m_first.behaviour = m_other.behaviour = TargetBehaviour::StreamPausing;
+    m_first.pause = Silence;
+    m_other.pause = Millis{4000};
+    m_first.pausesFirst = m_other.pausesFirst = true;
+    sendToTheFirst();
+    runUntilEnd(Millis{2500});
+    EXPECT_EQ(m_answer.status, 200);
+    EXPECT_TRUE(m_answer.whole);
+    EXPECT_EQ(m_answer.body, wholeStream());
+}
+
+TEST_F(FrontSilenceTest, CallerThatLeavesCancelsAllAttempts)
+{
+    m_first.behaviour = TargetBehaviour::StreamThenSilent;
+    m_other.behaviour = TargetBehaviour::Silent;
+    sendToTheFirst();
+    runUntilEnd(Millis{1200});
+    ASSERT_EQ(m_first.open, 1);
+    ASSERT_EQ(m_other.requests.size(), 1U);
+    m_exchange->cancel();
+    runFor(Millis{50});
+    EXPECT_EQ(m_first.open, 0);
+    EXPECT_EQ(m_other.open, 0);
+}
+
+TEST_F(FrontSilenceTest, DeadlineCancelsAllAttempts)
+{
+    m_first.behaviour = TargetBehaviour::StreamThenSilent;
+    m_other.behaviour = TargetBehaviour::Silent;
+    sendToTheFirst();
+    runUntilEnd(Millis{6500});
+    EXPECT_TRUE(m_ended);
+    EXPECT_FALSE(m_answer.whole);
+    runFor(Millis{50});
+    EXPECT_EQ(m_first.open, 0);
+    EXPECT_EQ(m_other.open, 0);
+}
+
+// A silence of all targets at once sent each stream to another one, too.
+TEST_F(FrontSilenceTest, StreamIsNotSentElsewhereWhenNoTargetReports)
+{
+    m_first.behaviour = TargetBehaviour::StreamPausing;
+    m_first.pause = Silence;
+    m_other.behaviour = TargetBehaviour::Stream;
+    m_otherReports = false;
+    sendToTheFirst();
+    runUntilEnd(Millis{2500});
+    EXPECT_TRUE(m_answer.whole);
+    EXPECT_EQ(m_other.requests.size(), 0U);
+}
+
+TEST_F(FrontSilenceTest, StreamIsSentElsewhereInTheEndWhenNoTargetReports)
+{
+    m_first.behaviour = TargetBehaviour::StreamThenSilent;
+    m_other.behaviour = TargetBehaviour::Stream;
+    m_otherReports = false;
+    sendToTheFirst();
+    runUntilEnd(Millis{2500});
+    EXPECT_TRUE(m_answer.whole);
+    EXPECT_EQ(m_answer.body, wholeStream());
+}
+
+// Both targets say that they did not run it, the silent one last; the caller was told that it may have run.
+TEST_F(FrontTest, RequestThatASilentTargetDidNotRunEitherIsRefusedAsNotRun)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::RefuseLate;
+    list(m_first);
+    list(m_second);
+    start();
+    EXPECT_EQ(call(request("/often/x")).status, 503);
+    EXPECT_EQ(runs(), 0U);
+}
+
+TEST_F(FrontTest, RequestThatASilentTargetMayHaveRunIsNotRefusedAsNotRun)
+{
+    m_first.behaviour = m_second.behaviour = TargetBehaviour::Silent;
+    list(m_first);
+    list(m_second);
+    start();
+    EXPECT_EQ(call(request("/often/x")).status, 504);
+    EXPECT_EQ(runs(), 2U);
+}
+
 // The first answer was given up for an attempt that was not run.
 TEST_F(FrontTest, IdempotentRequestIsAnsweredByItsSilentTargetWhenAnotherTargetRefusesIt)
 {
--- a/libs/serving/include/ibislock/serving/request_lifecycle.h
+++ b/libs/serving/include/ibislock/serving/request_lifecycle.h
@@ -22,16 +22,18 @@
     Send, ///< The request is sent to a target.
     Refused, ///< No target read the request, or its target did not execute it.
     OutcomeUnknown, ///< The attempt has ended, and the target may have executed the request.
+    AllRefused, ///< No attempt is in progress, and no target executed any of them.
     ResponseStarted, ///< The first part of a response is forwarded to the caller.
     ResponseComplete, ///< The complete response was received.
     StopRetrying, ///< No further attempt is made.
 };
 
 /// Names of the events in the chart.
-inline constexpr NameTable<RequestEvent, 6> RequestEventNames{{
+inline constexpr NameTable<RequestEvent, 7> RequestEventNames{{
     {RequestEvent::Send, "send"},
     {RequestEvent::Refused, "refused"},
     {RequestEvent::OutcomeUnknown, "lost"},
+    {RequestEvent::AllRefused, "all_refused"},
     {RequestEvent::ResponseStarted, "first_event"},
     {RequestEvent::ResponseComplete, "whole"},
     {RequestEvent::StopRetrying, "give_up"},
