Front: a broken stream waits for a slot until its caller would leave

A target that said that it did not execute the request ended the stream at once if no other had a free slot.

A stream of which the caller has events now waits until 1.8 s after the last one, also behind a refusal. Requests without a part of their response wait as before.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -32,9 +32,13 @@
 /// Ratio of the time per token to the time of an engine step, as prompts of other requests are processed in between.
 constexpr double SharedStepFactor = 1.5;
 
-/// How long an interrupted request may wait for a slot at another target; a longer gap makes its stream late.
+/// How long an interrupted request without a part of its response may wait for a slot at another target.
 constexpr Millis ResumeWait{300};
 
+/// How long after its last event an interrupted stream may wait for a slot at another target; callers leave a stream
+/// after a gap of 2 s.
+constexpr Millis MaxEventGap{1800};
+
 /// The status which promises the caller that the request was not executed and won't be.
 constexpr int NotRunStatus = 503;
 
@@ -401,7 +405,7 @@
         refuse(notConnected ? CallOutcome::NoTarget : (notRun ? CallOutcome::NotExecuted : CallOutcome::Unknown));
         return;
     }
-    if (notConnected || notRun) {
+    if ((notConnected || notRun) && !responseStarted()) {
         front.dispatch(shared_from_this());
     } else {
         retryInterrupted();
@@ -410,7 +414,8 @@
 
 void Call::retryInterrupted()
 {
-    m_resumeWaitUntil = steadyMillis() + ResumeWait;
+    m_resumeWaitUntil =
+        std::max(steadyMillis() + ResumeWait, responseStarted() ? m_lastEventAt + MaxEventGap : Millis{0});
     front.dispatch(shared_from_this());
 }
 
--- a/libs/front/test/front_silence_test.cpp
+++ b/libs/front/test/front_silence_test.cpp
@@ -47,6 +47,13 @@
         reportLoad("127.0.0.1", 0);
         reportLoad(OtherIp, lab::TargetStandIn::Slots - 1);
         runFor(Millis{20});
+        send();
+        runFor(Millis{50});
+        ASSERT_EQ(m_first.requests.size(), 1U);
+    }
+
+    void send()
+    {
         http::RequestHead sent = request("/events/x");
         sent.headers.set("X-Ibislock-Deadline-Ms", "6000");
         sent.headers.add("X-Ibislock-Model", "m");
@@ -62,8 +69,6 @@
                                             m_answer.whole = result.outcome == net::ExchangeOutcome::Complete;
                                             m_ended = true;
                                         }});
-        runFor(Millis{50});
-        ASSERT_EQ(m_first.requests.size(), 1U);
     }
 
     /// Runs the loop until the call has ended or a time has passed, while the other engine reports its load.
@@ -197,6 +202,29 @@
     EXPECT_EQ(m_other.open, 0);
 }
 
+// A stream whose engine broke off was aborted after 300 ms without a free slot.
+TEST_F(FrontSilenceTest, BrokenStreamWaitsForASlotUntilItsCallerWouldLeave)
+{
+    constexpr Millis UntilThereIsRoom{900};
+    m_first.behaviour = TargetBehaviour::StreamCutOff;
+    m_other.behaviour = TargetBehaviour::Stream;
+    list(m_first);
+    list(m_other);
+    start(EngineState);
+    reportLoad("127.0.0.1", 0);
+    reportLoad(OtherIp, lab::TargetStandIn::Slots);
+    runFor(Millis{20});
+    send();
+    const Millis sentAt = steadyMillis();
+    while (!m_ended && steadyMillis() < sentAt + Millis{2500}) {
+        const bool room = steadyMillis() >= sentAt + UntilThereIsRoom;
+        reportLoad(OtherIp, room ? 0 : 2 * lab::TargetStandIn::Slots);
+        runFor(Millis{20});
+    }
+    EXPECT_TRUE(m_answer.whole);
+    EXPECT_EQ(m_answer.body, wholeStream());
+}
+
 // A silence of all targets at once sent each stream to another one, too.
 TEST_F(FrontSilenceTest, StreamIsNotSentElsewhereWhenNoTargetReports)
 {
