--- a/libs/front/test/front_silence_test.cpp
+++ b/libs/front/test/front_silence_test.cpp
@@ -283,6 +283,53 @@
     }
 }
 
+// Each refusal elsewhere was followed by another send within a tick, and each one counted as a failure of the silent
+// target; one stream kept its sound target from getting requests for seconds after it had gone on.
+TEST_F(FrontSilenceTest, SilentTargetThatHasGoneOnGetsRequestsAgain)
+{
+    std::vector<std::unique_ptr<lab::TargetStandIn>> more;
+    for (const std::string id : {"i-4", "i-5", "i-6", "i-7"}) {
+        more.push_back(std::make_unique<lab::TargetStandIn>(m_loop, id, OtherIp));
+        more.back()->weightsVersion = 1;
+        more.back()->behaviour = TargetBehaviour::Refuse;
+        list(*more.back());
+    }
+    m_first.behaviour = TargetBehaviour::StreamPausing;
+    m_first.pause = Silence;
+    m_other.behaviour = TargetBehaviour::Refuse;
+    sendToTheFirst();
+    runUntilEnd(Millis{4000});
+    EXPECT_TRUE(m_answer.whole);
+    m_first.pause = Millis{0};
+    http::RequestHead next = request("/events/x");
+    next.headers.set("X-Ibislock-Deadline-Ms", "6000");
+    next.headers.add("X-Ibislock-Model", "m");
+    reportLoad("127.0.0.1", 0);
+    reportLoad(OtherIp, 2 * lab::TargetStandIn::Slots);
+    runFor(Millis{20});
+    const Millis before = steadyMillis();
+    EXPECT_EQ(call(next).status, 200);
+    EXPECT_LT(steadyMillis() - before, Millis{200});
+}
+
+// A refusal elsewhere used up the last attempt, so the request was held at its silent target until its deadline.
+TEST_F(FrontTest, IdempotentRequestOfASilentTargetGoesOnBehindARefusal)
+{
+    lab::TargetStandIn third(m_loop, "i-3");
+    m_first.behaviour = TargetBehaviour::Silent;
+    m_second.behaviour = TargetBehaviour::Refuse;
+    third.behaviour = TargetBehaviour::Answer;
+    list(m_first);
+    list(m_second);
+    list(third);
+    start();
+    for (int n = 0; n < 12; ++n) {
+        const Millis before = steadyMillis();
+        EXPECT_EQ(call(request("/often/x")).status, 200);
+        EXPECT_LT(steadyMillis() - before, Millis{500});
+    }
+}
+
 } // namespace
 
 } // namespace ibislock::front
