--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -204,6 +204,7 @@
     attempt->loadAge = target.load ? now - target.load->receivedAt : Millis{-1};
     attempt->occupancyPercent =
         static_cast<int>(100 * estimatedRequests(target, usesEngine, now) / std::max(target.entry.slots, 1));
+    m_lastSentAt = now;
     if (m_attempts == 0) {
         m_firstSentAt = now;
         observe(front.counters.waitTime, now - receivedAt);
@@ -365,8 +366,9 @@
 
 int Call::countedAttempts() const
 {
-    // A target that did not execute a stream that has begun elsewhere is no reason to give that stream up.
-    return m_attempts - m_connectFailures - (responseStarted() ? m_refusedAttempts : 0);
+    // A target that did not execute the request is no reason to give up what has begun or is in progress elsewhere.
+    const bool goesOn = responseStarted() || !m_attemptsInProgress.empty();
+    return m_attempts - m_connectFailures - (goesOn ? m_refusedAttempts : 0);
 }
 
 /// Consumes one retry of the budget if route, kind and deadline allow another attempt.
@@ -472,7 +474,8 @@
     ++front.counters.outcomes[static_cast<std::size_t>(outcome)];
     const Millis whole = steadyMillis() - receivedAt;
     observe(front.counters.totalTime, whole);
-    const CallAttempt last = m_attempt ? *m_attempt : CallAttempt{};
+    static const CallAttempt None;
+    const CallAttempt &last = m_attempt ? *m_attempt : None;
     logInfo(LogComponent::Front,
             outcome == CallOutcome::Answered ? "A request was answered." : "A request was not served.",
             {{"id", request.attemptId},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -32,6 +32,7 @@
     int occupancyPercent = 0; ///< Estimated occupancy of the target when the request was sent.
     ListingsUsed listingsUsed; ///< The listings by which the target was chosen.
     Millis loadAge{0}; ///< Age of the load report behind that estimate; -1 ms without one.
+    Millis heardAt{0}; ///< When the target last sent something for this attempt; 0 before.
     Millis passedOverAt{0}; ///< When the request was sent to another target as well, as this one was silent; 0 if not.
 };
 
@@ -148,8 +149,8 @@
     /// Returns how long a plain target may send nothing for a request that may be retried.
     Millis plainStall() const;
 
-    /// Returns whether a target is likely to respond earlier than one that has been silent for a time.
-    bool isWorthTrying(const serving::Target &target, Millis silence, Millis now) const;
+    /// Returns for how long the newest attempt in progress has been silent, since the last send at most.
+    Millis silence(Millis now) const;
 
     /// Sends the request to another target as well. The attempt at the stalled one continues, as it may still respond.
     void tryAnotherTarget(Millis now);
@@ -188,6 +189,9 @@
         m_attempt; ///< The one that was sent last or is preferred, also after its end; null before the first.
     std::string m_lastFailure = "none"; ///< How the last attempt that failed ended, as logged.
     Millis m_firstSentAt{0};
+    Millis m_lastSentAt{0};
+    Millis m_nextTryAt{0}; ///< When another target may be tried for a silent one.
+    bool m_readingPaused = false; ///< The response isn't read, as the caller reads it slowly.
     Millis m_firstEventAt{0};
     Millis m_lastEventAt{0};
     Millis m_longestEventGap{0}; ///< Between two forwarded events.
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -111,7 +111,8 @@
 
 net::HeadDecision Call::onHead(CallAttempt &attempt, const http::ResponseHead &answer)
 {
-    recordSignOfLife(front.table, attempt.sent, steadyMillis());
+    attempt.heardAt = steadyMillis();
+    recordSignOfLife(front.table, attempt.sent, attempt.heardAt);
     const platform::TargetResponse said = platform::decodeTargetResponse(answer);
     applySignals(attempt, said);
     applyLimit(attempt, said);
@@ -151,7 +152,8 @@
 
 void Call::onBody(const AttemptPointer &attempt, const std::string &bytes)
 {
-    recordSignOfLife(front.table, attempt->sent, steadyMillis());
+    attempt->heardAt = steadyMillis();
+    recordSignOfLife(front.table, attempt->sent, attempt->heardAt);
     if (attempt->handling == ResponseHandling::Relayed) {
         EventSplitter &splitter = attempt->eventSplitter;
         const bool hadEvents = splitter.hasEvents;
@@ -200,6 +202,7 @@
     connection->write(out);
     if (connection->queuedBytes() > CallerBacklogBytes && attempt->exchange) {
         attempt->exchange->setReadingPaused(true);
+        m_readingPaused = true;
     }
 }
 
@@ -212,6 +215,7 @@
 
 void Call::onCallerDrained()
 {
+    m_readingPaused = false;
     for (const AttemptPointer &attempt : m_attemptsInProgress) {
         attempt->exchange->setReadingPaused(false);
     }
--- a/libs/front/src/call_timeouts.cpp
+++ b/libs/front/src/call_timeouts.cpp
@@ -29,6 +29,9 @@
 /// How long an engine may send nothing for a request while no engine reports. A sound one may be silent for a second.
 constexpr Millis UnreportedStall{1500};
 
+/// Interval at which another target is looked for while one is silent.
+constexpr Millis TryInterval{100};
+
 /// How long packets may wait at the links on the way to a target before its VM counts as slowed.
 constexpr Millis MaxLinkDelay{500};
 
@@ -39,20 +42,24 @@
 
 } // namespace
 
+Millis Call::silence(Millis now) const
+{
+    const CallAttempt &newest = *m_attemptsInProgress.back();
+    return now - std::max({newest.heardAt, m_lastEventAt, m_lastSentAt});
+}
+
 bool Call::isStalled(Millis now) const
 {
     const bool repeatable = serving::mayRunTwice(route.kind, route.resumable);
-    if (m_attemptsInProgress.empty() || !repeatable || countedAttempts() >= route.maxTargets) {
+    if (m_attemptsInProgress.empty() || !repeatable || m_readingPaused || countedAttempts() >= route.maxTargets) {
         return false;
     }
-    const CallAttempt &newest = *m_attemptsInProgress.back();
-    const Millis silence = now - std::max(newest.sent.sentAt, m_lastEventAt);
     if (!usesEngine) {
-        return silence > plainStall();
+        return silence(now) > plainStall();
     }
-    const serving::Target *target = targetOf(front.table, newest.sent);
+    const serving::Target *target = targetOf(front.table, m_attemptsInProgress.back()->sent);
     const bool reports = target != nullptr && hasFreshLoad(*target, now);
-    return !reports && silence > EngineStall;
+    return !reports && silence(now) > EngineStall;
 }
 
 Millis Call::plainStall() const
@@ -60,22 +67,18 @@
     return std::max(route.latencyObjective * PlainStallFactor, LeastStall);
 }
 
-bool Call::isWorthTrying(const serving::Target &target, Millis silence, Millis now) const
+void Call::tryAnotherTarget(Millis now)
 {
-    if (!usesEngine) {
-        return silenceOf(target, now) <= plainStall();
+    if (now < m_nextTryAt) {
+        return;
     }
+    m_nextTryAt = now + TryInterval;
+    const Millis silentFor = silence(now);
+    const serving::Placement placement = front.findPlacement(*this, now, usesEngine ? EngineStall : plainStall());
     // If no engine reports, the silence shows nothing about one of them.
-    return hasFreshLoad(target, now) || (silence > UnreportedStall && silenceOf(target, now) <= EngineStall);
-}
-
-void Call::tryAnotherTarget(Millis now)
-{
-    const serving::Placement placement = front.findPlacement(*this, now);
-    const bool quarantined = !responseStarted() && findQuarantined(front.quarantine, suspects);
-    CallAttempt &silent = *m_attemptsInProgress.back();
-    const Millis silence = now - std::max(silent.sent.sentAt, m_lastEventAt);
-    if (placement.target == nullptr || quarantined || !isWorthTrying(*placement.target, silence, now)) {
+    const bool worthTrying = placement.target != nullptr
+        && (!usesEngine || hasFreshLoad(*placement.target, now) || silentFor > UnreportedStall);
+    if (!worthTrying || (!responseStarted() && findQuarantined(front.quarantine, suspects))) {
         return;
     }
     const serving::RequestLifecycle before = m_lifecycle;
@@ -84,15 +87,18 @@
         m_lifecycle = before;
         return;
     }
-    silent.passedOverAt = now;
-    ++front.counters.silentTargetsPassedOver;
-    recordSilence(front.table, silent.sent, now);
+    CallAttempt &silent = *m_attemptsInProgress.back();
+    if (silent.passedOverAt == Millis{0}) {
+        silent.passedOverAt = now;
+        ++front.counters.silentTargetsPassedOver;
+        recordSilence(front.table, silent.sent, now);
+    }
     logInfo(LogComponent::Front, "A target is silent; sending the request to another target as well.",
             {{"id", request.attemptId},
              {"target", silent.sent.targetId},
              {"weights", std::to_string(silent.sent.weightsVersion)},
              {"begun", silent.sent.responseStarted ? "1" : "0"},
-             {"silent_ms", std::to_string(silence.count())}});
+             {"silent_ms", std::to_string(silentFor.count())}});
     send(*placement.target);
 }
 
@@ -131,8 +137,10 @@
 
 bool Call::wouldCrashEngine() const
 {
-    return !m_attemptsInProgress.empty() && usesEngine && !isProbe && !responseStarted()
-        && findQuarantined(front.quarantine, suspects);
+    const bool waits = !m_attemptsInProgress.empty()
+        && std::none_of(m_attemptsInProgress.begin(), m_attemptsInProgress.end(),
+                        [](const AttemptPointer &attempt) { return attempt->sent.responseStarted; });
+    return waits && usesEngine && !isProbe && !responseStarted() && findQuarantined(front.quarantine, suspects);
 }
 
 void Call::cancelQuarantined()
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -262,7 +262,7 @@
     dispatch(call);
 }
 
-serving::Placement Front::findPlacement(const Call &call, Millis now)
+serving::Placement Front::findPlacement(const Call &call, Millis now, std::optional<Millis> maxSilence)
 {
     return place(table,
                  {.service = call.service,
@@ -271,6 +271,7 @@
                   .engine = call.usesEngine,
                   .typicalPromptMs = call.promptMs(call.engineSpec.typicalPromptTokens),
                   .expectedDuration = call.expectedDuration(),
+                  .maxSilence = maxSilence,
                   .urgent = !call.isLate(now) || call.responseStarted(),
                   .triedTargets = &call.triedTargets,
                   .now = now},
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -63,7 +63,9 @@
     void dispatch(const std::shared_ptr<Call> &call);
 
     /// Chooses a target for a call.
-    serving::Placement findPlacement(const Call &call, Millis now);
+    /// @param maxSilence leaves out targets that have been silent for longer and don't report; none to use them as
+    /// well.
+    serving::Placement findPlacement(const Call &call, Millis now, std::optional<Millis> maxSilence = std::nullopt);
 
     /// Records that a target was chosen by the listings as they are known.
     /// @return what was known of them.
--- a/libs/serving/include/ibislock/serving/attempt.h
+++ b/libs/serving/include/ibislock/serving/attempt.h
@@ -40,11 +40,11 @@
 /// Records that an attempt is in flight no more and shows nothing of its target, as another attempt was preferred.
 void withdrawAttempt(TargetTable &table, const Attempt &attempt);
 
-/// Records that the target of an attempt has sent something.
+/// Records that the target of an attempt has sent something. Ends an ejection for its silence.
 void recordSignOfLife(TargetTable &table, const Attempt &attempt, Millis now);
 
 /// Records that the target of an attempt has been silent for so long that its request is sent to another one as well.
-/// It counts as a failure.
+/// It counts as a failure until the target sends something.
 void recordSilence(TargetTable &table, const Attempt &attempt, Millis now);
 
 /// Returns whether an attempt that waits at its target may start there on retired weights. Without evidence that the
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -10,6 +10,8 @@
 #include "ibislock/base/random.h"
 #include "ibislock/serving/target_table.h"
 
+#include <optional>
+
 #include <set>
 
 namespace ibislock::serving
@@ -25,6 +27,7 @@
     bool engine = false; ///< Whether the service has engines, which can't serve without weights.
     double typicalPromptMs = 0; ///< Prefill time of a typical prompt, in milliseconds.
     Millis expectedDuration{0}; ///< Expected run time of the request; 0 if unknown.
+    std::optional<Millis> maxSilence; ///< Leaves out targets that have been silent for longer and don't report.
     bool urgent = true; ///< May take the last free slots.
     const std::set<std::string> *triedTargets = nullptr; ///< Targets to which the request was sent before.
     Millis now{0};
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -59,6 +59,7 @@
 {
     int consecutiveFailures = 0;
     Millis ejectedUntil{0}; ///< Gets no request before this time.
+    bool silent = false; ///< The last failure was a silence, which ends with the next thing that the target sends.
 };
 
 /// A request that this entry VM has sent to a target.
--- a/libs/serving/src/attempt.cpp
+++ b/libs/serving/src/attempt.cpp
@@ -64,6 +64,7 @@
 {
     if (Target *target = targetOf(table, attempt)) {
         target->heardAt = now;
+        target->health = target->health.silent ? TargetHealth{} : target->health;
     }
 }
 
@@ -71,6 +72,7 @@
 {
     if (Target *target = targetOf(table, attempt)) {
         recordOutcome(*target, /*success=*/false, now);
+        target->health.silent = true;
     }
 }
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -22,10 +22,13 @@
     if (request.triedTargets != nullptr && request.triedTargets->contains(target.entry.id)) {
         return false;
     }
+    const bool fresh = request.engine && hasFreshLoad(target, request.now);
+    if (!fresh && request.maxSilence && silenceOf(target, request.now) > *request.maxSilence) {
+        return false;
+    }
     if (!request.engine) {
         return true;
     }
-    const bool fresh = hasFreshLoad(target, request.now);
     if (fresh && target.load->loading) {
         return false;
     }
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -97,6 +97,7 @@
         target.health = {};
         target.recentAttempts.clear();
         target.inFlight = 0;
+        target.heardAt = now;
         if (target.entry.id.empty() || target.entry.startedAt != entry->startedAt) {
             const RetainedTarget retained = takeRetained(table, id, *entry);
             target.signals = retained.signals;
@@ -210,6 +211,7 @@
 
 void recordOutcome(Target &target, bool success, Millis now)
 {
+    target.health.silent = false;
     if (success) {
         target.health.consecutiveFailures = 0;
         return;
