Side: what this VM reads of the operators' topic is announced to entry VMs at once

What callers would see: entry VMs learn of a new desired state, or of new weights, up to a second later from a target VM that reads the store for others while its engine is silent; that second counts against the time in which the state must take effect.

Cause: the end of the topic travels in load messages. If another VM reported it, the message was sent at once; if this VM had read it itself, it waited for the end of the poll of the engine in progress: 1 s with a silent engine, about 0.1 s otherwise.

Now both are sent at once. As before, a VM whose engine has not responded to three polls sends no loads, so no news either.

Evidence: the test failed before, three runs: the news arrived 949, 950 and 952 ms after the record was in the store, with an engine that was silent for 1.3 s. Now it passes with a limit of 300 ms, three runs.

--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -120,9 +120,14 @@
             .onStoreOutage = [](bool) {},
             .onWatermark =
                 [this](Millis asOf) {
-                    m_watermark.end = m_operatorsFollower->feed().position();
+                    const TopicPosition end = m_operatorsFollower->feed().position();
+                    const bool news = end > m_watermark.end;
+                    m_watermark.end = end;
                     m_watermark.asOf = asOf;
                     m_watermarkReadAt = steadyMillis();
+                    if (news) {
+                        publishLoad(true); // The engine's next report may be late.
+                    }
                 },
         });
     m_listingsFollower = std::make_unique<feed::ListingsFollower>(
--- a/libs/side/test/side_silence_test.cpp
+++ b/libs/side/test/side_silence_test.cpp
@@ -71,6 +71,15 @@
             Millis{3000}));
     }
 
+    /// Runs while an entry VM subscribes to the loads of a VM.
+    void runSubscribed(LoadListener &entry, const Vm &vm, Millis time)
+    {
+        for (const Millis until = steadyMillis() + time; steadyMillis() < until;) {
+            entry.subscribe(vm.ip);
+            m_loop.run_for(Millis{10});
+        }
+    }
+
     /// Runs for a while in which no further order and no copy from the origin must follow.
     void expectNothingFollows()
     {
@@ -112,6 +121,25 @@
     EXPECT_TRUE(log.take("The engine doesn't respond to polls.").empty());
 }
 
+TEST_F(SilenceTest, TheNewsOfADesiredStateDoNotWaitForTheEngine)
+{
+    constexpr Millis UntilItReadsForOthers{3000};
+    constexpr Millis NewsTime{300};
+    Vm &vm = add(1);
+    start();
+    m_loop.run_for(UntilItReadsForOthers);
+    LoadListener entry(m_loop, "127.0.1.101", m_peerPort);
+    runSubscribed(entry, vm, Millis{500});
+    ASSERT_TRUE(entry.latest());
+    const TopicPosition before = entry.latest()->operatorsWatermark.end;
+    vm.engine.freeze(Silence);
+    runSubscribed(entry, vm, Millis{50});
+    m_store.append("config", R"({"Version":2,"Services":[]})");
+    const Millis begin = steadyMillis();
+    EXPECT_TRUE(runUntil([&] { return entry.latest()->operatorsWatermark.end > before; }));
+    EXPECT_LT(steadyMillis() - begin, NewsTime);
+}
+
 TEST_F(SilenceTest, AnOrderThatIsAnsweredAfterTheSilenceIsGivenOnce)
 {
     Vm &vm = add(1);
