Side: a poll that the engine doesn't answer no longer sends its last report as a new load

What callers would see: refusals and moved requests beside a silent engine. An entry VM that gets a load takes the engine for one that reports for 750 ms, counts the load as covering all that it sent until then, and passes over the engines that don't report. A report that was a second old made the silent engine look both responsive and emptier than it was; with all engines silent, requests go to those whose target daemon's poll has just timed out.

Cause: the load was published at the end of each poll, also of one without a response, as long as the last report counted (three polls).

Now a load is published after a poll only if the engine has reported, or is about to load, which entry VMs must know in any case: they then send it nothing. News of the operators' topic are still sent at once, with the last report, as there is no message for them alone.

Evidence: the test failed before, three runs: an engine with 7 requests running was reported with none, 1 s into its silence. It passes now, four runs; all 42 tests of side_test pass, one run. The effect on callers was read in placement.cpp and front.cpp, not run.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -221,7 +221,7 @@
                              {"Sequence", orders},
                              {"born", startedAt},
                              {"Queued", 0},
-                             {"Running", 0}}
+                             {"Running", running}}
                   .dump());
     } else if (request.target.find("/stage-put/") != std::string::npos) {
         const int piece = queryNumber(request.target, "Num");
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -101,6 +101,7 @@
     int orders = 0;
     int refusedOrders = 0;
     int served = 0; ///< Requests that were run.
+    int running = 0; ///< Requests that it reports as running.
     Millis orderDelay{0}; ///< Orders get no answer and are accepted this late.
     Millis readDelay{0}; ///< Until the bytes of a staged piece, as they were when they were requested, are sent.
     bool endlessReads = false; ///< Reads of staged pieces get a body without end.
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -265,7 +265,12 @@
 {
     const Millis now = steadyMillis();
     stepAgent();
-    publishLoad(now >= m_publishedAt + PublishTime);
+    const bool reported = m_engine.reportedAt() != m_reportSeenAt;
+    m_reportSeenAt = m_engine.reportedAt();
+    // After a failed poll, entry VMs must not take the last report for a new one. They must know of a load in any case.
+    if (reported || m_agent.isLoading()) {
+        publishLoad(reported && now >= m_publishedAt + PublishTime);
+    }
     m_client.closeIdleConnections(now);
     flushLog();
 }
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -84,6 +84,7 @@
     std::uint64_t m_sequence = 0;
     std::string m_lastPublished;
     Millis m_publishedAt{0};
+    Millis m_reportSeenAt{0}; ///< When the engine's report arrived that was handled last.
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_metricsConnections;
     serving::PromptQuarantine m_quarantine; ///< What entry VMs report; its times are of the boot clock.
     Millis m_quarantineSharedAt{0};
--- a/libs/side/test/side_silence_test.cpp
+++ b/libs/side/test/side_silence_test.cpp
@@ -121,6 +121,24 @@
     EXPECT_TRUE(log.take("The engine doesn't respond to polls.").empty());
 }
 
+TEST_F(SilenceTest, TheLastReportIsNotSentAgainAsANewLoad)
+{
+    Vm &vm = add(1);
+    startSettled();
+    LoadListener entry(m_loop, "127.0.1.101", m_peerPort);
+    runSubscribed(entry, vm, Millis{500});
+    vm.engine.freeze(Silence);
+    vm.engine.running = 7;
+    runSubscribed(entry, vm, Millis{200}); // Loads of reports from before arrive.
+    const auto before = entry.latest();
+    ASSERT_TRUE(before);
+    ASSERT_EQ(before->running, 0);
+    runSubscribed(entry, vm, Silence - Millis{300});
+    EXPECT_EQ(entry.latest()->sequence, before->sequence);
+    runSubscribed(entry, vm, Millis{500});
+    EXPECT_EQ(entry.latest()->running, 7);
+}
+
 TEST_F(SilenceTest, TheNewsOfADesiredStateDoNotWaitForTheEngine)
 {
     constexpr Millis UntilItReadsForOthers{3000};
