Front: a caller's request is read by the limits in force when it begins

Requests that were being sent when a state lowered HeaderTimeoutMs got 408.

Cause: the limits of sizes were taken when the previous request ended, however long before, and the timeouts of a request from the newest state, whichever was in force when the caller began to send.

Now all limits of a request are those in force at its first byte. The parser is replaced only if the sizes differ, because it counts the empty lines in front of a request.

--- a/libs/front/src/caller_connection.cpp
+++ b/libs/front/src/caller_connection.cpp
@@ -15,11 +15,15 @@
 /// Timeout for a complete request as a multiple of that for its head; slow callers send large bodies over seconds.
 constexpr int BodyTimeFactor = 4;
 
-http::ReaderLimits limitsOf(const Front &front)
+/// Returns the limits of the desired state in force.
+serving::CallerLimits limitsOf(const Front &front)
 {
-    const serving::CallerLimits limits =
-        front.operators.state ? front.operators.state->limits : serving::CallerLimits{};
-    return {.headBytes = limits.maxHeadBytes, .bodyBytes = limits.maxBodyBytes};
+    return front.operators.state ? front.operators.state->limits : serving::CallerLimits{};
+}
+
+http::MessageReader readerWith(const serving::CallerLimits &limits)
+{
+    return {http::MessageKind::Request, {.headBytes = limits.maxHeadBytes, .bodyBytes = limits.maxBodyBytes}};
 }
 
 } // namespace
@@ -27,7 +31,8 @@
 CallerConnection::CallerConnection(Front &front, std::shared_ptr<net::Connection> connection)
     : m_front(front)
     , m_connection(std::move(connection))
-    , m_reader(http::MessageKind::Request, limitsOf(front))
+    , m_requestLimits(limitsOf(front))
+    , m_reader(readerWith(m_requestLimits))
     , m_idleSince(steadyMillis())
 {
 }
@@ -68,6 +73,7 @@
     while (!m_call && !m_unparsed.empty() && m_connection->isOpen()) {
         if (!m_reader.started()) {
             m_requestStartedAt = steadyMillis();
+            applyLimits();
         }
         const auto used = m_reader.feed(m_unparsed);
         if (!used) {
@@ -84,11 +90,20 @@
     m_readingRequests = false;
 }
 
+void CallerConnection::applyLimits()
+{
+    const serving::CallerLimits before = std::exchange(m_requestLimits, limitsOf(m_front));
+    // Otherwise the reader is kept: it counts the empty lines in front of a request.
+    if (m_requestLimits.maxHeadBytes != before.maxHeadBytes || m_requestLimits.maxBodyBytes != before.maxBodyBytes) {
+        m_reader = readerWith(m_requestLimits);
+    }
+}
+
 void CallerConnection::startCall()
 {
     http::RequestHead head = m_reader.request();
     std::string body = m_reader.takeBody();
-    m_reader = http::MessageReader(http::MessageKind::Request, limitsOf(m_front));
+    m_reader = readerWith(m_requestLimits);
     m_requestKeepsAlive = head.keepAlive;
     m_call = std::make_shared<Call>(m_front, weak_from_this(), std::move(head), std::move(body));
     const auto call = m_call;
@@ -169,14 +184,13 @@
         call->checkTimeouts(now);
         return;
     }
-    const serving::CallerLimits limits =
-        m_front.operators.state ? m_front.operators.state->limits : serving::CallerLimits{};
     if (m_reader.started()) {
-        const Millis allowed = m_reader.headComplete() ? limits.headTimeout * BodyTimeFactor : limits.headTimeout;
+        const Millis headTimeout = m_requestLimits.headTimeout;
+        const Millis allowed = m_reader.headComplete() ? headTimeout * BodyTimeFactor : headTimeout;
         if (now - m_requestStartedAt > allowed) {
             rejectRequest(408);
         }
-    } else if (now - m_idleSince > limits.idleTimeout) {
+    } else if (now - m_idleSince > limitsOf(m_front).idleTimeout) {
         m_connection->close();
         m_front.removeConnection(this);
     }
--- a/libs/front/src/caller_connection.h
+++ b/libs/front/src/caller_connection.h
@@ -46,11 +46,15 @@
     void onData(std::string_view bytes);
     void onClosed();
     void readRequests();
+
+    /// Makes the limits of the desired state in force those of the request that begins.
+    void applyLimits();
     void rejectRequest(int status);
     void startCall();
 
     Front &m_front;
     std::shared_ptr<net::Connection> m_connection;
+    serving::CallerLimits m_requestLimits; ///< Those in force when the current request began.
     http::MessageReader m_reader;
     std::string m_unparsed; ///< Received bytes after the current request.
     std::shared_ptr<Call> m_call;
