Front: a lowered idle timeout does not close connections that became idle under the longer one

Cause: idle time was judged by the newest state alone. Callers use a connection by the state they know.

Now the greater one of the timeout in force when the connection became idle and the present one applies. A raised timeout still applies at once.

Evidence: a test with two connections, one used and one not, that are idle for 300 ms beside a change from 60 s to 50 ms. A test of the raised timeout passes before and after.

--- a/libs/front/src/caller_connection.cpp
+++ b/libs/front/src/caller_connection.cpp
@@ -3,6 +3,8 @@
 #include "call.h"
 #include "ibislock/base/log.h"
 
+#include <algorithm>
+
 namespace ibislock::front
 {
 
@@ -34,6 +36,7 @@
     , m_requestLimits(limitsOf(front))
     , m_reader(readerWith(m_requestLimits))
     , m_idleSince(steadyMillis())
+    , m_idleTimeout(m_requestLimits.idleTimeout)
 {
 }
 
@@ -148,6 +151,7 @@
 {
     m_call.reset();
     m_idleSince = steadyMillis();
+    m_idleTimeout = limitsOf(m_front).idleTimeout;
     if (close) {
         m_connection->closeAfterWrites();
         m_front.removeConnection(this);
@@ -190,7 +194,7 @@
         if (now - m_requestStartedAt > allowed) {
             rejectRequest(408);
         }
-    } else if (now - m_idleSince > limitsOf(m_front).idleTimeout) {
+    } else if (now - m_idleSince > std::max(m_idleTimeout, limitsOf(m_front).idleTimeout)) {
         m_connection->close();
         m_front.removeConnection(this);
     }
--- a/libs/front/src/caller_connection.h
+++ b/libs/front/src/caller_connection.h
@@ -59,6 +59,7 @@
     std::string m_unparsed; ///< Received bytes after the current request.
     std::shared_ptr<Call> m_call;
     Millis m_idleSince;
+    Millis m_idleTimeout; ///< Of the state in force when the connection became idle; callers may know no newer one.
     Millis m_requestStartedAt{0};
     bool m_requestKeepsAlive = true;
     bool m_readingRequests = false;
--- a/libs/front/test/front_connections_test.cpp
+++ b/libs/front/test/front_connections_test.cpp
@@ -172,6 +172,36 @@
     EXPECT_EQ(second.receive(), 200);
 }
 
+// A state that lowers the idle timeout closed connections that callers could use by the state they knew.
+TEST_F(FrontConnectionsTest, ALoweredIdleTimeoutAppliesToConnectionsThatBecomeIdleLater)
+{
+    startWith(R"("IdleTimeoutMs":60000)");
+    RawCaller caller = connect();
+    RawCaller unused = connect();
+    ASSERT_TRUE(caller.send(requestOf(100)));
+    ASSERT_EQ(caller.receive(), 200);
+    changeLimits(R"("IdleTimeoutMs":50)");
+    runFor(Millis{300});
+    ASSERT_TRUE(unused.send(requestOf(100)));
+    EXPECT_EQ(unused.receive(), 200);
+    ASSERT_TRUE(caller.send(requestOf(100)));
+    EXPECT_EQ(caller.receive(), 200);
+    EXPECT_EQ(caller.receiveEnd(), asio::error::eof);
+}
+
+// The timeout of the time at which a connection became idle must not shorten one that was raised since.
+TEST_F(FrontConnectionsTest, ARaisedIdleTimeoutAppliesAtOnce)
+{
+    startWith(R"("IdleTimeoutMs":2000)");
+    RawCaller caller = connect();
+    ASSERT_TRUE(caller.send(requestOf(100)));
+    ASSERT_EQ(caller.receive(), 200);
+    changeLimits(R"("IdleTimeoutMs":60000)");
+    runFor(Millis{2200});
+    ASSERT_TRUE(caller.send(requestOf(100)));
+    EXPECT_EQ(caller.receive(), 200);
+}
+
 } // namespace
 
 } // namespace ibislock::front
