Front: a connection whose next request has arrived unread is not closed as idle

What callers saw: a request sent within the idle timeout, on a connection to an entry VM whose loop was late, got a reset instead of an answer.

Cause: the check of idle connections looked at the time since the last response only. Behind a stall it may run in front of the read of bytes that arrived during the stall.

Now a connection with bytes that are unread in its socket, or read and not parsed yet, is not idle.

Evidence: a test in which the check is due and queued behind a handler that sends a request.

--- a/libs/front/src/caller_connection.cpp
+++ b/libs/front/src/caller_connection.cpp
@@ -194,7 +194,8 @@
         if (now - m_requestStartedAt > allowed) {
             rejectRequest(408);
         }
-    } else if (now - m_idleSince > std::max(m_idleTimeout, limitsOf(m_front).idleTimeout)) {
+    } else if (now - m_idleSince > std::max(m_idleTimeout, limitsOf(m_front).idleTimeout) && m_unparsed.empty()
+               && !m_connection->hasUnreadBytes()) {
         m_connection->close();
         m_front.removeConnection(this);
     }
--- a/libs/front/test/front_connections_test.cpp
+++ b/libs/front/test/front_connections_test.cpp
@@ -202,6 +202,21 @@
     EXPECT_EQ(caller.receive(), 200);
 }
 
+// A late loop checked the idle timeout in front of the request that had arrived, and closed the connection.
+TEST_F(FrontConnectionsTest, AConnectionWithAnUnreadRequestIsNotIdle)
+{
+    startWith(R"("IdleTimeoutMs":1000)");
+    RawCaller caller = connect();
+    ASSERT_TRUE(caller.send(requestOf(100)));
+    ASSERT_EQ(caller.receive(), 200);
+    const std::string message = requestOf(100);
+    std::this_thread::sleep_for(Millis{1100});
+    bool sent = false;
+    asio::post(m_loop, [&] { sent = caller.send(message); }); // The check is due and queued behind this handler.
+    EXPECT_EQ(caller.receive(), 200);
+    EXPECT_TRUE(sent);
+}
+
 } // namespace
 
 } // namespace ibislock::front
--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -54,6 +54,9 @@
     /// Returns the number of queued bytes that haven't been written to the socket yet.
     std::size_t queuedBytes() const;
 
+    /// Returns whether bytes have arrived that haven't been delivered yet, e.g. because the loop is late.
+    bool hasUnreadBytes() const;
+
     /// Pauses or resumes reading. While it is paused, TCP flow control slows the sending peer down.
     void setReadingPaused(bool pause);
 
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -181,6 +181,12 @@
     return m_writeBuffer.size() - m_writeOffset;
 }
 
+bool Connection::hasUnreadBytes() const
+{
+    asio::error_code ec;
+    return m_socket.available(ec) > 0;
+}
+
 void Connection::setReadingPaused(bool pause)
 {
     m_paused = pause;
