Front: a refused request's connection is closed behind what the caller still sends

Cause: the connection was closed as soon as the refusal was written. Bytes of the request that are unread then, or arrive later, make the system answer with a reset.

Now the sending side ends behind the refusal, and what arrives is read and discarded until the caller closes its side, for at most 10 s and 16 MiB. Nothing of it is parsed. Such a connection belongs to itself and its timer, no longer to the daemon: a process that drains doesn't wait for it. A caller that has closed its sending side still receives all that is queued.

--- a/libs/front/src/caller_connection.cpp
+++ b/libs/front/src/caller_connection.cpp
@@ -119,7 +119,8 @@
     http::ResponseHead own = platform::makeLocalResponse(status, "", Millis{0});
     own.keepAlive = false;
     m_connection->write(writeResponse(own, ""));
-    m_connection->closeAfterWrites();
+    m_connection->closeGracefully(m_front.loop);
+    m_unparsed.clear(); // The connection stays open for a while, but nothing more is read as a request.
     m_front.removeConnection(this);
 }
 
--- a/libs/front/test/front_connections_test.cpp
+++ b/libs/front/test/front_connections_test.cpp
@@ -4,6 +4,7 @@
 #include "front_fixture.h"
 
 #include "ibislock/http/reader.h"
+#include "platform/log_capture.h"
 
 namespace ibislock::front
 {
@@ -217,6 +218,52 @@
     EXPECT_TRUE(sent);
 }
 
+// The connection was closed at once, and what the caller still sent made that a reset that may discard the refusal.
+TEST_F(FrontConnectionsTest, ARefusalReachesACallerThatIsStillSending)
+{
+    startWith(R"("MaxBodyBytes":1000)");
+    RawCaller caller = connect();
+    const std::string message = requestOf(400000);
+    bool sent = true;
+    for (std::size_t at = 0; at < message.size() && sent; at += 10000) {
+        sent = caller.send(message.substr(at, 10000));
+        runFor(Millis{5});
+    }
+    EXPECT_TRUE(sent);
+    EXPECT_EQ(caller.receive(), 413);
+    EXPECT_EQ(caller.receiveEnd(), asio::error::eof);
+}
+
+// The rest of a refused message must not run as a request of its own.
+TEST_F(FrontConnectionsTest, WhatFollowsARefusedRequestIsNotRun)
+{
+    startWith(R"("MaxBodyBytes":1000)");
+    RawCaller caller = connect();
+    const std::string behind = requestOf(10);
+    EXPECT_TRUE(caller.send(requestOf(2000) + behind));
+    runFor(Millis{30});
+    EXPECT_TRUE(caller.send(behind));
+    EXPECT_EQ(caller.receive(), 413);
+    EXPECT_EQ(caller.receiveEnd(), asio::error::eof);
+    runFor(Millis{30});
+    EXPECT_EQ(runs(), 0U);
+}
+
+// A caller that keeps its side open behind a refusal must not hold a process that stops.
+TEST_F(FrontConnectionsTest, ARefusedCallerThatStaysDoesNotHoldADrainingProcess)
+{
+    startWith(R"("MaxBodyBytes":1000)");
+    RawCaller caller = connect();
+    EXPECT_TRUE(caller.send(requestOf(2000)));
+    EXPECT_EQ(caller.receive(), 413);
+    m_daemon.stop();
+    lab::LogCapture log;
+    runFor(2 * PatienceTime); // The loop is stopped at the end of the drain.
+    const std::vector<std::string> lines = log.take("The entry daemon has stopped.");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_TRUE(lab::hasField(lines.front(), "busy", "0")) << lines.front();
+}
+
 } // namespace
 
 } // namespace ibislock::front
--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -33,6 +33,19 @@
     std::function<void()> drained; ///< The write queue is empty; optional.
 };
 
+/// How long a peer may go on sending while a connection is closed.
+inline constexpr Millis MaxDiscardTime{10000};
+
+/// Number of bytes that a peer may send while a connection is closed.
+inline constexpr std::size_t MaxDiscardBytes = 16U << 20U;
+
+/// Limits of a graceful close, after which the connection is closed immediately.
+struct DiscardLimits
+{
+    Millis time = MaxDiscardTime;
+    std::size_t bytes = MaxDiscardBytes;
+};
+
 /// A TCP connection with a write queue.
 class Connection : public std::enable_shared_from_this<Connection>
 {
@@ -63,6 +76,12 @@
     /// Closes the connection once all queued bytes have been written to the socket.
     void closeAfterWrites();
 
+    /// Closes the connection once all queued bytes have been written and the peer has closed its side. Until then bytes
+    /// from the peer are read and discarded: closing with unread bytes resets the connection, and the peer may lose
+    /// what was written last. No callback is called any more, and the connection keeps itself alive until it is closed.
+    /// @param loop that of the connection.
+    void closeGracefully(asio::io_context &loop, const DiscardLimits &limits = {});
+
     /// Closes the connection immediately and discards queued bytes.
     void close();
 
@@ -76,12 +95,16 @@
     void waitReadable();
     void readSome();
     void writeSome();
+    void discard(std::size_t bytes);
+    void shutdownSending();
     void fail(CloseReason by);
 
     asio::ip::tcp::socket m_socket;
     ConnectionEvents m_events;
     std::string m_writeBuffer;
     std::size_t m_writeOffset = 0;
+    std::unique_ptr<Timer> m_discardTimer; ///< Set by a graceful close.
+    std::size_t m_discardBytesLeft = 0;
     bool m_reading = false;
     bool m_paused = false;
     bool m_writing = false;
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -107,10 +107,19 @@
         waitReadable();
         return;
     }
+    if (ec == asio::error::eof && m_discardTimer && queuedBytes() > 0) {
+        m_paused = true; // The socket stays readable at the end of its input.
+        m_closeAfterWrites = true;
+        return;
+    }
     if (ec) {
         fail(ec == asio::error::eof ? CloseReason::PeerClosed : CloseReason::Error);
         return;
     }
+    if (m_discardTimer) {
+        discard(n);
+        return;
+    }
     const auto self = shared_from_this();
     const auto handler = m_events.data; // The handler may replace the events.
     if (handler) {
@@ -119,9 +128,19 @@
     waitReadable();
 }
 
+void Connection::discard(std::size_t bytes)
+{
+    if (bytes > m_discardBytesLeft) {
+        close();
+        return;
+    }
+    m_discardBytesLeft -= bytes;
+    waitReadable();
+}
+
 void Connection::write(std::string_view bytes)
 {
-    if (!m_socket.is_open() || m_closeAfterWrites) {
+    if (!m_socket.is_open() || m_closeAfterWrites || m_discardTimer) {
         return;
     }
     if (m_writeBuffer.empty() && !m_writing) {
@@ -169,6 +188,8 @@
         self->m_writeOffset = 0;
         if (self->m_closeAfterWrites) {
             self->close();
+        } else if (self->m_discardTimer) {
+            self->shutdownSending();
         } else if (self->m_events.drained) {
             const auto handler = self->m_events.drained;
             handler();
@@ -202,11 +223,37 @@
     m_closeAfterWrites = true;
 }
 
+void Connection::closeGracefully(asio::io_context &loop, const DiscardLimits &limits)
+{
+    if (!m_socket.is_open() || m_discardTimer) {
+        return;
+    }
+    m_events = {};
+    m_started = true;
+    m_paused = false;
+    m_discardBytesLeft = limits.bytes;
+    m_discardTimer = std::make_unique<Timer>(loop);
+    m_discardTimer->start(limits.time, [self = shared_from_this()] { self->close(); });
+    if (queuedBytes() == 0) {
+        shutdownSending();
+    }
+    waitReadable();
+}
+
+void Connection::shutdownSending()
+{
+    asio::error_code ec; // It only fails on a connection that has ended, which the next read reports.
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+}
+
 void Connection::close()
 {
     m_events = {};
+    if (m_discardTimer) {
+        m_discardTimer->cancel();
+    }
+    shutdownSending();
     asio::error_code ec; // Closing only fails on a socket that is already closed.
-    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     m_socket.close(ec);
 }
 
