--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -474,8 +474,8 @@
     ++front.counters.outcomes[static_cast<std::size_t>(outcome)];
     const Millis whole = steadyMillis() - receivedAt;
     observe(front.counters.totalTime, whole);
-    static const CallAttempt None;
-    const CallAttempt &last = m_attempt ? *m_attempt : None;
+    static const CallAttempt none;
+    const CallAttempt &last = m_attempt ? *m_attempt : none;
     logInfo(LogComponent::Front,
             outcome == CallOutcome::Answered ? "A request was answered." : "A request was not served.",
             {{"id", request.attemptId},
