--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -61,8 +61,8 @@
     /// Cancels the call because its caller has disconnected.
     void cancel();
 
-    /// Cancels the attempt if its target has stopped responding, would start on retired weights or would crash under
-    /// it; ends the call if its deadline has passed.
+    /// Tries another target if the present one is silent, cancels attempts that would start on retired weights or crash
+    /// their engine, and ends the call if its deadline has passed.
     void checkTimeouts(Millis now);
 
     /// Resumes reading the target's response after the write queue to the caller has emptied.
