Serving, front: requests are placed only in the regions that their route and workspace allow

Routes and workspaces may name AllowedRegions, which were ignored: restricted requests reached any target of their service.

The lists are decoded with the desired state, and the regions of failure domains come with the new section [regions] of the settings. Each placement takes the restriction from the newest desired state and leaves out targets of other domains, and targets whose address is listed in such a domain as well. A request without a listed target in its regions is refused at once, without Retry-After, as refused_residency. The last line of a request says why it had no target.

--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -235,7 +235,7 @@
     nlohmann::json items = nlohmann::json::array();
     bool hasMore = false;
     for (const auto &[key, offset] : newest) {
-        if (!after.empty() && key <= after) {
+        if ((!after.empty() && key <= after) || (omitsDeleted && m_records[offset].second.empty())) {
             continue;
         }
         hasMore = snapshotPageSize > 0 && items.size() == snapshotPageSize;
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -49,6 +49,7 @@
     int losses = 0; ///< Calls that are still to get no answer.
     std::size_t lastWait = 0; ///< How long the last read allowed to be held back, in milliseconds.
     Millis delay{0}; ///< Until a read is answered.
+    bool omitsDeleted = false; ///< Snapshots leave out keys whose newest record has no value.
     std::size_t snapshotPageSize = 0; ///< How many records a page of a snapshot has at most; 0 for all.
     Millis snapshotDelay{0}; ///< Until a page of a snapshot is sent.
     Millis spread{0}; ///< The answer to a read comes in over this time, a part each `PartPause`.
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -78,6 +78,7 @@
     std::string listing(const std::string &service, bool leaving = false) const;
 
     std::string id;
+    std::string domain = "a"; ///< Failure domain, as listed.
     TargetBehaviour behaviour = TargetBehaviour::Answer;
     int events = 5;
     Millis pause{0}; ///< Of a stream that pauses, and in front of its first event if `pausesFirst`.
--- a/lab/simulation/replay_callers.cpp
+++ b/lab/simulation/replay_callers.cpp
@@ -288,6 +288,7 @@
     case serving::AdmissionDecision::RefuseBackingOff: // The replayed engines ask for no pauses.
         refuse(state, id, serving::RefusalCause::Full);
         return;
+    case serving::AdmissionDecision::RefuseNotPermitted: // The replayed requests aren't restricted to regions.
     case serving::AdmissionDecision::RefuseNoTarget:
         refuse(state, id, serving::RefusalCause::NoUsableTarget);
         return;
--- a/libs/front/include/ibislock/front/call_outcome.h
+++ b/libs/front/include/ibislock/front/call_outcome.h
@@ -22,6 +22,7 @@
     NoRoute, ///< Refused: no route matches host and path.
     UnknownKey, ///< Refused: no workspace has this API key.
     NoTarget, ///< Refused: the service has no usable or reachable target.
+    NotPermitted, ///< Refused: no target of the service is listed in a region in which it may be served.
     Full, ///< Refused: all usable targets are full.
     TargetsBackingOff, ///< Refused: all usable targets have requested a backoff.
     Quarantined, ///< Refused: it crashes targets, or its prompt has a part that crashes engines.
@@ -34,7 +35,7 @@
 };
 
 /// Number of outcomes.
-inline constexpr std::size_t CallOutcomeCount = 17;
+inline constexpr std::size_t CallOutcomeCount = 18;
 
 /// Names of the outcomes in logs and metrics.
 inline constexpr NameTable<CallOutcome, CallOutcomeCount> CallOutcomeNames{{
@@ -46,6 +47,7 @@
     {CallOutcome::NoRoute, "no_route"},
     {CallOutcome::UnknownKey, "no_key"},
     {CallOutcome::NoTarget, "refused_no_target"},
+    {CallOutcome::NotPermitted, "refused_residency"},
     {CallOutcome::Full, "refused_full"},
     {CallOutcome::TargetsBackingOff, "refused_paused"},
     {CallOutcome::Quarantined, "refused_quarantined"},
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -448,8 +448,9 @@
         outcome = outcome == CallOutcome::ExpiredBeforeSend ? CallOutcome::TimedOut : CallOutcome::Unknown;
     }
     const int status = statusOf(outcome);
-    const Millis retryAfter =
-        status == NotRunStatus ? suggestedRetryDelay(causeOf(outcome), front.random, unavailableFor) : Millis{0};
+    const Millis retryAfter = status == NotRunStatus && outcome != CallOutcome::NotPermitted
+        ? suggestedRetryDelay(causeOf(outcome), front.random, unavailableFor)
+        : Millis{0};
     http::ResponseHead own = platform::makeLocalResponse(status, request.attemptId, retryAfter);
     own.keepAlive = connection && connection->keepsAlive();
     respond(writeResponse(own, ""), !own.keepAlive);
@@ -484,6 +485,10 @@
              {"status", std::string(statusText(status))},
              {"route", route.name},
              {"service", service},
+             {"no_target", std::string(nameOf(serving::PlacementFailureNames, m_placementFailure))},
+             {"regions", regionsText()},
+             {"outside_regions", std::to_string(m_targetsOutsideRegions)},
+             {"evacuated", std::to_string(m_targetsEvacuated)},
              {"state", front.operators.state ? std::to_string(front.operators.state->version) : "none"},
              {"state_age_ms", std::to_string(front.stateAge().count())},
              {"sends", std::to_string(m_attempts)},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -74,6 +74,12 @@
     /// Returns the input of the admission decision.
     serving::AdmissionRequest admissionRequest(Millis now) const;
 
+    /// Takes the regions to which the request is restricted from the newest desired state.
+    void updateResidency();
+
+    /// Records why the last placement left out targets, for counters and logs.
+    void recordPlacement(const serving::Placement &placement);
+
     /// Returns how long an engine takes to process a prompt, in milliseconds; 0 for plain services.
     double promptMs(int tokens) const;
 
@@ -98,6 +104,7 @@
     serving::Route route; ///< A copy, as the desired state may change during the call.
     std::string service;
     std::string workspace;
+    serving::Residency residency; ///< As of the last placement.
     std::uint64_t digest = 0; ///< The same for each attempt of the caller to send this request.
     bool isProbe = false; ///< Sent although it is in quarantine, to find out whether it still crashes its target.
     std::vector<serving::Suspect> suspects; ///< The request and the parts of its prompt that others may share.
@@ -181,6 +188,9 @@
     /// Makes the request and the parts of its prompt suspect if the target may have crashed on them.
     void recordTargetCrash(const CallAttempt &attempt, const net::ExchangeResult &result);
     void finish(CallOutcome outcome, int status);
+
+    /// Returns the regions to which the request is restricted, as logged.
+    std::string regionsText() const;
     platform::TargetRequestOptions targetOptions(const serving::Target &target, Millis now) const;
 
     std::weak_ptr<CallerConnection> m_connection;
@@ -201,6 +211,10 @@
     Millis m_resumeWaitUntil{0}; ///< A request whose attempt was interrupted may wait for a slot at least until then.
     serving::RequestLifecycle m_lifecycle; ///< Decides whether it may be retried and how it may end.
     bool m_done = false;
+    std::optional<std::int64_t> m_residencyVersion; ///< Version of the state that `residency` was taken from.
+    serving::PlacementFailure m_placementFailure = serving::PlacementFailure::None; ///< Of the last placement.
+    int m_targetsOutsideRegions = 0; ///< Left out by the last placement.
+    int m_targetsEvacuated = 0; ///< Left out by the last placement.
 };
 
 } // namespace ibislock::front
--- a/libs/front/src/call_outcome.cpp
+++ b/libs/front/src/call_outcome.cpp
@@ -25,6 +25,10 @@
     case CallOutcome::NoTarget:
         return "It did not run: no target of its service was usable or reachable; check the targets' listings and "
                "whether weights are being loaded.";
+    case CallOutcome::NotPermitted:
+        return "It did not run: its route and workspace allow only regions in which no target of its service is "
+               "listed, or have none in common; see regions and outside_regions, and the section [regions] of the "
+               "settings.";
     case CallOutcome::Full:
         return "It did not run: all usable targets of its service were full.";
     case CallOutcome::TargetsBackingOff:
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -53,6 +53,9 @@
     writeCounter(out, "ibislock_choices_without_turn_total",
                  "Choices of a target in which the limit of one or more left this VM no turn.",
                  counters.choicesWithoutTurn);
+    writeCounter(out, "ibislock_choices_outside_regions_total",
+                 "Choices of a target that left out targets outside the request's regions.",
+                 counters.choicesOutsideRegions);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waitTime);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.",
                    counters.timeToFirstByte);
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -262,20 +262,24 @@
     dispatch(call);
 }
 
-serving::Placement Front::findPlacement(const Call &call, Millis now, std::optional<Millis> maxSilence)
-{
-    return place(table,
-                 {.service = call.service,
-                  .domain = settings.domain,
-                  .minVersion = minVersionOf(call.request.model, now, MaxQueueTime),
-                  .engine = call.usesEngine,
-                  .typicalPromptMs = call.promptMs(call.engineSpec.typicalPromptTokens),
-                  .expectedDuration = call.expectedDuration(),
-                  .maxSilence = maxSilence,
-                  .urgent = !call.isLate(now) || call.responseStarted(),
-                  .triedTargets = &call.triedTargets,
-                  .now = now},
-                 random);
+serving::Placement Front::findPlacement(Call &call, Millis now, std::optional<Millis> maxSilence)
+{
+    call.updateResidency();
+    const serving::Placement placement = place(table,
+                                               {.service = call.service,
+                                                .domain = settings.domain,
+                                                .minVersion = minVersionOf(call.request.model, now, MaxQueueTime),
+                                                .engine = call.usesEngine,
+                                                .typicalPromptMs = call.promptMs(call.engineSpec.typicalPromptTokens),
+                                                .expectedDuration = call.expectedDuration(),
+                                                .maxSilence = maxSilence,
+                                                .urgent = !call.isLate(now) || call.responseStarted(),
+                                                .triedTargets = &call.triedTargets,
+                                                .domains = {.residency = &call.residency, .regions = &settings.regions},
+                                                .now = now},
+                                               random);
+    call.recordPlacement(placement);
+    return placement;
 }
 
 ListingsUsed Front::recordListingsUse(const serving::Target &target, Millis now)
@@ -315,6 +319,9 @@
     case serving::AdmissionDecision::RefuseBackingOff:
         call->refuse(CallOutcome::TargetsBackingOff, placement.suggestedPause);
         break;
+    case serving::AdmissionDecision::RefuseNotPermitted:
+        call->refuse(CallOutcome::NotPermitted);
+        break;
     case serving::AdmissionDecision::RefuseNoTarget:
         call->refuse(CallOutcome::NoTarget);
         break;
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -62,10 +62,10 @@
     /// Sends a call to a target, queues it, or refuses it.
     void dispatch(const std::shared_ptr<Call> &call);
 
-    /// Chooses a target for a call.
+    /// Chooses a target for a call by the newest desired state. All attempts go to targets that were chosen here.
     /// @param maxSilence leaves out targets that have been silent for longer and don't report; none to use them as
     /// well.
-    serving::Placement findPlacement(const Call &call, Millis now, std::optional<Millis> maxSilence = std::nullopt);
+    serving::Placement findPlacement(Call &call, Millis now, std::optional<Millis> maxSilence = std::nullopt);
 
     /// Records that a target was chosen by the listings as they are known.
     /// @return what was known of them.
--- a/libs/front/test/front_fixture.h
+++ b/libs/front/test/front_fixture.h
@@ -51,6 +51,7 @@
     out.vmName = "entry-1";
     out.ip = "127.0.0.1";
     out.domain = "a";
+    out.regions = {{"a", "north"}, {"b", "south"}};
     out.firstPeerPort = peerPort;
     out.callers = {.ip = "127.0.0.1", .port = 0};
     out.readiness = {.ip = "127.0.0.1", .port = 0};
--- a/libs/serving/include/ibislock/serving/admission.h
+++ b/libs/serving/include/ibislock/serving/admission.h
@@ -17,6 +17,7 @@
     Wait, ///< Queue it until a slot is free.
     RefuseFull, ///< All targets are full, and the request can't wait any longer.
     RefuseBackingOff, ///< All targets have asked for a backoff that outlasts the time the request may wait.
+    RefuseNotPermitted, ///< No target is listed in a region in which it may be served.
     RefuseNoTarget, ///< No target can serve it.
 };
 
--- a/libs/serving/include/ibislock/serving/desired_state.h
+++ b/libs/serving/include/ibislock/serving/desired_state.h
@@ -54,6 +54,7 @@
     int maxTargets = 1; ///< Maximum number of targets to which one request may be sent.
     bool anonymous = false; ///< Requests need no API key.
     bool resumable = false; ///< A stream may be resumed at another target.
+    std::vector<std::string> allowedRegions; ///< Regions in which requests may be served; empty for all.
 };
 
 /// The figures of a batching engine that decisions use.
@@ -97,6 +98,7 @@
     std::string name;
     std::vector<std::string> keys;
     int priority = 0;
+    std::vector<std::string> allowedRegions; ///< Regions in which its requests may be served; empty for all.
 };
 
 /// One version of the desired state.
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -7,7 +7,9 @@
 
 #pragma once
 
+#include "ibislock/base/names.h"
 #include "ibislock/base/random.h"
+#include "ibislock/serving/placement_domains.h"
 #include "ibislock/serving/target_table.h"
 
 #include <optional>
@@ -30,6 +32,7 @@
     std::optional<Millis> maxSilence; ///< Leaves out targets that have been silent for longer and don't report.
     bool urgent = true; ///< May take the last free slots.
     const std::set<std::string> *triedTargets = nullptr; ///< Targets to which the request was sent before.
+    PlacementDomains domains; ///< The failure domains in which the request may be placed.
     Millis now{0};
 };
 
@@ -38,9 +41,19 @@
     None, ///< The request has a target.
     Unavailable, ///< The service has no usable target.
     Full, ///< All usable targets are full.
+    NotPermitted, ///< All listed targets of the service are outside the regions that the request is restricted to.
     BackingOff, ///< All usable targets have asked for a backoff, or name limits under which this VM has no turn.
 };
 
+/// Names of the reasons in logs.
+inline constexpr NameTable<PlacementFailure, 5> PlacementFailureNames{{
+    {PlacementFailure::None, "none"},
+    {PlacementFailure::Unavailable, "unavailable"},
+    {PlacementFailure::Full, "full"},
+    {PlacementFailure::NotPermitted, "not_permitted"},
+    {PlacementFailure::BackingOff, "backing_off"},
+}};
+
 /// The target chosen for a request.
 struct Placement
 {
@@ -50,6 +63,8 @@
     Millis backoffUntil{0}; ///< When the first of the targets that back off accepts requests of this VM again.
     Millis suggestedPause{0}; ///< How long the caller should wait in that case.
     int withoutTurn = 0; ///< Targets that were left out because their limits leave this VM no turn.
+    int outsideRegions = 0; ///< Targets of the service that were left out because of the request's regions.
+    int evacuated = 0; ///< Targets of the service that were left out because their domain is evacuated.
 };
 
 /// How long a request may run past the time at which its target starts to load weights: the load waits for running
--- a/libs/serving/src/admission.cpp
+++ b/libs/serving/src/admission.cpp
@@ -10,6 +10,9 @@
     if (placement.target != nullptr) {
         return AdmissionDecision::Send;
     }
+    if (placement.reason == PlacementFailure::NotPermitted) {
+        return AdmissionDecision::RefuseNotPermitted;
+    }
     const bool backingOff = placement.reason == PlacementFailure::BackingOff;
     if (placement.reason != PlacementFailure::Full && !backingOff) {
         return AdmissionDecision::RefuseNoTarget;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -65,6 +65,38 @@
     targets.withoutTurn += signals.limit && !hasTurn(*signals.limit, now) ? 1 : 0;
 }
 
+/// Targets of the service by whether their domains are open to the request.
+struct DomainCounts
+{
+    int listed = 0;
+    int outsideRegions = 0;
+    int evacuated = 0;
+};
+
+/// Counts a target of the service.
+/// @return whether its domain is open to the request.
+bool addTarget(DomainCounts &counts, DomainExclusion exclusion)
+{
+    ++counts.listed;
+    counts.outsideRegions += exclusion == DomainExclusion::Residency ? 1 : 0;
+    counts.evacuated += exclusion == DomainExclusion::Evacuated ? 1 : 0;
+    return exclusion == DomainExclusion::None;
+}
+
+/// Adds the numbers of targets that were left out to a placement, and the reason if residency left out all of them.
+Placement withCounts(Placement placement, const DomainCounts &counts, const PlacementRequest &request)
+{
+    placement.outsideRegions = counts.outsideRegions;
+    placement.evacuated = counts.evacuated;
+    const Residency *residency = request.domains.residency;
+    const bool restricted = residency != nullptr && isRestricted(*residency);
+    const bool allOutside = counts.listed > 0 && counts.outsideRegions == counts.listed;
+    if (restricted && (allOutside || permittedRegions(*residency).empty())) {
+        placement.reason = PlacementFailure::NotPermitted;
+    }
+    return placement;
+}
+
 } // namespace
 
 std::int64_t knownVersion(const Target &target, Millis now)
@@ -103,16 +135,23 @@
 
 Placement place(TargetTable &table, const PlacementRequest &request, Random &random, const PlacementPolicy &policy)
 {
+    const ClosedAddresses closed = closedAddresses(table, request.domains);
     const bool anyReporting =
         request.engine && std::any_of(table.targets.begin(), table.targets.end(), [&](const auto &item) {
-            return isUsable(item.second, request) && acceptsRequests(item.second.signals, request.now)
-                && hasFreshLoad(item.second, request.now);
+            return isUsable(item.second, request)
+                && exclusionOf(request.domains, closed, item.second.entry) == DomainExclusion::None
+                && acceptsRequests(item.second.signals, request.now) && hasFreshLoad(item.second, request.now);
         });
     // If no target has room, the occupancy of the least occupied one shows how full the service is.
     std::vector<Placement> available;
     Placement leastOccupied;
     BackingOffTargets backingOff;
+    DomainCounts counts;
     for (auto &[id, target] : table.targets) {
+        if (target.entry.service == request.service
+            && !addTarget(counts, exclusionOf(request.domains, closed, target.entry))) {
+            continue;
+        }
         if (!isUsable(target, request) || (anyReporting && !hasFreshLoad(target, request.now))) {
             continue;
         }
@@ -130,10 +169,11 @@
         }
     }
     if (leastOccupied.reason == PlacementFailure::Unavailable && backingOff.until) {
-        return {.reason = PlacementFailure::BackingOff,
-                .backoffUntil = *backingOff.until,
-                .suggestedPause = backingOff.pause,
-                .withoutTurn = backingOff.withoutTurn};
+        return withCounts({.reason = PlacementFailure::BackingOff,
+                           .backoffUntil = *backingOff.until,
+                           .suggestedPause = backingOff.pause,
+                           .withoutTurn = backingOff.withoutTurn},
+                          counts, request);
     }
     Placement best = leastOccupied;
     double bestCost = 0;
@@ -150,7 +190,7 @@
         }
     }
     best.withoutTurn = backingOff.withoutTurn;
-    return best;
+    return withCounts(best, counts, request);
 }
 
 } // namespace ibislock::serving
