Weights: one VM at a time requests a piece from the origin

While the origin was unreachable, every VM whose sources had not delivered a piece turned to it: domain owners after one round, members after two or as soon as no source responded, all with 250 ms between attempts. When it recovered, all of them sent requests at once, and requests that did not fit into its link timed out and were repeated.

origin_turns.h now decides who may request a piece. A piece that becomes available at another VM shows that the origin serves, so recovery needs no message of its own. Manifests follow the same order.

The piece exchange probes a VM that sends nothing while long polls are pending, and fails them after 850 ms. Pieces are served to other VMs while they are being staged, since an engine may take seconds to accept them.

--- a/libs/side/src/desired_weights.h
+++ b/libs/side/src/desired_weights.h
@@ -1,9 +1,11 @@
-// The desired version of the weights of a target VM's engine, and its origin.
+// The desired version of the weights of a target VM's engine, its origin, and the VMs that distribute it.
 
 #pragma once
 
 #include "ibislock/serving/announced_versions.h"
+#include "ibislock/weights/piece_sources.h"
 
+#include <functional>
 #include <string>
 
 namespace ibislock::side
@@ -22,6 +24,23 @@
     Millis originPieceTime{0}; ///< How long the origin's link takes for a piece; zero if unknown.
 };
 
+/// Returns the currently known VMs that take part in the distribution of a version.
+using DistributionMembers = std::function<std::vector<weights::DistributionMember>(std::int64_t version)>;
+
+/// How long after its announcement a version counts as new: no VM holds a piece of it that others don't know of.
+inline constexpr Millis FreshTime{1500};
+
+/// Returns whether a version was announced just now.
+inline bool isFresh(const DesiredWeights &desired, Millis now)
+{
+    for (const serving::AnnouncedVersion &announced : desired.announced) {
+        if (announced.version == desired.version) {
+            return now < announced.learntAt + FreshTime;
+        }
+    }
+    return false;
+}
+
 /// Size of a piece while that of the desired state is unknown.
 inline constexpr std::size_t UnknownPieceBytes = 1U << 20U;
 
--- a/libs/side/src/manifest_fetcher.cpp
+++ b/libs/side/src/manifest_fetcher.cpp
@@ -31,6 +31,9 @@
 /// Maximum size of a manifest; each piece takes some 70 bytes in it.
 constexpr std::size_t MaxManifestBytes = 1U << 20U;
 
+/// Timeout of a request after one to which the origin didn't respond.
+constexpr Millis ProbeTimeout{700};
+
 constexpr int OkStatus = 200;
 
 } // namespace
@@ -43,6 +46,7 @@
     , m_self(std::move(self))
     , m_domain(std::move(domain))
     , m_members(std::move(members))
+    , m_random(systemRandom())
 {
 }
 
@@ -53,6 +57,8 @@
     m_desired = desired;
     m_source = source;
     m_found = std::move(onFound);
+    m_startedAt = steadyMillis();
+    m_failures = 0;
 }
 
 void ManifestFetcher::stop()
@@ -83,14 +89,25 @@
         member.hasVersion =
             false; // A VM that has loaded a version may lack its manifest, e.g. after all VMs started at once.
     }
+    m_rank = weights::originRank(peer::ManifestIndex, m_self, m_domain, members);
     m_sources = weights::pieceSources(peer::ManifestIndex, m_self, m_domain, members);
+    std::erase_if(m_sources, [](const weights::PieceSource &source) { return source.vm.empty(); });
+    if (!isFresh(m_desired, steadyMillis())) {
+        for (const std::string &vm : m_rank.juniors) {
+            m_sources.push_back({.vm = vm});
+        }
+    }
     requestFromSource(0, false);
 }
 
 void ManifestFetcher::requestFromSource(std::size_t sourceIndex, bool previousUnreachable)
 {
-    if (sourceIndex >= m_sources.size() || m_sources[sourceIndex].vm.empty()) {
-        requestFromOrigin();
+    while (sourceIndex < m_sources.size() && m_exchange.stateOf(m_sources[sourceIndex].vm) == PeerState::Unreachable) {
+        previousUnreachable = true;
+        ++sourceIndex;
+    }
+    if (sourceIndex >= m_sources.size()) {
+        requestAtTurn();
         return;
     }
     const weights::PieceSource &source = m_sources[sourceIndex];
@@ -117,9 +134,43 @@
         });
 }
 
+void ManifestFetcher::requestAtTurn()
+{
+    // A VM that responds but doesn't deliver is replaced for some time by each of the others in turn.
+    if (weights::isOnDuty(m_rank.overall, m_rank.vms, steadyMillis() - m_startedAt)) {
+        requestFromOrigin();
+        return;
+    }
+    bool unreachable = true;
+    for (const auto *seniors : {&m_rank.domainSeniors, &m_rank.otherSeniors}) {
+        for (const std::string &vm : *seniors) {
+            const PeerState state = m_exchange.stateOf(vm);
+            unreachable = unreachable && state == PeerState::Unreachable;
+            if (state == PeerState::Unknown) {
+                m_exchange.check(vm, m_desired.model, m_desired.version);
+            }
+            if (state == PeerState::Responding) {
+                break;
+            }
+        }
+    }
+    if (unreachable) {
+        requestFromOrigin();
+    } else {
+        retryLater(RetryTime);
+    }
+}
+
+void ManifestFetcher::retryLater(Millis delay)
+{
+    m_requestActive = false;
+    m_nextAttemptAt = steadyMillis() + jittered(m_random, delay);
+}
+
 void ManifestFetcher::requestFromOrigin()
 {
-    const int calls = m_candidates.empty() ? EqualManifests : 1;
+    // While the origin doesn't respond, one call at a time is enough to notice that it does again.
+    const int calls = m_candidates.empty() && m_failures == 0 ? EqualManifests : 1;
     for (int n = 0; n < calls; ++n) {
         callManifestOrigin();
     }
@@ -129,7 +180,8 @@
 {
     ++m_originCalls;
     callOrigin(m_loop, m_client, m_desired.origin, platform::makeManifestRequest(m_desired.model, m_desired.version),
-               MaxManifestBytes, [this, generation = m_generation](int status, const std::string &body) {
+               MaxManifestBytes, m_failures > 0 ? ProbeTimeout : OriginTimeout,
+               [this, generation = m_generation](int status, const std::string &body) {
                    if (generation == m_generation) {
                        --m_originCalls;
                        handleOriginResponse(status, body);
@@ -165,8 +217,8 @@
         callManifestOrigin();
         return;
     }
-    m_requestActive = false;
-    m_nextAttemptAt = steadyMillis() + RetryTime;
+    m_failures = status == 0 ? m_failures + 1 : 0;
+    retryLater(m_failures > 0 ? weights::originRetryDelay(m_failures, m_random) : RetryTime);
 }
 
 Result<std::vector<Digest>> ManifestFetcher::usableDigests(int status, const std::string &body) const
--- a/libs/side/src/manifest_fetcher.h
+++ b/libs/side/src/manifest_fetcher.h
@@ -7,15 +7,12 @@
 
 #include "desired_weights.h"
 #include "ibislock/net/http_client.h"
-#include "ibislock/weights/piece_sources.h"
+#include "ibislock/weights/origin_turns.h"
 #include "piece_exchange.h"
 
 namespace ibislock::side
 {
 
-/// Returns the currently known VMs that take part in the distribution of a version.
-using DistributionMembers = std::function<std::vector<weights::DistributionMember>(std::int64_t version)>;
-
 /// Where a manifest may come from.
 enum class ManifestSource {
     Any, ///< Another VM that has it, or the origin.
@@ -47,7 +44,11 @@
     /// @param sourceIndex the index of the source in `m_sources`.
     /// @param previousUnreachable whether the previous source was unreachable.
     void requestFromSource(std::size_t sourceIndex, bool previousUnreachable);
+
+    /// Requests the manifest from the origin if it is this VM's turn; else the sources are tried again later.
+    void requestAtTurn();
     void requestFromOrigin();
+    void retryLater(Millis delay);
     void callManifestOrigin();
     void handleOriginResponse(int status, const std::string &body);
 
@@ -75,6 +76,10 @@
     std::vector<std::vector<Digest>> m_candidates; ///< Different manifests that the origin has sent, each once.
     int m_originCalls = 0; ///< Calls to the origin that are under way.
     Millis m_nextAttemptAt{0};
+    Millis m_startedAt{0};
+    weights::OriginRank m_rank;
+    int m_failures = 0; ///< Attempts in a row to which the origin didn't respond.
+    Random m_random;
 };
 
 } // namespace ibislock::side
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -28,6 +28,8 @@
 
 void writeCounts(std::string &out, const WeightsCounts &counts, std::uint64_t bytesServed)
 {
+    writeCounter(out, "ibislock_origin_attempts_total", "Requests of pieces to the origin.",
+                 counts.fetched.originAttempts);
     writeCounter(out, "ibislock_pieces_from_origin_total", "Pieces taken from the origin.", counts.fetched.fromOrigin);
     writeCounter(out, "ibislock_pieces_from_vms_total", "Pieces taken from other VMs.", counts.fetched.fromPeers);
     writeCounter(out, "ibislock_pieces_corrupt_total", "Pieces that did not match their digest.",
--- a/libs/side/src/origin_call.cpp
+++ b/libs/side/src/origin_call.cpp
@@ -8,16 +8,13 @@
 namespace
 {
 
-/// Timeout of a request to the origin; its link is shared by all VMs.
-constexpr Millis OriginTime{4000};
-
 /// Timeout of connecting to the origin.
 constexpr Millis ConnectTime{1000};
 
 } // namespace
 
 void callOrigin(asio::io_context &loop, net::HttpClient &client, const std::string &address,
-                const platform::ApiRequest &request, std::size_t maxBodyBytes,
+                const platform::ApiRequest &request, std::size_t maxBodyBytes, Millis timeout,
                 std::function<void(int status, std::string body)> done)
 {
     const auto endpoint = platform::parseEndpoint(address);
@@ -31,7 +28,7 @@
     // another VM needs.
     client.call(endpoint->ip, endpoint->port, writeRequest(head, request.body),
                 {.connectTimeout = ConnectTime,
-                 .timeout = OriginTime,
+                 .timeout = timeout,
                  .newConnection = true,
                  .keepAlive = false,
                  .maxBodyBytes = maxBodyBytes},
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -35,6 +35,21 @@
 /// How far a request's deadline is extended at most while bytes arrive; a VM on a slow link would delay all others.
 constexpr Millis LongestExtension{1500};
 
+/// A VM that sends nothing for this long while long polls are pending is probed.
+constexpr Millis QuietTime{350};
+
+/// How long a VM may take to respond to a probe. Together with the quiet time, a VM that stalls is noticed within 1 s.
+constexpr Millis ProbeTime{500};
+
+/// The index of the piece that a probe requests; no version has as many pieces.
+constexpr int ProbeIndex = 1 << 20;
+
+/// A VM that responded within this time counts as responding.
+constexpr Millis RespondingTime{1000};
+
+/// A VM that didn't respond is not tried again for this time, unless it sends something.
+constexpr Millis UnreachableTime{3000};
+
 bool matches(const peer::PieceMessage &answer, const peer::PieceMessage &request)
 {
     return answer.model == request.model && answer.version == request.version && answer.index == request.index;
@@ -79,8 +94,10 @@
 {
     PeerConnection &link = m_peers[vm];
     const std::string bytes = peer::encode(request);
-    link.pending.push_back(
-        {.request = std::move(request), .deadline = steadyMillis() + timeout, .done = std::move(done)});
+    link.pending.push_back({.request = std::move(request),
+                            .sentAt = steadyMillis(),
+                            .deadline = steadyMillis() + timeout,
+                            .done = std::move(done)});
     if (link.connection) {
         link.connection->write(bytes);
         return;
@@ -127,6 +144,8 @@
 {
     const auto reader = m_peers[vm].reader;
     m_peers[vm].lastBytesAt = steadyMillis();
+    m_peers[vm].probedAt = Millis{0};
+    m_health[vm] = {.respondedAt = steadyMillis()};
     reader->add(bytes);
     while (true) {
         auto message = reader->next();
@@ -153,6 +172,7 @@
 {
     PeerConnection lost = std::move(m_peers[vm]);
     m_peers[vm] = {};
+    m_health[vm].failedAt = steadyMillis();
     if (lost.connection) {
         lost.connection->close();
     }
@@ -161,6 +181,47 @@
     }
 }
 
+PeerState PieceExchange::stateOf(const std::string &vm) const
+{
+    const auto it = m_health.find(vm);
+    if (it == m_health.end()) {
+        return PeerState::Unknown;
+    }
+    const Millis now = steadyMillis();
+    if (it->second.failedAt > Millis{0}) {
+        return now < it->second.failedAt + UnreachableTime ? PeerState::Unreachable : PeerState::Unknown;
+    }
+    return now < it->second.respondedAt + RespondingTime ? PeerState::Responding : PeerState::Unknown;
+}
+
+void PieceExchange::check(const std::string &vm, const std::string &model, std::int64_t version)
+{
+    const auto it = m_peers.find(vm);
+    if (it == m_peers.end() || it->second.pending.empty()) {
+        request(vm, {.model = model, .version = version, .index = ProbeIndex, .waitMs = 1}, ProbeTime,
+                [](const std::optional<peer::PieceMessage> &) {});
+    }
+}
+
+bool PieceExchange::probe(PeerConnection &link, Millis now)
+{
+    const auto longPoll = std::find_if(link.pending.begin(), link.pending.end(),
+                                       [](const OutgoingRequest &item) { return item.request.waitMs > 1; });
+    if (!link.connection || longPoll == link.pending.end()) {
+        link.probedAt = Millis{0};
+        return true;
+    }
+    if (link.probedAt > Millis{0}) {
+        return now < link.probedAt + ProbeTime;
+    }
+    if (now >= std::max(link.lastBytesAt, longPoll->sentAt) + QuietTime) {
+        link.probedAt = now;
+        link.connection->write(peer::encode(peer::PieceMessage{
+            .model = longPoll->request.model, .version = longPoll->request.version, .index = ProbeIndex, .waitMs = 1}));
+    }
+    return true;
+}
+
 void PieceExchange::serve(const std::shared_ptr<net::Connection> &connection)
 {
     m_incoming.emplace(connection.get(), connection);
@@ -315,11 +376,20 @@
         PeerConnection &link = item.second;
         if (link.connecting && now >= link.connectDeadline) {
             unreachable.push_back(item.first);
+        } else if (!probe(link, now)) {
+            m_health[item.first].failedAt = now;
+            link.probedAt = Millis{0};
+            for (OutgoingRequest &pending : std::exchange(link.pending, {})) {
+                late.push_back(std::move(pending.done));
+            }
         }
         std::erase_if(link.pending, [&](OutgoingRequest &pending) {
             const bool progress = now - link.lastBytesAt < ProgressTime && now < pending.deadline + LongestExtension;
             const bool over = now >= pending.deadline && !progress;
             if (over) {
+                if (link.lastBytesAt < pending.sentAt) {
+                    m_health[item.first].failedAt = now;
+                }
                 late.push_back(std::move(pending.done));
             }
             return over;
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -26,6 +26,13 @@
 /// Receives the response to a request; nothing if the VM didn't respond in time or the connection failed.
 using PieceResponseHandler = std::function<void(std::optional<peer::PieceMessage>)>;
 
+/// What is known of another VM.
+enum class PeerState {
+    Unknown, ///< Nothing was requested from it lately.
+    Responding,
+    Unreachable, ///< It didn't respond lately.
+};
+
 /// Client and server for pieces.
 class PieceExchange
 {
@@ -45,6 +52,13 @@
     /// @param timeout how long to wait for the response.
     void request(const std::string &vm, peer::PieceMessage request, Millis timeout, PieceResponseHandler done);
 
+    /// Returns whether a VM has responded lately.
+    PeerState stateOf(const std::string &vm) const;
+
+    /// Checks whether a VM responds; stateOf() shows the result within a second. Does nothing while a request to the VM
+    /// is pending.
+    void check(const std::string &vm, const std::string &model, std::int64_t version);
+
     /// Responds to the pending requests of other VMs that are ready now.
     void completePending();
 
@@ -56,6 +70,7 @@
     struct OutgoingRequest
     {
         peer::PieceMessage request;
+        Millis sentAt{0};
         Millis deadline{0};
         PieceResponseHandler done;
     };
@@ -70,6 +85,14 @@
         std::string unsent;
         Millis lastBytesAt{0};
         Millis connectDeadline{0};
+        Millis probedAt{0}; ///< When a probe was sent that has no response; 0 for none.
+    };
+
+    /// When a VM last responded, and when it was last found not to.
+    struct PeerHealth
+    {
+        Millis respondedAt{0};
+        Millis failedAt{0};
     };
 
     /// A request of another VM that has no response so far.
@@ -84,6 +107,10 @@
     void connect(const std::string &vm);
     void onData(const std::string &vm, std::string_view bytes);
     void failAll(const std::string &vm);
+
+    /// Probes a VM that sends nothing while long polls are pending.
+    /// @return false if it doesn't respond to a probe.
+    static bool probe(PeerConnection &link, Millis now);
     void serve(const std::shared_ptr<net::Connection> &connection);
     void handleRequest(const std::shared_ptr<net::Connection> &connection, peer::PieceMessage request);
 
@@ -110,6 +137,7 @@
     net::Listener m_listener;
     net::Timer m_tickTimer;
     std::map<std::string, PeerConnection> m_peers;
+    std::map<std::string, PeerHealth> m_health; ///< By VM.
     std::vector<PendingRequest> m_pending;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_incoming;
 
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -1,8 +1,6 @@
 #include "piece_fetcher.h"
 
-#include "desired_weights.h"
 #include "ibislock/base/log.h"
-#include "origin_call.h"
 
 #include <algorithm>
 
@@ -43,7 +41,18 @@
 /// Delay before a piece that no source delivered is tried again.
 constexpr Millis RetryTime{250};
 
-constexpr int OkStatus = 200;
+/// Interval of the check whether it is this VM's turn at the origin; a piece takes about 40 ms on its link.
+constexpr Millis OriginStepTime{20};
+
+/// Interval of the check whether other VMs take part than before.
+constexpr Millis PlanTime{500};
+
+/// A VM that responds at once to a long poll doesn't fetch the version, and isn't waited for during this time.
+constexpr Millis DeclinedTime{3000};
+
+/// How often a member waits for the owner in its domain before it turns to VMs of other domains. One copy for each VM
+/// instead of one for each domain would fill the links between regions.
+constexpr int MemberRounds = 2;
 
 } // namespace
 
@@ -66,7 +75,10 @@
 {
     stop();
     m_task = std::move(task);
-    m_startedAt = steadyMillis();
+    const Millis now = steadyMillis();
+    m_turns = weights::makeOriginTurns(static_cast<int>(m_task.digests.size()), m_task.originPieceTime, now);
+    updatePlan(now);
+    m_originTimer.start(OriginStepTime, [this] { stepOrigin(); });
 }
 
 void PieceFetcher::stop()
@@ -74,17 +86,28 @@
     ++m_generation;
     m_task = {};
     m_fetching.clear();
+    m_delivered.clear();
     m_retryAt.clear();
     m_searchRounds.clear();
     m_mismatches.clear();
     m_manifestDoubted = false;
-    m_originQueue.clear();
-    m_originSchedule.clear();
+    m_members.clear();
+    m_plan.clear();
+    m_ranks.clear();
+    m_nextPlanAt = Millis{0};
+    m_turns = {};
+    m_originRetryAt.clear();
+    m_goneUntil = Millis{0};
+    m_declinedAt.clear();
     m_originTimer.cancel();
+    m_originFetchActive = false;
     m_transferTimer.cancel();
     m_queuedTransfers.clear();
     m_activeTransfers = 0;
     m_activeSources.clear();
+    if (m_priority == FetchPriority::Urgent) {
+        m_pacing.urgentMissing = false;
+    }
     updateUrgentTransfers();
 }
 
@@ -93,19 +116,52 @@
     return m_counts;
 }
 
+void PieceFetcher::updatePlan(Millis now)
+{
+    if (now < m_nextPlanAt || !m_task.members) {
+        return;
+    }
+    m_nextPlanAt = now + PlanTime;
+    auto members = m_task.members(m_task.version);
+    if (!m_plan.empty() && members == m_members) {
+        return;
+    }
+    m_members = std::move(members);
+    m_domains.clear();
+    for (const weights::DistributionMember &member : m_members) {
+        m_domains[member.vm] = member.domain;
+    }
+    const auto pieces = static_cast<int>(m_task.digests.size());
+    m_plan = weights::planPieces(pieces, m_self, m_task.domain, m_members);
+    m_ranks.clear();
+    for (int piece = 0; piece < pieces; ++piece) {
+        m_ranks.push_back(weights::originRank(piece, m_self, m_task.domain, m_members));
+    }
+}
+
 void PieceFetcher::fetchMore(const std::set<int> &staged)
 {
     const Millis now = steadyMillis();
-    for (const weights::PiecePlan &plan : m_task.plan) {
+    updatePlan(now);
+    for (const int piece : staged) {
+        recordHeld(m_turns, piece);
+    }
+    for (const weights::PiecePlan &plan : m_plan) {
         if (m_fetching.size() >= FetchedAtOnce) {
             return;
         }
         const auto it = m_retryAt.find(plan.piece);
         const bool tooSoon = it != m_retryAt.end() && now < it->second;
-        if (!staged.contains(plan.piece) && !m_fetching.contains(plan.piece) && !tooSoon) {
-            m_fetching.insert(plan.piece);
-            requestFromSource({.piece = plan.piece, .role = plan.role, .sources = plan.sources});
+        if (staged.contains(plan.piece) || m_fetching.contains(plan.piece) || tooSoon) {
+            continue;
+        }
+        if (m_delivered.erase(plan.piece) > 0) {
+            recordMissing(m_turns, plan.piece);
         }
+        m_fetching.insert(plan.piece);
+        Search search{.piece = plan.piece, .role = plan.role, .sources = plan.sources, .awaited = {}};
+        std::erase_if(search.sources, [](const weights::PieceSource &source) { return source.vm.empty(); });
+        requestFromSource(std::move(search));
     }
 }
 
@@ -115,10 +171,48 @@
     return std::max(LeastOwnerWait, copy * OwnerWaitPercent / 100);
 }
 
+bool PieceFetcher::isInOtherDomain(const std::string &vm) const
+{
+    const auto it = m_domains.find(vm);
+    return it != m_domains.end() && it->second != m_task.domain;
+}
+
+bool PieceFetcher::isOut(const std::string &vm) const
+{
+    const auto it = m_declinedAt.find(vm);
+    return m_exchange.stateOf(vm) == PeerState::Unreachable
+        || (it != m_declinedAt.end() && steadyMillis() < it->second + DeclinedTime);
+}
+
+bool PieceFetcher::isLeftToOwner(const Search &search, const weights::PieceSource &source) const
+{
+    const auto it = m_searchRounds.find(search.piece);
+    const int rounds = it == m_searchRounds.end() ? 0 : it->second;
+    if (!isInOtherDomain(source.vm) || rounds >= MemberRounds) {
+        return false;
+    }
+    const auto &seniors = m_ranks[static_cast<std::size_t>(search.piece)].domainSeniors;
+    return std::any_of(seniors.begin(), seniors.end(), [this](const std::string &vm) {
+        return !isOut(vm) && m_exchange.stateOf(vm) == PeerState::Responding;
+    });
+}
+
 void PieceFetcher::requestFromSource(Search search)
 {
-    if (search.sourceIndex >= search.sources.size() || search.sources[search.sourceIndex].vm.empty()) {
-        finishSearch(search);
+    if (m_delivered.contains(search.piece)) {
+        return; // The origin has delivered it in the meantime.
+    }
+    while (search.sourceIndex < search.sources.size()) {
+        const weights::PieceSource &source = search.sources[search.sourceIndex];
+        if (isOut(source.vm)) {
+            search.previousUnreachable = true;
+        } else if (!isLeftToOwner(search, source)) {
+            break;
+        }
+        ++search.sourceIndex;
+    }
+    if (search.sourceIndex >= search.sources.size()) {
+        finishSearch(std::move(search));
         return;
     }
     const weights::PieceSource &source = search.sources[search.sourceIndex];
@@ -126,6 +220,9 @@
     const Millis wait = waits ? ownerTimeout() : AskAtOnce;
     const Millis askedAt = steadyMillis();
     const std::string vm = source.vm;
+    if (waits) {
+        search.awaited.insert(vm);
+    }
     const peer::PieceMessage request{.model = m_task.model,
                                      .version = m_task.version,
                                      .index = search.piece,
@@ -137,57 +234,51 @@
                                return;
                            }
                            if (answer && answer->content == peer::PieceContent::Ready) {
+                               recordAvailable(m_turns, m_pacing.origin, search.piece, steadyMillis());
                                m_queuedTransfers.push_back({.search = std::move(search)});
                                startTransfers();
                                return;
                            }
-                           search.previousUnreachable = !answer && steadyMillis() - askedAt < wait;
-                           search.anyResponded = search.anyResponded || answer.has_value();
+                           const Millis now = steadyMillis();
+                           const bool early = now - askedAt < wait / 2;
+                           if (answer && early && wait > AskAtOnce) {
+                               m_declinedAt[search.sources[search.sourceIndex].vm] = now;
+                           }
+                           search.previousUnreachable = early || (!answer && now - askedAt < wait);
                            ++search.sourceIndex;
                            requestFromSource(std::move(search));
                        });
 }
 
-void PieceFetcher::finishSearch(const Search &search)
+void PieceFetcher::finishSearch(Search search)
 {
-    const int rounds = ++m_searchRounds[search.piece];
-    if (search.role == weights::PieceRole::Owner && rounds == 1) {
-        scheduleOriginFetch(search.piece);
-        return;
-    }
-    if (decideOriginFetch(search.role, search.anyResponded, rounds) == weights::OriginDecision::RetrySources) {
-        retryLater(search.piece);
-        return;
-    }
-    logInfo(LogComponent::Side, "Fetching a piece from the origin after its sources failed to deliver it.",
-            {{"version", std::to_string(m_task.version)},
-             {"piece", std::to_string(search.piece)},
-             {"asked_before", std::to_string(search.sourceIndex)},
-             {"rounds", std::to_string(rounds)}});
-    m_originQueue.push_back(search.piece);
-    fetchNextFromOrigin();
-}
-
-void PieceFetcher::scheduleOriginFetch(int piece)
-{
-    const Millis at = m_startedAt + weights::originFetchDelay(piece, m_task.originPieceTime);
-    const auto place = std::upper_bound(m_originSchedule.begin(), m_originSchedule.end(), std::pair(at, piece));
-    m_originSchedule.insert(place, {at, piece});
-    startDueOriginFetches();
-}
-
-void PieceFetcher::startDueOriginFetches()
-{
-    const Millis now = steadyMillis();
-    while (!m_originSchedule.empty() && now >= m_originSchedule.front().first) {
-        m_originQueue.push_back(m_originSchedule.front().second);
-        m_originSchedule.pop_front();
-        fetchNextFromOrigin();
+    const weights::OriginRank &rank = m_ranks[static_cast<std::size_t>(search.piece)];
+    const bool first = m_task.isFresh && !m_searchRounds.contains(search.piece);
+    for (const auto *seniors : {&rank.domainSeniors, &rank.otherSeniors}) {
+        const auto it =
+            std::find_if(seniors->begin(), seniors->end(), [this](const std::string &vm) { return !isOut(vm); });
+        if (it != seniors->end() && search.awaited.insert(*it).second) {
+            search.sources.push_back({.vm = *it, .isFetching = true});
+            requestFromSource(std::move(search));
+            return;
+        }
+        if (it != seniors->end()) {
+            ++m_searchRounds[search.piece];
+            retryLater(search.piece);
+            return;
+        }
     }
-    if (m_originSchedule.empty()) {
+    // This VM is to request the piece from the origin. Others may hold it already, if it has restarted or replaces
+    // another VM.
+    if (!first && !std::exchange(search.juniorsAsked, true) && !rank.juniors.empty()) {
+        for (const std::string &vm : rank.juniors) {
+            search.sources.push_back({.vm = vm});
+        }
+        requestFromSource(std::move(search));
         return;
     }
-    m_originTimer.start(m_originSchedule.front().first - now, [this] { startDueOriginFetches(); });
+    ++m_searchRounds[search.piece];
+    retryLater(search.piece);
 }
 
 PieceFetcher::Transfer PieceFetcher::takeRandomTransfer()
@@ -233,14 +324,15 @@
 
 void PieceFetcher::startTransfer(Transfer next)
 {
+    if (m_delivered.contains(next.search.piece)) {
+        return; // The origin has delivered it in the meantime.
+    }
     const Millis now = steadyMillis();
     ++m_activeTransfers;
     const std::string vm = vmOf(next);
     m_activeSources.insert(vm);
-    const peer::PieceMessage request{.model = m_task.model,
-                                     .version = m_task.version,
-                                     .index = next.search.piece,
-                                     .forDomain = next.search.role == weights::PieceRole::DomainOwner};
+    const peer::PieceMessage request{
+        .model = m_task.model, .version = m_task.version, .index = next.search.piece, .forDomain = isInOtherDomain(vm)};
     m_exchange.request(vm, request, HolderTime,
                        [this, generation = m_generation, now,
                         next = std::move(next)](const std::optional<peer::PieceMessage> &answer) {
@@ -280,7 +372,9 @@
         done.redirectVm.clear(); // The source itself still has the piece.
         m_queuedTransfers.push_back(std::move(done));
     } else {
-        done.search.anyResponded = true;
+        if (!m_delivered.contains(done.search.piece)) {
+            recordMissing(m_turns, done.search.piece);
+        }
         ++done.search.sourceIndex;
         requestFromSource(std::move(done.search));
     }
@@ -292,52 +386,11 @@
     return transfer.redirectVm.empty() ? transfer.search.sources[transfer.search.sourceIndex].vm : transfer.redirectVm;
 }
 
-void PieceFetcher::fetchNextFromOrigin()
-{
-    if (m_originFetchActive || m_originQueue.empty()) {
-        return;
-    }
-    const int piece = m_originQueue.front();
-    m_originQueue.pop_front();
-    m_originFetchActive = true;
-    fetchFromOrigin(piece);
-}
-
-void PieceFetcher::fetchFromOrigin(int piece)
-{
-    callOrigin(m_loop, m_client, m_task.origin, platform::makePieceRequest(m_task.model, m_task.version, piece),
-               maxPieceResponse(m_task.pieceBytes),
-               [this, generation = m_generation, piece](int status, std::string body) {
-                   m_originFetchActive = false;
-                   if (generation != m_generation) {
-                       fetchNextFromOrigin();
-                       return;
-                   }
-                   const Digest received = sha256(body);
-                   if (status == OkStatus && received == m_task.digests[static_cast<std::size_t>(piece)]) {
-                       deliverPiece(piece, std::move(body), true);
-                       fetchNextFromOrigin();
-                       return;
-                   }
-                   m_counts.corrupt += status == OkStatus ? 1 : 0;
-                   logInfo(LogComponent::Side, "Fetching a piece from the origin failed.",
-                           {{"version", std::to_string(m_task.version)},
-                            {"piece", std::to_string(piece)},
-                            {"status", std::to_string(status)},
-                            {"bytes", std::to_string(body.size())},
-                            {"expected", toHex(m_task.digests[static_cast<std::size_t>(piece)])},
-                            {"received", toHex(received)}});
-                   retryLater(piece);
-                   if (status == OkStatus) {
-                       recordMismatch(piece, received);
-                   }
-                   fetchNextFromOrigin();
-               });
-}
-
 void PieceFetcher::markStaging(int piece)
 {
     m_fetching.insert(piece);
+    m_delivered.insert(piece);
+    recordHeld(m_turns, piece);
 }
 
 void PieceFetcher::recordStaging(int piece, bool staged)
@@ -345,12 +398,17 @@
     if (staged) {
         m_fetching.erase(piece);
     } else {
+        m_delivered.erase(piece);
+        recordMissing(m_turns, piece);
         retryLater(piece);
     }
 }
 
 void PieceFetcher::retryLater(int piece)
 {
+    if (m_delivered.contains(piece)) {
+        return; // It is being staged.
+    }
     m_fetching.erase(piece);
     m_retryAt[piece] = steadyMillis() + jittered(m_random, RetryTime);
 }
@@ -369,6 +427,14 @@
 
 void PieceFetcher::deliverPiece(int piece, std::string bytes, bool fromOrigin)
 {
+    if (!m_delivered.insert(piece).second) {
+        return;
+    }
+    if (fromOrigin) {
+        recordAvailable(m_turns, m_pacing.origin, piece, steadyMillis());
+    } else {
+        recordHeld(m_turns, piece);
+    }
     ++(fromOrigin ? m_counts.fromOrigin : m_counts.fromPeers);
     m_events.onPiece(piece, std::move(bytes));
 }
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -1,16 +1,18 @@
 // Fetches the missing pieces of a version. Each piece is requested from its sources in their order with a long poll; a
-// source that holds it is added to the queue of transfers, whose rate limit leaves room on the VM's link. Pieces that
-// no source delivers are fetched from the origin, one after another.
+// source that holds it is added to the queue of transfers, whose rate limit leaves room on the VM's link. Independently
+// of these requests, pieces that no VM is known to hold are fetched from the origin, one after another, when it is this
+// VM's turn (weights/origin_turns.h).
 //
-//     fetcher.begin({.model = "m", .version = 2, .origin = "10.0.0.1:80", .digests = digests, .plan = plan});
+//     fetcher.begin({.model = "m", .version = 2, .origin = "10.0.0.1:80", .digests = digests, .domain = "domain-a",
+//                    .members = members});
 //     fetcher.fetchMore(staged);    // periodically; `onPiece` receives each piece, and recordStaging() must follow
 
 #pragma once
 
+#include "desired_weights.h"
 #include "ibislock/base/random.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/net/timer.h"
-#include "ibislock/weights/piece_sources.h"
 #include "link_pacing.h"
 #include "piece_exchange.h"
 
@@ -20,14 +22,16 @@
 namespace ibislock::side
 {
 
-/// The version to fetch and its plan.
+/// The version to fetch.
 struct FetchTask
 {
     std::string model;
     std::int64_t version = 0;
     std::string origin; ///< IP:PORT; empty while unknown.
     std::vector<Digest> digests;
-    std::vector<weights::PiecePlan> plan;
+    std::string domain; ///< The failure domain of this VM.
+    DistributionMembers members;
+    bool isFresh = false; ///< The version was announced just now: no VM can hold a piece of it already.
     Millis originPieceTime{0}; ///< How long the origin's link takes for a piece; zero if unknown.
     std::size_t pieceBytes = 0; ///< Size of the largest piece; 0 if unknown.
 };
@@ -37,6 +41,7 @@
 {
     std::uint64_t fromOrigin = 0;
     std::uint64_t fromPeers = 0;
+    std::uint64_t originAttempts = 0; ///< Requests of pieces to the origin.
     std::uint64_t corrupt = 0; ///< Pieces from the origin that didn't match their digest.
 };
 
@@ -91,7 +96,8 @@
         std::vector<weights::PieceSource> sources;
         std::size_t sourceIndex = 0; ///< The source that is tried.
         bool previousUnreachable = false; ///< The previous source was unreachable.
-        bool anyResponded = false; ///< Whether any source has responded.
+        bool juniorsAsked = false; ///< VMs behind this one in the order are among the sources.
+        std::set<std::string> awaited; ///< VMs that were given time to fetch the piece.
     };
 
     /// A piece that a VM holds and that waits for this VM's link.
@@ -101,21 +107,36 @@
         std::string redirectVm; ///< The VM to which the source has redirected; empty for the source itself.
     };
 
+    /// Plans the fetches anew if other VMs take part than before.
+    void updatePlan(Millis now);
     void requestFromSource(Search search);
-    void finishSearch(const Search &search);
-    Millis ownerTimeout() const;
 
-    /// Schedules the fetch of an owned piece from the origin.
-    void scheduleOriginFetch(int piece);
-    void startDueOriginFetches();
+    /// Returns whether a source is in another domain and the owner in the own domain is to deliver the piece instead.
+    bool isLeftToOwner(const Search &search, const weights::PieceSource &source) const;
+    bool isInOtherDomain(const std::string &vm) const;
+
+    /// Returns whether a VM can't be reached, or doesn't fetch the version.
+    bool isOut(const std::string &vm) const;
+
+    /// Waits for the first reachable VM before this one in the order of the piece, or tries the piece again later.
+    void finishSearch(Search search);
+    Millis ownerTimeout() const;
     void startTransfers();
     void updateUrgentTransfers();
     Transfer takeRandomTransfer();
     void startTransfer(Transfer next);
     void handleTransferResponse(Transfer done, const std::optional<peer::PieceMessage> &answer, Millis took);
     static std::string vmOf(const Transfer &transfer);
-    void fetchNextFromOrigin();
+
+    /// Starts the next fetch from the origin if it is this VM's turn.
+    void stepOrigin();
+    bool mayFetchFromOrigin(weights::OriginTurn turn, int piece);
+
+    /// Returns whether all of some VMs are out; checks those of which nothing is known.
+    bool areOut(const std::vector<std::string> &vms);
+    Millis originTimeout() const;
     void fetchFromOrigin(int piece);
+    void handleOriginResponse(int piece, int status, std::string body);
     void deliverPiece(int piece, std::string bytes, bool fromOrigin);
     void retryLater(int piece);
     void recordMismatch(int piece, const Digest &received);
@@ -136,13 +157,21 @@
     std::map<int, int> m_searchRounds; ///< By piece: how often all its sources were tried.
     std::map<int, Digest> m_mismatches; ///< By piece: the digest of the bytes that came last and didn't match.
     bool m_manifestDoubted = false;
-    Millis m_startedAt{0};
-    std::deque<std::pair<Millis, int>>
-        m_originSchedule; ///< Fetch times of the pieces that this VM owns, in ascending order.
-    net::Timer m_originTimer;
+    std::vector<weights::DistributionMember> m_members; ///< For which the fetches are planned.
+    std::vector<weights::PiecePlan> m_plan;
+    std::vector<weights::OriginRank> m_ranks; ///< By piece.
+    std::map<std::string, std::string> m_domains; ///< By VM.
+    Millis m_nextPlanAt{0};
+    std::map<std::string, Millis> m_declinedAt; ///< By VM: when it responded that it doesn't fetch the version.
+    std::set<int> m_delivered; ///< Pieces that were passed on; they need no source any more.
     std::map<int, Millis> m_retryAt; ///< By piece: when an unavailable one is tried again.
-    std::deque<int> m_originQueue; ///< Pieces to fetch from the origin, one after another.
+    weights::OriginTurns m_turns;
+    std::map<int, Millis> m_originRetryAt; ///< By piece: when one that was corrupt is requested from the origin again.
+    Millis m_goneUntil{0}; ///< The origin didn't have the version any more; it isn't asked until then.
+    net::Timer m_originTimer;
     bool m_originFetchActive = false;
+    std::uint64_t m_originFetch = 0; ///< Number of the latest fetch.
+    Millis m_originSentAt{0};
     std::deque<Transfer> m_queuedTransfers;
     int m_activeTransfers = 0;
     int m_transferWindow = 1; ///< Limit of concurrent transfers; adapts to the link.
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -193,6 +193,7 @@
     FetchCounts fetched = m_pieceFetcher.counts();
     fetched.fromOrigin += ahead.fromOrigin;
     fetched.fromPeers += ahead.fromPeers;
+    fetched.originAttempts += ahead.originAttempts;
     fetched.corrupt += ahead.corrupt;
     return {.fetched = fetched,
             .corruptStaged = m_corruptStaged,
@@ -252,6 +253,7 @@
     m_correctDigests.clear();
     m_staged.clear();
     m_checks = {};
+    m_beingStaged.clear();
     m_unstaged.clear();
     m_pieceFetcher.stop();
     m_manifestFetcher.stop();
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -182,6 +182,7 @@
     std::vector<Digest> m_correctDigests; ///< That replace `m_digests` once no order is pending; empty for none.
     std::set<int> m_staged; ///< Staged pieces that matched their digest.
     weights::StageChecks m_checks; ///< Of the latest verification.
+    std::map<int, std::shared_ptr<const std::string>> m_beingStaged; ///< Verified pieces without a response so far.
     std::map<int, std::string> m_unstaged; ///< Verified pieces that could not be staged.
     Millis m_stageRetryAt{0}; ///< When staging `m_unstaged` is retried.
     int m_nextReadIndex = 0;
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -168,8 +168,9 @@
                           .version = m_desired.version,
                           .origin = m_desired.origin,
                           .digests = m_digests,
-                          .plan = weights::planPieces(static_cast<int>(m_digests.size()), m_self, m_domain,
-                                                      m_members(m_desired.version)),
+                          .domain = m_domain,
+                          .members = m_members,
+                          .isFresh = isFresh(m_desired, steadyMillis()),
                           .originPieceTime = m_desired.originPieceTime,
                           .pieceBytes = m_desired.pieceBytes});
     stagePrefetched();
@@ -228,6 +229,9 @@
     const auto kept = std::make_shared<std::string>(std::move(bytes));
     const std::uint64_t write = ++m_nextWrite;
     m_writes[write] = {.version = m_desired.version};
+    // An engine may take seconds to respond. Other VMs get the piece meanwhile, so that they don't turn to the origin.
+    m_beingStaged[piece] = kept;
+    m_exchange.completePending();
     m_engine.call(platform::makeStagePutRequest(m_desired.model, piece, *kept), StageTime,
                   [this, generation = m_generation, version = m_desired.version, write, piece,
                    kept](int status, const std::string &) {
@@ -235,6 +239,7 @@
                       if (generation != m_generation) {
                           return;
                       }
+                      m_beingStaged.erase(piece);
                       if (!succeeded(status)) {
                           m_unstaged[piece] = std::move(*kept);
                           m_stageRetryAt = steadyMillis() + StagePause;
@@ -402,7 +407,11 @@
         return request.model == m_desired.model && request.version < m_desired.version ? std::nullopt
                                                                                        : std::optional<bool>(false);
     }
-    return manifest ? !m_digests.empty() : m_staged.contains(request.index) || m_unstaged.contains(request.index);
+    if (manifest) {
+        return !m_digests.empty();
+    }
+    return m_staged.contains(request.index) || m_unstaged.contains(request.index)
+        || m_beingStaged.contains(request.index);
 }
 
 void WeightsAgent::readForPeer(const peer::PieceMessage &request, const std::function<void(peer::PieceMessage)> &done)
@@ -422,6 +431,12 @@
         done(std::move(answer));
         return;
     }
+    if (const auto it = m_beingStaged.find(request.index); !ahead && it != m_beingStaged.end()) {
+        answer.content = peer::PieceContent::Bytes;
+        answer.bytes = *it->second;
+        done(std::move(answer));
+        return;
+    }
     m_engine.call(
         platform::makeStageGetRequest(request.model, request.index), StageTime,
         [this, generation = m_generation, answer, done](int status, std::string body) mutable {
--- a/libs/side/src/weights_prefetch.cpp
+++ b/libs/side/src/weights_prefetch.cpp
@@ -115,8 +115,9 @@
                           .version = m_desired.version,
                           .origin = m_desired.origin,
                           .digests = m_prefetched.digests,
-                          .plan = weights::planPieces(static_cast<int>(m_prefetched.digests.size()), m_self, m_domain,
-                                                      m_members(m_desired.version)),
+                          .domain = m_domain,
+                          .members = m_members,
+                          .isFresh = isFresh(m_desired, steadyMillis()),
                           .originPieceTime = m_desired.originPieceTime,
                           .pieceBytes = m_desired.pieceBytes});
     m_pieceFetcher.fetchMore(m_heldPieces);
--- a/libs/weights/include/ibislock/weights/piece_sources.h
+++ b/libs/weights/include/ibislock/weights/piece_sources.h
@@ -8,8 +8,6 @@
 
 #pragma once
 
-#include "ibislock/base/clock.h"
-
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +21,8 @@
     std::string vm;
     std::string domain;
     bool hasVersion = false; ///< Whether the VM holds the whole version.
+
+    friend bool operator==(const DistributionMember &, const DistributionMember &) = default;
 };
 
 /// A VM, or the origin, from which a piece can be requested.
@@ -33,7 +33,8 @@
     bool isSubstitute = false; ///< Replaces the previous source if that is unreachable; then the request waits for it.
 };
 
-/// Returns the sources of a piece in the order in which to request it; the origin is always the last.
+/// Returns the sources of a piece in the order in which to request it; the origin is always the last. Whether
+/// a VM may turn to it is decided by origin_turns.h.
 /// @param piece the index of the piece.
 /// @param self, domain the requesting VM and its failure domain.
 /// @param members all VMs that take part; `self` may be among them.
@@ -55,27 +56,6 @@
     std::vector<PieceSource> sources;
 };
 
-/// Returns how long the owner of a piece waits before it fetches it from the origin. In a rollout to hundreds of VMs,
-/// simultaneous fetches would exceed the origin's connection limit, and all pieces would arrive at the end. Fetched one
-/// after another, the first pieces can be forwarded while the others are still in transfer.
-/// @param piece the index of the piece.
-/// @param pieceTime how long the origin's link takes to send one piece.
-/// @return the delay since the start of the distribution.
-Millis originFetchDelay(int piece, Millis pieceTime);
-
-/// What a VM does about a piece that none of its sources has delivered.
-enum class OriginDecision {
-    FetchFromOrigin, ///< Fetches the piece from the origin.
-    RetrySources, ///< Requests the piece from its sources again.
-};
-
-/// Decides whether to fetch a piece from the origin after no source has delivered it. Owners may be late because they
-/// learnt late of the version or because the origin's link is slow. If all members turned to the origin in that case,
-/// it would send the same pieces many times, and all of them would arrive too late.
-/// @param anyResponded whether any source responded that it doesn't hold the piece yet; false if all were unreachable.
-/// @param rounds how often the piece was requested from all its sources.
-OriginDecision decideOriginFetch(PieceRole role, bool anyResponded, int rounds);
-
 /// Plans the fetches of all pieces of a version. The pieces that this VM owns come first, then those that it fetches
 /// for its domain, then the others. Other VMs wait for the first two kinds; in another order, VMs could wait for each
 /// other in a cycle.
--- a/libs/weights/src/piece_sources.cpp
+++ b/libs/weights/src/piece_sources.cpp
@@ -1,5 +1,6 @@
 #include "ibislock/weights/piece_sources.h"
 
+#include "domain_owners.h"
 #include "ibislock/weights/rendezvous.h"
 
 #include <algorithm>
@@ -19,47 +20,10 @@
 /// cause a message from each VM to each other VM for each piece.
 constexpr std::size_t OthersMax = 2;
 
-/// How often a member tries its sources before it turns to the origin; one round takes most of the time that the origin
-/// needs to send a whole copy.
-constexpr int MemberRounds = 2;
-
-/// Interval between two requests to the origin, in percent of the time that its link takes for a piece. Below 100, so
-/// that the link is never idle.
-constexpr int OriginOverlapPercent = 85;
-
-/// The VMs of each domain in the order of their addresses, including the requesting VM.
-using Domains = std::map<std::string, std::vector<std::string>>;
-
-Domains domainsOf(std::string_view self, std::string_view domain, const std::vector<DistributionMember> &members)
-{
-    Domains out;
-    out[std::string(domain)].emplace_back(self);
-    for (const DistributionMember &member : members) {
-        if (member.vm != self) {
-            out[member.domain].push_back(member.vm);
-        }
-    }
-    for (auto &[name, vms] : out) {
-        std::sort(vms.begin(), vms.end());
-    }
-    return out;
-}
-
-/// Returns the VMs of a domain in the order in which they own a piece. Ownership rotates, so that all VMs own the same
-/// number of pieces.
-std::vector<std::string> ownersIn(const Domains &domains, const std::string &domain, int piece)
-{
-    std::vector<std::string> out = domains.at(domain);
-    const std::size_t turn = static_cast<std::size_t>(piece + 1) / domains.size() % out.size();
-    std::rotate(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(turn), out.end());
-    return out;
-}
-
-/// Returns the VM that fetches a piece from the origin. Ownership rotates over the domains.
+/// Returns the VM that fetches a piece from the origin.
 std::string ownerOf(const Domains &domains, int piece)
 {
-    const std::size_t turn = static_cast<std::size_t>(piece + 1) % domains.size();
-    return ownersIn(domains, std::next(domains.begin(), static_cast<std::ptrdiff_t>(turn))->first, piece).front();
+    return ownersIn(domains, domainOrder(domains, piece).front(), piece).front();
 }
 
 /// Adds at most `HoldersMax` other VMs that hold the version, in an order that differs between requesting VMs, so that
@@ -101,6 +65,44 @@
 
 } // namespace
 
+Domains domainsOf(std::string_view self, std::string_view domain, const std::vector<DistributionMember> &members)
+{
+    Domains out;
+    out[std::string(domain)].emplace_back(self);
+    for (const DistributionMember &member : members) {
+        if (member.vm != self) {
+            out[member.domain].push_back(member.vm);
+        }
+    }
+    for (auto &[name, vms] : out) {
+        std::sort(vms.begin(), vms.end());
+    }
+    return out;
+}
+
+std::vector<std::string> ownersIn(const Domains &domains, const std::string &domain, int piece)
+{
+    std::vector<std::string> out = domains.at(domain);
+    const std::size_t turn = static_cast<std::size_t>(piece + 1) / domains.size() % out.size();
+    std::rotate(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(turn), out.end());
+    return out;
+}
+
+int firstDomain(int piece, int domains)
+{
+    return (piece + 1) % domains;
+}
+
+std::vector<std::string> domainOrder(const Domains &domains, int piece)
+{
+    std::vector<std::string> out;
+    for (const auto &[name, vms] : domains) {
+        out.push_back(name);
+    }
+    std::rotate(out.begin(), out.begin() + firstDomain(piece, static_cast<int>(domains.size())), out.end());
+    return out;
+}
+
 std::vector<PieceSource> pieceSources(int piece, std::string_view self, std::string_view domain,
                                       const std::vector<DistributionMember> &members)
 {
@@ -175,15 +177,4 @@
     return out;
 }
 
-Millis originFetchDelay(int piece, Millis pieceTime)
-{
-    return pieceTime * piece * OriginOverlapPercent / 100;
-}
-
-OriginDecision decideOriginFetch(PieceRole role, bool anyResponded, int rounds)
-{
-    const bool patient = role == PieceRole::Member && anyResponded && rounds < MemberRounds;
-    return patient ? OriginDecision::RetrySources : OriginDecision::FetchFromOrigin;
-}
-
 } // namespace ibislock::weights
