Serving: limits of what targets get while they are cold, or may be

Cause: targets of a domain that restarted got 38 requests in a second while they were cold, as all entry VMs found them free at the same moment.

Change: cold_start.h decides from listings, load reports, responses and failures whether a target is warm, cold or may have restarted, and gives this VM turns at those that aren't warm. Placement leaves out targets without a turn and prefers warm ones. Nothing sets the terms yet.

--- a/libs/serving/include/ibislock/serving/attempt.h
+++ b/libs/serving/include/ibislock/serving/attempt.h
@@ -43,6 +43,14 @@
 /// Records that the target of an attempt has sent something. Ends an ejection for its silence.
 void recordSignOfLife(TargetTable &table, const Attempt &attempt, Millis now);
 
+/// A connection that fails within this time was refused or closed; one to a target that doesn't respond is given up
+/// after 400 ms.
+inline constexpr Millis RefusalTime{300};
+
+/// Records that an attempt could not connect to its target, or lost its connection.
+/// @param connected whether there was a connection.
+void recordConnectionLoss(TargetTable &table, const Attempt &attempt, bool connected, Millis now);
+
 /// Records that the target of an attempt has been silent for so long that its request is sent to another one as well.
 /// It counts as a failure until the target sends something.
 void recordSilence(TargetTable &table, const Attempt &attempt, Millis now);
--- a/libs/serving/include/ibislock/serving/desired_state.h
+++ b/libs/serving/include/ibislock/serving/desired_state.h
@@ -80,6 +80,8 @@
     std::string originAddress; ///< Address from which weights are fetched; empty unless this is the origin.
     double originMbps = 0; ///< Bandwidth of the origin's link in Mbit/s; 0 if unknown.
     std::string originDomain; ///< Failure domain of the origin.
+    Millis coldDuration{0}; ///< How long a target is cold after its start; 0 if never.
+    double coldPerSecond = 0; ///< Requests a second that a cold target takes from all entry VMs; 0 for no limit.
 };
 
 /// Limits on the size and the duration of callers' requests.
@@ -131,6 +133,9 @@
 /// Returns whether the targets of a service are engines.
 bool hasEngine(const DesiredState &state, const std::string &service);
 
+/// Returns whether the requests to cold targets of a service are limited.
+bool hasColdLimit(const DesiredState &state, const std::string &service);
+
 /// Finds the service that is the origin of weights.
 /// @return the service, or null.
 const Service *findOrigin(const DesiredState &state);
--- a/libs/serving/include/ibislock/serving/entry_vm_count.h
+++ b/libs/serving/include/ibislock/serving/entry_vm_count.h
@@ -23,6 +23,7 @@
     int largest = 1; ///< In the present window.
     int largestBefore = 1; ///< In the window before.
     Millis windowStart{0};
+    Millis window = EntryVmCountWindow;
 };
 
 /// Returns the count of a VM without reports.
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -38,7 +38,7 @@
     None, ///< The request has a target.
     Unavailable, ///< The service has no usable target.
     Full, ///< All usable targets are full.
-    BackingOff, ///< All usable targets have asked for a backoff, or name limits under which this VM has no turn.
+    BackingOff, ///< All usable targets have asked for a backoff, or are cold or name limits and leave this VM no turn.
 };
 
 /// The target chosen for a request.
@@ -50,6 +50,7 @@
     Millis backoffUntil{0}; ///< When the first of the targets that back off accepts requests of this VM again.
     Millis suggestedPause{0}; ///< How long the caller should wait in that case.
     int withoutTurn = 0; ///< Targets that were left out because their limits leave this VM no turn.
+    int coldWithoutTurn = 0; ///< The same because they are cold or may be.
 };
 
 /// How long a request may run past the time at which its target starts to load weights: the load waits for running
@@ -71,6 +72,9 @@
     /// Requests per slot at which a target without an engine counts as full; it queues a few times its slots.
     double plainFullOccupancy = 2.5;
     double crossDomainPenalty = 0.1; ///< Requests per slot that are added to the cost of a target in another domain.
+    /// Requests per slot that are added to the cost of a target that isn't known to be warm: it is slow, and warm ones
+    /// are preferred until they are half full.
+    double coldPenalty = 0.5;
     double fullBatchBacklogMs = 200; ///< Prompt backlog that costs as much as a full batch: half of the shortest
                                      ///< latency objective for a first event.
 };
@@ -79,6 +83,9 @@
 Placement place(TargetTable &table, const PlacementRequest &request, Random &random,
                 const PlacementPolicy &policy = {});
 
+/// Returns whether a target is known to be warm, or its service has no limit for cold ones.
+bool isWarm(const Target &target, Millis now);
+
 /// Returns whether the target's VM has reported its load within `LoadReportLifetime`.
 bool hasFreshLoad(const Target &target, Millis now);
 
--- a/libs/serving/include/ibislock/serving/request_limit.h
+++ b/libs/serving/include/ibislock/serving/request_limit.h
@@ -19,6 +19,8 @@
 {
     double perSecond = 0; ///< Requests a second that the target takes from all entry VMs together.
     int entryVms = 1;
+    double usedFraction = 0; ///< Fraction of the limit that all turns use; 0 chooses it by what 4 s may bring.
+    Millis turnLength{0}; ///< How long a turn lasts that isn't used, with such a fraction.
 
     bool operator==(const LimitTerms &) const = default;
 };
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "ibislock/base/clock.h"
+#include "ibislock/serving/cold_start.h"
 #include "ibislock/serving/target_signals.h"
 
 #include <cstdint>
@@ -38,6 +39,7 @@
     int slots = 0; ///< Requests that the target processes concurrently.
     bool draining = false;
     std::int64_t startedAt = 0; ///< Unix milliseconds, 0 if unknown. Distinguishes incarnations under the same id.
+    Millis coldLeft{0}; ///< How much longer it is cold; 0 if its service has no limit for cold targets.
     std::vector<ServedModel> models;
 
     bool operator==(const TargetEntry &) const = default;
@@ -81,6 +83,7 @@
     Millis loadCoversUntil{0}; ///< Requests sent after this time are not included in the load.
     std::optional<Millis> expiringSince; ///< When the removal of the listing was learned, if it may return.
     TargetSignals signals; ///< Signals of the present incarnation.
+    std::optional<ColdTarget> cold; ///< None if its service has no limit for cold targets.
 };
 
 /// What is retained of a target that is no longer listed, in case the same incarnation is listed again.
@@ -89,6 +92,7 @@
     TargetSignals signals;
     std::string address;
     int inFlight = 0; ///< As in `Target`.
+    std::optional<ColdTarget> cold; ///< As in `Target`, also for another incarnation.
     Millis since{0}; ///< When the listing was removed, or the last signal after that was received.
 };
 
@@ -100,6 +104,8 @@
 {
     std::map<std::string, Target, std::less<>> targets;
     std::map<std::string, RetainedTarget, std::less<>> retainedTargets; ///< By id of the target.
+    std::map<std::string, ColdStartTerms, std::less<>> coldTerms; ///< By service; those with a limit only.
+    int coldEntryVms = 1; ///< Number of entry VMs that share the turns at cold targets.
     Millis storeRecoveredAt{0}; ///< When the store last recovered from an outage in which listings may have expired.
 };
 
@@ -112,6 +118,17 @@
 /// @param entry nothing if the listing was removed or can't be decoded.
 void applyEntry(TargetTable &table, const std::string &id, std::optional<TargetEntry> entry, Millis now);
 
+/// Applies what the desired state and the contract say of cold targets. What is known of a target is kept while its
+/// service has a limit.
+/// @param terms by service; those with a limit only.
+void applyColdTerms(TargetTable &table, std::map<std::string, ColdStartTerms, std::less<>> terms);
+
+/// Applies the number of entry VMs that share the turns at cold targets.
+void applyColdEntryVms(TargetTable &table, int entryVms);
+
+/// Records that the targets of a failure domain may be cold from a time on, as at the end of its evacuation.
+void recordDomainPossiblyCold(TargetTable &table, std::string_view domain, Millis from);
+
 /// Replaces all listings; targets that are not among them are treated as removed.
 void replaceEntries(TargetTable &table, std::vector<TargetEntry> entries, Millis now);
 
--- a/libs/serving/src/attempt.cpp
+++ b/libs/serving/src/attempt.cpp
@@ -65,6 +65,16 @@
     if (Target *target = targetOf(table, attempt)) {
         target->heardAt = now;
         target->health = target->health.silent ? TargetHealth{} : target->health;
+        if (target->cold) {
+            recordHeard(*target->cold, attempt.sentAt, now);
+        }
+    }
+}
+
+void recordConnectionLoss(TargetTable &table, const Attempt &attempt, bool connected, Millis now)
+{
+    if (Target *target = targetOf(table, attempt); target != nullptr && target->cold) {
+        recordConnectionLoss(*target->cold, connected || now - attempt.sentAt < RefusalTime, now);
     }
 }
 
--- a/libs/serving/src/desired_state.cpp
+++ b/libs/serving/src/desired_state.cpp
@@ -79,6 +79,12 @@
     return it != state.services.end() && it->second.engine.has_value();
 }
 
+bool hasColdLimit(const DesiredState &state, const std::string &service)
+{
+    const auto it = state.services.find(service);
+    return it != state.services.end() && it->second.coldDuration > Millis{0} && it->second.coldPerSecond > 0;
+}
+
 const Service *findOrigin(const DesiredState &state)
 {
     for (const auto &[name, service] : state.services) {
--- a/libs/serving/src/entry_vm_count.cpp
+++ b/libs/serving/src/entry_vm_count.cpp
@@ -12,7 +12,7 @@
 
 void recordEntryVms(EntryVmCount &count, int reported, Millis now)
 {
-    if (now >= count.windowStart + EntryVmCountWindow) {
+    if (now >= count.windowStart + count.window) {
         count.largestBefore = count.largest;
         count.largest = 1;
         count.windowStart = now;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -54,15 +54,20 @@
     std::optional<Millis> until; ///< When the first of them accepts requests.
     Millis pause{0}; ///< The shortest time that a caller should wait.
     int withoutTurn = 0;
+    int coldWithoutTurn = 0;
 };
 
-void addTarget(BackingOffTargets &targets, const TargetSignals &signals, Millis now)
+void addTarget(BackingOffTargets &targets, const Target &target, Millis now)
 {
-    const Millis from = acceptsRequestsFrom(signals, now);
-    const Millis pause = suggestedPause(signals, now);
+    const TargetSignals &signals = target.signals;
+    const Millis from =
+        std::max(acceptsRequestsFrom(signals, now), target.cold ? nextColdTurn(*target.cold, now) : Millis{0});
+    const Millis pause =
+        std::max(suggestedPause(signals, now), target.cold ? suggestedColdPause(*target.cold, now) : Millis{0});
     targets.pause = targets.until ? std::min(targets.pause, pause) : pause;
     targets.until = std::min(targets.until.value_or(from), from);
     targets.withoutTurn += signals.limit && !hasTurn(*signals.limit, now) ? 1 : 0;
+    targets.coldWithoutTurn += target.cold && nextColdTurn(*target.cold, now) > now ? 1 : 0;
 }
 
 } // namespace
@@ -75,6 +80,11 @@
     return target.entry.models.empty() ? 0 : target.entry.models.front().version;
 }
 
+bool isWarm(const Target &target, Millis now)
+{
+    return !target.cold || phaseOf(*target.cold, now) == ColdPhase::Warm;
+}
+
 bool hasFreshLoad(const Target &target, Millis now)
 {
     return target.load && now - target.load->receivedAt < LoadReportLifetime;
@@ -116,8 +126,9 @@
         if (!isUsable(target, request) || (anyReporting && !hasFreshLoad(target, request.now))) {
             continue;
         }
-        if (!acceptsRequests(target.signals, request.now)) {
-            addTarget(backingOff, target.signals, request.now);
+        const bool hasColdTurn = !target.cold || mayReceive(*target.cold, random, request.now);
+        if (!acceptsRequests(target.signals, request.now) || !hasColdTurn) {
+            addTarget(backingOff, target, request.now);
             continue;
         }
         const double slots = target.entry.slots > 0 ? target.entry.slots : 1;
@@ -133,7 +144,8 @@
         return {.reason = PlacementFailure::BackingOff,
                 .backoffUntil = *backingOff.until,
                 .suggestedPause = backingOff.pause,
-                .withoutTurn = backingOff.withoutTurn};
+                .withoutTurn = backingOff.withoutTurn,
+                .coldWithoutTurn = backingOff.coldWithoutTurn};
     }
     Placement best = leastOccupied;
     double bestCost = 0;
@@ -143,13 +155,15 @@
         available.erase(available.begin() + static_cast<std::ptrdiff_t>(sampled));
         const double backlog = promptBacklogMs(*candidate.target, request.typicalPromptMs, request.now);
         const double cost = candidate.occupancy + backlog / policy.fullBatchBacklogMs
-            + (candidate.target->entry.domain == request.domain ? 0 : policy.crossDomainPenalty);
+            + (candidate.target->entry.domain == request.domain ? 0 : policy.crossDomainPenalty)
+            + (isWarm(*candidate.target, request.now) ? 0 : policy.coldPenalty);
         if (best.target == nullptr || cost < bestCost) {
             best = candidate;
             bestCost = cost;
         }
     }
     best.withoutTurn = backingOff.withoutTurn;
+    best.coldWithoutTurn = backingOff.coldWithoutTurn;
     return best;
 }
 
--- a/libs/serving/src/request_limit.cpp
+++ b/libs/serving/src/request_limit.cpp
@@ -47,10 +47,13 @@
     const double perSecond = std::max(terms.perSecond, MinPerSecond);
     const double entryVms = std::max(terms.entryVms, 1);
     const bool kept = keepsTurns(perSecond, entryVms);
-    const double intervalMs = 1000 * entryVms / (perSecond * (kept ? KeptFraction : LostFraction));
+    const double chosenFraction = kept ? KeptFraction : LostFraction;
+    const double fraction = terms.usedFraction > 0 ? terms.usedFraction : chosenFraction;
+    const double intervalMs = 1000 * entryVms / (perSecond * fraction);
     limit.terms = terms;
     limit.interval = Millis{static_cast<std::int64_t>(std::ceil(std::min(intervalMs, MaxIntervalMs)))};
-    limit.turnLength = kept ? limit.interval : std::min(LostTurnLength, limit.interval);
+    const Millis chosenLength = kept ? limit.interval : LostTurnLength;
+    limit.turnLength = std::min(terms.usedFraction > 0 ? terms.turnLength : chosenLength, limit.interval);
 }
 
 /// Returns a time within the interval from now on.
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -17,10 +17,16 @@
 
 void eraseTarget(TargetTable &table, std::map<std::string, Target, std::less<>>::iterator it, Millis now)
 {
-    const Target &target = it->second;
-    if (!acceptsRequests(target.signals, now) || target.signals.limit || target.inFlight > 0) {
-        table.retainedTargets[it->first] = {
-            .signals = target.signals, .address = target.entry.address, .inFlight = target.inFlight, .since = now};
+    Target &target = it->second;
+    if (target.cold) {
+        recordUnlisted(*target.cold, now);
+    }
+    if (target.cold || !acceptsRequests(target.signals, now) || target.signals.limit || target.inFlight > 0) {
+        table.retainedTargets[it->first] = {.signals = target.signals,
+                                            .address = target.entry.address,
+                                            .inFlight = target.inFlight,
+                                            .cold = target.cold,
+                                            .since = now};
     }
     table.targets.erase(it);
 }
@@ -38,6 +44,22 @@
     return out;
 }
 
+/// Sets or removes what is known of a target's temperature, as its service requires.
+void updateColdTerms(const TargetTable &table, Target &target)
+{
+    const auto it = table.coldTerms.find(target.entry.service);
+    if (it == table.coldTerms.end()) {
+        target.cold.reset();
+        return;
+    }
+    if (!target.cold) {
+        target.cold = ColdTarget{};
+        recordListing(*target.cold, {.startedAt = target.entry.startedAt}, Millis{0});
+    }
+    target.cold->terms = it->second;
+    target.cold->entryVms = table.coldEntryVms;
+}
+
 /// Returns the start of the incarnation that was listed last under an id that is no longer listed; 0 if unknown.
 std::int64_t retainedIncarnation(const TargetTable &table, const std::string &id)
 {
@@ -84,7 +106,11 @@
     if (precedesALeaving(table, id, *entry)) {
         return;
     }
+    const auto retainedCold = table.retainedTargets.find(id);
+    std::optional<ColdTarget> cold =
+        retainedCold != table.retainedTargets.end() ? retainedCold->second.cold : std::nullopt;
     Target &target = table.targets[id];
+    const ListedStart listedStart{.startedAt = entry->startedAt, .coldLeft = entry->coldLeft};
     const bool namesIncarnation = entry->startedAt != 0;
     if (!namesIncarnation) {
         // Without its start an entry doesn't show that the target was started again.
@@ -92,6 +118,9 @@
     }
     const bool newIncarnation =
         target.entry.id.empty() || target.entry.startedAt != entry->startedAt || target.entry.address != entry->address;
+    if (target.entry.id.empty()) {
+        target.cold = std::move(cold);
+    }
     if (newIncarnation) {
         target.load.reset();
         target.health = {};
@@ -106,11 +135,40 @@
     }
     target.expiringSince.reset();
     target.entry = std::move(*entry);
+    updateColdTerms(table, target);
+    if (target.cold) {
+        recordListing(*target.cold, listedStart, now);
+    }
     if (target.entry.draining && namesIncarnation) {
         recordDraining(target.signals); // An incarnation that leaves doesn't come back.
     }
 }
 
+void applyColdTerms(TargetTable &table, std::map<std::string, ColdStartTerms, std::less<>> terms)
+{
+    table.coldTerms = std::move(terms);
+    for (auto &[id, target] : table.targets) {
+        updateColdTerms(table, target);
+    }
+}
+
+void applyColdEntryVms(TargetTable &table, int entryVms)
+{
+    table.coldEntryVms = entryVms;
+    for (auto &[id, target] : table.targets) {
+        updateColdTerms(table, target);
+    }
+}
+
+void recordDomainPossiblyCold(TargetTable &table, std::string_view domain, Millis from)
+{
+    for (auto &[id, target] : table.targets) {
+        if (target.cold && target.entry.domain == domain) {
+            recordPossiblyCold(*target.cold, from);
+        }
+    }
+}
+
 void replaceEntries(TargetTable &table, std::vector<TargetEntry> entries, Millis now)
 {
     std::set<std::string> listed;
@@ -196,6 +254,9 @@
     if (target.signals.limit) {
         takeTurn(*target.signals.limit, now);
     }
+    if (target.cold) {
+        takeColdTurn(*target.cold, now);
+    }
     target.heardAt = target.inFlight == 0 ? now : target.heardAt;
     ++target.inFlight;
     target.recentAttempts.push_back({.sentAt = now, .promptMs = promptMs});
