--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -51,6 +51,9 @@
     int entryVmCount = 0; ///< The number of entry VMs that the sender knows.
     std::vector<Announcement> announcements; ///< The newest announcements of which the sender knows the time.
     std::optional<Millis> loadStartsIn; ///< Time until the engine stops taking requests in order to load.
+    int loadSubscriberCount = 0; ///< The number of entry VMs that get loads of the sender; 0 from earlier versions.
+    std::int64_t engineStartedAt = 0; ///< Start of the engine in Unix milliseconds; 0 if it isn't known at present.
+    Millis engineRunningFor{0}; ///< For how long the engine has run, as its own VM measures it.
     TopicWatermark operatorsWatermark;
     SendStamps stamps;
 };
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -46,6 +46,9 @@
   sentStamp @14 :UInt64;  # These three as in a subscription.
   returnedStamp @15 :UInt64;
   heldMs @16 :UInt32;
+  engineStartedAt @17 :Int64;  # Unix ms of the start of the engine; 0 from VMs of older versions, or if not known now.
+  engineRunningMs @18 :UInt32;  # For how long it has run, by the clock of its own VM.
+  loadSubscribers @19 :UInt16;  # How many entry VMs get loads of the sender; 0 from VMs of older versions.
 }
 
 struct Quarantine {
@@ -158,6 +161,7 @@
   domain @8 :Text;
   models @9 :List(Model);
   writeNumber @10 :Int64;  # Of the last write of its incarnation that the sender knows, also a heartbeat.
+  coldLeftMs @11 :UInt32;  # How much longer the target is cold when the update is sent.
 }
 
 struct Model {
--- a/libs/peer/src/listings.cpp
+++ b/libs/peer/src/listings.cpp
@@ -31,6 +31,7 @@
     to.setService(entry.service);
     to.setAddress(entry.address);
     to.setDomain(entry.domain);
+    to.setColdLeftMs(wireMillis(entry.coldLeft));
     auto models = to.initModels(static_cast<unsigned>(entry.models.size()));
     for (unsigned n = 0; n < models.size(); ++n) {
         models[n].setName(entry.models[n].name);
@@ -51,7 +52,8 @@
                                .domain = from.getDomain().cStr(),
                                .slots = from.getSlots(),
                                .draining = from.getLeaving(),
-                               .startedAt = from.getStartedAt()};
+                               .startedAt = from.getStartedAt(),
+                               .coldLeft = Millis{from.getColdLeftMs()}};
     for (const auto model : from.getModels()) {
         entry.models.push_back({.name = model.getName().cStr(), .version = model.getVersion()});
     }
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -230,6 +230,9 @@
         load.setLoadsInMs(
             static_cast<std::uint16_t>(std::min<std::int64_t>(message.loadStartsIn->count(), NoLoadPlanned - 1)));
     }
+    load.setLoadSubscribers(static_cast<std::uint16_t>(message.loadSubscriberCount));
+    load.setEngineStartedAt(message.engineStartedAt);
+    load.setEngineRunningMs(wireMillis(message.engineRunningFor));
     writeWatermark(load, message.operatorsWatermark);
     writeStamps(load, message.stamps);
     return flatten(builder);
@@ -296,6 +299,9 @@
                            .entryVmCount = load.getEntryVms(),
                            .announcements = std::move(announcements),
                            .loadStartsIn = loadsInMs == NoLoadPlanned ? std::nullopt : std::optional(Millis{loadsInMs}),
+                           .loadSubscriberCount = load.getLoadSubscribers(),
+                           .engineStartedAt = load.getEngineStartedAt(),
+                           .engineRunningFor = Millis{load.getEngineRunningMs()},
                            .operatorsWatermark = readWatermark(load),
                            .stamps = readStamps(load)};
     } catch (const kj::Exception &exception) {
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 12, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b43004f1d4d58869, 13, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -628,6 +628,12 @@
 
   inline  ::uint32_t getHeldMs() const;
 
+  inline  ::int64_t getEngineStartedAt() const;
+
+  inline  ::uint32_t getEngineRunningMs() const;
+
+  inline  ::uint16_t getLoadSubscribers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -711,6 +717,15 @@
   inline  ::uint32_t getHeldMs();
   inline void setHeldMs( ::uint32_t value);
 
+  inline  ::int64_t getEngineStartedAt();
+  inline void setEngineStartedAt( ::int64_t value);
+
+  inline  ::uint32_t getEngineRunningMs();
+  inline void setEngineRunningMs( ::uint32_t value);
+
+  inline  ::uint16_t getLoadSubscribers();
+  inline void setLoadSubscribers( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1882,6 +1897,8 @@
 
   inline  ::int64_t getWriteNumber() const;
 
+  inline  ::uint32_t getColdLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1963,6 +1980,9 @@
   inline  ::int64_t getWriteNumber();
   inline void setWriteNumber( ::int64_t value);
 
+  inline  ::uint32_t getColdLeftMs();
+  inline void setColdLeftMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3027,6 +3047,48 @@
       ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Load::Reader::getEngineStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Load::Builder::getEngineStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setEngineStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getEngineRunningMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getEngineRunningMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setEngineRunningMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getLoadSubscribers() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getLoadSubscribers() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLoadSubscribers( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Quarantine::Reader::hasSuspicions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4583,6 +4645,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Listing::Reader::getColdLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Listing::Builder::getColdLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Listing::Builder::setColdLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Model::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -210,6 +210,34 @@
     EXPECT_EQ(std::get<ListingsUpdate>(*update).listings.front().writeNumber, change.writeNumber);
 }
 
+TEST(MessagesTest, TheStartOfAnEngineAndTheTimeForWhichItIsColdAreForwarded)
+{
+    const auto read = decodeDatagram(encode(
+        LoadMessage{.loadSubscriberCount = 25, .engineStartedAt = 1'000'000'000'000, .engineRunningFor = Millis{70}}));
+    ASSERT_TRUE(read);
+    const auto &load = std::get<LoadMessage>(*read);
+    EXPECT_EQ(load.loadSubscriberCount, 25);
+    EXPECT_EQ(load.engineStartedAt, 1'000'000'000'000);
+    EXPECT_EQ(load.engineRunningFor, Millis{70});
+    const ListingChange change{.id = "i-1", .entry = serving::TargetEntry{.id = "i-1", .coldLeft = Millis{9000}}};
+    const auto update = decodeListings(frameBody(encode(ListingsUpdate{.listings = {change}})));
+    ASSERT_TRUE(update);
+    EXPECT_EQ(std::get<ListingsUpdate>(*update).listings.front().entry, change.entry);
+}
+
+// A VM of an earlier version sends none of these fields, which must not be read as an incarnation.
+TEST(MessagesTest, ALoadOfAnEarlierVersionNamesNoIncarnation)
+{
+    capnp::MallocMessageBuilder builder;
+    builder.initRoot<wire::Datagram>().initLoad().setRunning(3);
+    const auto words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asBytes();
+    const auto read = decodeDatagram({reinterpret_cast<const char *>(bytes.begin()), bytes.size()});
+    ASSERT_TRUE(read);
+    EXPECT_EQ(std::get<LoadMessage>(*read).engineStartedAt, 0);
+    EXPECT_EQ(std::get<LoadMessage>(*read).loadSubscriberCount, 0);
+}
+
 TEST(MessagesTest, ErasAreForwarded)
 {
     const TopicPosition end{.era = 4, .offset = 9};
