Feed, front: evacuated failure domains get no requests

Records evacuate/ZONE of the operators' topic were ignored, and so was every deletion in that topic.

They are followed as desired states are, by their positions: only a newer record begins or ends an evacuation. A topic that was restored from an older copy ends nothing; the evacuations that it lacks are handed on to VMs that start. Until now a record that a restored topic lacks altogether was not handed on, as the cache still had it from the earlier era; the test of that erased it from the cache by hand.

Placement leaves out the targets of evacuated domains, and entry VMs subscribe to loads of the others only.

--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -38,7 +38,14 @@
 {
     const std::size_t at = target.find(name + "=");
     const std::size_t begin = at + name.size() + 1;
-    return at == std::string::npos ? "" : target.substr(begin, target.find('&', begin) - begin);
+    const std::string raw = at == std::string::npos ? "" : target.substr(begin, target.find('&', begin) - begin);
+    constexpr std::size_t EscapeSize = 3; // A percent sign and two hexadecimal digits.
+    constexpr int HexBase = 16;
+    std::string out;
+    for (std::size_t n = 0; n < raw.size(); n += raw[n] == '%' ? EscapeSize : 1) {
+        out += raw[n] == '%' ? static_cast<char>(std::stoi(raw.substr(n + 1, 2), nullptr, HexBase)) : raw[n];
+    }
+    return out;
 }
 
 } // namespace
--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -47,7 +47,8 @@
     /// @param vms the addresses of the entry VMs.
     void setEntryVms(std::vector<std::string> vms);
 
-    /// Records that a record took effect here. It is handed out to VMs that start while the topic lacks it.
+    /// Records that a record took effect here. It is handed out to VMs that start while the topic lacks it, until a
+    /// deletion of its key takes effect.
     void recordInForce(const platform::KeyedRecord &record);
 
     /// Returns the records in force here that the topic lacks, or may lack.
--- a/libs/feed/include/ibislock/feed/operators_view.h
+++ b/libs/feed/include/ibislock/feed/operators_view.h
@@ -1,11 +1,12 @@
-// The content of the operators' topic as far as this process has read it: the newest desired state, and the announced
-// versions of weights with their times. Built from the records of the topic.
+// The content of the operators' topic as far as this process has read it: the newest desired state, the announced
+// versions of weights with their times, and the evacuated failure domains. Built from the records of the topic.
 //
 //     OperatorsView view;
 //     if (applyRecord(view, record, {.live = true, .now = now, .versionTime = Millis{8000}})) { ... }
 
 #pragma once
 
+#include "ibislock/feed/evacuations.h"
 #include "ibislock/platform/store_api.h"
 #include "ibislock/serving/announced_versions.h"
 #include "ibislock/serving/desired_state.h"
@@ -24,6 +25,7 @@
     std::shared_ptr<const serving::DesiredState> state; ///< Null until the first state is read.
     Millis stateReadAt{0}; ///< When `state` was read.
     std::map<std::string, serving::AnnouncedVersions, std::less<>> announced; ///< The announced versions by model.
+    Evacuations evacuations;
 };
 
 /// How a record was read.
@@ -37,7 +39,7 @@
 };
 
 /// Applies a record. A state that isn't newer is ignored, one that can't be decoded is logged, and a deleted key
-/// changes nothing: what was read last stays in effect.
+/// changes nothing, unless it is that of an evacuation: what was read last stays in effect.
 /// @return whether the view changed.
 bool applyRecord(OperatorsView &view, const platform::KeyedRecord &record, const RecordContext &context);
 
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -49,6 +49,15 @@
     /// Called after each update that reached the end of the topic: all records before `position()` are delivered, and
     /// the topic ended there at the time `asOf` of the boot clock or later. May be empty.
     std::function<void(Millis asOf)> onWatermark = {};
+
+    /// Returns tombstones of the keys that were deleted, as a snapshot lacks them. They are delivered with the records
+    /// of the snapshot. May be empty.
+    std::function<std::vector<platform::KeyedRecord>(const std::vector<platform::KeyedRecord> &snapshot,
+                                                     const TopicPosition &end)>
+        deletedRecords = {};
+
+    /// Returns whether each missed record is needed, though `FeedOptions::newestOnly` is set. May be empty.
+    std::function<bool()> needsEachRecord = {};
 };
 
 /// Timeout for the start of a response, beyond the time for which the store may hold the read; the store responds
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/feed/operators_follower.h"
 
 #include "ibislock/feed/source_order.h"
+#include "ibislock/platform/listings.h"
 
 namespace ibislock::feed
 {
@@ -71,6 +72,9 @@
                    for (const platform::KeyedRecord &record : recordsFrom(m_cache, request.from)) {
                        out.records.push_back(toMessage(record));
                    }
+                   if (request.from < m_cache.snapshotEnd) {
+                       out.keys = liveKeys(m_cache);
+                   }
                    return encode(out);
                }})
     , m_sourceClient(loop, m_options.port,
@@ -109,7 +113,8 @@
             [this, cacheRecord,
              deliver = std::move(events.onSnapshot)](const std::vector<platform::KeyedRecord> &records) {
                 // The topic may have been recreated; what is in force stays.
-                m_cache = {.newest = {}, .end = {}, .inForce = std::move(m_cache.inForce)};
+                m_cache.newest.clear();
+                m_cache.end = {};
                 std::for_each(records.begin(), records.end(), cacheRecord);
                 deliver(records);
                 m_lostRecordsQuery.start(m_feed.position());
@@ -131,6 +136,24 @@
                     deliver(asOf);
                 }
             },
+        .deletedRecords =
+            [this](const std::vector<platform::KeyedRecord> &snapshot, const TopicPosition &end) {
+                SnapshotContent content{.keys = {}, .usedPositions = {}, .end = end};
+                for (const platform::KeyedRecord &record : snapshot) {
+                    content.keys.insert(record.key);
+                    content.usedPositions.insert(record.position);
+                }
+                m_cache.snapshotEnd = end;
+                return feed::deletedRecords(m_cache, content);
+            },
+        .needsEachRecord =
+            [this] {
+                // A snapshot doesn't show whether an evacuation that the topic lacks was deleted.
+                const auto lost = feed::lostRecords(m_cache, m_feed.position().era);
+                return std::any_of(lost.begin(), lost.end(), [](const platform::KeyedRecord &record) {
+                    return platform::evacuatedDomain(record.key).has_value();
+                });
+            },
     };
 }
 
@@ -154,6 +177,10 @@
 
 void OperatorsFollower::recordInForce(const platform::KeyedRecord &record)
 {
+    if (!record.value) {
+        m_cache.inForce.erase(record.key);
+        return;
+    }
     m_cache.inForce.insert_or_assign(record.key, record);
 }
 
@@ -306,6 +333,16 @@
     for (const peer::TopicRecord &record : update.records) {
         records.push_back(fromMessage(record));
     }
+    if (update.keys) {
+        m_cache.snapshotEnd = std::max(m_cache.snapshotEnd, update.end);
+        SnapshotContent content{
+            .keys = {update.keys->begin(), update.keys->end()}, .usedPositions = {}, .end = update.end};
+        for (const platform::KeyedRecord &record : records) {
+            content.usedPositions.insert(record.position);
+        }
+        auto deleted = feed::deletedRecords(m_cache, content);
+        std::move(deleted.begin(), deleted.end(), std::back_inserter(records));
+    }
     m_recordSource = m_sourceClient.vm();
     // Records before the reported end don't show that the topic ended behind them.
     const Millis asOf = update.end >= m_reported.end ? m_reported.asOf : m_feed.endKnownAt();
--- a/libs/feed/src/operators_view.cpp
+++ b/libs/feed/src/operators_view.cpp
@@ -52,10 +52,32 @@
     return true;
 }
 
+bool applyEvacuationRecord(OperatorsView &view, const std::string &domain, const platform::KeyedRecord &record,
+                           const RecordContext &context)
+{
+    const EvacuationChange change = applyEvacuation(
+        view.evacuations, {.domain = domain, .position = record.position, .deleted = !record.value}, context.now);
+    if (change == EvacuationChange::None) {
+        return false;
+    }
+    logInfo(LogComponent::Store,
+            change == EvacuationChange::Begun ? "The evacuation of a failure domain has begun."
+                                              : "The evacuation of a failure domain has ended.",
+            {{"domain", domain},
+             {"evacuated_domains", std::to_string(view.evacuations.active.size())},
+             {"time", context.live ? "seen" : "unknown"},
+             {"offset", toText(record.position)},
+             {"from", context.source.empty() ? "store" : context.source}});
+    return true;
+}
+
 } // namespace
 
 bool applyRecord(OperatorsView &view, const platform::KeyedRecord &record, const RecordContext &context)
 {
+    if (const auto domain = platform::evacuatedDomain(record.key)) {
+        return applyEvacuationRecord(view, *domain, record, context);
+    }
     if (!record.value) {
         return false;
     }
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -470,7 +470,8 @@
     cancelExchanges();
     if (end.era != m_position.era) {
         readSnapshot();
-    } else if (m_options.newestOnly && end.offset - m_position.offset > 1) {
+    } else if (m_options.newestOnly && end.offset - m_position.offset > 1
+               && !(m_events.needsEachRecord && m_events.needsEachRecord())) {
         readNewest();
     } else {
         readNext();
@@ -526,6 +527,10 @@
     handleSuccess();
     const TopicPosition end = *std::exchange(m_snapshotEnd, std::nullopt);
     std::vector<platform::KeyedRecord> records = std::exchange(m_snapshotRecords, {});
+    if (m_events.deletedRecords) {
+        auto deleted = m_events.deletedRecords(records, end);
+        std::move(deleted.begin(), deleted.end(), std::back_inserter(records));
+    }
     const bool restored = isRestored(end.era);
     if (restored) {
         recordRestore(end.era);
--- a/libs/feed/test/lost_records_query_test.cpp
+++ b/libs/feed/test/lost_records_query_test.cpp
@@ -31,7 +31,6 @@
     EXPECT_EQ(lostRecords(cache, 2).size(), 3U) << "it is not known here what the restored topic holds";
     applyTopicRecord(cache, recordOf("config", "old", {.era = 2, .offset = 1}));
     applyTopicRecord(cache, recordOf("same", "new", {.era = 2, .offset = 2}));
-    cache.newest.erase("dropped");
     cache.end = {.era = 2, .offset = 3};
     const auto lost = lostRecords(cache, 2);
     ASSERT_EQ(lost.size(), 2U);
@@ -42,6 +41,29 @@
     EXPECT_EQ(lostRecords(cache, 2).size(), 1U) << "it was written again";
 }
 
+// A snapshot shows a deletion only by the lack of a key, and the lack of a key in a later era shows nothing.
+TEST(DeletedRecordsTest, AreOfKeysThatALaterSnapshotOfTheSameEraLacks)
+{
+    RecordsCache cache{.newest = {}, .end = {.era = 1, .offset = 6}, .inForce = {}};
+    applyTopicRecord(cache, recordOf("first", "x", {.era = 1, .offset = 1}));
+    applyTopicRecord(cache, recordOf("kept", "x", {.era = 1, .offset = 2}));
+    applyTopicRecord(cache, recordOf("second", "x", {.era = 1, .offset = 5}));
+    cache.newest["gone"] = {.key = "gone", .value = std::nullopt, .position = {.era = 1, .offset = 4}};
+    SnapshotContent content{.keys = {"kept", "new"}, .usedPositions = {}, .end = {.era = 1, .offset = 9}};
+    content.usedPositions = {{.era = 1, .offset = 2}, {.era = 1, .offset = 8}};
+    const auto deleted = deletedRecords(cache, content);
+    ASSERT_EQ(deleted.size(), 2U);
+    EXPECT_EQ(deleted[0].key, "second");
+    EXPECT_FALSE(deleted[0].value);
+    EXPECT_EQ(deleted[0].position, (TopicPosition{.era = 1, .offset = 7})) << "no other record is there";
+    EXPECT_EQ(deleted[1].key, "first");
+    EXPECT_EQ(deleted[1].position, (TopicPosition{.era = 1, .offset = 6}));
+    content.end = {.era = 1, .offset = 2};
+    ASSERT_EQ(deletedRecords(cache, content).size(), 1U) << "the snapshot is older than the other records";
+    content.end = {.era = 2, .offset = 9};
+    EXPECT_TRUE(deletedRecords(cache, content).empty());
+}
+
 /// VMs that answer on loopback addresses.
 class LostRecordsQueryTest : public testing::Test
 {
--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -492,6 +492,73 @@
     }
 }
 
+// VMs that read a snapshot, and those that got records from them, missed a deletion.
+TEST_F(OperatorsFollowerTest, ADeletionAmongSeveralMissedRecordsReachesAllVms)
+{
+    m_store.omitsDeleted = m_otherStore.omitsDeleted = true;
+    append("evacuate/d", "{}");
+    addAll();
+    letReadsEnd();
+    const std::string ip = childOfRoot();
+    m_store.silent = true;
+    append("evacuate/d", "");
+    append("other", "x");
+    append("config", "2");
+    m_store.silent = false;
+    reportWatermarks();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }));
+    for (const auto &[vm, state] : m_vms) {
+        EXPECT_EQ(state->values["evacuate/d"], "") << vm;
+    }
+    EXPECT_GT(m_vms.at(ip)->follower.peerUpdatesApplied(), 0U);
+}
+
+// A VM that started behind the deletion can't know it, and others lagged behind that.
+TEST_F(OperatorsFollowerTest, ADeletionReachesAVmThroughOneThatStartedBehindIt)
+{
+    m_store.omitsDeleted = m_otherStore.omitsDeleted = true;
+    append("config", "1");
+    append("evacuate/d", "{}");
+    const std::string child = childOfRoot();
+    Vm &vm = add(child, m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    m_store.silent = true; // The child depends on the root.
+    append("evacuate/d", "");
+    append("config", "2");
+    add(m_root, m_otherStore);
+    ASSERT_TRUE(runUntil([&] { return m_vms.at(m_root)->values["config"] == "2"; }));
+    EXPECT_FALSE(m_vms.at(m_root)->values.contains("evacuate/d"));
+    reportWatermarks();
+    ASSERT_TRUE(runUntil([&] { return allHave("2"); }));
+    EXPECT_EQ(vm.follower.peerUpdatesApplied(), 1U);
+    EXPECT_EQ(vm.values["evacuate/d"], "");
+}
+
+// A store that was restored from an older copy ended evacuations, at VMs that knew of them and at VMs that started.
+TEST_F(OperatorsFollowerTest, AnEvacuationThatARestoredTopicLacksIsHandedOnUntilItsDeletion)
+{
+    m_store.omitsDeleted = m_otherStore.omitsDeleted = true;
+    m_store.era = m_otherStore.era = m_era = 1;
+    append("config", "1");
+    Vm &first = add(m_root, m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    const std::size_t copy = m_store.size();
+    append("evacuate/d", "{}");
+    ASSERT_TRUE(runUntil([&] { return first.values["evacuate/d"] == "{}"; }));
+    first.follower.recordInForce({.key = "evacuate/d", .value = "{}", .position = first.lastPosition});
+    m_store.restore(copy);
+    m_otherStore.restore(copy);
+    ASSERT_TRUE(runUntil([&] { return first.follower.feed().position().era == 2; }));
+    EXPECT_EQ(first.values["evacuate/d"], "{}");
+    Vm &second = add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return second.follower.isCaughtUp(); }));
+    EXPECT_EQ(second.values["evacuate/d"], "{}") << "known before the VM is ready";
+    append("evacuate/d", "");
+    ASSERT_TRUE(runUntil([&] { return first.values["evacuate/d"].empty() && second.values["evacuate/d"].empty(); }));
+    first.follower.recordInForce({.key = "evacuate/d", .value = std::nullopt, .position = first.lastPosition});
+    EXPECT_TRUE(first.follower.lostRecords(2).empty());
+}
+
 } // namespace
 
 } // namespace ibislock::feed
--- a/libs/feed/test/operators_view_test.cpp
+++ b/libs/feed/test/operators_view_test.cpp
@@ -44,6 +44,22 @@
     EXPECT_EQ(view.announced.at("m").front().timeSource, serving::AnnouncementTimeSource::Unknown);
 }
 
+// Deletions were ignored, as those of other keys are.
+TEST(OperatorsViewTest, AnEvacuationBeginsWithItsRecordAndEndsWithItsDeletion)
+{
+    OperatorsView view;
+    const auto record = [](const std::optional<std::string> &value, std::int64_t offset) {
+        return platform::KeyedRecord{.key = "evacuate/d", .value = value, .position = {.offset = offset}};
+    };
+    EXPECT_TRUE(applyRecord(view, record("{}", 3), {}));
+    EXPECT_TRUE(view.evacuations.active.contains("d"));
+    EXPECT_FALSE(applyRecord(view, record("{}", 3), {.live = false}));
+    EXPECT_TRUE(applyRecord(view, record(std::nullopt, 4), {}));
+    EXPECT_TRUE(view.evacuations.active.empty());
+    EXPECT_FALSE(applyRecord(view, record("{}", 3), {.live = false})) << "from a VM that is behind";
+    EXPECT_FALSE(applyRecord(view, {.key = "evacuate/", .value = "{}", .position = {.offset = 5}}, {}));
+}
+
 } // namespace
 
 } // namespace ibislock::feed
--- a/libs/front/src/call_placement.cpp
+++ b/libs/front/src/call_placement.cpp
@@ -21,6 +21,7 @@
     m_targetsOutsideRegions = placement.outsideRegions;
     m_targetsEvacuated = placement.evacuated;
     front.counters.choicesOutsideRegions += placement.outsideRegions > 0 ? 1 : 0;
+    front.counters.choicesEvacuated += placement.evacuated > 0 ? 1 : 0;
 }
 
 std::string Call::regionsText() const
@@ -35,4 +36,13 @@
     return out.empty() ? "none" : out;
 }
 
+std::vector<serving::SubscriptionCandidate>
+Front::openEngines(std::vector<serving::SubscriptionCandidate> engines) const
+{
+    std::erase_if(engines, [this](const serving::SubscriptionCandidate &engine) {
+        return operators.evacuations.active.contains(engine.domain);
+    });
+    return engines;
+}
+
 } // namespace ibislock::front
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -56,6 +56,8 @@
     writeCounter(out, "ibislock_choices_outside_regions_total",
                  "Choices of a target that left out targets outside the request's regions.",
                  counters.choicesOutsideRegions);
+    writeCounter(out, "ibislock_choices_without_evacuated_total",
+                 "Choices of a target that left out targets in evacuated domains.", counters.choicesEvacuated);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waitTime);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.",
                    counters.timeToFirstByte);
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -37,6 +37,7 @@
     std::uint64_t silentTargetsResponded = 0; ///< Requests that such a silent target responded to after all.
     std::uint64_t choicesWithoutTurn = 0; ///< Choices of targets in which a limit left this VM no turn.
     std::uint64_t choicesOutsideRegions = 0; ///< Choices that left out targets because of the request's regions.
+    std::uint64_t choicesEvacuated = 0; ///< Choices that left out targets in evacuated domains.
     Millis maxListingsAge{0}; ///< The greatest age of the listings by which a target was chosen.
     std::uint64_t attemptsAtUnlistedTargets = 0; ///< Attempts at targets whose listing was known to be removed.
     Millis maxUnlistedUse{0}; ///< The longest time after which a target was chosen whose listing had been removed.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -275,7 +275,9 @@
                                                 .maxSilence = maxSilence,
                                                 .urgent = !call.isLate(now) || call.responseStarted(),
                                                 .triedTargets = &call.triedTargets,
-                                                .domains = {.residency = &call.residency, .regions = &settings.regions},
+                                                .domains = {.residency = &call.residency,
+                                                            .regions = &settings.regions,
+                                                            .evacuated = &operators.evacuations.active},
                                                 .now = now},
                                                random);
     call.recordPlacement(placement);
@@ -443,7 +445,8 @@
             engines.push_back({.id = id, .domain = target.entry.domain});
         }
     }
-    const std::set<std::string> watched = serving::chooseLoadSubscriptions(settings.vmName, settings.domain, engines);
+    const std::set<std::string> watched =
+        serving::chooseLoadSubscriptions(settings.vmName, settings.domain, openEngines(engines));
     // One time for ages and stamps: a stall in between would make the watermark younger.
     const Millis bootNow = bootMillis();
     const peer::TopicWatermark level = toMessage(m_operatorsWatermark, bootNow);
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -15,6 +15,7 @@
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/admission.h"
 #include "ibislock/serving/entry_vm_count.h"
+#include "ibislock/serving/load_subscriptions.h"
 #include "ibislock/serving/quarantine_report.h"
 #include "ibislock/serving/retry_budget_share.h"
 
@@ -119,6 +120,9 @@
     void tick();
     void sendSubscriptions(Millis now);
     bool isEngine(const serving::TargetEntry &entry) const;
+
+    /// Returns the engines in domains that aren't evacuated, as only these get requests.
+    std::vector<serving::SubscriptionCandidate> openEngines(std::vector<serving::SubscriptionCandidate> engines) const;
     void receiveLoads();
     void applyWatermark(const feed::OperatorsWatermark &level);
     void applyDatagram(const std::string &ip, std::string_view bytes);
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -78,13 +78,19 @@
     writeGauge(out, "ibislock_store_away", "1 while the operators' topic can't be read.", away ? 1 : 0);
 }
 
-void writeTargets(std::string &out, const serving::TargetTable &table, Millis now)
+void writeTargets(std::string &out, const serving::TargetTable &table, const feed::Evacuations &evacuations, Millis now)
 {
     constexpr double Percent = 100;
     writeGauge(out, "ibislock_targets", "Targets that are known.", static_cast<std::int64_t>(table.targets.size()));
     const auto limited = std::count_if(table.targets.begin(), table.targets.end(),
                                        [](const auto &item) { return item.second.signals.limit; });
     writeGauge(out, "ibislock_limited_targets", "Targets that name a limit of requests.", limited);
+    const auto inEvacuated = std::count_if(table.targets.begin(), table.targets.end(), [&](const auto &item) {
+        return evacuations.active.contains(item.second.entry.domain);
+    });
+    writeGauge(out, "ibislock_evacuated_domains", "Failure domains that are evacuated.",
+               static_cast<std::int64_t>(evacuations.active.size()));
+    writeGauge(out, "ibislock_evacuated_targets", "Targets in evacuated domains.", inEvacuated);
     writeMetricHeader(out, "ibislock_target_occupancy_percent", "gauge", "Requests for each slot, as believed.");
     for (const auto &[id, target] : table.targets) {
         const bool engine = target.load.has_value();
@@ -120,7 +126,7 @@
     writeStallMetrics(out, m_stalls);
     writeCounters(out, counters);
     writeStore(out, *m_operatorsFollower, *m_listings);
-    writeTargets(out, table, now);
+    writeTargets(out, table, operators.evacuations, now);
     writeRetries(out, retries, now);
     writeCounter(out, "ibislock_connections_opened_total", "Connections opened to targets and the store.",
                  client.connectionsOpened());
--- a/libs/peer/include/ibislock/peer/records.h
+++ b/libs/peer/include/ibislock/peer/records.h
@@ -48,6 +48,9 @@
     /// The newest of each key, if it is at or after the requested position; all of the era of `end`. The positions of
     /// records that the topic lacks mean nothing.
     std::vector<TopicRecord> records;
+    /// All keys that have a value, if the sender may not have seen each deletion since the requested position. Keys
+    /// that are missing were deleted before `end`.
+    std::optional<std::vector<std::string>> keys = std::nullopt;
 };
 
 using RecordsMessage = std::variant<RecordsRequest, RecordsUpdate>;
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -188,6 +188,8 @@
   end @1 :Int64;  # The offset up to which the sender knows the topic.
   records @2 :List(Record);
   era @3 :Int64;  # Of the end and of all records.
+  keys @4 :List(Text);  # All keys that have a value, if `hasKeys`.
+  hasKeys @5 :Bool;  # The records may lack deletions.
 }
 
 struct Record {
--- a/libs/peer/src/records.cpp
+++ b/libs/peer/src/records.cpp
@@ -39,6 +39,12 @@
     for (const auto record : from.getRecords()) {
         out.records.push_back(readRecord(record, from.getEra()));
     }
+    if (from.getHasKeys()) {
+        out.keys.emplace();
+        for (const auto key : from.getKeys()) {
+            out.keys->emplace_back(key.cStr());
+        }
+    }
     return out;
 }
 
@@ -65,6 +71,13 @@
     update.setEnd(message.end.offset);
     update.setEra(message.end.era);
     writeRecords(update.initRecords(static_cast<unsigned>(message.records.size())), message.records);
+    if (message.keys) {
+        update.setHasKeys(true);
+        auto keys = update.initKeys(static_cast<unsigned>(message.keys->size()));
+        for (unsigned n = 0; n < keys.size(); ++n) {
+            keys.set(n, (*message.keys)[n]);
+        }
+    }
     return frame(flatten(builder));
 }
 
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -327,7 +327,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9e4fe1067dc7d2a, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d9e4fe1067dc7d2a, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2299,6 +2299,11 @@
 
   inline  ::int64_t getEra() const;
 
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKeys() const;
+
+  inline bool getHasKeys() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2343,6 +2348,17 @@
   inline  ::int64_t getEra();
   inline void setEra( ::int64_t value);
 
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKeys();
+
+  inline bool getHasKeys();
+  inline void setHasKeys(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4908,6 +4924,58 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RecordsUpdate::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordsUpdate::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader RecordsUpdate::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RecordsUpdate::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RecordsUpdate::Builder::setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void RecordsUpdate::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RecordsUpdate::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RecordsUpdate::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> RecordsUpdate::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RecordsUpdate::Reader::getHasKeys() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool RecordsUpdate::Builder::getHasKeys() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void RecordsUpdate::Builder::setHasKeys(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Record::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -197,6 +197,11 @@
     EXPECT_EQ(read.records[0].value, value);
     EXPECT_EQ(read.records[0].position, (TopicPosition{.era = 3, .offset = 7}));
     EXPECT_FALSE(read.records[1].value);
+    EXPECT_FALSE(read.keys);
+
+    const auto withKeys = decodeRecords(frameBody(encode(RecordsUpdate{.keys = std::vector<std::string>{"k", "l"}})));
+    ASSERT_TRUE(withKeys);
+    EXPECT_EQ(std::get<RecordsUpdate>(*withKeys).keys, (std::vector<std::string>{"k", "l"}));
 }
 
 TEST(MessagesTest, TheNumberOfAWriteIsForwarded)
