Weights: finish a version by what all VMs hold, and pass over cut-off VMs

Whether a superseded version is finished depended on the pieces that each VM had staged itself, so that VMs decided differently and the origin sent parts of both versions. It now depends on the pieces that VMs hold and on whether the origin can send the rest in time, which VMs see alike.

After three failures between which others succeeded it now declines long polls, so that the next VM takes over. The pieces that a VM has fetched in place of another one are found by asking other VMs in turn. A VM asks those behind it also before it probes.

--- a/lab/platform/engine_stand_in.cpp
+++ b/lab/platform/engine_stand_in.cpp
@@ -76,6 +76,7 @@
             asked.version = queryNumber(request.target, "Version");
             const bool known = asked.version == weights.version || asked.version == weights.version - 1;
             if (away || !known) {
+                refused += away ? 1 : 0;
                 reply(to, away ? 503 : 410, "");
             } else if (request.target.find("/manifest/") != std::string::npos) {
                 ++manifestsServed;
--- a/lab/platform/engine_stand_in.h
+++ b/lab/platform/engine_stand_in.h
@@ -36,6 +36,7 @@
     int wrongManifests = 0; ///< Manifests that are still to be sent with a wrong digest, another one each time.
     int shortManifests = 0; ///< Manifests that are still to be sent without their last digest.
     bool away = false; ///< Answers 503.
+    int refused = 0; ///< Requests that were answered with 503.
     Millis delay{0}; ///< Until a piece is sent.
 
 private:
--- a/libs/side/src/manifest_fetcher.cpp
+++ b/libs/side/src/manifest_fetcher.cpp
@@ -217,7 +217,7 @@
         callManifestOrigin();
         return;
     }
-    m_failures = status == 0 ? m_failures + 1 : 0;
+    m_failures = status == OkStatus ? 0 : m_failures + 1;
     retryLater(m_failures > 0 ? weights::originRetryDelay(m_failures, m_random) : RetryTime);
 }
 
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -54,6 +54,12 @@
 /// instead of one for each domain would fill the links between regions.
 constexpr int MemberRounds = 2;
 
+/// VMs of all others that are asked in turn for a piece which those that should have it don't hold.
+constexpr std::size_t AskedInTurn = 8;
+
+/// How often a VM asks those that should hold a piece before it asks others; about 2 s.
+constexpr std::size_t RoundsBeforeOthers = 4;
+
 } // namespace
 
 PieceFetcher::PieceFetcher(asio::io_context &loop, net::HttpClient &client, PieceExchange &exchange, std::string self,
@@ -116,6 +122,11 @@
     return m_counts;
 }
 
+const weights::OriginTurns &PieceFetcher::turns() const
+{
+    return m_turns;
+}
+
 void PieceFetcher::updatePlan(Millis now)
 {
     if (now < m_nextPlanAt || !m_task.members) {
@@ -274,6 +285,11 @@
         for (const std::string &vm : rank.juniors) {
             search.sources.push_back({.vm = vm});
         }
+        // Any VM may have fetched the piece in place of one that doesn't reach the origin.
+        const auto round = static_cast<std::size_t>(m_searchRounds[search.piece]);
+        for (std::size_t n = 0; round >= RoundsBeforeOthers && n < AskedInTurn; ++n) {
+            search.sources.push_back({.vm = m_members[(round * AskedInTurn + n) % m_members.size()].vm});
+        }
         requestFromSource(std::move(search));
         return;
     }
@@ -431,7 +447,7 @@
         return;
     }
     if (fromOrigin) {
-        recordAvailable(m_turns, m_pacing.origin, piece, steadyMillis());
+        recordServed(m_turns, m_pacing.origin, piece, steadyMillis());
     } else {
         recordHeld(m_turns, piece);
     }
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -87,6 +87,9 @@
 
     const FetchCounts &counts() const;
 
+    /// Returns what is known of the pieces of the version at other VMs and at the origin.
+    const weights::OriginTurns &turns() const;
+
 private:
     /// A piece for which a source is being searched.
     struct Search
--- a/libs/side/src/piece_fetcher_origin.cpp
+++ b/libs/side/src/piece_fetcher_origin.cpp
@@ -72,15 +72,12 @@
     if (turn == weights::OriginTurn::Now) {
         return true;
     }
-    if (!areOut(rank.domainSeniors)) {
-        return false;
-    }
-    if (turn == weights::OriginTurn::IfDomainSeniorsOut) {
-        return true;
-    }
     // Others may hold the piece unless it is new; one round of requests shows that.
     const bool isNew = m_task.isFresh && rank.overall == 0;
-    return (isNew || m_searchRounds.contains(piece)) && areOut(rank.otherSeniors);
+    if (!areOut(rank.domainSeniors) || !(isNew || m_searchRounds.contains(piece))) {
+        return false;
+    }
+    return turn == weights::OriginTurn::IfDomainSeniorsOut || areOut(rank.otherSeniors);
 }
 
 bool PieceFetcher::areOut(const std::vector<std::string> &vms)
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -20,10 +20,6 @@
 /// version that was ordered.
 constexpr Millis PendingOrderTime{10000};
 
-/// Fraction of the pieces that must be staged for a superseded version to be finished. With fewer, the rest would take
-/// as long as the newer version.
-constexpr double WorthFinishing = 0.25;
-
 } // namespace
 
 WeightsAgent::WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineMonitor &engine, std::string self,
@@ -67,7 +63,8 @@
     }
     const bool changed = desired.model != m_desired.model || desired.version != m_desired.version;
     const bool superseded = changed && desired.model == m_desired.model;
-    if (superseded && (hasAllPieces() || isWorthFinishing() || m_pendingOrder || m_phase == WeightsPhase::Rechecking)) {
+    if (superseded
+        && (hasAllPieces() || isWorthFinishing(desired) || m_pendingOrder || m_phase == WeightsPhase::Rechecking)) {
         setNextDesired(desired);
         return;
     }
@@ -107,12 +104,17 @@
         || (m_phase == WeightsPhase::Ordered && !m_orderAccepted);
 }
 
-bool WeightsAgent::isWorthFinishing() const
+bool WeightsAgent::isWorthFinishing(const DesiredWeights &next) const
 {
     // The origin no longer has a version that was superseded twice.
     const bool supersededBefore = m_nextDesired.has_value();
     return m_phase == WeightsPhase::Fetching && !supersededBefore
-        && static_cast<double>(m_staged.size()) >= WorthFinishing * static_cast<double>(m_digests.size());
+        && weights::isWorthFinishing(m_pieceFetcher.turns(), uselessAt(next) - steadyMillis());
+}
+
+Millis WeightsAgent::uselessAt(const DesiredWeights &next) const
+{
+    return oldestPendingAnnouncementTime(next.announced, m_desired.version) + next.gracePeriod;
 }
 
 bool WeightsAgent::isOutdated() const
@@ -124,9 +126,15 @@
     }
     // The desired version is outdated if no request could start on it once it is loaded, or if the newer version is
     // complete before it.
-    const Millis useless =
-        oldestPendingAnnouncementTime(m_nextDesired->announced, m_desired.version) + m_nextDesired->gracePeriod;
-    return steadyMillis() >= useless || (m_phase == WeightsPhase::Fetching && m_prefetch.isComplete());
+    const Millis now = steadyMillis();
+    const Millis useless = uselessAt(*m_nextDesired);
+    if (m_phase == WeightsPhase::Fetching) {
+        const weights::OriginTurns &turns = m_pieceFetcher.turns();
+        if (now + turns.pieceTime * weights::missingPieces(turns) >= useless) {
+            return true; // The origin can't send the rest in time.
+        }
+    }
+    return now >= useless || (m_phase == WeightsPhase::Fetching && m_prefetch.isComplete());
 }
 
 bool WeightsAgent::isOrderIneffective(Millis now) const
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -1,7 +1,7 @@
 // Brings the desired version of the weights to the engine: verifies the staged pieces, fetches the missing ones,
 // verifies all pieces again right before the load, and orders the load at the time of the rollout schedule. An engine
 // that may have accepted an order long after that gets no requests until the pieces were verified once more. If a newer
-// version is announced when much of the desired one is staged, that one is finished while the newer one is prefetched
+// version is announced when VMs hold much of the desired one, that one is finished while the newer one is prefetched
 // into memory.
 
 #pragma once
@@ -147,7 +147,10 @@
     void setNextDesired(const DesiredWeights &desired);
     void adoptNextDesired();
     bool hasAllPieces() const;
-    bool isWorthFinishing() const;
+    bool isWorthFinishing(const DesiredWeights &next) const;
+
+    /// Returns when no request could start any more on the version that is being fetched.
+    Millis uselessAt(const DesiredWeights &next) const;
     bool isOutdated() const;
 
     /// Returns whether the stage must keep its content, as the engine may accept an order late or has done so.
@@ -159,6 +162,9 @@
 
     /// Returns whether the engine has responded for long enough without showing the order in its report.
     bool isOrderIneffective(Millis now) const;
+
+    /// Returns whether a piece or manifest is held; nothing if it won't be fetched any more.
+    std::optional<bool> findForPeer(const peer::PieceMessage &request) const;
     std::optional<bool> holdsForPeer(const peer::PieceMessage &request) const;
     void readForPeer(const peer::PieceMessage &request, const std::function<void(peer::PieceMessage)> &done);
 
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -395,7 +395,7 @@
     readStage();
 }
 
-std::optional<bool> WeightsAgent::holdsForPeer(const peer::PieceMessage &request) const
+std::optional<bool> WeightsAgent::findForPeer(const peer::PieceMessage &request) const
 {
     const bool manifest = request.index == peer::ManifestIndex;
     if (request.model == m_desired.model && m_prefetch.isActive() && request.version == m_prefetch.version()) {
@@ -414,6 +414,13 @@
         || m_beingStaged.contains(request.index);
 }
 
+std::optional<bool> WeightsAgent::holdsForPeer(const peer::PieceMessage &request) const
+{
+    const std::optional<bool> held = findForPeer(request);
+    const bool declines = held == false && request.index != peer::ManifestIndex && isCutOff(m_pacing.origin);
+    return declines ? std::nullopt : held;
+}
+
 void WeightsAgent::readForPeer(const peer::PieceMessage &request, const std::function<void(peer::PieceMessage)> &done)
 {
     const bool ahead = m_prefetch.isActive() && request.version == m_prefetch.version();
--- a/libs/side/test/side_fixture.h
+++ b/libs/side/test/side_fixture.h
@@ -19,6 +19,7 @@
 {
     double linkMbps = 1000;
     Millis versionTime{2500}; ///< Short, so that the rollout schedule is soon over.
+    double originMbps = 0; ///< 0 for none in the desired state.
 };
 
 /// A target VM with an engine and a daemon, at its own loopback address.
@@ -97,7 +98,9 @@
                        R"({"Version":1,"Services":[{"Name":"s","Engine":{"Slots":16,"step_ms":9.0,)"
                        R"("read_per_s":20700.0,"Chunks":8,"ChunkBytes":64,"Models":[{"Name":"m"}]}},)"
                        R"({"Name":"o","Zone":"a","Origin":")"
-                           + m_origin.address() + "\"}]}");
+                           + m_origin.address() + "\""
+                           + (m_limits.originMbps > 0 ? ",\"LinkMbps\":" + std::to_string(m_limits.originMbps) : "")
+                           + "}]}");
         for (const auto &vm : m_vms) {
             ASSERT_TRUE(vm->daemon->start());
         }
--- a/libs/weights/include/ibislock/weights/origin_turns.h
+++ b/libs/weights/include/ibislock/weights/origin_turns.h
@@ -47,6 +47,8 @@
     Millis failedAt{0}; ///< When the origin last didn't respond to this VM; 0 for never.
     int failures = 0; ///< Attempts of this VM in a row to which the origin didn't respond.
     Millis nextAttemptAt{0}; ///< No attempt of this VM before.
+    bool servedOthers = false; ///< Another VM got a piece from the origin since the last failed attempt of this one.
+    int failuresAlone = 0; ///< Failed attempts since the last successful one of this VM between which others succeeded.
 };
 
 /// The turns of the pieces of one version, as one VM sees them.
@@ -72,6 +74,13 @@
 /// Records that a piece is missing after all, as the VM that held it didn't deliver it.
 void recordMissing(OriginTurns &turns, int piece);
 
+/// Records that this VM got a piece from the origin.
+void recordServed(OriginTurns &turns, OriginAvailability &availability, int piece, Millis now);
+
+/// Returns whether the origin serves other VMs, but not this one. Such a VM declines long polls for pieces that it
+/// doesn't hold, so that the next VM in their order requests them.
+bool isCutOff(const OriginAvailability &availability);
+
 /// Records an attempt to which the origin didn't respond; the next one follows after an exponential delay with jitter.
 void recordOriginFailure(OriginAvailability &availability, Random &random, Millis now);
 
@@ -82,6 +91,14 @@
 /// while.
 bool isOriginSilent(const OriginTurns &turns, const OriginAvailability &availability, Millis now);
 
+/// Returns the number of pieces that no VM is known to hold.
+int missingPieces(const OriginTurns &turns);
+
+/// Returns whether a version that a newer one supersedes is finished first. Nearly all VMs see the same pieces as
+/// missing, so that they decide alike and the origin doesn't send parts of both versions.
+/// @param left time until no request may start on the superseded version any more.
+bool isWorthFinishing(const OriginTurns &turns, Millis left);
+
 /// Returns whether a request to the origin from before its recovery is given up: the origin has served others for
 /// longer than the requests take that it got ahead of this one.
 bool isRequestStale(const OriginTurns &turns, Millis sentAt, Millis now);
--- a/libs/weights/src/origin_turns.cpp
+++ b/libs/weights/src/origin_turns.cpp
@@ -3,6 +3,7 @@
 #include "domain_owners.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ibislock::weights
 {
@@ -48,9 +49,19 @@
 constexpr Millis FirstRetry{250};
 constexpr Millis LongestRetry{350};
 
+/// The delay of a VM for which the origin doesn't respond although it serves others.
+constexpr Millis CutOffRetry{5000};
+
+/// Failures between successes of others after which a VM counts as cut off. One may be left from an outage.
+constexpr int LeastFailuresAlone = 3;
+
 /// Number of doublings after which the longest delay is reached.
 constexpr int MaxDoublings = 1;
 
+/// One in so many pieces must be held by VMs for a superseded version to be finished. With fewer, the rest would take
+/// the origin as long as the newer version.
+constexpr int LeastHeldParts = 4;
+
 int missingBefore(const OriginTurns &turns, int piece)
 {
     return static_cast<int>(std::count(turns.missing.begin(), turns.missing.begin() + piece, true));
@@ -180,7 +191,10 @@
     availability.servedAt = now;
     availability.failedAt = Millis{0};
     availability.failures = 0;
-    availability.nextAttemptAt = now;
+    availability.servedOthers = true;
+    if (!isCutOff(availability)) {
+        availability.nextAttemptAt = now;
+    }
     if (silent) {
         anchor(turns, now);
     }
@@ -195,7 +209,20 @@
 {
     ++availability.failures;
     availability.failedAt = now;
-    availability.nextAttemptAt = now + originRetryDelay(availability.failures, random);
+    availability.failuresAlone += std::exchange(availability.servedOthers, false) ? 1 : 0;
+    availability.nextAttemptAt = now
+        + (isCutOff(availability) ? jittered(random, CutOffRetry) : originRetryDelay(availability.failures, random));
+}
+
+void recordServed(OriginTurns &turns, OriginAvailability &availability, int piece, Millis now)
+{
+    availability.failuresAlone = 0;
+    recordAvailable(turns, availability, piece, now);
+}
+
+bool isCutOff(const OriginAvailability &availability)
+{
+    return availability.failuresAlone >= LeastFailuresAlone;
 }
 
 Millis originRetryDelay(int failures, Random &random)
@@ -209,6 +236,18 @@
     return availability.failedAt > Millis{0} || now > lastSign(turns, availability) + silenceTime(turns);
 }
 
+int missingPieces(const OriginTurns &turns)
+{
+    return static_cast<int>(std::count(turns.missing.begin(), turns.missing.end(), true));
+}
+
+bool isWorthFinishing(const OriginTurns &turns, Millis left)
+{
+    const auto pieces = static_cast<int>(turns.missing.size());
+    const int missing = missingPieces(turns);
+    return pieces > 0 && (pieces - missing) * LeastHeldParts >= pieces && turns.pieceTime * missing < left;
+}
+
 bool isRequestStale(const OriginTurns &turns, Millis sentAt, Millis now)
 {
     return turns.anchoredAt > sentAt && now > turns.anchoredAt + RequestedAhead;
--- a/libs/weights/test/origin_simulation.cpp
+++ b/libs/weights/test/origin_simulation.cpp
@@ -11,14 +11,17 @@
 {
 
 constexpr Millis Step{20}; // The interval at which fetchers check their turns.
-constexpr Millis End{60000};
+constexpr Millis End{120000};
 constexpr Millis MessageTime{20}; // From a VM that holds a piece to one that waits for it.
 constexpr Millis LinkTime{42}; // A piece of 49,152 bytes on a VM's link of 9.4 Mbit/s.
 constexpr Millis DeathKnownAfter{850}; // As in the exchange: quiet time and probe.
 constexpr Millis JuniorsInterval{300};
+constexpr int AskedInTurn = 8;
+constexpr Millis CorruptRetryTime{250};
 constexpr Millis RequestTimeout{4000};
 constexpr Millis ProbeTimeout{700};
 constexpr Millis FreshTime{1500};
+constexpr Millis LateTime{2500};
 constexpr Millis MillisPerSecond{1000};
 
 struct VersionView
@@ -123,7 +126,7 @@
     bool isKnownOut(const VmModel &from, const std::string &name) const
     {
         const VmModel &to = m_vms[static_cast<std::size_t>(m_index.at(name))];
-        return !reaches(from, to) && !reaches(from, to, DeathKnownAfter);
+        return (!reaches(from, to) && !reaches(from, to, DeathKnownAfter)) || isCutOff(to.origin);
     }
 
     bool allOut(const VmModel &vm, const std::vector<std::string> &seniors) const
@@ -173,7 +176,8 @@
         }
         for (std::size_t version = 0; version < vm.versions.size(); ++version) {
             VersionView &view = vm.versions[version];
-            if (!view.started && m_now >= announcedAt(version)) {
+            const Millis late = m_options.late.contains(indexOf(vm)) ? LateTime : Millis{0};
+            if (!view.started && m_now >= announcedAt(version) + late) {
                 start(vm, view);
             }
             if (view.started) {
@@ -222,6 +226,14 @@
                 }
             }
         }
+        // As the fetcher, which asks a few of all VMs in turn.
+        for (int n = 0; asksJuniors && n < AskedInTurn; ++n) {
+            const VmModel &other =
+                m_vms[static_cast<std::size_t>(m_now / JuniorsInterval * AskedInTurn + n) % m_vms.size()];
+            if (reaches(vm, other) && holds(other.name, version, piece)) {
+                return true;
+            }
+        }
         return asksJuniors && std::any_of(rank.juniors.begin(), rank.juniors.end(), [&](const std::string &name) {
                    return reaches(vm, m_vms[static_cast<std::size_t>(m_index.at(name))]) && holds(name, version, piece);
                });
@@ -254,7 +266,7 @@
         }
         const bool isNew = rank.overall == 0 && m_now < announcedAt(version) + FreshTime;
         const bool asked = isNew || m_now > vm.versions[version].turns.startedAt + JuniorsInterval + Step;
-        return turn == OriginTurn::IfDomainSeniorsOut || (asked && allOut(vm, rank.otherSeniors));
+        return asked && (turn == OriginTurn::IfDomainSeniorsOut || allOut(vm, rank.otherSeniors));
     }
 
     void send(VmModel &vm, int version, int piece)
@@ -287,8 +299,11 @@
                 return true;
             }
             VersionView &view = vm.versions[static_cast<std::size_t>(request.version)];
-            if (request.endsAt <= m_now && !request.fails) {
-                recordAvailable(view.turns, vm.origin, request.piece, m_now);
+            const bool corrupt = m_options.corruptEach > 0 && ++m_responses % m_options.corruptEach == 0;
+            if (request.endsAt <= m_now && !request.fails && corrupt) {
+                vm.origin.nextAttemptAt = m_now + jittered(vm.random, CorruptRetryTime);
+            } else if (request.endsAt <= m_now && !request.fails) {
+                recordServed(view.turns, vm.origin, request.piece, m_now);
                 view.held[static_cast<std::size_t>(request.piece)] = true;
             } else if (request.endsAt <= m_now || outageBegins) {
                 recordOriginFailure(vm.origin, vm.random, m_now);
@@ -360,6 +375,7 @@
     std::map<std::string, int> m_index;
     std::vector<OriginRequest> m_requests;
     Millis m_linkFreeAt{0};
+    int m_responses = 0;
     std::deque<Millis> m_attempts;
     OriginSimulationResult m_result;
 };
--- a/libs/weights/test/origin_simulation.h
+++ b/libs/weights/test/origin_simulation.h
@@ -29,6 +29,8 @@
     Millis deathAt{2000};
     std::optional<Millis> replacedAt; ///< When the dead VMs are back, without pieces.
     std::set<int> cutOff; ///< VMs that don't reach the origin, but other VMs.
+    std::set<int> late; ///< VMs that learn of a version 2.5 s after the others.
+    int corruptEach = 0; ///< One in so many responses of the origin is corrupt; 0 for none.
     std::optional<int> isolatedDomain; ///< A domain that reaches only the origin, from `isolatedAt` on.
     Millis isolatedAt{500};
     std::uint64_t seed = 1;
@@ -46,7 +48,7 @@
     int maxAttempts = 0; ///< Largest number of attempts in a second while the origin was unreachable.
 };
 
-/// Runs a replay until every live VM is complete or 60 s have passed.
+/// Runs a replay until every live VM is complete or 120 s have passed.
 OriginSimulationResult simulateOrigin(const OriginSimulationOptions &options);
 
 } // namespace ibislock::weights::testing
--- a/libs/weights/test/origin_turns_test.cpp
+++ b/libs/weights/test/origin_turns_test.cpp
@@ -101,6 +101,44 @@
     EXPECT_LT(result.maxAttempts, 20);
 }
 
+// Rules that give the right to one VM at a time must not leave a piece without any VM that may request it.
+TEST(OriginTurnsTest, NoVmIsStuckWhateverFails)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        Random random(seed);
+        const auto some = [&](int vms, int most) {
+            std::set<int> out;
+            for (auto n = random() % static_cast<unsigned>(most + 1); n > 0; --n) {
+                out.insert(static_cast<int>(random() % static_cast<unsigned>(vms)));
+            }
+            return out;
+        };
+        const int vms = 2 + static_cast<int>(random() % 20);
+        testing::OriginSimulationOptions options{.vms = vms,
+                                                 .domains = 1 + static_cast<int>(random() % std::min(vms, 4)),
+                                                 .pieces = 1 + static_cast<int>(random() % 24),
+                                                 .seed = seed};
+        options.outageAt = Millis{static_cast<int>(random() % 1500)};
+        options.outageEnd = options.outageAt + Millis{static_cast<int>(random() % 5000)};
+        options.fault = random() % 2 == 0 ? testing::OriginFault::Refused : testing::OriginFault::Hanging;
+        options.dead = some(vms, vms / 3);
+        options.cutOff = some(vms, vms / 3);
+        options.dead.erase(vms - 1); // One VM must be able to fetch the version.
+        options.cutOff.erase(vms - 1);
+        options.late = some(vms, vms / 2);
+        options.corruptEach = static_cast<int>(random() % 3 == 0 ? 5 : 0);
+        if (random() % 2 == 0) {
+            options.secondVersionAt = Millis{2000};
+        }
+        const auto result = simulateOrigin(options);
+        EXPECT_NE(result.allComplete, Millis{0}) << "seed " << seed;
+        EXPECT_LT(result.maxAttempts, 30) << "seed " << seed;
+        if (options.secondVersionAt) {
+            EXPECT_NE(result.allSecond, Millis{0}) << "seed " << seed;
+        }
+    }
+}
+
 } // namespace
 
 } // namespace ibislock::weights
