Front: Retry-After names when the next engine loads required weights

When no engine has a version that may start a request, callers are refused at once, but were told to retry after 1.4 to 2.2 s whatever the load reports say. The delay now counts from the time at which the next engine of the service begins to load, if a report names it. It is unchanged while any engine has the version, or an engine is loading already.

serving_test: 251 of 251; front_test: 152 of 152.

--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -6,6 +6,7 @@
 #include "ibislock/feed/state_currency.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/serving/load_subscriptions.h"
+#include "ibislock/serving/version_wait.h"
 
 #include <algorithm>
 
@@ -316,7 +317,9 @@
         call->refuse(CallOutcome::TargetsBackingOff, placement.suggestedPause);
         break;
     case serving::AdmissionDecision::RefuseNoTarget:
-        call->refuse(CallOutcome::NoTarget);
+        call->refuse(CallOutcome::NoTarget,
+                     serving::timeUntilNextLoad(table, call->service,
+                                                minVersionOf(call->request.model, now, MaxQueueTime), now));
         break;
     }
 }
