Feed, front: cold targets get requests in turns

Cause: entry VMs didn't use what listings and reports say of a target's start, and sent their full share to targets that had just restarted.

Change: the entry daemon takes the terms from the desired state and the bounds, and the incarnation from load reports. Heartbeats of a cold target are forwarded unless its cold time passes as expected, with the cold time shortened by its age; for services without a limit forwarding is as before. Requests to a target that isn't known to be warm use new connections. Counters and a line for each change of phase.

--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -49,9 +49,14 @@
 
 std::string TargetStandIn::listing(const std::string &service, bool leaving) const
 {
-    nlohmann::json out{
-        {"Service", service}, {"Address", m_ip + ":" + std::to_string(port())}, {"Zone", "a"},     {"Version", "v1"},
-        {"Slots", Slots},     {"State", leaving ? "draining" : "ready"},        {"ColdLeftMs", 0}, {"Sequence", 1}};
+    nlohmann::json out{{"Service", service},
+                       {"Address", m_ip + ":" + std::to_string(port())},
+                       {"Zone", "a"},
+                       {"Version", "v1"},
+                       {"Slots", Slots},
+                       {"State", leaving ? "draining" : "ready"},
+                       {"ColdLeftMs", coldLeft.count()},
+                       {"Sequence", 1}};
     if (weightsVersion > 0) {
         out["Models"] = {{{"Name", "m"}, {"Version", weightsVersion}, {"Adapters", nlohmann::json::array()}}};
     }
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -84,6 +84,7 @@
     bool pausesFirst = false; ///< A stream that pauses does so in front of its first event.
     std::int64_t weightsVersion = 0; ///< Of model "m", as listed; 0 for a target without weights.
     std::int64_t startedAt = 0; ///< Start of its incarnation, as listed; 0 to list none.
+    Millis coldLeft{0}; ///< How much longer it is cold, as listed.
     std::vector<http::RequestHead> requests; ///< Those that were run, in their order.
     std::vector<std::string> bodies;
     std::string crashingPart = "bad"; ///< Id of a part of a prompt, in hexadecimal.
--- a/libs/base/include/ibislock/base/clock.h
+++ b/libs/base/include/ibislock/base/clock.h
@@ -26,7 +26,8 @@
 /// @return the time since the machine was booted.
 Millis bootMillis();
 
-/// Reads the wall clock, for timestamps that people read; no decision depends on it.
+/// Reads the wall clock, for timestamps that people read. Decisions compare it only with times of the same machine, and
+/// only where nothing else is known, as it may jump.
 /// @return the time since the Unix epoch.
 Millis wallMillis();
 
--- a/libs/feed/include/ibislock/feed/listings_cache.h
+++ b/libs/feed/include/ibislock/feed/listings_cache.h
@@ -65,6 +65,9 @@
 /// Returns all listings, without tombstones.
 std::vector<peer::ListingChange> allListings(const ListingsCache &cache);
 
+/// Shortens the cold times of cached listings that are sent now by the time since this VM learned of them.
+void shortenColdTimes(std::vector<peer::ListingChange> &changes, const ListingsCache &cache, Millis now);
+
 /// Deletes tombstones older than `TombstoneLifetime`; changes up to their offsets are then no longer covered.
 void pruneTombstones(ListingsCache &cache, Millis now);
 
--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -64,6 +64,8 @@
     std::function<void(const std::string &relay, const std::vector<peer::TopicRecord> &records)> onLostRecords = {};
     /// Called with the addresses of the entry VMs that recently sent requests to the relay.
     std::function<void(std::vector<std::string> vms)> onEntryVms;
+    /// Returns whether cold targets of a service are limited, or may be. May be empty if none are.
+    std::function<bool(const std::string &service)> hasColdLimit = {};
 };
 
 /// Follows the listings of targets through a relay, or from the store.
--- a/libs/feed/src/listings_cache.cpp
+++ b/libs/feed/src/listings_cache.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Difference of two cold times that makes no difference to entry VMs; heartbeats aren't exactly on time.
+constexpr Millis ColdTimeTolerance{500};
+
 peer::ListingChange toChange(const std::string &id, const CachedListing &cached)
 {
     return {.id = id,
@@ -73,6 +76,27 @@
     return out;
 }
 
+/// Returns whether a cold time is the one that follows from an earlier one, so that it needn't be forwarded. While a
+/// target gets no requests, its cold time doesn't get shorter.
+bool isSameColdTime(Millis coldLeft, Millis before, Millis elapsed)
+{
+    const bool bothCold = coldLeft > Millis{0} && before > Millis{0};
+    return coldLeft == before ? !bothCold || elapsed <= ColdTimeTolerance
+                              : bothCold && std::chrono::abs(before - elapsed - coldLeft) <= ColdTimeTolerance;
+}
+
+/// Returns whether a change says the same as the cached listing.
+bool isSameListing(const peer::ListingChange &change, const CachedListing &cached, Millis now)
+{
+    if (!change.entry || !cached.entry || change.entry->coldLeft + cached.entry->coldLeft == Millis{0}) {
+        return change.entry == cached.entry;
+    }
+    serving::TargetEntry entry = *change.entry;
+    entry.coldLeft = cached.entry->coldLeft;
+    return entry == *cached.entry
+        && isSameColdTime(change.entry->coldLeft, cached.entry->coldLeft, now - cached.changedAt);
+}
+
 /// @param forwardEqual whether an entry that equals the cached one is forwarded.
 bool apply(ListingsCache &cache, const peer::ListingChange &change, Millis now, bool forwardEqual)
 {
@@ -87,7 +111,7 @@
     if (cached && change.position == it->second.position && isEarlierIncarnation(change, it->second)) {
         return false;
     }
-    const bool equal = cached ? change.entry == it->second.entry : !change.entry;
+    const bool equal = cached ? isSameListing(change, it->second, now) : !change.entry;
     if (!equal || forwardEqual) {
         CachedListing &item = cache.listings[change.id];
         item.entry = change.entry;
@@ -175,6 +199,17 @@
     return out;
 }
 
+void shortenColdTimes(std::vector<peer::ListingChange> &changes, const ListingsCache &cache, Millis now)
+{
+    for (peer::ListingChange &change : changes) {
+        const auto it = cache.listings.find(change.id);
+        if (change.entry && change.entry->coldLeft > Millis{0} && it != cache.listings.end()) {
+            // Only the target itself says that it isn't cold any more.
+            change.entry->coldLeft = std::max(change.entry->coldLeft - (now - it->second.changedAt), Millis{1});
+        }
+    }
+}
+
 void pruneTombstones(ListingsCache &cache, Millis now)
 {
     for (auto it = cache.listings.begin(); it != cache.listings.end();) {
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -153,6 +153,9 @@
     auto listing = platform::decodeTarget(record.key, *record.value);
     if (listing) {
         out.entry = std::move(listing->entry);
+        if (!m_events.hasColdLimit || !m_events.hasColdLimit(out.entry->service)) {
+            out.entry->coldLeft = Millis{0}; // Its changes would be forwarded in vain.
+        }
         out.writeNumber = listing->writeNumber;
     } else {
         ++m_unusableListings;
--- a/libs/feed/src/listings_relay.cpp
+++ b/libs/feed/src/listings_relay.cpp
@@ -106,6 +106,7 @@
     }
     if (hasListings) {
         out.listings = out.isSnapshot ? allListings(m_cache) : changesFrom(m_cache, request.from);
+        shortenColdTimes(out.listings, m_cache, steadyMillis());
     }
     return out;
 }
--- a/libs/feed/test/listings_cache_test.cpp
+++ b/libs/feed/test/listings_cache_test.cpp
@@ -255,6 +255,39 @@
     EXPECT_EQ(changesFrom(follower, at(3)).size(), 1U);
 }
 
+peer::ListingChange cold(std::int64_t offset, Millis coldLeft)
+{
+    peer::ListingChange out = listed("a", offset);
+    out.entry->coldLeft = coldLeft;
+    return out;
+}
+
+// Heartbeats change nothing else, and VMs that weren't told took a target that got no requests for a warm one.
+TEST(ListingsCacheTest, AHeartbeatOfAColdTargetIsForwardedUnlessItsColdTimePasses)
+{
+    ListingsCache cache;
+    replaceListings(cache, {cold(3, Millis{9000})}, at(4), Millis{0});
+    EXPECT_FALSE(applyTopicRecord(cache, cold(5, Millis{7850}), Millis{1200}));
+    EXPECT_TRUE(applyTopicRecord(cache, cold(6, Millis{7850}), Millis{2400}));
+    EXPECT_TRUE(applyTopicRecord(cache, cold(7, Millis{7850}), Millis{3600}));
+    EXPECT_TRUE(applyTopicRecord(cache, cold(8, Millis{0}), Millis{4800}));
+    EXPECT_FALSE(applyTopicRecord(cache, cold(9, Millis{0}), Millis{6000}));
+    EXPECT_EQ(changesFrom(cache, at(8)).size(), 1U);
+}
+
+TEST(ListingsCacheTest, TheColdTimeOfAForwardedListingIsShortenedByItsAge)
+{
+    ListingsCache cache;
+    replaceListings(cache, {cold(3, Millis{9000}), listed("b", 3)}, at(4), Millis{1000});
+    auto changes = allListings(cache);
+    shortenColdTimes(changes, cache, Millis{3000});
+    EXPECT_EQ(changes[0].entry->coldLeft, Millis{7000});
+    EXPECT_EQ(changes[1].entry->coldLeft, Millis{0});
+    changes = allListings(cache);
+    shortenColdTimes(changes, cache, Millis{20000});
+    EXPECT_EQ(changes[0].entry->coldLeft, Millis{1}) << "only the target itself says that it is warm";
+}
+
 /// Returns the versions in a cache by the id of their listing, without offsets.
 std::map<std::string, std::int64_t> versionsOf(const ListingsCache &cache)
 {
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -230,6 +230,7 @@
     front.counters.retries += m_attempts > 1 ? 1 : 0;
     triedTargets.insert(target.entry.id);
     attempt->sent = serving::startAttempt(target, usesEngine, now);
+    front.counters.attemptsAtColdTargets += isWarm(target, now) ? 0 : 1;
     recordAttempt(target, now, promptMs(request.promptTokens));
     if (m_attempt) {
         attempt->eventSplitter = m_attempt->eventSplitter;
@@ -238,7 +239,9 @@
     const http::RequestHead forwarded = platform::makeTargetRequest(head, targetOptions(target, now));
     // A request that must not run twice gets a new connection: the target may close a pooled one while the request is
     // being sent, and it would be unknown whether it ran.
-    const bool fresh = !serving::mayRunTwice(route.kind, route.resumable) || m_attempts > 1;
+    // Bytes on a pooled connection may reach a target that was unreachable seconds later, with those of others.
+    const bool warm = isWarm(target, now);
+    const bool fresh = !serving::mayRunTwice(route.kind, route.resumable) || m_attempts > 1 || !warm;
     attempt->exchange = front.client.send(
         endpoint->ip, endpoint->port, writeRequest(forwarded, body),
         {.connectTimeout = std::min(ConnectTime, deadlineAt - now),
@@ -305,6 +308,10 @@
         complete && !notRun && attempt->handling != ResponseHandling::None && attempt->responseHead.status / 100 != 5;
     attempt->incompleteBytes = attempt->eventSplitter.incompleteEvent.size();
     recordTargetCrash(*attempt, result);
+    const bool notConnected = result.outcome == net::ExchangeOutcome::NotConnected;
+    if (notConnected || (result.outcome == net::ExchangeOutcome::Broken && !result.tooLarge)) {
+        recordConnectionLoss(front.table, attempt->sent, !notConnected, steadyMillis());
+    }
     releaseTarget(attempt, served || notRun);
     if (!served) {
         logFailedAttempt(*attempt, result);
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -53,6 +53,11 @@
     writeCounter(out, "ibislock_choices_without_turn_total",
                  "Choices of a target in which the limit of one or more left this VM no turn.",
                  counters.choicesWithoutTurn);
+    writeCounter(out, "ibislock_choices_without_cold_turn_total",
+                 "Choices of a target in which one or more that may be cold left this VM no turn.",
+                 counters.choicesWithoutColdTurn);
+    writeCounter(out, "ibislock_cold_sends_total", "Requests sent to targets that were not known to be warm.",
+                 counters.attemptsAtColdTargets);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waitTime);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.",
                    counters.timeToFirstByte);
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -73,6 +73,8 @@
     constexpr int AssumedEntryVms = 16;
     m_entryVms = serving::assumedEntryVms(AssumedEntryVms, steadyMillis());
     retries.entryVms = AssumedEntryVms;
+    m_sharers = serving::assumedSharers(steadyMillis());
+    serving::applyColdEntryVms(table, entryVms(m_sharers));
 }
 
 Front::~Front()
@@ -160,6 +162,10 @@
                     m_operatorsFollower->applyLostRecords(relay, records);
                 },
             .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
+            .hasColdLimit =
+                [this](const std::string &service) {
+                    return !operators.state || serving::hasColdLimit(*operators.state, service);
+                },
         });
     ok = opened("the listener for record requests", m_operatorsFollower->start());
     if (!ok) {
@@ -192,6 +198,7 @@
                      .versionTime = settings.bounds.versionGracePeriod});
     if (inForce) {
         m_operatorsFollower->recordInForce(record);
+        updateColdTerms();
     }
 }
 
@@ -302,6 +309,7 @@
     const Millis now = steadyMillis();
     const serving::Placement placement = findPlacement(*call, now);
     counters.choicesWithoutTurn += placement.withoutTurn > 0 ? 1 : 0;
+    counters.choicesWithoutColdTurn += placement.coldWithoutTurn > 0 ? 1 : 0;
     switch (serving::admit(call->admissionRequest(now), placement)) {
     case serving::AdmissionDecision::Send:
         call->send(*placement.target);
@@ -409,6 +417,7 @@
         connection->checkTimeouts(now);
     }
     updateQuarantine();
+    updateColdTargets(now);
     dispatchWaiting();
     if (now >= m_nextSubscriptionAt) {
         m_nextSubscriptionAt = now + SubscriptionTime;
@@ -499,6 +508,8 @@
         applyEntryVms(table, number, random, steadyMillis());
     }
     retries.entryVms = number;
+    recordEntryVms(m_sharers, reported, steadyMillis());
+    serving::applyColdEntryVms(table, entryVms(m_sharers));
 }
 
 void Front::applyLoad(const std::string &ip, const peer::LoadMessage &load)
@@ -531,6 +542,7 @@
                             .loadStartsAt = load.loadStartsIn ? std::optional(now + *load.loadStartsIn) : std::nullopt,
                             .receivedAt = now},
                            now - UnseenTime);
+        applyEngineStart(target, load, now);
     }
     dispatchWaiting();
 }
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -124,6 +124,16 @@
     void applyDatagram(const std::string &ip, std::string_view bytes);
     void applyLoad(const std::string &ip, const peer::LoadMessage &load);
 
+    /// Applies what the desired state says of cold targets.
+    void updateColdTerms();
+
+    /// Records the incarnation that a target VM reports of its engine.
+    void applyEngineStart(serving::Target &target, const peer::LoadMessage &load, Millis now);
+
+    /// Records for targets without reports that their listings are confirmed, and logs which targets became cold or
+    /// warm.
+    void updateColdTargets(Millis now);
+
     /// Records the number of entry VMs that a target VM knows, for what they share.
     void applyEntryVmCount(int reported);
     void applyQuarantine(const peer::QuarantineMessage &message);
@@ -153,11 +163,13 @@
         m_loadSequence; ///< Incarnation and sequence of the last load report, by IP address.
     feed::SendTimeClock m_sendTimeClock; ///< Its times are of the boot clock.
     serving::EntryVmCount m_entryVms; ///< As target VMs report it.
+    serving::EntryVmCount m_sharers; ///< The same over a longer time, for the turns at cold targets.
     std::map<std::string, feed::SendTimePeer> m_loadSenders; ///< Target VMs that report loads, by IP address.
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_adminConnections;
     WaitingCalls m_waiting; ///< Calls whose targets are full.
     std::uint64_t m_arrivalCount = 0;
+    std::map<std::string, serving::ColdPhase> m_coldPhases; ///< As logged; targets that aren't warm, by id.
     Millis m_nextQuarantineUpdateAt{0}; ///< By the boot clock.
     Millis m_nextSubscriptionAt{0};
     Millis m_nextPresenceAt{0}; ///< When target VMs without a load subscription are next sent a presence message.
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -85,6 +85,9 @@
     const auto limited = std::count_if(table.targets.begin(), table.targets.end(),
                                        [](const auto &item) { return item.second.signals.limit; });
     writeGauge(out, "ibislock_limited_targets", "Targets that name a limit of requests.", limited);
+    const auto cold = std::count_if(table.targets.begin(), table.targets.end(),
+                                    [&](const auto &item) { return !isWarm(item.second, now); });
+    writeGauge(out, "ibislock_cold_targets", "Targets that are not known to be warm.", cold);
     writeMetricHeader(out, "ibislock_target_occupancy_percent", "gauge", "Requests for each slot, as believed.");
     for (const auto &[id, target] : table.targets) {
         const bool engine = target.load.has_value();
