Front, net: nothing is sent for a caller that has left

Cause: the end of a caller's connection was noticed only when it was read. A request was sent, or written to a connection established meanwhile, although the end was queued behind it; the end was never read while reading was paused because the caller had sent ahead. Bytes that the system held for a slow connection were sent after it was closed.

Change: each send, and each connection that is established, first asks the caller's socket whether its peer has closed; while reading is paused, each tick asks as well. A cancelled exchange resets its connection if bytes are unacknowledged, so that they aren't sent or repeated.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -190,6 +190,9 @@
 void Call::send(serving::Target &target)
 {
     const Millis now = steadyMillis();
+    if (!isCallerThere()) {
+        return;
+    }
     if (deadlineAt - now < LeastTime) {
         refuse(CallOutcome::ExpiredBeforeSend);
         return;
@@ -248,6 +251,7 @@
          .newConnection = fresh,
          .maxBodyBytes = MaxBufferedResponse},
         {
+            .maySend = [self = shared_from_this()] { return self->isCallerThere(); },
             .head = [self = shared_from_this(),
                      attempt](const http::ResponseHead &answer) { return self->onHead(*attempt, answer); },
             .body = [self = shared_from_this(), attempt](const std::string &bytes) { self->onBody(attempt, bytes); },
@@ -472,6 +476,17 @@
     finish(CallOutcome::CallerDisconnected, 0);
 }
 
+bool Call::isCallerThere()
+{
+    const auto connection = m_connection.lock();
+    if (m_done || (connection && !connection->hasCallerLeft())) {
+        return !m_done;
+    }
+    ++front.counters.sendsWithoutCaller;
+    cancel();
+    return false;
+}
+
 void Call::finish(CallOutcome outcome, int status)
 {
     if (m_done) {
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -61,6 +61,11 @@
     /// Cancels the call because its caller has disconnected.
     void cancel();
 
+    /// Cancels the call if its caller has disconnected, even if that hasn't been read from the connection yet. To be
+    /// called before anything is sent.
+    /// @return whether the caller is still there.
+    bool isCallerThere();
+
     /// Tries another target if the present one is silent, cancels attempts that would start on retired weights or crash
     /// their engine, and ends the call if its deadline has passed.
     void checkTimeouts(Millis now);
--- a/libs/front/src/caller_connection.cpp
+++ b/libs/front/src/caller_connection.cpp
@@ -59,6 +59,7 @@
     m_unparsed.append(bytes);
     if (m_call) {
         if (m_unparsed.size() > PendingBytes) {
+            m_readingPaused = true;
             m_connection->setReadingPaused(true);
         }
         return;
@@ -158,6 +159,7 @@
         m_front.removeConnection(this);
         return;
     }
+    m_readingPaused = false;
     m_connection->setReadingPaused(false);
     if (!m_unparsed.empty()) {
         asio::post(m_front.loop, [self = shared_from_this()] { self->readRequests(); });
@@ -177,6 +179,11 @@
     m_connection->close();
 }
 
+bool CallerConnection::hasCallerLeft() const
+{
+    return m_connection->hasPeerClosed();
+}
+
 bool CallerConnection::isBusy() const
 {
     return m_call != nullptr || m_reader.started() || !m_unparsed.empty();
@@ -184,6 +191,11 @@
 
 void CallerConnection::checkTimeouts(Millis now)
 {
+    if (m_call && m_readingPaused && hasCallerLeft()) {
+        m_connection->close(); // Its end would be read only behind the bytes that the caller has sent ahead.
+        onClosed();
+        return;
+    }
     if (m_call) {
         const auto call = m_call;
         call->checkTimeouts(now);
--- a/libs/front/src/caller_connection.h
+++ b/libs/front/src/caller_connection.h
@@ -39,6 +39,9 @@
     /// Checks the timeouts of the current call, or those of a caller that sends a request slowly or is idle.
     void checkTimeouts(Millis now);
 
+    /// Returns whether the caller has closed its connection, even if that hasn't been read yet.
+    bool hasCallerLeft() const;
+
     /// Returns whether a request is being read or processed.
     bool isBusy() const;
 
@@ -63,6 +66,7 @@
     Millis m_requestStartedAt{0};
     bool m_requestKeepsAlive = true;
     bool m_readingRequests = false;
+    bool m_readingPaused = false; ///< The caller has sent too much ahead.
 };
 
 } // namespace ibislock::front
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -58,6 +58,8 @@
                  counters.choicesWithoutColdTurn);
     writeCounter(out, "ibislock_cold_sends_total", "Requests sent to targets that were not known to be warm.",
                  counters.attemptsAtColdTargets);
+    writeCounter(out, "ibislock_sends_without_caller_total", "Sends that were left out as their callers had left.",
+                 counters.sendsWithoutCaller);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waitTime);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.",
                    counters.timeToFirstByte);
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -38,6 +38,7 @@
     std::uint64_t choicesWithoutTurn = 0; ///< Choices of targets in which a limit left this VM no turn.
     std::uint64_t choicesWithoutColdTurn = 0; ///< Choices in which a cold target left this VM no turn.
     std::uint64_t attemptsAtColdTargets = 0; ///< Attempts at targets that weren't known to be warm.
+    std::uint64_t sendsWithoutCaller = 0; ///< Sends that were left out as the caller had left.
     Millis maxListingsAge{0}; ///< The greatest age of the listings by which a target was chosen.
     std::uint64_t attemptsAtUnlistedTargets = 0; ///< Attempts at targets whose listing was known to be removed.
     Millis maxUnlistedUse{0}; ///< The longest time after which a target was chosen whose listing had been removed.
--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -70,6 +70,10 @@
     /// Returns whether bytes have arrived that haven't been delivered yet, e.g. because the loop is late.
     bool hasUnreadBytes() const;
 
+    /// Returns whether the peer has closed or reset the connection, also while its end hasn't been read yet: reading is
+    /// paused, the loop is late, or bytes come before it.
+    bool hasPeerClosed();
+
     /// Pauses or resumes reading. While it is paused, TCP flow control slows the sending peer down.
     void setReadingPaused(bool pause);
 
@@ -82,9 +86,13 @@
     /// @param loop that of the connection.
     void closeGracefully(asio::io_context &loop, const DiscardLimits &limits = {});
 
-    /// Closes the connection immediately and discards queued bytes.
+    /// Closes the connection immediately and discards queued bytes. What the socket has accepted is still sent.
     void close();
 
+    /// Closes the connection immediately. The system sends none of the bytes that the peer hasn't received yet, and
+    /// repeats none; the peer sees a reset if there are any, and the end of the connection otherwise.
+    void abort();
+
     bool isOpen() const;
 
     /// Returns the IP address of the peer; empty if the connection is closed.
--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -50,6 +50,9 @@
 /// Callbacks of an exchange; each may be empty.
 struct ExchangeEvents
 {
+    /// Called when a new connection is established; if it returns false, nothing is sent and the exchange ends as not
+    /// connected.
+    std::function<bool()> maySend;
     std::function<HeadDecision(const http::ResponseHead &)> head; ///< Skip if the response belongs to another request.
     std::function<void(std::string)> body;
     std::function<void(const ExchangeResult &)> end;
@@ -87,7 +90,8 @@
 public:
     ~Exchange();
 
-    /// Cancels the exchange and closes its connection; no callback runs afterwards.
+    /// Cancels the exchange and closes its connection; no callback runs afterwards. Nothing of the request that hasn't
+    /// been sent yet is sent any more.
     void cancel();
 
     /// Returns whether the response has started but isn't complete.
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -1,7 +1,10 @@
 #include "ibislock/net/connection.h"
 
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 
 namespace ibislock::net
 {
@@ -208,6 +211,15 @@
     return m_socket.available(ec) > 0;
 }
 
+bool Connection::hasPeerClosed()
+{
+    if (!m_socket.is_open()) {
+        return true;
+    }
+    pollfd state{.fd = m_socket.native_handle(), .events = POLLRDHUP, .revents = 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
+}
+
 void Connection::setReadingPaused(bool pause)
 {
     m_paused = pause;
@@ -257,6 +269,19 @@
     m_socket.close(ec);
 }
 
+void Connection::abort()
+{
+    int unacknowledged = 0;
+    const bool known = m_socket.is_open() && ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    if (known && unacknowledged > 0) {
+        asio::error_code ec; // Without the option the connection is closed as usual.
+        m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+        m_events = {};
+        m_socket.close(ec);
+    }
+    close();
+}
+
 bool Connection::isOpen() const
 {
     return m_socket.is_open();
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -71,7 +71,7 @@
         m_socket.reset();
     }
     if (m_connection) {
-        m_connection->close();
+        m_connection->abort();
         m_connection.reset();
     }
 }
@@ -106,7 +106,8 @@
             return;
         }
         const bool late = bootMillis() - self->m_connectStartedAt >= self->m_options.connectTimeout;
-        if (ec || late) {
+        const auto maySend = self->m_events.maySend; // It may cancel the exchange.
+        if (ec || late || (maySend && !maySend())) {
             self->finish(ExchangeOutcome::NotConnected);
             return;
         }
