Front: the test of a second send after a caller has left fails without the fix

The event loop read the end of the caller's connection before the check for silent targets, so that the test passed without the fix.

--- a/libs/front/test/front_departure_test.cpp
+++ b/libs/front/test/front_departure_test.cpp
@@ -123,9 +123,10 @@
     start();
     asio::ip::tcp::socket caller = connectAndSend(message("/often/x"));
     ASSERT_TRUE(runUntil([&] { return runs() == 1; }));
+    // The check for silent targets is due and queued when the caller leaves.
     asio::post(m_loop, [&] {
-        std::this_thread::sleep_for(Millis{400}); // The check for silent targets is due.
-        caller.close();
+        std::this_thread::sleep_for(Millis{400});
+        asio::post(m_loop, [&] { asio::post(m_loop, [&] { caller.close(); }); });
     });
     runFor(Millis{600});
     EXPECT_EQ(runs(), 1U);
