Side: load reports tell the start of the engine and for how long it has run

Change: the start is told if the last poll is fresh, as a report after a failed poll may be of an incarnation that is gone. The age is measured by monotonic time if the daemon saw the engine start, and else by the VM's own wall clock, at most since its boot. Reports also tell how many entry VMs get them.

--- a/libs/side/src/engine_monitor.cpp
+++ b/libs/side/src/engine_monitor.cpp
@@ -23,6 +23,25 @@
 
 } // namespace
 
+void recordPoll(EngineAge &age, std::optional<std::int64_t> startedAt, Millis now)
+{
+    if (startedAt && (age.seenAt == Millis{0} || age.startedAt != *startedAt)) {
+        age.startedAt = *startedAt;
+        age.seenAt = now;
+        age.sawStart = age.polled;
+    }
+    age.polled = true;
+}
+
+Millis runningFor(const EngineAge &age, const EngineAgeClocks &clocks)
+{
+    const Millis seen = clocks.now - age.seenAt;
+    if (age.sawStart || age.startedAt == 0) {
+        return seen;
+    }
+    return std::max(seen, std::min(clocks.wall - Millis{age.startedAt}, clocks.boot));
+}
+
 EngineMonitor::EngineMonitor(asio::io_context &loop, net::HttpClient &client, platform::Endpoint engine,
                              std::function<void()> onChange)
     : m_client(client)
@@ -83,6 +102,11 @@
     return m_respondingSince;
 }
 
+Millis EngineMonitor::runningFor() const
+{
+    return side::runningFor(m_age, {.now = steadyMillis(), .wall = wallMillis(), .boot = bootMillis()});
+}
+
 std::int64_t EngineMonitor::loadedVersion() const
 {
     return m_report && !m_report->models.empty() ? m_report->models.front().version : 0;
@@ -93,6 +117,7 @@
     call(platform::makeReportRequest(), ReportTime, [this](int status, const std::string &body) {
         auto report = status == OkStatus ? platform::decodeReport(body)
                                          : failure(ErrorCode::Unavailable, "status " + std::to_string(status));
+        recordPoll(m_age, report ? std::optional(report->startedAt) : std::nullopt, steadyMillis());
         if (report) {
             if (!m_report) {
                 logInfo(LogComponent::Side, "The engine responds to polls.",
--- a/libs/side/src/engine_monitor.h
+++ b/libs/side/src/engine_monitor.h
@@ -10,6 +10,31 @@
 namespace ibislock::side
 {
 
+/// What shows for how long an engine has run. The wall clock, by which the engine gives its start, may jump; it is used
+/// only for an incarnation that was running before this process.
+struct EngineAge
+{
+    std::int64_t startedAt = 0; ///< Start of the incarnation in Unix milliseconds, as reported; 0 if unknown.
+    Millis seenAt{0}; ///< When its first report arrived.
+    bool sawStart = false; ///< An earlier poll failed or brought the report of an earlier incarnation.
+    bool polled = false; ///< A poll has ended.
+};
+
+/// The clocks by which the age of an engine is computed.
+struct EngineAgeClocks
+{
+    Millis now{0}; ///< Monotonic time.
+    Millis wall{0}; ///< Unix time.
+    Millis boot{0}; ///< Time since the machine was booted; nothing has run for longer.
+};
+
+/// Records the end of a poll.
+/// @param startedAt start of the incarnation in the report; nothing if the poll failed.
+void recordPoll(EngineAge &age, std::optional<std::int64_t> startedAt, Millis now);
+
+/// Returns for how long the engine has run.
+Millis runningFor(const EngineAge &age, const EngineAgeClocks &clocks);
+
 /// Maximum size of the engine's response to a report, a write or an order, which have some hundred bytes. An engine in
 /// trouble may send without end, to many requests at once.
 inline constexpr std::size_t MaxEngineReplyBytes = 64U << 10U;
@@ -46,6 +71,9 @@
     /// Returns the time since which no poll has failed.
     Millis respondingSince() const;
 
+    /// Returns for how long the incarnation of the last report has run.
+    Millis runningFor() const;
+
     /// Returns the version of the weights that the engine has loaded; 0 for none.
     std::int64_t loadedVersion() const;
 
@@ -61,6 +89,7 @@
     std::optional<platform::EngineReport> m_report;
     Millis m_reportedAt{0};
     Millis m_respondingSince{0};
+    EngineAge m_age;
     int m_failures = 0;
 };
 
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -19,6 +19,9 @@
 /// Longest time between two load messages; entry VMs use a load for two and a half times as long.
 constexpr Millis PublishTime{300};
 
+/// How old a report may be that shows which incarnation of the engine is running; two polls.
+constexpr Millis ReportFreshTime{250};
+
 /// How long a target VM may leave a new desired state unread if it reads the store for no other VM.
 constexpr Millis StateDelay{10000};
 
@@ -155,6 +158,10 @@
                     m_operatorsFollower->applyLostRecords(relay, records);
                 },
             .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
+            .hasColdLimit =
+                [this](const std::string &service) {
+                    return !m_operators.state || serving::hasColdLimit(*m_operators.state, service);
+                },
         });
     if (const asio::error_code failed = m_listingsFollower->start()) {
         return failure(ErrorCode::Unavailable, "opening the address for listings failed: " + failed.message());
@@ -299,6 +306,10 @@
         .entryVmCount = static_cast<int>(m_subscribers.size()),
         .announcements = {},
         .loadStartsIn = m_agent.timeUntilLoad(),
+        .loadSubscriberCount =
+            static_cast<int>(std::count_if(m_subscribers.begin(), m_subscribers.end(),
+                                           [&](const auto &item) { return now <= item.second.loadsUntil; })),
+        .engineStartedAt = now - m_engine.reportedAt() < ReportFreshTime ? m_engine.report()->startedAt : 0,
         .operatorsWatermark = {.end = m_watermark.end,
                                .announcementsEnd = m_watermark.announcementsEnd,
                                .age = Millis{0}},
@@ -309,6 +320,7 @@
     }
     m_lastPublished = content;
     m_publishedAt = now;
+    load.engineRunningFor = m_engine.runningFor(); // Changes always, as the ages of announcements do.
     load.announcements = recentAnnouncements(); // Their ages always change and are no reason to publish.
     // One time for ages and stamps: a stall in between would make the watermark younger.
     const Millis bootNow = bootMillis();
