--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -58,6 +58,13 @@
                  counters.choicesOutsideRegions);
     writeCounter(out, "ibislock_choices_without_evacuated_total",
                  "Choices of a target that left out targets in evacuated domains.", counters.choicesEvacuated);
+    writeCounter(out, "ibislock_choices_without_cold_turn_total",
+                 "Choices of a target in which one or more that may be cold left this VM no turn.",
+                 counters.choicesWithoutColdTurn);
+    writeCounter(out, "ibislock_cold_sends_total", "Requests sent to targets that were not known to be warm.",
+                 counters.attemptsAtColdTargets);
+    writeCounter(out, "ibislock_sends_without_caller_total", "Sends that were left out as their callers had left.",
+                 counters.sendsWithoutCaller);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waitTime);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.",
                    counters.timeToFirstByte);
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -91,6 +91,9 @@
     writeGauge(out, "ibislock_evacuated_domains", "Failure domains that are evacuated.",
                static_cast<std::int64_t>(evacuations.active.size()));
     writeGauge(out, "ibislock_evacuated_targets", "Targets in evacuated domains.", inEvacuated);
+    const auto cold = std::count_if(table.targets.begin(), table.targets.end(),
+                                    [&](const auto &item) { return !isWarm(item.second, now); });
+    writeGauge(out, "ibislock_cold_targets", "Targets that are not known to be warm.", cold);
     writeMetricHeader(out, "ibislock_target_occupancy_percent", "gauge", "Requests for each slot, as believed.");
     for (const auto &[id, target] : table.targets) {
         const bool engine = target.load.has_value();
