Lab: replays of loads with kinds of different priority, spread lengths and workspaces

Loads were replayed with kinds of one priority and fixed lengths, and with few entry VMs for each engine. The new patterns have the proportions of two deployments beyond their capacity: one whose routes differ in priority and objective, one with 1.9 entry VMs for each engine. Engines of the model admit by priority.

--- a/lab/experiments/loads.cpp
+++ b/lab/experiments/loads.cpp
@@ -74,6 +74,35 @@
     chart.series[std::string(name)].push_back({.x = second, .low = value, .median = value, .high = value, .runs = 1});
 }
 
+/// Prints the shares served on time and at all by kind, by size and by workspace.
+void printShares(const LoadPattern &pattern, const LoadPolicy &policy, int seeds)
+{
+    constexpr std::array SizeNames{"largest tenth", "fifth below", "rest"};
+    std::map<std::string, std::array<int, 5>> groups;
+    const auto add = [&](const std::string &group, const std::array<int, 5> &ends) {
+        for (std::size_t n = 0; n < ends.size(); ++n) {
+            groups[group][n] += ends[n];
+        }
+    };
+    for (int seed = 1; seed <= seeds; ++seed) {
+        const ReplayOutcome outcome = replay(pattern, policy, static_cast<std::uint64_t>(seed));
+        for (const auto &[name, ends] : outcome.byShape) {
+            add("kind " + name, ends);
+        }
+        for (std::size_t n = 0; n < SizeNames.size(); ++n) {
+            add(std::string("size ") + SizeNames[n], outcome.bySize[n]);
+        }
+        for (const auto &[workspace, ends] : outcome.byWorkspace) {
+            add(workspace == 0 ? "workspace 0" : "other workspaces", ends);
+        }
+    }
+    for (const auto &[group, ends] : groups) {
+        std::cout << std::fixed << std::setprecision(3) << "| " << pattern.name << " | " << policy.name << " | "
+                  << group << " | " << onTimeShare(ends) << " | " << servedShare(ends) << " |\n"
+                  << std::defaultfloat;
+    }
+}
+
 bool draw(const LoadPattern &pattern, const LoadPolicy &policy, const std::string &path)
 {
     constexpr double Percent = 100;
@@ -102,7 +131,8 @@
         "policy", "only this policy", cxxopts::value<std::string>()->default_value(""))(
         "seeds", "replays of each", cxxopts::value<int>()->default_value("10"))(
         "svg", "draw the first replay into a file; needs --pattern and --policy",
-        cxxopts::value<std::string>()->default_value(""))("help", "show this");
+        cxxopts::value<std::string>()->default_value(""))(
+        "shares", "print the shares served on time and at all by kind, size and workspace")("help", "show this");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
         std::cout << options.help();
@@ -122,12 +152,19 @@
     if (!svg.empty()) {
         return draw(*onlyPattern, *onlyPolicy, svg) ? 0 : 1;
     }
-    printHead();
+    const bool shares = parsed.count("shares") > 0;
+    if (shares) {
+        std::cout << "| load | policy | group | on time | served |\n| --- | --- | --- | --- | --- |\n";
+    } else {
+        printHead();
+    }
     for (const LoadPattern &pattern : loadPatterns()) {
         for (const LoadPolicy &policy : loadPolicies()) {
             const bool wanted =
                 (onlyPattern == nullptr || onlyPattern == &pattern) && (onlyPolicy == nullptr || onlyPolicy == &policy);
-            if (wanted) {
+            if (wanted && shares) {
+                printShares(pattern, policy, parsed["seeds"].as<int>());
+            } else if (wanted) {
                 printRow(pattern, policy, measure(pattern, policy, parsed["seeds"].as<int>()));
             }
         }
--- a/lab/simulation/engine_model.cpp
+++ b/lab/simulation/engine_model.cpp
@@ -23,7 +23,9 @@
     if (static_cast<int>(m_waiting.size()) >= m_shape.queue) {
         return false;
     }
-    m_waiting.push_back({.request = request});
+    const auto behind = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                     [&](const Work &work) { return work.request.priority > request.priority; });
+    m_waiting.insert(behind, {.request = request});
     if (!m_passEnd) {
         beginPass(now);
     }
--- a/lab/simulation/engine_model.h
+++ b/lab/simulation/engine_model.h
@@ -34,6 +34,7 @@
     std::uint64_t id = 0;
     int promptTokens = 0;
     int answerTokens = 0;
+    int priority = 5; ///< 0 is admitted to a slot first; within a priority the order is that of arrival.
 };
 
 /// Something that a pass brought to a request.
--- a/lab/simulation/load_pattern.cpp
+++ b/lab/simulation/load_pattern.cpp
@@ -16,6 +16,11 @@
 /// Requests a second that one engine finishes of these kinds.
 constexpr double EngineRate = 9.7;
 
+/// Requests a second that one engine finishes of the kinds of `mixedPriorityShapes` and of `equalPriorityShapes`: the
+/// reciprocal of the mean of `engineTimeOf`.
+constexpr double MixedEngineRate = 8.0;
+constexpr double EqualEngineRate = 9.7;
+
 /// Requests a second at a part of what the engines at the start can do.
 std::function<double(double)> steady(double part)
 {
@@ -83,6 +88,15 @@
     return out;
 }
 
+/// Engines that are lost at 6 s and replaced by as many at 11 s.
+std::vector<EngineStep> lostForAWhile(int count)
+{
+    std::vector<EngineStep> out = atOnce(count, Millis{6000}, EngineChange::Leave);
+    const std::vector<EngineStep> back = atOnce(count, Millis{11000}, EngineChange::Join);
+    out.insert(out.end(), back.begin(), back.end());
+    return out;
+}
+
 std::vector<EngineStep> frozenForAWhile()
 {
     std::vector<EngineStep> out = atOnce(2, Millis{6000}, EngineChange::Freeze);
@@ -91,6 +105,48 @@
     return out;
 }
 
+/// Half of a deployment: the proportions of entry VMs and engines decide how many entry VMs choose alike.
+LoadPattern mixedPriorities(std::string_view name, std::string_view what, double part,
+                            std::vector<EngineStep> steps = {})
+{
+    constexpr int Engines = 20;
+    return {.name = name,
+            .what = what,
+            .engines = Engines,
+            .entryVms = 14,
+            .rate = [part](double) { return part * Engines * MixedEngineRate; },
+            .steps = std::move(steps),
+            .reportDelay = Millis{20},
+            .reportJitter = Millis{80},
+            .shapes = mixedPriorityShapes(),
+            .engine = {.slots = 12}};
+}
+
+LoadPattern equalPriorities(std::string_view name, std::string_view what, double part,
+                            std::vector<EngineStep> steps = {})
+{
+    constexpr int Engines = 17;
+    return {.name = name,
+            .what = what,
+            .engines = Engines,
+            .entryVms = 32,
+            .rate = [part](double) { return part * Engines * EqualEngineRate; },
+            .steps = std::move(steps),
+            .reportDelay = Millis{20},
+            .reportJitter = Millis{80},
+            .shapes = equalPriorityShapes(),
+            .engine = {.slots = 12, .stepMs = 7.4, .promptTokensPerMs = 31.9, .stepsPerPass = 7}};
+}
+
+/// One of 24 workspaces requests eight times its share.
+LoadPattern heavyWorkspace()
+{
+    LoadPattern out = equalPriorities("workspace", "one of 24 workspaces requests eight times its share", 1.3);
+    out.workspaces = 24;
+    out.heavyWorkspaceFactor = 8;
+    return out;
+}
+
 } // namespace
 
 std::span<const RequestShape> requestShapes()
@@ -103,6 +159,26 @@
     return Shapes;
 }
 
+std::span<const RequestShape> mixedPriorityShapes()
+{
+    static constexpr std::array Shapes{
+        RequestShape{"shift-summary", 0.337, 1330, 105, Millis{1000}, 1.0, 0.37, 2, 1.0},
+        RequestShape{"route-brief", 0.427, 827, 105, Millis{400}, 3.2, 0.32, 0, 1.0},
+        RequestShape{"delay-notice", 0.236, 647, 70, Millis{400}, 1.3, 0.31, 1, 1.0},
+    };
+    return Shapes;
+}
+
+std::span<const RequestShape> equalPriorityShapes()
+{
+    static constexpr std::array Shapes{
+        RequestShape{"parcel-summary", 0.402, 1330, 126, Millis{400}, 2.4, 0.6, 1, 1.0},
+        RequestShape{"boundary-brief", 0.282, 827, 126, Millis{400}, 2.1, 0.53, 1, 1.0},
+        RequestShape{"encumbrance-note", 0.316, 647, 70, Millis{400}, 1.4, 0.34, 1, 1.0},
+    };
+    return Shapes;
+}
+
 std::span<const LoadPattern> loadPatterns()
 {
     static const std::array patterns{
@@ -148,6 +224,17 @@
                     .rate = steady(0.9),
                     .reportDelay = Millis{300},
                     .reportLoss = 0.33},
+        mixedPriorities("mixed_near", "kinds of different priority, 0.9 of what the engines can do", 0.9),
+        mixedPriorities("mixed", "kinds of different priority, 1.4 times what the engines can do", 1.4),
+        mixedPriorities("mixed_more", "the same at 1.7 times that load", 1.4 * 1.7),
+        mixedPriorities("mixed_lost", "the same at 0.9, and a third of the engines is lost for 5 s", 0.9,
+                        lostForAWhile(7)),
+        equalPriorities("equal_near", "kinds of one priority, 0.9 of what the engines can do", 0.9),
+        equalPriorities("equal", "kinds of one priority, 1.45 times what the engines can do", 1.45),
+        equalPriorities("equal_more", "the same at 2.5 times that load", 1.45 * 2.5),
+        equalPriorities("equal_slow", "the same at 0.8, and one engine takes three times as long", 0.8,
+                        atOnce(1, Millis{5000}, EngineChange::Slow, 3)),
+        heavyWorkspace(),
     };
     return patterns;
 }
--- a/lab/simulation/load_pattern.h
+++ b/lab/simulation/load_pattern.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "ibislock/base/clock.h"
+#include "simulation/engine_model.h"
 
 #include <functional>
 #include <span>
@@ -24,11 +25,27 @@
     Millis goal{0}; ///< To the first event.
     double worth = 0; ///< If it is on time.
     double lateWorth = 0;
+    int priority = 1; ///< Of its route; lower ones are more urgent.
+    /// Spread of the prompt lengths: standard deviation of their logarithm; 0 for prompts and answers of one length.
+    double promptSpread = 0;
 };
 
+/// The longest prompt of a kind with a spread.
+inline constexpr int LongestPrompt = 3880;
+
+/// Range of the answers' lengths of a kind with a spread, as factors of `answerTokens`.
+inline constexpr double ShortestAnswerFactor = 0.7;
+inline constexpr double LongestAnswerFactor = 1.6;
+
 /// The kinds of the busier of the two sites.
 std::span<const RequestShape> requestShapes();
 
+/// The kinds of a deployment whose routes to one service differ in priority and objective.
+std::span<const RequestShape> mixedPriorityShapes();
+
+/// The kinds of a deployment whose routes to one service have the same priority and objective.
+std::span<const RequestShape> equalPriorityShapes();
+
 /// What happens to an engine.
 enum class EngineChange {
     Join, ///< It begins to serve.
@@ -65,6 +82,11 @@
     double leavingShare = 0; ///< Of callers that leave within half a second.
     Millis reportDelay{1}; ///< From an engine's report to the entry VMs.
     double reportLoss = 0; ///< Part of the reports that are lost.
+    Millis reportJitter{0}; ///< Reports arrive up to this much later than after `reportDelay`.
+    std::span<const RequestShape> shapes = requestShapes();
+    EngineShape engine;
+    int workspaces = 1;
+    double heavyWorkspaceFactor = 1; ///< Requests of the first workspace, for one of each other workspace.
 };
 
 /// How often an eager caller tries at most.
--- a/lab/simulation/replay.h
+++ b/lab/simulation/replay.h
@@ -44,6 +44,8 @@
 {
     std::array<int, 5> ends{}; ///< By `ReplayEnd`; callers that left by themselves are not owed anything.
     std::map<std::string, std::array<int, 5>> byShape;
+    std::array<std::array<int, 5>, 3> bySize{}; ///< The largest tenth of the prompts, the fifth below it, and the rest.
+    std::map<int, std::array<int, 5>> byWorkspace;
     double worthOwed = 0;
     double worthEarned = 0;
     double worthBound = 0; ///< What could be earned with perfect knowledge.
@@ -59,6 +61,12 @@
 /// The part of what is owed that was earned.
 double worthShare(const ReplayOutcome &outcome);
 
+/// The part of requests that was served, on time or late.
+double servedShare(const std::array<int, 5> &ends);
+
+/// The part of requests that was served on time.
+double onTimeShare(const std::array<int, 5> &ends);
+
 /// The part of what could be earned that was earned.
 double boundShare(const ReplayOutcome &outcome);
 
--- a/lab/simulation/replay_callers.cpp
+++ b/lab/simulation/replay_callers.cpp
@@ -34,9 +34,9 @@
 
 constexpr double MillisInSecond = 1000;
 
-double promptMs(int tokens)
+double promptMs(const ReplayState &state, int tokens)
 {
-    return tokens / EngineShape{}.promptTokensPerMs;
+    return tokens / state.pattern.engine.promptTokensPerMs;
 }
 
 ReplayEntry &entryOf(ReplayState &state, const ReplayRequest &request)
@@ -55,6 +55,8 @@
     const auto index = static_cast<std::size_t>(how);
     ++state.outcome.ends[index];
     ++state.outcome.byShape[std::string(request.shape->name)][index];
+    ++state.outcome.bySize[request.sizeClass][index];
+    ++state.outcome.byWorkspace[request.workspace][index];
     if (request.second < state.outcome.seconds.size()) {
         ++state.outcome.seconds[request.second].ends[index];
     }
@@ -103,14 +105,14 @@
 
 serving::Placement placementOf(ReplayState &state, const ReplayRequest &request)
 {
-    const EngineShape shape;
+    const EngineShape &shape = state.pattern.engine;
     const double duration =
-        promptMs(request.promptTokens) + request.shape->answerTokens * shape.stepMs * SharedStepFactor;
+        promptMs(state, request.promptTokens) + request.shape->answerTokens * shape.stepMs * SharedStepFactor;
     return serving::place(entryOf(state, request).table,
                           {.service = "s",
                            .domain = entryOf(state, request).domain,
                            .engine = true,
-                           .typicalPromptMs = state.policy.countsPrompts ? promptMs(UsualPrompt) : 0,
+                           .typicalPromptMs = state.policy.countsPrompts ? promptMs(state, UsualPrompt) : 0,
                            .expectedDuration = Millis{static_cast<std::int64_t>(duration)},
                            .urgent = !state.policy.refusesLate || !isLate(state, request),
                            .now = state.clock()},
@@ -121,7 +123,8 @@
 {
     ReplayRequest &request = state.requests[id];
     ++state.outcome.sends;
-    serving::recordAttempt(target, state.clock(), state.policy.countsPrompts ? promptMs(request.promptTokens) : 0);
+    serving::recordAttempt(target, state.clock(),
+                           state.policy.countsPrompts ? promptMs(state, request.promptTokens) : 0);
     request.engine = std::stoi(target.entry.id.substr(1));
     const std::uint64_t send = ++request.send;
     state.at(state.now + WayMs, [&state, id, send] {
@@ -149,13 +152,53 @@
     });
 }
 
+/// Draws the lengths of a request of a kind with a spread, and its workspace. Patterns without draw nothing, so that
+/// their replays stay the same.
+void drawLengths(ReplayState &state, ReplayRequest &request)
+{
+    request.answerTokens = request.shape->answerTokens;
+    if (request.shape->promptSpread > 0) {
+        const double spread = request.shape->promptSpread;
+        const double median = request.promptTokens / std::exp(spread * spread / 2);
+        const double tokens = std::lognormal_distribution<double>(std::log(median), spread)(state.random);
+        request.promptTokens = static_cast<int>(std::clamp(tokens, 1.0, static_cast<double>(LongestPrompt)));
+        const double factor =
+            std::uniform_real_distribution<double>(ShortestAnswerFactor, LongestAnswerFactor)(state.random);
+        request.answerTokens = static_cast<int>(request.shape->answerTokens * factor);
+    }
+    if (state.pattern.workspaces > 1) {
+        const double all = state.pattern.heavyWorkspaceFactor + state.pattern.workspaces - 1;
+        const double drawn = state.draw() * all - state.pattern.heavyWorkspaceFactor;
+        request.workspace = drawn < 0 ? 0 : 1 + static_cast<int>(drawn);
+    }
+}
+
+/// Sorts the requests into the size classes of `ReplayOutcome::bySize`.
+void classifySizes(ReplayState &state)
+{
+    constexpr double LargestShare = 0.1;
+    constexpr double LargeShare = 0.3;
+    std::vector<int> sizes;
+    for (const ReplayRequest &request : state.requests) {
+        sizes.push_back(request.promptTokens);
+    }
+    std::sort(sizes.begin(), sizes.end(), std::greater<>());
+    const auto at = [&](double share) {
+        return sizes.empty() ? 0 : sizes[static_cast<std::size_t>(static_cast<double>(sizes.size()) * share)];
+    };
+    for (ReplayRequest &request : state.requests) {
+        request.sizeClass =
+            request.promptTokens > at(LargestShare) ? 0 : (request.promptTokens > at(LargeShare) ? 1 : 2);
+    }
+}
+
 void arrive(ReplayState &state, double at)
 {
     const std::uint64_t id = state.requests.size();
     ReplayRequest request{.firstTryAt = at, .second = static_cast<std::size_t>(at / MillisInSecond)};
     double drawn = state.draw();
-    request.shape = &requestShapes().back();
-    for (const RequestShape &shape : requestShapes()) {
+    request.shape = &state.pattern.shapes.back();
+    for (const RequestShape &shape : state.pattern.shapes) {
         if (drawn < shape.share) {
             request.shape = &shape;
             break;
@@ -167,6 +210,7 @@
     request.eager = state.draw() < state.pattern.eagerShare;
     request.mostTries = request.eager ? EagerTries : request.mostTries;
     request.leavesAt = state.draw() < state.pattern.leavingShare ? at + LeavingMs * state.draw() : 0;
+    drawLengths(state, request);
     state.requests.push_back(request);
     state.at(at, [&state, id] { beginTry(state, id); });
     planGivingUp(state, id, at + GapMs);
@@ -189,7 +233,7 @@
         double slots = 0;
         for (const ReplayEngine &engine : state.engines) {
             held += engine.serves ? engine.model.running() + engine.model.queued() : 0;
-            slots += engine.serves ? EngineShape{}.slots : 0;
+            slots += engine.serves ? state.pattern.engine.slots : 0;
         }
         row.occupancy = slots > 0 ? held / slots : 0;
         for (const ReplayEntry &entry : state.entries) {
@@ -208,7 +252,7 @@
         if (request.leavesAt == 0) {
             all.push_back({.at = request.firstTryAt,
                            .worth = request.shape->worth,
-                           .engineMs = engineTimeOf({}, request.promptTokens, request.shape->answerTokens)});
+                           .engineMs = engineTimeOf(state.pattern.engine, request.promptTokens, request.answerTokens)});
         }
     }
     state.outcome.worthBound = workBound(all, state.engineSeconds);
@@ -261,6 +305,7 @@
         }
         arrive(state, at);
     }
+    classifySizes(state);
     workOutBound(state);
     state.at(0, [&state] { tick(state); });
 }
--- a/lab/simulation/replay_engines.cpp
+++ b/lab/simulation/replay_engines.cpp
@@ -54,7 +54,7 @@
                                                  .service = "s",
                                                  .address = "10.0.0.1:" + std::to_string(index + 1),
                                                  .domain = std::to_string(index % Domains),
-                                                 .slots = EngineShape{}.slots,
+                                                 .slots = state.pattern.engine.slots,
                                                  .models = {{"m", 1}}},
                             state.clock());
     }
@@ -76,7 +76,9 @@
         if (state.draw() < state.pattern.reportLoss) {
             continue;
         }
-        const auto delay = static_cast<double>(state.pattern.reportDelay.count());
+        const auto jitter = static_cast<double>(state.pattern.reportJitter.count());
+        const double delay =
+            static_cast<double>(state.pattern.reportDelay.count()) + (jitter > 0 ? jitter * state.draw() : 0);
         state.at(state.now + delay, [&state, index, n, load] {
             ReplayEntry &entry = state.entries[n];
             serving::TargetLoad arrived = load;
@@ -169,7 +171,7 @@
         count = std::max(count, step.engine + 1);
         state.at(static_cast<double>(step.at.count()), [&state, step] { apply(state, step); });
     }
-    state.engines.assign(static_cast<std::size_t>(count), ReplayEngine(EngineShape{}));
+    state.engines.assign(static_cast<std::size_t>(count), ReplayEngine(state.pattern.engine));
     state.engineSeconds = engineSecondsOf(state.pattern);
     for (int n = 0; n < state.pattern.engines; ++n) {
         // Reports of different engines are spread over the time between two.
@@ -187,7 +189,7 @@
     }
     const bool idle = !engine.model.passEnd();
     const bool taken = engine.model.add(
-        {.id = id, .promptTokens = request.promptTokens, .answerTokens = request.shape->answerTokens}, state.now);
+        {.id = id, .promptTokens = request.promptTokens, .answerTokens = request.answerTokens}, state.now);
     if (!taken) {
         ++state.outcome.rejected;
         state.at(state.now + WayMs, [&state, id] { takeFailure(state, id, true); });
--- a/lab/simulation/replay_state.h
+++ b/lab/simulation/replay_state.h
@@ -51,6 +51,9 @@
 {
     const RequestShape *shape = nullptr;
     int promptTokens = 0;
+    int answerTokens = 0;
+    int workspace = 0;
+    std::size_t sizeClass = 0; ///< As in `ReplayOutcome::bySize`.
     double firstTryAt = 0;
     double tryAt = 0;
     int tries = 0;
--- a/lab/test/loads_test.cpp
+++ b/lab/test/loads_test.cpp
@@ -41,11 +41,6 @@
     EXPECT_LE(outcome.worthEarned, outcome.worthOwed);
     EXPECT_LE(outcome.worthEarned, outcome.worthBound * (1 + LeastGain));
     // A kind that is served less than a quarter as often as all counts as starved.
-    const auto servedShare = [](const std::array<int, 5> &ends) {
-        const double served =
-            ends[static_cast<std::size_t>(ReplayEnd::OnTime)] + ends[static_cast<std::size_t>(ReplayEnd::Late)];
-        return served / std::max(1, std::accumulate(ends.begin(), ends.end(), 0));
-    };
     for (const auto &[name, ends] : outcome.byShape) {
         EXPECT_GE(servedShare(ends), servedShare(outcome.ends) / 4) << name;
     }
