Serving: slots for urgent kinds, contention for free slots, and waits by slack

Under load most requests were late inside the engines: each entry VM sees the same report of a free slot, and several fill it. Less urgent kinds took the slots of urgent ones, and a request that could no longer be on time was sent until its objective had passed.

- Free slots that a report shows are used by half an entry VM on average while the demand exceeds them (slot_contention.h); a slot that an own request has just left is used at once.
- Where routes of a service differ in priority, the last slots are left to more urgent kinds, a caller's second attempt counts as one rank more urgent, and engines get X-Ibislock-Request-Priority (urgency.h).
- A request is late when its first event can't be on time (first_event.h).
It may wait a quarter of its objective, half of it for all but the least urgent kinds; returned callers go first, then those with the least slack.

--- a/lab/simulation/load_policy.cpp
+++ b/lab/simulation/load_policy.cpp
@@ -21,7 +21,8 @@
         LoadPolicy{.name = "send-all",
                    .what = "everything is sent and waits inside the engines",
                    .placement = {.engineFullOccupancy = Everything, .lateEngineFullOccupancy = Everything}},
-        LoadPolicy{.name = "wait-0", .what = "no waiting", .admission = {.maxWaitFraction = 0}},
+        LoadPolicy{
+            .name = "wait-0", .what = "no waiting", .admission = {.maxWaitFraction = 0, .urgentWaitFraction = 0}},
         LoadPolicy{
             .name = "wait-half", .what = "waiting up to half of the objective", .admission = {.maxWaitFraction = 0.5}},
         LoadPolicy{.name = "wait-whole", .what = "waiting up to the objective", .admission = {.maxWaitFraction = 1}},
@@ -47,6 +48,27 @@
                    .placement = {.crossDomainPenalty = 0.3}},
         LoadPolicy{.name = "unseen-0", .what = "reports are taken as fresh", .unseen = Millis{0}},
         LoadPolicy{.name = "unseen-200", .what = "reports are taken as 200 ms old", .unseen = Millis{200}},
+        LoadPolicy{.name = "priority-equal", .what = "no slots are left to more urgent kinds", .reserves = false},
+        LoadPolicy{.name = "no-contention", .what = "every entry VM uses each free slot", .contends = false},
+        LoadPolicy{.name = "before",
+                   .what = "as the product did without priorities and contention",
+                   .admission = {.maxWaitFraction = 0.125, .urgentWaitFraction = 0},
+                   .reserves = false,
+                   .foresees = false,
+                   .ordersBySlack = false,
+                   .contends = false},
+        LoadPolicy{.name = "late-at-objective", .what = "late when the objective has passed", .foresees = false},
+        LoadPolicy{.name = "order-arrival", .what = "waiting requests in the order of arrival", .ordersBySlack = false},
+        LoadPolicy{.name = "wait-equal",
+                   .what = "the most urgent kinds wait no longer than others",
+                   .admission = {.urgentWaitFraction = 0}},
+        LoadPolicy{.name = "wait-eighth",
+                   .what = "waiting up to an eighth of the objective",
+                   .admission = {.maxWaitFraction = 0.125, .urgentWaitFraction = 0}},
+        LoadPolicy{.name = "users-1", .what = "one entry VM for each free slot", .placement = {.usersPerFreeSlot = 1}},
+        LoadPolicy{.name = "users-2", .what = "two entry VMs for each free slot", .placement = {.usersPerFreeSlot = 2}},
+        LoadPolicy{
+            .name = "users-4", .what = "four entry VMs for each free slot", .placement = {.usersPerFreeSlot = 4}},
     };
     return policies;
 }
--- a/lab/simulation/load_policy.h
+++ b/lab/simulation/load_policy.h
@@ -20,6 +20,11 @@
     Millis unseen{60}; ///< A report doesn't show requests that were sent less than this before it arrived.
     bool countsPrompts = true; ///< Backlogs of prompts are estimated.
     bool refusesLate = true; ///< Requests that can't be on time may not take the last slots.
+    bool reserves = true; ///< The last slots are left to more urgent kinds, and engines admit these first.
+    bool foresees =
+        true; ///< A request is late when its first event can't be on time, not when its objective has passed.
+    bool ordersBySlack = true; ///< Returned callers and requests with little slack go first.
+    bool contends = true; ///< Free slots are left to other entry VMs under contention.
 };
 
 /// All of them.
--- a/lab/simulation/replay_callers.cpp
+++ b/lab/simulation/replay_callers.cpp
@@ -80,12 +80,30 @@
     ++request.tries;
     request.tryAt = state.now;
     request.entry = static_cast<int>(state.random() % state.entries.size());
+    recordArrival(entryOf(state, request).demand, state.clock());
     dispatch(state, id);
 }
 
+serving::Urgency urgency(const ReplayState &state, const ReplayRequest &request)
+{
+    return state.policy.reserves ? serving::urgencyOf(state.desired, "s", request.shape->priority) : serving::Urgency{};
+}
+
+/// When a request must be sent to be on time, as its entry VM expects.
+double dueAt(const ReplayState &state, const ReplayRequest &request)
+{
+    const EngineShape &shape = state.pattern.engine;
+    const serving::EngineSpec spec{.stepMs = shape.stepMs,
+                                   .promptTokensPerMs = shape.promptTokensPerMs,
+                                   .typicalPromptTokens = UsualPrompt,
+                                   .stepsPerPass = shape.stepsPerPass};
+    const Millis expected = state.policy.foresees ? serving::expectedFirstEvent(spec, request.promptTokens) : Millis{0};
+    return request.firstTryAt + static_cast<double>((request.shape->goal - expected).count());
+}
+
 bool isLate(const ReplayState &state, const ReplayRequest &request)
 {
-    return state.now - request.firstTryAt >= static_cast<double>(request.shape->goal.count());
+    return state.now >= dueAt(state, request);
 }
 
 void refuse(ReplayState &state, std::uint64_t id, serving::RefusalCause cause)
@@ -115,6 +133,9 @@
                            .typicalPromptMs = state.policy.countsPrompts ? promptMs(state, UsualPrompt) : 0,
                            .expectedDuration = Millis{static_cast<std::int64_t>(duration)},
                            .urgent = !state.policy.refusesLate || !isLate(state, request),
+                           .reservedShare = reservedShare(urgency(state, request), request.tries > 1),
+                           .contention = {.entryVms = state.policy.contends ? state.pattern.entryVms : 1,
+                                          .demand = demandAt(entryOf(state, request).demand, state.clock())},
                            .now = state.clock()},
                           state.random, state.policy.placement);
 }
@@ -268,6 +289,9 @@
     for (int n = 0; n < pattern.entryVms; ++n) {
         entries.push_back({.domain = std::to_string(n % Domains)});
     }
+    for (const RequestShape &shape : pattern.shapes) {
+        desired.routes.push_back({.priority = shape.priority, .services = {{.service = "s"}}});
+    }
     outcome.seconds.resize(static_cast<std::size_t>(pattern.length / Millis{1000}));
 }
 
@@ -321,13 +345,21 @@
                                               - Millis{static_cast<std::int64_t>(state.now - request.tryAt)},
                                           .latencyObjective = request.shape->goal,
                                           .late = state.policy.refusesLate && isLate(state, request),
+                                          .urgentKind = isUrgent(urgency(state, request)),
                                           .now = state.clock()};
     switch (serving::admit(asked, placement, state.policy.admission)) {
     case serving::AdmissionDecision::Send:
         send(state, id, *placement.target);
         return;
     case serving::AdmissionDecision::Wait:
-        entryOf(state, request).waiting.emplace(serving::WaitingRank{.arrival = id}, id);
+        entryOf(state, request)
+            .waiting.emplace(
+                serving::WaitingRank{
+                    .priority = urgency(state, request).rank,
+                    .firstAttempt = !state.policy.ordersBySlack || request.tries <= 1,
+                    .dueAt = Millis{state.policy.ordersBySlack ? static_cast<std::int64_t>(dueAt(state, request)) : 0},
+                    .arrival = id},
+                id);
         return;
     case serving::AdmissionDecision::RefuseFull:
     case serving::AdmissionDecision::RefuseBackingOff: // The replayed engines ask for no pauses.
--- a/lab/simulation/replay_engines.cpp
+++ b/lab/simulation/replay_engines.cpp
@@ -162,6 +162,14 @@
     return out;
 }
 
+int enginePriorityOf(const ReplayState &state, const ReplayRequest &request)
+{
+    constexpr int Default = 5;
+    const int priority =
+        state.policy.reserves ? enginePriority(serving::urgencyOf(state.desired, "s", request.shape->priority)) : -1;
+    return priority >= 0 ? priority : Default;
+}
+
 } // namespace
 
 void startEngines(ReplayState &state)
@@ -188,8 +196,11 @@
         return;
     }
     const bool idle = !engine.model.passEnd();
-    const bool taken = engine.model.add(
-        {.id = id, .promptTokens = request.promptTokens, .answerTokens = request.answerTokens}, state.now);
+    const bool taken = engine.model.add({.id = id,
+                                         .promptTokens = request.promptTokens,
+                                         .answerTokens = request.answerTokens,
+                                         .priority = enginePriorityOf(state, request)},
+                                        state.now);
     if (!taken) {
         ++state.outcome.rejected;
         state.at(state.now + WayMs, [&state, id] { takeFailure(state, id, true); });
@@ -209,6 +220,7 @@
         const auto it = entry.table.targets.find(idOf(request.engine));
         if (&entry == &state.entries[static_cast<std::size_t>(request.entry)] && it != entry.table.targets.end()) {
             it->second.inFlight = std::max(0, it->second.inFlight - 1);
+            recordEnd(it->second, state.clock());
         }
     }
     request.engine = -1;
--- a/lab/simulation/replay_state.h
+++ b/lab/simulation/replay_state.h
@@ -2,7 +2,9 @@
 
 #pragma once
 
+#include "ibislock/serving/first_event.h"
 #include "ibislock/serving/retry_delay.h"
+#include "ibislock/serving/urgency.h"
 #include "simulation/engine_model.h"
 #include "simulation/replay.h"
 
@@ -75,6 +77,7 @@
 {
     std::string domain;
     serving::TargetTable table;
+    serving::DemandMeter demand;
     std::map<serving::WaitingRank, std::uint64_t> waiting;
 };
 
@@ -103,6 +106,7 @@
     std::vector<ReplayEngine> engines;
     std::vector<ReplayEntry> entries;
     std::vector<ReplayRequest> requests;
+    serving::DesiredState desired; ///< Routes with the priorities of the pattern's kinds, to one service.
     std::vector<double> engineSeconds; ///< Engines that serve, by second.
     int heldTries = 0;
     ReplayOutcome outcome;
--- a/lab/test/loads_test.cpp
+++ b/lab/test/loads_test.cpp
@@ -57,6 +57,23 @@
 INSTANTIATE_TEST_SUITE_P(Loads, LoadPatternTest, testing::ValuesIn(loadPatterns().begin(), loadPatterns().end()),
                          [](const auto &item) { return std::string(item.param.name); });
 
+/// Guards against a less urgent kind that takes slots from a more urgent one: the most urgent kind is served at least
+/// as often as the next one, on time and at all, and so on. 0.05 less is allowed.
+TEST(UrgencyReplayTest, AMoreUrgentKindIsServedAtLeastAsOften)
+{
+    constexpr double Allowed = 0.05;
+    for (const std::string pattern : {"mixed", "mixed_more", "mixed_lost"}) {
+        const ReplayOutcome outcome = replay(*findPattern(pattern), *findPolicy("product"), 1);
+        const auto &brief = outcome.byShape.at("route-brief");
+        const auto &notice = outcome.byShape.at("delay-notice");
+        const auto &summary = outcome.byShape.at("shift-summary");
+        EXPECT_GE(servedShare(brief), servedShare(notice) - Allowed) << pattern;
+        EXPECT_GE(servedShare(notice), servedShare(summary) - Allowed) << pattern;
+        EXPECT_GE(onTimeShare(brief), onTimeShare(notice) - Allowed) << pattern;
+        EXPECT_GE(onTimeShare(notice), onTimeShare(summary) - Allowed) << pattern;
+    }
+}
+
 /// A decision of the product, the way that it replaced, and the load that it answers.
 struct GainCase
 {
@@ -74,16 +91,20 @@
     EXPECT_GE(meanWorth(GetParam().pattern, "product"), meanWorth(GetParam().pattern, GetParam().before) + LeastGain);
 }
 
-INSTANTIATE_TEST_SUITE_P(Decisions, GainTest,
-                         testing::Values(GainCase{"FullEnginesGetNothing", "send-all", "over"},
-                                         GainCase{"FullEnginesGetNothingAfterALoss", "send-all", "lost"},
-                                         GainCase{"SomeAreDrawn", "draw-all", "near"},
-                                         GainCase{"MoreThanOneIsDrawn", "draw-1", "near"},
-                                         GainCase{"LongPromptsCount", "no-prompts", "hot"},
-                                         GainCase{"PromptsCount", "no-prompts", "near"},
-                                         GainCase{"WaitsAreShort", "wait-whole", "over"},
-                                         GainCase{"WaitsAreShortBesideEagerCallers", "wait-whole", "eager"}),
-                         [](const auto &item) { return item.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    Decisions, GainTest,
+    testing::Values(GainCase{"FullEnginesGetNothing", "send-all", "over"},
+                    GainCase{"FullEnginesGetNothingAfterALoss", "send-all", "lost"},
+                    GainCase{"SomeAreDrawn", "draw-all", "near"}, GainCase{"MoreThanOneIsDrawn", "draw-1", "near"},
+                    GainCase{"LongPromptsCount", "no-prompts", "hot"}, GainCase{"PromptsCount", "no-prompts", "near"},
+                    GainCase{"WaitsAreShort", "wait-whole", "over"},
+                    GainCase{"WaitsAreShortBesideEagerCallers", "wait-whole", "eager"},
+                    GainCase{"UrgentKindsHaveReservedSlots", "priority-equal", "mixed"},
+                    GainCase{"UrgentKindsHaveReservedSlotsAfterALoss", "priority-equal", "mixed_lost"},
+                    GainCase{"FreeSlotsAreLeftToOthers", "no-contention", "equal"},
+                    GainCase{"FreeSlotsAreLeftToOthersNearCapacity", "no-contention", "equal_near"},
+                    GainCase{"FreeSlotsAreLeftToOthersWithFewEntryVms", "no-contention", "over"}),
+    [](const auto &item) { return item.param.name; });
 
 } // namespace
 
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
+#include "ibislock/serving/first_event.h"
 #include "ibislock/serving/request_digest.h"
 #include "ibislock/serving/retry_delay.h"
 
@@ -132,6 +133,7 @@
                                      .caller = workspace.empty() ? request.apiKey : workspace,
                                      .body = body});
     service = serving::sampleService(route, std::uniform_real_distribution<double>(0, 1)(front.random));
+    urgency = serving::urgencyOf(state, service, route.priority);
     const auto it = state.services.find(service);
     usesEngine = it != state.services.end() && it->second.engine.has_value();
     suspects = serving::suspectsOf(usesEngine ? request.sharedParts : std::vector<std::uint64_t>{}, digest);
@@ -144,10 +146,26 @@
 }
 
 bool Call::isLate(Millis now) const
+{
+    return now >= dueAt();
+}
+
+Millis Call::dueAt() const
 {
     const Millis full = route.timeout > Millis{0} ? route.timeout : DefaultDeadline;
-    const Millis spent = full - std::min(full, request.deadline.value_or(full)) + (now - receivedAt);
-    return spent >= route.latencyObjective;
+    const Millis spentBefore = full - std::min(full, request.deadline.value_or(full));
+    return receivedAt - spentBefore + route.latencyObjective
+        - serving::expectedFirstEvent(engineSpec, request.promptTokens);
+}
+
+bool Call::isReturned() const
+{
+    return route.timeout > Millis{0} && request.deadline.value_or(route.timeout) < route.timeout;
+}
+
+serving::WaitingRank Call::waitingRank() const
+{
+    return {.priority = priority, .firstAttempt = !isReturned(), .dueAt = dueAt(), .arrival = arrivalNumber};
 }
 
 serving::AdmissionRequest Call::admissionRequest(Millis now) const
@@ -157,6 +175,7 @@
             .resumeWaitUntil = m_resumeWaitUntil,
             .late = isLate(now),
             .responseStarted = responseStarted(),
+            .urgentKind = usesEngine && isUrgent(urgency),
             .now = now};
 }
 
@@ -180,6 +199,7 @@
         .workspace = workspace,
         .weightsVersion =
             usesEngine && front.minVersionOf(request.model, now, MaxQueueTime) > 0 ? knownVersion(target, now) : 0,
+        .priority = usesEngine ? enginePriority(urgency) : -1,
     };
     if (responseStarted()) {
         out.lastEventId = m_attempt->eventSplitter.lastId;
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -8,6 +8,7 @@
 #include "ibislock/platform/messages.h"
 #include "ibislock/serving/attempt.h"
 #include "ibislock/serving/request_lifecycle.h"
+#include "ibislock/serving/urgency.h"
 
 namespace ibislock::front
 {
@@ -68,9 +69,19 @@
     /// Resumes reading the target's response after the write queue to the caller has emptied.
     void onCallerDrained();
 
-    /// Returns whether the caller has already waited longer than the latency objective of the route.
+    /// Returns whether the first event can't meet the latency objective of the route any more if the request is sent
+    /// now, as far as is expected.
     bool isLate(Millis now) const;
 
+    /// Returns whether this is the caller's second attempt: it allows less time than the route.
+    bool isReturned() const;
+
+    /// Returns the position among waiting calls.
+    serving::WaitingRank waitingRank() const;
+
+    /// Returns when the request must be sent for its first event to be on time.
+    Millis dueAt() const;
+
     /// Returns the input of the admission decision.
     serving::AdmissionRequest admissionRequest(Millis now) const;
 
@@ -105,6 +116,7 @@
     serving::EngineSpec engineSpec;
     bool counted = false; ///< Counted as a request to its service.
     int priority = 0;
+    serving::Urgency urgency;
     Millis receivedAt{0};
     Millis deadlineAt{0};
     std::uint64_t arrivalNumber = 0; ///< Number of the request, counted by this VM.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -259,11 +259,14 @@
     }
     call->arrivalNumber = ++m_arrivalCount;
     recordRequest(retries, call->service, call->receivedAt);
+    recordArrival(m_demand[call->service], call->receivedAt);
     dispatch(call);
 }
 
 serving::Placement Front::findPlacement(const Call &call, Millis now, std::optional<Millis> maxSilence)
 {
+    const bool resumed = call.responseStarted(); // It was admitted before.
+    const auto demand = m_demand.find(call.service);
     return place(table,
                  {.service = call.service,
                   .domain = settings.domain,
@@ -274,6 +277,9 @@
                   .maxSilence = maxSilence,
                   .urgent = !call.isLate(now) || call.responseStarted(),
                   .triedTargets = &call.triedTargets,
+                  .reservedShare = resumed ? 0 : reservedShare(call.urgency, call.isReturned()),
+                  .contention = {.entryVms = resumed ? 1 : entryVms(m_entryVms),
+                                 .demand = demand == m_demand.end() ? 0 : demandAt(demand->second, now)},
                   .now = now},
                  random);
 }
@@ -307,7 +313,7 @@
         call->send(*placement.target);
         break;
     case serving::AdmissionDecision::Wait:
-        m_waiting.emplace(serving::WaitingRank{.priority = call->priority, .arrival = call->arrivalNumber}, call);
+        m_waiting.emplace(call->waitingRank(), call);
         break;
     case serving::AdmissionDecision::RefuseFull:
         call->refuse(CallOutcome::Full);
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -156,6 +156,7 @@
     std::map<std::string, feed::SendTimePeer> m_loadSenders; ///< Target VMs that report loads, by IP address.
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_adminConnections;
+    std::map<std::string, serving::DemandMeter, std::less<>> m_demand; ///< By service.
     WaitingCalls m_waiting; ///< Calls whose targets are full.
     std::uint64_t m_arrivalCount = 0;
     Millis m_nextQuarantineUpdateAt{0}; ///< By the boot clock.
--- a/libs/serving/include/ibislock/serving/admission.h
+++ b/libs/serving/include/ibislock/serving/admission.h
@@ -1,6 +1,7 @@
 // Admission control: decides whether a request is sent to a target now, waits for a slot, or is refused. Under
 // overload, a caller is refused at once when waiting would only make its response late; a short wait bridges the time
-// until the next slot is free. Waiting requests are ordered by priority, then by arrival.
+// until the next slot is free. Waiting requests are ordered by priority; callers that come back after a refusal go
+// before new ones, then those with the least slack.
 //
 //     AdmissionDecision decision = admit({.receivedAt = at, .latencyObjective = objective, .now = now}, placement);
 
@@ -23,8 +24,12 @@
 /// Limits for admission.
 struct AdmissionPolicy
 {
-    double maxWaitFraction = 0.125; ///< Fraction of its latency objective that a request may wait; with longer waits,
-                                    ///< most responses are late.
+    /// Fraction of its latency objective that a request may wait, unless it is late before. With longer waits more
+    /// responses are late above the capacity of a service whose requests have one priority.
+    double maxWaitFraction = 0.25;
+    /// The same for all but the least urgent requests of a service whose routes differ in priority: they are served
+    /// first.
+    double urgentWaitFraction = 0.5;
 };
 
 /// A request that is checked for admission.
@@ -33,8 +38,9 @@
     Millis receivedAt{0};
     Millis latencyObjective{0}; ///< Latency objective of the route, counted from the caller's first attempt.
     Millis resumeWaitUntil{0}; ///< An aborted response may wait at least until then to be resumed; zero otherwise.
-    bool late = false; ///< The response can't meet the latency objective any more.
+    bool late = false; ///< The first event can't meet the latency objective any more, as far as is expected.
     bool responseStarted = false; ///< The caller has received part of the response.
+    bool urgentKind = false; ///< Routes of its service differ in priority, and its route isn't the least urgent.
     Millis now{0};
 };
 
@@ -47,6 +53,8 @@
 struct WaitingRank
 {
     int priority = 0;
+    bool firstAttempt = true; ///< Callers that come back after a refusal are served first.
+    Millis dueAt{0}; ///< When the request must be sent to be on time.
     std::uint64_t arrival = 0; ///< Sequence number of the request.
 
     auto operator<=>(const WaitingRank &) const = default;
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "ibislock/base/random.h"
+#include "ibislock/serving/slot_contention.h"
 #include "ibislock/serving/target_table.h"
 
 #include <optional>
@@ -30,6 +31,8 @@
     std::optional<Millis> maxSilence; ///< Leaves out targets that have been silent for longer and don't report.
     bool urgent = true; ///< May take the last free slots.
     const std::set<std::string> *triedTargets = nullptr; ///< Targets to which the request was sent before.
+    double reservedShare = 0; ///< Share of an engine's slots that is left to more urgent requests.
+    SlotContention contention;
     Millis now{0};
 };
 
@@ -70,6 +73,7 @@
     double lateEngineFullOccupancy = 0.8;
     /// Requests per slot at which a target without an engine counts as full; it queues a few times its slots.
     double plainFullOccupancy = 2.5;
+    double usersPerFreeSlot = UsersPerFreeSlot; ///< As in `slot_contention.h`; 0 to use every free slot.
     double crossDomainPenalty = 0.1; ///< Requests per slot that are added to the cost of a target in another domain.
     double fullBatchBacklogMs = 200; ///< Prompt backlog that costs as much as a full batch: half of the shortest
                                      ///< latency objective for a first event.
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -69,6 +69,13 @@
     double promptMs = 0; ///< Prefill time of the prompt, in milliseconds.
 };
 
+/// A random number that decides whether this VM uses slots that one load report shows as free.
+struct SlotDraw
+{
+    Millis reportAt{0}; ///< The report for which it was drawn; 0 for none.
+    double value = 0; ///< At least 0 and below 1.
+};
+
 /// A target with all data that placement uses.
 struct Target
 {
@@ -78,6 +85,8 @@
     int inFlight = 0; ///< Requests of this entry VM that are in flight at the present incarnation.
     Millis heardAt{0}; ///< When it last sent something to this entry VM, or got a request with no other in flight.
     std::deque<RecentAttempt> recentAttempts; ///< The last requests of this entry VM.
+    std::deque<Millis> recentEnds; ///< When the last requests of this entry VM ended there.
+    SlotDraw slotDraw;
     Millis loadCoversUntil{0}; ///< Requests sent after this time are not included in the load.
     std::optional<Millis> expiringSince; ///< When the removal of the listing was learned, if it may return.
     TargetSignals signals; ///< Signals of the present incarnation.
@@ -143,6 +152,9 @@
 /// @param promptMs the prefill time of its prompt, in milliseconds; 0 for plain services.
 void recordAttempt(Target &target, Millis now, double promptMs);
 
+/// Records that a request of this VM has ended at a target and left its slot.
+void recordEnd(Target &target, Millis now);
+
 /// Returns for how long a target has sent nothing while requests of this VM were in flight there; 0 if none is.
 Millis silenceOf(const Target &target, Millis now);
 
--- a/libs/serving/src/admission.cpp
+++ b/libs/serving/src/admission.cpp
@@ -14,8 +14,9 @@
     if (placement.reason != PlacementFailure::Full && !backingOff) {
         return AdmissionDecision::RefuseNoTarget;
     }
-    const auto maxWaitMs =
-        static_cast<std::int64_t>(static_cast<double>(request.latencyObjective.count()) * policy.maxWaitFraction);
+    const double fraction =
+        request.urgentKind ? std::max(policy.maxWaitFraction, policy.urgentWaitFraction) : policy.maxWaitFraction;
+    const auto maxWaitMs = static_cast<std::int64_t>(static_cast<double>(request.latencyObjective.count()) * fraction);
     const Millis until = std::max(request.receivedAt + Millis{maxWaitMs}, request.resumeWaitUntil);
     const bool worthWaiting = !request.late || request.responseStarted;
     if (backingOff) {
--- a/libs/serving/src/attempt.cpp
+++ b/libs/serving/src/attempt.cpp
@@ -56,6 +56,7 @@
 {
     withdrawAttempt(table, attempt);
     if (Target *target = targetOf(table, attempt)) {
+        recordEnd(*target, now);
         recordOutcome(*target, success, now);
     }
 }
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -45,7 +45,24 @@
     if (!request.engine) {
         return policy.plainFullOccupancy;
     }
-    return request.urgent ? policy.engineFullOccupancy : policy.lateEngineFullOccupancy;
+    return (request.urgent ? policy.engineFullOccupancy : policy.lateEngineFullOccupancy) - request.reservedShare;
+}
+
+/// Removes the targets whose free slots are left to other entry VMs.
+void leaveToOthers(std::vector<Placement> &available, const PlacementRequest &request, Random &random,
+                   const PlacementPolicy &policy)
+{
+    if (!request.engine || request.contention.entryVms <= 1 || policy.usersPerFreeSlot <= 0) {
+        return;
+    }
+    double freeSlots = 0;
+    for (const Placement &candidate : available) {
+        freeSlots += std::max(0.0, 1 - candidate.occupancy) * std::max(1, candidate.target->entry.slots);
+    }
+    const double probability = useProbability(request.contention, freeSlots, policy.usersPerFreeSlot);
+    std::erase_if(available, [&](const Placement &candidate) {
+        return hasFreshLoad(*candidate.target, request.now) && !mayUseSlots(*candidate.target, probability, random);
+    });
 }
 
 /// Targets that back off or have no turn for this VM.
@@ -88,7 +105,8 @@
     const auto unreported =
         std::count_if(target.recentAttempts.begin(), target.recentAttempts.end(),
                       [&](const RecentAttempt &attempt) { return attempt.sentAt > target.loadCoversUntil; });
-    return target.load->running + target.load->queued + static_cast<double>(unreported);
+    const double reported = target.load->running + target.load->queued;
+    return std::max(0.0, reported - slotsLeft(target)) + static_cast<double>(unreported);
 }
 
 double promptBacklogMs(const Target &target, double typicalPromptMs, Millis now)
@@ -135,6 +153,7 @@
                 .suggestedPause = backingOff.pause,
                 .withoutTurn = backingOff.withoutTurn};
     }
+    leaveToOthers(available, request, random, policy);
     Placement best = leastOccupied;
     double bestCost = 0;
     for (int n = 0; n < policy.sampledTargets && !available.empty(); ++n) {
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -96,6 +96,7 @@
         target.load.reset();
         target.health = {};
         target.recentAttempts.clear();
+        target.recentEnds.clear();
         target.inFlight = 0;
         target.heardAt = now;
         if (target.entry.id.empty() || target.entry.startedAt != entry->startedAt) {
@@ -204,6 +205,14 @@
     }
 }
 
+void recordEnd(Target &target, Millis now)
+{
+    target.recentEnds.push_back(now);
+    if (target.recentEnds.size() > MaxRecentAttempts) {
+        target.recentEnds.pop_front();
+    }
+}
+
 Millis silenceOf(const Target &target, Millis now)
 {
     return target.inFlight > 0 ? now - target.heardAt : Millis{0};
--- a/libs/serving/test/admission_test.cpp
+++ b/libs/serving/test/admission_test.cpp
@@ -78,6 +78,15 @@
     EXPECT_LT((WaitingRank{.priority = 1, .arrival = 1}), (WaitingRank{.priority = 1, .arrival = 2}));
 }
 
+// Guards against callers that are refused twice while new ones are served, and against waiting requests that are late
+// behind others with time left.
+TEST(WaitingRankTest, OrdersReturnedCallersFirstThenBySlack)
+{
+    EXPECT_LT((WaitingRank{.firstAttempt = false, .dueAt = Millis{900}, .arrival = 2}),
+              (WaitingRank{.firstAttempt = true, .dueAt = Millis{100}, .arrival = 1}));
+    EXPECT_LT((WaitingRank{.dueAt = Millis{100}, .arrival = 2}), (WaitingRank{.dueAt = Millis{900}, .arrival = 1}));
+}
+
 } // namespace
 
 } // namespace ibislock::serving
