Serving: heavy workspaces leave the last slots to others; what a refusal weighed is logged

One of 24 workspaces that requests eight times its share took as many of its requests through as others while those were refused. Refused requests log what their placement weighed, and refusals beside slots that are left to other entry VMs are counted.

--- a/lab/simulation/load_policy.cpp
+++ b/lab/simulation/load_policy.cpp
@@ -65,6 +65,8 @@
         LoadPolicy{.name = "wait-eighth",
                    .what = "waiting up to an eighth of the objective",
                    .admission = {.maxWaitFraction = 0.125, .urgentWaitFraction = 0}},
+        LoadPolicy{
+            .name = "workspaces-equal", .what = "heavy workspaces may use all slots", .sharesByWorkspace = false},
         LoadPolicy{.name = "users-1", .what = "one entry VM for each free slot", .placement = {.usersPerFreeSlot = 1}},
         LoadPolicy{.name = "users-2", .what = "two entry VMs for each free slot", .placement = {.usersPerFreeSlot = 2}},
         LoadPolicy{
--- a/lab/simulation/load_policy.h
+++ b/lab/simulation/load_policy.h
@@ -24,6 +24,7 @@
     bool foresees =
         true; ///< A request is late when its first event can't be on time, not when its objective has passed.
     bool ordersBySlack = true; ///< Returned callers and requests with little slack go first.
+    bool sharesByWorkspace = true; ///< Heavy workspaces leave the last slots to others.
     bool contends = true; ///< Free slots are left to other entry VMs under contention.
 };
 
--- a/lab/simulation/replay_callers.cpp
+++ b/lab/simulation/replay_callers.cpp
@@ -81,6 +81,7 @@
     request.tryAt = state.now;
     request.entry = static_cast<int>(state.random() % state.entries.size());
     recordArrival(entryOf(state, request).demand, state.clock());
+    recordWorkspace(entryOf(state, request).workspaces, std::to_string(request.workspace), state.clock());
     dispatch(state, id);
 }
 
@@ -123,21 +124,26 @@
 
 serving::Placement placementOf(ReplayState &state, const ReplayRequest &request)
 {
+    const double workspaceReserve = state.policy.sharesByWorkspace
+        ? serving::workspaceReserve(entryOf(state, request).workspaces, std::to_string(request.workspace),
+                                    state.clock())
+        : 0;
     const EngineShape &shape = state.pattern.engine;
     const double duration =
         promptMs(state, request.promptTokens) + request.shape->answerTokens * shape.stepMs * SharedStepFactor;
-    return serving::place(entryOf(state, request).table,
-                          {.service = "s",
-                           .domain = entryOf(state, request).domain,
-                           .engine = true,
-                           .typicalPromptMs = state.policy.countsPrompts ? promptMs(state, UsualPrompt) : 0,
-                           .expectedDuration = Millis{static_cast<std::int64_t>(duration)},
-                           .urgent = !state.policy.refusesLate || !isLate(state, request),
-                           .reservedShare = reservedShare(urgency(state, request), request.tries > 1),
-                           .contention = {.entryVms = state.policy.contends ? state.pattern.entryVms : 1,
-                                          .demand = demandAt(entryOf(state, request).demand, state.clock())},
-                           .now = state.clock()},
-                          state.random, state.policy.placement);
+    return serving::place(
+        entryOf(state, request).table,
+        {.service = "s",
+         .domain = entryOf(state, request).domain,
+         .engine = true,
+         .typicalPromptMs = state.policy.countsPrompts ? promptMs(state, UsualPrompt) : 0,
+         .expectedDuration = Millis{static_cast<std::int64_t>(duration)},
+         .urgent = !state.policy.refusesLate || !isLate(state, request),
+         .reservedShare = reservedShare(urgency(state, request), request.tries > 1) + workspaceReserve,
+         .contention = {.entryVms = state.policy.contends ? state.pattern.entryVms : 1,
+                        .demand = demandAt(entryOf(state, request).demand, state.clock())},
+         .now = state.clock()},
+        state.random, state.policy.placement);
 }
 
 void send(ReplayState &state, std::uint64_t id, serving::Target &target)
--- a/lab/simulation/replay_state.h
+++ b/lab/simulation/replay_state.h
@@ -5,6 +5,7 @@
 #include "ibislock/serving/first_event.h"
 #include "ibislock/serving/retry_delay.h"
 #include "ibislock/serving/urgency.h"
+#include "ibislock/serving/workspace_shares.h"
 #include "simulation/engine_model.h"
 #include "simulation/replay.h"
 
@@ -78,6 +79,7 @@
     std::string domain;
     serving::TargetTable table;
     serving::DemandMeter demand;
+    serving::WorkspaceShares workspaces;
     std::map<serving::WaitingRank, std::uint64_t> waiting;
 };
 
--- a/lab/test/loads_test.cpp
+++ b/lab/test/loads_test.cpp
@@ -74,6 +74,35 @@
     }
 }
 
+// Guards against requests of one size that are refused for it: none is served less than half as often as all.
+TEST(SizeReplayTest, NoSizeIsServedLessThanHalfAsOften)
+{
+    for (const std::string pattern : {"mixed", "mixed_more", "equal", "equal_more"}) {
+        const ReplayOutcome outcome = replay(*findPattern(pattern), *findPolicy("product"), 1);
+        for (const auto &ends : outcome.bySize) {
+            EXPECT_GE(servedShare(ends), servedShare(outcome.ends) / 2) << pattern;
+        }
+    }
+}
+
+// Guards against one workspace that takes the slots of all others, and against one that is starved for its load.
+TEST(WorkspaceReplayTest, AHeavyWorkspaceLeavesSlotsToOthersAndIsServedAQuarterAsOften)
+{
+    const auto others = [](const ReplayOutcome &outcome) {
+        std::array<int, 5> ends{};
+        for (const auto &[workspace, counts] : outcome.byWorkspace) {
+            for (std::size_t n = 0; n < counts.size() && workspace != 0; ++n) {
+                ends[n] += counts[n];
+            }
+        }
+        return servedShare(ends);
+    };
+    const ReplayOutcome outcome = replay(*findPattern("workspace"), *findPolicy("product"), 1);
+    const ReplayOutcome before = replay(*findPattern("workspace"), *findPolicy("workspaces-equal"), 1);
+    EXPECT_GE(others(outcome), others(before) + 0.03);
+    EXPECT_GE(servedShare(outcome.byWorkspace.at(0)), servedShare(outcome.ends) / 4);
+}
+
 /// A decision of the product, the way that it replaced, and the load that it answers.
 struct GainCase
 {
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -53,6 +53,8 @@
     writeCounter(out, "ibislock_choices_without_turn_total",
                  "Choices of a target in which the limit of one or more left this VM no turn.",
                  counters.choicesWithoutTurn);
+    writeCounter(out, "ibislock_refusals_left_to_others_total",
+                 "Requests refused while free slots were left to other entry VMs.", counters.refusalsLeftToOthers);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waitTime);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.",
                    counters.timeToFirstByte);
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -36,6 +36,7 @@
     std::uint64_t silentTargetsPassedOver = 0; ///< Requests sent to another target as well, as theirs was silent.
     std::uint64_t silentTargetsResponded = 0; ///< Requests that such a silent target responded to after all.
     std::uint64_t choicesWithoutTurn = 0; ///< Choices of targets in which a limit left this VM no turn.
+    std::uint64_t refusalsLeftToOthers = 0; ///< Refusals while free slots were left to other entry VMs.
     Millis maxListingsAge{0}; ///< The greatest age of the listings by which a target was chosen.
     std::uint64_t attemptsAtUnlistedTargets = 0; ///< Attempts at targets whose listing was known to be removed.
     Millis maxUnlistedUse{0}; ///< The longest time after which a target was chosen whose listing had been removed.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -260,6 +260,9 @@
     call->arrivalNumber = ++m_arrivalCount;
     recordRequest(retries, call->service, call->receivedAt);
     recordArrival(m_demand[call->service], call->receivedAt);
+    if (!call->workspace.empty()) {
+        recordWorkspace(m_workspaces, call->workspace, call->receivedAt);
+    }
     dispatch(call);
 }
 
@@ -277,7 +280,9 @@
                   .maxSilence = maxSilence,
                   .urgent = !call.isLate(now) || call.responseStarted(),
                   .triedTargets = &call.triedTargets,
-                  .reservedShare = resumed ? 0 : reservedShare(call.urgency, call.isReturned()),
+                  .reservedShare = resumed ? 0
+                                           : reservedShare(call.urgency, call.isReturned())
+                          + workspaceReserve(m_workspaces, call.workspace, now),
                   .contention = {.entryVms = resumed ? 1 : entryVms(m_entryVms),
                                  .demand = demand == m_demand.end() ? 0 : demandAt(demand->second, now)},
                   .now = now},
@@ -316,6 +321,15 @@
         m_waiting.emplace(call->waitingRank(), call);
         break;
     case serving::AdmissionDecision::RefuseFull:
+        counters.refusalsLeftToOthers += placement.leftToOthers > 0 ? 1 : 0;
+        logInfo(LogComponent::Front, "No slot was found for a request.",
+                {{"id", call->request.attemptId},
+                 {"rank", std::to_string(call->urgency.rank)},
+                 {"second_attempt", call->isReturned() ? "1" : "0"},
+                 {"due_ms", std::to_string((call->dueAt() - now).count())},
+                 {"least_occupancy", std::to_string(static_cast<int>(100 * placement.occupancy))},
+                 {"left_to_others", std::to_string(placement.leftToOthers)},
+                 {"waited_ms", std::to_string((now - call->receivedAt).count())}});
         call->refuse(CallOutcome::Full);
         break;
     case serving::AdmissionDecision::RefuseBackingOff:
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -17,6 +17,7 @@
 #include "ibislock/serving/entry_vm_count.h"
 #include "ibislock/serving/quarantine_report.h"
 #include "ibislock/serving/retry_budget_share.h"
+#include "ibislock/serving/workspace_shares.h"
 
 #include <asio/ip/udp.hpp>
 #include <map>
@@ -157,6 +158,7 @@
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_adminConnections;
     std::map<std::string, serving::DemandMeter, std::less<>> m_demand; ///< By service.
+    serving::WorkspaceShares m_workspaces;
     WaitingCalls m_waiting; ///< Calls whose targets are full.
     std::uint64_t m_arrivalCount = 0;
     Millis m_nextQuarantineUpdateAt{0}; ///< By the boot clock.
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -53,6 +53,7 @@
     Millis backoffUntil{0}; ///< When the first of the targets that back off accepts requests of this VM again.
     Millis suggestedPause{0}; ///< How long the caller should wait in that case.
     int withoutTurn = 0; ///< Targets that were left out because their limits leave this VM no turn.
+    int leftToOthers = 0; ///< Engines with free slots that were left to other entry VMs.
 };
 
 /// How long a request may run past the time at which its target starts to load weights: the load waits for running
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -49,20 +49,22 @@
 }
 
 /// Removes the targets whose free slots are left to other entry VMs.
-void leaveToOthers(std::vector<Placement> &available, const PlacementRequest &request, Random &random,
-                   const PlacementPolicy &policy)
+/// @return the number of targets removed.
+int leaveToOthers(std::vector<Placement> &available, const PlacementRequest &request, Random &random,
+                  const PlacementPolicy &policy)
 {
     if (!request.engine || request.contention.entryVms <= 1 || policy.usersPerFreeSlot <= 0) {
-        return;
+        return 0;
     }
     double freeSlots = 0;
     for (const Placement &candidate : available) {
         freeSlots += std::max(0.0, 1 - candidate.occupancy) * std::max(1, candidate.target->entry.slots);
     }
     const double probability = useProbability(request.contention, freeSlots, policy.usersPerFreeSlot);
-    std::erase_if(available, [&](const Placement &candidate) {
+    const auto removed = std::erase_if(available, [&](const Placement &candidate) {
         return hasFreshLoad(*candidate.target, request.now) && !mayUseSlots(*candidate.target, probability, random);
     });
+    return static_cast<int>(removed);
 }
 
 /// Targets that back off or have no turn for this VM.
@@ -153,7 +155,7 @@
                 .suggestedPause = backingOff.pause,
                 .withoutTurn = backingOff.withoutTurn};
     }
-    leaveToOthers(available, request, random, policy);
+    const int leftToOthers = leaveToOthers(available, request, random, policy);
     Placement best = leastOccupied;
     double bestCost = 0;
     for (int n = 0; n < policy.sampledTargets && !available.empty(); ++n) {
@@ -169,6 +171,7 @@
         }
     }
     best.withoutTurn = backingOff.withoutTurn;
+    best.leftToOthers = leftToOthers;
     return best;
 }
 
