--- a/lab/simulation/replay_state.h
+++ b/lab/simulation/replay_state.h
@@ -2,7 +2,10 @@
 
 #pragma once
 
+#include "ibislock/serving/first_event.h"
 #include "ibislock/serving/retry_delay.h"
+#include "ibislock/serving/urgency.h"
+#include "ibislock/serving/workspace_shares.h"
 #include "simulation/engine_model.h"
 #include "simulation/replay.h"
 
@@ -51,6 +54,9 @@
 {
     const RequestShape *shape = nullptr;
     int promptTokens = 0;
+    int answerTokens = 0;
+    int workspace = 0;
+    std::size_t sizeClass = 0; ///< As in `ReplayOutcome::bySize`.
     double firstTryAt = 0;
     double tryAt = 0;
     int tries = 0;
@@ -72,6 +78,8 @@
 {
     std::string domain;
     serving::TargetTable table;
+    serving::DemandMeter demand;
+    serving::WorkspaceShares workspaces;
     std::map<serving::WaitingRank, std::uint64_t> waiting;
 };
 
@@ -100,6 +108,7 @@
     std::vector<ReplayEngine> engines;
     std::vector<ReplayEntry> entries;
     std::vector<ReplayRequest> requests;
+    serving::DesiredState desired; ///< Routes with the priorities of the pattern's kinds, to one service.
     std::vector<double> engineSeconds; ///< Engines that serve, by second.
     int heldTries = 0;
     ReplayOutcome outcome;
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -65,6 +65,8 @@
                  counters.attemptsAtColdTargets);
     writeCounter(out, "ibislock_sends_without_caller_total", "Sends that were left out as their callers had left.",
                  counters.sendsWithoutCaller);
+    writeCounter(out, "ibislock_refusals_left_to_others_total",
+                 "Requests refused while free slots were left to other entry VMs.", counters.refusalsLeftToOthers);
     writeHistogram(out, "ibislock_wait_ms", "Time until the first send, in milliseconds.", counters.waitTime);
     writeHistogram(out, "ibislock_first_event_ms", "Time until the first bytes of an answer.",
                    counters.timeToFirstByte);
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -267,27 +267,39 @@
     }
     call->arrivalNumber = ++m_arrivalCount;
     recordRequest(retries, call->service, call->receivedAt);
+    recordArrival(m_demand[call->service], call->receivedAt);
+    if (!call->workspace.empty()) {
+        recordWorkspace(m_workspaces, call->workspace, call->receivedAt);
+    }
     dispatch(call);
 }
 
 serving::Placement Front::findPlacement(Call &call, Millis now, std::optional<Millis> maxSilence)
 {
     call.updateResidency();
-    const serving::Placement placement = place(table,
-                                               {.service = call.service,
-                                                .domain = settings.domain,
-                                                .minVersion = minVersionOf(call.request.model, now, MaxQueueTime),
-                                                .engine = call.usesEngine,
-                                                .typicalPromptMs = call.promptMs(call.engineSpec.typicalPromptTokens),
-                                                .expectedDuration = call.expectedDuration(),
-                                                .maxSilence = maxSilence,
-                                                .urgent = !call.isLate(now) || call.responseStarted(),
-                                                .triedTargets = &call.triedTargets,
-                                                .domains = {.residency = &call.residency,
-                                                            .regions = &settings.regions,
-                                                            .evacuated = &operators.evacuations.active},
-                                                .now = now},
-                                               random);
+    const bool resumed = call.responseStarted(); // It was admitted before.
+    const auto demand = m_demand.find(call.service);
+    const serving::Placement placement =
+        place(table,
+              {.service = call.service,
+               .domain = settings.domain,
+               .minVersion = minVersionOf(call.request.model, now, MaxQueueTime),
+               .engine = call.usesEngine,
+               .typicalPromptMs = call.promptMs(call.engineSpec.typicalPromptTokens),
+               .expectedDuration = call.expectedDuration(),
+               .maxSilence = maxSilence,
+               .urgent = !call.isLate(now) || call.responseStarted(),
+               .triedTargets = &call.triedTargets,
+               .domains = {.residency = &call.residency,
+                           .regions = &settings.regions,
+                           .evacuated = &operators.evacuations.active},
+               .reservedShare = resumed ? 0
+                                        : reservedShare(call.urgency, call.isReturned())
+                       + workspaceReserve(m_workspaces, call.workspace, now),
+               .contention = {.entryVms = resumed ? 1 : entryVms(m_entryVms),
+                              .demand = demand == m_demand.end() ? 0 : demandAt(demand->second, now)},
+               .now = now},
+              random);
     call.recordPlacement(placement);
     return placement;
 }
@@ -322,9 +334,18 @@
         call->send(*placement.target);
         break;
     case serving::AdmissionDecision::Wait:
-        m_waiting.emplace(serving::WaitingRank{.priority = call->priority, .arrival = call->arrivalNumber}, call);
+        m_waiting.emplace(call->waitingRank(), call);
         break;
     case serving::AdmissionDecision::RefuseFull:
+        counters.refusalsLeftToOthers += placement.leftToOthers > 0 ? 1 : 0;
+        logInfo(LogComponent::Front, "No slot was found for a request.",
+                {{"id", call->request.attemptId},
+                 {"rank", std::to_string(call->urgency.rank)},
+                 {"second_attempt", call->isReturned() ? "1" : "0"},
+                 {"due_ms", std::to_string((call->dueAt() - now).count())},
+                 {"least_occupancy", std::to_string(static_cast<int>(100 * placement.occupancy))},
+                 {"left_to_others", std::to_string(placement.leftToOthers)},
+                 {"waited_ms", std::to_string((now - call->receivedAt).count())}});
         call->refuse(CallOutcome::Full);
         break;
     case serving::AdmissionDecision::RefuseBackingOff:
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -18,6 +18,7 @@
 #include "ibislock/serving/load_subscriptions.h"
 #include "ibislock/serving/quarantine_report.h"
 #include "ibislock/serving/retry_budget_share.h"
+#include "ibislock/serving/workspace_shares.h"
 
 #include <asio/ip/udp.hpp>
 #include <map>
@@ -171,6 +172,8 @@
     std::map<std::string, feed::SendTimePeer> m_loadSenders; ///< Target VMs that report loads, by IP address.
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_adminConnections;
+    std::map<std::string, serving::DemandMeter, std::less<>> m_demand; ///< By service.
+    serving::WorkspaceShares m_workspaces;
     WaitingCalls m_waiting; ///< Calls whose targets are full.
     std::uint64_t m_arrivalCount = 0;
     std::map<std::string, serving::ColdPhase> m_coldPhases; ///< As logged; targets that aren't warm, by id.
--- a/libs/serving/include/ibislock/serving/placement.h
+++ b/libs/serving/include/ibislock/serving/placement.h
@@ -10,6 +10,7 @@
 #include "ibislock/base/names.h"
 #include "ibislock/base/random.h"
 #include "ibislock/serving/placement_domains.h"
+#include "ibislock/serving/slot_contention.h"
 #include "ibislock/serving/target_table.h"
 
 #include <optional>
@@ -33,6 +34,8 @@
     bool urgent = true; ///< May take the last free slots.
     const std::set<std::string> *triedTargets = nullptr; ///< Targets to which the request was sent before.
     PlacementDomains domains; ///< The failure domains in which the request may be placed.
+    double reservedShare = 0; ///< Share of an engine's slots that is left to more urgent requests.
+    SlotContention contention;
     Millis now{0};
 };
 
@@ -66,6 +69,7 @@
     int coldWithoutTurn = 0; ///< The same because they are cold or may be.
     int outsideRegions = 0; ///< Targets of the service that were left out because of the request's regions.
     int evacuated = 0; ///< Targets of the service that were left out because their domain is evacuated.
+    int leftToOthers = 0; ///< Engines with free slots that were left to other entry VMs.
 };
 
 /// How long a request may run past the time at which its target starts to load weights: the load waits for running
@@ -86,6 +90,7 @@
     double lateEngineFullOccupancy = 0.8;
     /// Requests per slot at which a target without an engine counts as full; it queues a few times its slots.
     double plainFullOccupancy = 2.5;
+    double usersPerFreeSlot = UsersPerFreeSlot; ///< As in `slot_contention.h`; 0 to use every free slot.
     double crossDomainPenalty = 0.1; ///< Requests per slot that are added to the cost of a target in another domain.
     /// Requests per slot that are added to the cost of a target that isn't known to be warm: it is slow, and warm ones
     /// are preferred until they are half full.
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -45,7 +45,26 @@
     if (!request.engine) {
         return policy.plainFullOccupancy;
     }
-    return request.urgent ? policy.engineFullOccupancy : policy.lateEngineFullOccupancy;
+    return (request.urgent ? policy.engineFullOccupancy : policy.lateEngineFullOccupancy) - request.reservedShare;
+}
+
+/// Removes the targets whose free slots are left to other entry VMs.
+/// @return the number of targets removed.
+int leaveToOthers(std::vector<Placement> &available, const PlacementRequest &request, Random &random,
+                  const PlacementPolicy &policy)
+{
+    if (!request.engine || request.contention.entryVms <= 1 || policy.usersPerFreeSlot <= 0) {
+        return 0;
+    }
+    double freeSlots = 0;
+    for (const Placement &candidate : available) {
+        freeSlots += std::max(0.0, 1 - candidate.occupancy) * std::max(1, candidate.target->entry.slots);
+    }
+    const double probability = useProbability(request.contention, freeSlots, policy.usersPerFreeSlot);
+    const auto removed = std::erase_if(available, [&](const Placement &candidate) {
+        return hasFreshLoad(*candidate.target, request.now) && !mayUseSlots(*candidate.target, probability, random);
+    });
+    return static_cast<int>(removed);
 }
 
 /// Targets that back off or have no turn for this VM.
@@ -130,7 +149,8 @@
     const auto unreported =
         std::count_if(target.recentAttempts.begin(), target.recentAttempts.end(),
                       [&](const RecentAttempt &attempt) { return attempt.sentAt > target.loadCoversUntil; });
-    return target.load->running + target.load->queued + static_cast<double>(unreported);
+    const double reported = target.load->running + target.load->queued;
+    return std::max(0.0, reported - slotsLeft(target)) + static_cast<double>(unreported);
 }
 
 double promptBacklogMs(const Target &target, double typicalPromptMs, Millis now)
@@ -187,6 +207,7 @@
                            .coldWithoutTurn = backingOff.coldWithoutTurn},
                           counts, request);
     }
+    const int leftToOthers = leaveToOthers(available, request, random, policy);
     Placement best = leastOccupied;
     double bestCost = 0;
     for (int n = 0; n < policy.sampledTargets && !available.empty(); ++n) {
@@ -204,6 +225,7 @@
     }
     best.withoutTurn = backingOff.withoutTurn;
     best.coldWithoutTurn = backingOff.coldWithoutTurn;
+    best.leftToOthers = leftToOthers;
     return withCounts(best, counts, request);
 }
 
