--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -119,7 +119,7 @@
 void TargetStandIn::answer(net::Connection &connection, const http::RequestHead &request)
 {
     const std::string attempt = headerOf(request, "X-Ibislock-Attempt-Id");
-    const std::string body = "from " + id;
+    const std::string body = answerBytes > 0 ? std::string(answerBytes, 'x') : "from " + id;
     http::ResponseHead own = head(200, attempt);
     switch (behaviour) {
     case TargetBehaviour::Answer:
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -90,6 +90,7 @@
     std::string crashingBody = "deadly";
     int crashes = 0; ///< Requests with that part or body that were run.
     int open = 0; ///< Connections that are open.
+    std::size_t answerBytes = 0; ///< Length of the body of an answer; 0 for a short one that names the target.
     http::Headers said; ///< Added to each answer and refusal.
     std::size_t endlessBytes = 0; ///< Sent so far by behaviours without end.
 
--- a/lab/process_usage.cpp
+++ b/lab/process_usage.cpp
@@ -1,5 +1,6 @@
 #include "process_usage.h"
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -31,6 +32,30 @@
     return fields;
 }
 
+std::uint64_t peakResidentBytes(pid_t pid)
+{
+    constexpr std::uint64_t Kilobyte = 1024;
+    constexpr std::string_view Key = "VmHWM:";
+    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with(Key)) {
+            return std::stoull(line.substr(Key.size())) * Kilobyte;
+        }
+    }
+    return 0;
+}
+
+std::uint64_t openDescriptors(pid_t pid)
+{
+    std::error_code ec;
+    std::uint64_t count = 0;
+    for (std::filesystem::directory_iterator it("/proc/" + std::to_string(pid) + "/fd", ec), end; !ec && it != end;
+         it.increment(ec)) {
+        ++count;
+    }
+    return count;
+}
+
 } // namespace
 
 ProcessUsage usageOf(pid_t pid)
@@ -46,6 +71,8 @@
     memory >> totalPages >> residentPages;
     return {.processorMs = ticks * MillisPerSecond / static_cast<double>(sysconf(_SC_CLK_TCK)),
             .residentBytes = residentPages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)),
+            .peakResidentBytes = peakResidentBytes(pid),
+            .descriptors = openDescriptors(pid),
             .threads = std::stoull(fields[Threads])};
 }
 
--- a/lab/process_usage.h
+++ b/lab/process_usage.h
@@ -17,6 +17,8 @@
 {
     double processorMs = 0; ///< User and system time since the process started.
     std::uint64_t residentBytes = 0;
+    std::uint64_t peakResidentBytes = 0; ///< The most since the process started.
+    std::uint64_t descriptors = 0; ///< Open files and sockets.
     std::uint64_t threads = 0;
 };
 
