Front: callers' connections share one budget of memory and descriptors

Cause: a head, a body and a response each had a limit, their sum had none. A caller that never read could have any number of pipelined responses queued, readiness and metrics connections had no limit, and the accept loop went on until no descriptor was left.

Change: serving/memory_budget.h decides, purely, what connections may hold together and what gives way: unfinished requests without progress, responses that aren't read, then the largest and oldest unfinished ones; never a request that was read completely. Heads whose announced body is over the limit or finds no room are refused before the body is read (413, 503 with Retry-After). A target's response is read on only while there is room for it. New connections take the place of idle ones, or wait in the accept queue. The buffers of bodies grow by a quarter, chunk framing is bounded, socket buffers are smaller, and large blocks go back to the system when freed.

--- a/libs/feed/include/ibislock/feed/long_poll_server.h
+++ b/libs/feed/include/ibislock/feed/long_poll_server.h
@@ -7,11 +7,10 @@
 #pragma once
 
 #include "ibislock/base/log.h"
-#include "ibislock/net/connection.h"
+#include "ibislock/net/recent_connections.h"
 #include "ibislock/net/timer.h"
 #include "ibislock/peer/frames.h"
 
-#include <map>
 #include <vector>
 
 namespace ibislock::feed
@@ -40,13 +39,6 @@
     {
     }
 
-    ~LongPollServer()
-    {
-        for (const auto &[raw, connection] : m_connections) {
-            connection->close();
-        }
-    }
-
     LongPollServer(const LongPollServer &) = delete;
     LongPollServer &operator=(const LongPollServer &) = delete;
 
@@ -96,6 +88,15 @@
     /// A connection with more unsent bytes than these gets no further response until they are sent.
     static constexpr std::size_t MaxQueuedBytes = 256 * 1024;
 
+    /// Connections that are kept; each VM that reads from this one has one.
+    static constexpr std::size_t MaxConnections = 1024;
+
+    /// The largest request, in bytes; requests have some hundred.
+    static constexpr std::size_t MaxRequestBytes = 64 * 1024;
+
+    /// Requests that may be pending; each VM has one or two.
+    static constexpr std::size_t MaxPending = 4096;
+
     struct PendingRequest
     {
         std::weak_ptr<net::Connection> connection;
@@ -105,12 +106,12 @@
 
     void serve(const std::shared_ptr<net::Connection> &connection)
     {
-        m_connections.emplace(connection.get(), connection);
+        m_connections.add(connection);
         auto *raw = connection.get();
         connection->start({
-            .data = [this, raw, reader = std::make_shared<peer::FrameReader>()](
+            .data = [this, raw, reader = std::make_shared<peer::FrameReader>(MaxRequestBytes)](
                         std::string_view bytes) { handleData(*raw, *reader, bytes); },
-            .closed = [this, raw](net::CloseReason) { m_connections.erase(raw); },
+            .closed = [this, raw](net::CloseReason) { m_connections.remove(raw); },
         });
     }
 
@@ -123,11 +124,11 @@
                 return;
             }
             auto request = body ? m_handler.decode(*body) : Result<Request>(tl::unexpected(body.error()));
-            if (!request) {
+            if (!request || m_pending.size() >= MaxPending) {
                 logWarning(LogComponent::Store, "Invalid request from a VM; closing the connection.",
                            {{"vm", connection.peerIp()}});
                 connection.close();
-                m_connections.erase(&connection);
+                m_connections.remove(&connection);
                 return;
             }
             m_pending.push_back({.connection = connection.weak_from_this(),
@@ -149,7 +150,7 @@
     net::Listener m_listener;
     net::Timer m_checkTimer;
     std::vector<PendingRequest> m_pending;
-    std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_connections;
+    net::RecentConnections m_connections{MaxConnections};
     std::uint64_t m_responsesSent = 0;
 };
 
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -65,6 +65,12 @@
     /// their engine, and ends the call if its deadline has passed.
     void checkTimeouts(Millis now);
 
+    /// Returns the bytes that the request and its responses hold.
+    std::size_t heldBytes() const;
+
+    /// Resumes reading the target's response if it was paused for lack of memory and there is room again.
+    void onRoom();
+
     /// Resumes reading the target's response after the write queue to the caller has emptied.
     void onCallerDrained();
 
@@ -171,6 +177,11 @@
     /// Cancels such an attempt and refuses the request.
     void cancelQuarantined();
 
+    /// Stops reading the targets' responses until there is room for them.
+    void pauseForRoom();
+
+    /// Writes a complete response to the caller.
+    void respondBuffered(const http::ResponseHead &forwarded, std::string body);
     void relayEvents(const AttemptPointer &attempt, const std::string &events);
     void respond(const std::string &bytes, bool close);
 
@@ -191,7 +202,8 @@
     Millis m_firstSentAt{0};
     Millis m_lastSentAt{0};
     Millis m_nextTryAt{0}; ///< When another target may be tried for a silent one.
-    bool m_readingPaused = false; ///< The response isn't read, as the caller reads it slowly.
+    bool m_readingPaused = false; ///< The response isn't read, as the caller reads it slowly or memory is short.
+    bool m_waitsForRoom = false; ///< The response isn't read, as memory is short.
     Millis m_firstEventAt{0};
     Millis m_lastEventAt{0};
     Millis m_longestEventGap{0}; ///< Between two forwarded events.
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -14,7 +14,10 @@
 {
 
 /// Reading from the target is paused while more bytes than this are queued for the caller.
-constexpr std::size_t CallerBacklogBytes = 256 * 1024;
+constexpr std::size_t CallerBacklogBytes = 64 * 1024;
+
+/// A body of at least this size is written to the caller without a copy behind its head; a smaller one goes with it.
+constexpr std::size_t OwnedBodyBytes = 64 * 1024;
 
 /// Maximum size of one event of a stream; an event usually holds a few tokens.
 constexpr std::size_t LargestEvent = 256 * 1024;
@@ -172,6 +175,37 @@
     } else if (attempt->handling == ResponseHandling::Buffered) {
         attempt->responseBody += bytes;
         attempt->sent.responseStarted = !attempt->responseBody.empty();
+        const auto connection = m_connection.lock();
+        if (connection && !connection->updateMemory()) {
+            pauseForRoom();
+        }
+    }
+}
+
+std::size_t Call::heldBytes() const
+{
+    std::size_t out = body.capacity() * (1 + std::max<std::size_t>(m_attemptsInProgress.size(), 1));
+    for (const AttemptPointer &attempt : m_attemptsInProgress) {
+        out += attempt->responseBody.capacity() + attempt->eventSplitter.incompleteEvent.capacity();
+    }
+    return out;
+}
+
+void Call::pauseForRoom()
+{
+    if (!m_waitsForRoom) {
+        countGiveWay(front.memory, serving::GiveWayReason::PausedResponse);
+    }
+    m_waitsForRoom = m_readingPaused = true;
+    for (const AttemptPointer &attempt : m_attemptsInProgress) {
+        attempt->exchange->setReadingPaused(true);
+    }
+}
+
+void Call::onRoom()
+{
+    if (std::exchange(m_waitsForRoom, false)) {
+        onCallerDrained();
     }
 }
 
@@ -200,7 +234,8 @@
     }
     out += http::writeChunk(events);
     connection->write(out);
-    if (connection->queuedBytes() > CallerBacklogBytes && attempt->exchange) {
+    const bool roomLeft = connection->updateMemory() || connection->queuedBytes() == 0;
+    if ((connection->queuedBytes() > CallerBacklogBytes || !roomLeft) && attempt->exchange) {
         attempt->exchange->setReadingPaused(true);
         m_readingPaused = true;
     }
@@ -221,6 +256,18 @@
     }
 }
 
+void Call::respondBuffered(const http::ResponseHead &forwarded, std::string bytes)
+{
+    const auto connection = m_connection.lock();
+    if (!connection || bytes.size() < OwnedBodyBytes) {
+        respond(writeResponse(forwarded, bytes), !forwarded.keepAlive);
+        return;
+    }
+    connection->write(writeResponseHead(forwarded, bytes.size()));
+    connection->writeOwned(std::move(bytes));
+    connection->onResponseWritten(!forwarded.keepAlive);
+}
+
 bool Call::mayBeAnsweredByAnother(const CallAttempt &attempt) const
 {
     return attempt.responseHead.status / 100 == 5 && !m_attemptsInProgress.empty();
@@ -247,7 +294,7 @@
     http::ResponseHead forwarded = platform::makeCallerResponse(attempt->responseHead);
     const auto connection = m_connection.lock();
     forwarded.keepAlive = connection && connection->keepsAlive();
-    respond(writeResponse(forwarded, attempt->responseBody), !forwarded.keepAlive);
+    respondBuffered(forwarded, std::move(attempt->responseBody));
     observe(front.counters.timeToFirstByte, steadyMillis() - receivedAt);
     finish(CallOutcome::Answered, attempt->responseHead.status);
 }
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -6,6 +6,7 @@
 #include "ibislock/feed/state_currency.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/serving/load_subscriptions.h"
+#include "memory_limits.h"
 
 #include <algorithm>
 
@@ -39,6 +40,17 @@
 /// A stopping process exits this much before the platform would kill it.
 constexpr Millis KillMargin{200};
 
+/// Limits of a readiness probe's request.
+constexpr http::ReaderLimits ProbeLimits{.headBytes = 8 * 1024, .bodyBytes = 1024};
+
+/// Buffers of callers' connections in the kernel, in bytes (it takes up to twice as much). What a connection that isn't
+/// read holds there is memory of the VM, too. A body of 4 MB comes within a second at a round-trip time of 8 ms.
+constexpr int CallerReceiveBuffer = 32 * 1024;
+constexpr int CallerSendBuffer = 64 * 1024;
+
+/// The same of connections to targets, the store and other VMs, which are fewer and have longer messages.
+constexpr int TargetReceiveBuffer = 128 * 1024;
+
 std::string_view requestPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -52,17 +64,17 @@
     , options(frontOptions)
     , client(ioLoop)
     , random(options.randomSeed ? Random(*options.randomSeed) : systemRandom())
-    , m_callers(ioLoop,
-                [this](const std::shared_ptr<net::Connection> &connection) {
-                    auto caller = std::make_shared<CallerConnection>(*this, connection);
-                    m_connections.emplace(caller.get(), caller);
-                    caller->start();
-                })
+    , m_callers(ioLoop, [this](const std::shared_ptr<net::Connection> &connection) { serveCaller(connection); },
+                {.admits = [this] { return admitCaller(); },
+                 .receiveBuffer = CallerReceiveBuffer,
+                 .sendBuffer = CallerSendBuffer})
     , m_readiness(ioLoop, [this](const std::shared_ptr<net::Connection> &connection) { serveReadiness(connection); })
     , m_metrics(ioLoop, [this](const std::shared_ptr<net::Connection> &connection) { serveMetrics(connection); })
     , m_tick(ioLoop)
     , m_loads(ioLoop)
 {
+    memory.limits = serving::memoryLimits(settings.memoryMb, availableDescriptors(settings.maxDescriptors));
+    client.limitReceiveBuffer(TargetReceiveBuffer);
     quarantine.self = random();
     m_sendTimeClock = feed::makeSendTimeClock(systemRandom()(), bootMillis());
     quarantine.forwardOneIn = serving::EntryForwardOneIn;
@@ -81,9 +93,6 @@
     for (const auto &[raw, connection] : m_connections) {
         connection->close();
     }
-    for (const auto &[raw, connection] : m_adminConnections) {
-        connection->close();
-    }
 }
 
 Result<void> Front::start()
@@ -94,6 +103,7 @@
         }
         return {};
     };
+    returnFreedMemory();
     Result<void> ok = opened("the listener for callers", m_callers.open(settings.callers.ip, settings.callers.port));
     ok = ok ? opened("the readiness listener", m_readiness.open(settings.readiness.ip, settings.readiness.port)) : ok;
     if (options.metricsPort != 0) {
@@ -257,6 +267,10 @@
         call->refuse(refused.value_or(CallOutcome::Stopping));
         return;
     }
+    if (!mayConnect()) {
+        call->refuse(CallOutcome::Full);
+        return;
+    }
     call->arrivalNumber = ++m_arrivalCount;
     recordRequest(retries, call->service, call->receivedAt);
     dispatch(call);
@@ -338,6 +352,8 @@
     // A function of the connection may be on the call stack, so the loop releases it later.
     const auto it = m_connections.find(connection);
     if (it != m_connections.end()) {
+        closeHolder(memory, connection->holder());
+        m_holders.erase(connection->holder());
         asio::post(loop, [kept = std::move(it->second)] {});
         m_connections.erase(it);
     }
@@ -350,8 +366,8 @@
 
 void Front::serveReadiness(const std::shared_ptr<net::Connection> &connection)
 {
-    auto reader = std::make_shared<http::MessageReader>(http::MessageKind::Request, http::ReaderLimits{});
-    m_adminConnections.emplace(connection.get(), connection);
+    auto reader = std::make_shared<http::MessageReader>(http::MessageKind::Request, ProbeLimits);
+    m_adminConnections.add(connection);
     auto *raw = connection.get();
     connection->start({
         .data =
@@ -364,21 +380,20 @@
                 const int status = !known ? 404 : (isReady() ? 200 : 503);
                 http::ResponseHead head{.status = status};
                 head.keepAlive = used && reader->request().keepAlive;
-                const bool keep = head.keepAlive;
+                const bool keep = head.keepAlive && raw->queuedBytes() == 0; // A probe reads one response at a time.
                 raw->write(writeResponse(head, ""));
                 reader->next();
                 if (!keep) {
-                    raw->closeAfterWrites();
-                    m_adminConnections.erase(raw);
+                    raw->closeAfterWrites(); // It is kept until then, so that it counts.
                 }
             },
-        .closed = [this, raw](net::CloseReason) { m_adminConnections.erase(raw); },
+        .closed = [this, raw](net::CloseReason) { m_adminConnections.remove(raw); },
     });
 }
 
 void Front::serveMetrics(const std::shared_ptr<net::Connection> &connection)
 {
-    m_adminConnections.emplace(connection.get(), connection);
+    m_adminConnections.add(connection);
     auto *raw = connection.get();
     connection->start({
         .data =
@@ -387,9 +402,8 @@
                 head.headers.add("Content-Type", "text/plain; version=0.0.4");
                 raw->write(writeResponse(head, metricsText()));
                 raw->closeAfterWrites();
-                m_adminConnections.erase(raw);
             },
-        .closed = [this, raw](net::CloseReason) { m_adminConnections.erase(raw); },
+        .closed = [this, raw](net::CloseReason) { m_adminConnections.remove(raw); },
     });
 }
 
@@ -414,6 +428,7 @@
         m_nextSubscriptionAt = now + SubscriptionTime;
         sendSubscriptions(now);
         client.closeIdleConnections(now);
+        logGiveWay(now);
     }
     flushLog();
     if (draining) {
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -10,11 +10,13 @@
 #include "ibislock/feed/send_time.h"
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
+#include "ibislock/net/recent_connections.h"
 #include "ibislock/net/timer.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/admission.h"
 #include "ibislock/serving/entry_vm_count.h"
+#include "ibislock/serving/memory_budget.h"
 #include "ibislock/serving/quarantine_report.h"
 #include "ibislock/serving/retry_budget_share.h"
 
@@ -29,6 +31,9 @@
 /// targets whose weights aren't retired before then.
 inline constexpr Millis MaxQueueTime{1500};
 
+/// Connections for readiness and metrics that are kept; the platform and each collector has one or two.
+inline constexpr std::size_t MaxAdminConnections = 16;
+
 /// What was known of the listings of targets when one was chosen.
 struct ListingsUsed
 {
@@ -89,6 +94,13 @@
     /// Returns for how long newer desired states may have existed; -1 ms before the first snapshot.
     Millis stateAge() const;
 
+    /// Sets how much a caller's connection holds, and closes those that give way for it.
+    /// @return whether there is room.
+    bool reserveMemory(serving::HolderId holder, std::size_t bytes);
+
+    /// Returns whether a rejected request may be logged; callers that nobody controls send any number of them.
+    bool mayLogRejection();
+
     /// Removes and releases a caller's connection.
     void removeConnection(const CallerConnection *connection);
 
@@ -101,6 +113,7 @@
     serving::RetryBudgetShare retries;
     serving::PromptQuarantine quarantine; ///< Its times are of the boot clock.
     Random random;
+    serving::MemoryBudget memory; ///< What callers' connections hold.
     FrontCounters counters;
     bool draining = false;
     bool refusingRequests = false; ///< Shutdown has advanced too far for new requests to finish in time.
@@ -114,6 +127,15 @@
     /// Returns whether a target may be chosen, as far as its listing and its own signals tell.
     bool mayGetRequests(const std::string &id, Millis now) const;
     void applyListing(const std::string &id, const std::optional<serving::TargetEntry> &entry);
+    /// Returns whether a caller's connection may be accepted; closes others to make room for it.
+    bool admitCaller();
+    void serveCaller(const std::shared_ptr<net::Connection> &connection);
+    void closeEvicted(const std::vector<serving::HolderId> &evicted);
+
+    /// Returns whether a descriptor is left for a connection to a target.
+    bool mayConnect();
+    void logGiveWay(Millis now);
+    void writeMemoryBudget(std::string &out) const;
     void serveReadiness(const std::shared_ptr<net::Connection> &connection);
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
     void tick();
@@ -155,7 +177,13 @@
     serving::EntryVmCount m_entryVms; ///< As target VMs report it.
     std::map<std::string, feed::SendTimePeer> m_loadSenders; ///< Target VMs that report loads, by IP address.
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
-    std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_adminConnections;
+    std::map<serving::HolderId, CallerConnection *> m_holders; ///< Those of `m_connections`.
+    std::optional<serving::HolderId> m_nextHolder; ///< Has room in the budget for the next connection.
+    net::RecentConnections m_adminConnections{MaxAdminConnections}; ///< For readiness and metrics.
+    std::array<std::uint64_t, serving::GiveWayReasonCount> m_loggedGiveWay{}; ///< As of the last log line.
+    Millis m_nextGiveWayLogAt{0};
+    Millis m_rejectionsCountedFrom{0};
+    int m_loggedRejections = 0; ///< Since then.
     WaitingCalls m_waiting; ///< Calls whose targets are full.
     std::uint64_t m_arrivalCount = 0;
     Millis m_nextQuarantineUpdateAt{0}; ///< By the boot clock.
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -135,6 +135,7 @@
     writeGauge(out, "ibislock_waiting", "Requests that wait for a slot.", static_cast<std::int64_t>(m_waiting.size()));
     writeGauge(out, "ibislock_caller_connections", "Connections of callers.",
                static_cast<std::int64_t>(m_connections.size()));
+    writeMemoryBudget(out);
     writeMemoryMetric(out);
     return out;
 }
--- a/libs/http/include/ibislock/http/message.h
+++ b/libs/http/include/ibislock/http/message.h
@@ -84,6 +84,9 @@
 /// Serializes a response with its complete body and Content-Length.
 std::string writeResponse(const ResponseHead &head, std::string_view body);
 
+/// Serializes the head of a response whose body of a known length is written behind it.
+std::string writeResponseHead(const ResponseHead &head, std::size_t bodyBytes);
+
 /// Serializes the head of a response with chunked transfer coding.
 std::string writeChunkedHead(const ResponseHead &head);
 
--- a/libs/http/include/ibislock/http/reader.h
+++ b/libs/http/include/ibislock/http/reader.h
@@ -9,7 +9,9 @@
 #include "ibislock/base/error.h"
 #include "ibislock/http/message.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace ibislock::http
 {
@@ -62,6 +64,15 @@
     /// Returns the head of the current response; valid once `headComplete` returns true.
     const ResponseHead &response() const;
 
+    /// Returns the length of the current message's body if its head announces one.
+    std::optional<std::uint64_t> announcedBodyBytes() const;
+
+    /// Returns the number of body bytes of the current message that have been read, also of those that were taken.
+    std::size_t bodyBytesRead() const;
+
+    /// Returns the memory that the current message takes: its head, and the part of the body that wasn't taken.
+    std::size_t heldBytes() const;
+
     /// Moves out the part of the body that was read since the last call.
     std::string takeBody();
 
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -152,13 +152,18 @@
 }
 
 std::string writeResponse(const ResponseHead &head, std::string_view body)
+{
+    return writeResponseHead(head, body.size()).append(body);
+}
+
+std::string writeResponseHead(const ResponseHead &head, std::size_t bodyBytes)
 {
     std::string out = statusLine(head);
     appendLines(out, head.headers);
     if (!head.keepAlive) {
         out.append("Connection: close\r\n");
     }
-    return out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    return out.append("Content-Length: ").append(std::to_string(bodyBytes)).append("\r\n\r\n");
 }
 
 std::string writeChunkedHead(const ResponseHead &head)
--- a/libs/http/src/reader.cpp
+++ b/libs/http/src/reader.cpp
@@ -6,6 +6,33 @@
 namespace ibislock::http
 {
 
+namespace
+{
+
+/// Bytes of chunk framing that each byte of a body may take; a chunk of one byte takes five.
+constexpr std::size_t FramingPerByte = 8;
+
+/// Bytes of chunk framing that a body may take beyond that, e.g. for extensions of its first chunks and trailers.
+constexpr std::size_t FramingSlack = 64 * 1024;
+
+/// A body that isn't announced grows by this part of its size. Doubling would hold up to twice what was received.
+constexpr std::size_t GrowthDivisor = 4;
+
+/// Appends to a body whose capacity grows in small steps; std::string doubles it, also on `reserve`.
+void appendInSteps(std::string &body, const char *at, std::size_t n)
+{
+    const std::size_t size = body.size() + n;
+    if (size > body.capacity()) {
+        std::string grown;
+        grown.reserve(std::max(size, body.size() + body.size() / GrowthDivisor));
+        grown.append(body);
+        body.swap(grown);
+    }
+    body.append(at, n);
+}
+
+} // namespace
+
 struct MessageReader::State
 {
     http_parser parser{};
@@ -15,6 +42,9 @@
     ResponseHead response;
     std::string body;
     std::size_t headBytes = 0;
+    std::optional<std::uint64_t> announcedBodyBytes;
+    std::size_t bodyBytesRead = 0;
+    std::size_t bodyWireBytes = 0; ///< Bytes of the body and its framing; those that arrive with the head don't count.
     bool started = false;
     bool headComplete = false;
     bool complete = false;
@@ -80,9 +110,15 @@
             state.headComplete = true;
             parser->upgrade = 0; // Upgrades aren't supported; the message is parsed like any other.
             const bool keepAlive = http_should_keep_alive(parser) != 0;
+            if ((parser->flags & F_CHUNKED) == 0 && parser->content_length != UINT64_MAX) {
+                state.announcedBodyBytes = parser->content_length;
+            }
             if (state.kind == MessageKind::Request) {
                 state.request.method = http_method_str(static_cast<http_method>(parser->method));
                 state.request.keepAlive = keepAlive;
+                // Nobody takes a part of a request's body, so it can't be read.
+                state.bodyTooLarge = state.announcedBodyBytes.value_or(0) > state.limits.bodyBytes;
+                return state.bodyTooLarge ? -1 : 0;
             } else {
                 state.response.status = parser->status_code;
                 state.response.keepAlive = keepAlive;
@@ -98,7 +134,8 @@
                 state.bodyTooLarge = true;
                 return 1;
             }
-            state.body.append(at, n);
+            appendInSteps(state.body, at, n);
+            state.bodyBytesRead += n;
             return 0;
         };
         settings.on_message_complete = [](http_parser *parser) {
@@ -171,7 +208,9 @@
         state.headTooLarge = overflow || (unfinished && allowed < bytes.size());
     }
     if (HTTP_PARSER_ERRNO(&state.parser) == HPE_OK && state.headComplete && used < bytes.size()) {
-        used += http_parser_execute(&state.parser, &settings, bytes.data() + used, bytes.size() - used);
+        const std::size_t n = http_parser_execute(&state.parser, &settings, bytes.data() + used, bytes.size() - used);
+        used += n;
+        state.bodyWireBytes += n;
     }
     const http_errno problem = HTTP_PARSER_ERRNO(&state.parser);
     if (state.headTooLarge || state.bodyTooLarge) {
@@ -182,6 +221,9 @@
     if (problem != HPE_OK && problem != HPE_PAUSED) {
         return failure(ErrorCode::InvalidArgument, http_errno_description(problem));
     }
+    if (state.bodyWireBytes > state.bodyBytesRead * (1 + FramingPerByte) + FramingSlack) {
+        return failure(ErrorCode::InvalidArgument, "the framing of the chunks is larger than their content");
+    }
     return used;
 }
 
@@ -229,6 +271,22 @@
     return m_state->response;
 }
 
+std::optional<std::uint64_t> MessageReader::announcedBodyBytes() const
+{
+    return m_state->announcedBodyBytes;
+}
+
+std::size_t MessageReader::bodyBytesRead() const
+{
+    return m_state->bodyBytesRead;
+}
+
+std::size_t MessageReader::heldBytes() const
+{
+    const std::size_t lines = m_state->headers().lines.capacity() * sizeof(Header);
+    return lines + m_state->headBytes + m_state->body.capacity();
+}
+
 std::string MessageReader::takeBody()
 {
     return std::exchange(m_state->body, {});
@@ -243,6 +301,8 @@
     state.response = {};
     state.body.clear();
     state.headBytes = 0;
+    state.announcedBodyBytes.reset();
+    state.bodyBytesRead = state.bodyWireBytes = 0;
     state.started = state.headComplete = state.complete = state.inValue = false;
     state.headTooLarge = state.bodyTooLarge = false;
     state.bodyless = false;
--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -64,6 +64,9 @@
     /// Writes bytes, and queues what the socket doesn't accept at once.
     void write(std::string_view bytes);
 
+    /// Writes bytes as `write` does, and queues them without a copy if nothing is queued.
+    void writeOwned(std::string bytes);
+
     /// Returns the number of queued bytes that haven't been written to the socket yet.
     std::size_t queuedBytes() const;
 
@@ -112,13 +115,22 @@
     bool m_started = false;
 };
 
+/// How connections are accepted.
+struct ListenerOptions
+{
+    std::function<bool()> admits; ///< Called before each accept; if it returns false, new connections wait. Optional.
+    int receiveBuffer = 0; ///< Receive buffer of each connection in bytes; 0 leaves it to the system.
+    int sendBuffer = 0; ///< Send buffer of each connection in bytes; 0 leaves it to the system.
+};
+
 /// Accepts connections on an address until it is closed or destroyed.
 class Listener
 {
 public:
     /// @param loop outlives the listener.
     /// @param accepted called with each new connection.
-    Listener(asio::io_context &loop, std::function<void(std::shared_ptr<Connection>)> accepted);
+    Listener(asio::io_context &loop, std::function<void(std::shared_ptr<Connection>)> accepted,
+             ListenerOptions options = {});
 
     /// Starts listening.
     /// @param ip IPv4 address.
@@ -134,10 +146,12 @@
 
 private:
     void acceptNext();
+    void acceptPending();
 
     asio::ip::tcp::acceptor m_acceptor;
     Timer m_retryTimer;
     std::function<void(std::shared_ptr<Connection>)> m_accepted;
+    ListenerOptions m_options;
 };
 
 } // namespace ibislock::net
--- a/libs/net/include/ibislock/net/http_client.h
+++ b/libs/net/include/ibislock/net/http_client.h
@@ -172,6 +172,16 @@
     /// Returns the number of connections opened since the start, including failed attempts.
     std::uint64_t connectionsOpened() const;
 
+    /// Limits what the system buffers of a response that isn't read, on connections that are opened from now on.
+    /// @param bytes size of the receive buffer; 0 leaves it to the system.
+    void limitReceiveBuffer(int bytes);
+
+    /// Returns the number of connections of exchanges and in the pool.
+    std::size_t connections() const;
+
+    /// Closes all pooled connections, to free their descriptors.
+    void closeAllIdleConnections();
+
     /// Closes pooled connections that have been idle for longer than their keep-alive time.
     /// @param now time of the steady clock.
     void closeIdleConnections(Millis now);
@@ -194,6 +204,7 @@
     std::map<std::string, std::vector<IdleConnection>> m_idleConnections;
     std::set<Exchange *> m_exchanges; ///< All exchanges that exist.
     std::uint64_t m_connectionsOpened = 0;
+    int m_receiveBuffer = 0;
 };
 
 } // namespace ibislock::net
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -27,6 +27,12 @@
 /// Delay after a failed accept, during which other connections may end and free their descriptors.
 constexpr Millis AcceptPause{50};
 
+/// Connections that are accepted before other handlers have their turn.
+constexpr int AcceptsInTurn = 32;
+
+/// Bytes of the write queue that may have been written already before they are dropped from its front.
+constexpr std::size_t WrittenBytesKept = 64 * 1024;
+
 void setOption(int socket, int level, int name, int value)
 {
     // Without one of these options the connection still works, but a dead peer is detected later.
@@ -154,10 +160,29 @@
         writeSome(); // A write error is reported when the wait for writability ends.
         return;
     }
+    if (m_writeOffset > WrittenBytesKept) {
+        m_writeBuffer.erase(0, std::exchange(m_writeOffset, 0));
+    }
     m_writeBuffer.append(bytes);
     writeSome();
 }
 
+void Connection::writeOwned(std::string bytes)
+{
+    if (!m_writeBuffer.empty() || m_writing || !m_socket.is_open() || m_closeAfterWrites || m_discardTimer) {
+        write(bytes);
+        return;
+    }
+    asio::error_code ec;
+    const std::size_t n = m_socket.write_some(asio::buffer(bytes), ec);
+    if (!ec && n == bytes.size()) {
+        return;
+    }
+    m_writeBuffer = std::move(bytes);
+    m_writeOffset = ec ? 0 : n;
+    writeSome(); // A write error is reported when the wait for writability ends.
+}
+
 void Connection::writeSome()
 {
     if (m_writing || m_writeBuffer.empty() || !m_socket.is_open()) {
@@ -279,10 +304,12 @@
     }
 }
 
-Listener::Listener(asio::io_context &loop, std::function<void(std::shared_ptr<Connection>)> accepted)
+Listener::Listener(asio::io_context &loop, std::function<void(std::shared_ptr<Connection>)> accepted,
+                   ListenerOptions options)
     : m_acceptor(loop)
     , m_retryTimer(loop)
     , m_accepted(std::move(accepted))
+    , m_options(std::move(options))
 {
 }
 
@@ -298,12 +325,22 @@
     if (!ec) {
         m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
     }
+    // Accepted connections inherit the sizes of the buffers; a size set later wouldn't limit the window.
+    if (!ec && m_options.receiveBuffer > 0) {
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(m_options.receiveBuffer), ec);
+    }
+    if (!ec && m_options.sendBuffer > 0) {
+        m_acceptor.set_option(asio::socket_base::send_buffer_size(m_options.sendBuffer), ec);
+    }
     if (!ec) {
         m_acceptor.bind(endpoint, ec);
     }
     if (!ec) {
         m_acceptor.listen(Backlog, ec);
     }
+    if (!ec) {
+        m_acceptor.non_blocking(true, ec);
+    }
     if (!ec) {
         acceptNext();
     }
@@ -326,22 +363,39 @@
 
 void Listener::acceptNext()
 {
-    m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
-        if (ec == asio::error::operation_aborted) {
-            return;
+    m_acceptor.async_wait(asio::ip::tcp::acceptor::wait_read, [this](const asio::error_code &ec) {
+        if (ec != asio::error::operation_aborted) {
+            acceptPending();
+        }
+    });
+}
+
+void Listener::acceptPending()
+{
+    asio::error_code ec;
+    for (int n = 0; n < AcceptsInTurn && !ec && m_acceptor.is_open(); ++n) {
+        if (m_options.admits && !m_options.admits()) {
+            ec = asio::error::no_descriptors;
+            break;
         }
+        asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, ec);
         if (!ec) {
             m_accepted(Connection::adopt(std::move(socket)));
+        }
+    }
+    if (!m_acceptor.is_open()) {
+        return;
+    }
+    if (!ec || ec == asio::error::would_block || ec == asio::error::connection_aborted) {
+        acceptNext();
+        return;
+    }
+    // The usual cause is that no file descriptor is free. An immediate retry would fail again and keep the loop busy.
+    m_retryTimer.start(AcceptPause, [this] {
+        if (m_acceptor.is_open()) { // It may have been closed while this handler was queued.
             acceptNext();
-            return;
         }
-        // The usual cause is that no file descriptor is free. An immediate retry would fail again and keep the loop
-        // busy.
-        m_retryTimer.start(AcceptPause, [this] {
-            if (m_acceptor.is_open()) { // It may have been closed while this handler was queued.
-                acceptNext();
-            }
-        });
     });
 }
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -99,6 +99,11 @@
 {
     ++m_client->m_connectionsOpened;
     m_socket = std::make_shared<asio::ip::tcp::socket>(m_client->m_loop);
+    asio::error_code ignored; // Without the option, the connection works with the system's buffer.
+    m_socket->open(endpoint.protocol(), ignored);
+    if (m_client->m_receiveBuffer > 0 && !ignored) {
+        m_socket->set_option(asio::socket_base::receive_buffer_size(m_client->m_receiveBuffer), ignored);
+    }
     m_connectStartedAt = bootMillis();
     armTimer(m_options.connectTimeout);
     m_socket->async_connect(endpoint, [self = shared_from_this(), socket = m_socket](const asio::error_code &ec) {
@@ -134,8 +139,7 @@
     } else {
         m_connection->start(std::move(events));
     }
-    m_connection->write(m_request);
-    std::string().swap(m_request);
+    m_connection->writeOwned(std::exchange(m_request, {}));
 }
 
 bool Exchange::handleHead()
@@ -328,6 +332,30 @@
                 });
 }
 
+void HttpClient::limitReceiveBuffer(int bytes)
+{
+    m_receiveBuffer = bytes;
+}
+
+std::size_t HttpClient::connections() const
+{
+    std::size_t out = m_exchanges.size();
+    for (const auto &[key, list] : m_idleConnections) {
+        out += list.size();
+    }
+    return out;
+}
+
+void HttpClient::closeAllIdleConnections()
+{
+    for (const auto &[key, list] : m_idleConnections) {
+        for (const IdleConnection &kept : list) {
+            kept.connection->close();
+        }
+    }
+    m_idleConnections.clear();
+}
+
 std::uint64_t HttpClient::connectionsOpened() const
 {
     return m_connectionsOpened;
--- a/libs/peer/include/ibislock/peer/frames.h
+++ b/libs/peer/include/ibislock/peer/frames.h
@@ -24,14 +24,20 @@
 class FrameReader
 {
 public:
+    FrameReader() = default;
+
+    /// @param maxBytes limit of a message.
+    explicit FrameReader(std::size_t maxBytes);
+
     /// Appends received bytes.
     void add(std::string_view bytes);
 
     /// Takes the next message out of the buffer.
-    /// @return the message without its length; NotFound if it is incomplete; Corrupt if it exceeds `MaxFrameBytes`.
+    /// @return the message without its length; NotFound if it is incomplete; Corrupt if it exceeds the limit.
     Result<std::string> next();
 
 private:
+    std::size_t m_maxBytes = MaxFrameBytes;
     std::string m_bytes;
 };
 
--- a/libs/peer/src/frames.cpp
+++ b/libs/peer/src/frames.cpp
@@ -19,6 +19,11 @@
     return out + body;
 }
 
+FrameReader::FrameReader(std::size_t maxBytes)
+    : m_maxBytes(maxBytes)
+{
+}
+
 void FrameReader::add(std::string_view bytes)
 {
     m_bytes.append(bytes);
@@ -33,7 +38,7 @@
     for (std::size_t i = 0; i < LengthBytes; ++i) {
         n |= static_cast<std::size_t>(static_cast<unsigned char>(m_bytes[i])) << (8 * i);
     }
-    if (n > MaxFrameBytes) {
+    if (n > m_maxBytes) {
         return failure(ErrorCode::Corrupt, "the message exceeds the size limit");
     }
     if (m_bytes.size() < LengthBytes + n) {
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -16,6 +16,9 @@
 /// Pieces that are read for other VMs at once; bounds memory.
 constexpr int ServedAtOnce = 2;
 
+/// Requests that may be pending: some hundred VMs ask for a few pieces each.
+constexpr std::size_t MaxPending = 16384;
+
 /// Queued bytes on a connection above which no further piece is sent on it.
 constexpr std::size_t QueuedBytes = 32 * 1024;
 
@@ -192,8 +195,14 @@
     if (request.content != peer::PieceContent::Request) {
         return;
     }
+    if (m_pending.size() >= MaxPending) {
+        connection->close();
+        m_incoming.erase(connection.get());
+        return;
+    }
     const Millis now = steadyMillis();
     const Millis deadline = now + Millis{request.waitMs};
+    std::string().swap(request.bytes); // A request has none; they would be kept until it is answered.
     m_pending.push_back(
         {.connection = connection, .request = std::move(request), .receivedAt = now, .deadline = deadline});
     completePending();
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -74,12 +74,7 @@
 {
 }
 
-Side::~Side()
-{
-    for (const auto &[raw, connection] : m_metricsConnections) {
-        connection->close();
-    }
-}
+Side::~Side() = default;
 
 Result<void> Side::start()
 {
@@ -419,7 +414,7 @@
 
 void Side::serveMetrics(const std::shared_ptr<net::Connection> &connection)
 {
-    m_metricsConnections.emplace(connection.get(), connection);
+    m_metricsConnections.add(connection);
     auto *raw = connection.get();
     connection->start({
         .data =
@@ -427,10 +422,9 @@
                 http::ResponseHead head{.status = 200, .keepAlive = false};
                 head.headers.add("Content-Type", "text/plain; version=0.0.4");
                 raw->write(http::writeResponse(head, metricsText()));
-                raw->closeAfterWrites();
-                m_metricsConnections.erase(raw);
+                raw->closeAfterWrites(); // It is kept until then, so that it counts.
             },
-        .closed = [this, raw](net::CloseReason) { m_metricsConnections.erase(raw); },
+        .closed = [this, raw](net::CloseReason) { m_metricsConnections.remove(raw); },
     });
 }
 
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -8,6 +8,7 @@
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
 #include "ibislock/feed/send_time.h"
+#include "ibislock/net/recent_connections.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/platform/listings.h"
 #include "ibislock/serving/announced_versions.h"
@@ -20,6 +21,9 @@
 namespace ibislock::side
 {
 
+/// Connections for metrics that are kept; each collector has one or two.
+inline constexpr std::size_t MaxMetricsConnections = 16;
+
 /// The implementation of SideDaemon.
 class Side
 {
@@ -85,7 +89,7 @@
     std::string m_lastPublished;
     Millis m_publishedAt{0};
     Millis m_reportSeenAt{0}; ///< When the engine's report arrived that was handled last.
-    std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_metricsConnections;
+    net::RecentConnections m_metricsConnections{MaxMetricsConnections};
     serving::PromptQuarantine m_quarantine; ///< What entry VMs report; its times are of the boot clock.
     Millis m_quarantineSharedAt{0};
     net::Timer m_tickTimer; ///< Detects stalls of the event loop.
