--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -165,6 +165,12 @@
         connection.closeAfterWrites();
         break;
     }
+    case TargetBehaviour::OddStatus: {
+        std::string whole = http::writeResponse(own, body);
+        constexpr std::string_view Before = "HTTP/1.1 ";
+        connection.write(whole.replace(Before.size(), 3, oddStatus));
+        break;
+    }
     case TargetBehaviour::Unsigned:
         own.headers.remove("X-Ibislock-Response-Signature");
         connection.write(http::writeResponse(own, body));
--- a/lab/platform/target_stand_in.h
+++ b/lab/platform/target_stand_in.h
@@ -28,6 +28,7 @@
     FailUnnamed, ///< The same with a signed 503 that does not say that the request was not run.
     CloseUnanswered, ///< Runs it and closes the connection.
     CutOff, ///< Runs it and closes within the answer.
+    OddStatus, ///< Runs it and answers with the text `oddStatus` as its status.
     Unsigned, ///< Answers without its signature.
     Encoded, ///< Answers with an encoded body.
     Unframed, ///< Answers without a length, and closes.
@@ -90,6 +91,7 @@
     std::string crashingBody = "deadly";
     int crashes = 0; ///< Requests with that part or body that were run.
     int open = 0; ///< Connections that are open.
+    std::string oddStatus = "000";
     std::size_t answerBytes = 0; ///< Length of the body of an answer; 0 for a short one that names the target.
     http::Headers said; ///< Added to each answer and refusal.
     std::size_t endlessBytes = 0; ///< Sent so far by behaviours without end.
--- a/libs/http/test/reader_test.cpp
+++ b/libs/http/test/reader_test.cpp
@@ -105,6 +105,79 @@
     EXPECT_TRUE(reader.headTooLarge());
 }
 
+// Guards against memory and processor time for framing beside which the body is nothing.
+TEST(ReaderTest, RejectsChunksWithMoreFramingThanContent)
+{
+    MessageReader reader(MessageKind::Request, {});
+    ASSERT_TRUE(reader.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    const std::string chunk = "1;" + std::string(1000, 'x') + "\r\na\r\n";
+    int accepted = 0;
+    while (accepted < 1000 && reader.feed(chunk)) {
+        ++accepted;
+    }
+    EXPECT_GT(accepted, 10);
+    EXPECT_LT(accepted, 100);
+}
+
+// Guards against a buffer of twice the size of what was received, and against bodies in the smallest chunks being
+// refused.
+TEST(ReaderTest, ABodyInChunksOfOneByteTakesLittleMoreThanItsBytes)
+{
+    constexpr std::size_t Bytes = 1 << 20U;
+    MessageReader reader(MessageKind::Request, {});
+    ASSERT_TRUE(reader.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    for (std::size_t n = 0; n < Bytes; ++n) {
+        ASSERT_TRUE(reader.feed("1\r\na\r\n"));
+    }
+    EXPECT_EQ(reader.bodyBytesRead(), Bytes);
+    EXPECT_LT(reader.heldBytes(), Bytes + Bytes / 3);
+}
+
+// Guards against a body that is read although its announced length is over the limit.
+TEST(ReaderTest, RejectsAnAnnouncedLengthOverTheLimitWithTheHead)
+{
+    MessageReader reader(MessageKind::Request, {.headBytes = 200, .bodyBytes = 64});
+    const auto used = reader.feed("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n");
+    ASSERT_FALSE(used);
+    EXPECT_EQ(used.error().code, ErrorCode::Exhausted);
+    EXPECT_FALSE(reader.headTooLarge());
+}
+
+/// The status of a response as text, and whether it is one.
+struct StatusCase
+{
+    std::string name;
+    std::string text;
+    bool accepted = false;
+};
+
+class ResponseStatusTest : public testing::TestWithParam<StatusCase>
+{
+};
+
+// Guards against a response that is treated as one although nobody can say what it means.
+TEST_P(ResponseStatusTest, OnlyHttpStatusesAreResponses)
+{
+    const std::string bytes = "HTTP/1.1 " + GetParam().text + "\r\nContent-Length: 0\r\n\r\n";
+    for (const std::size_t first : {bytes.size(), std::size_t{11}, std::size_t{1}}) {
+        MessageReader reader(MessageKind::Response, {});
+        const bool read = reader.feed(std::string_view(bytes).substr(0, first))
+            && (first == bytes.size() || reader.feed(std::string_view(bytes).substr(first)));
+        EXPECT_EQ(read && reader.complete(), GetParam().accepted) << first;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ResponseStatusTest,
+                         testing::Values(StatusCase{"Ok", "200 OK", true}, StatusCase{"WithoutReason", "503", true},
+                                         StatusCase{"Unusual", "599 x", true}, StatusCase{"Lowest", "101 x", true},
+                                         StatusCase{"Zero", "000 x"}, StatusCase{"Below", "099 x"},
+                                         StatusCase{"Above", "600 x"}, StatusCase{"Largest", "999 x"},
+                                         StatusCase{"TwoDigits", "99 x"}, StatusCase{"OneDigit", "2 x"},
+                                         StatusCase{"FourDigits", "2000 x"}, StatusCase{"LeadingZero", "0200 x"},
+                                         StatusCase{"Letters", "abc x"}, StatusCase{"LetterBehind", "20x"},
+                                         StatusCase{"Negative", "-200 x"}, StatusCase{"Empty", " x"}),
+                         [](const auto &item) { return item.param.name; });
+
 TEST(ReaderTest, StopsAfterOneMessageAndParsesTheNext)
 {
     const std::string one = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
