Http: a response without an HTTP status is malformed

Cause: http_parser takes any number up to 999 with any number of digits. The entry daemon counted such a response as an answer of its target and kept the connection.

Change: the reader requires three digits from 100 to 599, for all users of net::HttpClient: targets, engines, store, origin and other VMs. The exchange ends as broken, the target's failure is counted, and the request is retried or refused as one that may have run. The clients on cpp-httplib treat such a status as no response: a change of the store and an order to an engine have an unknown outcome.

Nothing tests libs/engine alone; it is built, not run.

--- a/libs/engine/src/engine_client.cpp
+++ b/libs/engine/src/engine_client.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/engine/engine_client.h"
 
+#include "ibislock/base/http_status.h"
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -69,6 +71,9 @@
         return {neverSent ? ErrorCode::Unavailable : ErrorCode::OutcomeUnknown,
                 "the engine does not answer: " + httplib::to_string(result.error())};
     }
+    if (!isHttpStatus(result->status)) {
+        return {ErrorCode::OutcomeUnknown, "the engine answers with status " + std::to_string(result->status)};
+    }
     if (result->status == 409) {
         return {ErrorCode::Fenced, "the engine has seen a higher fencing number"};
     }
@@ -150,6 +155,9 @@
     call.body = request.body;
     call.headers = headersOf(request, id);
     call.response_handler = [&](const httplib::Response &response) {
+        if (!isHttpStatus(response.status)) {
+            return false; // It is no response to this request or to another one.
+        }
         answer.status = static_cast<std::uint16_t>(response.status);
         answer.contentType = response.get_header_value("Content-Type");
         answer.root = weightsOf(response);
--- a/libs/http/src/reader.cpp
+++ b/libs/http/src/reader.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/http/reader.h"
 
+#include "ibislock/base/http_status.h"
+
 #include <algorithm>
 #include <http_parser.h>
 
@@ -18,6 +20,23 @@
 /// A body that isn't announced grows by this part of its size. Doubling would hold up to twice what was received.
 constexpr std::size_t GrowthDivisor = 4;
 
+/// Beginning of a response that is kept to check how its status is written; longer status lines have more spaces than
+/// any server sends.
+constexpr std::size_t StatusLineBytes = 24;
+
+/// Digits of a status.
+constexpr std::size_t StatusDigits = 3;
+
+/// Returns whether the status in the beginning of a response has three digits. http_parser takes a number of any length
+/// up to 999, such as 2, 20 or 0200.
+bool hasThreeDigits(std::string_view statusLine)
+{
+    statusLine.remove_prefix(std::min(statusLine.find(' '), statusLine.size()));
+    statusLine.remove_prefix(std::min(statusLine.find_first_not_of(' '), statusLine.size()));
+    const std::size_t end = statusLine.find_first_not_of("0123456789");
+    return end == StatusDigits;
+}
+
 /// Appends to a body whose capacity grows in small steps; std::string doubles it, also on `reserve`.
 void appendInSteps(std::string &body, const char *at, std::size_t n)
 {
@@ -40,6 +59,7 @@
     ReaderLimits limits;
     RequestHead request;
     ResponseHead response;
+    std::string statusLine; ///< Its first bytes.
     std::string body;
     std::size_t headBytes = 0;
     std::optional<std::uint64_t> announcedBodyBytes;
@@ -53,6 +73,18 @@
     bool inValue = false;
     bool bodyless = false; ///< The current response answers a HEAD request.
 
+    /// Keeps the first bytes of a response, without the empty lines in front of it.
+    void keepStatusLine(std::string_view bytes)
+    {
+        if (kind == MessageKind::Request || statusLine.size() >= StatusLineBytes) {
+            return;
+        }
+        if (statusLine.empty()) {
+            bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+        }
+        statusLine.append(bytes.substr(0, StatusLineBytes - statusLine.size()));
+    }
+
     Headers &headers()
     {
         return kind == MessageKind::Request ? request.headers : response.headers;
@@ -107,6 +139,10 @@
             if (!namesAreTokens(state.headers()) || parser->http_major != 1) {
                 return -1;
             }
+            const bool isRequest = state.kind == MessageKind::Request;
+            if (!isRequest && !(isHttpStatus(parser->status_code) && hasThreeDigits(state.statusLine))) {
+                return -1;
+            }
             state.headComplete = true;
             parser->upgrade = 0; // Upgrades aren't supported; the message is parsed like any other.
             const bool keepAlive = http_should_keep_alive(parser) != 0;
@@ -200,6 +236,7 @@
     if (!state.headComplete) {
         // The head must end within its limit, also if it arrives together with the bytes after it.
         const std::size_t allowed = std::min(bytes.size(), state.limits.headBytes - state.headBytes);
+        state.keepStatusLine(bytes.substr(0, allowed));
         // http_parser interprets a call with no bytes as the end of the connection.
         used = allowed > 0 ? http_parser_execute(&state.parser, &settings, bytes.data(), allowed) : 0;
         state.headBytes += used;
@@ -299,6 +336,7 @@
     state.parser.data = &state;
     state.request = {};
     state.response = {};
+    state.statusLine.clear();
     state.body.clear();
     state.headBytes = 0;
     state.announcedBodyBytes.reset();
--- a/libs/stores/src/http_endpoint.cpp
+++ b/libs/stores/src/http_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/stores/http_endpoint.h"
 
+#include "ibislock/base/http_status.h"
+
 #include <httplib.h>
 
 namespace ibislock::stores
@@ -32,7 +34,7 @@
     if (result->status == 429 || result->status == 503) {
         return failure(ErrorCode::Unavailable, message);
     }
-    if (result->status >= 500) {
+    if (result->status >= 500 || !isHttpStatus(result->status)) {
         return failure(changes ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable, message);
     }
     return failure(ErrorCode::InvalidArgument, message);
