--- a/lab/platform/target_stand_in.cpp
+++ b/lab/platform/target_stand_in.cpp
@@ -124,7 +124,7 @@
 void TargetStandIn::answer(net::Connection &connection, const http::RequestHead &request)
 {
     const std::string attempt = headerOf(request, "X-Ibislock-Attempt-Id");
-    const std::string body = "from " + id;
+    const std::string body = answerBytes > 0 ? std::string(answerBytes, 'x') : "from " + id;
     http::ResponseHead own = head(200, attempt);
     switch (behaviour) {
     case TargetBehaviour::Answer:
@@ -170,6 +170,12 @@
         connection.closeAfterWrites();
         break;
     }
+    case TargetBehaviour::OddStatus: {
+        std::string whole = http::writeResponse(own, body);
+        constexpr std::string_view Before = "HTTP/1.1 ";
+        connection.write(whole.replace(Before.size(), 3, oddStatus));
+        break;
+    }
     case TargetBehaviour::Unsigned:
         own.headers.remove("X-Ibislock-Response-Signature");
         connection.write(http::writeResponse(own, body));
--- a/libs/http/src/reader.cpp
+++ b/libs/http/src/reader.cpp
@@ -1,11 +1,57 @@
 #include "ibislock/http/reader.h"
 
+#include "ibislock/base/http_status.h"
+
 #include <algorithm>
 #include <http_parser.h>
 
 namespace ibislock::http
 {
 
+namespace
+{
+
+/// Bytes of chunk framing that each byte of a body may take; a chunk of one byte takes five.
+constexpr std::size_t FramingPerByte = 8;
+
+/// Bytes of chunk framing that a body may take beyond that, e.g. for extensions of its first chunks and trailers.
+constexpr std::size_t FramingSlack = 64 * 1024;
+
+/// A body that isn't announced grows by this part of its size. Doubling would hold up to twice what was received.
+constexpr std::size_t GrowthDivisor = 4;
+
+/// Beginning of a response that is kept to check how its status is written; longer status lines have more spaces than
+/// any server sends.
+constexpr std::size_t StatusLineBytes = 24;
+
+/// Digits of a status.
+constexpr std::size_t StatusDigits = 3;
+
+/// Returns whether the status in the beginning of a response has three digits. http_parser takes a number of any length
+/// up to 999, such as 2, 20 or 0200.
+bool hasThreeDigits(std::string_view statusLine)
+{
+    statusLine.remove_prefix(std::min(statusLine.find(' '), statusLine.size()));
+    statusLine.remove_prefix(std::min(statusLine.find_first_not_of(' '), statusLine.size()));
+    const std::size_t end = statusLine.find_first_not_of("0123456789");
+    return end == StatusDigits;
+}
+
+/// Appends to a body whose capacity grows in small steps; std::string doubles it, also on `reserve`.
+void appendInSteps(std::string &body, const char *at, std::size_t n)
+{
+    const std::size_t size = body.size() + n;
+    if (size > body.capacity()) {
+        std::string grown;
+        grown.reserve(std::max(size, body.size() + body.size() / GrowthDivisor));
+        grown.append(body);
+        body.swap(grown);
+    }
+    body.append(at, n);
+}
+
+} // namespace
+
 struct MessageReader::State
 {
     http_parser parser{};
@@ -13,8 +59,12 @@
     ReaderLimits limits;
     RequestHead request;
     ResponseHead response;
+    std::string statusLine; ///< Its first bytes.
     std::string body;
     std::size_t headBytes = 0;
+    std::optional<std::uint64_t> announcedBodyBytes;
+    std::size_t bodyBytesRead = 0;
+    std::size_t bodyWireBytes = 0; ///< Bytes of the body and its framing; those that arrive with the head don't count.
     bool started = false;
     bool headComplete = false;
     bool complete = false;
@@ -23,6 +73,18 @@
     bool inValue = false;
     bool bodyless = false; ///< The current response answers a HEAD request.
 
+    /// Keeps the first bytes of a response, without the empty lines in front of it.
+    void keepStatusLine(std::string_view bytes)
+    {
+        if (kind == MessageKind::Request || statusLine.size() >= StatusLineBytes) {
+            return;
+        }
+        if (statusLine.empty()) {
+            bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+        }
+        statusLine.append(bytes.substr(0, StatusLineBytes - statusLine.size()));
+    }
+
     Headers &headers()
     {
         return kind == MessageKind::Request ? request.headers : response.headers;
@@ -77,12 +139,22 @@
             if (!namesAreTokens(state.headers()) || parser->http_major != 1) {
                 return -1;
             }
+            const bool isRequest = state.kind == MessageKind::Request;
+            if (!isRequest && !(isHttpStatus(parser->status_code) && hasThreeDigits(state.statusLine))) {
+                return -1;
+            }
             state.headComplete = true;
             parser->upgrade = 0; // Upgrades aren't supported; the message is parsed like any other.
             const bool keepAlive = http_should_keep_alive(parser) != 0;
+            if ((parser->flags & F_CHUNKED) == 0 && parser->content_length != UINT64_MAX) {
+                state.announcedBodyBytes = parser->content_length;
+            }
             if (state.kind == MessageKind::Request) {
                 state.request.method = http_method_str(static_cast<http_method>(parser->method));
                 state.request.keepAlive = keepAlive;
+                // Nobody takes a part of a request's body, so it can't be read.
+                state.bodyTooLarge = state.announcedBodyBytes.value_or(0) > state.limits.bodyBytes;
+                return state.bodyTooLarge ? -1 : 0;
             } else {
                 state.response.status = parser->status_code;
                 state.response.keepAlive = keepAlive;
@@ -98,7 +170,8 @@
                 state.bodyTooLarge = true;
                 return 1;
             }
-            state.body.append(at, n);
+            appendInSteps(state.body, at, n);
+            state.bodyBytesRead += n;
             return 0;
         };
         settings.on_message_complete = [](http_parser *parser) {
@@ -163,6 +236,7 @@
     if (!state.headComplete) {
         // The head must end within its limit, also if it arrives together with the bytes after it.
         const std::size_t allowed = std::min(bytes.size(), state.limits.headBytes - state.headBytes);
+        state.keepStatusLine(bytes.substr(0, allowed));
         // http_parser interprets a call with no bytes as the end of the connection.
         used = allowed > 0 ? http_parser_execute(&state.parser, &settings, bytes.data(), allowed) : 0;
         state.headBytes += used;
@@ -171,7 +245,9 @@
         state.headTooLarge = overflow || (unfinished && allowed < bytes.size());
     }
     if (HTTP_PARSER_ERRNO(&state.parser) == HPE_OK && state.headComplete && used < bytes.size()) {
-        used += http_parser_execute(&state.parser, &settings, bytes.data() + used, bytes.size() - used);
+        const std::size_t n = http_parser_execute(&state.parser, &settings, bytes.data() + used, bytes.size() - used);
+        used += n;
+        state.bodyWireBytes += n;
     }
     const http_errno problem = HTTP_PARSER_ERRNO(&state.parser);
     if (state.headTooLarge || state.bodyTooLarge) {
@@ -182,6 +258,9 @@
     if (problem != HPE_OK && problem != HPE_PAUSED) {
         return failure(ErrorCode::InvalidArgument, http_errno_description(problem));
     }
+    if (state.bodyWireBytes > state.bodyBytesRead * (1 + FramingPerByte) + FramingSlack) {
+        return failure(ErrorCode::InvalidArgument, "the framing of the chunks is larger than their content");
+    }
     return used;
 }
 
@@ -229,6 +308,22 @@
     return m_state->response;
 }
 
+std::optional<std::uint64_t> MessageReader::announcedBodyBytes() const
+{
+    return m_state->announcedBodyBytes;
+}
+
+std::size_t MessageReader::bodyBytesRead() const
+{
+    return m_state->bodyBytesRead;
+}
+
+std::size_t MessageReader::heldBytes() const
+{
+    const std::size_t lines = m_state->headers().lines.capacity() * sizeof(Header);
+    return lines + m_state->headBytes + m_state->body.capacity();
+}
+
 std::string MessageReader::takeBody()
 {
     return std::exchange(m_state->body, {});
@@ -241,8 +336,11 @@
     state.parser.data = &state;
     state.request = {};
     state.response = {};
+    state.statusLine.clear();
     state.body.clear();
     state.headBytes = 0;
+    state.announcedBodyBytes.reset();
+    state.bodyBytesRead = state.bodyWireBytes = 0;
     state.started = state.headComplete = state.complete = state.inValue = false;
     state.headTooLarge = state.bodyTooLarge = false;
     state.bodyless = false;
