--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace ibislock::serving
 {
@@ -119,7 +120,7 @@
     const bool newIncarnation =
         target.entry.id.empty() || target.entry.startedAt != entry->startedAt || target.entry.address != entry->address;
     if (target.entry.id.empty()) {
-        target.cold = std::move(cold);
+        target.cold = cold;
     }
     if (newIncarnation) {
         target.load.reset();
@@ -154,7 +155,9 @@
 
 void applyColdEntryVms(TargetTable &table, int entryVms)
 {
-    table.coldEntryVms = entryVms;
+    if (std::exchange(table.coldEntryVms, entryVms) == entryVms) {
+        return; // Called with each load report.
+    }
     for (auto &[id, target] : table.targets) {
         updateColdTerms(table, target);
     }
@@ -227,7 +230,7 @@
     }
     RetainedTarget &retained = table.retainedTargets[std::string(id)];
     if (retained.signals.startedAt != startedAt) {
-        retained = {.signals = {.startedAt = startedAt}};
+        retained = {.signals = {.startedAt = startedAt}, .cold = retained.cold};
     }
     retained.since = now;
     return &retained.signals;
