Front: targets of a domain whose evacuation has ended may be cold

Cause: the end of an evacuation was applied, and the function that marks a domain's targets as possibly cold existed, but nothing called it; targets that became cold before or during the evacuation got all requests of their service at once. Change: the entry daemon marks the targets of each domain whose evacuation ends.

--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -200,6 +200,7 @@
         recordAnnouncementPosition(m_operatorsWatermark, record.position);
     }
     const Millis absentAt = m_operatorsFollower->feed().endKnownAt();
+    const std::set<std::string, std::less<>> evacuatedBefore = operators.evacuations.active;
     const bool inForce =
         applyRecord(operators, record,
                     {.live = live,
@@ -211,6 +212,11 @@
         m_operatorsFollower->recordInForce(record);
         updateColdTerms();
     }
+    for (const std::string &domain : evacuatedBefore) {
+        if (!operators.evacuations.active.contains(domain)) {
+            recordDomainPossiblyCold(table, domain, steadyMillis());
+        }
+    }
 }
 
 void Front::recordRecovery(Millis at)
--- a/libs/front/test/front_evacuation_test.cpp
+++ b/libs/front/test/front_evacuation_test.cpp
@@ -79,6 +79,26 @@
     EXPECT_GT(callsAtHome(), 0U);
 }
 
+// Targets that became cold during an evacuation got all requests of their service at its end.
+TEST_F(FrontEvacuationTest, TargetsOfADomainThatWasEvacuatedMayBeCold)
+{
+    m_first.startedAt = 1000;
+    list(m_first);
+    std::string state = DesiredState;
+    state.replace(state.find(R"("HealthPath")"), 0, R"("ColdStartS":10,"ColdPerS":2,)");
+    start(state);
+    EXPECT_EQ(call(request("/often/x")).status, 200);
+    m_store.append(HomeKey, "{}");
+    ASSERT_TRUE(waitForBegin());
+    m_store.append(HomeKey, "");
+    ASSERT_TRUE(waitForEnd());
+    const std::size_t before = m_first.requests.size();
+    for (int n = 0; n < Requests; ++n) {
+        call(request("/often/x"));
+    }
+    EXPECT_LE(m_first.requests.size() - before, 2U);
+}
+
 TEST_F(FrontEvacuationTest, WithAllDomainsEvacuatedARequestIsRefusedWithRetryAfter)
 {
     listBoth();
