Lab: a target VM's settings name the failure domain that its engine's listing names

Cause: all settings said domain a, while the listings of every other engine said b. Change: the domain is a field of the VM, used in both places. Nothing is checked less strictly.

--- a/lab/experiments/vms_deployment.cpp
+++ b/lab/experiments/vms_deployment.cpp
@@ -79,7 +79,7 @@
 
 void VmsDeployment::addTarget(int number, std::int64_t version)
 {
-    VmProcess vm{.ip = "127.0.3." + std::to_string(number + 10), .kind = "side"};
+    VmProcess vm{.ip = "127.0.3." + std::to_string(number + 10), .kind = "side", .domain = number % 2 == 0 ? "a" : "b"};
     vm.engine = std::make_unique<EngineStandIn>(m_loop, vm.ip, 0);
     vm.engine->version = version;
     const WeightsStandIn weights{.version = version, .pieces = m_options.pieces};
@@ -94,7 +94,7 @@
     m_store.append("i-" + vm.ip,
                    nlohmann::json{{"Service", "s"},
                                   {"Address", vm.ip + ":" + std::to_string(vm.engine->port())},
-                                  {"Zone", number % 2 == 0 ? "a" : "b"},
+                                  {"Zone", vm.domain},
                                   {"Version", "v1"},
                                   {"Slots", 16},
                                   {"State", "ready"},
@@ -108,7 +108,8 @@
 void VmsDeployment::launch(VmProcess &vm)
 {
     const std::string file = m_options.directory + "/" + vm.ip + ".ini";
-    std::ofstream(file) << "[vm]\nname = " << vm.ip << "\nip = " << vm.ip << "\ndomain = a\nlink_mbps = 1000\n"
+    std::ofstream(file) << "[vm]\nname = " << vm.ip << "\nip = " << vm.ip << "\ndomain = " << vm.domain
+                        << "\nlink_mbps = 1000\n"
                         << "[callers]\naddress = " << addressOf(vm, vm.callers)
                         << "\nreadiness = " << addressOf(vm, vm.readiness)
                         << "\n[peers]\nfirst_port = " << m_firstPeerPort << "\nlast_port = " << m_lastPeerPort
--- a/lab/experiments/vms_deployment.h
+++ b/lab/experiments/vms_deployment.h
@@ -39,6 +39,7 @@
 {
     std::string ip;
     std::string kind;
+    std::string domain = "a"; ///< Failure domain, in its settings and in the listing of its engine.
     std::uint16_t callers = 0;
     std::uint16_t readiness = 0;
     std::unique_ptr<EngineStandIn> engine;
