Front: contention for slots only at services whose routes differ in priority

Change: Call::hasCompetingKinds decides; without competing kinds the request is admitted as it was before.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -40,6 +40,10 @@
 /// after a gap of 2 s.
 constexpr Millis MaxEventGap{1800};
 
+/// Fraction of its objective that a request may wait at a service whose routes have one priority: with longer waits,
+/// most responses are late.
+constexpr double EqualKindsWaitFraction = 0.125;
+
 /// The status which promises the caller that the request was not executed and won't be.
 constexpr int NotRunStatus = 503;
 
@@ -154,8 +158,19 @@
 {
     const Millis full = route.timeout > Millis{0} ? route.timeout : DefaultDeadline;
     const Millis spentBefore = full - std::min(full, request.deadline.value_or(full));
-    return receivedAt - spentBefore + route.latencyObjective
-        - serving::expectedFirstEvent(engineSpec, request.promptTokens);
+    const Millis due = receivedAt - spentBefore + route.latencyObjective;
+    return hasCompetingKinds() ? due - serving::expectedFirstEvent(engineSpec, request.promptTokens) : due;
+}
+
+bool Call::hasCompetingKinds() const
+{
+    return usesEngine && urgency.ranks > 1;
+}
+
+serving::AdmissionPolicy Call::admissionPolicy() const
+{
+    return hasCompetingKinds() ? serving::AdmissionPolicy{}
+                               : serving::AdmissionPolicy{.maxWaitFraction = EqualKindsWaitFraction};
 }
 
 bool Call::isReturned() const
@@ -165,6 +180,9 @@
 
 serving::WaitingRank Call::waitingRank() const
 {
+    if (!hasCompetingKinds()) {
+        return {.priority = priority, .arrival = arrivalNumber};
+    }
     return {.priority = priority, .firstAttempt = !isReturned(), .dueAt = dueAt(), .arrival = arrivalNumber};
 }
 
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -102,6 +102,13 @@
     /// Records why the last placement left out targets, for counters and logs.
     void recordPlacement(const serving::Placement &placement);
 
+    /// Returns whether the routes of the call's engine service differ in priority. Only then kinds compete for its
+    /// slots by urgency; otherwise requests are admitted in the order of their arrival.
+    bool hasCompetingKinds() const;
+
+    /// Returns the limits for admission.
+    serving::AdmissionPolicy admissionPolicy() const;
+
     /// Returns how long an engine takes to process a prompt, in milliseconds; 0 for plain services.
     double promptMs(int tokens) const;
 
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -297,7 +297,8 @@
 serving::Placement Front::findPlacement(Call &call, Millis now, std::optional<Millis> maxSilence)
 {
     call.updateResidency();
-    const bool resumed = call.responseStarted(); // It was admitted before.
+    // A stream that is resumed was admitted before.
+    const bool competes = call.hasCompetingKinds() && !call.responseStarted();
     const auto demand = m_demand.find(call.service);
     const serving::Placement placement =
         place(table,
@@ -313,10 +314,10 @@
                .domains = {.residency = &call.residency,
                            .regions = &settings.regions,
                            .evacuated = &operators.evacuations.active},
-               .reservedShare = resumed ? 0
-                                        : reservedShare(call.urgency, call.isReturned())
-                       + workspaceReserve(m_workspaces, call.workspace, now),
-               .contention = {.entryVms = resumed ? 1 : entryVms(m_entryVms),
+               .reservedShare = competes ? reservedShare(call.urgency, call.isReturned())
+                       + workspaceReserve(m_workspaces, call.workspace, now)
+                                         : 0,
+               .contention = {.entryVms = competes ? entryVms(m_entryVms) : 1,
                               .demand = demand == m_demand.end() ? 0 : demandAt(demand->second, now)},
                .now = now},
               random);
@@ -349,7 +350,7 @@
     const serving::Placement placement = findPlacement(*call, now);
     counters.choicesWithoutTurn += placement.withoutTurn > 0 ? 1 : 0;
     counters.choicesWithoutColdTurn += placement.coldWithoutTurn > 0 ? 1 : 0;
-    switch (serving::admit(call->admissionRequest(now), placement)) {
+    switch (serving::admit(call->admissionRequest(now), placement, call->admissionPolicy())) {
     case serving::AdmissionDecision::Send:
         call->send(*placement.target);
         break;
