Review: callers that read nothing for some seconds lose their answers (case 7)

Tried: six callers with kept channels that read nothing of 400 KB for 4 s, then all, behind a SIGHUP.

--- a/review/second/caller.cpp
+++ b/review/second/caller.cpp
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/write.hpp>
 
@@ -57,13 +58,13 @@
     return true;
 }
 
-void Caller::send(const std::string &path, Millis deadline, std::size_t bytesPerSecond)
+void Caller::send(const std::string &path, Millis deadline, std::size_t bytesPerSecond, Millis pause)
 {
     m_request = {
         .attempt = m_options.name + "-" + std::to_string(++m_requests), .sentAt = steadyMillis(), .deadline = deadline};
     m_bytesPerSecond = bytesPerSecond;
     m_bytesRead = 0;
-    m_readFrom = steadyMillis();
+    m_readFrom = steadyMillis() + pause;
     m_reader.next();
     if (!connect()) {
         onEnd("has no connection");
@@ -78,7 +79,7 @@
     m_record.write(m_options.name,
                    "sends " + m_request.attempt + " (" + path + "), time limit " + std::to_string(deadline.count())
                        + " ms" + (ec ? ", which fails: " + ec.message() : ""));
-    m_timer.start(ReadTime, [this] { read(); });
+    m_timer.start(std::max(pause, ReadTime), [this] { read(); });
 }
 
 void Caller::read()
--- a/review/second/caller.h
+++ b/review/second/caller.h
@@ -43,7 +43,8 @@
 
     /// Sends a request on the kept connection, which is opened for the first one.
     /// @param bytesPerSecond the pace at which the answer is read; 0 for as fast as it comes.
-    void send(const std::string &path, Millis deadline, std::size_t bytesPerSecond);
+    /// @param pause how long nothing is read at first.
+    void send(const std::string &path, Millis deadline, std::size_t bytesPerSecond, Millis pause = Millis{0});
 
     /// The last request.
     const CallerRequest &request() const;
--- a/review/second/scene.cpp
+++ b/review/second/scene.cpp
@@ -101,6 +101,12 @@
     runUntil([] { return false; }, time);
 }
 
+void Scene::reload()
+{
+    record.write("case", "sends SIGHUP to the entry daemon");
+    m_front->signal(SIGHUP);
+}
+
 void Scene::terminate()
 {
     m_termAt = steadyMillis();
--- a/review/second/scene.h
+++ b/review/second/scene.h
@@ -56,6 +56,9 @@
         return holds();
     }
 
+    /// Sends SIGHUP to the daemon, as after a change of its settings file.
+    void reload();
+
     /// Sends SIGTERM to the daemon.
     void terminate();
 
