--- a/review/second/scene.cpp
+++ b/review/second/scene.cpp
@@ -1,5 +1,6 @@
 #include "scene.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -44,6 +45,12 @@
             .trouble = trouble == nullptr || std::string(trouble) != "0"};
 }
 
+std::pair<std::uint16_t, std::uint16_t> peerPorts()
+{
+    const std::uint16_t one = lab::freePort();
+    return std::minmax({one, static_cast<std::uint16_t>(lab::freePort())});
+}
+
 Scene::Scene(const SceneOptions &options)
     : record(options.record)
     , m_options(options)
@@ -58,12 +65,13 @@
 {
     m_callerPort = lab::freePort();
     const std::string settings = m_options.directory + "/front.ini";
+    const auto [firstPort, lastPort] = peerPorts();
     std::ofstream(settings) << "[vm]\nname = front-a-1\nip = " << FrontIp
                             << "\ndomain = a\nregion = south\nlink_mbps = 1000\nmemory_mb = 260\nmax_fds = 4100\n"
                             << "[regions]\na = south\n[callers]\naddress = " << FrontIp << ":" << m_callerPort
                             << "\nreadiness = " << FrontIp << ":" << lab::freePort()
-                            << "\n[peers]\nfirst_port = 7700\nlast_port = 7715\n[store]\naddress = "
-                            << m_store.address()
+                            << "\n[peers]\nfirst_port = " << firstPort << "\nlast_port = " << lastPort
+                            << "\n[store]\naddress = " << m_store.address()
                             << "\n[engine]\naddress =\nservice =\n[contract]\ndrain_ms = 2000\nstop_s = "
                             << GracePeriod.count() / 1000
                             << "\nstate_ms = 2000\nversion_ms = 8000\nretry_ratio = 0.2\nretry_window_s = 10\n"
--- a/review/second/scene.h
+++ b/review/second/scene.h
@@ -24,6 +24,9 @@
 /// Reads the command line of a case, `PROGRAM DIRECTORY RECORD`, and the variable TROUBLE.
 SceneOptions sceneOptions(int argc, char **argv);
 
+/// Returns two free ports for the traffic between daemons, the lower one first.
+std::pair<std::uint16_t, std::uint16_t> peerPorts();
+
 /// The exit status of a case.
 enum ExitStatus { Held = 0, Broken = 1, NotRun = 2 };
 
