Front, side: what tells late desired states from wrong placements

On-call can't tell from the line of a request whether it was placed by an old desired state or wrongly by the newest one. The line now has behind_ms (for how long unread records have been known) and target_domain, and ibislock_operators_store_bytes_total counts what each VM reads of the operators' topic from the store.

--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -148,6 +148,9 @@
     /// Returns the number of calls to the store.
     std::uint64_t calls() const;
 
+    /// Returns the number of bytes in the bodies of the store's responses.
+    std::uint64_t bytesRead() const;
+
     /// Returns the number of calls that failed.
     std::uint64_t failures() const;
 
@@ -252,6 +255,7 @@
     bool m_synchronized = false;
     bool m_readingSnapshot = false; ///< A page of a snapshot is under way, or is requested next.
     std::uint64_t m_calls = 0;
+    std::uint64_t m_bytesRead = 0;
     std::uint64_t m_failures = 0;
     std::uint64_t m_cancelledCalls = 0;
     std::uint64_t m_restores = 0;
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -49,6 +49,11 @@
     return m_calls;
 }
 
+std::uint64_t TopicFeed::bytesRead() const
+{
+    return m_bytesRead;
+}
+
 std::uint64_t TopicFeed::failures() const
 {
     return m_failures;
@@ -234,7 +239,11 @@
                                }
                                return net::HeadDecision::Accept;
                            },
-                       .body = [response](const std::string &part) { response->body.append(part); },
+                       .body =
+                           [this, response](const std::string &part) {
+                               m_bytesRead += part.size();
+                               response->body.append(part);
+                           },
                        .end =
                            [this, generation, response](const net::ExchangeResult &result) {
                                if (generation == m_generation) {
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -241,6 +241,7 @@
         return;
     }
     const auto attempt = std::make_shared<CallAttempt>();
+    attempt->targetDomain = target.entry.domain;
     attempt->listingsUsed = front.recordListingsUse(target, now);
     attempt->loadAge = target.load ? now - target.load->receivedAt : Millis{-1};
     attempt->occupancyPercent =
@@ -551,8 +552,10 @@
              {"evacuated", std::to_string(m_targetsEvacuated)},
              {"state", front.operators.state ? std::to_string(front.operators.state->version) : "none"},
              {"state_age_ms", std::to_string(front.stateAge().count())},
+             {"behind_ms", std::to_string(front.stateLag().count())},
              {"sends", std::to_string(m_attempts)},
              {"target", last.sent.targetId},
+             {"target_domain", last.targetDomain},
              {"weights", std::to_string(last.sent.weightsVersion)},
              {"begun", last.sent.responseStarted ? "1" : "0"},
              {"last_failure", m_lastFailure},
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -30,6 +30,7 @@
     EventSplitter eventSplitter; ///< Goes on after the last event that was forwarded when the attempt was sent.
     std::string_view framing = "none"; ///< What marks the end of the response, as logged.
     std::size_t incompleteBytes = 0; ///< Bytes of an incomplete event at the end of the response.
+    std::string targetDomain; ///< The failure domain in the target's listing.
     int occupancyPercent = 0; ///< Estimated occupancy of the target when the request was sent.
     ListingsUsed listingsUsed; ///< The listings by which the target was chosen.
     Millis loadAge{0}; ///< Age of the load report behind that estimate; -1 ms without one.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -268,6 +268,11 @@
         settings.bounds.stateApplyTime, bootMillis());
 }
 
+Millis Front::stateLag() const
+{
+    return m_operatorsFollower->feed().lagTime();
+}
+
 Millis Front::stateAge() const
 {
     const Millis knownAt = m_operatorsFollower->feed().endKnownAt();
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -93,6 +93,9 @@
     /// one lacks may exist.
     bool isStateCurrent() const;
 
+    /// Returns for how long records of the operators' topic have been known to be unread; 0 if there are none.
+    Millis stateLag() const;
+
     /// Returns for how long newer desired states may have existed; -1 ms before the first snapshot.
     Millis stateAge() const;
 
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -53,6 +53,8 @@
                operators.lagTime().count());
     writeGauge(out, "ibislock_operators_longest_behind_ms", "The longest such time since the start.",
                operators.maxLagTime().count());
+    writeCounter(out, "ibislock_operators_store_bytes_total",
+                 "Bytes that were read from the store of the operators' topic.", operators.bytesRead());
     writeGauge(out, "ibislock_listings_age_ms", "Age of what is known of the listings of targets.",
                listings.age().count());
     writeGauge(out, "ibislock_listings_greatest_used_age_ms",
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -62,6 +62,9 @@
                  m_operatorsFollower->feed().calls() + m_listingsFollower->storeCalls());
     writeCounter(out, "ibislock_store_failures_total", "Calls to the platform's store that failed.",
                  m_operatorsFollower->feed().failures() + m_listingsFollower->storeFailures());
+    writeCounter(out, "ibislock_operators_store_bytes_total",
+                 "Bytes that were read from the store of the operators' topic.",
+                 m_operatorsFollower->feed().bytesRead());
     writeEraMetrics(out, m_operatorsFollower->feed());
     writeGauge(out, "ibislock_listings_age_ms", "Age of what is known of the listings of targets.",
                m_listingsFollower->age().count());
