--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -166,6 +166,17 @@
         }
     }
 
+    /// Reports the end of the topic again and again, until all VMs have a value.
+    /// @return whether they have it in time.
+    bool reportUntilAllHave(const std::string &value, Millis most)
+    {
+        for (const Millis end = steadyMillis() + most; !allHave(value) && steadyMillis() < end;) {
+            reportWatermarks();
+            m_loop.run_for(Millis{50});
+        }
+        return allHave(value);
+    }
+
     /// Validates the state of all VMs until the store holds no read of any.
     void letReadsEnd()
     {
@@ -222,6 +233,9 @@
     }
 
     static constexpr int EntryVms = 8;
+    /// Copies of a state that may cross the link to the store for a domain whose first reader is late, whatever the
+    /// number of its VMs.
+    static constexpr int MostCopies = 4;
     Millis m_stateTime = StateTime;
     asio::io_context m_loop;
     lab::StoreStandIn m_store{m_loop};
@@ -333,6 +347,85 @@
     EXPECT_EQ(vm.follower.feed().repeatedCalls(), 1U);
 }
 
+// Each VM whose source was late read the state itself, over the link that made it late.
+TEST_F(OperatorsFollowerTest, VmsBehindASourceThatTheStoreIgnoresDoNotEachReadTheState)
+{
+    append("config", "1");
+    for (const std::string &ip : m_ips) {
+        add(ip, ip == m_root ? m_otherStore : m_store);
+    }
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    letReadsEnd();
+    m_otherStore.silent = true;
+    for (int n = 2; n < 6; ++n) {
+        const int before = copiesSent();
+        append("config", std::to_string(n));
+        ASSERT_TRUE(reportUntilAllHave(std::to_string(n), StateTime)) << n;
+        EXPECT_LE(copiesSent() - before, MostCopies) << n;
+    }
+}
+
+// The same over a link that is full, on which each copy takes long.
+TEST_F(OperatorsFollowerTest, VmsBehindALateSourceDoNotEachReadTheState)
+{
+    addAll();
+    letReadsEnd();
+    m_store.spread = m_stateTime / 2;
+    const int before = copiesSent();
+    append("config", "2");
+    ASSERT_TRUE(reportUntilAllHave("2", 2 * StateTime));
+    EXPECT_LE(copiesSent() - before, MostCopies);
+}
+
+// All VMs had reads open at the store, as the watermarks that they received were too old.
+TEST_F(OperatorsFollowerTest, VmsThatReceiveOldWatermarksDoNotEachReadTheNextState)
+{
+    addAll();
+    const auto reportOldWatermarks = [this] {
+        for (const auto &[ip, vm] : m_vms) {
+            const TopicPosition end{.era = 0, .offset = 1};
+            vm->follower.applyWatermark({.end = end, .asOf = Millis{1}}, end);
+        }
+        m_loop.run_for(Millis{100});
+    };
+    for (const Millis end = steadyMillis() + 2 * m_stateTime; steadyMillis() < end;) {
+        reportOldWatermarks();
+    }
+    const int before = copiesSent();
+    append("config", "2");
+    const auto anyHas = [this] {
+        return std::any_of(m_vms.begin(), m_vms.end(),
+                           [](const auto &item) { return item.second->values.at("config") == "2"; });
+    };
+    for (const Millis end = steadyMillis() + m_stateTime; !anyHas() && steadyMillis() < end;) {
+        reportOldWatermarks();
+    }
+    ASSERT_TRUE(anyHas());
+    ASSERT_TRUE(reportUntilAllHave("2", StateTime));
+    EXPECT_LE(copiesSent() - before, MostCopies);
+}
+
+// A VM that was behind read each state that it had missed, though only the last one was still of use.
+TEST_F(OperatorsFollowerTest, StatesThatWereSupersededMeanwhileAreNotRead)
+{
+    addAll();
+    letReadsEnd();
+    isolateBehindSilentSources();
+    m_store.silent = true;
+    append("config", "2");
+    reportWatermarks();
+    m_loop.run_for(m_stateTime);
+    for (int n = 3; n < 8; ++n) {
+        append("config", std::to_string(n));
+        reportWatermarks();
+        m_loop.run_for(Millis{100});
+    }
+    const int before = copiesSent();
+    m_store.silent = false;
+    ASSERT_TRUE(runUntil([&] { return allHave("7"); }));
+    EXPECT_EQ(copiesSent() - before, 1);
+}
+
 // A retry must not begin anew what arrives over a congested link.
 TEST_F(OperatorsFollowerTest, AReadThatIsRepeatedIsNotCancelled)
 {
