Feed: VMs that lack a record take turns at the store

Callers saw requests with homes run in another region. Cause: an entry VM whose sources didn't have a desired state read the store by itself, and so did all others of its failure domain. 14 copies of 0.5 MB, up to three each with repeated reads and more with retries, took longer over the link between regions than until the next state; each VM stayed late, and read on.

The root of the tree may always read; the other entry VMs of a domain have turns of 0.15 of the time for a state, over and over, from 0.3 on, and ask those that had theirs last. The copies that cross the link in a time no longer depend on the number of VMs, so that a late state can't keep the link full. A passive VM that isn't validated asks for the end of the topic instead of holding a read open. A VM that is several records behind reads the newest of each key after a failure, too. A VM none of whose sources responds reads as before.

--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -14,6 +14,7 @@
 #include "ibislock/feed/operators_watermark.h"
 #include "ibislock/feed/peer_client.h"
 #include "ibislock/feed/records_cache.h"
+#include "ibislock/feed/source_order.h"
 #include "ibislock/feed/topic_feed.h"
 #include "ibislock/peer/records.h"
 
@@ -89,7 +90,17 @@
 
 private:
     FeedEvents withCache(FeedEvents events);
+
+    /// Requests records up to an end that was reported or read, unless they are known.
+    void applyKnownEnd(const OperatorsWatermark &watermark, const TopicPosition &end);
     std::vector<std::string> sources() const;
+    StoreTurns turns() const;
+
+    /// Returns whether this VM may read records from the store now, while it is passive.
+    bool mayReadRecords() const;
+
+    /// Asks the sources for the missing records, one after the other.
+    void startRound();
     void requestNext();
     void awaitResponse(Millis time);
     void handleFrame(const std::string &body);
@@ -113,6 +124,9 @@
     std::size_t m_sourceIndex = 0; ///< The index of the current one in `m_sources`.
     std::string m_recordSource; ///< The VM whose update is being applied; empty for none.
     bool m_requesting = false;
+    Millis m_heardAt{0}; ///< When another VM reported a watermark last, in monotonic time.
+    bool m_roundCompleted = false; ///< All sources have been asked since this VM fell behind.
+    bool m_sourceResponded = false; ///< One of them responded.
     TopicPosition m_wantedEnd; ///< The position up to which records are requested.
     OperatorsWatermark m_reported; ///< The watermark by which they are requested; it may end behind them.
     std::uint32_t m_sequence = 0;
--- a/libs/feed/include/ibislock/feed/source_order.h
+++ b/libs/feed/include/ibislock/feed/source_order.h
@@ -7,6 +7,8 @@
 
 #pragma once
 
+#include "ibislock/base/clock.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,4 +34,26 @@
 /// @param entryVms the addresses of entry VMs of the domain; `self` may be among them.
 std::vector<std::string> sourcesOutsideTree(std::string_view self, const std::vector<std::string> &entryVms);
 
+/// When the VMs of a domain may read records from the store by themselves, as their sources don't have them. They take
+/// turns, so that the copies that cross the link to the store in a time don't depend on the number of VMs.
+struct StoreTurns
+{
+    std::vector<std::string> order; ///< The VMs, in the order of their turns; the first may always read.
+    Millis first{0}; ///< The time after which the second VM has its turn.
+    Millis interval{1}; ///< Between the starts of two turns.
+};
+
+/// Returns the turns of the entry VMs of a domain. All compute the same order from the same addresses.
+/// @param entryVms the addresses of all entry VMs of the domain that are known.
+StoreTurns storeTurns(const std::vector<std::string> &entryVms, Millis first, Millis interval);
+
+/// Returns whether a VM may read. One that knows no other always may.
+/// @param lagTime for how long records have been known that the VM lacks.
+bool hasStoreTurn(const StoreTurns &turns, std::string_view vm, Millis lagTime);
+
+/// Returns the VMs that had their turns last, the latest first; each but the first VM of the order is among them once
+/// in a round.
+/// @param n the number of VMs at most.
+std::vector<std::string> recentStoreTurns(const StoreTurns &turns, Millis lagTime, std::size_t n);
+
 } // namespace ibislock::feed
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -56,6 +56,13 @@
                                                      const TopicPosition &end)>
         deletedRecords = {};
 
+    /// Returns whether a passive feed may read records now, rather than leave that to other VMs, which pass them on. If
+    /// it may not, and isn't known to be behind, it only asks the store for the end of the topic. May be empty.
+    std::function<bool()> mayReadRecords = {};
+
+    /// Called if that end shows that records are unread. May be empty.
+    std::function<void(const TopicPosition &end)> onUnreadRecords = {};
+
     /// Returns whether each missed record is needed, though `FeedOptions::newestOnly` is set. May be empty.
     std::function<bool()> needsEachRecord = {};
 };
@@ -199,6 +206,17 @@
     void readUnlessValidated();
     void applyNewest(std::vector<platform::KeyedRecord> records, const TopicPosition &end);
     void readNext();
+
+    /// Returns whether other VMs are to read records now.
+    bool leavesReadsToOthers() const;
+
+    /// Waits until this VM may read records; asks for the end of the topic unless unread records are known to exist.
+    void waitForTurn();
+    void readEnd();
+    void applyEnd(std::int64_t era, const std::string &body);
+
+    /// Returns whether reading the newest record of each key takes fewer bytes than reading all that are unread.
+    bool shouldReadNewest(const TopicPosition &end) const;
     void applySnapshotPage(std::int64_t era, const std::string &body);
     void finishSnapshot();
     void applyReadPage(std::int64_t era, const std::string &body);
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -3,15 +3,17 @@
 #include "ibislock/feed/source_order.h"
 #include "ibislock/platform/listings.h"
 
+#include <algorithm>
+
 namespace ibislock::feed
 {
 
 namespace
 {
 
-// Fractions of the time within which a desired state must take effect. A VM whose sources fail reads the store after
-// `FirstLongPollFraction` + `NextLongPollFraction` + 2 * `ResponseMarginFraction`, which leaves half of the time for
-// the response.
+// Fractions of the time within which a desired state must take effect. A VM none of whose sources responds reads the
+// store after `FirstLongPollFraction` + `NextLongPollFraction` + 2 * `ResponseMarginFraction`, which leaves half of the
+// time for the response.
 
 /// How long the first source may hold a request until it has the records; it may wait for another source itself.
 constexpr double FirstLongPollFraction = 0.2;
@@ -22,6 +24,21 @@
 /// How much longer a response may take to arrive, and how long it may stall once it has started.
 constexpr double ResponseMarginFraction = 0.1;
 
+/// After which time a VM other than the first may read the store although others respond, and how much later the next
+/// one. A state of 500 KB takes 0.14 s over a link of 32 Mbit/s, so that reads of turns of 0.45 s leave most of the
+/// link free.
+constexpr double FirstTurnFraction = 0.3;
+constexpr double TurnIntervalFraction = 0.15;
+
+/// How many of the VMs that had their turns last are asked.
+constexpr std::size_t RecentTurns = 3;
+
+/// How long a VM that has nothing to ask for waits until it asks its sources again.
+constexpr double NextRoundFraction = 0.05;
+
+/// After which time without a message of another VM one is on its own.
+constexpr double ContactFraction = 0.8;
+
 /// How long a VM that starts may count as not ready because no other VM has told it what the topic lacks.
 constexpr double CatchUpFraction = 0.5;
 
@@ -146,6 +163,9 @@
                 m_cache.snapshotEnd = end;
                 return feed::deletedRecords(m_cache, content);
             },
+        .mayReadRecords = [this] { return mayReadRecords(); },
+        .onUnreadRecords =
+            [this](const TopicPosition &end) { applyKnownEnd({.end = end, .asOf = m_feed.endKnownAt()}, end); },
         .needsEachRecord =
             [this] {
                 // A snapshot doesn't show whether an evacuation that the topic lacks was deleted.
@@ -248,6 +268,12 @@
 }
 
 void OperatorsFollower::applyWatermark(const OperatorsWatermark &watermark, TopicPosition end)
+{
+    m_heardAt = steadyMillis();
+    applyKnownEnd(watermark, end);
+}
+
+void OperatorsFollower::applyKnownEnd(const OperatorsWatermark &watermark, const TopicPosition &end)
 {
     if (end <= m_feed.position()) {
         m_feed.markValidated(watermark.asOf);
@@ -255,15 +281,47 @@
     }
     m_wantedEnd = end;
     m_reported = watermark;
+    if (!m_feed.isBehind()) {
+        m_sourceResponded = false;
+        m_roundCompleted = false;
+    }
     m_feed.recordKnownEnd(end);
     if (m_requesting || !m_feed.synchronized()) {
         return;
     }
+    startRound();
+}
+
+void OperatorsFollower::startRound()
+{
     m_sources = sources();
     m_sourceIndex = 0;
     requestNext();
 }
 
+StoreTurns OperatorsFollower::turns() const
+{
+    std::vector<std::string> vms = m_entryVms;
+    if (m_options.isEntryVm && std::find(vms.begin(), vms.end(), m_options.ip) == vms.end()) {
+        vms.push_back(m_options.ip);
+    }
+    return storeTurns(vms, fractionOfStateTime(FirstTurnFraction), fractionOfStateTime(TurnIntervalFraction));
+}
+
+bool OperatorsFollower::mayReadRecords() const
+{
+    if (m_options.isEntryVm && sourcesInTree(m_options.ip, m_entryVms).empty()) {
+        return true; // The root of the tree.
+    }
+    if (!m_feed.isBehind()) {
+        return steadyMillis() - m_heardAt >= fractionOfStateTime(ContactFraction);
+    }
+    if (m_roundCompleted && !m_sourceResponded) {
+        return true; // No source responds.
+    }
+    return m_options.isEntryVm && hasStoreTurn(turns(), m_options.ip, m_feed.lagTime());
+}
+
 std::vector<std::string> OperatorsFollower::sources() const
 {
     if (!m_passive && !m_storeUnreachable) {
@@ -272,6 +330,14 @@
     const bool inTree = m_options.isEntryVm && !m_storeUnreachable;
     std::vector<std::string> out =
         inTree ? sourcesInTree(m_options.ip, m_entryVms) : sourcesOutsideTree(m_options.ip, m_entryVms);
+    if (m_roundCompleted) {
+        // What is missing is at a VM that has read the store beside the root of the tree, if at any.
+        for (const std::string &vm : recentStoreTurns(turns(), m_feed.lagTime(), RecentTurns)) {
+            if (vm != m_options.ip && std::find(out.begin(), out.end(), vm) == out.end()) {
+                out.push_back(vm);
+            }
+        }
+    }
     std::erase_if(out, [this, now = steadyMillis()](const std::string &vm) {
         const auto it = m_avoidedUntil.find(vm);
         return it != m_avoidedUntil.end() && now < it->second;
@@ -285,7 +351,11 @@
     if (!m_requesting) {
         m_timer.cancel();
         if (m_feed.position() < m_wantedEnd) {
+            m_roundCompleted = true;
             m_feed.notifyNewRecords(m_wantedEnd);
+            if (m_passive) {
+                m_timer.start(fractionOfStateTime(NextRoundFraction), [this] { startRound(); });
+            }
         }
         return;
     }
@@ -321,6 +391,7 @@
         return;
     }
     const auto &update = std::get<peer::RecordsUpdate>(*message);
+    m_sourceResponded = true;
     if (m_requesting && update.sequence == m_sequence) {
         applyUpdate(update);
     }
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -15,6 +15,10 @@
 /// How often a passive feed checks within `FeedOptions::validityTime` whether its data was validated again.
 constexpr int ChecksPerValidityTime = 8;
 
+/// How often a feed that is behind checks within `FeedOptions::validityTime` whether it may read; several times within
+/// a turn.
+constexpr int ChecksPerTurnTime = 24;
+
 } // namespace
 
 Millis holdTimeFor(Millis longest, Millis age)
@@ -467,7 +471,7 @@
     // long.
     const bool unheldReadActive = m_callActive && m_longPollTime == Millis{0};
     if (!m_synchronized || end <= m_position || end <= m_notifiedEnd || justStarted || responseArriving
-        || unheldReadActive) {
+        || unheldReadActive || leavesReadsToOthers()) {
         return;
     }
     m_notifiedEnd = end;
@@ -479,16 +483,83 @@
     cancelExchanges();
     if (end.era != m_position.era) {
         readSnapshot();
-    } else if (m_options.newestOnly && end.offset - m_position.offset > 1
-               && !(m_events.needsEachRecord && m_events.needsEachRecord())) {
-        readNewest();
     } else {
         readNext();
     }
 }
 
+bool TopicFeed::shouldReadNewest(const TopicPosition &end) const
+{
+    return m_options.newestOnly && end.era == m_position.era && end.offset - m_position.offset > 1
+        && !(m_events.needsEachRecord && m_events.needsEachRecord());
+}
+
+bool TopicFeed::leavesReadsToOthers() const
+{
+    return m_passive && m_synchronized && m_events.mayReadRecords && !m_events.mayReadRecords();
+}
+
+void TopicFeed::waitForTurn()
+{
+    if (isBehind()) {
+        schedule(m_options.validityTime / ChecksPerTurnTime, &TopicFeed::readNext);
+    } else {
+        readEnd();
+    }
+}
+
+void TopicFeed::readEnd()
+{
+    // No key comes behind this one, so that the page has the end of the topic and no records.
+    constexpr std::string_view LastKey = "~";
+    m_longPollTime = Millis{0};
+    call(platform::makeSnapshotRequest(m_options.topic, LastKey), m_firstByteTimeout, &TopicFeed::readNext,
+         [this](std::int64_t era, int status, const std::string &body) {
+             if (isRestored(era)) {
+                 readSnapshot();
+             } else if (status != OkStatus) {
+                 handleFailure("status " + std::to_string(status), &TopicFeed::readNext);
+             } else {
+                 applyEnd(era, body);
+             }
+         });
+}
+
+void TopicFeed::applyEnd(std::int64_t era, const std::string &body)
+{
+    const auto page = platform::decodeSnapshotPage(body, era);
+    if (!page) {
+        handleFailure(page.error().message, &TopicFeed::readNext);
+        return;
+    }
+    handleSuccess();
+    if (page->end < m_position) {
+        logWarning(LogComponent::Store, "The topic ends before the offset that was read; reading a new snapshot.",
+                   {{"topic", m_options.topic}, {"offset", toText(m_position)}, {"end", toText(page->end)}});
+        readSnapshot();
+        return;
+    }
+    if (page->end == m_position) {
+        forgetKnownEnd(m_generation);
+        markValidated(m_callStartedAtBoot);
+        reportWatermark(m_callStartedAtBoot);
+        scheduleRead(m_options.minReadInterval);
+        return;
+    }
+    recordKnownEnd(page->end);
+    schedule(m_options.validityTime / ChecksPerTurnTime, &TopicFeed::readNext);
+    if (m_events.onUnreadRecords) {
+        m_events.onUnreadRecords(page->end);
+    }
+}
+
 void TopicFeed::readSnapshot()
 {
+    if (m_readsNewest && leavesReadsToOthers()) {
+        cancelCall(); // A retry of a read that was begun in an earlier turn.
+        waitForTurn();
+        return;
+    }
     const std::string after = m_snapshotRecords.empty() ? "" : m_snapshotRecords.back().key;
     m_longPollTime = Millis{0};
     m_readingSnapshot = true;
@@ -578,6 +649,14 @@
 
 void TopicFeed::readNext()
 {
+    if (leavesReadsToOthers()) {
+        waitForTurn();
+        return;
+    }
+    if (m_synchronized && shouldReadNewest(m_knownEnd)) {
+        readNewest();
+        return;
+    }
     // In an outage the store may still be unresponsive: a held read could not be told from an ignored one.
     const bool notified = std::exchange(m_notificationPending, false);
     const Millis wait = m_storeUnreachable || notified ? Millis{0} : holdTime();
--- a/libs/feed/test/source_order_test.cpp
+++ b/libs/feed/test/source_order_test.cpp
@@ -98,6 +98,43 @@
     }
 }
 
+TEST(StoreTurnsTest, ReadsInATimeDoNotGrowWithTheNumberOfVms)
+{
+    constexpr Millis First{900};
+    constexpr Millis Interval{450};
+    for (const int n : {2, 30, 300}) {
+        std::vector<std::string> vms;
+        for (int k = 0; k < n; ++k) {
+            vms.push_back("10.0." + std::to_string(k / 100) + "." + std::to_string(k % 100));
+        }
+        const StoreTurns turns = storeTurns(vms, First, Interval);
+        for (Millis lag{0}; lag < Millis{20000}; lag += Millis{150}) {
+            const auto reading = std::count_if(vms.begin(), vms.end(),
+                                               [&](const std::string &vm) { return hasStoreTurn(turns, vm, lag); });
+            EXPECT_EQ(reading, lag < First ? 1 : 2) << n << " VMs, " << lag.count() << " ms";
+        }
+    }
+}
+
+TEST(StoreTurnsTest, EachVmHasATurn)
+{
+    const std::vector<std::string> vms{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"};
+    const StoreTurns turns = storeTurns(vms, Millis{900}, Millis{450});
+    std::vector<std::string> recent = recentStoreTurns(turns, Millis{900 + 2 * 450}, vms.size());
+    EXPECT_EQ(recent.size(), vms.size() - 1);
+    EXPECT_TRUE(hasStoreTurn(turns, recent.front(), Millis{900 + 2 * 450})) << "the latest comes first";
+    recent.push_back(turns.order.front());
+    EXPECT_TRUE(std::is_permutation(recent.begin(), recent.end(), vms.begin(), vms.end()));
+    EXPECT_TRUE(recentStoreTurns(turns, Millis{899}, vms.size()).empty());
+}
+
+TEST(StoreTurnsTest, AVmThatKnowsNoOtherMayAlwaysRead)
+{
+    const StoreTurns turns = storeTurns({"10.0.0.1"}, Millis{900}, Millis{450});
+    EXPECT_TRUE(hasStoreTurn(turns, "10.0.0.1", Millis{5000}));
+    EXPECT_TRUE(recentStoreTurns(turns, Millis{5000}, 3).empty());
+}
+
 } // namespace
 
 } // namespace ibislock::feed
