--- a/libs/front/include/ibislock/front/daemon.h
+++ b/libs/front/include/ibislock/front/daemon.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "ibislock/base/clock.h"
 #include "ibislock/base/error.h"
 #include "ibislock/platform/settings.h"
 
@@ -23,6 +24,9 @@
 {
     std::uint16_t metricsPort = 0; ///< Port of the metrics endpoint; 0 disables it.
     std::optional<std::uint64_t> randomSeed; ///< Set in tests; otherwise the seed comes from the operating system.
+    /// Timeout for connecting to a target. A round trip takes a few ms; the retransmission of a lost packet takes a
+    /// second.
+    Millis connectTimeout{400};
 };
 
 class Front;
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -21,10 +21,7 @@
 /// Deadline of a request without one, and timeout of a route without one; far above usual latency objectives.
 constexpr Millis DefaultDeadline{10000};
 
-/// Timeout for connecting to a target. A round trip takes a few ms; the retransmission of a lost packet takes a second.
-constexpr Millis ConnectTime{400};
-
-/// Failed connections after which a call is refused; each takes `ConnectTime` at most.
+/// Failed connections after which a call is refused; each takes `FrontOptions::connectTimeout` at most.
 constexpr int MaxConnectFailures = 3;
 
 /// Minimum time to the deadline for an attempt; with less, a target couldn't start.
@@ -285,7 +282,7 @@
     const bool fresh = !serving::mayRunTwice(route.kind, route.resumable) || m_attempts > 1 || !warm;
     attempt->exchange = front.client.send(
         endpoint->ip, endpoint->port, writeRequest(forwarded, body),
-        {.connectTimeout = std::min(ConnectTime, deadlineAt - now),
+        {.connectTimeout = std::min(front.options.connectTimeout, deadlineAt - now),
          .newConnection = fresh,
          .maxBodyBytes = MaxBufferedResponse},
         {
--- a/libs/front/test/front_evacuation_test.cpp
+++ b/libs/front/test/front_evacuation_test.cpp
@@ -32,19 +32,6 @@
         list(m_second);
     }
 
-    /// Runs the daemon until it writes a line to the log.
-    bool waitForLine(const std::string &sentence)
-    {
-        for (const Millis end = steadyMillis() + Millis{5000}; steadyMillis() < end;) {
-            lab::LogCapture log;
-            runFor(Millis{50});
-            if (!log.take(sentence).empty()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     bool waitForBegin()
     {
         return waitForLine("The evacuation of a failure domain has begun.");
--- a/libs/front/test/front_fixture.h
+++ b/libs/front/test/front_fixture.h
@@ -5,6 +5,7 @@
 #include "ibislock/front/daemon.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/platform/listings.h"
+#include "platform/log_capture.h"
 #include "platform/store_stand_in.h"
 #include "platform/target_stand_in.h"
 
@@ -77,6 +78,14 @@
     std::string body;
 };
 
+/// A call whose response is being received.
+struct PendingCall
+{
+    CallerAnswer answer;
+    bool done = false;
+    std::shared_ptr<net::Exchange> exchange;
+};
+
 /// A stall of the event loop during a call.
 struct Stall
 {
@@ -88,9 +97,9 @@
 class FrontTest : public testing::Test
 {
 protected:
-    explicit FrontTest(std::uint16_t peerPort = 0)
+    explicit FrontTest(std::uint16_t peerPort = 0, const FrontOptions &options = {.randomSeed = RandomSeed})
         : m_peerPort(peerPort)
-        , m_daemon(m_loop, settingsFor(m_store.port(), peerPort), {.randomSeed = RandomSeed})
+        , m_daemon(m_loop, settingsFor(m_store.port(), peerPort), options)
     {
     }
 
@@ -152,6 +161,19 @@
         m_loop.run_for(time);
     }
 
+    /// Runs the daemon until it writes a line to the log.
+    bool waitForLine(const std::string &sentence)
+    {
+        for (const Millis end = steadyMillis() + Millis{5000}; steadyMillis() < end;) {
+            lab::LogCapture log;
+            runFor(Millis{50});
+            if (!log.take(sentence).empty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     http::RequestHead request(const std::string &path, const std::string &key = "key")
     {
         http::RequestHead head{.method = "POST", .target = path};
@@ -164,33 +186,39 @@
         return head;
     }
 
+    /// Sends a request; the response is received while the loop runs.
+    std::shared_ptr<PendingCall> begin(const http::RequestHead &head, const std::string &body = "body")
+    {
+        auto out = std::make_shared<PendingCall>();
+        out->exchange = m_client.send("127.0.0.1", m_daemon.callerPort(), writeRequest(head, body), {},
+                                      {.head =
+                                           [out](const http::ResponseHead &answer) {
+                                               out->answer.status = answer.status;
+                                               out->answer.headers = answer.headers;
+                                               return net::HeadDecision::Accept;
+                                           },
+                                       .body = [out](const std::string &part) { out->answer.body += part; },
+                                       .end =
+                                           [out](const net::ExchangeResult &result) {
+                                               out->answer.whole = result.outcome == net::ExchangeOutcome::Complete;
+                                               out->done = true;
+                                           }});
+        return out;
+    }
+
     CallerAnswer call(const http::RequestHead &head, const std::string &body = "body", const Stall &stall = {})
     {
-        CallerAnswer out;
-        bool done = false;
-        const auto exchange = m_client.send("127.0.0.1", m_daemon.callerPort(), writeRequest(head, body), {},
-                                            {.head =
-                                                 [&](const http::ResponseHead &answer) {
-                                                     out.status = answer.status;
-                                                     out.headers = answer.headers;
-                                                     return net::HeadDecision::Accept;
-                                                 },
-                                             .body = [&](const std::string &part) { out.body += part; },
-                                             .end =
-                                                 [&](const net::ExchangeResult &result) {
-                                                     out.whole = result.outcome == net::ExchangeOutcome::Complete;
-                                                     done = true;
-                                                 }});
+        const auto pending = begin(head, body);
         for (int n = 0; n < stall.handlers; ++n) {
             m_loop.run_one_for(std::chrono::milliseconds(20));
         }
         std::this_thread::sleep_for(stall.time);
         const Millis end = steadyMillis() + Millis{5000};
-        while (!done && steadyMillis() < end) {
+        while (!pending->done && steadyMillis() < end) {
             m_loop.run_one_for(std::chrono::milliseconds(20));
         }
-        EXPECT_TRUE(done);
-        return out;
+        EXPECT_TRUE(pending->done);
+        return pending->answer;
     }
 
     std::size_t runs() const
