Front: a request is sent only if its target is still permitted once it has connected

Requests that have homes could reach a server in another region, and requests an evacuated domain: regions, evacuations and listings were applied when a target was chosen, and the request went out when a new connection to it was established. That takes up to 400 ms, over a full link usually longer than a round trip, and nothing looked at what had arrived meanwhile; only whether the caller was still there.

Cause: a decision that is carried out behind a wait without being made again. All sends that wait go through one place, maySend of the exchange: first attempts, retries behind 421, 503 and failed connections, resumed streams, probes, and attempts beside silent targets. A pooled connection is written to in the turn of the loop in which the target was chosen.

Now the call takes the newest restriction there and asks whether the incarnation that was chosen is still listed at its address, and whether its domain or address is closed. If so, nothing is sent; the attempt is withdrawn, counts neither as a failure of the target nor towards the limits of the route, and the request is placed again, or refused as not run. As the check and the write are in one handler, nothing can come between them.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -286,7 +286,7 @@
          .newConnection = fresh,
          .maxBodyBytes = MaxBufferedResponse},
         {
-            .maySend = [self = shared_from_this()] { return self->isCallerThere(); },
+            .maySend = [self = shared_from_this(), attempt] { return self->maySendTo(*attempt); },
             .head = [self = shared_from_this(),
                      attempt](const http::ResponseHead &answer) { return self->onHead(*attempt, answer); },
             .body = [self = shared_from_this(), attempt](const std::string &bytes) { self->onBody(attempt, bytes); },
@@ -338,6 +338,10 @@
         return;
     }
     const auto self = shared_from_this();
+    if (attempt->obstacle != serving::SendObstacle::None) {
+        onObstacle(attempt);
+        return;
+    }
     if (result.outcome == net::ExchangeOutcome::Complete && isStreamTruncated(*attempt)) {
         result.outcome = net::ExchangeOutcome::Broken;
     }
@@ -367,6 +371,44 @@
     front.dispatchWaiting();
 }
 
+bool Call::maySendTo(CallAttempt &attempt)
+{
+    if (!isCallerThere()) {
+        return false;
+    }
+    updateResidency();
+    attempt.obstacle = obstacleOf(front.table, attempt.sent, domains());
+    return attempt.obstacle == serving::SendObstacle::None;
+}
+
+void Call::onObstacle(const AttemptPointer &attempt)
+{
+    ++front.counters.sendsWithheld;
+    ++m_unsentAttempts;
+    attempt->exchange.reset();
+    std::erase(m_attemptsInProgress, attempt);
+    withdrawAttempt(front.table, attempt->sent);
+    triedTargets.erase(attempt->sent.targetId);
+    logInfo(LogComponent::Front, "A request was not sent, as its target was closed to it while connecting.",
+            {{"id", request.attemptId},
+             {"target", attempt->sent.targetId},
+             {"cause", std::string(nameOf(serving::SendObstacleNames, attempt->obstacle))},
+             {"regions", regionsText()},
+             {"state", front.operators.state ? std::to_string(front.operators.state->version) : "none"},
+             {"after_ms", std::to_string((steadyMillis() - attempt->sent.sentAt).count())}});
+    if (!m_attemptsInProgress.empty()) {
+        m_attempt = m_attemptsInProgress.back();
+    } else {
+        recordNotRun();
+        if (responseStarted()) {
+            retryInterrupted();
+        } else {
+            front.dispatch(shared_from_this());
+        }
+    }
+    front.dispatchWaiting();
+}
+
 void Call::logFailedAttempt(const CallAttempt &attempt, const net::ExchangeResult &result) const
 {
     logInfo(LogComponent::Front, "A request attempt failed.",
@@ -414,7 +456,7 @@
 {
     // A target that did not execute the request is no reason to give up what has begun or is in progress elsewhere.
     const bool goesOn = responseStarted() || !m_attemptsInProgress.empty();
-    return m_attempts - m_connectFailures - (goesOn ? m_refusedAttempts : 0);
+    return m_attempts - m_connectFailures - m_unsentAttempts - (goesOn ? m_refusedAttempts : 0);
 }
 
 /// Consumes one retry of the budget if route, kind and deadline allow another attempt.
@@ -443,9 +485,10 @@
         m_attempt = m_attemptsInProgress.back();
         return;
     }
-    advance(m_lifecycle, notConnected || notRun ? RequestEvent::Refused : RequestEvent::OutcomeUnknown);
-    if (m_attempts == m_connectFailures + m_refusedAttempts) {
-        advance(m_lifecycle, RequestEvent::AllRefused);
+    if (notConnected || notRun) {
+        recordNotRun();
+    } else {
+        advance(m_lifecycle, RequestEvent::OutcomeUnknown);
     }
     const bool again = notConnected ? m_connectFailures < MaxConnectFailures && deadlineAt - steadyMillis() >= LeastTime
                                     : tryReserveRetry();
@@ -460,6 +503,14 @@
     }
 }
 
+void Call::recordNotRun()
+{
+    advance(m_lifecycle, RequestEvent::Refused);
+    if (m_attempts == m_connectFailures + m_refusedAttempts + m_unsentAttempts) {
+        advance(m_lifecycle, RequestEvent::AllRefused);
+    }
+}
+
 void Call::retryInterrupted()
 {
     m_resumeWaitUntil =
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -23,6 +23,7 @@
 struct CallAttempt
 {
     serving::Attempt sent;
+    serving::SendObstacle obstacle = serving::SendObstacle::None; ///< Why its request was not sent.
     std::shared_ptr<net::Exchange> exchange;
     ResponseHandling handling = ResponseHandling::None;
     http::ResponseHead responseHead;
@@ -67,6 +68,9 @@
     /// @return whether the caller is still there.
     bool isCallerThere();
 
+    /// Returns the failure domains in which the request may be placed, by the restriction of its last placement.
+    serving::PlacementDomains domains() const;
+
     /// Tries another target if the present one is silent, cancels attempts that would start on retired weights or crash
     /// their engine, and ends the call if its deadline has passed.
     void checkTimeouts(Millis now);
@@ -159,6 +163,16 @@
     void applyLimit(const CallAttempt &attempt, const platform::TargetResponse &said);
     void onBody(const AttemptPointer &attempt, const std::string &bytes);
     void onEnd(const AttemptPointer &attempt, net::ExchangeResult result);
+
+    /// Returns whether the request may be sent to the target of an attempt, whose connection has been established, by
+    /// the newest desired state, evacuations and listings.
+    bool maySendTo(CallAttempt &attempt);
+
+    /// Ends an attempt whose request was not sent, as its target is closed to it by now, and places the request again.
+    void onObstacle(const AttemptPointer &attempt);
+
+    /// Records in the lifecycle that the last attempt in progress ended and its target did not execute the request.
+    void recordNotRun();
     void logFailedAttempt(const CallAttempt &attempt, const net::ExchangeResult &result) const;
 
     /// Returns whether a response that is complete by its framing is a stream that was cut off.
@@ -244,6 +258,7 @@
     int m_attempts = 0;
     int m_connectFailures = 0;
     int m_refusedAttempts = 0; ///< Attempts that their targets did not execute.
+    int m_unsentAttempts = 0; ///< Attempts whose target was closed to the request once it was connected.
     Millis m_resumeWaitUntil{0}; ///< A request whose attempt was interrupted may wait for a slot at least until then.
     serving::RequestLifecycle m_lifecycle; ///< Decides whether it may be retried and how it may end.
     bool m_done = false;
--- a/libs/front/src/call_placement.cpp
+++ b/libs/front/src/call_placement.cpp
@@ -15,6 +15,12 @@
     residency = residencyOf(*state, {.route = route.name, .workspace = workspace}, residency);
 }
 
+serving::PlacementDomains Call::domains() const
+{
+    return {
+        .residency = &residency, .regions = &front.settings.regions, .evacuated = &front.operators.evacuations.active};
+}
+
 void Call::recordPlacement(const serving::Placement &placement)
 {
     m_placementFailure = placement.reason;
--- a/libs/front/src/counters.cpp
+++ b/libs/front/src/counters.cpp
@@ -63,6 +63,9 @@
                  counters.choicesWithoutColdTurn);
     writeCounter(out, "ibislock_cold_sends_total", "Requests sent to targets that were not known to be warm.",
                  counters.attemptsAtColdTargets);
+    writeCounter(out, "ibislock_sends_withheld_total",
+                 "Sends that were left out as the target was closed to the request while connecting.",
+                 counters.sendsWithheld);
     writeCounter(out, "ibislock_sends_without_caller_total", "Sends that were left out as their callers had left.",
                  counters.sendsWithoutCaller);
     writeCounter(out, "ibislock_refusals_left_to_others_total",
--- a/libs/front/src/counters.h
+++ b/libs/front/src/counters.h
@@ -41,6 +41,7 @@
     std::uint64_t choicesWithoutColdTurn = 0; ///< Choices in which a cold target left this VM no turn.
     std::uint64_t attemptsAtColdTargets = 0; ///< Attempts at targets that weren't known to be warm.
     std::uint64_t sendsWithoutCaller = 0; ///< Sends that were left out as the caller had left.
+    std::uint64_t sendsWithheld = 0; ///< Sends that were left out as the target was closed to the request meanwhile.
     std::uint64_t refusalsLeftToOthers = 0; ///< Refusals while free slots were left to other entry VMs.
     Millis maxListingsAge{0}; ///< The greatest age of the listings by which a target was chosen.
     std::uint64_t attemptsAtUnlistedTargets = 0; ///< Attempts at targets whose listing was known to be removed.
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -311,9 +311,7 @@
                .maxSilence = maxSilence,
                .urgent = !call.isLate(now) || call.responseStarted(),
                .triedTargets = &call.triedTargets,
-               .domains = {.residency = &call.residency,
-                           .regions = &settings.regions,
-                           .evacuated = &operators.evacuations.active},
+               .domains = call.domains(),
                .reservedShare = competes ? reservedShare(call.urgency, call.isReturned())
                        + workspaceReserve(m_workspaces, call.workspace, now)
                                          : 0,
--- a/libs/front/test/front_connecting_test.cpp
+++ b/libs/front/test/front_connecting_test.cpp
@@ -24,8 +24,9 @@
 {
     const std::string common = R"("TimeoutMs":20000,"TargetLatencyMs":10000,"Service":"s","AllowedRegions":)" + regions;
     return R"({"Version":)" + std::to_string(version)
-        + R"(,"Routes":[{"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","MaxAttempts":2,)" + common
-        + R"(},{"Name":"once","Host":"h","PathPrefix":"/once/","Kind":"non_idempotent","MaxAttempts":1,)" + common
+        + R"(,"Routes":[{"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","MaxAttempts":2,)"
+        + common + R"(},{"Name":"once","Host":"h","PathPrefix":"/once/","Kind":"non_idempotent","MaxAttempts":1,)"
+        + common
         + R"(}],"Services":[{"Name":"s","HealthPath":"/health","MaxConns":100}],)"
           R"("Tenants":[{"Name":"w","ApiKeys":["key"]}]})";
 }
--- a/libs/serving/include/ibislock/serving/attempt.h
+++ b/libs/serving/include/ibislock/serving/attempt.h
@@ -9,7 +9,8 @@
 
 #pragma once
 
-#include "ibislock/serving/target_table.h"
+#include "ibislock/base/names.h"
+#include "ibislock/serving/placement_domains.h"
 
 namespace ibislock::serving
 {
@@ -33,6 +34,27 @@
 Target *targetOf(TargetTable &table, const Attempt &attempt);
 const Target *targetOf(const TargetTable &table, const Attempt &attempt);
 
+/// Why a request may not be sent to the target that was chosen for it any more.
+enum class SendObstacle {
+    None,
+    Unlisted, ///< The incarnation isn't listed any more, so its address may be reused.
+    Residency, ///< It isn't in a region that is allowed.
+    Evacuated, ///< Its domain is being evacuated.
+};
+
+/// Names of the obstacles in logs.
+inline constexpr NameTable<SendObstacle, 4> SendObstacleNames{{
+    {SendObstacle::None, "none"},
+    {SendObstacle::Unlisted, "unlisted"},
+    {SendObstacle::Residency, "residency"},
+    {SendObstacle::Evacuated, "evacuated"},
+}};
+
+/// Returns whether, and why, the request of an attempt may not be sent to its target any more. To be asked when its
+/// connection is established, as listings and restrictions may have changed since the target was chosen.
+/// @param domains the present restrictions of the request.
+SendObstacle obstacleOf(const TargetTable &table, const Attempt &attempt, const PlacementDomains &domains);
+
 /// Records the end of an attempt: it is in flight no more, and its outcome counts for the incarnation that it was sent
 /// to, if that is listed or retained.
 void endAttempt(TargetTable &table, const Attempt &attempt, bool success, Millis now);
--- a/libs/serving/src/attempt.cpp
+++ b/libs/serving/src/attempt.cpp
@@ -39,6 +39,23 @@
     return it != table.targets.end() && wasSentTo(attempt, it->second.entry) ? &it->second : nullptr;
 }
 
+SendObstacle obstacleOf(const TargetTable &table, const Attempt &attempt, const PlacementDomains &domains)
+{
+    const Target *target = targetOf(table, attempt);
+    if (target == nullptr) {
+        return SendObstacle::Unlisted;
+    }
+    switch (exclusionOf(domains, closedAddresses(table, domains), target->entry)) {
+    case DomainExclusion::Residency:
+        return SendObstacle::Residency;
+    case DomainExclusion::Evacuated:
+        return SendObstacle::Evacuated;
+    case DomainExclusion::None:
+        break;
+    }
+    return SendObstacle::None;
+}
+
 void withdrawAttempt(TargetTable &table, const Attempt &attempt)
 {
     if (Target *target = targetOf(table, attempt)) {
--- a/libs/serving/test/attempt_test.cpp
+++ b/libs/serving/test/attempt_test.cpp
@@ -157,6 +157,77 @@
     EXPECT_EQ(table.targets.at("a").inFlight, 4);
 }
 
+/// What changes between the choice of the target "a" in domain "d" and the end of its connecting.
+struct ObstacleCase
+{
+    std::string name;
+    std::optional<TargetEntry> listing;
+    std::optional<TargetEntry> otherListing;
+    std::vector<std::string> regions;
+    std::set<std::string, std::less<>> evacuated;
+    SendObstacle expected = SendObstacle::None;
+};
+
+class SendObstacleTest : public testing::TestWithParam<ObstacleCase>
+{
+protected:
+    static TargetEntry listed(const std::string &domain, std::int64_t startedAt = FirstStart,
+                              const std::string &address = "10.0.0.1:1")
+    {
+        TargetEntry out = entryOf(startedAt, 2, address);
+        out.domain = domain;
+        return out;
+    }
+
+public:
+    static std::vector<ObstacleCase> cases()
+    {
+        const TargetEntry same = listed("d");
+        return {
+            {.name = "Nothing", .listing = same},
+            {.name = "PermittedRegion", .listing = same, .regions = {"north"}},
+            {.name = "OtherRegion", .listing = same, .regions = {"south"}, .expected = SendObstacle::Residency},
+            {.name = "UnknownRegion",
+             .listing = listed("x"),
+             .regions = {"north"},
+             .expected = SendObstacle::Residency},
+            {.name = "Evacuated", .listing = same, .evacuated = {"d"}, .expected = SendObstacle::Evacuated},
+            {.name = "OtherEvacuated", .listing = same, .evacuated = {"e"}},
+            {.name = "Moved", .listing = listed("e"), .regions = {"north"}, .expected = SendObstacle::Residency},
+            {.name = "MovedUnrestricted", .listing = listed("e")},
+            {.name = "AddressReused",
+             .listing = same,
+             .otherListing = listed("e"),
+             .regions = {"north"},
+             .expected = SendObstacle::Residency},
+            {.name = "Unlisted", .listing = std::nullopt, .expected = SendObstacle::Unlisted},
+            {.name = "StartedAgain", .listing = listed("d", SecondStart), .expected = SendObstacle::Unlisted},
+            {.name = "OtherAddress",
+             .listing = listed("d", FirstStart, "10.0.0.2:1"),
+             .expected = SendObstacle::Unlisted},
+        };
+    }
+};
+
+TEST_P(SendObstacleTest, ARequestIsSentOnlyIfItsTargetIsStillPermitted)
+{
+    const ObstacleCase &item = GetParam();
+    TargetTable table;
+    applyEntry(table, "a", listed("d"), Millis{0});
+    const Attempt attempt = startAttempt(table.targets.at("a"), /*engine=*/false, Millis{0});
+    applyEntry(table, "a", item.listing, Millis{1});
+    if (item.otherListing) {
+        applyEntry(table, "b", item.otherListing, Millis{1});
+    }
+    const Residency residency{.routeRegions = item.regions, .workspaceRegions = {}};
+    const DomainRegions regions{{"d", "north"}, {"e", "south"}};
+    EXPECT_EQ(obstacleOf(table, attempt, {.residency = &residency, .regions = &regions, .evacuated = &item.evacuated}),
+              item.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, SendObstacleTest, testing::ValuesIn(SendObstacleTest::cases()),
+                         [](const auto &item) { return item.param.name; });
+
 } // namespace
 
 } // namespace ibislock::serving
