Front: test of a request whose target starts to drain while it connects

The target then turns it away or serves it as one of its last; the caller waits for a second attempt in the first case.

--- a/libs/front/test/front_connecting_test.cpp
+++ b/libs/front/test/front_connecting_test.cpp
@@ -48,9 +48,9 @@
         start(state);
     }
 
-    std::string slowListing() const
+    std::string slowListing(bool leaving = false) const
     {
-        std::string out = m_slow.listing("s");
+        std::string out = m_slow.listing("s", leaving);
         const std::string port = ":" + std::to_string(m_slow.port());
         return out.replace(out.find(port), port.size(), ":" + std::to_string(m_gate.port()));
     }
@@ -184,6 +184,18 @@
     EXPECT_EQ(call->answer.status, 503);
 }
 
+// A target whose listing said meanwhile that it is draining got the request all the same.
+TEST_P(FrontConnectingKindTest, ARequestThatConnectsIsNotSentToATargetThatIsDrainingByNow)
+{
+    startWith(stateFor(1, "[]"));
+    const auto call = beginAtSlowTarget(GetParam());
+    m_store.append(m_slow.id, slowListing(/*leaving=*/true));
+    ASSERT_TRUE(waitForLine("A target's listing changed."));
+    connectAndFinish(*call);
+    EXPECT_EQ(m_gate.received(), "");
+    EXPECT_EQ(call->answer.status, 503);
+}
+
 INSTANTIATE_TEST_SUITE_P(Kinds, FrontConnectingKindTest, testing::Values("/often/x", "/once/x"));
 
 } // namespace
