Front: nothing is sent to a target that has started to drain while the request connected to it

A request that was connecting when its target's listing, or a response of the target to another request, said that it is draining went there all the same, and its caller waited for a second attempt if the target turned it away. Cause: as in, what was known when the target was chosen wasn't looked at again behind the wait for the connection. obstacleOf now names draining as well, which placement leaves out anyway, so the request is placed again at once and the target gets nothing.

--- a/libs/serving/include/ibislock/serving/attempt.h
+++ b/libs/serving/include/ibislock/serving/attempt.h
@@ -40,14 +40,16 @@
     Unlisted, ///< The incarnation isn't listed any more, so its address may be reused.
     Residency, ///< It isn't in a region that is allowed.
     Evacuated, ///< Its domain is being evacuated.
+    Draining, ///< Its listing or a response says that it is draining.
 };
 
 /// Names of the obstacles in logs.
-inline constexpr NameTable<SendObstacle, 4> SendObstacleNames{{
+inline constexpr NameTable<SendObstacle, 5> SendObstacleNames{{
     {SendObstacle::None, "none"},
     {SendObstacle::Unlisted, "unlisted"},
     {SendObstacle::Residency, "residency"},
     {SendObstacle::Evacuated, "evacuated"},
+    {SendObstacle::Draining, "draining"},
 }};
 
 /// Returns whether, and why, the request of an attempt may not be sent to its target any more. To be asked when its
--- a/libs/serving/src/attempt.cpp
+++ b/libs/serving/src/attempt.cpp
@@ -53,7 +53,7 @@
     case DomainExclusion::None:
         break;
     }
-    return SendObstacle::None;
+    return target->entry.draining || target->signals.draining ? SendObstacle::Draining : SendObstacle::None;
 }
 
 void withdrawAttempt(TargetTable &table, const Attempt &attempt)
--- a/libs/serving/test/attempt_test.cpp
+++ b/libs/serving/test/attempt_test.cpp
@@ -183,6 +183,8 @@
     static std::vector<ObstacleCase> cases()
     {
         const TargetEntry same = listed("d");
+        TargetEntry draining = same;
+        draining.draining = true;
         return {
             {.name = "Nothing", .listing = same},
             {.name = "PermittedRegion", .listing = same, .regions = {"north"}},
@@ -200,6 +202,7 @@
              .otherListing = listed("e"),
              .regions = {"north"},
              .expected = SendObstacle::Residency},
+            {.name = "Draining", .listing = draining, .expected = SendObstacle::Draining},
             {.name = "Unlisted", .listing = std::nullopt, .expected = SendObstacle::Unlisted},
             {.name = "StartedAgain", .listing = listed("d", SecondStart), .expected = SendObstacle::Unlisted},
             {.name = "OtherAddress",
