Front: test of a resumed stream whose target is closed to it while it connects

The second attempt of a stream that was cut off waits for its connection as a first one does, but ends in another branch of the call: the caller has part of the response, so a request that isn't sent must go on elsewhere and not be refused.

--- a/libs/front/test/front_connecting_test.cpp
+++ b/libs/front/test/front_connecting_test.cpp
@@ -25,6 +25,9 @@
     const std::string common = R"("TimeoutMs":20000,"TargetLatencyMs":10000,"Service":"s","AllowedRegions":)" + regions;
     return R"({"Version":)" + std::to_string(version)
         + R"(,"Routes":[{"Name":"often","Host":"h","PathPrefix":"/often/","Kind":"idempotent","MaxAttempts":2,)"
+        + common
+        + R"(},{"Name":"events","Host":"h","PathPrefix":"/events/","Kind":"streaming","MaxAttempts":2,)"
+          R"("ResumeStreams":true,)"
         + common + R"(},{"Name":"once","Host":"h","PathPrefix":"/once/","Kind":"non_idempotent","MaxAttempts":1,)"
         + common
         + R"(}],"Services":[{"Name":"s","HealthPath":"/health","MaxConns":100}],)"
@@ -102,6 +105,25 @@
     call->exchange->cancel();
 }
 
+// The next attempt of a stream that was cut off went to a domain that was evacuated while it connected.
+TEST_F(FrontConnectingTest, AStreamThatIsResumedIsNotSentToADomainThatIsEvacuatedMeanwhile)
+{
+    m_first.behaviour = TargetBehaviour::StreamCutOff;
+    m_second.behaviour = TargetBehaviour::Stream;
+    list(m_first);
+    startWith(stateFor(1, "[]"));
+    const auto call = beginAtSlowTarget("/events/x");
+    EXPECT_EQ(m_first.requests.size(), 1U);
+    list(m_second);
+    m_store.append(Evacuation, "{}");
+    ASSERT_TRUE(waitForLine("The evacuation of a failure domain has begun."));
+    connectAndFinish(*call);
+    EXPECT_EQ(m_gate.received(), "");
+    EXPECT_TRUE(call->answer.whole);
+    ASSERT_EQ(m_second.requests.size(), 1U);
+    EXPECT_TRUE(m_second.requests[0].headers.find("Last-Event-Id"));
+}
+
 class FrontConnectingKindTest : public FrontConnectingTest, public testing::WithParamInterface<std::string>
 {
 };
