--- a/lab/process_deployment.cpp
+++ b/lab/process_deployment.cpp
@@ -53,8 +53,9 @@
                  .administrationUrl = "http://" + loopback(administration)};
     writeSettings(vm,
                   "\n[callers]\nport = " + std::to_string(callers)
-                      + "\nthreads = " + std::to_string(m_options.callerThreads) + "\n\n[administration]\nport = "
-                      + std::to_string(administration) + "\n\n[workspaces]\nsteppe = " + ProcessCallerCredential
+                      + "\nthreads = " + std::to_string(m_options.callerThreads) + "\n" + m_options.callerSettings
+                      + "\n[administration]\nport = " + std::to_string(administration) + "\n"
+                      + m_options.administrationSettings + "\n[workspaces]\nsteppe = " + ProcessCallerCredential
                       + "\n\n[operators]\noperator = " + ProcessOperatorCredential
                       + "\n\n[operator_roles]\noperator = file\n");
     m_vms.push_back(std::move(vm));
@@ -71,16 +72,17 @@
     m_vms.push_back(std::move(vm));
 }
 
-void ProcessDeployment::writeSettings(const ProcessVm &vm, const std::string &rest)
+void ProcessDeployment::writeSettings(ProcessVm &vm, const std::string &rest)
 {
     const std::string kind = vm.isEntry ? "entry" : "target";
-    const auto port = freePort();
+    vm.rpcPort = freePort();
     std::ofstream(path(vm.name + ".ini"))
         << "[process]\nkind = " << kind << "\n\n[vm]\nname = " << vm.name << "\nfailure_domain = " << vm.domain
-        << "\n\n[tls]\nmode = plaintext\n\n[rpc]\nport = " << port << "\n\n[platform]\nlog_url = " << m_log.url()
+        << "\n\n[tls]\nmode = plaintext\n\n[rpc]\nport = " << vm.rpcPort << "\n" << m_options.rpcSettings
+        << "\n[platform]\nlog_url = " << m_log.url()
         << "\nvm_list_url = " << m_vmList.url() << "\n"
         << rest;
-    m_vmList.set(vm.name, {.domain = vm.domain, .address = loopback(port), .kind = kind});
+    m_vmList.set(vm.name, {.domain = vm.domain, .address = loopback(vm.rpcPort), .kind = kind});
 }
 
 void ProcessDeployment::start(ProcessVm &vm)
--- a/lab/process_deployment.h
+++ b/lab/process_deployment.h
@@ -40,6 +40,9 @@
     std::uint64_t versionBytes = 8ULL << 20;
     std::uint64_t chunkBytes = 1ULL << 20;
     unsigned callerThreads = 32; ///< Of each entry process.
+    std::string callerSettings; ///< Further lines of the section `callers` of each entry process.
+    std::string administrationSettings; ///< Further lines of the section `administration` of each entry process.
+    std::string rpcSettings; ///< Further lines of the section `rpc` of each process.
 };
 
 /// One VM: an entry, or a target with its engine.
@@ -50,6 +53,7 @@
     bool isEntry = false;
     std::string callersUrl; ///< Of an entry.
     std::string administrationUrl; ///< Of an entry.
+    std::uint16_t rpcPort = 0;
     std::unique_ptr<standins::EngineStandIn> engine; ///< Of a target. It goes on when the process is down.
     std::optional<ChildProcess> process; ///< Nothing while the VM is down.
 };
@@ -95,7 +99,7 @@
 private:
     void addEntry(const std::string &name, const std::string &domain);
     void addTarget(const std::string &name, const std::string &domain);
-    void writeSettings(const ProcessVm &vm, const std::string &rest);
+    void writeSettings(ProcessVm &vm, const std::string &rest);
 
     ProcessDeploymentOptions m_options;
     standins::LogStandIn m_log{1};
