RPC: bounded connections and unfinished messages

What others saw: a process that anybody reaches over RPC took a descriptor for each open connection, and memory for each message that was announced large and stopped short of its end, for as long as the connection stayed open.

Cause: the server accepted all connections and kept them, and Cap'n Proto reads up to 64 MB for each of them; neither had a sum.

Now the server has at most `[rpc] connections_max` connections. Beyond it, one that never sent a whole message and was silent for 250 ms is closed, else one that was unused for 60 s; if there is none, new ones wait in the system's queue. Bytes of messages over 32 KB that haven't come whole count as they arrive, up to `[rpc] unfinished_mib` in all. Beyond it, the message that made no progress for longest is closed, else the new one.

--- a/lab/limits/interface_limits_test.cpp
+++ b/lab/limits/interface_limits_test.cpp
@@ -174,8 +174,9 @@
                    httplib::Client client(entry().callersUrl);
                    client.set_bearer_token_auth(ProcessCallerCredential);
                    client.set_read_timeout(std::chrono::milliseconds(PatienceTime));
-                   const auto answer = client.Post(
-                       "/v1/completions", R"({"model": "forecast", "prompt": "a", "max_tokens": 4})", "application/json");
+                   const auto answer =
+                       client.Post("/v1/completions", R"({"model": "forecast", "prompt": "a", "max_tokens": 4})",
+                                   "application/json");
                    return answer && answer->status == 200;
                })
             && repeat([this] {
@@ -221,8 +222,7 @@
     void watchUntilSent(const CallerCrowd &crowd)
     {
         const Millis from = steadyMillis();
-        while (steadyMillis() - from < ShortestWatch
-               || (!crowd.sentOnce() && steadyMillis() - from < LongestWatch)) {
+        while (steadyMillis() - from < ShortestWatch || (!crowd.sentOnce() && steadyMillis() - from < LongestWatch)) {
             watch();
         }
     }
@@ -265,7 +265,8 @@
                                     .callerThreads = 64,
                                     .callerSettings = "connections_per_peer = 0\nheader_bytes_max = 16384\n"
                                                       "body_bytes_max = 4194304\n",
-                                    .administrationSettings = "connections_per_peer = 0\n"}};
+                                    .administrationSettings = "connections_per_peer = 0\n",
+                                    .rpcSettings = "connections_max = 128\nunfinished_mib = 16\n"}};
     std::uint64_t m_mostDescriptors = 0;
 };
 
--- a/lab/process_deployment.cpp
+++ b/lab/process_deployment.cpp
@@ -51,13 +51,12 @@
                  .isEntry = true,
                  .callersUrl = "http://" + loopback(callers),
                  .administrationUrl = "http://" + loopback(administration)};
-    writeSettings(vm,
-                  "\n[callers]\nport = " + std::to_string(callers)
-                      + "\nthreads = " + std::to_string(m_options.callerThreads) + "\n" + m_options.callerSettings
-                      + "\n[administration]\nport = " + std::to_string(administration) + "\n"
-                      + m_options.administrationSettings + "\n[workspaces]\nsteppe = " + ProcessCallerCredential
-                      + "\n\n[operators]\noperator = " + ProcessOperatorCredential
-                      + "\n\n[operator_roles]\noperator = file\n");
+    writeSettings(
+        vm,
+        "\n[callers]\nport = " + std::to_string(callers) + "\nthreads = " + std::to_string(m_options.callerThreads)
+            + "\n" + m_options.callerSettings + "\n[administration]\nport = " + std::to_string(administration) + "\n"
+            + m_options.administrationSettings + "\n[workspaces]\nsteppe = " + ProcessCallerCredential
+            + "\n\n[operators]\noperator = " + ProcessOperatorCredential + "\n\n[operator_roles]\noperator = file\n");
     m_vms.push_back(std::move(vm));
 }
 
@@ -78,9 +77,9 @@
     vm.rpcPort = freePort();
     std::ofstream(path(vm.name + ".ini"))
         << "[process]\nkind = " << kind << "\n\n[vm]\nname = " << vm.name << "\nfailure_domain = " << vm.domain
-        << "\n\n[tls]\nmode = plaintext\n\n[rpc]\nport = " << vm.rpcPort << "\n" << m_options.rpcSettings
-        << "\n[platform]\nlog_url = " << m_log.url()
-        << "\nvm_list_url = " << m_vmList.url() << "\n"
+        << "\n\n[tls]\nmode = plaintext\n\n[rpc]\nport = " << vm.rpcPort << "\n"
+        << m_options.rpcSettings << "\n[platform]\nlog_url = " << m_log.url() << "\nvm_list_url = " << m_vmList.url()
+        << "\n"
         << rest;
     m_vmList.set(vm.name, {.domain = vm.domain, .address = loopback(vm.rpcPort), .kind = kind});
 }
--- a/libs/entry/include/ibislock/entry/options.h
+++ b/libs/entry/include/ibislock/entry/options.h
@@ -33,6 +33,8 @@
 {
     node::NodeOptions node;
     std::uint16_t rpcPort = 0;
+    std::size_t rpcConnectionsMax = 4096;
+    std::uint64_t rpcUnfinishedBytesMax = 512ULL << 20;
     HttpOptions callers;
     HttpOptions administration{.threads = 64, .connectionsPerPeer = 32};
     security::CredentialOptions credentials;
--- a/libs/entry/src/daemon.cpp
+++ b/libs/entry/src/daemon.cpp
@@ -96,10 +96,14 @@
     rpc::Handlers handlers;
     impl.node.addHandlers(handlers);
     handlers.peerRefused = node::peerRefusals(impl.counters);
-    impl.server = std::make_unique<rpc::Server>(
-        impl.loop,
-        rpc::ServerOptions{.address = impl.options.node.address, .port = impl.options.rpcPort, .tls = *impl.peerTls},
-        std::move(handlers));
+    impl.server =
+        std::make_unique<rpc::Server>(impl.loop,
+                                      rpc::ServerOptions{.address = impl.options.node.address,
+                                                         .port = impl.options.rpcPort,
+                                                         .tls = *impl.peerTls,
+                                                         .connectionsMax = impl.options.rpcConnectionsMax,
+                                                         .unfinishedBytesMax = impl.options.rpcUnfinishedBytesMax},
+                                      std::move(handlers));
     impl.node.start(impl.server->port());
     auto listening = impl.callers.start().and_then([&] { return impl.administration.start(); });
     if (listening) {
--- a/libs/entry/src/settings.cpp
+++ b/libs/entry/src/settings.cpp
@@ -192,6 +192,8 @@
 {
     EntryOptions options{.node = node::optionsFrom(settings, membership::VmKind::Entry)};
     options.rpcPort = static_cast<std::uint16_t>(settings.integer("rpc", "port"));
+    options.rpcConnectionsMax = static_cast<std::size_t>(settings.integer("rpc", "connections_max"));
+    options.rpcUnfinishedBytesMax = static_cast<std::uint64_t>(settings.integer("rpc", "unfinished_mib")) << 20U;
     options.callers = callersFrom(settings);
     options.administration.address = settings.text("administration", "address");
     options.administration.port = static_cast<std::uint16_t>(settings.integer("administration", "port"));
--- a/libs/rpc/include/ibislock/rpc/server.h
+++ b/libs/rpc/include/ibislock/rpc/server.h
@@ -111,6 +111,8 @@
     std::uint16_t port = 0; ///< Zero lets the system choose.
     std::shared_ptr<const security::TlsStore> tls; ///< Null for plain text.
     Millis handshakeTimeout{5000};
+    std::size_t connectionsMax = 4096; ///< Open at the same time; others wait in the system's queue.
+    std::uint64_t unfinishedBytesMax = 512ULL << 20; ///< Of large messages that haven't come whole, in all.
 };
 
 /// Listens until destroyed.
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/rpc/server.h"
 
 #include "convert.h"
+#include "peer_limits.h"
 #include "tls_contexts.h"
 
 #include "chunks.capnp.h"
@@ -21,6 +22,9 @@
 
 constexpr kj::Duration AcceptRetryInterval = 100 * kj::MILLISECONDS;
 
+/// How often an accepted connection without room looks for some.
+constexpr kj::Duration RoomInterval = 50 * kj::MILLISECONDS;
+
 void refusePeer(const Handlers &handlers, const std::string &reason)
 {
     if (handlers.peerRefused) {
@@ -321,6 +325,7 @@
     Impl(const EventLoop &eventLoop, const ServerOptions &options, Handlers serverHandlers)
         : loop(eventLoop)
         , handlers(std::move(serverHandlers))
+        , limits(options.connectionsMax, options.unfinishedBytesMax)
         , connections(*this)
     {
         if (options.tls) {
@@ -338,29 +343,40 @@
     {
         return receiver->acceptAuthenticated().then(
             [this](kj::AuthenticatedStream &&stream) {
-                connections.add(admit(kj::mv(stream)));
-                return acceptAll();
+                return serveOnceThereIsRoom(kj::mv(stream)).then([this] { return acceptAll(); });
             },
             [this](kj::Exception &&) {
                 return timer().afterDelay(AcceptRetryInterval).then([this] { return acceptAll(); });
             });
     }
 
-    kj::Promise<void> admit(kj::AuthenticatedStream &&stream)
+    /// Begins to serve a connection. While there is no room for it, further ones stay in the system's queue.
+    kj::Promise<void> serveOnceThereIsRoom(kj::AuthenticatedStream &&stream)
+    {
+        if (!limits.makeRoom()) {
+            return timer().afterDelay(RoomInterval).then([this, stream = kj::mv(stream)]() mutable {
+                return serveOnceThereIsRoom(kj::mv(stream));
+            });
+        }
+        connections.add(limits.serve([this, &stream](PeerLimits::Peer &peer) { return admit(kj::mv(stream), peer); }));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> admit(kj::AuthenticatedStream &&stream, PeerLimits::Peer &peer)
     {
         if (!contexts) {
-            return serve(kj::mv(stream.stream), {});
+            return serve(limits.guard(kj::mv(stream.stream), peer), {});
         }
         return contexts->current()
             .wrapServer(kj::mv(stream))
             .then(
-                [this](kj::AuthenticatedStream &&wrapped) -> kj::Promise<void> {
+                [this, &peer](kj::AuthenticatedStream &&wrapped) -> kj::Promise<void> {
                     auto &identity = kj::downcast<kj::TlsPeerIdentity>(*wrapped.peerIdentity);
                     if (!identity.hasCertificate()) {
                         refusePeer(handlers, "a peer shows no certificate");
                         return kj::READY_NOW;
                     }
-                    return serve(kj::mv(wrapped.stream), identity.getCommonName().cStr());
+                    return serve(limits.guard(kj::mv(wrapped.stream), peer), identity.getCommonName().cStr());
                 },
                 [this](kj::Exception &&) { refusePeer(handlers, "a peer did not complete the TLS handshake"); });
     }
@@ -381,6 +397,7 @@
     Handlers handlers;
     std::optional<TlsContexts> contexts;
     kj::Own<kj::ConnectionReceiver> receiver;
+    PeerLimits limits;
     kj::TaskSet connections;
     kj::Maybe<kj::Promise<void>> listening;
 };
--- a/libs/target/include/ibislock/target/options.h
+++ b/libs/target/include/ibislock/target/options.h
@@ -27,6 +27,8 @@
 {
     node::NodeOptions node;
     std::uint16_t rpcPort = 0;
+    std::size_t rpcConnectionsMax = 4096;
+    std::uint64_t rpcUnfinishedBytesMax = 512ULL << 20;
     BackendKind backend = BackendKind::Engine;
     engine::EngineOptions engine;
     stores::EndpointOptions store;
--- a/libs/target/src/daemon.cpp
+++ b/libs/target/src/daemon.cpp
@@ -173,10 +173,14 @@
         return tl::unexpected(impl.peerTls.error());
     }
     impl.started = true;
-    impl.server = std::make_unique<rpc::Server>(
-        impl.loop,
-        rpc::ServerOptions{.address = impl.options.node.address, .port = impl.options.rpcPort, .tls = *impl.peerTls},
-        impl.handlers());
+    impl.server =
+        std::make_unique<rpc::Server>(impl.loop,
+                                      rpc::ServerOptions{.address = impl.options.node.address,
+                                                         .port = impl.options.rpcPort,
+                                                         .tls = *impl.peerTls,
+                                                         .connectionsMax = impl.options.rpcConnectionsMax,
+                                                         .unfinishedBytesMax = impl.options.rpcUnfinishedBytesMax},
+                                      impl.handlers());
     impl.node.start(impl.server->port());
     impl.activation.start();
     impl.runner.start();
--- a/libs/target/src/settings.cpp
+++ b/libs/target/src/settings.cpp
@@ -197,6 +197,8 @@
 {
     TargetOptions options{.node = node::optionsFrom(settings, membership::VmKind::Target)};
     options.rpcPort = static_cast<std::uint16_t>(settings.integer("rpc", "port"));
+    options.rpcConnectionsMax = static_cast<std::size_t>(settings.integer("rpc", "connections_max"));
+    options.rpcUnfinishedBytesMax = static_cast<std::uint64_t>(settings.integer("rpc", "unfinished_mib")) << 20U;
     options.backend = valueOf(BackendKindNames, settings.text("backend", "kind")).value_or(options.backend);
     options.engine.url = settings.text("backend", "url");
     options.store.url = settings.text("weights", "store_url");
