Entry: bounded memory for bodies, bounded connections, and a crowd gives way

What others saw: at the ports for callers and for administration, 60 unfinished bodies of 4 MB took hundreds of MB, before any credential was looked at, and 700 connections took as many descriptors.

Cause: each body had a limit and their sum had none; the allocator kept the memory of freed bodies for each thread; the HTTP library accepts every connection and lets it wait for a thread, however many wait; a sender or reader that stood still held its thread for the whole time of the settings, also during a stop.

Now one account counts the bodies of all HTTP requests, fourfold, up to `[callers] body_memory_mib`; a body without room takes that of the sender who was silent for longest, else it gets 503 with Retry-After. Bodies announced over the limit get 413 by their head. As many connections wait as there are threads, and the others stay in the system's queue. While some wait, who makes no progress gives its thread up. A stop waits 500 ms for a peer without progress. Freed blocks of 64 KB go back to the system.

Default: 512 bodies of 1 MB at a time, which is all that one address may send with the default settings.

--- a/app/daemon_commands.cpp
+++ b/app/daemon_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "exit_codes.h"
 
+#include "ibislock/base/allocator.h"
 #include "ibislock/base/ini.h"
 #include "ibislock/base/log.h"
 #include "ibislock/entry/daemon.h"
@@ -163,6 +164,7 @@
     if (!settings) {
         return Refused;
     }
+    returnFreedBlocks();
     beginLogging(*settings);
     StopSignals signals;
     entry::Daemon daemon(entry::optionsFrom(*settings));
@@ -187,6 +189,7 @@
     if (!settings) {
         return Refused;
     }
+    returnFreedBlocks();
     beginLogging(*settings);
     StopSignals signals;
     target::Daemon daemon(target::optionsFrom(*settings));
--- a/lab/limits/interface_limits_test.cpp
+++ b/lab/limits/interface_limits_test.cpp
@@ -264,7 +264,7 @@
                                     .chunkBytes = 64 << 10,
                                     .callerThreads = 64,
                                     .callerSettings = "connections_per_peer = 0\nheader_bytes_max = 16384\n"
-                                                      "body_bytes_max = 4194304\n",
+                                                      "body_bytes_max = 4194304\nbody_memory_mib = 24\n",
                                     .administrationSettings = "connections_per_peer = 0\n",
                                     .rpcSettings = "connections_max = 128\nunfinished_mib = 16\n"}};
     std::uint64_t m_mostDescriptors = 0;
--- a/libs/entry/include/ibislock/entry/options.h
+++ b/libs/entry/include/ibislock/entry/options.h
@@ -18,7 +18,7 @@
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; ///< Zero lets the system choose.
-    std::uint32_t threads = 1024; ///< Connections served at the same time.
+    std::uint32_t threads = 1024; ///< Connections served at the same time; as many more wait for a thread.
     std::uint64_t bodyBytesMax = 1 << 20;
     std::uint64_t headerBytesMax = 32 << 10;
     std::uint32_t connectionsPerPeer = 512; ///< Of one IP number; zero is without limit.
@@ -37,6 +37,7 @@
     std::uint64_t rpcUnfinishedBytesMax = 512ULL << 20;
     HttpOptions callers;
     HttpOptions administration{.threads = 64, .connectionsPerPeer = 32};
+    std::uint64_t bodyMemoryBytes = 2048ULL << 20; ///< For the bodies of all requests and copies of them.
     security::CredentialOptions credentials;
     std::map<std::string, std::string> routes; ///< Path prefix to role, for plain services.
     requests::RoutingPolicy policy = requests::RoutingPolicy::Prefix;
--- a/libs/entry/src/daemon.cpp
+++ b/libs/entry/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "ibislock/entry/daemon.h"
 
 #include "administration_api.h"
+#include "body_account.h"
 #include "callers_api.h"
 #include "status_page.h"
 
@@ -36,8 +37,9 @@
         , dispatcher(options, node, client, counters)
         , callersApi(options, credentials, dispatcher, counters)
         , administrationApi(options, credentials, node, counters)
-        , callers(options.callers, httpTls.value_or(nullptr), counters)
-        , administration(options.administration, httpTls.value_or(nullptr), counters)
+        , bodies(options.bodyMemoryBytes)
+        , callers(options.callers, httpTls.value_or(nullptr), bodies, counters)
+        , administration(options.administration, httpTls.value_or(nullptr), bodies, counters)
     {
         node.setReportSource([this](membership::Report &report) { report.leaving = leaving; });
         callersApi.addRoutes(callers.routes());
@@ -69,6 +71,7 @@
     AdministrationApi administrationApi;
     std::atomic<bool> leaving = false;
     std::unique_ptr<rpc::Server> server;
+    BodyAccount bodies;
     HttpServer callers;
     HttpServer administration;
     bool started = false;
--- a/libs/entry/src/elastic_threads.cpp
+++ b/libs/entry/src/elastic_threads.cpp
@@ -14,20 +14,21 @@
 
 } // namespace
 
-ElasticThreads::ElasticThreads(std::size_t threadsMax)
-    : m_threadsMax(threadsMax)
+ElasticThreads::ElasticThreads(const ElasticThreadsOptions &options)
+    : m_options(options)
 {
 }
 
 void ElasticThreads::enqueue(std::function<void()> task)
 {
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
+    m_taken.wait(lock, [this] { return m_tasks.size() < m_idle + m_options.waitingMax; });
     m_tasks.push_back(std::move(task));
-    if (m_tasks.size() > m_idle && m_threads < m_threadsMax) {
+    if (m_tasks.size() > m_idle && m_threads < m_options.threadsMax) {
         ++m_threads;
         std::thread([this] { work(); }).detach();
     }
-    m_backlog = m_tasks.size() > m_idle && m_threads == m_threadsMax;
+    m_backlog = m_tasks.size() > m_idle && m_threads == m_options.threadsMax;
     m_changed.notify_one();
 }
 
@@ -57,6 +58,7 @@
         const std::function<void()> task = std::move(m_tasks.front());
         m_tasks.pop_front();
         m_backlog = m_backlog && !m_tasks.empty();
+        m_taken.notify_all();
         lock.unlock();
         task();
         lock.lock();
--- a/libs/entry/src/elastic_threads.h
+++ b/libs/entry/src/elastic_threads.h
@@ -15,13 +15,21 @@
 namespace ibislock::entry
 {
 
+/// Limits of the threads.
+struct ElasticThreadsOptions
+{
+    std::size_t threadsMax = 1;
+    std::size_t waitingMax = 1; ///< Tasks that wait for a thread.
+};
+
 /// A task queue whose threads come and go with the load.
 class ElasticThreads final : public httplib::TaskQueue
 {
 public:
-    explicit ElasticThreads(std::size_t threadsMax);
+    explicit ElasticThreads(const ElasticThreadsOptions &options);
 
-    /// Runs a task on an idle thread or a new one; it waits when the limit is reached.
+    /// Runs a task on an idle thread or a new one. A task waits when there is none, and the caller waits when as many
+    /// tasks wait as may.
     void enqueue(std::function<void()> task) override;
 
     /// Runs the tasks that wait, and waits until all threads have ended.
@@ -33,9 +41,10 @@
 private:
     void work();
 
-    const std::size_t m_threadsMax;
+    const ElasticThreadsOptions m_options;
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    std::condition_variable m_taken;
     std::condition_variable m_ended;
     std::deque<std::function<void()>> m_tasks;
     std::size_t m_threads = 0;
--- a/libs/entry/src/guarded_server.cpp
+++ b/libs/entry/src/guarded_server.cpp
@@ -22,11 +22,12 @@
 }
 
 /// An answer that is written without the HTTP library, which has given the request up.
-std::string bareAnswer(std::string_view status, std::string_view code, std::string_view message)
+std::string bareAnswer(std::string_view status, std::string_view code, std::string_view message,
+                       std::string_view headers = {})
 {
     const std::string body = nlohmann::json{{"error", {{"code", code}, {"message", message}}}}.dump();
     return "HTTP/1.1 " + std::string(status) + "\r\nContent-Type: application/json\r\nConnection: close\r\n"
-        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        + std::string(headers) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string answerTo(StreamFault fault)
@@ -39,6 +40,9 @@
         return bareAnswer("431 Request Header Fields Too Large", "invalid_argument", "the header is too large");
     case StreamFault::BodyTooLarge:
         return bareAnswer("413 Payload Too Large", "invalid_argument", "the body is too large");
+    case StreamFault::GaveWay:
+        return bareAnswer("503 Service Unavailable", "unavailable",
+                          "the server is busy; nothing of the request was run", "Retry-After: 1\r\n");
     default:
         return {};
     }
@@ -60,7 +64,9 @@
 
 /// Refuses what the library would read and should not: packed bodies, whose unpacked size has no limit, and bodies
 /// whose length is malformed or given in two ways.
-httplib::Server::HandlerResponse checkHeader(const httplib::Request &request, httplib::Response &response)
+/// @param bodyBytesMax largest body that is read.
+httplib::Server::HandlerResponse checkHeader(const httplib::Request &request, httplib::Response &response,
+                                             std::uint64_t bodyBytesMax)
 {
     if (request.has_header("Content-Encoding")) {
         replyError(response, 415, "invalid_argument", "packed bodies are not accepted");
@@ -71,6 +77,11 @@
         replyError(response, 400, "invalid_argument", "the length of the body is not a whole number");
         return httplib::Server::HandlerResponse::Handled;
     }
+    if (length.size() > std::to_string(bodyBytesMax).size()
+        || (!length.empty() && std::stoull(length) > bodyBytesMax)) {
+        replyError(response, 413, "invalid_argument", "the body is too large");
+        return httplib::Server::HandlerResponse::Handled;
+    }
     if (!length.empty() && request.has_header("Transfer-Encoding")) {
         replyError(response, 400, "invalid_argument", "the length of the body is given in two ways");
         return httplib::Server::HandlerResponse::Handled;
@@ -87,21 +98,29 @@
 } // namespace
 
 GuardedServer::GuardedServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls,
-                             Counters &counters)
+                             BodyAccount &account, Counters &counters)
     : m_options(options)
     , m_counters(counters)
+    , m_surroundings{.account = account,
+                     .isCrowded = [this] { return m_threads->hasBacklog(); },
+                     .isStopping =
+                         [this] {
+                             return isStopping();
+                         }}
 {
     if (tls) {
         m_tls.emplace(std::move(tls));
     }
     new_task_queue = [this] {
-        m_threads = new ElasticThreads(m_options.threads);
+        m_threads = new ElasticThreads({.threadsMax = m_options.threads, .waitingMax = m_options.threads});
         return m_threads;
     };
     set_payload_max_length(options.bodyBytesMax);
     set_tcp_nodelay(true);
     set_socket_options(reuseAddressOnly);
-    set_pre_routing_handler(checkHeader);
+    set_pre_routing_handler([this](const httplib::Request &request, httplib::Response &response) {
+        return checkHeader(request, response, m_options.bodyBytesMax);
+    });
     const HandlerWithResponse describeRefusal = [this](const httplib::Request &, httplib::Response &response) {
         // Answers of handlers, which may have no body, carry a content type; refusals by the library don't.
         if (!response.has_header("Content-Type")) {
@@ -131,7 +150,7 @@
 
 void GuardedServer::serve(socket_t socket)
 {
-    GuardedStream stream(socket, m_tls ? m_tls->accept(socket) : nullptr, m_options);
+    GuardedStream stream(socket, m_tls ? m_tls->accept(socket) : nullptr, m_options, m_surroundings);
     std::string peer;
     int port = 0;
     stream.get_remote_ip_and_port(peer, port);
@@ -187,7 +206,7 @@
     if (answer.empty()) {
         return;
     }
-    const bool slow = fault == StreamFault::SlowHeader || fault == StreamFault::SlowBody;
+    const bool slow = fault != StreamFault::HeaderTooLarge && fault != StreamFault::BodyTooLarge;
     m_counters.add(slow ? Counter::SlowSendersClosed : Counter::InputsRefused);
     stream.refuse(answer);
 }
--- a/libs/entry/src/guarded_server.h
+++ b/libs/entry/src/guarded_server.h
@@ -19,7 +19,8 @@
 class GuardedServer final : public httplib::Server
 {
 public:
-    GuardedServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, Counters &counters);
+    GuardedServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, BodyAccount &account,
+                  Counters &counters);
 
     /// Lets more connections wait to be accepted than the library asks for; call once the port is bound.
     void widenBacklog() const;
@@ -37,6 +38,7 @@
     const HttpOptions &m_options;
     Counters &m_counters;
     std::optional<HttpTls> m_tls;
+    StreamSurroundings m_surroundings;
     ElasticThreads *m_threads = nullptr; ///< Owned by the library while it listens.
     std::mutex m_mutex;
     std::map<std::string, std::uint32_t> m_connections; ///< By IP number.
--- a/libs/entry/src/guarded_stream.cpp
+++ b/libs/entry/src/guarded_stream.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <openssl/err.h>
 #include <poll.h>
+#include <thread>
 
 namespace ibislock::entry
 {
@@ -19,6 +20,24 @@
 constexpr Millis LingerTimeout{500};
 constexpr std::size_t LingerBytesMax = 4 << 20;
 
+/// How often a waiting connection looks whether it must give way.
+constexpr Millis GiveWayInterval{50};
+
+/// How long a sender, or a reader, may make no progress while others wait for a thread.
+constexpr Millis CrowdedSendTime{500};
+constexpr Millis CrowdedReadTime{2000};
+
+/// The least that a sender must bring from `CrowdedSendTime` on while others wait for a thread, in bytes for each
+/// millisecond.
+constexpr std::size_t CrowdedBytesPerMs = 64;
+
+/// How long a peer may hold up a stop.
+constexpr Millis StoppingTime{500};
+
+/// How long a body waits for the room of others.
+constexpr Millis RoomTime{1000};
+constexpr Millis RoomInterval{10};
+
 /// Answers after which the rest of the request is still unread.
 constexpr std::array<std::string_view, 6> StatusesThatClose{"400", "411", "413", "414", "415", "431"};
 
@@ -39,16 +58,19 @@
 
 } // namespace
 
-GuardedStream::GuardedStream(int socket, SslPointer ssl, const HttpOptions &options)
+GuardedStream::GuardedStream(int socket, SslPointer ssl, const HttpOptions &options,
+                             const StreamSurroundings &surroundings)
     : m_socket(socket)
     , m_ssl(std::move(ssl))
     , m_options(options)
+    , m_surroundings(surroundings)
 {
     fcntl(m_socket, F_SETFL, fcntl(m_socket, F_GETFL) | O_NONBLOCK);
 }
 
 GuardedStream::~GuardedStream()
 {
+    m_surroundings.account.release(m_holder);
     if (m_ssl && m_fault == StreamFault::None) {
         SSL_shutdown(m_ssl.get());
         ERR_clear_error();
@@ -66,7 +88,8 @@
         }
         const int error = SSL_get_error(m_ssl.get(), n);
         const short events = error == SSL_ERROR_WANT_WRITE ? POLLOUT : POLLIN;
-        if ((error != SSL_ERROR_WANT_READ && error != SSL_ERROR_WANT_WRITE) || !waitFor(events, deadline)) {
+        if ((error != SSL_ERROR_WANT_READ && error != SSL_ERROR_WANT_WRITE) || !awaitPeer(events, deadline)) {
+            // Without a handshake there is no way to tell why it gave way.
             m_fault = steadyMillis() >= deadline ? StreamFault::SlowHeader : StreamFault::Closed;
             return false;
         }
@@ -81,7 +104,9 @@
 
 void GuardedStream::beginRequest()
 {
-    m_deadline = steadyMillis() + m_options.headerTimeout;
+    m_surroundings.account.release(m_holder);
+    m_began = steadyMillis();
+    m_deadline = m_began + m_options.headerTimeout;
     m_headerBytes = 0;
     m_bodyBytes = 0;
     m_lineEnds = 0;
@@ -106,6 +131,9 @@
 
 void GuardedStream::linger()
 {
+    if (m_surroundings.isCrowded()) {
+        return;
+    }
     shutdown(m_socket, SHUT_WR);
     const Millis deadline = steadyMillis() + LingerTimeout;
     std::size_t left = LingerBytesMax;
@@ -125,7 +153,7 @@
 
 bool GuardedStream::is_writable() const
 {
-    return m_fault == StreamFault::None && waitFor(POLLOUT, steadyMillis() + m_options.writeTimeout);
+    return m_fault == StreamFault::None; // `write` waits
 }
 
 ssize_t GuardedStream::read(char *ptr, size_t size)
@@ -147,7 +175,7 @@
     noteStatus({ptr, size});
     const ssize_t n = transmit(ptr, size, steadyMillis() + m_options.writeTimeout);
     if (n <= 0) {
-        m_fault = StreamFault::Closed;
+        m_fault = StreamFault::Closed; // part of the answer is out, so no other one can follow
     }
     return n;
 }
@@ -187,6 +215,45 @@
     }
 }
 
+/// Waits for the peer, unless the connection must give way.
+bool GuardedStream::awaitPeer(short events, Millis deadline)
+{
+    const Millis began = steadyMillis();
+    const Millis crowdedTime = events == POLLIN ? CrowdedSendTime : CrowdedReadTime;
+    m_holder.waitingSince = events == POLLIN ? began.count() : 0;
+    bool isReady = false;
+    for (Millis now = began; !isReady && now < deadline && m_fault == StreamFault::None; now = steadyMillis()) {
+        isReady = waitFor(events, std::min(deadline, now + GiveWayInterval));
+        const Millis waited = steadyMillis() - began;
+        if (!isReady
+            && ((m_holder.isEvicted && events == POLLIN) || (waited >= crowdedTime && m_surroundings.isCrowded())
+                || (waited >= StoppingTime && m_surroundings.isStopping()))) {
+            m_fault = StreamFault::GaveWay;
+        }
+    }
+    m_holder.waitingSince = 0;
+    return isReady;
+}
+
+bool GuardedStream::isTooSlowForACrowd() const
+{
+    const Millis allowed =
+        CrowdedSendTime + Millis(static_cast<std::int64_t>((m_headerBytes + m_bodyBytes) / CrowdedBytesPerMs));
+    return steadyMillis() - m_began > allowed && m_surroundings.isCrowded();
+}
+
+/// Asks for the room of further bytes of a body, and waits while others make it.
+bool GuardedStream::chargeBody(std::size_t bytes)
+{
+    const Millis deadline = steadyMillis() + RoomTime;
+    ChargeResult result = m_surroundings.account.charge(m_holder, bytes);
+    while (result == ChargeResult::Wait && steadyMillis() < deadline) {
+        std::this_thread::sleep_for(RoomInterval);
+        result = m_surroundings.account.charge(m_holder, bytes);
+    }
+    return result == ChargeResult::Granted;
+}
+
 ssize_t GuardedStream::receive(char *ptr, std::size_t size, Millis deadline)
 {
     while (true) {
@@ -205,7 +272,7 @@
                 return n;
             }
         }
-        if (!waitFor(events, deadline)) {
+        if (!awaitPeer(events, deadline)) {
             return -1;
         }
     }
@@ -229,7 +296,7 @@
                 return n;
             }
         }
-        if (!waitFor(events, deadline)) {
+        if (!awaitPeer(events, deadline)) {
             return -1;
         }
     }
@@ -237,12 +304,19 @@
 
 bool GuardedStream::fill()
 {
+    if (isTooSlowForACrowd()) {
+        m_fault = StreamFault::GaveWay;
+        return false;
+    }
     const ssize_t n = receive(m_buffer.data(), m_buffer.size(), m_deadline);
     if (n > 0) {
         m_begin = 0;
         m_end = static_cast<std::size_t>(n);
         return true;
     }
+    if (m_fault != StreamFault::None) {
+        return false;
+    }
     const bool late = n < 0 && steadyMillis() >= m_deadline;
     m_fault = !late ? StreamFault::Closed : m_inHeader ? StreamFault::SlowHeader : StreamFault::SlowBody;
     return false;
@@ -251,6 +325,7 @@
 /// Counts what was handed to the HTTP library, and finds the end of the header.
 bool GuardedStream::account(std::span<const char> delivered)
 {
+    const std::size_t bodyBytesBefore = m_bodyBytes;
     for (const char c : delivered) {
         if (!m_inHeader) {
             ++m_bodyBytes;
@@ -271,6 +346,8 @@
         m_fault = StreamFault::HeaderTooLarge;
     } else if (m_bodyBytes > m_options.bodyBytesMax + BodyFramingBytes) {
         m_fault = StreamFault::BodyTooLarge;
+    } else if (m_bodyBytes > bodyBytesBefore && !chargeBody(m_bodyBytes - bodyBytesBefore)) {
+        m_fault = StreamFault::GaveWay;
     }
     return m_fault == StreamFault::None;
 }
--- a/libs/entry/src/guarded_stream.h
+++ b/libs/entry/src/guarded_stream.h
@@ -1,8 +1,9 @@
-// One HTTP connection with limits on what its sender may take: time for the handshake, the header and the body, and
-// their sizes. The HTTP library reads and writes through it.
+// One HTTP connection with limits on what its sender may take: time for the handshake, the header and the body, their
+// sizes, and a part of the memory that all connections share. The HTTP library reads and writes through it.
 
 #pragma once
 
+#include "body_account.h"
 #include "http_tls.h"
 #include "ibislock/base/clock.h"
 #include "ibislock/entry/options.h"
@@ -15,7 +16,23 @@
 {
 
 /// Why a connection can't go on.
-enum class StreamFault { None, Closed, SlowHeader, SlowBody, HeaderTooLarge, BodyTooLarge };
+enum class StreamFault {
+    None,
+    Closed,
+    SlowHeader,
+    SlowBody,
+    HeaderTooLarge,
+    BodyTooLarge,
+    GaveWay, ///< Its thread or its memory is needed for others.
+};
+
+/// What a connection shares with the others of its server.
+struct StreamSurroundings
+{
+    BodyAccount &account;
+    std::function<bool()> isCrowded; ///< Whether others wait for a thread.
+    std::function<bool()> isStopping;
+};
 
 /// A connection in plain text or TLS. It does not own the socket.
 class GuardedStream final : public httplib::Stream
@@ -23,7 +40,8 @@
 public:
     /// @param socket the connected socket; it is made non-blocking.
     /// @param ssl the TLS side; null for plain text.
-    GuardedStream(int socket, SslPointer ssl, const HttpOptions &options);
+    /// @param surroundings must outlive it.
+    GuardedStream(int socket, SslPointer ssl, const HttpOptions &options, const StreamSurroundings &surroundings);
     ~GuardedStream() override;
 
     GuardedStream(const GuardedStream &) = delete;
@@ -61,6 +79,9 @@
 
 private:
     bool waitFor(short events, Millis deadline) const;
+    bool awaitPeer(short events, Millis deadline);
+    bool isTooSlowForACrowd() const;
+    bool chargeBody(std::size_t bytes);
     ssize_t receive(char *ptr, std::size_t size, Millis deadline);
     ssize_t transmit(const char *ptr, std::size_t size, Millis deadline);
     bool fill();
@@ -70,9 +91,12 @@
     int m_socket;
     SslPointer m_ssl;
     const HttpOptions &m_options;
+    const StreamSurroundings &m_surroundings;
+    BodyAccount::Holder m_holder;
     std::array<char, 4096> m_buffer{};
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
+    Millis m_began{0}; ///< When the present request began.
     Millis m_deadline{0};
     std::size_t m_headerBytes = 0;
     std::size_t m_bodyBytes = 0;
--- a/libs/entry/src/http.cpp
+++ b/libs/entry/src/http.cpp
@@ -5,9 +5,10 @@
 namespace ibislock::entry
 {
 
-HttpServer::HttpServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, Counters &counters)
+HttpServer::HttpServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, BodyAccount &account,
+                       Counters &counters)
     : m_options(options)
-    , m_server(std::make_unique<GuardedServer>(m_options, std::move(tls), counters))
+    , m_server(std::make_unique<GuardedServer>(m_options, std::move(tls), account, counters))
 {
 }
 
--- a/libs/entry/src/http.h
+++ b/libs/entry/src/http.h
@@ -20,6 +20,7 @@
 namespace ibislock::entry
 {
 
+class BodyAccount;
 class GuardedServer;
 
 /// An HTTP server with its listening thread. Slow, oversized and malformed input is refused before any handler runs.
@@ -27,7 +28,9 @@
 {
 public:
     /// @param tls the certificate to show; null for plain text.
-    HttpServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, Counters &counters);
+    /// @param account of the bodies of all servers of the process; it must outlive the server.
+    HttpServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, BodyAccount &account,
+               Counters &counters);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
--- a/libs/entry/src/settings.cpp
+++ b/libs/entry/src/settings.cpp
@@ -31,7 +31,7 @@
          .fallback = "1024",
          .min = 1,
          .max = 4096,
-         .help = "Connections served at the same time."},
+         .help = "Connections served at the same time; as many more wait, and the rest in the system's queue."},
         {.section = "callers",
          .key = "connections_per_peer",
          .type = SettingType::Integer,
@@ -72,6 +72,13 @@
          .min = 1,
          .max = 1073741824,
          .help = "Largest body accepted."},
+        {.section = "callers",
+         .key = "body_memory_mib",
+         .type = SettingType::Integer,
+         .fallback = "2048",
+         .min = 1,
+         .max = 1048576,
+         .help = "Memory for the bodies of all requests at both interfaces; four times their bytes are counted."},
         {.section = "callers",
          .key = "request_timeout_ms",
          .type = SettingType::Integer,
@@ -99,7 +106,7 @@
          .fallback = "64",
          .min = 1,
          .max = 4096,
-         .help = "Connections served at the same time."},
+         .help = "Connections served at the same time; as many more wait, and the rest in the system's queue."},
         {.section = "administration",
          .key = "connections_per_peer",
          .type = SettingType::Integer,
@@ -204,6 +211,7 @@
     options.routes = inverted(settings.entries("routes"));
     options.policy = valueOf(requests::RoutingPolicyNames, settings.text("routing", "policy")).value_or(options.policy);
     options.attempts = static_cast<std::uint32_t>(settings.integer("routing", "attempts"));
+    options.bodyMemoryBytes = static_cast<std::uint64_t>(settings.integer("callers", "body_memory_mib")) << 20U;
     options.requestTimeout = settings.millis("callers", "request_timeout_ms");
     options.retryAfter = settings.millis("routing", "retry_after_ms");
     options.resumeStreams = settings.boolean("routing", "resume_streams");
