Entry: connections wait when the system gives no further thread

What callers would see: a daemon gone, when a crowd needs more threads than the system gives.

Cause: the exception of `std::thread` left the accepting thread. Now the connection waits for the threads that run, as when the limit of threads is reached, and idle or silent connections give way to it; without any thread one is asked for again every 100 ms.

--- a/libs/entry/src/elastic_threads.cpp
+++ b/libs/entry/src/elastic_threads.cpp
@@ -2,6 +2,7 @@
 
 #include "ibislock/base/clock.h"
 
+#include <system_error>
 #include <thread>
 
 namespace ibislock::entry
@@ -12,6 +13,9 @@
 
 constexpr Millis IdleLifetime{10000};
 
+/// Pause before a thread is asked for again when there is none at all.
+constexpr Millis ThreadRetryInterval{100};
+
 } // namespace
 
 ElasticThreads::ElasticThreads(const ElasticThreadsOptions &options)
@@ -22,16 +26,32 @@
 void ElasticThreads::enqueue(std::function<void()> task)
 {
     std::unique_lock lock(m_mutex);
-    m_taken.wait(lock, [this] { return m_tasks.size() < m_idle + m_options.waitingMax; });
+    while (!m_taken.wait_for(lock, ThreadRetryInterval,
+                             [this] { return m_tasks.size() < m_idle + m_options.waitingMax; })) {
+        if (m_threads == 0) {
+            addThread();
+        }
+    }
     m_tasks.push_back(std::move(task));
     if (m_tasks.size() > m_idle && m_threads < m_options.threadsMax) {
-        ++m_threads;
-        std::thread([this] { work(); }).detach();
+        addThread();
     }
-    m_backlog = m_tasks.size() > m_idle && m_threads == m_options.threadsMax;
+    m_backlog = m_tasks.size() > m_idle && (m_threads == m_options.threadsMax || m_isShortOfThreads);
     m_changed.notify_one();
 }
 
+/// Starts a thread if the system gives one; else tasks wait for those that run. The caller holds the lock.
+void ElasticThreads::addThread()
+{
+    try {
+        std::thread([this] { work(); }).detach();
+        ++m_threads;
+        m_isShortOfThreads = false;
+    } catch (const std::system_error &) {
+        m_isShortOfThreads = true;
+    }
+}
+
 void ElasticThreads::shutdown()
 {
     std::unique_lock lock(m_mutex);
--- a/libs/entry/src/elastic_threads.h
+++ b/libs/entry/src/elastic_threads.h
@@ -39,6 +39,7 @@
     bool hasBacklog() const;
 
 private:
+    void addThread();
     void work();
 
     const ElasticThreadsOptions m_options;
@@ -49,6 +50,7 @@
     std::deque<std::function<void()>> m_tasks;
     std::size_t m_threads = 0;
     std::size_t m_idle = 0;
+    bool m_isShortOfThreads = false; ///< The system gave none.
     std::atomic<bool> m_backlog = false;
     bool m_stopping = false;
 };
