Tests: daemons whose settings allow more connections than the system does descriptors

The crowds of the other tests of this file, at processes to which the system allows 256 descriptors, with the default of RPC connections and 1,024 threads. The bound is three quarters of what the system allows, so that the process keeps some for its own connections.

Seen on the code as it stands, both tests at the same time on a busy machine: heads that never end, at the port for callers: 255 descriptors, and an ordinary request was not answered within 60 s, neither beside the crowd nor after it had left. Idle connections at the RPC port of a target: an ordinary request was not answered beside the crowd; the run was ended before the rest.

--- a/lab/limits/interface_limits_test.cpp
+++ b/lab/limits/interface_limits_test.cpp
@@ -130,10 +130,44 @@
             .connections = connections};
 }
 
+/// The crowd and ordinary callers come from one address, as from behind a balancer.
+ProcessDeploymentOptions smallProcesses()
+{
+    return {.binary = IBISLOCK_BINARY,
+            .versionBytes = 256 << 10,
+            .chunkBytes = 64 << 10,
+            .callerThreads = 64,
+            .callerSettings = "connections_per_peer = 0\nheader_bytes_max = 16384\n"
+                              "body_bytes_max = 4194304\nbody_memory_mib = 24\n",
+            .administrationSettings = "connections_per_peer = 0\n",
+            .rpcSettings = "connections_max = 128\nunfinished_mib = 16\n"};
+}
+
+/// More threads and connections than the system allows descriptors.
+ProcessDeploymentOptions processesWithFewDescriptors()
+{
+    ProcessDeploymentOptions out = smallProcesses();
+    out.callerThreads = 1024;
+    out.rpcSettings = {};
+    out.descriptorsMax = DescriptorBound;
+    return out;
+}
+
+ProcessDeploymentOptions withDirectory(ProcessDeploymentOptions options, const std::string &directory)
+{
+    options.directory = directory;
+    return options;
+}
+
 /// An entry and a target process with their stand-ins.
 class InterfaceLimitsTest : public testing::Test
 {
 protected:
+    explicit InterfaceLimitsTest(ProcessDeploymentOptions options = smallProcesses())
+        : m_deployment(withDirectory(std::move(options), m_directory))
+    {
+    }
+
     void SetUp() override
     {
         m_deployment.startAll();
@@ -244,7 +278,7 @@
             EXPECT_LT(usage.peakResidentBytes, MemoryBound) << vm.name;
             std::cout << vm.name << ": peak memory " << (usage.peakResidentBytes >> 10U) << " KiB\n";
         }
-        EXPECT_LT(m_mostDescriptors, DescriptorBound);
+        EXPECT_LT(m_mostDescriptors, m_descriptorBound);
         std::cout << "most descriptors " << m_mostDescriptors << "\n";
     }
 
@@ -257,17 +291,9 @@
         std::string name = (std::filesystem::temp_directory_path() / "ibislock-limits-XXXXXX").string();
         return std::string(mkdtemp(name.data()));
     }();
-    // The crowd and ordinary callers come from one address, as from behind a balancer.
-    ProcessDeployment m_deployment{{.binary = IBISLOCK_BINARY,
-                                    .directory = m_directory,
-                                    .versionBytes = 256 << 10,
-                                    .chunkBytes = 64 << 10,
-                                    .callerThreads = 64,
-                                    .callerSettings = "connections_per_peer = 0\nheader_bytes_max = 16384\n"
-                                                      "body_bytes_max = 4194304\nbody_memory_mib = 24\n",
-                                    .administrationSettings = "connections_per_peer = 0\n",
-                                    .rpcSettings = "connections_max = 128\nunfinished_mib = 16\n"}};
+    ProcessDeployment m_deployment;
     std::uint64_t m_mostDescriptors = 0;
+    std::uint64_t m_descriptorBound = DescriptorBound;
 };
 
 // Guards against memory that grows with the bodies of all connections together.
@@ -365,6 +391,28 @@
     }
 }
 
+/// Processes that keep a quarter of what the system allows for their own connections.
+class FewDescriptorsTest : public InterfaceLimitsTest
+{
+protected:
+    FewDescriptorsTest()
+        : InterfaceLimitsTest(processesWithFewDescriptors())
+    {
+        m_descriptorBound = DescriptorBound / 4 * 3;
+    }
+};
+
+// Guards against settings that allow more connections than the system does descriptors.
+TEST_F(FewDescriptorsTest, HeadsThatNeverEnd)
+{
+    withstandAtCallers({endlessHeads(ManyConnections)});
+}
+
+TEST_F(FewDescriptorsTest, IdleConnectionsToTheRpcPortOfATarget)
+{
+    withstand(target().rpcPort, {idleConnections(ManyConnections)});
+}
+
 } // namespace
 
 } // namespace ibislock::lab
--- a/lab/process_deployment.cpp
+++ b/lab/process_deployment.cpp
@@ -86,9 +86,13 @@
 
 void ProcessDeployment::start(ProcessVm &vm)
 {
-    vm.process.emplace(std::vector<std::string>{m_options.binary, vm.isEntry ? "entry" : "target", "--settings",
-                                                path(vm.name + ".ini")},
-                       path(vm.name + ".log"));
+    std::vector<std::string> arguments{m_options.binary, vm.isEntry ? "entry" : "target", "--settings",
+                                       path(vm.name + ".ini")};
+    if (m_options.descriptorsMax != 0) {
+        const std::string limit = "ulimit -n " + std::to_string(m_options.descriptorsMax);
+        arguments.insert(arguments.begin(), {"/bin/sh", "-c", limit + R"( && exec "$0" "$@")"});
+    }
+    vm.process.emplace(arguments, path(vm.name + ".log"));
 }
 
 void ProcessDeployment::startAll()
--- a/lab/process_deployment.h
+++ b/lab/process_deployment.h
@@ -43,6 +43,7 @@
     std::string callerSettings; ///< Further lines of the section `callers` of each entry process.
     std::string administrationSettings; ///< Further lines of the section `administration` of each entry process.
     std::string rpcSettings; ///< Further lines of the section `rpc` of each process.
+    unsigned descriptorsMax = 0; ///< The system's limit for each process; zero leaves it as it is.
 };
 
 /// One VM: an entry, or a target with its engine.
