Daemons keep descriptors for their own connections whatever the settings allow

What callers saw: where the system allows a process fewer descriptors than the settings do connections, 700 heads that never end took all of them, and ordinary requests went unanswered, also after these connections had gone.

Cause: the limits of connections looked at the settings only. Now callers get at most four in ten of what the system allows the process, administration one in ten, RPC two in ten.

Beside 700 idle connections and 51 slots, a new process waited longer in the system's queue than the 2 s that its call has; a connection that never sent a message now gives way after 100 ms instead of 250.

--- a/libs/entry/include/ibislock/entry/options.h
+++ b/libs/entry/include/ibislock/entry/options.h
@@ -26,6 +26,7 @@
     Millis bodyTimeout{15000}; ///< For the whole body of a request.
     Millis writeTimeout{10000}; ///< For the peer to take a piece of an answer.
     Millis keepAlive{5000}; ///< How long an idle connection is kept.
+    double descriptorShare = 0.4; ///< Of what the system allows the process, for served and waiting connections.
 };
 
 /// Everything that an entry daemon needs to know.
@@ -36,7 +37,7 @@
     std::size_t rpcConnectionsMax = 4096;
     std::uint64_t rpcUnfinishedBytesMax = 512ULL << 20;
     HttpOptions callers;
-    HttpOptions administration{.threads = 64, .connectionsPerPeer = 32};
+    HttpOptions administration{.threads = 64, .connectionsPerPeer = 32, .descriptorShare = 0.1};
     std::uint64_t bodyMemoryBytes = 2048ULL << 20; ///< For the bodies of all requests and copies of them.
     security::CredentialOptions credentials;
     std::map<std::string, std::string> routes; ///< Path prefix to role, for plain services.
--- a/libs/entry/src/http.cpp
+++ b/libs/entry/src/http.cpp
@@ -1,13 +1,30 @@
 #include "http.h"
 
 #include "guarded_server.h"
+#include "ibislock/base/descriptors.h"
+
+#include <algorithm>
 
 namespace ibislock::entry
 {
 
+namespace
+{
+
+HttpOptions withinDescriptors(HttpOptions options)
+{
+    const auto connectionsMax =
+        static_cast<std::size_t>(options.descriptorShare * static_cast<double>(descriptorLimit()));
+    const std::size_t threadsMax = std::max<std::size_t>(connectionsMax / 2, 1); // as many wait as are served
+    options.threads = static_cast<std::uint32_t>(std::min<std::size_t>(options.threads, threadsMax));
+    return options;
+}
+
+} // namespace
+
 HttpServer::HttpServer(const HttpOptions &options, std::shared_ptr<const security::TlsStore> tls, BodyAccount &account,
                        Counters &counters)
-    : m_options(options)
+    : m_options(withinDescriptors(options))
     , m_server(std::make_unique<GuardedServer>(m_options, std::move(tls), account, counters))
 {
 }
--- a/libs/rpc/src/peer_limits.cpp
+++ b/libs/rpc/src/peer_limits.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t PieceBytes = 64 << 10;
 
 /// How long a connection that never sent a message may be silent when others need its place.
-constexpr Millis SilenceTime{250};
+constexpr Millis SilenceTime{100};
 
 /// The same for one that did; longer than its calls take.
 constexpr Millis UnusedTime{60000};
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -4,9 +4,12 @@
 #include "peer_limits.h"
 #include "tls_contexts.h"
 
+#include "ibislock/base/descriptors.h"
+
 #include "chunks.capnp.h"
 #include "node.capnp.h"
 
+#include <algorithm>
 #include <atomic>
 #include <capnp/rpc-twoparty.h>
 #include <mutex>
@@ -20,10 +23,13 @@
 /// How often a waiting `have` call looks for a change.
 constexpr Millis HavePollInterval{100};
 
+/// Connections take one of so many descriptors that the system allows the process.
+constexpr std::size_t DescriptorsForEach = 5;
+
 constexpr kj::Duration AcceptRetryInterval = 100 * kj::MILLISECONDS;
 
 /// How often an accepted connection without room looks for some.
-constexpr kj::Duration RoomInterval = 50 * kj::MILLISECONDS;
+constexpr kj::Duration RoomInterval = 20 * kj::MILLISECONDS;
 
 void refusePeer(const Handlers &handlers, const std::string &reason)
 {
@@ -325,7 +331,7 @@
     Impl(const EventLoop &eventLoop, const ServerOptions &options, Handlers serverHandlers)
         : loop(eventLoop)
         , handlers(std::move(serverHandlers))
-        , limits(options.connectionsMax, options.unfinishedBytesMax)
+        , limits(std::min(options.connectionsMax, descriptorLimit() / DescriptorsForEach), options.unfinishedBytesMax)
         , connections(*this)
     {
         if (options.tls) {
