--- a/lab/process_deployment.cpp
+++ b/lab/process_deployment.cpp
@@ -51,12 +51,12 @@
                  .isEntry = true,
                  .callersUrl = "http://" + loopback(callers),
                  .administrationUrl = "http://" + loopback(administration)};
-    writeSettings(vm,
-                  "\n[callers]\nport = " + std::to_string(callers)
-                      + "\nthreads = " + std::to_string(m_options.callerThreads) + "\n\n[administration]\nport = "
-                      + std::to_string(administration) + "\n\n[workspaces]\nsteppe = " + ProcessCallerCredential
-                      + "\n\n[operators]\noperator = " + ProcessOperatorCredential
-                      + "\n\n[operator_roles]\noperator = file\n");
+    writeSettings(
+        vm,
+        "\n[callers]\nport = " + std::to_string(callers) + "\nthreads = " + std::to_string(m_options.callerThreads)
+            + "\n" + m_options.callerSettings + "\n[administration]\nport = " + std::to_string(administration) + "\n"
+            + m_options.administrationSettings + "\n[workspaces]\nsteppe = " + ProcessCallerCredential
+            + "\n\n[operators]\noperator = " + ProcessOperatorCredential + "\n\n[operator_roles]\noperator = file\n");
     m_vms.push_back(std::move(vm));
 }
 
@@ -71,23 +71,28 @@
     m_vms.push_back(std::move(vm));
 }
 
-void ProcessDeployment::writeSettings(const ProcessVm &vm, const std::string &rest)
+void ProcessDeployment::writeSettings(ProcessVm &vm, const std::string &rest)
 {
     const std::string kind = vm.isEntry ? "entry" : "target";
-    const auto port = freePort();
+    vm.rpcPort = freePort();
     std::ofstream(path(vm.name + ".ini"))
         << "[process]\nkind = " << kind << "\n\n[vm]\nname = " << vm.name << "\nfailure_domain = " << vm.domain
-        << "\n\n[tls]\nmode = plaintext\n\n[rpc]\nport = " << port << "\n\n[platform]\nlog_url = " << m_log.url()
-        << "\nvm_list_url = " << m_vmList.url() << "\n"
+        << "\n\n[tls]\nmode = plaintext\n\n[rpc]\nport = " << vm.rpcPort << "\n"
+        << m_options.rpcSettings << "\n[platform]\nlog_url = " << m_log.url() << "\nvm_list_url = " << m_vmList.url()
+        << "\n"
         << rest;
-    m_vmList.set(vm.name, {.domain = vm.domain, .address = loopback(port), .kind = kind});
+    m_vmList.set(vm.name, {.domain = vm.domain, .address = loopback(vm.rpcPort), .kind = kind});
 }
 
 void ProcessDeployment::start(ProcessVm &vm)
 {
-    vm.process.emplace(std::vector<std::string>{m_options.binary, vm.isEntry ? "entry" : "target", "--settings",
-                                                path(vm.name + ".ini")},
-                       path(vm.name + ".log"));
+    std::vector<std::string> arguments{m_options.binary, vm.isEntry ? "entry" : "target", "--settings",
+                                       path(vm.name + ".ini")};
+    if (m_options.descriptorsMax != 0) {
+        const std::string limit = "ulimit -n " + std::to_string(m_options.descriptorsMax);
+        arguments.insert(arguments.begin(), {"/bin/sh", "-c", limit + R"( && exec "$0" "$@")"});
+    }
+    vm.process.emplace(arguments, path(vm.name + ".log"));
 }
 
 void ProcessDeployment::startAll()
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -1,11 +1,15 @@
 #include "ibislock/rpc/server.h"
 
 #include "convert.h"
+#include "peer_limits.h"
 #include "tls_contexts.h"
 
+#include "ibislock/base/descriptors.h"
+
 #include "chunks.capnp.h"
 #include "node.capnp.h"
 
+#include <algorithm>
 #include <atomic>
 #include <capnp/rpc-twoparty.h>
 #include <mutex>
@@ -19,8 +23,14 @@
 /// How often a waiting `have` call looks for a change.
 constexpr Millis HavePollInterval{100};
 
+/// Connections take one of so many descriptors that the system allows the process.
+constexpr std::size_t DescriptorsForEach = 5;
+
 constexpr kj::Duration AcceptRetryInterval = 100 * kj::MILLISECONDS;
 
+/// How often an accepted connection without room looks for some.
+constexpr kj::Duration RoomInterval = 20 * kj::MILLISECONDS;
+
 void refusePeer(const Handlers &handlers, const std::string &reason)
 {
     if (handlers.peerRefused) {
@@ -321,6 +331,7 @@
     Impl(const EventLoop &eventLoop, const ServerOptions &options, Handlers serverHandlers)
         : loop(eventLoop)
         , handlers(std::move(serverHandlers))
+        , limits(std::min(options.connectionsMax, descriptorLimit() / DescriptorsForEach), options.unfinishedBytesMax)
         , connections(*this)
     {
         if (options.tls) {
@@ -338,29 +349,40 @@
     {
         return receiver->acceptAuthenticated().then(
             [this](kj::AuthenticatedStream &&stream) {
-                connections.add(admit(kj::mv(stream)));
-                return acceptAll();
+                return serveOnceThereIsRoom(kj::mv(stream)).then([this] { return acceptAll(); });
             },
             [this](kj::Exception &&) {
                 return timer().afterDelay(AcceptRetryInterval).then([this] { return acceptAll(); });
             });
     }
 
-    kj::Promise<void> admit(kj::AuthenticatedStream &&stream)
+    /// Begins to serve a connection. While there is no room for it, further ones stay in the system's queue.
+    kj::Promise<void> serveOnceThereIsRoom(kj::AuthenticatedStream &&stream)
+    {
+        if (!limits.makeRoom()) {
+            return timer().afterDelay(RoomInterval).then([this, stream = kj::mv(stream)]() mutable {
+                return serveOnceThereIsRoom(kj::mv(stream));
+            });
+        }
+        connections.add(limits.serve([this, &stream](PeerLimits::Peer &peer) { return admit(kj::mv(stream), peer); }));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> admit(kj::AuthenticatedStream &&stream, PeerLimits::Peer &peer)
     {
         if (!contexts) {
-            return serve(kj::mv(stream.stream), {});
+            return serve(limits.guard(kj::mv(stream.stream), peer), {});
         }
         return contexts->current()
             .wrapServer(kj::mv(stream))
             .then(
-                [this](kj::AuthenticatedStream &&wrapped) -> kj::Promise<void> {
+                [this, &peer](kj::AuthenticatedStream &&wrapped) -> kj::Promise<void> {
                     auto &identity = kj::downcast<kj::TlsPeerIdentity>(*wrapped.peerIdentity);
                     if (!identity.hasCertificate()) {
                         refusePeer(handlers, "a peer shows no certificate");
                         return kj::READY_NOW;
                     }
-                    return serve(kj::mv(wrapped.stream), identity.getCommonName().cStr());
+                    return serve(limits.guard(kj::mv(wrapped.stream), peer), identity.getCommonName().cStr());
                 },
                 [this](kj::Exception &&) { refusePeer(handlers, "a peer did not complete the TLS handshake"); });
     }
@@ -381,6 +403,7 @@
     Handlers handlers;
     std::optional<TlsContexts> contexts;
     kj::Own<kj::ConnectionReceiver> receiver;
+    PeerLimits limits;
     kj::TaskSet connections;
     kj::Maybe<kj::Promise<void>> listening;
 };
