Records of other VMs: connections and unsent responses have a limit

What was seen: connections to the port on which other VMs read records took up all descriptors (723 of 256 allowed), and 700 that never read their responses brought the process to 255 MB with memory_mb 64.

Cause: the server of long polls kept 1,024 connections whatever the settings say, took 64 KB of an unfinished frame from each, and bounded unsent responses for each connection only.

Change: the limits follow from memory_mb and max_fds. Accepted connections are counted with those to targets, so that the descriptors suffice for both.

--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -29,6 +29,7 @@
     std::uint16_t port = 0; ///< The port on which entry VMs listen.
     bool isEntryVm = false; ///< This is an entry VM: it listens on `port` and answers others.
     Millis stateTime{2000}; ///< The time within which a desired state must take effect.
+    LongPollLimits limits = {}; ///< Of the connections of other VMs.
 };
 
 /// Follows the operators' topic through other VMs, or from the store.
@@ -87,6 +88,9 @@
     /// Returns the number of requests of other VMs that were answered.
     std::uint64_t responsesSent() const;
 
+    /// Returns the number of open connections of other VMs.
+    std::size_t peerConnections() const;
+
 private:
     FeedEvents withCache(FeedEvents events);
     std::vector<std::string> sources() const;
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -76,7 +76,8 @@
                        out.keys = liveKeys(m_cache);
                    }
                    return encode(out);
-               }})
+               }},
+          m_options.limits)
     , m_sourceClient(loop, m_options.port,
                      {.onFrame = [this](const std::string &body) { handleFrame(body); },
                       .onLost =
@@ -247,6 +248,11 @@
     return m_server.responsesSent();
 }
 
+std::size_t OperatorsFollower::peerConnections() const
+{
+    return m_server.connections();
+}
+
 void OperatorsFollower::applyWatermark(const OperatorsWatermark &watermark, TopicPosition end)
 {
     if (end <= m_feed.position()) {
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -127,10 +127,12 @@
     receiveLoads();
     m_operatorsFollower = std::make_unique<feed::OperatorsFollower>(
         loop, client, settings.store,
-        feed::OperatorsFollowerOptions{.ip = settings.ip,
-                                       .port = settings.lastPeerPort,
-                                       .isEntryVm = true,
-                                       .stateTime = settings.bounds.stateApplyTime},
+        feed::OperatorsFollowerOptions{
+            .ip = settings.ip,
+            .port = settings.lastPeerPort,
+            .isEntryVm = true,
+            .stateTime = settings.bounds.stateApplyTime,
+            .limits = {.connections = memory.limits.peerConnections, .unsentBytes = memory.limits.peerBytes}},
         feed::FeedEvents{
             .onSnapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
--- a/libs/front/src/front_memory.cpp
+++ b/libs/front/src/front_memory.cpp
@@ -88,10 +88,12 @@
 
 bool Front::mayConnect()
 {
-    if (client.connections() >= memory.limits.targetConnections) {
+    const std::size_t limit = memory.limits.targetConnections
+        - std::min(memory.limits.targetConnections, m_operatorsFollower->peerConnections());
+    if (client.connections() >= limit) {
         client.closeAllIdleConnections();
     }
-    return client.connections() < memory.limits.targetConnections;
+    return client.connections() < limit;
 }
 
 bool Front::mayLogRejection()
--- a/libs/peer/include/ibislock/peer/frames.h
+++ b/libs/peer/include/ibislock/peer/frames.h
@@ -36,6 +36,9 @@
     /// @return the message without its length; NotFound if it is incomplete; Corrupt if it exceeds the limit.
     Result<std::string> next();
 
+    /// Releases memory that incomplete messages don't need.
+    void releaseUnused();
+
 private:
     std::size_t m_maxBytes = MaxFrameBytes;
     std::string m_bytes;
--- a/libs/peer/src/frames.cpp
+++ b/libs/peer/src/frames.cpp
@@ -49,4 +49,9 @@
     return body;
 }
 
+void FrameReader::releaseUnused()
+{
+    m_bytes.shrink_to_fit();
+}
+
 } // namespace ibislock::peer
--- a/libs/serving/include/ibislock/serving/memory_budget.h
+++ b/libs/serving/include/ibislock/serving/memory_budget.h
@@ -81,7 +81,9 @@
     std::size_t bytes = 0; ///< Includes the overhead of each connection.
     std::size_t reservedBytes = 0; ///< Part of `bytes` that only small holders may use.
     std::size_t connections = 0; ///< Of callers.
-    std::size_t targetConnections = 0; ///< To targets, the store and other VMs.
+    std::size_t targetConnections = 0; ///< To targets and the store, and to and from other VMs.
+    std::size_t peerConnections = 0; ///< Part of `targetConnections` that other VMs may open.
+    std::size_t peerBytes = 0; ///< Bytes of responses to other VMs that may be unsent; not a part of `bytes`.
 };
 
 /// Derives the limits from those of the VM.
--- a/libs/serving/src/memory_budget.cpp
+++ b/libs/serving/src/memory_budget.cpp
@@ -37,6 +37,15 @@
 /// two.
 constexpr std::size_t CallerTenths = 6;
 
+/// Part of the connections to targets that other VMs may open, and the least; each VM has one.
+constexpr std::size_t PeerDivisor = 4;
+constexpr std::size_t LeastPeers = 16;
+
+/// Responses to other VMs may take this part of what is granted to callers beside it, and at least a few desired
+/// states.
+constexpr std::size_t PeerBytesDivisor = 8;
+constexpr std::size_t LeastPeerBytes = 4 * Megabyte;
+
 /// A request or response without progress for this long gives way first; a lost packet is sent again within 300 ms.
 constexpr Millis StalledTime{500};
 
@@ -134,11 +143,14 @@
     const std::size_t bytes = std::max(LeastBytes, static_cast<std::size_t>(static_cast<double>(rest) * GrantedShare));
     const std::size_t kept = OwnDescriptors + std::min(FileDescriptors, descriptors / FileDivisor);
     const std::size_t sockets = descriptors > kept ? descriptors - kept : 0;
+    const std::size_t targetConnections = std::max<std::size_t>(sockets * (10 - CallerTenths) / 10, 1);
     return {.bytes = bytes,
             .reservedBytes = bytes / ReservedDivisor,
             .connections = std::min(std::max<std::size_t>(sockets * CallerTenths / 10, 1),
                                     bytes / OverheadDivisor / ConnectionBytes),
-            .targetConnections = std::max<std::size_t>(sockets * (10 - CallerTenths) / 10, 1)};
+            .targetConnections = targetConnections,
+            .peerConnections = std::max(LeastPeers, targetConnections / PeerDivisor),
+            .peerBytes = std::max(LeastPeerBytes, bytes / PeerBytesDivisor)};
 }
 
 void countGiveWay(MemoryBudget &budget, GiveWayReason reason)
