The memory of an entry VM follows from what the process may use

What was seen: without memory_mb in the settings, callers ended the process: it ran out of memory under a limit of 256 MB for its address space (test), and a trial on a large machine reached 606 MB.

Cause: the default of 4,096 MB was taken whatever the machine, the control group and the resource limits allow. For descriptors the system's limit was already the upper bound of the setting, for memory it wasn't.

Change: the setting or its default is the upper bound; the machine's memory, the limits of the control groups (version 1 and 2, with those above the process's own), RLIMIT_AS and RLIMIT_DATA lower it. From the last two, address space that isn't resident at the start is taken off: stacks and the allocator's arenas.

Where memory_mb is that of the machine, nothing changes, so no caller within the limits meets it.

--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -74,7 +74,8 @@
     , m_tick(ioLoop)
     , m_loads(ioLoop)
 {
-    memory.limits = serving::memoryLimits(settings.memoryMb, availableDescriptors(settings.maxDescriptors));
+    memory.limits =
+        serving::memoryLimits(availableMemoryMb(settings.memoryMb), availableDescriptors(settings.maxDescriptors));
     client.limitReceiveBuffer(TargetReceiveBuffer);
     quarantine.self = random();
     m_sendTimeClock = feed::makeSendTimeClock(systemRandom()(), bootMillis());
