A response that this VM stopped reading isn't a failure of its target

Cause: when memory is short or a caller reads slowly, reading from the target is paused. Targets cut off a response that is unread for some seconds (the users' pages say so of runners, TCP_USER_TIMEOUT does so here). The broken exchange counted as a failure of the target, as a lost connection of a cold one, or as a crash, and after the pause its silence counted as well.

Change: the end of a response that was paused says nothing of its target, and the time of the pause isn't silence.

--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -349,12 +349,17 @@
     const bool served =
         complete && !notRun && attempt->handling != ResponseHandling::None && attempt->responseHead.status / 100 != 5;
     attempt->incompleteBytes = attempt->eventSplitter.incompleteEvent.size();
-    recordTargetCrash(*attempt, result);
     const bool notConnected = result.outcome == net::ExchangeOutcome::NotConnected;
-    if (notConnected || (result.outcome == net::ExchangeOutcome::Broken && !result.tooLarge)) {
-        recordConnectionLoss(front.table, attempt->sent, !notConnected, steadyMillis());
+    const bool broken = result.outcome == net::ExchangeOutcome::Broken;
+    // Targets cut off responses that aren't read for some seconds, which doesn't show that they fail.
+    const bool targetFailed = !served && !notRun && !(broken && attempt->wasPaused);
+    if (targetFailed) {
+        recordTargetCrash(*attempt, result);
+        if (notConnected || (broken && !result.tooLarge)) {
+            recordConnectionLoss(front.table, attempt->sent, !notConnected, steadyMillis());
+        }
     }
-    releaseTarget(attempt, served || notRun);
+    releaseTarget(attempt, !targetFailed);
     if (!served) {
         logFailedAttempt(*attempt, result);
         m_lastFailure = std::string(nameOf(net::ExchangeOutcomeNames, result.outcome)) + "/"
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -34,6 +34,7 @@
     ListingsUsed listingsUsed; ///< The listings by which the target was chosen.
     Millis loadAge{0}; ///< Age of the load report behind that estimate; -1 ms without one.
     Millis heardAt{0}; ///< When the target last sent something for this attempt; 0 before.
+    bool wasPaused = false; ///< The response wasn't read for a while, so that its target may have cut it off.
     Millis passedOverAt{0}; ///< When the request was sent to another target as well, as this one was silent; 0 if not.
 };
 
@@ -220,6 +221,9 @@
     /// @param success whether it counts as a success of its target.
     void releaseTarget(const AttemptPointer &attempt, bool success);
 
+    /// Stops reading the responses of all attempts.
+    void pauseReading();
+
     /// Makes the request and the parts of its prompt suspect if the target may have crashed on them.
     void recordTargetCrash(const CallAttempt &attempt, const net::ExchangeResult &result);
     void finish(CallOutcome outcome, int status);
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -196,9 +196,16 @@
     if (!m_waitsForRoom) {
         countGiveWay(front.memory, serving::GiveWayReason::PausedResponse);
     }
-    m_waitsForRoom = m_readingPaused = true;
+    m_waitsForRoom = true;
+    pauseReading();
+}
+
+void Call::pauseReading()
+{
+    m_readingPaused = true;
     for (const AttemptPointer &attempt : m_attemptsInProgress) {
         attempt->exchange->setReadingPaused(true);
+        attempt->wasPaused = true;
     }
 }
 
@@ -236,8 +243,7 @@
     connection->write(out);
     const bool roomLeft = connection->updateMemory() || connection->queuedBytes() == 0;
     if ((connection->queuedBytes() > CallerBacklogBytes || !roomLeft) && attempt->exchange) {
-        attempt->exchange->setReadingPaused(true);
-        m_readingPaused = true;
+        pauseReading(); // No other attempt is in progress.
     }
 }
 
@@ -250,8 +256,10 @@
 
 void Call::onCallerDrained()
 {
-    m_readingPaused = false;
+    const bool paused = std::exchange(m_readingPaused, false);
+    const Millis now = steadyMillis();
     for (const AttemptPointer &attempt : m_attemptsInProgress) {
+        attempt->heardAt = paused ? now : attempt->heardAt; // Its silence was that of this VM.
         attempt->exchange->setReadingPaused(false);
     }
 }
