Responses get room for their whole announced length, or aren't read on

What was seen: 700 unread responses of 200 KB brought the process to 76 MB with memory_mb 64; and beside callers that don't read responses of 3 MB, ordinary requests with such a response timed out for a minute (AStopBesideACrowd).

Cause: bytes of a response were read before there was room for them, up to 64 KB for each connection to a target, which no limit covers in sum. And each response got room bit by bit: with 16 MB for 60 responses of 3 MB, each held a part, none became complete, and all waited for each other until their deadlines.

Change: as soon as the head of a response is known, its whole announced length is reserved, or reading stops. What has room can become complete, and it gives way when its caller doesn't read it. Until the head is known, 8 KB are read at a time. Connections ask for room in the order of their arrival instead of that of their addresses, so that none is passed over by newer ones. The length comes from a target, not from a caller, and a buffer of that size doesn't grow by doubling. Not covered: responses without an announced length, which still get room as they arrive.

--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -27,6 +27,7 @@
     ResponseHandling handling = ResponseHandling::None;
     http::ResponseHead responseHead;
     std::string responseBody;
+    std::size_t announcedBytes = 0; ///< Length of a response that is buffered; 0 if it isn't announced.
     EventSplitter eventSplitter; ///< Goes on after the last event that was forwarded when the attempt was sent.
     std::string_view framing = "none"; ///< What marks the end of the response, as logged.
     std::size_t incompleteBytes = 0; ///< Bytes of an incomplete event at the end of the response.
--- a/libs/front/src/call_response.cpp
+++ b/libs/front/src/call_response.cpp
@@ -4,6 +4,8 @@
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
 
+#include <algorithm>
+
 namespace ibislock::front
 {
 
@@ -41,6 +43,12 @@
     return head.closeDelimited ? "close" : (head.chunked ? "chunked" : "length");
 }
 
+/// Returns the length that a response announces; 0 if it doesn't.
+std::size_t announcedBytes(const http::ResponseHead &head)
+{
+    return http::parseUnsigned(head.headers.find("Content-Length").value_or("")).value_or(0);
+}
+
 } // namespace
 
 void Call::applySignals(const CallAttempt &attempt, const platform::TargetResponse &said)
@@ -150,6 +158,14 @@
     if (attempt.exchange) {
         attempt.exchange->limitBody(attempt.handling == ResponseHandling::Relayed ? 0 : MaxBufferedResponse);
     }
+    if (attempt.handling == ResponseHandling::Buffered) {
+        // With room for a part of each, responses would wait for each other until their deadlines.
+        attempt.announcedBytes = std::min<std::size_t>(announcedBytes(answer), MaxBufferedResponse);
+        const auto connection = m_connection.lock();
+        if (attempt.exchange && connection && !connection->updateMemory()) {
+            pauseForRoom();
+        }
+    }
     return net::HeadDecision::Accept;
 }
 
@@ -173,6 +189,9 @@
             onEnd(attempt, {.outcome = net::ExchangeOutcome::Broken, .connected = true, .responseStarted = true});
         }
     } else if (attempt->handling == ResponseHandling::Buffered) {
+        if (attempt->responseBody.empty() && !m_waitsForRoom) {
+            attempt->responseBody.reserve(attempt->announcedBytes);
+        }
         attempt->responseBody += bytes;
         attempt->sent.responseStarted = !attempt->responseBody.empty();
         const auto connection = m_connection.lock();
@@ -186,7 +205,8 @@
 {
     std::size_t out = body.capacity() * (1 + std::max<std::size_t>(m_attemptsInProgress.size(), 1));
     for (const AttemptPointer &attempt : m_attemptsInProgress) {
-        out += attempt->responseBody.capacity() + attempt->eventSplitter.incompleteEvent.capacity();
+        out += std::max(attempt->responseBody.capacity(), attempt->announcedBytes);
+        out += attempt->eventSplitter.incompleteEvent.capacity();
     }
     return out;
 }
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -467,8 +467,9 @@
     }
     std::vector<std::shared_ptr<CallerConnection>> connections;
     connections.reserve(m_connections.size());
-    for (const auto &[raw, connection] : m_connections) {
-        connections.push_back(connection);
+    for (const auto &[holder, raw] :
+         m_holders) { // Connections that wait for room get it in the order of their arrival.
+        connections.push_back(m_connections.at(raw));
     }
     for (const auto &connection : connections) {
         connection->checkTimeouts(now);
--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -80,6 +80,10 @@
     /// Pauses or resumes reading. While it is paused, TCP flow control slows the sending peer down.
     void setReadingPaused(bool pause);
 
+    /// Limits how many bytes are read at a time.
+    /// @param bytes 64 KB at most, which is the default.
+    void limitReads(std::size_t bytes);
+
     /// Closes the connection once all queued bytes have been written to the socket.
     void closeAfterWrites();
 
@@ -117,6 +121,7 @@
     std::unique_ptr<Timer> m_discardTimer; ///< Set by a graceful close.
     std::size_t m_discardBytesLeft = 0;
     bool m_reading = false;
+    std::size_t m_readLimit = SIZE_MAX; ///< Bytes that are read at a time.
     bool m_paused = false;
     bool m_writing = false;
     bool m_closeAfterWrites = false;
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -1,5 +1,6 @@
 #include "ibislock/net/connection.h"
 
+#include <algorithm>
 #include <array>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -111,7 +112,7 @@
 {
     asio::error_code ec;
     auto &buffer = readBuffer();
-    const std::size_t n = m_socket.read_some(asio::buffer(buffer), ec);
+    const std::size_t n = m_socket.read_some(asio::buffer(buffer.data(), std::min(buffer.size(), m_readLimit)), ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again) {
         waitReadable();
         return;
@@ -251,6 +252,11 @@
     waitReadable();
 }
 
+void Connection::limitReads(std::size_t bytes)
+{
+    m_readLimit = bytes;
+}
+
 void Connection::closeAfterWrites()
 {
     if (queuedBytes() == 0) {
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -15,6 +15,10 @@
 /// early.
 constexpr Millis KeepMargin{500};
 
+/// Bytes that are read at a time until the head of a response is known. The receiver of the response can't pause the
+/// reading before.
+constexpr std::size_t HeadReadBytes = 8 * 1024;
+
 /// Returns whether a serialized request is a HEAD request.
 bool isHead(std::string_view request)
 {
@@ -125,6 +129,7 @@
 void Exchange::start(std::shared_ptr<Connection> connection, bool reused)
 {
     m_connection = std::move(connection);
+    m_connection->limitReads(HeadReadBytes);
     m_connected = true;
     m_reused = reused;
     m_startedAt = steadyMillis();
@@ -150,6 +155,7 @@
     }
     m_headHandled = true;
     const bool interim = m_reader.response().status / 100 == 1;
+    m_connection->limitReads(SIZE_MAX);
     m_skipping = interim || (m_events.head && m_events.head(m_reader.response()) == HeadDecision::Skip);
     return !m_done;
 }
