--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -93,7 +93,8 @@
                        out.keys = liveKeys(m_cache);
                    }
                    return encode(out);
-               }})
+               }},
+          m_options.limits)
     , m_sourceClient(loop, m_options.port,
                      {.onFrame = [this](const std::string &body) { handleFrame(body); },
                       .onLost =
@@ -267,6 +268,11 @@
     return m_server.responsesSent();
 }
 
+std::size_t OperatorsFollower::peerConnections() const
+{
+    return m_server.connections();
+}
+
 void OperatorsFollower::applyWatermark(const OperatorsWatermark &watermark, TopicPosition end)
 {
     m_heardAt = steadyMillis();
--- a/libs/front/src/call.h
+++ b/libs/front/src/call.h
@@ -28,6 +28,7 @@
     ResponseHandling handling = ResponseHandling::None;
     http::ResponseHead responseHead;
     std::string responseBody;
+    std::size_t announcedBytes = 0; ///< Length of a response that is buffered; 0 if it isn't announced.
     EventSplitter eventSplitter; ///< Goes on after the last event that was forwarded when the attempt was sent.
     std::string_view framing = "none"; ///< What marks the end of the response, as logged.
     std::size_t incompleteBytes = 0; ///< Bytes of an incomplete event at the end of the response.
@@ -36,6 +37,7 @@
     ListingsUsed listingsUsed; ///< The listings by which the target was chosen.
     Millis loadAge{0}; ///< Age of the load report behind that estimate; -1 ms without one.
     Millis heardAt{0}; ///< When the target last sent something for this attempt; 0 before.
+    bool wasPaused = false; ///< The response wasn't read for a while, so that its target may have cut it off.
     Millis passedOverAt{0}; ///< When the request was sent to another target as well, as this one was silent; 0 if not.
 };
 
@@ -235,6 +237,9 @@
     /// @param success whether it counts as a success of its target.
     void releaseTarget(const AttemptPointer &attempt, bool success);
 
+    /// Stops reading the responses of all attempts.
+    void pauseReading();
+
     /// Makes the request and the parts of its prompt suspect if the target may have crashed on them.
     void recordTargetCrash(const CallAttempt &attempt, const net::ExchangeResult &result);
     void finish(CallOutcome outcome, int status);
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -74,7 +74,8 @@
     , m_tick(ioLoop)
     , m_loads(ioLoop)
 {
-    memory.limits = serving::memoryLimits(settings.memoryMb, availableDescriptors(settings.maxDescriptors));
+    memory.limits =
+        serving::memoryLimits(availableMemoryMb(settings.memoryMb), availableDescriptors(settings.maxDescriptors));
     client.limitReceiveBuffer(TargetReceiveBuffer);
     quarantine.self = random();
     m_sendTimeClock = feed::makeSendTimeClock(systemRandom()(), bootMillis());
@@ -127,10 +128,12 @@
     receiveLoads();
     m_operatorsFollower = std::make_unique<feed::OperatorsFollower>(
         loop, client, settings.store,
-        feed::OperatorsFollowerOptions{.ip = settings.ip,
-                                       .port = settings.lastPeerPort,
-                                       .isEntryVm = true,
-                                       .stateTime = settings.bounds.stateApplyTime},
+        feed::OperatorsFollowerOptions{
+            .ip = settings.ip,
+            .port = settings.lastPeerPort,
+            .isEntryVm = true,
+            .stateTime = settings.bounds.stateApplyTime,
+            .limits = {.connections = memory.limits.peerConnections, .unsentBytes = memory.limits.peerBytes}},
         feed::FeedEvents{
             .onSnapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
@@ -467,8 +470,9 @@
     }
     std::vector<std::shared_ptr<CallerConnection>> connections;
     connections.reserve(m_connections.size());
-    for (const auto &[raw, connection] : m_connections) {
-        connections.push_back(connection);
+    for (const auto &[holder, raw] :
+         m_holders) { // Connections that wait for room get it in the order of their arrival.
+        connections.push_back(m_connections.at(raw));
     }
     for (const auto &connection : connections) {
         connection->checkTimeouts(now);
