Peer messages: lists without content can't claim millions of entries

Seen: one datagram of 88 bytes to the UDP port of a target VM took the process to 332 MB; entry VMs decode the same datagrams. Cause: a list of structures of no bytes takes no room in a message, and Cap'n Proto lets a reader visit 8 million words by default, whatever the size of the message. Each claimed entry became an object of some 40 bytes in a vector. Why it works: what a reader may visit follows from the size of the message, four times its words and 256 more, so what is decoded stays in proportion to what was sent. All decoders of messages, datagrams, pieces, listings and records, use it. A message of 4 MB from another VM may still claim about two million entries.

--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -6,6 +6,17 @@
 namespace ibislock::peer
 {
 
+namespace
+{
+
+/// Words that reading a message may visit for each of its words; a structure counts each time it is asked for.
+constexpr std::uint64_t VisitsOfWord = 4;
+
+/// Words that reading any message may visit, as small ones consist mostly of structures that are asked for repeatedly.
+constexpr std::uint64_t LeastVisits = 256;
+
+} // namespace
+
 std::string flatten(capnp::MessageBuilder &message)
 {
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
@@ -28,4 +39,9 @@
     return words;
 }
 
+capnp::ReaderOptions readerOptions(kj::ArrayPtr<const capnp::word> words)
+{
+    return {.traversalLimitInWords = words.size() * VisitsOfWord + LeastVisits};
+}
+
 } // namespace ibislock::peer
--- a/libs/peer/src/codec.h
+++ b/libs/peer/src/codec.h
@@ -24,6 +24,11 @@
 /// Copies bytes to words, as the codec needs its input aligned.
 kj::Array<capnp::word> aligned(std::string_view bytes);
 
+/// Returns the limits for reading a message. Without them, a list of structures without content could claim millions of
+/// entries in a few bytes.
+/// @param words the message.
+capnp::ReaderOptions readerOptions(kj::ArrayPtr<const capnp::word> words);
+
 /// Reads a record.
 /// @param era the era of its position.
 TopicRecord readRecord(wire::Record::Reader from, std::int64_t era);
--- a/libs/peer/src/listings.cpp
+++ b/libs/peer/src/listings.cpp
@@ -131,7 +131,7 @@
 {
     try {
         const auto words = aligned(body);
-        capnp::FlatArrayMessageReader reader(words);
+        capnp::FlatArrayMessageReader reader(words, readerOptions(words));
         const auto message = reader.getRoot<wire::ListingsMessage>();
         if (message.isAsk()) {
             const auto request = message.getAsk();
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -142,7 +142,7 @@
 {
     PieceMessage out;
     const auto words = aligned(bytes);
-    capnp::FlatArrayMessageReader reader(words);
+    capnp::FlatArrayMessageReader reader(words, readerOptions(words));
     const auto message = reader.getRoot<wire::PieceMessage>();
     out.model = message.getModel().cStr();
     out.version = message.getVersion();
@@ -269,7 +269,7 @@
 {
     try {
         const auto words = aligned(bytes);
-        capnp::FlatArrayMessageReader reader(words);
+        capnp::FlatArrayMessageReader reader(words, readerOptions(words));
         const auto message = reader.getRoot<wire::Datagram>();
         if (message.isSubscribe()) {
             return SubscribeMessage{.operatorsWatermark = readWatermark(message.getSubscribe()),
--- a/libs/peer/src/records.cpp
+++ b/libs/peer/src/records.cpp
@@ -85,7 +85,7 @@
 {
     try {
         const auto words = aligned(body);
-        capnp::FlatArrayMessageReader reader(words);
+        capnp::FlatArrayMessageReader reader(words, readerOptions(words));
         const auto message = reader.getRoot<wire::RecordsMessage>();
         if (message.isAsk()) {
             const auto request = message.getAsk();
