Target VM: subscriptions from made-up addresses are bounded

Cause: every address that sends a subscription was kept for up to 9 s, however many there were; addresses of datagrams can be made up. Why it works: at most 2,048 are kept, several times as many entry VMs as a deployment has. Those that are known stay and renew their subscriptions; others find a place as earlier ones expire. A load is then sent to at most as many addresses, too.

--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -383,8 +383,11 @@
 
 void Side::applySubscription(const peer::SubscribeMessage &message)
 {
-    const auto [it, added] = m_subscribers.try_emplace(m_sender);
     const Millis now = steadyMillis();
+    if (m_subscribers.size() >= MaxSubscribers && !m_subscribers.contains(m_sender)) {
+        return; // Places become free as others expire.
+    }
+    const auto [it, added] = m_subscribers.try_emplace(m_sender);
     it->second.presentUntil = now + (message.wantsLoads ? SubscriptionTime : PresenceTime);
     it->second.loadsUntil = message.wantsLoads ? it->second.presentUntil : Millis{0};
     if (added) {
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -24,6 +24,9 @@
 /// Connections for metrics that are kept; each collector has one or two.
 inline constexpr std::size_t MaxMetricsConnections = 16;
 
+/// Entry VMs that are known at a time; several times as many as a deployment has.
+inline constexpr std::size_t MaxSubscribers = 2048;
+
 /// The implementation of SideDaemon.
 class Side
 {
