Relays: the port for listings and records keeps within its memory

Seen: at the port for listings of a target VM, held requests of 60 KB took the process to 267 MB, and 200 callers that don't read made it open 279 descriptors of 256; idle connections, 722. Cause: a request could have 64 KB and 4,096 could be pending, so that nobody else's was taken either. Responses were limited for each connection only, and not for all. A closed connection kept its queue until its handlers had run. Received bytes were erased from the front of a string, which keeps its memory. Names of entry VMs could be any text. Why it works: a request has at most 4 KB, a connection at most 8 pending ones, and responses wait for room that all connections share; without room, connections that have accepted nothing for 1 s are closed. A connection that never sent a request gives way before those that did. Closing frees the queue. Entry VMs serve records with the same code.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -35,6 +35,7 @@
     std::uint16_t port = 0; ///< The port on which relays listen.
     bool servesListings = false; ///< Listens on `port` itself, as target VMs do.
     bool isEntryVm = false; ///< This is an entry VM, and its requests say so.
+    LongPollLimits servingLimits; ///< Applies if it serves listings.
     Millis drainTime{2000}; ///< The time within which requests to a draining target must stop.
     Millis minExpiringOutage{0}; ///< In a store outage that is shorter, no listing of a live target expires.
 };
--- a/libs/feed/include/ibislock/feed/listings_relay.h
+++ b/libs/feed/include/ibislock/feed/listings_relay.h
@@ -19,8 +19,10 @@
     /// @param cache is read for each response; must outlive the relay.
     /// @param watermark returns the watermark of the operators' topic; called for each response.
     /// @param lostRecords returns the records of the operators' topic for a VM that has just started; may be empty.
+    /// @param limits of connections and of what is queued on them.
     ListingsRelay(asio::io_context &loop, const ListingsCache &cache, std::function<peer::TopicWatermark()> watermark,
-                  std::function<std::vector<peer::TopicRecord>(std::int64_t era)> lostRecords);
+                  std::function<std::vector<peer::TopicRecord>(std::int64_t era)> lostRecords,
+                  const LongPollLimits &limits = {});
 
     /// Starts to listen.
     /// @return an empty code, or why the address can't be listened on.
--- a/libs/feed/include/ibislock/feed/long_poll_server.h
+++ b/libs/feed/include/ibislock/feed/long_poll_server.h
@@ -11,6 +11,7 @@
 #include "ibislock/net/timer.h"
 #include "ibislock/peer/frames.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace ibislock::feed
@@ -27,15 +28,25 @@
     std::function<std::string(const Request &request, Millis heldFor)> makeResponse;
 };
 
+/// Limits of a server, within which other VMs that read at a usual rate stay.
+struct LongPollLimits
+{
+    std::size_t connections = 1024; ///< That are kept; each VM that reads from this one has one.
+    std::size_t queuedBytes = 64U << 20U; ///< Of responses that other VMs haven't read yet, of all connections.
+};
+
 /// Listens for requests and answers them.
 template <typename Request>
 class LongPollServer
 {
 public:
-    LongPollServer(asio::io_context &loop, LongPollHandler<Request> handler)
+    LongPollServer(asio::io_context &loop, LongPollHandler<Request> handler, const LongPollLimits &limits = {})
         : m_handler(std::move(handler))
-        , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); })
+        , m_limits(limits)
+        , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); },
+                     {.receiveBuffer = ReceiveBuffer})
         , m_checkTimer(loop)
+        , m_connections(limits.connections)
     {
     }
 
@@ -57,21 +68,12 @@
     /// doesn't read its responses gets no further one until they are sent.
     void completePending()
     {
-        const Millis now = bootMillis();
         std::vector<PendingRequest> pending;
         pending.swap(m_pending);
         for (PendingRequest &item : pending) {
-            const auto connection = item.connection.lock();
-            if (!connection || !connection->isOpen()) {
-                continue;
-            }
-            const bool ready = now >= item.receivedAt + item.request.wait || m_handler.isReady(item.request);
-            if (!ready || connection->queuedBytes() > MaxQueuedBytes) {
+            if (!complete(item)) {
                 m_pending.push_back(std::move(item));
-                continue;
             }
-            ++m_responsesSent;
-            connection->write(m_handler.makeResponse(item.request, now - item.receivedAt));
         }
     }
 
@@ -88,14 +90,11 @@
     /// A connection with more unsent bytes than these gets no further response until they are sent.
     static constexpr std::size_t MaxQueuedBytes = 256 * 1024;
 
-    /// Connections that are kept; each VM that reads from this one has one.
-    static constexpr std::size_t MaxConnections = 1024;
+    /// Requests of one connection that may be pending; a VM has one or two.
+    static constexpr std::ptrdiff_t MaxPendingOfConnection = 8;
 
-    /// The largest request, in bytes; requests have some hundred.
-    static constexpr std::size_t MaxRequestBytes = 64 * 1024;
-
-    /// Requests that may be pending; each VM has one or two.
-    static constexpr std::size_t MaxPending = 4096;
+    /// Receive buffer of a connection in bytes; requests are small.
+    static constexpr int ReceiveBuffer = 32 * 1024;
 
     struct PendingRequest
     {
@@ -109,7 +108,7 @@
         m_connections.add(connection);
         auto *raw = connection.get();
         connection->start({
-            .data = [this, raw, reader = std::make_shared<peer::FrameReader>(MaxRequestBytes)](
+            .data = [this, raw, reader = std::make_shared<peer::FrameReader>(peer::MaxRequestBytes)](
                         std::string_view bytes) { handleData(*raw, *reader, bytes); },
             .closed = [this, raw](net::CloseReason) { m_connections.remove(raw); },
         });
@@ -124,18 +123,46 @@
                 return;
             }
             auto request = body ? m_handler.decode(*body) : Result<Request>(tl::unexpected(body.error()));
-            if (!request || m_pending.size() >= MaxPending) {
+            if (!request || pendingOf(connection) >= MaxPendingOfConnection) {
                 logWarning(LogComponent::Store, "Invalid request from a VM; closing the connection.",
                            {{"vm", connection.peerIp()}});
-                connection.close();
-                m_connections.remove(&connection);
+                m_connections.close(&connection);
                 return;
             }
-            m_pending.push_back({.connection = connection.weak_from_this(),
-                                 .request = std::move(*request),
-                                 .receivedAt = bootMillis()});
-            completePending();
+            m_connections.markUsed(&connection);
+            PendingRequest item{
+                .connection = connection.weak_from_this(), .request = std::move(*request), .receivedAt = bootMillis()};
+            if (!complete(item)) {
+                m_pending.push_back(std::move(item));
+            }
+        }
+    }
+
+    std::ptrdiff_t pendingOf(net::Connection &connection) const
+    {
+        const std::weak_ptr<net::Connection> weak = connection.weak_from_this();
+        return std::count_if(m_pending.begin(), m_pending.end(), [&](const PendingRequest &item) {
+            return !item.connection.owner_before(weak) && !weak.owner_before(item.connection);
+        });
+    }
+
+    /// Answers a request if there is something to send or its time limit has ended, and if there is room for responses.
+    /// @return false if it stays pending.
+    bool complete(const PendingRequest &item)
+    {
+        const Millis now = bootMillis();
+        const auto connection = item.connection.lock();
+        if (!connection || !connection->isOpen()) {
+            return true;
+        }
+        const bool ready = now >= item.receivedAt + item.request.wait || m_handler.isReady(item.request);
+        if (!ready || connection->queuedBytes() > MaxQueuedBytes
+            || m_connections.room(m_limits.queuedBytes, steadyMillis()) == 0) {
+            return !connection->isOpen();
         }
+        ++m_responsesSent;
+        connection->write(m_handler.makeResponse(item.request, now - item.receivedAt));
+        return true;
     }
 
     void checkPending()
@@ -147,10 +174,11 @@
     }
 
     LongPollHandler<Request> m_handler;
+    LongPollLimits m_limits;
     net::Listener m_listener;
     net::Timer m_checkTimer;
     std::vector<PendingRequest> m_pending;
-    net::RecentConnections m_connections{MaxConnections};
+    net::RecentConnections m_connections;
     std::uint64_t m_responsesSent = 0;
 };
 
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -24,7 +24,7 @@
                                    ListingsFollowerOptions options, ListingsFollowerEvents events)
     : m_options(std::move(options))
     , m_events(std::move(events))
-    , m_relayServer(loop, m_cache, m_events.ownWatermark, m_events.lostRecords)
+    , m_relayServer(loop, m_cache, m_events.ownWatermark, m_events.lostRecords, m_options.servingLimits)
     , m_feed(loop, client, store,
              {.topic = std::string(platform::TargetsTopic),
               .longPollTime = fractionOfDrainTime(StoreLongPollFraction),
--- a/libs/feed/src/listings_relay.cpp
+++ b/libs/feed/src/listings_relay.cpp
@@ -12,11 +12,15 @@
 /// How long after its last request an entry VM is reported to others; it sends one every second or two.
 constexpr Millis EntryVmLifetime{4000};
 
+/// Entry VMs of a failure domain that are remembered; far more than a domain has.
+constexpr std::size_t MaxEntryVms = 1024;
+
 } // namespace
 
 ListingsRelay::ListingsRelay(asio::io_context &loop, const ListingsCache &cache,
                              std::function<peer::TopicWatermark()> watermark,
-                             std::function<std::vector<peer::TopicRecord>(std::int64_t era)> lostRecords)
+                             std::function<std::vector<peer::TopicRecord>(std::int64_t era)> lostRecords,
+                             const LongPollLimits &limits)
     : m_cache(cache)
     , m_ownWatermark(std::move(watermark))
     , m_lostRecords(std::move(lostRecords))
@@ -26,7 +30,8 @@
                 .makeResponse =
                     [this](const peer::ListingsRequest &request, Millis heldFor) {
                         return encode(makeResponse(request, heldFor));
-                    }})
+                    }},
+               limits)
 {
 }
 
@@ -58,8 +63,15 @@
     }
     const auto &request = std::get<peer::ListingsRequest>(*message);
     if (!request.entryVm.empty()) {
+        asio::error_code ec;
+        asio::ip::make_address_v4(request.entryVm, ec);
+        if (ec) {
+            return failure(ErrorCode::Corrupt, "not the address of a VM");
+        }
         const Millis now = bootMillis();
-        m_entryVms[request.entryVm] = now;
+        if (m_entryVms.contains(request.entryVm) || m_entryVms.size() < MaxEntryVms) {
+            m_entryVms[request.entryVm] = now;
+        }
         std::erase_if(m_entryVms, [&](const auto &item) { return now - item.second > EntryVmLifetime; });
     }
     return request;
--- a/libs/net/include/ibislock/net/connection.h
+++ b/libs/net/include/ibislock/net/connection.h
@@ -70,6 +70,10 @@
     /// Returns the number of queued bytes that haven't been written to the socket yet.
     std::size_t queuedBytes() const;
 
+    /// Returns for how long the peer has accepted no queued byte; zero if none are queued.
+    /// @param now time of the steady clock.
+    Millis stalledFor(Millis now) const;
+
     /// Returns whether bytes have arrived that haven't been delivered yet, e.g. because the loop is late.
     bool hasUnreadBytes() const;
 
@@ -114,6 +118,7 @@
     ConnectionEvents m_events;
     std::string m_writeBuffer;
     std::size_t m_writeOffset = 0;
+    Millis m_acceptedAt{0}; ///< When the queue began, or the socket last accepted bytes of it; by the steady clock.
     std::unique_ptr<Timer> m_discardTimer; ///< Set by a graceful close.
     std::size_t m_discardBytesLeft = 0;
     bool m_reading = false;
--- a/libs/net/src/connection.cpp
+++ b/libs/net/src/connection.cpp
@@ -160,6 +160,7 @@
         }
         m_writeBuffer.assign(bytes.substr(ec ? 0 : n));
         m_writeOffset = 0;
+        m_acceptedAt = steadyMillis();
         writeSome(); // A write error is reported when the wait for writability ends.
         return;
     }
@@ -183,6 +184,7 @@
     }
     m_writeBuffer = std::move(bytes);
     m_writeOffset = ec ? 0 : n;
+    m_acceptedAt = steadyMillis();
     writeSome(); // A write error is reported when the wait for writability ends.
 }
 
@@ -203,6 +205,7 @@
                                                        self->m_writeBuffer.size() - self->m_writeOffset),
                                           ec);
             self->m_writeOffset += ec ? 0 : n;
+            self->m_acceptedAt = ec || n == 0 ? self->m_acceptedAt : steadyMillis();
         }
         if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
             self->fail(CloseReason::Error);
@@ -230,6 +233,11 @@
     return m_writeBuffer.size() - m_writeOffset;
 }
 
+Millis Connection::stalledFor(Millis now) const
+{
+    return queuedBytes() > 0 ? now - m_acceptedAt : Millis{0};
+}
+
 bool Connection::hasUnreadBytes() const
 {
     asio::error_code ec;
@@ -286,6 +294,8 @@
 void Connection::close()
 {
     m_events = {};
+    std::string().swap(m_writeBuffer); // Handlers that haven't run yet may keep this object for a while.
+    m_writeOffset = 0;
     if (m_discardTimer) {
         m_discardTimer->cancel();
     }
--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -109,6 +109,11 @@
 class PieceReader
 {
 public:
+    PieceReader() = default;
+
+    /// @param maxBytes limit of a message.
+    explicit PieceReader(std::size_t maxBytes);
+
     /// Appends received bytes.
     void add(std::string_view bytes);
 
--- a/libs/peer/src/frames.cpp
+++ b/libs/peer/src/frames.cpp
@@ -1,5 +1,7 @@
 #include "ibislock/peer/frames.h"
 
+#include <utility>
+
 namespace ibislock::peer
 {
 
@@ -29,23 +31,32 @@
     m_bytes.append(bytes);
 }
 
+Result<std::string> FrameReader::incomplete()
+{
+    if (m_taken > 0) {
+        m_bytes = m_bytes.substr(std::exchange(m_taken, 0)); // A string of its own size: erase() would keep the memory.
+    }
+    return failure(ErrorCode::NotFound, "the message is incomplete");
+}
+
 Result<std::string> FrameReader::next()
 {
-    if (m_bytes.size() < LengthBytes) {
-        return failure(ErrorCode::NotFound, "the message is incomplete");
+    const std::size_t left = m_bytes.size() - m_taken;
+    if (left < LengthBytes) {
+        return incomplete();
     }
     std::size_t n = 0;
     for (std::size_t i = 0; i < LengthBytes; ++i) {
-        n |= static_cast<std::size_t>(static_cast<unsigned char>(m_bytes[i])) << (8 * i);
+        n |= static_cast<std::size_t>(static_cast<unsigned char>(m_bytes[m_taken + i])) << (8 * i);
     }
     if (n > m_maxBytes) {
         return failure(ErrorCode::Corrupt, "the message exceeds the size limit");
     }
-    if (m_bytes.size() < LengthBytes + n) {
-        return failure(ErrorCode::NotFound, "the message is incomplete");
+    if (left < LengthBytes + n) {
+        return incomplete();
     }
-    std::string body = m_bytes.substr(LengthBytes, n);
-    m_bytes.erase(0, LengthBytes + n);
+    std::string body = m_bytes.substr(m_taken + LengthBytes, n);
+    m_taken += LengthBytes + n;
     return body;
 }
 
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -348,6 +348,11 @@
     return frame(flatten(builder));
 }
 
+PieceReader::PieceReader(std::size_t maxBytes)
+    : m_frames(maxBytes)
+{
+}
+
 void PieceReader::add(std::string_view bytes)
 {
     m_frames.add(bytes);
