Target VM: the port for pieces keeps within the memory and descriptors of the VM

Cause: the daemon read requests with the limit of responses, 4 MB, and queued responses without a limit. Connections weren't limited, and held requests only in number: with 16,384 of anybody's, those of other VMs were refused, and each new one went through all of them again. The settings memory_mb and max_fds weren't used. Why it works: the settings limit connections, pending requests and unread responses, each port by its part. A request has at most 4 KB. The connection with the most pending requests is closed for others, and what a read brings is looked at once. VMs that were sent a piece are remembered once each. Freed blocks go back to the system, as on entry VMs.

--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -4,10 +4,10 @@
 #include "caller_connection.h"
 #include "ibislock/base/log.h"
 #include "ibislock/feed/state_currency.h"
+#include "ibislock/net/process_limits.h"
 #include "ibislock/peer/messages.h"
 #include "ibislock/serving/load_subscriptions.h"
 #include "ibislock/serving/version_wait.h"
-#include "memory_limits.h"
 
 #include <algorithm>
 
@@ -74,7 +74,7 @@
     , m_tick(ioLoop)
     , m_loads(ioLoop)
 {
-    memory.limits = serving::memoryLimits(settings.memoryMb, availableDescriptors(settings.maxDescriptors));
+    memory.limits = serving::memoryLimits(settings.memoryMb, net::availableDescriptors(settings.maxDescriptors));
     client.limitReceiveBuffer(TargetReceiveBuffer);
     quarantine.self = random();
     m_sendTimeClock = feed::makeSendTimeClock(systemRandom()(), bootMillis());
@@ -106,7 +106,7 @@
         }
         return {};
     };
-    returnFreedMemory();
+    net::returnFreedMemory();
     Result<void> ok = opened("the listener for callers", m_callers.open(settings.callers.ip, settings.callers.port));
     ok = ok ? opened("the readiness listener", m_readiness.open(settings.readiness.ip, settings.readiness.port)) : ok;
     if (options.metricsPort != 0) {
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -19,9 +19,15 @@
 /// Requests that may be pending: some hundred VMs ask for a few pieces each.
 constexpr std::size_t MaxPending = 16384;
 
-/// Queued bytes on a connection above which no further piece is sent on it.
+/// Queued bytes on a connection above which no further response is sent on it.
 constexpr std::size_t QueuedBytes = 32 * 1024;
 
+/// Receive buffer of a connection on which other VMs send requests, in bytes; requests are small.
+constexpr int ReceiveBuffer = 32 * 1024;
+
+/// VMs to which a piece was sent that are remembered; others are redirected to them.
+constexpr std::size_t MaxSentPieces = 64;
+
 /// Number of pending requests for bytes from which on requesting VMs are redirected to VMs that have received the
 /// piece.
 constexpr std::size_t CrowdedAsks = 3;
@@ -60,22 +66,23 @@
 
 } // namespace
 
-PieceExchange::PieceExchange(asio::io_context &loop, std::uint16_t port, Millis pieceInterval, PieceStore store)
+PieceExchange::PieceExchange(asio::io_context &loop, std::uint16_t port, Millis pieceInterval, PieceStore store,
+                             const PieceServerLimits &limits)
     : m_loop(loop)
     , m_port(port)
     , m_pieceInterval(pieceInterval)
     , m_store(std::move(store))
-    , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); })
+    , m_limits(limits)
+    , m_listener(loop, [this](const std::shared_ptr<net::Connection> &connection) { serve(connection); },
+                 {.receiveBuffer = ReceiveBuffer})
     , m_tickTimer(loop)
+    , m_incoming(limits.connections)
     , m_nextPieceTimer(loop)
 {
 }
 
 PieceExchange::~PieceExchange()
 {
-    for (const auto &[raw, connection] : m_incoming) {
-        connection->close();
-    }
     for (const auto &[vm, link] : m_peers) {
         if (link.connection) {
             link.connection->close();
@@ -227,51 +234,69 @@
 
 void PieceExchange::serve(const std::shared_ptr<net::Connection> &connection)
 {
-    m_incoming.emplace(connection.get(), connection);
+    m_incoming.add(connection);
     auto *raw = connection.get();
     connection->start({
         .data =
-            [this, raw, reader = std::make_shared<peer::PieceReader>()](std::string_view bytes) {
+            [this, raw, reader = std::make_shared<peer::PieceReader>(peer::MaxRequestBytes)](std::string_view bytes) {
                 reader->add(bytes);
-                while (raw->isOpen()) {
-                    auto message = reader->next();
-                    if (message) {
-                        handleRequest(raw->shared_from_this(), std::move(*message));
-                        continue;
-                    }
-                    if (message.error().code == ErrorCode::Corrupt) {
-                        raw->close();
-                        m_incoming.erase(raw);
-                    }
-                    return;
+                auto message = reader->next();
+                for (; message; message = reader->next()) {
+                    addPending(raw->shared_from_this(), std::move(*message));
                 }
+                if (message.error().code == ErrorCode::Corrupt) {
+                    m_incoming.close(raw);
+                }
+                completePending();
+                limitPending();
             },
-        .closed = [this, raw](net::CloseReason) { m_incoming.erase(raw); },
+        .closed = [this, raw](net::CloseReason) { m_incoming.remove(raw); },
         .drained = [this] { completePending(); },
     });
 }
 
-void PieceExchange::handleRequest(const std::shared_ptr<net::Connection> &connection, peer::PieceMessage request)
+void PieceExchange::addPending(const std::shared_ptr<net::Connection> &connection, peer::PieceMessage request)
 {
     if (request.content != peer::PieceContent::Request) {
         return;
     }
-    if (m_pending.size() >= MaxPending) {
-        connection->close();
-        m_incoming.erase(connection.get());
-        return;
-    }
+    m_incoming.markUsed(connection.get());
     const Millis now = steadyMillis();
     const Millis deadline = now + Millis{request.waitMs};
-    std::string().swap(request.bytes); // A request has none; they would be kept until it is answered.
     m_pending.push_back(
         {.connection = connection, .request = std::move(request), .receivedAt = now, .deadline = deadline});
-    completePending();
+    m_pendingBytes += bytesOf(m_pending.back());
+}
+
+std::size_t PieceExchange::bytesOf(const PendingRequest &item)
+{
+    return sizeof item + item.request.model.capacity();
+}
+
+void PieceExchange::limitPending()
+{
+    while (m_pending.size() > MaxPending || m_pendingBytes > m_limits.pendingBytes) {
+        std::map<std::shared_ptr<net::Connection>, std::size_t> bytes;
+        for (const PendingRequest &item : m_pending) {
+            bytes[item.connection.lock()] += bytesOf(item);
+        }
+        const auto most = std::max_element(bytes.begin(), bytes.end(),
+                                           [](const auto &a, const auto &b) { return a.second < b.second; });
+        logWarning(LogComponent::Side,
+                   "Too many requests for pieces are pending; closing the connection with the most.",
+                   {{"vm", most->first ? most->first->peerIp() : ""}});
+        m_incoming.close(most->first.get());
+        std::erase_if(m_pending, [&](const PendingRequest &item) { return item.connection.lock() == most->first; });
+        m_pendingBytes -= most->second;
+    }
 }
 
 PieceExchange::Decision PieceExchange::decide(const PendingRequest &item, const net::Connection &connection,
                                               Millis now) const
 {
+    if (connection.queuedBytes() > QueuedBytes) {
+        return Decision::Wait;
+    }
     const std::optional<bool> holds = m_store.holds(item.request);
     if (!holds || (!*holds && now >= item.deadline)) {
         return Decision::Missing;
@@ -285,7 +310,7 @@
     if (!redirectVm(item, now).empty()) {
         return Decision::Redirect;
     }
-    const bool busy = now < m_nextPieceAt || m_activeReads >= ServedAtOnce || connection.queuedBytes() > QueuedBytes;
+    const bool busy = now < m_nextPieceAt || m_activeReads >= ServedAtOnce;
     return busy ? Decision::Wait : Decision::Send;
 }
 
@@ -294,6 +319,8 @@
     const Millis now = steadyMillis();
     std::vector<PendingRequest> waiting;
     waiting.swap(m_pending);
+    m_pendingBytes = 0;
+    std::size_t room = m_incoming.room(m_limits.queuedBytes, now);
     // A domain that waits for its first copy takes precedence over further copies in this one.
     std::stable_partition(waiting.begin(), waiting.end(),
                           [](const PendingRequest &item) { return item.request.forDomain; });
@@ -302,8 +329,9 @@
         if (!connection || !connection->isOpen()) {
             continue;
         }
-        switch (decide(item, *connection, now)) {
+        switch (room > 0 ? decide(item, *connection, now) : Decision::Wait) {
         case Decision::Wait:
+            m_pendingBytes += bytesOf(item);
             m_pending.push_back(std::move(item));
             continue;
         case Decision::Send:
@@ -320,7 +348,9 @@
             item.request.redirectVm = redirectVm(item, now);
             break;
         }
-        connection->write(peer::encode(item.request));
+        const std::string response = peer::encode(item.request);
+        room -= std::min(room, response.size());
+        connection->write(response);
     }
 }
 
@@ -350,7 +380,13 @@
         m_sentVersion = item.request.version;
         m_sentPieces.clear();
     }
-    m_sentPieces[item.request.index].push_back({.vm = connection.peerIp(), .sentAt = now});
+    std::vector<SentPiece> &sent = m_sentPieces[item.request.index];
+    std::string vm = connection.peerIp();
+    std::erase_if(sent, [&](const SentPiece &earlier) { return earlier.vm == vm; });
+    if (sent.size() >= MaxSentPieces) {
+        sent.erase(sent.begin());
+    }
+    sent.push_back({.vm = std::move(vm), .sentAt = now});
 }
 
 std::string PieceExchange::redirectVm(const PendingRequest &item, Millis now) const
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "ibislock/net/connection.h"
+#include "ibislock/net/recent_connections.h"
 #include "ibislock/net/timer.h"
 #include "ibislock/peer/messages.h"
 
@@ -33,13 +33,22 @@
     Unreachable, ///< It didn't respond lately.
 };
 
+/// Limits of the server for pieces, within which other VMs that read at a usual rate stay.
+struct PieceServerLimits
+{
+    std::size_t connections = 1024; ///< That are kept; each VM that takes pieces from this one has one.
+    std::size_t pendingBytes = 16U << 20U; ///< That pending requests take.
+    std::size_t queuedBytes = 64U << 20U; ///< Of responses that other VMs haven't read yet, of all connections.
+};
+
 /// Client and server for pieces.
 class PieceExchange
 {
 public:
     /// @param pieceInterval least time between two pieces that are sent, so that the VM's link has room for inference
     /// requests.
-    PieceExchange(asio::io_context &loop, std::uint16_t port, Millis pieceInterval, PieceStore store);
+    PieceExchange(asio::io_context &loop, std::uint16_t port, Millis pieceInterval, PieceStore store,
+                  const PieceServerLimits &limits = {});
 
     ~PieceExchange();
     PieceExchange(const PieceExchange &) = delete;
@@ -112,7 +121,15 @@
     /// @return false if it doesn't respond to a probe.
     static bool probe(PeerConnection &link, Millis now);
     void serve(const std::shared_ptr<net::Connection> &connection);
-    void handleRequest(const std::shared_ptr<net::Connection> &connection, peer::PieceMessage request);
+
+    /// Adds a request of another VM to the pending ones.
+    void addPending(const std::shared_ptr<net::Connection> &connection, peer::PieceMessage request);
+
+    /// Returns the bytes that a pending request takes.
+    static std::size_t bytesOf(const PendingRequest &item);
+
+    /// Closes the connections with the most pending requests until the others are within the limit.
+    void limitPending();
 
     /// What to do about a pending request of another VM.
     enum class Decision {
@@ -134,12 +151,14 @@
     Millis m_pieceInterval;
     Millis m_nextPieceAt{0};
     PieceStore m_store;
+    PieceServerLimits m_limits;
     net::Listener m_listener;
     net::Timer m_tickTimer;
     std::map<std::string, PeerConnection> m_peers;
     std::map<std::string, PeerHealth> m_health; ///< By VM.
     std::vector<PendingRequest> m_pending;
-    std::map<const net::Connection *, std::shared_ptr<net::Connection>> m_incoming;
+    std::size_t m_pendingBytes = 0; ///< That `m_pending` takes.
+    net::RecentConnections m_incoming;
 
     /// A VM to which a piece was sent.
     struct SentPiece
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -1,6 +1,7 @@
 #include "side.h"
 
 #include "ibislock/base/log.h"
+#include "ibislock/net/process_limits.h"
 
 #include <algorithm>
 
@@ -66,9 +67,11 @@
     , m_settings(std::move(settings))
     , m_options(options)
     , m_client(loop)
+    , m_portLimits(portLimits(m_settings))
     , m_engine(loop, m_client, m_settings.engine, [this] { onEngineReport(); })
     , m_agent(loop, m_client, m_engine, m_settings.ip, m_settings.domain, m_settings.firstPeerPort,
-              pieceTimeOf(m_settings.linkMbps), [this](std::int64_t version) { return distributionMembers(version); })
+              pieceTimeOf(m_settings.linkMbps), m_portLimits.pieces,
+              [this](std::int64_t version) { return distributionMembers(version); })
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
     , m_random(systemRandom())
@@ -81,6 +84,7 @@
 
 Result<void> Side::start()
 {
+    net::returnFreedMemory();
     asio::error_code ec = m_agent.open();
     if (!ec) {
         m_datagrams.open(asio::ip::udp::v4(), ec);
@@ -134,6 +138,7 @@
                                       .domain = m_settings.domain,
                                       .port = m_settings.lastPeerPort,
                                       .servesListings = true,
+                                      .servingLimits = m_portLimits.listings,
                                       .drainTime = m_settings.bounds.drainTimeout,
                                       .minExpiringOutage =
                                           m_settings.heartbeatInterval * feed::HeartbeatsMissedToExpire},
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -14,6 +14,7 @@
 #include "ibislock/serving/announced_versions.h"
 #include "ibislock/serving/quarantine_report.h"
 #include "ibislock/side/daemon.h"
+#include "port_limits.h"
 #include "weights_agent.h"
 
 #include <asio/ip/udp.hpp>
@@ -72,6 +73,7 @@
     platform::DaemonSettings m_settings;
     SideOptions m_options;
     net::HttpClient m_client;
+    PortLimits m_portLimits;
     EngineMonitor m_engine;
     WeightsAgent m_agent;
     std::unique_ptr<feed::OperatorsFollower> m_operatorsFollower;
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -24,7 +24,7 @@
 
 WeightsAgent::WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineMonitor &engine, std::string self,
                            std::string domain, std::uint16_t peerPort, Millis pieceInterval,
-                           DistributionMembers members)
+                           const PieceServerLimits &limits, DistributionMembers members)
     : m_engine(engine)
     , m_self(std::move(self))
     , m_domain(std::move(domain))
@@ -36,7 +36,8 @@
               .holds = [this](const peer::PieceMessage &request) { return holdsForPeer(request); },
               .read = [this](const peer::PieceMessage &request,
                              const std::function<void(peer::PieceMessage)> &done) { readForPeer(request, done); },
-          })
+          },
+          limits)
     , m_orderTimer(loop)
     , m_manifestFetcher(loop, client, m_exchange, m_self, m_domain, m_members)
     , m_pieceFetcher(loop, client, m_exchange, m_self, m_pacing, FetchPriority::Urgent,
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -69,9 +69,11 @@
     /// @param peerPort the port on which all VMs serve pieces.
     /// @param pieceInterval least time between two pieces that are received, and between two that are sent, so that the
     /// link has room for inference requests.
+    /// @param limits of what other VMs may take up.
     /// @param members returns the other VMs that take part in the distribution.
     WeightsAgent(asio::io_context &loop, net::HttpClient &client, EngineMonitor &engine, std::string self,
-                 std::string domain, std::uint16_t peerPort, Millis pieceInterval, DistributionMembers members);
+                 std::string domain, std::uint16_t peerPort, Millis pieceInterval, const PieceServerLimits &limits,
+                 DistributionMembers members);
 
     /// Starts to serve pieces to other VMs.
     asio::error_code open();
