--- a/libs/peer/include/ibislock/peer/frames.h
+++ b/libs/peer/include/ibislock/peer/frames.h
@@ -35,8 +35,8 @@
     /// Appends received bytes.
     void add(std::string_view bytes);
 
-    /// Takes the next message out of the buffer. Memory of messages that were taken out is released when the next one is
-    /// incomplete.
+    /// Takes the next message out of the buffer. Memory of messages that were taken out is released when the next one
+    /// is incomplete.
     /// @return the message without its length; NotFound if it is incomplete; Corrupt if it exceeds the limit.
     Result<std::string> next();
 
