--- a/libs/feed/include/ibislock/feed/long_poll_server.h
+++ b/libs/feed/include/ibislock/feed/long_poll_server.h
@@ -122,9 +122,6 @@
     /// A response that isn't read on for this long is dropped with its connection when too many bytes are unsent.
     static constexpr Millis MaxReadPause{2000};
 
-    /// The largest request, in bytes; requests have some hundred.
-    static constexpr std::size_t MaxRequestBytes = 4 * 1024;
-
     /// Requests of a connection that may be pending; each VM has one or two.
     static constexpr std::size_t MaxPending = 16;
 
@@ -134,7 +131,7 @@
     struct Session
     {
         std::shared_ptr<net::Connection> connection;
-        peer::FrameReader reader{MaxRequestBytes};
+        peer::FrameReader reader{peer::MaxRequestBytes};
         std::size_t pending = 0; ///< Requests.
         Millis openedAt{0}; ///< By the boot clock, as the others.
         Millis requestedAt{0}; ///< When the last whole request was received; 0 for none.
--- a/libs/front/src/memory_limits.h
+++ b/libs/net/include/ibislock/net/process_limits.h
@@ -1,4 +1,4 @@
-// Limits of the process that an entry VM's daemon reads or sets when it starts.
+// Limits of the process that a daemon reads or sets when it starts.
 
 #pragma once
 
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-namespace ibislock::front
+namespace ibislock::net
 {
 
 /// Returns how many descriptors the process may have open: a setting, or the system's limit if that is lower.
@@ -26,4 +26,4 @@
 /// Makes the allocator return large freed blocks to the system at once.
 void returnFreedMemory();
 
-} // namespace ibislock::front
+} // namespace ibislock::net
--- a/libs/front/src/memory_limits.cpp
+++ b/libs/net/src/process_limits.cpp
@@ -1,4 +1,4 @@
-#include "memory_limits.h"
+#include "ibislock/net/process_limits.h"
 
 #include <algorithm>
 #include <fstream>
@@ -8,7 +8,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
-namespace ibislock::front
+namespace ibislock::net
 {
 
 namespace
@@ -114,4 +114,4 @@
     static_cast<void>(mallopt(M_TRIM_THRESHOLD, MappedBlockBytes));
 }
 
-} // namespace ibislock::front
+} // namespace ibislock::net
--- a/libs/front/test/memory_limits_test.cpp
+++ b/libs/net/test/process_limits_test.cpp
@@ -1,9 +1,9 @@
-#include "memory_limits.h"
+#include "ibislock/net/process_limits.h"
 
 #include <fstream>
 #include <gtest/gtest.h>
 
-namespace ibislock::front
+namespace ibislock::net
 {
 
 namespace
@@ -17,7 +17,7 @@
 
 // Guards against a limit of a control group that isn't seen, as it is set above the process's own or in an older
 // layout.
-TEST(MemoryLimitsTest, TheLowestLimitOfAllControlGroupsApplies)
+TEST(ProcessLimitsTest, TheLowestLimitOfAllControlGroupsApplies)
 {
     std::string root = (std::filesystem::temp_directory_path() / "ibislock-groups-XXXXXX").string();
     ASSERT_NE(mkdtemp(root.data()), nullptr);
@@ -35,7 +35,7 @@
     std::filesystem::remove_all(root);
 }
 
-TEST(MemoryLimitsTest, ASettingBelowTheLimitsOfTheSystemApplies)
+TEST(ProcessLimitsTest, ASettingBelowTheLimitsOfTheSystemApplies)
 {
     EXPECT_EQ(availableMemoryMb(1), 1);
     EXPECT_LT(availableMemoryMb(1e12), 1e12);
@@ -43,4 +43,4 @@
 
 } // namespace
 
-} // namespace ibislock::front
+} // namespace ibislock::net
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -14,6 +14,7 @@
 #include "ibislock/serving/announced_versions.h"
 #include "ibislock/serving/quarantine_report.h"
 #include "ibislock/side/daemon.h"
+#include "port_limits.h"
 #include "weights_agent.h"
 
 #include <asio/ip/udp.hpp>
@@ -24,6 +25,9 @@
 /// Connections for metrics that are kept; each collector has one or two.
 inline constexpr std::size_t MaxMetricsConnections = 16;
 
+/// Entry VMs that are known at a time; several times as many as a deployment has.
+inline constexpr std::size_t MaxSubscribers = 2048;
+
 /// The implementation of SideDaemon.
 class Side
 {
@@ -69,6 +73,7 @@
     platform::DaemonSettings m_settings;
     SideOptions m_options;
     net::HttpClient m_client;
+    PortLimits m_portLimits;
     EngineMonitor m_engine;
     WeightsAgent m_agent;
     std::unique_ptr<feed::OperatorsFollower> m_operatorsFollower;
