--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -130,7 +130,8 @@
     bool m_requesting = false;
     Millis m_heardAt{0}; ///< When another VM reported a watermark last, in monotonic time.
     bool m_roundCompleted = false; ///< All sources have been asked since this VM fell behind.
-    bool m_sourceResponded = false; ///< One of them responded.
+    bool m_sourceResponded = false; ///< One of them has responded in the present round.
+    bool m_isAlone = false; ///< None responded in the last round.
     TopicPosition m_wantedEnd; ///< The position up to which records are requested.
     OperatorsWatermark m_reported; ///< The watermark by which they are requested; it may end behind them.
     std::uint32_t m_sequence = 0;
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -149,6 +149,10 @@
     /// @param end the position after the last record that the other process has read.
     void notifyNewRecords(const TopicPosition &end);
 
+    /// Waits for the time when this VM may read the records that are known to be unread, unless a call is under way;
+    /// does nothing if it may read now.
+    void awaitTurn();
+
     /// Returns the position after the last record that was read; unknown before the first snapshot.
     const TopicPosition &position() const;
 
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -30,6 +30,9 @@
 constexpr double FirstTurnFraction = 0.3;
 constexpr double TurnIntervalFraction = 0.15;
 
+/// The time after which a target VM may do so, which no other VM asks for records.
+constexpr double FirstTargetTurnFraction = 2.0;
+
 /// How many of the VMs that had their turns last are asked.
 constexpr std::size_t RecentTurns = 3;
 
@@ -288,10 +291,11 @@
     m_wantedEnd = end;
     m_reported = watermark;
     if (!m_feed.isBehind()) {
-        m_sourceResponded = false;
         m_roundCompleted = false;
+        m_isAlone = false;
     }
     m_feed.recordKnownEnd(end);
+    m_feed.awaitTurn();
     if (m_requesting || !m_feed.synchronized()) {
         return;
     }
@@ -302,6 +306,7 @@
 {
     m_sources = sources();
     m_sourceIndex = 0;
+    m_sourceResponded = false;
     requestNext();
 }
 
@@ -322,10 +327,16 @@
     if (!m_feed.isBehind()) {
         return steadyMillis() - m_heardAt >= fractionOfStateTime(ContactFraction);
     }
-    if (m_roundCompleted && !m_sourceResponded) {
-        return true; // No source responds.
+    if (m_isAlone) {
+        return true;
+    }
+    if (m_options.isEntryVm) {
+        return hasStoreTurn(turns(), m_options.ip, m_feed.lagTime());
     }
-    return m_options.isEntryVm && hasStoreTurn(turns(), m_options.ip, m_feed.lagTime());
+    StoreTurns targetTurns = turns();
+    targetTurns.order.push_back(m_options.ip); // Its turn follows those of the entry VMs.
+    targetTurns.first = fractionOfStateTime(FirstTargetTurnFraction);
+    return m_feed.lagTime() >= targetTurns.first && hasStoreTurn(targetTurns, m_options.ip, m_feed.lagTime());
 }
 
 std::vector<std::string> OperatorsFollower::sources() const
@@ -353,11 +364,15 @@
 
 void OperatorsFollower::requestNext()
 {
+    if (!m_feed.isBehind()) {
+        m_wantedEnd = m_feed.position(); // The records have been read, or the store doesn't have them.
+    }
     m_requesting = m_feed.position() < m_wantedEnd && m_sourceIndex < m_sources.size();
     if (!m_requesting) {
         m_timer.cancel();
         if (m_feed.position() < m_wantedEnd) {
             m_roundCompleted = true;
+            m_isAlone = !m_sourceResponded;
             m_feed.notifyNewRecords(m_wantedEnd);
             if (m_passive) {
                 m_timer.start(fractionOfStateTime(NextRoundFraction), [this] { startRound(); });
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -471,7 +471,11 @@
     // long.
     const bool unheldReadActive = m_callActive && m_longPollTime == Millis{0};
     if (!m_synchronized || end <= m_position || end <= m_notifiedEnd || justStarted || responseArriving
-        || unheldReadActive || leavesReadsToOthers()) {
+        || unheldReadActive) {
+        return;
+    }
+    if (leavesReadsToOthers()) {
+        awaitTurn();
         return;
     }
     m_notifiedEnd = end;
@@ -503,11 +507,20 @@
 {
     if (isBehind()) {
         schedule(m_options.validityTime / ChecksPerTurnTime, &TopicFeed::readNext);
+    } else if (bootMillis() - m_validatedAt < m_options.validityTime) {
+        readUnlessValidated();
     } else {
         readEnd();
     }
 }
 
+void TopicFeed::awaitTurn()
+{
+    if (!m_callActive && leavesReadsToOthers()) {
+        waitForTurn();
+    }
+}
+
 void TopicFeed::readEnd()
 {
     // No key comes behind this one, so that the page has the end of the topic and no records.
@@ -555,8 +568,8 @@
 
 void TopicFeed::readSnapshot()
 {
-    if (m_readsNewest && leavesReadsToOthers()) {
-        cancelCall(); // A retry of a read that was begun in an earlier turn.
+    if (m_readsNewest && !m_snapshotEnd && leavesReadsToOthers()) {
+        cancelCall(); // A retry, behind the turn, of a read of which nothing has arrived.
         waitForTurn();
         return;
     }
--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -426,6 +426,75 @@
     EXPECT_EQ(copiesSent() - before, 1);
 }
 
+// VMs asked for records that don't exist again and again, and took that for being behind.
+TEST_F(OperatorsFollowerTest, AReportedEndThatTheStoreDoesNotHaveIsForgottenByAllVms)
+{
+    addAll();
+    letReadsEnd();
+    for (const auto &[ip, vm] : m_vms) {
+        const TopicPosition end{.era = 0, .offset = m_end + 5};
+        vm->follower.applyWatermark({.end = end, .asOf = bootMillis()}, end);
+    }
+    for (const Millis end = steadyMillis() + 3 * m_stateTime; steadyMillis() < end;) {
+        reportWatermarks();
+        m_loop.run_for(Millis{50});
+    }
+    for (const auto &[ip, vm] : m_vms) {
+        EXPECT_FALSE(vm->follower.feed().isBehind()) << ip;
+    }
+}
+
+// A target VM relied on sources of which one had responded once.
+TEST_F(OperatorsFollowerTest, ATargetVmReadsTheStoreWhenItsSourcesAreGone)
+{
+    append("config", "1");
+    Vm &target = add("127.0.4.100", m_store, false);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    target.follower.setEntryVms({m_root});
+    letReadsEnd();
+    replaceRoot([](const peer::RecordsRequest &request) { return updateUpTo(1, request); });
+    append("config", "2");
+    reportWatermarks();
+    m_loop.run_for(Millis{200});
+    m_listener->close();
+    for (const auto &connection : m_listenerConnections) {
+        connection->close();
+    }
+    target.follower.setEntryVms({});
+    EXPECT_TRUE(reportUntilAllHave("2", 5 * m_stateTime));
+}
+
+// The same, if they respond but never get the records.
+TEST_F(OperatorsFollowerTest, ATargetVmReadsTheStoreWhenItsSourcesDoNotGetTheRecords)
+{
+    append("config", "1");
+    Vm &target = add("127.0.4.100", m_store, false);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    target.follower.setEntryVms({m_root});
+    letReadsEnd();
+    replaceRoot([](const peer::RecordsRequest &request) { return updateUpTo(1, request); });
+    append("config", "2");
+    EXPECT_TRUE(reportUntilAllHave("2", 5 * m_stateTime));
+}
+
+// The pages that had been read were discarded when the turn ended.
+TEST_F(OperatorsFollowerTest, ASnapshotOfSeveralPagesIsReadToItsEndBehindTheTurn)
+{
+    append("config", "1");
+    for (int n = 0; n < 4; ++n) {
+        append("key" + std::to_string(n), "1");
+    }
+    add(childOfRoot(), m_store);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    letReadsEnd();
+    replaceRoot([end = m_end](const peer::RecordsRequest &request) { return updateUpTo(end, request); });
+    m_store.snapshotPageSize = 1;
+    m_store.snapshotDelay = Millis{200};
+    append("config", "2");
+    append("config", "3");
+    EXPECT_TRUE(reportUntilAllHave("3", 8 * m_stateTime));
+}
+
 // A retry must not begin anew what arrives over a congested link.
 TEST_F(OperatorsFollowerTest, AReadThatIsRepeatedIsNotCancelled)
 {
--- a/libs/side/src/port_limits.cpp
+++ b/libs/side/src/port_limits.cpp
@@ -24,8 +24,8 @@
 
 PortLimits portLimits(const platform::DaemonSettings &settings)
 {
-    const serving::MemoryLimits vm =
-        serving::memoryLimits(net::availableMemoryMb(settings.memoryMb), net::availableDescriptors(settings.maxDescriptors));
+    const serving::MemoryLimits vm = serving::memoryLimits(net::availableMemoryMb(settings.memoryMb),
+                                                           net::availableDescriptors(settings.maxDescriptors));
     const std::size_t bytes = vm.bytes / Ports;
     const PieceServerLimits most;
     PortLimits out;
