--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -253,6 +253,16 @@
     void cancelExchanges(const net::Exchange *kept = nullptr);
     bool isReceivingResponse() const;
 
+    /// What a snapshot has taken.
+    struct SnapshotRead
+    {
+        Millis startedAt{0}; ///< In monotonic time; earlier attempts count.
+        std::uint64_t callsBefore = 0; ///< `m_calls` when it was started.
+        std::uint64_t bytesBefore = 0; ///< The same for `m_bytesRead`.
+    };
+
+    void logSnapshot(std::size_t records);
+
     /// What is done with the response to a call.
     using ResponseHandler = std::function<void(std::int64_t era, int status, const std::string &body)>;
     void call(const platform::ApiRequest &request, Millis timeout, void (TopicFeed::*retry)(), ResponseHandler done);
@@ -303,6 +313,7 @@
     Millis m_lastFailedCallAt{0}; ///< When the last call that failed was started, by the boot clock.
     std::uint64_t m_snapshotGeneration = 0; ///< Of the call for the first page of the snapshot.
     Millis m_snapshotStartedAt{0}; ///< When the first page of the snapshot was requested, by the boot clock.
+    std::optional<SnapshotRead> m_snapshotRead; ///< What the snapshot under way has taken so far.
     Millis m_longPollTime{0}; ///< How long the store may hold the current call.
     std::uint64_t m_generation = 0; ///< Identifies the current call; responses to earlier ones are ignored.
 };
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -408,6 +408,7 @@
     cancelExchanges();
     m_snapshotRecords.clear();
     m_snapshotEnd.reset();
+    m_snapshotRead.reset();
     m_readsNewest = false;
     m_readingSnapshot = false;
 }
@@ -573,6 +574,9 @@
         waitForTurn();
         return;
     }
+    if (!m_snapshotRead) {
+        m_snapshotRead = {.startedAt = steadyMillis(), .callsBefore = m_calls, .bytesBefore = m_bytesRead};
+    }
     const std::string after = m_snapshotRecords.empty() ? "" : m_snapshotRecords.back().key;
     m_longPollTime = Millis{0};
     m_readingSnapshot = true;
@@ -620,6 +624,7 @@
     handleSuccess();
     const TopicPosition end = *std::exchange(m_snapshotEnd, std::nullopt);
     std::vector<platform::KeyedRecord> records = std::exchange(m_snapshotRecords, {});
+    logSnapshot(records.size());
     if (m_events.deletedRecords) {
         auto deleted = m_events.deletedRecords(records, end);
         std::move(deleted.begin(), deleted.end(), std::back_inserter(records));
@@ -643,6 +648,20 @@
     scheduleRead(m_options.minReadInterval);
 }
 
+void TopicFeed::logSnapshot(std::size_t records)
+{
+    if (!m_snapshotRead) {
+        return;
+    }
+    const SnapshotRead read = *std::exchange(m_snapshotRead, std::nullopt);
+    logInfo(LogComponent::Store, "A snapshot of a topic was read.",
+            {{"topic", m_options.topic},
+             {"records", std::to_string(records)},
+             {"bytes", std::to_string(m_bytesRead - read.bytesBefore)},
+             {"calls", std::to_string(m_calls - read.callsBefore)},
+             {"took_ms", std::to_string((steadyMillis() - read.startedAt).count())}});
+}
+
 void TopicFeed::readNewest()
 {
     m_readsNewest = true;
--- a/libs/front/src/call.cpp
+++ b/libs/front/src/call.cpp
@@ -587,6 +587,9 @@
     }
     m_done = true;
     ++front.counters.outcomes[static_cast<std::size_t>(outcome)];
+    if (outcome == CallOutcome::Answered) {
+        front.startSteps.reach(StartStep::Response, steadyMillis(), LogComponent::Front);
+    }
     const Millis whole = steadyMillis() - receivedAt;
     observe(front.counters.totalTime, whole);
     static const CallAttempt none;
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -479,6 +479,7 @@
     }
     updateQuarantine();
     updateColdTargets(now);
+    updateStartSteps(now);
     dispatchWaiting();
     if (now >= m_nextSubscriptionAt) {
         m_nextSubscriptionAt = now + SubscriptionTime;
@@ -494,6 +495,19 @@
     m_tick.start(TickTime, [this] { tick(); });
 }
 
+void Front::updateStartSteps(Millis now)
+{
+    if (operators.state) {
+        startSteps.reach(StartStep::DesiredState, now, LogComponent::Front);
+    }
+    if (m_listings->synchronized()) {
+        startSteps.reach(StartStep::Listings, now, LogComponent::Front);
+    }
+    if (isReady()) {
+        startSteps.reach(StartStep::Ready, now, LogComponent::Front);
+    }
+}
+
 bool Front::isEngine(const serving::TargetEntry &entry) const
 {
     return !entry.models.empty() || (operators.state && serving::hasEngine(*operators.state, entry.service));
--- a/libs/front/src/front.h
+++ b/libs/front/src/front.h
@@ -4,6 +4,7 @@
 
 #include "counters.h"
 #include "ibislock/base/loop_stalls.h"
+#include "ibislock/base/start_steps.h"
 #include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
@@ -120,6 +121,7 @@
     Random random;
     serving::MemoryBudget memory; ///< What callers' connections hold.
     FrontCounters counters;
+    StartSteps startSteps{steadyMillis()};
     bool draining = false;
     bool refusingRequests = false; ///< Shutdown has advanced too far for new requests to finish in time.
     bool operatorsUnreachable = false; ///< The operators' topic can't be read, so the desired state may be stale.
@@ -174,6 +176,9 @@
     bool refuseQuarantined(const std::shared_ptr<Call> &call);
     void finishDrainIfIdle(Millis now);
     bool isReady() const;
+
+    /// Records which steps of the start are reached.
+    void updateStartSteps(Millis now);
     std::string metricsText();
 
     net::Listener m_callers;
--- a/libs/front/src/metrics.cpp
+++ b/libs/front/src/metrics.cpp
@@ -129,6 +129,7 @@
     writeState(out, operators, operatorsUnreachable, stateAge(), now);
     writeKnowledge(out, m_operatorsFollower->feed(), *m_listings, counters);
     writeStallMetrics(out, m_stalls);
+    writeStartMetrics(out, startSteps);
     writeCounters(out, counters);
     writeStore(out, *m_operatorsFollower, *m_listings);
     writeTargets(out, table, operators.evacuations, now);
--- a/libs/side/src/manifest_fetcher.cpp
+++ b/libs/side/src/manifest_fetcher.cpp
@@ -128,7 +128,13 @@
             if (isManifest && hasAllPieces(answer->digests)) {
                 finish(answer->digests, m_sources[sourceIndex].vm);
             } else {
-                const bool unreachable = !answer && steadyMillis() - askedAt < wait;
+                const Millis waited = steadyMillis() - askedAt;
+                logInfo(LogComponent::Side, "A VM didn't deliver the manifest.",
+                        {{"version", std::to_string(m_desired.version)},
+                         {"vm", m_sources[sourceIndex].vm},
+                         {"cause", answer ? "missing" : "no answer"},
+                         {"waited_ms", std::to_string(waited.count())}});
+                const bool unreachable = !answer && waited < wait;
                 requestFromSource(sourceIndex + 1, unreachable);
             }
         });
--- a/libs/side/src/metrics.cpp
+++ b/libs/side/src/metrics.cpp
@@ -78,6 +78,7 @@
     writeGauge(out, "ibislock_subscribers", "Entry VMs that are there.",
                static_cast<std::int64_t>(m_subscribers.size()));
     writeStallMetrics(out, m_stalls);
+    writeStartMetrics(out, m_startSteps);
     writeMemoryMetric(out);
     return out;
 }
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -57,6 +57,9 @@
 /// VMs of all others that are asked in turn for a piece which those that should have it don't hold.
 constexpr std::size_t AskedInTurn = 8;
 
+/// Interval of the log lines about the progress.
+constexpr Millis ProgressInterval{1000};
+
 /// How often a VM asks those that should hold a piece before it asks others; about 2 s.
 constexpr std::size_t RoundsBeforeOthers = 4;
 
@@ -82,6 +85,9 @@
     stop();
     m_task = std::move(task);
     const Millis now = steadyMillis();
+    m_startedAt = now;
+    m_progressLoggedAt = now;
+    m_countsBefore = m_counts;
     m_turns = weights::makeOriginTurns(static_cast<int>(m_task.digests.size()), m_task.originPieceTime, now);
     updatePlan(now);
     m_originTimer.start(OriginStepTime, [this] { stepOrigin(); });
@@ -92,6 +98,7 @@
     ++m_generation;
     m_task = {};
     m_fetching.clear();
+    m_waits.clear();
     m_delivered.clear();
     m_retryAt.clear();
     m_searchRounds.clear();
@@ -154,6 +161,7 @@
 {
     const Millis now = steadyMillis();
     updatePlan(now);
+    logProgress(now);
     for (const int piece : staged) {
         recordHeld(m_turns, piece);
     }
@@ -234,6 +242,7 @@
     if (waits) {
         search.awaited.insert(vm);
     }
+    m_waits[search.piece] = {.vm = vm, .since = askedAt};
     const peer::PieceMessage request{.model = m_task.model,
                                      .version = m_task.version,
                                      .index = search.piece,
@@ -244,6 +253,7 @@
                            if (generation != m_generation) {
                                return;
                            }
+                           m_waits.erase(search.piece);
                            if (answer && answer->content == peer::PieceContent::Ready) {
                                recordAvailable(m_turns, m_pacing.origin, search.piece, steadyMillis());
                                m_queuedTransfers.push_back({.search = std::move(search)});
@@ -297,6 +307,31 @@
     retryLater(search.piece);
 }
 
+void PieceFetcher::logProgress(Millis now)
+{
+    if (now < m_progressLoggedAt + ProgressInterval) {
+        return;
+    }
+    m_progressLoggedAt = now;
+    const auto first = std::find(m_turns.missing.begin(), m_turns.missing.end(), true);
+    const auto longest = std::min_element(m_waits.begin(), m_waits.end(),
+                                          [](const auto &a, const auto &b) { return a.second.since < b.second.since; });
+    const bool waits = longest != m_waits.end();
+    logInfo(LogComponent::Side, "Pieces are being fetched.",
+            {{"version", std::to_string(m_task.version)},
+             {"after_ms", std::to_string((now - m_startedAt).count())},
+             {"unavailable", std::to_string(weights::missingPieces(m_turns))},
+             {"first_unavailable", std::to_string(first - m_turns.missing.begin())},
+             {"transfers", std::to_string(m_queuedTransfers.size() + static_cast<std::size_t>(m_activeTransfers))},
+             {"from_vms", std::to_string(m_counts.fromPeers - m_countsBefore.fromPeers)},
+             {"from_origin", std::to_string(m_counts.fromOrigin - m_countsBefore.fromOrigin)},
+             {"origin_silent", isOriginSilent(m_turns, m_pacing.origin, now) ? "1" : "0"},
+             {"waits", std::to_string(m_waits.size())},
+             {"longest_wait_piece", std::to_string(waits ? longest->first : -1)},
+             {"longest_wait_vm", waits ? longest->second.vm : ""},
+             {"longest_wait_ms", std::to_string(waits ? (now - longest->second.since).count() : 0)}});
+}
+
 PieceFetcher::Transfer PieceFetcher::takeRandomTransfer()
 {
     // All VMs learn of a piece at the same time; a random choice prevents that they all turn to its holder at once. A
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -144,6 +144,9 @@
     void retryLater(int piece);
     void recordMismatch(int piece, const Digest &received);
 
+    /// Logs once a second what is missing, and which VM a piece has been waited for the longest.
+    void logProgress(Millis now);
+
     asio::io_context &m_loop;
     net::HttpClient &m_client;
     PieceExchange &m_exchange;
@@ -154,6 +157,18 @@
     Random m_random;
     FetchTask m_task;
     FetchCounts m_counts;
+    FetchCounts m_countsBefore; ///< `m_counts` when the task began.
+    Millis m_startedAt{0};
+    Millis m_progressLoggedAt{0};
+
+    /// A request for a piece to another VM that has no response yet.
+    struct Wait
+    {
+        std::string vm;
+        Millis since{0};
+    };
+
+    std::map<int, Wait> m_waits; ///< By piece.
     std::uint64_t m_generation =
         0; ///< Incremented on each start and stop; responses of an earlier generation are ignored.
     std::set<int> m_fetching;
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -257,6 +257,25 @@
     }
 }
 
+void Side::updateStartSteps(Millis now)
+{
+    const auto reach = [&](StartStep step, bool reached) {
+        if (reached) {
+            m_startSteps.reach(step, now, LogComponent::Side);
+        }
+    };
+    const WeightsProgress progress = m_agent.progress();
+    const bool known = progress.version > 0;
+    const bool loaded = known && m_engine.loadedVersion() >= progress.version;
+    reach(StartStep::DesiredState, m_operators.state != nullptr);
+    reach(StartStep::Listings, m_listingsFollower->synchronized());
+    reach(StartStep::OwnListing, isListed());
+    reach(StartStep::Manifest, progress.pieces > 0);
+    reach(StartStep::Stage, progress.pieces > 0 && progress.phase != WeightsPhase::Reading);
+    reach(StartStep::Pieces, progress.pieces > 0 && progress.staged == progress.pieces);
+    reach(StartStep::Load, loaded);
+}
+
 bool Side::isListed() const
 {
     const auto &listings = m_listingsFollower->cache().listings;
@@ -272,6 +291,7 @@
 {
     const Millis now = steadyMillis();
     stepAgent();
+    updateStartSteps(now);
     const bool reported = m_engine.reportedAt() != m_reportSeenAt;
     m_reportSeenAt = m_engine.reportedAt();
     // After a failed poll, entry VMs must not take the last report for a new one. They must know of a load in any case.
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -4,6 +4,7 @@
 
 #include "ibislock/base/loop_stalls.h"
 #include "ibislock/base/random.h"
+#include "ibislock/base/start_steps.h"
 #include "ibislock/feed/listings_follower.h"
 #include "ibislock/feed/operators_follower.h"
 #include "ibislock/feed/operators_view.h"
@@ -64,6 +65,9 @@
     /// Passes on what entry VMs know of prompts that crash engines.
     void shareQuarantine();
     void onEngineReport();
+
+    /// Records which steps of the start are reached.
+    void updateStartSteps(Millis now);
     void tick();
     std::string metricsText() const;
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
@@ -89,6 +93,7 @@
     std::uint64_t m_incarnation;
     Random m_random;
     Millis m_startedAt = steadyMillis();
+    StartSteps m_startSteps{m_startedAt};
     feed::SendTimeClock m_sendTimeClock; ///< Its times are of the boot clock.
     std::uint64_t m_sequence = 0;
     std::string m_lastPublished;
