Manifests: ask all sources at the same time, and let the next VM take over sooner

What callers saw: behind the return of all machines no engine had weights for 10 s. 2 s to 2.5 s of it the VMs waited for one that asks others for the manifest.

Cause: sources were asked one after the other, each up to 0.7 s beyond its wait, and the first VM in the order turned to the origin behind the last of them. If it didn't deliver, the next VM took over after 2 s, the time for pieces.

Now all sources are asked at once. What responds at once is waited for 200 ms; the one that fetches the manifest goes on being waited for beside the rest. A duty lasts 500 ms: a manifest takes the origin's link some 10 ms.

--- a/libs/side/src/manifest_fetcher.cpp
+++ b/libs/side/src/manifest_fetcher.cpp
@@ -18,6 +18,13 @@
 /// How much longer the timeout of a request is than its long-poll time.
 constexpr Millis AnswerMargin{700};
 
+/// How long sources that are expected to respond at once are waited for, before this VM turns to the origin.
+constexpr Millis SourcesTime{200};
+
+/// Time after which the next VM in the order replaces one that responds but doesn't deliver. A manifest takes the
+/// origin's link some 10 ms, so that one too many costs little.
+constexpr Millis ManifestDutyTime{500};
+
 /// Delay before a manifest that no source delivered is requested again.
 constexpr Millis RetryTime{250};
 
@@ -65,93 +72,116 @@
 {
     ++m_generation;
     m_found = nullptr;
-    m_requestActive = false;
+    m_originActive = false;
+    m_asked.clear();
+    m_awaited.clear();
+    m_turnAt = Millis{0};
     m_candidates.clear();
     m_originCalls = 0;
 }
 
 void ManifestFetcher::step()
 {
-    if (m_found && !m_requestActive && steadyMillis() >= m_nextAttemptAt) {
-        startRequest();
+    const Millis now = steadyMillis();
+    if (!m_found || m_originActive || now < m_nextAttemptAt) {
+        return;
     }
-}
-
-void ManifestFetcher::startRequest()
-{
-    m_requestActive = true;
     if (m_source == ManifestSource::Origin || !m_candidates.empty()) {
         requestFromOrigin();
-        return;
+    } else if (m_turnAt == Millis{0}) {
+        askSources();
+    } else if (now >= m_turnAt) {
+        requestAtTurn();
     }
+}
+
+void ManifestFetcher::askSources()
+{
     std::vector<weights::DistributionMember> members = m_members(m_desired.version);
     for (weights::DistributionMember &member : members) {
         member.hasVersion =
             false; // A VM that has loaded a version may lack its manifest, e.g. after all VMs started at once.
     }
     m_rank = weights::originRank(peer::ManifestIndex, m_self, m_domain, members);
-    m_sources = weights::pieceSources(peer::ManifestIndex, m_self, m_domain, members);
-    std::erase_if(m_sources, [](const weights::PieceSource &source) { return source.vm.empty(); });
+    std::vector<weights::PieceSource> sources = weights::pieceSources(peer::ManifestIndex, m_self, m_domain, members);
+    std::erase_if(sources, [](const weights::PieceSource &source) { return source.vm.empty(); });
     if (!isFresh(m_desired, steadyMillis())) {
         for (const std::string &vm : m_rank.juniors) {
-            m_sources.push_back({.vm = vm});
+            sources.push_back({.vm = vm});
+        }
+    }
+    m_turnAt = steadyMillis() + SourcesTime;
+    m_awaited.clear();
+    for (const weights::PieceSource &source : sources) {
+        if (!m_asked.contains(source.vm) && m_exchange.stateOf(source.vm) != PeerState::Unreachable) {
+            askSource(source);
         }
     }
-    requestFromSource(0, false);
+    if (m_awaited.empty()) {
+        requestAtTurn();
+    }
 }
 
-void ManifestFetcher::requestFromSource(std::size_t sourceIndex, bool previousUnreachable)
+void ManifestFetcher::askSource(const weights::PieceSource &source)
 {
-    while (sourceIndex < m_sources.size() && m_exchange.stateOf(m_sources[sourceIndex].vm) == PeerState::Unreachable) {
-        previousUnreachable = true;
-        ++sourceIndex;
+    const Millis wait = source.isFetching ? ManifestWait : Millis{0};
+    m_asked.insert(source.vm);
+    if (!source.isFetching) {
+        m_awaited.insert(source.vm);
     }
-    if (sourceIndex >= m_sources.size()) {
-        requestAtTurn();
+    m_exchange.request(source.vm,
+                       {.model = m_desired.model,
+                        .version = m_desired.version,
+                        .index = peer::ManifestIndex,
+                        .waitMs = static_cast<std::uint32_t>(wait.count())},
+                       wait + AnswerMargin,
+                       [this, generation = m_generation, vm = source.vm,
+                        askedAt = steadyMillis()](const std::optional<peer::PieceMessage> &answer) {
+                           if (generation == m_generation) {
+                               handleSourceResponse(vm, askedAt, answer);
+                           }
+                       });
+}
+
+void ManifestFetcher::handleSourceResponse(const std::string &vm, Millis askedAt,
+                                           const std::optional<peer::PieceMessage> &answer)
+{
+    m_asked.erase(vm);
+    const bool wasAwaited = m_awaited.erase(vm) > 0;
+    if (answer && answer->content == peer::PieceContent::Manifest && hasAllPieces(answer->digests)) {
+        finish(answer->digests, vm);
         return;
     }
-    const weights::PieceSource &source = m_sources[sourceIndex];
-    const Millis wait = source.isFetching || (previousUnreachable && source.isSubstitute) ? ManifestWait : Millis{0};
-    const Millis askedAt = steadyMillis();
-    m_exchange.request(
-        source.vm,
-        {.model = m_desired.model,
-         .version = m_desired.version,
-         .index = peer::ManifestIndex,
-         .waitMs = static_cast<std::uint32_t>(wait.count())},
-        wait + AnswerMargin,
-        [this, generation = m_generation, sourceIndex, wait, askedAt](const std::optional<peer::PieceMessage> &answer) {
-            if (generation != m_generation) {
-                return;
-            }
-            const bool isManifest = answer && answer->content == peer::PieceContent::Manifest;
-            if (isManifest && hasAllPieces(answer->digests)) {
-                finish(answer->digests, m_sources[sourceIndex].vm);
-            } else {
-                const Millis waited = steadyMillis() - askedAt;
-                logInfo(LogComponent::Side, "A VM didn't deliver the manifest.",
-                        {{"version", std::to_string(m_desired.version)},
-                         {"vm", m_sources[sourceIndex].vm},
-                         {"cause", answer ? "missing" : "no answer"},
-                         {"waited_ms", std::to_string(waited.count())}});
-                const bool unreachable = !answer && waited < wait;
-                requestFromSource(sourceIndex + 1, unreachable);
-            }
-        });
+    logInfo(LogComponent::Side, "A VM didn't deliver the manifest.",
+            {{"version", std::to_string(m_desired.version)},
+             {"vm", vm},
+             {"cause", answer ? "missing" : "no answer"},
+             {"waited_ms", std::to_string((steadyMillis() - askedAt).count())}});
+    if (wasAwaited && m_awaited.empty() && m_turnAt > Millis{0} && !m_originActive) {
+        requestAtTurn();
+    }
 }
 
 void ManifestFetcher::requestAtTurn()
 {
+    m_turnAt = Millis{0};
+    m_awaited.clear();
     // A VM that responds but doesn't deliver is replaced for some time by each of the others in turn.
-    if (weights::isOnDuty(m_rank.overall, m_rank.vms, steadyMillis() - m_startedAt)) {
+    const Millis waited = steadyMillis() - m_startedAt;
+    if (weights::isOnDuty(m_rank.overall, m_rank.vms, waited, ManifestDutyTime) || areSeniorsOut()) {
         requestFromOrigin();
-        return;
+    } else {
+        retryLater(RetryTime);
     }
-    bool unreachable = true;
+}
+
+bool ManifestFetcher::areSeniorsOut()
+{
+    bool out = true;
     for (const auto *seniors : {&m_rank.domainSeniors, &m_rank.otherSeniors}) {
         for (const std::string &vm : *seniors) {
             const PeerState state = m_exchange.stateOf(vm);
-            unreachable = unreachable && state == PeerState::Unreachable;
+            out = out && state == PeerState::Unreachable;
             if (state == PeerState::Unknown) {
                 m_exchange.check(vm, m_desired.model, m_desired.version);
             }
@@ -160,21 +190,18 @@
             }
         }
     }
-    if (unreachable) {
-        requestFromOrigin();
-    } else {
-        retryLater(RetryTime);
-    }
+    return out;
 }
 
 void ManifestFetcher::retryLater(Millis delay)
 {
-    m_requestActive = false;
+    m_originActive = false;
     m_nextAttemptAt = steadyMillis() + jittered(m_random, delay);
 }
 
 void ManifestFetcher::requestFromOrigin()
 {
+    m_originActive = true;
     // While the origin doesn't respond, one call at a time is enough to notice that it does again.
     const int calls = m_candidates.empty() && m_failures == 0 ? EqualManifests : 1;
     for (int n = 0; n < calls; ++n) {
--- a/libs/side/src/manifest_fetcher.h
+++ b/libs/side/src/manifest_fetcher.h
@@ -1,7 +1,8 @@
-// Fetches the manifest of a version of weights: from the VMs that receive it first, then from the origin. The origin
-// accepts few connections, so only the owner of the manifest requests it there; other VMs do so only if no source has
-// delivered it. All pieces are verified against the manifest, and nothing verifies the manifest itself. So one from the
-// origin, which may be corrupted on its way, is used only once the origin has sent the same one twice.
+// Fetches the manifest of a version of weights: from the VMs that receive it first, all of which are asked at the same
+// time, then from the origin. The origin accepts few connections, so only the owner of the manifest requests it there;
+// other VMs do so in turn while no source has delivered it. All pieces are verified against the manifest, and nothing
+// verifies the manifest itself. So one from the origin, which may be corrupted on its way, is used only once the origin
+// has sent the same one twice.
 
 #pragma once
 
@@ -10,6 +11,8 @@
 #include "ibislock/weights/origin_turns.h"
 #include "piece_exchange.h"
 
+#include <set>
+
 namespace ibislock::side
 {
 
@@ -34,19 +37,21 @@
     /// Cancels the fetch.
     void stop();
 
-    /// Sends a request if none is active and the retry delay after the last failure is over.
+    /// Asks the sources that are not being asked, and the origin at this VM's turn.
     void step();
 
 private:
-    void startRequest();
-
-    /// Requests the manifest from a source, and from the next ones if that fails.
-    /// @param sourceIndex the index of the source in `m_sources`.
-    /// @param previousUnreachable whether the previous source was unreachable.
-    void requestFromSource(std::size_t sourceIndex, bool previousUnreachable);
+    /// Asks all sources for the manifest; `requestAtTurn` follows once all have responded that they lack it, or a
+    /// little later.
+    void askSources();
+    void askSource(const weights::PieceSource &source);
+    void handleSourceResponse(const std::string &vm, Millis askedAt, const std::optional<peer::PieceMessage> &answer);
 
-    /// Requests the manifest from the origin if it is this VM's turn; else the sources are tried again later.
+    /// Requests the manifest from the origin if it is this VM's turn; else the sources are asked again later.
     void requestAtTurn();
+
+    /// Returns whether all VMs before this one in the order are unreachable; checks those of which nothing is known.
+    bool areSeniorsOut();
     void requestFromOrigin();
     void retryLater(Millis delay);
     void callManifestOrigin();
@@ -70,8 +75,10 @@
     std::function<void(std::vector<Digest>)> m_found; ///< Empty while no manifest is being fetched.
     std::uint64_t m_generation =
         0; ///< Incremented on each start and stop; responses of an earlier generation are ignored.
-    bool m_requestActive = false;
-    std::vector<weights::PieceSource> m_sources;
+    bool m_originActive = false; ///< The origin is being asked.
+    std::set<std::string> m_asked; ///< VMs that have not responded yet.
+    std::set<std::string> m_awaited; ///< Those of them whose response decides whether the origin is asked.
+    Millis m_turnAt{0}; ///< When the origin is asked without it; 0 if the sources are to be asked first.
     ManifestSource m_source = ManifestSource::Any;
     std::vector<std::vector<Digest>> m_candidates; ///< Different manifests that the origin has sent, each once.
     int m_originCalls = 0; ///< Calls to the origin that are under way.
--- a/libs/side/test/side_restart_test.cpp
+++ b/libs/side/test/side_restart_test.cpp
@@ -14,7 +14,13 @@
 namespace
 {
 
-constexpr lab::WeightsStandIn Wanted{.version = 2};
+constexpr std::int64_t WantedVersion = 2;
+
+/// The weights that are announced.
+lab::WeightsStandIn wanted()
+{
+    return {.version = WantedVersion};
+}
 
 /// Target VMs of two domains that restart together.
 class RestartTest : public SideTest
@@ -24,7 +30,7 @@
     void addEmpty(int vms)
     {
         for (int n = 0; n < vms; ++n) {
-            add(0).engine.expected = Wanted;
+            add(0).engine.expected = wanted();
         }
     }
 
@@ -43,7 +49,7 @@
     /// Announces the wanted version before the VMs start.
     void startBehindAnnouncement()
     {
-        name(Wanted.version);
+        name(WantedVersion);
         start();
     }
 };
@@ -52,7 +58,7 @@
 TEST_F(RestartTest, PiecesThatAnyVmHasStagedAreNotFetchedFromTheOrigin)
 {
     addEmpty(12);
-    for (int piece = 0; piece < Wanted.pieces; ++piece) {
+    for (int piece = 0; piece < wanted().pieces; ++piece) {
         // The VM of its domain that comes last in the order of the piece, so that no other VM looks for it there.
         const auto last = std::max_element(m_vms.begin(), m_vms.end(), [&](const auto &a, const auto &b) {
             const auto place = [&](const Vm &vm) {
@@ -60,10 +66,10 @@
             };
             return place(*a) < place(*b);
         });
-        (*last)->engine.staged[piece] = pieceBytes(Wanted, piece);
+        (*last)->engine.staged[piece] = pieceBytes(wanted(), piece);
     }
     startBehindAnnouncement();
-    EXPECT_TRUE(runUntilLoaded(Wanted.version));
+    EXPECT_TRUE(runUntilLoaded(WantedVersion));
     EXPECT_EQ(m_origin.piecesServed, 0);
     expectNothingSpoilt();
 }
@@ -128,7 +134,7 @@
     }
     ASSERT_TRUE(idle.firstPollEnd());
     m_store.append("i-idle", "");
-    EXPECT_TRUE(runUntilLoaded(Wanted.version));
+    EXPECT_TRUE(runUntilLoaded(WantedVersion));
     EXPECT_LT(steadyMillis(), *idle.firstPollEnd());
 }
 
@@ -203,7 +209,7 @@
 {
     Vm &owner = add(0);
     ASSERT_EQ(owner.domain, "b");
-    owner.engine.expected = Wanted;
+    owner.engine.expected = wanted();
     const std::vector<std::string> ips{"127.0.1.21", "127.0.1.22", "127.0.1.23", "127.0.1.24"};
     const MutualVms others(m_loop, ips, m_peerPort);
     for (const std::string &ip : ips) {
@@ -220,7 +226,7 @@
     }
     lab::LogCapture log;
     startBehindAnnouncement();
-    EXPECT_TRUE(runUntilLoaded(Wanted.version));
+    EXPECT_TRUE(runUntilLoaded(WantedVersion));
     for (const std::string &line : log.take("A VM didn't deliver the manifest.")) {
         EXPECT_EQ(line.find("no answer"), std::string::npos) << line;
     }
--- a/libs/weights/include/ibislock/weights/origin_turns.h
+++ b/libs/weights/include/ibislock/weights/origin_turns.h
@@ -116,10 +116,14 @@
 OriginTurn decideOriginTurn(OriginTurns &turns, const OriginAvailability &availability, int piece,
                             const OriginRank &rank, Millis now);
 
-/// Returns whether a VM replaces the VMs before it, which can be reached but don't deliver. The duty passes to the next
-/// VM after a fixed time.
+/// Time after which the next VM in the order replaces one that responds but doesn't deliver a piece. Longer than the
+/// pieces requested in advance take.
+inline constexpr Millis DutyTime{2000};
+
+/// Returns whether a VM replaces the VMs before it, which can be reached but don't deliver.
 /// @param place the VM's number in the order of all `vms`.
 /// @param waited how long the first VM has not delivered.
-bool isOnDuty(int place, int vms, Millis waited);
+/// @param interval how long a VM has the duty.
+bool isOnDuty(int place, int vms, Millis waited, Millis interval = DutyTime);
 
 } // namespace ibislock::weights
--- a/libs/weights/src/origin_turns.cpp
+++ b/libs/weights/src/origin_turns.cpp
@@ -37,10 +37,6 @@
 /// The same time in transfers of a piece, for slow links.
 constexpr int SilencePieces = 6;
 
-/// Time after which the next VM in the order replaces one that responds but doesn't deliver. Longer than the pieces
-/// requested in advance take.
-constexpr Millis DutyTime{2000};
-
 /// How long after a piece has come from the origin other VMs may learn of it.
 constexpr Millis EvidenceTime{200};
 
@@ -277,9 +273,9 @@
     return isOnDuty(rank.overall, rank.vms, now - since) ? OriginTurn::Now : OriginTurn::IfSeniorsOut;
 }
 
-bool isOnDuty(int place, int vms, Millis waited)
+bool isOnDuty(int place, int vms, Millis waited, Millis interval)
 {
-    return waited / DutyTime % std::max(vms, 1) == place;
+    return waited / interval % std::max(vms, 1) == place;
 }
 
 } // namespace ibislock::weights
