Cold targets: a listing that is read before the desired state says that its target is cold

What callers saw: none did so far. A cold target crashes above its rate, and an entry VM that starts sends it any number of requests until its listing changes.

Cause: how long a target stays cold is recorded when its listing is applied, and only if the terms of its service are known. A VM that starts reads state and listings at the same time; if the listings came first, each cold target in them was warm.

Now the time and the content of the listing are kept with the target, and applied with the terms.

ColdTargetTest.AListingThatPrecedesTheTermsOfItsServiceCounts fails before (Warm) and passes now; serving_test: 321 pass.

--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -82,6 +82,7 @@
 struct Target
 {
     TargetEntry entry;
+    Millis listedAt{0}; ///< When the listing arrived.
     std::optional<TargetLoad> load;
     TargetHealth health;
     int inFlight = 0; ///< Requests of this entry VM that are in flight at the present incarnation.
--- a/libs/serving/src/target_table.cpp
+++ b/libs/serving/src/target_table.cpp
@@ -55,7 +55,8 @@
     }
     if (!target.cold) {
         target.cold = ColdTarget{};
-        recordListing(*target.cold, {.startedAt = target.entry.startedAt}, Millis{0});
+        recordListing(*target.cold, {.startedAt = target.entry.startedAt, .coldLeft = target.entry.coldLeft},
+                      target.listedAt);
     }
     target.cold->terms = it->second;
     target.cold->entryVms = table.coldEntryVms;
@@ -137,6 +138,7 @@
     }
     target.expiringSince.reset();
     target.entry = std::move(*entry);
+    target.listedAt = now;
     updateColdTerms(table, target);
     if (target.cold) {
         recordListing(*target.cold, listedStart, now);
--- a/libs/serving/test/cold_start_test.cpp
+++ b/libs/serving/test/cold_start_test.cpp
@@ -207,6 +207,16 @@
     EXPECT_EQ(phase(Millis{300}), ColdPhase::Cold);
 }
 
+// Listings that were read before the desired state made all targets warm.
+TEST_F(ColdTargetTest, AListingThatPrecedesTheTermsOfItsServiceCounts)
+{
+    applyColdTerms(m_table, {});
+    list(1, Millis{100}, Millis{9000});
+    applyColdTerms(m_table, {{"s", Terms}});
+    EXPECT_EQ(phase(Millis{9099}), ColdPhase::Cold);
+    EXPECT_EQ(phase(Millis{9100}), ColdPhase::Warm);
+}
+
 TEST_F(ColdTargetTest, TargetsOfAServiceWithoutALimitAreNotAffected)
 {
     applyColdTerms(m_table, {});
