Start: a VM takes its first desired state from VMs of its domain, and reads the store only in turn

With 1,849 routes 43 VMs of a domain took 26 MB over a link of 23 Mbit/s; calls were given up after 0.8 s and begun anew, so that the link stayed full, and listings, manifests and pieces waited behind them.

Now listings come first. They show which targets have engines, so that relays are known without a state. Relays name the entry VMs that have asked them, also before they have listings themselves, and are asked again soon while they start. An entry VM asks its parent in the tree and the root, a target VM two entry VMs; the root reads the store, others in turns. A VM without relays reads at a random time.

FrontTest's daemon is alone, and is told so (FrontOptions::startsWithOthers), as its tests go on 60 ms behind the start.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -64,7 +64,14 @@
     /// Called with such records of a relay.
     std::function<void(const std::string &relay, const std::vector<peer::TopicRecord> &records)> onLostRecords = {};
     /// Called with the addresses of the entry VMs that recently sent requests to the relay.
-    std::function<void(std::vector<std::string> vms)> onEntryVms;
+    /// @param complete whether these are all entry VMs of the domain, as far as the relay knows; it may have started a
+    /// moment ago.
+    std::function<void(std::vector<std::string> vms, bool complete)> onEntryVms;
+    /// Returns whether this VM has just started and needs to know entry VMs soon, whatever changes in the listings. May
+    /// be empty.
+    std::function<bool()> awaitsEntryVms = {};
+    /// Called, also repeatedly, when the listings show no relay for this VM, or none of those responds. May be empty.
+    std::function<void()> onNoRelay = {};
     /// Returns whether cold targets of a service are limited, or may be. May be empty if none are.
     std::function<bool(const std::string &service)> hasColdLimit = {};
 };
@@ -143,10 +150,14 @@
     void notify(const std::vector<peer::ListingChange> &changes);
     void updateRole(const std::vector<std::string> &vms);
     void retryRelays(const std::vector<std::string> &vms);
+
+    /// Reports who can be asked for what this VM needs at its start if no relay tells it.
+    void reportStartContacts(const std::vector<std::string> &vms);
     void retryRelaysWithoutStore();
     std::vector<std::string> domainVms() const;
     void requestUpdate();
     void scheduleRequest(Millis delay);
+    bool awaitsEntryVms() const;
     void handleFrame(const std::string &body);
     void applyUpdate(const peer::ListingsUpdate &update);
     void failOver(std::string_view cause);
@@ -178,6 +189,7 @@
     std::string m_currentRelay; ///< The address of the relay in use.
     std::string m_source{StoreSource}; ///< Who confirmed the listings last.
     Millis m_retryRelaysAt{0}; ///< When relays that failed are tried again; monotonic time.
+    Millis m_relayRetryTime; ///< How long after they failed; grows until one has responded.
     std::uint32_t m_sequence = 0;
     int m_regressions = 0; ///< Consecutive updates that end before the cached listings.
     Millis m_requestedAt{0}; ///< When the last request was sent, by the boot clock.
--- a/libs/feed/include/ibislock/feed/listings_relay.h
+++ b/libs/feed/include/ibislock/feed/listings_relay.h
@@ -35,6 +35,9 @@
     /// @param at the end of the outage, by the boot clock.
     void recordStoreRecovery(Millis at);
 
+    /// Returns the addresses of the entry VMs that recently sent requests.
+    std::vector<std::string> recentEntryVms() const;
+
     /// Returns the number of requests that were answered.
     std::uint64_t responsesSent() const;
 
@@ -42,7 +45,6 @@
     Result<peer::ListingsRequest> decodeRequest(std::string_view body);
     bool isReady(const peer::ListingsRequest &request) const;
     peer::ListingsUpdate makeResponse(const peer::ListingsRequest &request, Millis heldFor) const;
-    std::vector<std::string> recentEntryVms(Millis now) const;
 
     const ListingsCache &m_cache;
     std::function<peer::TopicWatermark()> m_ownWatermark;
--- a/libs/feed/include/ibislock/feed/operators_follower.h
+++ b/libs/feed/include/ibislock/feed/operators_follower.h
@@ -1,7 +1,8 @@
 // Follows the operators' topic. A VM that learns of new records requests them from an entry VM of its failure domain.
 // It reads the store only if it is the root of the domain's tree or none of its sources has the records. So a desired
 // state crosses the links between regions a few times instead of once for each VM, and reaches VMs whose calls the
-// store rejects.
+// store rejects. The same holds for the state with which a VM starts: it waits until the listings of targets tell which
+// VMs to ask.
 //
 //     OperatorsFollower follower(loop, client, store, {.ip = "10.0.0.1", .port = 7715, .isEntryVm = true}, events);
 //     follower.start();
@@ -30,6 +31,8 @@
     std::uint16_t port = 0; ///< The port on which entry VMs listen.
     bool isEntryVm = false; ///< This is an entry VM: it listens on `port` and answers others.
     Millis stateTime{2000}; ///< The time within which a desired state must take effect.
+    /// Other VMs of the domain may be starting as well, so that this one waits for them before it reads the store.
+    bool startsWithOthers = true;
     LongPollLimits limits = {}; ///< Of the connections of other VMs.
 };
 
@@ -45,9 +48,14 @@
     /// @return an empty code, or why the address can't be listened on.
     asio::error_code start();
 
-    /// Sets the entry VMs of the failure domain, among which sources are chosen.
+    /// Sets the entry VMs of the failure domain, among which sources are chosen. A VM that starts reads nothing before.
     /// @param vms the addresses of the entry VMs.
-    void setEntryVms(std::vector<std::string> vms);
+    /// @param complete whether they are all that there are; other lists are used until the first snapshot only.
+    void setEntryVms(std::vector<std::string> vms, bool complete = true);
+
+    /// Records that no VM of the domain that knows its entry VMs has been found; may be called repeatedly. If that
+    /// remains so, a VM that starts reads the store.
+    void recordNoRelay();
 
     /// Records that a record took effect here. It is handed out to VMs that start while the topic lacks it, until a
     /// deletion of its key takes effect.
@@ -98,11 +106,21 @@
     /// Requests records up to an end that was reported or read, unless they are known.
     void applyKnownEnd(const OperatorsWatermark &watermark, const TopicPosition &end);
     std::vector<std::string> sources() const;
+
+    /// Returns the sources, in the order in which they are tried, before those that failed are left out.
+    std::vector<std::string> sourcesInOrder() const;
     StoreTurns turns() const;
 
+    /// Returns for how long this VM has lacked records that others may have.
+    Millis timeWithoutRecords() const;
+
     /// Returns whether this VM may read records from the store now, while it is passive.
     bool mayReadRecords() const;
 
+    /// Returns whether this VM may read its first snapshot from the store now.
+    bool mayReadSnapshot() const;
+    void applySnapshot(std::vector<platform::KeyedRecord> records, const TopicPosition &end);
+
     /// Asks the sources for the missing records, one after the other.
     void startRound();
     void requestNext();
@@ -123,6 +141,9 @@
     LostRecordsQuery m_lostRecordsQuery;
     net::Timer m_timer;
     std::vector<std::string> m_entryVms;
+    Millis m_entryVmsKnownAt{0}; ///< When they were first set; 0 before. In monotonic time, as the next one.
+    Millis m_noRelaySince{0}; ///< 0 unless no relay was found.
+    Millis m_timeAlone{0}; ///< How long this VM waits for other VMs before it reads its first snapshot by itself.
     std::map<std::string, Millis, std::less<>> m_avoidedUntil; ///< VMs that didn't respond; monotonic time.
     std::vector<std::string> m_sources; ///< The VMs to try, in their order.
     std::size_t m_sourceIndex = 0; ///< The index of the current one in `m_sources`.
--- a/libs/feed/include/ibislock/feed/topic_feed.h
+++ b/libs/feed/include/ibislock/feed/topic_feed.h
@@ -56,8 +56,9 @@
                                                      const TopicPosition &end)>
         deletedRecords = {};
 
-    /// Returns whether a passive feed may read records now, rather than leave that to other VMs, which pass them on. If
-    /// it may not, and isn't known to be behind, it only asks the store for the end of the topic. May be empty.
+    /// Returns whether a passive feed, or any one before its first snapshot, may read records now, rather than leave
+    /// that to other VMs, which pass them on. If it may not, and isn't known to be behind, it only asks the store for
+    /// the end of the topic; before the first snapshot it asks for nothing. May be empty.
     std::function<bool()> mayReadRecords = {};
 
     /// Called if that end shows that records are unread. May be empty.
@@ -107,7 +108,7 @@
     TopicFeed(const TopicFeed &) = delete;
     TopicFeed &operator=(const TopicFeed &) = delete;
 
-    /// Starts with reading a snapshot.
+    /// Starts with reading a snapshot, once `FeedEvents::mayReadRecords` allows it.
     void start();
 
     /// Sets whether the feed is passive, i.e. leaves it to other VMs to poll the store. A passive feed reads when it is
@@ -132,6 +133,14 @@
     /// @return whether the records were applied.
     bool applyRecords(std::vector<platform::KeyedRecord> records, const TopicPosition &end, Millis asOf);
 
+    /// Applies a snapshot that another VM has sent, and cancels the call under way. Does nothing behind the first
+    /// snapshot, or if the end is unknown.
+    /// @param records the newest record of each key.
+    /// @param end the position up to which the topic is known with these records.
+    /// @param asOf when the topic ended there, by the boot clock; zero if unknown.
+    /// @return whether the snapshot was applied.
+    bool applySnapshot(std::vector<platform::KeyedRecord> records, const TopicPosition &end, Millis asOf);
+
     /// Stops reading, as the topic is followed through another VM; cancels the call under way.
     void suspend();
 
@@ -150,9 +159,13 @@
     void notifyNewRecords(const TopicPosition &end);
 
     /// Waits for the time when this VM may read the records that are known to be unread, unless a call is under way;
-    /// does nothing if it may read now.
+    /// does nothing if it may read now, or before the first snapshot.
     void awaitTurn();
 
+    /// Reads the first snapshot at once if it is allowed now; otherwise that is checked a few times a second. Does
+    /// nothing if a call was made before.
+    void beginIfAllowed();
+
     /// Returns the position after the last record that was read; unknown before the first snapshot.
     const TopicPosition &position() const;
 
@@ -211,6 +224,10 @@
     void applyNewest(std::vector<platform::KeyedRecord> records, const TopicPosition &end);
     void readNext();
 
+    /// Returns how long the next call may take until the first byte of its response. The first snapshot of all VMs that
+    /// start together takes seconds over a link that they share; it is repeated beside itself instead of begun anew.
+    Millis firstByteTimeout() const;
+
     /// Returns whether other VMs are to read records now.
     bool leavesReadsToOthers() const;
 
--- a/libs/feed/src/listings_follower.cpp
+++ b/libs/feed/src/listings_follower.cpp
@@ -18,6 +18,12 @@
 /// Time until relays that failed are tried again, and until a VM that reads the store checks whether it still has to.
 constexpr Millis RelayRetryInterval{4000};
 
+/// The same time at first, doubled with each failure: relays may be starting together with this VM.
+constexpr Millis FirstRelayRetryInterval{150};
+
+/// Pause between a relay's update and the next request of a VM that has just started.
+constexpr Millis StartRequestPause{40};
+
 } // namespace
 
 ListingsFollower::ListingsFollower(asio::io_context &loop, net::HttpClient &client, platform::Endpoint store,
@@ -41,6 +47,7 @@
                  TopicPoll(client, std::move(store), std::string(platform::TargetsTopic), ownReadEvents())}
     , m_ownReadTimer(loop)
     , m_random(systemRandom())
+    , m_relayRetryTime(FirstRelayRetryInterval)
     , m_timer(loop)
     , m_relayClient(loop, m_options.port,
                     {.onFrame = [this](const std::string &body) { handleFrame(body); },
@@ -239,6 +246,7 @@
     updateRole(vms);
     m_feed.setPassive(!m_servesOthers && !usesListings());
     m_relayServer.completePending();
+    reportStartContacts(vms);
     retryRelays(vms);
 }
 
@@ -247,11 +255,24 @@
     m_servesOthers = m_options.servesListings && isRelayOrBackup(m_options.ip, vms);
 }
 
+void ListingsFollower::reportStartContacts(const std::vector<std::string> &vms)
+{
+    if (!relaysFor(m_options.ip, vms).empty()) {
+        return;
+    }
+    if (m_events.onNoRelay) {
+        m_events.onNoRelay();
+    }
+    if (m_servesOthers) {
+        m_events.onEntryVms(m_relayServer.recentEntryVms(), /*complete=*/false);
+    }
+}
+
 void ListingsFollower::retryRelays(const std::vector<std::string> &vms)
 {
     const Millis now = steadyMillis();
     if (!m_requesting && now >= m_retryRelaysAt && !relaysFor(m_options.ip, vms).empty()) {
-        m_retryRelaysAt = now + RelayRetryInterval;
+        m_retryRelaysAt = now + m_relayRetryTime;
         m_relayIndex = 0;
         requestUpdate(); // The store is read until a relay has responded.
     }
@@ -259,7 +280,7 @@
 
 void ListingsFollower::retryRelaysWithoutStore()
 {
-    m_timer.start(RelayRetryInterval, [this] { retryRelaysWithoutStore(); });
+    m_timer.start(m_relayRetryTime, [this] { retryRelaysWithoutStore(); });
     retryRelays(domainVms());
 }
 
@@ -287,7 +308,7 @@
     }
     m_requesting = true;
     m_requestedAt = bootMillis();
-    const Millis wait = relayHoldTime(age(), m_options.drainTime);
+    const Millis wait = awaitsEntryVms() ? Millis{0} : relayHoldTime(age(), m_options.drainTime);
     m_currentRelay = vms[m_relayIndex];
     m_relayClient.send(
         m_currentRelay,
@@ -299,6 +320,11 @@
     m_timer.start(wait + fractionOfDrainTime(ResponseMarginFraction), [this] { failOver("no answer"); });
 }
 
+bool ListingsFollower::awaitsEntryVms() const
+{
+    return m_events.awaitsEntryVms && m_events.awaitsEntryVms();
+}
+
 void ListingsFollower::scheduleRequest(Millis delay)
 {
     m_timer.start(delay, [this] { requestUpdate(); });
@@ -321,11 +347,20 @@
 {
     // The response left the relay `heldFor` after the request was sent or later, so this can only overestimate the age.
     const Millis asOf = m_requestedAt + update.heldFor - update.age;
-    if (!update.end.isKnown() || bootMillis() - asOf > fractionOfDrainTime(MaxAgeFraction)) {
+    const bool stale = !update.end.isKnown() || bootMillis() - asOf > fractionOfDrainTime(MaxAgeFraction);
+    if (m_events.onLostRecords && !update.lostRecords.empty()) {
+        m_events.onLostRecords(m_currentRelay, update.lostRecords);
+    }
+    m_events.onEntryVms(update.entryVms, /*complete=*/!stale);
+    m_events.onOperatorsWatermark({.end = update.operatorsWatermark.end,
+                                   .announcementsEnd = update.operatorsWatermark.announcementsEnd,
+                                   .asOf = m_requestedAt + update.heldFor - update.operatorsWatermark.age});
+    if (stale) {
         failOver("stale answer");
         return;
     }
     ++m_relayResponses;
+    m_relayRetryTime = RelayRetryInterval;
     const Millis now = steadyMillis();
     if (m_readsStore) {
         m_readsStore = false;
@@ -333,13 +368,6 @@
         logInfo(LogComponent::Store, "Reading listings from a relay.",
                 {{"relay", m_currentRelay}, {"age_ms", std::to_string((bootMillis() - asOf).count())}});
     }
-    if (m_events.onLostRecords && !update.lostRecords.empty()) {
-        m_events.onLostRecords(m_currentRelay, update.lostRecords);
-    }
-    m_events.onEntryVms(update.entryVms);
-    m_events.onOperatorsWatermark({.end = update.operatorsWatermark.end,
-                                   .announcementsEnd = update.operatorsWatermark.announcementsEnd,
-                                   .asOf = m_requestedAt + update.heldFor - update.operatorsWatermark.age});
     m_regressions = update.end < m_cache.end ? m_regressions + 1 : 0;
     if (m_regressions > MaxRegressions) {
         m_regressions = 0;
@@ -372,7 +400,7 @@
         m_retryRelaysAt = now + RelayRetryInterval;
         m_relayIndex = 0;
     }
-    scheduleRequest(requestPause(age(), m_options.drainTime));
+    scheduleRequest(awaitsEntryVms() ? StartRequestPause : requestPause(age(), m_options.drainTime));
 }
 
 void ListingsFollower::failOver(std::string_view cause)
@@ -382,7 +410,7 @@
             {{"relay", m_currentRelay}, {"cause", std::string(cause)}, {"age_ms", std::to_string(age().count())}});
     closeConnection();
     if (m_relayIndex == 0) {
-        m_retryRelaysAt = steadyMillis() + RelayRetryInterval;
+        m_retryRelaysAt = steadyMillis() + m_relayRetryTime;
     }
     ++m_relayIndex;
     requestUpdate();
@@ -398,7 +426,11 @@
 {
     m_requesting = false;
     closeConnection();
-    m_timer.start(RelayRetryInterval, [this] { retryRelaysWithoutStore(); });
+    m_timer.start(m_relayRetryTime, [this] { retryRelaysWithoutStore(); });
+    m_relayRetryTime = std::min(2 * m_relayRetryTime, RelayRetryInterval);
+    if (m_events.onNoRelay) {
+        m_events.onNoRelay();
+    }
     if (!m_readsStore) {
         m_readsStore = true;
         logInfo(LogComponent::Store, "Reading listings from the store.",
--- a/libs/feed/src/listings_relay.cpp
+++ b/libs/feed/src/listings_relay.cpp
@@ -85,8 +85,9 @@
     return request.wantsLostRecords || !covers(m_cache, request.from) || !changesFrom(m_cache, request.from).empty();
 }
 
-std::vector<std::string> ListingsRelay::recentEntryVms(Millis now) const
+std::vector<std::string> ListingsRelay::recentEntryVms() const
 {
+    const Millis now = bootMillis();
     std::vector<std::string> out;
     for (const auto &[vm, requestedAt] : m_entryVms) {
         if (now - requestedAt <= EntryVmLifetime) {
@@ -108,7 +109,7 @@
                              .sinceStoreRecovery = {},
                              .listings = {},
                              .operatorsWatermark = m_ownWatermark(),
-                             .entryVms = recentEntryVms(now),
+                             .entryVms = recentEntryVms(),
                              .lostRecords = {}};
     if (request.wantsLostRecords && m_lostRecords) {
         out.lostRecords = m_lostRecords(request.from.era);
--- a/libs/feed/src/operators_follower.cpp
+++ b/libs/feed/src/operators_follower.cpp
@@ -42,6 +42,18 @@
 /// After which time without a message of another VM one is on its own.
 constexpr double ContactFraction = 0.8;
 
+/// How long a VM that starts waits, once it knows other VMs, for those that start together with it: until it takes
+/// itself for the root of their tree.
+constexpr double RootDelayFraction = 0.05;
+
+/// How long a VM that starts waits for other VMs before it reads its first snapshot from the store by itself. VMs that
+/// find no others don't know how many they are, so that their reads are spread over the second time.
+constexpr double AloneFraction = 0.3;
+constexpr double AloneSpreadFraction = 1.0;
+
+/// How long a VM that failed to respond is not asked again by one that starts.
+constexpr double StartRetryFraction = 0.1;
+
 /// How long a VM that starts may count as not ready because no other VM has told it what the topic lacks.
 constexpr double CatchUpFraction = 0.5;
 
@@ -117,6 +129,11 @@
                          })
     , m_timer(loop)
 {
+    if (m_options.startsWithOthers) {
+        Random random = systemRandom();
+        const double spread = std::uniform_real_distribution<double>(0, AloneSpreadFraction)(random);
+        m_timeAlone = fractionOfStateTime(AloneFraction + spread);
+    }
 }
 
 FeedEvents OperatorsFollower::withCache(FeedEvents events)
@@ -193,10 +210,31 @@
     return ec;
 }
 
-void OperatorsFollower::setEntryVms(std::vector<std::string> vms)
+void OperatorsFollower::setEntryVms(std::vector<std::string> vms, bool complete)
 {
+    const bool starts = !m_feed.synchronized();
+    if (!complete && !starts) {
+        return;
+    }
     m_entryVms = std::move(vms);
-    m_lostRecordsQuery.setVms(m_entryVms);
+    if (complete) {
+        m_lostRecordsQuery.setVms(m_entryVms);
+    }
+    if (m_entryVmsKnownAt == Millis{0} && (complete || !m_entryVms.empty())) {
+        m_entryVmsKnownAt = steadyMillis();
+        m_feed.beginIfAllowed();
+    }
+    if (starts && !m_requesting) {
+        startRound();
+    }
+}
+
+void OperatorsFollower::recordNoRelay()
+{
+    if (m_noRelaySince == Millis{0}) {
+        m_noRelaySince = steadyMillis();
+        m_feed.beginIfAllowed();
+    }
 }
 
 void OperatorsFollower::recordInForce(const platform::KeyedRecord &record)
@@ -290,20 +328,22 @@
     }
     m_wantedEnd = end;
     m_reported = watermark;
-    if (!m_feed.isBehind()) {
+    if (m_feed.synchronized() && !m_feed.isBehind()) {
         m_roundCompleted = false;
         m_isAlone = false;
     }
     m_feed.recordKnownEnd(end);
     m_feed.awaitTurn();
-    if (m_requesting || !m_feed.synchronized()) {
-        return;
+    if (!m_requesting) {
+        startRound();
     }
-    startRound();
 }
 
 void OperatorsFollower::startRound()
 {
+    if (!m_wantedEnd.isKnown()) {
+        m_wantedEnd = {.era = 0, .offset = 0}; // Any snapshot.
+    }
     m_sources = sources();
     m_sourceIndex = 0;
     m_sourceResponded = false;
@@ -319,8 +359,38 @@
     return storeTurns(vms, fractionOfStateTime(FirstTurnFraction), fractionOfStateTime(TurnIntervalFraction));
 }
 
+Millis OperatorsFollower::timeWithoutRecords() const
+{
+    return m_feed.synchronized() ? m_feed.lagTime() : steadyMillis() - m_entryVmsKnownAt;
+}
+
+bool OperatorsFollower::mayReadSnapshot() const
+{
+    const Millis rootDelay = m_options.startsWithOthers ? fractionOfStateTime(RootDelayFraction) : Millis{0};
+    const Millis alone = m_passive ? m_timeAlone : rootDelay;
+    if (m_entryVmsKnownAt == Millis{0}) {
+        return m_noRelaySince > Millis{0} && steadyMillis() - m_noRelaySince >= alone;
+    }
+    const Millis waited = timeWithoutRecords();
+    if (!m_options.isEntryVm) {
+        if (!m_passive) {
+            return waited >= fractionOfStateTime(FirstTurnFraction); // Others rely on this VM.
+        }
+        const bool nobodyResponds = m_isAlone && !m_requesting;
+        return waited >= m_timeAlone + (nobodyResponds ? Millis{0} : fractionOfStateTime(FirstTargetTurnFraction));
+    }
+    if (sourcesInTree(m_options.ip, m_entryVms).empty()) {
+        // If a VM is known to have a snapshot, others are asked first.
+        return waited >= rootDelay && (!m_reported.end.isKnown() || m_roundCompleted);
+    }
+    return hasStoreTurn(turns(), m_options.ip, waited);
+}
+
 bool OperatorsFollower::mayReadRecords() const
 {
+    if (!m_feed.synchronized()) {
+        return mayReadSnapshot();
+    }
     if (m_options.isEntryVm && sourcesInTree(m_options.ip, m_entryVms).empty()) {
         return true; // The root of the tree.
     }
@@ -339,22 +409,30 @@
     return m_feed.lagTime() >= targetTurns.first && hasStoreTurn(targetTurns, m_options.ip, m_feed.lagTime());
 }
 
-std::vector<std::string> OperatorsFollower::sources() const
+std::vector<std::string> OperatorsFollower::sourcesInOrder() const
 {
-    if (!m_passive && !m_storeUnreachable) {
+    const bool starts = !m_feed.synchronized();
+    if (!m_passive && !m_storeUnreachable && !starts) {
         return {}; // Others rely on this VM to read the store.
     }
-    const bool inTree = m_options.isEntryVm && !m_storeUnreachable;
+    // If a VM is known to have what a VM lacks at its start, all entry VMs are likely to have it.
+    const bool inTree = m_options.isEntryVm && !m_storeUnreachable && !(starts && m_reported.end.isKnown());
     std::vector<std::string> out =
         inTree ? sourcesInTree(m_options.ip, m_entryVms) : sourcesOutsideTree(m_options.ip, m_entryVms);
     if (m_roundCompleted) {
         // What is missing is at a VM that has read the store beside the root of the tree, if at any.
-        for (const std::string &vm : recentStoreTurns(turns(), m_feed.lagTime(), RecentTurns)) {
+        for (const std::string &vm : recentStoreTurns(turns(), timeWithoutRecords(), RecentTurns)) {
             if (vm != m_options.ip && std::find(out.begin(), out.end(), vm) == out.end()) {
                 out.push_back(vm);
             }
         }
     }
+    return out;
+}
+
+std::vector<std::string> OperatorsFollower::sources() const
+{
+    std::vector<std::string> out = sourcesInOrder();
     std::erase_if(out, [this, now = steadyMillis()](const std::string &vm) {
         const auto it = m_avoidedUntil.find(vm);
         return it != m_avoidedUntil.end() && now < it->second;
@@ -364,7 +442,7 @@
 
 void OperatorsFollower::requestNext()
 {
-    if (!m_feed.isBehind()) {
+    if (m_feed.synchronized() && !m_feed.isBehind()) {
         m_wantedEnd = m_feed.position(); // The records have been read, or the store doesn't have them.
     }
     m_requesting = m_feed.position() < m_wantedEnd && m_sourceIndex < m_sources.size();
@@ -374,7 +452,7 @@
             m_roundCompleted = true;
             m_isAlone = !m_sourceResponded;
             m_feed.notifyNewRecords(m_wantedEnd);
-            if (m_passive) {
+            if (m_passive || !m_feed.synchronized()) {
                 m_timer.start(fractionOfStateTime(NextRoundFraction), [this] { startRound(); });
             }
         }
@@ -436,6 +514,10 @@
         std::move(deleted.begin(), deleted.end(), std::back_inserter(records));
     }
     m_recordSource = m_sourceClient.vm();
+    if (!m_feed.synchronized()) {
+        applySnapshot(std::move(records), update.end);
+        return;
+    }
     // Records before the reported end don't show that the topic ended behind them.
     const Millis asOf = update.end >= m_reported.end ? m_reported.asOf : m_feed.endKnownAt();
     const bool applied = m_feed.applyRecords(std::move(records), update.end, asOf);
@@ -449,6 +531,22 @@
     requestNext(); // If states follow one another quickly, the same VM may have the next one by now.
 }
 
+void OperatorsFollower::applySnapshot(std::vector<platform::KeyedRecord> records, const TopicPosition &end)
+{
+    const std::size_t n = records.size();
+    const Millis asOf = m_reported.end.isKnown() && end >= m_reported.end ? m_reported.asOf : Millis{0};
+    const bool applied = m_feed.applySnapshot(std::move(records), end, asOf);
+    if (applied) {
+        logInfo(LogComponent::Store, "Another VM sent the first snapshot.",
+                {{"vm", m_recordSource}, {"records", std::to_string(n)}, {"offset", toText(end)}});
+    } else {
+        ++m_failedRequests;
+        ++m_sourceIndex;
+    }
+    m_recordSource.clear();
+    requestNext();
+}
+
 void OperatorsFollower::failOver(std::string_view cause)
 {
     ++m_failedRequests;
@@ -457,7 +555,8 @@
              {"cause", std::string(cause)},
              {"offset", toText(m_feed.position())},
              {"end", toText(m_wantedEnd)}});
-    m_avoidedUntil[m_sourceClient.vm()] = steadyMillis() + SourceRetryInterval;
+    m_avoidedUntil[m_sourceClient.vm()] =
+        steadyMillis() + (m_feed.synchronized() ? SourceRetryInterval : fractionOfStateTime(StartRetryFraction));
     ++m_sourceIndex;
     requestNext();
 }
--- a/libs/feed/src/topic_feed.cpp
+++ b/libs/feed/src/topic_feed.cpp
@@ -230,7 +230,7 @@
     auto response = std::make_shared<Response>();
     const auto exchange =
         m_client.send(m_store.ip, m_store.port, m_callBytes,
-                      {.connectTimeout = FirstByteTimeout,
+                      {.connectTimeout = m_synchronized ? FirstByteTimeout : m_callTimeout,
                        .timeout = m_callTimeout,
                        .stallTimeout = FirstByteTimeout,
                        .totalTimeout = m_callTimeout + MaxResponseTime,
@@ -261,14 +261,15 @@
 void TopicFeed::scheduleRepeat()
 {
     // A held read has no response until there is a record.
-    if (m_options.repeatTime == Millis{0} || m_longPollTime > Millis{0} || m_repeats == MaxRepeats) {
+    const Millis time = m_synchronized ? m_options.repeatTime : FirstByteTimeout;
+    if (time == Millis{0} || m_longPollTime > Millis{0} || m_repeats == MaxRepeats) {
         return;
     }
-    m_repeatTimer.start(m_options.repeatTime, [this] {
+    m_repeatTimer.start(time, [this] {
         if (!m_callActive || isReceivingResponse()) {
             return;
         }
-        if (isBehind()) {
+        if (isBehind() || !m_synchronized) {
             ++m_repeats;
             ++m_repeatedCalls;
             logInfo(LogComponent::Store, "A read of new records has no response; reading beside it.",
@@ -433,6 +434,27 @@
     return true;
 }
 
+bool TopicFeed::applySnapshot(std::vector<platform::KeyedRecord> records, const TopicPosition &end, Millis asOf)
+{
+    if (m_synchronized || !end.isKnown()) {
+        return false;
+    }
+    cancelCall();
+    advanceTo(end);
+    m_synchronized = true;
+    recordKnownEnd(std::max(m_knownEnd, end)); // What other VMs have reported beyond this end is unread.
+    m_events.onSnapshot(std::move(records));
+    markValidated(asOf);
+    reportWatermark(asOf);
+    scheduleRead(m_options.minReadInterval);
+    return true;
+}
+
+Millis TopicFeed::firstByteTimeout() const
+{
+    return m_synchronized ? m_firstByteTimeout : MaxFirstByteTimeout;
+}
+
 void TopicFeed::suspend()
 {
     cancelCall();
@@ -501,12 +523,14 @@
 
 bool TopicFeed::leavesReadsToOthers() const
 {
-    return m_passive && m_synchronized && m_events.mayReadRecords && !m_events.mayReadRecords();
+    return (m_passive || !m_synchronized) && m_events.mayReadRecords && !m_events.mayReadRecords();
 }
 
 void TopicFeed::waitForTurn()
 {
-    if (isBehind()) {
+    if (!m_synchronized) {
+        schedule(m_options.validityTime / ChecksPerTurnTime, &TopicFeed::readSnapshot);
+    } else if (isBehind()) {
         schedule(m_options.validityTime / ChecksPerTurnTime, &TopicFeed::readNext);
     } else if (bootMillis() - m_validatedAt < m_options.validityTime) {
         readUnlessValidated();
@@ -517,11 +541,18 @@
 
 void TopicFeed::awaitTurn()
 {
-    if (!m_callActive && leavesReadsToOthers()) {
+    if (m_synchronized && !m_callActive && leavesReadsToOthers()) {
         waitForTurn();
     }
 }
 
+void TopicFeed::beginIfAllowed()
+{
+    if (!m_synchronized && m_calls == 0 && !leavesReadsToOthers()) {
+        readSnapshot();
+    }
+}
+
 void TopicFeed::readEnd()
 {
     // No key comes behind this one, so that the page has the end of the topic and no records.
@@ -569,8 +600,8 @@
 
 void TopicFeed::readSnapshot()
 {
-    if (m_readsNewest && !m_snapshotEnd && leavesReadsToOthers()) {
-        cancelCall(); // A retry, behind the turn, of a read of which nothing has arrived.
+    if ((m_readsNewest || !m_synchronized) && !m_snapshotEnd && leavesReadsToOthers()) {
+        cancelCall(); // It isn't this VM's turn, or no more, and nothing of an earlier attempt has arrived.
         waitForTurn();
         return;
     }
@@ -580,7 +611,7 @@
     const std::string after = m_snapshotRecords.empty() ? "" : m_snapshotRecords.back().key;
     m_longPollTime = Millis{0};
     m_readingSnapshot = true;
-    call(platform::makeSnapshotRequest(m_options.topic, after), m_firstByteTimeout, &TopicFeed::readSnapshot,
+    call(platform::makeSnapshotRequest(m_options.topic, after), firstByteTimeout(), &TopicFeed::readSnapshot,
          [this](std::int64_t era, int status, const std::string &body) {
              if (status != OkStatus) {
                  handleFailure("status " + std::to_string(status), &TopicFeed::readSnapshot);
--- a/libs/feed/test/listings_age_test.cpp
+++ b/libs/feed/test/listings_age_test.cpp
@@ -221,7 +221,7 @@
                     .hasDaemon = [](const serving::TargetEntry &entry) { return entry.service == "engines"; },
                     .onOperatorsWatermark = [](const OperatorsWatermark &) {},
                     .ownWatermark = [] { return peer::TopicWatermark{}; },
-                    .onEntryVms = [](const std::vector<std::string> &) {},
+                    .onEntryVms = [](const std::vector<std::string> &, bool) {},
                 });
             EXPECT_FALSE(domain.entry->start());
         }
--- a/libs/feed/test/listings_follower_test.cpp
+++ b/libs/feed/test/listings_follower_test.cpp
@@ -42,7 +42,7 @@
                         [this](const OperatorsWatermark &reported) { mergeWatermark(watermark, reported); },
                     .ownWatermark = [this] { return toMessage(watermark, bootMillis()); },
                     .onEntryVms =
-                        [this](std::vector<std::string> vms) {
+                        [this](std::vector<std::string> vms, bool) {
                             entryVms = std::move(vms);
                         }})
     {
--- a/libs/feed/test/operators_follower_test.cpp
+++ b/libs/feed/test/operators_follower_test.cpp
@@ -105,6 +105,7 @@
     void replaceRootWith(const std::function<void(net::Connection &, std::string_view)> &onData)
     {
         m_vms.erase(m_root);
+        m_loop.run_for(Millis{20}); // The other VMs notice that their connections are closed.
         m_listener =
             std::make_unique<net::Listener>(m_loop, [this, onData](const std::shared_ptr<net::Connection> &connection) {
                 connection->start(
@@ -264,6 +265,47 @@
     EXPECT_EQ(copiesSent() - before, 1);
 }
 
+// Each VM read its first state from the store, which all of them that started together kept busy.
+TEST_F(OperatorsFollowerTest, VmsThatStartTogetherReadOneCopyOfTheState)
+{
+    addAll();
+    EXPECT_EQ(copiesSent(), 1);
+}
+
+TEST_F(OperatorsFollowerTest, VmsThatStartWithoutTheRootOfTheirTreeDoNotEachReadTheState)
+{
+    append("config", "1");
+    for (const std::string &ip : m_ips) {
+        if (ip != m_root) {
+            add(ip, m_store);
+        }
+    }
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    EXPECT_LE(copiesSent(), MostCopies);
+}
+
+TEST_F(OperatorsFollowerTest, AVmThatTheStoreRejectsFromItsStartOnGetsTheStateFromAnother)
+{
+    addAll();
+    m_otherStore.refusals = 1'000'000;
+    const int before = copiesSent();
+    add("127.0.4.99", m_otherStore);
+    ASSERT_TRUE(runUntil([&] { return allHave("1"); }));
+    EXPECT_EQ(copiesSent(), before);
+}
+
+TEST_F(OperatorsFollowerTest, AVmThatFindsNoOthersReadsTheStateByItself)
+{
+    append("config", "1");
+    Vm &vm =
+        *(m_vms["127.0.4.99"] = std::make_unique<Vm>(m_loop, "127.0.4.99", m_port, m_store.port(), true, m_stateTime));
+    EXPECT_FALSE(vm.follower.start());
+    m_loop.run_for(m_stateTime / 4);
+    EXPECT_EQ(copiesSent(), 0) << "others may be starting";
+    vm.follower.recordNoRelay();
+    EXPECT_TRUE(runUntil([&] { return allHave("1"); }));
+}
+
 TEST_F(OperatorsFollowerTest, ATargetVmThatServesNoOthersUsesAnEntryVm)
 {
     addAll();
@@ -324,6 +366,7 @@
 TEST_F(OperatorsFollowerTest, AnUnresponsiveSourceIsReplacedInTimeForTheState)
 {
     addAll();
+    letReadsEnd();
     replaceRoot([](net::Connection &) {});
     append("config", "2");
     reportWatermarks();
@@ -529,6 +572,7 @@
 TEST_F(OperatorsFollowerTest, ASourceThatSendsInvalidMessagesIsReplaced)
 {
     addAll();
+    letReadsEnd();
     replaceRoot([](net::Connection &connection) { connection.write(peer::frame("no message")); });
     append("config", "2");
     reportWatermarks();
--- a/libs/front/include/ibislock/front/daemon.h
+++ b/libs/front/include/ibislock/front/daemon.h
@@ -27,6 +27,8 @@
     /// Timeout for connecting to a target. A round trip takes a few ms; the retransmission of a lost packet takes a
     /// second.
     Millis connectTimeout{400};
+    /// Other VMs of the domain may be starting as well, so that this one waits for them before it reads the store.
+    bool startsWithOthers = true;
 };
 
 class Front;
--- a/libs/front/src/front.cpp
+++ b/libs/front/src/front.cpp
@@ -133,6 +133,7 @@
             .port = settings.lastPeerPort,
             .isEntryVm = true,
             .stateTime = settings.bounds.stateApplyTime,
+            .startsWithOthers = options.startsWithOthers,
             .limits = {.connections = memory.limits.peerConnections, .unsentBytes = memory.limits.peerBytes}},
         feed::FeedEvents{
             .onSnapshot =
@@ -175,7 +176,10 @@
                 [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
                     m_operatorsFollower->applyLostRecords(relay, records);
                 },
-            .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
+            .onEntryVms = [this](std::vector<std::string> vms,
+                                 bool complete) { m_operatorsFollower->setEntryVms(std::move(vms), complete); },
+            .awaitsEntryVms = [this] { return !m_operatorsFollower->feed().synchronized(); },
+            .onNoRelay = [this] { m_operatorsFollower->recordNoRelay(); },
             .hasColdLimit =
                 [this](const std::string &service) {
                     return !operators.state || serving::hasColdLimit(*operators.state, service);
@@ -510,7 +514,8 @@
 
 bool Front::isEngine(const serving::TargetEntry &entry) const
 {
-    return !entry.models.empty() || (operators.state && serving::hasEngine(*operators.state, entry.service));
+    return entry.hasEngine || !entry.models.empty()
+        || (operators.state && serving::hasEngine(*operators.state, entry.service));
 }
 
 void Front::sendSubscriptions(Millis now)
--- a/libs/front/test/front_connecting_test.cpp
+++ b/libs/front/test/front_connecting_test.cpp
@@ -39,7 +39,7 @@
 {
 protected:
     FrontConnectingTest()
-        : FrontTest(0, {.randomSeed = RandomSeed, .connectTimeout = TimeLimit})
+        : FrontTest(0, {.randomSeed = RandomSeed, .connectTimeout = TimeLimit, .startsWithOthers = false})
     {
         m_slow.domain = "b";
     }
--- a/libs/front/test/front_fixture.h
+++ b/libs/front/test/front_fixture.h
@@ -97,7 +97,8 @@
 class FrontTest : public testing::Test
 {
 protected:
-    explicit FrontTest(std::uint16_t peerPort = 0, const FrontOptions &options = {.randomSeed = RandomSeed})
+    explicit FrontTest(std::uint16_t peerPort = 0,
+                       const FrontOptions &options = {.randomSeed = RandomSeed, .startsWithOthers = false})
         : m_peerPort(peerPort)
         , m_daemon(m_loop, settingsFor(m_store.port(), peerPort), options)
     {
--- a/libs/front/test/front_sends_test.cpp
+++ b/libs/front/test/front_sends_test.cpp
@@ -176,7 +176,8 @@
     }
     m_store.append("config", DesiredState);
     list(m_first);
-    FrontDaemon daemon(m_loop, settingsFor(m_store.port()), {.metricsPort = port, .randomSeed = RandomSeed});
+    FrontDaemon daemon(m_loop, settingsFor(m_store.port()),
+                       {.metricsPort = port, .randomSeed = RandomSeed, .startsWithOthers = false});
     ASSERT_TRUE(daemon.start());
     runFor(Millis{100});
     const auto finish = [&](std::uint16_t to, const std::string &bytes) {
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -162,6 +162,7 @@
   models @9 :List(Model);
   writeNumber @10 :Int64;  # Of the last write of its incarnation that the sender knows, also a heartbeat.
   coldLeftMs @11 :UInt32;  # How much longer the target is cold when the update is sent.
+  hasEngine @12 :Bool;  # It loads weights.
 }
 
 struct Model {
--- a/libs/peer/src/listings.cpp
+++ b/libs/peer/src/listings.cpp
@@ -32,6 +32,7 @@
     to.setAddress(entry.address);
     to.setDomain(entry.domain);
     to.setColdLeftMs(wireMillis(entry.coldLeft));
+    to.setHasEngine(entry.hasEngine);
     auto models = to.initModels(static_cast<unsigned>(entry.models.size()));
     for (unsigned n = 0; n < models.size(); ++n) {
         models[n].setName(entry.models[n].name);
@@ -53,7 +54,9 @@
                                .slots = from.getSlots(),
                                .draining = from.getLeaving(),
                                .startedAt = from.getStartedAt(),
-                               .coldLeft = Millis{from.getColdLeftMs()}};
+                               .coldLeft = Millis{from.getColdLeftMs()},
+                               .models = {},
+                               .hasEngine = from.getHasEngine()};
     for (const auto model : from.getModels()) {
         entry.models.push_back({.name = model.getName().cStr(), .version = model.getVersion()});
     }
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -1899,6 +1899,8 @@
 
   inline  ::uint32_t getColdLeftMs() const;
 
+  inline bool getHasEngine() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1983,6 +1985,9 @@
   inline  ::uint32_t getColdLeftMs();
   inline void setColdLeftMs( ::uint32_t value);
 
+  inline bool getHasEngine();
+  inline void setHasEngine(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4675,6 +4680,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Listing::Reader::getHasEngine() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool Listing::Builder::getHasEngine() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void Listing::Builder::setHasEngine(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Model::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/serving/include/ibislock/serving/target_table.h
+++ b/libs/serving/include/ibislock/serving/target_table.h
@@ -41,6 +41,7 @@
     std::int64_t startedAt = 0; ///< Unix milliseconds, 0 if unknown. Distinguishes incarnations under the same id.
     Millis coldLeft{0}; ///< How much longer it is cold; 0 if its service has no limit for cold targets.
     std::vector<ServedModel> models;
+    bool hasEngine = false; ///< It is listed as one that loads weights, whether it has loaded any or not.
 
     bool operator==(const TargetEntry &) const = default;
 };
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -147,7 +147,8 @@
             .onStoreRecovered = [](Millis) {},
             .hasDaemon =
                 [this](const serving::TargetEntry &entry) {
-                    return m_operators.state && serving::hasEngine(*m_operators.state, entry.service);
+                    return entry.hasEngine
+                        || (m_operators.state && serving::hasEngine(*m_operators.state, entry.service));
                 },
             .onOperatorsWatermark = [this](const feed::OperatorsWatermark &level) { applyWatermark(level); },
             .ownWatermark = [this] { return toMessage(m_watermark, bootMillis()); },
@@ -157,7 +158,10 @@
                 [this](const std::string &relay, const std::vector<peer::TopicRecord> &records) {
                     m_operatorsFollower->applyLostRecords(relay, records);
                 },
-            .onEntryVms = [this](std::vector<std::string> vms) { m_operatorsFollower->setEntryVms(std::move(vms)); },
+            .onEntryVms = [this](std::vector<std::string> vms,
+                                 bool complete) { m_operatorsFollower->setEntryVms(std::move(vms), complete); },
+            .awaitsEntryVms = [this] { return !m_operatorsFollower->feed().synchronized(); },
+            .onNoRelay = [this] { m_operatorsFollower->recordNoRelay(); },
             .hasColdLimit =
                 [this](const std::string &service) {
                     return !m_operators.state || serving::hasColdLimit(*m_operators.state, service);
