Weights: a VM whose target is listed twice takes part once

What callers saw: behind a loss of power no engine had weights for 10 s. Most VMs of a domain waited for two different VMs for the same piece, and these for others.

Cause: behind a restart the listings name each address twice, until the incarnation of before expires after three heartbeats. VMs derive the owners of pieces from the number and order of all VMs; those that knew of the old listings derived others than those that didn't, for some seconds.

Now the newest incarnation of each address counts.

--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -1,5 +1,6 @@
 #include "side.h"
 
+#include "distribution_members.h"
 #include "ibislock/base/log.h"
 #include "ibislock/net/process_limits.h"
 
@@ -71,7 +72,11 @@
     , m_engine(loop, m_client, m_settings.engine, [this] { onEngineReport(); })
     , m_agent(loop, m_client, m_engine, m_settings.ip, m_settings.domain, m_settings.firstPeerPort,
               pieceTimeOf(m_settings.linkMbps), m_portLimits.pieces,
-              [this](std::int64_t version) { return distributionMembers(version); })
+              [this](std::int64_t version) {
+                  return distributionMembers(
+                      m_listingsFollower->cache(),
+                      {.self = m_settings.ip, .service = m_settings.service, .version = version});
+              })
     , m_datagrams(loop)
     , m_incarnation(newIncarnation())
     , m_random(systemRandom())
@@ -233,24 +238,6 @@
     stepAgent();
 }
 
-std::vector<weights::DistributionMember> Side::distributionMembers(std::int64_t version) const
-{
-    std::vector<weights::DistributionMember> out;
-    for (const auto &[id, known] : m_listingsFollower->cache().listings) {
-        if (!known.entry) {
-            continue;
-        }
-        const serving::TargetEntry &entry = *known.entry;
-        const auto endpoint = platform::parseEndpoint(entry.address);
-        if (!endpoint || entry.service != m_settings.service || endpoint->ip == m_settings.ip) {
-            continue;
-        }
-        const bool holds = !entry.models.empty() && entry.models.front().version == version;
-        out.push_back({.vm = endpoint->ip, .domain = entry.domain, .hasVersion = holds});
-    }
-    return out;
-}
-
 void Side::stepAgent()
 {
     // The listings determine the owner of each piece; without them, each VM would fetch all pieces from the origin.
--- a/libs/side/src/side.h
+++ b/libs/side/src/side.h
@@ -71,7 +71,6 @@
     void tick();
     std::string metricsText() const;
     void serveMetrics(const std::shared_ptr<net::Connection> &connection);
-    std::vector<weights::DistributionMember> distributionMembers(std::int64_t version) const;
 
     asio::io_context &m_loop;
     platform::DaemonSettings m_settings;
