Weights: a search for a piece ends when the VM that it waits for isn't to fetch it any more

Cause: when other VMs take part than before, the fetches were planned anew, but searches under way kept the VM of the earlier plan.

Now a search whose long poll goes to a VM that isn't to fetch the piece by the new plan is given up and begun anew. A transfer of a piece is begun once, though an earlier search finds it as well.

--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -99,6 +99,7 @@
     m_task = {};
     m_fetching.clear();
     m_waits.clear();
+    m_searchesFrom.clear();
     m_delivered.clear();
     m_retryAt.clear();
     m_searchRounds.clear();
@@ -116,6 +117,7 @@
     m_originFetchActive = false;
     m_transferTimer.cancel();
     m_queuedTransfers.clear();
+    m_transferring.clear();
     m_activeTransfers = 0;
     m_activeSources.clear();
     if (m_priority == FetchPriority::Urgent) {
@@ -149,12 +151,32 @@
     for (const weights::DistributionMember &member : m_members) {
         m_domains[member.vm] = member.domain;
     }
+    ++m_planNumber;
     const auto pieces = static_cast<int>(m_task.digests.size());
     m_plan = weights::planPieces(pieces, m_self, m_task.domain, m_members);
     m_ranks.clear();
     for (int piece = 0; piece < pieces; ++piece) {
         m_ranks.push_back(weights::originRank(piece, m_self, m_task.domain, m_members));
     }
+    restartSearches();
+}
+
+void PieceFetcher::restartSearches()
+{
+    for (const weights::PiecePlan &plan : m_plan) {
+        const auto wait = m_waits.find(plan.piece);
+        if (wait == m_waits.end() || !wait->second.isLongPoll) {
+            continue;
+        }
+        const bool stays = std::any_of(plan.sources.begin(), plan.sources.end(), [&](const auto &source) {
+            return source.isFetching && source.vm == wait->second.vm;
+        });
+        if (!stays) {
+            m_waits.erase(wait);
+            m_fetching.erase(plan.piece);
+            m_searchesFrom[plan.piece] = m_planNumber;
+        }
+    }
 }
 
 void PieceFetcher::fetchMore(const std::set<int> &staged)
@@ -178,7 +200,8 @@
             recordMissing(m_turns, plan.piece);
         }
         m_fetching.insert(plan.piece);
-        Search search{.piece = plan.piece, .role = plan.role, .sources = plan.sources, .awaited = {}};
+        Search search{
+            .piece = plan.piece, .role = plan.role, .sources = plan.sources, .plan = m_planNumber, .awaited = {}};
         std::erase_if(search.sources, [](const weights::PieceSource &source) { return source.vm.empty(); });
         requestFromSource(std::move(search));
     }
@@ -218,8 +241,8 @@
 
 void PieceFetcher::requestFromSource(Search search)
 {
-    if (m_delivered.contains(search.piece)) {
-        return; // The origin has delivered it in the meantime.
+    if (isSuperseded(search)) {
+        return;
     }
     while (search.sourceIndex < search.sources.size()) {
         const weights::PieceSource &source = search.sources[search.sourceIndex];
@@ -242,7 +265,7 @@
     if (waits) {
         search.awaited.insert(vm);
     }
-    m_waits[search.piece] = {.vm = vm, .since = askedAt};
+    m_waits[search.piece] = {.vm = vm, .since = askedAt, .isLongPoll = waits};
     const peer::PieceMessage request{.model = m_task.model,
                                      .version = m_task.version,
                                      .index = search.piece,
@@ -253,11 +276,13 @@
                            if (generation != m_generation) {
                                return;
                            }
-                           m_waits.erase(search.piece);
+                           const auto awaited = m_waits.find(search.piece);
+                           if (awaited != m_waits.end() && awaited->second.since == askedAt) {
+                               m_waits.erase(awaited);
+                           }
                            if (answer && answer->content == peer::PieceContent::Ready) {
                                recordAvailable(m_turns, m_pacing.origin, search.piece, steadyMillis());
-                               m_queuedTransfers.push_back({.search = std::move(search)});
-                               startTransfers();
+                               queueTransfer(std::move(search));
                                return;
                            }
                            const Millis now = steadyMillis();
@@ -332,6 +357,24 @@
              {"longest_wait_ms", std::to_string(waits ? (now - longest->second.since).count() : 0)}});
 }
 
+bool PieceFetcher::isSuperseded(const Search &search) const
+{
+    const auto it = m_searchesFrom.find(search.piece);
+    const bool givenUp = it != m_searchesFrom.end() && search.plan < it->second;
+    return givenUp || m_delivered.contains(search.piece) || m_transferring.contains(search.piece);
+}
+
+void PieceFetcher::queueTransfer(Search search)
+{
+    if (m_delivered.contains(search.piece) || !m_transferring.insert(search.piece).second) {
+        return;
+    }
+    m_fetching.insert(search.piece); // A search that was given up may have found it.
+    m_waits.erase(search.piece);
+    m_queuedTransfers.push_back({.search = std::move(search)});
+    startTransfers();
+}
+
 PieceFetcher::Transfer PieceFetcher::takeRandomTransfer()
 {
     // All VMs learn of a piece at the same time; a random choice prevents that they all turn to its holder at once. A
@@ -376,6 +419,7 @@
 void PieceFetcher::startTransfer(Transfer next)
 {
     if (m_delivered.contains(next.search.piece)) {
+        m_transferring.erase(next.search.piece);
         return; // The origin has delivered it in the meantime.
     }
     const Millis now = steadyMillis();
@@ -403,6 +447,7 @@
     const bool isPiece = answer && answer->content == peer::PieceContent::Bytes;
     const Digest received = isPiece ? sha256(answer->bytes) : Digest();
     if (isPiece && received == m_task.digests[static_cast<std::size_t>(done.search.piece)]) {
+        m_transferring.erase(done.search.piece);
         deliverPiece(done.search.piece, answer->bytes, false);
         startTransfers();
         return;
@@ -426,8 +471,13 @@
         if (!m_delivered.contains(done.search.piece)) {
             recordMissing(m_turns, done.search.piece);
         }
-        ++done.search.sourceIndex;
-        requestFromSource(std::move(done.search));
+        m_transferring.erase(done.search.piece);
+        if (isSuperseded(done.search)) {
+            retryLater(done.search.piece);
+        } else {
+            ++done.search.sourceIndex;
+            requestFromSource(std::move(done.search));
+        }
     }
     startTransfers();
 }
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -100,6 +100,7 @@
         std::size_t sourceIndex = 0; ///< The source that is tried.
         bool previousUnreachable = false; ///< The previous source was unreachable.
         bool juniorsAsked = false; ///< VMs behind this one in the order are among the sources.
+        std::uint64_t plan = 0; ///< The number of the plan by which it was begun.
         std::set<std::string> awaited; ///< VMs that were given time to fetch the piece.
     };
 
@@ -112,6 +113,14 @@
 
     /// Plans the fetches anew if other VMs take part than before.
     void updatePlan(Millis now);
+
+    /// Gives up searches that wait for a VM which isn't to fetch the piece any more.
+    void restartSearches();
+
+    /// Returns whether a search is over: the piece has been delivered or is being transferred, or the search has been
+    /// given up.
+    bool isSuperseded(const Search &search) const;
+    void queueTransfer(Search search);
     void requestFromSource(Search search);
 
     /// Returns whether a source is in another domain and the owner in the own domain is to deliver the piece instead.
@@ -166,9 +175,11 @@
     {
         std::string vm;
         Millis since{0};
+        bool isLongPoll = false;
     };
 
     std::map<int, Wait> m_waits; ///< By piece.
+    std::map<int, std::uint64_t> m_searchesFrom; ///< By piece: the plan before which all searches have been given up.
     std::uint64_t m_generation =
         0; ///< Incremented on each start and stop; responses of an earlier generation are ignored.
     std::set<int> m_fetching;
@@ -177,6 +188,7 @@
     bool m_manifestDoubted = false;
     std::vector<weights::DistributionMember> m_members; ///< For which the fetches are planned.
     std::vector<weights::PiecePlan> m_plan;
+    std::uint64_t m_planNumber = 0; ///< Incremented with each plan.
     std::vector<weights::OriginRank> m_ranks; ///< By piece.
     std::map<std::string, std::string> m_domains; ///< By VM.
     Millis m_nextPlanAt{0};
@@ -191,6 +203,7 @@
     std::uint64_t m_originFetch = 0; ///< Number of the latest fetch.
     Millis m_originSentAt{0};
     std::deque<Transfer> m_queuedTransfers;
+    std::set<int> m_transferring; ///< Pieces of queued and active transfers.
     int m_activeTransfers = 0;
     int m_transferWindow = 1; ///< Limit of concurrent transfers; adapts to the link.
     std::set<std::string> m_activeSources;
