Weights: VMs that fetch a version which isn't new tell each other what they hold

Callers saw: behind a restart of all VMs, requests refused for seconds as engines waited for weights of which each piece was either staged at some VM or could be had from an idle origin.

Behind a restart each VM knows only its own stage. So a VM whose turn it is holds back for pieces that others have, VMs probe an origin that isn't silent, and pieces that a VM of another domain has staged are drawn from the origin again.

Fix: a VM that begins to fetch a version that isn't new exchanges holdings with each other VM, one message in each direction. Pieces that any VM holds count as held, and are taken from a holder, in the own domain first; turns begin behind the answers, or after 400 ms. So all VMs derive the turns from the same set, and what is staged is spread while the rest comes from the origin. A holder that doesn't deliver is forgotten for that piece.

The simulation of the latter models the exchange; its draws and bounds are unchanged.

--- a/libs/peer/include/ibislock/peer/messages.h
+++ b/libs/peer/include/ibislock/peer/messages.h
@@ -83,10 +83,13 @@
 /// The index with which messages address the manifest of a version instead of a piece.
 inline constexpr int ManifestIndex = -1;
 
+/// The index with which messages ask which pieces of a version are held.
+inline constexpr int HoldingsIndex = -2;
+
 /// The type of a piece message.
-enum class PieceContent { Request, Bytes, Missing, Manifest, Ready, Redirect };
+enum class PieceContent { Request, Bytes, Missing, Manifest, Ready, Redirect, Holdings };
 
-/// A message about one piece, or the manifest, of a version of weights.
+/// A message about one piece, the manifest, or the held pieces of a version of weights.
 struct PieceMessage
 {
     std::string model;
@@ -100,6 +103,10 @@
     std::string redirectVm; ///< Of a redirect: the address of the VM to send the request to.
     std::uint64_t chunkBytes = 0; ///< Of a manifest.
     std::vector<Digest> digests; ///< Of a manifest.
+    std::string sender; ///< Of a request for the held pieces: the address of the requesting VM.
+    /// Of such a request and of its response: a bit for each piece that is held, beginning with the lowest one of the
+    /// first byte.
+    std::string held;
 };
 
 /// Encodes a piece message with its length in front.
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -94,7 +94,7 @@
   # Sent over TCP between target VMs, each behind its length in four bytes, little endian.
   model @0 :Text;
   version @1 :Int64;
-  index @2 :Int32;  # Of the piece; -1 for the manifest.
+  index @2 :Int32;  # Of the piece; -1 for the manifest, -2 for which pieces are held.
   union {
     ask @3 :UInt32;
     # With 0, asks for the bytes now. Else asks to be told when the piece is held, within this many milliseconds.
@@ -103,9 +103,12 @@
     manifest @6 :Manifest;
     ready @7 :Void;  # The piece is held now.
     elsewhere @8 :Text;  # The asked VM is busy; the VM that is named got the piece from it before.
+    holdings @11 :Data;  # A bit for each piece, beginning with the lowest of the first byte; 1 if it is held.
   }
   queuedMs @9 :UInt32;  # How long the ask of an answer waited at the asked VM.
   forDomain @10 :Bool;  # The asker is in another domain and takes the piece for all of it.
+  sender @12 :Text;  # Of an ask for the held pieces: the address of the asker.
+  held @13 :Data;  # Of such an ask: what the asker holds itself, as in the answer.
 }
 
 struct Manifest {
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -153,6 +153,8 @@
     case wire::PieceMessage::ASK:
         out.content = PieceContent::Request;
         out.waitMs = message.getAsk();
+        out.sender = message.getSender().cStr();
+        out.held = viewOf(message.getHeld());
         return out;
     case wire::PieceMessage::BYTES:
         out.content = PieceContent::Bytes;
@@ -168,6 +170,10 @@
     case wire::PieceMessage::READY:
         out.content = PieceContent::Ready;
         return out;
+    case wire::PieceMessage::HOLDINGS:
+        out.content = PieceContent::Holdings;
+        out.held = viewOf(message.getHoldings());
+        return out;
     case wire::PieceMessage::MANIFEST: {
         out.content = PieceContent::Manifest;
         out.chunkBytes = message.getManifest().getChunkBytes();
@@ -321,6 +327,8 @@
     switch (message.content) {
     case PieceContent::Request:
         piece.setAsk(message.waitMs);
+        piece.setSender(message.sender);
+        piece.setHeld(dataOf(message.held));
         break;
     case PieceContent::Bytes:
         piece.setBytes(dataOf(message.bytes));
@@ -334,6 +342,9 @@
     case PieceContent::Ready:
         piece.setReady();
         break;
+    case PieceContent::Holdings:
+        piece.setHoldings(dataOf(message.held));
+        break;
     case PieceContent::Manifest: {
         auto manifest = piece.initManifest();
         manifest.setChunkBytes(message.chunkBytes);
--- a/libs/peer/src/wire/peer.capnp.h
+++ b/libs/peer/src/wire/peer.capnp.h
@@ -181,10 +181,11 @@
     MANIFEST,
     READY,
     ELSEWHERE,
+    HOLDINGS,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a9bf90d47d98f084, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a9bf90d47d98f084, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1292,6 +1293,16 @@
 
   inline bool getForDomain() const;
 
+  inline bool isHoldings() const;
+  inline bool hasHoldings() const;
+  inline  ::capnp::Data::Reader getHoldings() const;
+
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
+
+  inline bool hasHeld() const;
+  inline  ::capnp::Data::Reader getHeld() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1376,6 +1387,28 @@
   inline bool getForDomain();
   inline void setForDomain(bool value);
 
+  inline bool isHoldings();
+  inline bool hasHoldings();
+  inline  ::capnp::Data::Builder getHoldings();
+  inline void setHoldings( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHoldings(unsigned int size);
+  inline void adoptHoldings(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHoldings();
+
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+
+  inline bool hasHeld();
+  inline  ::capnp::Data::Builder getHeld();
+  inline void setHeld( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHeld();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3869,6 +3902,128 @@
       ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PieceMessage::Reader::isHoldings() const {
+  return which() == PieceMessage::HOLDINGS;
+}
+inline bool PieceMessage::Builder::isHoldings() {
+  return which() == PieceMessage::HOLDINGS;
+}
+inline bool PieceMessage::Reader::hasHoldings() const {
+  if (which() != PieceMessage::HOLDINGS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PieceMessage::Builder::hasHoldings() {
+  if (which() != PieceMessage::HOLDINGS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader PieceMessage::Reader::getHoldings() const {
+  KJ_IREQUIRE((which() == PieceMessage::HOLDINGS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder PieceMessage::Builder::getHoldings() {
+  KJ_IREQUIRE((which() == PieceMessage::HOLDINGS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::setHoldings( ::capnp::Data::Reader value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::HOLDINGS);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder PieceMessage::Builder::initHoldings(unsigned int size) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::HOLDINGS);
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PieceMessage::Builder::adoptHoldings(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  _builder.setDataField<PieceMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, PieceMessage::HOLDINGS);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> PieceMessage::Builder::disownHoldings() {
+  KJ_IREQUIRE((which() == PieceMessage::HOLDINGS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PieceMessage::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PieceMessage::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PieceMessage::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PieceMessage::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PieceMessage::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PieceMessage::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PieceMessage::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool PieceMessage::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PieceMessage::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader PieceMessage::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder PieceMessage::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PieceMessage::Builder::setHeld( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder PieceMessage::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PieceMessage::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> PieceMessage::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Manifest::Reader::getChunkBytes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/side/include/ibislock/side/daemon.h
+++ b/libs/side/include/ibislock/side/daemon.h
@@ -21,6 +21,8 @@
 struct SideOptions
 {
     std::uint16_t metricsPort = 0; ///< 0 disables the metrics listener.
+    /// Other VMs of the domain may be starting as well, so that this one waits for them before it reads the store.
+    bool startsWithOthers = true;
 };
 
 /// The daemon of a target VM.
--- a/libs/side/src/piece_exchange.cpp
+++ b/libs/side/src/piece_exchange.cpp
@@ -261,6 +261,10 @@
         return;
     }
     m_incoming.markUsed(connection.get());
+    if (request.index == peer::HoldingsIndex && !request.held.empty() && m_store.onHoldings) {
+        m_store.onHoldings(request);
+        request.held.clear();
+    }
     const Millis now = steadyMillis();
     const Millis deadline = now + Millis{request.waitMs};
     m_pending.push_back(
@@ -304,6 +308,9 @@
     if (!*holds) {
         return Decision::Wait;
     }
+    if (item.request.index == peer::HoldingsIndex) {
+        return Decision::Send;
+    }
     if (item.request.waitMs > 0 && item.request.index != peer::ManifestIndex) {
         return Decision::Ready;
     }
@@ -358,8 +365,11 @@
 {
     ++m_activeReads;
     recordSent(item, connection, now);
-    m_nextPieceAt = item.request.index == peer::ManifestIndex ? now : now + m_pieceInterval;
-    m_nextPieceTimer.start(m_pieceInterval, [this] { completePending(); });
+    const bool isPiece = item.request.index >= 0;
+    if (isPiece) {
+        m_nextPieceAt = now + m_pieceInterval;
+        m_nextPieceTimer.start(m_pieceInterval, [this] { completePending(); });
+    }
     const Millis queued = now - item.receivedAt;
     m_store.read(item.request, [this, queued, to = item.connection](peer::PieceMessage answer) {
         --m_activeReads;
@@ -373,8 +383,8 @@
 
 void PieceExchange::recordSent(const PendingRequest &item, const net::Connection &connection, Millis now)
 {
-    if (item.request.forDomain) {
-        return; // VMs of this domain are not redirected to another one.
+    if (item.request.forDomain || item.request.index == peer::HoldingsIndex) {
+        return; // VMs of this domain are not redirected to another one; what this VM holds, only it knows.
     }
     if (item.request.version != m_sentVersion) {
         m_sentVersion = item.request.version;
--- a/libs/side/src/piece_exchange.h
+++ b/libs/side/src/piece_exchange.h
@@ -21,6 +21,9 @@
 
     /// Reads a piece; `done` receives the message to send.
     std::function<void(const peer::PieceMessage &request, std::function<void(peer::PieceMessage)> done)> read;
+
+    /// Called with what another VM holds, as it tells when it asks for what this one holds. May be empty.
+    std::function<void(const peer::PieceMessage &request)> onHoldings = {};
 };
 
 /// Receives the response to a request; nothing if the VM didn't respond in time or the connection failed.
--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -57,6 +57,10 @@
 /// VMs of all others that are asked in turn for a piece which those that should have it don't hold.
 constexpr std::size_t AskedInTurn = 8;
 
+/// How long VMs that start may take to say what they hold; more pieces may be requested from the origin than necessary
+/// if one takes longer, and all wait if this is long.
+constexpr Millis SurveyTime{400};
+
 /// Interval of the log lines about the progress.
 constexpr Millis ProgressInterval{1000};
 
@@ -89,6 +93,14 @@
     m_progressLoggedAt = now;
     m_countsBefore = m_counts;
     m_turns = weights::makeOriginTurns(static_cast<int>(m_task.digests.size()), m_task.originPieceTime, now);
+    for (std::size_t piece = 0; piece < m_task.held.size(); ++piece) {
+        if (m_task.held[piece]) {
+            recordHeld(m_turns, static_cast<int>(piece));
+        }
+    }
+    if (!m_task.isFresh) {
+        m_surveyEnd = now + SurveyTime;
+    }
     updatePlan(now);
     m_originTimer.start(OriginStepTime, [this] { stepOrigin(); });
 }
@@ -113,6 +125,10 @@
     m_originRetryAt.clear();
     m_goneUntil = Millis{0};
     m_declinedAt.clear();
+    m_holdings = {};
+    m_holdingsAsked.clear();
+    m_holdingsAwaited.clear();
+    m_surveyEnd.reset();
     m_originTimer.cancel();
     m_originFetchActive = false;
     m_transferTimer.cancel();
@@ -151,7 +167,6 @@
     for (const weights::DistributionMember &member : m_members) {
         m_domains[member.vm] = member.domain;
     }
-    ++m_planNumber;
     const auto pieces = static_cast<int>(m_task.digests.size());
     m_plan = weights::planPieces(pieces, m_self, m_task.domain, m_members);
     m_ranks.clear();
@@ -159,6 +174,7 @@
         m_ranks.push_back(weights::originRank(piece, m_self, m_task.domain, m_members));
     }
     restartSearches();
+    askHoldings();
 }
 
 void PieceFetcher::restartSearches()
@@ -174,7 +190,7 @@
         if (!stays) {
             m_waits.erase(wait);
             m_fetching.erase(plan.piece);
-            m_searchesFrom[plan.piece] = m_planNumber;
+            m_searchesFrom[plan.piece] = m_lastSearch + 1;
         }
     }
 }
@@ -199,14 +215,22 @@
         if (m_delivered.erase(plan.piece) > 0) {
             recordMissing(m_turns, plan.piece);
         }
+        if (takeFromHolder(plan)) {
+            continue;
+        }
         m_fetching.insert(plan.piece);
-        Search search{
-            .piece = plan.piece, .role = plan.role, .sources = plan.sources, .plan = m_planNumber, .awaited = {}};
-        std::erase_if(search.sources, [](const weights::PieceSource &source) { return source.vm.empty(); });
-        requestFromSource(std::move(search));
+        requestFromSource(makeSearch(plan));
     }
 }
 
+PieceFetcher::Search PieceFetcher::makeSearch(const weights::PiecePlan &plan)
+{
+    Search out{
+        .piece = plan.piece, .role = plan.role, .sources = plan.sources, .number = ++m_lastSearch, .awaited = {}};
+    std::erase_if(out.sources, [](const weights::PieceSource &source) { return source.vm.empty(); });
+    return out;
+}
+
 Millis PieceFetcher::ownerTimeout() const
 {
     const Millis copy = m_task.originPieceTime * static_cast<std::int64_t>(m_task.digests.size());
@@ -360,7 +384,7 @@
 bool PieceFetcher::isSuperseded(const Search &search) const
 {
     const auto it = m_searchesFrom.find(search.piece);
-    const bool givenUp = it != m_searchesFrom.end() && search.plan < it->second;
+    const bool givenUp = it != m_searchesFrom.end() && search.number < it->second;
     return givenUp || m_delivered.contains(search.piece) || m_transferring.contains(search.piece);
 }
 
@@ -468,7 +492,8 @@
         done.redirectVm.clear(); // The source itself still has the piece.
         m_queuedTransfers.push_back(std::move(done));
     } else {
-        if (!m_delivered.contains(done.search.piece)) {
+        recordNotHeld(m_holdings, vmOf(done), done.search.piece);
+        if (!m_delivered.contains(done.search.piece) && !isHeld(m_holdings, done.search.piece)) {
             recordMissing(m_turns, done.search.piece);
         }
         m_transferring.erase(done.search.piece);
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -1,7 +1,8 @@
 // Fetches the missing pieces of a version. Each piece is requested from its sources in their order with a long poll; a
-// source that holds it is added to the queue of transfers, whose rate limit leaves room on the VM's link. Independently
-// of these requests, pieces that no VM is known to hold are fetched from the origin, one after another, when it is this
-// VM's turn (weights/origin_turns.h).
+// source that holds it is added to the queue of transfers, whose rate limit leaves room on the VM's link. If the
+// version isn't new, the VMs first tell each other what they hold, and a piece goes straight to the transfers.
+// Independently of these requests, pieces that no VM is known to hold are fetched from the origin, one after another,
+// when it is this VM's turn (weights/origin_turns.h).
 //
 //     fetcher.begin({.model = "m", .version = 2, .origin = "10.0.0.1:80", .digests = digests, .domain = "domain-a",
 //                    .members = members});
@@ -13,6 +14,7 @@
 #include "ibislock/base/random.h"
 #include "ibislock/net/http_client.h"
 #include "ibislock/net/timer.h"
+#include "ibislock/weights/piece_holdings.h"
 #include "link_pacing.h"
 #include "piece_exchange.h"
 
@@ -31,6 +33,7 @@
     std::vector<Digest> digests;
     std::string domain; ///< The failure domain of this VM.
     DistributionMembers members;
+    std::vector<bool> held = {}; ///< By piece: whether this VM holds it; other VMs are told. Empty for none.
     bool isFresh = false; ///< The version was announced just now: no VM can hold a piece of it already.
     Millis originPieceTime{0}; ///< How long the origin's link takes for a piece; zero if unknown.
     std::size_t pieceBytes = 0; ///< Size of the largest piece; 0 if unknown.
@@ -85,6 +88,10 @@
     /// Records whether staging a delivered piece has succeeded; if not, the piece is fetched again.
     void recordStaging(int piece, bool staged);
 
+    /// Records what another VM holds of a version, if it is the one that is fetched.
+    /// @param held as `weights::encodeHeld` writes it.
+    void recordPeerHoldings(std::int64_t version, const std::string &vm, std::string_view held);
+
     const FetchCounts &counts() const;
 
     /// Returns what is known of the pieces of the version at other VMs and at the origin.
@@ -100,7 +107,7 @@
         std::size_t sourceIndex = 0; ///< The source that is tried.
         bool previousUnreachable = false; ///< The previous source was unreachable.
         bool juniorsAsked = false; ///< VMs behind this one in the order are among the sources.
-        std::uint64_t plan = 0; ///< The number of the plan by which it was begun.
+        std::uint64_t number = 0; ///< Counts the searches of the fetcher.
         std::set<std::string> awaited; ///< VMs that were given time to fetch the piece.
     };
 
@@ -117,6 +124,17 @@
     /// Gives up searches that wait for a VM which isn't to fetch the piece any more.
     void restartSearches();
 
+    /// Asks the VMs that have not been asked for what they hold, and tells them what this one holds.
+    void askHoldings();
+
+    /// Ends the time in which pieces count as held that other VMs may hold, and begins the turns at the origin.
+    void finishSurvey();
+
+    /// Queues the transfer of a piece from a VM that is known to hold it.
+    /// @return whether there is one from which this VM may take it.
+    bool takeFromHolder(const weights::PiecePlan &plan);
+    Search makeSearch(const weights::PiecePlan &plan);
+
     /// Returns whether a search is over: the piece has been delivered or is being transferred, or the search has been
     /// given up.
     bool isSuperseded(const Search &search) const;
@@ -179,7 +197,7 @@
     };
 
     std::map<int, Wait> m_waits; ///< By piece.
-    std::map<int, std::uint64_t> m_searchesFrom; ///< By piece: the plan before which all searches have been given up.
+    std::map<int, std::uint64_t> m_searchesFrom; ///< By piece: the search before which all have been given up.
     std::uint64_t m_generation =
         0; ///< Incremented on each start and stop; responses of an earlier generation are ignored.
     std::set<int> m_fetching;
@@ -188,13 +206,17 @@
     bool m_manifestDoubted = false;
     std::vector<weights::DistributionMember> m_members; ///< For which the fetches are planned.
     std::vector<weights::PiecePlan> m_plan;
-    std::uint64_t m_planNumber = 0; ///< Incremented with each plan.
+    std::uint64_t m_lastSearch = 0; ///< The number of the last search that was begun.
     std::vector<weights::OriginRank> m_ranks; ///< By piece.
     std::map<std::string, std::string> m_domains; ///< By VM.
     Millis m_nextPlanAt{0};
     std::map<std::string, Millis> m_declinedAt; ///< By VM: when it responded that it doesn't fetch the version.
     std::set<int> m_delivered; ///< Pieces that were passed on; they need no source any more.
     std::map<int, Millis> m_retryAt; ///< By piece: when an unavailable one is tried again.
+    weights::PieceHoldings m_holdings;
+    std::set<std::string> m_holdingsAsked; ///< VMs that were asked for what they hold.
+    std::set<std::string> m_holdingsAwaited; ///< Those of them that have not responded.
+    std::optional<Millis> m_surveyEnd; ///< Until then, nothing is requested from the origin; none before and after.
     weights::OriginTurns m_turns;
     std::map<int, Millis> m_originRetryAt; ///< By piece: when one that was corrupt is requested from the origin again.
     Millis m_goneUntil{0}; ///< The origin didn't have the version any more; it isn't asked until then.
--- a/libs/side/src/piece_fetcher_origin.cpp
+++ b/libs/side/src/piece_fetcher_origin.cpp
@@ -47,6 +47,12 @@
     if (m_originFetchActive && isRequestStale(m_turns, m_originSentAt, now)) {
         m_originFetchActive = false; // A connection from before the recovery may stay silent for ever.
     }
+    if (m_surveyEnd && now >= *m_surveyEnd) {
+        finishSurvey();
+    }
+    if (m_surveyEnd) {
+        return;
+    }
     // Of two versions, the origin first sends all of the one that is needed first.
     const bool yields = m_priority == FetchPriority::Background && m_pacing.urgentMissing;
     if (!missing || yields || m_originFetchActive || now < m_goneUntil) {
@@ -74,7 +80,8 @@
     }
     // Others may hold the piece unless it is new; one round of requests shows that.
     const bool isNew = m_task.isFresh && rank.overall == 0;
-    if (!areOut(rank.domainSeniors) || !(isNew || m_searchRounds.contains(piece))) {
+    const bool asked = !m_task.isFresh || m_searchRounds.contains(piece); // Otherwise in the survey.
+    if (!areOut(rank.domainSeniors) || !(isNew || asked)) {
         return false;
     }
     return turn == weights::OriginTurn::IfDomainSeniorsOut || areOut(rank.otherSeniors);
--- a/libs/side/src/side.cpp
+++ b/libs/side/src/side.cpp
@@ -109,8 +109,10 @@
     receive();
     m_operatorsFollower = std::make_unique<feed::OperatorsFollower>(
         m_loop, m_client, m_settings.store,
-        feed::OperatorsFollowerOptions{
-            .ip = m_settings.ip, .port = m_settings.lastPeerPort, .stateTime = m_settings.bounds.stateApplyTime},
+        feed::OperatorsFollowerOptions{.ip = m_settings.ip,
+                                       .port = m_settings.lastPeerPort,
+                                       .stateTime = m_settings.bounds.stateApplyTime,
+                                       .startsWithOthers = m_options.startsWithOthers},
         feed::FeedEvents{
             .onSnapshot =
                 [this](const std::vector<platform::KeyedRecord> &records) {
--- a/libs/side/src/weights_agent.cpp
+++ b/libs/side/src/weights_agent.cpp
@@ -36,6 +36,7 @@
               .holds = [this](const peer::PieceMessage &request) { return holdsForPeer(request); },
               .read = [this](const peer::PieceMessage &request,
                              const std::function<void(peer::PieceMessage)> &done) { readForPeer(request, done); },
+              .onHoldings = [this](const peer::PieceMessage &request) { recordPeerHoldings(request); },
           },
           limits)
     , m_orderTimer(loop)
--- a/libs/side/src/weights_agent.h
+++ b/libs/side/src/weights_agent.h
@@ -165,6 +165,12 @@
     /// Returns whether the engine has responded for long enough without showing the order in its report.
     bool isOrderIneffective(Millis now) const;
 
+    /// Returns which pieces of a version this VM can send to others; empty while that isn't known.
+    std::vector<bool> heldPieces(std::int64_t version) const;
+
+    /// Passes on what another VM holds to the fetcher of that version.
+    void recordPeerHoldings(const peer::PieceMessage &request);
+
     /// Returns whether a piece or manifest is held; nothing if it won't be fetched any more.
     std::optional<bool> findForPeer(const peer::PieceMessage &request) const;
     std::optional<bool> holdsForPeer(const peer::PieceMessage &request) const;
--- a/libs/side/src/weights_agent_stage.cpp
+++ b/libs/side/src/weights_agent_stage.cpp
@@ -170,6 +170,7 @@
                           .digests = m_digests,
                           .domain = m_domain,
                           .members = m_members,
+                          .held = heldPieces(m_desired.version),
                           .isFresh = isFresh(m_desired, steadyMillis()),
                           .originPieceTime = m_desired.originPieceTime,
                           .pieceBytes = m_desired.pieceBytes});
@@ -395,9 +396,38 @@
     readStage();
 }
 
+std::vector<bool> WeightsAgent::heldPieces(std::int64_t version) const
+{
+    const bool ahead = m_prefetch.isActive() && version == m_prefetch.version();
+    if (!ahead && (version != m_desired.version || m_phase == WeightsPhase::Reading)) {
+        return {};
+    }
+    const PrefetchedPieces &prefetched = m_prefetch.prefetched();
+    std::vector<bool> out(ahead ? prefetched.digests.size() : m_digests.size());
+    for (std::size_t n = 0; n < out.size(); ++n) {
+        const auto piece = static_cast<int>(n);
+        out[n] = ahead ? prefetched.pieces.contains(piece)
+                       : m_staged.contains(piece) || m_unstaged.contains(piece) || m_beingStaged.contains(piece);
+    }
+    return out;
+}
+
+void WeightsAgent::recordPeerHoldings(const peer::PieceMessage &request)
+{
+    if (request.model != m_desired.model) {
+        return;
+    }
+    m_pieceFetcher.recordPeerHoldings(request.version, request.sender, request.held);
+    m_prefetch.recordPeerHoldings(request.version, request.sender, request.held);
+}
+
 std::optional<bool> WeightsAgent::findForPeer(const peer::PieceMessage &request) const
 {
     const bool manifest = request.index == peer::ManifestIndex;
+    if (request.index == peer::HoldingsIndex && request.model == m_desired.model
+        && request.version >= m_desired.version) {
+        return !heldPieces(request.version).empty();
+    }
     if (request.model == m_desired.model && m_prefetch.isActive() && request.version == m_prefetch.version()) {
         return manifest ? !m_prefetch.prefetched().digests.empty()
                         : m_prefetch.prefetched().pieces.contains(request.index);
@@ -417,7 +447,7 @@
 std::optional<bool> WeightsAgent::holdsForPeer(const peer::PieceMessage &request) const
 {
     const std::optional<bool> held = findForPeer(request);
-    const bool declines = held == false && request.index != peer::ManifestIndex && isCutOff(m_pacing.origin);
+    const bool declines = held == false && request.index >= 0 && isCutOff(m_pacing.origin);
     return declines ? std::nullopt : held;
 }
 
@@ -425,6 +455,12 @@
 {
     const bool ahead = m_prefetch.isActive() && request.version == m_prefetch.version();
     peer::PieceMessage answer = request;
+    if (request.index == peer::HoldingsIndex) {
+        answer.content = peer::PieceContent::Holdings;
+        answer.held = weights::encodeHeld(heldPieces(request.version));
+        done(std::move(answer));
+        return;
+    }
     if (request.index == peer::ManifestIndex) {
         answer.content = peer::PieceContent::Manifest;
         answer.digests = ahead ? m_prefetch.prefetched().digests : m_digests;
--- a/libs/side/src/weights_prefetch.cpp
+++ b/libs/side/src/weights_prefetch.cpp
@@ -91,6 +91,11 @@
     return m_pieceFetcher.counts();
 }
 
+void WeightsPrefetch::recordPeerHoldings(std::int64_t version, const std::string &vm, std::string_view held)
+{
+    m_pieceFetcher.recordPeerHoldings(version, vm, held);
+}
+
 void WeightsPrefetch::verifyManifest()
 {
     m_manifestFetcher.begin(m_desired, ManifestSource::Origin, [this](std::vector<Digest> digests) {
--- a/libs/side/src/weights_prefetch.h
+++ b/libs/side/src/weights_prefetch.h
@@ -55,6 +55,9 @@
 
     const FetchCounts &counts() const;
 
+    /// Records what another VM holds of a version, if it is the one that is prefetched.
+    void recordPeerHoldings(std::int64_t version, const std::string &vm, std::string_view held);
+
 private:
     void applyManifest(std::vector<Digest> digests);
     void verifyManifest();
--- a/libs/side/test/side_fixture.h
+++ b/libs/side/test/side_fixture.h
@@ -39,7 +39,7 @@
         settings.service = "s";
         settings.linkMbps = limits.linkMbps;
         settings.bounds.versionGracePeriod = limits.versionTime;
-        daemon = std::make_unique<SideDaemon>(loop, settings, SideOptions{});
+        daemon = std::make_unique<SideDaemon>(loop, settings, SideOptions{.startsWithOthers = false});
     }
 
     std::string listing() const
--- a/libs/weights/include/ibislock/weights/origin_turns.h
+++ b/libs/weights/include/ibislock/weights/origin_turns.h
@@ -65,7 +65,11 @@
 /// Starts the turns of a version with all pieces missing.
 OriginTurns makeOriginTurns(int pieces, Millis pieceTime, Millis now);
 
-/// Records that this VM holds a piece. It says nothing about the origin.
+/// Begins the turns anew with the pieces that are missing now, and counts the silence of the origin from now on.
+void restartTurns(OriginTurns &turns, Millis now);
+
+/// Records that this VM holds a piece, or that another one held it already when the turns began. It says nothing about
+/// the origin.
 void recordHeld(OriginTurns &turns, int piece);
 
 /// Records that a VM holds a piece that was missing before: the origin serves. After a silence, the turns begin anew.
--- a/libs/weights/src/origin_turns.cpp
+++ b/libs/weights/src/origin_turns.cpp
@@ -171,6 +171,12 @@
     return out;
 }
 
+void restartTurns(OriginTurns &turns, Millis now)
+{
+    turns.startedAt = now;
+    anchor(turns, now);
+}
+
 void recordHeld(OriginTurns &turns, int piece)
 {
     turns.missing[static_cast<std::size_t>(piece)] = false;
--- a/libs/weights/test/origin_simulation.cpp
+++ b/libs/weights/test/origin_simulation.cpp
@@ -20,6 +20,8 @@
 constexpr Millis RequestTimeout{4000};
 constexpr Millis ProbeTimeout{700};
 constexpr Millis FreshTime{1500};
+constexpr int Percent = 100;
+constexpr Millis SurveyTime{400};
 constexpr Millis LateTime{2500};
 constexpr Millis MillisPerSecond{1000};
 
@@ -28,6 +30,8 @@
     OriginTurns turns;
     std::vector<bool> held;
     std::vector<Millis> readyAt; // When a piece that is available elsewhere is received; 0 for none.
+    Millis startedAt{0};
+    bool surveyed = false; // The VM knows what others held when they started, or waited long enough for them.
     bool started = false;
 };
 
@@ -46,6 +50,7 @@
     bool busy = false; // Waits for the origin.
     std::uint64_t incarnation = 0;
     Random random{1};
+    std::vector<bool> staged; // What it has of the first version when it restarts.
 };
 
 struct OriginRequest
@@ -79,6 +84,7 @@
                 vm.ranks.push_back(originRank(piece, vm.name, "d" + std::to_string(vm.domain), members));
             }
             vm.versions.resize(options.secondVersionAt ? 2 : 1);
+            stageSome(vm, n);
             m_vms.push_back(std::move(vm));
         }
     }
@@ -89,6 +95,9 @@
             m_now += Step;
             applyFaults();
             endRequests();
+            if (isRestart()) {
+                updateTold();
+            }
             for (VmModel &vm : m_vms) {
                 if (vm.alive) {
                     act(vm);
@@ -100,6 +109,17 @@
     }
 
 private:
+    void stageSome(VmModel &vm, int n) const
+    {
+        for (std::uint64_t piece = 0; piece < static_cast<std::uint64_t>(m_options.pieces); ++piece) {
+            Random common(m_options.seed * 7919 + piece); // All VMs draw the same pieces that any of them holds.
+            Random own(m_options.seed * 104729 + piece * 1009 + static_cast<std::uint64_t>(n));
+            const bool isAvailable = static_cast<int>(common() % Percent) < m_options.availablePercent;
+            const bool isOwn = static_cast<int>(own() % Percent) < m_options.stagedPercent;
+            vm.staged.push_back(isAvailable && isOwn);
+        }
+    }
+
     int indexOf(const VmModel &vm) const
     {
         return static_cast<int>(&vm - m_vms.data());
@@ -158,6 +178,7 @@
         view = {.turns = makeOriginTurns(m_options.pieces, m_options.pieceTime, m_now),
                 .held = std::vector<bool>(pieces),
                 .readyAt = std::vector<Millis>(pieces),
+                .startedAt = m_now,
                 .started = true};
         vm.juniorsAt = m_now + JuniorsInterval;
     }
@@ -170,13 +191,7 @@
     // Whether a VM has a piece of the first version staged when it restarts.
     bool isStaged(const VmModel &vm, std::size_t piece) const
     {
-        if (!isRestart()) {
-            return false;
-        }
-        Random common(m_options.seed * 7919 + piece);
-        Random own(m_options.seed * 104729 + piece * 1009 + static_cast<std::uint64_t>(indexOf(vm)));
-        return static_cast<int>(common() % 100) < m_options.availablePercent
-            && static_cast<int>(own() % 100) < m_options.stagedPercent;
+        return isRestart() && vm.staged[piece];
     }
 
     void readStage(VmModel &vm, VersionView &view)
@@ -221,6 +236,7 @@
                 }
             }
             if (view.started) {
+                survey(vm, version);
                 receive(vm, version, asksJuniors);
                 if (requestFromOrigin(vm, version)) {
                     return; // The second version waits while pieces of the first one are missing.
@@ -229,6 +245,55 @@
         }
     }
 
+    // Updates which pieces the VMs of each domain have told that they hold, early enough for all VMs to know it.
+    void updateTold()
+    {
+        m_allTold = true;
+        for (const VmModel &vm : m_vms) {
+            const VersionView &view = vm.versions.front();
+            const bool told = view.started && m_now >= view.startedAt + MessageTime;
+            m_allTold = m_allTold && told;
+            for (std::size_t piece = 0; told && piece < view.held.size(); ++piece) {
+                if (isStaged(vm, piece)) {
+                    m_told[vm.domain].insert(piece);
+                }
+            }
+        }
+    }
+
+    bool isTold(std::size_t piece) const
+    {
+        return std::any_of(m_told.begin(), m_told.end(),
+                           [piece](const auto &item) { return item.second.contains(piece); });
+    }
+
+    // Records what the others hold that have started by now, as the fetcher does when they respond.
+    void survey(VmModel &vm, std::size_t version)
+    {
+        VersionView &view = vm.versions[version];
+        if (version > 0 || !isRestart()) {
+            view.surveyed = true;
+            return;
+        }
+        for (std::size_t piece = 0; piece < view.held.size(); ++piece) {
+            if (view.turns.missing[piece] && isTold(piece)) {
+                recordHeld(view.turns, static_cast<int>(piece));
+            }
+        }
+        if (!view.surveyed && (m_allTold || m_now >= view.startedAt + SurveyTime)) {
+            view.surveyed = true;
+            restartTurns(view.turns, m_now);
+        }
+    }
+
+    // Whether a VM from which this one may take a piece has told that it holds it.
+    bool hasHolder(const VmModel &vm, const OriginRank &rank, std::size_t piece) const
+    {
+        const auto own = m_told.find(vm.domain);
+        return (own != m_told.end() && own->second.contains(piece))
+            || (isTold(piece) && allOut(vm, rank.domainSeniors));
+    }
+
     bool holds(const std::string &name, std::size_t version, std::size_t piece) const
     {
         const VersionView &view = m_vms[static_cast<std::size_t>(m_index.at(name))].versions[version];
@@ -247,7 +312,8 @@
                 continue;
             }
             const OriginRank &rank = vm.ranks[piece];
-            if (isAvailable(vm, rank, version, piece, asksJuniors)) {
+            const bool told = version == 0 && isRestart() && hasHolder(vm, rank, piece);
+            if (told || isAvailable(vm, rank, version, piece, asksJuniors)) {
                 recordAvailable(view.turns, vm.origin, static_cast<int>(piece), m_now);
                 vm.linkFreeAt = std::max(vm.linkFreeAt, m_now + MessageTime) + LinkTime;
                 view.readyAt[piece] = vm.linkFreeAt;
@@ -285,7 +351,7 @@
         VersionView &view = vm.versions[version];
         const bool missing =
             std::find(view.turns.missing.begin(), view.turns.missing.end(), true) != view.turns.missing.end();
-        for (std::size_t n = 0; missing && !vm.busy && n < vm.ranks.size(); ++n) {
+        for (std::size_t n = 0; view.surveyed && missing && !vm.busy && n < vm.ranks.size(); ++n) {
             const auto piece = static_cast<int>(n);
             const OriginTurn turn = decideOriginTurn(view.turns, vm.origin, piece, vm.ranks[n], m_now);
             if (turn != OriginTurn::Wait && mayRequest(vm, version, turn, n)) {
@@ -305,7 +371,8 @@
             return false;
         }
         const bool isNew = rank.overall == 0 && m_now < announcedAt(version) + FreshTime;
-        const bool asked = isNew || m_now > vm.versions[version].turns.startedAt + JuniorsInterval + Step;
+        const bool asked =
+            isNew || isRestart() || m_now > vm.versions[version].turns.startedAt + JuniorsInterval + Step;
         return asked && (turn == OriginTurn::IfDomainSeniorsOut || allOut(vm, rank.otherSeniors));
     }
 
@@ -418,6 +485,8 @@
     Millis m_linkFreeAt{0};
     int m_responses = 0;
     std::deque<Millis> m_attempts;
+    std::map<int, std::set<std::size_t>> m_told; // By domain: pieces that its VMs have told to hold.
+    bool m_allTold = false;
     OriginSimulationResult m_result;
 };
 
