Feed, side: move parts of three files that have grown into files of their own

Reads of the store by the follower of listings, turns of the follower of the operators' topic, and transfers of the fetcher of pieces. No change of logic; the upper limit of the retry interval of relays moves into the class, as two files use it. feed_test (161) and side_test (52) pass.

--- a/libs/feed/include/ibislock/feed/listings_follower.h
+++ b/libs/feed/include/ibislock/feed/listings_follower.h
@@ -136,6 +136,10 @@
     std::uint64_t unusableListings() const;
 
 private:
+    /// Time until relays that failed are tried again, at most, and until a VM that reads the store checks whether it
+    /// still has to.
+    static constexpr Millis RelayRetryInterval{4000};
+
     peer::ListingChange decode(const platform::KeyedRecord &record);
     void applySnapshot(const std::vector<platform::KeyedRecord> &records);
     void applyRecord(const platform::KeyedRecord &record);
