Weights: what a VM holds counts only while it takes part

Callers would have seen: requests refused for want of weights that the origin has, without an end, if a VM told others what it holds and then was no longer listed, or never was.

Nobody fetched such a piece, from anywhere. It also let anybody who reaches the port for pieces fill a table with names of VMs.

Fix: what VMs say that don't take part is ignored, and forgotten when a VM stops to; its pieces are missing again. A VM that is listed later is asked when it is.

--- a/libs/side/src/piece_fetcher.cpp
+++ b/libs/side/src/piece_fetcher.cpp
@@ -116,6 +116,7 @@
     m_goneUntil = Millis{0};
     m_declinedAt.clear();
     m_holdings = {};
+    m_heldElsewhere.clear();
     m_holdingsAsked.clear();
     m_holdingsAwaited.clear();
     m_surveyEnd.reset();
@@ -164,6 +165,7 @@
         m_ranks.push_back(weights::originRank(piece, m_self, m_task.domain, m_members));
     }
     restartSearches();
+    forgetHoldingsOfOthers();
     askHoldings();
 }
 
--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -127,6 +127,13 @@
     /// Asks the VMs that have not been asked for what they hold, and tells them what this one holds.
     void askHoldings();
 
+    /// Forgets what VMs hold that don't take part any more.
+    void forgetHoldingsOfOthers();
+
+    /// Brings the missing pieces in line with what other VMs hold.
+    void updateHeldElsewhere();
+    bool isHeldHere(int piece) const;
+
     /// Ends the time in which pieces count as held that other VMs may hold, and begins the turns at the origin.
     void finishSurvey();
 
@@ -213,7 +220,8 @@
     std::map<std::string, Millis> m_declinedAt; ///< By VM: when it responded that it doesn't fetch the version.
     std::set<int> m_delivered; ///< Pieces that were passed on; they need no source any more.
     std::map<int, Millis> m_retryAt; ///< By piece: when an unavailable one is tried again.
-    weights::PieceHoldings m_holdings;
+    weights::PieceHoldings m_holdings; ///< Of VMs that take part.
+    std::set<int> m_heldElsewhere; ///< Pieces that don't count as missing because of these.
     std::set<std::string> m_holdingsAsked; ///< VMs that were asked for what they hold.
     std::set<std::string> m_holdingsAwaited; ///< Those of them that have not responded.
     std::optional<Millis> m_surveyEnd; ///< Until then, nothing is requested from the origin; none before and after.
--- a/libs/side/src/piece_fetcher_holdings.cpp
+++ b/libs/side/src/piece_fetcher_holdings.cpp
@@ -19,6 +19,16 @@
 
 } // namespace
 
+void PieceFetcher::forgetHoldingsOfOthers()
+{
+    const auto takesPart = [this](const std::string &vm) {
+        return m_domains.contains(vm);
+    };
+    std::erase_if(m_holdings.byVm, [&](const auto &item) { return !takesPart(item.first); });
+    std::erase_if(m_holdingsAsked, [&](const std::string &vm) { return !takesPart(vm); });
+    updateHeldElsewhere();
+}
+
 void PieceFetcher::askHoldings()
 {
     if (m_task.isFresh) {
@@ -64,7 +74,7 @@
 
 void PieceFetcher::recordPeerHoldings(std::int64_t version, const std::string &vm, std::string_view held)
 {
-    if (version != m_task.version || m_task.digests.empty() || vm == m_self) {
+    if (version != m_task.version || m_task.digests.empty() || !m_domains.contains(vm)) {
         return;
     }
     std::vector<bool> pieces = weights::decodeHeld(held, m_task.digests.size());
@@ -74,18 +84,32 @@
         return;
     }
     recordHoldings(m_holdings, vm, std::move(pieces));
+    updateHeldElsewhere();
+}
+
+void PieceFetcher::updateHeldElsewhere()
+{
     for (const weights::PiecePlan &plan : m_plan) {
-        if (!isHeld(m_holdings, plan.piece)) {
-            continue;
-        }
-        recordHeld(m_turns, plan.piece);
-        const auto wait = m_waits.find(plan.piece);
-        if (wait != m_waits.end() && wait->second.isLongPoll) {
-            takeFromHolder(plan);
+        if (isHeld(m_holdings, plan.piece)) {
+            m_heldElsewhere.insert(plan.piece);
+            recordHeld(m_turns, plan.piece);
+            const auto wait = m_waits.find(plan.piece);
+            if (wait != m_waits.end() && wait->second.isLongPoll) {
+                takeFromHolder(plan);
+            }
+        } else if (m_heldElsewhere.erase(plan.piece) > 0 && !isHeldHere(plan.piece)
+                   && !m_transferring.contains(plan.piece)) {
+            recordMissing(m_turns, plan.piece); // Who held it doesn't take part any more.
         }
     }
 }
 
+bool PieceFetcher::isHeldHere(int piece) const
+{
+    const auto n = static_cast<std::size_t>(piece);
+    return m_delivered.contains(piece) || (n < m_task.held.size() && m_task.held[n]);
+}
+
 bool PieceFetcher::takeFromHolder(const weights::PiecePlan &plan)
 {
     const auto &seniors = m_ranks[static_cast<std::size_t>(plan.piece)].domainSeniors;
--- a/libs/side/test/side_restart_test.cpp
+++ b/libs/side/test/side_restart_test.cpp
@@ -1,7 +1,9 @@
 // What target VMs do when all start at once behind a restart: engines have nothing loaded, and parts of the wanted
 // version staged.
 
+#include "ibislock/net/timer.h"
 #include "ibislock/weights/origin_turns.h"
+#include "ibislock/weights/piece_holdings.h"
 #include "piece_exchange.h"
 #include "platform/log_capture.h"
 #include "side_fixture.h"
@@ -138,6 +140,37 @@
     EXPECT_LT(steadyMillis(), *idle.firstPollEnd());
 }
 
+// What a VM said that it held counted for ever, also if it was not or no longer listed: nobody fetched these pieces.
+TEST_F(RestartTest, PiecesOfAVmThatTakesNoPartAreFetchedFromTheOrigin)
+{
+    PieceExchange claimant(
+        m_loop, m_peerPort, Millis{1},
+        PieceStore{.holds = [](const peer::PieceMessage &) { return false; },
+                   .read =
+                       [](const peer::PieceMessage &, const std::function<void(peer::PieceMessage)> &) {
+                       }});
+    addEmpty(6);
+    const std::string all = weights::encodeHeld(std::vector<bool>(static_cast<std::size_t>(wanted().pieces), true));
+    net::Timer timer(m_loop);
+    const std::function<void()> claim = [&] {
+        for (const auto &vm : m_vms) {
+            claimant.request(vm->ip,
+                             {.model = "m",
+                              .version = WantedVersion,
+                              .index = peer::HoldingsIndex,
+                              .waitMs = 1,
+                              .sender = "127.0.1.100",
+                              .held = all},
+                             Millis{1000}, [](const std::optional<peer::PieceMessage> &) {});
+        }
+        timer.start(Millis{20}, claim);
+    };
+    startBehindAnnouncement();
+    claim();
+    EXPECT_TRUE(runUntilLoaded(WantedVersion));
+    expectNothingSpoilt();
+}
+
 /// VMs that respond that they have nothing; to a request for a manifest only once all of them were asked for it.
 class MutualVms
 {
