Weights: a holder that doesn't respond is forgotten for a piece

Callers would have seen: requests refused for want of weights that the origin has, for as long as a VM that had told what it holds is listed and doesn't respond; without an end while the store is away, as listings don't expire then.

A holder that is known not to respond was left out of the sources, but its pieces went on counting as held, and so were not requested from the origin. Only a transfer that had been tried and failed made them missing.

Fix: the VM that would take a piece from it forgets such a holder for this piece; without another one the piece is missing again.

The test of holders that take no part shares its claims, made for 60 s; before it had none of an end.

--- a/libs/side/src/piece_fetcher.h
+++ b/libs/side/src/piece_fetcher.h
@@ -132,6 +132,9 @@
 
     /// Brings the missing pieces in line with what other VMs hold.
     void updateHeldElsewhere();
+
+    /// Counts a piece as missing again that only VMs held which don't take part or respond any more.
+    void countIfMissing(int piece);
     bool isHeldHere(int piece) const;
 
     /// Ends the time in which pieces count as held that other VMs may hold, and begins the turns at the origin.
--- a/libs/side/src/piece_fetcher_holdings.cpp
+++ b/libs/side/src/piece_fetcher_holdings.cpp
@@ -97,13 +97,22 @@
             if (wait != m_waits.end() && wait->second.isLongPoll) {
                 takeFromHolder(plan);
             }
-        } else if (m_heldElsewhere.erase(plan.piece) > 0 && !isHeldHere(plan.piece)
-                   && !m_transferring.contains(plan.piece)) {
-            recordMissing(m_turns, plan.piece); // Who held it doesn't take part any more.
+        } else {
+            countIfMissing(plan.piece);
         }
     }
 }
 
+void PieceFetcher::countIfMissing(int piece)
+{
+    if (isHeld(m_holdings, piece) || m_heldElsewhere.erase(piece) == 0) {
+        return;
+    }
+    if (!isHeldHere(piece) && !m_transferring.contains(piece)) {
+        recordMissing(m_turns, piece);
+    }
+}
+
 bool PieceFetcher::isHeldHere(int piece) const
 {
     const auto n = static_cast<std::size_t>(piece);
@@ -118,8 +127,15 @@
     std::vector<std::string> holders =
         holdersOf(m_holdings, plan.piece,
                   {.self = m_self, .domain = m_task.domain, .domains = m_domains, .isDomainOwner = isDomainOwner});
-    std::erase_if(holders, [this](const std::string &vm) { return isOut(vm); });
+    std::erase_if(holders, [&](const std::string &vm) {
+        const bool out = isOut(vm);
+        if (out) {
+            recordNotHeld(m_holdings, vm, plan.piece);
+        }
+        return out;
+    });
     if (holders.empty()) {
+        countIfMissing(plan.piece);
         return false;
     }
     Search search = makeSearch(plan);
--- a/libs/side/test/side_restart_test.cpp
+++ b/libs/side/test/side_restart_test.cpp
@@ -48,6 +48,16 @@
         return out;
     }
 
+    /// Returns the addresses of all VMs.
+    std::vector<std::string> addresses() const
+    {
+        std::vector<std::string> out;
+        for (const auto &vm : m_vms) {
+            out.push_back(vm->ip);
+        }
+        return out;
+    }
+
     /// Announces the wanted version before the VMs start.
     void startBehindAnnouncement()
     {
@@ -140,33 +150,76 @@
     EXPECT_LT(steadyMillis(), *idle.firstPollEnd());
 }
 
+/// Tells all VMs that a VM holds all pieces, for a time.
+class Claimant
+{
+public:
+    Claimant(asio::io_context &loop, std::uint16_t port, std::vector<std::string> vms, Millis time)
+        : m_exchange(loop, port, Millis{1},
+                     PieceStore{.holds = [](const peer::PieceMessage &) { return false; },
+                                .read =
+                                    [](const peer::PieceMessage &, const std::function<void(peer::PieceMessage)> &) {
+                                    }})
+        , m_vms(std::move(vms))
+        , m_timer(loop)
+        , m_end(steadyMillis() + time)
+    {
+        claim();
+    }
+
+    static constexpr std::string_view Holder = "127.0.1.100"; ///< The VM that it speaks of; nothing listens there.
+
+private:
+    void claim()
+    {
+        const std::string all = weights::encodeHeld(std::vector<bool>(static_cast<std::size_t>(wanted().pieces), true));
+        for (const std::string &vm : m_vms) {
+            m_exchange.request(vm,
+                               {.model = "m",
+                                .version = WantedVersion,
+                                .index = peer::HoldingsIndex,
+                                .waitMs = 1,
+                                .sender = std::string(Holder),
+                                .held = all},
+                               Millis{1000}, [](const std::optional<peer::PieceMessage> &) {});
+        }
+        if (steadyMillis() < m_end) {
+            m_timer.start(Millis{20}, [this] { claim(); });
+        }
+    }
+
+    PieceExchange m_exchange;
+    std::vector<std::string> m_vms;
+    net::Timer m_timer;
+    Millis m_end;
+};
+
 // What a VM said that it held counted for ever, also if it was not or no longer listed: nobody fetched these pieces.
 TEST_F(RestartTest, PiecesOfAVmThatTakesNoPartAreFetchedFromTheOrigin)
 {
-    PieceExchange claimant(
-        m_loop, m_peerPort, Millis{1},
-        PieceStore{.holds = [](const peer::PieceMessage &) { return false; },
-                   .read =
-                       [](const peer::PieceMessage &, const std::function<void(peer::PieceMessage)> &) {
-                       }});
     addEmpty(6);
-    const std::string all = weights::encodeHeld(std::vector<bool>(static_cast<std::size_t>(wanted().pieces), true));
-    net::Timer timer(m_loop);
-    const std::function<void()> claim = [&] {
-        for (const auto &vm : m_vms) {
-            claimant.request(vm->ip,
-                             {.model = "m",
-                              .version = WantedVersion,
-                              .index = peer::HoldingsIndex,
-                              .waitMs = 1,
-                              .sender = "127.0.1.100",
-                              .held = all},
-                             Millis{1000}, [](const std::optional<peer::PieceMessage> &) {});
-        }
-        timer.start(Millis{20}, claim);
-    };
     startBehindAnnouncement();
-    claim();
+    const Claimant claimant(m_loop, m_peerPort, addresses(), Millis{60'000});
+    EXPECT_TRUE(runUntilLoaded(WantedVersion));
+    expectNothingSpoilt();
+}
+
+// The same for a VM that is listed, but doesn't respond.
+TEST_F(RestartTest, PiecesOfAHolderThatDoesNotRespondAreFetchedFromTheOrigin)
+{
+    addEmpty(6);
+    m_store.append("i-holder",
+                   nlohmann::json{{"Service", "s"},
+                                  {"Address", std::string(Claimant::Holder) + ":1"},
+                                  {"Zone", "a"},
+                                  {"Version", "v1"},
+                                  {"Slots", 16},
+                                  {"State", "ready"},
+                                  {"ColdLeftMs", 0},
+                                  {"Sequence", 1}}
+                       .dump());
+    startBehindAnnouncement();
+    const Claimant claimant(m_loop, m_peerPort, addresses(), Millis{2000});
     EXPECT_TRUE(runUntilLoaded(WantedVersion));
     expectNothingSpoilt();
 }
